--- /dev/null
+++ b/cmake/EgretladderLibraries.cmake
@@ -0,0 +1,12 @@
+# Libraries from Debian, found once for the whole workspace.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost 1.74 REQUIRED)
+pkg_check_modules(LIBEVENT REQUIRED IMPORTED_TARGET libevent libevent_openssl)
+pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
+pkg_check_modules(CAPNP_RPC REQUIRED IMPORTED_TARGET capnp-rpc)
+pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+find_package(benchmark REQUIRED)
--- /dev/null
+++ b/fleet/include/egretladder/fleet/fleet.h
@@ -0,0 +1,155 @@
+// What the nodes know together: members, rules in force, slots of endpoints,
+// quarantine, engine orders. One state machine without I/O: (state, event, now)
+// to actions. The parts have headers of their own; this one puts them together.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "egretladder/fleet/messages.h"
+#include "egretladder/kernel/time.h"
+#include "egretladder/policy/scheduler.h"
+#include "egretladder/rules/rules.h"
+
+namespace egretladder::fleet {
+
+using kernel::Time;
+using rules::EndpointHandle;
+using rules::TargetHandle;
+
+/// What a node knows of itself at start, from its settings.
+struct FleetOptions {
+  std::string node;
+  std::string caller_address;
+  std::string peer_address;
+  std::string zone;
+  std::uint64_t incarnation = 0;  ///< Random.
+  std::uint64_t started = 0;      ///< Seconds since 1970.
+  std::vector<std::string>
+      seeds;  ///< Peer addresses to ask first; may be empty.
+  std::uint64_t random_seed = 1;
+};
+
+struct SendMessage {
+  std::string peer_address;
+  Message message;
+};
+/// Read the published rules. A watch waits until the version is above `known`.
+struct ReadRulesDocument {
+  std::uint64_t known_version = 0;
+  bool watch = false;
+};
+struct ReadVmList {};
+struct ReadReport {
+  EndpointHandle endpoint;
+};
+/// A version came into force.
+struct RulesInForce {
+  rules::RulesPtr rules;
+};
+/// A published or offered document was refused; the version in force stays.
+struct RulesRefused {
+  std::uint64_t version = 0;
+  std::string why;
+};
+struct SlotsChanged {
+  EndpointHandle endpoint;
+  std::uint32_t slots = 0;  ///< Of this node.
+  policy::SlotReason reason = policy::SlotReason::kUnchanged;
+};
+/// An endpoint began or ceased to take new work.
+struct AvailableChanged {
+  EndpointHandle endpoint;
+  bool available = false;
+};
+/// A report that reached this node, directly or from the keeper.
+struct ReportSeen {
+  EndpointHandle endpoint;
+  policy::EngineReport report;
+};
+struct QuarantineAdded {
+  std::uint64_t fingerprint = 0;
+  std::chrono::milliseconds left{};
+};
+
+enum class OrderKind : std::uint8_t { kLoad, kUnload };
+/// An order to an engine. `fencing` rises with the rules' version.
+struct OrderEngine {
+  EndpointHandle endpoint;
+  OrderKind kind = OrderKind::kLoad;
+  TargetHandle target;
+  std::uint64_t fencing = 0;
+};
+
+using Action =
+    std::variant<SendMessage, ReadRulesDocument, ReadVmList, ReadReport,
+                 RulesInForce, RulesRefused, SlotsChanged, AvailableChanged,
+                 ReportSeen, QuarantineAdded, OrderEngine>;
+using Actions = std::vector<Action>;
+
+/// One VM of the platform's list, which lags behind reality.
+struct VmEntry {
+  std::string name;  ///< A node's or an endpoint's.
+  bool leaving = false;
+};
+
+/// Numbers for `/status`.
+struct FleetView {
+  std::uint64_t rules_version = 0;
+  std::uint64_t rules_digest = 0;
+  std::chrono::milliseconds rules_in_force_for{};
+  std::uint64_t refused_version = 0;
+  std::string refused_why;
+  std::vector<Member> members;
+  std::uint32_t keeper_of = 0;  ///< Endpoints.
+};
+
+struct FleetState;
+struct FleetDelete {
+  void operator()(FleetState* state) const;
+};
+using FleetPtr = std::unique_ptr<FleetState, FleetDelete>;
+
+FleetPtr StartFleet(const FleetOptions& options, Time now, Actions& out);
+
+/// Call at `kFleetTick` or more often; drives every period and lapse.
+void OnTick(FleetState& state, Time now, Actions& out);
+void OnMessage(FleetState& state, const Sender& from, const Message& message,
+               Time now, Actions& out);
+/// The platform's answer to `ReadRulesDocument`. Null text: it could not be
+/// read.
+void OnRulesDocument(FleetState& state, const std::string* text, Time now,
+                     Actions& out);
+/// The platform's answer to `ReadVmList`. Null: it could not be read.
+void OnVmList(FleetState& state, const std::vector<VmEntry>* vms, Time now,
+              Actions& out);
+/// An endpoint's answer to `ReadReport`. Null: it could not be read.
+void OnReport(FleetState& state, EndpointHandle endpoint,
+              const policy::EngineReport* report, Time now, Actions& out);
+/// What this node saw of answers and of its load at an endpoint.
+void OnEvidence(FleetState& state, EndpointHandle endpoint,
+                const policy::SlotEvidence& evidence, std::uint32_t in_flight,
+                std::uint32_t wanted, Time now);
+/// An endpoint died while bodies with these fingerprints ran on it.
+void OnEndpointDied(FleetState& state, EndpointHandle endpoint,
+                    const std::vector<std::uint64_t>& running, Time now,
+                    Actions& out);
+void OnRanWell(FleetState& state, std::uint64_t fingerprint);
+/// Begins a graceful leave: peers are told, keeper duties end.
+void Leave(FleetState& state, Time now, Actions& out);
+
+rules::RulesPtr RulesOf(const FleetState& state);
+FleetView ViewOf(const FleetState& state, Time now);
+
+/// Nodes a caller may use, best first, own zone of `zone` first; leaving and
+/// gone ones are left out. Source of `GET /where`.
+std::vector<Member> Where(const FleetState& state, std::string_view zone,
+                          std::size_t most, Time now);
+
+inline constexpr std::chrono::milliseconds kFleetTick{50};
+
+}  // namespace egretladder::fleet
--- /dev/null
+++ b/fleet/include/egretladder/fleet/messages.h
@@ -0,0 +1,92 @@
+// Messages between nodes, as values. The wire form is
+// gateway/schema/peer.capnp. Names stand in place of handles, since nodes
+// number differently; times are spans ("left", "age"), since clocks differ.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "egretladder/policy/poison.h"
+#include "egretladder/policy/slots.h"
+
+namespace egretladder::fleet {
+
+enum class MemberState : std::uint8_t { kAlive, kSuspect, kLeaving, kGone };
+
+const char* NameOf(MemberState state);
+
+/// What one node knows of another.
+struct Member {
+  std::string node;
+  std::string caller_address;
+  std::string peer_address;
+  std::string zone;
+  std::uint64_t incarnation = 0;  ///< Random at start; told apart from an older
+                                  ///< process at the same address.
+  std::uint64_t started = 0;    ///< Seconds since 1970, to order incarnations.
+  std::uint64_t heartbeat = 0;  ///< Raised by the node itself only.
+  MemberState state = MemberState::kAlive;
+};
+
+/// Heartbeat gossip: a few members, and what is in force here.
+struct Gossip {
+  std::vector<Member> members;
+  std::uint64_t rules_version = 0;
+  std::uint64_t rules_digest = 0;
+  std::vector<policy::Quarantined> quarantined;
+  bool reply_wanted = false;
+};
+
+/// Asks for the rules, when the peer's gossip showed a higher version.
+struct RulesAsk {
+  std::uint64_t have_version = 0;
+};
+struct RulesOffer {
+  std::uint64_t version = 0;
+  std::string text;
+};
+
+/// Evidence on an endpoint and the slots wanted; from a node to its keeper.
+struct SlotAsk {
+  std::string endpoint;
+  std::uint32_t in_flight = 0;
+  std::uint32_t wanted = 0;
+  policy::SlotEvidence evidence;
+};
+/// A lease of slots. Lapses by itself `left` after it was asked for, on the
+/// asker's own clock.
+struct SlotLease {
+  std::string endpoint;
+  std::uint32_t slots = 0;
+  std::chrono::milliseconds left{};
+  std::uint64_t ask_number = 0;
+  /// The keeper's last report, so that holders need no stream of their own.
+  std::uint64_t boot = 0;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t cache_used_per_mille = 0;
+  std::chrono::milliseconds report_age{};
+  std::vector<std::string> loaded;
+};
+/// Several asks in one message; `number` rises with each.
+struct SlotAsks {
+  std::uint64_t number = 0;
+  std::vector<SlotAsk> asks;
+};
+struct SlotLeases {
+  std::vector<SlotLease> leases;
+};
+
+using Message =
+    std::variant<Gossip, RulesAsk, RulesOffer, SlotAsks, SlotLeases>;
+
+/// Which node process sent a message.
+struct Sender {
+  std::string node;
+  std::uint64_t incarnation = 0;
+};
+
+}  // namespace egretladder::fleet
--- /dev/null
+++ b/gateway/main/egretladderd.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/kernel/include/egretladder/kernel/log.h
@@ -0,0 +1,35 @@
+// Logs: short sentences, one fixed prefix for each part. Source: log4cxx.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace egretladder::kernel {
+
+/// The part of the system that speaks; its name is the line's prefix.
+enum class LogPart : std::uint8_t {
+  kKernel,
+  kRules,
+  kRoute,   ///< One line for each routing decision.
+  kPlace,   ///< One line for each placement decision.
+  kFleet,   ///< Membership, configuration in force, leases.
+  kCaller,  ///< The side of the callers.
+  kEndpoint,
+  kPlatform,
+  kPeer,
+  kLab,
+};
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
+
+enum class LogFormat : std::uint8_t { kText, kJson };
+
+/// Starts logging to standard error. Call once, first thing in main.
+void StartLogs(LogFormat format, LogLevel lowest);
+
+bool LogEnabled(LogPart part, LogLevel level);
+
+void Log(LogPart part, LogLevel level, std::string_view sentence);
+
+}  // namespace egretladder::kernel
--- /dev/null
+++ b/kernel/include/egretladder/kernel/loop.h
@@ -0,0 +1,63 @@
+// The event loop: one on one thread. Source: libevent.
+#pragma once
+
+#include <event2/event.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include "egretladder/kernel/time.h"
+
+namespace egretladder::kernel {
+
+struct EventBaseFree {
+  void operator()(event_base* base) const { event_base_free(base); }
+};
+struct EventFree {
+  void operator()(event* ev) const { event_free(ev); }
+};
+using EventBase = std::unique_ptr<event_base, EventBaseFree>;
+using Event = std::unique_ptr<event, EventFree>;
+
+/// The loop of the process and the clock its parts share.
+struct Loop {
+  EventBase base;
+  Clock clock;
+};
+
+/// Opens a loop on the system's clock.
+Loop OpenLoop();
+
+/// Runs until `StopLoop`.
+void RunLoop(Loop& loop);
+void StopLoop(Loop& loop);
+
+/// A timer or signal that lives as long as this object.
+class Watch {
+ public:
+  Watch() = default;
+  ~Watch();
+  Watch(Watch&& other) noexcept;
+  Watch& operator=(Watch&& other) noexcept;
+
+ private:
+  friend Watch Every(Loop&, std::chrono::milliseconds, std::function<void()>);
+  friend Watch After(Loop&, std::chrono::milliseconds, std::function<void()>);
+  friend Watch OnSignal(Loop&, int, std::function<void()>);
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+/// Calls `action` every `period`, first after one period.
+Watch Every(Loop& loop, std::chrono::milliseconds period,
+            std::function<void()> action);
+/// Calls `action` once after `delay`, or not at all if the watch goes first.
+Watch After(Loop& loop, std::chrono::milliseconds delay,
+            std::function<void()> action);
+Watch OnSignal(Loop& loop, int signal, std::function<void()> action);
+
+/// Returns `duration` as libevent wants it.
+timeval ToTimeval(std::chrono::microseconds duration);
+
+}  // namespace egretladder::kernel
--- /dev/null
+++ b/kernel/include/egretladder/kernel/settings.h
@@ -0,0 +1,63 @@
+// Settings of a process: an INI file checked as a whole at start.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "egretladder/kernel/error.h"
+
+namespace egretladder::kernel {
+
+/// How the value of a setting is checked.
+enum class SettingKind : std::uint8_t {
+  kText,
+  kCount,     ///< A whole number from 0.
+  kBytes,     ///< A number with `B`, `KiB` or `MiB`.
+  kDuration,  ///< A number with `ms`, `s`, `m` or `h`.
+  kAddress,   ///< `IP:port`.
+  kFlag,      ///< `yes` or `no`.
+  kSecret,    ///< Text that no log ever shows.
+};
+
+/// Declares one setting. Parts of the system list theirs in a constant table.
+struct SettingSpec {
+  std::string_view section;
+  std::string_view key;
+  SettingKind kind = SettingKind::kText;
+  std::string_view standard;  ///< Used when the key is missing.
+  bool required = false;
+  std::string_view expected;  ///< Shown when the value is not valid.
+};
+
+/// The checked values, by section and key. Look-ups name a declared setting;
+/// anything else ends the process, since it is a fault of the program.
+struct Settings {
+  std::map<std::string, std::string, std::less<>> values;
+};
+
+/// Reads and checks `text` against `specs`. All faults are found in one pass:
+/// unknown key, bad unit, missing value, invalid address; each names file and
+/// line.
+Result<Settings> ReadSettings(const std::string& text, std::string_view file,
+                              std::span<const SettingSpec> specs,
+                              std::vector<Error>* faults = nullptr);
+
+const std::string& TextOf(const Settings& settings, std::string_view section,
+                          std::string_view key);
+std::uint64_t CountOf(const Settings& settings, std::string_view section,
+                      std::string_view key);
+/// In bytes.
+std::uint64_t BytesOf(const Settings& settings, std::string_view section,
+                      std::string_view key);
+std::chrono::milliseconds DurationOf(const Settings& settings,
+                                     std::string_view section,
+                                     std::string_view key);
+bool FlagOf(const Settings& settings, std::string_view section,
+            std::string_view key);
+
+}  // namespace egretladder::kernel
--- /dev/null
+++ b/kernel/src/hash.cc
@@ -0,0 +1,52 @@
+#include "egretladder/kernel/hash.h"
+
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <xxhash.h>
+
+#include <array>
+
+namespace egretladder::kernel {
+
+std::uint64_t HashOf(std::string_view bytes, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+std::uint64_t Below(Random& random, std::uint64_t bound) {
+  return bound == 0 ? 0 : random() % bound;
+}
+
+double Fraction(Random& random) {
+  constexpr double kSteps = 9007199254740992.0;  // 2^53
+  return static_cast<double>(random() >> 11) / kSteps;
+}
+
+std::uint64_t SecretBits() {
+  std::uint64_t bits = 0;
+  RAND_bytes(reinterpret_cast<unsigned char*>(&bits), sizeof bits);
+  return bits;
+}
+
+std::string Sign(std::string_view key, std::string_view text) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int size = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+       digest.data(), &size);
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string hex;
+  hex.reserve(size * 2);
+  for (unsigned int i = 0; i < size; ++i) {
+    hex += kDigits[digest[i] >> 4U];
+    hex += kDigits[digest[i] & 15U];
+  }
+  return hex;
+}
+
+bool SameSignature(std::string_view left, std::string_view right) {
+  return left.size() == right.size() &&
+         CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+}  // namespace egretladder::kernel
--- /dev/null
+++ b/kernel/src/metrics.cc
@@ -0,0 +1,174 @@
+#include "egretladder/kernel/metrics.h"
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <map>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+namespace egretladder::kernel {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
+
+using Quantiles =
+    acc::accumulator_set<double,
+                         acc::stats<acc::tag::count, acc::tag::sum,
+                                    acc::tag::extended_p_square_quantile>>;
+
+struct Series {
+  std::string name;
+  std::string help;
+  std::string labels;
+  const char* type = "";
+  std::uint32_t idx = 0;
+};
+
+double Seconds(std::chrono::nanoseconds duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+struct MetricsState {
+  // Sorted by name, so that the text groups a metric's series together.
+  std::map<std::pair<std::string, std::string>, Series> series;
+  std::vector<std::uint64_t> counters;
+  std::vector<double> gauges;
+  std::vector<Quantiles> quantiles;
+};
+
+Metrics::Metrics() : state_(std::make_unique<MetricsState>()) {}
+Metrics::~Metrics() = default;
+
+namespace {
+
+// Returns true when the series is new and needs its value made.
+bool AddSeries(Metrics& metrics, const Series& series, std::uint32_t next,
+               std::uint32_t* idx) {
+  auto [at, is_new] =
+      metrics.state().series.try_emplace({series.name, series.labels}, series);
+  if (is_new) at->second.idx = next;
+  *idx = at->second.idx;
+  return is_new;
+}
+
+double EstimateOf(const Quantiles& set, double quantile) {
+  if (acc::count(set) == 0) return 0;
+  return acc::quantile(set, acc::quantile_probability = quantile);
+}
+
+std::string Labelled(const Series& series, const std::string& extra = "") {
+  std::string labels = series.labels;
+  if (!labels.empty() && !extra.empty()) labels += ",";
+  labels += extra;
+  return labels.empty() ? "" : "{" + labels + "}";
+}
+
+void WriteQuantiles(std::ostream& out, const Series& series,
+                    const Quantiles& set) {
+  for (const double quantile : kQuantiles) {
+    std::ostringstream label;
+    label << "quantile=\"" << quantile << "\"";
+    out << series.name << Labelled(series, label.str()) << ' '
+        << EstimateOf(set, quantile) << '\n';
+  }
+  out << series.name << "_sum" << Labelled(series) << ' ' << acc::sum(set)
+      << '\n';
+  out << series.name << "_count" << Labelled(series) << ' ' << acc::count(set)
+      << '\n';
+}
+
+}  // namespace
+
+CounterHandle AddCounter(Metrics& metrics, const std::string& name,
+                         const std::string& help, const std::string& labels) {
+  auto& counters = metrics.state().counters;
+  CounterHandle handle;
+  if (AddSeries(metrics, {name, help, labels, "counter"},
+                static_cast<std::uint32_t>(counters.size()), &handle.idx)) {
+    counters.push_back(0);
+  }
+  return handle;
+}
+
+GaugeHandle AddGauge(Metrics& metrics, const std::string& name,
+                     const std::string& help, const std::string& labels) {
+  auto& gauges = metrics.state().gauges;
+  GaugeHandle handle;
+  if (AddSeries(metrics, {name, help, labels, "gauge"},
+                static_cast<std::uint32_t>(gauges.size()), &handle.idx)) {
+    gauges.push_back(0);
+  }
+  return handle;
+}
+
+QuantileHandle AddQuantiles(Metrics& metrics, const std::string& name,
+                            const std::string& help,
+                            const std::string& labels) {
+  auto& quantiles = metrics.state().quantiles;
+  QuantileHandle handle;
+  if (AddSeries(metrics, {name, help, labels, "summary"},
+                static_cast<std::uint32_t>(quantiles.size()), &handle.idx)) {
+    quantiles.emplace_back(acc::extended_p_square_probabilities = kQuantiles);
+  }
+  return handle;
+}
+
+void Increment(Metrics& metrics, CounterHandle counter, std::uint64_t by) {
+  metrics.state().counters[counter.idx] += by;
+}
+
+void Set(Metrics& metrics, GaugeHandle gauge, double value) {
+  metrics.state().gauges[gauge.idx] = value;
+}
+
+void Observe(Metrics& metrics, QuantileHandle quantiles,
+             std::chrono::nanoseconds sample) {
+  metrics.state().quantiles[quantiles.idx](Seconds(sample));
+}
+
+std::uint64_t ValueOf(const Metrics& metrics, CounterHandle counter) {
+  return metrics.state().counters[counter.idx];
+}
+
+std::chrono::nanoseconds QuantileOf(const Metrics& metrics,
+                                    QuantileHandle quantiles, double quantile) {
+  const double seconds =
+      EstimateOf(metrics.state().quantiles[quantiles.idx], quantile);
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+      std::chrono::duration<double>(seconds));
+}
+
+std::string PrometheusText(const Metrics& metrics) {
+  const MetricsState& state = metrics.state();
+  std::ostringstream out;
+  std::string last;
+  for (const auto& [key, series] : state.series) {
+    if (series.name != last) {
+      out << "# HELP " << series.name << ' ' << series.help << '\n';
+      out << "# TYPE " << series.name << ' ' << series.type << '\n';
+      last = series.name;
+    }
+    const std::string_view type = series.type;
+    if (type == "summary") {
+      WriteQuantiles(out, series, state.quantiles[series.idx]);
+    } else if (type == "counter") {
+      out << series.name << Labelled(series) << ' '
+          << state.counters[series.idx] << '\n';
+    } else {
+      out << series.name << Labelled(series) << ' ' << state.gauges[series.idx]
+          << '\n';
+    }
+  }
+  return out.str();
+}
+
+}  // namespace egretladder::kernel
--- /dev/null
+++ b/kernel/src/settings.cc
@@ -0,0 +1,176 @@
+#include "egretladder/kernel/settings.h"
+
+#include <arpa/inet.h>
+
+#include <cstdlib>
+#include <optional>
+
+#include "egretladder/kernel/ini.h"
+#include "egretladder/kernel/time.h"
+
+namespace egretladder::kernel {
+namespace {
+
+std::string NameOf(std::string_view section, std::string_view key) {
+  return std::string(section) + "." + std::string(key);
+}
+
+std::optional<std::uint64_t> ParseCount(const std::string& text,
+                                        std::string* rest) {
+  if (text.empty() || text[0] < '0' || text[0] > '9') return std::nullopt;
+  char* end = nullptr;
+  const std::uint64_t number = std::strtoull(text.c_str(), &end, 10);
+  *rest = end;
+  return number;
+}
+
+std::optional<std::uint64_t> ParseBytes(const std::string& text) {
+  std::string unit;
+  const auto number = ParseCount(text, &unit);
+  if (!number) return std::nullopt;
+  if (unit == "B") return *number;
+  if (unit == "KiB") return *number << 10U;
+  if (unit == "MiB") return *number << 20U;
+  return std::nullopt;
+}
+
+bool IsAddress(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  std::string rest;
+  const auto port = ParseCount(text.substr(colon + 1), &rest);
+  if (!port || !rest.empty() || *port > 65535) return false;
+  in6_addr parsed{};
+  std::string host = text.substr(0, colon);
+  if (inet_pton(AF_INET, host.c_str(), &parsed) == 1) return true;
+  if (host.size() < 2 || host.front() != '[' || host.back() != ']') {
+    return false;
+  }
+  host = host.substr(1, host.size() - 2);
+  return inet_pton(AF_INET6, host.c_str(), &parsed) == 1;
+}
+
+bool IsValid(const std::string& value, SettingKind kind) {
+  std::string rest;
+  switch (kind) {
+    case SettingKind::kText:
+    case SettingKind::kSecret:
+      return true;
+    case SettingKind::kCount:
+      return ParseCount(value, &rest) && rest.empty();
+    case SettingKind::kBytes:
+      return ParseBytes(value).has_value();
+    case SettingKind::kDuration:
+      return ParseDuration(value.c_str()).count() >= 0;
+    case SettingKind::kAddress:
+      return IsAddress(value);
+    case SettingKind::kFlag:
+      return value == "yes" || value == "no";
+  }
+  return false;
+}
+
+const SettingSpec* FindSpec(std::span<const SettingSpec> specs,
+                            const IniEntry& entry) {
+  for (const SettingSpec& spec : specs) {
+    if (spec.section == entry.section && spec.key == entry.key) return &spec;
+  }
+  return nullptr;
+}
+
+Error Fault(std::string_view file, std::uint32_t line, std::string detail) {
+  return MakeError(ErrorCode::kInvalidInput, "read settings",
+                   std::string(file) + ":" + std::to_string(line),
+                   std::move(detail));
+}
+
+std::string ShownValue(const SettingSpec& spec, const std::string& value) {
+  return spec.kind == SettingKind::kSecret ? "(secret)" : "'" + value + "'";
+}
+
+void TakeEntry(const IniEntry& entry, std::string_view file,
+               std::span<const SettingSpec> specs, Settings& settings,
+               std::vector<Error>& faults) {
+  const SettingSpec* spec = FindSpec(specs, entry);
+  const std::string name = NameOf(entry.section, entry.key);
+  if (spec == nullptr) {
+    faults.push_back(Fault(file, entry.line, "unknown key '" + name + "'"));
+    return;
+  }
+  if (!IsValid(entry.value, spec->kind)) {
+    faults.push_back(Fault(file, entry.line,
+                           name + " is " + ShownValue(*spec, entry.value) +
+                               ", expected " + std::string(spec->expected)));
+    return;
+  }
+  settings.values[name] = entry.value;
+}
+
+const std::string& Find(const Settings& settings, std::string_view section,
+                        std::string_view key) {
+  const auto at = settings.values.find(NameOf(section, key));
+  if (at == settings.values.end()) std::abort();
+  return at->second;
+}
+
+}  // namespace
+
+Result<Settings> ReadSettings(const std::string& text, std::string_view file,
+                              std::span<const SettingSpec> specs,
+                              std::vector<Error>* faults) {
+  std::vector<Error> found;
+  Settings settings;
+  auto entries = ReadIni(text, file);
+  if (!entries) {
+    if (faults != nullptr) faults->push_back(entries.error());
+    return entries.error();
+  }
+  for (const IniEntry& entry : entries.value()) {
+    TakeEntry(entry, file, specs, settings, found);
+  }
+  for (const SettingSpec& spec : specs) {
+    const std::string name = NameOf(spec.section, spec.key);
+    if (settings.values.contains(name)) continue;
+    if (spec.required && found.empty()) {
+      found.push_back(Fault(
+          file, 0,
+          "missing '" + name + "', expected " + std::string(spec.expected)));
+    }
+    settings.values[name] = std::string(spec.standard);
+  }
+  if (!found.empty()) {
+    if (faults != nullptr) *faults = found;
+    return found.front();
+  }
+  return settings;
+}
+
+const std::string& TextOf(const Settings& settings, std::string_view section,
+                          std::string_view key) {
+  return Find(settings, section, key);
+}
+
+std::uint64_t CountOf(const Settings& settings, std::string_view section,
+                      std::string_view key) {
+  std::string rest;
+  return ParseCount(Find(settings, section, key), &rest).value_or(0);
+}
+
+std::uint64_t BytesOf(const Settings& settings, std::string_view section,
+                      std::string_view key) {
+  return ParseBytes(Find(settings, section, key)).value_or(0);
+}
+
+std::chrono::milliseconds DurationOf(const Settings& settings,
+                                     std::string_view section,
+                                     std::string_view key) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      ParseDuration(Find(settings, section, key).c_str()));
+}
+
+bool FlagOf(const Settings& settings, std::string_view section,
+            std::string_view key) {
+  return Find(settings, section, key) == "yes";
+}
+
+}  // namespace egretladder::kernel
--- /dev/null
+++ b/kernel/src/time.cc
@@ -0,0 +1,46 @@
+#include "egretladder/kernel/time.h"
+
+#include <cstdlib>
+#include <cstring>
+#include <string_view>
+
+namespace egretladder::kernel {
+namespace {
+
+Time SystemNow(const void* /*source*/) {
+  return std::chrono::steady_clock::now();
+}
+
+Time PausedNow(const void* source) {
+  return static_cast<const PausedClock*>(source)->now;
+}
+
+}  // namespace
+
+Clock SystemClock() { return {SystemNow, nullptr}; }
+
+Clock ViewOf(const PausedClock& paused) { return {PausedNow, &paused}; }
+
+void Advance(PausedClock& paused, std::chrono::nanoseconds step) {
+  paused.now += step;
+}
+
+std::chrono::nanoseconds ParseDuration(const char* text) {
+  constexpr std::chrono::nanoseconds kInvalid{-1};
+  char* end = nullptr;
+  const double number = std::strtod(text, &end);
+  if (end == text || number < 0) return kInvalid;
+  const std::string_view unit(end);
+  double nanoseconds_per_unit = 0;
+  if (unit == "ms") nanoseconds_per_unit = 1e6;
+  if (unit == "s") nanoseconds_per_unit = 1e9;
+  if (unit == "m") nanoseconds_per_unit = 60e9;
+  if (unit == "h") nanoseconds_per_unit = 3600e9;
+  if (nanoseconds_per_unit == 0) return kInvalid;
+  const double nanoseconds = number * nanoseconds_per_unit;
+  // Also false for NaN; past this a conversion would overflow.
+  if (!(nanoseconds < 9e18)) return kInvalid;
+  return std::chrono::nanoseconds(static_cast<std::int64_t>(nanoseconds));
+}
+
+}  // namespace egretladder::kernel
--- /dev/null
+++ b/kernel/tests/kernel_test.cc
@@ -0,0 +1,157 @@
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "egretladder/kernel/hash.h"
+#include "egretladder/kernel/ini.h"
+#include "egretladder/kernel/loop.h"
+#include "egretladder/kernel/metrics.h"
+#include "egretladder/kernel/registry.h"
+#include "egretladder/kernel/settings.h"
+#include "egretladder/kernel/time.h"
+
+using namespace std::chrono_literals;
+namespace ek = egretladder::kernel;
+
+TEST_GROUP(Time){};
+
+TEST(Time, PausedClockMovesOnlyWhenAdvanced) {
+  ek::PausedClock paused;
+  const ek::Clock clock = ek::ViewOf(paused);
+  const ek::Time before = ek::Now(clock);
+  ek::Advance(paused, 3s);
+  CHECK(ek::Now(clock) - before == 3s);
+}
+
+TEST(Time, ParsesDurationsAndRefusesOtherText) {
+  CHECK(ek::ParseDuration("250ms") == 250ms);
+  CHECK(ek::ParseDuration("1.5s") == 1500ms);
+  CHECK(ek::ParseDuration("2h") == 2h);
+  CHECK(ek::ParseDuration("5") < 0ns);
+  CHECK(ek::ParseDuration("-1s") < 0ns);
+  CHECK(ek::ParseDuration("nans") < 0ns);
+  CHECK(ek::ParseDuration("1e300h") < 0ns);
+}
+
+TEST_GROUP(Ini){};
+
+TEST(Ini, KeepsLineAndCommentOfEachEntry) {
+  const auto entries =
+      ek::ReadIni("[class]\n; note\nbulk = tier=5 ; asked by Hanna\n", "a.ini");
+  CHECK_TRUE(entries.has_value());
+  CHECK_EQUAL(1U, entries.value().size());
+  const ek::IniEntry& entry = entries.value()[0];
+  STRCMP_EQUAL("tier=5", entry.value.c_str());
+  STRCMP_EQUAL("asked by Hanna", entry.comment.c_str());
+  CHECK_EQUAL(3U, entry.line);
+}
+
+TEST(Ini, RefusesRepeatedKeyAndBareWord) {
+  CHECK_FALSE(ek::ReadIni("[a]\nx=1\nx=2\n", "a.ini").has_value());
+  const auto bare = ek::ReadIni("[a]\nword\n", "a.ini");
+  CHECK_FALSE(bare.has_value());
+  STRCMP_EQUAL("a.ini:2", bare.error().peer.c_str());
+}
+
+TEST_GROUP(Settings) {
+  std::array<ek::SettingSpec, 4> specs_ = {{
+      {"node", "name", ek::SettingKind::kText, "", true, "a name"},
+      {"node", "callers", ek::SettingKind::kAddress, "127.0.0.1:8080", false,
+       "IP:port"},
+      {"limits", "body", ek::SettingKind::kBytes, "4MiB", false,
+       "a number with B, KiB or MiB"},
+      {"tls", "password", ek::SettingKind::kSecret, "", false, "text"},
+  }};
+};
+
+TEST(Settings, FillsStandardValues) {
+  const auto read = ek::ReadSettings("[node]\nname = n1\n", "n.ini", specs_);
+  CHECK_TRUE(read.has_value());
+  CHECK_EQUAL(4ULL << 20U, ek::BytesOf(read.value(), "limits", "body"));
+}
+
+TEST(Settings, NamesEveryFaultWithItsLine) {
+  std::vector<ek::Error> faults;
+  const auto read = ek::ReadSettings(
+      "[node]\nname = n1\ncallers = here:80\nprot = 1\n[limits]\nbody = 4\n",
+      "n.ini", specs_, &faults);
+  CHECK_FALSE(read.has_value());
+  CHECK_EQUAL(3U, faults.size());
+  STRCMP_EQUAL(
+      "read settings: n.ini:3: node.callers is 'here:80', expected IP:port",
+      ek::Describe(faults[0]).c_str());
+  STRCMP_EQUAL("n.ini:4", faults[1].peer.c_str());
+  STRCMP_EQUAL("n.ini:6", faults[2].peer.c_str());
+}
+
+TEST(Settings, MissingRequiredKeyIsAFault) {
+  const auto read = ek::ReadSettings("", "n.ini", specs_);
+  CHECK_FALSE(read.has_value());
+  CHECK(read.error().detail.find("node.name") != std::string::npos);
+}
+
+TEST_GROUP(Metrics){};
+
+TEST(Metrics, WritesPrometheusText) {
+  ek::Metrics metrics;
+  const auto counter = ek::AddCounter(metrics, "calls", "Calls.", "tier=\"1\"");
+  ek::Increment(metrics, counter, 3);
+  const auto wait = ek::AddQuantiles(metrics, "wait", "Wait.");
+  for (int i = 1; i <= 1000; ++i) {
+    ek::Observe(metrics, wait, std::chrono::milliseconds(i));
+  }
+  const std::string text = ek::PrometheusText(metrics);
+  CHECK(text.find("# TYPE calls counter") != std::string::npos);
+  CHECK(text.find("calls{tier=\"1\"} 3") != std::string::npos);
+  const auto median = ek::QuantileOf(metrics, wait, 0.5);
+  CHECK(median > 480ms && median < 520ms);
+}
+
+TEST(Metrics, SameNameAndLabelsGiveSameHandle) {
+  ek::Metrics metrics;
+  const auto first = ek::AddCounter(metrics, "calls", "Calls.");
+  const auto second = ek::AddCounter(metrics, "calls", "Calls.");
+  CHECK_EQUAL(first.idx, second.idx);
+}
+
+namespace {
+struct SampleTable {
+  static constexpr std::string_view kKind = "sample";
+  int number = 0;
+};
+const SampleTable kSample{7};
+const ek::PluginRegistrar<SampleTable> kRegistrar("seven", kSample);
+}  // namespace
+
+TEST_GROUP(Registry){};
+
+TEST(Registry, FindsPluginsByKindAndName) {
+  CHECK_EQUAL(7, ek::FindPlugin<SampleTable>("seven")->number);
+  POINTERS_EQUAL(nullptr, ek::FindPlugin<SampleTable>("eight"));
+}
+
+TEST_GROUP(Hash){};
+
+TEST(Hash, SignatureDependsOnKeyAndText) {
+  const std::string signature = ek::Sign("key", "text");
+  CHECK_EQUAL(64U, signature.size());
+  CHECK_TRUE(ek::SameSignature(signature, ek::Sign("key", "text")));
+  CHECK_FALSE(ek::SameSignature(signature, ek::Sign("key", "other")));
+  CHECK_FALSE(ek::SameSignature(signature, ""));
+}
+
+TEST_GROUP(Loop){};
+
+TEST(Loop, AWatchThatIsDroppedNeverFires) {
+  ek::Loop loop = ek::OpenLoop();
+  bool fired = false;
+  {
+    const ek::Watch dropped = ek::After(loop, 0ms, [&] { fired = true; });
+  }
+  const ek::Watch stop = ek::After(loop, 1ms, [&] { ek::StopLoop(loop); });
+  ek::RunLoop(loop);
+  CHECK_FALSE(fired);
+}
--- /dev/null
+++ b/policy/include/egretladder/policy/poison.h
@@ -0,0 +1,52 @@
+// Requests that crash endpoints: blame and quarantine.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "egretladder/kernel/time.h"
+
+namespace egretladder::policy {
+
+/// What is held against one body.
+struct Blame {
+  std::uint8_t deaths = 0;  ///< Endpoints that died while running it.
+  kernel::Time until{};     ///< Forgotten then.
+  bool quarantined = false;
+};
+
+/// Blames by fingerprint of the body. Bounded; the oldest go first.
+struct PoisonState {
+  std::unordered_map<std::uint64_t, Blame> blames;
+};
+
+/// One quarantined body, as nodes tell each other.
+struct Quarantined {
+  std::uint64_t fingerprint = 0;
+  std::chrono::milliseconds left{};
+  std::uint8_t deaths = 0;
+};
+
+/// An endpoint died while `running` (fingerprints) were on it. Returns those
+/// which became quarantined by this.
+std::vector<Quarantined> OnEndpointDied(
+    PoisonState& state, const std::vector<std::uint64_t>& running,
+    kernel::Time now);
+
+/// A body ran to its end: whatever was held against it is dropped.
+void OnRanWell(PoisonState& state, std::uint64_t fingerprint);
+
+/// Another node's blame. Returns true when the body is now quarantined and
+/// was not before.
+bool OnTold(PoisonState& state, const Quarantined& told, kernel::Time now);
+
+bool IsQuarantined(const PoisonState& state, std::uint64_t fingerprint,
+                   kernel::Time now);
+
+/// What other nodes should know, quarantined or blamed once.
+std::vector<Quarantined> ListBlames(const PoisonState& state, kernel::Time now);
+
+}  // namespace egretladder::policy
--- /dev/null
+++ b/policy/src/placeholder.cc
@@ -0,0 +1,1 @@
+namespace egretladder::policy {}
