--- a/kernel/src/ini.cc
+++ b/kernel/src/ini.cc
@@ -33,10 +33,12 @@
 }
 
 void SplitComment(const std::string& raw, IniEntry& entry) {
-  const auto at = raw.find(" ;");
-  entry.value = boost::trim_copy(raw.substr(0, at));
+  // A value that is empty but for its comment arrives trimmed: `; who`.
+  const std::string padded = " " + raw;
+  const auto at = padded.find(" ;");
+  entry.value = boost::trim_copy(padded.substr(0, at));
   if (at != std::string::npos) {
-    entry.comment = boost::trim_copy(raw.substr(at + 2));
+    entry.comment = boost::trim_copy(padded.substr(at + 2));
   }
 }
 
--- a/kernel/tests/kernel_test.cc
+++ b/kernel/tests/kernel_test.cc
@@ -49,6 +49,13 @@
   CHECK_EQUAL(3U, entry.line);
 }
 
+TEST(Ini, KeepsTheCommentOfAnEmptyValue) {
+  const auto entries = ek::ReadIni("[service]\nseats = ; Hanna\n", "a.ini");
+  CHECK_TRUE(entries.has_value());
+  STRCMP_EQUAL("", entries.value()[0].value.c_str());
+  STRCMP_EQUAL("Hanna", entries.value()[0].comment.c_str());
+}
+
 TEST(Ini, RefusesRepeatedKeyAndBareWord) {
   CHECK_FALSE(ek::ReadIni("[a]\nx=1\nx=2\n", "a.ini").has_value());
   const auto bare = ek::ReadIni("[a]\nword\n", "a.ini");
--- a/rules/include/egretladder/rules/rules.h
+++ b/rules/include/egretladder/rules/rules.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -97,6 +98,9 @@
   std::string timeout = "X-Request-Timeout";  ///< Such as `5s`.
 };
 
+/// Rows by name, those of gone names included.
+using NameIndex = std::map<std::string, std::uint32_t, std::less<>>;
+
 /// One version of the rules, checked whole. Immutable once made; vectors are
 /// indexed by handle and keep the rows of names that are gone.
 struct Rules {
@@ -110,6 +114,12 @@
   std::vector<Account> accounts;
   std::vector<Endpoint> endpoints;
   std::vector<Node> nodes;
+  NameIndex zone_names;
+  NameIndex target_names;
+  NameIndex class_names;
+  NameIndex account_names;
+  NameIndex endpoint_names;
+  NameIndex node_names;
 };
 
 using RulesPtr = std::shared_ptr<const Rules>;
