--- a/fleet/include/egretladder/fleet/fleet.h
+++ b/fleet/include/egretladder/fleet/fleet.h
@@ -143,6 +143,10 @@
 void Leave(FleetState& state, Time now, Actions& out);
 
 rules::RulesPtr RulesOf(const FleetState& state);
+/// False when `OnTick` has not run for `kFreshFor`: the process was paused, and
+/// what it knows of zones out and leaving endpoints may be old. Then nothing is
+/// sent until a tick and an exchange with a peer or the platform have passed.
+bool KnowledgeIsFresh(const FleetState& state, Time now);
 FleetView ViewOf(const FleetState& state, Time now);
 
 /// Nodes a caller may use, best first, own zone of `zone` first; leaving and
--- a/fleet/include/egretladder/fleet/lane.h
+++ b/fleet/include/egretladder/fleet/lane.h
@@ -87,8 +87,13 @@
 
 /// Asked right before the first byte goes out, after any pause: false when the
 /// lane has expired or the key is burned meanwhile; then it must not be sent.
+/// True at most once, unless `MarkUnsent` came between.
 bool MaySend(LanesState& state, const Lane& lane, const std::string& key,
              Time now);
+/// The attempt that `MaySend` let go certainly did not run (refused connection,
+/// refused unrun by the endpoint): another attempt may be sent. False when the
+/// key is not in progress.
+bool MarkUnsent(LanesState& state, const Lane& lane, const std::string& key);
 
 /// The call ended with an answer; returns the waiters that get it.
 std::vector<WaiterId> FinishCall(LanesState& state, const Lane& lane,
--- a/fleet/include/egretladder/fleet/messages.h
+++ b/fleet/include/egretladder/fleet/messages.h
@@ -38,6 +38,10 @@
   std::uint64_t rules_digest = 0;
   std::vector<policy::Quarantined> quarantined;
   bool reply_wanted = false;
+  std::uint64_t ping = 0;  ///< Number that the reply gives back as `ack`.
+  std::uint64_t ack = 0;   ///< Of the message answered; 0: none.
+  /// Nodes that the sender counts as gone: its vote for the next keeper.
+  std::vector<std::string> gone;
 };
 
 /// Asks for the rules, when the peer's gossip showed a higher version.
@@ -54,6 +58,7 @@
   std::string endpoint;
   std::uint32_t in_flight = 0;
   std::uint32_t wanted = 0;
+  bool down = false;  ///< It died or refused connections since the last ask.
   policy::SlotEvidence evidence;
 };
 /// A lease of slots. Lapses by itself `left` after it was asked for, on the
