--- a/kernel/include/egretladder/kernel/loop.h
+++ b/kernel/include/egretladder/kernel/loop.h
@@ -36,7 +36,7 @@
 /// A timer or signal that lives as long as this object.
 class Watch {
  public:
-  Watch() = default;
+  Watch();
   ~Watch();
   Watch(Watch&& other) noexcept;
   Watch& operator=(Watch&& other) noexcept;
--- a/kernel/src/loop.cc
+++ b/kernel/src/loop.cc
@@ -22,6 +22,7 @@
 
 }  // namespace
 
+Watch::Watch() = default;
 Watch::~Watch() = default;
 Watch::Watch(Watch&& other) noexcept = default;
 Watch& Watch::operator=(Watch&& other) noexcept = default;
--- /dev/null
+++ b/lab/include/egretladder/lab/service_model.h
@@ -0,0 +1,28 @@
+// A plain service without its network: which keys ran, and how often. It does
+// not deduplicate on purpose, so that it shows what the router let through.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace egretladder::lab {
+
+struct ServiceModel {
+  std::unordered_map<std::string, std::uint32_t> runs;  ///< By key.
+  std::uint64_t requests = 0;
+  std::uint64_t without_key = 0;
+  std::uint64_t not_remembered = 0;  ///< Past `kMaxRememberedKeys`.
+};
+
+/// Records one run. Returns how often the key has run by now; 1 for a call
+/// without a key.
+std::uint32_t RecordRun(ServiceModel& model, const std::string& key);
+
+/// Runs beyond the first, over all keys.
+std::uint64_t DoublesOf(const ServiceModel& model);
+
+/// The answer to `GET /counts`; with `list_keys`, also each key and its runs.
+std::string CountsJson(const ServiceModel& model, bool list_keys);
+
+}  // namespace egretladder::lab
--- /dev/null
+++ b/lab/src/stand_in.cc
@@ -0,0 +1,135 @@
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <ostream>
+#include <utility>
+
+#include "stand_in_p.h"
+
+namespace egretladder::lab {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kCrashExitCode = 3;
+
+}  // namespace
+
+OpenCall::OpenCall(evhttp_request* request, std::function<void()> on_gone)
+    : request_(request), on_gone_(std::move(on_gone)) {
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  evhttp_connection_set_closecb(connection, OnClose, this);
+  // evhttp stops reading while a call is in progress, and so would not see the
+  // client go away: an engine would generate for nobody.
+  bufferevent_enable(evhttp_connection_get_bufferevent(connection), EV_READ);
+}
+
+OpenCall::~OpenCall() {
+  if (request_ != nullptr) Break();
+}
+
+void OpenCall::OnClose(evhttp_connection* /*connection*/, void* arg) {
+  auto& call = *static_cast<OpenCall*>(arg);
+  call.gone_ = true;
+  if (call.on_gone_) call.on_gone_();
+}
+
+void OpenCall::Detach() {
+  if (!gone_) {
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request_),
+                                  nullptr, nullptr);
+  }
+  request_ = nullptr;
+}
+
+void OpenCall::StartStream(const char* content_type) {
+  streaming_ = true;
+  evhttp_add_header(evhttp_request_get_output_headers(request_), "Content-Type",
+                    content_type);
+  evhttp_send_reply_start(request_, kOk, nullptr);
+}
+
+void OpenCall::Chunk(std::string_view text) {
+  if (!gone_) ReplyChunk(request_, text);
+}
+
+void OpenCall::EndStream() {
+  evhttp_request* request = request_;
+  Detach();
+  // Frees a request whose connection has gone.
+  evhttp_send_reply_end(request);
+}
+
+void OpenCall::Answer(int status, const char* content_type,
+                      std::string_view body) {
+  evhttp_request* request = request_;
+  Detach();
+  Reply(request, status, content_type, body);
+}
+
+void OpenCall::AnswerWrongLength(std::string_view body) {
+  evkeyvalq* headers = evhttp_request_get_output_headers(request_);
+  evhttp_add_header(headers, "Content-Length",
+                    std::to_string(body.size() * 2 + 1).c_str());
+  evhttp_add_header(headers, "Connection", "close");
+  Answer(kOk, "application/json", body);
+}
+
+void OpenCall::Break() {
+  evhttp_request* request = request_;
+  const bool gone = gone_;
+  Detach();
+  if (gone) {
+    streaming_ ? evhttp_send_reply_end(request)
+               : evhttp_send_reply(request, kOk, nullptr, nullptr);
+    return;
+  }
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  bufferevent* stream = evhttp_connection_get_bufferevent(connection);
+  // Freeing drops what is still buffered; the client is to see the first part.
+  evbuffer* output = bufferevent_get_output(stream);
+  evbuffer_unfreeze(output, 1);
+  evbuffer_write(output, bufferevent_getfd(stream));
+  evhttp_connection_free(connection);
+}
+
+void RunUntilSignalled(kernel::Loop& loop) {
+  const auto stop = [&loop] { kernel::StopLoop(loop); };
+  const kernel::Watch term = kernel::OnSignal(loop, SIGTERM, stop);
+  const kernel::Watch interrupt = kernel::OnSignal(loop, SIGINT, stop);
+  kernel::RunLoop(loop);
+}
+
+int ServeUntilSignalled(kernel::Loop& loop, const std::string& listen,
+                        RequestHandler handler, const CommandStreams& streams) {
+  const auto address = ParseLoopback(listen);
+  if (!address) {
+    streams.err << kernel::Describe(address.error()) << "\n";
+    return kExitUsage;
+  }
+  const auto server = Listen(loop, address.value(), std::move(handler));
+  if (!server) {
+    streams.err << kernel::Describe(server.error()) << "\n";
+    return kExitFailed;
+  }
+  streams.out << "listening on " << listen << std::endl;
+  RunUntilSignalled(loop);
+  return kExitDone;
+}
+
+void TakeFault(evhttp_request* request, FaultState& state) {
+  const auto fault = ReadFault(BodyOf(request));
+  if (!fault) {
+    Reply(request, kBadRequest, "text/plain",
+          kernel::Describe(fault.error()) + "\n");
+    return;
+  }
+  // A crash gives no warning: no answer, no clean-up.
+  if (fault.value().kind == FaultKind::kCrash) std::_Exit(kCrashExitCode);
+  state.fault = fault.value();
+  ReplyJson(request, kOk, "{}");
+}
+
+}  // namespace egretladder::lab
--- /dev/null
+++ b/lab/src/stand_in_p.h
@@ -0,0 +1,58 @@
+// What the stand-ins share: a loop that signals end, and one call in progress.
+#pragma once
+
+#include <event2/http.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "egretladder/kernel/loop.h"
+#include "egretladder/lab/command.h"
+#include "egretladder/lab/fault.h"
+#include "http_p.h"
+
+namespace egretladder::lab {
+
+/// A call a stand-in has taken and not yet answered. The client may go away at
+/// any time; then `on_gone` runs and every later reply is dropped.
+class OpenCall {
+ public:
+  OpenCall(evhttp_request* request, std::function<void()> on_gone);
+  ~OpenCall();
+  OpenCall(const OpenCall&) = delete;
+  OpenCall& operator=(const OpenCall&) = delete;
+
+  bool gone() const { return gone_; }
+  void StartStream(const char* content_type);
+  void Chunk(std::string_view text);
+  void EndStream();
+  void Answer(int status, const char* content_type, std::string_view body);
+  /// Announces more bytes than it sends, then closes.
+  void AnswerWrongLength(std::string_view body);
+  /// Closes the connection without a word.
+  void Break();
+
+ private:
+  static void OnClose(evhttp_connection* connection, void* arg);
+  void Detach();
+
+  evhttp_request* request_;
+  std::function<void()> on_gone_;
+  bool gone_ = false;
+  bool streaming_ = false;
+};
+
+/// Runs `loop` until SIGTERM or SIGINT.
+void RunUntilSignalled(kernel::Loop& loop);
+
+/// Listens and writes one line with the address to `streams.out`. Returns the
+/// exit code on failure.
+int ServeUntilSignalled(kernel::Loop& loop, const std::string& listen,
+                        RequestHandler handler, const CommandStreams& streams);
+
+/// Takes a control call's fault, or answers 400. `crash` ends the process here.
+void TakeFault(evhttp_request* request, FaultState& state);
+
+}  // namespace egretladder::lab
