Policy: baselines, a first ladder, slots, retries and quarantine

Cause: other packages need schedulers and rules for slots, retries and crashing requests to call. Change: plug-ins fifo, least and a first ladder (strict by tier, then deadline) over one private skeleton; slow start on evidence; a retry budget; blame and quarantine that names a body only when it is the one suspect. Request gains 'suspect', SlotState keeps the boot before. Conclusion: thin but whole; thresholds are unswept so far.

--- a/policy/include/egretladder/policy/poison.h
+++ b/policy/include/egretladder/policy/poison.h
@@ -31,7 +31,9 @@
 };
 
 /// An endpoint died while `running` (fingerprints) were on it. Returns those
-/// which became quarantined by this.
+/// which became quarantined by this: at the second death under the same body,
+/// and only when it is the one suspect among those running; when several were
+/// suspects no one can say which it was, and they stay suspects.
 std::vector<Quarantined> OnEndpointDied(
     PoisonState& state, const std::vector<std::uint64_t>& running,
     kernel::Time now);
@@ -39,6 +41,11 @@
 /// A body ran to its end: whatever was held against it is dropped.
 void OnRanWell(PoisonState& state, std::uint64_t fingerprint);
 
+/// True when an endpoint died under this body once: it should run beside no
+/// other such body, so that a second death tells them apart.
+bool IsSuspect(const PoisonState& state, std::uint64_t fingerprint,
+               kernel::Time now);
+
 /// Another node's blame. Returns true when the body is now quarantined and
 /// was not before.
 bool OnTold(PoisonState& state, const Quarantined& told, kernel::Time now);
--- a/policy/include/egretladder/policy/retry.h
+++ b/policy/include/egretladder/policy/retry.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "egretladder/kernel/time.h"
+#include "egretladder/policy/limits.h"
 #include "egretladder/policy/scheduler.h"
 
 namespace egretladder::policy {
@@ -25,7 +26,7 @@
 
 /// A node's allowance for retries: grows with successes, shrinks with retries.
 struct RetryBudget {
-  double tokens = 0;
+  double tokens = kRetryBudgetAtStart;
 };
 
 void OnSuccess(RetryBudget& budget);
@@ -34,7 +35,8 @@
   EndKind end = EndKind::kFailed;
   bool repeatable = false;
   bool answer_started = false;  ///< A byte of it went to the caller.
-  bool blamed = false;          ///< The endpoint died while running it.
+  bool blamed = false;          ///< The endpoint died while running it. The
+                                ///< first time it is repeated if repeatable.
   std::uint8_t attempt = 1;     ///< That just ended.
   Time deadline{};
 };
--- a/policy/include/egretladder/policy/scheduler.h
+++ b/policy/include/egretladder/policy/scheduler.h
@@ -40,6 +40,7 @@
                     ///< the caller's own, if earlier).
   std::uint8_t attempt = 1;  ///< 2 and more: a retry by this node.
   EndpointHandle avoid;      ///< Where the last attempt failed.
+  bool suspect = false;  ///< See poison.h: apart from other suspects if it can.
 };
 
 /// Why a request goes where it goes. Ends in the decision's log line.
--- /dev/null
+++ b/policy/src/scheduler_common.cc
@@ -0,0 +1,245 @@
+#include <algorithm>
+#include <utility>
+
+#include "scheduler_common_p.h"
+
+namespace egretladder::policy {
+namespace {
+
+constexpr std::size_t kBaselineQueueMost = 200'000;
+
+BaselineState& As(SchedulerState& state) {
+  return static_cast<BaselineState&>(state);
+}
+
+void RefuseWith(RequestId request, RefuseReason reason, Actions& out) {
+  out.emplace_back(Refuse{request, reason, std::chrono::seconds(1)});
+}
+
+bool HasServer(const BaselineState& state, TargetHandle target) {
+  return !ServersOf(state.table, target).empty();
+}
+
+bool IsHeld(const BaselineState& state, std::uint64_t fingerprint, Time now) {
+  const auto it = state.quarantined.find(fingerprint);
+  return fingerprint != 0 && it != state.quarantined.end() && it->second > now;
+}
+
+// Hands out the oldest of one target while an endpoint has a free slot.
+bool DispatchOne(BaselineState& state, std::uint32_t target, Actions& out) {
+  BaselineQueue& queue = state.queues[target];
+  if (queue.empty()) return false;
+  const EndpointHandle endpoint =
+      state.behaviour->pick(state, TargetHandle{target});
+  if (!rules::IsValid(endpoint)) return false;
+  const Request request = queue.begin()->second;
+  queue.erase(queue.begin());
+  state.waiting.erase(request.id);
+  FindState(state.table, endpoint)->in_flight++;
+  state.running[request.id] = {request, endpoint};
+  out.emplace_back(Dispatch{request.id, endpoint, PickReason::kBaseline, 0});
+  return true;
+}
+
+// Targets take turns by the order of their first request, since they share
+// endpoints.
+void DispatchAll(BaselineState& state, Actions& out) {
+  std::vector<std::uint32_t> open;
+  for (std::uint32_t i = 0; i < state.queues.size(); ++i) {
+    if (!state.queues[i].empty()) open.push_back(i);
+  }
+  while (!open.empty()) {
+    const auto first = std::min_element(
+        open.begin(), open.end(), [&](std::uint32_t left, std::uint32_t right) {
+          return state.queues[left].begin()->first <
+                 state.queues[right].begin()->first;
+        });
+    const std::uint32_t target = *first;
+    if (!DispatchOne(state, target, out) || state.queues[target].empty()) {
+      open.erase(first);
+    }
+  }
+}
+
+void RemoveWaiting(BaselineState& state, RequestId request) {
+  const auto it = state.waiting.find(request);
+  if (it == state.waiting.end()) return;
+  state.queues[it->second.first].erase(it->second.second);
+  state.waiting.erase(it);
+}
+
+template <typename Predicate>
+void RefuseWaiting(BaselineState& state, RefuseReason reason,
+                   Predicate predicate, Actions& out) {
+  std::vector<RequestId> refused;
+  for (const BaselineQueue& queue : state.queues) {
+    for (const auto& [key, request] : queue) {
+      if (predicate(request)) refused.push_back(request.id);
+    }
+  }
+  for (const RequestId request : refused) {
+    RemoveWaiting(state, request);
+    RefuseWith(request, reason, out);
+  }
+}
+
+void OnRules(SchedulerState& base, rules::RulesPtr rules, Time /*now*/,
+             Actions& out) {
+  BaselineState& state = As(base);
+  ApplyRules(state.table, std::move(rules));
+  const std::size_t targets = state.table.rules->targets.size();
+  if (state.queues.size() < targets) state.queues.resize(targets);
+  if (state.cursors.size() < targets) state.cursors.resize(targets);
+  RefuseWaiting(
+      state, RefuseReason::kNoEndpoint,
+      [&](const Request& r) { return !HasServer(state, r.target); }, out);
+  DispatchAll(state, out);
+}
+
+void OnSlots(SchedulerState& base, EndpointHandle endpoint, std::uint32_t slots,
+             Time /*now*/, Actions& out) {
+  BaselineState& state = As(base);
+  EndpointState* found = FindState(state.table, endpoint);
+  if (found == nullptr) return;
+  found->slots = slots;
+  DispatchAll(state, out);
+}
+
+void OnAvailable(SchedulerState& base, EndpointHandle endpoint, bool available,
+                 Time /*now*/, Actions& out) {
+  BaselineState& state = As(base);
+  EndpointState* found = FindState(state.table, endpoint);
+  if (found == nullptr) return;
+  found->available = available;
+  DispatchAll(state, out);
+}
+
+void OnReport(SchedulerState& /*state*/, EndpointHandle /*endpoint*/,
+              const EngineReport& /*report*/, Time /*now*/) {}
+
+void OnQuarantine(SchedulerState& base, std::uint64_t fingerprint, Time until,
+                  Time /*now*/, Actions& out) {
+  BaselineState& state = As(base);
+  state.quarantined[fingerprint] = until;
+  RefuseWaiting(
+      state, RefuseReason::kQuarantined,
+      [&](const Request& r) { return r.fingerprint == fingerprint; }, out);
+}
+
+void OnArrival(SchedulerState& base, const Request& request, Time now,
+               Actions& out) {
+  BaselineState& state = As(base);
+  if (state.waiting.contains(request.id) ||
+      state.running.contains(request.id)) {
+    return;
+  }
+  if (IsHeld(state, request.fingerprint, now)) {
+    return RefuseWith(request.id, RefuseReason::kQuarantined, out);
+  }
+  if (!HasServer(state, request.target)) {
+    return RefuseWith(request.id, RefuseReason::kNoEndpoint, out);
+  }
+  if (state.waiting.size() >= kBaselineQueueMost) {
+    return RefuseWith(request.id, RefuseReason::kQueueFull, out);
+  }
+  ++state.arrivals;
+  const OrderKey key = state.behaviour->order(state, request);
+  state.queues[request.target.idx].emplace(key, request);
+  state.waiting[request.id] = {request.target.idx, key};
+  DispatchAll(state, out);
+}
+
+void OnFirstToken(SchedulerState& /*state*/, RequestId /*request*/,
+                  Time /*now*/) {}
+void OnTokens(SchedulerState& /*state*/, RequestId /*request*/,
+              std::uint32_t /*count*/, Time /*now*/) {}
+
+void OnEnd(SchedulerState& base, RequestId request, EndKind /*kind*/,
+           Time /*now*/, Actions& out) {
+  BaselineState& state = As(base);
+  const auto it = state.running.find(request);
+  if (it == state.running.end()) return;
+  FindState(state.table, it->second.endpoint)->in_flight--;
+  state.running.erase(it);
+  DispatchAll(state, out);
+}
+
+void OnGone(SchedulerState& base, RequestId request, Time /*now*/) {
+  RemoveWaiting(As(base), request);
+}
+
+void OnTick(SchedulerState& base, Time now, Actions& out) {
+  BaselineState& state = As(base);
+  std::erase_if(state.quarantined,
+                [now](const auto& entry) { return entry.second <= now; });
+  RefuseWaiting(
+      state, RefuseReason::kWaitedTooLong,
+      [&](const Request& r) {
+        const auto longest = ClassOf(state.table, r.cls).max_wait;
+        return longest.count() > 0 && now - r.arrived > longest;
+      },
+      out);
+  DispatchAll(state, out);
+}
+
+SchedulerView View(const SchedulerState& base, Time now) {
+  const auto& state = static_cast<const BaselineState&>(base);
+  SchedulerView view{ViewOf(state.table), {}};
+  if (!state.table.rules) return view;
+  view.classes.resize(state.table.rules->classes.size());
+  for (std::uint32_t i = 0; i < view.classes.size(); ++i) {
+    view.classes[i].cls = ClassHandle{i};
+  }
+  for (const BaselineQueue& queue : state.queues) {
+    for (const auto& [key, request] : queue) {
+      if (request.cls.idx >= view.classes.size()) continue;
+      ClassView& cls = view.classes[request.cls.idx];
+      cls.waiting++;
+      cls.oldest_wait =
+          std::max(cls.oldest_wait,
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       now - request.arrived));
+    }
+  }
+  for (const auto& [id, running] : state.running) {
+    const std::uint32_t cls = running.request.cls.idx;
+    if (cls < view.classes.size()) view.classes[cls].running++;
+  }
+  return view;
+}
+
+}  // namespace
+
+OrderKey OrderByArrival(const BaselineState& state,
+                        const Request& /*request*/) {
+  return {0, Time{}, state.arrivals};
+}
+
+EndpointHandle PickLeastInFlight(BaselineState& state, TargetHandle target) {
+  EndpointHandle best;
+  std::uint32_t least = 0;
+  for (const EndpointHandle endpoint : ServersOf(state.table, target)) {
+    const EndpointState& found = state.table.endpoints[endpoint.idx];
+    if (!HasFreeSlot(found)) continue;
+    if (rules::IsValid(best) && found.in_flight >= least) continue;
+    best = endpoint;
+    least = found.in_flight;
+  }
+  return best;
+}
+
+std::unique_ptr<SchedulerState> CreateBaseline(
+    const BaselineBehaviour& behaviour) {
+  auto state = std::make_unique<BaselineState>();
+  state->behaviour = &behaviour;
+  return state;
+}
+
+SchedulerPlugin BaselinePlugin(std::unique_ptr<SchedulerState> (*create)(
+    const SchedulerOptions& options)) {
+  return {create,       OnRules,   OnSlots,      OnAvailable, OnReport,
+          OnQuarantine, OnArrival, OnFirstToken, OnTokens,    OnEnd,
+          OnGone,       OnTick,    View};
+}
+
+}  // namespace egretladder::policy
--- /dev/null
+++ b/policy/src/scheduler_fifo.cc
@@ -0,0 +1,28 @@
+// Baseline "fifo": in order of arrival, endpoints in turn.
+#include "egretladder/kernel/registry.h"
+#include "scheduler_common_p.h"
+
+namespace egretladder::policy {
+namespace {
+
+EndpointHandle PickInTurn(BaselineState& state, TargetHandle target) {
+  const std::vector<EndpointHandle>& servers = ServersOf(state.table, target);
+  std::uint32_t& cursor = state.cursors[target.idx];
+  for (std::size_t tried = 0; tried < servers.size(); ++tried) {
+    const EndpointHandle endpoint = servers[cursor++ % servers.size()];
+    if (HasFreeSlot(state.table.endpoints[endpoint.idx])) return endpoint;
+  }
+  return {};
+}
+
+constexpr BaselineBehaviour kFifo{OrderByArrival, PickInTurn};
+
+std::unique_ptr<SchedulerState> Create(const SchedulerOptions& /*options*/) {
+  return CreateBaseline(kFifo);
+}
+
+const SchedulerPlugin kPlugin = BaselinePlugin(Create);
+const kernel::PluginRegistrar<SchedulerPlugin> kRegistrar("fifo", kPlugin);
+
+}  // namespace
+}  // namespace egretladder::policy
--- /dev/null
+++ b/policy/tests/retry_test.cc
@@ -0,0 +1,70 @@
+#include "egretladder/policy/retry.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+
+using namespace std::chrono_literals;
+namespace ep = egretladder::policy;
+namespace ek = egretladder::kernel;
+
+TEST_GROUP(Retry) {
+  ek::PausedClock clock_;
+  ep::RetryBudget budget_;
+
+  ep::RetryAnswer Ask(ep::RetryQuestion question) {
+    if (question.deadline == ep::Time{}) question.deadline = clock_.now + 10s;
+    return ep::DecideRetry(budget_, question, 0.5, clock_.now);
+  }
+};
+
+// The connection to an endpoint breaks while a payment runs on it. Sent again,
+// the payment may be taken twice.
+TEST(Retry, WhatMayHaveRunIsRepeatedOnlyIfIdempotent) {
+  CHECK(Ask({ep::EndKind::kFailed, false}).reason ==
+        ep::RetryReason::kMayHaveRun);
+  CHECK_TRUE(Ask({ep::EndKind::kFailed, true}).again);
+  const auto not_run = Ask({ep::EndKind::kNotRun, false});
+  CHECK_TRUE(not_run.again);
+  CHECK(not_run.reason == ep::RetryReason::kNotRunElsewhere);
+}
+
+// The caller has half of the answer. A second run would send it another text.
+TEST(Retry, NeverAfterTheAnswerStarted) {
+  CHECK(Ask({ep::EndKind::kFailed, true, true}).reason ==
+        ep::RetryReason::kAnswerStarted);
+}
+
+// Every endpoint refuses after an outage. Each of a thousand callers' requests
+// becomes three, and the endpoints that come back drown in retries.
+TEST(Retry, BudgetEndsAStorm) {
+  int again = 0;
+  for (int i = 0; i < 1000; ++i) {
+    if (Ask({ep::EndKind::kNotRun, true}).again) ++again;
+  }
+  CHECK_EQUAL(5, again);
+  CHECK(Ask({ep::EndKind::kNotRun, true}).reason ==
+        ep::RetryReason::kBudgetSpent);
+  for (int i = 0; i < 100; ++i) ep::OnSuccess(budget_);
+  CHECK_TRUE(Ask({ep::EndKind::kNotRun, true}).again);
+}
+
+// The caller has given up by then; the repeat would be work for no one.
+TEST(Retry, NotPastTheDeadlineNorForEver) {
+  ep::RetryQuestion question{ep::EndKind::kNotRun, true};
+  question.deadline = clock_.now + 1ms;
+  CHECK(Ask(question).reason == ep::RetryReason::kDeadlinePassed);
+  question.deadline = clock_.now + 10s;
+  question.attempt = 3;
+  CHECK(Ask(question).reason == ep::RetryReason::kAttemptsSpent);
+}
+
+// Two endpoints in a row died under one request. A third attempt would take
+// the next one from everybody.
+TEST(Retry, SecondDeathIsNotTriedOnAThirdEndpoint) {
+  ep::RetryQuestion question{ep::EndKind::kDied, true};
+  question.blamed = true;
+  CHECK_TRUE(Ask(question).again);
+  question.attempt = 2;
+  CHECK(Ask(question).reason == ep::RetryReason::kPoison);
+}
