--- a/rules/src/words.cc
+++ b/rules/src/words.cc
@@ -3,11 +3,10 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
 #include <charconv>
 #include <limits>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 #include "egretladder/kernel/time.h"
@@ -30,7 +29,7 @@
 bool IsAddress(const std::string& text) {
   const auto colon = text.rfind(':');
   if (colon == std::string::npos) return false;
-  const auto port = ParseCount(std::string_view(text).substr(colon + 1));
+  const auto port = ParseCount(text.substr(colon + 1));
   if (!port || *port == 0 || *port > 65535) return false;
   std::string ip = text.substr(0, colon);
   std::array<unsigned char, sizeof(in6_addr)> parsed{};
@@ -76,11 +75,9 @@
 
 RuleLine SplitWords(Reader& reader, const kernel::IniEntry& entry) {
   RuleLine line{&entry, {}};
-  std::vector<std::string> words;
-  boost::split(words, entry.value, boost::is_any_of(" \t"),
-               boost::token_compress_on);
-  for (const std::string& word : words) {
-    if (word.empty()) continue;
+  std::istringstream words(entry.value);
+  std::string word;
+  while (words >> word) {
     const auto equals = word.find('=');
     if (equals == std::string::npos || equals == 0) {
       AddFault(reader, entry.line,
@@ -197,9 +194,9 @@
   std::vector<std::uint32_t> found;
   const std::string list = TakeText(reader, line, key, true);
   if (list.empty()) return found;
-  std::vector<std::string> names;
-  boost::split(names, list, boost::is_any_of(","));
-  for (const std::string& name : names) {
+  std::istringstream names(list);
+  std::string name;
+  while (std::getline(names, name, ',')) {
     const auto idx = FindName(reader, line, key, kind, index, name);
     if (idx == kNoName) continue;
     if (std::find(found.begin(), found.end(), idx) != found.end()) {
