Add votes, VM notices and take-over figures to the messages

Cause: the lease of slots needs them, and the peer schema is being written. Change: nodes_digest and leaving_vms in Gossip, held in SlotAsk; an empty document means that there is nothing newer. Conclusion: the message set should stand now.

--- a/fleet/include/egretladder/fleet/fleet.h
+++ b/fleet/include/egretladder/fleet/fleet.h
@@ -121,7 +121,7 @@
 void OnMessage(FleetState& state, const Sender& from, const Message& message,
                Time now, Actions& out);
 /// The platform's answer to `ReadRulesDocument`. Null text: it could not be
-/// read.
+/// read. Empty text: nothing above `known_version` (a watch ended with 304).
 void OnRulesDocument(FleetState& state, const std::string* text, Time now,
                      Actions& out);
 /// The platform's answer to `ReadVmList`. Null: it could not be read.
--- a/fleet/include/egretladder/fleet/messages.h
+++ b/fleet/include/egretladder/fleet/messages.h
@@ -31,6 +31,12 @@
   MemberState state = MemberState::kAlive;
 };
 
+/// An endpoint that the platform's VM list shows as leaving.
+struct LeavingVm {
+  std::string name;
+  std::chrono::milliseconds age{};  ///< Since the list was read.
+};
+
 /// Heartbeat gossip: a few members, and what is in force here.
 struct Gossip {
   std::vector<Member> members;
@@ -42,6 +48,9 @@
   std::uint64_t ack = 0;   ///< Of the message answered; 0: none.
   /// Nodes that the sender counts as gone: its vote for the next keeper.
   std::vector<std::string> gone;
+  /// Hash of the published node names; votes count only among equal ones.
+  std::uint64_t nodes_digest = 0;
+  std::vector<LeavingVm> leaving_vms;
 };
 
 /// Asks for the rules, when the peer's gossip showed a higher version.
@@ -58,6 +67,8 @@
   std::string endpoint;
   std::uint32_t in_flight = 0;
   std::uint32_t wanted = 0;
+  std::uint32_t held = 0;  ///< Last leased; a keeper that takes over starts
+                           ///< from the sum when the boot is the same.
   bool down = false;  ///< It died or refused connections since the last ask.
   policy::SlotEvidence evidence;
 };
--- a/fleet/src/fleet.cc
+++ b/fleet/src/fleet.cc
@@ -133,7 +133,7 @@
                      Actions& out) {
   state.reading = false;
   state.next_read = now + kRulesRetry;
-  if (text != nullptr) TakeRules(state, *text, now, out);
+  if (text != nullptr && !text->empty()) TakeRules(state, *text, now, out);
 }
 
 void OnVmList(FleetState& /*state*/, const std::vector<VmEntry>* /*vms*/,
