Carry the boot under which slots were held

Cause: a keeper that takes over must not take old slots for a restarted endpoint. Change: held_boot in SlotAsk. Conclusion: the field is for the peer schema.

--- a/fleet/include/egretladder/fleet/messages.h
+++ b/fleet/include/egretladder/fleet/messages.h
@@ -69,6 +69,7 @@
   std::uint32_t wanted = 0;
   std::uint32_t held = 0;  ///< Last leased; a keeper that takes over starts
                            ///< from the sum when the boot is the same.
+  std::uint64_t held_boot = 0;  ///< Of the endpoint under that lease.
   bool down = false;  ///< It died or refused connections since the last ask.
   policy::SlotEvidence evidence;
 };
