--- a/lab/src/stand_in.cc
+++ b/lab/src/stand_in.cc
@@ -27,13 +27,15 @@
 }
 
 OpenCall::~OpenCall() {
-  if (request_ != nullptr) Break();
+  Break();
 }
 
 void OpenCall::OnClose(evhttp_connection* /*connection*/, void* arg) {
   auto& call = *static_cast<OpenCall*>(arg);
   call.gone_ = true;
-  if (call.on_gone_) call.on_gone_();
+  // A copy, since it may end the call that holds it.
+  const auto on_gone = call.on_gone_;
+  if (on_gone) on_gone();
 }
 
 void OpenCall::Detach() {
@@ -45,7 +47,6 @@
 }
 
 void OpenCall::StartStream(const char* content_type) {
-  streaming_ = true;
   evhttp_add_header(evhttp_request_get_output_headers(request_), "Content-Type",
                     content_type);
   evhttp_send_reply_start(request_, kOk, nullptr);
@@ -56,14 +57,15 @@
 }
 
 void OpenCall::EndStream() {
+  if (gone_) return Break();
   evhttp_request* request = request_;
   Detach();
-  // Frees a request whose connection has gone.
   evhttp_send_reply_end(request);
 }
 
 void OpenCall::Answer(int status, const char* content_type,
                       std::string_view body) {
+  if (gone_) return Break();
   evhttp_request* request = request_;
   Detach();
   Reply(request, status, content_type, body);
@@ -78,12 +80,15 @@
 }
 
 void OpenCall::Break() {
+  if (request_ == nullptr) return;
   evhttp_request* request = request_;
   const bool gone = gone_;
   Detach();
   if (gone) {
-    streaming_ ? evhttp_send_reply_end(request)
-               : evhttp_send_reply(request, kOk, nullptr, nullptr);
+    // A request cut off from its connection is ours; any other is evhttp's.
+    if (evhttp_request_get_connection(request) == nullptr) {
+      evhttp_request_free(request);
+    }
     return;
   }
   evhttp_connection* connection = evhttp_request_get_connection(request);
--- a/lab/src/stand_in_p.h
+++ b/lab/src/stand_in_p.h
@@ -41,7 +41,6 @@
   evhttp_request* request_;
   std::function<void()> on_gone_;
   bool gone_ = false;
-  bool streaming_ = false;
 };
 
 /// Runs `loop` until SIGTERM or SIGINT.
