--- a/lab/include/egretladder/lab/engine_model.h
+++ b/lab/include/egretladder/lab/engine_model.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -120,7 +121,10 @@
 struct WaitingOrder {
   std::uint32_t priority = 0;
   std::uint64_t arrival = 0;
-  auto operator<=>(const WaitingOrder&) const = default;
+  bool operator<(const WaitingOrder& other) const {
+    return std::tie(priority, arrival) <
+           std::tie(other.priority, other.arrival);
+  }
 };
 
 struct EngineState {
--- a/lab/src/stand_in.cc
+++ b/lab/src/stand_in.cc
@@ -26,9 +26,7 @@
   bufferevent_enable(evhttp_connection_get_bufferevent(connection), EV_READ);
 }
 
-OpenCall::~OpenCall() {
-  Break();
-}
+OpenCall::~OpenCall() { Break(); }
 
 void OpenCall::OnClose(evhttp_connection* /*connection*/, void* arg) {
   auto& call = *static_cast<OpenCall*>(arg);
@@ -107,19 +105,25 @@
   kernel::RunLoop(loop);
 }
 
-int ServeUntilSignalled(kernel::Loop& loop, const std::string& listen,
-                        RequestHandler handler, const CommandStreams& streams) {
-  const auto address = ParseLoopback(listen);
-  if (!address) {
-    streams.err << kernel::Describe(address.error()) << "\n";
-    return kExitUsage;
-  }
-  const auto server = Listen(loop, address.value(), std::move(handler));
-  if (!server) {
-    streams.err << kernel::Describe(server.error()) << "\n";
-    return kExitFailed;
+int ServeUntilSignalled(kernel::Loop& loop,
+                        const std::vector<std::string>& listen,
+                        const RequestHandler& handler,
+                        const CommandStreams& streams) {
+  std::vector<HttpServer> servers;
+  for (const std::string& text : listen) {
+    const auto address = ParseLoopback(text);
+    if (!address) {
+      streams.err << kernel::Describe(address.error()) << "\n";
+      return kExitUsage;
+    }
+    auto server = Listen(loop, address.value(), handler);
+    if (!server) {
+      streams.err << kernel::Describe(server.error()) << "\n";
+      return kExitFailed;
+    }
+    servers.push_back(std::move(server).value());
+    streams.out << "listening on " << text << std::endl;
   }
-  streams.out << "listening on " << listen << std::endl;
   RunUntilSignalled(loop);
   return kExitDone;
 }
--- a/lab/src/stand_in_engine.cc
+++ b/lab/src/stand_in_engine.cc
@@ -293,7 +293,7 @@
       loop, options.engine.report_period,
       [&engine] { ReportOf(engine.model, kernel::Now(engine.loop.clock)); });
   return ServeUntilSignalled(
-      loop, options.listen,
+      loop, {options.listen},
       [&engine](evhttp_request* request) { OnRequest(engine, request); },
       streams);
 }
--- a/lab/src/stand_in_p.h
+++ b/lab/src/stand_in_p.h
@@ -46,10 +46,12 @@
 /// Runs `loop` until SIGTERM or SIGINT.
 void RunUntilSignalled(kernel::Loop& loop);
 
-/// Listens and writes one line with the address to `streams.out`. Returns the
-/// exit code on failure.
-int ServeUntilSignalled(kernel::Loop& loop, const std::string& listen,
-                        RequestHandler handler, const CommandStreams& streams);
+/// Listens on every address and writes one line for each to `streams.out`.
+/// Returns the exit code.
+int ServeUntilSignalled(kernel::Loop& loop,
+                        const std::vector<std::string>& listen,
+                        const RequestHandler& handler,
+                        const CommandStreams& streams);
 
 /// Takes a control call's fault, or answers 400. `crash` ends the process here.
 void TakeFault(evhttp_request* request, FaultState& state);
--- a/lab/src/stand_in_service.cc
+++ b/lab/src/stand_in_service.cc
@@ -141,7 +141,7 @@
   kernel::Loop loop = kernel::OpenLoop();
   Service service{loop, options, {}, {{}, kernel::Random(options.seed)}, {}, 1};
   return ServeUntilSignalled(
-      loop, options.listen,
+      loop, {options.listen},
       [&service](evhttp_request* request) { OnRequest(service, request); },
       streams);
 }
--- /dev/null
+++ b/lab/tests/examples_test.cc
@@ -0,0 +1,82 @@
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "egretladder/lab/command.h"
+
+namespace el = egretladder::lab;
+
+TEST_GROUP(Examples) {
+  std::ostringstream out_;
+  std::ostringstream err_;
+
+  int Run(const el::CommandArgs& args) {
+    return el::RunCommandLine(args, {out_, err_});
+  }
+
+  static std::string Path(const std::string& name) {
+    return std::string(EGRETLADDER_SOURCE_DIR) + "/examples/" + name;
+  }
+
+  /// Every rules document under examples/, in order.
+  static std::vector<std::string> Documents() {
+    std::vector<std::string> found;
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator(Path(""))) {
+      if (entry.path().filename().string().starts_with("rules")) {
+        found.push_back(entry.path().string());
+      }
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+  }
+};
+
+TEST(Examples, EveryRulesDocumentPassesTheCheck) {
+  const std::vector<std::string> documents = Documents();
+  CHECK(documents.size() >= 3);
+  for (const std::string& document : documents) {
+    const int code = Run({"check", document});
+    STRCMP_EQUAL("", err_.str().c_str());
+    CHECK_EQUAL(el::kExitDone, code);
+  }
+}
+
+TEST(Examples, ExplainNamesWhoAskedForEachRule) {
+  CHECK_EQUAL(el::kExitDone,
+              Run({"explain", Path("01-abay/rules.ini"), "--account",
+                   "bole-line-maintenance", "--class", "buyer-question",
+                   "--model", "parts-chat"}));
+  STRCMP_CONTAINS("tier 1", out_.str().c_str());
+  STRCMP_CONTAINS("asked by", out_.str().c_str());
+}
+
+// An operator publishes a document with a slip. A check that passes it lets the
+// slip into the fleet.
+TEST(Examples, CheckNamesFileAndLineOfAFault) {
+  const std::string file =
+      (std::filesystem::temp_directory_path() / "egretladder_check_test.ini")
+          .string();
+  std::ofstream(file) << "[document]\nversion = 1 ; me\n[zone]\na = ouch=1 ; "
+                         "me\n";
+  CHECK_EQUAL(el::kExitFailed, Run({"check", file}));
+  STRCMP_CONTAINS((file + ":4").c_str(), err_.str().c_str());
+  std::filesystem::remove(file);
+}
+
+TEST(Examples, CheckRefusesASuccessorWhoseVersionDoesNotRise) {
+  const std::string file = Path("00-minimal/rules.ini");
+  CHECK_EQUAL(el::kExitFailed, Run({"check", file, file}));
+  STRCMP_CONTAINS("version", err_.str().c_str());
+}
+
+TEST(Examples, CheckSaysWhatASuccessorChanges) {
+  CHECK_EQUAL(el::kExitDone, Run({"check", Path("01-abay/rules.ini"),
+                                  Path("01-abay/rules-2-bole-out.ini")}));
+  STRCMP_CONTAINS("bole", out_.str().c_str());
+}
