Add the life of a call without I/O

Cause: gateway and scenarios need one node to drive, with the decisions of policy and fleet put together. A key's outcome that was lost has an answer code of its own. The limits header of rules is named like those of the other packages. Conclusion: thin but whole; quarantine over nodes waits for the fleet.

--- /dev/null
+++ b/node/include/egretladder/node/limits.h
@@ -0,0 +1,44 @@
+// Periods and bounds of a node's calls, each with its reason.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace egretladder::node {
+
+/// Longest life of a call whose caller sets no timeout. A trace summary takes
+/// minutes; a call that hangs must not hold its slot for ever.
+inline constexpr std::chrono::minutes kCallTimeout{10};
+
+/// How long a call that may not be repeated goes on after its caller left or
+/// was told "unknown", so that a retry with its key finds the answer.
+inline constexpr std::chrono::seconds kDetachedLife{60};
+
+/// How long a call waits before it is routed again after it was held back
+/// right before its first byte. Short against the targets of any class; without
+/// a wait, a node with old knowledge would route and hold it in a tight loop.
+inline constexpr std::chrono::milliseconds kHoldDelay{20};
+
+/// How long a caller may keep the answer to `/where`. A leaving node must stay
+/// reachable this long; callers learn of new nodes no faster.
+inline constexpr std::chrono::milliseconds kWhereKeep{5000};
+
+/// Addresses in that answer: one to use and two to turn to.
+inline constexpr std::size_t kWhereAddresses = 3;
+
+/// Between two accounts of evidence and wanted slots to the fleet.
+inline constexpr std::chrono::milliseconds kEvidencePeriod{50};
+
+/// A target counts as in use this long after its last call: the node keeps
+/// asking for one spare slot at its endpoints, so that the next call need not
+/// wait for a lease.
+inline constexpr std::chrono::seconds kTargetInUse{10};
+
+/// What callers are told when nothing better is known.
+inline constexpr std::chrono::milliseconds kStandardRetryAfter{1000};
+
+/// Preemptions of one call. Numbers of attempts stay distinct within 8 bits.
+inline constexpr std::uint8_t kAttemptNumbersMost = 200;
+
+}  // namespace egretladder::node
--- a/node/include/egretladder/node/node.h
+++ b/node/include/egretladder/node/node.h
@@ -66,6 +66,7 @@
   kTimeout,
   kNotReady,  ///< No rules in force yet.
   kLeaving,
+  kOutcomeUnknown,  ///< The key was sent before and its answer was lost.
 };
 
 const char* NameOf(AnswerCode code);
--- /dev/null
+++ b/node/src/apply.cc
@@ -0,0 +1,140 @@
+// Turns what scheduler and fleet ask for into changes of calls and into actions
+// of the driver.
+#include <type_traits>
+#include <utility>
+
+#include "state_p.h"
+
+namespace egretladder::node {
+namespace {
+
+struct SchedulerApplier {
+  NodeState& state;
+  Time now;
+  Actions& out;
+
+  void operator()(const policy::Dispatch& dispatch) const {
+    CallRecord* record = FindCall(state, dispatch.request);
+    // The call ended after the scheduler chose; its slot must come back.
+    if (record == nullptr || record->stage != Stage::kWaiting) {
+      state.scheduler->on_end(*state.scheduler_state, dispatch.request,
+                              policy::EndKind::kCancelled, now, state.pending);
+      return;
+    }
+    const rules::RulesPtr rules = fleet::RulesOf(*state.fleet);
+    record->endpoint = dispatch.endpoint;
+    SetStage(state, *record, Stage::kDispatched, now);
+    Decide(state, *record, "dispatch", NameOf(dispatch.reason), now, out);
+    out.emplace_back(
+        SendCall{dispatch.request, record->attempt, dispatch.endpoint,
+                 rules->endpoints[dispatch.endpoint.idx].address,
+                 dispatch.engine_priority, record->lane.has_value()});
+  }
+
+  void operator()(const policy::Refuse& refuse) const {
+    CallRecord* record = FindCall(state, refuse.request);
+    if (record == nullptr) return;
+    AnswerCode code = AnswerCode::kOverloaded;
+    if (refuse.reason == policy::RefuseReason::kQuarantined) {
+      code = AnswerCode::kQuarantined;
+    } else if (refuse.reason == policy::RefuseReason::kNoEndpoint) {
+      code = AnswerCode::kNoEndpoint;
+    }
+    GiveUp(state, *record, {code, NameOf(refuse.reason), refuse.retry_after},
+           now, out);
+  }
+
+  void operator()(const policy::Preempt& preempt) const {
+    CallRecord* record = FindCall(state, preempt.request);
+    if (record == nullptr || !IsAtEndpoint(record->stage)) return;
+    // What may not be repeated runs on, and so does an answer of which the
+    // caller has a part: neither can start again from its beginning.
+    const bool may = record->stage != Stage::kStarted &&
+                     (record->repeatable || !IsSent(record->stage)) &&
+                     record->attempt < kAttemptNumbersMost;
+    if (!may) return;
+    Decide(state, *record, "preempt", NameOf(preempt.reason), now, out);
+    out.emplace_back(CancelCall{preempt.request, record->attempt});
+    record->may_have_run |= IsSent(record->stage);
+    ++record->attempt;
+    EndAttempt(state, *record, policy::EndKind::kCancelled, now);
+    Queue(state, *record, now, out);
+  }
+};
+
+void StartScheduler(NodeState& state, const rules::Rules& rules) {
+  policy::SchedulerOptions options;
+  options.zone = rules::FindZone(rules, state.options.fleet.zone);
+  options.seed = state.options.fleet.random_seed;
+  state.scheduler_state = state.scheduler->create(options);
+}
+
+struct FleetApplier {
+  NodeState& state;
+  Time now;
+  Actions& out;
+
+  void operator()(fleet::RulesInForce& action) const {
+    const rules::RulesPtr rules = action.rules;
+    state.endpoints.resize(rules->endpoints.size());
+    state.targets.resize(rules->targets.size());
+    if (state.scheduler_state == nullptr) StartScheduler(state, *rules);
+    out.emplace_back(std::move(action));
+    state.scheduler->on_rules(*state.scheduler_state, rules, now,
+                              state.pending);
+  }
+  void operator()(const fleet::SlotsChanged& action) const {
+    DecidePlace(state, action.endpoint, "slots", NameOf(action.reason), out);
+    state.scheduler->on_slots(*state.scheduler_state, action.endpoint,
+                              action.slots, now, state.pending);
+  }
+  void operator()(const fleet::AvailableChanged& action) const {
+    DecidePlace(state, action.endpoint, "available",
+                action.available ? "takes_work" : "takes_no_work", out);
+    state.endpoints[action.endpoint.idx].available = action.available;
+    state.scheduler->on_available(*state.scheduler_state, action.endpoint,
+                                  action.available, now, state.pending);
+  }
+  void operator()(const fleet::ReportSeen& action) const {
+    state.endpoints[action.endpoint.idx].evidence.boot = action.report.boot;
+    state.scheduler->on_report(*state.scheduler_state, action.endpoint,
+                               action.report, now);
+  }
+  void operator()(const fleet::QuarantineAdded& action) const {
+    if (state.scheduler_state == nullptr) return;
+    state.scheduler->on_quarantine(*state.scheduler_state, action.fingerprint,
+                                   now + action.left, now, state.pending);
+  }
+  void operator()(fleet::OrderEngine& action) const {
+    DecidePlace(state, action.endpoint, "order",
+                action.kind == fleet::OrderKind::kLoad ? "load" : "unload",
+                out);
+    out.emplace_back(action);
+  }
+  template <typename Other>
+  requires std::is_constructible_v<Action, Other>
+  void operator()(Other& action) const { out.emplace_back(std::move(action)); }
+};
+
+}  // namespace
+
+void ApplyScheduler(NodeState& state, Time now, Actions& out) {
+  if (state.applying) return;  // The outer call goes on with what was added.
+  state.applying = true;
+  for (std::size_t i = 0; i < state.pending.size(); ++i) {
+    const policy::Action action = state.pending[i];
+    std::visit(SchedulerApplier{state, now, out}, action);
+  }
+  state.pending.clear();
+  state.applying = false;
+}
+
+void ApplyFleet(NodeState& state, fleet::Actions& actions, Time now,
+                Actions& out) {
+  for (fleet::Action& action : actions) {
+    std::visit(FleetApplier{state, now, out}, action);
+  }
+  ApplyScheduler(state, now, out);
+}
+
+}  // namespace egretladder::node
--- /dev/null
+++ b/node/src/node.cc
@@ -0,0 +1,120 @@
+// A node as a whole: its start, its ticks, and what reaches it from peers,
+// platform and endpoints.
+#include "egretladder/kernel/registry.h"
+#include "state_p.h"
+
+namespace egretladder::node {
+
+void NodeDelete::operator()(NodeState* state) const { delete state; }
+
+kernel::Result<NodePtr> StartNode(const NodeOptions& options, Time now,
+                                  Actions& out) {
+  const auto* plugin =
+      kernel::FindPlugin<policy::SchedulerPlugin>(options.scheduler);
+  if (plugin == nullptr) {
+    return kernel::MakeError(kernel::ErrorCode::kNotFound, "start node",
+                             options.scheduler, "no scheduler has this name");
+  }
+  NodePtr state(new NodeState);
+  state->options = options;
+  state->scheduler = plugin;
+  state->random.seed(options.fleet.random_seed);
+  state->lanes = fleet::StartLanes(
+      options.fleet.node, options.fleet.incarnation, options.lane_secret, now);
+  fleet::Actions actions;
+  state->fleet = fleet::StartFleet(options.fleet, now, actions);
+  ApplyFleet(*state, actions, now, out);
+  return state;
+}
+
+void OnTick(NodeState& state, Time now, Actions& out) {
+  if (now >= state.next_evidence) {
+    state.next_evidence = now + kEvidencePeriod;
+    TellEvidence(state, now);
+  }
+  if (now >= state.next_fleet_tick) {
+    state.next_fleet_tick = now + fleet::kFleetTick;
+    fleet::Actions actions;
+    fleet::OnTick(*state.fleet, now, actions);
+    ApplyFleet(state, actions, now, out);
+  }
+  if (now >= state.next_sweep) {
+    state.next_sweep = now + fleet::kLaneSweep;
+    fleet::SweepLanes(*state.lanes, now);
+  }
+  if (state.scheduler_state == nullptr) return;
+  OnWakes(state, now, out);
+  state.scheduler->on_tick(*state.scheduler_state, now, state.pending);
+  ApplyScheduler(state, now, out);
+}
+
+void OnMessage(NodeState& state, const fleet::Sender& from,
+               const fleet::Message& message, Time now, Actions& out) {
+  fleet::Actions actions;
+  fleet::OnMessage(*state.fleet, from, message, now, actions);
+  ApplyFleet(state, actions, now, out);
+}
+
+void OnRulesDocument(NodeState& state, const std::string* text, Time now,
+                     Actions& out) {
+  fleet::Actions actions;
+  fleet::OnRulesDocument(*state.fleet, text, now, actions);
+  ApplyFleet(state, actions, now, out);
+}
+
+void OnVmList(NodeState& state, const std::vector<fleet::VmEntry>* vms,
+              Time now, Actions& out) {
+  fleet::Actions actions;
+  fleet::OnVmList(*state.fleet, vms, now, actions);
+  ApplyFleet(state, actions, now, out);
+}
+
+void OnReport(NodeState& state, EndpointHandle endpoint,
+              const policy::EngineReport* report, Time now, Actions& out) {
+  fleet::Actions actions;
+  fleet::OnReport(*state.fleet, endpoint, report, now, actions);
+  ApplyFleet(state, actions, now, out);
+}
+
+void Leave(NodeState& state, Time now, Actions& out) {
+  if (state.leaving) return;
+  state.leaving = true;
+  fleet::Actions actions;
+  fleet::Leave(*state.fleet, now, actions);
+  ApplyFleet(state, actions, now, out);
+}
+
+bool IsIdle(const NodeState& state) { return state.calls.empty(); }
+
+WhereAnswer Where(NodeState& state, std::string_view zone, Time now) {
+  WhereAnswer answer;
+  answer.keep_for = kWhereKeep;
+  for (const fleet::Member& member :
+       fleet::Where(*state.fleet, zone, kWhereAddresses, now)) {
+    answer.addresses.push_back(member.caller_address);
+  }
+  const bool ready = fleet::RulesOf(*state.fleet) != nullptr;
+  if (ready && !state.leaving) {
+    answer.lane = fleet::Encode(fleet::IssueLane(*state.lanes, now));
+  }
+  return answer;
+}
+
+NodeView ViewOf(const NodeState& state, Time now) {
+  NodeView view;
+  view.leaving = state.leaving;
+  view.ready = !state.leaving && fleet::RulesOf(*state.fleet) != nullptr;
+  view.fleet = fleet::ViewOf(*state.fleet, now);
+  view.lanes = fleet::ViewOf(*state.lanes);
+  view.calls = state.calls.size();
+  if (state.scheduler_state != nullptr) {
+    view.scheduler = state.scheduler->view(*state.scheduler_state, now);
+  }
+  return view;
+}
+
+rules::RulesPtr RulesOf(const NodeState& state) {
+  return fleet::RulesOf(*state.fleet);
+}
+
+}  // namespace egretladder::node
--- a/rules/src/read_rules.cc
+++ b/rules/src/read_rules.cc
@@ -9,7 +9,7 @@
 
 #include "egretladder/kernel/hash.h"
 #include "egretladder/kernel/ini.h"
-#include "egretladder/rules/config.h"
+#include "egretladder/rules/limits.h"
 #include "reader_p.h"
 
 namespace egretladder::rules {
--- a/rules/src/words.cc
+++ b/rules/src/words.cc
@@ -10,7 +10,7 @@
 #include <utility>
 
 #include "egretladder/kernel/time.h"
-#include "egretladder/rules/config.h"
+#include "egretladder/rules/limits.h"
 #include "reader_p.h"
 
 namespace egretladder::rules {
--- a/rules/tests/read_rules_test.cc
+++ b/rules/tests/read_rules_test.cc
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "egretladder/rules/config.h"
+#include "egretladder/rules/limits.h"
 #include "egretladder/rules/rules.h"
 
 using namespace std::chrono_literals;
