Drive the node with sockets: callers, endpoints, platform, peers

Cause: the node decides without I/O; nothing carried real requests.

Change: `gateway` puts evhttp in front of callers, evhttp clients towards endpoints and the platform, and Cap'n Proto RPC between nodes, all on one libevent loop (KJ is woken by an event that libevent runs). Slow callers hold their endpoint's connection back. `egretladderd` reads its settings as a whole (exit 2 names every fault) and stops gracefully.

--- a/cmake/EgretladderPackage.cmake
+++ b/cmake/EgretladderPackage.cmake
@@ -29,7 +29,7 @@
   set(EGRETLADDER_PACKAGES ${EGRETLADDER_PACKAGES} egretladder_${name}
     CACHE INTERNAL "")
 
-  file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cc)
+  file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cc tests/harness*.cc)
   if(tests)
     add_executable(${name}_tests tests/main.cc ${tests})
     target_include_directories(${name}_tests PRIVATE src tests)
--- /dev/null
+++ b/gateway/include/egretladder/gateway/limits.h
@@ -0,0 +1,62 @@
+// Limits of the gateway that are not settings, and the standard values of those
+// that are.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace egretladder::gateway {
+
+/// Standard values of the settings in `[limits]`.
+inline constexpr std::size_t kHeaderBytes = std::size_t{16} << 10U;
+inline constexpr std::size_t kBodyBytes = std::size_t{4} << 20U;
+inline constexpr std::size_t kConnections = 4096;
+inline constexpr std::chrono::seconds kRequestTime{30};
+inline constexpr std::chrono::seconds kAnswerTime{120};
+inline constexpr std::chrono::seconds kIdleTime{30};
+inline constexpr std::chrono::seconds kDrainTime{30};
+inline constexpr std::chrono::seconds kStopTime{300};
+inline constexpr std::size_t kCallerBuffer = std::size_t{64} << 10U;
+inline constexpr std::size_t kAnswerBytes = std::size_t{1} << 20U;
+
+/// Input that may wait unread on one connection to an endpoint. A chunk has to
+/// fit, since evhttp hands on whole chunks only.
+inline constexpr std::size_t kEndpointBuffer = std::size_t{1} << 20U;
+
+/// How long a connection to an endpoint may take; endpoints are one or two
+/// network hops away, so a longer wait means that it is down or cut off.
+inline constexpr std::chrono::milliseconds kConnectTime{1000};
+/// Idle connections kept for reuse, per address, and for how long.
+inline constexpr std::size_t kIdleConnections = 256;
+inline constexpr std::chrono::seconds kKeepAlive{20};
+
+inline constexpr std::chrono::milliseconds kSweep{100};
+
+/// Bytes of the messages that count as a prompt's first part.
+inline constexpr std::size_t kPrefixBytes = 1024;
+/// Characters of one token, for estimates before the engine counted.
+inline constexpr std::size_t kCharactersPerToken = 4;
+
+/// Time a document or report may take to arrive.
+inline constexpr std::chrono::milliseconds kPlatformTime{5000};
+inline constexpr std::chrono::milliseconds kReportTime{1000};
+inline constexpr std::chrono::milliseconds kWatchTime{20000};
+inline constexpr std::size_t kDocumentBytes = std::size_t{2} << 20U;
+
+/// What may wait unanswered at one peer. One rules document has to fit; the
+/// messages are states that are sent anew, so what does not fit is dropped.
+inline constexpr std::size_t kPeerBytes = std::size_t{3} << 20U;
+inline constexpr std::uint32_t kPeerMessages = 64;
+inline constexpr std::size_t kPeersIn = 1024;
+inline constexpr std::size_t kPeersOut = 512;
+/// A peer that answers nothing for this long is connected to anew.
+inline constexpr std::chrono::milliseconds kPeerSilence{5000};
+/// A connection on which nothing was sent for this long is closed.
+inline constexpr std::chrono::seconds kPeerIdle{30};
+inline constexpr std::chrono::milliseconds kBackoffFirst{100};
+inline constexpr std::chrono::milliseconds kBackoffMost{5000};
+/// Words of eight bytes in one message of a peer.
+inline constexpr std::uint64_t kPeerMessageWords = std::uint64_t{1} << 18U;
+
+}  // namespace egretladder::gateway
--- a/gateway/main/egretladderd.cc
+++ b/gateway/main/egretladderd.cc
@@ -1,1 +1,115 @@
-int main() { return 0; }
+// The node: `egretladderd --config node.ini`.
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "egretladder/gateway/gateway.h"
+#include "egretladder/gateway/settings.h"
+#include "egretladder/kernel/ini.h"
+#include "egretladder/kernel/log.h"
+#include "egretladder/kernel/loop.h"
+
+namespace {
+
+namespace eg = egretladder::gateway;
+namespace ek = egretladder::kernel;
+
+constexpr int kBadSettings = 2;
+constexpr std::chrono::milliseconds kIdleCheck{20};
+
+void Say(ek::LogLevel level, const std::string& sentence) {
+  ek::Log(ek::LogPart::kKernel, level, sentence);
+}
+
+// Ends the process in order: callers are sent elsewhere at once, answers in
+// progress go to their ends, a second signal or too long a wait cuts them.
+class Stop {
+ public:
+  Stop(ek::Loop& loop, eg::Gateway& gateway, std::chrono::milliseconds most)
+      : loop_(loop), gateway_(gateway), most_(most) {
+    for (std::size_t i = 0; i < signals_.size(); ++i) {
+      signals_[i] = ek::OnSignal(loop, i == 0 ? SIGTERM : SIGINT,
+                                 [this] { OnStopSignal(); });
+    }
+  }
+
+ private:
+  void OnStopSignal() {
+    if (leaving_) {
+      Cut("a second signal came");
+      return;
+    }
+    leaving_ = true;
+    Say(ek::LogLevel::kInfo, "Leaving: calls in progress end first.");
+    eg::Leave(gateway_);
+    timeout_ = ek::After(loop_, most_, [this] { Cut("the time was up"); });
+    idle_ = ek::Every(loop_, kIdleCheck, [this] { EndWhenIdle(); });
+  }
+
+  void EndWhenIdle() {
+    if (!eg::IsIdle(gateway_)) return;
+    Say(ek::LogLevel::kInfo, "Left: no call was cut.");
+    ek::StopLoop(loop_);
+  }
+
+  void Cut(const std::string& why) {
+    Say(ek::LogLevel::kWarning, "Stopped, since " + why + ": " +
+                                    std::to_string(eg::ViewOf(gateway_).calls) +
+                                    " calls were cut.");
+    ek::StopLoop(loop_);
+  }
+
+  ek::Loop& loop_;
+  eg::Gateway& gateway_;
+  std::chrono::milliseconds most_;
+  bool leaving_ = false;
+  std::array<ek::Watch, 2> signals_;
+  ek::Watch timeout_;
+  ek::Watch idle_;
+};
+
+int Run(const eg::NodeConfig& config) {
+  ek::StartLogs(config.log_format, config.log_level);
+  ek::Loop loop = ek::OpenLoop();
+  auto gateway = eg::StartGateway(loop, config.gateway);
+  if (!gateway) {
+    Say(ek::LogLevel::kError, ek::Describe(gateway.error()));
+    return EXIT_FAILURE;
+  }
+  eg::Gateway& started = *gateway.value();
+  Say(ek::LogLevel::kInfo, "Node " + config.gateway.node.fleet.node +
+                               " serves callers at " +
+                               eg::CallerAddressOf(started) + " and peers at " +
+                               eg::PeerAddressOf(started) + ".");
+  const Stop stop(loop, started, config.stop_time);
+  ek::RunLoop(loop);
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("A node of egretladder, the router for language-model traffic.");
+  std::string path;
+  app.add_option("--config", path, "The node's settings (INI)")->required();
+  app.footer("Example: egretladderd --config examples/abay/entry-1.ini");
+  CLI11_PARSE(app, argc, argv);
+
+  const auto text = ek::ReadFile(path);
+  if (!text) {
+    std::cerr << ek::Describe(text.error()) << '\n';
+    return kBadSettings;
+  }
+  std::vector<ek::Error> faults;
+  const auto config = eg::ReadNodeConfig(text.value(), path, &faults);
+  if (!config) {
+    for (const ek::Error& fault : faults) {
+      std::cerr << ek::Describe(fault) << '\n';
+    }
+    return kBadSettings;
+  }
+  return Run(config.value());
+}
--- /dev/null
+++ b/gateway/src/gateway_p.h
@@ -0,0 +1,205 @@
+// What the parts of one gateway share.
+#pragma once
+
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "call_metrics_p.h"
+#include "egretladder/gateway/gateway.h"
+#include "http_client_p.h"
+#include "sse_scanner_p.h"
+
+namespace egretladder::gateway {
+
+using node::CallId;
+
+/// How an attempt's answer is handed on.
+enum class RelayMode : std::uint8_t {
+  kHold,    ///< Kept whole until it is complete.
+  kStream,  ///< Passed to the caller as it comes.
+};
+
+/// One attempt of a call at an endpoint, or at the node that owns its lane.
+struct Attempt {
+  std::uint8_t number = 0;
+  bool open = false;  ///< The node waits for its end.
+  Exchange* exchange = nullptr;
+  std::string address;
+  bool forward = false;
+  bool keep_answer = false;
+  bool first_byte = false;
+  bool not_run = false;  ///< The endpoint says so.
+  bool events = false;   ///< The answer is an event stream.
+  RelayMode mode = RelayMode::kHold;
+  int status = 0;
+  HttpHeaders headers;
+  std::string content_type;
+  std::string held;
+  SseScanner sse;
+  std::uint64_t tokens = 0;
+};
+
+/// What the caller asked for, as it is sent to an endpoint.
+struct CallerRequest {
+  evhttp_cmd_type method = EVHTTP_REQ_GET;
+  std::string original_uri;  ///< As the caller sent it; for another node.
+  std::string uri;           ///< As the endpoint gets it.
+  HttpHeaders headers;
+  std::shared_ptr<const std::string> body;
+  bool chat = false;
+  bool stream = false;
+};
+
+/// A caller's call in progress.
+struct CallerCall {
+  Gateway* gateway = nullptr;
+  CallId id = 0;
+  std::string request_id;
+  std::string lane;
+  CallerRequest request;
+  rules::ClassHandle cls;
+  kernel::Time arrived{};
+  evhttp_request* caller = nullptr;  ///< Null once answered or gone.
+  bool reply_started = false;
+  Attempt attempt;
+};
+
+/// A connection of a caller. The reference counts the buffer's owner, so that
+/// it can be asked later whether evhttp has closed it.
+struct CallerConnection {
+  bufferevent* buffer = nullptr;
+  kernel::Time since{};     ///< Of the connect or the last answer.
+  kernel::Time progress{};  ///< Of the last output taken.
+  std::size_t output = 0;   ///< At the last sweep.
+  bool busy = false;        ///< A call of it is in progress.
+  bool prepared = false;    ///< Socket options are set.
+};
+
+struct HttpServerFree {
+  void operator()(evhttp* server) const { evhttp_free(server); }
+};
+
+struct TlsContext;
+struct TlsContextFree {
+  void operator()(TlsContext* context) const;
+};
+
+/// The callers' side.
+struct CallerFront {
+  std::unique_ptr<TlsContext, TlsContextFree> tls;
+  std::unique_ptr<evhttp, HttpServerFree> server;
+  evconnlistener* listener = nullptr;  ///< The server's.
+  std::unordered_map<bufferevent*, CallerConnection> connections;
+  std::string address;
+  std::size_t most_output = 0;
+  kernel::Watch sweep;
+};
+
+struct PeerNet;
+struct PeerNetDelete {
+  void operator()(PeerNet* net) const;
+};
+using PeerNetPtr = std::unique_ptr<PeerNet, PeerNetDelete>;
+
+struct Gateway {
+  kernel::Loop* loop = nullptr;
+  GatewayOptions options;
+  kernel::Metrics metrics;
+  CallMetrics call_metrics;
+  std::string request_prefix;  ///< Tells this process's request ids apart.
+  CallId last_call = 0;
+  HttpClientPtr client;
+  CallerFront front;
+  node::NodePtr node;
+  std::unordered_map<CallId, std::unique_ptr<CallerCall>> calls;
+  std::vector<std::unique_ptr<CallerCall>> ended;
+  std::deque<node::Action> queue;
+  std::vector<std::function<void()>> later;
+  bool pumping = false;
+  bool leaving = false;
+  kernel::Event pump;
+  kernel::Watch tick;
+  PeerNetPtr peers;
+};
+
+kernel::Time NowOf(const Gateway& gateway);
+
+// gateway.cc
+/// Carries out what the node decided. Inside a callback that must not start or
+/// end exchanges, use `PumpLater`.
+void Pump(Gateway& gateway, node::Actions&& actions);
+void PumpLater(Gateway& gateway, node::Actions&& actions);
+void Later(Gateway& gateway, std::function<void()> work);
+
+// apply_actions.cc
+void Apply(Gateway& gateway, node::Action&& action);
+
+// caller_evhttp.cc
+kernel::Result<void> OpenFront(Gateway& gateway);
+void CloseFront(Gateway& gateway);
+/// Marks the connection of `call` as free for its next request.
+void ReleaseConnection(CallerCall& call);
+
+// caller_pages.cc
+/// Answers `/where`, `/metrics` and the other pages; false: no such page.
+bool AnswerPage(Gateway& gateway, evhttp_request* request,
+                const std::string& path);
+
+// caller_reply.cc
+struct ErrorBody {
+  int status = 500;
+  std::string code;
+  std::string message;
+  const char* ran = "no";
+  std::chrono::milliseconds retry_after{};
+};
+std::string ErrorJson(const ErrorBody& error, const std::string& request_id);
+/// Answers a request that never became a call.
+void ReplyError(evhttp_request* request, const ErrorBody& error,
+                const std::string& request_id);
+void ReplyText(evhttp_request* request, int status, const char* content_type,
+               std::string_view text);
+/// Each of these ends the caller's part of the call.
+void AnswerCallError(CallerCall& call, const ErrorBody& error);
+void AnswerCallWhole(CallerCall& call, int status, const HttpHeaders& headers,
+                     std::string_view body);
+void EndStream(CallerCall& call);
+/// Closes the caller's connection, so that half an answer can't be taken for a
+/// whole one.
+void BreakOff(CallerCall& call);
+/// Begins an answer that is passed on as it comes.
+void StartStream(CallerCall& call, int status, const HttpHeaders& headers);
+/// Passes on and holds the endpoint back while the caller is slow.
+void StreamOn(CallerCall& call, evbuffer* data);
+
+// endpoint_evhttp.cc
+void SendToEndpoint(Gateway& gateway, const node::SendCall& send);
+void SendToOwner(Gateway& gateway, const node::ForwardCall& forward);
+void CancelAttempt(CallerCall& call);
+/// Forgets the call when neither a caller nor an attempt is left.
+void ForgetIfDone(CallerCall& call);
+
+// platform_evhttp.cc
+void ReadRulesDocument(Gateway& gateway, const fleet::ReadRulesDocument& read);
+void ReadVmList(Gateway& gateway);
+void ReadReport(Gateway& gateway, rules::EndpointHandle endpoint);
+void OrderEngine(Gateway& gateway, const fleet::OrderEngine& order);
+
+// peer_capnp.cc
+kernel::Result<PeerNetPtr> OpenPeers(Gateway& gateway, std::string* address);
+void SendToPeer(PeerNet& net, const fleet::SendMessage& send);
+std::size_t CountPeers(const PeerNet& net);
+
+// tls_openssl.cc
+kernel::Result<std::unique_ptr<TlsContext, TlsContextFree>> OpenTls(
+    const TlsOptions& options);
+bufferevent* NewTlsBuffer(event_base* base, TlsContext& context);
+
+}  // namespace egretladder::gateway
--- /dev/null
+++ b/gateway/src/peer_capnp.cc
@@ -0,0 +1,315 @@
+#include <capnp/rpc-twoparty.h>
+#include <event2/listener.h>
+#include <kj/exception.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "egretladder/kernel/hash.h"
+#include "egretladder/kernel/log.h"
+#include "gateway_p.h"
+#include "kj_loop_p.h"
+#include "peer_codec_p.h"
+
+namespace egretladder::gateway {
+namespace {
+
+using kernel::LogLevel;
+using kernel::LogPart;
+using VatId = capnp::rpc::twoparty::VatId;
+
+capnp::ReaderOptions ReceiveOptions() {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = kPeerMessageWords;
+  constexpr int kNesting = 16;
+  options.nestingLimit = kNesting;
+  return options;
+}
+
+void SetNoDelay(evutil_socket_t fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+// One connection to a peer: messages go out on it, answers come back.
+struct PeerOut : private kj::TaskSet::ErrorHandler {
+  PeerOut(Bufferevent buffer, kernel::Time now)
+      : stream(std::move(buffer)),
+        network(stream, capnp::rpc::twoparty::Side::CLIENT, ReceiveOptions()),
+        system(capnp::makeRpcClient(network)),
+        peer(nullptr),
+        last_sent(now),
+        last_answer(now),
+        tasks(*this) {
+    capnp::word scratch[4] = {};
+    capnp::MallocMessageBuilder message(scratch);
+    auto vat = message.getRoot<VatId>();
+    vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+    peer = system.bootstrap(vat).castAs<wire::Peer>();
+  }
+
+  void taskFailed(kj::Exception&& /*exception*/) override { broken = true; }
+
+  BuffereventStream stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<VatId> system;
+  wire::Peer::Client peer;
+  std::uint32_t unanswered = 0;
+  kernel::Time last_sent{};
+  kernel::Time last_answer{};
+  bool answered = false;
+  bool broken = false;
+  kj::TaskSet tasks;  // Last, so that it goes first.
+};
+
+// What outlives a connection: when the next may be tried.
+struct PeerBackoff {
+  std::chrono::milliseconds delay{};
+  kernel::Time until{};
+};
+
+struct PeerIn {
+  PeerIn(Bufferevent buffer, capnp::Capability::Client self)
+      : stream(std::move(buffer)),
+        network(stream, capnp::rpc::twoparty::Side::SERVER, ReceiveOptions()),
+        system(capnp::makeRpcServer(network, std::move(self))),
+        ended(network.onDisconnect()
+                  .then([this] { broken = true; },
+                        [this](kj::Exception&& /*e*/) { broken = true; })
+                  .eagerlyEvaluate(nullptr)) {}
+
+  BuffereventStream stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<VatId> system;
+  bool broken = false;
+  kj::Promise<void> ended;
+};
+
+struct ListenerFree {
+  void operator()(evconnlistener* listener) const {
+    evconnlistener_free(listener);
+  }
+};
+
+}  // namespace
+
+struct PeerNet {
+  Gateway* gateway = nullptr;
+  std::shared_ptr<KjLoop> kj;
+  std::unique_ptr<evconnlistener, ListenerFree> listener;
+  std::map<std::string, std::unique_ptr<PeerOut>> out;
+  std::map<std::string, PeerBackoff> backoffs;
+  std::vector<std::unique_ptr<PeerIn>> in;
+  kernel::Random random;
+  kernel::CounterHandle dropped;
+  kernel::Watch sweep;
+};
+
+namespace {
+
+void CountBytes(Gateway& gateway, const char* direction, const char* kind,
+                std::uint64_t words) {
+  const kernel::CounterHandle bytes = kernel::AddCounter(
+      gateway.metrics, "egretladder_peer_bytes_total",
+      "Bytes of messages between nodes, by kind.",
+      std::string("kind=\"") + kind + "\",direction=\"" + direction + "\"");
+  kernel::Increment(gateway.metrics, bytes, words * sizeof(capnp::word));
+}
+
+// The capability that each peer gets of this node.
+class PeerServer final : public wire::Peer::Server {
+ public:
+  explicit PeerServer(Gateway& gateway) : gateway_(gateway) {}
+
+  kj::Promise<void> deliver(DeliverContext context) override {
+    const auto params = context.getParams();
+    const fleet::Sender sender = ReadSender(params.getSender());
+    auto message = ReadMessage(params.getMessage());
+    if (!message) {
+      // A newer node may send kinds that this one does not know.
+      kernel::Log(LogPart::kPeer, LogLevel::kDebug,
+                  "Message of " + sender.node +
+                      " left out: " + message.error().detail + ".");
+      return kj::READY_NOW;
+    }
+    CountBytes(gateway_, "in", KindOf(message.value()),
+               params.totalSize().wordCount);
+    context.releaseParams();
+    node::Actions actions;
+    node::OnMessage(*gateway_.node, sender, message.value(), NowOf(gateway_),
+                    actions);
+    Pump(gateway_, std::move(actions));
+    return kj::READY_NOW;
+  }
+
+ private:
+  Gateway& gateway_;
+};
+
+void AcceptPeer(evconnlistener* /*listener*/, evutil_socket_t fd,
+                sockaddr* /*address*/, int /*size*/, void* arg) {
+  auto& net = *static_cast<PeerNet*>(arg);
+  if (net.in.size() >= kPeersIn) {
+    evutil_closesocket(fd);
+    return;
+  }
+  SetNoDelay(fd);
+  Bufferevent buffer(bufferevent_socket_new(net.gateway->loop->base.get(), fd,
+                                            BEV_OPT_CLOSE_ON_FREE));
+  net.in.push_back(std::make_unique<PeerIn>(
+      std::move(buffer), kj::heap<PeerServer>(*net.gateway)));
+}
+
+void BackOff(PeerNet& net, const std::string& address, kernel::Time now) {
+  PeerBackoff& backoff = net.backoffs[address];
+  backoff.delay = backoff.delay.count() == 0
+                      ? kBackoffFirst
+                      : std::min(2 * backoff.delay, kBackoffMost);
+  // Jittered, so that nodes don't come back to a restarted peer all at once.
+  const auto jitter = std::chrono::milliseconds(kernel::Below(
+      net.random, static_cast<std::uint64_t>(backoff.delay.count() / 2 + 1)));
+  backoff.until = now + backoff.delay / 2 + jitter;
+}
+
+bool IsOver(const PeerOut& peer, kernel::Time now) {
+  const bool silent = peer.unanswered > 0 &&
+                      now - peer.last_answer > kPeerSilence &&
+                      now - peer.last_sent < kPeerSilence + kPeerIdle;
+  return peer.broken || peer.stream.IsBroken() || silent;
+}
+
+void SweepPeers(PeerNet& net) {
+  const kernel::Time now = NowOf(*net.gateway);
+  for (auto at = net.out.begin(); at != net.out.end();) {
+    const bool over = IsOver(*at->second, now);
+    if (over) {
+      kernel::Log(LogPart::kPeer, LogLevel::kDebug,
+                  "Connection to " + at->first + " is given up.");
+      BackOff(net, at->first, now);
+    }
+    const bool idle = now - at->second->last_sent > kPeerIdle;
+    at = over || idle ? net.out.erase(at) : std::next(at);
+  }
+  std::erase_if(net.backoffs, [now](const auto& entry) {
+    return now - entry.second.until > kPeerIdle;
+  });
+  // A peer that sends without taking its answers would pile them up here.
+  std::erase_if(net.in, [](const std::unique_ptr<PeerIn>& peer) {
+    return peer->broken || peer->stream.IsBroken() ||
+           peer->network.getCurrentQueueSize() > kPeerBytes;
+  });
+}
+
+PeerOut* Connect(PeerNet& net, const std::string& address, kernel::Time now) {
+  const auto backoff = net.backoffs.find(address);
+  if (backoff != net.backoffs.end() && now < backoff->second.until) {
+    return nullptr;
+  }
+  if (net.out.size() >= kPeersOut) return nullptr;
+  sockaddr_storage storage{};
+  int size = sizeof(storage);
+  auto* target = reinterpret_cast<sockaddr*>(&storage);
+  if (evutil_parse_sockaddr_port(address.c_str(), target, &size) != 0) {
+    return nullptr;
+  }
+  Bufferevent buffer(bufferevent_socket_new(net.gateway->loop->base.get(), -1,
+                                            BEV_OPT_CLOSE_ON_FREE));
+  if (bufferevent_socket_connect(buffer.get(), target, size) != 0) {
+    BackOff(net, address, now);
+    return nullptr;
+  }
+  SetNoDelay(bufferevent_getfd(buffer.get()));
+  return net.out
+      .emplace(address, std::make_unique<PeerOut>(std::move(buffer), now))
+      .first->second.get();
+}
+
+void Deliver(PeerNet& net, const std::string& address, PeerOut& peer,
+             const fleet::Message& message) {
+  Gateway& gateway = *net.gateway;
+  const fleet::FleetOptions& self = gateway.options.node.fleet;
+  auto request = peer.peer.deliverRequest();
+  Write(fleet::Sender{self.node, self.incarnation}, request.initSender());
+  Write(message, request.initMessage());
+  CountBytes(gateway, "out", KindOf(message), request.totalSize().wordCount);
+  ++peer.unanswered;
+  peer.last_sent = NowOf(gateway);
+  if (peer.unanswered == 1) peer.last_answer = peer.last_sent;
+  peer.tasks.add(request.send().then([&net, &peer, address](auto&& /*answer*/) {
+    --peer.unanswered;
+    peer.last_answer = NowOf(*net.gateway);
+    net.backoffs.erase(address);
+  }));
+}
+
+std::string BoundAddress(evutil_socket_t fd, const std::string& listen) {
+  sockaddr_storage storage{};
+  socklen_t size = sizeof(storage);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &size);
+  const auto port =
+      storage.ss_family == AF_INET6
+          ? reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port
+          : reinterpret_cast<const sockaddr_in*>(&storage)->sin_port;
+  return listen.substr(0, listen.rfind(':') + 1) + std::to_string(ntohs(port));
+}
+
+}  // namespace
+
+void PeerNetDelete::operator()(PeerNet* net) const { delete net; }
+
+kernel::Result<PeerNetPtr> OpenPeers(Gateway& gateway, std::string* address) {
+  PeerNetPtr net(new PeerNet);
+  net->gateway = &gateway;
+  BOOST_OUTCOME_TRY(kj, AcquireKjLoop(*gateway.loop));
+  net->kj = std::move(kj);
+  net->random.seed(kernel::SecretBits());
+  net->dropped = kernel::AddCounter(
+      gateway.metrics, "egretladder_peer_messages_dropped_total",
+      "Messages that a peer had no room for, or could not be reached with.");
+  const std::string& listen = gateway.options.peer_listen;
+  sockaddr_storage storage{};
+  int size = sizeof(storage);
+  auto* target = reinterpret_cast<sockaddr*>(&storage);
+  evconnlistener* listener = nullptr;
+  if (evutil_parse_sockaddr_port(listen.c_str(), target, &size) == 0) {
+    listener = evconnlistener_new_bind(
+        gateway.loop->base.get(), AcceptPeer, net.get(),
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, target, size);
+  }
+  if (listener == nullptr) {
+    return kernel::MakeError(kernel::ErrorCode::kUnavailable, "listen", listen,
+                             evutil_socket_error_to_string(errno));
+  }
+  net->listener.reset(listener);
+  *address = BoundAddress(evconnlistener_get_fd(listener), listen);
+  net->sweep = kernel::Every(*gateway.loop, kSweep,
+                             [raw = net.get()] { SweepPeers(*raw); });
+  return net;
+}
+
+void SendToPeer(PeerNet& net, const fleet::SendMessage& send) {
+  const kernel::Time now = NowOf(*net.gateway);
+  const auto at = net.out.find(send.peer_address);
+  PeerOut* peer = at != net.out.end() ? at->second.get()
+                                      : Connect(net, send.peer_address, now);
+  // Load: a peer that is paused or cut off. Messages are states that are sent
+  // anew, so what finds no room is dropped; waiting for it would stop this node
+  // for others, and keeping it all would take the node's memory.
+  if (peer == nullptr || IsOver(*peer, now) ||
+      peer->unanswered >= kPeerMessages ||
+      peer->network.getCurrentQueueSize() > kPeerBytes / 2 ||
+      peer->stream.WaitingOutput() > kPeerBytes / 2) {
+    kernel::Increment(net.gateway->metrics, net.dropped);
+    return;
+  }
+  Deliver(net, send.peer_address, *peer, send.message);
+}
+
+std::size_t CountPeers(const PeerNet& net) { return net.out.size(); }
+
+}  // namespace egretladder::gateway
--- a/gateway/src/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace egretladder::gateway {}
--- /dev/null
+++ b/gateway/src/settings.cc
@@ -0,0 +1,237 @@
+#include "egretladder/gateway/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <string>
+
+#include "egretladder/kernel/ini.h"
+#include "egretladder/kernel/registry.h"
+#include "egretladder/policy/scheduler.h"
+#include "http_client_p.h"
+
+namespace egretladder::gateway {
+namespace {
+
+using kernel::SettingKind;
+
+constexpr const char* kDurationExpected = "a number with ms, s, m or h";
+constexpr const char* kBytesExpected = "a number with B, KiB or MiB";
+constexpr const char* kAddressExpected = "IP:port";
+
+// Standard values of `[limits]` repeat those of limits.h in the file's own
+// units; a test compares them.
+constexpr std::array<kernel::SettingSpec, 24> kSpecs = {{
+    {"node", "name", SettingKind::kText, "", true, "the node's name"},
+    {"node", "zone", SettingKind::kText, "", true, "an availability zone"},
+    {"node", "callers", SettingKind::kAddress, "", true, kAddressExpected},
+    {"node", "peers", SettingKind::kAddress, "", true, kAddressExpected},
+    {"node", "listen_callers", SettingKind::kAddress, "", false,
+     kAddressExpected},
+    {"node", "listen_peers", SettingKind::kAddress, "", false,
+     kAddressExpected},
+    {"node", "seeds", SettingKind::kText, "", false,
+     "peer addresses IP:port, separated by commas"},
+    {"node", "scheduler", SettingKind::kText, "ladder", false,
+     "the name of a scheduler"},
+    {"node", "lane_secret", SettingKind::kSecret, "", false, "text"},
+    {"platform", "address", SettingKind::kAddress, "", true, kAddressExpected},
+    {"limits", "header_size", SettingKind::kBytes, "16KiB", false,
+     kBytesExpected},
+    {"limits", "body_size", SettingKind::kBytes, "4MiB", false, kBytesExpected},
+    {"limits", "connections", SettingKind::kCount, "4096", false,
+     "a whole number from 1"},
+    {"limits", "request_time", SettingKind::kDuration, "30s", false,
+     kDurationExpected},
+    {"limits", "answer_time", SettingKind::kDuration, "120s", false,
+     kDurationExpected},
+    {"limits", "idle_time", SettingKind::kDuration, "30s", false,
+     kDurationExpected},
+    {"limits", "drain_time", SettingKind::kDuration, "30s", false,
+     kDurationExpected},
+    {"limits", "caller_buffer", SettingKind::kBytes, "64KiB", false,
+     kBytesExpected},
+    {"limits", "answer_size", SettingKind::kBytes, "1MiB", false,
+     kBytesExpected},
+    {"tls", "certificate", SettingKind::kText, "", false, "a PEM file"},
+    {"tls", "key", SettingKind::kText, "", false, "a PEM file"},
+    {"log", "format", SettingKind::kText, "text", false, "text or json"},
+    {"log", "level", SettingKind::kText, "info", false,
+     "debug, info, warning or error"},
+    {"stop", "time", SettingKind::kDuration, "300s", false, kDurationExpected},
+}};
+
+// Faults that need more than one value, or another part's knowledge.
+class Checker {
+ public:
+  Checker(const std::string& text, std::string_view file,
+          std::vector<kernel::Error>& faults)
+      : file_(file), faults_(faults) {
+    auto entries = kernel::ReadIni(text, file);
+    if (entries) entries_ = std::move(entries).value();
+  }
+
+  void Fault(std::string_view section, std::string_view key,
+             const std::string& detail) {
+    const auto at = std::find_if(
+        entries_.begin(), entries_.end(), [&](const kernel::IniEntry& entry) {
+          return entry.section == section && entry.key == key;
+        });
+    const std::uint32_t line = at == entries_.end() ? 0 : at->line;
+    faults_.push_back(kernel::MakeError(
+        kernel::ErrorCode::kInvalidInput, "read settings",
+        file_ + ":" + std::to_string(line),
+        std::string(section) + "." + std::string(key) + " " + detail));
+  }
+
+ private:
+  std::string file_;
+  std::vector<kernel::Error>& faults_;
+  std::vector<kernel::IniEntry> entries_;
+};
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> items;
+  std::size_t at = 0;
+  while (at <= text.size()) {
+    const std::size_t comma = std::min(text.find(',', at), text.size());
+    std::string item = text.substr(at, comma - at);
+    std::erase(item, ' ');
+    if (!item.empty()) items.push_back(std::move(item));
+    at = comma + 1;
+  }
+  return items;
+}
+
+bool IsName(const std::string& text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+std::string Or(const std::string& text, const std::string& other) {
+  return text.empty() ? other : text;
+}
+
+void ReadNode(const kernel::Settings& settings, Checker& checker,
+              GatewayOptions& options) {
+  const auto text = [&settings](const char* key) {
+    return kernel::TextOf(settings, "node", key);
+  };
+  fleet::FleetOptions& fleet = options.node.fleet;
+  fleet.node = text("name");
+  fleet.zone = text("zone");
+  for (const char* key : {"name", "zone"}) {
+    if (IsName(text(key))) continue;
+    checker.Fault(
+        "node", key,
+        "is '" + text(key) + "', expected letters, digits, '-', '_' and '.'");
+  }
+  fleet.caller_address = text("callers");
+  fleet.peer_address = text("peers");
+  options.caller_listen = Or(text("listen_callers"), text("callers"));
+  options.peer_listen = Or(text("listen_peers"), text("peers"));
+  fleet.seeds = SplitList(text("seeds"));
+  for (const std::string& seed : fleet.seeds) {
+    if (SplitAddress(seed).second == 0) {
+      checker.Fault("node", "seeds",
+                    "has '" + seed + "', expected " + kAddressExpected);
+    }
+  }
+  options.node.scheduler = text("scheduler");
+  if (kernel::FindPlugin<policy::SchedulerPlugin>(options.node.scheduler) ==
+      nullptr) {
+    std::string names;
+    for (const auto name :
+         kernel::PluginNames(policy::SchedulerPlugin::kKind)) {
+      names += (names.empty() ? "" : ", ") + std::string(name);
+    }
+    checker.Fault(
+        "node", "scheduler",
+        "is '" + options.node.scheduler + "', expected one of " + names);
+  }
+  options.node.lane_secret = text("lane_secret");
+}
+
+void ReadLimits(const kernel::Settings& settings, Checker& checker,
+                Limits& limits) {
+  const auto bytes = [&settings](const char* key) {
+    return kernel::BytesOf(settings, "limits", key);
+  };
+  const auto time = [&](const char* key) {
+    const auto read = kernel::DurationOf(settings, "limits", key);
+    if (read.count() == 0) {
+      checker.Fault("limits", key, "is 0, expected a time above 0");
+    }
+    return read;
+  };
+  limits.header_bytes = bytes("header_size");
+  limits.body_bytes = bytes("body_size");
+  limits.caller_buffer = bytes("caller_buffer");
+  limits.answer_bytes = bytes("answer_size");
+  limits.connections = kernel::CountOf(settings, "limits", "connections");
+  if (limits.connections == 0) {
+    checker.Fault("limits", "connections", "is 0, expected 1 or more");
+  }
+  limits.request_time = time("request_time");
+  limits.answer_time = time("answer_time");
+  limits.idle_time = time("idle_time");
+  limits.drain_time = time("drain_time");
+}
+
+void ReadTls(const kernel::Settings& settings, Checker& checker,
+             TlsOptions& tls) {
+  tls.certificate = kernel::TextOf(settings, "tls", "certificate");
+  tls.key = kernel::TextOf(settings, "tls", "key");
+  if (tls.certificate.empty() != tls.key.empty()) {
+    checker.Fault("tls", tls.key.empty() ? "key" : "certificate",
+                  "is missing, expected both or neither");
+  }
+}
+
+void ReadLog(const kernel::Settings& settings, Checker& checker,
+             NodeConfig& config) {
+  const std::string& format = kernel::TextOf(settings, "log", "format");
+  if (format == "json") {
+    config.log_format = kernel::LogFormat::kJson;
+  } else if (format != "text") {
+    checker.Fault("log", "format",
+                  "is '" + format + "', expected text or json");
+  }
+  constexpr std::array<const char*, 4> kLevels = {"debug", "info", "warning",
+                                                  "error"};
+  const std::string& level = kernel::TextOf(settings, "log", "level");
+  const auto at = std::find(kLevels.begin(), kLevels.end(), level);
+  if (at == kLevels.end()) {
+    checker.Fault("log", "level",
+                  "is '" + level + "', expected debug, info, warning or error");
+    return;
+  }
+  config.log_level = static_cast<kernel::LogLevel>(at - kLevels.begin());
+}
+
+}  // namespace
+
+std::span<const kernel::SettingSpec> NodeSettings() { return kSpecs; }
+
+kernel::Result<NodeConfig> ReadNodeConfig(const std::string& text,
+                                          std::string_view file,
+                                          std::vector<kernel::Error>* faults) {
+  BOOST_OUTCOME_TRY(settings, kernel::ReadSettings(text, file, kSpecs, faults));
+  std::vector<kernel::Error> found;
+  Checker checker(text, file, found);
+  NodeConfig config;
+  ReadNode(settings, checker, config.gateway);
+  config.gateway.platform = kernel::TextOf(settings, "platform", "address");
+  ReadLimits(settings, checker, config.gateway.limits);
+  ReadTls(settings, checker, config.gateway.tls);
+  ReadLog(settings, checker, config);
+  config.stop_time = kernel::DurationOf(settings, "stop", "time");
+  if (found.empty()) return config;
+  const kernel::Error first = found.front();
+  if (faults != nullptr) *faults = std::move(found);
+  return first;
+}
+
+}  // namespace egretladder::gateway
