Policy: the ladder in modules, and a load fixture beside the baselines

Cause: the first ladder was strict order only: no early refusal, no fairness, lower tiers starved, slow endpoints went unnoticed. Change: queue, admission, trickle, health, pick and shift as modules with public headers over one header of limits; the first ladder stays as 'strict'.

--- /dev/null
+++ b/policy/include/egretladder/policy/admit.h
@@ -0,0 +1,68 @@
+// What is let in: caps, and an early refusal of what can't be served in time.
+//
+// Load: a burst far over capacity. Without it callers wait for a refusal, and
+// by the time it comes it is too late for them to go elsewhere.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+#include "egretladder/kernel/time.h"
+#include "egretladder/policy/estimate.h"
+#include "egretladder/policy/limits.h"
+#include "egretladder/policy/scheduler.h"
+
+namespace egretladder::policy {
+
+/// The longest that a request may wait: its deadline, or the class's
+/// `max_wait` where the operator allows more than the class's target. A caller
+/// that asked for less than the target has its own deadline kept.
+Time BoundOf(const Request& request, const rules::Class& cls);
+
+/// Work that goes before an arriving request at its target.
+struct WorkAhead {
+  double requests = 0;
+  double slot_seconds = 0;  ///< That it will take, by learned means.
+  double ends = 0;          ///< Evidence of the thinnest mean used.
+};
+
+/// The slots of a target and what keeps them.
+struct SlotsInUse {
+  std::uint32_t slots = 0;
+  std::uint32_t free = 0;        ///< Free for this request's tier.
+  double releases_a_second = 0;  ///< By what runs now.
+  double part_left = 1;  ///< That higher tiers, as they arrive, leave over.
+};
+
+/// Expected wait until a slot is free for the arriving request.
+Seconds EstimateWait(const WorkAhead& ahead, const SlotsInUse& slots);
+
+/// How much of a class's queue goes before one more request of an account:
+/// fair turns let an account with little waiting pass a batch of another.
+double FairAhead(std::uint32_t class_waiting, std::uint32_t accounts_waiting,
+                 std::uint32_t account_waiting);
+
+struct AdmitQuestion {
+  std::uint32_t class_waiting = 0;  ///< Over all targets.
+  std::uint32_t class_cap = 0;      ///< 0: none.
+  std::uint32_t account_waiting = 0;
+  std::uint32_t account_cap = 0;  ///< 0: none.
+  bool can_start_now = false;     ///< A slot is free and nothing goes before.
+  Seconds wait{};                 ///< Expected, until it starts.
+  Seconds first_token{};          ///< Expected, from start.
+  bool estimate_holds = false;    ///< Enough was seen to refuse by it.
+  Time bound{};
+};
+
+/// Says why a request is turned away; nothing when it may wait. Room in the
+/// queue is a matter of its own, since room can be made.
+std::optional<RefuseReason> DecideAdmit(const AdmitQuestion& question,
+                                        Time now);
+
+/// When a refused caller should come back: once the expected wait will fit.
+/// `jitter` from 0 up to 1 spreads callers that were refused together.
+std::chrono::milliseconds RetryAfter(Seconds wait, Seconds may_wait,
+                                     double jitter, const Limits& limits);
+
+}  // namespace egretladder::policy
--- a/policy/include/egretladder/policy/limits.h
+++ b/policy/include/egretladder/policy/limits.h
@@ -56,4 +56,93 @@
 /// Bounds memory when a zone dies with its work. Not swept.
 inline constexpr std::size_t kBlamesMost = 4096;
 
+// --- The ladder (scheduler_ladder.cc) ---
+
+/// Thresholds of the scheduler "ladder". Plain data, so that a sweep runs the
+/// same load over several values and each idea can be switched off.
+struct Limits {
+  /// Requests that wait at a node, all classes together.
+  /// Load: a broker's batch. Without it memory grows with the batch. 20,000 at
+  /// about 600 bytes stay under 5% of a node's 256 MB. Not swept.
+  std::uint32_t waiting_most = 20'000;
+
+  /// Part of a target's slots that aged work of lower tiers may hold while
+  /// higher tiers want them all; 0: no trickle.
+  /// Load: the top tier alone over capacity for an hour. Without it lower tiers
+  /// are never served. The bound is derived in docs/design/two-promises.md.
+  double trickle_share = 0.02;
+  /// A lower tier's request counts as aged after this wait.
+  milliseconds trickle_age{5000};
+
+  /// Free slots kept from lower tiers: this times the root of what higher
+  /// tiers run (their fluctuation), at most `reserve_share_most` of the slots
+  /// and, where higher tiers ran lately, at least one; 0: none.
+  /// Load: a batch of long work takes every slot. Without it a buyer's question
+  /// waits until one of them ends.
+  double reserve_factor = 1.5;
+  double reserve_share_most = 0.2;
+
+  /// Whether lower-tier work without a first token is cancelled for a higher
+  /// tier that would miss its deadline, and how long it may have run.
+  /// Load: a batch that fills every slot between two questions.
+  bool preempt = true;
+  milliseconds preempt_within{500};
+
+  /// Ends seen before a learned service time refuses work.
+  /// Load: long work among short. Without it the first long answers refuse
+  /// callers that could be served.
+  double ends_before_refusing = 16;
+  /// Ends over which service times are learned. Fewer let one very long answer
+  /// shift the estimate; more are slow to see a change.
+  double ends_remembered = 256;
+  /// Whether work that can't make it is refused at once.
+  bool refuse_early = true;
+  /// Bounds of the time that a refused caller is told to stay away.
+  milliseconds retry_after_least{200};
+  milliseconds retry_after_most{60'000};
+
+  /// Whether expected tokens are charged when work starts.
+  /// Load: an account that starts many at once. Without it none of them is
+  /// charged until its tokens come, and the account takes every slot meanwhile.
+  bool charge_expected = true;
+
+  /// Endpoints drawn for one choice. One ignores load; more than a few cost
+  /// time and herd to the same endpoint.
+  std::uint32_t choices = 3;
+  /// An endpoint takes a prompt for its cached prefix while it holds at most
+  /// this times the mean load; 0: no affinity.
+  /// Load: a few prefixes with most of the load. Without the bound they
+  /// overload one endpoint; without affinity each prompt is computed anew.
+  double affinity_load = 1.25;
+  /// Endpoints that may hold one prefix.
+  std::uint32_t affinity_homes = 2;
+  /// What a report's load counts half as much after. Reports lag.
+  milliseconds report_half_life{1000};
+  /// Part of the load by which the own zone is preferred: half a millisecond
+  /// between zones is worth no more than a tie. Not swept.
+  double near_zone_gain = 0.02;
+
+  /// An endpoint whose first tokens take this times the usual is slow; 0: never
+  /// noticed. Load: one endpoint 5 times slower that reports health. Without it
+  /// the endpoint gets its full part of the questions, and each is late.
+  double slow_ratio = 2.5;
+  /// Answers before an endpoint may be called slow.
+  std::uint32_t slow_answers = 6;
+  /// Failures in a row before it is left alone: one that fails at once looks
+  /// idle and draws all work.
+  std::uint32_t failures_in_row = 3;
+  /// Part of a target's endpoints that may be left alone as slow.
+  double slow_share_most = 0.34;
+  milliseconds probe_every{1000};
+  /// Answers at the usual speed before a slow endpoint is trusted.
+  std::uint32_t probes_to_trust = 3;
+
+  /// Part of its slots that a zone gets when it comes back, and how long until
+  /// this has doubled; 1: all at once.
+  /// Load: a zone out and back. Without it every new request goes to the zone's
+  /// idle endpoints, and all are late if it is not well.
+  double shift_start = 0.125;
+  milliseconds shift_doubling{1000};
+};
+
 }  // namespace egretladder::policy
--- a/policy/include/egretladder/policy/scheduler.h
+++ b/policy/include/egretladder/policy/scheduler.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "egretladder/kernel/time.h"
+#include "egretladder/policy/limits.h"
 #include "egretladder/rules/rules.h"
 
 namespace egretladder::policy {
@@ -111,6 +112,7 @@
 struct SchedulerOptions {
   ZoneHandle zone;         ///< The node's own.
   std::uint64_t seed = 1;  ///< For its random choices.
+  Limits limits;           ///< Changed by measurements only.
 };
 
 /// Numbers of one endpoint, for `/status` and the invariants of tests.
--- /dev/null
+++ b/policy/src/estimate.cc
@@ -0,0 +1,69 @@
+#include "egretladder/policy/estimate.h"
+
+#include <algorithm>
+
+namespace egretladder::policy {
+namespace {
+
+double Fading(double ends_remembered) {
+  return 1.0 - 1.0 / std::max(2.0, ends_remembered);
+}
+
+double SlotSecondsAt(const WorkSeen& seen, kernel::Time now) {
+  const double passed = Seconds(now - seen.until).count();
+  return seen.slot_seconds + std::max(0.0, passed) * seen.running;
+}
+
+void CountUpTo(WorkSeen& seen, kernel::Time now) {
+  seen.slot_seconds = SlotSecondsAt(seen, now);
+  seen.until = now;
+}
+
+}  // namespace
+
+void OnWorkStarted(WorkSeen& seen, kernel::Time now) {
+  CountUpTo(seen, now);
+  ++seen.running;
+}
+
+void OnFirstTokenSeen(WorkSeen& seen, Seconds after_dispatch,
+                      double ends_remembered) {
+  const double fading = Fading(ends_remembered);
+  seen.first_token_seconds =
+      seen.first_token_seconds * fading + after_dispatch.count();
+  seen.first_tokens = seen.first_tokens * fading + 1;
+}
+
+void OnWorkEnded(WorkSeen& seen, std::uint32_t tokens, double ends_remembered,
+                 kernel::Time now) {
+  CountUpTo(seen, now);
+  if (seen.running > 0) --seen.running;
+  const double fading = Fading(ends_remembered);
+  seen.slot_seconds *= fading;
+  seen.ends = seen.ends * fading + 1;
+  seen.tokens = seen.tokens * fading + tokens;
+}
+
+void OnWorkBroken(WorkSeen& seen, Seconds spent, kernel::Time now) {
+  CountUpTo(seen, now);
+  if (seen.running > 0) --seen.running;
+  seen.slot_seconds = std::max(0.0, seen.slot_seconds - spent.count());
+}
+
+Seconds MeanSlotTime(const WorkSeen& seen, kernel::Time now) {
+  const double slot_seconds = SlotSecondsAt(seen, now);
+  double work = seen.ends;
+  if (seen.ends < seen.running) work += seen.running;
+  return Seconds(work > 0 ? slot_seconds / work : 0);
+}
+
+Seconds MeanFirstToken(const WorkSeen& seen) {
+  if (seen.first_tokens <= 0) return Seconds(0);
+  return Seconds(seen.first_token_seconds / seen.first_tokens);
+}
+
+double MeanTokens(const WorkSeen& seen) {
+  return seen.ends > 0 ? seen.tokens / seen.ends : 0;
+}
+
+}  // namespace egretladder::policy
--- /dev/null
+++ b/policy/tests/load_loads.h
@@ -0,0 +1,129 @@
+// The loads that every scheduler is measured under.
+#pragma once
+
+#include <utility>
+#include <vector>
+
+#include "load_fixture.h"
+
+namespace egretladder::policy::load {
+
+/// Accounts 2 to 9 with equal weights: the shops and charter operators.
+inline std::vector<double> Shops() { return {0, 0, 1, 1, 1, 1, 1, 1, 1, 1}; }
+inline std::vector<double> Brokers() { return {1, 1}; }
+
+/// An ordinary hour: three quarters of capacity.
+inline Load Ordinary(double times = 1) {
+  Load load{"ordinary", 1, {}, AbayClasses(), {}, 120s};
+  load.streams = {{0, 0.30 * times, 0s, 120s, Shops()},
+                  {1, 0.15 * times, 0s, 120s, Shops()},
+                  {2, 0.10 * times, 0s, 120s, Brokers()},
+                  {3, 0.20 * times, 0s, 120s, Shops()}};
+  return load;
+}
+
+/// A broker sends record checks of 10 times the capacity for 30 s.
+inline Load BrokerBurst() {
+  Load load = Ordinary();
+  load.name = "broker burst";
+  load.streams.push_back({2, 10, 30s, 60s, {1}});
+  return load;
+}
+
+/// Quetzal after practice: parents' look-ups at 3 times capacity for 20 s.
+inline Load NightBurst() {
+  Load load{"night burst", 2, {}, {}, {}, 90s};
+  load.classes = {{"enrol", 1, 1500ms, 1500ms, {40, 0.4}},
+                  {"lookup", 2, 2500ms, 4000ms, {40, 0.5}},
+                  {"report", 4, 60s, 5min, {400, 0.8}}};
+  load.streams = {{0, 0.15, 0s, 90s, Shops()},
+                  {1, 0.25, 0s, 90s, Shops()},
+                  {1, 3.0, 30s, 50s, Shops()},
+                  {2, 0.40, 0s, 90s, Brokers()}};
+  return load;
+}
+
+/// Two accounts and three prefixes with most of the load, 1.4 times capacity.
+inline Load FewTakeMost() {
+  Load load{"few take most", 3, {}, AbayClasses(), {}, 90s};
+  const std::vector<double> skewed = {40, 40, 1, 1, 1, 1, 1, 1, 1, 1};
+  load.streams = {{1, 1.2, 0s, 90s, skewed, 200, 0.6},
+                  {3, 0.2, 0s, 90s, Shops()}};
+  return load;
+}
+
+/// Prompts with shared prefixes at three quarters of capacity.
+inline Load SharedPrefixes() {
+  Load load{"shared prefixes", 4, {}, AbayClasses(), {}, 60s};
+  load.streams = {{0, 0.75, 0s, 60s, Shops(), 100, 0.3}};
+  return load;
+}
+
+/// 2 in 100 answers are 20 times longer than the rest.
+inline Load LongAmongShort() {
+  Load load = Ordinary(1.6);
+  load.name = "long among short";
+  load.seed = 5;
+  for (ClassSpec& cls : load.classes) cls.work.long_share = 0.02;
+  return load;
+}
+
+/// An hour at 1.5 times capacity by the top tier alone, on a small fleet.
+inline Load SaturatedHour(Span length = 3600s) {
+  Load load{"saturated hour", 6, {3, 3, 4, 1, 10}, AbayClasses(), {}, length};
+  load.streams = {{0, 1.5, 0s, length, Shops()},
+                  {1, 0.1, 0s, length, Shops()},
+                  {2, 0.1, 0s, length, Brokers()},
+                  {3, 0.1, 0s, length, Shops()}};
+  return load;
+}
+
+/// The whole fleet starts cold under its ordinary load.
+inline Load AllCold() {
+  Load load = Ordinary();
+  load.name = "all cold";
+  load.seed = 7;
+  load.fleet.starts_cold = true;
+  return load;
+}
+
+/// A zone of three out for 30 s, and back with cold caches.
+inline Load ZoneOutAndBack() {
+  Load load = Ordinary(0.9);
+  load.name = "zone out and back";
+  load.seed = 8;
+  return load;
+}
+
+inline Load OneSlow() {
+  Load load = Ordinary();
+  load.name = "one slow";
+  load.seed = 9;
+  return load;
+}
+
+inline Result Play(std::string_view scheduler, const Load& load,
+                   const Limits& limits = {}) {
+  Run run(scheduler, load, limits);
+  if (load.name == "one slow") {
+    run.Change(10s, [](Run& r) { r.SetSlow(0, 5); });
+  }
+  if (load.name == "zone out and back") {
+    run.WatchZone(0);
+    run.Change(40s, [](Run& r) { r.SetZonesOut({0}); });
+    run.Change(70s, [](Run& r) {
+      for (std::uint32_t i = 0; i < 12; i += 3) r.TurnCold(i, true);
+      r.SetZonesOut({});
+    });
+  }
+  return run.Play();
+}
+
+/// All loads, in the order of the issue.
+inline std::vector<Load> AllLoads() {
+  return {Ordinary(),       BrokerBurst(),    NightBurst(),     FewTakeMost(),
+          SharedPrefixes(), OneSlow(),        LongAmongShort(), SaturatedHour(),
+          AllCold(),        ZoneOutAndBack(), Ordinary(2.67)};
+}
+
+}  // namespace egretladder::policy::load
