--- a/fleet/include/egretladder/fleet/fleet.h
+++ b/fleet/include/egretladder/fleet/fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "egretladder/fleet/messages.h"
+#include "egretladder/fleet/orders.h"
 #include "egretladder/kernel/time.h"
 #include "egretladder/policy/scheduler.h"
 #include "egretladder/rules/rules.h"
@@ -76,7 +77,6 @@
   std::chrono::milliseconds left{};
 };
 
-enum class OrderKind : std::uint8_t { kLoad, kUnload };
 /// An order to an engine. `fencing` rises with the rules' version.
 struct OrderEngine {
   EndpointHandle endpoint;
--- /dev/null
+++ b/fleet/include/egretladder/fleet/lease.h
@@ -0,0 +1,123 @@
+// Slots of an endpoint shared out among nodes: what the keeper grants and what
+// a holder may use. docs/design/slots.md argues why the sum stays within what
+// the endpoint bears.
+//
+// Load: a zone starts cold under full load. Without leases each of N nodes
+// learns its own limit, and together they start N times the work on an endpoint
+// that bears two requests.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "egretladder/fleet/limits.h"
+#include "egretladder/fleet/messages.h"
+#include "egretladder/kernel/time.h"
+#include "egretladder/policy/scheduler.h"
+#include "egretladder/policy/slots.h"
+#include "egretladder/rules/rules.h"
+
+namespace egretladder::fleet {
+
+using kernel::Time;
+
+/// Slots that a holder may use until then.
+struct Grant {
+  std::uint32_t slots = 0;
+  Time until{};
+};
+
+/// A process that asked for slots. A restarted one is another holder: what its
+/// predecessor was granted stays out until it lapses.
+struct Holder {
+  Sender process;
+  std::uint64_t ask_number = 0;
+  std::uint32_t wanted = 0;
+  /// Calls that it last said to run. They go on when its lease lapses: a long
+  /// answer takes longer than any lease.
+  std::uint32_t in_flight = 0;
+  Time asked{};
+  bool counted = false;       ///< Its former lease, for a take-over.
+  std::vector<Grant> grants;  ///< Any of them may be the one in use.
+};
+
+/// What the keeper of one endpoint keeps.
+struct KeeperBook {
+  policy::SlotState slots;
+  std::uint32_t floor_sum = 0;  ///< Of all nodes; never leased.
+  std::vector<Holder> holders;
+  std::uint32_t held_sum = 0;  ///< That holders had of an earlier keeper.
+  Time opened{};
+  Time take_over_until{};
+  std::optional<policy::EngineReport> report;
+  Time report_at{};
+  Time sign_of_life{};  ///< Last report or answer in time.
+  Time next_report{};
+};
+
+/// Starts the book of an endpoint: as cold, whatever it was.
+void OpenBook(KeeperBook& book, std::uint32_t cold_bears, std::uint32_t bears,
+              std::uint32_t floor_sum, Time now);
+
+/// Takes over what a new version says the endpoint bears.
+void ChangeBears(KeeperBook& book, const rules::Endpoint& endpoint, Time now);
+
+/// What may be leased now.
+std::uint32_t PoolOf(const KeeperBook& book);
+/// Most that holders may be using now, beside their floors: what they were
+/// granted or, if more, what they said to run.
+std::uint32_t GrantedSum(const KeeperBook& book, Time now);
+
+/// Takes an ask into account: its evidence, what it wants, what it held.
+/// Returns why the endpoint's slots changed, if they did.
+policy::SlotReason TakeAsk(KeeperBook& book, const Sender& from,
+                           std::uint64_t number, const SlotAsk& ask, Time now);
+
+/// Grants `from` its part of the pool, never more than is left beside what the
+/// others may still use. O(holders log holders).
+std::uint32_t GrantSlots(KeeperBook& book, const Sender& from, Time now);
+
+/// A report of the endpoint, or none. Returns why its slots changed.
+policy::SlotReason TakeReport(KeeperBook& book,
+                              const policy::EngineReport* report, Time now);
+
+/// Holders whose grants exceed their part by now, for instance because the
+/// endpoint turned cold: they are told at once, before their leases lapse.
+std::vector<Holder> HoldersToCut(KeeperBook& book, Time now);
+
+/// What a holder knows of its own slots at one endpoint.
+struct HeldSlots {
+  std::uint32_t floor = 0;   ///< Needs no lease.
+  std::uint32_t leased = 0;  ///< Until `until`.
+  Time until{};
+  std::uint64_t ask_number = 0;  ///< That the lease answers.
+  Time last_lease{};
+  std::uint32_t last_slots = 0;
+  std::uint64_t boot = 0;  ///< Of the endpoint, as the keeper last reported.
+  Time dropped{};          ///< Leases asked for before don't count.
+  std::uint32_t in_flight = 0;
+  std::uint32_t wanted = 0;
+  bool down = false;  ///< Died or refused since the last ask.
+  policy::SlotEvidence evidence;
+  Time last_ask{};
+  std::uint32_t keeper_shift = 0;  ///< Ranks passed over for want of an answer.
+};
+
+/// Slots this node may fill now.
+std::uint32_t UsableSlots(const HeldSlots& held, Time now);
+
+/// Takes a lease that answers the ask sent at `asked`; the time it has runs
+/// from there. Answers to earlier asks than the last one are ignored; of two
+/// answers to one ask the smaller counts. Returns true when it counted.
+bool TakeLease(HeldSlots& held, const SlotLease& lease, Time asked, Time now);
+
+/// The endpoint restarted under this node's work: nothing of the lease may be
+/// used any more, nor of one that is under way.
+void DropLease(HeldSlots& held, Time now);
+
+/// True when it is time to ask: periodically, sooner when work waits.
+bool AskIsDue(const HeldSlots& held, Time now);
+
+}  // namespace egretladder::fleet
--- a/fleet/include/egretladder/fleet/messages.h
+++ b/fleet/include/egretladder/fleet/messages.h
@@ -65,8 +65,8 @@
 /// Evidence on an endpoint and the slots wanted; from a node to its keeper.
 struct SlotAsk {
   std::string endpoint;
-  std::uint32_t in_flight = 0;
-  std::uint32_t wanted = 0;
+  std::uint32_t in_flight = 0;  ///< Beyond the node's floor.
+  std::uint32_t wanted = 0;     ///< Beyond the node's floor.
   std::uint32_t held = 0;  ///< Last leased; a keeper that takes over starts
                            ///< from the sum when the boot is the same.
   std::uint64_t held_boot = 0;  ///< Of the endpoint under that lease.
--- /dev/null
+++ b/fleet/src/config.cc
@@ -0,0 +1,133 @@
+#include "egretladder/fleet/config.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "egretladder/kernel/ini.h"
+#include "egretladder/kernel/log.h"
+
+namespace egretladder::fleet {
+namespace {
+
+/// Pause of a watch that was answered: only to break up lockstep.
+constexpr std::chrono::milliseconds kWatchPauseMost{100};
+
+/// The version that a refused document claims; 0: none could be read.
+std::uint64_t ClaimedVersion(const std::string& text) {
+  const auto entries = kernel::ReadIni(text, "rules");
+  if (!entries) return 0;
+  for (const kernel::IniEntry& entry : entries.value()) {
+    if (entry.section != "document" || entry.key != "version") continue;
+    std::uint64_t version = 0;
+    const char* end = entry.value.data() + entry.value.size();
+    std::from_chars(entry.value.data(), end, version);
+    return version;
+  }
+  return 0;
+}
+
+Taken Refuse(ConfigState& state, std::uint64_t version, std::uint64_t digest,
+             std::string why) {
+  if (state.refused_version == version && state.refused_digest == digest) {
+    return Taken::kRefusedAgain;
+  }
+  state.refused_version = version;
+  state.refused_digest = digest;
+  state.refused_why = std::move(why);
+  kernel::Log(kernel::LogPart::kFleet, kernel::LogLevel::kError,
+              "Refused rules version " + std::to_string(version) + ": " +
+                  state.refused_why + ".");
+  return Taken::kRefused;
+}
+
+constexpr const char* kOtherContent =
+    "another document has the version in force with other content; the one "
+    "taken first stays, publish a higher version";
+
+std::chrono::milliseconds Jittered(std::chrono::milliseconds pause,
+                                   kernel::Random& random) {
+  const double factor = 0.5 + kernel::Fraction(random);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(pause * factor);
+}
+
+}  // namespace
+
+Taken TakeDocument(ConfigState& state, const std::string& text,
+                   std::string_view source, Time now) {
+  const std::uint64_t digest = kernel::HashOf(text);
+  if (state.rules != nullptr && state.rules->digest == digest) {
+    return Taken::kNothingNew;
+  }
+  auto read = rules::ReadRules(text, source, state.rules.get());
+  if (!read) {
+    return Refuse(state, ClaimedVersion(text), digest,
+                  kernel::Describe(read.error()));
+  }
+  rules::RulesPtr next = std::move(read).value();
+  const std::uint64_t in_force =
+      state.rules == nullptr ? 0 : state.rules->version;
+  if (next->version < in_force) return Taken::kNothingNew;
+  if (next->version == in_force) {
+    return Refuse(state, next->version, digest, kOtherContent);
+  }
+  state.rules = std::move(next);
+  state.since = now;
+  state.held_back.clear();
+  state.holds_back = false;
+  return Taken::kInForce;
+}
+
+bool SeeDigest(ConfigState& state, std::uint64_t version,
+               std::uint64_t digest) {
+  if (state.rules == nullptr || version != state.rules->version ||
+      digest == state.rules->digest) {
+    return false;
+  }
+  return Refuse(state, version, digest, kOtherContent) == Taken::kRefused;
+}
+
+bool BeginRead(ReadPlan& plan, Time now) {
+  if (plan.reading && now - plan.began < kReadLost) return false;
+  if (now < plan.next) return false;
+  plan.reading = true;
+  plan.began = now;
+  return true;
+}
+
+void EndRead(ReadPlan& plan, bool could_read, std::chrono::milliseconds every,
+             kernel::Random& random, Time now) {
+  plan.reading = false;
+  if (could_read) {
+    plan.failures = 0;
+    plan.answered = now;
+    plan.ever_answered = true;
+    plan.next = now + every;
+    return;
+  }
+  const std::uint32_t doublings = std::min(plan.failures, 5U);
+  ++plan.failures;
+  const auto pause =
+      std::min(kReadRetryFirst * (1U << doublings), kReadRetryMost);
+  plan.next = now + std::max(Jittered(pause, random), kReadRetryFirst / 2);
+}
+
+std::chrono::milliseconds RulesPause(ReadPace pace, kernel::Random& random) {
+  switch (pace) {
+    case ReadPace::kWatch:
+      return Jittered(kWatchPauseMost, random);
+    case ReadPace::kAlone:
+      return Jittered(kVmListEvery, random);
+    case ReadPace::kRare:
+      break;
+  }
+  return Jittered(kRareReadEvery, random);
+}
+
+std::chrono::milliseconds VmListPause(ReadPace pace, kernel::Random& random) {
+  return Jittered(pace == ReadPace::kRare
+                      ? std::chrono::milliseconds(kRareReadEvery)
+                      : kVmListEvery,
+                  random);
+}
+
+}  // namespace egretladder::fleet
--- a/fleet/src/fleet.cc
+++ b/fleet/src/fleet.cc
@@ -2,93 +2,48 @@
 
 #include <algorithm>
 #include <string>
-#include <utility>
+#include <type_traits>
 
-#include "egretladder/fleet/limits.h"
 #include "egretladder/kernel/log.h"
+#include "fleet_state_p.h"
 
 namespace egretladder::fleet {
-
-struct FleetState {
-  FleetOptions options;
-  rules::RulesPtr rules;
-  Time rules_since{};
-  Time last_tick{};
-  Time next_read{};
-  bool reading = false;
-  bool leaving = false;
-  std::uint64_t refused_version = 0;
-  std::string refused_why;
-  std::vector<bool> available;
-  std::vector<std::uint32_t> slots;
-};
-
 namespace {
 
-bool TakesWork(const rules::Rules& rules, const rules::Endpoint& endpoint) {
-  return endpoint.source.present && !endpoint.leaving &&
-         !rules.zones[endpoint.zone.idx].out;
-}
-
-std::uint32_t PublishedNodes(const rules::Rules& rules) {
-  std::uint32_t count = 0;
-  for (const rules::Node& node : rules.nodes) {
-    if (node.source.present && !node.leaving) ++count;
-  }
-  return std::max(count, 1U);
+/// A process whose ticks stood still acts on nothing it knew before: leases and
+/// votes go by the clock, and its peers' silence was its own.
+void NoticePause(FleetState& state, Time now) {
+  const bool paused = now - state.fresh.last_tick > kFreshFor;
+  state.fresh.last_tick = now;
+  if (!paused) return;
+  state.fresh.woke = true;
+  state.fresh.woke_at = now;
+  ForgivePeers(state.members, now);
+  state.next_round = now;
+  state.config.read.reading = false;
+  state.config.read.next = now;
+  kernel::Log(kernel::LogPart::kFleet, kernel::LogLevel::kWarning,
+              "The process was paused. It asks its peers before it sends.");
 }
 
-void AnnounceEndpoints(FleetState& state, Actions& out) {
-  const rules::Rules& rules = *state.rules;
-  const std::uint32_t nodes = PublishedNodes(rules);
-  state.available.resize(rules.endpoints.size());
-  state.slots.resize(rules.endpoints.size());
-  for (std::uint32_t i = 0; i < rules.endpoints.size(); ++i) {
-    const bool takes = TakesWork(rules, rules.endpoints[i]);
-    const std::uint32_t slots =
-        takes ? std::max(rules.endpoints[i].bears / nodes, 1U) : 0;
-    if (slots != state.slots[i]) {
-      state.slots[i] = slots;
-      out.emplace_back(
-          SlotsChanged{EndpointHandle{i}, slots, policy::SlotReason::kStarted});
-    }
-    if (takes != state.available[i]) {
-      state.available[i] = takes;
-      out.emplace_back(AvailableChanged{EndpointHandle{i}, takes});
-    }
-  }
+bool OthersPublished(const FleetState& state) {
+  return std::any_of(state.members.peers.begin(), state.members.peers.end(),
+                     [](const auto& entry) { return entry.second.published; });
 }
 
-void Refuse(FleetState& state, std::uint64_t version, std::string why,
-            Actions& out) {
-  state.refused_version = version;
-  state.refused_why = why;
-  out.emplace_back(RulesRefused{version, std::move(why)});
+bool ReadLately(const ReadPlan& plan, Time now) {
+  return plan.ever_answered && now - plan.answered <= kIsolatedAfter;
 }
 
-void TakeRules(FleetState& state, const std::string& text, Time now,
-               Actions& out) {
-  auto read = rules::ReadRules(text, "rules", state.rules.get());
-  if (!read) {
-    Refuse(state, 0, kernel::Describe(read.error()), out);
-    return;
-  }
-  rules::RulesPtr next = std::move(read).value();
-  if (state.rules != nullptr && next->version <= state.rules->version) return;
-  state.rules = std::move(next);
-  state.rules_since = now;
-  out.emplace_back(RulesInForce{state.rules});
-  AnnounceEndpoints(state, out);
+void ForgetNotices(FleetState& state, Time now) {
+  std::erase_if(state.leaving_vms, [&](const auto& entry) {
+    return now - entry.second >= kVmNoticeKept;
+  });
 }
 
-Member MemberOf(const rules::Rules& rules, const rules::Node& node) {
-  Member member;
-  member.node = node.source.name;
-  member.caller_address = node.caller_address;
-  member.peer_address = node.peer_address;
-  member.zone = rules.zones[node.zone.idx].source.name;
-  if (node.leaving) member.state = MemberState::kLeaving;
-  return member;
+int PreferenceOf(const Member& member, std::string_view zone) {
+  const int far = member.zone == zone ? 0 : 1;
+  return member.state == MemberState::kAlive ? far : far + 2;
 }
 
 }  // namespace
@@ -112,87 +67,130 @@
 FleetPtr StartFleet(const FleetOptions& options, Time now, Actions& out) {
   FleetPtr state(new FleetState);
   state->options = options;
-  state->last_tick = now;
-  state->reading = true;
-  out.emplace_back(ReadRulesDocument{});
+  state->random.seed(options.random_seed);
+  Member& self = state->members.self;
+  self.node = options.node;
+  self.caller_address = options.caller_address;
+  self.peer_address = options.peer_address;
+  self.zone = options.zone;
+  self.incarnation = options.incarnation;
+  self.started = options.started;
+  state->fresh.last_tick = now;
+  state->config.hold_until = now + kAskPeersFor;
+  StartRound(*state, now, out);
+  ReadPlatform(*state, now, out);
   return state;
 }
 
 void OnTick(FleetState& state, Time now, Actions& out) {
-  state.last_tick = now;
-  if (state.reading || now < state.next_read) return;
-  state.reading = true;
-  const std::uint64_t known = state.rules == nullptr ? 0 : state.rules->version;
-  out.emplace_back(ReadRulesDocument{known, known != 0});
+  NoticePause(state, now);
+  ReleaseHeldBack(state, now, out);
+  StartRound(state, now, out);
+  ReadPlatform(state, now, out);
+  if (state.config.rules == nullptr) return;
+  ForgetNotices(state, now);
+  UpdateKeeping(state, now, out);
+  AskForSlots(state, now, out);
+  AnnounceEndpoints(state, now, out);
 }
 
-void OnMessage(FleetState& /*state*/, const Sender& /*from*/,
-               const Message& /*message*/, Time /*now*/, Actions& /*out*/) {}
-
-void OnRulesDocument(FleetState& state, const std::string* text, Time now,
-                     Actions& out) {
-  state.reading = false;
-  state.next_read = now + kRulesRetry;
-  if (text != nullptr && !text->empty()) TakeRules(state, *text, now, out);
+void OnMessage(FleetState& state, const Sender& from, const Message& message,
+               Time now, Actions& out) {
+  if (const auto* gossip = std::get_if<Gossip>(&message)) {
+    TakeGossip(state, from, *gossip, now, out);
+    if (state.config.rules != nullptr) AnnounceEndpoints(state, now, out);
+  } else if (const auto* ask = std::get_if<RulesAsk>(&message)) {
+    const std::string& address = AddressOf(state, from.node);
+    if (VersionOf(state) <= ask->have_version || address.empty()) return;
+    out.emplace_back(SendMessage{
+        address, RulesOffer{VersionOf(state), state.config.rules->text}});
+  } else if (const auto* offer = std::get_if<RulesOffer>(&message)) {
+    TakeText(state, offer->text, "node " + from.node, now, out);
+  } else if (state.config.rules == nullptr) {
+    return;
+  } else if (const auto* asks = std::get_if<SlotAsks>(&message)) {
+    TakeAsks(state, from, *asks, now, out);
+  } else if (const auto* leases = std::get_if<SlotLeases>(&message)) {
+    TakeLeases(state, *leases, now, out);
+  }
 }
 
-void OnVmList(FleetState& /*state*/, const std::vector<VmEntry>* /*vms*/,
-              Time /*now*/, Actions& /*out*/) {}
-
-void OnReport(FleetState& /*state*/, EndpointHandle endpoint,
-              const policy::EngineReport* report, Time /*now*/, Actions& out) {
-  if (report != nullptr) out.emplace_back(ReportSeen{endpoint, *report});
+void OnRanWell(FleetState& state, std::uint64_t fingerprint) {
+  policy::OnRanWell(state.poison, fingerprint);
 }
 
-void OnEvidence(FleetState& /*state*/, EndpointHandle /*endpoint*/,
-                const policy::SlotEvidence& /*evidence*/,
-                std::uint32_t /*in_flight*/, std::uint32_t /*wanted*/,
-                Time /*now*/) {}
-
-void OnEndpointDied(FleetState& /*state*/, EndpointHandle /*endpoint*/,
-                    const std::vector<std::uint64_t>& /*running*/, Time /*now*/,
-                    Actions& /*out*/) {}
-
-void OnRanWell(FleetState& /*state*/, std::uint64_t /*fingerprint*/) {}
-
-void Leave(FleetState& state, Time /*now*/, Actions& /*out*/) {
+void Leave(FleetState& state, Time now, Actions& out) {
+  if (state.leaving) return;
   state.leaving = true;
+  state.members.self.state = MemberState::kLeaving;
+  UpdateKeeping(state, now, out);
+  TellAll(state, now, out);
 }
 
-rules::RulesPtr RulesOf(const FleetState& state) { return state.rules; }
+rules::RulesPtr RulesOf(const FleetState& state) { return state.config.rules; }
 
 bool KnowledgeIsFresh(const FleetState& state, Time now) {
-  return now - state.last_tick <= kFreshFor;
+  if (now - state.fresh.last_tick > kFreshFor) return false;
+  if (state.members.replaced) return false;
+  const bool others = OthersPublished(state);
+  if (state.fresh.woke &&
+      (others || now - state.fresh.woke_at < kWakeCheckMost)) {
+    return false;
+  }
+  if (!others) return true;
+  return HearsAnyone(state.members, now) ||
+         ReadLately(state.config.read, now) || ReadLately(state.vm_list, now);
 }
 
 FleetView ViewOf(const FleetState& state, Time now) {
   FleetView view;
-  view.refused_version = state.refused_version;
-  view.refused_why = state.refused_why;
-  if (state.rules == nullptr) return view;
-  view.rules_version = state.rules->version;
-  view.rules_digest = state.rules->digest;
-  view.rules_in_force_for =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                            state.rules_since);
-  view.members =
-      Where(state, state.options.zone, state.rules->nodes.size(), now);
+  view.refused_version = state.config.refused_version;
+  view.refused_why = state.config.refused_why;
+  if (state.config.rules != nullptr) {
+    view.rules_version = state.config.rules->version;
+    view.rules_digest = state.config.rules->digest;
+    view.rules_in_force_for =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - state.config.since);
+  }
+  view.members.push_back(state.members.self);
+  for (const auto& [name, peer] : state.members.peers) {
+    view.members.push_back(peer.member);
+    view.members.back().state = StateOf(peer, now);
+  }
+  for (const EndpointState& endpoint : state.endpoints) {
+    if (endpoint.book.has_value()) ++view.keeper_of;
+  }
   return view;
 }
 
 std::vector<Member> Where(const FleetState& state, std::string_view zone,
-                          std::size_t most, Time /*now*/) {
+                          std::size_t most, Time now) {
   std::vector<Member> members;
-  if (state.rules == nullptr) return members;
-  for (const rules::Node& node : state.rules->nodes) {
-    const bool self = node.source.name == state.options.node;
-    if (!node.source.present || node.leaving || (self && state.leaving)) {
-      continue;
-    }
-    members.push_back(MemberOf(*state.rules, node));
+  const rules::Rules* rules = state.config.rules.get();
+  const auto leaves = [&](const std::string& name) {
+    if (state.leaving_vms.contains(name)) return true;
+    const auto node =
+        rules == nullptr ? rules::NodeHandle{} : FindNode(*rules, name);
+    return IsValid(node) && rules->nodes[node.idx].leaving;
+  };
+  if (!state.leaving && !state.members.replaced &&
+      !leaves(state.members.self.node)) {
+    members.push_back(state.members.self);
+  }
+  for (const auto& [name, peer] : state.members.peers) {
+    Member member = peer.member;
+    member.state = StateOf(peer, now);
+    const bool there = member.state == MemberState::kAlive ||
+                       member.state == MemberState::kSuspect;
+    if (!peer.published || !there || leaves(name)) continue;
+    members.push_back(std::move(member));
   }
-  std::stable_partition(members.begin(), members.end(),
-                        [&](const Member& m) { return m.zone == zone; });
+  std::stable_sort(members.begin(), members.end(),
+                   [&](const Member& left, const Member& right) {
+                     return PreferenceOf(left, zone) <
+                            PreferenceOf(right, zone);
+                   });
   if (members.size() > most) members.resize(most);
   return members;
 }
--- /dev/null
+++ b/fleet/src/fleet_keeper.cc
@@ -0,0 +1,245 @@
+// Endpoints that this node keeps: whether it may, reports, leases, orders.
+#include <algorithm>
+
+#include "egretladder/kernel/log.h"
+#include "fleet_state_p.h"
+
+namespace egretladder::fleet {
+namespace {
+
+using kernel::Log;
+using kernel::LogLevel;
+using kernel::LogPart;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+const rules::Endpoint& RowOf(const FleetState& state, EndpointHandle endpoint) {
+  return state.config.rules->endpoints[endpoint.idx];
+}
+
+/// True when a majority of the endpoint's voters supports this node, and for
+/// each node before it a majority says that it is gone. Two nodes can't both
+/// hold that while a lease of either runs: docs/design/slots.md.
+bool MayKeep(const FleetState& state, const EndpointState& endpoint, Time now) {
+  if (state.leaving || state.members.replaced) return false;
+  const std::size_t count = endpoint.voters.size();
+  if (endpoint.rank >= count) return false;
+  const bool keeping = endpoint.book.has_value();
+  const auto supporters = static_cast<std::size_t>(
+      std::count_if(endpoint.voters.begin(), endpoint.voters.end(),
+                    [&](const std::string& voter) {
+                      return Supports(state.members, voter, keeping, now);
+                    }));
+  if (supporters < MajorityOf(count)) return false;
+  for (std::size_t i = 0; i < endpoint.rank; ++i) {
+    const std::string& before = endpoint.voters[i];
+    const auto votes = static_cast<std::size_t>(
+        std::count_if(endpoint.voters.begin(), endpoint.voters.end(),
+                      [&](const std::string& voter) {
+                        return voter != before &&
+                               VotesGone(state.members, voter, before, now);
+                      }));
+    if (votes < MajorityOf(count)) return false;
+  }
+  return true;
+}
+
+void StartKeeping(FleetState& state, EndpointHandle handle, Time now) {
+  const rules::Endpoint& row = RowOf(state, handle);
+  EndpointState& endpoint = state.endpoints[handle.idx];
+  endpoint.book.emplace();
+  OpenBook(*endpoint.book, row.cold_bears, row.bears, FloorSum(row), now);
+  EndpointOrders& orders = state.orders.kept[handle];
+  orders = {};
+  orders.kept_since = now;
+  orders.changed = now;
+  Log(LogPart::kFleet, LogLevel::kInfo,
+      "Keeps endpoint " + row.source.name + ".");
+}
+
+void StopKeeping(FleetState& state, EndpointHandle handle) {
+  state.endpoints[handle.idx].book.reset();
+  state.orders.kept.erase(handle);
+  Log(LogPart::kFleet, LogLevel::kInfo,
+      "Keeps endpoint " + RowOf(state, handle).source.name + " no longer.");
+}
+
+void AskReport(FleetState& state, EndpointHandle handle, Time now,
+               Actions& out) {
+  EndpointState& endpoint = state.endpoints[handle.idx];
+  if (!endpoint.has_reports || now < endpoint.book->next_report) return;
+  endpoint.book->next_report = now + kReportEvery;
+  out.emplace_back(ReadReport{handle});
+}
+
+/// Models that another endpoint, whose place they are, shows as loaded.
+std::vector<rules::TargetHandle> SpareModels(const FleetState& state,
+                                             EndpointHandle handle, Time now) {
+  std::vector<rules::TargetHandle> spare;
+  for (std::uint32_t i = 0; i < state.endpoints.size(); ++i) {
+    const EndpointState& other = state.endpoints[i];
+    const bool counts = i != handle.idx && other.available &&
+                        other.report.has_value() &&
+                        now - other.report_at <= kReportFresh;
+    if (!counts) continue;
+    const auto& desired = state.orders.placement[i];
+    for (const rules::TargetHandle target : other.report->loaded) {
+      const bool stays =
+          std::find(desired.begin(), desired.end(), target) != desired.end();
+      if (stays) spare.push_back(target);
+    }
+  }
+  return spare;
+}
+
+std::size_t NodesCount(const FleetState& state) {
+  return state.members.peers.size() + 1;
+}
+
+void GiveOrder(FleetState& state, EndpointHandle handle, Time now,
+               Actions& out) {
+  const EndpointState& endpoint = state.endpoints[handle.idx];
+  const bool fresh =
+      endpoint.report.has_value() && now - endpoint.report_at <= kReportFresh;
+  if (!endpoint.available || !fresh) return;
+  const rules::Endpoint& row = RowOf(state, handle);
+  OrderInput input;
+  input.desired = state.orders.placement[handle.idx];
+  input.holds = row.holds;
+  input.honours_fencing = row.honours_fencing;
+  input.store_free = now >= state.orders.next_load;
+  input.spare = SpareModels(state, handle, now);
+  EndpointOrders& orders = state.orders.kept[handle];
+  const auto next = DecideOrder(orders, input, now);
+  if (!next.has_value()) return;
+  orders.open = OpenOrder{next->kind, next->target, now};
+  if (next->kind == OrderKind::kLoad) {
+    state.orders.next_load = now + LoadPause(NodesCount(state));
+  }
+  out.emplace_back(
+      OrderEngine{handle, next->kind, next->target, VersionOf(state)});
+}
+
+void FillReport(const FleetState& state, const KeeperBook& book,
+                SlotLease& lease, Time now) {
+  if (!book.report.has_value()) return;
+  const policy::EngineReport& report = *book.report;
+  lease.boot = report.boot;
+  lease.running = report.running;
+  lease.waiting = report.waiting;
+  lease.cache_used_per_mille = static_cast<std::uint32_t>(
+      std::clamp(report.cache_used, 0.0, 1.0) * 1000);
+  lease.report_age =
+      report.age + duration_cast<milliseconds>(now - book.report_at);
+  for (const rules::TargetHandle target : report.loaded) {
+    lease.loaded.push_back(state.config.rules->targets[target.idx].source.name);
+  }
+}
+
+SlotLease MakeLease(const FleetState& state, EndpointHandle handle,
+                    std::uint32_t slots, std::uint64_t ask_number, Time now) {
+  SlotLease lease;
+  lease.endpoint = RowOf(state, handle).source.name;
+  lease.slots = slots;
+  lease.left = kLeaseLife;
+  lease.ask_number = ask_number;
+  FillReport(state, *state.endpoints[handle.idx].book, lease, now);
+  return lease;
+}
+
+}  // namespace
+
+void LogSlots(const FleetState& state, EndpointHandle handle,
+              policy::SlotReason reason) {
+  if (reason == policy::SlotReason::kUnchanged) return;
+  const KeeperBook& book = *state.endpoints[handle.idx].book;
+  Log(LogPart::kFleet, LogLevel::kInfo,
+      "Endpoint " + RowOf(state, handle).source.name + " has " +
+          std::to_string(book.slots.slots) +
+          " slots: " + policy::NameOf(reason) + ".");
+}
+
+void UpdateKeeping(FleetState& state, Time now, Actions& out) {
+  for (std::uint32_t i = 0; i < state.endpoints.size(); ++i) {
+    EndpointState& endpoint = state.endpoints[i];
+    const bool keeps = endpoint.book.has_value();
+    const bool may = MayKeep(state, endpoint, now);
+    if (may && !keeps) StartKeeping(state, {i}, now);
+    if (!may && keeps) StopKeeping(state, {i});
+    if (!endpoint.book.has_value()) continue;
+    AskReport(state, {i}, now, out);
+    GiveOrder(state, {i}, now, out);
+  }
+}
+
+SlotLease AnswerAsk(FleetState& state, EndpointHandle handle,
+                    const Sender& from, std::uint64_t number,
+                    const SlotAsk& ask, Time now) {
+  KeeperBook& book = *state.endpoints[handle.idx].book;
+  LogSlots(state, handle, TakeAsk(book, from, number, ask, now));
+  const std::uint32_t slots = GrantSlots(book, from, now);
+  return MakeLease(state, handle, slots, number, now);
+}
+
+void TakeAsks(FleetState& state, const Sender& from, const SlotAsks& asks,
+              Time now, Actions& out) {
+  if (!IsCurrent(state.members, from)) return;
+  SlotLeases leases;
+  for (const SlotAsk& ask : asks.asks) {
+    const EndpointHandle handle =
+        FindEndpoint(*state.config.rules, ask.endpoint);
+    if (!IsValid(handle)) continue;
+    EndpointState& endpoint = state.endpoints[handle.idx];
+    // Judged anew for each ask: this process may have been paused since its
+    // last tick, and another node may keep the endpoint by now.
+    if (!endpoint.book.has_value() || !MayKeep(state, endpoint, now)) continue;
+    const std::uint32_t pool_before = PoolOf(*endpoint.book);
+    leases.leases.push_back(
+        AnswerAsk(state, handle, from, asks.number, ask, now));
+    if (PoolOf(*endpoint.book) < pool_before) {
+      CutHolders(state, handle, now, out);
+    }
+  }
+  if (leases.leases.empty()) return;
+  out.emplace_back(SendMessage{AddressOf(state, from.node), std::move(leases)});
+}
+
+void CutHolders(FleetState& state, EndpointHandle handle, Time now,
+                Actions& out) {
+  EndpointState& endpoint = state.endpoints[handle.idx];
+  for (const Holder& holder : HoldersToCut(*endpoint.book, now)) {
+    SlotLeases leases;
+    leases.leases.push_back(MakeLease(state, handle, holder.grants[0].slots,
+                                      holder.ask_number, now));
+    if (holder.process.node == state.members.self.node) {
+      TakeLeases(state, leases, now, out);
+      continue;
+    }
+    const std::string& address = AddressOf(state, holder.process.node);
+    if (!address.empty()) {
+      out.emplace_back(SendMessage{address, std::move(leases)});
+    }
+  }
+}
+
+void OnReport(FleetState& state, EndpointHandle handle,
+              const policy::EngineReport* report, Time now, Actions& out) {
+  if (handle.idx >= state.endpoints.size()) return;
+  EndpointState& endpoint = state.endpoints[handle.idx];
+  if (report != nullptr) {
+    endpoint.report = *report;
+    endpoint.report_at = now - report->age;
+    out.emplace_back(ReportSeen{handle, *report});
+  }
+  if (!endpoint.book.has_value()) return;
+  const std::uint32_t pool_before = PoolOf(*endpoint.book);
+  LogSlots(state, handle, TakeReport(*endpoint.book, report, now));
+  if (report != nullptr) {
+    SeeLoaded(state.orders.kept[handle], report->loaded, now);
+  }
+  if (PoolOf(*endpoint.book) < pool_before) {
+    CutHolders(state, handle, now, out);
+  }
+}
+
+}  // namespace egretladder::fleet
--- /dev/null
+++ b/fleet/src/fleet_rules.cc
@@ -0,0 +1,143 @@
+// The rules in force: read, held back at start, passed on.
+#include <algorithm>
+
+#include "egretladder/kernel/log.h"
+#include "fleet_state_p.h"
+
+namespace egretladder::fleet {
+namespace {
+
+using kernel::Log;
+using kernel::LogLevel;
+using kernel::LogPart;
+
+bool OthersPublished(const rules::Rules& rules, const std::string& self) {
+  return std::any_of(rules.nodes.begin(), rules.nodes.end(),
+                     [&](const rules::Node& node) {
+                       return node.source.present && node.source.name != self;
+                     });
+}
+
+/// True while a starting node with seeds waits for a peer's word: the platform
+/// may serve old data, and a version once left must not come back.
+bool WaitsForPeers(const FleetState& state, Time now) {
+  return state.config.rules == nullptr && !state.options.seeds.empty() &&
+         now < state.config.hold_until && !HearsAnyone(state.members, now);
+}
+
+}  // namespace
+
+std::uint64_t VersionOf(const FleetState& state) {
+  return state.config.rules == nullptr ? 0 : state.config.rules->version;
+}
+
+bool IsPublished(const FleetState& state) {
+  return state.config.rules != nullptr &&
+         IsValid(FindNode(*state.config.rules, state.members.self.node));
+}
+
+ReadPace PaceOf(const FleetState& state, Time now) {
+  if (state.config.rules == nullptr) return ReadPace::kAlone;
+  const bool others =
+      OthersPublished(*state.config.rules, state.members.self.node);
+  if (others && !HearsAnyone(state.members, now)) return ReadPace::kAlone;
+  return IsReader(*state.config.rules, state.members.self.node)
+             ? ReadPace::kWatch
+             : ReadPace::kRare;
+}
+
+void TakeText(FleetState& state, const std::string& text,
+              std::string_view source, Time now, Actions& out) {
+  const std::uint64_t refused_before = state.config.refused_version;
+  switch (TakeDocument(state.config, text, source, now)) {
+    case Taken::kNothingNew:
+    case Taken::kRefusedAgain:
+      return;
+    case Taken::kRefused:
+      out.emplace_back(
+          RulesRefused{state.config.refused_version, state.config.refused_why});
+      return;
+    case Taken::kInForce:
+      break;
+  }
+  if (refused_before != 0 && refused_before <= VersionOf(state)) {
+    state.config.refused_version = 0;
+    state.config.refused_digest = 0;
+    state.config.refused_why.clear();
+  }
+  Log(LogPart::kFleet, LogLevel::kInfo,
+      "Rules version " + std::to_string(VersionOf(state)) + " in force, from " +
+          std::string(source) + ".");
+  ApplyRules(state, now);
+  out.emplace_back(RulesInForce{state.config.rules});
+  AnnounceEndpoints(state, now, out);
+  TellSome(state, now, out);
+}
+
+void ReleaseHeldBack(FleetState& state, Time now, Actions& out) {
+  if (!state.config.holds_back || WaitsForPeers(state, now)) return;
+  state.config.holds_back = false;
+  const std::string text = std::move(state.config.held_back);
+  state.config.held_back.clear();
+  TakeText(state, text, "platform", now, out);
+}
+
+void ReadPlatform(FleetState& state, Time now, Actions& out) {
+  const ReadPace pace = PaceOf(state, now);
+  // A node cut off during its watch can't tell whether the watch still stands.
+  if (pace == ReadPace::kAlone && state.config.read.reading &&
+      now - state.config.read.began >= kIsolatedAfter) {
+    state.config.read.reading = false;
+    state.config.read.next = std::min(state.config.read.next, now);
+  }
+  if (BeginRead(state.config.read, now)) {
+    const std::uint64_t known = VersionOf(state);
+    out.emplace_back(
+        ReadRulesDocument{known, known != 0 && pace == ReadPace::kWatch});
+  }
+  if (state.config.rules != nullptr && BeginRead(state.vm_list, now)) {
+    out.emplace_back(ReadVmList{});
+  }
+}
+
+void OnRulesDocument(FleetState& state, const std::string* text, Time now,
+                     Actions& out) {
+  const ReadPace pace = PaceOf(state, now);
+  const std::uint64_t before = VersionOf(state);
+  if (text != nullptr && !text->empty()) {
+    if (WaitsForPeers(state, now)) {
+      state.config.held_back = *text;
+      state.config.holds_back = true;
+    } else {
+      TakeText(state, *text, "platform", now, out);
+    }
+  }
+  if (text != nullptr) {
+    state.fresh.woke = state.fresh.woke && now <= state.fresh.woke_at;
+  }
+  // A service that answers a watch with what is known already would be asked
+  // without a pause otherwise.
+  const bool useless = text != nullptr && !text->empty() &&
+                       VersionOf(state) == before && !state.config.holds_back;
+  EndRead(state.config.read, text != nullptr,
+          useless ? std::max(RulesPause(pace, state.random), kReadRetryFirst)
+                  : RulesPause(pace, state.random),
+          state.random, now);
+}
+
+void OnVmList(FleetState& state, const std::vector<VmEntry>* vms, Time now,
+              Actions& out) {
+  EndRead(state.vm_list, vms != nullptr,
+          VmListPause(PaceOf(state, now), state.random), state.random, now);
+  if (vms == nullptr) return;
+  for (const VmEntry& vm : *vms) {
+    if (vm.leaving) {
+      state.leaving_vms[vm.name] = now;
+    } else {
+      state.leaving_vms.erase(vm.name);
+    }
+  }
+  if (state.config.rules != nullptr) AnnounceEndpoints(state, now, out);
+}
+
+}  // namespace egretladder::fleet
--- /dev/null
+++ b/fleet/src/fleet_slots.cc
@@ -0,0 +1,262 @@
+// Endpoints as this node uses them: available or not, slots, asks for leases.
+#include <algorithm>
+#include <set>
+
+#include "fleet_state_p.h"
+
+namespace egretladder::fleet {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+const rules::Endpoint& RowOf(const FleetState& state, EndpointHandle endpoint) {
+  return state.config.rules->endpoints[endpoint.idx];
+}
+
+bool HasReports(const rules::Rules& rules, const rules::Endpoint& endpoint) {
+  return std::any_of(endpoint.serves.begin(), endpoint.serves.end(),
+                     [&](rules::TargetHandle target) {
+                       return rules.targets[target.idx].kind ==
+                              rules::TargetKind::kModel;
+                     });
+}
+
+bool IsLeavingVm(const FleetState& state, const std::string& name, Time now) {
+  const auto found = state.leaving_vms.find(name);
+  return found != state.leaving_vms.end() &&
+         now - found->second < kVmNoticeKept;
+}
+
+bool IsAvailable(const FleetState& state, std::uint32_t idx, Time now) {
+  const rules::Endpoint& row = state.config.rules->endpoints[idx];
+  return state.endpoints[idx].used && !state.members.replaced &&
+         TakesWork(*state.config.rules, row) &&
+         !IsLeavingVm(state, row.source.name, now);
+}
+
+/// Places models anew when an endpoint began or ceased to take work.
+void UpdatePlacement(FleetState& state, Time now) {
+  const rules::Rules& rules = *state.config.rules;
+  std::vector<bool> takes_work(rules.endpoints.size());
+  for (std::uint32_t i = 0; i < rules.endpoints.size(); ++i) {
+    const rules::Endpoint& row = rules.endpoints[i];
+    takes_work[i] =
+        TakesWork(rules, row) && !IsLeavingVm(state, row.source.name, now);
+  }
+  if (takes_work == state.takes_work) return;
+  state.takes_work = std::move(takes_work);
+  state.orders.placement = PlaceModels(rules, state.takes_work);
+}
+
+void ApplyEndpoint(FleetState& state, std::uint32_t idx,
+                   std::set<std::string>& neighbours) {
+  const rules::Rules& rules = *state.config.rules;
+  EndpointState& endpoint = state.endpoints[idx];
+  const std::string& self = state.members.self.node;
+  endpoint.voters.clear();
+  endpoint.held.floor = 0;
+  endpoint.has_reports = false;
+  if (rules.endpoints[idx].source.present) {
+    endpoint.has_reports = HasReports(rules, rules.endpoints[idx]);
+    for (const rules::NodeHandle voter : VotersOf(rules, {idx})) {
+      endpoint.voters.push_back(rules.nodes[voter.idx].source.name);
+    }
+    endpoint.held.floor = FloorOf(rules, {idx}, self);
+  }
+  const auto found =
+      std::find(endpoint.voters.begin(), endpoint.voters.end(), self);
+  endpoint.rank = static_cast<std::size_t>(found - endpoint.voters.begin());
+  if (found == endpoint.voters.end()) return;
+  neighbours.insert(endpoint.voters.begin(), endpoint.voters.end());
+}
+
+/// The node to ask for slots: the first that seems there; another one after
+/// each stretch without an answer. Empty: nobody.
+std::string KeeperToAsk(const FleetState& state, const EndpointState& endpoint,
+                        Time now) {
+  std::vector<const std::string*> there;
+  for (const std::string& voter : endpoint.voters) {
+    const bool self = voter == state.members.self.node;
+    const auto found = state.members.peers.find(voter);
+    const bool gone =
+        self ? state.leaving
+             : found == state.members.peers.end() ||
+                   StateOf(found->second, now) != MemberState::kAlive;
+    if (!gone) there.push_back(&voter);
+  }
+  if (there.empty()) return {};
+  return *there[endpoint.held.keeper_shift % there.size()];
+}
+
+SlotAsk MakeAsk(FleetState& state, EndpointHandle handle, Time now) {
+  HeldSlots& held = state.endpoints[handle.idx].held;
+  SlotAsk ask;
+  ask.endpoint = RowOf(state, handle).source.name;
+  ask.in_flight = held.in_flight - std::min(held.in_flight, held.floor);
+  ask.wanted = held.wanted - std::min(held.wanted, held.floor);
+  ask.held = held.last_slots;
+  ask.held_boot = held.boot;
+  ask.down = held.down;
+  ask.evidence = held.evidence;
+  held.evidence = {};
+  held.down = false;
+  held.last_ask = now;
+  return ask;
+}
+
+void PassOver(HeldSlots& held, Time now) {
+  if (now - held.last_lease < kAskPatience) return;
+  ++held.keeper_shift;
+  held.last_lease = now;
+}
+
+void SendAsks(FleetState& state, const std::string& keeper,
+              const std::vector<EndpointHandle>& endpoints, Time now,
+              Actions& out) {
+  const std::uint64_t number = ++state.asks;
+  state.asks_sent[number] = now;
+  const Sender self{state.members.self.node, state.members.self.incarnation};
+  SlotAsks asks;
+  asks.number = number;
+  SlotLeases own;
+  for (const EndpointHandle endpoint : endpoints) {
+    SlotAsk ask = MakeAsk(state, endpoint, now);
+    if (keeper != self.node) {
+      asks.asks.push_back(std::move(ask));
+    } else if (state.endpoints[endpoint.idx].book.has_value()) {
+      own.leases.push_back(AnswerAsk(state, endpoint, self, number, ask, now));
+    }
+  }
+  if (keeper == self.node) {
+    TakeLeases(state, own, now, out);
+  } else {
+    out.emplace_back(SendMessage{AddressOf(state, keeper), std::move(asks)});
+  }
+}
+
+}  // namespace
+
+void ApplyRules(FleetState& state, Time now) {
+  const rules::Rules& rules = *state.config.rules;
+  state.members.nodes_digest = NodesDigest(rules);
+  state.takes_work.clear();
+  state.endpoints.resize(rules.endpoints.size());
+  std::set<std::string> neighbours;
+  const auto used =
+      EndpointsUsedBy(rules, state.members.self.node, state.members.self.zone);
+  for (std::uint32_t i = 0; i < rules.endpoints.size(); ++i) {
+    state.endpoints[i].used = used[i];
+    ApplyEndpoint(state, i, neighbours);
+    KeeperBook* book = state.endpoints[i].book.has_value()
+                           ? &*state.endpoints[i].book
+                           : nullptr;
+    if (book != nullptr) ChangeBears(*book, rules.endpoints[i], now);
+  }
+  SetPublished(state.members, rules, {neighbours.begin(), neighbours.end()},
+               now);
+}
+
+void Announce(FleetState& state, EndpointHandle handle,
+              policy::SlotReason reason, Time now, Actions& out) {
+  EndpointState& endpoint = state.endpoints[handle.idx];
+  const std::uint32_t slots =
+      endpoint.available ? UsableSlots(endpoint.held, now) : 0;
+  if (slots == endpoint.announced) return;
+  endpoint.announced = slots;
+  out.emplace_back(SlotsChanged{handle, slots, reason});
+}
+
+void AnnounceEndpoints(FleetState& state, Time now, Actions& out) {
+  UpdatePlacement(state, now);
+  for (std::uint32_t i = 0; i < state.endpoints.size(); ++i) {
+    EndpointState& endpoint = state.endpoints[i];
+    const bool available = IsAvailable(state, i, now);
+    const bool changed = available != endpoint.available;
+    endpoint.available = available;
+    Announce(state, {i}, policy::SlotReason::kUnchanged, now, out);
+    if (changed) out.emplace_back(AvailableChanged{{i}, available});
+  }
+}
+
+void AskForSlots(FleetState& state, Time now, Actions& out) {
+  std::map<std::string, std::vector<EndpointHandle>> by_keeper;
+  for (std::uint32_t i = 0; i < state.endpoints.size(); ++i) {
+    EndpointState& endpoint = state.endpoints[i];
+    if (!endpoint.available || !AskIsDue(endpoint.held, now)) continue;
+    PassOver(endpoint.held, now);
+    const std::string keeper = KeeperToAsk(state, endpoint, now);
+    if (!keeper.empty()) by_keeper[keeper].push_back({i});
+  }
+  for (const auto& [keeper, endpoints] : by_keeper) {
+    SendAsks(state, keeper, endpoints, now, out);
+  }
+  std::erase_if(state.asks_sent, [&](const auto& entry) {
+    return now - entry.second >= kLeaseLife;
+  });
+}
+
+void TakeLeases(FleetState& state, const SlotLeases& leases, Time now,
+                Actions& out) {
+  for (const SlotLease& lease : leases.leases) {
+    const EndpointHandle handle =
+        FindEndpoint(*state.config.rules, lease.endpoint);
+    const auto asked = state.asks_sent.find(lease.ask_number);
+    if (!IsValid(handle) || asked == state.asks_sent.end()) continue;
+    EndpointState& endpoint = state.endpoints[handle.idx];
+    if (!TakeLease(endpoint.held, lease, asked->second, now)) continue;
+    Announce(state, handle, policy::SlotReason::kUnchanged, now, out);
+    if (lease.boot == 0) continue;
+    policy::EngineReport report;
+    report.age = lease.report_age;
+    report.boot = lease.boot;
+    report.running = lease.running;
+    report.waiting = lease.waiting;
+    report.cache_used = lease.cache_used_per_mille / 1000.0;
+    for (const std::string& name : lease.loaded) {
+      const rules::TargetHandle target = FindTarget(*state.config.rules, name);
+      if (IsValid(target)) report.loaded.push_back(target);
+    }
+    endpoint.report = report;
+    endpoint.report_at = now - report.age;
+    if (!endpoint.book.has_value())
+      out.emplace_back(ReportSeen{handle, report});
+  }
+}
+
+void OnEvidence(FleetState& state, EndpointHandle handle,
+                const policy::SlotEvidence& evidence, std::uint32_t in_flight,
+                std::uint32_t wanted, Time now) {
+  if (handle.idx >= state.endpoints.size()) return;
+  HeldSlots& held = state.endpoints[handle.idx].held;
+  held.in_flight = in_flight;
+  held.wanted = wanted;
+  held.evidence.in_time += evidence.in_time;
+  held.evidence.late += evidence.late;
+  held.evidence.failed += evidence.failed;
+  if (evidence.boot == 0) return;
+  held.evidence.boot = evidence.boot;
+  // An answer of another boot than the keeper knew when it leased: the lease
+  // was for a warm endpoint that is gone.
+  if (held.boot != 0 && held.boot != evidence.boot) DropLease(held, now);
+}
+
+void OnEndpointDied(FleetState& state, EndpointHandle handle,
+                    const std::vector<std::uint64_t>& running, Time now,
+                    Actions& out) {
+  const auto quarantined = policy::OnEndpointDied(state.poison, running, now);
+  for (const policy::Quarantined& body : quarantined) {
+    out.emplace_back(QuarantineAdded{body.fingerprint, body.left});
+  }
+  if (handle.idx < state.endpoints.size()) {
+    HeldSlots& held = state.endpoints[handle.idx].held;
+    DropLease(held, now);
+    held.down = true;
+    Announce(state, handle, policy::SlotReason::kStarted, now, out);
+  }
+  // Told at once: the caller sends the body again within seconds, perhaps to
+  // another node, and a third endpoint would die.
+  if (!running.empty()) TellSome(state, now, out);
+}
+
+}  // namespace egretladder::fleet
--- /dev/null
+++ b/fleet/src/lease_holder.cc
@@ -0,0 +1,45 @@
+#include <algorithm>
+
+#include "egretladder/fleet/lease.h"
+
+namespace egretladder::fleet {
+
+std::uint32_t UsableSlots(const HeldSlots& held, Time now) {
+  return held.floor + (now < held.until ? held.leased : 0);
+}
+
+bool TakeLease(HeldSlots& held, const SlotLease& lease, Time asked, Time now) {
+  if (lease.ask_number < held.ask_number || asked <= held.dropped) return false;
+  // Counted from the asking: the keeper counts from later on, so the holder's
+  // lease is over first, however long the answer was under way. The process may
+  // stand still for `kFreshFor` without noticing, so it ends earlier by that.
+  const Time until = asked + std::min(lease.left, kLeaseLife) - kFreshFor;
+  if (lease.ask_number == held.ask_number) {
+    held.leased = std::min(held.leased, lease.slots);
+    return true;
+  }
+  held.ask_number = lease.ask_number;
+  held.leased = lease.slots;
+  held.until = until;
+  held.last_lease = now;
+  held.last_slots = lease.slots;
+  if (lease.boot != 0) held.boot = lease.boot;
+  held.keeper_shift = 0;
+  return true;
+}
+
+void DropLease(HeldSlots& held, Time now) {
+  held.leased = 0;
+  held.last_slots = 0;
+  held.boot = 0;
+  held.dropped = now;
+}
+
+bool AskIsDue(const HeldSlots& held, Time now) {
+  const auto since = now - held.last_ask;
+  if (since >= kAskEvery) return true;
+  const bool hurry = held.down || held.wanted > UsableSlots(held, now);
+  return hurry && since >= kAskSoonest;
+}
+
+}  // namespace egretladder::fleet
--- /dev/null
+++ b/fleet/src/membership.cc
@@ -0,0 +1,253 @@
+#include "egretladder/fleet/membership.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace egretladder::fleet {
+namespace {
+
+/// Pings to one peer that may still be answered.
+constexpr std::size_t kPingsOpen = 8;
+/// Peers outside the published list that are remembered.
+constexpr std::size_t kUnpublishedMost = 64;
+/// A change is told first for so long.
+constexpr std::chrono::seconds kNewsFor{5};
+
+bool IsNewer(const Member& told, const Member& known) {
+  return std::tie(told.started, told.incarnation) >
+         std::tie(known.started, known.incarnation);
+}
+
+/// Puts the process that `told` speaks of in place of the one known.
+void Replace(Peer& peer, const Member& told, Time now) {
+  peer.member = told;
+  peer.heard = now;
+  peer.leaving_since = now;
+  peer.contact = {};
+  peer.vote = {};
+  peer.pings.clear();
+}
+
+/// Returns false when `told` is of a process that was replaced.
+bool Merge(Peer& peer, const Member& told, bool direct, Time now) {
+  Member& known = peer.member;
+  if (told.incarnation != known.incarnation) {
+    // A VM's wall clock may be behind its predecessor's, which would keep the
+    // new process out for ever: once the old one is silent, a direct word of
+    // the new one counts whatever its start time.
+    const bool silent = direct && now - peer.heard > kSuspectAfter;
+    if (!IsNewer(told, known) && !silent) return false;
+    Replace(peer, told, now);
+    return true;
+  }
+  if (told.heartbeat <= known.heartbeat) return true;
+  known.heartbeat = told.heartbeat;
+  peer.heard = now;
+  if (told.state == MemberState::kLeaving &&
+      known.state != MemberState::kLeaving) {
+    known.state = MemberState::kLeaving;
+    peer.leaving_since = now;
+  }
+  return true;
+}
+
+Peer* FindOrAdd(MembershipState& state, const Member& told, Time now) {
+  const auto found = state.peers.find(told.node);
+  if (found != state.peers.end()) return &found->second;
+  const auto unpublished = static_cast<std::size_t>(
+      std::count_if(state.peers.begin(), state.peers.end(),
+                    [](const auto& e) { return !e.second.published; }));
+  if (unpublished >= kUnpublishedMost || told.node.empty()) return nullptr;
+  Peer& peer = state.peers[told.node];
+  peer.member.node = told.node;
+  peer.heard = now;
+  return &peer;
+}
+
+void TakeAck(MembershipState& state, Peer& peer, const Gossip& gossip,
+             Time now) {
+  const auto ping =
+      std::find_if(peer.pings.begin(), peer.pings.end(),
+                   [&](const PingSent& p) { return p.number == gossip.ack; });
+  if (ping == peer.pings.end()) return;
+  const Time sent = ping->sent;
+  peer.pings.erase(peer.pings.begin(), ping + 1);
+  Contact& contact = peer.contact;
+  // Between two answers further apart the peer may have counted this node as
+  // gone and supported another keeper.
+  const bool unbroken = contact.any && now - contact.sent < kGoneAfter;
+  if (!unbroken) contact.since = now;
+  const bool same_digest = gossip.nodes_digest == state.nodes_digest;
+  const bool was_same =
+      unbroken && peer.vote.nodes_digest == state.nodes_digest;
+  if (same_digest && !was_same) contact.digest_since = now;
+  contact.any = true;
+  contact.sent = sent;
+  peer.vote = {gossip.nodes_digest, gossip.gone};
+}
+
+}  // namespace
+
+void SetPublished(MembershipState& state, const rules::Rules& rules,
+                  const std::vector<std::string>& neighbours, Time now) {
+  for (auto& [name, peer] : state.peers) {
+    peer.published = false;
+    peer.neighbour = false;
+  }
+  for (const rules::Node& node : rules.nodes) {
+    const std::string& name = node.source.name;
+    if (!node.source.present || name == state.self.node) continue;
+    const auto [found, added] = state.peers.try_emplace(name);
+    Peer& peer = found->second;
+    if (added) peer.heard = now;
+    peer.published = true;
+    peer.member.node = name;
+    peer.member.caller_address = node.caller_address;
+    peer.member.peer_address = node.peer_address;
+    peer.member.zone = rules.zones[node.zone.idx].source.name;
+  }
+  for (const std::string& name : neighbours) {
+    const auto found = state.peers.find(name);
+    if (found != state.peers.end()) found->second.neighbour = true;
+  }
+  std::erase_if(state.peers, [&](const auto& entry) {
+    return !entry.second.published && now - entry.second.heard > kGoneAfter;
+  });
+}
+
+bool HearMember(MembershipState& state, const Member& told, bool direct,
+                Time now) {
+  if (told.node == state.self.node) {
+    if (IsNewer(told, state.self)) state.replaced = true;
+    return true;
+  }
+  Peer* peer = FindOrAdd(state, told, now);
+  return peer != nullptr && Merge(*peer, told, direct, now);
+}
+
+bool HearGossip(MembershipState& state, const Sender& from,
+                const Gossip& gossip, Time now) {
+  if (from.node == state.self.node) {
+    for (const Member& told : gossip.members) {
+      if (told.node == from.node) HearMember(state, told, true, now);
+    }
+    return false;
+  }
+  for (const Member& told : gossip.members) {
+    const bool direct =
+        told.node == from.node && told.incarnation == from.incarnation;
+    HearMember(state, told, direct, now);
+  }
+  if (!IsCurrent(state, from)) return false;
+  Peer& peer = state.peers.find(from.node)->second;
+  // A ping that is answered counts as heard, even when its heartbeat came here
+  // earlier by another way: the answer is support, and no vote may contradict
+  // it too soon.
+  if (gossip.reply_wanted) peer.heard = now;
+  if (gossip.ack != 0) TakeAck(state, peer, gossip, now);
+  return true;
+}
+
+bool IsCurrent(const MembershipState& state, const Sender& from) {
+  const auto found = state.peers.find(from.node);
+  return found != state.peers.end() &&
+         found->second.member.incarnation == from.incarnation;
+}
+
+std::uint64_t NumberPing(MembershipState& state, Peer& peer, Time now) {
+  if (peer.pings.size() >= kPingsOpen) peer.pings.pop_front();
+  peer.pings.push_back({++state.pings, now});
+  return state.pings;
+}
+
+void ForgivePeers(MembershipState& state, Time now) {
+  for (auto& [name, peer] : state.peers) peer.heard = now;
+}
+
+MemberState StateOf(const Peer& peer, Time now) {
+  if (now - peer.heard > kGoneAfter) return MemberState::kGone;
+  if (peer.member.state == MemberState::kLeaving) return MemberState::kLeaving;
+  if (now - peer.heard > kSuspectAfter) return MemberState::kSuspect;
+  return MemberState::kAlive;
+}
+
+bool CountsAsGone(const Peer& peer, Time now) {
+  const bool left = peer.member.state == MemberState::kLeaving &&
+                    now - peer.leaving_since > kLeftAfter;
+  return left || now - peer.heard > kGoneAfter;
+}
+
+std::vector<Member> MembersToTell(const MembershipState& state,
+                                  kernel::Random& random, Time now) {
+  std::vector<Member> news{state.self};
+  std::vector<const Member*> others;
+  for (const auto& [name, peer] : state.peers) {
+    // Old heartbeats aren't passed on: they would look new at the receiver.
+    if (peer.member.heartbeat == 0 || now - peer.heard > kSuspectAfter)
+      continue;
+    const bool leaves = peer.member.state == MemberState::kLeaving;
+    if (leaves && now - peer.leaving_since < kNewsFor &&
+        news.size() <= kMembersTold) {
+      news.push_back(peer.member);
+    } else {
+      others.push_back(&peer.member);
+    }
+  }
+  while (!others.empty() && news.size() <= kMembersTold) {
+    const auto at = kernel::Below(random, others.size());
+    news.push_back(*others[at]);
+    others[at] = others.back();
+    others.pop_back();
+  }
+  return news;
+}
+
+std::vector<std::string> VotesOf(const MembershipState& state, Time now) {
+  std::vector<std::string> gone;
+  for (const auto& [name, peer] : state.peers) {
+    if (!peer.neighbour || !CountsAsGone(peer, now)) continue;
+    if (gone.size() >= kGoneTold) break;
+    gone.push_back(name);
+  }
+  return gone;
+}
+
+bool Supports(const MembershipState& state, std::string_view voter,
+              bool keeping, Time now) {
+  if (voter == state.self.node) return true;
+  const auto found = state.peers.find(voter);
+  if (found == state.peers.end()) return false;
+  const Peer& peer = found->second;
+  if (!peer.contact.any || now - peer.contact.sent >= kMandate) return false;
+  if (peer.vote.nodes_digest != state.nodes_digest) return false;
+  const Time since =
+      keeping ? peer.contact.since
+              : std::max(peer.contact.since, peer.contact.digest_since);
+  return now - since >= kSupportWait;
+}
+
+bool VotesGone(const MembershipState& state, std::string_view voter,
+               std::string_view node, Time now) {
+  if (voter == state.self.node) {
+    const auto found = state.peers.find(node);
+    return found != state.peers.end() && CountsAsGone(found->second, now);
+  }
+  const auto found = state.peers.find(voter);
+  if (found == state.peers.end()) return false;
+  const Peer& peer = found->second;
+  const bool fresh = peer.contact.any && now - peer.contact.sent < kMandate &&
+                     peer.vote.nodes_digest == state.nodes_digest;
+  return fresh && std::find(peer.vote.gone.begin(), peer.vote.gone.end(),
+                            node) != peer.vote.gone.end();
+}
+
+bool HearsAnyone(const MembershipState& state, Time now) {
+  return std::any_of(
+      state.peers.begin(), state.peers.end(), [&](const auto& entry) {
+        const Contact& contact = entry.second.contact;
+        return contact.any && now - contact.sent <= kIsolatedAfter;
+      });
+}
+
+}  // namespace egretladder::fleet
