--- a/fleet/include/egretladder/fleet/electorate.h
+++ b/fleet/include/egretladder/fleet/electorate.h
@@ -25,8 +25,9 @@
 /// Hash of the published nodes' names and zones.
 std::uint64_t NodesDigest(const rules::Rules& rules);
 
-/// Slots of an endpoint that need no lease, summed over all nodes: half of what
-/// it bears cold, so that they can't swamp it even when it has just started.
+/// Slots of an endpoint that need no lease, summed over all nodes: a part of
+/// what it bears cold, so that they can't swamp it even when it has just
+/// started. An endpoint that bears too little to split has none.
 std::uint32_t FloorSum(const rules::Endpoint& endpoint);
 /// Part of `FloorSum` that belongs to `node`: each slot to one of the voters.
 std::uint32_t FloorOf(const rules::Rules& rules, rules::EndpointHandle endpoint,
--- a/fleet/include/egretladder/fleet/limits.h
+++ b/fleet/include/egretladder/fleet/limits.h
@@ -107,6 +107,10 @@
 inline constexpr std::chrono::seconds kSilentCallsKept{60};
 /// A holder that has not asked for so long has no part in sharing out.
 inline constexpr std::chrono::milliseconds kHolderSilent{1250};
+/// One in so many of the slots that an endpoint bears cold needs no lease. More
+/// would lie idle at their owners while others wait; none would leave nodes
+/// without a keeper nothing at any endpoint.
+inline constexpr std::uint32_t kFloorPart = 4;
 /// Without a lease for so long, the next in rank is asked.
 inline constexpr std::chrono::milliseconds kAskPatience{1200};
 /// Lots for slots that don't go round are drawn anew so often.
--- a/fleet/src/electorate.cc
+++ b/fleet/src/electorate.cc
@@ -69,7 +69,7 @@
 }
 
 std::uint32_t FloorSum(const rules::Endpoint& endpoint) {
-  return std::min(endpoint.cold_bears, endpoint.bears) / 2;
+  return std::min(endpoint.cold_bears, endpoint.bears) / kFloorPart;
 }
 
 std::uint32_t FloorOf(const Rules& rules, EndpointHandle endpoint,
--- a/fleet/src/fleet_rules.cc
+++ b/fleet/src/fleet_rules.cc
@@ -117,7 +117,8 @@
   }
   // A service that answers a watch with what is known already would be asked
   // without a pause otherwise.
-  const bool useless = text != nullptr && !text->empty() &&
+  const bool at_once = now - state.config.read.began < kReadRetryFirst;
+  const bool useless = at_once && text != nullptr &&
                        VersionOf(state) == before && !state.config.holds_back;
   EndRead(state.config.read, text != nullptr,
           useless ? std::max(RulesPause(pace, state.random), kReadRetryFirst)
--- a/fleet/src/fleet_slots.cc
+++ b/fleet/src/fleet_slots.cc
@@ -7,9 +7,6 @@
 namespace egretladder::fleet {
 namespace {
 
-using std::chrono::duration_cast;
-using std::chrono::milliseconds;
-
 const rules::Endpoint& RowOf(const FleetState& state, EndpointHandle endpoint) {
   return state.config.rules->endpoints[endpoint.idx];
 }
