--- a/lab/tests/examples_test.cc
+++ b/lab/tests/examples_test.cc
@@ -7,7 +7,10 @@
 #include <string>
 #include <vector>
 
+#include "egretladder/gateway/settings.h"
+#include "egretladder/kernel/ini.h"
 #include "egretladder/lab/command.h"
+#include "egretladder/rules/rules.h"
 
 namespace el = egretladder::lab;
 
@@ -80,3 +83,30 @@
                                   Path("01-abay/rules-2-bole-out.ini")}));
   STRCMP_CONTAINS("bole", out_.str().c_str());
 }
+
+// A node's settings are wrong and nobody notices before its VM is replaced at
+// night: it ends with exit code 2 instead of starting.
+TEST(Examples, EveryNodeFileIsSoundAndAgreesWithTheRules) {
+  std::size_t checked = 0;
+  for (const char* deployment :
+       {"00-minimal", "01-abay", "02-quetzal", "03-demo"}) {
+    const std::string dir = Path(deployment) + "/";
+    const auto text = egretladder::kernel::ReadFile(dir + "rules.ini").value();
+    const auto rules =
+        egretladder::rules::ReadRules(text, "rules.ini", nullptr).value();
+    for (const auto& node : rules->nodes) {
+      const std::string file = dir + node.source.name + ".ini";
+      const auto config = egretladder::gateway::ReadNodeConfig(
+          egretladder::kernel::ReadFile(file).value(), file);
+      CHECK_TRUE(config.has_value());
+      const auto& fleet = config.value().gateway.node.fleet;
+      STRCMP_EQUAL(node.source.name.c_str(), fleet.node.c_str());
+      STRCMP_EQUAL(node.caller_address.c_str(), fleet.caller_address.c_str());
+      STRCMP_EQUAL(node.peer_address.c_str(), fleet.peer_address.c_str());
+      STRCMP_EQUAL(rules->zones[node.zone.idx].source.name.c_str(),
+                   fleet.zone.c_str());
+      ++checked;
+    }
+  }
+  CHECK_EQUAL(18U, checked);
+}
