--- a/lab/src/command_load.cc
+++ b/lab/src/command_load.cc
@@ -54,9 +54,9 @@
   return boost::outcome_v2::success();
 }
 
-kernel::Result<std::vector<LoopbackAddress>> ReadAddresses(
+kernel::Result<std::vector<Address>> ReadAddresses(
     const std::vector<std::string>& texts) {
-  std::vector<LoopbackAddress> addresses;
+  std::vector<Address> addresses;
   for (const std::string& text : texts) {
     BOOST_OUTCOME_TRY(address, ParseLoopback(text));
     addresses.push_back(std::move(address));
--- a/lab/src/http.cc
+++ b/lab/src/http.cc
@@ -29,6 +29,11 @@
   return host == "::1";
 }
 
+kernel::Error Refuse(std::string_view text, const char* why) {
+  return kernel::MakeError(kernel::ErrorCode::kInvalidInput, "read address",
+                           std::string(text), why);
+}
+
 Buffer BufferWith(std::string_view text) {
   Buffer buffer(evbuffer_new());
   evbuffer_add(buffer.get(), text.data(), text.size());
@@ -37,32 +42,35 @@
 
 }  // namespace
 
-kernel::Result<LoopbackAddress> ParseLoopback(std::string_view text) {
-  const auto refuse = [&text](const char* why) {
-    return kernel::MakeError(kernel::ErrorCode::kInvalidInput, "read address",
-                             std::string(text), why);
-  };
+kernel::Result<Address> ParseAddress(std::string_view text) {
   const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos) return refuse("expected IP:port");
+  if (colon == std::string_view::npos) return Refuse(text, "expected IP:port");
   std::string host(text.substr(0, colon));
   if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
     host = host.substr(1, host.size() - 2);
   }
+  in6_addr parsed{};
+  if (inet_pton(AF_INET, host.c_str(), &parsed) != 1 &&
+      inet_pton(AF_INET6, host.c_str(), &parsed) != 1) {
+    return Refuse(text, "expected an IP number");
+  }
   const std::string_view digits = text.substr(colon + 1);
   std::uint16_t port = 0;
   const auto [end, code] =
       std::from_chars(digits.data(), digits.data() + digits.size(), port);
   if (code != std::errc() || end != digits.data() + digits.size()) {
-    return refuse("expected a port up to 65535");
+    return Refuse(text, "expected a port up to 65535");
   }
-  if (!IsLoopbackHost(host)) {
-    return refuse("only loopback addresses are accepted");
-  }
-  return LoopbackAddress{std::move(host), port};
+  return Address{std::move(host), port};
+}
+
+kernel::Result<Address> ParseLoopback(std::string_view text) {
+  BOOST_OUTCOME_TRY(address, ParseAddress(text));
+  if (IsLoopbackHost(address.host)) return address;
+  return Refuse(text, "only loopback addresses are accepted");
 }
 
-kernel::Result<HttpServer> Listen(kernel::Loop& loop,
-                                  const LoopbackAddress& address,
+kernel::Result<HttpServer> Listen(kernel::Loop& loop, const Address& address,
                                   RequestHandler handler) {
   HttpServer made;
   made.handler = std::make_unique<RequestHandler>(std::move(handler));
--- a/lab/src/http_client.cc
+++ b/lab/src/http_client.cc
@@ -9,7 +9,7 @@
 
 constexpr int kOk = 200;
 
-std::string Name(const LoopbackAddress& address) {
+std::string Name(const Address& address) {
   return address.host + ":" + std::to_string(address.port);
 }
 
@@ -37,7 +37,7 @@
 
 HttpClient::~HttpClient() = default;
 
-Connection HttpClient::Take(const LoopbackAddress& address) {
+Connection HttpClient::Take(const Address& address) {
   std::vector<Connection>& idle = idle_[Name(address)];
   if (!idle.empty()) {
     Connection connection = std::move(idle.back());
@@ -53,7 +53,7 @@
   return connection;
 }
 
-bool HttpClient::Send(const LoopbackAddress& address, HttpCall call) {
+bool HttpClient::Send(const Address& address, HttpCall call) {
   Connection connection = Take(address);
   if (connection == nullptr) return false;
   const std::uint64_t number = next_exchange_++;
--- a/lab/src/http_client_p.h
+++ b/lab/src/http_client_p.h
@@ -49,14 +49,14 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// Returns false, and calls nothing, when no connection is left.
-  bool Send(const LoopbackAddress& address, HttpCall call);
+  bool Send(const Address& address, HttpCall call);
   std::size_t in_progress() const { return exchanges_.size(); }
 
  private:
   struct Exchange;
   static void OnChunk(evhttp_request* request, void* arg);
   static void OnDone(evhttp_request* request, void* arg);
-  Connection Take(const LoopbackAddress& address);
+  Connection Take(const Address& address);
 
   kernel::Loop& loop_;
   std::size_t max_connections_;
--- a/lab/src/http_p.h
+++ b/lab/src/http_p.h
@@ -31,18 +31,19 @@
   std::unique_ptr<evhttp, EvhttpFree> server;
 };
 
-/// An address of this machine's loopback.
-struct LoopbackAddress {
+struct Address {
   std::string host;
   std::uint16_t port = 0;
 };
 
+/// Parses any `IP:port` or `[IPv6]:port`. Fails with `kInvalidInput`.
+kernel::Result<Address> ParseAddress(std::string_view text);
+
 /// Parses `127.x.y.z:port` or `[::1]:port`. Fails with `kInvalidInput` on any
 /// other address: the lab sends and takes traffic on loopback only.
-kernel::Result<LoopbackAddress> ParseLoopback(std::string_view text);
+kernel::Result<Address> ParseLoopback(std::string_view text);
 
-kernel::Result<HttpServer> Listen(kernel::Loop& loop,
-                                  const LoopbackAddress& address,
+kernel::Result<HttpServer> Listen(kernel::Loop& loop, const Address& address,
                                   RequestHandler handler);
 
 std::string BodyOf(evhttp_request* request);
--- a/lab/src/load_call.cc
+++ b/lab/src/load_call.cc
@@ -53,8 +53,7 @@
 }
 
 /// Where the attempt goes; nothing when no endpoint serves it directly.
-std::optional<LoopbackAddress> TargetOf(const LoadRun& run,
-                                        const LoadCall& call) {
+std::optional<Address> TargetOf(const LoadRun& run, const LoadCall& call) {
   if (!run.options.direct) {
     const auto& addresses = run.clients[call.client].addresses;
     return addresses[(call.attempts - 1) % addresses.size()];
--- a/lab/src/load_keys.cc
+++ b/lab/src/load_keys.cc
@@ -38,12 +38,12 @@
 }  // namespace
 
 kernel::Result<KeyRuns> ReadRuns(kernel::Loop& loop,
-                                 const std::vector<LoopbackAddress>& services) {
+                                 const std::vector<Address>& services) {
   HttpClient http(loop, services.size(), kReadTimeout);
   KeyRuns runs;
   std::size_t answered = 0;
   std::size_t left = services.size();
-  for (const LoopbackAddress& service : services) {
+  for (const Address& service : services) {
     HttpCall call;
     call.path = "/counts?keys=1";
     call.on_done = [&](const HttpAnswer& answer) {
--- a/lab/src/load_keys_p.h
+++ b/lab/src/load_keys_p.h
@@ -27,7 +27,7 @@
 
 /// Asks every service for its runs. Fails when one can't be reached.
 kernel::Result<KeyRuns> ReadRuns(kernel::Loop& loop,
-                                 const std::vector<LoopbackAddress>& services);
+                                 const std::vector<Address>& services);
 
 KeyReport CompareKeys(const std::vector<KeyTold>& told, const KeyRuns& runs);
 
--- a/lab/src/load_run_p.h
+++ b/lab/src/load_run_p.h
@@ -41,8 +41,8 @@
 struct LoadOptions {
   LoadProfile profile;
   rules::RulesPtr rules;
-  std::vector<LoopbackAddress> nodes;  ///< Asked for `/where`.
-  bool direct = false;                 ///< To the endpoints, without a node.
+  std::vector<Address> nodes;  ///< Asked for `/where`.
+  bool direct = false;         ///< To the endpoints, without a node.
   std::chrono::milliseconds drain{
       20'000};  ///< For answers after the last call.
 };
@@ -55,7 +55,7 @@
 struct LoadClient {
   std::string account;
   std::string zone;
-  std::vector<LoopbackAddress> addresses;
+  std::vector<Address> addresses;
   std::string lane;
   Time keep_until{};
   bool asking = false;
