Name the other side of a cut and the lane's owner in /where; add scenarios

Cause: callers who asked on the small side of a cut stayed there and were turned away; most calls with a lane were passed on once, since the first address was not the lane's owner. A message to a paused node outlived what it referred to in the driver. Change: a node that hears less than half of the fleet names a node of the other side first; lane_address names the owner.

--- a/gateway/src/caller_pages.cc
+++ b/gateway/src/caller_pages.cc
@@ -60,6 +60,7 @@
   writer.EndArray();
   Put(writer, "keep_for_ms", where.keep_for);
   Put(writer, "lane", where.lane);
+  Put(writer, "lane_address", where.lane_address);
   writer.EndObject();
   return text.GetString();
 }
--- a/lab/src/driver.cc
+++ b/lab/src/driver.cc
@@ -76,8 +76,9 @@
   At(state, state.clock.now + state.options.wire_delay,
      [&state, to, id = fleet::Sender{sender.node, sender.incarnation},
       message = std::move(send.message)] {
+       // By value: a paused node takes the message when this is long gone.
        Feed(state, to,
-            [&](node::NodeState& node, Time now, node::Actions& out) {
+            [id, message](node::NodeState& node, Time now, node::Actions& out) {
               node::OnMessage(node, id, message, now, out);
             });
      });
--- a/lab/src/scenario_callers.cc
+++ b/lab/src/scenario_callers.cc
@@ -36,6 +36,7 @@
     if (answer.addresses.empty()) continue;
     caller.addresses = answer.addresses;
     caller.lane = answer.lane;
+    caller.lane_address = answer.lane_address;
     caller.keep_for = answer.keep_for;
     caller.asked = Now(*world.driver);
     return;
@@ -103,6 +104,16 @@
   RetryOr(world, idx, kNextNodeAfter, Outcome::kLeft);
 }
 
+/// The first try goes where it needs no passing on; later ones to the next
+/// node of the list.
+const std::string& AddressFor(const Wish& wish, const Caller& caller) {
+  const bool first = wish.tries <= 1;
+  if (first && !wish.lane.empty()) return wish.lane_address;
+  const std::size_t choice =
+      std::min<std::size_t>(wish.tries - 1, caller.addresses.size() - 1);
+  return caller.addresses[choice];
+}
+
 void SendWish(World& world, std::uint32_t idx) {
   Wish& wish = world.wishes[idx];
   Caller& caller = FreshCaller(world, wish);
@@ -110,10 +121,11 @@
   if (caller.addresses.empty()) {
     return RetryOr(world, idx, kNextNodeAfter, Outcome::kLeft);
   }
-  if (!MayRepeat(world, wish) && wish.lane.empty()) wish.lane = caller.lane;
-  const std::size_t choice =
-      std::min<std::size_t>(wish.tries - 1, caller.addresses.size() - 1);
-  const NodeIdx node = FindNodeByAddress(world, caller.addresses[choice]);
+  if (!MayRepeat(world, wish) && wish.lane.empty()) {
+    wish.lane = caller.lane;
+    wish.lane_address = caller.lane_address;
+  }
+  const NodeIdx node = FindNodeByAddress(world, AddressFor(wish, caller));
   const node::Call call = MakeCall(world, wish, idx);
   At(*world.driver, Now(*world.driver) + world.scenario->client,
      [&world, idx, node, call] {
--- a/lab/src/scenario_endpoints.cc
+++ b/lab/src/scenario_endpoints.cc
@@ -265,8 +265,9 @@
   endpoint.wake.reset();
   const auto lost = InProgress(endpoint);
   EngineState& engine = endpoint.engine;
-  EngineState fresh =
-      StartEngine(engine.options, engine.boot + 1, Now(*world.driver));
+  EngineOptions options = world.scenario->engines.at(endpoint.name);
+  options.report_lag = engine.options.report_lag;
+  EngineState fresh = StartEngine(options, engine.boot + 1, Now(*world.driver));
   fresh.counts = engine.counts;
   fresh.counts.lost += lost.size();
   fresh.highest_fencing = engine.highest_fencing;
--- a/lab/src/scenario_events.cc
+++ b/lab/src/scenario_events.cc
@@ -161,6 +161,14 @@
   }
 }
 
+/// It loses its cache and what made it fast. What it has in progress stays, and
+/// so does what it bears: no router could know in time, since nothing shows.
+void TurnColdAgain(World& world, const std::string& name) {
+  EngineState& engine = FindEndpoint(world, name)->engine;
+  TurnCold(engine);
+  engine.options.cold_bears = 0;
+}
+
 void Deploy(World& world, const EventSpec& event) {
   const std::string& text =
       event.text.empty() ? world.published->text : event.text;
@@ -177,9 +185,7 @@
       }
       return;
     case EventKind::kCold:
-      for (const auto& name : event.names) {
-        TurnCold(FindEndpoint(world, name)->engine);
-      }
+      for (const auto& name : event.names) TurnColdAgain(world, name);
       return;
     case EventKind::kLag:
       return Lag(world, event, milliseconds(10'000));
--- a/lab/src/scenario_lua.cc
+++ b/lab/src/scenario_lua.cc
@@ -186,11 +186,22 @@
   return words;
 }
 
+/// A path in a scenario is relative to the scenario's own directory.
+std::string BesideScenario(const ScenarioBuilder& builder,
+                           const std::string& path) {
+  if (path.empty() || path[0] == '/') return path;
+  const std::string& file = builder.scenario.file;
+  const auto slash = file.rfind('/');
+  if (slash == std::string::npos) return path;
+  return file.substr(0, slash + 1) + path;
+}
+
 std::optional<int> Fleet(ScenarioBuilder& builder, Fields& fields, int line) {
   builder.fleet.line = line;
   builder.fleet.nodes = TakeCount(fields, "nodes", 7);
   builder.fleet.zones = TakeList(fields, "zones");
-  builder.fleet.rules_file = TakeString(fields, "rules", "");
+  builder.fleet.rules_file =
+      BesideScenario(builder, TakeString(fields, "rules", ""));
   if (builder.fleet.zones.empty()) builder.fleet.zones = {"a", "b", "c"};
   Scenario& scenario = builder.scenario;
   scenario.seed = TakeCount(fields, "seed", 1);
@@ -292,7 +303,8 @@
   event.lasts = TakeMillis(fields, "lasts", kNever);
   event.text = TakeString(fields, "fault", "");
   if constexpr (kKind == EventKind::kDeploy) {
-    const std::string file = TakeString(fields, "rules", "");
+    const std::string file =
+        BesideScenario(builder, TakeString(fields, "rules", ""));
     if (!file.empty()) {
       auto text = kernel::ReadFile(file);
       if (!text) fields.error = "deploy: " + kernel::Describe(text.error());
--- a/lab/src/scenario_world_p.h
+++ b/lab/src/scenario_world_p.h
@@ -37,7 +37,8 @@
   std::uint32_t tries = 0;
   std::uint32_t runs = 0;  ///< Taken by endpoints.
   std::string lane;        ///< Of a class that may not be repeated.
-  node::CallId call = 0;   ///< In progress; 0: none.
+  std::string lane_address;
+  node::CallId call = 0;  ///< In progress; 0: none.
 };
 
 /// A caller's process: what it last heard from `/where`.
@@ -45,6 +46,7 @@
   std::string zone;
   std::vector<std::string> addresses;
   std::string lane;
+  std::string lane_address;
   std::optional<Time> asked;
   std::chrono::milliseconds keep_for{};
 };
--- a/node/include/egretladder/node/limits.h
+++ b/node/include/egretladder/node/limits.h
@@ -27,6 +27,10 @@
 /// Addresses in that answer: one to use and two to turn to.
 inline constexpr std::size_t kWhereAddresses = 3;
 
+/// A node on the small side of a cut names another node of the other side after
+/// so long.
+inline constexpr std::chrono::milliseconds kWhereTurn{50};
+
 /// Between two accounts of evidence and wanted slots to the fleet.
 inline constexpr std::chrono::milliseconds kEvidencePeriod{50};
 
--- a/node/include/egretladder/node/node.h
+++ b/node/include/egretladder/node/node.h
@@ -188,6 +188,8 @@
   std::vector<std::string> addresses;  ///< Best first.
   std::chrono::milliseconds keep_for{};
   std::string lane;  ///< Empty while the node leaves.
+  /// The node that owns the lane: a call sent there needs no passing on.
+  std::string lane_address;
 };
 WhereAnswer Where(NodeState& state, std::string_view zone, Time now);
 
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -86,20 +86,6 @@
 
 bool IsIdle(const NodeState& state) { return state.calls.empty(); }
 
-WhereAnswer Where(NodeState& state, std::string_view zone, Time now) {
-  WhereAnswer answer;
-  answer.keep_for = kWhereKeep;
-  for (const fleet::Member& member :
-       fleet::Where(*state.fleet, zone, kWhereAddresses, now)) {
-    answer.addresses.push_back(member.caller_address);
-  }
-  const bool ready = fleet::RulesOf(*state.fleet) != nullptr;
-  if (ready && !state.leaving) {
-    answer.lane = fleet::Encode(fleet::IssueLane(*state.lanes, now));
-  }
-  return answer;
-}
-
 NodeView ViewOf(const NodeState& state, Time now) {
   NodeView view;
   view.leaving = state.leaving;
--- a/node/tests/calls_test.cc
+++ b/node/tests/calls_test.cc
@@ -261,6 +261,23 @@
   CHECK_FALSE(ViewOf(*n1_.state, harness_.now()).ready);
 }
 
+// The network cuts one node off from the two others. It holds no leases, so
+// callers who ask it are told of a node on the other side first.
+TEST(Calls, NamesTheOtherSideOfACutFirst) {
+  std::string text = en::test::RulesText(2);
+  text += "n3 = callers=10.0.1.3:1 peers=10.0.1.3:2 zone=yeka ; H\n";
+  harness_.Publish(text);
+  harness_.Step(3s);
+  auto where = en::Where(*n1_.state, "bole", harness_.now());
+  STRCMP_EQUAL("10.0.1.1:1", where.addresses[0].c_str());
+  STRCMP_EQUAL("10.0.1.1:1", where.lane_address.c_str());
+  harness_.n2().running = false;
+  harness_.Step(8s);
+  where = en::Where(*n1_.state, "bole", harness_.now());
+  CHECK_EQUAL(2U, where.addresses.size());
+  CHECK(where.addresses[0] != "10.0.1.1:1");
+}
+
 TEST(Calls, NamesCodesAndStatuses) {
   for (int code = 0; code <= static_cast<int>(AnswerCode::kOutcomeUnknown);
        ++code) {
--- /dev/null
+++ b/scenarios/fails-burst.lua
@@ -0,0 +1,19 @@
+-- A broker sends a batch of several times what the engines bear, without warning.
+-- A buyer who asks during the batch notices nothing; the broker hears at once
+-- which of its checks did not run and when to come back.
+fleet{nodes=7, zones={"bole", "kality", "yeka"}}
+endpoints{name="engine", count=6, serves="chat", bears=16, cold_bears=4}
+endpoints{name="seats", count=3, serves="seats", service=true, bears=16, cold_bears=8}
+class{name="buyer", tier=1, first_token="800ms", max_wait="2s"}
+class{name="pay", tier=1, first_token="1s", max_wait="3s", repeatable=false}
+class{name="bulk", tier=5, first_token="20s", max_wait="90s"}
+account{name="abay", classes={"buyer", "pay", "bulk"}}
+account{name="broker", classes={"bulk"}}
+load{class="buyer", account="abay", target="chat", rate=20, output=60}
+load{class="pay", account="abay", target="seats", rate=5, output=1, retries=4}
+load{class="bulk", account="abay", target="chat", rate=3, output=200}
+at("30s", burst{class="bulk", account="broker", target="chat", rate=200, output=120, lasts="30s"})
+run("90s")
+expect{"attainment", class="buyer", from="25s", at_least=0.97}
+expect{"served", class="bulk", from="30s", at_least=500}
+expect{"wasted", at_most=0.05}
--- /dev/null
+++ b/scenarios/holds-01-higher-tier-first.lua
@@ -0,0 +1,19 @@
+-- The engines are far too few for all who ask, with every tier in the queue.
+-- What is turned away and what is cancelled for others is always the lowest
+-- work at hand; a buyer is not turned away while a trace summary waits.
+fleet{nodes=7, zones={"bole", "kality", "yeka"}}
+endpoints{name="engine", count=6, serves="chat", bears=16, cold_bears=4}
+endpoints{name="seats", count=3, serves="seats", service=true, bears=16, cold_bears=8}
+class{name="buyer", tier=1, first_token="800ms", max_wait="2s"}
+class{name="pay", tier=1, first_token="1s", max_wait="3s", repeatable=false}
+class{name="bulk", tier=5, first_token="20s", max_wait="90s"}
+account{name="abay", classes={"buyer", "pay", "bulk"}}
+account{name="broker", classes={"bulk"}}
+load{class="buyer", account="abay", target="chat", rate=20, output=60}
+load{class="pay", account="abay", target="seats", rate=5, output=1, retries=4}
+load{class="bulk", account="abay", target="chat", rate=3, output=200}
+at("25s", burst{class="buyer", account="abay", target="chat", rate=40, output=60, lasts="25s"})
+at("30s", burst{class="bulk", account="broker", target="chat", rate=60, output=200, lasts="20s"})
+run("70s")
+expect{"attainment", class="buyer", from="25s", at_least=0.9}
+expect{"refused", class="bulk", at_least=1}
--- /dev/null
+++ b/scenarios/twice-platform-down-and-zone-out.lua
@@ -0,0 +1,20 @@
+-- Operators take a zone out, and right afterwards the configuration service goes
+-- down while a node is cut off. Those that heard tell the others; the zone gets
+-- no new work.
+fleet{nodes=7, zones={"bole", "kality", "yeka"}}
+endpoints{name="engine", count=6, serves="chat", bears=16, cold_bears=4}
+endpoints{name="seats", count=3, serves="seats", service=true, bears=16, cold_bears=8}
+class{name="buyer", tier=1, first_token="800ms", max_wait="2s"}
+class{name="pay", tier=1, first_token="1s", max_wait="3s", repeatable=false}
+class{name="bulk", tier=5, first_token="20s", max_wait="90s"}
+account{name="abay", classes={"buyer", "pay", "bulk"}}
+account{name="broker", classes={"bulk"}}
+load{class="buyer", account="abay", target="chat", rate=20, output=60}
+load{class="pay", account="abay", target="seats", rate=5, output=1, retries=4}
+load{class="bulk", account="abay", target="chat", rate=3, output=200}
+at("30s", zone_out{"yeka"})
+at("31s", platform{fault="down", lasts="40s"})
+at("33s", cut{node="node-7", lasts="20s"})
+run("90s")
+expect{"new_work", zone="yeka", from="35s", at_most=0}
+expect{"attainment", class="buyer", from="25s", at_least=0.9}
