Prove the fleet under storms of faults, and mend what they showed

Change: a keeper that takes over counts what runs by the first report before it leases; grants end by proof in an ask (live_from), not by time; a keeper that lost its mandate for a moment goes on with its book; a take-over starts from the total that the holders heard; the node tells its calls in the same step as the fleet ticks.

--- a/fleet/include/egretladder/fleet/fleet.h
+++ b/fleet/include/egretladder/fleet/fleet.h
@@ -130,7 +130,9 @@
 /// An endpoint's answer to `ReadReport`. Null: it could not be read.
 void OnReport(FleetState& state, EndpointHandle endpoint,
               const policy::EngineReport* report, Time now, Actions& out);
-/// What this node saw of answers and of its load at an endpoint.
+/// What this node saw of answers and of its load at an endpoint. Call it for
+/// each endpoint with work right before `OnTick`: the asks that go out there
+/// must not leave out a call that has begun.
 void OnEvidence(FleetState& state, EndpointHandle endpoint,
                 const policy::SlotEvidence& evidence, std::uint32_t in_flight,
                 std::uint32_t wanted, Time now);
--- a/fleet/include/egretladder/fleet/lease.h
+++ b/fleet/include/egretladder/fleet/lease.h
@@ -23,10 +23,10 @@
 
 using kernel::Time;
 
-/// Slots that a holder may use until then.
+/// Slots granted in answer to one ask.
 struct Grant {
+  std::uint64_t ask_number = 0;
   std::uint32_t slots = 0;
-  Time until{};
 };
 
 /// A process that asked for slots. A restarted one is another holder: what its
@@ -39,8 +39,12 @@
   /// answer takes longer than any lease.
   std::uint32_t in_flight = 0;
   Time asked{};
-  bool counted = false;       ///< Its former lease, for a take-over.
-  std::vector<Grant> grants;  ///< Any of them may be the one in use.
+  bool claimed = false;  ///< Said what an earlier keeper's total was.
+  bool known = false;    ///< Its calls are no strangers' any more.
+  /// Any of them may be the one in use, until an ask shows otherwise. Time
+  /// alone ends none: a call begun in a lease's last moment runs on after it.
+  std::vector<Grant> grants;
+  bool replaced = false;  ///< A newer process of the node has asked.
 };
 
 /// What the keeper of one endpoint keeps.
@@ -48,18 +52,29 @@
   policy::SlotState slots;
   std::uint32_t floor_sum = 0;  ///< Of all nodes; never leased.
   std::vector<Holder> holders;
-  std::uint32_t held_sum = 0;  ///< That holders had of an earlier keeper.
+  std::uint32_t claimed = 0;  ///< Total of an earlier keeper, by the holders.
   Time opened{};
+  Time resumed{};
+  /// Calls of nodes that this keeper has not heard since it began: at first all
+  /// that run, by the first report; each node's first ask takes its own off.
+  std::uint32_t strangers = 0;
   Time take_over_until{};
   std::optional<policy::EngineReport> report;
+  bool ready = false;  ///< Strangers are counted; slots may be granted.
   Time report_at{};
   Time sign_of_life{};  ///< Last report or answer in time.
   Time next_report{};
 };
 
 /// Starts the book of an endpoint: as cold, whatever it was.
-void OpenBook(KeeperBook& book, std::uint32_t cold_bears, std::uint32_t bears,
-              std::uint32_t floor_sum, Time now);
+void OpenBook(KeeperBook& book, const rules::Endpoint& endpoint, Time now);
+/// Goes on with a book after a break in which nobody else kept the endpoint.
+/// One without reports may have restarted unseen: it counts as cold.
+void ResumeBook(KeeperBook& book, const rules::Endpoint& endpoint, Time stopped,
+                Time now);
+/// A round of asks has passed on an endpoint without reports: each of the
+/// `silent` nodes may have a call there.
+void SuspectStrangers(KeeperBook& book, std::uint32_t silent);
 
 /// Takes over what a new version says the endpoint bears.
 void ChangeBears(KeeperBook& book, const rules::Endpoint& endpoint, Time now);
@@ -68,7 +83,7 @@
 std::uint32_t PoolOf(const KeeperBook& book);
 /// Most that holders may be using now, beside their floors: what they were
 /// granted or, if more, what they said to run.
-std::uint32_t GrantedSum(const KeeperBook& book, Time now);
+std::uint32_t GrantedSum(const KeeperBook& book);
 
 /// Takes an ask into account: its evidence, what it wants, what it held.
 /// Returns why the endpoint's slots changed, if they did.
@@ -83,9 +98,14 @@
 policy::SlotReason TakeReport(KeeperBook& book,
                               const policy::EngineReport* report, Time now);
 
+/// A holder that may use more than its part, and what it is told to keep.
+struct Cut {
+  Sender process;
+  Grant keep;
+};
 /// Holders whose grants exceed their part by now, for instance because the
 /// endpoint turned cold: they are told at once, before their leases lapse.
-std::vector<Holder> HoldersToCut(KeeperBook& book, Time now);
+std::vector<Cut> HoldersToCut(KeeperBook& book, Time now);
 
 /// What a holder knows of its own slots at one endpoint.
 struct HeldSlots {
@@ -94,15 +114,15 @@
   Time until{};
   std::uint64_t ask_number = 0;  ///< That the lease answers.
   Time last_lease{};
-  std::uint32_t last_slots = 0;
-  std::uint64_t boot = 0;  ///< Of the endpoint, as the keeper last reported.
-  Time dropped{};          ///< Leases asked for before don't count.
+  std::uint32_t total = 0;  ///< Of all nodes, by that lease.
+  std::uint64_t boot = 0;   ///< Of the endpoint, as the keeper last reported.
+  Time dropped{};           ///< Leases asked for before don't count.
   std::uint32_t in_flight = 0;
   std::uint32_t wanted = 0;
   bool down = false;  ///< Died or refused since the last ask.
   policy::SlotEvidence evidence;
   Time last_ask{};
-  std::uint32_t keeper_shift = 0;  ///< Ranks passed over for want of an answer.
+  std::uint32_t keeper_turn = 0;  ///< Of nodes asked besides the first.
 };
 
 /// Slots this node may fill now.
--- a/fleet/include/egretladder/fleet/limits.h
+++ b/fleet/include/egretladder/fleet/limits.h
@@ -53,6 +53,10 @@
 inline constexpr std::chrono::milliseconds kGoneAfter{5000};
 static_assert(kGoneAfter * 4 >= (kMandate + kLeaseLife) * 5,
               "two keepers could lease at once");
+/// A report at most so much older than a keeper's beginning shows all calls
+/// that its predecessor's leases let in: they had lapsed by then.
+inline constexpr std::chrono::milliseconds kOpeningMargin{
+    kGoneAfter - kMandate - kLeaseLife};
 /// How long a supporter must have answered without a break before it counts:
 /// what a former keeper leased by its vote has lapsed then.
 inline constexpr std::chrono::milliseconds kSupportWait{kMandate + kLeaseLife};
@@ -111,7 +115,7 @@
 /// would lie idle at their owners while others wait; none would leave nodes
 /// without a keeper nothing at any endpoint.
 inline constexpr std::uint32_t kFloorPart = 4;
-/// Without a lease for so long, the next in rank is asked.
+/// Without a lease for so long, others than the first in rank are asked too.
 inline constexpr std::chrono::milliseconds kAskPatience{1200};
 /// Lots for slots that don't go round are drawn anew so often.
 inline constexpr std::chrono::seconds kLotsEvery{4};
--- a/fleet/include/egretladder/fleet/membership.h
+++ b/fleet/include/egretladder/fleet/membership.h
@@ -102,6 +102,10 @@
 /// for long enough. `keeping`: the duty goes on from an earlier list of nodes.
 bool Supports(const MembershipState& state, std::string_view voter,
               bool keeping, Time now);
+/// True when `voter` has answered this node without a break since `then`, and
+/// so supported nobody else meanwhile.
+bool SupportedSince(const MembershipState& state, std::string_view voter,
+                    Time then);
 /// True when `voter` said within a mandate that `node` is gone.
 bool VotesGone(const MembershipState& state, std::string_view voter,
                std::string_view node, Time now);
--- a/fleet/include/egretladder/fleet/messages.h
+++ b/fleet/include/egretladder/fleet/messages.h
@@ -67,9 +67,14 @@
   std::string endpoint;
   std::uint32_t in_flight = 0;  ///< Beyond the node's floor.
   std::uint32_t wanted = 0;     ///< Beyond the node's floor.
-  std::uint32_t held = 0;  ///< Last leased; a keeper that takes over starts
-                           ///< from the sum when the boot is the same.
-  std::uint64_t held_boot = 0;  ///< Of the endpoint under that lease.
+  /// The endpoint's slots in all, as its keeper last said, and under which
+  /// boot: a keeper that takes over goes on from there when the boot is the
+  /// same.
+  std::uint32_t total = 0;
+  std::uint64_t total_boot = 0;
+  /// No lease that answers an earlier ask is in use or will be taken any more;
+  /// `in_flight` says all that is left of them.
+  std::uint64_t live_from = 0;
   bool down = false;  ///< It died or refused connections since the last ask.
   policy::SlotEvidence evidence;
 };
@@ -80,6 +85,7 @@
   std::uint32_t slots = 0;
   std::chrono::milliseconds left{};
   std::uint64_t ask_number = 0;
+  std::uint32_t total = 0;  ///< Slots of the endpoint, summed over all nodes.
   /// The keeper's last report, so that holders need no stream of their own.
   std::uint64_t boot = 0;
   std::uint32_t running = 0;
--- a/fleet/src/electorate.cc
+++ b/fleet/src/electorate.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 
 #include "egretladder/fleet/limits.h"
 #include "egretladder/kernel/hash.h"
@@ -34,7 +35,10 @@
   int distance = 0;
   std::uint64_t rank = 0;
   std::uint32_t idx = 0;
-  auto operator<=>(const Ranked&) const = default;
+  friend bool operator<(const Ranked& left, const Ranked& right) {
+    return std::tie(left.distance, left.rank, left.idx) <
+           std::tie(right.distance, right.rank, right.idx);
+  }
 };
 
 }  // namespace
--- a/fleet/src/fleet_keeper.cc
+++ b/fleet/src/fleet_keeper.cc
@@ -44,11 +44,29 @@
   return true;
 }
 
+/// True when a majority has supported this node without a break since it
+/// stopped: it lost its mandate for a moment only, and what it leased before is
+/// still out. A fresh book would lease the same slots again.
+bool NobodyElseKept(const FleetState& state, const EndpointState& endpoint) {
+  const auto unbroken = static_cast<std::size_t>(std::count_if(
+      endpoint.voters.begin(), endpoint.voters.end(),
+      [&](const std::string& voter) {
+        return SupportedSince(state.members, voter, endpoint.stopped);
+      }));
+  return unbroken >= MajorityOf(endpoint.voters.size());
+}
+
 void StartKeeping(FleetState& state, EndpointHandle handle, Time now) {
   const rules::Endpoint& row = RowOf(state, handle);
   EndpointState& endpoint = state.endpoints[handle.idx];
-  endpoint.book.emplace();
-  OpenBook(*endpoint.book, row.cold_bears, row.bears, FloorSum(row), now);
+  if (endpoint.former.has_value() && NobodyElseKept(state, endpoint)) {
+    endpoint.book = std::move(endpoint.former);
+    ResumeBook(*endpoint.book, row, endpoint.stopped, now);
+  } else {
+    endpoint.book.emplace();
+    OpenBook(*endpoint.book, row, now);
+  }
+  endpoint.former.reset();
   EndpointOrders& orders = state.orders.kept[handle];
   orders = {};
   orders.kept_since = now;
@@ -57,13 +75,30 @@
       "Keeps endpoint " + row.source.name + ".");
 }
 
-void StopKeeping(FleetState& state, EndpointHandle handle) {
-  state.endpoints[handle.idx].book.reset();
+void StopKeeping(FleetState& state, EndpointHandle handle, Time now) {
+  EndpointState& endpoint = state.endpoints[handle.idx];
+  endpoint.former = std::move(endpoint.book);
+  endpoint.book.reset();
+  endpoint.stopped = now;
   state.orders.kept.erase(handle);
   Log(LogPart::kFleet, LogLevel::kInfo,
       "Keeps endpoint " + RowOf(state, handle).source.name + " no longer.");
 }
 
+/// Published nodes, this one among them, without an ask in the book.
+std::uint32_t SilentNodes(const FleetState& state, const KeeperBook& book) {
+  const auto asked = [&](const std::string& node) {
+    return std::any_of(
+        book.holders.begin(), book.holders.end(),
+        [&](const Holder& holder) { return holder.process.node == node; });
+  };
+  std::uint32_t silent = asked(state.members.self.node) ? 0 : 1;
+  for (const auto& [name, peer] : state.members.peers) {
+    if (peer.published && !asked(name)) ++silent;
+  }
+  return silent;
+}
+
 void AskReport(FleetState& state, EndpointHandle handle, Time now,
                Actions& out) {
   EndpointState& endpoint = state.endpoints[handle.idx];
@@ -143,7 +178,10 @@
   lease.slots = slots;
   lease.left = kLeaseLife;
   lease.ask_number = ask_number;
-  FillReport(state, *state.endpoints[handle.idx].book, lease, now);
+  // Until the keeper knows what it took over, what a former one said counts.
+  const KeeperBook& book = *state.endpoints[handle.idx].book;
+  lease.total = book.ready ? book.slots.slots : 0;
+  FillReport(state, book, lease, now);
   return lease;
 }
 
@@ -165,8 +203,14 @@
     const bool keeps = endpoint.book.has_value();
     const bool may = MayKeep(state, endpoint, now);
     if (may && !keeps) StartKeeping(state, {i}, now);
-    if (!may && keeps) StopKeeping(state, {i});
+    if (!may && keeps) StopKeeping(state, {i}, now);
     if (!endpoint.book.has_value()) continue;
+    // An engine whose reports can't be read is treated like a service.
+    const auto wait =
+        endpoint.has_reports ? kHolderSilent + kReportLost : kHolderSilent;
+    if (!endpoint.book->ready && now - endpoint.book->opened >= wait) {
+      SuspectStrangers(*endpoint.book, SilentNodes(state, *endpoint.book));
+    }
     AskReport(state, {i}, now, out);
     GiveOrder(state, {i}, now, out);
   }
@@ -207,15 +251,15 @@
 void CutHolders(FleetState& state, EndpointHandle handle, Time now,
                 Actions& out) {
   EndpointState& endpoint = state.endpoints[handle.idx];
-  for (const Holder& holder : HoldersToCut(*endpoint.book, now)) {
+  for (const Cut& cut : HoldersToCut(*endpoint.book, now)) {
     SlotLeases leases;
-    leases.leases.push_back(MakeLease(state, handle, holder.grants[0].slots,
-                                      holder.ask_number, now));
-    if (holder.process.node == state.members.self.node) {
+    leases.leases.push_back(
+        MakeLease(state, handle, cut.keep.slots, cut.keep.ask_number, now));
+    if (cut.process.node == state.members.self.node) {
       TakeLeases(state, leases, now, out);
       continue;
     }
-    const std::string& address = AddressOf(state, holder.process.node);
+    const std::string& address = AddressOf(state, cut.process.node);
     if (!address.empty()) {
       out.emplace_back(SendMessage{address, std::move(leases)});
     }
--- a/fleet/src/fleet_slots.cc
+++ b/fleet/src/fleet_slots.cc
@@ -68,11 +68,12 @@
   neighbours.insert(endpoint.voters.begin(), endpoint.voters.end());
 }
 
-/// The node to ask for slots: the first that seems there; another one after
-/// each stretch without an answer. Empty: nobody.
-std::string KeeperToAsk(const FleetState& state, const EndpointState& endpoint,
-                        Time now) {
-  std::vector<const std::string*> there;
+/// Nodes to ask for slots: the first that seems there and, while no lease
+/// comes, another one in turn, since this node's view of who is there may be
+/// wrong. Only a node that keeps the endpoint answers.
+std::vector<std::string> KeepersToAsk(const FleetState& state,
+                                      EndpointState& endpoint, Time now) {
+  std::vector<std::string> there;
   for (const std::string& voter : endpoint.voters) {
     const bool self = voter == state.members.self.node;
     const auto found = state.members.peers.find(voter);
@@ -80,10 +81,25 @@
         self ? state.leaving
              : found == state.members.peers.end() ||
                    StateOf(found->second, now) != MemberState::kAlive;
-    if (!gone) there.push_back(&voter);
+    if (!gone) there.push_back(voter);
   }
-  if (there.empty()) return {};
-  return *there[endpoint.held.keeper_shift % there.size()];
+  if (there.size() <= 1) return there;
+  const bool answered = now - endpoint.held.last_lease < kAskPatience;
+  if (answered) return {there[0]};
+  const std::size_t turn = endpoint.held.keeper_turn++ % (there.size() - 1);
+  return {there[0], there[1 + turn]};
+}
+
+/// The first ask whose answer could still be taken; see `TakeLease`.
+std::uint64_t LiveFrom(const FleetState& state, const HeldSlots& held,
+                       Time now) {
+  std::uint64_t first = state.asks;
+  for (const auto& [number, sent] : state.asks_sent) {
+    if (now - sent >= kLeaseLife - kFreshFor) continue;
+    first = number;
+    break;
+  }
+  return std::max(first, held.ask_number);
 }
 
 SlotAsk MakeAsk(FleetState& state, EndpointHandle handle, Time now) {
@@ -92,8 +108,9 @@
   ask.endpoint = RowOf(state, handle).source.name;
   ask.in_flight = held.in_flight - std::min(held.in_flight, held.floor);
   ask.wanted = held.wanted - std::min(held.wanted, held.floor);
-  ask.held = held.last_slots;
-  ask.held_boot = held.boot;
+  ask.total = held.total;
+  ask.total_boot = held.boot;
+  ask.live_from = LiveFrom(state, held, now);
   ask.down = held.down;
   ask.evidence = held.evidence;
   held.evidence = {};
@@ -102,34 +119,31 @@
   return ask;
 }
 
-void PassOver(HeldSlots& held, Time now) {
-  if (now - held.last_lease < kAskPatience) return;
-  ++held.keeper_shift;
-  held.last_lease = now;
+using Asks = std::vector<std::pair<EndpointHandle, SlotAsk>>;
+
+void AskSelf(FleetState& state, std::uint64_t number, const Asks& asks,
+             Time now, Actions& out) {
+  const Sender self{state.members.self.node, state.members.self.incarnation};
+  SlotLeases leases;
+  for (const auto& [endpoint, ask] : asks) {
+    if (!state.endpoints[endpoint.idx].book.has_value()) continue;
+    leases.leases.push_back(AnswerAsk(state, endpoint, self, number, ask, now));
+  }
+  TakeLeases(state, leases, now, out);
 }
 
-void SendAsks(FleetState& state, const std::string& keeper,
-              const std::vector<EndpointHandle>& endpoints, Time now,
-              Actions& out) {
+void SendAsks(FleetState& state, const std::string& keeper, const Asks& asks,
+              Time now, Actions& out) {
   const std::uint64_t number = ++state.asks;
   state.asks_sent[number] = now;
-  const Sender self{state.members.self.node, state.members.self.incarnation};
-  SlotAsks asks;
-  asks.number = number;
-  SlotLeases own;
-  for (const EndpointHandle endpoint : endpoints) {
-    SlotAsk ask = MakeAsk(state, endpoint, now);
-    if (keeper != self.node) {
-      asks.asks.push_back(std::move(ask));
-    } else if (state.endpoints[endpoint.idx].book.has_value()) {
-      own.leases.push_back(AnswerAsk(state, endpoint, self, number, ask, now));
-    }
-  }
-  if (keeper == self.node) {
-    TakeLeases(state, own, now, out);
-  } else {
-    out.emplace_back(SendMessage{AddressOf(state, keeper), std::move(asks)});
+  if (keeper == state.members.self.node) {
+    AskSelf(state, number, asks, now, out);
+    return;
   }
+  SlotAsks message;
+  message.number = number;
+  for (const auto& [endpoint, ask] : asks) message.asks.push_back(ask);
+  out.emplace_back(SendMessage{AddressOf(state, keeper), std::move(message)});
 }
 
 }  // namespace
@@ -177,16 +191,19 @@
 }
 
 void AskForSlots(FleetState& state, Time now, Actions& out) {
-  std::map<std::string, std::vector<EndpointHandle>> by_keeper;
+  std::map<std::string, Asks> by_keeper;
   for (std::uint32_t i = 0; i < state.endpoints.size(); ++i) {
     EndpointState& endpoint = state.endpoints[i];
     if (!endpoint.available || !AskIsDue(endpoint.held, now)) continue;
-    PassOver(endpoint.held, now);
-    const std::string keeper = KeeperToAsk(state, endpoint, now);
-    if (!keeper.empty()) by_keeper[keeper].push_back({i});
+    const auto keepers = KeepersToAsk(state, endpoint, now);
+    if (keepers.empty()) continue;
+    const SlotAsk ask = MakeAsk(state, {i}, now);
+    for (const std::string& keeper : keepers) {
+      by_keeper[keeper].emplace_back(EndpointHandle{i}, ask);
+    }
   }
-  for (const auto& [keeper, endpoints] : by_keeper) {
-    SendAsks(state, keeper, endpoints, now, out);
+  for (const auto& [keeper, asks] : by_keeper) {
+    SendAsks(state, keeper, asks, now, out);
   }
   std::erase_if(state.asks_sent, [&](const auto& entry) {
     return now - entry.second >= kLeaseLife;
--- a/fleet/src/lease_holder.cc
+++ b/fleet/src/lease_holder.cc
@@ -22,15 +22,14 @@
   held.leased = lease.slots;
   held.until = until;
   held.last_lease = now;
-  held.last_slots = lease.slots;
+  if (lease.total != 0) held.total = lease.total;
   if (lease.boot != 0) held.boot = lease.boot;
-  held.keeper_shift = 0;
   return true;
 }
 
 void DropLease(HeldSlots& held, Time now) {
   held.leased = 0;
-  held.last_slots = 0;
+  held.total = 0;
   held.boot = 0;
   held.dropped = now;
 }
--- a/fleet/src/lease_keeper.cc
+++ b/fleet/src/lease_keeper.cc
@@ -20,11 +20,9 @@
   return found == book.holders.end() ? nullptr : &*found;
 }
 
-std::uint32_t Outstanding(const Holder& holder, Time now) {
+std::uint32_t Outstanding(const Holder& holder) {
   std::uint32_t most = holder.in_flight;
-  for (const Grant& grant : holder.grants) {
-    if (now < grant.until) most = std::max(most, grant.slots);
-  }
+  for (const Grant& grant : holder.grants) most = std::max(most, grant.slots);
   return most;
 }
 
@@ -42,39 +40,46 @@
              : std::chrono::milliseconds(kSilentCallsKept);
 }
 
-/// Drops lapsed grants. A holder that fell silent may have filled them to the
-/// last moment: its calls then run on, though its lease is over.
-void DropLapsed(Holder& holder, Time now) {
-  for (const Grant& grant : holder.grants) {
-    if (now < grant.until || HasPart(holder, now)) continue;
-    holder.in_flight = std::max(holder.in_flight, grant.slots);
-  }
-  std::erase_if(holder.grants,
-                [&](const Grant& grant) { return now >= grant.until; });
-}
-
+/// Forgets holders that have been silent for longer than a lease and what it
+/// started may last.
 void Prune(KeeperBook& book, Time now) {
-  const auto kept = SilentCallsKept(book);
-  for (Holder& holder : book.holders) DropLapsed(holder, now);
+  const auto kept = std::max(SilentCallsKept(book), kLeaseLife);
   std::erase_if(book.holders, [&](const Holder& holder) {
-    const bool runs = holder.in_flight > 0 && now - holder.asked < kept;
-    return holder.grants.empty() && !HasPart(holder, now) && !runs;
+    return now - holder.asked >= (holder.replaced ? kLeaseLife : kept);
   });
 }
 
-/// What the endpoint says to run beyond what the holders may be running: calls
-/// of nodes that this keeper has never heard, or of a former keeper's leases.
-std::uint32_t Unaccounted(const KeeperBook& book, Time now) {
-  if (!book.report.has_value()) return 0;
-  const std::uint32_t reported = book.report->running + book.report->waiting;
-  const std::uint32_t known = GrantedSum(book, now) + book.floor_sum;
-  return reported > known ? reported - known : 0;
+/// Calls at the endpoint that no holder's entry stands for.
+std::uint32_t StrangersAt(const KeeperBook& book, Time now) {
+  if (now - book.opened >= SilentCallsKept(book)) return 0;
+  if (book.report.has_value()) return book.strangers;
+  // One slot stays to begin with: its answers let the endpoint grow, while none
+  // would leave it idle for as long as strangers count.
+  return std::min(book.strangers, book.slots.cold_bears - 1);
+}
+
+/// A report taken before a former keeper's last leases lapsed misses the calls
+/// that they let in.
+bool ShowsAllStrangers(const KeeperBook& book,
+                       const policy::EngineReport& report, Time now) {
+  return now - report.age >= book.opened - kOpeningMargin;
+}
+
+/// Nothing that ran before a new boot runs on. (A death that a node reports is
+/// no proof of one: a process that was paused notices long after.) Holders that
+/// ask say so themselves, and may have calls there again already; the silent
+/// ones can't.
+void ForgetSilentCalls(KeeperBook& book, Time now) {
+  for (Holder& holder : book.holders) {
+    if (!HasPart(holder, now)) holder.in_flight = 0;
+  }
 }
 
-/// A keeper that has just begun knows no holder's calls. It waits for one round
-/// of asks, or for a report, which shows the calls of all.
-bool MayGrant(const KeeperBook& book, Time now) {
-  return book.report.has_value() || now - book.opened >= kHolderSilent;
+/// A keeper that begins, or goes on after a break, first needs to know what
+/// runs at the endpoint and whether it restarted meanwhile.
+bool MayGrant(const KeeperBook& book) {
+  return book.ready &&
+         (!book.report.has_value() || book.report_at >= book.resumed);
 }
 
 /// A newer process of a node has asked: calls of its predecessor are gone.
@@ -82,7 +87,9 @@
   for (Holder& holder : book.holders) {
     const bool older = holder.process.node == newer.node &&
                        holder.process.incarnation != newer.incarnation;
-    if (older) holder.in_flight = 0;
+    if (!older) continue;
+    holder.in_flight = 0;
+    holder.replaced = true;
   }
 }
 
@@ -140,26 +147,26 @@
 }
 
 /// A keeper that takes over an endpoint which did not restart goes on from what
-/// its holders had, in place of a cold start: a node that stops would throw its
-/// warm endpoints back to the few requests they bear cold.
-void TakeOverSlots(KeeperBook& book, Holder& holder, const SlotAsk& ask,
+/// its holders last heard, in place of a cold start: a node that stops would
+/// throw its warm endpoints back to the few requests they bear cold. Of several
+/// claims the lowest counts, since any of them may be old.
+void TakeOverTotal(KeeperBook& book, Holder& holder, const SlotAsk& ask,
                    Time now) {
-  const bool same_boot = book.report.has_value() && ask.held_boot != 0 &&
-                         book.report->boot == ask.held_boot &&
-                         book.slots.boot == ask.held_boot;
-  if (holder.counted || !same_boot || now >= book.take_over_until) return;
-  holder.counted = true;
-  book.held_sum += ask.held;
-  const std::uint32_t slots =
-      std::min(book.slots.bears, book.held_sum + book.floor_sum);
-  if (slots <= book.slots.slots) return;
-  book.slots.slots = slots;
+  if (!book.ready || holder.claimed) return;
+  holder.claimed = true;
+  const bool same_boot = book.report.has_value() && ask.total_boot != 0 &&
+                         book.report->boot == ask.total_boot &&
+                         book.slots.boot == ask.total_boot;
+  if (!same_boot || ask.total == 0 || now >= book.take_over_until) return;
+  if (book.claimed != 0 && ask.total >= book.claimed) return;
+  book.claimed = ask.total;
+  book.slots.slots =
+      std::clamp(ask.total, book.slots.cold_bears, book.slots.bears);
   book.slots.since = now;
 }
 
 policy::SlotReason Restart(KeeperBook& book, std::uint64_t boot, Time now) {
   book.take_over_until = now;
-  for (Holder& holder : book.holders) holder.in_flight = 0;
   return policy::StartSlots(book.slots, book.slots.cold_bears, book.slots.bears,
                             boot, now);
 }
@@ -171,21 +178,34 @@
   const std::uint64_t boot = book.slots.boot;
   const auto reason = policy::OnEvidence(book.slots, evidence, now);
   if (boot != 0 && book.slots.boot != boot) {
-    for (Holder& holder : book.holders) holder.in_flight = 0;
+    ForgetSilentCalls(book, now);
   }
   return reason;
 }
 
 }  // namespace
 
-void OpenBook(KeeperBook& book, std::uint32_t cold_bears, std::uint32_t bears,
-              std::uint32_t floor_sum, Time now) {
+void OpenBook(KeeperBook& book, const rules::Endpoint& endpoint, Time now) {
   book = {};
-  book.floor_sum = floor_sum;
+  book.floor_sum = FloorSum(endpoint);
   book.opened = now;
   book.sign_of_life = now;
   book.take_over_until = now + kLeaseLife;
-  policy::StartSlots(book.slots, cold_bears, bears, 0, now);
+  policy::StartSlots(book.slots, endpoint.cold_bears, endpoint.bears, 0, now);
+}
+
+void ResumeBook(KeeperBook& book, const rules::Endpoint& endpoint, Time stopped,
+                Time now) {
+  ChangeBears(book, endpoint, now);
+  book.resumed = now;
+  const bool unseen = now - stopped > kReportLost && !book.report.has_value();
+  if (unseen) Restart(book, book.slots.boot, now);
+}
+
+void SuspectStrangers(KeeperBook& book, std::uint32_t silent) {
+  book.ready = true;
+  book.strangers = silent;
+  for (Holder& holder : book.holders) holder.known = true;
 }
 
 void ChangeBears(KeeperBook& book, const rules::Endpoint& endpoint, Time now) {
@@ -206,9 +226,9 @@
                                            : 0;
 }
 
-std::uint32_t GrantedSum(const KeeperBook& book, Time now) {
+std::uint32_t GrantedSum(const KeeperBook& book) {
   std::uint32_t sum = 0;
-  for (const Holder& holder : book.holders) sum += Outstanding(holder, now);
+  for (const Holder& holder : book.holders) sum += Outstanding(holder);
   return sum;
 }
 
@@ -217,34 +237,43 @@
   Prune(book, now);
   Holder* holder = Find(book, from);
   if (holder == nullptr) {
-    book.holders.push_back({from, 0, 0, 0, now, false, {}});
+    holder = &book.holders.emplace_back();
+    holder->process = from;
     ForgetCallsOf(book, from);
-    holder = &book.holders.back();
   }
   // A doubled or overtaken ask would count its evidence twice.
   if (number <= holder->ask_number) return policy::SlotReason::kUnchanged;
   holder->ask_number = number;
   holder->wanted = std::max(ask.wanted, ask.in_flight);
   holder->in_flight = ask.in_flight;
+  if (book.ready && !holder->known) {
+    holder->known = true;
+    // Without a report each silent node was put down for one call.
+    const std::uint32_t own =
+        book.report.has_value() ? ask.in_flight : std::max(ask.in_flight, 1U);
+    book.strangers -= std::min(book.strangers, own);
+  }
+  std::erase_if(holder->grants, [&](const Grant& grant) {
+    return grant.ask_number < ask.live_from;
+  });
   holder->asked = now;
   if (ask.down) return Restart(book, book.slots.boot, now);
   if (ask.evidence.in_time > 0) book.sign_of_life = now;
-  TakeOverSlots(book, *holder, ask, now);
+  TakeOverTotal(book, *holder, ask, now);
   return TakeEvidence(book, ask.evidence, now);
 }
 
 std::uint32_t GrantSlots(KeeperBook& book, const Sender& from, Time now) {
   Prune(book, now);
   Holder* holder = Find(book, from);
-  if (holder == nullptr || !MayGrant(book, now)) return 0;
-  const std::uint32_t others = GrantedSum(book, now) -
-                               Outstanding(*holder, now) +
-                               Unaccounted(book, now);
+  if (holder == nullptr || !MayGrant(book)) return 0;
+  const std::uint32_t others =
+      GrantedSum(book) - Outstanding(*holder) + StrangersAt(book, now);
   const std::uint32_t pool = PoolOf(book);
   const std::uint32_t left = pool > others ? pool - others : 0;
   const std::uint32_t slots =
       std::min(PartOf(ShareOut(book, now), *holder), left);
-  if (slots > 0) holder->grants.push_back({slots, now + kLeaseLife});
+  if (slots > 0) holder->grants.push_back({holder->ask_number, slots});
   return slots;
 }
 
@@ -261,6 +290,13 @@
   book.report = *report;
   book.report_at = now;
   book.sign_of_life = now;
+  const std::uint32_t running = report->running + report->waiting;
+  if (book.ready) {
+    book.strangers = std::min(book.strangers, running);
+  } else if (ShowsAllStrangers(book, *report, now)) {
+    book.ready = true;
+    book.strangers = running;
+  }
   if (first && book.slots.boot == 0) {
     book.slots.boot = report->boot;
     return policy::SlotReason::kUnchanged;
@@ -268,18 +304,24 @@
   return TakeEvidence(book, {0, 0, 0, report->boot}, now);
 }
 
-std::vector<Holder> HoldersToCut(KeeperBook& book, Time now) {
+std::vector<Cut> HoldersToCut(KeeperBook& book, Time now) {
   Prune(book, now);
-  std::vector<Holder> cut;
-  if (GrantedSum(book, now) <= PoolOf(book)) return cut;
+  std::vector<Cut> cuts;
+  if (GrantedSum(book) <= PoolOf(book)) return cuts;
   const std::vector<Part> parts = ShareOut(book, now);
   for (const Holder& holder : book.holders) {
     const std::uint32_t part = PartOf(parts, holder);
-    if (Outstanding(holder, now) <= part) continue;
-    cut.push_back(holder);
-    cut.back().grants = {{part, now + kLeaseLife}};
+    if (Outstanding(holder) <= part) continue;
+    // No more than the last ask was granted: its answer may have been lost, and
+    // this one taken in its place.
+    std::uint32_t granted = 0;
+    for (const Grant& grant : holder.grants) {
+      if (grant.ask_number == holder.ask_number) granted = grant.slots;
+    }
+    cuts.push_back(
+        {holder.process, {holder.ask_number, std::min(part, granted)}});
   }
-  return cut;
+  return cuts;
 }
 
 }  // namespace egretladder::fleet
--- a/fleet/src/membership.cc
+++ b/fleet/src/membership.cc
@@ -227,6 +227,15 @@
   return now - since >= kSupportWait;
 }
 
+bool SupportedSince(const MembershipState& state, std::string_view voter,
+                    Time then) {
+  if (voter == state.self.node) return true;
+  const auto found = state.peers.find(voter);
+  if (found == state.peers.end()) return false;
+  const Contact& contact = found->second.contact;
+  return contact.any && contact.since <= then;
+}
+
 bool VotesGone(const MembershipState& state, std::string_view voter,
                std::string_view node, Time now) {
   if (voter == state.self.node) {
--- a/fleet/tests/wire_fixture_test.cc
+++ b/fleet/tests/wire_fixture_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "egretladder/fleet/electorate.h"
 #include "egretladder/policy/limits.h"
 
 namespace egretladder::fleet::testing {
@@ -406,6 +407,12 @@
         Apply(name, actions);
         break;
       }
+      const auto rules = RulesOf(*node.fleet);
+      const auto handle = FindEndpoint(*rules, endpoint_name);
+      if (!TakesWork(*rules, rules->endpoints[handle.idx])) {
+        broken.push_back(name + " starts work on " + endpoint_name +
+                         ", which its rules take out");
+      }
       ++endpoint.running;
       endpoint.last_start = now;
       node.calls.push_back({endpoint_name, endpoint.boot,
@@ -427,10 +434,10 @@
     // What arrived during a pause is read first: old knowledge, acted on late.
     for (const auto& event : std::exchange(node.inbox, {})) event();
     FillSlots(name, node);
+    RunCalls(name, node);
     Actions actions;
     OnTick(*node.fleet, LocalNow(node), actions);
     Apply(name, actions);
-    RunCalls(name, node);
     FillSlots(name, node);
   }
   Check();
--- a/gateway/schema/peer.capnp
+++ b/gateway/schema/peer.capnp
@@ -87,9 +87,10 @@
   inFlight @1 :UInt32;
   wanted @2 :UInt32;
   evidence @3 :SlotEvidence;
-  held @4 :UInt32;
+  total @4 :UInt32;
   down @5 :Bool;
-  heldBoot @6 :UInt64;
+  totalBoot @6 :UInt64;
+  liveFrom @7 :UInt64;
 }
 
 struct SlotAsks {
@@ -108,6 +109,7 @@
   cacheUsedPerMille @7 :UInt32;
   reportAgeMs @8 :Int64;
   loaded @9 :List(Text);
+  total @10 :UInt32;
 }
 
 struct SlotLeases {
--- a/gateway/src/peer_codec.cc
+++ b/gateway/src/peer_codec.cc
@@ -1,9 +1,7 @@
-#include <algorithm>
 #include <array>
 #include <string>
 #include <utility>
 
-#include "egretladder/gateway/limits.h"
 #include "peer_codec_p.h"
 
 namespace egretladder::gateway {
@@ -35,22 +33,6 @@
                            std::string("unknown ") + what);
 }
 
-// A list of empty entries takes no room on the wire, so a few bytes can ask for
-// millions of them. Without this a broken peer makes the node run out of
-// memory, and its callers go with it.
-kernel::Result<void> CheckSize(unsigned size) {
-  if (size <= kPeerListMost) return BOOST_OUTCOME_V2_NAMESPACE::success();
-  return kernel::MakeError(kernel::ErrorCode::kInvalidInput,
-                           "read peer message", "", "a list is too long");
-}
-
-// A span is added to the clock later on; one near the end of its type would
-// overflow there and land in the past.
-milliseconds SpanOf(std::int64_t count) {
-  return std::clamp<milliseconds>(milliseconds(count), milliseconds{0},
-                                  kPeerSpanMost);
-}
-
 kernel::Result<fleet::MemberState> StateOf(wire::MemberState state) {
   switch (state) {
     case wire::MemberState::ALIVE:
@@ -125,10 +107,6 @@
 
 kernel::Result<fleet::Message> ReadGossip(wire::Gossip::Reader in) {
   fleet::Gossip gossip;
-  BOOST_OUTCOME_TRY(CheckSize(in.getMembers().size()));
-  BOOST_OUTCOME_TRY(CheckSize(in.getQuarantined().size()));
-  BOOST_OUTCOME_TRY(CheckSize(in.getGone().size()));
-  BOOST_OUTCOME_TRY(CheckSize(in.getLeavingVms().size()));
   for (const auto member : in.getMembers()) {
     BOOST_OUTCOME_TRY(read, ReadMember(member));
     gossip.members.push_back(std::move(read));
@@ -137,7 +115,7 @@
   gossip.rules_digest = in.getRulesDigest();
   for (const auto one : in.getQuarantined()) {
     gossip.quarantined.push_back(
-        {one.getFingerprint(), SpanOf(one.getLeftMs()), one.getDeaths()});
+        {one.getFingerprint(), milliseconds(one.getLeftMs()), one.getDeaths()});
   }
   gossip.reply_wanted = in.getReplyWanted();
   gossip.ping = in.getPing();
@@ -145,7 +123,8 @@
   for (const auto name : in.getGone()) gossip.gone.push_back(TextOf(name));
   gossip.nodes_digest = in.getNodesDigest();
   for (const auto vm : in.getLeavingVms()) {
-    gossip.leaving_vms.push_back({TextOf(vm.getName()), SpanOf(vm.getAgeMs())});
+    gossip.leaving_vms.push_back(
+        {TextOf(vm.getName()), milliseconds(vm.getAgeMs())});
   }
   return fleet::Message(std::move(gossip));
 }
@@ -154,8 +133,9 @@
   out.setEndpoint(ask.endpoint.c_str());
   out.setInFlight(ask.in_flight);
   out.setWanted(ask.wanted);
-  out.setHeld(ask.held);
-  out.setHeldBoot(ask.held_boot);
+  out.setTotal(ask.total);
+  out.setTotalBoot(ask.total_boot);
+  out.setLiveFrom(ask.live_from);
   out.setDown(ask.down);
   auto evidence = out.initEvidence();
   evidence.setInTime(ask.evidence.in_time);
@@ -169,8 +149,9 @@
   ask.endpoint = TextOf(in.getEndpoint());
   ask.in_flight = in.getInFlight();
   ask.wanted = in.getWanted();
-  ask.held = in.getHeld();
-  ask.held_boot = in.getHeldBoot();
+  ask.total = in.getTotal();
+  ask.total_boot = in.getTotalBoot();
+  ask.live_from = in.getLiveFrom();
   ask.down = in.getDown();
   const auto evidence = in.getEvidence();
   ask.evidence.in_time = evidence.getInTime();
@@ -185,6 +166,7 @@
   out.setSlots(lease.slots);
   out.setLeftMs(lease.left.count());
   out.setAskNumber(lease.ask_number);
+  out.setTotal(lease.total);
   out.setBoot(lease.boot);
   out.setRunning(lease.running);
   out.setWaiting(lease.waiting);
@@ -193,18 +175,18 @@
   WriteTexts(lease.loaded, out.initLoaded(SizeOf(lease.loaded.size())));
 }
 
-kernel::Result<fleet::SlotLease> ReadLease(wire::SlotLease::Reader in) {
-  BOOST_OUTCOME_TRY(CheckSize(in.getLoaded().size()));
+fleet::SlotLease ReadLease(wire::SlotLease::Reader in) {
   fleet::SlotLease lease;
   lease.endpoint = TextOf(in.getEndpoint());
   lease.slots = in.getSlots();
-  lease.left = SpanOf(in.getLeftMs());
+  lease.left = milliseconds(in.getLeftMs());
   lease.ask_number = in.getAskNumber();
+  lease.total = in.getTotal();
   lease.boot = in.getBoot();
   lease.running = in.getRunning();
   lease.waiting = in.getWaiting();
   lease.cache_used_per_mille = in.getCacheUsedPerMille();
-  lease.report_age = SpanOf(in.getReportAgeMs());
+  lease.report_age = milliseconds(in.getReportAgeMs());
   for (const auto name : in.getLoaded()) lease.loaded.push_back(TextOf(name));
   return lease;
 }
@@ -262,7 +244,6 @@
                             TextOf(in.getRulesOffer().getText())});
     case wire::Message::SLOT_ASKS: {
       fleet::SlotAsks asks;
-      BOOST_OUTCOME_TRY(CheckSize(in.getSlotAsks().getAsks().size()));
       asks.number = in.getSlotAsks().getNumber();
       for (const auto ask : in.getSlotAsks().getAsks()) {
         asks.asks.push_back(ReadAsk(ask));
@@ -271,10 +252,8 @@
     }
     case wire::Message::SLOT_LEASES: {
       fleet::SlotLeases leases;
-      BOOST_OUTCOME_TRY(CheckSize(in.getSlotLeases().getLeases().size()));
       for (const auto lease : in.getSlotLeases().getLeases()) {
-        BOOST_OUTCOME_TRY(read, ReadLease(lease));
-        leases.leases.push_back(std::move(read));
+        leases.leases.push_back(ReadLease(lease));
       }
       return fleet::Message(std::move(leases));
     }
--- a/lab/src/engine_wire_p.h
+++ b/lab/src/engine_wire_p.h
@@ -32,8 +32,7 @@
 std::string WholeAnswer(const ChatRequest& request, EngineCallId id);
 
 std::string ReportJson(const EngineReport& report);
-/// `idle_ms` is the time since it last took a call; -1 before the first.
-std::string EngineCountsJson(const EngineState& state, Time now);
+std::string EngineCountsJson(const EngineState& state);
 
 kernel::Result<EngineOrder> ReadEngineOrder(const std::string& body);
 
--- a/node/include/egretladder/node/limits.h
+++ b/node/include/egretladder/node/limits.h
@@ -31,9 +31,6 @@
 /// so long.
 inline constexpr std::chrono::milliseconds kWhereTurn{50};
 
-/// Between two accounts of evidence and wanted slots to the fleet.
-inline constexpr std::chrono::milliseconds kEvidencePeriod{50};
-
 /// A target counts as in use this long after its last call: the node keeps
 /// asking for one spare slot at its endpoints, so that the next call need not
 /// wait for a lease.
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -28,12 +28,11 @@
 }
 
 void OnTick(NodeState& state, Time now, Actions& out) {
-  if (now >= state.next_evidence) {
-    state.next_evidence = now + kEvidencePeriod;
-    TellEvidence(state, now);
-  }
   if (now >= state.next_fleet_tick) {
     state.next_fleet_tick = now + fleet::kFleetTick;
+    // In the same step: asks that go out in the fleet's tick must count every
+    // call that has begun, or its slot is leased a second time.
+    TellEvidence(state, now);
     fleet::Actions actions;
     fleet::OnTick(*state.fleet, now, actions);
     ApplyFleet(state, actions, now, out);
--- a/node/src/state_p.h
+++ b/node/src/state_p.h
@@ -84,7 +84,6 @@
   std::vector<EndpointNote> endpoints;
   std::vector<TargetNote> targets;
   Time next_fleet_tick{};
-  Time next_evidence{};
   Time next_sweep{};
   bool leaving = false;
 };
