--- a/bench/policy_loads_bench.cc
+++ b/bench/policy_loads_bench.cc
@@ -2,7 +2,7 @@
 // callers got. Not a timing: figures are the same on every machine.
 #include <cstdio>
 #include <string>
-#include <vector>
+#include <string_view>
 
 #include "../policy/tests/load_loads.h"
 
@@ -10,31 +10,41 @@
 
 namespace {
 
+void PrintClass(const el::Load& load, const el::Result& result,
+                std::uint32_t cls) {
+  const el::ClassResult& of = result.classes[cls];
+  if (of.offered == 0) return;
+  const double refused = of.refused;
+  std::printf(
+      "    %-8s in time %5.1f%%  late %4.1f%%  refused %4.1f%% (after "
+      "%4.1f s, worst %5.1f s)  worst wait %5.1f s  unserved %5.1f s  "
+      "Jain %.3f\n",
+      load.classes[cls].name.c_str(), 100 * el::Attainment(result, cls),
+      100.0 * of.late / of.offered, 100 * refused / of.offered,
+      refused > 0 ? of.refusal_waits.count() / refused : 0,
+      of.worst_refusal.count(), of.worst_wait.count(),
+      of.longest_unserved.count(), el::Jain(result, cls));
+}
+
 void PrintResult(const el::Load& load, const el::Result& result) {
-  std::printf("%-18s %-7s", load.name.c_str(), result.scheduler.c_str());
+  std::printf(
+      "  %-7s goodput %5.0f tokens/s  wasted %4.2f%%  preempted %u  "
+      "inversions %u  broken %u %s\n",
+      result.scheduler.c_str(), el::Goodput(result, load),
+      100 * el::Wasted(result), result.preempted, result.tier_inversions,
+      result.broken, result.first_broken.c_str());
   for (std::uint32_t cls = 0; cls < result.classes.size(); ++cls) {
-    const el::ClassResult& of = result.classes[cls];
-    std::printf(" | %s %5.1f%% ref %4.1f%% wait %5.1fs/%5.1fs gap %5.1fs",
-                load.classes[cls].name.c_str(),
-                100 * el::Attainment(result, cls),
-                of.offered == 0 ? 0.0 : 100.0 * of.refused / of.offered,
-                of.worst_wait.count(), of.worst_refusal.count(),
-                of.longest_unserved.count());
+    PrintClass(load, result, cls);
   }
-  std::printf(
-      " | goodput %6.0f tok/s waste %4.2f%% jain %.3f pre %u slow %u "
-      "inv %u broken %u %s\n",
-      el::Goodput(result, load), 100 * el::Wasted(result), el::Jain(result),
-      result.preempted, result.to_slow, result.tier_inversions, result.broken,
-      result.first_broken.c_str());
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::string only = argc > 1 ? argv[1] : "";
+  const std::string_view only = argc > 1 ? argv[1] : "";
   for (const el::Load& load : el::AllLoads()) {
     if (!only.empty() && load.name != only) continue;
+    std::printf("%s\n", load.name.c_str());
     for (const char* scheduler : {"ladder", "strict", "least", "fifo"}) {
       PrintResult(load, el::Play(scheduler, load));
     }
--- /dev/null
+++ b/bench/policy_sweep_bench.cc
@@ -0,0 +1,184 @@
+// Sweeps the thresholds of the ladder and switches each idea off once, under
+// the loads that the threshold answers. Prints rows for
+// docs/design/policy-thresholds.md; figures are the same on every machine.
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "../policy/tests/load_loads.h"
+
+namespace el = egretladder::policy::load;
+using egretladder::policy::Limits;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct Setting {
+  std::string name;
+  std::function<void(Limits&)> set;
+};
+
+struct Sweep {
+  std::string_view threshold;
+  std::vector<el::Load> loads;
+  std::vector<Setting> settings;
+};
+
+// Sums over seeds; printed as means.
+struct Sums {
+  std::vector<double> in_time;
+  double goodput = 0;
+  double refusals = 0;
+  double refusal_waits = 0;
+  double unserved = 0;
+  double jain = 0;
+  double first_token = 0;
+  double first_token_95 = 0;
+  double wasted = 0;
+  std::uint32_t broken = 0;
+};
+
+void AddRun(Sums& sums, const el::Load& load, const el::Result& result) {
+  double unserved = 0;
+  double jain = 1;
+  sums.in_time.resize(load.classes.size());
+  for (std::uint32_t cls = 0; cls < load.classes.size(); ++cls) {
+    const el::ClassResult& of = result.classes[cls];
+    sums.in_time[cls] += 100 * el::Attainment(result, cls);
+    sums.refusals += of.refused;
+    sums.refusal_waits += of.refusal_waits.count();
+    unserved = std::max(unserved, of.longest_unserved.count());
+    if (of.offered > 0) jain = std::min(jain, el::Jain(result, cls));
+  }
+  sums.goodput += el::Goodput(result, load);
+  sums.unserved += unserved;
+  sums.jain += jain;
+  sums.first_token += el::MeanFirstToken(result, 0);
+  sums.first_token_95 += el::FirstToken95(result, 0);
+  sums.wasted += 100 * el::Wasted(result);
+  sums.broken += result.broken + result.tier_inversions;
+}
+
+void PrintRow(const Setting& setting, el::Load load) {
+  Limits limits;
+  setting.set(limits);
+  const std::uint32_t seeds = load.length > el::Span(600) ? 2 : 5;
+  const std::uint64_t first_seed = load.seed;
+  Sums sums;
+  for (std::uint32_t seed = 0; seed < seeds; ++seed) {
+    load.seed = first_seed + 100 * seed;
+    AddRun(sums, load, el::Play("ladder", load, limits));
+  }
+  std::printf("| %s | %s | ", load.name.c_str(), setting.name.c_str());
+  const char* between = "";
+  for (const double in_time : sums.in_time) {
+    std::printf("%s%.1f", between, in_time / seeds);
+    between = " / ";
+  }
+  std::printf(" | %.0f | %.1f s | %.0f s | %.3f | %.2f s, %.2f s | %.2f%% |",
+              sums.goodput / seeds,
+              sums.refusals > 0 ? sums.refusal_waits / sums.refusals : 0.0,
+              sums.unserved / seeds, sums.jain / seeds,
+              sums.first_token / seeds, sums.first_token_95 / seeds,
+              sums.wasted / seeds);
+  std::printf(" %u |\n", sums.broken);
+}
+
+std::vector<Sweep> AllSweeps() {
+  const Setting standard{"standard", [](Limits&) {}};
+  std::vector<Sweep> sweeps;
+  Sweep reserve{"reserve_factor",
+                {el::BrokerBurst(), el::BatchOnFewSlots(), el::LongAmongShort(),
+                 el::ZoneOutAndBack(), el::AtCapacity(2)},
+                {}};
+  for (const double factor : {0.0, 0.25, 0.5, 1.0, 1.5}) {
+    reserve.settings.push_back(
+        {std::to_string(factor).substr(0, 4),
+         [factor](Limits& limits) { limits.reserve_factor = factor; }});
+  }
+  sweeps.push_back(reserve);
+  Sweep trickle{"trickle_share", {el::SaturatedHour()}, {}};
+  for (const double share : {0.0, 0.005, 0.01, 0.02, 0.05}) {
+    trickle.settings.push_back(
+        {std::to_string(share).substr(0, 5),
+         [share](Limits& limits) { limits.trickle_share = share; }});
+  }
+  sweeps.push_back(trickle);
+  sweeps.push_back(
+      {"refuse_early",
+       {el::BrokerBurst(), el::NightBurst(), el::AtCapacity(2),
+        el::SaturatedHour()},
+       {standard,
+        {"off", [](Limits& l) { l.refuse_early = false; }},
+        {"ends_half_trusted 4", [](Limits& l) { l.ends_half_trusted = 4; }},
+        {"ends_half_trusted 64", [](Limits& l) { l.ends_half_trusted = 64; }},
+        {"ends_remembered 32", [](Limits& l) { l.ends_remembered = 32; }},
+        {"ends_remembered 1024",
+         [](Limits& l) { l.ends_remembered = 1024; }}}});
+  sweeps.push_back(
+      {"charge_expected",
+       {el::FewTakeMost(), el::LongAmongShort()},
+       {standard, {"off", [](Limits& l) { l.charge_expected = false; }}}});
+  sweeps.push_back({"affinity_load",
+                    {el::FewTakeMost(), el::SharedPrefixes()},
+                    {standard,
+                     {"off", [](Limits& l) { l.affinity_load = 0; }},
+                     {"1.00", [](Limits& l) { l.affinity_load = 1; }},
+                     {"1.50", [](Limits& l) { l.affinity_load = 1.5; }},
+                     {"unbounded", [](Limits& l) { l.affinity_load = 100; }},
+                     {"homes 1", [](Limits& l) { l.affinity_homes = 1; }},
+                     {"homes 4", [](Limits& l) { l.affinity_homes = 4; }}}});
+  sweeps.push_back({"choices",
+                    {el::OneSlow(), el::UnevenOthers()},
+                    {standard,
+                     {"1 (off)", [](Limits& l) { l.choices = 1; }},
+                     {"2", [](Limits& l) { l.choices = 2; }},
+                     {"3", [](Limits& l) { l.choices = 3; }},
+                     {"12", [](Limits& l) { l.choices = 12; }}}});
+  sweeps.push_back(
+      {"report_half_life",
+       {el::UnevenOthers()},
+       {standard,
+        {"1 ms (off)", [](Limits& l) { l.report_half_life = milliseconds(1); }},
+        {"300 ms", [](Limits& l) { l.report_half_life = milliseconds(300); }},
+        {"5 s", [](Limits& l) { l.report_half_life = milliseconds(5000); }}}});
+  sweeps.push_back(
+      {"slow_ratio",
+       {el::OneSlow(), el::LongAmongShort()},
+       {standard,
+        {"off", [](Limits& l) { l.slow_ratio = 0; }},
+        {"1.5", [](Limits& l) { l.slow_ratio = 1.5; }},
+        {"4", [](Limits& l) { l.slow_ratio = 4; }},
+        {"answers 3", [](Limits& l) { l.slow_answers = 3; }},
+        {"answers 12", [](Limits& l) { l.slow_answers = 12; }},
+        {"probe 4 s", [](Limits& l) { l.probe_every = milliseconds(4000); }}}});
+  sweeps.push_back({"shift_start",
+                    {el::ZoneOutAndBack(), el::ZoneBackUnwell()},
+                    {standard,
+                     {"1 (off)", [](Limits& l) { l.shift_start = 1; }},
+                     {"0.05", [](Limits& l) { l.shift_start = 0.05; }},
+                     {"doubling 1 s",
+                      [](Limits& l) { l.shift_doubling = milliseconds(1000); }},
+                     {"doubling 8 s", [](Limits& l) {
+                        l.shift_doubling = milliseconds(8000);
+                      }}}});
+  return sweeps;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::string_view only = argc > 1 ? argv[1] : "";
+  for (const Sweep& sweep : AllSweeps()) {
+    if (!only.empty() && sweep.threshold != only) continue;
+    std::printf("\n%.*s\n", static_cast<int>(sweep.threshold.size()),
+                sweep.threshold.data());
+    for (const el::Load& load : sweep.loads) {
+      for (const Setting& setting : sweep.settings) PrintRow(setting, load);
+    }
+  }
+  return 0;
+}
--- a/gateway/include/egretladder/gateway/limits.h
+++ b/gateway/include/egretladder/gateway/limits.h
@@ -56,6 +56,11 @@
 inline constexpr std::chrono::seconds kPeerIdle{30};
 inline constexpr std::chrono::milliseconds kBackoffFirst{100};
 inline constexpr std::chrono::milliseconds kBackoffMost{5000};
+/// Entries of one list in a peer's message. The longest that nodes send name
+/// each endpoint or member of the two-year plan, 790 and 390.
+inline constexpr unsigned kPeerListMost = 2048;
+/// Longest span of time in a peer's message; what they say lapses in minutes.
+inline constexpr std::chrono::hours kPeerSpanMost{24 * 7};
 /// Words of eight bytes in one message of a peer.
 inline constexpr std::uint64_t kPeerMessageWords = std::uint64_t{1} << 18U;
 
--- /dev/null
+++ b/gateway/src/address.cc
@@ -0,0 +1,59 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <cstdlib>
+
+#include "address_p.h"
+
+namespace egretladder::gateway {
+
+std::pair<std::string, std::uint16_t> SplitAddress(const std::string& address) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) return {address, 0};
+  std::string host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  const auto port = std::strtoul(address.c_str() + colon + 1, nullptr, 10);
+  return {host, static_cast<std::uint16_t>(port)};
+}
+
+std::optional<SocketAddress> ParseAddress(const std::string& address) {
+  const auto [host, port] = SplitAddress(address);
+  SocketAddress parsed;
+  auto* narrow = reinterpret_cast<sockaddr_in*>(&parsed.storage);
+  auto* wide = reinterpret_cast<sockaddr_in6*>(&parsed.storage);
+  if (inet_pton(AF_INET, host.c_str(), &narrow->sin_addr) == 1) {
+    narrow->sin_family = AF_INET;
+    narrow->sin_port = htons(port);
+    parsed.size = sizeof(sockaddr_in);
+    return parsed;
+  }
+  if (inet_pton(AF_INET6, host.c_str(), &wide->sin6_addr) == 1) {
+    wide->sin6_family = AF_INET6;
+    wide->sin6_port = htons(port);
+    parsed.size = sizeof(sockaddr_in6);
+    return parsed;
+  }
+  return std::nullopt;
+}
+
+std::string WithBoundPort(const std::string& address, evutil_socket_t fd) {
+  sockaddr_storage storage{};
+  socklen_t size = sizeof(storage);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &size);
+  const auto port =
+      storage.ss_family == AF_INET6
+          ? reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port
+          : reinterpret_cast<const sockaddr_in*>(&storage)->sin_port;
+  return address.substr(0, address.rfind(':') + 1) +
+         std::to_string(ntohs(port));
+}
+
+void SetNoDelay(evutil_socket_t fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+}  // namespace egretladder::gateway
--- a/gateway/src/caller_evhttp.cc
+++ b/gateway/src/caller_evhttp.cc
@@ -1,11 +1,9 @@
 #include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <string>
 #include <vector>
 
+#include "address_p.h"
 #include "caller_body_p.h"
 #include "egretladder/kernel/hash.h"
 #include "egretladder/kernel/log.h"
@@ -37,10 +35,7 @@
 void Prepare(CallerConnection& connection) {
   if (connection.prepared) return;
   connection.prepared = true;
-  // Without it a token waits for the acknowledgement of the one before.
-  const int on = 1;
-  setsockopt(bufferevent_getfd(connection.buffer), IPPROTO_TCP, TCP_NODELAY,
-             &on, sizeof(on));
+  SetNoDelay(bufferevent_getfd(connection.buffer));
 }
 
 std::string BodyOf(evhttp_request* request) {
@@ -203,6 +198,16 @@
   }
 }
 
+void OnOutput(evbuffer* /*output*/, const evbuffer_cb_info* info, void* arg) {
+  static_cast<CallerConnection*>(arg)->taken += info->n_deleted;
+}
+
+void Drop(CallerConnection& connection) {
+  evbuffer_remove_cb_entry(bufferevent_get_output(connection.buffer),
+                           connection.output_watch);
+  bufferevent_decref(connection.buffer);
+}
+
 bufferevent* NewCallerBuffer(event_base* base, void* arg) {
   auto& gateway = *static_cast<Gateway*>(arg);
   bufferevent* buffer =
@@ -216,7 +221,12 @@
                            limits.body_bytes + limits.header_bytes);
   bufferevent_incref(buffer);
   const kernel::Time now = NowOf(gateway);
-  gateway.front.connections[buffer] = {buffer, now, now};
+  CallerConnection& connection = gateway.front.connections[buffer];
+  connection.buffer = buffer;
+  connection.since = now;
+  connection.progress = now;
+  connection.output_watch =
+      evbuffer_add_cb(bufferevent_get_output(buffer), OnOutput, &connection);
   if (gateway.front.connections.size() >= limits.connections) {
     evconnlistener_disable(gateway.front.listener);
   }
@@ -224,9 +234,11 @@
 }
 
 bool IsClosed(bufferevent* buffer) {
-  bufferevent_data_cb on_read = nullptr;
-  bufferevent_getcb(buffer, &on_read, nullptr, nullptr, nullptr);
-  return on_read == nullptr;  // Freed by evhttp but for our reference.
+  // evhttp takes its callbacks away when it frees the buffer, which then lives
+  // on our reference only. While it writes, only this one stands.
+  bufferevent_event_cb on_event = nullptr;
+  bufferevent_getcb(buffer, nullptr, nullptr, &on_event, nullptr);
+  return on_event == nullptr;
 }
 
 evhttp_connection* EvhttpConnectionOf(bufferevent* buffer) {
@@ -241,8 +253,10 @@
             kernel::Time now) {
   const std::size_t output =
       evbuffer_get_length(bufferevent_get_output(connection.buffer));
-  if (output < connection.output || output == 0) connection.progress = now;
-  connection.output = output;
+  if (connection.taken != connection.taken_before || output == 0) {
+    connection.progress = now;
+  }
+  connection.taken_before = connection.taken;
   if (now - connection.progress > limits.drain_time) return true;
   return !connection.busy && output == 0 &&
          now - connection.since > limits.request_time;
@@ -254,7 +268,7 @@
   auto& connections = gateway.front.connections;
   for (auto at = connections.begin(); at != connections.end();) {
     if (IsClosed(at->first)) {
-      bufferevent_decref(at->first);
+      Drop(at->second);
       at = connections.erase(at);
       continue;
     }
@@ -269,18 +283,6 @@
   }
 }
 
-std::string BoundAddress(evutil_socket_t fd, const std::string& host) {
-  sockaddr_storage storage{};
-  socklen_t size = sizeof(storage);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &size);
-  const auto port =
-      storage.ss_family == AF_INET6
-          ? reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port
-          : reinterpret_cast<const sockaddr_in*>(&storage)->sin_port;
-  const bool wide = host.find(':') != std::string::npos;
-  return (wide ? "[" + host + "]" : host) + ":" + std::to_string(ntohs(port));
-}
-
 }  // namespace
 
 kernel::Result<void> OpenFront(Gateway& gateway) {
@@ -313,7 +315,8 @@
                              evutil_socket_error_to_string(errno));
   }
   front.listener = evhttp_bound_socket_get_listener(bound);
-  front.address = BoundAddress(evhttp_bound_socket_get_fd(bound), host);
+  front.address =
+      WithBoundPort(options.caller_listen, evhttp_bound_socket_get_fd(bound));
   front.sweep = kernel::Every(*gateway.loop, kSweep,
                               [&gateway] { SweepConnections(gateway); });
   return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -325,7 +328,7 @@
   }
   gateway.front.server.reset();
   for (auto& [buffer, connection] : gateway.front.connections) {
-    bufferevent_decref(buffer);
+    Drop(connection);
   }
   gateway.front.connections.clear();
 }
--- a/gateway/src/endpoint_evhttp.cc
+++ b/gateway/src/endpoint_evhttp.cc
@@ -87,6 +87,7 @@
                 });
 }
 
+// The caller gets a part of the answer from here on, so it can't be sent again.
 void SeeFirstByte(CallerCall& call) {
   if (call.attempt.first_byte) return;
   call.attempt.first_byte = true;
@@ -128,6 +129,7 @@
 void StopHolding(CallerCall& call) {
   Attempt& attempt = call.attempt;
   attempt.mode = RelayMode::kStream;
+  SeeFirstByte(call);
   StartStream(call, attempt.status, attempt.headers);
   evbuffer* held = evbuffer_new();
   evbuffer_add(held, attempt.held.data(), attempt.held.size());
@@ -159,14 +161,12 @@
       Fail(call, EndKind::kFailed, "answer is not an event stream");
       return;
     }
-    if (attempt.sse.events > 0 || attempt.sse.done) SeeFirstByte(call);
-  } else {
-    SeeFirstByte(call);
   }
   if (attempt.mode == RelayMode::kHold) {
     Hold(call, data);
     return;
   }
+  SeeFirstByte(call);
   StartStream(call, attempt.status, attempt.headers);
   StreamOn(call, data);
 }
--- a/gateway/src/gateway_p.h
+++ b/gateway/src/gateway_p.h
@@ -76,10 +76,12 @@
 struct CallerConnection {
   bufferevent* buffer = nullptr;
   kernel::Time since{};     ///< Of the connect or the last answer.
-  kernel::Time progress{};  ///< Of the last output taken.
-  std::size_t output = 0;   ///< At the last sweep.
-  bool busy = false;        ///< A call of it is in progress.
-  bool prepared = false;    ///< Socket options are set.
+  kernel::Time progress{};  ///< Of the last output taken, as a sweep saw it.
+  std::uint64_t taken = 0;  ///< Bytes of output that left.
+  std::uint64_t taken_before = 0;  ///< At the last sweep.
+  evbuffer_cb_entry* output_watch = nullptr;
+  bool busy = false;      ///< A call of it is in progress.
+  bool prepared = false;  ///< Socket options are set.
 };
 
 struct HttpServerFree {
--- a/gateway/src/http_client_evhttp.cc
+++ b/gateway/src/http_client_evhttp.cc
@@ -1,13 +1,11 @@
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <cstdlib>
 #include <map>
 #include <unordered_map>
 
+#include "address_p.h"
 #include "egretladder/gateway/limits.h"
 #include "http_client_p.h"
 
@@ -129,8 +127,7 @@
   if (info->n_added > 0 && exchange.phase == Phase::kConnecting) {
     exchange.phase = Phase::kSending;
     exchange.progress = NowOf(*exchange.client);
-    const int on = 1;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    SetNoDelay(fd);
     if (exchange.events.may_send && !exchange.events.may_send()) {
       // evhttp can't be stopped here; a socket shut for writing lets no byte
       // out, so what was refused is certainly not sent.
@@ -364,15 +361,4 @@
 }
 std::size_t CountPaused(const HttpClient& client) { return client.paused; }
 
-std::pair<std::string, std::uint16_t> SplitAddress(const std::string& address) {
-  const auto colon = address.rfind(':');
-  if (colon == std::string::npos) return {address, 0};
-  std::string host = address.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  const auto port = std::strtoul(address.c_str() + colon + 1, nullptr, 10);
-  return {host, static_cast<std::uint16_t>(port)};
-}
-
 }  // namespace egretladder::gateway
--- a/gateway/src/http_client_p.h
+++ b/gateway/src/http_client_p.h
@@ -94,7 +94,4 @@
 void ProbeListener(HttpClient& client, const std::string& address,
                    std::function<void(bool refused)> done);
 
-/// Host and port of `IP:port`; brackets of IPv6 are taken off.
-std::pair<std::string, std::uint16_t> SplitAddress(const std::string& address);
-
 }  // namespace egretladder::gateway
--- a/gateway/src/peer_capnp.cc
+++ b/gateway/src/peer_capnp.cc
@@ -1,15 +1,13 @@
 #include <capnp/rpc-twoparty.h>
 #include <event2/listener.h>
 #include <kj/exception.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <map>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "address_p.h"
 #include "egretladder/kernel/hash.h"
 #include "egretladder/kernel/log.h"
 #include "gateway_p.h"
@@ -31,11 +29,6 @@
   return options;
 }
 
-void SetNoDelay(evutil_socket_t fd) {
-  const int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 // One connection to a peer: messages go out on it, answers come back.
 struct PeerOut : private kj::TaskSet::ErrorHandler {
   PeerOut(Bufferevent buffer, kernel::Time now)
@@ -211,15 +204,12 @@
     return nullptr;
   }
   if (net.out.size() >= kPeersOut) return nullptr;
-  sockaddr_storage storage{};
-  int size = sizeof(storage);
-  auto* target = reinterpret_cast<sockaddr*>(&storage);
-  if (evutil_parse_sockaddr_port(address.c_str(), target, &size) != 0) {
-    return nullptr;
-  }
+  auto target = ParseAddress(address);
+  if (!target) return nullptr;
   Bufferevent buffer(bufferevent_socket_new(net.gateway->loop->base.get(), -1,
                                             BEV_OPT_CLOSE_ON_FREE));
-  if (bufferevent_socket_connect(buffer.get(), target, size) != 0) {
+  if (bufferevent_socket_connect(buffer.get(), target->get(), target->size) !=
+      0) {
     BackOff(net, address, now);
     return nullptr;
   }
@@ -247,17 +237,6 @@
   }));
 }
 
-std::string BoundAddress(evutil_socket_t fd, const std::string& listen) {
-  sockaddr_storage storage{};
-  socklen_t size = sizeof(storage);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &size);
-  const auto port =
-      storage.ss_family == AF_INET6
-          ? reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port
-          : reinterpret_cast<const sockaddr_in*>(&storage)->sin_port;
-  return listen.substr(0, listen.rfind(':') + 1) + std::to_string(ntohs(port));
-}
-
 }  // namespace
 
 void PeerNetDelete::operator()(PeerNet* net) const { delete net; }
@@ -272,21 +251,19 @@
       gateway.metrics, "egretladder_peer_messages_dropped_total",
       "Messages that a peer had no room for, or could not be reached with.");
   const std::string& listen = gateway.options.peer_listen;
-  sockaddr_storage storage{};
-  int size = sizeof(storage);
-  auto* target = reinterpret_cast<sockaddr*>(&storage);
-  evconnlistener* listener = nullptr;
-  if (evutil_parse_sockaddr_port(listen.c_str(), target, &size) == 0) {
-    listener = evconnlistener_new_bind(
-        gateway.loop->base.get(), AcceptPeer, net.get(),
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, target, size);
-  }
+  auto target = ParseAddress(listen);
+  evconnlistener* listener =
+      target ? evconnlistener_new_bind(
+                   gateway.loop->base.get(), AcceptPeer, net.get(),
+                   LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, target->get(),
+                   target->size)
+             : nullptr;
   if (listener == nullptr) {
     return kernel::MakeError(kernel::ErrorCode::kUnavailable, "listen", listen,
                              evutil_socket_error_to_string(errno));
   }
   net->listener.reset(listener);
-  *address = BoundAddress(evconnlistener_get_fd(listener), listen);
+  *address = WithBoundPort(listen, evconnlistener_get_fd(listener));
   net->sweep = kernel::Every(*gateway.loop, kSweep,
                              [raw = net.get()] { SweepPeers(*raw); });
   return net;
--- a/gateway/src/peer_codec.cc
+++ b/gateway/src/peer_codec.cc
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <array>
 #include <string>
 #include <utility>
 
+#include "egretladder/gateway/limits.h"
 #include "peer_codec_p.h"
 
 namespace egretladder::gateway {
@@ -33,6 +35,22 @@
                            std::string("unknown ") + what);
 }
 
+// A list of empty entries takes no room on the wire, so a few bytes can ask for
+// millions of them. Without this a broken peer makes the node run out of
+// memory, and its callers go with it.
+kernel::Result<void> CheckSize(unsigned size) {
+  if (size <= kPeerListMost) return BOOST_OUTCOME_V2_NAMESPACE::success();
+  return kernel::MakeError(kernel::ErrorCode::kInvalidInput,
+                           "read peer message", "", "a list is too long");
+}
+
+// A span is added to the clock later on; one near the end of its type would
+// overflow there and land in the past.
+milliseconds SpanOf(std::int64_t count) {
+  return std::clamp<milliseconds>(milliseconds(count), milliseconds{0},
+                                  kPeerSpanMost);
+}
+
 kernel::Result<fleet::MemberState> StateOf(wire::MemberState state) {
   switch (state) {
     case wire::MemberState::ALIVE:
@@ -107,6 +125,10 @@
 
 kernel::Result<fleet::Message> ReadGossip(wire::Gossip::Reader in) {
   fleet::Gossip gossip;
+  BOOST_OUTCOME_TRY(CheckSize(in.getMembers().size()));
+  BOOST_OUTCOME_TRY(CheckSize(in.getQuarantined().size()));
+  BOOST_OUTCOME_TRY(CheckSize(in.getGone().size()));
+  BOOST_OUTCOME_TRY(CheckSize(in.getLeavingVms().size()));
   for (const auto member : in.getMembers()) {
     BOOST_OUTCOME_TRY(read, ReadMember(member));
     gossip.members.push_back(std::move(read));
@@ -115,7 +137,7 @@
   gossip.rules_digest = in.getRulesDigest();
   for (const auto one : in.getQuarantined()) {
     gossip.quarantined.push_back(
-        {one.getFingerprint(), milliseconds(one.getLeftMs()), one.getDeaths()});
+        {one.getFingerprint(), SpanOf(one.getLeftMs()), one.getDeaths()});
   }
   gossip.reply_wanted = in.getReplyWanted();
   gossip.ping = in.getPing();
@@ -123,8 +145,7 @@
   for (const auto name : in.getGone()) gossip.gone.push_back(TextOf(name));
   gossip.nodes_digest = in.getNodesDigest();
   for (const auto vm : in.getLeavingVms()) {
-    gossip.leaving_vms.push_back(
-        {TextOf(vm.getName()), milliseconds(vm.getAgeMs())});
+    gossip.leaving_vms.push_back({TextOf(vm.getName()), SpanOf(vm.getAgeMs())});
   }
   return fleet::Message(std::move(gossip));
 }
@@ -175,18 +196,19 @@
   WriteTexts(lease.loaded, out.initLoaded(SizeOf(lease.loaded.size())));
 }
 
-fleet::SlotLease ReadLease(wire::SlotLease::Reader in) {
+kernel::Result<fleet::SlotLease> ReadLease(wire::SlotLease::Reader in) {
+  BOOST_OUTCOME_TRY(CheckSize(in.getLoaded().size()));
   fleet::SlotLease lease;
   lease.endpoint = TextOf(in.getEndpoint());
   lease.slots = in.getSlots();
-  lease.left = milliseconds(in.getLeftMs());
+  lease.left = SpanOf(in.getLeftMs());
   lease.ask_number = in.getAskNumber();
   lease.total = in.getTotal();
   lease.boot = in.getBoot();
   lease.running = in.getRunning();
   lease.waiting = in.getWaiting();
   lease.cache_used_per_mille = in.getCacheUsedPerMille();
-  lease.report_age = milliseconds(in.getReportAgeMs());
+  lease.report_age = SpanOf(in.getReportAgeMs());
   for (const auto name : in.getLoaded()) lease.loaded.push_back(TextOf(name));
   return lease;
 }
@@ -244,6 +266,7 @@
                             TextOf(in.getRulesOffer().getText())});
     case wire::Message::SLOT_ASKS: {
       fleet::SlotAsks asks;
+      BOOST_OUTCOME_TRY(CheckSize(in.getSlotAsks().getAsks().size()));
       asks.number = in.getSlotAsks().getNumber();
       for (const auto ask : in.getSlotAsks().getAsks()) {
         asks.asks.push_back(ReadAsk(ask));
@@ -252,8 +275,10 @@
     }
     case wire::Message::SLOT_LEASES: {
       fleet::SlotLeases leases;
+      BOOST_OUTCOME_TRY(CheckSize(in.getSlotLeases().getLeases().size()));
       for (const auto lease : in.getSlotLeases().getLeases()) {
-        leases.leases.push_back(ReadLease(lease));
+        BOOST_OUTCOME_TRY(read, ReadLease(lease));
+        leases.leases.push_back(std::move(read));
       }
       return fleet::Message(std::move(leases));
     }
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -5,10 +5,10 @@
 #include <cctype>
 #include <string>
 
+#include "address_p.h"
 #include "egretladder/kernel/ini.h"
 #include "egretladder/kernel/registry.h"
 #include "egretladder/policy/scheduler.h"
-#include "http_client_p.h"
 
 namespace egretladder::gateway {
 namespace {
--- /dev/null
+++ b/gateway/tests/fault_test.cc
@@ -0,0 +1,339 @@
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+
+#include "harness.h"
+
+using namespace std::chrono_literals;
+namespace et = egretladder::gateway::testing;
+namespace eg = egretladder::gateway;
+
+namespace {
+
+std::string Ask(et::OneNode& fixture, const std::string& request) {
+  et::RawCaller caller(fixture.loop, eg::CallerAddressOf(*fixture.node));
+  caller.Send(request);
+  CHECK_TRUE(et::RunUntil(fixture.loop, [&caller] {
+    return et::IsWhole(caller.got) || caller.ended;
+  }));
+  return caller.got;
+}
+
+std::string AskChat(et::OneNode& fixture, bool stream) {
+  return Ask(fixture, et::ChatRequest(et::ChatBodyText(stream)));
+}
+
+/// What a caller gets when the only endpoint answers `answer` each time.
+std::string AnswerTo(const std::string& answer, bool close, bool stream,
+                     std::size_t* requests = nullptr) {
+  // The node has to be gone before the server that it is connected to.
+  struct Parts {
+    explicit Parts(const std::string& text, bool end)
+        : server(loop, text, end) {}
+    et::TestLoop loop;
+    et::RawServer server;
+  };
+  Parts parts(answer, close);
+  et::FakeServer platform(parts.loop);
+  eg::Limits limits;
+  limits.answer_time = 100ms;
+  auto node = et::StartTestNode(parts.loop, "n1", platform.address, limits);
+  et::Publish(platform, et::RulesText({{parts.server.address},
+                                       {et::NodeLine("n1", *node)}}));
+  CHECK_TRUE(et::RunUntil(parts.loop, [&] {
+    return egretladder::node::ViewOf(eg::NodeOf(*node), parts.loop.clock.now)
+        .ready;
+  }));
+  et::RawCaller caller(parts.loop, eg::CallerAddressOf(*node));
+  caller.Send(et::ChatRequest(et::ChatBodyText(stream)));
+  CHECK_TRUE(et::RunUntil(parts.loop, [&caller] {
+    return et::IsWhole(caller.got) || caller.ended;
+  }));
+  if (requests != nullptr) *requests = parts.server.requests;
+  return caller.got;
+}
+
+}  // namespace
+
+TEST_GROUP(EndpointFaults){};
+
+// An engine's process is replaced by something else on its port, or its memory
+// is broken. The caller must not get that as its answer.
+TEST(EndpointFaults, GarbageIsNoAnswer) {
+  const std::string got = AnswerTo("\x01\x02 no http\r\n\r\n", true, false);
+  CHECK(et::StatusIn(got) >= 500);
+  STRCMP_CONTAINS("\"code\":\"endpoint_failed\"", got.c_str());
+  STRCMP_CONTAINS("\"ran\":\"unknown\"", got.c_str());
+}
+
+TEST(EndpointFaults, JsonThatIsNoneIsNoAnswer) {
+  const std::string got = AnswerTo(
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+      "Content-Length: 9\r\n\r\n<html>no!",
+      false, false);
+  STRCMP_CONTAINS("\"code\":\"endpoint_failed\"", got.c_str());
+}
+
+// An engine dies in the middle of an answer. Passed on, half a trace summary
+// looks like a whole one.
+TEST(EndpointFaults, HalfAnAnswerIsNoAnswer) {
+  const std::string got = AnswerTo(
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+      "Content-Length: 100\r\n\r\n{\"choices\":[",
+      true, false);
+  STRCMP_CONTAINS("\"code\":\"endpoint_failed\"", got.c_str());
+  STRCMP_CONTAINS("\"ran\":\"unknown\"", got.c_str());
+}
+
+TEST(EndpointFaults, HalfAStreamEndsWithAnErrorEventAndWithoutDone) {
+  const std::string got = AnswerTo(
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n10\r\ndata: {\"a\": 1}\n\n\r\n",
+      true, true);
+  CHECK_EQUAL(200, et::StatusIn(got));
+  STRCMP_CONTAINS("data: {\"a\": 1}", got.c_str());
+  STRCMP_CONTAINS("data: {\"error\":", got.c_str());
+  CHECK(got.find("[DONE]") == std::string::npos);
+}
+
+TEST(EndpointFaults, StreamThatEndsInOrderWithoutDoneIsHalf) {
+  const std::string got = AnswerTo(
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n10\r\ndata: {\"a\": 1}\n\n\r\n"
+      "0\r\n\r\n",
+      false, true);
+  STRCMP_CONTAINS("data: {\"error\":", got.c_str());
+}
+
+// An endpoint accepts calls and never answers. Without a time-out each such
+// call keeps its slot for ever.
+TEST(EndpointFaults, NothingEndsAtTheTimeOut) {
+  const std::string got = AnswerTo("", false, false);
+  CHECK(et::StatusIn(got) >= 500);
+  STRCMP_CONTAINS("\"ran\":\"unknown\"", got.c_str());
+}
+
+// An endpoint says its answer is shorter than it is. The rest stands on the
+// connection and would become the answer to the next caller's request.
+TEST(EndpointFaults, RestOfAWrongLengthReachesNobody) {
+  et::TestLoop loop;
+  et::RawServer server(
+      loop,
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+      "Content-Length: 2\r\n\r\n{}"
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"o\":\"x\"}",
+      false);
+  et::FakeServer platform(loop);
+  auto node = et::StartTestNode(loop, "n1", platform.address);
+  et::Publish(platform,
+              et::RulesText({{server.address}, {et::NodeLine("n1", *node)}}));
+  CHECK_TRUE(et::RunUntil(loop, [&] {
+    return egretladder::node::ViewOf(eg::NodeOf(*node), loop.clock.now).ready;
+  }));
+  for (int i = 0; i < 3; ++i) {
+    et::RawCaller caller(loop, eg::CallerAddressOf(*node));
+    caller.Send(et::ChatRequest(et::ChatBodyText(false)));
+    CHECK_TRUE(
+        et::RunUntil(loop, [&caller] { return et::IsWhole(caller.got); }));
+    STRCMP_CONTAINS("\r\n\r\n{}", caller.got.c_str());
+    CHECK(caller.got.find("\"o\"") == std::string::npos);
+  }
+}
+
+// An engine restarts between two calls. The pooled connection is dead; a call
+// written to it may have been read before the end, so only what may be repeated
+// goes elsewhere.
+TEST(EndpointFaults, ConnectionClosedAfterTheRequestMayHaveRun) {
+  std::size_t requests = 0;
+  const std::string got = AnswerTo("", true, false, &requests);
+  STRCMP_CONTAINS("\"ran\":\"unknown\"", got.c_str());
+  CHECK(requests >= 1);
+}
+
+TEST(EndpointFaults, RefusedConnectionIsCertainlyNotRun) {
+  et::OneNode one;
+  one.endpoint.StopListening();
+  const std::string got = Ask(
+      one,
+      et::ChatRequest(et::ChatBodyText(false), "X-Request-Timeout: 3s\r\n"));
+  CHECK(et::StatusIn(got) >= 500);
+  STRCMP_CONTAINS("\"ran\":\"no\"", got.c_str());
+}
+
+TEST(EndpointFaults, RefusalUnrunIsSentAgain) {
+  et::OneNode one;
+  // Retries are paid for by successes.
+  constexpr std::size_t kSuccesses = 20;
+  for (std::size_t i = 0; i < kSuccesses; ++i) AskChat(one, false);
+  one.endpoint.handler = [&one](evhttp_request* request) {
+    evbuffer* body = evbuffer_new();
+    evbuffer_add_printf(body, "{}");
+    const bool refuse = one.endpoint.seen.size() == kSuccesses + 1;
+    if (refuse) {
+      evhttp_add_header(evhttp_request_get_output_headers(request), "X-Not-Run",
+                        "yes");
+    }
+    evhttp_send_reply(request, refuse ? HTTP_SERVUNAVAIL : HTTP_OK, nullptr,
+                      body);
+    evbuffer_free(body);
+  };
+  const std::string got = AskChat(one, false);
+  CHECK_EQUAL(200, et::StatusIn(got));
+  CHECK_EQUAL(kSuccesses + 2, one.endpoint.seen.size());
+  STRCMP_EQUAL("2", one.endpoint.seen.back().headers["X-Attempt"].c_str());
+}
+
+TEST_GROUP(CallerFaults){};
+
+TEST(CallerFaults, TruncatedBodyReachesNoEndpoint) {
+  et::OneNode one;
+  et::RawCaller caller(one.loop, eg::CallerAddressOf(*one.node));
+  const std::string request = et::ChatRequest(et::ChatBodyText(false));
+  caller.Send(request.substr(0, request.size() - 5));
+  CHECK_TRUE(et::RunUntil(
+      one.loop, [&one] { return eg::ViewOf(*one.node).connections > 0; }));
+  caller.Leave();
+  CHECK_TRUE(et::RunUntil(
+      one.loop, [&one] { return eg::ViewOf(*one.node).connections == 0; }));
+  CHECK_EQUAL(0U, one.endpoint.seen.size());
+  const std::string got = AskChat(one, false);
+  CHECK_EQUAL(200, et::StatusIn(got));
+}
+
+TEST(CallerFaults, OversizedBodyIsRefused) {
+  eg::Limits limits;
+  limits.body_bytes = 1000;
+  et::OneNode one(limits);
+  const std::string got = Ask(one, et::ChatRequest(std::string(5000, 'x')));
+  CHECK_EQUAL(413, et::StatusIn(got));
+  CHECK_EQUAL(0U, one.endpoint.seen.size());
+}
+
+// A faulty client, or somebody unfriendly, sends headers without end.
+TEST(CallerFaults, HeaderFloodIsCutOff) {
+  et::OneNode one;
+  et::RawCaller caller(one.loop, eg::CallerAddressOf(*one.node));
+  std::string flood = "GET /healthz HTTP/1.1\r\n";
+  for (int i = 0; i < 5000; ++i) flood += "X-Flood: aaaaaaaaaaaaaaaaaaaa\r\n";
+  caller.Send(flood);
+  CHECK_TRUE(et::RunUntil(one.loop, [&caller] { return caller.ended; }));
+  CHECK(et::StatusIn(caller.got) != 200);
+}
+
+// A client sends its request a byte at a time and holds its connection for
+// hours; a few thousand of them take every connection.
+TEST(CallerFaults, SlowRequestIsCutOffInTime) {
+  et::OneNode one;
+  et::RawCaller caller(one.loop, eg::CallerAddressOf(*one.node));
+  caller.Send("GET /hea");
+  CHECK_TRUE(et::RunUntil(
+      one.loop, [&one] { return eg::ViewOf(*one.node).connections == 1; }));
+  egretladder::kernel::Advance(one.loop.clock, eg::Limits().request_time - 10s);
+  caller.Send("l");
+  CHECK_FALSE(caller.ended);
+  egretladder::kernel::Advance(one.loop.clock, 10s);
+  CHECK_TRUE(et::RunUntil(one.loop, [&caller] { return caller.ended; }));
+}
+
+TEST(CallerFaults, ConnectionsBeyondTheLimitWait) {
+  eg::Limits limits;
+  limits.connections = 2;
+  et::OneNode one(limits);
+  const std::string address = eg::CallerAddressOf(*one.node);
+  auto first = std::make_unique<et::RawCaller>(one.loop, address);
+  auto second = std::make_unique<et::RawCaller>(one.loop, address);
+  et::RawCaller third(one.loop, address);
+  const std::string ask = "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n";
+  first->Send(ask);
+  second->Send(ask);
+  third.Send(ask);
+  CHECK_TRUE(et::RunUntil(one.loop, [&] {
+    return et::IsWhole(first->got) && et::IsWhole(second->got);
+  }));
+  CHECK_TRUE(third.got.empty());
+  CHECK_EQUAL(2U, eg::ViewOf(*one.node).connections);
+  first->Leave();
+  CHECK_TRUE(
+      et::RunUntil(one.loop, [&third] { return et::IsWhole(third.got); }));
+}
+
+// A buyer closes the page. The engine would write on for a minute for nobody,
+// while others wait for its slot.
+TEST(CallerFaults, CallerGoneCancelsAtTheEndpoint) {
+  et::OneNode one;
+  one.endpoint.handler = [](evhttp_request* request) {
+    evhttp_add_header(evhttp_request_get_output_headers(request),
+                      "Content-Type", "text/event-stream");
+    evhttp_send_reply_start(request, HTTP_OK, nullptr);
+    evbuffer* body = evbuffer_new();
+    evbuffer_add_printf(body, "data: {}\n\n");
+    evhttp_send_reply_chunk(request, body);
+    evbuffer_free(body);
+  };
+  et::RawCaller caller(one.loop, eg::CallerAddressOf(*one.node));
+  caller.Send(et::ChatRequest(et::ChatBodyText(true)));
+  CHECK_TRUE(et::RunUntil(one.loop, [&caller] {
+    return caller.got.find("data: {}") != std::string::npos;
+  }));
+  caller.Leave();
+  CHECK_TRUE(
+      et::RunUntil(one.loop, [&one] { return one.endpoint.closed == 1; }));
+  CHECK_TRUE(et::RunUntil(one.loop, [&one] { return eg::IsIdle(*one.node); }));
+}
+
+// A phone on a bad line reads slower than the engine writes. What it has not
+// taken must wait at the engine, not in the node's memory.
+TEST(CallerFaults, SlowReaderHoldsItsEndpointBack) {
+  et::OneNode one;
+  constexpr std::size_t kEvents = 1000;
+  const std::string event = "data: " + std::string(10'000, 'x') + "\n\n";
+  one.endpoint.handler = [&event](evhttp_request* request) {
+    evhttp_add_header(evhttp_request_get_output_headers(request),
+                      "Content-Type", "text/event-stream");
+    evhttp_send_reply_start(request, HTTP_OK, nullptr);
+    evbuffer* body = evbuffer_new();
+    for (std::size_t i = 0; i < kEvents; ++i) {
+      evbuffer_add(body, event.data(), event.size());
+      evhttp_send_reply_chunk(request, body);
+    }
+    evbuffer_add_printf(body, "data: [DONE]\n\n");
+    evhttp_send_reply_chunk(request, body);
+    evbuffer_free(body);
+    evhttp_send_reply_end(request);
+  };
+  et::RawCaller caller(one.loop, eg::CallerAddressOf(*one.node));
+  caller.SetReading(false);
+  caller.Send(et::ChatRequest(et::ChatBodyText(true)));
+  CHECK_TRUE(et::RunUntil(
+      one.loop, [&one] { return eg::ViewOf(*one.node).paused == 1; }));
+  caller.SetReading(true);
+  CHECK_TRUE(
+      et::RunUntil(one.loop, [&caller] { return et::IsWhole(caller.got); }));
+  const std::size_t bound = eg::Limits().caller_buffer + eg::kEndpointBuffer;
+  CHECK(eg::ViewOf(*one.node).most_output_bytes < bound);
+  CHECK(caller.got.size() > kEvents * event.size());
+}
+
+TEST(CallerFaults, CallerThatTakesNothingIsDropped) {
+  et::OneNode one;
+  one.endpoint.handler = [](evhttp_request* request) {
+    evbuffer* body = evbuffer_new();
+    const std::string large(20'000'000, 'x');
+    evbuffer_add(body, large.data(), large.size());
+    evhttp_send_reply(request, HTTP_OK, nullptr, body);
+    evbuffer_free(body);
+  };
+  et::RawCaller caller(one.loop, eg::CallerAddressOf(*one.node));
+  caller.SetReading(false);
+  caller.Send(
+      "GET /svc/seats/all HTTP/1.1\r\nHost: n\r\nX-Client-Account: abay\r\n"
+      "X-Request-Class: buyer\r\n\r\n");
+  CHECK_TRUE(et::RunUntil(
+      one.loop, [&one] { return eg::ViewOf(*one.node).paused == 1; }));
+  CHECK_TRUE(et::RunUntil(one.loop, [&one] {
+    egretladder::kernel::Advance(one.loop.clock, 100ms);
+    return eg::IsIdle(*one.node);
+  }));
+  CHECK_EQUAL(0U, eg::ViewOf(*one.node).paused);
+}
--- a/gateway/tests/harness.cc
+++ b/gateway/tests/harness.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <cstdio>
 #include <cstdlib>
 
 using namespace std::chrono_literals;
@@ -37,7 +38,7 @@
 }
 
 bool RunUntil(TestLoop& loop, const std::function<bool()>& happened) {
-  const auto watchdog = std::chrono::steady_clock::now() + 20s;
+  const auto watchdog = std::chrono::steady_clock::now() + 5s;
   while (!happened()) {
     if (std::chrono::steady_clock::now() > watchdog) return false;
     // A tick that never comes due would leave the loop asleep.
@@ -235,10 +236,18 @@
   options.platform = platform;
   options.limits = limits;
   auto started = StartGateway(loop.loop, options);
-  if (!started) std::abort();
+  if (!started) {
+    std::fputs(kernel::Describe(started.error()).c_str(), stderr);
+    std::abort();
+  }
   return std::move(started).value();
 }
 
+std::string NodeLine(const std::string& name, const Gateway& node) {
+  return name + " = callers=" + CallerAddressOf(node) +
+         " peers=" + PeerAddressOf(node) + " zone=bole";
+}
+
 std::string RulesText(const RulesParts& parts) {
   std::string text =
       "[document]\nversion = 1 ; test\n[zone]\nbole = region=addis ; test\n"
@@ -251,8 +260,7 @@
     text += "e" + std::to_string(++number) + " = address=" + address +
             " zone=bole serves=" + target + " bears=64 cold_bears=16 ; test\n";
   };
-  for (const std::string& address : parts.endpoints) add(address, "m");
-  if (!parts.service.empty()) add(parts.service, "seats");
+  for (const std::string& address : parts.endpoints) add(address, "m,seats");
   if (!parts.nodes.empty()) text += "[node]\n";
   for (const std::string& line : parts.nodes) text += line + " ; test\n";
   return text;
@@ -272,17 +280,11 @@
 
 OneNode::OneNode() { Start(endpoint.address, Limits()); }
 
-OneNode::OneNode(const std::string& endpoint_address, const Limits& limits) {
-  Start(endpoint_address, limits);
-}
+OneNode::OneNode(const Limits& limits) { Start(endpoint.address, limits); }
 
 void OneNode::Start(const std::string& endpoint_address, const Limits& limits) {
   node = StartTestNode(loop, "n1", platform.address, limits);
-  Publish(platform,
-          RulesText({{endpoint_address},
-                     {"n1 = callers=" + CallerAddressOf(*node) +
-                      " peers=" + PeerAddressOf(*node) + " zone=bole"},
-                     endpoint.address}));
+  Publish(platform, RulesText({{endpoint_address}, {NodeLine("n1", *node)}}));
   if (!RunUntil(loop, [this] {
         return node::ViewOf(NodeOf(*node), loop.clock.now).ready;
       })) {
--- a/gateway/tests/harness.h
+++ b/gateway/tests/harness.h
@@ -27,7 +27,7 @@
   kernel::Loop loop;
 };
 
-/// Turns the loop until `happened`; false when the watchdog's 20 seconds of
+/// Turns the loop until `happened`; false when the watchdog's 5 seconds of
 /// real time went by first.
 bool RunUntil(TestLoop& loop, const std::function<bool()>& happened);
 
@@ -114,18 +114,17 @@
 
 /// A platform that publishes rules with the endpoints and nodes given.
 struct RulesParts {
-  std::vector<std::string> endpoints;  ///< Addresses.
+  std::vector<std::string> endpoints;  ///< Addresses; all serve everything.
   std::vector<std::string> nodes;      ///< `name = ...` lines.
-  std::string service;                 ///< Address of the service `seats`.
 };
+std::string NodeLine(const std::string& name, const Gateway& node);
 std::string RulesText(const RulesParts& parts);
 void Publish(FakeServer& platform, const std::string& rules);
 
 /// A test loop, platform, endpoint and node that serves the model `m`.
 struct OneNode {
   OneNode();
-  explicit OneNode(const std::string& endpoint_address,
-                   const Limits& limits = Limits());
+  explicit OneNode(const Limits& limits);
   void Start(const std::string& endpoint_address, const Limits& limits);
 
   TestLoop loop;
--- /dev/null
+++ b/gateway/tests/peer_test.cc
@@ -0,0 +1,151 @@
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "gateway_p.h"
+#include "harness.h"
+
+using namespace std::chrono_literals;
+namespace et = egretladder::gateway::testing;
+namespace eg = egretladder::gateway;
+
+namespace {
+
+std::string LaneOf(eg::Gateway& node, et::TestLoop& loop) {
+  return egretladder::node::Where(eg::NodeOf(node), "bole", loop.clock.now)
+      .lane;
+}
+
+std::size_t MembersOf(eg::Gateway& node, et::TestLoop& loop) {
+  std::size_t alive = 0;
+  const auto view = egretladder::node::ViewOf(eg::NodeOf(node), loop.clock.now);
+  for (const auto& member : view.fleet.members) {
+    if (member.state == egretladder::fleet::MemberState::kAlive) ++alive;
+  }
+  return alive;
+}
+
+/// Two nodes that know each other.
+struct TwoNodes {
+  TwoNodes() {
+    first = et::StartTestNode(loop, "n1", platform.address);
+    second = et::StartTestNode(loop, "n2", platform.address);
+    et::Publish(platform, et::RulesText({{endpoint.address},
+                                         {et::NodeLine("n1", *first),
+                                          et::NodeLine("n2", *second)}}));
+    met = et::RunUntil(loop, [this] {
+      return MembersOf(*first, loop) == 2 && MembersOf(*second, loop) == 2 &&
+             !LaneOf(*first, loop).empty();
+    });
+  }
+  et::TestLoop loop;
+  et::FakeServer endpoint{loop};
+  et::FakeServer platform{loop};
+  eg::GatewayPtr first;
+  eg::GatewayPtr second;
+  bool met = false;
+};
+
+std::string Enrol(const std::string& lane, const std::string& key) {
+  return "POST /svc/seats/enrol HTTP/1.1\r\nHost: n\r\n"
+         "X-Client-Account: abay\r\nX-Request-Class: enrol\r\n"
+         "Egretladder-Lane: " +
+         lane + "\r\nIdempotency-Key: " + key +
+         "\r\nContent-Length: 2\r\n\r\n{}";
+}
+
+std::string Ask(et::TestLoop& loop, const eg::Gateway& node,
+                const std::string& request) {
+  et::RawCaller caller(loop, eg::CallerAddressOf(node));
+  caller.Send(request);
+  CHECK_TRUE(et::RunUntil(
+      loop, [&caller] { return et::IsWhole(caller.got) || caller.ended; }));
+  return caller.got;
+}
+
+}  // namespace
+
+TEST_GROUP(Peers){};
+
+TEST(Peers, MessagesReachTheOtherNode) {
+  TwoNodes two;
+  CHECK_TRUE(two.met);
+  eg::SendToPeer(*two.first->peers,
+                 {eg::PeerAddressOf(*two.second),
+                  egretladder::fleet::RulesOffer{0, "no rules"}});
+  CHECK_TRUE(et::RunUntil(two.loop, [&two] {
+    return egretladder::kernel::PrometheusText(eg::MetricsOf(*two.second))
+               .find("kind=\"rules_offer\",direction=\"in\"") !=
+           std::string::npos;
+  }));
+  CHECK(eg::ViewOf(*two.first).peers >= 1);
+}
+
+// A parent's phone loses its connection after an enrolment was sent and sends
+// it again to another node. Run there as well, the seat is taken twice.
+TEST(Peers, LaneCallThroughTheOtherNodeRunsOnce) {
+  TwoNodes two;
+  CHECK_TRUE(two.met);
+  const std::string request = Enrol(LaneOf(*two.first, two.loop), "k1");
+  const std::string here = Ask(two.loop, *two.first, request);
+  CHECK_EQUAL(200, et::StatusIn(here));
+  const std::string there = Ask(two.loop, *two.second, request);
+  CHECK_EQUAL(200, et::StatusIn(there));
+  STRCMP_CONTAINS("{\"ok\":true}", there.c_str());
+  CHECK_EQUAL(1U, two.endpoint.seen.size());
+}
+
+// The owner of the lane is gone for good. Nobody else knows whether the payment
+// ran, so nobody may say that it did not.
+TEST(Peers, LaneCallOfADeadNodeIsUnknown) {
+  TwoNodes two;
+  CHECK_TRUE(two.met);
+  const std::string request = Enrol(LaneOf(*two.first, two.loop), "k1");
+  two.first.reset();
+  const std::string got = Ask(two.loop, *two.second, request);
+  STRCMP_CONTAINS("\"ran\":\"unknown\"", got.c_str());
+  CHECK_EQUAL(0U, two.endpoint.seen.size());
+}
+
+// Something else than a node connects to the peer port and sends what it likes.
+TEST(Peers, GarbageOnThePeerPortEndsOnlyItsConnection) {
+  TwoNodes two;
+  CHECK_TRUE(two.met);
+  et::RawCaller garbage(two.loop, eg::PeerAddressOf(*two.first));
+  garbage.Send("GET / HTTP/1.1\r\nHost: n\r\n\r\n" + std::string(4096, '\xff'));
+  CHECK_TRUE(et::RunUntil(two.loop, [&garbage] { return garbage.ended; }));
+  const std::string got =
+      Ask(two.loop, *two.first, et::ChatRequest(et::ChatBodyText(false)));
+  CHECK_EQUAL(200, et::StatusIn(got));
+  CHECK_EQUAL(2U, MembersOf(*two.second, two.loop));
+}
+
+// A peer's process is paused: its kernel still accepts connections, and nothing
+// is answered. A node that waited or kept everything for it would go down too.
+TEST(Peers, PeerThatAnswersNothingCostsAFewMessages) {
+  et::OneNode one;
+  et::RawServer silent(one.loop, "", false);
+  const auto dropped = egretladder::kernel::AddCounter(
+      eg::MetricsOf(*one.node), "egretladder_peer_messages_dropped_total", "");
+  constexpr std::uint32_t kMessages = 1000;
+  const auto send = [&] {
+    eg::SendToPeer(*one.node->peers,
+                   {silent.address,
+                    egretladder::fleet::RulesOffer{0, std::string(1000, 'x')}});
+  };
+  for (std::uint32_t i = 0; i < kMessages; ++i) send();
+  CHECK_EQUAL(kMessages - eg::kPeerMessages,
+              egretladder::kernel::ValueOf(eg::MetricsOf(*one.node), dropped));
+  // It is given up after a while, not at once, and tried again later.
+  CHECK_EQUAL(1U, eg::ViewOf(*one.node).peers);
+  const auto start = one.loop.clock.now;
+  CHECK_TRUE(et::RunUntil(one.loop,
+                          [&one] { return eg::ViewOf(*one.node).peers == 0; }));
+  CHECK(one.loop.clock.now - start >= eg::kPeerSilence);
+  send();
+  CHECK_EQUAL(0U, eg::ViewOf(*one.node).peers);
+  egretladder::kernel::Advance(one.loop.clock, eg::kBackoffMost);
+  send();
+  CHECK_EQUAL(1U, eg::ViewOf(*one.node).peers);
+}
--- a/gateway/tests/wire_test.cc
+++ b/gateway/tests/wire_test.cc
@@ -4,9 +4,12 @@
 #include <kj/exception.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
+#include "egretladder/gateway/limits.h"
 #include "egretladder/kernel/hash.h"
 #include "peer_codec_p.h"
 
@@ -184,6 +187,33 @@
   CHECK(refused > 0);
 }
 
+// A broken peer sends seventy bytes whose list claims millions of empty
+// entries. Without a bound the node's memory runs out and every caller on it is
+// cut.
+TEST(PeerCodec, RefusesAListOfTooManyEmptyEntries) {
+  capnp::MallocMessageBuilder builder;
+  auto gossip = builder.initRoot<egretladder::wire::Message>().initGossip();
+  gossip.initMembers(egretladder::gateway::kPeerListMost + 1);
+  CHECK_FALSE(
+      eg::ReadMessage(builder.getRoot<egretladder::wire::Message>().asReader())
+          .has_value());
+}
+
+// A peer says that something holds for the longest span its type can name.
+// Added to the clock that would overflow, and a quarantine would lie in the
+// past.
+TEST(PeerCodec, BoundsSpansOfTime) {
+  capnp::MallocMessageBuilder builder;
+  auto one = builder.initRoot<egretladder::wire::Message>()
+                 .initGossip()
+                 .initQuarantined(1)[0];
+  one.setLeftMs(std::numeric_limits<std::int64_t>::max());
+  const auto read =
+      eg::ReadMessage(builder.getRoot<egretladder::wire::Message>().asReader());
+  CHECK(std::get<ef::Gossip>(read.value()).quarantined[0].left ==
+        egretladder::gateway::kPeerSpanMost);
+}
+
 TEST(PeerCodec, RefusesAKindOfALaterVersion) {
   auto words = BytesOf(ef::RulesAsk{3});
   // The first word after the segment table and the root pointer holds the kind.
--- a/lab/include/egretladder/lab/engine_model.h
+++ b/lab/include/egretladder/lab/engine_model.h
@@ -143,6 +143,7 @@
   std::deque<std::pair<Time, EngineReport>> reports;
   std::map<std::string, Time> loaded;  ///< Model, and since when it can run.
   std::uint64_t highest_fencing = 0;
+  std::optional<Time> last_taken;  ///< When it last took a call.
 };
 
 EngineState StartEngine(const EngineOptions& options, std::uint64_t boot,
--- a/lab/src/command_load.cc
+++ b/lab/src/command_load.cc
@@ -24,6 +24,8 @@
   std::string compare;
   bool direct = false;
   bool json = false;
+  bool plan = false;
+  double duration_seconds = 0;  ///< 0: the profile's.
   std::uint32_t drain_seconds = 20;
 };
 
@@ -76,8 +78,13 @@
   BOOST_OUTCOME_TRY(nodes, ReadAddresses(args.to));
   options.nodes = std::move(nodes);
   options.direct = args.direct;
+  if (args.duration_seconds > 0) {
+    options.profile.duration =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::duration<double>(args.duration_seconds));
+  }
   options.drain = std::chrono::seconds(args.drain_seconds);
-  if (options.nodes.empty() && !options.direct) {
+  if (options.nodes.empty() && !options.direct && !args.plan) {
     return kernel::MakeError(kernel::ErrorCode::kInvalidInput, "read options",
                              "command line", "give --to or --direct");
   }
@@ -106,6 +113,22 @@
          report.false_served == 0;
 }
 
+/// What each flow sends, without sending it.
+int WritePlan(const LoadProfile& profile, std::ostream& out) {
+  std::vector<std::uint64_t> calls(profile.flows.size());
+  std::vector<std::uint64_t> tokens(profile.flows.size());
+  for (const PlannedCall& call : PlanCalls(profile)) {
+    ++calls[call.flow];
+    tokens[call.flow] += call.output_tokens;
+  }
+  for (std::size_t i = 0; i < profile.flows.size(); ++i) {
+    out << profile.flows[i].name << ": " << calls[i] << " calls";
+    if (!profile.flows[i].model.empty()) out << ", " << tokens[i] << " tokens";
+    out << "\n";
+  }
+  return kExitDone;
+}
+
 int Play(const LoadArgs& args, const LoadOptions& options,
          const CommandStreams& streams) {
   kernel::Loop loop = kernel::OpenLoop();
@@ -145,6 +168,9 @@
       ->delimiter(',');
   app.add_option("--title", given.title, "heads the table");
   app.add_flag("--json", given.json, "one JSON object instead of a table");
+  app.add_flag("--plan", given.plan, "only prints what it would send");
+  app.add_option("--duration-seconds", given.duration_seconds,
+                 "in place of the profile's");
   app.add_option("--drain-seconds", given.drain_seconds,
                  "wait for answers after the last call");
   app.footer(
@@ -158,6 +184,7 @@
     streams.err << kernel::Describe(options.error()) << "\n";
     return kExitUsage;
   }
+  if (given.plan) return WritePlan(options.value().profile, streams.out);
   return Play(given, options.value(), streams);
 }
 
--- a/lab/src/command_scenario.cc
+++ b/lab/src/command_scenario.cc
@@ -2,6 +2,7 @@
 #include <CLI/Config.hpp>
 #include <CLI/Formatter.hpp>
 #include <algorithm>
+#include <cstdint>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
   std::vector<std::string> files;
   std::string policy{policy::kStandardScheduler};
   std::string plot;
+  std::uint64_t seed = 0;  ///< In place of the scenario's own; 0: none.
   bool compare = false;
   bool json = false;
 };
@@ -34,8 +36,9 @@
 
 int RunFile(const std::string& file, const ScenarioArgs& args,
             const CommandStreams& streams) {
-  const auto scenario = ReadScenario(file);
+  auto scenario = ReadScenario(file);
   if (!scenario) return Fail(scenario.error(), streams);
+  if (args.seed != 0) scenario.value().seed = args.seed;
   std::vector<ScenarioResult> results;
   for (const std::string& policy : PoliciesOf(args)) {
     auto result = RunScenario(scenario.value(), policy);
@@ -63,6 +66,7 @@
       "egretladder scenario");
   app.add_option("FILE", parsed.files, "scenarios in Lua")->required();
   app.add_option("--policy", parsed.policy, "scheduler: ladder, least, fifo");
+  app.add_option("--seed", parsed.seed, "in place of the scenario's own");
   app.add_flag("--compare", parsed.compare,
                "run the baselines as well; only ladder is judged");
   app.add_flag("--json", parsed.json, "print JSON in place of tables");
--- a/lab/src/engine_model.cc
+++ b/lab/src/engine_model.cc
@@ -142,6 +142,7 @@
   fresh.counts = state.counts;
   fresh.counts.lost += lost.size();
   ++fresh.counts.fell_over;
+  fresh.last_taken = state.last_taken;
   fresh.slow_factor = state.slow_factor;
   fresh.highest_fencing = state.highest_fencing;
   state = std::move(fresh);
@@ -205,6 +206,7 @@
     return refuse(SubmitResult::kFull);
   }
   ++state.counts.taken;
+  state.last_taken = now;
   const WaitingOrder order{call.priority, state.arrivals++};
   state.waiting.emplace(order, EngineWork{std::move(call), 0, 0});
   state.counts.most_in_progress =
--- a/lab/src/engine_wire.cc
+++ b/lab/src/engine_wire.cc
@@ -192,12 +192,18 @@
   return buffer.GetString();
 }
 
-std::string EngineCountsJson(const EngineState& state) {
+std::string EngineCountsJson(const EngineState& state, Time now) {
   const EngineCounts& counts = state.counts;
   rapidjson::StringBuffer buffer;
   Json json(buffer);
   json.StartObject();
   WriteCount(json, "boot", state.boot);
+  json.Key("idle_ms");
+  json.Int64(state.last_taken
+                 ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                       now - *state.last_taken)
+                       .count()
+                 : -1);
   WriteCount(json, "requests", counts.taken + counts.refused);
   WriteCount(json, "taken", counts.taken);
   WriteCount(json, "refused", counts.refused);
--- a/lab/src/engine_wire_p.h
+++ b/lab/src/engine_wire_p.h
@@ -32,7 +32,8 @@
 std::string WholeAnswer(const ChatRequest& request, EngineCallId id);
 
 std::string ReportJson(const EngineReport& report);
-std::string EngineCountsJson(const EngineState& state);
+/// `idle_ms` is the time since it last took a call; -1 before the first.
+std::string EngineCountsJson(const EngineState& state, Time now);
 
 kernel::Result<EngineOrder> ReadEngineOrder(const std::string& body);
 
--- a/lab/src/load_call.cc
+++ b/lab/src/load_call.cc
@@ -130,7 +130,15 @@
   });
 }
 
-void OnError(LoadRun& run, LoadCall& call, const ErrorSeen& error, int status) {
+/// The request itself is at fault: to come back later would not help.
+bool IsInvalidRequest(const std::string& code) {
+  constexpr std::array<std::string_view, 8> kCodes = {
+      "unknown_account", "unknown_class", "class_not_allowed", "unknown_target",
+      "lane_missing",    "lane_invalid",  "lane_expired",      "key_reused"};
+  return std::find(kCodes.begin(), kCodes.end(), code) != kCodes.end();
+}
+
+void OnError(LoadRun& run, LoadCall& call, const ErrorSeen& error) {
   const bool leaving = error.code == "leaving";
   if (error.not_run && leaving && call.attempts < kMostAttempts) {
     // Certain not to have run: a caller starts over with a new key.
@@ -144,11 +152,8 @@
     Retry(run, call, CallEnd::kUnknown);
     return;
   }
-  constexpr std::array<int, 2> kBusy = {429, 503};
-  const bool busy =
-      std::find(kBusy.begin(), kBusy.end(), status) != kBusy.end();
   EndCall(run, call.number,
-          busy || leaving ? CallEnd::kShed : CallEnd::kRefused);
+          IsInvalidRequest(error.code) ? CallEnd::kRefused : CallEnd::kShed);
 }
 
 /// True when the answer is complete and belongs to this request.
@@ -199,7 +204,7 @@
   } else if (!answer.complete) {
     Retry(run, call, CallEnd::kUnknown);
   } else {
-    OnError(run, call, ReadError(answer.body), answer.status);
+    OnError(run, call, ReadError(answer.body));
   }
 }
 
--- a/lab/src/service_model.cc
+++ b/lab/src/service_model.cc
@@ -7,8 +7,10 @@
 
 namespace egretladder::lab {
 
-std::uint32_t RecordRun(ServiceModel& model, const std::string& key) {
+std::uint32_t RecordRun(ServiceModel& model, const std::string& key,
+                        kernel::Time now) {
   ++model.requests;
+  model.last_run = now;
   if (key.empty()) {
     ++model.without_key;
     return 1;
@@ -29,12 +31,19 @@
   return doubles;
 }
 
-std::string CountsJson(const ServiceModel& model, bool list_keys) {
+std::string CountsJson(const ServiceModel& model, bool list_keys,
+                       kernel::Time now) {
   rapidjson::StringBuffer buffer;
   rapidjson::Writer<rapidjson::StringBuffer> json(buffer);
   json.StartObject();
   json.Key("requests");
   json.Uint64(model.requests);
+  json.Key("idle_ms");
+  json.Int64(model.last_run
+                 ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                       now - *model.last_run)
+                       .count()
+                 : -1);
   json.Key("keys");
   json.Uint64(model.runs.size());
   json.Key("doubles");
--- a/lab/src/stand_in_engine.cc
+++ b/lab/src/stand_in_engine.cc
@@ -205,7 +205,8 @@
   } else if (path == "/control") {
     TakeControl(engine, request);
   } else if (path == "/counts") {
-    ReplyJson(request, kOk, EngineCountsJson(engine.model));
+    ReplyJson(request, kOk,
+              EngineCountsJson(engine.model, kernel::Now(engine.loop.clock)));
   } else {
     Reply(request, HTTP_NOTFOUND, "text/plain", "no such path\n");
   }
--- a/lab/src/stand_in_service.cc
+++ b/lab/src/stand_in_service.cc
@@ -95,7 +95,8 @@
   const std::string key = KeyOf(request);
   // A run counts from its start: the work is done even if nobody waits for the
   // answer.
-  const std::uint32_t run = RecordRun(service.model, key);
+  const std::uint32_t run =
+      RecordRun(service.model, key, kernel::Now(service.loop.clock));
   const FaultKind fault = DrawFault(service.faults);
   const std::uint64_t number = service.next_call++;
   PendingCall& pending = service.pending[number];
@@ -118,7 +119,8 @@
     TakeFault(request, service.faults);
   } else if (path == "/counts") {
     ReplyJson(request, kOk,
-              CountsJson(service.model, !QueryOf(request, "keys").empty()));
+              CountsJson(service.model, !QueryOf(request, "keys").empty(),
+                         kernel::Now(service.loop.clock)));
   } else {
     Take(service, request);
   }
--- a/lab/tests/examples_test.cc
+++ b/lab/tests/examples_test.cc
@@ -110,3 +110,13 @@
   }
   CHECK_EQUAL(18U, checked);
 }
+
+TEST(Examples, EveryLoadProfileNamesOnlyWhatTheRulesDeclare) {
+  for (const char* deployment : {"01-abay", "02-quetzal", "03-demo"}) {
+    const std::string dir = Path(deployment) + "/";
+    CHECK_EQUAL(el::kExitDone, Run({"load", dir + "load.ini", "--rules",
+                                    dir + "rules.ini", "--plan"}));
+  }
+  CHECK_EQUAL(el::kExitUsage, Run({"load", Path("01-abay/load.ini"), "--rules",
+                                   Path("02-quetzal/rules.ini"), "--plan"}));
+}
--- a/lab/tests/stand_in_model_test.cc
+++ b/lab/tests/stand_in_model_test.cc
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>
 #include <string>
 
 #include "egretladder/lab/fault.h"
@@ -9,24 +10,28 @@
 namespace ek = egretladder::kernel;
 namespace el = egretladder::lab;
 
+namespace {
+constexpr ek::Time kNow{std::chrono::hours(1)};
+}  // namespace
+
 TEST_GROUP(ServiceModel) { el::ServiceModel model_; };
 
 // A router that repeats a payment whose answer was lost runs it twice. The
 // parent pays twice; the service has to be able to show it.
 TEST(ServiceModel, ARepeatedKeyCountsAsADouble) {
-  CHECK_EQUAL(1U, el::RecordRun(model_, "a"));
-  CHECK_EQUAL(1U, el::RecordRun(model_, "b"));
+  CHECK_EQUAL(1U, el::RecordRun(model_, "a", kNow));
+  CHECK_EQUAL(1U, el::RecordRun(model_, "b", kNow));
   CHECK_EQUAL(0U, el::DoublesOf(model_));
-  CHECK_EQUAL(2U, el::RecordRun(model_, "a"));
-  CHECK_EQUAL(3U, el::RecordRun(model_, "a"));
+  CHECK_EQUAL(2U, el::RecordRun(model_, "a", kNow));
+  CHECK_EQUAL(3U, el::RecordRun(model_, "a", kNow));
   CHECK_EQUAL(2U, el::DoublesOf(model_));
-  STRCMP_CONTAINS("\"runs\":{", el::CountsJson(model_, true).c_str());
-  STRCMP_CONTAINS("\"a\":3", el::CountsJson(model_, true).c_str());
+  STRCMP_CONTAINS("\"runs\":{", el::CountsJson(model_, true, kNow).c_str());
+  STRCMP_CONTAINS("\"a\":3", el::CountsJson(model_, true, kNow).c_str());
 }
 
 TEST(ServiceModel, CallsWithoutAKeyAreNoDoubles) {
-  CHECK_EQUAL(1U, el::RecordRun(model_, ""));
-  CHECK_EQUAL(1U, el::RecordRun(model_, ""));
+  CHECK_EQUAL(1U, el::RecordRun(model_, "", kNow));
+  CHECK_EQUAL(1U, el::RecordRun(model_, "", kNow));
   CHECK_EQUAL(0U, el::DoublesOf(model_));
   CHECK_EQUAL(2U, model_.without_key);
 }
--- a/policy/include/egretladder/policy/admit.h
+++ b/policy/include/egretladder/policy/admit.h
@@ -49,14 +49,21 @@
   std::uint32_t account_waiting = 0;
   std::uint32_t account_cap = 0;  ///< 0: none.
   bool can_start_now = false;     ///< A slot is free and nothing goes before.
-  Seconds wait{};                 ///< Expected, until it starts.
+  Seconds wait{};                 ///< Expected, behind what is in time.
+  Seconds wait_late{};            ///< Expected, behind all that waits.
   Seconds first_token{};          ///< Expected, from start.
-  bool estimate_holds = false;    ///< Enough was seen to refuse by it.
+  double trust = 0;         ///< In the estimates, from 0 (nothing seen) to 1.
+  bool overloaded = false;  ///< Its tier and higher ones bring too much.
+  Time deadline{};
   Time bound{};
 };
 
 /// Says why a request is turned away; nothing when it may wait. Room in the
 /// queue is a matter of its own, since room can be made.
+///
+/// What would be late may wait up to its bound only while less arrives than the
+/// slots bear: in a lasting overload what is in time always goes before, so
+/// that late work would wait to its bound and be refused then.
 std::optional<RefuseReason> DecideAdmit(const AdmitQuestion& question,
                                         Time now);
 
--- a/policy/include/egretladder/policy/estimate.h
+++ b/policy/include/egretladder/policy/estimate.h
@@ -22,6 +22,7 @@
   std::uint32_t running = 0;
   kernel::Time until{};  ///< `slot_seconds` counts up to here.
   double first_token_seconds = 0;
+  double first_token_squares = 0;
   double first_tokens = 0;
   double tokens = 0;  ///< Produced by ended work, fading.
 };
@@ -42,6 +43,10 @@
 Seconds MeanSlotTime(const WorkSeen& seen, kernel::Time now);
 /// Mean time from dispatch to the first token; 0: unknown.
 Seconds MeanFirstToken(const WorkSeen& seen);
+/// Time to the first token that few exceed: the mean and twice the deviation.
+/// Work started right before its deadline less the mean would be late half of
+/// the time, and deadline order starts just that work under overload.
+Seconds LongFirstToken(const WorkSeen& seen);
 /// Mean tokens of ended work; 0: unknown.
 double MeanTokens(const WorkSeen& seen);
 
--- a/policy/include/egretladder/policy/health.h
+++ b/policy/include/egretladder/policy/health.h
@@ -20,7 +20,8 @@
   std::uint32_t answers = 0;
   std::uint32_t failures = 0;  ///< In a row.
   std::uint32_t good_probes = 0;
-  bool left_alone = false;  ///< Gets probes only.
+  bool left_alone = false;       ///< Gets probes only.
+  std::uint32_t bad_probes = 0;  ///< In a row: probes become rarer.
   kernel::Time next_probe{};
 };
 
--- a/policy/include/egretladder/policy/limits.h
+++ b/policy/include/egretladder/policy/limits.h
@@ -70,7 +70,7 @@
   /// higher tiers want them all; 0: no trickle.
   /// Load: the top tier alone over capacity for an hour. Without it lower tiers
   /// are never served. The bound is derived in docs/design/two-promises.md.
-  double trickle_share = 0.02;
+  double trickle_share = 0.01;
   /// A lower tier's request counts as aged after this wait.
   milliseconds trickle_age{5000};
 
@@ -79,19 +79,13 @@
   /// and, where higher tiers ran lately, at least one; 0: none.
   /// Load: a batch of long work takes every slot. Without it a buyer's question
   /// waits until one of them ends.
-  double reserve_factor = 1.5;
+  double reserve_factor = 0.5;
   double reserve_share_most = 0.2;
 
-  /// Whether lower-tier work without a first token is cancelled for a higher
-  /// tier that would miss its deadline, and how long it may have run.
-  /// Load: a batch that fills every slot between two questions.
-  bool preempt = true;
-  milliseconds preempt_within{500};
-
-  /// Ends seen before a learned service time refuses work.
-  /// Load: long work among short. Without it the first long answers refuse
-  /// callers that could be served.
-  double ends_before_refusing = 16;
+  /// Ends seen at which a learned wait counts half; 0: it always counts whole.
+  /// Load: long work among short, and the start of a node. Without it the first
+  /// long answers refuse callers that could be served.
+  double ends_half_trusted = 16;
   /// Ends over which service times are learned. Fewer let one very long answer
   /// shift the estimate; more are slow to see a change.
   double ends_remembered = 256;
@@ -108,12 +102,12 @@
 
   /// Endpoints drawn for one choice. One ignores load; more than a few cost
   /// time and herd to the same endpoint.
-  std::uint32_t choices = 3;
+  std::uint32_t choices = 6;
   /// An endpoint takes a prompt for its cached prefix while it holds at most
   /// this times the mean load; 0: no affinity.
   /// Load: a few prefixes with most of the load. Without the bound they
   /// overload one endpoint; without affinity each prompt is computed anew.
-  double affinity_load = 1.25;
+  double affinity_load = 1.5;
   /// Endpoints that may hold one prefix.
   std::uint32_t affinity_homes = 2;
   /// What a report's load counts half as much after. Reports lag.
@@ -142,7 +136,7 @@
   /// Load: a zone out and back. Without it every new request goes to the zone's
   /// idle endpoints, and all are late if it is not well.
   double shift_start = 0.125;
-  milliseconds shift_doubling{1000};
+  milliseconds shift_doubling{4000};
 };
 
 }  // namespace egretladder::policy
--- a/policy/include/egretladder/policy/trickle.h
+++ b/policy/include/egretladder/policy/trickle.h
@@ -11,7 +11,8 @@
 
 /// Slot time that lower tiers may take at one target while higher tiers wait.
 /// It accrues at `trickle_share` of the target's slots and is spent by what the
-/// trickle runs. The next aged request starts when something is left.
+/// trickle runs. The next aged request starts when something is left and no
+/// more runs than the share can pay for; at least one may.
 ///
 /// Load: the top tier alone over capacity. Without it lower tiers are never
 /// served. Counting slot time rather than starts keeps the share bounded when
@@ -28,10 +29,13 @@
                     kernel::Time now);
 
 /// True when an aged request may start before higher tiers.
-bool MayTrickle(const Trickle& trickle, const Limits& limits);
+bool MayTrickle(const Trickle& trickle, std::uint32_t slots,
+                const Limits& limits);
 
-/// True when a request that came at `arrived` is aged.
-bool IsAged(kernel::Time arrived, const Limits& limits, kernel::Time now);
+/// True when a request is aged: it waited `trickle_age`, or half of the time
+/// that it may wait at all, since a class that waits less would never age.
+bool IsAged(kernel::Time arrived, kernel::Time bound, const Limits& limits,
+            kernel::Time now);
 
 /// The longest time without a start for a class that waits, while `classes`
 /// lower-tier classes share the trickle of `slots` slots, their longest work
--- a/policy/src/admit.cc
+++ b/policy/src/admit.cc
@@ -46,11 +46,14 @@
     return RefuseReason::kAccountCap;
   }
   if (now >= question.bound) return RefuseReason::kDeadlineUnreachable;
-  const Seconds needed = question.wait + question.first_token;
-  if (question.estimate_holds && needed > Seconds(question.bound - now)) {
-    return RefuseReason::kDeadlineUnreachable;
-  }
-  return std::nullopt;
+  const Seconds needed =
+      (question.wait + question.first_token) * question.trust;
+  if (needed <= Seconds(question.deadline - now)) return std::nullopt;
+  const bool fits =
+      question.wait_late * question.trust <= Seconds(question.bound - now);
+  const bool may_be_late = question.bound > question.deadline;
+  if (may_be_late && fits && !question.overloaded) return std::nullopt;
+  return RefuseReason::kDeadlineUnreachable;
 }
 
 std::chrono::milliseconds RetryAfter(Seconds wait, Seconds may_wait,
--- a/policy/src/estimate.cc
+++ b/policy/src/estimate.cc
@@ -1,6 +1,7 @@
 #include "egretladder/policy/estimate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace egretladder::policy {
 namespace {
@@ -31,6 +32,8 @@
   const double fading = Fading(ends_remembered);
   seen.first_token_seconds =
       seen.first_token_seconds * fading + after_dispatch.count();
+  seen.first_token_squares = seen.first_token_squares * fading +
+                             after_dispatch.count() * after_dispatch.count();
   seen.first_tokens = seen.first_tokens * fading + 1;
 }
 
@@ -62,6 +65,13 @@
   return Seconds(seen.first_token_seconds / seen.first_tokens);
 }
 
+Seconds LongFirstToken(const WorkSeen& seen) {
+  if (seen.first_tokens <= 0) return Seconds(0);
+  const double mean = seen.first_token_seconds / seen.first_tokens;
+  const double square = seen.first_token_squares / seen.first_tokens;
+  return Seconds(mean + 2 * std::sqrt(std::max(0.0, square - mean * mean)));
+}
+
 double MeanTokens(const WorkSeen& seen) {
   return seen.ends > 0 ? seen.tokens / seen.ends : 0;
 }
--- a/policy/src/health.cc
+++ b/policy/src/health.cc
@@ -17,8 +17,10 @@
 HealthChange OnProbeAnswer(Health& health, double ratio, const Limits& limits) {
   if (ratio >= limits.slow_ratio) {
     health.good_probes = 0;
+    ++health.bad_probes;
     return HealthChange::kNone;
   }
+  health.bad_probes = 0;
   if (++health.good_probes < limits.probes_to_trust) return HealthChange::kNone;
   health = Health{};
   return HealthChange::kTrusted;
@@ -41,6 +43,7 @@
 HealthChange OnFailure(Health& health, const Limits& limits, kernel::Time now) {
   health.good_probes = 0;
   ++health.failures;
+  if (health.left_alone) ++health.bad_probes;
   if (health.left_alone || health.failures < limits.failures_in_row) {
     return HealthChange::kNone;
   }
@@ -57,7 +60,10 @@
 }
 
 void OnProbeSent(Health& health, const Limits& limits, kernel::Time now) {
-  health.next_probe = now + limits.probe_every;
+  constexpr std::uint32_t kDoublingsMost = 4;
+  health.next_probe =
+      now +
+      limits.probe_every * (1U << std::min(health.bad_probes, kDoublingsMost));
 }
 
 bool MayLeaveAlone(std::uint32_t left_alone, std::uint32_t servers,
--- a/policy/src/ladder_admit.cc
+++ b/policy/src/ladder_admit.cc
@@ -7,7 +7,11 @@
 namespace egretladder::policy {
 namespace {
 
-constexpr double kDemandSeconds = 10;  // Smoothing of what tiers bring.
+// Smoothing of what tiers bring: seconds for what must start within seconds; a
+// minute for what can wait, or a burst of seconds would refuse it.
+constexpr double kSmoothed = 5;
+constexpr double kSmoothedLong = 60;
+constexpr Seconds kLongWait{20};
 constexpr Seconds kCapRetry{
     1};  // Caps free up as work ends; nobody knows when.
 
@@ -32,21 +36,28 @@
 }
 
 // Higher tiers whole, own class by fair turns, others of the tier when their
-// deadlines are as short.
-WorkAhead AheadOf(const LadderState& state, const Request& request, Time now) {
+// deadlines are as short. What is late goes after what is in time.
+WorkAhead AheadOf(const LadderState& state, const Request& request,
+                  bool in_time_only, Time now) {
   const rules::Class& own = ClassOf(state.table, request.cls);
+  const std::uint32_t target = request.target.idx;
   WorkAhead ahead;
-  ahead.ends = state.seen[request.target.idx][request.cls.idx].ends;
-  const auto& waiting = state.queue.waiting[request.target.idx];
+  ahead.ends = state.seen[target][request.cls.idx].ends;
+  const auto& waiting = state.queue.waiting[target];
   for (std::uint32_t i = 0; i < waiting.size(); ++i) {
     if (waiting[i] == 0) continue;
     const rules::Class& cls = ClassOf(state.table, ClassHandle{i});
-    double requests = waiting[i];
+    if (cls.tier > own.tier) continue;
+    auto requests = static_cast<double>(waiting[i]);
+    if (in_time_only && cls.tier == own.tier) {
+      requests =
+          static_cast<double>(state.queue.queues[target][i].by_deadline.size());
+    }
     if (i == request.cls.idx) {
-      requests = FairAhead(waiting[i], state.queue.accounts_waiting[i],
+      requests = FairAhead(static_cast<std::uint32_t>(requests),
+                           state.queue.accounts_waiting[i],
                            state.queue.served[i][request.account.idx].waiting);
-    } else if (cls.tier > own.tier ||
-               (cls.tier == own.tier && cls.first_token > own.first_token)) {
+    } else if (cls.tier == own.tier && cls.first_token > own.first_token) {
       continue;
     }
     AddAhead(state, request.target, i, requests, now, ahead);
@@ -54,20 +65,64 @@
   return ahead;
 }
 
-double DemandAt(const TierLoad& load, Time now) {
-  const double passed = Seconds(now - load.until).count();
-  return load.demand * std::exp(-std::max(0.0, passed) / kDemandSeconds);
+double Faded(double value, Time since, double smoothed, Time now) {
+  const double passed = Seconds(now - since).count();
+  return value * std::exp(-std::max(0.0, passed) / smoothed);
+}
+
+void NoteDemand(LadderState& state, const Request& request, std::uint8_t tier,
+                bool admitted, Time now) {
+  Pool& pool = state.pools[request.target.idx];
+  TierLoad& load = pool.tiers[std::min<std::size_t>(tier, kTiers - 1)];
+  const double work =
+      MeanSlotSeconds(state, request.target, request.cls.idx, now);
+  load.offered = Faded(load.offered, load.until, kSmoothed, now);
+  load.admitted = Faded(load.admitted, load.until, kSmoothed, now);
+  load.admitted_long =
+      Faded(load.admitted_long, load.until, kSmoothedLong, now);
+  load.until = now;
+  load.offered += work / kSmoothed;
+  if (!admitted) return;
+  load.admitted += work / kSmoothed;
+  load.admitted_long += work / kSmoothedLong;
+}
+
+bool IsOverloaded(const Pool& pool, std::uint8_t tier, Time now) {
+  double offered = 0;
+  for (std::uint8_t i = 0; i <= tier && i < kTiers; ++i) {
+    const TierLoad& load = pool.tiers[i];
+    offered += Faded(load.offered, load.until, kSmoothed, now);
+  }
+  return offered > pool.slots;
+}
+
+// Classes that share the trickle, one that arrives included.
+std::uint32_t LowerClassesWaiting(const LadderState& state,
+                                  TargetHandle target) {
+  std::uint32_t classes = 1;
+  const auto& waiting = state.queue.waiting[target.idx];
+  for (std::uint32_t i = 0; i < waiting.size(); ++i) {
+    const std::uint8_t tier = ClassOf(state.table, ClassHandle{i}).tier;
+    if (waiting[i] > 0 && tier > rules::kTopTier) ++classes;
+  }
+  return classes;
 }
 
 // What higher tiers leave over as they go on arriving; the trickle at least.
-double PartLeft(const LadderState& state, const Pool& pool, std::uint8_t tier,
-                Time now) {
+double PartLeft(const LadderState& state, TargetHandle target,
+                std::uint8_t tier, Seconds may_wait, Time now) {
+  const Pool& pool = state.pools[target.idx];
   if (pool.slots == 0) return 1;
   double demand = 0;
+  double demand_long = 0;
   for (std::uint8_t higher = 0; higher < tier; ++higher) {
-    demand += DemandAt(pool.tiers[higher], now);
+    const TierLoad& load = pool.tiers[higher];
+    demand += Faded(load.admitted, load.until, kSmoothed, now);
+    demand_long += Faded(load.admitted_long, load.until, kSmoothedLong, now);
   }
-  const double least = std::max(0.01, LimitsOf(state).trickle_share);
+  if (may_wait > kLongWait) demand = std::min(demand, demand_long);
+  const double least = std::max(0.001, LimitsOf(state).trickle_share) /
+                       LowerClassesWaiting(state, target);
   return std::clamp(1.0 - demand / pool.slots, least, 1.0);
 }
 
@@ -77,14 +132,22 @@
   const std::uint32_t reserved = ReservedFrom(state, pool, tier);
   return {pool.slots, pool.free - std::min(pool.free, reserved),
           ReleasesASecond(state, request.target, now),
-          PartLeft(state, pool, tier, now)};
+          PartLeft(state, request.target, tier,
+                   Seconds(BoundOf(request, ClassOf(state.table, request.cls)) -
+                           now),
+                   now)};
+}
+
+double TrustIn(const LadderState& state, const WorkAhead& ahead) {
+  if (!LimitsOf(state).refuse_early || ahead.ends <= 0) return 0;
+  return ahead.ends / (ahead.ends + LimitsOf(state).ends_half_trusted);
 }
 
 AdmitQuestion QuestionOf(const LadderState& state, const Request& request,
                          Time now) {
   const rules::Class& cls = ClassOf(state.table, request.cls);
   const rules::Account& account = AccountOf(state.table, request.account);
-  const WorkAhead ahead = AheadOf(state, request, now);
+  const WorkAhead ahead = AheadOf(state, request, true, now);
   const SlotsInUse use = UseOf(state, request, cls.tier, now);
   AdmitQuestion question;
   question.class_waiting = state.waiting_by_class[request.cls.idx];
@@ -93,10 +156,18 @@
   question.account_cap = account.waiting;
   question.can_start_now = ahead.requests < 1 && use.free > 0;
   question.wait = EstimateWait(ahead, use);
+  question.wait_late = EstimateWait(AheadOf(state, request, false, now), use);
+  question.overloaded =
+      IsOverloaded(state.pools[request.target.idx], cls.tier, now);
+  question.deadline = request.deadline;
   question.first_token =
-      MeanFirstToken(state.seen[request.target.idx][request.cls.idx]);
-  question.estimate_holds = LimitsOf(state).refuse_early &&
-                            ahead.ends >= LimitsOf(state).ends_before_refusing;
+      LongFirstToken(state.seen[request.target.idx][request.cls.idx]);
+  // One of each lower class may always wait: the trickle serves what waits,
+  // and a class that is refused on every arrival would never be served.
+  const bool only_one =
+      cls.tier > rules::kTopTier &&
+      state.queue.waiting[request.target.idx][request.cls.idx] == 0;
+  question.trust = only_one ? 0 : TrustIn(state, ahead);
   question.bound = BoundOf(request, cls);
   return question;
 }
@@ -152,13 +223,11 @@
     if (ClassOf(state.table, ClassHandle{i}).tier >= tier) continue;
     AddAhead(state, target, i, waiting[i], now, ahead);
   }
-  if (ahead.requests < 1 || !LimitsOf(state).refuse_early ||
-      ahead.ends < LimitsOf(state).ends_before_refusing) {
-    return Seconds(0);
-  }
+  if (ahead.requests < 1) return Seconds(0);
   const Pool& pool = state.pools[target.idx];
-  return EstimateWait(
-      ahead, {pool.slots, pool.free, ReleasesASecond(state, target, now), 1});
+  const SlotsInUse use{pool.slots, pool.free,
+                       ReleasesASecond(state, target, now), 1};
+  return EstimateWait(ahead, use) * TrustIn(state, ahead);
 }
 
 }  // namespace
@@ -183,16 +252,6 @@
   return rate;
 }
 
-void NoteDemand(LadderState& state, const Request& request, std::uint8_t tier,
-                Time now) {
-  TierLoad& load = state.pools[request.target.idx]
-                       .tiers[std::min<std::size_t>(tier, kTiers - 1)];
-  load.demand = DemandAt(load, now) +
-                MeanSlotSeconds(state, request.target, request.cls.idx, now) /
-                    kDemandSeconds;
-  load.until = now;
-}
-
 std::optional<Waiting> TakeWaiting(LadderState& state, RequestId request) {
   std::optional<Waiting> taken = Take(state.queue, request);
   if (taken) {
@@ -206,7 +265,6 @@
                    Time now, Actions& out) {
   const std::optional<Waiting> taken = TakeWaiting(state, request);
   if (!taken) return;
-  state.preempted.erase(request);
   const AdmitQuestion question = QuestionOf(state, taken->request, now);
   AppendRefusal(state, request, reason, question.wait, Seconds(0), out);
 }
@@ -227,11 +285,12 @@
   const rules::Class& cls = ClassOf(state.table, request.cls);
   const AdmitQuestion question = QuestionOf(state, request, now);
   const std::optional<RefuseReason> refusal = DecideAdmit(question, now);
+  NoteDemand(state, request, cls.tier, !refusal, now);
   if (refusal) {
     const bool by_time = *refusal == RefuseReason::kDeadlineUnreachable;
-    AppendRefusal(
-        state, request.id, *refusal, by_time ? question.wait : kCapRetry,
-        by_time ? Seconds(question.bound - request.arrived) : Seconds(0), out);
+    AppendRefusal(state, request.id, *refusal,
+                  by_time ? question.wait : kCapRetry,
+                  by_time ? Seconds(question.deadline - now) : Seconds(0), out);
     return false;
   }
   if (!MakeRoom(state, request, cls.tier, now, out)) {
@@ -239,12 +298,43 @@
                   Seconds(0), out);
     return false;
   }
-  NoteDemand(state, request, cls.tier, now);
   Enqueue(state, request, cls);
   return true;
 }
 
+// Late work of a tier that has been overloaded for longer than the class's
+// patience: what is in time will go on passing it until its bound.
+void ListStarved(const LadderState& state, TargetHandle target,
+                 std::uint32_t cls, Time now, std::vector<RequestId>& out) {
+  const rules::Class& rule = ClassOf(state.table, ClassHandle{cls});
+  const Time since = state.pools[target.idx]
+                         .tiers[std::min<std::size_t>(rule.tier, kTiers - 1)]
+                         .overloaded_since;
+  const auto patience = rule.max_wait - rule.first_token;
+  if (since == Time{} || now - since < patience) return;
+  if (!LimitsOf(state).refuse_early) return;
+  for (const auto& [account, flow] :
+       state.queue.queues[target.idx][cls].late.flows) {
+    for (const Place& place : flow) out.push_back(place.request);
+  }
+  std::sort(out.begin(), out.end());
+}
+
+void NoteOverload(LadderState& state, Time now) {
+  for (Pool& pool : state.pools) {
+    for (std::uint8_t tier = 0; tier < kTiers; ++tier) {
+      Time& since = pool.tiers[tier].overloaded_since;
+      if (!IsOverloaded(pool, tier, now)) {
+        since = Time{};
+      } else if (since == Time{}) {
+        since = now;
+      }
+    }
+  }
+}
+
 void RefuseHopeless(LadderState& state, Time now, Actions& out) {
+  NoteOverload(state, now);
   for (std::uint32_t t = 0; t < state.queue.queues.size(); ++t) {
     const TargetHandle target{t};
     for (std::uint32_t c = 0; c < state.queue.queues[t].size(); ++c) {
@@ -256,9 +346,11 @@
       state.ids.clear();
       ListBoundBefore(state.queue, target, ClassHandle{c}, now + pushed_back,
                       state.ids);
+      if (state.ids.empty()) ListStarved(state, target, c, now, state.ids);
       const std::vector<RequestId> hopeless = state.ids;
       for (const RequestId request : hopeless) {
-        const bool waited = state.queue.requests.at(request).bound < now;
+        const Waiting& waiting = state.queue.requests.at(request);
+        const bool waited = waiting.late || waiting.bound < now;
         RefuseWaiting(state, request,
                       waited ? RefuseReason::kWaitedTooLong
                              : RefuseReason::kDeadlineUnreachable,
--- a/policy/src/ladder_dispatch.cc
+++ b/policy/src/ladder_dispatch.cc
@@ -27,7 +27,7 @@
 Time InTimeBy(const LadderState& state, TargetHandle target, std::uint32_t cls,
               Time now) {
   return now + std::chrono::duration_cast<std::chrono::nanoseconds>(
-                   MeanFirstToken(state.seen[target.idx][cls]));
+                   LongFirstToken(state.seen[target.idx][cls]));
 }
 
 const Waiting* HeadOfClass(LadderState& state, TargetHandle target,
@@ -55,7 +55,7 @@
                         std::uint8_t tier, Time now) {
   Pool& pool = state.pools[target.idx];
   AdvanceTrickle(pool.trickle, pool.slots, LimitsOf(state), now);
-  if (!MayTrickle(pool.trickle, LimitsOf(state))) return nullptr;
+  if (!MayTrickle(pool.trickle, pool.slots, LimitsOf(state))) return nullptr;
   const Waiting* longest = nullptr;
   for (std::uint32_t cls = 0; cls < pool.last_start.size(); ++cls) {
     if (ClassOf(state.table, ClassHandle{cls}).tier <= tier) continue;
@@ -64,7 +64,8 @@
     // Any of the class that is aged counts, whoever's turn it is.
     const Places& by_bound = state.queue.queues[target.idx][cls].by_bound;
     const Waiting& oldest = state.queue.requests.at(by_bound.begin()->request);
-    if (!IsAged(oldest.request.arrived, LimitsOf(state), now)) continue;
+    if (!IsAged(oldest.request.arrived, oldest.bound, LimitsOf(state), now))
+      continue;
     if (longest == nullptr ||
         pool.last_start[cls] < pool.last_start[longest->request.cls.idx]) {
       longest = head;
@@ -182,9 +183,6 @@
   ++state.running_by_account[request.account.idx];
   ++pool.tiers[std::min<std::size_t>(waiting->tier, kTiers - 1)].running;
   pool.last_start[request.cls.idx] = now;
-  if (!by_trickle && waiting->tier > rules::kTopTier) {
-    pool.preemptible.push_back(id);
-  }
   OnWorkStarted(state.seen[request.target.idx][request.cls.idx], now);
   RefreshEndpoint(state, choice.endpoint, now);
   const auto priority = static_cast<std::uint8_t>(
@@ -212,42 +210,6 @@
   return true;
 }
 
-// Cancels young work of lower tiers for a head that would miss its deadline.
-void PreemptFor(LadderState& state, TargetHandle target, Time now,
-                Actions& out) {
-  const Limits& limits = LimitsOf(state);
-  Pool& pool = state.pools[target.idx];
-  std::erase_if(pool.preemptible, [&](RequestId id) {
-    const auto it = state.running.find(id);
-    return it == state.running.end() || it->second.first_token ||
-           it->second.preempted ||
-           now - it->second.dispatched > limits.preempt_within;
-  });
-  if (!limits.preempt || pool.free > 0 || pool.preemptible.empty()) return;
-  const Waiting* head = BestHead(state, target, now);
-  if (head == nullptr || head->late) return;
-  const double rate = ReleasesASecond(state, target, now);
-  const Seconds release(rate > 0 ? (pool.preempting + 1) / rate : 3600);
-  const Seconds slack = head->request.deadline -
-                        InTimeBy(state, target, head->request.cls.idx, now);
-  if (release < slack) return;
-  const std::uint32_t waits =
-      state.queue.waiting[target.idx][head->request.cls.idx];
-  if (pool.preempting >= waits) return;
-  const auto victim = std::find_if(
-      pool.preemptible.rbegin(), pool.preemptible.rend(), [&](RequestId id) {
-        return state.running.at(id).tier > head->tier &&
-               !state.preempted.contains(id);
-      });
-  if (victim == pool.preemptible.rend()) return;
-  Running& running = state.running.at(*victim);
-  running.preempted = true;
-  state.preempted.insert(*victim);
-  ++pool.preempting;
-  out.emplace_back(
-      Preempt{*victim, running.endpoint, PreemptReason::kHigherTierWaits});
-}
-
 }  // namespace
 
 void DispatchTarget(LadderState& state, TargetHandle target, Time now,
@@ -255,7 +217,6 @@
   if (target.idx >= state.pools.size()) return;
   while (DispatchOne(state, target, now, out)) {
   }
-  PreemptFor(state, target, now, out);
 }
 
 void DispatchEndpoint(LadderState& state, EndpointHandle endpoint, Time now,
--- a/policy/src/ladder_p.h
+++ b/policy/src/ladder_p.h
@@ -5,7 +5,6 @@
 #include <array>
 #include <cstdint>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "egretladder/kernel/hash.h"
@@ -47,8 +46,11 @@
 struct TierLoad {
   std::uint32_t running = 0;
   double running_smoothed = 0;
-  double demand = 0;  ///< Slot seconds a second, smoothed.
+  double admitted = 0;       ///< Slot seconds a second, over seconds.
+  double admitted_long = 0;  ///< The same, over a minute.
+  double offered = 0;        ///< With what was refused, over seconds.
   Time until{};
+  Time overloaded_since{};  ///< Default: it is not.
 };
 
 /// The slots of one target over all its endpoints.
@@ -58,12 +60,10 @@
   std::vector<EndpointHandle> open;  ///< With a free slot, not left alone.
   std::vector<EndpointHandle> left_alone;
   std::uint32_t holders = 0;  ///< Endpoints that report the target loaded.
-  std::uint32_t preempting = 0;
   PrefixRing ring;
   Trickle trickle;
   std::array<TierLoad, kTiers> tiers;
-  std::vector<Time> last_start;        ///< By class.
-  std::vector<RequestId> preemptible;  ///< Young, without a first token.
+  std::vector<Time> last_start;  ///< By class.
 };
 
 /// Work in flight.
@@ -74,7 +74,6 @@
   std::uint8_t tier = rules::kBottomTier;
   bool first_token = false;
   bool by_trickle = false;
-  bool preempted = false;
   std::uint32_t tokens = 0;
   double charged = 0;
 };
@@ -94,7 +93,6 @@
   std::vector<std::uint32_t> waiting_by_class;
   std::vector<std::uint32_t> waiting_by_account;
   std::unordered_map<std::uint64_t, Time> quarantined;
-  std::unordered_set<RequestId> preempted;  ///< Once is enough for each.
   Time next_sweep{};
   std::vector<EndpointHandle> homes;  ///< Scratch.
   std::vector<RequestId> ids;         ///< Scratch.
@@ -133,8 +131,6 @@
 double ReleasesASecond(const LadderState& state, TargetHandle target, Time now);
 std::uint32_t ReservedFrom(const LadderState& state, const Pool& pool,
                            std::uint8_t tier);
-void NoteDemand(LadderState& state, const Request& request, std::uint8_t tier,
-                Time now);
 
 // --- ladder_dispatch.cc ---
 
--- a/policy/src/queue.cc
+++ b/policy/src/queue.cc
@@ -48,13 +48,6 @@
   list.flows.erase(it);
 }
 
-// An account that comes back from idling starts level with those that waited:
-// otherwise it could save up for a burst that shuts the others out.
-void LiftIdle(ClassQueue& queue, Served& served) {
-  if (served.waiting > 0 || queue.in_time.order.empty()) return;
-  served.tokens = std::max(served.tokens, queue.in_time.order.begin()->first);
-}
-
 void MoveLate(WaitQueue& all, ClassQueue& queue, Time in_time_by) {
   while (!queue.by_deadline.empty() &&
          queue.by_deadline.begin()->time < in_time_by) {
@@ -70,16 +63,26 @@
   }
 }
 
+// Puts outdated entries right until the first one is true.
+void SettleFront(const WaitQueue& all, FairList& list, ClassHandle cls) {
+  while (!list.order.empty()) {
+    const auto [key, account] = *list.order.begin();
+    const double tokens = all.served[cls.idx][account].tokens;
+    if (key >= tokens) return;
+    SetKey(list, account, tokens);
+  }
+}
+
 const Waiting* FrontOf(WaitQueue& all, FairList& list, ClassHandle cls,
                        AccountHeld held, const void* context) {
+  SettleFront(all, list, cls);
   auto it = list.order.begin();
   while (it != list.order.end()) {
     const auto [key, account] = *it;
     const double tokens = all.served[cls.idx][account].tokens;
     if (key < tokens) {
-      ++it;
+      // Put right, it may belong before the next one: look again.
       SetKey(list, account, tokens);
-      // What was put right may belong before the next one, not after it.
       it = list.order.begin();
       continue;
     }
@@ -92,6 +95,15 @@
   return nullptr;
 }
 
+// An account that comes back from idling starts level with those that waited:
+// otherwise it could save up for a burst that shuts the others out.
+void LiftIdle(const WaitQueue& all, ClassQueue& queue, ClassHandle cls,
+              Served& served) {
+  if (served.waiting > 0 || queue.in_time.order.empty()) return;
+  SettleFront(all, queue.in_time, cls);
+  served.tokens = std::max(served.tokens, queue.in_time.order.begin()->first);
+}
+
 }  // namespace
 
 bool operator<(const Place& left, const Place& right) {
@@ -119,7 +131,7 @@
   const Request request = waiting.request;
   ClassQueue& cls = QueueOf(queue, request);
   Served& served = ServedOf(queue, request.cls, request.account);
-  LiftIdle(cls, served);
+  LiftIdle(queue, cls, request.cls, served);
   const Place place = PlaceOf(request.deadline, waiting);
   AddTo(cls.in_time, request.account.idx, place, served.tokens);
   cls.by_deadline.insert(place);
--- a/policy/src/scheduler_ladder.cc
+++ b/policy/src/scheduler_ladder.cc
@@ -154,17 +154,11 @@
   running.charged = running.tokens;
 }
 
-void Release(LadderState& state, RequestId id, const Running& running,
-             Time now) {
+void Release(LadderState& state, const Running& running, Time now) {
   const Request& request = running.request;
   Pool& pool = state.pools[request.target.idx];
   AdvanceTrickle(pool.trickle, pool.slots, LimitsOf(state), now);
   if (running.by_trickle) --pool.trickle.running;
-  if (running.preempted) {
-    --pool.preempting;
-  } else {
-    state.preempted.erase(id);
-  }
   if (request.suspect) --state.endpoints[running.endpoint.idx].suspects;
   --state.table.endpoints[running.endpoint.idx].in_flight;
   --state.running_by_class[request.cls.idx];
@@ -199,7 +193,7 @@
   if (it == state.running.end()) return;
   const Running running = it->second;
   state.running.erase(it);
-  Release(state, id, running, now);
+  Release(state, running, now);
   LearnFrom(state, running, kind, now);
   RefreshEndpoint(state, running.endpoint, now);
   DispatchEndpoint(state, running.endpoint, now, out);
@@ -207,7 +201,7 @@
 
 void OnGone(SchedulerState& base, RequestId id, Time /*now*/) {
   LadderState& state = As(base);
-  if (TakeWaiting(state, id)) state.preempted.erase(id);
+  (void)TakeWaiting(state, id);
 }
 
 // Work that hangs sends no first token: its age is evidence as well.
--- a/policy/src/trickle.cc
+++ b/policy/src/trickle.cc
@@ -19,17 +19,21 @@
   trickle.slot_seconds = std::min(trickle.slot_seconds, kSavedMost);
 }
 
-bool MayTrickle(const Trickle& trickle, const Limits& limits) {
-  return limits.trickle_share > 0 && trickle.slot_seconds > 0;
+bool MayTrickle(const Trickle& trickle, std::uint32_t slots,
+                const Limits& limits) {
+  if (limits.trickle_share <= 0 || trickle.slot_seconds <= 0) return false;
+  return trickle.running < std::max(1.0, limits.trickle_share * slots);
 }
 
-bool IsAged(kernel::Time arrived, const Limits& limits, kernel::Time now) {
-  return now - arrived >= limits.trickle_age;
+bool IsAged(kernel::Time arrived, kernel::Time bound, const Limits& limits,
+            kernel::Time now) {
+  const kernel::Time::duration age = limits.trickle_age;
+  return now - arrived >= std::min(age, (bound - arrived) / 2);
 }
 
 Seconds TrickleBound(std::uint32_t classes, std::uint32_t slots,
                      Seconds longest, Seconds release, const Limits& limits) {
-  const double accrued = limits.trickle_share * slots;
+  const double accrued = std::min(1.0, limits.trickle_share * slots);
   return Seconds(limits.trickle_age) + classes * (longest / accrued + release);
 }
 
--- a/policy/tests/load_fixture.h
+++ b/policy/tests/load_fixture.h
@@ -26,6 +26,7 @@
 /// An engine as it is, whatever it reports.
 struct Engine {
   std::uint32_t in_flight = 0;
+  std::uint32_t others = 0;  ///< In flight by other nodes.
   double slow = 1;
   std::uint32_t cold_answers = 0;  ///< Answers until it is warm.
   std::uint64_t boot = 1;
@@ -81,8 +82,9 @@
         random_(load_.seed + 1) {
     result_.scheduler = scheduler;
     result_.classes.resize(load_.classes.size());
-    result_.account_tokens.resize(load_.fleet.accounts);
-    result_.account_demand.resize(load_.fleet.accounts);
+    result_.tokens.assign(load_.classes.size(),
+                          std::vector<double>(load_.fleet.accounts));
+    result_.demand = result_.tokens;
     result_.first_wave.resize(static_cast<std::size_t>(load_.length.count()) +
                               1);
     engines_.resize(load_.fleet.endpoints);
@@ -110,6 +112,9 @@
   void SetSlow(std::uint32_t engine, double slow) {
     engines_[engine].slow = slow;
   }
+  void SetOthers(std::uint32_t engine, std::uint32_t others) {
+    engines_[engine].others = others;
+  }
   /// Restarts an engine's cache and compiled state; its boot changes if `boot`.
   void TurnCold(std::uint32_t engine, bool boot) {
     Engine& cold = engines_[engine];
@@ -119,6 +124,23 @@
     ++cold.boot;
     Restart(engine);
   }
+  /// The engine dies with what runs on it and is back, cold, after `away`.
+  void Crash(std::uint32_t engine, Span away) {
+    engines_[engine].takes_work = false;
+    SetAvailable(engine, false);
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, life] : lives_) {
+      if (life.running && life.engine == engine) ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    for (const std::uint64_t id : ids) BreakOff(id, EndKind::kDied);
+    changes_.emplace_back(Span(now_ - kStart) + away, [engine](Run& run) {
+      run.engines_[engine].takes_work = true;
+      run.TurnCold(engine, true);
+      run.SetAvailable(engine, true);
+    });
+    Add(now_ + Cast(away), StepKind::kChange, changes_.size() - 1);
+  }
   /// The zone whose starts go to `first_wave`.
   void WatchZone(std::uint32_t zone) { watched_zone_ = zone; }
 
@@ -137,7 +159,7 @@
 
  private:
   static constexpr std::uint32_t kAnswersToWarm = 24;
-  static constexpr double kColdTimes = 4;
+  static constexpr double kColdTimes = 3;
   static constexpr std::size_t kCachedMost = 24;
   static constexpr double kCachedTimes = 0.3;
   static constexpr Span kFailsAfter{1.0};
@@ -147,7 +169,7 @@
     now_ = kStart;
     for (Planned& planned : PlanArrivals(load_)) {
       ++result_.classes[planned.request.cls.idx].offered;
-      result_.account_demand[planned.request.account.idx] += planned.tokens;
+      Account(result_.demand, planned) += planned.tokens;
       Add(planned.request.arrived, StepKind::kArrive, planned.request.id);
       lives_[planned.request.id].planned = planned;
     }
@@ -182,10 +204,16 @@
         Fleet();
         return Add(now_ + 500ms, StepKind::kFleet, 0);
       case StepKind::kChange:
-        return changes_[step.id].second(*this);
+        return RunChange(step.id);
     }
   }
 
+  // A change may add others, which moves the list.
+  void RunChange(std::uint64_t number) {
+    const std::function<void(Run&)> change = changes_[number].second;
+    change(*this);
+  }
+
   void Arrive(std::uint64_t id) {
     Life& life = lives_[id];
     life.waiting = true;
@@ -228,14 +256,18 @@
     Leave(life);
     Close(life);
     ClassResult& cls = result_.classes[life.planned.request.cls.idx];
+    cls.first_tokens.push_back(
+        Span(life.first_at - life.planned.request.arrived).count());
     if (life.first_at <= life.planned.request.deadline) {
       ++cls.in_time;
-      result_.tokens_in_time += life.planned.tokens;
+      // Work that a queue carries past the end is no goodput of the load.
+      if (now_ <= At(load_.length)) {
+        result_.tokens_in_time += life.planned.tokens;
+      }
+      Account(result_.tokens, life.planned) += life.planned.tokens;
     } else {
       ++cls.late;
     }
-    result_.account_tokens[life.planned.request.account.idx] +=
-        life.planned.tokens;
     OnSuccess(budget_);
     Act([&](Actions& out) {
       plugin_->on_end(*state_, step.id, EndKind::kDone, now_, out);
@@ -284,6 +316,13 @@
     --open_;
   }
 
+  void SetAvailable(std::uint32_t engine, bool available) {
+    Act([&](Actions& out) {
+      plugin_->on_available(*state_, EndpointHandle{engine}, available, now_,
+                            out);
+    });
+  }
+
   // The keeper's part: slots from evidence, reports a second old.
   void Fleet() {
     for (std::uint32_t i = 0; i < engines_.size(); ++i) {
@@ -295,7 +334,7 @@
       EngineReport report;
       report.age = 1000ms;
       report.boot = engine.boot;
-      report.running = engine.in_flight;
+      report.running = engine.in_flight + engine.others;
       report.loaded = {TargetHandle{0}};
       plugin_->on_report(*state_, EndpointHandle{i}, report, now_);
     }
@@ -364,6 +403,7 @@
     if (for_room && LowerWaits(TierOf(request))) ++result_.tier_inversions;
     ClassResult& cls = result_.classes[request.cls.idx];
     ++cls.refused;
+    cls.refusal_waits += now_ - request.arrived;
     cls.worst_refusal =
         std::max<Span>(cls.worst_refusal, now_ - request.arrived);
     Close(life);
@@ -386,9 +426,10 @@
       return Add(now_ + Cast(kFailsAfter), StepKind::kEnd, id, life.attempt);
     }
     const double cached = UseCache(engine, life.planned.request.prefix);
-    const Span first =
-        kFirstToken * engine.slow * cached * (cold ? kColdTimes : 1.0);
-    const Span token = kBetweenTokens * engine.slow;
+    const double slowed = engine.slow * Crowding(engine);
+    const Span first = ClassOfLife(life).work.first_token * slowed * cached *
+                       (cold ? kColdTimes : 1.0);
+    const Span token = kBetweenTokens * slowed;
     Add(now_ + Cast(first), StepKind::kFirst, id, life.attempt);
     const std::uint32_t tokens = life.planned.tokens;
     for (std::uint32_t told = 0; told < tokens; told += kTokensAStep) {
@@ -399,6 +440,12 @@
     Add(now_ + Cast(first + token * tokens), StepKind::kEnd, id, life.attempt);
   }
 
+  // A larger batch makes each of its answers slower.
+  double Crowding(const Engine& engine) const {
+    const double load = engine.in_flight + engine.others;
+    return 0.7 + 0.3 * load / load_.fleet.bears;
+  }
+
   static double UseCache(Engine& engine, std::uint64_t prefix) {
     if (prefix == 0) return 1;
     const auto found =
@@ -428,6 +475,10 @@
     unserved_since_[cls] = waiting_by_class_[cls] > 0 ? now_ : Time::max();
   }
 
+  static double& Account(std::vector<std::vector<double>>& table,
+                         const Planned& planned) {
+    return table[planned.request.cls.idx][planned.request.account.idx];
+  }
   const ClassSpec& ClassOfLife(const Life& life) const {
     return load_.classes[life.planned.request.cls.idx];
   }
--- a/policy/tests/load_loads.h
+++ b/policy/tests/load_loads.h
@@ -22,6 +22,13 @@
   return load;
 }
 
+/// The same mix at some times what the fleet bears.
+inline Load AtCapacity(double times) {
+  Load load = Ordinary(times / 0.75);
+  load.name = times > 1 ? "twice capacity" : "at capacity";
+  return load;
+}
+
 /// A broker sends record checks of 10 times the capacity for 30 s.
 inline Load BrokerBurst() {
   Load load = Ordinary();
@@ -52,10 +59,11 @@
   return load;
 }
 
-/// Prompts with shared prefixes at three quarters of capacity.
+/// Long records as prompts, with shared prefixes, at capacity without caches.
 inline Load SharedPrefixes() {
   Load load{"shared prefixes", 4, {}, AbayClasses(), {}, 60s};
-  load.streams = {{0, 0.75, 0s, 60s, Shops(), 100, 0.3}};
+  load.classes[0].work = {40, 0.5, 0, 1, Span(1.2)};
+  load.streams = {{0, 1.0, 0s, 60s, Shops(), 150, 0.3}};
   return load;
 }
 
@@ -95,6 +103,40 @@
   return load;
 }
 
+/// Long summaries fill a small fleet; a buyer asks now and then.
+inline Load BatchOnFewSlots() {
+  Load load{"batch on few slots", 10, {2, 2, 4, 1, 10},
+            AbayClasses(),        {}, 600s};
+  load.streams = {{0, 0.08, 0s, 600s, Shops()}, {3, 1.5, 0s, 600s, Brokers()}};
+  return load;
+}
+
+/// Half of the engines die one after the other, and come back cold.
+inline Load EnginesDie() {
+  Load load = Ordinary();
+  load.name = "engines die";
+  load.seed = 13;
+  return load;
+}
+
+/// A zone comes back warm but 5 times slower for 20 s.
+inline Load ZoneBackUnwell() {
+  Load load = Ordinary(0.8);
+  load.name = "zone back unwell";
+  load.seed = 11;
+  return load;
+}
+
+/// Other nodes crowd a third of the engines; reports of it are a second old.
+inline Load UnevenOthers() {
+  Load load = Ordinary(0.8);
+  load.name = "uneven others";
+  load.seed = 12;
+  load.classes[0].first_token = 1000ms;
+  load.classes[0].max_wait = 1000ms;
+  return load;
+}
+
 inline Load OneSlow() {
   Load load = Ordinary();
   load.name = "one slow";
@@ -108,6 +150,31 @@
   if (load.name == "one slow") {
     run.Change(10s, [](Run& r) { r.SetSlow(0, 5); });
   }
+  if (load.name == "engines die") {
+    for (std::uint32_t i = 0; i < 6; ++i) {
+      run.Change(Span(20 + 12 * i), [i](Run& r) { r.Crash(2 * i, Span(10)); });
+    }
+  }
+  if (load.name == "uneven others") {
+    for (std::uint32_t second = 0; second < 120; second += 10) {
+      run.Change(Span(second), [second](Run& r) {
+        for (std::uint32_t i = 0; i < 12; ++i) {
+          r.SetOthers(i, (i + second / 10) % 3 == 0 ? 24 : 0);
+        }
+      });
+    }
+  }
+  if (load.name == "zone back unwell") {
+    run.WatchZone(0);
+    run.Change(40s, [](Run& r) { r.SetZonesOut({0}); });
+    run.Change(70s, [](Run& r) {
+      for (std::uint32_t i = 0; i < 12; i += 3) r.SetSlow(i, 5);
+      r.SetZonesOut({});
+    });
+    run.Change(90s, [](Run& r) {
+      for (std::uint32_t i = 0; i < 12; i += 3) r.SetSlow(i, 1);
+    });
+  }
   if (load.name == "zone out and back") {
     run.WatchZone(0);
     run.Change(40s, [](Run& r) { r.SetZonesOut({0}); });
@@ -121,9 +188,11 @@
 
 /// All loads, in the order of the issue.
 inline std::vector<Load> AllLoads() {
-  return {Ordinary(),       BrokerBurst(),    NightBurst(),     FewTakeMost(),
-          SharedPrefixes(), OneSlow(),        LongAmongShort(), SaturatedHour(),
-          AllCold(),        ZoneOutAndBack(), Ordinary(2.67)};
+  return {
+      Ordinary(),       BrokerBurst(),     NightBurst(),     FewTakeMost(),
+      SharedPrefixes(), OneSlow(),         LongAmongShort(), SaturatedHour(),
+      AllCold(),        ZoneOutAndBack(),  ZoneBackUnwell(), UnevenOthers(),
+      EnginesDie(),     BatchOnFewSlots(), AtCapacity(1),    AtCapacity(2)};
 }
 
 }  // namespace egretladder::policy::load
--- a/policy/tests/load_model.h
+++ b/policy/tests/load_model.h
@@ -20,7 +20,7 @@
 
 inline constexpr Time kStart{std::chrono::hours(1)};
 inline constexpr Span kBetweenTokens{0.02};
-inline constexpr Span kFirstToken{0.3};
+inline constexpr Span kFirstToken{0.5};
 
 /// How long the answers of a class are.
 struct Work {
@@ -28,6 +28,7 @@
   double spread = 0.5;    ///< Sigma of the logarithm.
   double long_share = 0;  ///< Part of requests that are `long_times` longer.
   double long_times = 20;
+  Span first_token = kFirstToken;  ///< Unloaded, without a cached prefix.
 };
 
 /// Requests of one class from some accounts.
@@ -97,7 +98,7 @@
 
 inline double SlotSeconds(const Work& work) {
   const double times = 1 + work.long_share * (work.long_times - 1);
-  return kFirstToken.count() +
+  return work.first_token.count() +
          work.mean_tokens * times * kBetweenTokens.count();
 }
 
--- a/policy/tests/load_result.h
+++ b/policy/tests/load_result.h
@@ -16,9 +16,11 @@
   std::uint32_t late = 0;
   std::uint32_t refused = 0;
   std::uint32_t failed = 0;
-  Span worst_wait{0};        ///< Until its start.
-  Span worst_refusal{0};     ///< From arrival to a refusal.
-  Span longest_unserved{0};  ///< Some waited and none started.
+  Span worst_wait{0};                ///< Until its start.
+  Span worst_refusal{0};             ///< From arrival to a refusal.
+  Span refusal_waits{0};             ///< Sum.
+  Span longest_unserved{0};          ///< Some waited and none started.
+  std::vector<double> first_tokens;  ///< Seconds from arrival.
 };
 
 struct Result {
@@ -37,8 +39,9 @@
   /// Higher tier turned away for room while a lower one waited, and lower
   /// started before higher without the trickle. Baselines have many.
   std::uint32_t tier_inversions = 0;
-  std::vector<double> account_tokens;
-  std::vector<double> account_demand;
+  /// By class and account: produced in time, and asked for.
+  std::vector<std::vector<double>> tokens;
+  std::vector<std::vector<double>> demand;
   std::vector<std::uint32_t> first_wave;  ///< Starts in a zone by second.
 };
 
@@ -47,6 +50,21 @@
   return of.offered == 0 ? 1 : static_cast<double>(of.in_time) / of.offered;
 }
 
+inline double MeanFirstToken(const Result& result, std::uint32_t cls) {
+  double sum = 0;
+  for (const double took : result.classes[cls].first_tokens) sum += took;
+  const auto count = result.classes[cls].first_tokens.size();
+  return count == 0 ? 0 : sum / static_cast<double>(count);
+}
+
+/// 95 in 100 first tokens came within this many seconds.
+inline double FirstToken95(const Result& result, std::uint32_t cls) {
+  std::vector<double> sorted = result.classes[cls].first_tokens;
+  if (sorted.empty()) return 0;
+  std::sort(sorted.begin(), sorted.end());
+  return sorted[sorted.size() * 95 / 100];
+}
+
 inline double Goodput(const Result& result, const Load& load) {
   return result.tokens_in_time / load.length.count();
 }
@@ -84,17 +102,18 @@
   return parts;
 }
 
-/// Jain's index over what accounts got against their fair parts; 1 is fair.
-inline double Jain(const Result& result) {
+/// Jain's index over what the accounts of a class got in time against their
+/// fair parts; 1 is fair.
+inline double Jain(const Result& result, std::uint32_t cls) {
   double total = 0;
-  for (const double tokens : result.account_tokens) total += tokens;
-  const std::vector<double> fair = FairParts(result.account_demand, total);
+  for (const double tokens : result.tokens[cls]) total += tokens;
+  const std::vector<double> fair = FairParts(result.demand[cls], total);
   double sum = 0;
   double squares = 0;
   double accounts = 0;
   for (std::size_t i = 0; i < fair.size(); ++i) {
     if (fair[i] <= 0) continue;
-    const double got = result.account_tokens[i] / fair[i];
+    const double got = result.tokens[cls][i] / fair[i];
     sum += got;
     squares += got * got;
     accounts += 1;
--- a/scenarios/holds-03-fresh-endpoint.lua
+++ b/scenarios/holds-03-fresh-endpoint.lua
@@ -17,4 +17,5 @@
 at("40s", crash{"engine-2"}, crash{"engine-5"})
 run("75s")
 expect{"overloads", at_most=0}
+expect{"retried", at_least=1}
 expect{"attainment", class="buyer", from="60s", at_least=0.95}
