Name the bound that refused a call in its log line

Cause: a refused call's line said reason=overloaded for every bound, and reasons of two words broke the key=value form (reason=prefix cached). Conclusion: an operator can tell a cap from an unreachable deadline.

--- a/node/src/answers.cc
+++ b/node/src/answers.cc
@@ -37,7 +37,8 @@
             Time now, Actions& out) {
   const bool may_have_run = record.may_have_run || IsSent(record.stage);
   const Ran ran = may_have_run ? Ran::kUnknown : Ran::kNo;
-  Decide(state, record, "refuse", NameOf(reason.code), now, out);
+  const char* why = reason.why != nullptr ? reason.why : NameOf(reason.code);
+  Decide(state, record, "refuse", why, now, out);
   if (record.lane) {
     AnswerWaiters(state, record, ran, reason, now, out);
   } else if (!record.detached) {
--- a/node/src/apply.cc
+++ b/node/src/apply.cc
@@ -40,8 +40,8 @@
     } else if (refuse.reason == policy::RefuseReason::kNoEndpoint) {
       code = AnswerCode::kNoEndpoint;
     }
-    GiveUp(state, *record, {code, NameOf(refuse.reason), refuse.retry_after},
-           now, out);
+    const char* why = NameOf(refuse.reason);
+    GiveUp(state, *record, {code, why, refuse.retry_after, why}, now, out);
   }
 
   void operator()(const policy::Preempt& preempt) const {
--- a/node/src/state_p.h
+++ b/node/src/state_p.h
@@ -127,6 +127,8 @@
   AnswerCode code = AnswerCode::kOverloaded;
   std::string detail;
   std::chrono::milliseconds retry_after{};
+  /// For the decision's log line, where it says more than the code.
+  const char* why = nullptr;
 };
 /// Ends a call, and those that joined it, with their final answer.
 void GiveUp(NodeState& state, CallRecord& record, const GiveUpReason& reason,
--- a/node/tests/calls_test.cc
+++ b/node/tests/calls_test.cc
@@ -168,6 +168,8 @@
   for (const en::SendCall& send : n1_.sent) harness_.AskSend(n1_, send);
   harness_.Step(21s);
   CheckError(n1_, AnswerCode::kOverloaded, Ran::kNo);
+  // The log line says which bound it was, not only that the node is overloaded.
+  CHECK_TRUE(Decided(n1_, "refuse", NameOf(ep::RefuseReason::kWaitedTooLong)));
 }
 
 // The process stands still for seconds between the choice of an endpoint and
--- a/policy/src/names.cc
+++ b/policy/src/names.cc
@@ -8,13 +8,13 @@
 const char* NameOf(PickReason reason) {
   switch (reason) {
     case PickReason::kOnlyChoice:
-      return "only choice";
+      return "only_choice";
     case PickReason::kPrefixCached:
-      return "prefix cached";
+      return "prefix_cached";
     case PickReason::kLeastLoaded:
-      return "least loaded";
+      return "least_loaded";
     case PickReason::kNearZone:
-      return "near zone";
+      return "near_zone";
     case PickReason::kTrickle:
       return "trickle";
     case PickReason::kProbe:
@@ -28,19 +28,19 @@
 const char* NameOf(RefuseReason reason) {
   switch (reason) {
     case RefuseReason::kDeadlineUnreachable:
-      return "deadline unreachable";
+      return "deadline_unreachable";
     case RefuseReason::kClassCap:
-      return "class cap";
+      return "class_cap";
     case RefuseReason::kAccountCap:
-      return "account cap";
+      return "account_cap";
     case RefuseReason::kShedForHigherTier:
-      return "shed for higher tier";
+      return "shed_for_higher_tier";
     case RefuseReason::kQueueFull:
-      return "queue full";
+      return "queue_full";
     case RefuseReason::kWaitedTooLong:
-      return "waited too long";
+      return "waited_too_long";
     case RefuseReason::kNoEndpoint:
-      return "no endpoint";
+      return "no_endpoint";
     case RefuseReason::kQuarantined:
       return "quarantined";
   }
@@ -50,7 +50,7 @@
 const char* NameOf(PreemptReason reason) {
   switch (reason) {
     case PreemptReason::kHigherTierWaits:
-      return "higher tier waits";
+      return "higher_tier_waits";
   }
   return "unknown";
 }
@@ -60,11 +60,11 @@
     case EndKind::kDone:
       return "done";
     case EndKind::kNotRun:
-      return "not run";
+      return "not_run";
     case EndKind::kFailed:
       return "failed";
     case EndKind::kDied:
-      return "endpoint died";
+      return "endpoint_died";
     case EndKind::kCancelled:
       return "cancelled";
   }
@@ -74,19 +74,19 @@
 const char* NameOf(RetryReason reason) {
   switch (reason) {
     case RetryReason::kNotRunElsewhere:
-      return "not run";
+      return "not_run";
     case RetryReason::kIdempotent:
       return "idempotent";
     case RetryReason::kMayHaveRun:
-      return "may have run";
+      return "may_have_run";
     case RetryReason::kAnswerStarted:
-      return "answer started";
+      return "answer_started";
     case RetryReason::kBudgetSpent:
-      return "budget spent";
+      return "budget_spent";
     case RetryReason::kAttemptsSpent:
-      return "attempts spent";
+      return "attempts_spent";
     case RetryReason::kDeadlinePassed:
-      return "deadline passed";
+      return "deadline_passed";
     case RetryReason::kPoison:
       return "poison";
   }
@@ -100,9 +100,9 @@
     case SlotReason::kStarted:
       return "started";
     case SlotReason::kGrewOnAnswers:
-      return "grew on answers";
+      return "grew_on_answers";
     case SlotReason::kTurnedCold:
-      return "turned cold";
+      return "turned_cold";
     case SlotReason::kOverloaded:
       return "overloaded";
   }
