Mark suspects for the scheduler and keep early quarantines

Change: the fleet says whether a body is a suspect, at each queueing; early quarantines reach the scheduler when it starts. Conclusion: both nodes refuse a poison body unrun in the new test.

--- a/fleet/src/fleet.cc
+++ b/fleet/src/fleet.cc
@@ -119,6 +119,10 @@
   policy::OnRanWell(state.poison, fingerprint);
 }
 
+bool IsSuspect(const FleetState& state, std::uint64_t fingerprint, Time now) {
+  return policy::IsSuspect(state.poison, fingerprint, now);
+}
+
 void Leave(FleetState& state, Time now, Actions& out) {
   if (state.leaving) return;
   state.leaving = true;
--- a/node/src/apply.cc
+++ b/node/src/apply.cc
@@ -82,6 +82,11 @@
     out.emplace_back(std::move(action));
     state.scheduler->on_rules(*state.scheduler_state, rules, now,
                               state.pending);
+    for (const auto& [fingerprint, until] :
+         std::exchange(state.early_quarantine, {})) {
+      state.scheduler->on_quarantine(*state.scheduler_state, fingerprint, until,
+                                     now, state.pending);
+    }
   }
   void operator()(const fleet::SlotsChanged& action) const {
     DecidePlace(state, action.endpoint, "slots", NameOf(action.reason), out);
@@ -101,9 +106,13 @@
                                action.report, now);
   }
   void operator()(const fleet::QuarantineAdded& action) const {
-    if (state.scheduler_state == nullptr) return;
+    const Time until = now + action.left;
+    if (state.scheduler_state == nullptr) {
+      state.early_quarantine.emplace_back(action.fingerprint, until);
+      return;
+    }
     state.scheduler->on_quarantine(*state.scheduler_state, action.fingerprint,
-                                   now + action.left, now, state.pending);
+                                   until, now, state.pending);
   }
   void operator()(fleet::OrderEngine& action) const {
     DecidePlace(state, action.endpoint, "order",
--- a/node/src/attempts.cc
+++ b/node/src/attempts.cc
@@ -81,7 +81,6 @@
               const policy::RetryAnswer& answer, Time now, Actions& out) {
   Decide(state, record, "retry", NameOf(answer.reason), now, out);
   record.request.avoid = record.endpoint;
-  record.request.suspect |= record.blamed;
   record.blamed = false;
   ++record.attempt;
   ++record.tries;
--- a/node/src/calls.cc
+++ b/node/src/calls.cc
@@ -192,6 +192,7 @@
   request.deadline = std::min<Time>(
       request.arrived + ClassOf(*rules, record).first_token, record.give_up);
   request.attempt = record.tries;
+  request.suspect = fleet::IsSuspect(*state.fleet, request.fingerprint, now);
   SetWake(state, record, record.give_up);
   SetStage(state, record, Stage::kWaiting, now);
   const policy::Request copy = request;
--- a/node/src/state_p.h
+++ b/node/src/state_p.h
@@ -73,6 +73,8 @@
   /// Made when the first rules come into force: only they give the zone's
   /// handle.
   std::unique_ptr<policy::SchedulerState> scheduler_state;
+  /// Bodies that peers told of before there was a scheduler, and until when.
+  std::vector<std::pair<std::uint64_t, Time>> early_quarantine;
   policy::Actions pending;  ///< Of the scheduler, not yet applied.
   bool applying = false;
   policy::RetryBudget retry_budget;
--- a/node/tests/calls_test.cc
+++ b/node/tests/calls_test.cc
@@ -243,6 +243,26 @@
   CHECK_EQUAL(1U, n1_.errors.size());
 }
 
+// The caller of a poison request sends it again, to another node. Every node
+// knows of it by then, and refuses it unrun.
+TEST(Calls, RefusesAQuarantinedBodyAtEveryNode) {
+  harness_.Send(n1_, harness_.MakeCall("bulk", 1));
+  for (std::size_t i = 0; i < 2; ++i) {
+    const en::SendCall send = n1_.sent[i];
+    CHECK_TRUE(harness_.AskSend(n1_, send));
+    harness_.Fail(n1_, send, ep::EndKind::kDied);
+    harness_.Step(300ms);
+  }
+  harness_.Step(3s);
+  for (en::test::TestNode* node : {&n1_, &harness_.n2()}) {
+    en::Call again = harness_.MakeCall("bulk", 3);
+    again.body_hash = 1;
+    harness_.Send(*node, again);
+    harness_.Step(100ms);
+    CheckError(*node, AnswerCode::kQuarantined, Ran::kNo);
+  }
+}
+
 // Operators stop a node. Callers are no longer sent to it, new calls are turned
 // away unrun, and the answer in progress reaches its caller whole.
 TEST(Calls, LeavesWithoutCuttingWhatRuns) {
