--- a/gateway/include/egretladder/gateway/limits.h
+++ b/gateway/include/egretladder/gateway/limits.h
@@ -20,6 +20,12 @@
 inline constexpr std::size_t kCallerBuffer = std::size_t{64} << 10U;
 inline constexpr std::size_t kAnswerBytes = std::size_t{1} << 20U;
 
+/// Connections that may wait to be accepted. Load: a burst of new callers.
+/// evhttp's own 128 is used up by some hundred connections within one turn of
+/// the loop; the rest then wait a second for their SYN to be sent again
+/// (docs/BENCHMARKS.md, "One node").
+inline constexpr int kBacklog = 4096;
+
 /// Input that may wait unread on one connection to an endpoint. A chunk has to
 /// fit, since evhttp hands on whole chunks only.
 inline constexpr std::size_t kEndpointBuffer = std::size_t{1} << 20U;
--- a/gateway/src/caller_body.cc
+++ b/gateway/src/caller_body.cc
@@ -2,6 +2,8 @@
 #include <rapidjson/reader.h>
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 #include <limits>
 
 #include "caller_body_p.h"
@@ -119,7 +121,13 @@
 }  // namespace
 
 kernel::Result<ChatBody> ReadChatBody(std::string_view text) {
-  rapidjson::Document document;
+  // Load: thousands of small requests a second. RapidJSON's own first block is
+  // 64 KiB from the heap for each, which showed as the allocator merging free
+  // blocks; most bodies fit the stack.
+  constexpr std::size_t kArena = 8192;
+  alignas(std::max_align_t) std::array<char, kArena> arena;
+  rapidjson::MemoryPoolAllocator<> pool(arena.data(), arena.size(), kArena);
+  rapidjson::Document document(&pool);
   document.Parse<kParseFlags>(text.data(), text.size());
   if (document.HasParseError()) {
     return Invalid("the body is not JSON at byte " +
--- a/gateway/src/caller_evhttp.cc
+++ b/gateway/src/caller_evhttp.cc
@@ -306,17 +306,21 @@
   evhttp_set_timeout(server, kNeverSeconds);
   evhttp_set_bevcb(server, NewCallerBuffer, &gateway);
   evhttp_set_gencb(server, OnRequest, &gateway);
-  const auto [host, port] = SplitAddress(options.caller_listen);
-  evhttp_bound_socket* bound =
-      evhttp_bind_socket_with_handle(server, host.c_str(), port);
-  if (bound == nullptr) {
+  auto target = ParseAddress(options.caller_listen);
+  if (target) {
+    front.listener =
+        evconnlistener_new_bind(gateway.loop->base.get(), nullptr, nullptr,
+                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                kBacklog, target->get(), target->size);
+  }
+  if (front.listener == nullptr) {
     return kernel::MakeError(kernel::ErrorCode::kUnavailable, "listen",
                              options.caller_listen,
                              evutil_socket_error_to_string(errno));
   }
-  front.listener = evhttp_bound_socket_get_listener(bound);
-  front.address =
-      WithBoundPort(options.caller_listen, evhttp_bound_socket_get_fd(bound));
+  evhttp_bind_listener(server, front.listener);
+  front.address = WithBoundPort(options.caller_listen,
+                                evconnlistener_get_fd(front.listener));
   front.sweep = kernel::Every(*gateway.loop, kSweep,
                               [&gateway] { SweepConnections(gateway); });
   return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/gateway/src/endpoint_evhttp.cc
+++ b/gateway/src/endpoint_evhttp.cc
@@ -117,9 +117,7 @@
   attempt.not_run = head.status == HTTP_SERVUNAVAIL &&
                     !HeaderOf(head.headers, kNotRunHeader).empty();
   attempt.content_type = HeaderOf(head.headers, "Content-Type");
-  const bool events =
-      std::string_view(attempt.content_type).substr(0, kEventStream.size()) ==
-      kEventStream;
+  const bool events = attempt.content_type.starts_with(kEventStream);
   const bool asked = call.request.stream || !call.request.chat;
   attempt.events = events && head.status == HTTP_OK && asked;
   if (attempt.events && !attempt.keep_answer) attempt.mode = RelayMode::kStream;
--- a/gateway/tests/fault_test.cc
+++ b/gateway/tests/fault_test.cc
@@ -319,8 +319,8 @@
   et::OneNode one;
   one.endpoint.handler = [](evhttp_request* request) {
     evbuffer* body = evbuffer_new();
-    const std::string large(20'000'000, 'x');
-    evbuffer_add(body, large.data(), large.size());
+    const std::string large(4'000'000, 'x');
+    for (int i = 0; i < 5; ++i) evbuffer_add(body, large.data(), large.size());
     evhttp_send_reply(request, HTTP_OK, nullptr, body);
     evbuffer_free(body);
   };
--- a/gateway/tests/input_test.cc
+++ b/gateway/tests/input_test.cc
@@ -83,8 +83,9 @@
   for (std::size_t step = 1; step <= stream.size(); ++step) {
     eg::SseScanner scanner;
     std::uint64_t events = 0;
-    for (std::size_t at = 0; at < stream.size(); at += step) {
-      events += eg::Scan(scanner, std::string_view(stream).substr(at, step));
+    const std::string_view whole = stream;
+    for (std::size_t at = 0; at < whole.size(); at += step) {
+      events += eg::Scan(scanner, whole.substr(at, step));
     }
     CHECK_EQUAL(2U, events);
     CHECK_TRUE(scanner.done);
