--- a/gateway/main/egretladderd.cc
+++ b/gateway/main/egretladderd.cc
@@ -36,6 +36,9 @@
     }
   }
 
+  /// True when calls in progress were not waited for.
+  bool IsCut() const { return cut_; }
+
  private:
   void OnStopSignal() {
     if (leaving_) {
@@ -59,6 +62,7 @@
     Say(ek::LogLevel::kWarning, "Stopped, since " + why + ": " +
                                     std::to_string(eg::ViewOf(gateway_).calls) +
                                     " calls were cut.");
+    cut_ = true;
     ek::StopLoop(loop_);
   }
 
@@ -66,6 +70,7 @@
   eg::Gateway& gateway_;
   std::chrono::milliseconds most_;
   bool leaving_ = false;
+  bool cut_ = false;
   std::array<ek::Watch, 2> signals_;
   ek::Watch timeout_;
   ek::Watch idle_;
@@ -86,7 +91,7 @@
                                eg::PeerAddressOf(started) + ".");
   const Stop stop(loop, started, config.stop_time);
   ek::RunLoop(loop);
-  return EXIT_SUCCESS;
+  return stop.IsCut() ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
 }  // namespace
--- a/gateway/src/kj_loop_p.h
+++ b/gateway/src/kj_loop_p.h
@@ -42,7 +42,8 @@
 
   /// Bytes that wait to be taken by the other side.
   std::size_t WaitingOutput() const;
-  bool IsBroken() const { return broken_; }
+  /// True when the other side has ended it, or it broke.
+  bool IsOver() const { return ended_ || broken_; }
 
  private:
   class ReadOperation;
--- a/gateway/src/peer_capnp.cc
+++ b/gateway/src/peer_capnp.cc
@@ -173,7 +173,7 @@
   const bool silent = peer.unanswered > 0 &&
                       now - peer.last_answer > kPeerSilence &&
                       now - peer.last_sent < kPeerSilence + kPeerIdle;
-  return peer.broken || peer.stream.IsBroken() || silent;
+  return peer.broken || peer.stream.IsOver() || silent;
 }
 
 void SweepPeers(PeerNet& net) {
@@ -193,7 +193,7 @@
   });
   // A peer that sends without taking its answers would pile them up here.
   std::erase_if(net.in, [](const std::unique_ptr<PeerIn>& peer) {
-    return peer->broken || peer->stream.IsBroken() ||
+    return peer->broken || peer->stream.IsOver() ||
            peer->network.getCurrentQueueSize() > kPeerBytes;
   });
 }
@@ -271,7 +271,13 @@
 
 void SendToPeer(PeerNet& net, const fleet::SendMessage& send) {
   const kernel::Time now = NowOf(*net.gateway);
-  const auto at = net.out.find(send.peer_address);
+  auto at = net.out.find(send.peer_address);
+  if (at != net.out.end() && at->second->stream.IsOver() &&
+      at->second->answered) {
+    // The peer was replaced; its successor is tried at once.
+    net.out.erase(at);
+    at = net.out.end();
+  }
   PeerOut* peer = at != net.out.end() ? at->second.get()
                                       : Connect(net, send.peer_address, now);
   // Load: a peer that is paused or cut off. Messages are states that are sent
--- a/gateway/tests/peer_test.cc
+++ b/gateway/tests/peer_test.cc
@@ -82,6 +82,34 @@
   CHECK(eg::ViewOf(*two.first).peers >= 1);
 }
 
+// A VM is replaced and a new process listens at the old address. Messages to it
+// must not wait for a back-off that the old one earned.
+TEST(Peers, SuccessorOfAPeerIsReachedAtOnce) {
+  TwoNodes two;
+  CHECK_TRUE(two.met);
+  const std::string address = eg::PeerAddressOf(*two.second);
+  const auto heard = [&two] {
+    return egretladder::kernel::PrometheusText(eg::MetricsOf(*two.second))
+               .find("kind=\"rules_ask\",direction=\"in\"") !=
+           std::string::npos;
+  };
+  const egretladder::fleet::SendMessage ask{address,
+                                            egretladder::fleet::RulesAsk{99}};
+  eg::SendToPeer(*two.first->peers, ask);
+  CHECK_TRUE(et::RunUntil(two.loop, heard));
+  two.second.reset();
+  eg::GatewayOptions options;
+  options.node.fleet.node = "n2";
+  options.node.fleet.zone = "bole";
+  options.peer_listen = address;
+  options.platform = two.platform.address;
+  two.second = eg::StartGateway(two.loop.loop, options).value();
+  CHECK_TRUE(et::RunUntil(two.loop, [&] {
+    eg::SendToPeer(*two.first->peers, ask);
+    return heard();
+  }));
+}
+
 // A parent's phone loses its connection after an enrolment was sent and sends
 // it again to another node. Run there as well, the seat is taken twice.
 TEST(Peers, LaneCallThroughTheOtherNodeRunsOnce) {
