--- /dev/null
+++ b/bench/fleet_bench.cc
@@ -0,0 +1,297 @@
+// What the fleet's control costs a node, by the number of nodes and endpoints:
+// messages and bytes a second by kind, processor time, memory. All nodes run in
+// this process on one paused clock over a lossless wire of 1 ms.
+//
+// Bytes are an estimate: the fields in Cap'n Proto's unpacked layout, and
+// `kCallOverhead` for the call, its sender and its answer.
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "egretladder/fleet/fleet.h"
+#include "egretladder/kernel/hash.h"
+#include "egretladder/kernel/log.h"
+
+namespace ef = egretladder::fleet;
+namespace ek = egretladder::kernel;
+namespace ep = egretladder::policy;
+namespace er = egretladder::rules;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kCallOverhead = 160;
+constexpr std::size_t kPointer = 8;
+constexpr std::chrono::milliseconds kWarmUp{15'000};
+constexpr std::chrono::milliseconds kMeasured{10'000};
+
+std::size_t SizeOf(const std::string& text) {
+  return kPointer + (text.size() + 8) / 8 * 8;
+}
+std::size_t SizeOf(const ef::Member& member) {
+  return 32 + SizeOf(member.node) + SizeOf(member.caller_address) +
+         SizeOf(member.peer_address) + SizeOf(member.zone);
+}
+std::size_t SizeOf(const ef::Gossip& gossip) {
+  std::size_t size = 48 + 4 * kPointer;
+  for (const auto& member : gossip.members) size += SizeOf(member);
+  for (const auto& name : gossip.gone) size += SizeOf(name);
+  for (const auto& vm : gossip.leaving_vms) size += 8 + SizeOf(vm.name);
+  return size + gossip.quarantined.size() * 24;
+}
+std::size_t SizeOf(const ef::RulesAsk& /*ask*/) { return 16; }
+std::size_t SizeOf(const ef::RulesOffer& offer) {
+  return 16 + SizeOf(offer.text);
+}
+std::size_t SizeOf(const ef::SlotAsks& asks) {
+  std::size_t size = 16 + kPointer;
+  for (const auto& ask : asks.asks) size += 72 + SizeOf(ask.endpoint);
+  return size;
+}
+std::size_t SizeOf(const ef::SlotLeases& leases) {
+  std::size_t size = 8 + kPointer;
+  for (const auto& lease : leases.leases) {
+    size += 64 + kPointer + SizeOf(lease.endpoint);
+    for (const auto& name : lease.loaded) size += SizeOf(name);
+  }
+  return size;
+}
+
+std::string HostOf(std::uint64_t i) {
+  return "10.1." + std::to_string(i / 200) + "." + std::to_string(i % 200);
+}
+
+std::string Document(std::uint64_t nodes, std::uint64_t endpoints) {
+  std::string text = "[document]\nversion = 1 ; bench\n[zone]\n";
+  for (int i = 0; i < 5; ++i) {
+    text += "zone-" + std::to_string(i) +
+            " = region=" + (i < 3 ? "addis" : "lima") + " ; bench\n";
+  }
+  text += "[model]\n";
+  const std::uint64_t models = std::min<std::uint64_t>(13, endpoints / 2);
+  for (std::uint64_t i = 0; i < models; ++i) {
+    text += "model-" + std::to_string(i) + " = copies=2 ; bench\n";
+  }
+  text +=
+      "[class]\nbuyer = tier=1 first_token=1800ms ; bench\n[account]\n"
+      "abay = classes=buyer ; bench\n[endpoint]\n";
+  for (std::uint64_t i = 0; i < endpoints; ++i) {
+    text += "runner-" + std::to_string(i) + " = address=10.2." +
+            std::to_string(i / 200) + "." + std::to_string(i % 200) +
+            ":8000 zone=zone-" + std::to_string(i % 5) + " serves=model-" +
+            std::to_string(i % models) + " bears=16 cold_bears=2 ; bench\n";
+  }
+  text += "[node]\n";
+  for (std::uint64_t i = 0; i < nodes; ++i) {
+    const std::string host = HostOf(i);
+    text += "entry-" + std::to_string(i) + " = callers=" + host +
+            ":80 peers=" + host + ":81 zone=zone-" + std::to_string(i % 5) +
+            " ; bench\n";
+  }
+  return text;
+}
+
+struct Kind {
+  std::uint64_t count = 0;
+  std::uint64_t bytes = 0;
+};
+
+class Fleet {
+ public:
+  Fleet(std::uint64_t nodes, std::uint64_t endpoints)
+      : text_(Document(nodes, endpoints)), nodes_(nodes) {
+    for (std::uint64_t i = 0; i < nodes; ++i)
+      by_address_[HostOf(i) + ":81"] = i;
+    const std::size_t before = mallinfo2().uordblks;
+    for (std::uint64_t i = 0; i < nodes; ++i) Start(i);
+    const std::size_t after = mallinfo2().uordblks;
+    bytes_per_node = (after - before) / nodes;
+  }
+
+  void Run(std::chrono::milliseconds span) {
+    const ek::Time until = now_ + span;
+    while (now_ < until) Step();
+  }
+
+  std::array<Kind, 5> kinds{};
+  std::uint64_t platform_reads = 0;
+  std::uint64_t reports = 0;
+  std::uint64_t ticks = 0;
+  std::uint64_t handled = 0;
+  std::chrono::nanoseconds tick_time{};
+  std::chrono::nanoseconds handle_time{};
+  std::size_t bytes_per_node = 0;
+
+ private:
+  struct Node {
+    ef::FleetPtr fleet;
+    ef::Sender sender;
+  };
+  struct Letter {
+    std::size_t to = 0;
+    ef::Sender from;
+    ef::Message message;
+  };
+
+  void Start(std::uint64_t i) {
+    const std::string host = HostOf(i);
+    ef::FleetOptions options;
+    options.node = "entry-" + std::to_string(i);
+    options.caller_address = host + ":80";
+    options.peer_address = host + ":81";
+    options.zone = "zone-" + std::to_string(i % 5);
+    options.incarnation = i + 1;
+    options.started = 1;
+    options.random_seed = i + 1;
+    Node& node = nodes_[i];
+    node.sender = {options.node, options.incarnation};
+    ef::Actions out;
+    node.fleet = ef::StartFleet(options, now_, out);
+    ef::OnRulesDocument(*node.fleet, &text_, now_, out);
+    Apply(i, out);
+  }
+
+  void Apply(std::size_t i, ef::Actions& actions) {
+    ef::Actions taken;
+    std::swap(taken, actions);
+    for (ef::Action& action : taken) {
+      if (auto* send = std::get_if<ef::SendMessage>(&action)) {
+        Kind& kind = kinds[send->message.index()];
+        ++kind.count;
+        kind.bytes +=
+            kCallOverhead +
+            std::visit([](const auto& m) { return SizeOf(m); }, send->message);
+        wire_.push_back({by_address_.at(send->peer_address), nodes_[i].sender,
+                         std::move(send->message)});
+      } else if (const auto* read = std::get_if<ef::ReadReport>(&action)) {
+        ++reports;
+        ep::EngineReport report;
+        report.boot = 1;
+        report.loaded = {{0}};
+        ef::Actions more;
+        ef::OnReport(*nodes_[i].fleet, read->endpoint, &report, now_, more);
+        Apply(i, more);
+      } else if (std::holds_alternative<ef::ReadVmList>(action)) {
+        ++platform_reads;
+        const std::vector<ef::VmEntry> vms;
+        ef::Actions more;
+        ef::OnVmList(*nodes_[i].fleet, &vms, now_, more);
+        Apply(i, more);
+      } else if (const auto* rules =
+                     std::get_if<ef::ReadRulesDocument>(&action)) {
+        ++platform_reads;
+        if (rules->watch) continue;  // Waits, as nothing newer comes.
+        ef::Actions more;
+        const std::string nothing;
+        ef::OnRulesDocument(*nodes_[i].fleet,
+                            rules->known_version == 0 ? &text_ : &nothing, now_,
+                            more);
+        Apply(i, more);
+      }
+    }
+  }
+
+  void Step() {
+    now_ += 1ms;
+    std::deque<Letter> arrived;
+    std::swap(arrived, wire_);
+    const auto begun = std::chrono::steady_clock::now();
+    for (const Letter& letter : arrived) {
+      ef::Actions out;
+      ef::OnMessage(*nodes_[letter.to].fleet, letter.from, letter.message, now_,
+                    out);
+      Apply(letter.to, out);
+    }
+    handle_time += std::chrono::steady_clock::now() - begun;
+    handled += arrived.size();
+    // Ticks of different nodes fall on different milliseconds.
+    const auto slot = static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
+    const auto begun_ticks = std::chrono::steady_clock::now();
+    for (std::size_t i = slot % 50; i < nodes_.size(); i += 50) {
+      ef::Actions out;
+      ef::OnTick(*nodes_[i].fleet, now_, out);
+      Apply(i, out);
+      ++ticks;
+    }
+    tick_time += std::chrono::steady_clock::now() - begun_ticks;
+  }
+
+  std::string text_;
+  std::vector<Node> nodes_;
+  std::map<std::string, std::size_t> by_address_;
+  std::deque<Letter> wire_;
+  ek::Time now_{1h};
+};
+
+void Control(benchmark::State& state) {
+  ek::StartLogs(ek::LogFormat::kText, ek::LogLevel::kError);
+  const auto nodes = static_cast<std::uint64_t>(state.range(0));
+  const auto endpoints = static_cast<std::uint64_t>(state.range(1));
+  for (auto _ : state) {
+    Fleet fleet(nodes, endpoints);
+    fleet.Run(kWarmUp);
+    fleet.kinds = {};
+    fleet.platform_reads = fleet.reports = fleet.ticks = fleet.handled = 0;
+    fleet.tick_time = fleet.handle_time = {};
+    fleet.Run(kMeasured);
+    const double node_seconds =
+        static_cast<double>(nodes) *
+        std::chrono::duration<double>(kMeasured).count();
+    const std::array<const char*, 5> names = {"gossip", "ask", "offer",
+                                              "slot_asks", "leases"};
+    std::uint64_t bytes = 0;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      bytes += fleet.kinds[i].bytes;
+      if (i == 1 || i == 2) continue;
+      state.counters[std::string(names[i]) + "/s"] =
+          static_cast<double>(fleet.kinds[i].count) / node_seconds;
+      state.counters[std::string(names[i]) + "_B/s"] =
+          static_cast<double>(fleet.kinds[i].bytes) / node_seconds;
+    }
+    state.counters["sent_B/s"] = static_cast<double>(bytes) / node_seconds;
+    state.counters["reports/s"] =
+        static_cast<double>(fleet.reports) / node_seconds;
+    state.counters["platform/s_fleet"] =
+        static_cast<double>(fleet.platform_reads) /
+        std::chrono::duration<double>(kMeasured).count();
+    state.counters["us/message"] =
+        std::chrono::duration<double, std::micro>(fleet.handle_time).count() /
+        static_cast<double>(fleet.handled);
+    state.counters["us/tick"] =
+        std::chrono::duration<double, std::micro>(fleet.tick_time).count() /
+        static_cast<double>(fleet.ticks);
+    state.counters["cpu_permille"] =
+        std::chrono::duration<double>(fleet.tick_time + fleet.handle_time)
+            .count() /
+        node_seconds * 1000;
+    state.counters["KB/node"] =
+        static_cast<double>(fleet.bytes_per_node) / 1000;
+  }
+}
+BENCHMARK(Control)
+    ->ArgNames({"nodes", "endpoints"})
+    ->Args({4, 15})
+    ->Args({7, 15})
+    ->Args({8, 15})
+    ->Args({16, 30})
+    ->Args({32, 60})
+    ->Args({64, 130})
+    ->Args({128, 260})
+    ->Args({390, 790})
+    ->Args({7, 10})
+    ->Args({7, 100})
+    ->Args({7, 790})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- a/fleet/include/egretladder/fleet/lease.h
+++ b/fleet/include/egretladder/fleet/lease.h
@@ -122,7 +122,9 @@
   bool down = false;  ///< Died or refused since the last ask.
   policy::SlotEvidence evidence;
   Time last_ask{};
-  std::uint32_t keeper_turn = 0;  ///< Of nodes asked besides the first.
+  bool was_content = true;        ///< Had all it wanted when it asked last.
+  std::string keeper;             ///< That granted the lease.
+  std::uint32_t keeper_turn = 0;  ///< Of nodes asked while none answers.
 };
 
 /// Slots this node may fill now.
--- a/fleet/include/egretladder/fleet/limits.h
+++ b/fleet/include/egretladder/fleet/limits.h
@@ -37,16 +37,19 @@
 /// work: a zone may be out since. Below the 3 s allowed, above four pings.
 inline constexpr std::chrono::milliseconds kIsolatedAfter{2500};
 
-/// Between two pings to the same peer. Four fit into a mandate, so that one
-/// lost message changes nothing.
-inline constexpr std::chrono::milliseconds kPingEvery{500};
+/// Between two pings to the same peer. Two fit into a mandate, so that one lost
+/// message changes nothing.
+inline constexpr std::chrono::milliseconds kPingEvery{600};
+/// A peer that answered so lately knows this process: pings to it leave out who
+/// they come from, five sixths of their size.
+inline constexpr std::chrono::milliseconds kKnownFor{1200};
 /// A peer unheard for so long is left out of `/where`.
 inline constexpr std::chrono::milliseconds kSuspectAfter{2000};
 /// How long an answered ping counts as support for a keeper, from its sending.
-inline constexpr std::chrono::milliseconds kMandate{2000};
+inline constexpr std::chrono::milliseconds kMandate{1500};
 /// Longest lease of slots, from the asking. Shorter ones cost more messages,
 /// longer ones keep a dead node's slots away from the others.
-inline constexpr std::chrono::milliseconds kLeaseLife{2000};
+inline constexpr std::chrono::milliseconds kLeaseLife{2500};
 /// A peer unheard for so long counts as gone in votes. Above a mandate and a
 /// lease, so that nobody is voted out whose leases still run; the rest allows
 /// for clocks that differ by a fifth.
@@ -68,13 +71,10 @@
 /// Nodes that vote on the keeper of an endpoint: all of today's fleets, and a
 /// fixed few of a large one, so that pings don't grow with its size.
 inline constexpr std::size_t kVotersMost = 7;
-/// First so many by rank ping their voters always, so that the second can take
-/// over without waiting for support.
-inline constexpr std::size_t kRanksThatPing = 2;
 /// Peers drawn at random in each round, besides the voters.
-inline constexpr std::size_t kRandomPeers = 2;
+inline constexpr std::size_t kRandomPeers = 1;
 /// Members, votes, blames and VM notices in one message: bounds its size.
-inline constexpr std::size_t kMembersTold = 4;
+inline constexpr std::size_t kMembersTold = 3;
 inline constexpr std::size_t kGoneTold = 64;
 inline constexpr std::size_t kBlamesTold = 16;
 inline constexpr std::size_t kLeavingVmsTold = 32;
@@ -104,19 +104,19 @@
 
 /// Between two asks for slots, and the least between asks that hurry because
 /// work waits.
-inline constexpr std::chrono::milliseconds kAskEvery{500};
+inline constexpr std::chrono::milliseconds kAskEvery{900};
 inline constexpr std::chrono::milliseconds kAskSoonest{100};
 /// Calls of a silent holder still run at the endpoint, perhaps; forgotten after
 /// the longest ordinary answer.
 inline constexpr std::chrono::seconds kSilentCallsKept{60};
 /// A holder that has not asked for so long has no part in sharing out.
-inline constexpr std::chrono::milliseconds kHolderSilent{1250};
+inline constexpr std::chrono::milliseconds kHolderSilent{2250};
 /// One in so many of the slots that an endpoint bears cold needs no lease. More
 /// would lie idle at their owners while others wait; none would leave nodes
 /// without a keeper nothing at any endpoint.
 inline constexpr std::uint32_t kFloorPart = 4;
 /// Without a lease for so long, others than the first in rank are asked too.
-inline constexpr std::chrono::milliseconds kAskPatience{1200};
+inline constexpr std::chrono::milliseconds kAskPatience{2000};
 /// Lots for slots that don't go round are drawn anew so often.
 inline constexpr std::chrono::seconds kLotsEvery{4};
 /// Between two reports an endpoint is asked for by its keeper.
@@ -127,7 +127,7 @@
 /// Up to so many endpoints a node uses all of them; of more, so many for each
 /// target.
 inline constexpr std::size_t kEndpointsAll = 32;
-inline constexpr std::size_t kEndpointsPerTarget = 4;
+inline constexpr std::size_t kEndpointsPerTarget = 2;
 
 /// Loads that the whole fleet asks of the weight store in a minute.
 inline constexpr std::int64_t kLoadsPerMinute = 30;
--- a/fleet/include/egretladder/fleet/membership.h
+++ b/fleet/include/egretladder/fleet/membership.h
@@ -47,8 +47,9 @@
 struct Peer {
   Member member;
   bool published = false;
-  bool neighbour = false;  ///< Votes on an endpoint together with this node.
-  Time heard{};            ///< When its heartbeat last rose here, by any path.
+  bool expected = false;  ///< Should ping this node, as it may keep an endpoint
+                          ///< that both vote on.
+  Time heard{};           ///< When its heartbeat last rose here, by any path.
   Time leaving_since{};
   Contact contact;
   Vote vote;
@@ -64,9 +65,12 @@
 };
 
 /// Takes over the published nodes: new ones get the benefit of the doubt.
-/// `neighbours` are names of nodes that share an electorate with this one.
-void SetPublished(MembershipState& state, const rules::Rules& rules,
-                  const std::vector<std::string>& neighbours, Time now);
+void SetPublished(MembershipState& state, const rules::Rules& rules, Time now);
+
+/// Marks the peers whose silence is worth a vote: of the voters of an endpoint,
+/// those up to the first that is there.
+void ExpectKeepers(MembershipState& state,
+                   const std::vector<std::string>& voters, Time now);
 
 /// Takes one relayed member into account. Returns true when it was news.
 bool HearMember(MembershipState& state, const Member& told, bool direct,
@@ -110,6 +114,13 @@
 bool VotesGone(const MembershipState& state, std::string_view voter,
                std::string_view node, Time now);
 
+/// True when this node may keep an endpoint with these voters, first choice
+/// first: a majority supports it, and for each node before it a majority says
+/// that it is gone. Two nodes can't both hold that while a lease of either
+/// runs: docs/design/slots.md. `keeping`: it did so up to now.
+bool MayKeep(const MembershipState& state,
+             const std::vector<std::string>& voters, bool keeping, Time now);
+
 /// True when any peer answered within `kIsolatedAfter`.
 bool HearsAnyone(const MembershipState& state, Time now);
 
--- a/fleet/src/fleet.cc
+++ b/fleet/src/fleet.cc
@@ -111,7 +111,7 @@
   } else if (const auto* asks = std::get_if<SlotAsks>(&message)) {
     TakeAsks(state, from, *asks, now, out);
   } else if (const auto* leases = std::get_if<SlotLeases>(&message)) {
-    TakeLeases(state, *leases, now, out);
+    TakeLeases(state, from.node, *leases, now, out);
   }
 }
 
--- a/fleet/src/fleet_gossip.cc
+++ b/fleet/src/fleet_gossip.cc
@@ -34,7 +34,6 @@
 
 Gossip MakeGossip(FleetState& state, Time now) {
   Gossip gossip;
-  gossip.members = MembersToTell(state.members, state.random, now);
   gossip.rules_version = VersionOf(state);
   if (state.config.rules != nullptr) {
     gossip.rules_digest = state.config.rules->digest;
@@ -46,36 +45,50 @@
   return gossip;
 }
 
-void Ping(FleetState& state, const std::string& node, Time now, Actions& out) {
+void Ping(FleetState& state, const std::string& node, bool with_members,
+          Time now, Actions& out) {
   const auto found = state.members.peers.find(node);
   if (found == state.members.peers.end()) return;
   Peer& peer = found->second;
   if (peer.member.peer_address.empty()) return;
   Gossip gossip = MakeGossip(state, now);
+  const bool knows_us =
+      !with_members && peer.contact.any && now - peer.contact.sent < kKnownFor;
+  if (!knows_us) {
+    gossip.members = MembersToTell(state.members, state.random, now);
+  }
   gossip.reply_wanted = true;
   gossip.ping = NumberPing(state.members, peer, now);
   out.emplace_back(SendMessage{peer.member.peer_address, std::move(gossip)});
 }
 
-/// True when this node may have to keep the endpoint soon: it is among the
-/// first, or all before it seem gone.
-bool MayKeep(const FleetState& state, const EndpointState& endpoint, Time now) {
+/// True when this node may have to keep the endpoint soon: it is the first, or
+/// none of those before it seems to be there.
+bool MayKeepSoon(const FleetState& state, const EndpointState& endpoint,
+                 Time now) {
   if (endpoint.rank >= endpoint.voters.size()) return false;
-  if (endpoint.rank < kRanksThatPing) return true;
   for (std::size_t i = 0; i < endpoint.rank; ++i) {
     const auto found = state.members.peers.find(endpoint.voters[i]);
     if (found != state.members.peers.end() &&
-        !CountsAsGone(found->second, now)) {
+        StateOf(found->second, now) == MemberState::kAlive) {
       return false;
     }
   }
   return true;
 }
 
+void UpdateExpected(FleetState& state, Time now) {
+  for (auto& [name, peer] : state.members.peers) peer.expected = false;
+  for (const EndpointState& endpoint : state.endpoints) {
+    if (endpoint.rank >= endpoint.voters.size()) continue;
+    ExpectKeepers(state.members, endpoint.voters, now);
+  }
+}
+
 void AddVoters(const FleetState& state, Time now,
                std::set<std::string>& targets) {
   for (const EndpointState& endpoint : state.endpoints) {
-    if (!MayKeep(state, endpoint, now)) continue;
+    if (!MayKeepSoon(state, endpoint, now)) continue;
     for (const std::string& voter : endpoint.voters) {
       if (voter != state.members.self.node) targets.insert(voter);
     }
@@ -100,6 +113,7 @@
   for (const std::string& address : state.options.seeds) {
     if (address == state.options.peer_address) continue;
     Gossip gossip = MakeGossip(state, now);
+    gossip.members = MembersToTell(state.members, state.random, now);
     gossip.reply_wanted = true;
     out.emplace_back(SendMessage{address, std::move(gossip)});
   }
@@ -158,17 +172,22 @@
       state.random, static_cast<std::uint64_t>(kPingEvery.count() / 5)));
   state.next_round = now + kPingEvery - kPingEvery / 10 + jitter;
   ++state.members.self.heartbeat;
-  std::set<std::string> targets;
-  AddVoters(state, now, targets);
-  AddRandom(state, kRandomPeers, targets);
-  for (const std::string& node : targets) Ping(state, node, now, out);
+  UpdateExpected(state, now);
+  std::set<std::string> voters;
+  AddVoters(state, now, voters);
+  for (const std::string& node : voters) Ping(state, node, false, now, out);
+  // These carry members too: so the word of nodes that share no endpoint goes
+  // round, within a fixed number of bytes.
+  std::set<std::string> others;
+  AddRandom(state, kRandomPeers, others);
+  for (const std::string& node : others) Ping(state, node, true, now, out);
   if (!HearsAnyone(state.members, now)) PingSeeds(state, now, out);
 }
 
 void TellSome(FleetState& state, Time now, Actions& out) {
   std::set<std::string> targets;
   AddRandom(state, kEagerPeers, targets);
-  for (const std::string& node : targets) Ping(state, node, now, out);
+  for (const std::string& node : targets) Ping(state, node, true, now, out);
 }
 
 void TellAll(FleetState& state, Time now, Actions& out) {
@@ -176,7 +195,7 @@
   std::set<std::string> targets;
   AddVoters(state, now, targets);
   AddRandom(state, kEagerPeers, targets);
-  for (const std::string& node : targets) Ping(state, node, now, out);
+  for (const std::string& node : targets) Ping(state, node, true, now, out);
 }
 
 void TakeGossip(FleetState& state, const Sender& from, const Gossip& gossip,
@@ -203,6 +222,9 @@
   }
   if (!gossip.reply_wanted || peer.member.peer_address.empty()) return;
   Gossip reply = MakeGossip(state, now);
+  if (!gossip.members.empty()) {
+    reply.members = MembersToTell(state.members, state.random, now);
+  }
   reply.ack = gossip.ping;
   out.emplace_back(SendMessage{peer.member.peer_address, std::move(reply)});
 }
--- a/fleet/src/fleet_keeper.cc
+++ b/fleet/src/fleet_keeper.cc
@@ -17,31 +17,9 @@
   return state.config.rules->endpoints[endpoint.idx];
 }
 
-/// True when a majority of the endpoint's voters supports this node, and for
-/// each node before it a majority says that it is gone. Two nodes can't both
-/// hold that while a lease of either runs: docs/design/slots.md.
 bool MayKeep(const FleetState& state, const EndpointState& endpoint, Time now) {
-  if (state.leaving || state.members.replaced) return false;
-  const std::size_t count = endpoint.voters.size();
-  if (endpoint.rank >= count) return false;
-  const bool keeping = endpoint.book.has_value();
-  const auto supporters = static_cast<std::size_t>(
-      std::count_if(endpoint.voters.begin(), endpoint.voters.end(),
-                    [&](const std::string& voter) {
-                      return Supports(state.members, voter, keeping, now);
-                    }));
-  if (supporters < MajorityOf(count)) return false;
-  for (std::size_t i = 0; i < endpoint.rank; ++i) {
-    const std::string& before = endpoint.voters[i];
-    const auto votes = static_cast<std::size_t>(
-        std::count_if(endpoint.voters.begin(), endpoint.voters.end(),
-                      [&](const std::string& voter) {
-                        return voter != before &&
-                               VotesGone(state.members, voter, before, now);
-                      }));
-    if (votes < MajorityOf(count)) return false;
-  }
-  return true;
+  return !state.leaving && MayKeep(state.members, endpoint.voters,
+                                   endpoint.book.has_value(), now);
 }
 
 /// True when a majority has supported this node without a break since it
@@ -256,7 +234,7 @@
     leases.leases.push_back(
         MakeLease(state, handle, cut.keep.slots, cut.keep.ask_number, now));
     if (cut.process.node == state.members.self.node) {
-      TakeLeases(state, leases, now, out);
+      TakeLeases(state, cut.process.node, leases, now, out);
       continue;
     }
     const std::string& address = AddressOf(state, cut.process.node);
--- a/fleet/src/fleet_slots.cc
+++ b/fleet/src/fleet_slots.cc
@@ -1,6 +1,5 @@
 // Endpoints as this node uses them: available or not, slots, asks for leases.
 #include <algorithm>
-#include <set>
 
 #include "fleet_state_p.h"
 
@@ -46,8 +45,7 @@
   state.orders.placement = PlaceModels(rules, state.takes_work);
 }
 
-void ApplyEndpoint(FleetState& state, std::uint32_t idx,
-                   std::set<std::string>& neighbours) {
+void ApplyEndpoint(FleetState& state, std::uint32_t idx) {
   const rules::Rules& rules = *state.config.rules;
   EndpointState& endpoint = state.endpoints[idx];
   const std::string& self = state.members.self.node;
@@ -64,30 +62,31 @@
   const auto found =
       std::find(endpoint.voters.begin(), endpoint.voters.end(), self);
   endpoint.rank = static_cast<std::size_t>(found - endpoint.voters.begin());
-  if (found == endpoint.voters.end()) return;
-  neighbours.insert(endpoint.voters.begin(), endpoint.voters.end());
 }
 
-/// Nodes to ask for slots: the first that seems there and, while no lease
-/// comes, another one in turn, since this node's view of who is there may be
-/// wrong. Only a node that keeps the endpoint answers.
+/// Nodes to ask for slots: the one that answered last. Without an answer, the
+/// first that seems there and, in turn, each other one, since this node's view
+/// of who is there may be wrong. Only a node that keeps the endpoint answers.
 std::vector<std::string> KeepersToAsk(const FleetState& state,
                                       EndpointState& endpoint, Time now) {
-  std::vector<std::string> there;
-  for (const std::string& voter : endpoint.voters) {
-    const bool self = voter == state.members.self.node;
-    const auto found = state.members.peers.find(voter);
-    const bool gone =
-        self ? state.leaving
-             : found == state.members.peers.end() ||
-                   StateOf(found->second, now) != MemberState::kAlive;
-    if (!gone) there.push_back(voter);
+  HeldSlots& held = endpoint.held;
+  if (!held.keeper.empty() && now - held.last_lease < kAskPatience) {
+    return {held.keeper};
   }
-  if (there.size() <= 1) return there;
-  const bool answered = now - endpoint.held.last_lease < kAskPatience;
-  if (answered) return {there[0]};
-  const std::size_t turn = endpoint.held.keeper_turn++ % (there.size() - 1);
-  return {there[0], there[1 + turn]};
+  if (endpoint.voters.empty()) return {};
+  const auto is_there = [&](const std::string& voter) {
+    if (voter == state.members.self.node) return !state.leaving;
+    const auto found = state.members.peers.find(voter);
+    return found != state.members.peers.end() &&
+           StateOf(found->second, now) == MemberState::kAlive;
+  };
+  auto first =
+      std::find_if(endpoint.voters.begin(), endpoint.voters.end(), is_there);
+  if (first == endpoint.voters.end()) first = endpoint.voters.begin();
+  const std::string& other =
+      endpoint.voters[held.keeper_turn++ % endpoint.voters.size()];
+  if (other == *first) return {other};
+  return {*first, other};
 }
 
 /// The first ask whose answer could still be taken; see `TakeLease`.
@@ -116,6 +115,7 @@
   held.evidence = {};
   held.down = false;
   held.last_ask = now;
+  held.was_content = held.wanted <= UsableSlots(held, now);
   return ask;
 }
 
@@ -129,7 +129,7 @@
     if (!state.endpoints[endpoint.idx].book.has_value()) continue;
     leases.leases.push_back(AnswerAsk(state, endpoint, self, number, ask, now));
   }
-  TakeLeases(state, leases, now, out);
+  TakeLeases(state, self.node, leases, now, out);
 }
 
 void SendAsks(FleetState& state, const std::string& keeper, const Asks& asks,
@@ -153,19 +153,17 @@
   state.members.nodes_digest = NodesDigest(rules);
   state.takes_work.clear();
   state.endpoints.resize(rules.endpoints.size());
-  std::set<std::string> neighbours;
   const auto used =
       EndpointsUsedBy(rules, state.members.self.node, state.members.self.zone);
   for (std::uint32_t i = 0; i < rules.endpoints.size(); ++i) {
     state.endpoints[i].used = used[i];
-    ApplyEndpoint(state, i, neighbours);
+    ApplyEndpoint(state, i);
     KeeperBook* book = state.endpoints[i].book.has_value()
                            ? &*state.endpoints[i].book
                            : nullptr;
     if (book != nullptr) ChangeBears(*book, rules.endpoints[i], now);
   }
-  SetPublished(state.members, rules, {neighbours.begin(), neighbours.end()},
-               now);
+  SetPublished(state.members, rules, now);
 }
 
 void Announce(FleetState& state, EndpointHandle handle,
@@ -210,8 +208,8 @@
   });
 }
 
-void TakeLeases(FleetState& state, const SlotLeases& leases, Time now,
-                Actions& out) {
+void TakeLeases(FleetState& state, const std::string& keeper,
+                const SlotLeases& leases, Time now, Actions& out) {
   for (const SlotLease& lease : leases.leases) {
     const EndpointHandle handle =
         FindEndpoint(*state.config.rules, lease.endpoint);
@@ -219,6 +217,7 @@
     if (!IsValid(handle) || asked == state.asks_sent.end()) continue;
     EndpointState& endpoint = state.endpoints[handle.idx];
     if (!TakeLease(endpoint.held, lease, asked->second, now)) continue;
+    endpoint.held.keeper = keeper;
     Announce(state, handle, policy::SlotReason::kUnchanged, now, out);
     if (lease.boot == 0) continue;
     policy::EngineReport report;
--- a/fleet/src/fleet_state_p.h
+++ b/fleet/src/fleet_state_p.h
@@ -39,14 +39,6 @@
   Time woke_at{};
 };
 
-/// Options of tests that show what each guard is for. All on in use.
-struct FleetGuards {
-  bool version_order = true;
-  bool incarnation = true;
-  bool lease_lapse = true;
-  bool majority = true;
-};
-
 struct FleetState {
   FleetOptions options;
   kernel::Random random;
@@ -89,8 +81,8 @@
 void Announce(FleetState& state, EndpointHandle endpoint,
               policy::SlotReason reason, Time now, Actions& out);
 void AskForSlots(FleetState& state, Time now, Actions& out);
-void TakeLeases(FleetState& state, const SlotLeases& leases, Time now,
-                Actions& out);
+void TakeLeases(FleetState& state, const std::string& keeper,
+                const SlotLeases& leases, Time now, Actions& out);
 
 // fleet_keeper.cc
 void UpdateKeeping(FleetState& state, Time now, Actions& out);
--- a/fleet/src/lease_holder.cc
+++ b/fleet/src/lease_holder.cc
@@ -37,7 +37,10 @@
 bool AskIsDue(const HeldSlots& held, Time now) {
   const auto since = now - held.last_ask;
   if (since >= kAskEvery) return true;
-  const bool hurry = held.down || held.wanted > UsableSlots(held, now);
+  // Once for each time that work begins to wait: under load that lasts, asking
+  // more often brings no more slots.
+  const bool hurry =
+      held.down || (held.was_content && held.wanted > UsableSlots(held, now));
   return hurry && since >= kAskSoonest;
 }
 
--- a/fleet/src/membership.cc
+++ b/fleet/src/membership.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "egretladder/fleet/electorate.h"
+
 namespace egretladder::fleet {
 namespace {
 
@@ -89,12 +91,8 @@
 
 }  // namespace
 
-void SetPublished(MembershipState& state, const rules::Rules& rules,
-                  const std::vector<std::string>& neighbours, Time now) {
-  for (auto& [name, peer] : state.peers) {
-    peer.published = false;
-    peer.neighbour = false;
-  }
+void SetPublished(MembershipState& state, const rules::Rules& rules, Time now) {
+  for (auto& [name, peer] : state.peers) peer.published = false;
   for (const rules::Node& node : rules.nodes) {
     const std::string& name = node.source.name;
     if (!node.source.present || name == state.self.node) continue;
@@ -107,15 +105,24 @@
     peer.member.peer_address = node.peer_address;
     peer.member.zone = rules.zones[node.zone.idx].source.name;
   }
-  for (const std::string& name : neighbours) {
-    const auto found = state.peers.find(name);
-    if (found != state.peers.end()) found->second.neighbour = true;
-  }
   std::erase_if(state.peers, [&](const auto& entry) {
     return !entry.second.published && now - entry.second.heard > kGoneAfter;
   });
 }
 
+void ExpectKeepers(MembershipState& state,
+                   const std::vector<std::string>& voters, Time now) {
+  for (const std::string& voter : voters) {
+    const auto found = state.peers.find(voter);
+    if (found == state.peers.end()) {
+      if (voter == state.self.node) return;
+      continue;
+    }
+    found->second.expected = true;
+    if (StateOf(found->second, now) == MemberState::kAlive) return;
+  }
+}
+
 bool HearMember(MembershipState& state, const Member& told, bool direct,
                 Time now) {
   if (told.node == state.self.node) {
@@ -206,7 +213,7 @@
 std::vector<std::string> VotesOf(const MembershipState& state, Time now) {
   std::vector<std::string> gone;
   for (const auto& [name, peer] : state.peers) {
-    if (!peer.neighbour || !CountsAsGone(peer, now)) continue;
+    if (!peer.expected || !CountsAsGone(peer, now)) continue;
     if (gone.size() >= kGoneTold) break;
     gone.push_back(name);
   }
@@ -251,6 +258,25 @@
                             node) != peer.vote.gone.end();
 }
 
+bool MayKeep(const MembershipState& state,
+             const std::vector<std::string>& voters, bool keeping, Time now) {
+  if (state.replaced) return false;
+  const auto majority = static_cast<std::ptrdiff_t>(MajorityOf(voters.size()));
+  const auto self = std::find(voters.begin(), voters.end(), state.self.node);
+  if (self == voters.end()) return false;
+  const auto supporters = std::count_if(
+      voters.begin(), voters.end(),
+      [&](const auto& voter) { return Supports(state, voter, keeping, now); });
+  if (supporters < majority) return false;
+  return std::all_of(voters.begin(), self, [&](const std::string& before) {
+    const auto votes =
+        std::count_if(voters.begin(), voters.end(), [&](const auto& voter) {
+          return voter != before && VotesGone(state, voter, before, now);
+        });
+    return votes >= majority;
+  });
+}
+
 bool HearsAnyone(const MembershipState& state, Time now) {
   return std::any_of(
       state.peers.begin(), state.peers.end(), [&](const auto& entry) {
--- a/fleet/tests/wire_fixture_test.cc
+++ b/fleet/tests/wire_fixture_test.cc
@@ -433,6 +433,7 @@
     if (!node.up || now < node.paused_until) continue;
     // What arrived during a pause is read first: old knowledge, acted on late.
     for (const auto& event : std::exchange(node.inbox, {})) event();
+    RunCalls(name, node);
     FillSlots(name, node);
     RunCalls(name, node);
     Actions actions;
