--- a/lab/src/scenario_events.cc
+++ b/lab/src/scenario_events.cc
@@ -72,6 +72,8 @@
   node::NodeState* node = NodeOf(*world.driver, idx);
   if (node == nullptr) return;
   const Time now = Now(*world.driver);
+  // Killed and started anew meanwhile: another process.
+  if (!node::ViewOf(*node, now).leaving) return;
   const bool idle = node::IsIdle(*node) && now - since >= node::kWhereKeep;
   const bool too_long = now - since > kLeaveMost;
   if (!idle && !too_long) {
@@ -120,26 +122,28 @@
      [&world, idx] { StopEndpointWhenIdle(world, idx); });
 }
 
+void Kill(World& world, const std::string& name) {
+  const NodeIdx idx = FindNodeByName(world, name);
+  KillNode(*world.driver, idx);
+  ForgetNode(world, idx);
+  BreakCallsOf(world, idx);
+}
+
 void ComeBack(World& world, const std::string& name) {
   const NodeIdx node = FindNodeByName(world, name);
   if (node < world.node_names.size()) {
-    RestartNode(*world.driver, node);
-    return;
+    Kill(world, name);  // If it still runs, its calls break.
+    return RestartNode(*world.driver, node);
   }
   FakeEndpoint* endpoint = FindEndpoint(world, name);
   EngineState& engine = endpoint->engine;
+  const EngineCounts counts = engine.counts;
   engine = StartEngine(engine.options, engine.boot + 1, Now(*world.driver));
+  engine.counts = counts;
   endpoint->up = true;
   ChangeAndPublish(world, "endpoint", name, "leaving", "no");
 }
 
-void Kill(World& world, const std::string& name) {
-  const NodeIdx idx = FindNodeByName(world, name);
-  KillNode(*world.driver, idx);
-  ForgetNode(world, idx);
-  BreakCallsOf(world, idx);
-}
-
 PlatformFault FaultOf(const std::string& text) {
   if (text == "down") return PlatformFault::kDown;
   if (text == "slow") return PlatformFault::kSlow;
