Write requests at once; survive running out of descriptors

Cause: between `MaySend` and the first byte on a reused connection lay a turn of the loop, in which a process may be paused. With no descriptor left, libevent's listener tries to accept for ever at full processor load.

Change: on a reused connection the request is written in the call that asked `MaySend`.

--- a/gateway/main/egretladderd.cc
+++ b/gateway/main/egretladderd.cc
@@ -1,5 +1,8 @@
 // The node: `egretladderd --config node.ini`.
+#include <sys/resource.h>
+
 #include <CLI/CLI.hpp>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -76,8 +79,22 @@
   ek::Watch idle_;
 };
 
+// Each call takes two descriptors, and many systems start processes with 1,024.
+void RaiseDescriptorLimit(const eg::Limits& limits) {
+  rlimit allowed{};
+  getrlimit(RLIMIT_NOFILE, &allowed);
+  allowed.rlim_cur = allowed.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &allowed);
+  const rlim_t wanted = 2 * limits.connections + eg::kPeersIn + eg::kPeersOut;
+  if (allowed.rlim_cur >= wanted) return;
+  Say(ek::LogLevel::kWarning, "Only " + std::to_string(allowed.rlim_cur) +
+                                  " descriptors, " + std::to_string(wanted) +
+                                  " may be needed.");
+}
+
 int Run(const eg::NodeConfig& config) {
   ek::StartLogs(config.log_format, config.log_level);
+  RaiseDescriptorLimit(config.gateway.limits);
   ek::Loop loop = ek::OpenLoop();
   auto gateway = eg::StartGateway(loop, config.gateway);
   if (!gateway) {
--- a/gateway/src/caller_evhttp.cc
+++ b/gateway/src/caller_evhttp.cc
@@ -283,6 +283,15 @@
   }
 }
 
+// No descriptor is left for another connection. The socket stays readable, so
+// libevent would try again at once and for ever; the sweep accepts again.
+void OnAcceptError(evconnlistener* listener, void* /*arg*/) {
+  kernel::Log(kernel::LogPart::kCaller, kernel::LogLevel::kWarning,
+              std::string("No connection could be accepted: ") +
+                  evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()) + ".");
+  evconnlistener_disable(listener);
+}
+
 }  // namespace
 
 kernel::Result<void> OpenFront(Gateway& gateway) {
@@ -319,6 +328,7 @@
                              evutil_socket_error_to_string(errno));
   }
   evhttp_bind_listener(server, front.listener);
+  evconnlistener_set_error_cb(front.listener, OnAcceptError);
   front.address = WithBoundPort(options.caller_listen,
                                 evconnlistener_get_fd(front.listener));
   front.sweep = kernel::Every(*gateway.loop, kSweep,
--- a/gateway/src/http_client_evhttp.cc
+++ b/gateway/src/http_client_evhttp.cc
@@ -294,6 +294,18 @@
       kept);
 }
 
+// On a reused connection the request stands in the output now; it leaves before
+// the loop can be held up between `MaySend` and the first byte. evhttp goes on
+// when the socket reports that it can be written to.
+void SendNow(Exchange& exchange) {
+  if (exchange.phase != Phase::kSending || exchange.refused_by_owner) return;
+  bufferevent* buffer = BufferOf(exchange);
+  evbuffer* output = bufferevent_get_output(buffer);
+  evbuffer_unfreeze(output, 1);
+  evbuffer_write(output, bufferevent_getfd(buffer));
+  evbuffer_freeze(output, 1);
+}
+
 }  // namespace
 
 void HttpClientDelete::operator()(HttpClient* client) const {
@@ -339,6 +351,7 @@
     exchange->phase = Phase::kConnecting;
     exchange->progress = {};
   }
+  SendNow(*exchange);
   return exchange;
 }
 
