Tell the keeper when an endpoint takes no connection

Cause: a plain service sends no reports, so its keeper did not notice that it restarted between two calls; the fresh process got what the warm one bore and fell over. Change: a failure before MaySend without a connection counts as the endpoint being down; a driver that dropped the call says kCancelled instead.

--- a/gateway/src/endpoint_evhttp.cc
+++ b/gateway/src/endpoint_evhttp.cc
@@ -312,7 +312,7 @@
   const auto at = gateway.calls.find(send.call);
   if (at == gateway.calls.end()) {
     node::Actions actions;
-    node::OnFailure(*gateway.node, send.call, send.attempt, EndKind::kNotRun,
+    node::OnFailure(*gateway.node, send.call, send.attempt, EndKind::kCancelled,
                     "the call is gone", NowOf(gateway), actions);
     Pump(gateway, std::move(actions));
     return;
--- a/lab/src/scenario_invariants.cc
+++ b/lab/src/scenario_invariants.cc
@@ -12,6 +12,8 @@
 constexpr std::chrono::seconds kEverywhere{9};
 /// How much later than its class's longest wait a refusal may come.
 constexpr std::chrono::seconds kPromptness{1};
+/// A process that was paused is as old as its sockets for so long.
+constexpr milliseconds kWaking{500};
 /// Between two sweeps over all nodes and classes.
 constexpr milliseconds kSweep{100};
 
@@ -242,9 +244,11 @@
   watchdog.versions[node] = rules.version;
   if (!watchdog.accepted.empty()) {
     const auto& [version, since] = *watchdog.accepted.rbegin();
-    const bool old =
-        rules.version < version && Now(*world.driver) - since > kEverywhere;
-    if (old && IsReachable(world, node)) {
+    const Time now = Now(*world.driver);
+    const bool old = rules.version < version && now - since > kEverywhere;
+    // A process that wakes up takes what waits for it one after another.
+    const bool wakes = now - watchdog.last_paused[node] <= kWaking;
+    if (old && !wakes && IsReachable(world, node)) {
       Violate(world, "never reverts",
               world.node_names[node] + " took version " +
                   std::to_string(rules.version) + " after " +
--- a/node/include/egretladder/node/node.h
+++ b/node/include/egretladder/node/node.h
@@ -160,6 +160,8 @@
               std::shared_ptr<const fleet::StoredAnswer> answer, Time now,
               Actions& out);
 /// The attempt ended without a complete answer. `detail` names step and peer.
+/// `kNotRun` before `MaySend` was asked says that there was no connection: the
+/// endpoint counts as down. `kCancelled` says that the driver dropped it.
 void OnFailure(NodeState& state, CallId call, std::uint8_t attempt,
                policy::EndKind end, const std::string& detail, Time now,
                Actions& out);
--- a/node/src/attempts.cc
+++ b/node/src/attempts.cc
@@ -68,6 +68,16 @@
   ApplyFleet(state, actions, now, out);
 }
 
+/// An endpoint that takes no connection is down, and what comes back is cold. A
+/// plain service sends no reports: unless its keeper is told of this, a service
+/// that restarted between two calls gets what it bore when it was warm.
+void MarkDown(NodeState& state, EndpointHandle endpoint, Time now,
+              Actions& out) {
+  fleet::Actions actions;
+  fleet::OnEndpointDied(*state.fleet, endpoint, {}, now, actions);
+  ApplyFleet(state, actions, now, out);
+}
+
 policy::RetryAnswer AskRetry(NodeState& state, const CallRecord& record,
                              policy::EndKind end, bool started, Time now) {
   policy::RetryQuestion question;
@@ -197,6 +207,8 @@
                Actions& out) {
   CallRecord* record = FindAttempt(state, call, attempt);
   if (record == nullptr) return;
+  const bool no_connection =
+      record->stage == Stage::kDispatched && end == policy::EndKind::kNotRun;
   // Without the leave of `MaySend` no byte was sent.
   if (!IsSent(record->stage)) end = policy::EndKind::kNotRun;
   const bool started = record->stage == Stage::kStarted;
@@ -204,6 +216,7 @@
   // From here on the scheduler can't preempt it any more.
   SetStage(state, *record, Stage::kDelayed, now);
   if (end == policy::EndKind::kDied) BlameDeath(state, *record, now, out);
+  if (no_connection) MarkDown(state, record->endpoint, now, out);
   EndAttempt(state, *record, end, now);
   if (end != policy::EndKind::kNotRun) record->may_have_run = true;
   if (end == policy::EndKind::kNotRun && record->lane) {
--- a/node/tests/calls_test.cc
+++ b/node/tests/calls_test.cc
@@ -97,6 +97,30 @@
   CHECK_EQUAL(0U, n1_.errors.size());
 }
 
+// A service restarts between two calls. The next call finds nobody listening:
+// the node gives up its slots there, so that the fresh process is not sent what
+// the warm one bore.
+TEST(Calls, GivesUpItsSlotsAtAnEndpointThatTakesNoConnection) {
+  const auto slots_at = [&](ep::EndpointHandle endpoint) {
+    for (const auto& view :
+         ViewOf(*n1_.state, harness_.now()).scheduler.endpoints) {
+      if (view.endpoint == endpoint) return view.slots;
+    }
+    return 0U;
+  };
+  harness_.Send(n1_, harness_.MakeCall("buyer", 1));
+  const en::SendCall send = n1_.sent[0];
+  const auto before = slots_at(send.endpoint);
+  harness_.Fail(n1_, send, ep::EndKind::kNotRun);
+  CHECK(slots_at(send.endpoint) < before);
+  // A driver that dropped the call says nothing of the endpoint.
+  harness_.Step(100ms);
+  const en::SendCall again = n1_.sent[1];
+  const auto other = slots_at(again.endpoint);
+  harness_.Fail(n1_, again, ep::EndKind::kCancelled);
+  CHECK_EQUAL(other, slots_at(again.endpoint));
+}
+
 // An answer breaks off in its middle. Sent again from its beginning, the caller
 // would read two answers mixed into one.
 TEST(Calls, NeverRetriesOnceTheAnswerStarted) {
