--- a/fleet/include/egretladder/fleet/lease.h
+++ b/fleet/include/egretladder/fleet/lease.h
@@ -139,7 +139,7 @@
 /// used any more, nor of one that is under way.
 void DropLease(HeldSlots& held, Time now);
 
-/// True when it is time to ask: periodically, sooner when work waits.
-bool AskIsDue(const HeldSlots& held, Time now);
+/// True when it is time to ask: after `every`, sooner when work begins to wait.
+bool AskIsDue(const HeldSlots& held, std::chrono::milliseconds every, Time now);
 
 }  // namespace egretladder::fleet
--- a/fleet/include/egretladder/fleet/limits.h
+++ b/fleet/include/egretladder/fleet/limits.h
@@ -102,9 +102,11 @@
 /// Between two asks for a version that peers have and this node lacks.
 inline constexpr std::chrono::milliseconds kRulesAskEvery{300};
 
-/// Between two asks for slots, and the least between asks that hurry because
-/// work waits.
-inline constexpr std::chrono::milliseconds kAskEvery{900};
+/// Between two asks for slots: with few endpoints, so that a cold one grows
+/// fast; with many (`kEndpointsAll`), where asks and leases are most of the
+/// control's bytes; and the least between asks that hurry because work waits.
+inline constexpr std::chrono::milliseconds kAskEvery{600};
+inline constexpr std::chrono::milliseconds kAskEveryOfMany{1200};
 inline constexpr std::chrono::milliseconds kAskSoonest{100};
 /// Calls of a silent holder still run at the endpoint, perhaps; forgotten after
 /// the longest ordinary answer.
--- a/fleet/include/egretladder/fleet/membership.h
+++ b/fleet/include/egretladder/fleet/membership.h
@@ -50,6 +50,7 @@
   bool expected = false;  ///< Should ping this node, as it may keep an endpoint
                           ///< that both vote on.
   Time heard{};           ///< When its heartbeat last rose here, by any path.
+  Time direct{};          ///< When it spoke itself.
   Time leaving_since{};
   Contact contact;
   Vote vote;
@@ -81,6 +82,11 @@
 bool HearGossip(MembershipState& state, const Sender& from,
                 const Gossip& gossip, Time now);
 
+/// Takes note of a message that carries nothing of its sender. One never heard
+/// of, or whose predecessor is silent, is believed: in a large fleet a keeper
+/// hears most of its holders by their asks only. False: it was replaced.
+bool HearSender(MembershipState& state, const Sender& from, Time now);
+
 /// True for a message from the process that runs under the name now.
 bool IsCurrent(const MembershipState& state, const Sender& from);
 
--- a/fleet/src/fleet_keeper.cc
+++ b/fleet/src/fleet_keeper.cc
@@ -205,7 +205,7 @@
 
 void TakeAsks(FleetState& state, const Sender& from, const SlotAsks& asks,
               Time now, Actions& out) {
-  if (!IsCurrent(state.members, from)) return;
+  if (!HearSender(state.members, from, now)) return;
   SlotLeases leases;
   for (const SlotAsk& ask : asks.asks) {
     const EndpointHandle handle =
--- a/fleet/src/lease_holder.cc
+++ b/fleet/src/lease_holder.cc
@@ -34,9 +34,10 @@
   held.dropped = now;
 }
 
-bool AskIsDue(const HeldSlots& held, Time now) {
+bool AskIsDue(const HeldSlots& held, std::chrono::milliseconds every,
+              Time now) {
   const auto since = now - held.last_ask;
-  if (since >= kAskEvery) return true;
+  if (since >= every) return true;
   // Once for each time that work begins to wait: under load that lasts, asking
   // more often brings no more slots.
   const bool hurry =
--- a/fleet/src/membership.cc
+++ b/fleet/src/membership.cc
@@ -43,6 +43,7 @@
     Replace(peer, told, now);
     return true;
   }
+  known.started = std::max(known.started, told.started);
   if (told.heartbeat <= known.heartbeat) return true;
   known.heartbeat = told.heartbeat;
   peer.heard = now;
@@ -152,10 +153,30 @@
   // earlier by another way: the answer is support, and no vote may contradict
   // it too soon.
   if (gossip.reply_wanted) peer.heard = now;
+  peer.direct = now;
   if (gossip.ack != 0) TakeAck(state, peer, gossip, now);
   return true;
 }
 
+bool HearSender(MembershipState& state, const Sender& from, Time now) {
+  const auto found = state.peers.find(from.node);
+  if (found == state.peers.end()) return false;
+  Peer& peer = found->second;
+  if (peer.member.incarnation != from.incarnation) {
+    const bool unheard = peer.member.incarnation == 0;
+    if (!unheard && now - peer.heard <= kSuspectAfter) return false;
+    Member fresh = peer.member;
+    fresh.incarnation = from.incarnation;
+    fresh.started = 0;
+    fresh.heartbeat = 0;
+    fresh.state = MemberState::kAlive;
+    Replace(peer, fresh, now);
+  }
+  peer.heard = now;
+  peer.direct = now;
+  return true;
+}
+
 bool IsCurrent(const MembershipState& state, const Sender& from) {
   const auto found = state.peers.find(from.node);
   return found != state.peers.end() &&
@@ -190,9 +211,10 @@
   std::vector<Member> news{state.self};
   std::vector<const Member*> others;
   for (const auto& [name, peer] : state.peers) {
-    // Old heartbeats aren't passed on: they would look new at the receiver.
-    if (peer.member.heartbeat == 0 || now - peer.heard > kSuspectAfter)
-      continue;
+    // Only what the peer said here itself, and lately, is passed on. Hearsay of
+    // hearsay would look new at each receiver, and a dead node would stay in
+    // callers' answers for as long as the rumour takes to go round.
+    if (peer.member.heartbeat == 0 || now - peer.direct > kKnownFor) continue;
     const bool leaves = peer.member.state == MemberState::kLeaving;
     if (leaves && now - peer.leaving_since < kNewsFor &&
         news.size() <= kMembersTold) {
--- a/fleet/tests/fleet_test.cc
+++ b/fleet/tests/fleet_test.cc
@@ -29,10 +29,10 @@
   return taken;
 }
 
-bool InWhere(const World& world, const std::string& at,
-             const std::string& node) {
+bool InWhere(const World& world, const std::string& at, const std::string& node,
+             std::size_t most = 9) {
   const FakeNode& asked = world.nodes.at(at);
-  const auto where = ef::Where(*asked.fleet, "z0", 9, world.LocalNow(asked));
+  const auto where = ef::Where(*asked.fleet, "z0", most, world.LocalNow(asked));
   return std::any_of(where.begin(), where.end(),
                      [&](const ef::Member& m) { return m.node == node; });
 }
@@ -234,10 +234,15 @@
   CHECK(world_.Usable(Node("n0"), "e1") > 0);
 }
 
-// A crashed node stays in callers' answers for a moment only.
+// A crashed node stays in callers' answers for a moment only: soon it stands
+// behind all others, of which callers get a few, and then nowhere.
 TEST(Fleet, CrashedNodeLeavesWhere) {
   world_.Crash("n3");
-  world_.Run(6s);
+  world_.Run(3500ms);
+  for (const auto& [name, node] : world_.nodes) {
+    if (node.up) CHECK_FALSE(InWhere(world_, name, "n3", 6));
+  }
+  world_.Run(3500ms);
   CHECK_FALSE(InWhere(world_, "n1", "n3"));
   CHECK_TRUE(InWhere(world_, "n1", "n0"));
 }
--- a/fleet/tests/membership_test.cc
+++ b/fleet/tests/membership_test.cc
@@ -121,6 +121,17 @@
   CHECK_TRUE(ef::IsCurrent(state_, {"n2", 12}));
 }
 
+// In a large fleet a keeper has never heard of most nodes that ask it for
+// slots. It would answer none of them, and they would use nothing but their
+// floors.
+TEST(Membership, UnknownAskerIsBelievedAndItsPredecessorIsNot) {
+  state_.peers["n9"].member.node = "n9";
+  CHECK_TRUE(ef::HearSender(state_, {"n9", 2}, now_));
+  CHECK_FALSE(ef::HearSender(state_, {"n9", 1}, now_ + 1s));
+  CHECK_TRUE(ef::HearSender(state_, {"n9", 3}, now_ + 3s));
+  CHECK_FALSE(ef::HearSender(state_, {"n10", 1}, now_));
+}
+
 // A process that was paused hears its peers' silence as its own, and doesn't
 // vote them all out.
 TEST(Membership, PausedProcessForgivesItsPeers) {
@@ -138,6 +149,7 @@
     member.incarnation = 1;
     member.heartbeat = 1;
     ef::HearMember(state_, member, true, now_);
+    ef::HearSender(state_, {member.node, 1}, now_);
   }
   egretladder::kernel::Random random(1);
   CHECK_EQUAL(ef::kMembersTold + 1,
