Probe a silent endpoint by a new connection

Cause: the poison check on real processes crashed four of six engines. After an engine had died, the probe that asks whether anything still listens could take an idle connection, which looked open still; the death passed for one bad connection and the request went to the next engine without blame. Conclusion: what is left is the time that blame takes from node to node.

--- a/gateway/src/http_client_evhttp.cc
+++ b/gateway/src/http_client_evhttp.cc
@@ -331,7 +331,8 @@
   auto owned = std::make_unique<Exchange>();
   Exchange* exchange = owned.get();
   exchange->client = &client;
-  exchange->connection = TakeConnection(client, spec.address);
+  exchange->connection = spec.fresh ? NewConnection(client, spec.address)
+                                    : TakeConnection(client, spec.address);
   exchange->spec = std::move(spec);
   exchange->events = std::move(events);
   exchange->progress = NowOf(client);
--- a/gateway/src/http_client_p.h
+++ b/gateway/src/http_client_p.h
@@ -27,6 +27,7 @@
   std::shared_ptr<const std::string> body;  ///< Null: none.
   std::chrono::milliseconds answer_time{};  ///< Until the first byte.
   std::chrono::milliseconds idle_time{};    ///< Between two bytes.
+  bool fresh = false;  ///< On a new connection, never on an idle one.
 };
 
 /// The status line and headers of an answer. Valid during the callback only.
@@ -89,8 +90,9 @@
 void Fetch(HttpClient& client, ExchangeSpec spec, std::size_t most,
            std::function<void(const Fetched*)> done);
 
-/// Finds out whether anything listens at `address`. `refused` is true only when
-/// the connection was refused outright. `done` must not end exchanges.
+/// Finds out by a new connection whether anything listens at `address`.
+/// `refused` is true only when the connection was refused outright. `done` must
+/// not end exchanges.
 void ProbeListener(HttpClient& client, const std::string& address,
                    std::function<void(bool refused)> done);
 
--- a/gateway/src/http_fetch.cc
+++ b/gateway/src/http_fetch.cc
@@ -30,6 +30,10 @@
                    std::function<void(bool refused)> done) {
   ExchangeSpec spec;
   spec.address = address;
+  // An endpoint that dies closes its connections one after another: an idle one
+  // still looks open, so the death would pass for one bad connection and the
+  // request that caused it would be sent to the next endpoint without blame.
+  spec.fresh = true;
   ExchangeEvents events;
   // Connected is all there is to learn: nothing is sent.
   events.may_send = [done] {
--- a/gateway/tests/harness.cc
+++ b/gateway/tests/harness.cc
@@ -143,7 +143,12 @@
 
 RawServer::~RawServer() {
   for (bufferevent* buffer : connections_) bufferevent_free(buffer);
-  evconnlistener_free(listener_);
+  StopListening();
+}
+
+void RawServer::StopListening() {
+  if (listener_ != nullptr) evconnlistener_free(listener_);
+  listener_ = nullptr;
 }
 
 struct RawCallerEvents {
--- a/gateway/tests/harness.h
+++ b/gateway/tests/harness.h
@@ -67,6 +67,8 @@
  public:
   RawServer(TestLoop& loop, std::string answer, bool close);
   ~RawServer();
+  /// Refuses new connections; those open stay open.
+  void StopListening();
   std::string address;
   std::size_t requests = 0;
 
