Notice callers that leave before their answer; bound bodies that wait

Cause: evhttp stops reading once it has a request, so a caller that left before its answer began was not noticed: a whole answer was computed to its end for nobody, and waiting calls kept their places. And thousands of waiting calls with long bodies had no bound in bytes.

Change: while a call is in progress its connection is read for the close alone. Bodies held to be sent again share `[limits] bodies_size` (128 MiB); each tier below the top leaves a tenth more of it free; a body is let go when its answer begins. Tests of both, and of a next request sent before the first answer.

--- a/gateway/include/egretladder/gateway/gateway.h
+++ b/gateway/include/egretladder/gateway/gateway.h
@@ -19,6 +19,8 @@
 struct Limits {
   std::size_t header_bytes = kHeaderBytes;
   std::size_t body_bytes = kBodyBytes;
+  /// Of all calls whose answer has not begun; they are kept to be sent again.
+  std::size_t bodies_bytes = kBodiesBytes;
   std::size_t connections = kConnections;  ///< Of callers.
   /// Reading one request, and idle time between two.
   std::chrono::milliseconds request_time = kRequestTime;
--- a/gateway/include/egretladder/gateway/limits.h
+++ b/gateway/include/egretladder/gateway/limits.h
@@ -18,8 +18,18 @@
 inline constexpr std::chrono::seconds kDrainTime{30};
 inline constexpr std::chrono::seconds kStopTime{300};
 inline constexpr std::size_t kCallerBuffer = std::size_t{64} << 10U;
+inline constexpr std::size_t kBodiesBytes = std::size_t{128} << 20U;
 inline constexpr std::size_t kAnswerBytes = std::size_t{1} << 20U;
 
+/// When a caller whose body found no room should come back.
+inline constexpr std::chrono::milliseconds kNoRoomRetryAfter{1000};
+
+/// Part of the room for request bodies that each tier below the top leaves
+/// free. Load: a batch of long bodies. Without it the batch takes all the room,
+/// and a buyer's short question is refused for want of it. Not swept: any part
+/// that holds a few thousand questions of some KiB does.
+inline constexpr double kBodiesPerTier = 0.1;
+
 /// Connections that may wait to be accepted. Load: a burst of new callers.
 /// evhttp's own 128 is used up by some hundred connections within one turn of
 /// the loop; the rest then wait a second for their SYN to be sent again
--- a/gateway/src/caller_evhttp.cc
+++ b/gateway/src/caller_evhttp.cc
@@ -131,6 +131,35 @@
                                   static_cast<std::uint64_t>(shape.method)));
 }
 
+// evhttp stops reading once it has a request, and so would not notice a caller
+// that leaves before its answer begins: its work would run on for nobody. Read
+// events are wanted for that alone; data of a next request stays where it is,
+// since evhttp's own callback ends the process on it in this state.
+void WatchForClose(evhttp_connection* connection) {
+  bufferevent* buffer = evhttp_connection_get_bufferevent(connection);
+  bufferevent_data_cb on_write = nullptr;
+  bufferevent_event_cb on_event = nullptr;
+  void* arg = nullptr;
+  bufferevent_getcb(buffer, nullptr, &on_write, &on_event, &arg);
+  bufferevent_setcb(buffer, nullptr, on_write, on_event, arg);
+  bufferevent_enable(buffer, EV_READ);
+}
+
+// Whether there is room to keep the body until the answer begins. Lower tiers
+// leave some for the higher ones; a class that is not known counts as lowest.
+bool HasRoom(const Gateway& gateway, const node::Call& call,
+             std::size_t bytes) {
+  const auto rules = node::RulesOf(*gateway.node);
+  const rules::ClassHandle cls =
+      rules ? rules::FindClass(*rules, call.cls) : rules::ClassHandle();
+  const std::uint8_t tier =
+      rules::IsValid(cls) ? rules->classes[cls.idx].tier : rules::kBottomTier;
+  const double part = 1 - kBodiesPerTier * (tier - rules::kTopTier);
+  const double room =
+      part * static_cast<double>(gateway.options.limits.bodies_bytes);
+  return static_cast<double>(gateway.bodies_bytes + bytes) <= room;
+}
+
 void BeginCall(Gateway& gateway, evhttp_request* request, CallerRequest shape,
                node::Call call) {
   auto owned = std::make_unique<CallerCall>();
@@ -140,6 +169,7 @@
   made.request_id = gateway.request_prefix + std::to_string(call.id);
   made.lane = call.lane;
   made.request = std::move(shape);
+  gateway.bodies_bytes += made.request.body->size();
   made.arrived = NowOf(gateway);
   made.caller = request;
   const auto rules = node::RulesOf(*gateway.node);
@@ -151,6 +181,7 @@
   }
   evhttp_connection_set_closecb(evhttp_request_get_connection(request),
                                 OnClosed, &made);
+  WatchForClose(evhttp_request_get_connection(request));
   node::Actions actions;
   node::OnCall(*gateway.node, call, made.arrived, actions);
   Pump(gateway, std::move(actions));
@@ -171,6 +202,13 @@
       request, rules ? rules->headers : rules::CallerHeaders(), call, &fault);
   if (good && chat) good = ReadChat(request, shape, call, &fault);
   if (good && !chat) ReadService(shape, call);
+  if (good && !HasRoom(gateway, call, shape.body->size())) {
+    good = false;
+    fault = {HTTP_SERVUNAVAIL, "overloaded", "no room for the request's body"};
+    fault.retry_after = kNoRoomRetryAfter;
+    // Another copy of a call that runs at most once may have run.
+    if (!call.key.empty()) fault.ran = "unknown";
+  }
   if (!good) {
     ReplyError(request, fault,
                gateway.request_prefix + std::to_string(call.id));
@@ -347,6 +385,12 @@
   gateway.front.connections.clear();
 }
 
+void ReleaseBody(CallerCall& call) {
+  if (!call.request.body) return;
+  call.gateway->bodies_bytes -= call.request.body->size();
+  call.request.body.reset();
+}
+
 void ReleaseConnection(CallerCall& call) {
   evhttp_connection* connection = evhttp_request_get_connection(call.caller);
   if (connection == nullptr) return;
--- a/gateway/src/caller_reply.cc
+++ b/gateway/src/caller_reply.cc
@@ -143,6 +143,7 @@
   }
   AddCallHeaders(call);
   call.reply_started = true;
+  ReleaseBody(call);
   evhttp_send_reply_start(call.caller, status, nullptr);
 }
 
--- a/gateway/src/endpoint_evhttp.cc
+++ b/gateway/src/endpoint_evhttp.cc
@@ -265,7 +265,9 @@
   spec.address = address;
   spec.method = call.request.method;
   spec.headers = call.request.headers;
-  if (!call.request.body->empty()) spec.body = call.request.body;
+  if (call.request.body && !call.request.body->empty()) {
+    spec.body = call.request.body;
+  }
   spec.answer_time = limits.answer_time;
   spec.idle_time = limits.idle_time;
   return spec;
@@ -360,6 +362,7 @@
   Gateway& gateway = *call.gateway;
   const auto at = gateway.calls.find(call.id);
   if (at == gateway.calls.end()) return;
+  ReleaseBody(call);
   // Kept until the loop's next turn: callbacks of this turn may still hold it.
   gateway.ended.push_back(std::move(at->second));
   gateway.calls.erase(at);
--- a/gateway/src/gateway_p.h
+++ b/gateway/src/gateway_p.h
@@ -117,6 +117,7 @@
   CallMetrics call_metrics;
   std::string request_prefix;  ///< Tells this process's request ids apart.
   CallId last_call = 0;
+  std::size_t bodies_bytes = 0;  ///< Held for calls, to be sent again.
   HttpClientPtr client;
   CallerFront front;
   node::NodePtr node;
@@ -148,6 +149,8 @@
 void CloseFront(Gateway& gateway);
 /// Marks the connection of `call` as free for its next request.
 void ReleaseConnection(CallerCall& call);
+/// Lets the request's body go, once the call can't be sent again.
+void ReleaseBody(CallerCall& call);
 
 // caller_pages.cc
 /// Answers `/where`, `/metrics` and the other pages; false: no such page.
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -21,7 +21,7 @@
 
 // Standard values of `[limits]` repeat those of limits.h in the file's own
 // units; a test compares them.
-constexpr std::array<kernel::SettingSpec, 24> kSpecs = {{
+constexpr std::array<kernel::SettingSpec, 25> kSpecs = {{
     {"node", "name", SettingKind::kText, "", true, "the node's name"},
     {"node", "zone", SettingKind::kText, "", true, "an availability zone"},
     {"node", "callers", SettingKind::kAddress, "", true, kAddressExpected},
@@ -39,6 +39,8 @@
     {"limits", "header_size", SettingKind::kBytes, "16KiB", false,
      kBytesExpected},
     {"limits", "body_size", SettingKind::kBytes, "4MiB", false, kBytesExpected},
+    {"limits", "bodies_size", SettingKind::kBytes, "128MiB", false,
+     kBytesExpected},
     {"limits", "connections", SettingKind::kCount, "4096", false,
      "a whole number from 1"},
     {"limits", "request_time", SettingKind::kDuration, "30s", false,
@@ -168,6 +170,7 @@
   };
   limits.header_bytes = bytes("header_size");
   limits.body_bytes = bytes("body_size");
+  limits.bodies_bytes = bytes("bodies_size");
   limits.caller_buffer = bytes("caller_buffer");
   limits.answer_bytes = bytes("answer_size");
   limits.connections = kernel::CountOf(settings, "limits", "connections");
--- a/gateway/tests/fault_test.cc
+++ b/gateway/tests/fault_test.cc
@@ -236,6 +236,41 @@
   CHECK_TRUE(et::RunUntil(one.loop, [&caller] { return caller.ended; }));
 }
 
+// A broker sends hundreds of long records at once. Kept until an engine takes
+// them, they could fill the node's memory and leave no room for a question.
+TEST(CallerFaults, BodiesThatWaitLeaveRoomForHigherTiers) {
+  eg::Limits limits;
+  limits.bodies_bytes = 10'000;
+  et::OneNode one(limits);
+  evhttp_request* open = nullptr;
+  one.endpoint.handler = [&open](evhttp_request* request) { open = request; };
+  std::string body = et::ChatBodyText(true);
+  body.insert(body.find("hello"), std::string(5000, 'x'));
+  std::string bulk = et::ChatRequest(body);
+  bulk.replace(bulk.find("buyer"), 5, "bulk");
+  et::RawCaller first(one.loop, eg::CallerAddressOf(*one.node));
+  first.Send(bulk);
+  CHECK_TRUE(et::RunUntil(one.loop, [&open] { return open != nullptr; }));
+  const std::string second = Ask(one, bulk);
+  STRCMP_CONTAINS("\"code\":\"overloaded\"", second.c_str());
+  STRCMP_CONTAINS("\"ran\":\"no\"", second.c_str());
+  STRCMP_CONTAINS("Retry-After: 1", second.c_str());
+  CHECK_EQUAL(1U, one.endpoint.seen.size());
+  // A buyer's question finds room, and so does the next of the batch once the
+  // first body need not be sent again.
+  et::RawCaller buyer(one.loop, eg::CallerAddressOf(*one.node));
+  buyer.Send(et::ChatRequest(et::ChatBodyText(true)));
+  CHECK_TRUE(
+      et::RunUntil(one.loop, [&one] { return one.endpoint.seen.size() == 2; }));
+  first.Leave();
+  CHECK_TRUE(et::RunUntil(one.loop,
+                          [&one] { return eg::ViewOf(*one.node).calls == 1; }));
+  et::RawCaller third(one.loop, eg::CallerAddressOf(*one.node));
+  third.Send(bulk);
+  CHECK_TRUE(
+      et::RunUntil(one.loop, [&one] { return one.endpoint.seen.size() == 3; }));
+}
+
 TEST(CallerFaults, ConnectionsBeyondTheLimitWait) {
   eg::Limits limits;
   limits.connections = 2;
@@ -282,6 +317,41 @@
   CHECK_TRUE(et::RunUntil(one.loop, [&one] { return eg::IsIdle(*one.node); }));
 }
 
+// The caller of a whole answer leaves while the engine still thinks.
+TEST(CallerFaults, CallerGoneBeforeItsAnswerCancelsToo) {
+  et::OneNode one;
+  one.endpoint.handler = [](evhttp_request* /*request*/) {};
+  et::RawCaller caller(one.loop, eg::CallerAddressOf(*one.node));
+  caller.Send(et::ChatRequest(et::ChatBodyText(false)));
+  CHECK_TRUE(
+      et::RunUntil(one.loop, [&one] { return one.endpoint.seen.size() == 1; }));
+  caller.Leave();
+  CHECK_TRUE(et::RunUntil(one.loop, [&one] { return eg::IsIdle(*one.node); }));
+}
+
+// A client sends its next request before it has the answer to the first.
+TEST(CallerFaults, NextRequestWaitsForTheFirstAnswer) {
+  et::OneNode one;
+  evhttp_request* open = nullptr;
+  one.endpoint.handler = [&open](evhttp_request* request) { open = request; };
+  et::RawCaller caller(one.loop, eg::CallerAddressOf(*one.node));
+  caller.Send(et::ChatRequest(et::ChatBodyText(false)));
+  CHECK_TRUE(et::RunUntil(one.loop, [&open] { return open != nullptr; }));
+  caller.Send("GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n");
+  const std::string other =
+      Ask(one, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n");
+  CHECK_EQUAL(200, et::StatusIn(other));
+  CHECK_TRUE(caller.got.empty());
+  evbuffer* body = evbuffer_new();
+  evbuffer_add_printf(body, "{}");
+  evhttp_send_reply(open, HTTP_OK, nullptr, body);
+  evbuffer_free(body);
+  CHECK_TRUE(et::RunUntil(one.loop, [&caller] {
+    return caller.got.find("\r\n\r\nok\n") != std::string::npos;
+  }));
+  CHECK(caller.got.find("{}") < caller.got.find("ok\n"));
+}
+
 // A phone on a bad line reads slower than the engine writes. What it has not
 // taken must wait at the engine, not in the node's memory.
 TEST(CallerFaults, SlowReaderHoldsItsEndpointBack) {
--- a/gateway/tests/harness.cc
+++ b/gateway/tests/harness.cc
@@ -259,7 +259,8 @@
       "[model]\nm = ; test\n[service]\nseats = ; test\n[class]\n"
       "buyer = tier=1 first_token=60s max_wait=60s ; test\n"
       "enrol = tier=1 first_token=60s max_wait=60s repeatable=no ; test\n"
-      "[account]\nabay = classes=buyer,enrol ; test\n[endpoint]\n";
+      "bulk = tier=5 first_token=60s max_wait=60s ; test\n"
+      "[account]\nabay = classes=buyer,enrol,bulk ; test\n[endpoint]\n";
   int number = 0;
   const auto add = [&](const std::string& address, const char* target) {
     text += "e" + std::to_string(++number) + " = address=" + address +
--- a/gateway/tests/input_test.cc
+++ b/gateway/tests/input_test.cc
@@ -148,6 +148,7 @@
   const eg::Limits standard;
   CHECK_EQUAL(standard.header_bytes, read.header_bytes);
   CHECK_EQUAL(standard.body_bytes, read.body_bytes);
+  CHECK_EQUAL(standard.bodies_bytes, read.bodies_bytes);
   CHECK_EQUAL(standard.connections, read.connections);
   CHECK(standard.request_time == read.request_time);
   CHECK(standard.answer_time == read.answer_time);
