--- a/lab/include/egretladder/lab/scenario.h
+++ b/lab/include/egretladder/lab/scenario.h
@@ -97,8 +97,10 @@
   std::vector<ExpectSpec> expects;
 };
 
-/// Runs the Lua text in `file`. Errors name file and line.
-kernel::Result<Scenario> ReadScenario(const std::string& file);
+/// Runs the Lua text in `file`. Errors name file and line. A `seed` other than
+/// 0 stands in place of the scenario's own, which Lua reads as `seed`.
+kernel::Result<Scenario> ReadScenario(const std::string& file,
+                                      std::uint64_t seed = 0);
 
 /// One row of the table of measures.
 struct ClassRow {
--- a/lab/src/command_scenario.cc
+++ b/lab/src/command_scenario.cc
@@ -36,9 +36,8 @@
 
 int RunFile(const std::string& file, const ScenarioArgs& args,
             const CommandStreams& streams) {
-  auto scenario = ReadScenario(file);
+  const auto scenario = ReadScenario(file, args.seed);
   if (!scenario) return Fail(scenario.error(), streams);
-  if (args.seed != 0) scenario.value().seed = args.seed;
   std::vector<ScenarioResult> results;
   for (const std::string& policy : PoliciesOf(args)) {
     auto result = RunScenario(scenario.value(), policy);
--- a/lab/src/scenario_lua.cc
+++ b/lab/src/scenario_lua.cc
@@ -403,6 +403,8 @@
   *static_cast<ScenarioBuilder**>(lua_getextraspace(lua.get())) = &builder;
   OpenLibraries(lua.get());
   AddVerbs(lua.get());
+  lua_pushinteger(lua.get(), static_cast<lua_Integer>(builder.scenario.seed));
+  lua_setglobal(lua.get(), "seed");
   const std::string chunk = "@" + builder.scenario.file;
   const bool ran = luaL_loadbufferx(lua.get(), text.data(), text.size(),
                                     chunk.c_str(), "t") == LUA_OK &&
@@ -427,11 +429,14 @@
 
 }  // namespace
 
-kernel::Result<Scenario> ReadScenario(const std::string& file) {
+kernel::Result<Scenario> ReadScenario(const std::string& file,
+                                      std::uint64_t seed) {
   BOOST_OUTCOME_TRY(text, kernel::ReadFile(file));
   ScenarioBuilder builder;
   builder.scenario.file = file;
+  if (seed != 0) builder.scenario.seed = seed;
   BOOST_OUTCOME_TRY(RunLua(builder, text));
+  if (seed != 0) builder.scenario.seed = seed;
   BOOST_OUTCOME_TRY(CheckWhole(builder));
   auto rules = MakeRules(builder);
   if (!rules) return rules.error();
--- a/lab/tests/scenario_test.cc
+++ b/lab/tests/scenario_test.cc
@@ -193,6 +193,16 @@
   CHECK_FALSE(el::ChangeRule(rules, "zone", "b", "out", "yes").has_value());
 }
 
+TEST(Scenario, ASeedGivenStandsInPlaceOfTheScenariosOwn) {
+  std::ofstream(path_) << kBase << "run(seed .. \"s\")\n";
+  const auto own = el::ReadScenario(path_);
+  const auto given = el::ReadScenario(path_, 7);
+  CHECK_EQUAL(1U, own.value().seed);
+  CHECK_EQUAL(1000, own.value().run.count());
+  CHECK_EQUAL(7U, given.value().seed);
+  CHECK_EQUAL(7000, given.value().run.count());
+}
+
 TEST(Scenario, WritesDataAndScriptForAPlot) {
   const auto scenario = Read(std::string(kBase) + "run(\"3s\")\n");
   const auto result = el::RunScenario(scenario.value(), "least");
