--- a/bench/fleet_bench.cc
+++ b/bench/fleet_bench.cc
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <ctime>
 #include <deque>
 #include <map>
 #include <string>
@@ -30,6 +31,8 @@
 
 constexpr std::size_t kCallOverhead = 160;
 constexpr std::size_t kPointer = 8;
+constexpr std::uint64_t kModels = 13;
+constexpr std::uint64_t kModelsOfFew = 5;  ///< Below two endpoints each.
 constexpr std::chrono::milliseconds kWarmUp{15'000};
 constexpr std::chrono::milliseconds kMeasured{10'000};
 
@@ -75,8 +78,8 @@
     text += "zone-" + std::to_string(i) +
             " = region=" + (i < 3 ? "addis" : "lima") + " ; bench\n";
   }
+  const std::uint64_t models = endpoints < 2 * kModels ? kModelsOfFew : kModels;
   text += "[model]\n";
-  const auto models = std::clamp<std::uint64_t>(endpoints / 2, 1, 13);
   for (std::uint64_t i = 0; i < models; ++i) {
     text += "model-" + std::to_string(i) + " = copies=2 ; bench\n";
   }
@@ -99,6 +102,10 @@
   return text;
 }
 
+double Seconds(std::clock_t ticks) {
+  return static_cast<double>(ticks) / CLOCKS_PER_SEC;
+}
+
 struct Kind {
   std::uint64_t count = 0;
   std::uint64_t bytes = 0;
@@ -108,12 +115,14 @@
  public:
   Fleet(std::uint64_t nodes, std::uint64_t endpoints)
       : text_(Document(nodes, endpoints)), nodes_(nodes) {
-    for (std::uint64_t i = 0; i < nodes; ++i)
+    for (std::uint64_t i = 0; i < nodes; ++i) {
       by_address_[HostOf(i) + ":81"] = i;
+    }
     const std::size_t before = mallinfo2().uordblks;
     for (std::uint64_t i = 0; i < nodes; ++i) Start(i);
+    if (nodes == 0) return;
     const std::size_t after = mallinfo2().uordblks;
-    bytes_per_node = (after - before) / nodes;
+    bytes_per_node = (after - before) / nodes_.size();
   }
 
   void Run(std::chrono::milliseconds span) {
@@ -126,8 +135,8 @@
   std::uint64_t reports = 0;
   std::uint64_t ticks = 0;
   std::uint64_t handled = 0;
-  std::chrono::nanoseconds tick_time{};
-  std::chrono::nanoseconds handle_time{};
+  std::clock_t tick_time = 0;
+  std::clock_t handle_time = 0;
   std::size_t bytes_per_node = 0;
 
  private:
@@ -203,25 +212,25 @@
     now_ += 1ms;
     std::deque<Letter> arrived;
     std::swap(arrived, wire_);
-    const auto begun = std::chrono::steady_clock::now();
+    const auto begun = std::clock();
     for (const Letter& letter : arrived) {
       ef::Actions out;
       ef::OnMessage(*nodes_[letter.to].fleet, letter.from, letter.message, now_,
                     out);
       Apply(letter.to, out);
     }
-    handle_time += std::chrono::steady_clock::now() - begun;
+    handle_time += std::clock() - begun;
     handled += arrived.size();
     // Ticks of different nodes fall on different milliseconds.
     const auto slot = static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
-    const auto begun_ticks = std::chrono::steady_clock::now();
+    const auto begun_ticks = std::clock();
     for (std::size_t i = slot % 50; i < nodes_.size(); i += 50) {
       ef::Actions out;
       ef::OnTick(*nodes_[i].fleet, now_, out);
       Apply(i, out);
       ++ticks;
     }
-    tick_time += std::chrono::steady_clock::now() - begun_ticks;
+    tick_time += std::clock() - begun_ticks;
   }
 
   std::string text_;
@@ -240,7 +249,7 @@
     fleet.Run(kWarmUp);
     fleet.kinds = {};
     fleet.platform_reads = fleet.reports = fleet.ticks = fleet.handled = 0;
-    fleet.tick_time = fleet.handle_time = {};
+    fleet.tick_time = fleet.handle_time = 0;
     fleet.Run(kMeasured);
     const double node_seconds =
         static_cast<double>(nodes) *
@@ -263,15 +272,11 @@
         static_cast<double>(fleet.platform_reads) /
         std::chrono::duration<double>(kMeasured).count();
     state.counters["us/message"] =
-        std::chrono::duration<double, std::micro>(fleet.handle_time).count() /
-        static_cast<double>(fleet.handled);
+        Seconds(fleet.handle_time) * 1e6 / static_cast<double>(fleet.handled);
     state.counters["us/tick"] =
-        std::chrono::duration<double, std::micro>(fleet.tick_time).count() /
-        static_cast<double>(fleet.ticks);
+        Seconds(fleet.tick_time) * 1e6 / static_cast<double>(fleet.ticks);
     state.counters["cpu_permille"] =
-        std::chrono::duration<double>(fleet.tick_time + fleet.handle_time)
-            .count() /
-        node_seconds * 1000;
+        Seconds(fleet.tick_time + fleet.handle_time) / node_seconds * 1000;
     state.counters["KB/node"] =
         static_cast<double>(fleet.bytes_per_node) / 1000;
   }
--- a/fleet/include/egretladder/fleet/limits.h
+++ b/fleet/include/egretladder/fleet/limits.h
@@ -103,10 +103,11 @@
 inline constexpr std::chrono::milliseconds kRulesAskEvery{300};
 
 /// Between two asks for slots: with few endpoints, so that a cold one grows
-/// fast; with many (`kEndpointsAll`), where asks and leases are most of the
+/// fast; with more than `kFewEndpoints`, where asks and leases are most of the
 /// control's bytes; and the least between asks that hurry because work waits.
 inline constexpr std::chrono::milliseconds kAskEvery{600};
 inline constexpr std::chrono::milliseconds kAskEveryOfMany{1200};
+inline constexpr std::size_t kFewEndpoints = 20;
 inline constexpr std::chrono::milliseconds kAskSoonest{100};
 /// Calls of a silent holder still run at the endpoint, perhaps; forgotten after
 /// the longest ordinary answer.
--- a/fleet/src/fleet_slots.cc
+++ b/fleet/src/fleet_slots.cc
@@ -191,7 +191,7 @@
 void AskForSlots(FleetState& state, Time now, Actions& out) {
   std::map<std::string, Asks> by_keeper;
   const auto every =
-      state.endpoints.size() <= kEndpointsAll ? kAskEvery : kAskEveryOfMany;
+      state.endpoints.size() <= kFewEndpoints ? kAskEvery : kAskEveryOfMany;
   for (std::uint32_t i = 0; i < state.endpoints.size(); ++i) {
     EndpointState& endpoint = state.endpoints[i];
     if (!endpoint.available || !AskIsDue(endpoint.held, every, now)) continue;
--- a/fleet/tests/fleet_test.cc
+++ b/fleet/tests/fleet_test.cc
@@ -118,6 +118,25 @@
   CHECK_TRUE(world.broken.empty());
 }
 
+// A process stands still for a second and wakes while it is cut off. What it
+// knew may be old by now, though it heard its peers not long ago by its clock.
+TEST(Fleet, WokenNodeWaitsForAPeersWord) {
+  const auto is_fresh = [&] {
+    return ef::KnowledgeIsFresh(*Node("n1").fleet, world_.LocalNow(Node("n1")));
+  };
+  CHECK_TRUE(is_fresh());
+  world_.Pause("n1", 1s);
+  world_.Run(950ms);
+  CHECK_FALSE(is_fresh());
+  world_.CutOff({"n1"});
+  Node("n1").platform_cut = true;
+  world_.Run(500ms);
+  CHECK_FALSE(is_fresh());
+  world_.Heal();
+  world_.Run(1500ms);
+  CHECK_TRUE(is_fresh());
+}
+
 // The VM list shows an engine's VM as leaving, to one node. The engine would
 // cut what still runs on it when it goes.
 TEST(Fleet, LeavingVmGetsNoNewWorkFromAnyNode) {
