--- a/gateway/include/egretladder/gateway/settings.h
+++ b/gateway/include/egretladder/gateway/settings.h
@@ -17,6 +17,9 @@
 /// All settings of a node, for checks and for the operators' page.
 std::span<const kernel::SettingSpec> NodeSettings();
 
+/// One line for each setting: section, key, what is expected, standard value.
+std::string DescribeSettings();
+
 /// What the binary needs besides the gateway's own options.
 struct NodeConfig {
   GatewayOptions gateway;
--- a/gateway/main/egretladderd.cc
+++ b/gateway/main/egretladderd.cc
@@ -117,7 +117,8 @@
   CLI::App app("A node of egretladder, the router for language-model traffic.");
   std::string path;
   app.add_option("--config", path, "The node's settings (INI)")->required();
-  app.footer("Example: egretladderd --config examples/abay/entry-1.ini");
+  app.footer("Settings and their standard values:\n" + eg::DescribeSettings() +
+             "\nExample: egretladderd --config examples/00-minimal/node-1.ini");
   CLI11_PARSE(app, argc, argv);
 
   const auto text = ek::ReadFile(path);
--- a/gateway/src/gateway_p.h
+++ b/gateway/src/gateway_p.h
@@ -127,6 +127,7 @@
   std::vector<std::function<void()>> later;
   bool pumping = false;
   bool leaving = false;
+  bool platform_answers = true;  ///< As last logged.
   kernel::Event pump;
   kernel::Watch tick;
   PeerNetPtr peers;
--- a/gateway/src/platform_evhttp.cc
+++ b/gateway/src/platform_evhttp.cc
@@ -11,8 +11,31 @@
 using kernel::LogLevel;
 using kernel::LogPart;
 
+// One line when the platform is lost and one when it is back; rules and members
+// in force stay meanwhile.
+void LogPlatform(Gateway& gateway, const Fetched* fetched) {
+  const bool answers =
+      fetched != nullptr &&
+      (fetched->status == HTTP_OK || fetched->status == HTTP_NOTMODIFIED);
+  if (answers == gateway.platform_answers) return;
+  gateway.platform_answers = answers;
+  const std::string& address = gateway.options.platform;
+  if (answers) {
+    kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
+                "Platform " + address + " answers again.");
+    return;
+  }
+  const std::string why = fetched == nullptr
+                              ? "no answer"
+                              : "status " + std::to_string(fetched->status);
+  kernel::Log(LogPart::kPlatform, LogLevel::kWarning,
+              "Platform " + address + " can't be read: " + why +
+                  ". The rules in force stay.");
+}
+
 void CountPlatformCall(Gateway& gateway, const char* kind,
                        const Fetched* fetched) {
+  LogPlatform(gateway, fetched);
   const std::string outcome =
       fetched == nullptr ? "unread" : std::to_string(fetched->status);
   kernel::Increment(
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -218,6 +218,23 @@
 
 std::span<const kernel::SettingSpec> NodeSettings() { return kSpecs; }
 
+std::string DescribeSettings() {
+  std::string text;
+  std::string_view section;
+  for (const kernel::SettingSpec& spec : kSpecs) {
+    if (spec.section != section) {
+      section = spec.section;
+      text += "  [" + std::string(section) + "]\n";
+    }
+    text += "    " + std::string(spec.key) + " = ";
+    text += spec.required           ? "(required)"
+            : spec.standard.empty() ? "(none)"
+                                    : std::string(spec.standard);
+    text += "  ; " + std::string(spec.expected) + "\n";
+  }
+  return text;
+}
+
 kernel::Result<NodeConfig> ReadNodeConfig(const std::string& text,
                                           std::string_view file,
                                           std::vector<kernel::Error>* faults) {
--- a/gateway/tests/input_test.cc
+++ b/gateway/tests/input_test.cc
@@ -177,6 +177,14 @@
   STRCMP_CONTAINS("n.ini:3: node.zone is 'bo le'", FirstFault(zone).c_str());
 }
 
+TEST(NodeConfig, EverySettingIsDescribed) {
+  const std::string text = eg::DescribeSettings();
+  for (const ek::SettingSpec& spec : eg::NodeSettings()) {
+    STRCMP_CONTAINS((std::string(spec.key) + " = ").c_str(), text.c_str());
+  }
+  STRCMP_CONTAINS("body_size = 4MiB", text.c_str());
+}
+
 TEST(NodeConfig, UnknownSchedulerListsTheKnownOnes) {
   std::string text = whole_;
   text.insert(text.find("zone"), "scheduler = none\n");
