Ask a little later whether a silent endpoint still listens

Cause: a process that dies may close its connections before its listener. Asked at once whether it listens, it seemed alive, so its death was held against nobody and the request that caused it crashed further engines. Conclusion: a failure that broke off a connection is told 20 ms later.

--- a/gateway/include/egretladder/gateway/limits.h
+++ b/gateway/include/egretladder/gateway/limits.h
@@ -43,6 +43,12 @@
 /// How long a connection to an endpoint may take; endpoints are one or two
 /// network hops away, so a longer wait means that it is down or cut off.
 inline constexpr std::chrono::milliseconds kConnectTime{1000};
+/// After a connection broke, how long until it is asked whether the endpoint
+/// still listens. A process that dies may close its connections before its
+/// listener: asked at once, a death passes for a bad connection, and the
+/// request that caused it goes on to the next endpoint unblamed
+/// (`scripts/check_processes poison`).
+inline constexpr std::chrono::milliseconds kDeathPause{20};
 /// Idle connections kept for reuse, per address, and for how long.
 inline constexpr std::size_t kIdleConnections = 256;
 inline constexpr std::chrono::seconds kKeepAlive{20};
--- a/gateway/src/endpoint_evhttp.cc
+++ b/gateway/src/endpoint_evhttp.cc
@@ -75,16 +75,22 @@
   call.attempt.exchange = nullptr;
   const CallId id = call.id;
   const std::uint8_t number = call.attempt.number;
-  ProbeListener(*gateway.client, call.attempt.address,
-                [&gateway, id, number, detail](bool refused) {
-                  Later(gateway, [&gateway, id, number, detail, refused] {
-                    CallerCall* found = FindCall(gateway, id, number);
-                    if (found == nullptr) return;
-                    Fail(
-                        *found, refused ? EndKind::kDied : EndKind::kFailed,
-                        refused ? detail + ", and it listens no more" : detail);
+  const auto conclude = [&gateway, id, number, detail](bool refused) {
+    CallerCall* found = FindCall(gateway, id, number);
+    if (found == nullptr) return;
+    Fail(*found, refused ? EndKind::kDied : EndKind::kFailed,
+         refused ? detail + ", and it listens no more" : detail);
+  };
+  const auto probe = [&gateway, id, number, conclude] {
+    gateway.death_pauses.erase(id);
+    CallerCall* found = FindCall(gateway, id, number);
+    if (found == nullptr) return;
+    ProbeListener(*gateway.client, found->attempt.address,
+                  [&gateway, conclude](bool refused) {
+                    Later(gateway, [conclude, refused] { conclude(refused); });
                   });
-                });
+  };
+  gateway.death_pauses[id] = kernel::After(*gateway.loop, kDeathPause, probe);
 }
 
 // The caller gets a part of the answer from here on, so it can't be sent again.
--- a/gateway/src/gateway_p.h
+++ b/gateway/src/gateway_p.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -125,6 +126,8 @@
   std::vector<std::unique_ptr<CallerCall>> ended;
   std::deque<node::Action> queue;
   std::vector<std::function<void()>> later;
+  /// Calls whose endpoint is about to be asked whether it still listens.
+  std::map<CallId, kernel::Watch> death_pauses;
   bool pumping = false;
   bool leaving = false;
   bool platform_answers = true;  ///< As last logged.
