Send replies between nodes with the answer to the call

Pings and asks are each answered by a call of their own, so half of the control traffic is answers. Change: deliver returns the receiver's replies; fleet marks what answers the message just taken; the gateway puts those into the call's answer. A reply is handled after the connection's own promise has run, since what follows from it may close that connection. Ruled out: packed encoding, which the RPC's two-party network does not offer; one message for several peers, since each goes to another one.

--- a/bench/peer_rpc_bench.cc
+++ b/bench/peer_rpc_bench.cc
@@ -20,12 +20,22 @@
 
 using namespace std::chrono_literals;
 
+const ef::Sender kSender{"entry-123", 0x1234567890abcdefULL};
+
 struct Receiver final : wire::Peer::Server {
+  explicit Receiver(const ef::Message* back) : reply(back) {}
+
   kj::Promise<void> deliver(DeliverContext context) override {
     auto message = eg::ReadMessage(context.getParams().getMessage());
     benchmark::DoNotOptimize(message);
+    if (reply == nullptr) return kj::READY_NOW;
+    auto results = context.getResults();
+    eg::Write(kSender, results.initSender());
+    eg::Write(*reply, results.initReplies(1)[0]);
     return kj::READY_NOW;
   }
+
+  const ef::Message* reply;
 };
 
 // Counts what is written on one end of the pipe.
@@ -54,7 +64,8 @@
   std::size_t written = 0;
 };
 
-void Deliver(benchmark::State& state, const ef::Message& message) {
+void Deliver(benchmark::State& state, const ef::Message& message,
+             const ef::Message* reply = nullptr) {
   kj::EventLoop loop;
   kj::WaitScope scope(loop);
   auto pipe = kj::newTwoWayPipe();
@@ -62,13 +73,12 @@
   CountingStream far(std::move(pipe.ends[1]));
   capnp::TwoPartyVatNetwork far_network(far,
                                         capnp::rpc::twoparty::Side::SERVER);
-  auto server = capnp::makeRpcServer(far_network, kj::heap<Receiver>());
+  auto server = capnp::makeRpcServer(far_network, kj::heap<Receiver>(reply));
   capnp::TwoPartyClient client(near);
   auto peer = client.bootstrap().castAs<wire::Peer>();
-  const ef::Sender sender{"entry-123", 0x1234567890abcdefULL};
   const auto call = [&] {
     auto request = peer.deliverRequest();
-    eg::Write(sender, request.initSender());
+    eg::Write(kSender, request.initSender());
     eg::Write(message, request.initMessage());
     request.send().wait(scope);
   };
@@ -104,21 +114,20 @@
 }
 BENCHMARK(DeliverGossip)->ArgName("members")->Arg(0)->Arg(1)->Arg(4)->Arg(16);
 
-void DeliverAsks(benchmark::State& state) {
+ef::SlotAsks MakeAsks(std::int64_t endpoints) {
   ef::SlotAsks asks;
-  for (int i = 0; i < state.range(0); ++i) {
+  for (std::int64_t i = 0; i < endpoints; ++i) {
     ef::SlotAsk ask;
     ask.endpoint = "runner-" + std::to_string(100 + i);
     ask.wanted = 4;
     asks.asks.push_back(ask);
   }
-  Deliver(state, asks);
+  return asks;
 }
-BENCHMARK(DeliverAsks)->ArgName("endpoints")->Arg(1)->Arg(4)->Arg(16);
 
-void DeliverLeases(benchmark::State& state) {
+ef::SlotLeases MakeLeases(std::int64_t endpoints) {
   ef::SlotLeases leases;
-  for (int i = 0; i < state.range(0); ++i) {
+  for (std::int64_t i = 0; i < endpoints; ++i) {
     ef::SlotLease lease;
     lease.endpoint = "runner-" + std::to_string(100 + i);
     lease.slots = 4;
@@ -126,10 +135,36 @@
     lease.loaded = {"model-1", "model-2"};
     leases.leases.push_back(lease);
   }
-  Deliver(state, leases);
+  return leases;
+}
+
+void DeliverAsks(benchmark::State& state) {
+  Deliver(state, MakeAsks(state.range(0)));
+}
+BENCHMARK(DeliverAsks)->ArgName("endpoints")->Arg(1)->Arg(4)->Arg(16);
+
+void DeliverLeases(benchmark::State& state) {
+  Deliver(state, MakeLeases(state.range(0)));
 }
 BENCHMARK(DeliverLeases)->ArgName("endpoints")->Arg(1)->Arg(4)->Arg(16);
 
+// An exchange as it is: the reply comes back with the answer.
+void PingAndReply(benchmark::State& state) {
+  ef::Gossip gossip;
+  for (int i = 0; i < state.range(0); ++i) {
+    gossip.members.push_back(MakeMember(i));
+  }
+  const ef::Message reply = gossip;
+  Deliver(state, gossip, &reply);
+}
+BENCHMARK(PingAndReply)->ArgName("members")->Arg(0)->Arg(4);
+
+void AskAndLease(benchmark::State& state) {
+  const ef::Message leases = MakeLeases(state.range(0));
+  Deliver(state, MakeAsks(state.range(0)), &leases);
+}
+BENCHMARK(AskAndLease)->ArgName("endpoints")->Arg(1)->Arg(4)->Arg(16);
+
 void DeliverRules(benchmark::State& state) {
   const std::string text(static_cast<std::size_t>(state.range(0)), 'x');
   Deliver(state, ef::RulesOffer{7, text});
--- a/fleet/include/egretladder/fleet/fleet.h
+++ b/fleet/include/egretladder/fleet/fleet.h
@@ -38,6 +38,9 @@
 struct SendMessage {
   std::string peer_address;
   Message message;
+  /// Answers the message just taken, to its sender: a driver may send it back
+  /// the way that one came.
+  bool reply = false;
 };
 /// Read the published rules. A watch waits until the version is above `known`.
 struct ReadRulesDocument {
--- a/fleet/src/fleet.cc
+++ b/fleet/src/fleet.cc
@@ -103,7 +103,7 @@
     const std::string& address = AddressOf(state, from.node);
     if (VersionOf(state) <= ask->have_version || address.empty()) return;
     out.emplace_back(SendMessage{
-        address, RulesOffer{VersionOf(state), state.config.rules->text}});
+        address, RulesOffer{VersionOf(state), state.config.rules->text}, true});
   } else if (const auto* offer = std::get_if<RulesOffer>(&message)) {
     TakeText(state, offer->text, "node " + from.node, now, out);
   } else if (state.config.rules == nullptr) {
--- a/fleet/src/fleet_gossip.cc
+++ b/fleet/src/fleet_gossip.cc
@@ -226,7 +226,8 @@
     reply.members = MembersToTell(state.members, state.random, now);
   }
   reply.ack = gossip.ping;
-  out.emplace_back(SendMessage{peer.member.peer_address, std::move(reply)});
+  out.emplace_back(
+      SendMessage{peer.member.peer_address, std::move(reply), true});
 }
 
 }  // namespace egretladder::fleet
--- a/fleet/src/fleet_keeper.cc
+++ b/fleet/src/fleet_keeper.cc
@@ -223,7 +223,8 @@
     }
   }
   if (leases.leases.empty()) return;
-  out.emplace_back(SendMessage{AddressOf(state, from.node), std::move(leases)});
+  out.emplace_back(
+      SendMessage{AddressOf(state, from.node), std::move(leases), true});
 }
 
 void CutHolders(FleetState& state, EndpointHandle handle, Time now,
--- a/gateway/schema/peer.capnp
+++ b/gateway/schema/peer.capnp
@@ -5,8 +5,10 @@
 $Cxx.namespace("egretladder::wire");
 
 interface Peer {
-  # Hands over one message. The answer says only that it arrived.
-  deliver @0 (sender :Sender, message :Message) -> ();
+  # Hands over one message. What the receiver has to say to it at once comes back
+  # with the answer, which saves a call of its own.
+  deliver @0 (sender :Sender, message :Message)
+      -> (sender :Sender, replies :List(Message));
 }
 
 struct Sender {
--- a/gateway/src/peer_capnp.cc
+++ b/gateway/src/peer_capnp.cc
@@ -114,6 +114,52 @@
   kernel::Increment(gateway.metrics, bytes, words * sizeof(capnp::word));
 }
 
+fleet::Sender SelfOf(const Gateway& gateway) {
+  const fleet::FleetOptions& self = gateway.options.node.fleet;
+  return {self.node, self.incarnation};
+}
+
+// Most of what nodes tell each other is an answer. Sent as calls of their own,
+// answers would double the bytes of the control traffic.
+std::vector<fleet::Message> TakeReplies(node::Actions& actions) {
+  std::vector<fleet::Message> replies;
+  std::erase_if(actions, [&replies](node::Action& action) {
+    auto* send = std::get_if<fleet::SendMessage>(&action);
+    if (send == nullptr || !send->reply) return false;
+    replies.push_back(std::move(send->message));
+    return true;
+  });
+  return replies;
+}
+
+void PutReplies(Gateway& gateway, const std::vector<fleet::Message>& replies,
+                wire::Peer::DeliverResults::Builder results) {
+  if (replies.empty()) return;
+  Write(SelfOf(gateway), results.initSender());
+  auto list = results.initReplies(static_cast<unsigned>(replies.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    Write(replies[i], list[i]);
+    CountBytes(gateway, "out", KindOf(replies[i]),
+               list[i].totalSize().wordCount);
+  }
+}
+
+// Called while the connection's own promise runs: what follows from a reply
+// may close that connection, so it is done later.
+void TakeAnswer(Gateway& gateway, wire::Peer::DeliverResults::Reader answer) {
+  const fleet::Sender sender = ReadSender(answer.getSender());
+  node::Actions actions;
+  for (const auto reply : answer.getReplies()) {
+    auto message = ReadMessage(reply);
+    if (!message) continue;
+    CountBytes(gateway, "in", KindOf(message.value()),
+               reply.totalSize().wordCount);
+    node::OnMessage(*gateway.node, sender, message.value(), NowOf(gateway),
+                    actions);
+  }
+  PumpLater(gateway, std::move(actions));
+}
+
 // The capability that each peer gets of this node.
 class PeerServer final : public wire::Peer::Server {
  public:
@@ -136,6 +182,7 @@
     node::Actions actions;
     node::OnMessage(*gateway_.node, sender, message.value(), NowOf(gateway_),
                     actions);
+    PutReplies(gateway_, TakeReplies(actions), context.getResults());
     Pump(gateway_, std::move(actions));
     return kj::READY_NOW;
   }
@@ -222,18 +269,18 @@
 void Deliver(PeerNet& net, const std::string& address, PeerOut& peer,
              const fleet::Message& message) {
   Gateway& gateway = *net.gateway;
-  const fleet::FleetOptions& self = gateway.options.node.fleet;
   auto request = peer.peer.deliverRequest();
-  Write(fleet::Sender{self.node, self.incarnation}, request.initSender());
+  Write(SelfOf(gateway), request.initSender());
   Write(message, request.initMessage());
   CountBytes(gateway, "out", KindOf(message), request.totalSize().wordCount);
   ++peer.unanswered;
   peer.last_sent = NowOf(gateway);
   if (peer.unanswered == 1) peer.last_answer = peer.last_sent;
-  peer.tasks.add(request.send().then([&net, &peer, address](auto&& /*answer*/) {
+  peer.tasks.add(request.send().then([&net, &peer, address](auto&& answer) {
     --peer.unanswered;
     peer.last_answer = NowOf(*net.gateway);
     net.backoffs.erase(address);
+    TakeAnswer(*net.gateway, answer);
   }));
 }
 
