Answer the calls that joined one whose answer is too large to keep

Cause: when a call that may not be repeated got an answer above [limits] answer_size, the node marked its key as lost and dropped the calls that had joined the key. Their callers heard nothing until their time was up. Change: they get outcome_unknown with ran unknown at once, each with a decision line. Conclusion: no joined call waits for an answer that never comes.

--- a/node/src/attempts.cc
+++ b/node/src/attempts.cc
@@ -127,6 +127,24 @@
   }
 }
 
+/// The answer was too large to keep, so the calls that joined this one get none
+/// of it. Each holds its caller's connection: without this they would hang
+/// until their time is up.
+void RefuseJoined(NodeState& state, const CallRecord& record, Time now,
+                  Actions& out) {
+  const CallId runner = record.call.id;
+  const GiveUpReason reason{
+      AnswerCode::kOutcomeUnknown, "it ran and its answer was not kept", {}};
+  for (const CallId id :
+       fleet::LoseCall(*state.lanes, *record.lane, record.call.key, now)) {
+    const CallRecord* waiter = FindCall(state, id);
+    if (id == runner || waiter == nullptr) continue;
+    Decide(state, *waiter, "refuse", NameOf(reason.code), now, out);
+    RefuseCall(waiter->call, Ran::kUnknown, reason, out);
+    ForgetCall(state, id);
+  }
+}
+
 }  // namespace
 
 void EndAttempt(NodeState& state, CallRecord& record, policy::EndKind end,
@@ -196,7 +214,7 @@
   if (record->lane && answer != nullptr) {
     AnswerJoined(state, *record, answer, now, out);
   } else if (record->lane) {
-    fleet::LoseCall(*state.lanes, *record->lane, record->call.key, now);
+    RefuseJoined(state, *record, now, out);
   }
   ForgetCall(state, call);
   ApplyScheduler(state, now, out);
--- a/node/tests/harness.h
+++ b/node/tests/harness.h
@@ -108,6 +108,12 @@
     OnAnswer(*node.state, send.call, send.attempt, answer, now(), out);
     Take(node, out);
   }
+  /// An answer that was too large to be kept.
+  void AnswerUnkept(TestNode& node, const SendCall& send) {
+    Actions out;
+    OnAnswer(*node.state, send.call, send.attempt, nullptr, now(), out);
+    Take(node, out);
+  }
   void Fail(TestNode& node, const SendCall& send, policy::EndKind end) {
     Actions out;
     OnFailure(*node.state, send.call, send.attempt, end, "connect: e", now(),
--- a/node/tests/once_test.cc
+++ b/node/tests/once_test.cc
@@ -132,6 +132,25 @@
   CHECK_EQUAL(1U, n1_.sent.size());
 }
 
+// A payment's answer is larger than what a node keeps. It went to the first
+// caller only. The copies that joined it must hear so at once: without an
+// answer they hang until their time is up.
+TEST(Once, TellsTheCopiesOfAnAnswerTooLargeToKeep) {
+  const std::string lane = harness_.LaneOf(n1_);
+  harness_.Send(n1_, Payment(1, lane));
+  harness_.AskSend(n1_, n1_.sent[0]);
+  harness_.Send(n1_, Payment(2, lane));
+  harness_.Send(n1_, Payment(3, lane));
+  harness_.AnswerUnkept(n1_, n1_.sent[0]);
+  CHECK_EQUAL(2U, n1_.errors.size());
+  CHECK_EQUAL(5U, n1_.errors[0].call + n1_.errors[1].call);
+  CheckError(n1_, AnswerCode::kOutcomeUnknown, Ran::kUnknown);
+  CHECK_TRUE(IsIdle(*n1_.state));
+  harness_.Send(n1_, Payment(4, lane));
+  CheckError(n1_, AnswerCode::kOutcomeUnknown, Ran::kUnknown);
+  CHECK_EQUAL(1U, n1_.sent.size());
+}
+
 // The endpoint refused the connection: nothing ran, so the payment goes to the
 // next one. When that fails as well, "not run" holds for good: a late copy of
 // the call doesn't run either.
