--- a/policy/tests/load_loads.h
+++ b/policy/tests/load_loads.h
@@ -195,7 +195,7 @@
   return run.Play();
 }
 
-/// All loads, in the order of the issue.
+/// All loads, in the order in which results list them.
 inline std::vector<Load> AllLoads() {
   return {Ordinary(),       BrokerBurst(),     NightBurst(),
           FewTakeMost(),    SharedPrefixes(),  OneSlow(),
