Say in the public headers what each type and function is for

Cause: some structs, aliases and functions of the public headers had no word on what they are for, so a reader had to look into the sources. Change: a sentence on each, with its errors or when to call it where there is something to say. No code changes. Conclusion: a caller of a package finds this in its headers.

--- a/fleet/include/egretladder/fleet/config.h
+++ b/fleet/include/egretladder/fleet/config.h
@@ -28,6 +28,7 @@
   std::uint32_t failures = 0;  ///< In a row.
 };
 
+/// The rules in force on one node, and the last version it refused.
 struct ConfigState {
   rules::RulesPtr rules;
   Time since{};
--- a/fleet/include/egretladder/fleet/fleet.h
+++ b/fleet/include/egretladder/fleet/fleet.h
@@ -35,6 +35,7 @@
   std::uint64_t random_seed = 1;
 };
 
+/// A message to one peer. It may be lost: what matters is sent again.
 struct SendMessage {
   std::string peer_address;
   Message message;
@@ -47,7 +48,9 @@
   std::uint64_t known_version = 0;
   bool watch = false;
 };
+/// Read the platform's VM list; the answer goes to `OnVmList`.
 struct ReadVmList {};
+/// Ask an endpoint for its report; the answer goes to `OnReport`.
 struct ReadReport {
   EndpointHandle endpoint;
 };
@@ -60,6 +63,7 @@
   std::uint64_t version = 0;
   std::string why;
 };
+/// This node may have another number of calls in flight at an endpoint.
 struct SlotsChanged {
   EndpointHandle endpoint;
   std::uint32_t slots = 0;  ///< Of this node.
@@ -75,6 +79,7 @@
   EndpointHandle endpoint;
   policy::EngineReport report;
 };
+/// A body gets no endpoint until `left` from now.
 struct QuarantineAdded {
   std::uint64_t fingerprint = 0;
   std::chrono::milliseconds left{};
@@ -88,10 +93,12 @@
   std::uint64_t fencing = 0;
 };
 
+/// What the driver of a fleet does for it; see each.
 using Action =
     std::variant<SendMessage, ReadRulesDocument, ReadVmList, ReadReport,
                  RulesInForce, RulesRefused, SlotsChanged, AvailableChanged,
                  ReportSeen, QuarantineAdded, OrderEngine>;
+/// In the order in which they are to be carried out.
 using Actions = std::vector<Action>;
 
 /// One VM of the platform's list, which lags behind reality.
@@ -112,15 +119,19 @@
 };
 
 struct FleetState;
+/// Lets `FleetPtr` own a type that only the sources know.
 struct FleetDelete {
   void operator()(FleetState* state) const;
 };
+/// Owns the state of one node's part in the fleet.
 using FleetPtr = std::unique_ptr<FleetState, FleetDelete>;
 
+/// Starts a node without rules in force: it asks its seeds and the platform.
 FleetPtr StartFleet(const FleetOptions& options, Time now, Actions& out);
 
 /// Call at `kFleetTick` or more often; drives every period and lapse.
 void OnTick(FleetState& state, Time now, Actions& out);
+/// Takes a message of a peer. One from a process that was replaced is ignored.
 void OnMessage(FleetState& state, const Sender& from, const Message& message,
                Time now, Actions& out);
 /// The platform's answer to `ReadRulesDocument`. Null text: it could not be
@@ -143,17 +154,20 @@
 void OnEndpointDied(FleetState& state, EndpointHandle endpoint,
                     const std::vector<std::uint64_t>& running, Time now,
                     Actions& out);
+/// A body with this fingerprint got its answer: it is no longer a suspect.
 void OnRanWell(FleetState& state, std::uint64_t fingerprint);
 /// True when an endpoint died under this body; see policy/poison.h.
 bool IsSuspect(const FleetState& state, std::uint64_t fingerprint, Time now);
 /// Begins a graceful leave: peers are told, keeper duties end.
 void Leave(FleetState& state, Time now, Actions& out);
 
+/// The rules in force; null before the first version.
 rules::RulesPtr RulesOf(const FleetState& state);
 /// False when `OnTick` has not run for `kFreshFor`: the process was paused, and
 /// what it knows of zones out and leaving endpoints may be old. Then nothing is
 /// sent until a tick and an exchange with a peer or the platform have passed.
 bool KnowledgeIsFresh(const FleetState& state, Time now);
+/// Counts and copies; not for every call.
 FleetView ViewOf(const FleetState& state, Time now);
 
 /// Nodes a caller may use, best first, own zone of `zone` first; leaving and
@@ -161,6 +175,7 @@
 std::vector<Member> Where(const FleetState& state, std::string_view zone,
                           std::size_t most, Time now);
 
+/// Longest pause between two calls of `OnTick`.
 inline constexpr std::chrono::milliseconds kFleetTick{50};
 
 }  // namespace egretladder::fleet
--- a/fleet/include/egretladder/fleet/lane.h
+++ b/fleet/include/egretladder/fleet/lane.h
@@ -28,6 +28,7 @@
   std::string signature;                ///< By the owner; only it can check it.
 };
 
+/// The header's text; `DecodeLane` reads it back.
 std::string Encode(const Lane& lane);
 /// Fails with `kInvalidInput` on anything that `Encode` does not make.
 kernel::Result<Lane> DecodeLane(std::string_view text);
@@ -49,6 +50,7 @@
   std::shared_ptr<const StoredAnswer> answer;
 };
 struct OutcomeUnknown {};  ///< It was sent and its answer was lost.
+/// Why a call with a lane is refused.
 enum class LaneRefusal : std::uint8_t {
   kExpired,    ///< Never recorded after expiry: "unknown", not "not run".
   kForged,     ///< The signature is not the owner's.
@@ -56,25 +58,31 @@
   kOtherBody,  ///< The key came before with another body.
   kTableFull,  ///< Not recorded, so not run.
 };
+/// It is not run by this call.
 struct RefuseCall {
   LaneRefusal why = LaneRefusal::kExpired;
   bool not_run = false;  ///< True only when that is certain.
 };
+/// The owner's word on one call of a key.
 using LaneDecision =
     std::variant<RunCall, JoinCall, RepeatAnswer, OutcomeUnknown, RefuseCall>;
 
+/// The reason as logs and error answers show it.
 const char* NameOf(LaneRefusal why);
 
 struct LanesState;
+/// Lets `LanesPtr` own a type that only the sources know.
 struct LanesDelete {
   void operator()(LanesState* state) const;
 };
+/// Owns the lanes of one incarnation and the keys they hold.
 using LanesPtr = std::unique_ptr<LanesState, LanesDelete>;
 
 /// `secret` signs this incarnation's lanes.
 LanesPtr StartLanes(std::string node, std::uint64_t incarnation,
                     std::string secret, Time now);
 
+/// A new signed lane, for callers of `GET /where`.
 Lane IssueLane(LanesState& state, Time now);
 
 /// True when `lane` is this incarnation's own.
@@ -115,8 +123,10 @@
   std::size_t keys = 0;
   std::size_t bytes = 0;
 };
+/// What the keys take now.
 LanesView ViewOf(const LanesState& state);
 
+/// Longest pause between two calls of `SweepLanes`.
 inline constexpr std::chrono::milliseconds kLaneSweep{1000};
 
 }  // namespace egretladder::fleet
--- a/fleet/include/egretladder/fleet/membership.h
+++ b/fleet/include/egretladder/fleet/membership.h
@@ -57,6 +57,7 @@
   std::deque<PingSent> pings;
 };
 
+/// What one node knows of itself and of all others.
 struct MembershipState {
   Member self;
   bool replaced = false;  ///< A newer process runs under this node's name.
@@ -96,6 +97,7 @@
 /// This process was paused: what it did not hear meanwhile is its own fault.
 void ForgivePeers(MembershipState& state, Time now);
 
+/// What a peer's silence, or its own word that it leaves, makes of it by `now`.
 MemberState StateOf(const Peer& peer, Time now);
 
 /// True when the peer may be passed over as a keeper: unheard for `kGoneAfter`,
--- a/fleet/include/egretladder/fleet/messages.h
+++ b/fleet/include/egretladder/fleet/messages.h
@@ -14,8 +14,10 @@
 
 namespace egretladder::fleet {
 
+/// Alive; unheard for a while; leaving by its own word; unheard for long.
 enum class MemberState : std::uint8_t { kAlive, kSuspect, kLeaving, kGone };
 
+/// The state as logs and `/status` show it.
 const char* NameOf(MemberState state);
 
 /// What one node knows of another.
@@ -57,6 +59,7 @@
 struct RulesAsk {
   std::uint64_t have_version = 0;
 };
+/// A whole rules document. The receiver checks it as it does the platform's.
 struct RulesOffer {
   std::uint64_t version = 0;
   std::string text;
@@ -99,10 +102,12 @@
   std::uint64_t number = 0;
   std::vector<SlotAsk> asks;
 };
+/// A keeper's answer to `SlotAsks`, all in one message.
 struct SlotLeases {
   std::vector<SlotLease> leases;
 };
 
+/// What nodes say to each other. Any may be lost, late or doubled.
 using Message =
     std::variant<Gossip, RulesAsk, RulesOffer, SlotAsks, SlotLeases>;
 
--- a/fleet/include/egretladder/fleet/orders.h
+++ b/fleet/include/egretladder/fleet/orders.h
@@ -25,6 +25,7 @@
 Placement PlaceModels(const rules::Rules& rules,
                       const std::vector<bool>& takes_work);
 
+/// What an order asks an engine to do with a model.
 enum class OrderKind : std::uint8_t { kLoad, kUnload };
 
 /// An order that the reports don't show as done yet.
@@ -65,6 +66,7 @@
   std::vector<rules::TargetHandle> spare;
 };
 
+/// An order that is not sent yet.
 struct NextOrder {
   OrderKind kind = OrderKind::kLoad;
   rules::TargetHandle target;
--- a/gateway/include/egretladder/gateway/gateway.h
+++ b/gateway/include/egretladder/gateway/gateway.h
@@ -42,6 +42,7 @@
   std::string key;          ///< PEM file.
 };
 
+/// What a gateway is started with, from its settings.
 struct GatewayOptions {
   /// `fleet.caller_address` and `fleet.peer_address`, where empty, become the
   /// bound addresses.
@@ -54,9 +55,11 @@
 };
 
 struct Gateway;
+/// Lets `GatewayPtr` own a type that only the sources know.
 struct GatewayDelete {
   void operator()(Gateway* gateway) const;
 };
+/// Owns a node with its sockets; closes them when it goes.
 using GatewayPtr = std::unique_ptr<Gateway, GatewayDelete>;
 
 /// Binds the sockets and starts the node. `loop` must outlive it. Fails when an
@@ -70,9 +73,13 @@
 /// True when no call is in progress and every answer has left.
 bool IsIdle(const Gateway& gateway);
 
+/// The address bound for callers, `IP:port`.
 const std::string& CallerAddressOf(const Gateway& gateway);
+/// The address bound for peers, `IP:port`.
 const std::string& PeerAddressOf(const Gateway& gateway);
+/// The node behind the sockets, for its views.
 node::NodeState& NodeOf(Gateway& gateway);
+/// What `GET /metrics` shows.
 kernel::Metrics& MetricsOf(Gateway& gateway);
 
 /// Numbers for tests and benchmarks.
@@ -84,6 +91,7 @@
   std::size_t most_output_bytes = 0;  ///< Largest output waiting for a caller.
   std::size_t peers = 0;              ///< Connected.
 };
+/// What is open and in progress now.
 GatewayView ViewOf(const Gateway& gateway);
 
 }  // namespace egretladder::gateway
--- a/gateway/include/egretladder/gateway/limits.h
+++ b/gateway/include/egretladder/gateway/limits.h
@@ -53,6 +53,7 @@
 inline constexpr std::size_t kIdleConnections = 256;
 inline constexpr std::chrono::seconds kKeepAlive{20};
 
+/// Between two looks for exchanges and callers whose time is up.
 inline constexpr std::chrono::milliseconds kSweep{100};
 
 /// Bytes of the messages that count as a prompt's first part.
--- a/kernel/include/egretladder/kernel/log.h
+++ b/kernel/include/egretladder/kernel/log.h
@@ -21,15 +21,19 @@
   kLab,
 };
 
+/// From the least to the most urgent.
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
 
+/// Plain lines, or one JSON object a line.
 enum class LogFormat : std::uint8_t { kText, kJson };
 
 /// Starts logging to standard error. Call once, first thing in main.
 void StartLogs(LogFormat format, LogLevel lowest);
 
+/// True when `Log` would write; saves making the sentence.
 bool LogEnabled(LogPart part, LogLevel level);
 
+/// Writes one line, when the level is not below the lowest.
 void Log(LogPart part, LogLevel level, std::string_view sentence);
 
 }  // namespace egretladder::kernel
--- a/kernel/include/egretladder/kernel/loop.h
+++ b/kernel/include/egretladder/kernel/loop.h
@@ -11,13 +11,17 @@
 
 namespace egretladder::kernel {
 
+/// Frees a libevent base.
 struct EventBaseFree {
   void operator()(event_base* base) const { event_base_free(base); }
 };
+/// Removes and frees a libevent event.
 struct EventFree {
   void operator()(event* ev) const { event_free(ev); }
 };
+/// Owns a libevent base.
 using EventBase = std::unique_ptr<event_base, EventBaseFree>;
+/// Owns a libevent event; it never fires once this is gone.
 using Event = std::unique_ptr<event, EventFree>;
 
 /// The loop of the process and the clock its parts share.
@@ -31,6 +35,7 @@
 
 /// Runs until `StopLoop`.
 void RunLoop(Loop& loop);
+/// Makes `RunLoop` return after the event that is being handled.
 void StopLoop(Loop& loop);
 
 /// A timer or signal that lives as long as this object.
@@ -55,6 +60,7 @@
 /// Calls `action` once after `delay`, or not at all if the watch goes first.
 Watch After(Loop& loop, std::chrono::milliseconds delay,
             std::function<void()> action);
+/// Calls `action`, from the loop, each time the process gets `signal`.
 Watch OnSignal(Loop& loop, int signal, std::function<void()> action);
 
 /// Returns `duration` as libevent wants it.
--- a/kernel/include/egretladder/kernel/metrics.h
+++ b/kernel/include/egretladder/kernel/metrics.h
@@ -8,9 +8,11 @@
 
 namespace egretladder::kernel {
 
+/// Refers to a number that only rises.
 struct CounterHandle {
   std::uint32_t idx = 0;
 };
+/// Refers to a number that goes up and down.
 struct GaugeHandle {
   std::uint32_t idx = 0;
 };
@@ -42,17 +44,23 @@
 CounterHandle AddCounter(Metrics& metrics, const std::string& name,
                          const std::string& help,
                          const std::string& labels = "");
+/// As `AddCounter`.
 GaugeHandle AddGauge(Metrics& metrics, const std::string& name,
                      const std::string& help, const std::string& labels = "");
+/// As `AddCounter`.
 QuantileHandle AddQuantiles(Metrics& metrics, const std::string& name,
                             const std::string& help,
                             const std::string& labels = "");
 
+/// Raises a counter.
 void Increment(Metrics& metrics, CounterHandle counter, std::uint64_t by = 1);
+/// Sets a gauge, in the unit that its name gives.
 void Set(Metrics& metrics, GaugeHandle gauge, double value);
+/// Takes one sample into the quantiles.
 void Observe(Metrics& metrics, QuantileHandle quantiles,
              std::chrono::nanoseconds sample);
 
+/// The counter's value since the start.
 std::uint64_t ValueOf(const Metrics& metrics, CounterHandle counter);
 /// `quantile` is 0.5, 0.95 or 0.99; zero before the first sample.
 std::chrono::nanoseconds QuantileOf(const Metrics& metrics,
--- a/kernel/include/egretladder/kernel/registry.h
+++ b/kernel/include/egretladder/kernel/registry.h
@@ -21,6 +21,7 @@
 /// `static constexpr std::string_view kKind`.
 const void* FindPluginTable(std::string_view kind, std::string_view name);
 
+/// The plug-in of this name, or null. Lives as long as the process.
 template <typename Table>
 const Table* FindPlugin(std::string_view name) {
   return static_cast<const Table*>(FindPluginTable(Table::kKind, name));
--- a/kernel/include/egretladder/kernel/settings.h
+++ b/kernel/include/egretladder/kernel/settings.h
@@ -47,16 +47,20 @@
                               std::span<const SettingSpec> specs,
                               std::vector<Error>* faults = nullptr);
 
+/// The value as text, of any kind.
 const std::string& TextOf(const Settings& settings, std::string_view section,
                           std::string_view key);
+/// The value of a `kCount`.
 std::uint64_t CountOf(const Settings& settings, std::string_view section,
                       std::string_view key);
 /// In bytes.
 std::uint64_t BytesOf(const Settings& settings, std::string_view section,
                       std::string_view key);
+/// The value of a `kDuration`.
 std::chrono::milliseconds DurationOf(const Settings& settings,
                                      std::string_view section,
                                      std::string_view key);
+/// The value of a `kFlag`.
 bool FlagOf(const Settings& settings, std::string_view section,
             std::string_view key);
 
--- a/lab/include/egretladder/lab/driver.h
+++ b/lab/include/egretladder/lab/driver.h
@@ -31,17 +31,21 @@
 using NodeEvent =
     std::function<void(node::NodeState&, Time now, node::Actions& out)>;
 
+/// What the wire between the nodes is like.
 struct DriverOptions {
   std::chrono::microseconds wire_delay{500};  ///< Between nodes, one way.
   std::uint64_t seed = 1;                     ///< For lost messages.
 };
 
 struct DriverState;
+/// Lets `DriverPtr` own a type that only the sources know.
 struct DriverDelete {
   void operator()(DriverState* state) const;
 };
+/// Owns the nodes, the clock and what is on the wire.
 using DriverPtr = std::unique_ptr<DriverState, DriverDelete>;
 
+/// Starts a world without nodes, on a paused clock.
 DriverPtr StartDriver(const DriverOptions& options, ActionSink sink);
 
 /// Starts a node process. Its peer address is where messages to it go. Fails
@@ -49,6 +53,7 @@
 kernel::Result<NodeIdx> AddNode(DriverState& state,
                                 const node::NodeOptions& options);
 
+/// The paused clock's time.
 Time Now(const DriverState& state);
 
 /// Runs `what` at `when`; events of one moment run in the order of this call.
@@ -73,11 +78,14 @@
 void RestartNode(DriverState& state, NodeIdx node);
 /// The process stands still; what reaches it waits. Its clock goes on.
 void PauseNode(DriverState& state, NodeIdx node, Time until);
+/// True while the process stands still.
 bool IsPaused(const DriverState& state, NodeIdx node);
 
 /// Drops whatever `from` sends to `to`; the other direction stays as it is.
 void CutWire(DriverState& state, NodeIdx from, NodeIdx to);
+/// Lets messages from `from` to `to` through again.
 void HealWire(DriverState& state, NodeIdx from, NodeIdx to);
+/// True while `CutWire` holds for this direction.
 bool IsCut(const DriverState& state, NodeIdx from, NodeIdx to);
 /// Loses this share of all messages between nodes, 0 to 1.
 void LoseMessages(DriverState& state, double share);
--- a/lab/include/egretladder/lab/engine_model.h
+++ b/lab/include/egretladder/lab/engine_model.h
@@ -47,8 +47,10 @@
   std::chrono::milliseconds load{2000};  ///< Of one model on order.
 };
 
+/// Numbers one call within an engine's life.
 using EngineCallId = std::uint64_t;
 
+/// A call as an engine takes it.
 struct EngineCall {
   EngineCallId id = 0;
   std::uint32_t priority = 0;  ///< 0 is first.
@@ -58,6 +60,7 @@
   std::uint32_t output_tokens = 1;
 };
 
+/// What became of a call that came to an engine.
 enum class SubmitResult : std::uint8_t {
   kTaken,
   kBooting,         ///< Not run: the weights load.
@@ -73,6 +76,7 @@
   bool last = false;
 };
 
+/// What an engine says of itself.
 struct EngineReport {
   std::uint64_t boot = 0;
   std::chrono::milliseconds age{};
@@ -82,12 +86,14 @@
   std::vector<std::string> loaded;
 };
 
+/// What a node orders an engine to do.
 struct EngineOrder {
   std::string kind;  ///< `load` or `unload`; others are taken and do nothing.
   std::string model;
   std::uint64_t fencing = 0;
 };
 
+/// Sums since the engine started.
 struct EngineCounts {
   std::uint64_t taken = 0;
   std::uint64_t refused = 0;  ///< Unrun.
@@ -127,6 +133,7 @@
   }
 };
 
+/// One engine. It changes through the functions below only.
 struct EngineState {
   EngineOptions options;
   EngineCounts counts;
@@ -146,6 +153,7 @@
   std::optional<Time> last_taken;  ///< When it last took a call.
 };
 
+/// Starts an engine that is ready when its boot time has passed.
 EngineState StartEngine(const EngineOptions& options, std::uint64_t boot,
                         Time now);
 
--- a/lab/include/egretladder/lab/fault.h
+++ b/lab/include/egretladder/lab/fault.h
@@ -10,6 +10,7 @@
 
 namespace egretladder::lab {
 
+/// What goes wrong.
 enum class FaultKind : std::uint8_t {
   kNone,
   kSlow,         ///< Everything takes `factor` times as long.
@@ -21,6 +22,7 @@
   kWrongLength,  ///< Announces more bytes than it sends.
 };
 
+/// A fault, how strong it is and how many requests meet it.
 struct Fault {
   FaultKind kind = FaultKind::kNone;
   double factor = 1;  ///< Of `kSlow`.
--- a/lab/include/egretladder/lab/platform_model.h
+++ b/lab/include/egretladder/lab/platform_model.h
@@ -10,6 +10,7 @@
 
 namespace egretladder::lab {
 
+/// What is wrong with every answer of the platform.
 enum class PlatformFault : std::uint8_t {
   kNone,
   kDown,   ///< Every read fails.
@@ -18,11 +19,13 @@
   kOld,    ///< Serves the first version it ever published.
 };
 
+/// One rules document.
 struct Publication {
   std::uint64_t version = 0;
   std::string text;
 };
 
+/// Calls since the start, by what they read.
 struct PlatformCounts {
   std::uint64_t rules = 0;
   std::uint64_t watches = 0;  ///< A waiting watch counts as one call.
@@ -30,6 +33,7 @@
   std::uint64_t failed = 0;  ///< Calls that met `kDown`; counted above too.
 };
 
+/// One platform: what it published and what is wrong with it.
 struct PlatformState {
   std::vector<Publication> published;  ///< In the order published.
   std::string vms = "[]";              ///< The VM list, as JSON.
@@ -55,6 +59,7 @@
 /// The VM list that follows from `[node]` rules: all nodes, with `leaving`.
 std::string VmsOf(const std::string& rules_text);
 
+/// The answer to `GET /counts`.
 std::string PlatformCountsJson(const PlatformState& state,
                                std::size_t waiting_watches);
 
--- a/lab/include/egretladder/lab/scenario.h
+++ b/lab/include/egretladder/lab/scenario.h
@@ -17,6 +17,7 @@
 
 using std::chrono::milliseconds;
 
+/// Stands for a moment that doesn't come.
 inline constexpr milliseconds kNever = milliseconds::max();
 
 /// Callers of one kind: a class of one client account at a steady rate.
@@ -40,6 +41,7 @@
   bool poison = false;             ///< Each crashes the engine it runs on.
 };
 
+/// What happens to endpoints, nodes, wires or the platform.
 enum class EventKind : std::uint8_t {
   kSlow,
   kCrash,
@@ -83,6 +85,7 @@
   double at_most = std::numeric_limits<double>::infinity();
 };
 
+/// A scenario as its Lua text declares it.
 struct Scenario {
   std::string file;
   std::string rules;  ///< The first document published.
@@ -124,6 +127,7 @@
   std::string what;
 };
 
+/// One number of a run, under the name that expectations use.
 struct Measure {
   std::string name;
   double value = 0;
@@ -145,6 +149,7 @@
   std::uint64_t queue = 0;                    ///< Calls that wait at all nodes.
 };
 
+/// What a run of one scheduler gave.
 struct ScenarioResult {
   std::string policy;
   std::vector<ClassRow> classes;
@@ -160,6 +165,7 @@
 
 /// The table of measures and the verdict, for a terminal.
 std::string TableOf(const Scenario& scenario, const ScenarioResult& result);
+/// The same as JSON, for all schedulers that ran.
 std::string JsonOf(const Scenario& scenario,
                    const std::vector<ScenarioResult>& results);
 /// Writes `PATH` with `.dat` and `.gp` in place of its ending; gnuplot makes
--- a/lab/include/egretladder/lab/service_model.h
+++ b/lab/include/egretladder/lab/service_model.h
@@ -12,6 +12,7 @@
 
 namespace egretladder::lab {
 
+/// What a service ran so far.
 struct ServiceModel {
   std::unordered_map<std::string, std::uint32_t> runs;  ///< By key.
   std::uint64_t requests = 0;
--- a/node/include/egretladder/node/node.h
+++ b/node/include/egretladder/node/node.h
@@ -23,6 +23,7 @@
 /// Numbers one caller's call within a node's life.
 using CallId = std::uint64_t;
 
+/// What a node is started with, from its settings.
 struct NodeOptions {
   fleet::FleetOptions fleet;
   std::string scheduler{policy::kStandardScheduler};
@@ -69,7 +70,9 @@
   kOutcomeUnknown,  ///< The key was sent before and its answer was lost.
 };
 
+/// The code as error answers and logs show it.
 const char* NameOf(AnswerCode code);
+/// The word as error answers show it.
 const char* NameOf(Ran ran);
 /// The HTTP status that goes with a code.
 int StatusOf(AnswerCode code);
@@ -90,6 +93,7 @@
   CallId call = 0;
   std::uint8_t attempt = 1;
 };
+/// Tell the caller that it gets no answer, and whether its call ran.
 struct AnswerError {
   CallId call = 0;
   AnswerCode code = AnswerCode::kOverloaded;
@@ -120,17 +124,21 @@
   std::chrono::milliseconds waited{};
 };
 
+/// What the driver of a node does for it; see each.
 using Action =
     std::variant<SendCall, CancelCall, AnswerError, AnswerStored, ForwardCall,
                  Decision, fleet::SendMessage, fleet::ReadRulesDocument,
                  fleet::ReadVmList, fleet::ReadReport, fleet::OrderEngine,
                  fleet::RulesInForce, fleet::RulesRefused>;
+/// In the order in which they are to be carried out.
 using Actions = std::vector<Action>;
 
 struct NodeState;
+/// Lets `NodePtr` own a type that only the sources know.
 struct NodeDelete {
   void operator()(NodeState* state) const;
 };
+/// Owns one node.
 using NodePtr = std::unique_ptr<NodeState, NodeDelete>;
 
 /// Fails when no scheduler has the name given.
@@ -140,6 +148,7 @@
 /// Call every `kNodeTick` or more often.
 void OnTick(NodeState& state, Time now, Actions& out);
 
+/// A caller's call came in whole. Its end is put into `out`, now or later.
 void OnCall(NodeState& state, const Call& call, Time now, Actions& out);
 /// The caller went away: its work is cancelled.
 void OnCallerGone(NodeState& state, CallId call, Time now, Actions& out);
@@ -153,6 +162,7 @@
 /// The endpoint's answer began: its first token or byte.
 void OnFirstToken(NodeState& state, CallId call, std::uint8_t attempt,
                   Time now);
+/// `count` more tokens of the answer came from the endpoint.
 void OnTokens(NodeState& state, CallId call, std::uint8_t attempt,
               std::uint32_t count, Time now);
 /// The answer is complete. `answer` is given when `SendCall::keep_answer` was.
@@ -170,12 +180,16 @@
 void OnForwarded(NodeState& state, CallId call, bool answered, bool sent,
                  Time now, Actions& out);
 
+/// The four below go on to the fleet: see fleet/fleet.h for their errors.
 void OnMessage(NodeState& state, const fleet::Sender& from,
                const fleet::Message& message, Time now, Actions& out);
+/// The platform's answer to `ReadRulesDocument`.
 void OnRulesDocument(NodeState& state, const std::string* text, Time now,
                      Actions& out);
+/// The platform's answer to `ReadVmList`.
 void OnVmList(NodeState& state, const std::vector<fleet::VmEntry>* vms,
               Time now, Actions& out);
+/// An endpoint's answer to `ReadReport`.
 void OnReport(NodeState& state, EndpointHandle endpoint,
               const policy::EngineReport* report, Time now, Actions& out);
 
@@ -193,6 +207,7 @@
   /// The node that owns the lane: a call sent there needs no passing on.
   std::string lane_address;
 };
+/// Answers a caller in `zone`, with a new lane when the node is ready.
 WhereAnswer Where(NodeState& state, std::string_view zone, Time now);
 
 /// Numbers for `/status`, `/readyz` and tests.
@@ -204,9 +219,12 @@
   fleet::LanesView lanes;
   std::size_t calls = 0;
 };
+/// Counts and copies; not for every call.
 NodeView ViewOf(const NodeState& state, Time now);
+/// The rules in force; null before the first version.
 rules::RulesPtr RulesOf(const NodeState& state);
 
+/// Longest pause between two calls of `OnTick`.
 inline constexpr std::chrono::milliseconds kNodeTick{10};
 
 }  // namespace egretladder::node
--- a/policy/include/egretladder/policy/admit.h
+++ b/policy/include/egretladder/policy/admit.h
@@ -43,6 +43,7 @@
 double FairAhead(std::uint32_t class_waiting, std::uint32_t accounts_waiting,
                  std::uint32_t account_waiting);
 
+/// What an arriving request's admission depends on.
 struct AdmitQuestion {
   std::uint32_t class_waiting = 0;  ///< Over all targets.
   std::uint32_t class_cap = 0;      ///< 0: none.
--- a/policy/include/egretladder/policy/estimate.h
+++ b/policy/include/egretladder/policy/estimate.h
@@ -13,6 +13,7 @@
 
 namespace egretladder::policy {
 
+/// Spans that are learned, as a number of seconds.
 using Seconds = std::chrono::duration<double>;
 
 /// What was seen of one class at one target.
@@ -27,7 +28,9 @@
   double tokens = 0;  ///< Produced by ended work, fading.
 };
 
+/// A request of the class was dispatched to the target.
 void OnWorkStarted(WorkSeen& seen, kernel::Time now);
+/// Its first token came; older ones fade beyond `ends_remembered`.
 void OnFirstTokenSeen(WorkSeen& seen, Seconds after_dispatch,
                       double ends_remembered);
 /// `tokens` were produced in all.
--- a/policy/include/egretladder/policy/health.h
+++ b/policy/include/egretladder/policy/health.h
@@ -25,6 +25,7 @@
   kernel::Time next_probe{};
 };
 
+/// What an event makes of the trust in an endpoint.
 enum class HealthChange : std::uint8_t { kNone, kLeftAlone, kTrusted };
 
 /// An answer's first token came after `took`; `usual` is what this class takes
@@ -43,6 +44,7 @@
 
 /// True when an endpoint that is left alone is due for one probe.
 bool IsProbeDue(const Health& health, kernel::Time now);
+/// A probe went out: sets when the next is due.
 void OnProbeSent(Health& health, const Limits& limits, kernel::Time now);
 
 /// True when one more of `servers` endpoints may be left alone: when most look
--- a/policy/include/egretladder/policy/poison.h
+++ b/policy/include/egretladder/policy/poison.h
@@ -50,6 +50,7 @@
 /// was not before.
 bool OnTold(PoisonState& state, const Quarantined& told, kernel::Time now);
 
+/// True while a body with this fingerprint gets no endpoint.
 bool IsQuarantined(const PoisonState& state, std::uint64_t fingerprint,
                    kernel::Time now);
 
--- a/policy/include/egretladder/policy/queue.h
+++ b/policy/include/egretladder/policy/queue.h
@@ -37,8 +37,10 @@
   std::uint64_t number = 0;
   RequestId request = 0;
 };
+/// By time, then by arrival.
 bool operator<(const Place& left, const Place& right);
 
+/// Requests in the order of their places.
 using Places = std::set<Place>;
 
 /// The accounts that wait in one class, by what they were served. `order` holds
@@ -65,6 +67,7 @@
   std::uint32_t waiting = 0;
 };
 
+/// All requests that wait at a node, and what accounts were served.
 struct WaitQueue {
   std::unordered_map<RequestId, Waiting> requests;
   std::vector<std::vector<ClassQueue>> queues;      ///< By target, class.
--- a/policy/include/egretladder/policy/scheduler.h
+++ b/policy/include/egretladder/policy/scheduler.h
@@ -70,23 +70,28 @@
 /// Why running work is cancelled and put back in the queue.
 enum class PreemptReason : std::uint8_t { kHigherTierWaits };
 
+/// Send the request to the endpoint; it takes one of the node's slots there.
 struct Dispatch {
   RequestId request = 0;
   EndpointHandle endpoint;
   PickReason reason = PickReason::kOnlyChoice;
   std::uint8_t engine_priority = 0;  ///< 0 is first; passed to the engine.
 };
+/// Turn the waiting request away.
 struct Refuse {
   RequestId request = 0;
   RefuseReason reason = RefuseReason::kQueueFull;
   std::chrono::milliseconds retry_after{};  ///< When to come back.
 };
+/// Cancel the running request; it arrives anew with the same id.
 struct Preempt {
   RequestId request = 0;
   EndpointHandle endpoint;
   PreemptReason reason = PreemptReason::kHigherTierWaits;
 };
+/// What a scheduler decides.
 using Action = std::variant<Dispatch, Refuse, Preempt>;
+/// In the order in which they are to be carried out.
 using Actions = std::vector<Action>;
 
 /// How an attempt ended, as seen by this node.
@@ -131,6 +136,7 @@
   std::chrono::milliseconds oldest_wait{};
 };
 
+/// What a scheduler shows of itself.
 struct SchedulerView {
   std::vector<EndpointView> endpoints;
   std::vector<ClassView> classes;
@@ -173,14 +179,19 @@
   SchedulerView (*view)(const SchedulerState&, Time now);
 };
 
+/// Longest pause between two calls of `on_tick`.
 inline constexpr std::chrono::milliseconds kSchedulerTick{10};
 
 /// The scheduler that nodes use unless settings name another.
 inline constexpr std::string_view kStandardScheduler = "ladder";
 
+/// The reasons and ends as logs show them.
 const char* NameOf(PickReason reason);
+/// As above.
 const char* NameOf(RefuseReason reason);
+/// As above.
 const char* NameOf(PreemptReason reason);
+/// As above.
 const char* NameOf(EndKind kind);
 
 }  // namespace egretladder::policy
--- a/policy/include/egretladder/policy/slots.h
+++ b/policy/include/egretladder/policy/slots.h
@@ -19,6 +19,7 @@
   kOverloaded,     ///< Answers came late or failed while slots were full.
 };
 
+/// The reason as logs show it.
 const char* NameOf(SlotReason reason);
 
 /// What the keeper knows of an endpoint's ability to take work.
--- a/rules/include/egretladder/rules/handles.h
+++ b/rules/include/egretladder/rules/handles.h
@@ -23,11 +23,16 @@
   return handle.idx != std::numeric_limits<std::uint32_t>::max();
 }
 
+/// An availability zone.
 using ZoneHandle = Handle<struct ZoneTag>;
 using TargetHandle = Handle<struct TargetTag>;  ///< A model or a service.
+/// A class of requests.
 using ClassHandle = Handle<struct ClassTag>;
+/// A client account.
 using AccountHandle = Handle<struct AccountTag>;
+/// An endpoint.
 using EndpointHandle = Handle<struct EndpointTag>;
+/// A node of the router.
 using NodeHandle = Handle<struct NodeTag>;
 
 }  // namespace egretladder::rules
--- a/rules/include/egretladder/rules/rules.h
+++ b/rules/include/egretladder/rules/rules.h
@@ -35,6 +35,7 @@
   bool out = false;  ///< Taken out by operators: receives no new work.
 };
 
+/// Models are placed on endpoints; services run where the rules say.
 enum class TargetKind : std::uint8_t { kModel, kService };
 
 /// `[model] NAME = base=M copies=N` or `[service] NAME =`. An adapter is a
@@ -122,6 +123,7 @@
   NameIndex node_names;
 };
 
+/// One version of the rules, shared by all that read it.
 using RulesPtr = std::shared_ptr<const Rules>;
 
 /// One fault in a document, and how to mend it.
