Open the failure tests with what goes wrong and who notices

Cause: 29 tests of failures began with code; a reader who sees one fail had to work out which fault it plays and why that matters. Change: a few plain sentences above each. No check is changed. Figures: 29 tests in 11 files. Conclusion: a failing test says what callers or operators would see.

--- a/gateway/tests/fault_test.cc
+++ b/gateway/tests/fault_test.cc
@@ -67,6 +67,8 @@
   STRCMP_CONTAINS("\"ran\":\"unknown\"", got.c_str());
 }
 
+// Something between node and engine puts its own error page in place of the
+// answer. A caller that reads JSON would break on it.
 TEST(EndpointFaults, JsonThatIsNoneIsNoAnswer) {
   const std::string got = AnswerTo(
       "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -86,6 +88,8 @@
   STRCMP_CONTAINS("\"ran\":\"unknown\"", got.c_str());
 }
 
+// An engine dies in the middle of a stream. The caller has its part already;
+// without an error event it takes that for the whole.
 TEST(EndpointFaults, HalfAStreamEndsWithAnErrorEventAndWithoutDone) {
   const std::string got = AnswerTo(
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -97,6 +101,8 @@
   CHECK(got.find("[DONE]") == std::string::npos);
 }
 
+// An engine is stopped and closes its streams in order, before their last
+// event. To HTTP the answer is complete; the text stops in mid-sentence.
 TEST(EndpointFaults, StreamThatEndsInOrderWithoutDoneIsHalf) {
   const std::string got = AnswerTo(
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -151,6 +157,8 @@
   CHECK(requests >= 1);
 }
 
+// An engine's process is gone and its VM refuses connections. A caller told
+// "unknown" would not dare to send its payment again.
 TEST(EndpointFaults, RefusedConnectionIsCertainlyNotRun) {
   et::OneNode one;
   one.endpoint.StopListening();
@@ -161,6 +169,8 @@
   STRCMP_CONTAINS("\"ran\":\"no\"", got.c_str());
 }
 
+// An engine with a full queue refuses a call unrun. Without another attempt the
+// caller gets an error although there is room elsewhere.
 TEST(EndpointFaults, RefusalUnrunIsSentAgain) {
   et::OneNode one;
   // Retries are paid for by successes.
@@ -186,6 +196,8 @@
 
 TEST_GROUP(CallerFaults){};
 
+// A caller's connection breaks before its body is complete. Sent on, half a
+// question would take a slot for an answer that nobody gets.
 TEST(CallerFaults, TruncatedBodyReachesNoEndpoint) {
   et::OneNode one;
   et::RawCaller caller(one.loop, eg::CallerAddressOf(*one.node));
@@ -201,6 +213,8 @@
   CHECK_EQUAL(200, et::StatusIn(got));
 }
 
+// A client sends a whole archive as its prompt. Held in memory, a few such
+// bodies would leave no room for the other callers.
 TEST(CallerFaults, OversizedBodyIsRefused) {
   eg::Limits limits;
   limits.body_bytes = 1000;
@@ -271,6 +285,9 @@
       et::RunUntil(one.loop, [&one] { return one.endpoint.seen.size() == 3; }));
 }
 
+// More callers connect than the node has sockets for. Those beyond wait until
+// another leaves; without the limit the node runs out of sockets for its
+// endpoints, and every caller fails.
 TEST(CallerFaults, ConnectionsBeyondTheLimitWait) {
   eg::Limits limits;
   limits.connections = 2;
@@ -385,6 +402,8 @@
   CHECK(caller.got.size() > kEvents * event.size());
 }
 
+// A phone goes out of range in the middle of a large answer and never reads on.
+// Without a limit it holds its slot and its memory for ever.
 TEST(CallerFaults, CallerThatTakesNothingIsDropped) {
   et::OneNode one;
   one.endpoint.handler = [](evhttp_request* request) {
--- a/gateway/tests/input_test.cc
+++ b/gateway/tests/input_test.cc
@@ -39,6 +39,8 @@
   CHECK(prefix("x", "a") != prefix("y", "a"));
 }
 
+// A client sends a body that can't be read. Without a sentence on what is wrong
+// its developer has to guess.
 TEST(ChatBody, NamesTheFault) {
   const std::vector<std::pair<const char*, const char*>> faults = {
       {"", "not JSON"},
@@ -93,6 +95,8 @@
   }
 }
 
+// An engine sends an error page, or breaks off within its last line. Taken for
+// a stream in order, either would be called a complete answer.
 TEST(SseScanner, TellsGarbageAndAMissingEnd) {
   eg::SseScanner html;
   eg::Scan(html, std::string_view("<html>\n"));
@@ -104,6 +108,8 @@
 
 TEST_GROUP(Documents){};
 
+// The platform answers with something that is no VM list. Read as an empty list
+// it would say that no VM leaves.
 TEST(Documents, ReadsVmsAndRefusesOtherThings) {
   const auto vms =
       eg::ReadVms(R"([{"name":"n1","leaving":true},{"name":"e1"}])");
@@ -115,6 +121,8 @@
   }
 }
 
+// An engine with a bug reports numbers beyond all bounds. Believed, they would
+// overflow or put it before all others for days.
 TEST(Documents, ReportTakesNoNonsense) {
   const egretladder::rules::Rules rules;
   const auto report = eg::ReadEngineReport(
@@ -160,6 +168,8 @@
   STRCMP_EQUAL("127.0.0.1:80", config.value().gateway.caller_listen.c_str());
 }
 
+// An operator mistypes a setting. The node doesn't start; its log must say
+// which line to mend.
 TEST(NodeConfig, FaultsNameFileLineKeyAndWhatIsExpected) {
   STRCMP_CONTAINS("n.ini:8: unknown key 'platform.prot'",
                   FirstFault(whole_ + "prot = 1\n").c_str());
@@ -185,6 +195,8 @@
   STRCMP_CONTAINS("body_size = 4MiB", text.c_str());
 }
 
+// An operator misspells the scheduler's name and must not have to look for the
+// right one.
 TEST(NodeConfig, UnknownSchedulerListsTheKnownOnes) {
   std::string text = whole_;
   text.insert(text.find("zone"), "scheduler = none\n");
--- a/gateway/tests/serve_test.cc
+++ b/gateway/tests/serve_test.cc
@@ -137,6 +137,8 @@
   CHECK_EQUAL(0U, one.endpoint.seen.size());
 }
 
+// A client sends a time-out that can't be read. Ignored, its call would wait
+// far longer than it meant to.
 TEST(Serve, BadTimeoutIsNamed) {
   et::OneNode one;
   const std::string got = Ask(
--- a/gateway/tests/wire_test.cc
+++ b/gateway/tests/wire_test.cc
@@ -169,6 +169,8 @@
   }
 }
 
+// Bytes of a message change on a broken machine or link. A crash on reading
+// them would cut every caller of the node.
 TEST(PeerCodec, GarbageNeverCrashes) {
   egretladder::kernel::Random random(42);
   std::size_t refused = 0;
@@ -214,6 +216,9 @@
         egretladder::gateway::kPeerSpanMost);
 }
 
+// During an update a newer node sends a kind of message that this one doesn't
+// know. Taken for another kind, it would change what the node believes of its
+// fleet.
 TEST(PeerCodec, RefusesAKindOfALaterVersion) {
   auto words = BytesOf(ef::RulesAsk{3});
   // The first word after the segment table and the root pointer holds the kind.
--- a/lab/tests/driver_test.cc
+++ b/lab/tests/driver_test.cc
@@ -89,6 +89,8 @@
   CHECK_EQUAL(3U, VersionAt(0));
 }
 
+// A node's process dies. If it kept its memory, no scenario would show what a
+// restart costs callers.
 TEST(Driver, AKilledNodeForgetsAndItsEventsAreLost) {
   Tell(0);
   CHECK_EQUAL(3U, VersionAt(0));
--- a/lab/tests/engine_model_test.cc
+++ b/lab/tests/engine_model_test.cc
@@ -127,6 +127,8 @@
   CHECK_EQUAL(2U, el::BearsNow(engine_));
 }
 
+// More calls come than an engine holds. Those beyond are refused unrun, so that
+// the router may send them elsewhere.
 TEST(EngineModel, AFullQueueRefusesUnrun) {
   options_.max_batch = 1;
   options_.max_waiting = 1;
@@ -183,6 +185,8 @@
   CHECK_EQUAL(2U, engine_.counts.old_orders);
 }
 
+// A call comes for a model that the engine hasn't loaded. Taken, it would wait
+// for weights that nobody ordered.
 TEST(EngineModel, AModelThatIsNotLoadedIsRefusedUnrunUntilItIs) {
   options_.models = {"trace"};
   options_.holds = 1;
--- a/lab/tests/load_calls_test.cc
+++ b/lab/tests/load_calls_test.cc
@@ -37,6 +37,8 @@
   CHECK_FALSE(scan_.mark_seen);
 }
 
+// A stream breaks and ends with an error event. Counted as served, the load
+// tool would report a better router than there is.
 TEST(AnswerScan, AStreamThatEndsInAnErrorIsNotDone) {
   el::Scan(
       scan_,
@@ -48,6 +50,8 @@
   CHECK_FALSE(scan_.error.not_run);
 }
 
+// An error answer doesn't say whether the call ran. Counted as not run, a lost
+// payment would look like one that is safe to send again.
 TEST(AnswerScan, OnlyTheWordNoMeansNotRun) {
   CHECK_TRUE(el::ReadError(R"({"error":{"ran":"no","code":"x"}})").not_run);
   CHECK_FALSE(el::ReadError(R"({"error":{"code":"x"}})").not_run);
--- a/lab/tests/scenario_test.cc
+++ b/lab/tests/scenario_test.cc
@@ -173,6 +173,8 @@
   CHECK_TRUE(Failed(result, "no more than a fresh endpoint bears"));
 }
 
+// An engine crashes in a scenario. If the model let it serve on, every scenario
+// of a crash would pass whatever the router does.
 TEST(Scenario, AnEndpointThatIsDownServesNothing) {
   const auto result = Run(std::string(kBase) +
                           "at(\"10s\", crash{\"engine-1\"})\nrun(\"20s\")\n"
--- a/lab/tests/status_test.cc
+++ b/lab/tests/status_test.cc
@@ -44,6 +44,8 @@
                   el::StatusTable({{"b", "<html>"}}).c_str());
 }
 
+// Rules are published that the nodes refuse. The operator sees the old version
+// in force and must learn why.
 TEST(Status, ShowsWhyAVersionWasRefused) {
   const std::string json =
       Json("n1", 7, R"(,"refused_version":8,"refused_why":"line 3: no tier")");
--- a/node/tests/calls_test.cc
+++ b/node/tests/calls_test.cc
@@ -34,6 +34,8 @@
   en::test::TestNode& n1_ = harness_.n1();
 };
 
+// A client is set up with a wrong name. It must learn which one, and nothing of
+// its call may run under somebody else's limits.
 TEST(Calls, RefusesNamesThatTheRulesDoNotDeclare) {
   en::Call call = harness_.MakeCall("buyer", 1);
   call.account = "nobody";
@@ -54,6 +56,8 @@
   CHECK_EQUAL(0U, n1_.sent.size());
 }
 
+// A node starts while the platform is down and knows no limits yet. A caller
+// who got no answer at once would wait here instead of asking another node.
 TEST(Calls, AnswersNotReadyBeforeRulesAreInForce) {
   en::Actions out;
   en::NodeOptions options;
--- a/node/tests/once_test.cc
+++ b/node/tests/once_test.cc
@@ -36,6 +36,8 @@
   }
 };
 
+// A client sends a payment as it sends questions. Run without a key, its next
+// try would pay a second time.
 TEST(Once, RefusesAPaymentWithoutLaneAndKey) {
   harness_.Send(n1_, harness_.MakeCall("pay", 1));
   CheckError(n1_, AnswerCode::kLaneMissing, Ran::kNo);
@@ -63,6 +65,8 @@
   CHECK_TRUE(IsIdle(*n1_.state));
 }
 
+// A client's bug uses one key for two payments. Given the first one's answer,
+// the second buyer would think that he has paid.
 TEST(Once, RefusesAnotherBodyUnderTheSameKey) {
   const std::string lane = harness_.LaneOf(n1_);
   harness_.Send(n1_, Payment(1, lane));
