Make one piece serve where logic stood twice

Cause: the loop opened a libevent event in three places, the scenario runner looked up endpoints by name in two, and the model engine read JSON objects in two, each with the same lines. Change: one function for each. Conclusion: a fault in one of these is mended in one place.

--- a/kernel/src/loop.cc
+++ b/kernel/src/loop.cc
@@ -20,6 +20,21 @@
   action();
 }
 
+// Waits for `signal`, or for the time alone when it is -1. A template, since
+// the state is private to its watch.
+template <typename State>
+std::unique_ptr<State> Await(Loop& loop, int signal, int flags,
+                             const timeval* interval,
+                             std::function<void()> action) {
+  auto state = std::make_unique<State>();
+  state->action = std::move(action);
+  state->ev.reset(event_new(loop.base.get(), signal,
+                            static_cast<std::int16_t>(flags), Fire,
+                            &state->action));
+  event_add(state->ev.get(), interval);
+  return state;
+}
+
 }  // namespace
 
 Watch::Watch() = default;
@@ -43,36 +58,25 @@
 
 Watch Every(Loop& loop, std::chrono::milliseconds period,
             std::function<void()> action) {
-  Watch watch;
-  watch.state_ = std::make_unique<Watch::State>();
-  watch.state_->action = std::move(action);
-  watch.state_->ev.reset(
-      event_new(loop.base.get(), -1, EV_PERSIST, Fire, &watch.state_->action));
   const timeval interval = ToTimeval(period);
-  event_add(watch.state_->ev.get(), &interval);
+  Watch watch;
+  watch.state_ =
+      Await<Watch::State>(loop, -1, EV_PERSIST, &interval, std::move(action));
   return watch;
 }
 
 Watch After(Loop& loop, std::chrono::milliseconds delay,
             std::function<void()> action) {
-  Watch watch;
-  watch.state_ = std::make_unique<Watch::State>();
-  watch.state_->action = std::move(action);
-  watch.state_->ev.reset(
-      event_new(loop.base.get(), -1, 0, Fire, &watch.state_->action));
   const timeval interval = ToTimeval(delay);
-  event_add(watch.state_->ev.get(), &interval);
+  Watch watch;
+  watch.state_ = Await<Watch::State>(loop, -1, 0, &interval, std::move(action));
   return watch;
 }
 
 Watch OnSignal(Loop& loop, int signal, std::function<void()> action) {
   Watch watch;
-  watch.state_ = std::make_unique<Watch::State>();
-  watch.state_->action = std::move(action);
-  watch.state_->ev.reset(event_new(loop.base.get(), signal,
-                                   EV_SIGNAL | EV_PERSIST, Fire,
-                                   &watch.state_->action));
-  event_add(watch.state_->ev.get(), nullptr);
+  watch.state_ = Await<Watch::State>(loop, signal, EV_SIGNAL | EV_PERSIST,
+                                     nullptr, std::move(action));
   return watch;
 }
 
--- a/lab/src/engine_wire.cc
+++ b/lab/src/engine_wire.cc
@@ -24,6 +24,16 @@
                            detail);
 }
 
+kernel::Result<rapidjson::Document> ReadObject(const std::string& body,
+                                               const char* step) {
+  rapidjson::Document document;
+  document.Parse(body.c_str());
+  if (document.HasParseError() || !document.IsObject()) {
+    return Refuse(step, "expected a JSON object");
+  }
+  return document;
+}
+
 std::string TextIn(const rapidjson::Value& object, const char* key) {
   const auto member = object.FindMember(key);
   if (member == object.MemberEnd() || !member->value.IsString()) return "";
@@ -98,11 +108,9 @@
 }  // namespace
 
 kernel::Result<ChatRequest> ReadChatRequest(const std::string& body) {
-  rapidjson::Document document;
-  document.Parse(body.c_str());
-  if (document.HasParseError() || !document.IsObject()) {
-    return Refuse("read chat request", "expected a JSON object");
-  }
+  const auto read = ReadObject(body, "read chat request");
+  if (!read) return read.error();
+  const rapidjson::Document& document = read.value();
   ChatRequest request;
   request.model = TextIn(document, "model");
   const auto stream = document.FindMember("stream");
@@ -224,11 +232,9 @@
 }
 
 kernel::Result<EngineOrder> ReadEngineOrder(const std::string& body) {
-  rapidjson::Document document;
-  document.Parse(body.c_str());
-  if (document.HasParseError() || !document.IsObject()) {
-    return Refuse("read order", "expected a JSON object");
-  }
+  const auto read = ReadObject(body, "read order");
+  if (!read) return read.error();
+  const rapidjson::Document& document = read.value();
   EngineOrder order;
   order.kind = TextIn(document, "kind");
   if (order.kind.empty()) return Refuse("read order", "expected \"kind\"");
--- a/lab/src/scenario_events.cc
+++ b/lab/src/scenario_events.cc
@@ -17,12 +17,6 @@
   return Now(*world.driver) + span;
 }
 
-FakeEndpoint* FindEndpoint(World& world, const std::string& name) {
-  const auto at = world.endpoint_idx.find(name);
-  return at == world.endpoint_idx.end() ? nullptr
-                                        : &world.endpoints[at->second];
-}
-
 std::uint64_t NextVersion(const World& world) {
   return world.published->version + 1;
 }
--- a/lab/src/scenario_platform.cc
+++ b/lab/src/scenario_platform.cc
@@ -57,10 +57,7 @@
                            rules::EndpointHandle handle) {
   const rules::RulesPtr& rules = world.in_force[node];
   if (rules == nullptr || handle.idx >= rules->endpoints.size()) return nullptr;
-  const auto at =
-      world.endpoint_idx.find(rules->endpoints[handle.idx].source.name);
-  return at == world.endpoint_idx.end() ? nullptr
-                                        : &world.endpoints[at->second];
+  return FindEndpoint(world, rules->endpoints[handle.idx].source.name);
 }
 
 policy::EngineReport Translate(const EngineReport& report,
--- a/lab/src/scenario_world.cc
+++ b/lab/src/scenario_world.cc
@@ -85,6 +85,12 @@
   static_cast<void>(Publish(world.platform, text));
 }
 
+FakeEndpoint* FindEndpoint(World& world, const std::string& name) {
+  const auto at = world.endpoint_idx.find(name);
+  return at == world.endpoint_idx.end() ? nullptr
+                                        : &world.endpoints[at->second];
+}
+
 NodeIdx FindNodeByName(const World& world, const std::string& name) {
   for (NodeIdx i = 0; i < world.node_names.size(); ++i) {
     if (world.node_names[i] == name) return i;
--- a/lab/src/scenario_world_p.h
+++ b/lab/src/scenario_world_p.h
@@ -144,6 +144,8 @@
                                 const std::string& policy);
 /// Makes `text` what the platform publishes, under the next version.
 void PublishRules(World& world, const std::string& text);
+/// Null when the scenario has no endpoint of this name.
+FakeEndpoint* FindEndpoint(World& world, const std::string& name);
 NodeIdx FindNodeByName(const World& world, const std::string& name);
 NodeIdx FindNodeByAddress(const World& world, const std::string& address);
 
