--- a/bench/fleet_bench.cc
+++ b/bench/fleet_bench.cc
@@ -40,6 +40,7 @@
 constexpr std::uint64_t kModelsOfFew = 5;  ///< Below two endpoints each.
 constexpr std::chrono::milliseconds kWarmUp{15'000};
 constexpr std::chrono::milliseconds kMeasured{10'000};
+constexpr std::chrono::milliseconds kSpreadMost{20'000};
 
 // As encoded for the wire, without the call around it.
 std::size_t SizeOf(const ef::Message& message) {
@@ -111,6 +112,18 @@
     while (now_ < until) Step();
   }
 
+  /// Publishes the next version to the first node alone; returns how long it
+  /// takes until the last one has it in force, `most` at most.
+  std::chrono::milliseconds Spread(std::chrono::milliseconds most) {
+    const ek::Time begun = now_;
+    text_.replace(text_.find("version = 1"), 11, "version = 2");
+    ef::Actions out;
+    ef::OnRulesDocument(*nodes_[0].fleet, &text_, now_, out);
+    Apply(0, out);
+    while (now_ - begun < most && !AllHave(2)) Step();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now_ - begun);
+  }
+
   std::array<Kind, 5> kinds{};
   std::uint64_t exchanges = 0;  // Calls, with their replies.
   std::uint64_t platform_reads = 0;
@@ -132,6 +145,12 @@
     ef::Message message;
   };
 
+  bool AllHave(std::uint64_t version) const {
+    return std::all_of(nodes_.begin(), nodes_.end(), [&](const Node& node) {
+      return ef::RulesOf(*node.fleet)->version == version;
+    });
+  }
+
   void Start(std::uint64_t i) {
     const std::string host = HostOf(i);
     ef::FleetOptions options;
@@ -266,6 +285,29 @@
         static_cast<double>(fleet.bytes_per_node) / 1000;
   }
 }
+// The service answers one reader only; everyone else hears from peers.
+void SpreadOfAVersion(benchmark::State& state) {
+  ek::StartLogs(ek::LogFormat::kText, ek::LogLevel::kError);
+  for (auto _ : state) {
+    Fleet fleet(static_cast<std::uint64_t>(state.range(0)),
+                static_cast<std::uint64_t>(state.range(1)));
+    fleet.Run(kWarmUp);
+    fleet.kinds = {};
+    const auto took = fleet.Spread(kSpreadMost);
+    state.counters["in_force_ms"] = static_cast<double>(took.count());
+    state.counters["offers/node"] = static_cast<double>(fleet.kinds[2].count) /
+                                    static_cast<double>(state.range(0));
+  }
+}
+BENCHMARK(SpreadOfAVersion)
+    ->ArgNames({"nodes", "endpoints"})
+    ->Args({7, 15})
+    ->Args({32, 60})
+    ->Args({128, 260})
+    ->Args({390, 790})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
 BENCHMARK(Control)
     ->ArgNames({"nodes", "endpoints"})
     ->Args({4, 15})
--- a/gateway/src/documents.cc
+++ b/gateway/src/documents.cc
@@ -58,6 +58,19 @@
   return vms;
 }
 
+const std::vector<fleet::VmEntry>* TakeVmList(VmListRead& last, int status,
+                                              const std::string& etag,
+                                              std::string_view body) {
+  constexpr int kOk = 200;
+  constexpr int kNotModified = 304;
+  if (status == kNotModified && !last.etag.empty()) return &last.vms;
+  if (status != kOk) return nullptr;
+  auto vms = ReadVms(body);
+  if (!vms) return nullptr;
+  last = {etag, std::move(vms).value()};
+  return &last.vms;
+}
+
 kernel::Result<policy::EngineReport> ReadEngineReport(
     std::string_view text, const rules::Rules& rules) {
   rapidjson::Document document;
--- a/gateway/src/gateway_p.h
+++ b/gateway/src/gateway_p.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "call_metrics_p.h"
+#include "documents_p.h"
 #include "egretladder/gateway/gateway.h"
 #include "http_client_p.h"
 #include "sse_scanner_p.h"
@@ -131,6 +132,7 @@
   bool pumping = false;
   bool leaving = false;
   bool platform_answers = true;  ///< As last logged.
+  VmListRead vm_list;
   kernel::Event pump;
   kernel::Watch tick;
   PeerNetPtr peers;
--- a/gateway/src/http_client_p.h
+++ b/gateway/src/http_client_p.h
@@ -85,6 +85,7 @@
 /// than `most`. `status` is 0 then.
 struct Fetched {
   int status = 0;
+  std::string etag;  ///< Empty: none was sent.
   std::string body;
 };
 void Fetch(HttpClient& client, ExchangeSpec spec, std::size_t most,
--- a/gateway/src/http_fetch.cc
+++ b/gateway/src/http_fetch.cc
@@ -1,4 +1,5 @@
 #include "http_client_p.h"
+#include "http_headers_p.h"
 
 namespace egretladder::gateway {
 void Fetch(HttpClient& client, ExchangeSpec spec, std::size_t most,
@@ -8,6 +9,7 @@
   ExchangeEvents events;
   events.on_head = [got](const ExchangeHead& head) {
     got->status = head.status;
+    got->etag = HeaderOf(head.headers, "ETag");
   };
   events.on_data = [got, too_long, most](evbuffer* data) {
     const std::size_t size = evbuffer_get_length(data);
--- a/gateway/src/platform_evhttp.cc
+++ b/gateway/src/platform_evhttp.cc
@@ -1,4 +1,5 @@
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "documents_p.h"
@@ -104,16 +105,16 @@
     Later(gateway, [take] { take(nullptr); });
     return;
   }
-  Fetch(*gateway.client,
-        SpecOf(gateway.options.platform, "/vms", kPlatformTime), kDocumentBytes,
+  ExchangeSpec spec = SpecOf(gateway.options.platform, "/vms", kPlatformTime);
+  if (!gateway.vm_list.etag.empty()) {
+    spec.headers.emplace_back("If-None-Match", gateway.vm_list.etag);
+  }
+  Fetch(*gateway.client, std::move(spec), kDocumentBytes,
         [&gateway, take](const Fetched* fetched) {
           CountPlatformCall(gateway, "vms", fetched);
-          if (fetched == nullptr || fetched->status != HTTP_OK) {
-            take(nullptr);
-            return;
-          }
-          const auto vms = ReadVms(fetched->body);
-          take(vms ? &vms.value() : nullptr);
+          take(fetched == nullptr ? nullptr
+                                  : TakeVmList(gateway.vm_list, fetched->status,
+                                               fetched->etag, fetched->body));
         });
 }
 
--- a/gateway/tests/input_test.cc
+++ b/gateway/tests/input_test.cc
@@ -121,6 +121,23 @@
   }
 }
 
+// In a large fleet the whole VM list each second costs a reader more than its
+// control budget, so it comes whole only when it changed. What it said holds
+// on: an endpoint that leaves must not come back because of a 304.
+TEST(Documents, VmListHoldsUntilItChanges) {
+  eg::VmListRead last;
+  POINTERS_EQUAL(nullptr, eg::TakeVmList(last, 304, "", ""));
+  const char* leaving = R"([{"name":"e1","leaving":true}])";
+  CHECK_TRUE(eg::TakeVmList(last, 200, "\"7\"", leaving) != nullptr);
+  const auto* unchanged = eg::TakeVmList(last, 304, "\"7\"", "");
+  CHECK_TRUE(unchanged != nullptr && unchanged->at(0).leaving);
+  POINTERS_EQUAL(nullptr, eg::TakeVmList(last, 503, "", ""));
+  POINTERS_EQUAL(nullptr, eg::TakeVmList(last, 200, "\"8\"", "[{"));
+  STRCMP_EQUAL("\"7\"", last.etag.c_str());
+  const auto* back = eg::TakeVmList(last, 200, "\"8\"", "[]");
+  CHECK_TRUE(back != nullptr && back->empty());
+}
+
 // An engine with a bug reports numbers beyond all bounds. Believed, they would
 // overflow or put it before all others for days.
 TEST(Documents, ReportTakesNoNonsense) {
--- a/lab/src/stand_in_platform.cc
+++ b/lab/src/stand_in_platform.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "egretladder/kernel/hash.h"
 #include "egretladder/kernel/ini.h"
 #include "egretladder/lab/config.h"
 #include "egretladder/lab/platform_model.h"
@@ -99,7 +100,21 @@
   platform.waiting[number].is_watch = true;
 }
 
+/// True when the reader has the VM list already, as its `If-None-Match` says.
+bool HasVms(const Platform& platform, evhttp_request* request) {
+  const std::string tag =
+      "\"" + std::to_string(kernel::HashOf(platform.model.vms)) + "\"";
+  evhttp_add_header(evhttp_request_get_output_headers(request), "ETag",
+                    tag.c_str());
+  return HeaderOf(request, "If-None-Match") == tag;
+}
+
 void TakeRead(Platform& platform, evhttp_request* request, bool is_rules) {
+  if (!is_rules && platform.model.fault != PlatformFault::kSlow &&
+      HasVms(platform, request)) {
+    Reply(request, kNotModified, "application/json", "");
+    return;
+  }
   const auto answer = [&platform, is_rules](OpenCall& call) {
     if (is_rules) {
       AnswerRules(platform, call);
