Say of each limit what it bounds

Cause: several constants of the limits headers shared one comment, so that the unit or the meaning of the later ones was a guess; the look-ups by name likewise. Change: a sentence on each constant and look-up. No value changes. Conclusion: a reader finds what a limit bounds beside it.

--- a/fleet/include/egretladder/fleet/limits.h
+++ b/fleet/include/egretladder/fleet/limits.h
@@ -73,10 +73,13 @@
 inline constexpr std::size_t kVotersMost = 7;
 /// Peers drawn at random in each round, besides the voters.
 inline constexpr std::size_t kRandomPeers = 1;
-/// Members, votes, blames and VM notices in one message: bounds its size.
+/// Members in one message. These four bound its size.
 inline constexpr std::size_t kMembersTold = 3;
+/// Nodes named as gone in one message.
 inline constexpr std::size_t kGoneTold = 64;
+/// Blamed bodies in one message.
 inline constexpr std::size_t kBlamesTold = 16;
+/// Leaving VMs in one message.
 inline constexpr std::size_t kLeavingVmsTold = 32;
 /// A VM notice is forgotten so long after the list was read that showed it.
 inline constexpr std::chrono::seconds kVmNoticeKept{10};
@@ -91,8 +94,9 @@
 /// Between two reads by any other node, drawn from half to one and a half:
 /// 370 nodes make 12 calls a second of it.
 inline constexpr std::chrono::seconds kRareReadEvery{60};
-/// First and longest wait after a failed read.
+/// First wait after a failed read; doubles.
 inline constexpr std::chrono::milliseconds kReadRetryFirst{500};
+/// Longest such wait.
 inline constexpr std::chrono::milliseconds kReadRetryMost{10'000};
 /// A watch that was not answered for so long is given up.
 inline constexpr std::chrono::seconds kReadLost{60};
@@ -106,8 +110,11 @@
 /// fast; with more than `kFewEndpoints`, where asks and leases are most of the
 /// control's bytes; and the least between asks that hurry because work waits.
 inline constexpr std::chrono::milliseconds kAskEvery{600};
+/// The same with more endpoints than `kFewEndpoints`.
 inline constexpr std::chrono::milliseconds kAskEveryOfMany{1200};
+/// Endpoints up to which asks come at `kAskEvery`.
 inline constexpr std::size_t kFewEndpoints = 20;
+/// The least between two asks.
 inline constexpr std::chrono::milliseconds kAskSoonest{100};
 /// Calls of a silent holder still run at the endpoint, perhaps; forgotten after
 /// the longest ordinary answer.
@@ -130,6 +137,7 @@
 /// Up to so many endpoints a node uses all of them; of more, so many for each
 /// target.
 inline constexpr std::size_t kEndpointsAll = 32;
+/// Endpoints for each target when there are more than `kEndpointsAll`.
 inline constexpr std::size_t kEndpointsPerTarget = 2;
 
 /// Loads that the whole fleet asks of the weight store in a minute.
--- a/gateway/include/egretladder/gateway/limits.h
+++ b/gateway/include/egretladder/gateway/limits.h
@@ -8,17 +8,29 @@
 
 namespace egretladder::gateway {
 
-/// Standard values of the settings in `[limits]`.
+// Standard values of settings.
+
+/// Headers of one request, in bytes.
 inline constexpr std::size_t kHeaderBytes = std::size_t{16} << 10U;
+/// Largest body of a request.
 inline constexpr std::size_t kBodyBytes = std::size_t{4} << 20U;
+/// Connections of callers.
 inline constexpr std::size_t kConnections = 4096;
+/// To read one request, and between two on one connection.
 inline constexpr std::chrono::seconds kRequestTime{30};
+/// From sending to an endpoint until its first byte.
 inline constexpr std::chrono::seconds kAnswerTime{120};
+/// Between two bytes of an endpoint's answer.
 inline constexpr std::chrono::seconds kIdleTime{30};
+/// After which a caller that takes nothing is dropped.
 inline constexpr std::chrono::seconds kDrainTime{30};
+/// For calls in progress after a graceful stop began.
 inline constexpr std::chrono::seconds kStopTime{300};
+/// Unread output of one caller above which its endpoint is not read.
 inline constexpr std::size_t kCallerBuffer = std::size_t{64} << 10U;
+/// Bodies of all calls whose answer has not begun.
 inline constexpr std::size_t kBodiesBytes = std::size_t{128} << 20U;
+/// Largest answer that is held whole.
 inline constexpr std::size_t kAnswerBytes = std::size_t{1} << 20U;
 
 /// When a caller whose body found no room should come back.
@@ -49,8 +61,9 @@
 /// request that caused it goes on to the next endpoint unblamed
 /// (`scripts/check_processes poison`).
 inline constexpr std::chrono::milliseconds kDeathPause{20};
-/// Idle connections kept for reuse, per address, and for how long.
+/// Idle connections kept for reuse, per address.
 inline constexpr std::size_t kIdleConnections = 256;
+/// How long such a connection is kept.
 inline constexpr std::chrono::seconds kKeepAlive{20};
 
 /// Between two looks for exchanges and callers whose time is up.
@@ -61,23 +74,31 @@
 /// Characters of one token, for estimates before the engine counted.
 inline constexpr std::size_t kCharactersPerToken = 4;
 
-/// Time a document or report may take to arrive.
+/// Time a document of the platform may take to arrive.
 inline constexpr std::chrono::milliseconds kPlatformTime{5000};
+/// The same for an endpoint's report or its answer to an order.
 inline constexpr std::chrono::milliseconds kReportTime{1000};
+/// How long the platform may hold a watch before it says "nothing new".
 inline constexpr std::chrono::milliseconds kWatchTime{20000};
+/// Largest document or report; a longer one counts as not read.
 inline constexpr std::size_t kDocumentBytes = std::size_t{2} << 20U;
 
 /// What may wait unanswered at one peer. One rules document has to fit; the
 /// messages are states that are sent anew, so what does not fit is dropped.
 inline constexpr std::size_t kPeerBytes = std::size_t{3} << 20U;
+/// Messages to one peer that may be unanswered at once.
 inline constexpr std::uint32_t kPeerMessages = 64;
+/// Connections that peers opened.
 inline constexpr std::size_t kPeersIn = 1024;
+/// Connections opened to peers.
 inline constexpr std::size_t kPeersOut = 512;
 /// A peer that answers nothing for this long is connected to anew.
 inline constexpr std::chrono::milliseconds kPeerSilence{5000};
 /// A connection on which nothing was sent for this long is closed.
 inline constexpr std::chrono::seconds kPeerIdle{30};
+/// Wait before a broken connection to a peer is tried again; doubles.
 inline constexpr std::chrono::milliseconds kBackoffFirst{100};
+/// Longest such wait.
 inline constexpr std::chrono::milliseconds kBackoffMost{5000};
 /// Entries of one list in a peer's message. The longest that nodes send name
 /// each endpoint or member of the two-year plan, 790 and 390.
--- a/lab/src/scenario_invariants.cc
+++ b/lab/src/scenario_invariants.cc
@@ -8,7 +8,7 @@
 
 /// "A few seconds" after operators take a zone or an endpoint out.
 constexpr std::chrono::seconds kFewSeconds{5};
-/// A version is in force everywhere by then (letter 1).
+/// A published version must be in force everywhere by then.
 constexpr std::chrono::seconds kEverywhere{9};
 /// How much later than its class's longest wait a refusal may come.
 constexpr std::chrono::seconds kPromptness{1};
--- a/node/include/egretladder/node/limits.h
+++ b/node/include/egretladder/node/limits.h
@@ -22,6 +22,7 @@
 /// off for 20 s wrote 3,420 such decisions for a few dozen calls
 /// (scenarios/twice-platform-down-and-zone-out.lua), with it 546.
 inline constexpr std::chrono::milliseconds kHoldDelay{20};
+/// Longest such wait.
 inline constexpr std::chrono::milliseconds kHoldDelayMost{640};
 
 /// How long a caller may keep the answer to `/where`. A leaving node must stay
--- a/policy/include/egretladder/policy/limits.h
+++ b/policy/include/egretladder/policy/limits.h
@@ -26,6 +26,7 @@
 /// Load: an endpoint slowed by long prompts. Without it slots stay where every
 /// answer is late.
 inline constexpr double kOverloadedShare = 0.25;
+/// Answers it takes to judge an endpoint overloaded.
 inline constexpr std::uint32_t kAnswersToJudge = 8;
 
 /// Share of late or failed answers at which an endpoint counts as cold again:
@@ -58,6 +59,7 @@
 inline constexpr std::uint8_t kDeathsBeforeQuarantine = 2;
 /// How long one death is held against a body. Callers send again for minutes.
 inline constexpr milliseconds kBlameKept{10 * 60 * 1000};
+/// How long a quarantined body gets no endpoint.
 inline constexpr milliseconds kQuarantineKept{30 * 60 * 1000};
 /// Bounds memory when a zone dies with its work. Not swept.
 inline constexpr std::size_t kBlamesMost = 4096;
--- a/policy/src/scheduler_common_p.h
+++ b/policy/src/scheduler_common_p.h
@@ -56,7 +56,7 @@
   std::uint64_t arrivals = 0;
 };
 
-/// Orders by arrival.
+/// First come, first served, whatever the tier.
 OrderKey OrderByArrival(const BaselineState& state, const Request& request);
 /// Takes the one with the fewest requests in flight.
 EndpointHandle PickLeastInFlight(BaselineState& state, TargetHandle target);
--- a/rules/include/egretladder/rules/handles.h
+++ b/rules/include/egretladder/rules/handles.h
@@ -30,7 +30,7 @@
 using ClassHandle = Handle<struct ClassTag>;
 /// A client account.
 using AccountHandle = Handle<struct AccountTag>;
-/// An endpoint.
+/// An engine or server that runs requests.
 using EndpointHandle = Handle<struct EndpointTag>;
 /// A node of the router.
 using NodeHandle = Handle<struct NodeTag>;
--- a/rules/include/egretladder/rules/rules.h
+++ b/rules/include/egretladder/rules/rules.h
@@ -16,8 +16,9 @@
 
 namespace egretladder::rules {
 
-/// Highest and lowest service tier; a smaller number comes first.
+/// The service tier that comes before all others.
 inline constexpr std::uint8_t kTopTier = 1;
+/// The service tier that comes last; tiers are numbered without a gap.
 inline constexpr std::uint8_t kBottomTier = 5;
 
 /// What every rule carries.
@@ -141,12 +142,17 @@
                                    std::string_view file, const Rules* previous,
                                    std::vector<Fault>* faults = nullptr);
 
-/// Finds a present rule by name; not valid when there is none. O(log n).
+/// The zone that the rules name now; not valid when none has the name.
 ZoneHandle FindZone(const Rules& rules, std::string_view name);
+/// The same for a model or a service.
 TargetHandle FindTarget(const Rules& rules, std::string_view name);
+/// The same for a class.
 ClassHandle FindClass(const Rules& rules, std::string_view name);
+/// The same for a client account.
 AccountHandle FindAccount(const Rules& rules, std::string_view name);
+/// The same for an endpoint.
 EndpointHandle FindEndpoint(const Rules& rules, std::string_view name);
+/// The same for a node.
 NodeHandle FindNode(const Rules& rules, std::string_view name);
 
 /// True when `account` may use `cls`.
