Let a leaving node stay as long as callers keep its address

Cause: an idle node ended within 20 ms of SIGTERM, while callers keep the answer to /where for 5 s. They met a closed port, and a retry of a call that may not be repeated heard owner_unreachable although the answer was stored a moment ago. Change: [stop] linger, 5 s as node::kWhereKeep, not less and not above [stop] time. Meanwhile the node answers new calls with leaving, ran no, passes calls on to the owners of their lanes and repeats its stored answers. The second signal has no test; its code is unchanged. Conclusion: a planned stop costs 5 s and no caller its answer.

--- a/gateway/include/egretladder/gateway/gateway.h
+++ b/gateway/include/egretladder/gateway/gateway.h
@@ -52,6 +52,8 @@
   std::string platform;  ///< `IP:port`; empty: none.
   Limits limits;
   TlsOptions tls;
+  /// How long a leaving node stays at least, also when it is idle.
+  std::chrono::milliseconds linger = kLinger;
 };
 
 struct Gateway;
@@ -72,6 +74,9 @@
 void Leave(Gateway& gateway);
 /// True when no call is in progress and every answer has left.
 bool IsIdle(const Gateway& gateway);
+/// True when a leaving node may end: it is idle, and no caller still keeps an
+/// answer of `/where` that names it.
+bool MayEnd(const Gateway& gateway);
 
 /// The address bound for callers, `IP:port`.
 const std::string& CallerAddressOf(const Gateway& gateway);
--- a/gateway/include/egretladder/gateway/limits.h
+++ b/gateway/include/egretladder/gateway/limits.h
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "egretladder/node/limits.h"
+
 namespace egretladder::gateway {
 
 // Standard values of settings.
@@ -26,6 +28,10 @@
 inline constexpr std::chrono::seconds kDrainTime{30};
 /// For calls in progress after a graceful stop began.
 inline constexpr std::chrono::seconds kStopTime{300};
+/// Callers keep the answer to `/where` this long. A node that ended sooner
+/// would leave them a closed port, and retries of its lanes' keys would hear
+/// "unknown" though it had their answers. Nothing is gained by longer.
+inline constexpr std::chrono::milliseconds kLinger = node::kWhereKeep;
 /// Unread output of one caller above which its endpoint is not read.
 inline constexpr std::size_t kCallerBuffer = std::size_t{64} << 10U;
 /// Bodies of all calls whose answer has not begun.
--- a/gateway/main/egretladderd.cc
+++ b/gateway/main/egretladderd.cc
@@ -28,11 +28,15 @@
 }
 
 // Ends the process in order: callers are sent elsewhere at once, answers in
-// progress go to their ends, a second signal or too long a wait cuts them.
+// progress go to their ends, callers that still keep this node's address get
+// answers as long as they do. A second signal or too long a wait cuts it short.
 class Stop {
  public:
-  Stop(ek::Loop& loop, eg::Gateway& gateway, std::chrono::milliseconds most)
-      : loop_(loop), gateway_(gateway), most_(most) {
+  Stop(ek::Loop& loop, eg::Gateway& gateway, const eg::NodeConfig& config)
+      : loop_(loop),
+        gateway_(gateway),
+        linger_(config.gateway.linger),
+        most_(config.stop_time) {
     for (std::size_t i = 0; i < signals_.size(); ++i) {
       signals_[i] = ek::OnSignal(loop, i == 0 ? SIGTERM : SIGINT,
                                  [this] { OnStopSignal(); });
@@ -49,14 +53,18 @@
       return;
     }
     leaving_ = true;
-    Say(ek::LogLevel::kInfo, "Leaving: calls in progress end first.");
+    Say(ek::LogLevel::kInfo,
+        "Leaving: calls in progress end first. Staying for " +
+            std::to_string(linger_.count()) +
+            " ms at least, for callers that still keep "
+            "this address.");
     eg::Leave(gateway_);
     timeout_ = ek::After(loop_, most_, [this] { Cut("the time was up"); });
-    idle_ = ek::Every(loop_, kIdleCheck, [this] { EndWhenIdle(); });
+    idle_ = ek::Every(loop_, kIdleCheck, [this] { EndWhenDone(); });
   }
 
-  void EndWhenIdle() {
-    if (!eg::IsIdle(gateway_)) return;
+  void EndWhenDone() {
+    if (!eg::MayEnd(gateway_)) return;
     Say(ek::LogLevel::kInfo, "Left: no call was cut.");
     ek::StopLoop(loop_);
   }
@@ -71,6 +79,7 @@
 
   ek::Loop& loop_;
   eg::Gateway& gateway_;
+  std::chrono::milliseconds linger_;
   std::chrono::milliseconds most_;
   bool leaving_ = false;
   bool cut_ = false;
@@ -106,7 +115,7 @@
                                " serves callers at " +
                                eg::CallerAddressOf(started) + " and peers at " +
                                eg::PeerAddressOf(started) + ".");
-  const Stop stop(loop, started, config.stop_time);
+  const Stop stop(loop, started, config);
   ek::RunLoop(loop);
   return stop.IsCut() ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -146,7 +146,9 @@
 }
 
 void Leave(Gateway& gateway) {
+  if (gateway.leaving) return;
   gateway.leaving = true;
+  gateway.linger_until = NowOf(gateway) + gateway.options.linger;
   node::Actions actions;
   node::Leave(*gateway.node, NowOf(gateway), actions);
   Pump(gateway, std::move(actions));
@@ -160,6 +162,11 @@
   return true;
 }
 
+bool MayEnd(const Gateway& gateway) {
+  return gateway.leaving && NowOf(gateway) >= gateway.linger_until &&
+         IsIdle(gateway);
+}
+
 const std::string& CallerAddressOf(const Gateway& gateway) {
   return gateway.front.address;
 }
--- a/gateway/src/gateway_p.h
+++ b/gateway/src/gateway_p.h
@@ -131,6 +131,7 @@
   std::map<CallId, kernel::Watch> death_pauses;
   bool pumping = false;
   bool leaving = false;
+  kernel::Time linger_until{};   ///< Once leaving.
   bool platform_answers = true;  ///< As last logged.
   VmListRead vm_list;
   kernel::Event pump;
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -21,7 +21,7 @@
 
 // Standard values of `[limits]` repeat those of limits.h in the file's own
 // units; a test compares them.
-constexpr std::array<kernel::SettingSpec, 25> kSpecs = {{
+constexpr std::array<kernel::SettingSpec, 26> kSpecs = {{
     {"node", "name", SettingKind::kText, "", true, "the node's name"},
     {"node", "zone", SettingKind::kText, "", true, "an availability zone"},
     {"node", "callers", SettingKind::kAddress, "", true, kAddressExpected},
@@ -61,6 +61,7 @@
     {"log", "level", SettingKind::kText, "info", false,
      "debug, info, warning or error"},
     {"stop", "time", SettingKind::kDuration, "300s", false, kDurationExpected},
+    {"stop", "linger", SettingKind::kDuration, "5s", false, kDurationExpected},
 }};
 
 // Faults that need more than one value, or another part's knowledge.
@@ -214,6 +215,22 @@
   config.log_level = static_cast<kernel::LogLevel>(at - kLevels.begin());
 }
 
+void ReadStop(const kernel::Settings& settings, Checker& checker,
+              NodeConfig& config) {
+  config.stop_time = kernel::DurationOf(settings, "stop", "time");
+  const auto linger = kernel::DurationOf(settings, "stop", "linger");
+  config.gateway.linger = linger;
+  if (linger < kLinger) {
+    checker.Fault("stop", "linger",
+                  "is " + std::to_string(linger.count()) + "ms, expected " +
+                      std::to_string(kLinger.count()) +
+                      "ms or more, as callers keep /where so long");
+  }
+  if (linger > config.stop_time) {
+    checker.Fault("stop", "linger", "is longer than stop.time");
+  }
+}
+
 }  // namespace
 
 std::span<const kernel::SettingSpec> NodeSettings() { return kSpecs; }
@@ -247,7 +264,7 @@
   ReadLimits(settings, checker, config.gateway.limits);
   ReadTls(settings, checker, config.gateway.tls);
   ReadLog(settings, checker, config);
-  config.stop_time = kernel::DurationOf(settings, "stop", "time");
+  ReadStop(settings, checker, config);
   if (found.empty()) return config;
   const kernel::Error first = found.front();
   if (faults != nullptr) *faults = std::move(found);
--- a/gateway/tests/input_test.cc
+++ b/gateway/tests/input_test.cc
@@ -182,6 +182,7 @@
   CHECK_EQUAL(standard.caller_buffer, read.caller_buffer);
   CHECK_EQUAL(standard.answer_bytes, read.answer_bytes);
   CHECK(config.value().stop_time == eg::kStopTime);
+  CHECK(config.value().gateway.linger == eg::kLinger);
   STRCMP_EQUAL("127.0.0.1:80", config.value().gateway.caller_listen.c_str());
 }
 
@@ -199,6 +200,11 @@
                   FirstFault(whole_ + "[limits]\nidle_time = 0s\n").c_str());
   STRCMP_CONTAINS("tls.key is missing",
                   FirstFault(whole_ + "[tls]\ncertificate = a.pem\n").c_str());
+  STRCMP_CONTAINS("n.ini:9: stop.linger is 4000ms, expected 5000ms or more",
+                  FirstFault(whole_ + "[stop]\nlinger = 4s\n").c_str());
+  STRCMP_CONTAINS(
+      "n.ini:9: stop.linger is longer than stop.time",
+      FirstFault(whole_ + "[stop]\nlinger = 9s\ntime = 8s\n").c_str());
   std::string zone = whole_;
   zone.replace(zone.find("bole"), 4, "bo le");
   STRCMP_CONTAINS("n.ini:3: node.zone is 'bo le'", FirstFault(zone).c_str());
--- a/gateway/tests/peer_test.cc
+++ b/gateway/tests/peer_test.cc
@@ -124,6 +124,36 @@
   CHECK_EQUAL(1U, two.endpoint.seen.size());
 }
 
+// A VM is replaced while its node has nothing to do. Callers keep the answer to
+// `/where` a while: they would meet a closed port, and a phone that sends its
+// enrolment again would hear "unknown" though its answer is stored there.
+TEST(Peers, AnIdleLeavingNodeStaysAsLongAsCallersKeepItsAddress) {
+  TwoNodes two;
+  CHECK_TRUE(two.met);
+  const std::string lane = LaneOf(*two.first, two.loop);
+  const std::string other = LaneOf(*two.second, two.loop);
+  CHECK_EQUAL(200, et::StatusIn(Ask(two.loop, *two.first, Enrol(lane, "k1"))));
+  const auto left = two.loop.clock.now;
+  eg::Leave(*two.first);
+  CHECK_TRUE(eg::IsIdle(*two.first));
+  CHECK_FALSE(eg::MayEnd(*two.first));
+  // Repeats get the stored answer, here and by way of the other node.
+  for (const eg::GatewayPtr* node : {&two.first, &two.second}) {
+    const std::string again = Ask(two.loop, **node, Enrol(lane, "k1"));
+    STRCMP_CONTAINS("{\"ok\":true}", again.c_str());
+  }
+  CHECK_EQUAL(1U, two.endpoint.seen.size());
+  const std::string fresh = Ask(two.loop, *two.first, Enrol(lane, "k2"));
+  STRCMP_CONTAINS("\"code\":\"leaving\"", fresh.c_str());
+  STRCMP_CONTAINS("\"ran\":\"no\"", fresh.c_str());
+  // Calls of another owner's lane are passed on to it.
+  const std::string passed = Ask(two.loop, *two.first, Enrol(other, "k3"));
+  CHECK_EQUAL(200, et::StatusIn(passed));
+  CHECK_EQUAL(2U, two.endpoint.seen.size());
+  CHECK_TRUE(et::RunUntil(two.loop, [&] { return eg::MayEnd(*two.first); }));
+  CHECK(two.loop.clock.now - left >= egretladder::node::kWhereKeep);
+}
+
 // The owner of the lane is gone for good. Nobody else knows whether the payment
 // ran, so nobody may say that it did not.
 TEST(Peers, LaneCallOfADeadNodeIsUnknown) {
