--- a/bench/policy_sweep_bench.cc
+++ b/bench/policy_sweep_bench.cc
@@ -87,9 +87,11 @@
   std::printf(" %u |\n", sums.broken);
 }
 
-std::vector<Sweep> AllSweeps() {
-  const Setting standard{"standard", [](Limits&) {}};
-  std::vector<Sweep> sweeps;
+Setting Standard() {
+  return {"standard", [](Limits&) {}};
+}
+
+void AddOverloadSweeps(std::vector<Sweep>& sweeps) {
   Sweep reserve{"reserve_factor",
                 {el::BrokerBurst(), el::BatchOnFewSlots(), el::LongAmongShort(),
                  el::ZoneOutAndBack(), el::AtCapacity(2)},
@@ -111,7 +113,7 @@
       {"refuse_early",
        {el::BrokerBurst(), el::NightBurst(), el::AtCapacity(2),
         el::SaturatedHour()},
-       {standard,
+       {Standard(),
         {"off", [](Limits& l) { l.refuse_early = false; }},
         {"ends_half_trusted 4", [](Limits& l) { l.ends_half_trusted = 4; }},
         {"ends_half_trusted 64", [](Limits& l) { l.ends_half_trusted = 64; }},
@@ -121,10 +123,13 @@
   sweeps.push_back(
       {"charge_expected",
        {el::FewTakeMost(), el::LongAmongShort()},
-       {standard, {"off", [](Limits& l) { l.charge_expected = false; }}}});
+       {Standard(), {"off", [](Limits& l) { l.charge_expected = false; }}}});
+}
+
+void AddChoiceSweeps(std::vector<Sweep>& sweeps) {
   sweeps.push_back({"affinity_load",
                     {el::FewTakeMost(), el::SharedPrefixes()},
-                    {standard,
+                    {Standard(),
                      {"off", [](Limits& l) { l.affinity_load = 0; }},
                      {"1.00", [](Limits& l) { l.affinity_load = 1; }},
                      {"1.50", [](Limits& l) { l.affinity_load = 1.5; }},
@@ -133,7 +138,7 @@
                      {"homes 4", [](Limits& l) { l.affinity_homes = 4; }}}});
   sweeps.push_back({"choices",
                     {el::OneSlow(), el::UnevenOthers()},
-                    {standard,
+                    {Standard(),
                      {"1 (off)", [](Limits& l) { l.choices = 1; }},
                      {"2", [](Limits& l) { l.choices = 2; }},
                      {"3", [](Limits& l) { l.choices = 3; }},
@@ -141,14 +146,17 @@
   sweeps.push_back(
       {"report_half_life",
        {el::UnevenOthers()},
-       {standard,
+       {Standard(),
         {"1 ms (off)", [](Limits& l) { l.report_half_life = milliseconds(1); }},
         {"300 ms", [](Limits& l) { l.report_half_life = milliseconds(300); }},
         {"5 s", [](Limits& l) { l.report_half_life = milliseconds(5000); }}}});
+}
+
+void AddHealthSweeps(std::vector<Sweep>& sweeps) {
   sweeps.push_back(
       {"slow_ratio",
        {el::OneSlow(), el::LongAmongShort()},
-       {standard,
+       {Standard(),
         {"off", [](Limits& l) { l.slow_ratio = 0; }},
         {"1.5", [](Limits& l) { l.slow_ratio = 1.5; }},
         {"4", [](Limits& l) { l.slow_ratio = 4; }},
@@ -157,7 +165,7 @@
         {"probe 4 s", [](Limits& l) { l.probe_every = milliseconds(4000); }}}});
   sweeps.push_back({"shift_start",
                     {el::ZoneOutAndBack(), el::ZoneBackUnwell()},
-                    {standard,
+                    {Standard(),
                      {"1 (off)", [](Limits& l) { l.shift_start = 1; }},
                      {"0.05", [](Limits& l) { l.shift_start = 0.05; }},
                      {"doubling 1 s",
@@ -165,6 +173,13 @@
                      {"doubling 8 s", [](Limits& l) {
                         l.shift_doubling = milliseconds(8000);
                       }}}});
+}
+
+std::vector<Sweep> AllSweeps() {
+  std::vector<Sweep> sweeps;
+  AddOverloadSweeps(sweeps);
+  AddChoiceSweeps(sweeps);
+  AddHealthSweeps(sweeps);
   return sweeps;
 }
 
--- a/lab/src/scenario_events.cc
+++ b/lab/src/scenario_events.cc
@@ -167,6 +167,20 @@
   engine.options.cold_bears = 0;
 }
 
+void CrashByName(World& world, const std::string& name) {
+  CrashEndpoint(world, *FindEndpoint(world, name));
+}
+
+void Restart(World& world, const std::string& name) {
+  Kill(world, name);
+  RestartNode(*world.driver, FindNodeByName(world, name));
+}
+
+void EachName(World& world, const EventSpec& event,
+              void (*apply)(World&, const std::string&)) {
+  for (const std::string& name : event.names) apply(world, name);
+}
+
 void Deploy(World& world, const EventSpec& event) {
   const std::string& text =
       event.text.empty() ? world.published->text : event.text;
@@ -178,13 +192,9 @@
     case EventKind::kSlow:
       return SlowDown(world, event, event.factor);
     case EventKind::kCrash:
-      for (const auto& name : event.names) {
-        CrashEndpoint(world, *FindEndpoint(world, name));
-      }
-      return;
+      return EachName(world, event, CrashByName);
     case EventKind::kCold:
-      for (const auto& name : event.names) TurnColdAgain(world, name);
-      return;
+      return EachName(world, event, TurnColdAgain);
     case EventKind::kLag:
       return Lag(world, event, milliseconds(10'000));
     case EventKind::kCut:
@@ -199,20 +209,13 @@
                         PauseNode(*w.driver, idx, In(w, e.lasts));
                       });
     case EventKind::kKill:
-      for (const auto& name : event.names) Kill(world, name);
-      return;
+      return EachName(world, event, Kill);
     case EventKind::kRestart:
-      for (const auto& name : event.names) {
-        Kill(world, name);
-        RestartNode(*world.driver, FindNodeByName(world, name));
-      }
-      return;
+      return EachName(world, event, Restart);
     case EventKind::kLeave:
-      for (const auto& name : event.names) Leave(world, name);
-      return;
+      return EachName(world, event, Leave);
     case EventKind::kReturn:
-      for (const auto& name : event.names) ComeBack(world, name);
-      return;
+      return EachName(world, event, ComeBack);
     case EventKind::kZoneOut:
       return ChangeAndPublish(world, "zone", event.names[0], "out", "yes");
     case EventKind::kZoneBack:
