Take out SubsetOf, which nothing calls

Cause: SubsetOf chose the endpoints that a node should hold slots at. No code but its own test called it: a node asks for slots where its calls go, and the keepers of each endpoint share them out (docs/design/slots.md). The test checked nothing that runs: how evenly nodes' subsets spread. Where slots go in the fleet is measured on docs/design/fleet-slopes.md. Conclusion: one way of sharing slots is left in the code.

--- a/policy/include/egretladder/policy/pick.h
+++ b/policy/include/egretladder/policy/pick.h
@@ -8,7 +8,6 @@
 #pragma once
 
 #include <cstdint>
-#include <string_view>
 #include <vector>
 
 #include "egretladder/kernel/time.h"
@@ -56,14 +55,4 @@
 void HomesOf(const PrefixRing& ring, std::uint64_t prefix, std::uint32_t homes,
              std::vector<EndpointHandle>& out);
 
-/// Endpoints that one node should hold slots at for `target`, at most `size`:
-/// all when there are no more, else the own zone's share first, chosen by
-/// rendezvous hash of node and endpoint, so that nodes spread evenly and little
-/// moves with changes. At 390 nodes before 790 endpoints, all of them would
-/// leave each node less than a slot per endpoint. O(n log n); on new rules
-/// only.
-std::vector<EndpointHandle> SubsetOf(const rules::Rules& rules,
-                                     TargetHandle target, std::string_view node,
-                                     ZoneHandle zone, std::size_t size);
-
 }  // namespace egretladder::policy
--- a/policy/src/endpoints.cc
+++ b/policy/src/endpoints.cc
@@ -3,12 +3,17 @@
 #include "endpoints_p.h"
 
 namespace egretladder::policy {
+namespace {
+
+/// True when the rules let `endpoint` take new work.
 bool InService(const rules::Rules& rules, const rules::Endpoint& endpoint) {
   if (!endpoint.source.present || endpoint.leaving) return false;
   const std::size_t zone = endpoint.zone.idx;
   return zone >= rules.zones.size() || !rules.zones[zone].out;
 }
 
+}  // namespace
+
 void ApplyRules(EndpointTable& table, rules::RulesPtr rules) {
   table.rules = std::move(rules);
   const rules::Rules& now_in_force = *table.rules;
--- a/policy/src/endpoints_p.h
+++ b/policy/src/endpoints_p.h
@@ -23,9 +23,6 @@
   std::vector<std::vector<EndpointHandle>> by_target;  ///< In service only.
 };
 
-/// True when the rules let `endpoint` take new work.
-bool InService(const rules::Rules& rules, const rules::Endpoint& endpoint);
-
 void ApplyRules(EndpointTable& table, rules::RulesPtr rules);
 
 /// Null for a handle that the rules in force don't know.
--- a/policy/src/pick.cc
+++ b/policy/src/pick.cc
@@ -3,10 +3,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <utility>
 
 #include "egretladder/kernel/hash.h"
-#include "endpoints_p.h"
 
 namespace egretladder::policy {
 namespace {
@@ -77,44 +75,4 @@
   }
 }
 
-std::vector<EndpointHandle> SubsetOf(const rules::Rules& rules,
-                                     TargetHandle target, std::string_view node,
-                                     ZoneHandle zone, std::size_t size) {
-  struct Ranked {
-    bool far = false;
-    std::uint64_t hash = 0;
-    EndpointHandle endpoint;
-  };
-  const std::uint64_t seed = kernel::HashOf(node);
-  std::vector<Ranked> ranked;
-  for (std::uint32_t i = 0; i < rules.endpoints.size(); ++i) {
-    const rules::Endpoint& endpoint = rules.endpoints[i];
-    if (!InService(rules, endpoint) || !rules::Serves(endpoint, target)) {
-      continue;
-    }
-    ranked.push_back({endpoint.zone != zone,
-                      kernel::HashOf(endpoint.source.name, seed),
-                      EndpointHandle{i}});
-  }
-  std::sort(ranked.begin(), ranked.end(),
-            [](const Ranked& left, const Ranked& right) {
-              return left.hash < right.hash;
-            });
-  // Half from the own zone; the rest from anywhere, so that a node does not
-  // lose all its endpoints with its zone.
-  std::size_t near_left = (size + 1) / 2;
-  std::vector<EndpointHandle> subset;
-  for (Ranked& entry : ranked) {
-    if (near_left == 0) break;
-    if (entry.far) continue;
-    subset.push_back(std::exchange(entry.endpoint, EndpointHandle{}));
-    --near_left;
-  }
-  for (const Ranked& entry : ranked) {
-    if (subset.size() >= size) break;
-    if (rules::IsValid(entry.endpoint)) subset.push_back(entry.endpoint);
-  }
-  return subset;
-}
-
 }  // namespace egretladder::policy
--- a/policy/tests/decisions_test.cc
+++ b/policy/tests/decisions_test.cc
@@ -3,7 +3,6 @@
 #include <CppUTest/TestHarness.h>
 
 #include <chrono>
-#include <set>
 #include <string>
 
 #include "egretladder/policy/admit.h"
@@ -190,31 +189,6 @@
   }
 }
 
-// 390 nodes before 790 endpoints. If their subsets fell together, some
-// endpoints would idle while others were full.
-TEST(Decisions, SubsetsSpreadOverTheFleet) {
-  ep::load::Load load;
-  load.fleet.endpoints = 790;
-  load.fleet.zones = 5;
-  const auto rules = ep::load::MakeRules(load, 1, {});
-  std::vector<int> holders(790);
-  for (int node = 0; node < 390; ++node) {
-    const auto subset =
-        ep::SubsetOf(*rules, {0}, "node-" + std::to_string(node),
-                     ep::ZoneHandle{static_cast<std::uint32_t>(node % 5)}, 40);
-    std::set<std::uint32_t> different;
-    for (const ep::EndpointHandle endpoint : subset) {
-      ++holders[endpoint.idx];
-      different.insert(endpoint.idx);
-    }
-    CHECK_EQUAL(40U, different.size());
-  }
-  const auto [fewest, most] =
-      std::minmax_element(holders.begin(), holders.end());
-  CHECK_TRUE(*fewest >= 5);  // 19.7 on average.
-  CHECK_TRUE(*most <= 40);
-}
-
 // A zone returns with idle endpoints. All at once, every new request goes to a
 // zone of which no one knows whether it is well.
 TEST(Decisions, ZoneGetsItsSlotsBackByAndBy) {
