--- a/gateway/tests/harness.h
+++ b/gateway/tests/harness.h
@@ -27,7 +27,7 @@
   kernel::Loop loop;
 };
 
-/// Turns the loop until `happened`; false when the watchdog's 5 seconds of
+/// Turns the loop until `happened`; false when the watchdog's seconds of
 /// real time went by first.
 bool RunUntil(TestLoop& loop, const std::function<bool()>& happened);
 
