Keep one RowOf for the fleet's sources

Cause: the same look-up stood in two files. Change: it stands once, in the private header. Conclusion: 58 fleet tests as before.

--- a/fleet/src/fleet_keeper.cc
+++ b/fleet/src/fleet_keeper.cc
@@ -13,10 +13,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-const rules::Endpoint& RowOf(const FleetState& state, EndpointHandle endpoint) {
-  return state.config.rules->endpoints[endpoint.idx];
-}
-
 bool MayKeep(const FleetState& state, const EndpointState& endpoint, Time now) {
   return !state.leaving && MayKeep(state.members, endpoint.voters,
                                    endpoint.book.has_value(), now);
--- a/fleet/src/fleet_slots.cc
+++ b/fleet/src/fleet_slots.cc
@@ -6,10 +6,6 @@
 namespace egretladder::fleet {
 namespace {
 
-const rules::Endpoint& RowOf(const FleetState& state, EndpointHandle endpoint) {
-  return state.config.rules->endpoints[endpoint.idx];
-}
-
 bool HasReports(const rules::Rules& rules, const rules::Endpoint& endpoint) {
   return std::any_of(endpoint.serves.begin(), endpoint.serves.end(),
                      [&](rules::TargetHandle target) {
--- a/fleet/src/fleet_state_p.h
+++ b/fleet/src/fleet_state_p.h
@@ -65,6 +65,11 @@
 void TakeGossip(FleetState& state, const Sender& from, const Gossip& gossip,
                 Time now, Actions& out);
 const std::string& AddressOf(const FleetState& state, std::string_view node);
+/// The endpoint's line in the rules in force, which there must be.
+inline const rules::Endpoint& RowOf(const FleetState& state,
+                                    EndpointHandle endpoint) {
+  return state.config.rules->endpoints[endpoint.idx];
+}
 
 // fleet_rules.cc
 void TakeText(FleetState& state, const std::string& text,
