Take out what nothing calls

Cause: a read of the whole change found FlagOf with its kind of setting, and IsPublished, without a caller or a test. Change: they are gone.

--- a/fleet/src/fleet_rules.cc
+++ b/fleet/src/fleet_rules.cc
@@ -31,11 +31,6 @@
   return state.config.rules == nullptr ? 0 : state.config.rules->version;
 }
 
-bool IsPublished(const FleetState& state) {
-  return state.config.rules != nullptr &&
-         IsValid(FindNode(*state.config.rules, state.members.self.node));
-}
-
 ReadPace PaceOf(const FleetState& state, Time now) {
   if (state.config.rules == nullptr) return ReadPace::kAlone;
   const bool others =
--- a/fleet/src/fleet_state_p.h
+++ b/fleet/src/fleet_state_p.h
@@ -77,7 +77,6 @@
 void ReadPlatform(FleetState& state, Time now, Actions& out);
 void ReleaseHeldBack(FleetState& state, Time now, Actions& out);
 ReadPace PaceOf(const FleetState& state, Time now);
-bool IsPublished(const FleetState& state);
 std::uint64_t VersionOf(const FleetState& state);
 
 // fleet_slots.cc
--- a/kernel/include/egretladder/kernel/settings.h
+++ b/kernel/include/egretladder/kernel/settings.h
@@ -20,7 +20,6 @@
   kBytes,     ///< A number with `B`, `KiB` or `MiB`.
   kDuration,  ///< A number with `ms`, `s`, `m` or `h`.
   kAddress,   ///< `IP:port`.
-  kFlag,      ///< `yes` or `no`.
   kSecret,    ///< Text that no log ever shows.
 };
 
@@ -60,8 +59,5 @@
 std::chrono::milliseconds DurationOf(const Settings& settings,
                                      std::string_view section,
                                      std::string_view key);
-/// The value of a `kFlag`.
-bool FlagOf(const Settings& settings, std::string_view section,
-            std::string_view key);
 
 }  // namespace egretladder::kernel
--- a/kernel/src/settings.cc
+++ b/kernel/src/settings.cc
@@ -64,8 +64,6 @@
       return ParseDuration(value.c_str()).count() >= 0;
     case SettingKind::kAddress:
       return IsAddress(value);
-    case SettingKind::kFlag:
-      return value == "yes" || value == "no";
   }
   return false;
 }
@@ -168,9 +166,4 @@
       ParseDuration(Find(settings, section, key).c_str()));
 }
 
-bool FlagOf(const Settings& settings, std::string_view section,
-            std::string_view key) {
-  return Find(settings, section, key) == "yes";
-}
-
 }  // namespace egretladder::kernel
