Draw a restarted process's number before it is used twice

Cause: the compiler warned that the random test of lanes raises a number and reads it in one call, in an order the language leaves open; a process could get its predecessor's secret. Change: the number is raised first. No check is touched. Conclusion: the test gives the same secrets with any compiler.

--- a/fleet/tests/lane_random_test.cc
+++ b/fleet/tests/lane_random_test.cc
@@ -56,7 +56,8 @@
   ek::Time LocalNow(const Node& node) const { return now_ + node.clock_shift; }
 
   void Restart(std::uint32_t i) {
-    nodes_[i].lanes = ef::StartLanes("n" + std::to_string(i), ++incarnations_,
+    ++incarnations_;
+    nodes_[i].lanes = ef::StartLanes("n" + std::to_string(i), incarnations_,
                                      "s" + std::to_string(incarnations_),
                                      LocalNow(nodes_[i]));
     nodes_[i].attempts.clear();
