--- a/cmake/EgretladderPackage.cmake
+++ b/cmake/EgretladderPackage.cmake
@@ -30,7 +30,7 @@
     CACHE INTERNAL "")
 
   file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cc tests/harness*.cc)
-  if(tests)
+  if(tests AND EGRETLADDER_TESTS)
     add_executable(${name}_tests tests/main.cc ${tests})
     target_include_directories(${name}_tests PRIVATE src tests)
     if(generated)
--- /dev/null
+++ b/gateway/main/front_hosts.cc
@@ -0,0 +1,139 @@
+// Serves requests by host and path at endpoints that it discovers.
+#include <sys/resource.h>
+#include <sys/stat.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "egretladder/kernel/ini.h"
+#include "egretladder/kernel/log.h"
+#include "egretladder/kernel/loop.h"
+#include "egretladder/kernel/registry.h"
+#include "egretladder/proxy/proxy.h"
+#include "egretladder/proxy/settings.h"
+#include "front.h"
+
+namespace {
+
+namespace ek = egretladder::kernel;
+namespace ep = egretladder::proxy;
+
+constexpr std::chrono::milliseconds kEndCheck{50};
+/// Between two looks whether the settings file changed: it may do so without a
+/// signal.
+constexpr std::chrono::milliseconds kSettingsCheck{2000};
+
+void Say(ek::LogLevel level, const std::string& sentence) {
+  ek::Log(ek::LogPart::kKernel, level, sentence);
+}
+
+void RaiseDescriptorLimit() {
+  rlimit allowed{};
+  if (getrlimit(RLIMIT_NOFILE, &allowed) != 0) return;
+  allowed.rlim_cur = allowed.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &allowed);
+}
+
+// Stops in order, and takes in changed settings while it runs.
+class Service {
+ public:
+  Service(ek::Loop& loop, ep::Proxy& proxy, std::string text, std::string path)
+      : loop_(loop),
+        proxy_(proxy),
+        text_(std::move(text)),
+        path_(std::move(path)) {
+    stop_ = ek::OnSignal(loop, SIGTERM, [this] { Stop(); });
+    interrupt_ = ek::OnSignal(loop, SIGINT, [this] { Stop(); });
+    reload_ = ek::OnSignal(loop, SIGHUP, [this] { Reload("signal"); });
+    look_ = ek::Every(loop, kSettingsCheck, [this] { Reload("file"); });
+  }
+
+ private:
+  void Stop() {
+    if (leaving_) return;
+    leaving_ = true;
+    Say(ek::LogLevel::kInfo, "Leaving: calls in progress go to their end.");
+    ep::Leave(proxy_);
+    end_ = ek::Every(loop_, kEndCheck, [this] {
+      if (!ep::MayEnd(proxy_)) return;
+      Say(ek::LogLevel::kInfo,
+          "Left: calls=" + std::to_string(ep::ViewOf(proxy_).calls));
+      ek::StopLoop(loop_);
+    });
+  }
+
+  // Only the seeds may change in a running process; what it listens on stays
+  // until its next start.
+  void Reload(const char* why) {
+    auto text = ek::ReadFile(path_);
+    if (!text) {
+      Say(ek::LogLevel::kWarning,
+          "Settings not read, the last ones stay: " +
+              ek::Describe(text.error()));
+      return;
+    }
+    if (text.value() == text_) return;
+    text_ = text.value();
+    const auto config = ep::ReadProxyConfig(text_, path_);
+    if (!config) {
+      Say(ek::LogLevel::kWarning,
+          "Settings not valid, the last ones stay: " +
+              ek::Describe(config.error()));
+      return;
+    }
+    ep::SetSeeds(proxy_, config.value().proxy.seeds);
+    Say(ek::LogLevel::kInfo, std::string("Settings reloaded: why=") + why);
+  }
+
+  ek::Loop& loop_;
+  ep::Proxy& proxy_;
+  std::string text_;
+  std::string path_;
+  bool leaving_ = false;
+  ek::Watch stop_;
+  ek::Watch interrupt_;
+  ek::Watch reload_;
+  ek::Watch look_;
+  ek::Watch end_;
+};
+
+int Run(const ep::ProxyConfig& config, const std::string& text,
+        const std::string& path) {
+  ek::StartLogs(config.log_format, config.log_level,
+                ek::LogTarget::kStandardOutput);
+  std::signal(SIGPIPE, SIG_IGN);
+  RaiseDescriptorLimit();
+  ek::Loop loop = ek::OpenLoop();
+  loop.clock = ek::SuspendAwareClock();
+  auto proxy = ep::StartProxy(loop, config.proxy);
+  if (!proxy) {
+    Say(ek::LogLevel::kError, ek::Describe(proxy.error()));
+    return EXIT_FAILURE;
+  }
+  Say(ek::LogLevel::kInfo, "Started: node=" + config.proxy.node +
+                               " zone=" + config.proxy.zone +
+                               " callers=" + config.proxy.callers);
+  const Service service(loop, *proxy.value(), text, path);
+  ek::RunLoop(loop);
+  return EXIT_SUCCESS;
+}
+
+int CheckAndRun(const std::string& text, const std::string& path) {
+  std::vector<ek::Error> faults;
+  const auto config = ep::ReadProxyConfig(text, path, &faults);
+  if (!config) {
+    for (const ek::Error& fault : faults) {
+      std::cerr << ek::Describe(fault) << '\n';
+    }
+    return kBadSettings;
+  }
+  return Run(config.value(), text, path);
+}
+
+constexpr Front kFront = {CheckAndRun, ep::DescribeSettings};
+const ek::PluginRegistrar<Front> kRegistrar("hosts", kFront);
+
+}  // namespace
--- a/gateway/src/caller_evhttp.cc
+++ b/gateway/src/caller_evhttp.cc
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "address_p.h"
+#include "egretladder/net/address.h"
 #include "caller_body_p.h"
 #include "egretladder/kernel/hash.h"
 #include "egretladder/kernel/log.h"
@@ -11,6 +11,9 @@
 #include "http_headers_p.h"
 
 namespace egretladder::gateway {
+using net::ParseAddress;
+using net::SetNoDelay;
+using net::WithBoundPort;
 namespace {
 
 constexpr std::string_view kChatPath = "/v1/chat/completions";
--- a/gateway/src/http_client_evhttp.cc
+++ b/gateway/src/http_client_evhttp.cc
@@ -5,11 +5,13 @@
 #include <map>
 #include <unordered_map>
 
-#include "address_p.h"
+#include "egretladder/net/address.h"
 #include "egretladder/gateway/limits.h"
 #include "http_client_p.h"
 
 namespace egretladder::gateway {
+using net::SetNoDelay;
+using net::SplitAddress;
 namespace {
 
 struct ConnectionFree {
--- a/gateway/src/peer_capnp.cc
+++ b/gateway/src/peer_capnp.cc
@@ -7,14 +7,21 @@
 #include <utility>
 #include <vector>
 
-#include "address_p.h"
+#include "egretladder/net/address.h"
 #include "egretladder/kernel/hash.h"
 #include "egretladder/kernel/log.h"
 #include "gateway_p.h"
-#include "kj_loop_p.h"
+#include "egretladder/net/kj_loop.h"
 #include "peer_codec_p.h"
 
 namespace egretladder::gateway {
+using net::AcquireKjLoop;
+using net::Bufferevent;
+using net::BuffereventStream;
+using net::KjLoop;
+using net::ParseAddress;
+using net::SetNoDelay;
+using net::WithBoundPort;
 namespace {
 
 using kernel::LogLevel;
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -5,12 +5,13 @@
 #include <cctype>
 #include <string>
 
-#include "address_p.h"
+#include "egretladder/net/address.h"
 #include "egretladder/kernel/ini.h"
 #include "egretladder/kernel/registry.h"
 #include "egretladder/policy/scheduler.h"
 
 namespace egretladder::gateway {
+using net::SplitAddress;
 namespace {
 
 using kernel::SettingKind;
@@ -93,19 +94,6 @@
   std::vector<kernel::IniEntry> entries_;
 };
 
-std::vector<std::string> SplitList(const std::string& text) {
-  std::vector<std::string> items;
-  std::size_t at = 0;
-  while (at <= text.size()) {
-    const std::size_t comma = std::min(text.find(',', at), text.size());
-    std::string item = text.substr(at, comma - at);
-    std::erase(item, ' ');
-    if (!item.empty()) items.push_back(std::move(item));
-    at = comma + 1;
-  }
-  return items;
-}
-
 bool IsName(const std::string& text) {
   return !text.empty() &&
          std::all_of(text.begin(), text.end(), [](unsigned char c) {
@@ -135,7 +123,7 @@
   fleet.peer_address = text("peers");
   options.caller_listen = Or(text("listen_callers"), text("callers"));
   options.peer_listen = Or(text("listen_peers"), text("peers"));
-  fleet.seeds = SplitList(text("seeds"));
+  fleet.seeds = kernel::SplitList(text("seeds"));
   for (const std::string& seed : fleet.seeds) {
     if (SplitAddress(seed).second == 0) {
       checker.Fault("node", "seeds",
@@ -197,22 +185,19 @@
 void ReadLog(const kernel::Settings& settings, Checker& checker,
              NodeConfig& config) {
   const std::string& format = kernel::TextOf(settings, "log", "format");
-  if (format == "json") {
-    config.log_format = kernel::LogFormat::kJson;
-  } else if (format != "text") {
+  if (const auto read = kernel::ParseLogFormat(format)) {
+    config.log_format = *read;
+  } else {
     checker.Fault("log", "format",
                   "is '" + format + "', expected text or json");
   }
-  constexpr std::array<const char*, 4> kLevels = {"debug", "info", "warning",
-                                                  "error"};
   const std::string& level = kernel::TextOf(settings, "log", "level");
-  const auto at = std::find(kLevels.begin(), kLevels.end(), level);
-  if (at == kLevels.end()) {
+  if (const auto read = kernel::ParseLogLevel(level)) {
+    config.log_level = *read;
+  } else {
     checker.Fault("log", "level",
                   "is '" + level + "', expected debug, info, warning or error");
-    return;
   }
-  config.log_level = static_cast<kernel::LogLevel>(at - kLevels.begin());
 }
 
 void ReadStop(const kernel::Settings& settings, Checker& checker,
@@ -235,22 +220,7 @@
 
 std::span<const kernel::SettingSpec> NodeSettings() { return kSpecs; }
 
-std::string DescribeSettings() {
-  std::string text;
-  std::string_view section;
-  for (const kernel::SettingSpec& spec : kSpecs) {
-    if (spec.section != section) {
-      section = spec.section;
-      text += "  [" + std::string(section) + "]\n";
-    }
-    text += "    " + std::string(spec.key) + " = ";
-    text += spec.required           ? "(required)"
-            : spec.standard.empty() ? "(none)"
-                                    : std::string(spec.standard);
-    text += "  ; " + std::string(spec.expected) + "\n";
-  }
-  return text;
-}
+std::string DescribeSettings() { return kernel::DescribeSettings(kSpecs); }
 
 kernel::Result<NodeConfig> ReadNodeConfig(const std::string& text,
                                           std::string_view file,
--- a/kernel/include/egretladder/kernel/settings.h
+++ b/kernel/include/egretladder/kernel/settings.h
@@ -18,6 +18,7 @@
   kText,
   kCount,     ///< A whole number from 0.
   kBytes,     ///< A number with `B`, `KiB` or `MiB`.
+  kNumber,    ///< A decimal number from 0.
   kDuration,  ///< A number with `ms`, `s`, `m` or `h`.
   kAddress,   ///< `IP:port`.
   kSecret,    ///< Text that no log ever shows.
@@ -46,12 +47,21 @@
                               std::span<const SettingSpec> specs,
                               std::vector<Error>* faults = nullptr);
 
+/// One line for each setting: section, key, standard value, what is expected.
+std::string DescribeSettings(std::span<const SettingSpec> specs);
+
+/// Splits a list of values at commas; blanks are dropped.
+std::vector<std::string> SplitList(const std::string& text);
+
 /// The value as text, of any kind.
 const std::string& TextOf(const Settings& settings, std::string_view section,
                           std::string_view key);
 /// The value of a `kCount`.
 std::uint64_t CountOf(const Settings& settings, std::string_view section,
                       std::string_view key);
+/// The value of a `kNumber`.
+double NumberOf(const Settings& settings, std::string_view section,
+                std::string_view key);
 /// In bytes.
 std::uint64_t BytesOf(const Settings& settings, std::string_view section,
                       std::string_view key);
--- a/kernel/include/egretladder/kernel/time.h
+++ b/kernel/include/egretladder/kernel/time.h
@@ -21,6 +21,14 @@
 /// Returns the monotonic clock of the system.
 Clock SystemClock();
 
+/// Returns the system's clock that also counts the time in which the machine
+/// was suspended.
+///
+/// The monotonic clock stands still in a suspended machine. A deadline or an
+/// entry's age measured with it looks fresh after seconds of standstill, and
+/// requests are sent whose callers left long ago.
+Clock SuspendAwareClock();
+
 /// A clock that stands still until a test advances it.
 struct PausedClock {
   Time now{std::chrono::hours(1)};
--- a/kernel/src/log.cc
+++ b/kernel/src/log.cc
@@ -6,6 +6,7 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <algorithm>
 #include <array>
 
 namespace egretladder::kernel {
@@ -46,7 +47,21 @@
 
 }  // namespace
 
-void StartLogs(LogFormat format, LogLevel lowest) {
+std::optional<LogFormat> ParseLogFormat(std::string_view word) {
+  if (word == "text") return LogFormat::kText;
+  if (word == "json") return LogFormat::kJson;
+  return std::nullopt;
+}
+
+std::optional<LogLevel> ParseLogLevel(std::string_view word) {
+  constexpr std::array<std::string_view, 4> kLevels = {"debug", "info",
+                                                       "warning", "error"};
+  const auto* at = std::find(kLevels.begin(), kLevels.end(), word);
+  if (at == kLevels.end()) return std::nullopt;
+  return static_cast<LogLevel>(at - kLevels.begin());
+}
+
+void StartLogs(LogFormat format, LogLevel lowest, LogTarget target) {
   log4cxx::LayoutPtr layout;
   if (format == LogFormat::kJson) {
     layout = std::make_shared<log4cxx::JSONLayout>();
@@ -55,7 +70,9 @@
         std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %p %c: %m%n");
   }
   auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
+      layout, target == LogTarget::kStandardOutput
+                  ? log4cxx::ConsoleAppender::getSystemOut()
+                  : log4cxx::ConsoleAppender::getSystemErr());
   auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
--- a/kernel/src/settings.cc
+++ b/kernel/src/settings.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <optional>
 
@@ -34,6 +35,14 @@
   return std::nullopt;
 }
 
+std::optional<double> ParseNumber(const std::string& text) {
+  char* end = nullptr;
+  const double number = std::strtod(text.c_str(), &end);
+  // Also false for NaN.
+  if (text.empty() || *end != '\0' || !(number >= 0)) return std::nullopt;
+  return number;
+}
+
 bool IsAddress(const std::string& text) {
   const auto colon = text.rfind(':');
   if (colon == std::string::npos) return false;
@@ -60,6 +69,8 @@
       return ParseCount(value, &rest) && rest.empty();
     case SettingKind::kBytes:
       return ParseBytes(value).has_value();
+    case SettingKind::kNumber:
+      return ParseNumber(value).has_value();
     case SettingKind::kDuration:
       return ParseDuration(value.c_str()).count() >= 0;
     case SettingKind::kAddress:
@@ -143,6 +154,36 @@
   return settings;
 }
 
+std::string DescribeSettings(std::span<const SettingSpec> specs) {
+  std::string text;
+  std::string_view section;
+  for (const SettingSpec& spec : specs) {
+    if (spec.section != section) {
+      section = spec.section;
+      text += "  [" + std::string(section) + "]\n";
+    }
+    text += "    " + std::string(spec.key) + " = ";
+    text += spec.required           ? "(required)"
+            : spec.standard.empty() ? "(none)"
+                                    : std::string(spec.standard);
+    text += "  ; " + std::string(spec.expected) + "\n";
+  }
+  return text;
+}
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> items;
+  std::size_t at = 0;
+  while (at <= text.size()) {
+    const std::size_t comma = std::min(text.find(',', at), text.size());
+    std::string item = text.substr(at, comma - at);
+    std::erase(item, ' ');
+    if (!item.empty()) items.push_back(std::move(item));
+    at = comma + 1;
+  }
+  return items;
+}
+
 const std::string& TextOf(const Settings& settings, std::string_view section,
                           std::string_view key) {
   return Find(settings, section, key);
@@ -154,6 +195,11 @@
   return ParseCount(Find(settings, section, key), &rest).value_or(0);
 }
 
+double NumberOf(const Settings& settings, std::string_view section,
+                std::string_view key) {
+  return ParseNumber(Find(settings, section, key)).value_or(0);
+}
+
 std::uint64_t BytesOf(const Settings& settings, std::string_view section,
                       std::string_view key) {
   return ParseBytes(Find(settings, section, key)).value_or(0);
--- a/kernel/src/time.cc
+++ b/kernel/src/time.cc
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <cstring>
+#include <ctime>
 #include <string_view>
 
 namespace egretladder::kernel {
@@ -11,6 +12,14 @@
   return std::chrono::steady_clock::now();
 }
 
+Time SuspendAwareNow(const void* /*source*/) {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Time(std::chrono::duration_cast<Time::duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 Time PausedNow(const void* source) {
   return static_cast<const PausedClock*>(source)->now;
 }
@@ -19,6 +28,8 @@
 
 Clock SystemClock() { return {SystemNow, nullptr}; }
 
+Clock SuspendAwareClock() { return {SuspendAwareNow, nullptr}; }
+
 Clock ViewOf(const PausedClock& paused) { return {PausedNow, &paused}; }
 
 void Advance(PausedClock& paused, std::chrono::nanoseconds step) {
--- a/gateway/src/address_p.h
+++ b/net/include/egretladder/net/address.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <utility>
 
-namespace egretladder::gateway {
+namespace egretladder::net {
 
 /// Host and port; brackets of IPv6 are taken off. Port 0 when there is none.
 std::pair<std::string, std::uint16_t> SplitAddress(const std::string& address);
@@ -30,4 +30,4 @@
 /// of the one before.
 void SetNoDelay(evutil_socket_t fd);
 
-}  // namespace egretladder::gateway
+}  // namespace egretladder::net
--- /dev/null
+++ b/net/include/egretladder/net/http_client.h
@@ -0,0 +1,87 @@
+// Endpoints' side of HTTP/1.1: connections that are used again, requests sent,
+// answers read piece by piece.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "egretladder/kernel/loop.h"
+#include "egretladder/net/http_message.h"
+
+namespace egretladder::net {
+
+/// How an exchange failed. Decides what may be sent again.
+enum class ExchangeFault : std::uint8_t {
+  kNotConnected,  ///< No byte of the request left.
+  kBroken,        ///< The connection ended or went silent: outcome unknown.
+  kBadAnswer,     ///< What came back is no answer, or not a whole one.
+};
+
+/// What the taker of an answer does with its head.
+enum class HeadVerdict : std::uint8_t {
+  kTake,
+  /// It belongs to another request: read past it and wait for the right one.
+  kSkip,
+};
+
+/// Called from the loop. After `on_end` or `on_fault` nothing more comes.
+struct ExchangeHandlers {
+  /// The first byte of the request is about to leave. False: don't send.
+  std::function<bool()> may_send;
+  std::function<HeadVerdict(const HttpAnswerHead&)> on_head;
+  std::function<void(std::string_view piece)> on_body;
+  std::function<void()> on_end;
+  std::function<void(ExchangeFault, const std::string& detail)> on_fault;
+};
+
+/// One request to be sent.
+struct ExchangeRequest {
+  std::string address;  ///< `IP:port`.
+  std::string head;
+  std::string body;
+  bool is_head = false;  ///< The method is HEAD: the answer has no body.
+  /// It may run once only: a connection that may close on its way is not used.
+  bool once = false;
+  std::chrono::milliseconds connect_time{};  ///< 0: the standard.
+};
+
+class HttpExchange;
+/// Keeps an exchange going; letting it go does not stop it.
+using HttpExchangePtr = std::shared_ptr<HttpExchange>;
+
+/// Stops an exchange: its connection is closed, and no handler is called any
+/// more. The endpoint sees the close and stops work.
+void Cancel(const HttpExchangePtr& exchange);
+/// Holds back or goes on reading, while the caller is slow.
+void SetReading(const HttpExchangePtr& exchange, bool reading);
+
+/// Connections to any number of addresses, kept for reuse, last used first.
+class HttpClient {
+ public:
+  explicit HttpClient(kernel::Loop& loop);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Sends a request. Handlers are called from the loop, never from in here.
+  HttpExchangePtr Start(ExchangeRequest request, ExchangeHandlers handlers);
+  /// Closes the idle connections to an address whose owner is gone.
+  void DropIdle(const std::string& address);
+  /// Connections opened since the start.
+  std::uint64_t opened() const;
+  /// Connections kept idle now.
+  std::size_t idle() const;
+
+  /// Known to the sources only.
+  struct State;
+
+ private:
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace egretladder::net
--- /dev/null
+++ b/net/include/egretladder/net/http_server.h
@@ -0,0 +1,111 @@
+// Callers' side of HTTP/1.1: connections accepted, requests read whole and
+// checked, answers written. Source: libevent, and Boost.Beast through
+// http_reader.h.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "egretladder/kernel/error.h"
+#include "egretladder/kernel/loop.h"
+#include "egretladder/net/http_message.h"
+#include "egretladder/net/http_reader.h"
+
+namespace egretladder::net {
+
+/// What callers may send, and how long they may take. May change at any time;
+/// it holds for requests that begin later.
+struct ServerLimits {
+  ReadLimits size{std::size_t{16} << 10U, std::size_t{4} << 20U};
+  std::chrono::milliseconds head_time{3000};   ///< From its first byte.
+  std::chrono::milliseconds idle_time{15000};  ///< Between two requests.
+  std::size_t connections = 2000;
+};
+
+class HttpConnection;
+
+/// One request of a caller and its answer. Begins when the request was read
+/// whole; ends with `Answer`, `End` or `Break`, or when the caller goes.
+class HttpCall {
+ public:
+  HttpCall(std::shared_ptr<HttpConnection> connection, HttpRequest request);
+
+  const HttpRequest& request() const { return request_; }
+  /// Lets the body go once it can't be sent again.
+  void DropBody() { request_.body = std::string(); }
+
+  /// Called once if the caller goes before its answer ended. Set it again to
+  /// replace it.
+  void OnGone(std::function<void()> action) { gone_ = std::move(action); }
+
+  /// Gives a whole answer.
+  void Answer(int status, std::string_view reason, const HttpFields& fields,
+              std::string_view body);
+  /// Begins an answer whose end is not known yet.
+  void Begin(int status, std::string_view reason, const HttpFields& fields);
+  /// Passes on a piece of it.
+  void Send(std::string_view piece);
+  /// Ends it as complete.
+  void End();
+  /// Closes the connection, so that half an answer can't look complete.
+  void Break();
+
+  bool begun() const { return begun_; }
+  bool over() const { return connection_ == nullptr; }
+  /// Bytes that the caller has not taken yet.
+  std::size_t Unsent() const;
+
+ private:
+  friend class HttpConnection;
+  void Finish(bool close);
+  bool MustClose() const;
+
+  std::shared_ptr<HttpConnection> connection_;
+  HttpRequest request_;
+  std::function<void()> gone_;
+  bool begun_ = false;
+  bool chunked_ = false;
+};
+/// Shared by the connection and whoever works on the answer.
+using HttpCallPtr = std::shared_ptr<HttpCall>;
+
+/// What a server does with what it reads.
+struct ServerHandlers {
+  std::function<void(const HttpCallPtr&)> on_request;
+  /// A request that can't be read was refused with `status`.
+  std::function<void(int status, const std::string& why)> on_refused;
+  /// Body of such an answer, in the product's own form.
+  std::function<std::string(int status, std::string_view why)> refusal_body;
+};
+
+/// Listens on one address.
+class HttpServer {
+ public:
+  HttpServer(kernel::Loop& loop, ServerHandlers handlers);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// `address`: `IP:port`, port 0 for any. Fails when it can't be bound.
+  kernel::Result<void> Listen(const std::string& address);
+  /// The address bound.
+  const std::string& address() const;
+  void SetLimits(const ServerLimits& limits);
+  /// From now on each answer ends its connection.
+  void CloseAfterAnswers();
+  /// New connections are refused from now on.
+  void StopListening();
+  /// Connections now open.
+  std::size_t connections() const;
+
+ private:
+  friend class HttpConnection;
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace egretladder::net
--- a/gateway/src/kj_loop_p.h
+++ b/net/include/egretladder/net/kj_loop.h
@@ -12,8 +12,9 @@
 
 #include "egretladder/kernel/error.h"
 #include "egretladder/kernel/loop.h"
+#include "egretladder/net/socket.h"
 
-namespace egretladder::gateway {
+namespace egretladder::net {
 
 class KjLoop;
 
@@ -21,11 +22,6 @@
 /// Fails with `kConflict` when this thread's KJ already runs on another base.
 kernel::Result<std::shared_ptr<KjLoop>> AcquireKjLoop(kernel::Loop& loop);
 
-struct BuffereventFree {
-  void operator()(bufferevent* buffer) const { bufferevent_free(buffer); }
-};
-using Bufferevent = std::unique_ptr<bufferevent, BuffereventFree>;
-
 /// A KJ stream over a bufferevent, which may still be connecting. Callbacks
 /// only settle promises; continuations run when the KJ loop turns.
 class BuffereventStream final : public kj::AsyncIoStream {
@@ -63,4 +59,4 @@
   bool broken_ = false;  ///< Nothing more goes either way.
 };
 
-}  // namespace egretladder::gateway
+}  // namespace egretladder::net
--- /dev/null
+++ b/net/include/egretladder/net/socket.h
@@ -0,0 +1,46 @@
+// Options of TCP sockets, and libevent's owners.
+#pragma once
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include <memory>
+#include <string_view>
+
+namespace egretladder::net {
+
+/// Frees a bufferevent and closes its socket.
+struct BuffereventFree {
+  void operator()(bufferevent* buffer) const { bufferevent_free(buffer); }
+};
+/// Owns a bufferevent.
+using Bufferevent = std::unique_ptr<bufferevent, BuffereventFree>;
+
+/// Frees a listener and closes its socket.
+struct ListenerFree {
+  void operator()(evconnlistener* listener) const {
+    evconnlistener_free(listener);
+  }
+};
+/// Owns a listener.
+using Listener = std::unique_ptr<evconnlistener, ListenerFree>;
+
+/// Small writes leave at once, and a peer that fell silent without a reset is
+/// given up within `kUserTimeout` and the keep-alive times of limits.h.
+///
+/// A machine that lost its power or is cut off answers nothing, and a
+/// connection may fall silent for good while new ones work. Without this a
+/// request waits on it until its deadline.
+void PrepareSocket(evutil_socket_t fd);
+
+/// The bytes that wait to be read. Valid until the buffer changes.
+std::string_view InputOf(bufferevent* buffer);
+/// Takes `size` bytes off the input.
+void Consume(bufferevent* buffer, std::size_t size);
+/// Appends to the output.
+void Write(bufferevent* buffer, std::string_view bytes);
+/// Bytes that wait to be sent.
+std::size_t WaitingOutput(bufferevent* buffer);
+
+}  // namespace egretladder::net
--- a/gateway/src/address.cc
+++ b/net/src/address.cc
@@ -4,9 +4,9 @@
 
 #include <cstdlib>
 
-#include "address_p.h"
+#include "egretladder/net/address.h"
 
-namespace egretladder::gateway {
+namespace egretladder::net {
 
 std::pair<std::string, std::uint16_t> SplitAddress(const std::string& address) {
   const auto colon = address.rfind(':');
@@ -56,4 +56,4 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
-}  // namespace egretladder::gateway
+}  // namespace egretladder::net
--- /dev/null
+++ b/net/src/event_splitter.cc
@@ -0,0 +1,43 @@
+#include "egretladder/net/event_splitter.h"
+
+namespace egretladder::net {
+namespace {
+
+void ReadLine(EventSplitter& splitter, std::string_view line) {
+  constexpr std::string_view kId = "id:";
+  if (!line.starts_with(kId)) return;
+  line.remove_prefix(kId.size());
+  if (line.starts_with(' ')) line.remove_prefix(1);
+  splitter.id_in_rest = line;
+}
+
+}  // namespace
+
+std::string SplitEvents(EventSplitter& splitter, std::string_view bytes) {
+  splitter.rest.append(bytes);
+  std::size_t whole = 0;
+  while (true) {
+    const std::size_t end = splitter.rest.find('\n', splitter.scanned);
+    if (end == std::string::npos) break;
+    std::string_view line(splitter.rest.data() + splitter.scanned,
+                          end - splitter.scanned);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    splitter.scanned = end + 1;
+    if (!line.empty()) {
+      ReadLine(splitter, line);
+      continue;
+    }
+    whole = end + 1;
+    ++splitter.events;
+    if (!splitter.id_in_rest.empty()) {
+      splitter.last_id = std::move(splitter.id_in_rest);
+    }
+    splitter.id_in_rest.clear();
+  }
+  std::string events = splitter.rest.substr(0, whole);
+  splitter.rest.erase(0, whole);
+  splitter.scanned -= whole;
+  return events;
+}
+
+}  // namespace egretladder::net
--- /dev/null
+++ b/net/src/http_message.cc
@@ -0,0 +1,103 @@
+#include "egretladder/net/http_message.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <ostream>  // Beast needs it and does not say so.
+
+#include <boost/beast/http/status.hpp>
+#include <cstdio>
+
+namespace egretladder::net {
+namespace {
+
+constexpr std::array<std::string_view, 11> kOfOneConnection = {
+    "Connection", "Keep-Alive",        "Proxy-Authenticate",
+    "TE",         "Trailer",           "Proxy-Authorization",
+    "Upgrade",    "Transfer-Encoding", "Content-Length",
+    "Expect",     "Proxy-Connection"};
+
+void Append(std::string& text, const HttpFields& fields) {
+  for (const HttpField& field : fields) {
+    text += field.name;
+    text += ": ";
+    text += field.value;
+    text += "\r\n";
+  }
+}
+
+void AppendFraming(std::string& text, BodyFraming framing, std::size_t size) {
+  if (framing == BodyFraming::kLength) {
+    text += "Content-Length: " + std::to_string(size) + "\r\n";
+  } else if (framing == BodyFraming::kChunked) {
+    text += "Transfer-Encoding: chunked\r\n";
+  }
+}
+
+}  // namespace
+
+bool SameName(std::string_view left, std::string_view right) {
+  return left.size() == right.size() &&
+         strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::string_view ValueOf(const HttpFields& fields, std::string_view name) {
+  for (const HttpField& field : fields) {
+    if (SameName(field.name, name)) return field.value;
+  }
+  return {};
+}
+
+std::size_t CountOf(const HttpFields& fields, std::string_view name) {
+  return static_cast<std::size_t>(std::count_if(
+      fields.begin(), fields.end(), [name](const HttpField& field) {
+        return SameName(field.name, name);
+      }));
+}
+
+bool IsOfOneConnection(std::string_view name) {
+  return std::any_of(
+      kOfOneConnection.begin(), kOfOneConnection.end(),
+      [name](std::string_view one) { return SameName(one, name); });
+}
+
+std::string RequestText(std::string_view method, std::string_view target,
+                        const HttpFields& fields, BodyFraming framing,
+                        std::size_t body_size) {
+  std::string text;
+  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+  Append(text, fields);
+  AppendFraming(text, framing, body_size);
+  text += "\r\n";
+  return text;
+}
+
+std::string AnswerText(int status, std::string_view reason,
+                       const HttpFields& fields, BodyFraming framing,
+                       std::size_t body_size, bool close) {
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+  text.append(reason).append("\r\n");
+  Append(text, fields);
+  AppendFraming(text, framing, body_size);
+  if (close) text += "Connection: close\r\n";
+  text += "\r\n";
+  return text;
+}
+
+std::string_view ReasonOf(int status) {
+  const auto reason = boost::beast::http::obsolete_reason(
+      boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+  return {reason.data(), reason.size()};
+}
+
+std::string ChunkText(std::string_view piece) {
+  std::array<char, 24> size{};
+  const int written =
+      std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+  std::string text(size.data(), static_cast<std::size_t>(written));
+  text.append(piece).append("\r\n");
+  return text;
+}
+
+}  // namespace egretladder::net
--- /dev/null
+++ b/net/src/http_reader_beast.cc
@@ -0,0 +1,245 @@
+#include <boost/beast/http/basic_parser.hpp>
+#include <limits>
+
+#include "egretladder/net/http_reader.h"
+
+namespace egretladder::net {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+std::string Copy(string_view text) { return {text.data(), text.size()}; }
+
+// Takes fields and body off Beast's parser.
+template <bool isRequest>
+class Parser : public http::basic_parser<isRequest> {
+ public:
+  HttpFields fields;
+  std::string body;
+  std::string method;
+  std::string target;
+  std::string reason;
+  int status = 0;
+  int version = 0;  // 11: HTTP/1.1.
+
+ protected:
+  void on_request_impl(http::verb /*verb*/, string_view name, string_view where,
+                       int number, error_code& /*ec*/) override {
+    version = number;
+    method = Copy(name);
+    target = Copy(where);
+  }
+  void on_response_impl(int code, string_view words, int /*version*/,
+                        error_code& /*ec*/) override {
+    status = code;
+    reason = Copy(words);
+  }
+  void on_field_impl(http::field /*field*/, string_view name, string_view value,
+                     error_code& /*ec*/) override {
+    // Fields after a chunked body are dropped, as RFC 9110 allows.
+    if (!head_done_) fields.push_back({Copy(name), Copy(value)});
+  }
+  void on_header_impl(error_code& /*ec*/) override { head_done_ = true; }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         error_code& /*ec*/) override {}
+  std::size_t on_body_impl(string_view piece, error_code& /*ec*/) override {
+    body.append(piece.data(), piece.size());
+    return piece.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
+                            error_code& /*ec*/) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view piece,
+                                 error_code& /*ec*/) override {
+    body.append(piece.data(), piece.size());
+    return piece.size();
+  }
+  void on_finish_impl(error_code& /*ec*/) override {}
+
+ private:
+  bool head_done_ = false;
+};
+
+template <bool isRequest>
+void SetLimits(Parser<isRequest>& parser, const ReadLimits& limits) {
+  constexpr std::size_t kMost = std::numeric_limits<std::uint32_t>::max();
+  parser.header_limit(
+      static_cast<std::uint32_t>(std::min(limits.head, kMost)));
+  parser.body_limit(limits.body);
+}
+
+// Feeds until Beast wants bytes that are not there.
+template <bool isRequest>
+std::size_t FeedParser(Parser<isRequest>& parser, std::string_view bytes,
+                       error_code& ec) {
+  std::size_t used = 0;
+  while (used < bytes.size() && !parser.is_done()) {
+    const std::size_t step = parser.put(
+        boost::asio::const_buffer(bytes.data() + used, bytes.size() - used),
+        ec);
+    used += step;
+    if (ec == http::error::need_more) {
+      ec = {};
+      break;
+    }
+    if (ec || step == 0) break;
+  }
+  return used;
+}
+
+// A line that goes on in the next one is read in two ways by two programs.
+bool HasFoldedLine(std::string_view head) {
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
+// What Beast lets pass and RFC 9112 sections 3.2 and 6.1 do not.
+const char* FaultOfHead(const HttpFields& fields, std::string_view target) {
+  if (CountOf(fields, "Host") != 1) return "not exactly one Host";
+  if (CountOf(fields, "Content-Length") > 1) return "two Content-Length";
+  const std::size_t codings = CountOf(fields, "Transfer-Encoding");
+  if (codings > 1) return "two Transfer-Encoding";
+  if (codings == 1) {
+    if (!SameName(ValueOf(fields, "Transfer-Encoding"), "chunked")) {
+      return "a Transfer-Encoding other than chunked";
+    }
+    if (CountOf(fields, "Content-Length") > 0) return "two framings";
+  }
+  if (target.empty() || target.front() != '/') return "a target without path";
+  return nullptr;
+}
+
+}  // namespace
+
+struct RequestReaderState {
+  Parser<true> parser;
+  ReadState state = ReadState::kHead;
+  ReadFault fault = ReadFault::kNone;
+  std::string detail;
+  HttpRequest request;
+};
+
+void RequestReaderDelete::operator()(RequestReaderState* state) const {
+  delete state;
+}
+
+RequestReader::RequestReader(const ReadLimits& limits)
+    : state_(new RequestReaderState) {
+  SetLimits(state_->parser, limits);
+  state_->parser.eager(true);
+}
+
+std::size_t RequestReader::Feed(std::string_view bytes) {
+  RequestReaderState& state = *state_;
+  const auto fail = [&state](ReadFault fault, std::string detail) {
+    state.state = ReadState::kFailed;
+    state.fault = fault;
+    state.detail = std::move(detail);
+  };
+  const bool had_head = state.parser.is_header_done();
+  error_code ec;
+  const std::size_t used = FeedParser(state.parser, bytes, ec);
+  if (ec == http::error::header_limit) {
+    fail(ReadFault::kHeadTooLarge, ec.message());
+  } else if (ec == http::error::body_limit) {
+    fail(ReadFault::kBodyTooLarge, ec.message());
+  } else if (ec) {
+    fail(ReadFault::kSyntax, ec.message());
+  }
+  if (state.state == ReadState::kFailed) return used;
+  if (!state.parser.is_header_done()) return used;
+  if (!had_head) {
+    const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
+    const char* fault = HasFoldedLine(head) ? "a folded line" : nullptr;
+    if (fault == nullptr) {
+      fault = FaultOfHead(state.parser.fields, state.parser.target);
+    }
+    if (fault != nullptr) {
+      fail(ReadFault::kSyntax, fault);
+      return used;
+    }
+    state.state = ReadState::kBody;
+  }
+  if (state.parser.is_done()) {
+    state.state = ReadState::kDone;
+    state.request.method = std::move(state.parser.method);
+    state.request.target = std::move(state.parser.target);
+    state.request.fields = std::move(state.parser.fields);
+    state.request.body = std::move(state.parser.body);
+    state.request.keep_alive = state.parser.keep_alive();
+    constexpr int kFirstWithChunks = 11;
+    state.request.chunks_understood =
+        state.parser.version >= kFirstWithChunks;
+  }
+  return used;
+}
+
+ReadState RequestReader::state() const { return state_->state; }
+ReadFault RequestReader::fault() const { return state_->fault; }
+const std::string& RequestReader::detail() const { return state_->detail; }
+bool RequestReader::WantsContinue() const {
+  return state_->state == ReadState::kBody &&
+         SameName(ValueOf(state_->parser.fields, "Expect"), "100-continue");
+}
+HttpRequest& RequestReader::request() { return state_->request; }
+
+struct AnswerReaderState {
+  Parser<false> parser;
+  ReadState state = ReadState::kHead;
+  std::string detail;
+  HttpAnswerHead head;
+};
+
+void AnswerReaderDelete::operator()(AnswerReaderState* state) const {
+  delete state;
+}
+
+AnswerReader::AnswerReader(const ReadLimits& limits, bool no_body)
+    : state_(new AnswerReaderState) {
+  SetLimits(state_->parser, limits);
+  state_->parser.eager(true);
+  state_->parser.skip(no_body);
+}
+
+std::size_t AnswerReader::Feed(std::string_view bytes) {
+  AnswerReaderState& state = *state_;
+  error_code ec;
+  const std::size_t used = FeedParser(state.parser, bytes, ec);
+  if (state.state == ReadState::kHead && state.parser.is_header_done()) {
+    state.state = ReadState::kBody;
+    state.head.status = state.parser.status;
+    state.head.reason = std::move(state.parser.reason);
+    state.head.fields = std::move(state.parser.fields);
+    state.head.keep_alive = state.parser.keep_alive();
+    state.head.chunked = state.parser.chunked();
+  }
+  if (ec) {
+    state.state = ReadState::kFailed;
+    state.detail = ec.message();
+  } else if (state.parser.is_done()) {
+    state.state = ReadState::kDone;
+  }
+  return used;
+}
+
+void AnswerReader::FeedEnd() {
+  AnswerReaderState& state = *state_;
+  if (state.state != ReadState::kBody) {
+    if (state.state == ReadState::kHead) state.state = ReadState::kFailed;
+    return;
+  }
+  error_code ec;
+  state.parser.put_eof(ec);
+  state.state = ec ? ReadState::kFailed : ReadState::kDone;
+  if (ec) state.detail = ec.message();
+}
+
+ReadState AnswerReader::state() const { return state_->state; }
+const std::string& AnswerReader::detail() const { return state_->detail; }
+const HttpAnswerHead& AnswerReader::head() const { return state_->head; }
+std::string AnswerReader::TakeBody() {
+  return std::exchange(state_->parser.body, {});
+}
+
+}  // namespace egretladder::net
--- /dev/null
+++ b/net/src/http_server_libevent.cc
@@ -0,0 +1,324 @@
+#include <event2/buffer.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <unordered_set>
+#include <utility>
+
+#include "egretladder/net/address.h"
+#include "egretladder/net/http_server.h"
+#include "egretladder/net/limits.h"
+#include "egretladder/net/socket.h"
+
+namespace egretladder::net {
+namespace {
+
+constexpr int kContinue = 100;
+
+int StatusOf(ReadFault fault) {
+  switch (fault) {
+    case ReadFault::kHeadTooLarge:
+      return 431;
+    case ReadFault::kBodyTooLarge:
+      return 413;
+    case ReadFault::kNone:
+    case ReadFault::kSyntax:
+      break;
+  }
+  return 400;
+}
+
+}  // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<State> {
+  kernel::Loop* loop = nullptr;
+  ServerHandlers handlers;
+  ServerLimits limits;
+  Listener listener;
+  std::string address;
+  bool close_after_answers = false;
+  std::unordered_set<std::shared_ptr<HttpConnection>> connections;
+};
+
+// One connection of a caller. Lives while it is in the server's set or a call
+// refers to it.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+ public:
+  HttpConnection(std::weak_ptr<HttpServer::State> server, kernel::Loop& loop,
+                 Bufferevent buffer)
+      : server_(std::move(server)), loop_(loop), buffer_(std::move(buffer)) {}
+
+  void Open() {
+    bufferevent_setcb(buffer_.get(), OnReadable, OnWritten, OnEvent, this);
+    bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kHttpReadAhead);
+    bufferevent_enable(buffer_.get(), EV_READ | EV_WRITE);
+    AwaitRequest();
+  }
+
+  // Drops the socket at once. What the caller has not taken is lost.
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    const auto self = shared_from_this();
+    timer_ = {};
+    buffer_.reset();
+    if (const auto call = std::exchange(call_, nullptr)) {
+      call->connection_ = nullptr;
+      if (auto gone = std::exchange(call->gone_, nullptr)) gone();
+    }
+    if (const auto server = server_.lock()) server->connections.erase(self);
+  }
+
+  void Put(std::string_view bytes) {
+    if (!closed_) Write(buffer_.get(), bytes);
+  }
+
+  std::size_t Unsent() const {
+    return closed_ ? 0 : WaitingOutput(buffer_.get());
+  }
+
+  bool CloseAfterAnswers() const {
+    const auto server = server_.lock();
+    return server == nullptr || server->close_after_answers;
+  }
+
+  // The call's answer is written.
+  void CallOver(bool close) {
+    call_ = nullptr;
+    if (closed_) return;
+    if (close) {
+      LingerThenClose();
+      return;
+    }
+    AwaitRequest();
+    // From the loop, so that a pipelined request doesn't nest in the answer to
+    // the one before.
+    bufferevent_trigger(buffer_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
+  }
+
+ private:
+  static void OnReadable(bufferevent* /*buffer*/, void* arg) {
+    static_cast<HttpConnection*>(arg)->shared_from_this()->Read();
+  }
+  static void OnWritten(bufferevent* /*buffer*/, void* arg) {
+    static_cast<HttpConnection*>(arg)->shared_from_this()->Written();
+  }
+  // NOLINTNEXTLINE(google-runtime-int)
+  static void OnEvent(bufferevent* /*buffer*/, short /*what*/, void* arg) {
+    static_cast<HttpConnection*>(arg)->shared_from_this()->Close();
+  }
+
+  void AwaitRequest() {
+    const auto server = server_.lock();
+    if (server == nullptr) return;
+    reader_ = std::make_unique<RequestReader>(server->limits.size);
+    began_ = false;
+    continued_ = false;
+    SetTimer(server->limits.idle_time, [this] { Close(); });
+  }
+
+  void SetTimer(std::chrono::milliseconds delay, std::function<void()> action) {
+    timer_ = kernel::After(loop_, delay,
+                           [self = weak_from_this(), act = std::move(action)] {
+                             const auto kept = self.lock();
+                             if (kept != nullptr) act();
+                           });
+  }
+
+  void Read() {
+    if (lingering_) {
+      Consume(buffer_.get(), InputOf(buffer_.get()).size());
+      return;
+    }
+    if (call_ != nullptr || closed_) return;  // Read when its answer is out.
+    const std::string_view input = InputOf(buffer_.get());
+    if (input.empty()) return;
+    const auto server = server_.lock();
+    if (server == nullptr) return;
+    if (!began_) {
+      began_ = true;
+      SetTimer(server->limits.head_time,
+               [this] { Refuse(408, "the request took too long"); });
+    }
+    const ReadState before = reader_->state();
+    Consume(buffer_.get(), reader_->Feed(input));
+    if (reader_->state() == ReadState::kFailed) {
+      Refuse(StatusOf(reader_->fault()), reader_->detail());
+    } else if (reader_->state() == ReadState::kDone) {
+      timer_ = {};
+      StartCall(*server);
+    } else if (reader_->state() == ReadState::kBody) {
+      if (before == ReadState::kHead) {
+        SetTimer(kRequestBodyTime,
+                 [this] { Refuse(408, "the body took too long"); });
+      }
+      if (reader_->WantsContinue() && !std::exchange(continued_, true)) {
+        Put(AnswerText(kContinue, ReasonOf(kContinue), {}, BodyFraming::kNone,
+                       0, false));
+      }
+    }
+  }
+
+  void StartCall(HttpServer::State& server) {
+    call_ = std::make_shared<HttpCall>(shared_from_this(),
+                                       std::move(reader_->request()));
+    // A copy: the handler may end the call and with it this connection.
+    const HttpCallPtr call = call_;
+    server.handlers.on_request(call);
+  }
+
+  void Refuse(int status, const std::string& why) {
+    const auto server = server_.lock();
+    if (server == nullptr || closed_) return;
+    if (server->handlers.on_refused) server->handlers.on_refused(status, why);
+    std::string body;
+    if (server->handlers.refusal_body) {
+      body = server->handlers.refusal_body(status, why);
+    }
+    const HttpFields fields = {{"Content-Type", "application/json"}};
+    Put(AnswerText(status, ReasonOf(status), fields, BodyFraming::kLength,
+                   body.size(), true));
+    Put(body);
+    LingerThenClose();
+  }
+
+  void LingerThenClose() {
+    lingering_ = true;
+    SetTimer(kLingeringClose, [this] { Close(); });
+    if (WaitingOutput(buffer_.get()) == 0) Written();
+  }
+
+  void Written() {
+    if (!lingering_ || closed_) return;
+    shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
+  }
+
+  std::weak_ptr<HttpServer::State> server_;
+  kernel::Loop& loop_;
+  Bufferevent buffer_;
+  std::unique_ptr<RequestReader> reader_;
+  HttpCallPtr call_;
+  kernel::Watch timer_;
+  bool began_ = false;      // The first byte of a request is there.
+  bool continued_ = false;  // `100 Continue` was sent.
+  bool lingering_ = false;
+  bool closed_ = false;
+};
+
+HttpCall::HttpCall(std::shared_ptr<HttpConnection> connection,
+                   HttpRequest request)
+    : connection_(std::move(connection)), request_(std::move(request)) {}
+
+bool HttpCall::MustClose() const {
+  return !request_.keep_alive || connection_->CloseAfterAnswers();
+}
+
+void HttpCall::Finish(bool close) {
+  gone_ = nullptr;
+  const auto connection = std::exchange(connection_, nullptr);
+  connection->CallOver(close);
+}
+
+void HttpCall::Answer(int status, std::string_view reason,
+                      const HttpFields& fields, std::string_view body) {
+  if (over()) return;
+  const bool close = MustClose();
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  const bool bare = status == kNoContent || status == kNotModified;
+  connection_->Put(AnswerText(status, reason, fields,
+                              bare ? BodyFraming::kNone : BodyFraming::kLength,
+                              body.size(), close));
+  if (!bare && request_.method != "HEAD") connection_->Put(body);
+  Finish(close);
+}
+
+void HttpCall::Begin(int status, std::string_view reason,
+                     const HttpFields& fields) {
+  if (over()) return;
+  begun_ = true;
+  chunked_ = request_.chunks_understood;
+  connection_->Put(AnswerText(
+      status, reason, fields,
+      chunked_ ? BodyFraming::kChunked : BodyFraming::kNone, 0,
+      !chunked_ || MustClose()));
+}
+
+void HttpCall::Send(std::string_view piece) {
+  if (over() || piece.empty()) return;
+  connection_->Put(chunked_ ? ChunkText(piece) : std::string(piece));
+}
+
+void HttpCall::End() {
+  if (over()) return;
+  if (chunked_) connection_->Put("0\r\n\r\n");
+  Finish(!chunked_ || MustClose());
+}
+
+void HttpCall::Break() {
+  if (over()) return;
+  gone_ = nullptr;
+  const auto connection = connection_;
+  connection->Close();
+}
+
+std::size_t HttpCall::Unsent() const {
+  return connection_ == nullptr ? 0 : connection_->Unsent();
+}
+
+HttpServer::HttpServer(kernel::Loop& loop, ServerHandlers handlers)
+    : state_(std::make_shared<State>()) {
+  state_->loop = &loop;
+  state_->handlers = std::move(handlers);
+}
+
+HttpServer::~HttpServer() {
+  state_->listener.reset();
+  const auto connections = state_->connections;
+  for (const auto& connection : connections) connection->Close();
+}
+
+kernel::Result<void> HttpServer::Listen(const std::string& address) {
+  const auto accept = [](evconnlistener* /*listener*/, evutil_socket_t fd,
+                         sockaddr* /*peer*/, int /*size*/, void* arg) {
+    const auto state = static_cast<State*>(arg);
+    if (state->connections.size() >= state->limits.connections) {
+      evutil_closesocket(fd);
+      return;
+    }
+    PrepareSocket(fd);
+    Bufferevent buffer(bufferevent_socket_new(state->loop->base.get(), fd,
+                                              BEV_OPT_CLOSE_ON_FREE));
+    auto connection = std::make_shared<HttpConnection>(
+        state->weak_from_this(), *state->loop, std::move(buffer));
+    state->connections.insert(connection);
+    connection->Open();
+  };
+  auto target = ParseAddress(address);
+  evconnlistener* listener =
+      target ? evconnlistener_new_bind(
+                   state_->loop->base.get(), accept, state_.get(),
+                   LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kHttpBacklog,
+                   target->get(), target->size)
+             : nullptr;
+  if (listener == nullptr) {
+    return kernel::MakeError(kernel::ErrorCode::kUnavailable, "listen", address,
+                             evutil_socket_error_to_string(errno));
+  }
+  state_->listener.reset(listener);
+  state_->address = WithBoundPort(address, evconnlistener_get_fd(listener));
+  return kernel::Result<void>(boost::outcome_v2::success());
+}
+
+const std::string& HttpServer::address() const { return state_->address; }
+void HttpServer::SetLimits(const ServerLimits& limits) {
+  state_->limits = limits;
+}
+void HttpServer::CloseAfterAnswers() { state_->close_after_answers = true; }
+void HttpServer::StopListening() { state_->listener.reset(); }
+std::size_t HttpServer::connections() const {
+  return state_->connections.size();
+}
+
+}  // namespace egretladder::net
--- a/gateway/src/kj_loop.cc
+++ b/net/src/kj_loop.cc
@@ -4,9 +4,9 @@
 
 #include <algorithm>
 
-#include "kj_loop_p.h"
+#include "egretladder/net/kj_loop.h"
 
-namespace egretladder::gateway {
+namespace egretladder::net {
 namespace {
 
 // Turns of KJ before libevent gets its turn, so that busy peers can't starve
@@ -233,4 +233,4 @@
   if (draining_ != nullptr) draining_->Fail();
 }
 
-}  // namespace egretladder::gateway
+}  // namespace egretladder::net
--- /dev/null
+++ b/net/src/socket.cc
@@ -0,0 +1,46 @@
+#include "egretladder/net/socket.h"
+
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "egretladder/net/address.h"
+#include "egretladder/net/limits.h"
+
+namespace egretladder::net {
+
+void PrepareSocket(evutil_socket_t fd) {
+  SetNoDelay(fd);
+  const int on = 1;
+  const int idle = static_cast<int>(kKeepAliveIdle.count());
+  const int every = static_cast<int>(kKeepAliveEvery.count());
+  const int probes = kKeepAliveProbes;
+  const int timeout = static_cast<int>(kUserTimeout.count());
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof(every));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+std::string_view InputOf(bufferevent* buffer) {
+  evbuffer* input = bufferevent_get_input(buffer);
+  const std::size_t size = evbuffer_get_length(input);
+  if (size == 0) return {};
+  return {reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), size};
+}
+
+void Consume(bufferevent* buffer, std::size_t size) {
+  evbuffer_drain(bufferevent_get_input(buffer), size);
+}
+
+void Write(bufferevent* buffer, std::string_view bytes) {
+  evbuffer_add(bufferevent_get_output(buffer), bytes.data(), bytes.size());
+}
+
+std::size_t WaitingOutput(bufferevent* buffer) {
+  return evbuffer_get_length(bufferevent_get_output(buffer));
+}
+
+}  // namespace egretladder::net
--- /dev/null
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -0,0 +1,84 @@
+// Limits of the proxy that are not settings: unit, and where each comes from.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace egretladder::proxy {
+
+using std::chrono::milliseconds;
+
+// --- The platform's store ---
+
+/// How long a watch may wait for changes. A connection may fall silent without
+/// a reset: what the node knows is then older than it thinks by this and
+/// `kWatchMargin` at most. Shorter costs calls, which are counted.
+inline constexpr milliseconds kWatchWait{3000};
+/// Beyond `kWatchWait`, before the watch counts as lost.
+inline constexpr milliseconds kWatchMargin{800};
+/// For a read of one page.
+inline constexpr milliseconds kListTime{2000};
+/// Wait after a failed call; doubles, jittered by half.
+inline constexpr milliseconds kStoreBackoffFirst{100};
+/// Longest such wait: the store's return must be noticed well within a second.
+inline constexpr milliseconds kStoreBackoffMost{800};
+
+// --- Calls ---
+
+/// Beyond a call's deadline, for the endpoint's own last word to arrive.
+inline constexpr milliseconds kDeadlineMargin{30};
+/// Between two looks at the requests that wait for an endpoint.
+inline constexpr milliseconds kWaitingPeriod{10};
+/// A silent endpoint is left for another one after this times the expected time
+/// to a first event, and the promised time at least: earlier, a mere queue
+/// would double the load.
+inline constexpr double kPatienceRatio = 2.5;
+/// A stream that pauses for this times the longest pause in time, and
+/// `kStallLeast` at least, goes on elsewhere.
+inline constexpr double kStallRatio = 4;
+/// As above.
+inline constexpr milliseconds kStallLeast{1000};
+/// Largest answer that is held whole, in bytes.
+inline constexpr std::size_t kWholeAnswerMost = std::size_t{8} << 20U;
+/// Unread output of one caller above which its endpoint is not read.
+inline constexpr std::size_t kCallerBacklog = std::size_t{256} << 10U;
+/// Bodies of all calls in progress, as part of the memory that the node may
+/// use. The rest is for answers, connections and the program itself.
+inline constexpr double kBodiesPart = 0.3;
+/// Descriptors kept from callers, for endpoints, peers and files.
+inline constexpr std::size_t kDescriptorsKept = 1200;
+
+// --- The node ---
+
+/// Callers keep the list of addresses this long.
+inline constexpr milliseconds kDirectoryKeep{2000};
+/// A leaving node stays this long, for callers that still keep its address:
+/// some keep it three times as long as told.
+inline constexpr milliseconds kLinger{6200};
+/// Before the end of the grace for a stop, when what is left is cut.
+inline constexpr milliseconds kStopMargin{700};
+/// Housekeeping, and how a pause of the process is noticed.
+inline constexpr milliseconds kTick{100};
+/// Longer between two ticks: the process was paused.
+inline constexpr milliseconds kPaused{700};
+
+// --- Peers ---
+
+/// An exchange unanswered for this long ends its connection.
+inline constexpr milliseconds kExchangeTime{1000};
+/// A connection that ends this soon after it began was refused: nothing listens
+/// there.
+inline constexpr milliseconds kRefusedWithin{250};
+/// A connection to a peer without an exchange for this long is closed.
+inline constexpr std::chrono::seconds kPeerIdleTime{30};
+/// Connections that peers may hold open here; each of the fleet's nodes holds
+/// one or two.
+inline constexpr std::size_t kPeerConnections = 512;
+/// Entries of one list in a message.
+inline constexpr unsigned kNewsListMost = 8192;
+/// Size of one message, in words of eight bytes: the store's largest value and
+/// the lists beside it.
+inline constexpr std::uint64_t kNewsWords = std::uint64_t{1} << 20U;
+
+}  // namespace egretladder::proxy
--- /dev/null
+++ b/proxy/include/egretladder/proxy/proxy.h
@@ -0,0 +1,76 @@
+// A node that routes by host and path to endpoints that it discovers: its
+// listeners, its reads of the platform's store, its peers.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "egretladder/kernel/error.h"
+#include "egretladder/kernel/loop.h"
+#include "egretladder/kernel/metrics.h"
+#include "egretladder/routing/retry_share.h"
+
+namespace egretladder::proxy {
+
+/// What a proxy is started with, from its settings.
+struct ProxyOptions {
+  std::string node;
+  std::string zone;
+  std::string region;
+  std::string dialect;             ///< Name of the platform's plug-in.
+  std::string callers = "127.0.0.1:0";
+  std::string ready = "127.0.0.1:0";
+  std::string directory = "127.0.0.1:0";
+  std::string peers = "127.0.0.1:0";
+  std::string metrics;             ///< Empty: not served.
+  std::string store;               ///< `IP:port`.
+  std::vector<std::string> seeds;  ///< Peer addresses; may be stale.
+  routing::RetryRule retries;
+  std::size_t memory_bytes = std::size_t{256} << 20U;
+  std::size_t descriptors = 4096;
+  /// From SIGTERM until the process must be gone.
+  std::chrono::milliseconds grace{8000};
+};
+
+struct Proxy;
+/// Lets `ProxyPtr` own a type that only the sources know.
+struct ProxyDelete {
+  void operator()(Proxy* proxy) const;
+};
+/// Owns a node with its sockets; closes them when it goes.
+using ProxyPtr = std::unique_ptr<Proxy, ProxyDelete>;
+
+/// Binds the sockets and starts to read the store. `loop` must outlive it.
+/// Fails when an address can't be bound or no dialect has the name.
+kernel::Result<ProxyPtr> StartProxy(kernel::Loop& loop,
+                                    const ProxyOptions& options);
+
+/// Begins a graceful stop: out of the directory at once, calls go to their end.
+void Leave(Proxy& proxy);
+/// True when a leaving node may end.
+bool MayEnd(const Proxy& proxy);
+/// New seeds from changed settings.
+void SetSeeds(Proxy& proxy, const std::vector<std::string>& seeds);
+
+/// What `GET /metrics` shows.
+kernel::Metrics& MetricsOf(Proxy& proxy);
+
+/// Addresses bound, and numbers for tests.
+struct ProxyView {
+  std::string callers;
+  std::string ready;
+  std::string directory;
+  std::string peers;
+  std::uint64_t rules_version = 0;
+  std::size_t endpoints = 0;
+  std::size_t nodes = 1;    ///< There, this one included.
+  std::size_t calls = 0;    ///< In progress.
+  std::size_t waiting = 0;  ///< Of these, without an endpoint.
+  bool ready_now = false;
+};
+ProxyView ViewOf(Proxy& proxy);
+
+}  // namespace egretladder::proxy
--- /dev/null
+++ b/proxy/schema/exchange.capnp
@@ -0,0 +1,59 @@
+# What nodes that find each other through seeds tell each other. The values are
+# in routing/members.h and routing/catalog.h.
+@0xb7d2f1c04e8a9635;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("egretladder::exchange");
+
+interface Peer {
+  # Both sides tell what they know, in one round trip.
+  exchange @0 (news :News) -> (news :News);
+}
+
+struct News {
+  members @0 :List(Member);
+  # The sender's own place in each feed, so that the other side can send what it
+  # lacks.
+  revisions @1 :List(UInt64);
+  changes @2 :List(Changes);
+  loads @3 :List(Load);
+  blames @4 :List(Blame);
+}
+
+struct Member {
+  node @0 :Text;
+  callers @1 :Text;
+  peers @2 :Text;
+  zone @3 :Text;
+  region @4 :Text;
+  incarnation @5 :UInt64;
+  heartbeat @6 :UInt64;
+  leaving @7 :Bool;
+}
+
+struct Changes {
+  feed @0 :UInt8;
+  whole @1 :Bool;
+  revision @2 :UInt64;
+  items @3 :List(Item);
+}
+
+struct Item {
+  key @0 :Text;
+  value @1 :Data;
+  rev @2 :UInt64;
+  removed @3 :Bool;
+}
+
+# Of the sender itself.
+struct Load {
+  endpoint @0 :Text;
+  inFlight @1 :UInt32;
+  waitingTokens @2 :UInt32;
+}
+
+struct Blame {
+  fingerprint @0 :UInt64;
+  leftMs @1 :Int64;
+  deaths @2 :UInt8;
+}
--- /dev/null
+++ b/proxy/src/attempts.cc
@@ -0,0 +1,403 @@
+// One attempt of a call at an endpoint: sending, reading, and what follows.
+#include <algorithm>
+
+#include "state_p.h"
+
+namespace egretladder::proxy {
+namespace {
+
+using kernel::LogLevel;
+using kernel::LogPart;
+using routing::AttemptEnd;
+using routing::NextStep;
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kMisdirected = 421;
+constexpr int kServerErrors = 500;
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+// Statuses by which callers are told that nothing ran. From an endpoint they
+// promise that only beside its own word for it.
+bool PromisesNotRun(int status) {
+  constexpr std::array<int, 4> kPromises = {408, kMisdirected, 429,
+                                            kUnavailable};
+  return std::find(kPromises.begin(), kPromises.end(), status) !=
+         kPromises.end();
+}
+
+milliseconds Since(Time from, Time now) {
+  return std::chrono::duration_cast<milliseconds>(now - from);
+}
+
+net::HttpFields FieldsToPass(const net::HttpFields& fields) {
+  net::HttpFields passed;
+  for (const net::HttpField& field : fields) {
+    if (!net::IsOfOneConnection(field.name)) passed.push_back(field);
+  }
+  return passed;
+}
+
+void NoteStarted(Proxy& proxy, const CallPtr& call) {
+  Attempt& attempt = *call->attempt;
+  if (attempt.started) return;
+  attempt.started = true;
+  const Time now = NowOf(proxy);
+  routing::OnStarted(*attempt.endpoint, call->demand, attempt.number,
+                     attempt.placement);
+  routing::OnFirstByte(*attempt.endpoint, Since(attempt.sent, now),
+                       milliseconds(static_cast<std::int64_t>(
+                           attempt.placement.expected_ms)));
+  kernel::Observe(proxy.metrics, proxy.handles.first_event,
+                  now - call->arrived);
+}
+
+AttemptEnd EndOfWhole(const Attempt& attempt) {
+  const int status = attempt.head.status;
+  if (attempt.facts.not_run) {
+    return status == kMisdirected ? AttemptEnd::kWrongInstance
+                                  : AttemptEnd::kFull;
+  }
+  if (IsSuccess(status)) {
+    return attempt.facts.sealed && !attempt.facts.encoded
+               ? AttemptEnd::kSucceeded
+               : AttemptEnd::kBadAnswer;
+  }
+  if (PromisesNotRun(status) || attempt.facts.encoded) {
+    return AttemptEnd::kBadAnswer;
+  }
+  return status >= kServerErrors ? AttemptEnd::kFailed
+                                 : AttemptEnd::kSucceeded;
+}
+
+void PassOn(Proxy& proxy, const CallPtr& call, const Attempt& attempt) {
+  call->caller->OnGone(nullptr);
+  call->caller->Answer(attempt.head.status, attempt.head.reason,
+                       FieldsToPass(attempt.head.fields), attempt.body);
+  EndCall(proxy, call,
+          IsSuccess(attempt.head.status) ? "answered" : "endpoint-failure");
+}
+
+net::HeadVerdict OnHead(Proxy& proxy, const CallPtr& call,
+                        const net::HttpAnswerHead& head) {
+  Attempt& attempt = *call->attempt;
+  const AnswerFacts facts = proxy.dialect->read_answer(head);
+  if (!facts.id.empty() && facts.id != call->facts.id) {
+    kernel::Log(LogPart::kEndpoint, LogLevel::kWarning,
+                "Answer to another request skipped: req=" + call->facts.id +
+                    " endpoint=" + attempt.endpoint->entry.id +
+                    " answers=" + facts.id);
+    return net::HeadVerdict::kSkip;
+  }
+  attempt.head = head;
+  attempt.facts = facts;
+  attempt.events = IsSuccess(head.status) && facts.is_events && facts.sealed &&
+                   !facts.encoded && !facts.not_run;
+  return net::HeadVerdict::kTake;
+}
+
+void PassEvents(Proxy& proxy, const CallPtr& call, std::string_view piece) {
+  Attempt& attempt = *call->attempt;
+  const std::uint64_t before = attempt.splitter.events;
+  const std::string events = net::SplitEvents(attempt.splitter, piece);
+  if (events.empty()) return;
+  call->events += attempt.splitter.events - before;
+  if (!attempt.splitter.last_id.empty()) {
+    call->last_event = attempt.splitter.last_id;
+  }
+  if (!call->caller->begun()) {
+    call->caller->Begin(attempt.head.status, attempt.head.reason,
+                        FieldsToPass(attempt.head.fields));
+  }
+  call->caller->Send(events);
+  // A caller that reads slowly holds back its endpoint, not this node.
+  if (call->caller->Unsent() > kCallerBacklog) {
+    net::SetReading(attempt.exchange, false);
+    call->patience = kernel::After(
+        *proxy.loop, milliseconds(50),
+        [weak = std::weak_ptr<Call>(call)] {
+          const auto kept = weak.lock();
+          if (kept != nullptr && kept->attempt != nullptr) {
+            net::SetReading(kept->attempt->exchange, true);
+          }
+        });
+  }
+}
+
+void SetPatience(Proxy& proxy, const CallPtr& call, milliseconds patience);
+
+// Whether the wait for this endpoint is worth ending: only work that may run
+// twice, with attempts, time and retries left.
+void OnImpatient(Proxy& proxy, const CallPtr& call) {
+  if (call->attempt == nullptr) return;
+  const Time now = NowOf(proxy);
+  const bool more = call->may_have_run + 1 < call->route->attempts;
+  if (!more || !routing::TakeRetry(proxy.retry_shares[call->service->name],
+                                   proxy.options.retries,
+                                   routing::PartOf(proxy.members, now).nodes,
+                                   now)) {
+    return;
+  }
+  net::Cancel(call->attempt->exchange);
+  EndAttempt(proxy, call, AttemptEnd::kSilent, "no event in time");
+}
+
+void SetPatience(Proxy& proxy, const CallPtr& call, milliseconds patience) {
+  call->patience =
+      kernel::After(*proxy.loop, patience,
+                    [&proxy, weak = std::weak_ptr<Call>(call)] {
+                      if (const auto kept = weak.lock()) {
+                        OnImpatient(proxy, kept);
+                      }
+                    });
+}
+
+milliseconds PatienceFor(const Call& call,
+                         const routing::Placement& placement) {
+  const auto expected = milliseconds(
+      static_cast<std::int64_t>(placement.expected_ms * kPatienceRatio));
+  return std::max(call.route->target, expected);
+}
+
+milliseconds StallOf(const Call& call) {
+  const auto gap = std::chrono::duration_cast<milliseconds>(
+      call.route->gap_target * kStallRatio);
+  return std::max(gap, kStallLeast);
+}
+
+void OnBody(Proxy& proxy, const CallPtr& call, std::string_view piece) {
+  Attempt& attempt = *call->attempt;
+  if (attempt.events) {
+    NoteStarted(proxy, call);
+    PassEvents(proxy, call, piece);
+    if (call->attempt != nullptr && routing::MayRepeat(*call->route) &&
+        call->caller->Unsent() <= kCallerBacklog) {
+      SetPatience(proxy, call, StallOf(*call));
+    }
+    return;
+  }
+  attempt.body.append(piece);
+  if (attempt.body.size() > kWholeAnswerMost) {
+    net::Cancel(attempt.exchange);
+    EndAttempt(proxy, call, AttemptEnd::kBadAnswer, "the answer is too large");
+  }
+}
+
+void OnEnd(Proxy& proxy, const CallPtr& call) {
+  Attempt& attempt = *call->attempt;
+  NoteStarted(proxy, call);
+  if (!attempt.events) {
+    EndAttempt(proxy, call, EndOfWhole(attempt), "");
+    return;
+  }
+  const bool whole = attempt.splitter.rest.empty() && call->events > 0;
+  EndAttempt(proxy, call, whole ? AttemptEnd::kSucceeded : AttemptEnd::kBroken,
+             whole ? "" : "the stream ended inside an event");
+}
+
+AttemptEnd EndOfFault(net::ExchangeFault fault) {
+  switch (fault) {
+    case net::ExchangeFault::kNotConnected:
+      return AttemptEnd::kNotSent;
+    case net::ExchangeFault::kBroken:
+      return AttemptEnd::kBroken;
+    case net::ExchangeFault::kBadAnswer:
+      break;
+  }
+  return AttemptEnd::kBadAnswer;
+}
+
+// What the end says of the endpoint.
+void NoteEnd(Proxy& proxy, const Call& call, AttemptEnd end) {
+  routing::Endpoint& endpoint = *call.attempt->endpoint;
+  const Time now = NowOf(proxy);
+  switch (end) {
+    case AttemptEnd::kNotSent:
+      routing::OnConnectFailed(endpoint, now);
+      break;
+    case AttemptEnd::kFull: {
+      const auto jitter = milliseconds(kernel::Below(
+          proxy.random,
+          static_cast<std::uint64_t>(routing::kFullPause.count()) + 1));
+      routing::OnFull(endpoint, routing::kFullPause / 2 + jitter, now);
+      break;
+    }
+    case AttemptEnd::kWrongInstance:
+      routing::OnWrongInstance(proxy.endpoints, endpoint.entry.id);
+      break;
+    case AttemptEnd::kBroken:
+    case AttemptEnd::kBadAnswer:
+    case AttemptEnd::kSilent:
+    case AttemptEnd::kFailed:
+      routing::OnFailed(endpoint, now);
+      break;
+    case AttemptEnd::kSucceeded:
+      routing::OnAnswered(endpoint, Since(call.attempt->sent, now), now);
+      break;
+  }
+}
+
+void Release(const CallPtr& call, const Attempt& attempt) {
+  routing::OnStarted(*attempt.endpoint, call->demand, attempt.number,
+                     attempt.placement);
+  routing::OnDone(*attempt.endpoint);
+}
+
+void Follow(Proxy& proxy, const CallPtr& call, NextStep step,
+            std::unique_ptr<Attempt> attempt) {
+  switch (step) {
+    case NextStep::kSendAgain:
+    case NextStep::kResume:
+      Dispatch(proxy, call);
+      return;
+    case NextStep::kPassOn:
+      if (attempt->events) {
+        call->caller->OnGone(nullptr);
+        call->caller->End();
+        EndCall(proxy, call, "answered");
+      } else {
+        PassOn(proxy, call, *attempt);
+      }
+      return;
+    case NextStep::kRefuse:
+      RefuseCall(proxy, call, kUnavailable, "no_endpoint",
+                 routing::ComeBackAfter({}, call->route->target, proxy.random));
+      return;
+    case NextStep::kUnknown:
+      RefuseCall(proxy, call, kBadGateway, "outcome_unknown", {});
+      return;
+    case NextStep::kBreakOff:
+      call->caller->Break();
+      EndCall(proxy, call, "broke-off");
+      return;
+  }
+}
+
+}  // namespace
+
+void StartAttempt(Proxy& proxy, const CallPtr& call,
+                  const routing::Placement& placement) {
+  const Time now = NowOf(proxy);
+  call->attempt = std::make_unique<Attempt>();
+  Attempt& attempt = *call->attempt;
+  attempt.number = ++proxy.last_number;
+  attempt.endpoint = placement.endpoint;
+  attempt.placement = placement;
+  attempt.sent = now;
+  const routing::FleetPart fleet = routing::PartOf(proxy.members, now);
+  routing::OnSent(*placement.endpoint, call->demand, attempt.number, placement,
+                  fleet, now);
+  kernel::Observe(proxy.metrics, proxy.handles.waited, now - call->arrived);
+  kernel::Log(LogPart::kRoute, LogLevel::kInfo,
+              "Sent: req=" + call->facts.id + " endpoint=" +
+                  placement.endpoint->entry.id + " why=" +
+                  routing::NameOf(placement.reason) + " expected_ms=" +
+                  std::to_string(static_cast<int>(placement.expected_ms)) +
+                  " tier=" + std::to_string(call->demand.tier) +
+                  " route=" + call->route->name +
+                  " rules=" + std::to_string(call->table->version));
+
+  const net::HttpRequest& request = call->caller->request();
+  SendFacts facts;
+  facts.endpoint_id = placement.endpoint->entry.id;
+  if (call->account != nullptr) facts.account = call->account->name;
+  facts.left = std::max(milliseconds(1), Since(now, call->deadline));
+  if (call->service->generates) facts.priority = call->demand.tier;
+  facts.resume_after = call->last_event;
+  const bool bodyless = request.body.empty() &&
+                        net::CountOf(request.fields, "Content-Length") == 0 &&
+                        net::CountOf(request.fields, "Transfer-Encoding") == 0;
+  net::ExchangeRequest exchange;
+  exchange.address = placement.endpoint->entry.address;
+  exchange.head = net::RequestText(
+      request.method, request.target,
+      proxy.dialect->endpoint_fields(request, facts),
+      bodyless ? net::BodyFraming::kNone : net::BodyFraming::kLength,
+      request.body.size());
+  exchange.body = request.body;
+  exchange.is_head = request.method == "HEAD";
+  exchange.once = !routing::MayRepeat(*call->route);
+
+  net::ExchangeHandlers handlers;
+  handlers.may_send = [call] {
+    call->attempt->left = true;
+    return true;
+  };
+  handlers.on_head = [&proxy, call](const net::HttpAnswerHead& head) {
+    return OnHead(proxy, call, head);
+  };
+  handlers.on_body = [&proxy, call](std::string_view piece) {
+    OnBody(proxy, call, piece);
+  };
+  handlers.on_end = [&proxy, call] { OnEnd(proxy, call); };
+  handlers.on_fault = [&proxy, call](net::ExchangeFault fault,
+                                     const std::string& detail) {
+    EndAttempt(proxy, call, EndOfFault(fault), detail);
+  };
+  attempt.exchange = proxy.client->Start(std::move(exchange),
+                                         std::move(handlers));
+  if (routing::MayRepeat(*call->route)) {
+    SetPatience(proxy, call, PatienceFor(*call, placement));
+  }
+}
+
+void DropAttempt(Proxy& /*proxy*/, const CallPtr& call) {
+  if (call->attempt == nullptr) return;
+  const auto attempt = std::move(call->attempt);
+  net::Cancel(attempt->exchange);
+  Release(call, *attempt);
+}
+
+void EndAttempt(Proxy& proxy, const CallPtr& call, AttemptEnd end,
+                const std::string& detail) {
+  if (call->attempt == nullptr) return;
+  call->patience = {};
+  NoteEnd(proxy, *call, end);
+  auto attempt = std::move(call->attempt);
+  Release(call, *attempt);
+  if (end != AttemptEnd::kNotSent) ++call->arrivals;
+  if (routing::IsNotRun(end)) {
+    // It may come back there once the endpoint's own pause is over.
+    ++call->not_run;
+  } else {
+    ++call->may_have_run;
+    call->tried.push_back(attempt->endpoint);
+  }
+
+  const Time now = NowOf(proxy);
+  routing::AfterAttempt after;
+  after.end = end;
+  after.may_repeat = routing::MayRepeat(*call->route);
+  after.resumable = call->route->resumable && !call->last_event.empty();
+  after.answer_begun = call->caller->begun();
+  after.attempts = call->route->attempts;
+  after.may_have_run = call->may_have_run;
+  after.not_run = call->not_run;
+  after.time_left = now < call->deadline;
+  NextStep step = routing::DecideNext(after);
+  const bool again = step == NextStep::kSendAgain || step == NextStep::kResume;
+  // Impatience took its retry before it gave the attempt up.
+  if (again && end != AttemptEnd::kSilent && call->arrivals > 0 &&
+      !routing::TakeRetry(proxy.retry_shares[call->service->name],
+                          proxy.options.retries,
+                          routing::PartOf(proxy.members, now).nodes, now)) {
+    after.time_left = false;
+    step = routing::DecideNext(after);
+  }
+  Count(proxy, "egretladder_attempts_total", "Attempts ended, by how.",
+        std::string("end=\"") + routing::NameOf(end) + "\"");
+  if (end != AttemptEnd::kSucceeded) {
+    kernel::Log(LogPart::kEndpoint, LogLevel::kInfo,
+                "Attempt ended: req=" + call->facts.id + " endpoint=" +
+                    attempt->endpoint->entry.id + " end=" +
+                    routing::NameOf(end) + " status=" +
+                    std::to_string(attempt->head.status) + " detail=\"" +
+                    detail + "\" ms=" +
+                    std::to_string(Since(attempt->sent, now).count()) +
+                    " next=" + routing::NameOf(step));
+  }
+  Follow(proxy, call, step, std::move(attempt));
+}
+
+}  // namespace egretladder::proxy
--- /dev/null
+++ b/proxy/src/calls.cc
@@ -0,0 +1,254 @@
+// The life of a caller's request, from its arrival to its end.
+#include <algorithm>
+
+#include "state_p.h"
+
+namespace egretladder::proxy {
+namespace {
+
+using kernel::LogLevel;
+using kernel::LogPart;
+
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr milliseconds kNotReadyRetry{300};
+
+// A request that ends before it is a call.
+void Reject(Proxy& proxy, const net::HttpCallPtr& caller, int status,
+            const char* code, const std::string& why, milliseconds retry) {
+  Count(proxy, "egretladder_rejected_total",
+        "Requests ended before they were routed.",
+        std::string("code=\"") + code + "\"");
+  kernel::Log(LogPart::kRoute, LogLevel::kInfo,
+              "Rejected: status=" + std::to_string(status) + " code=" + code +
+                  " why=\"" + why + "\" target=" + caller->request().target +
+                  " rules=" +
+                  std::to_string(proxy.rules ? proxy.rules->version : 0));
+  AnswerError(caller, status, code, why, "no", retry);
+}
+
+CallPtr MakeCall(Proxy& proxy, const net::HttpCallPtr& caller,
+                 const routing::Route& route,
+                 const routing::ClientAccount* account, CallFacts facts) {
+  const Time now = NowOf(proxy);
+  auto call = std::make_shared<Call>();
+  call->number = ++proxy.last_number;
+  call->caller = caller;
+  call->table = proxy.rules;
+  call->route = &route;
+  call->account = account;
+  call->arrived = now;
+  const auto allowed = std::min(facts.deadline.value_or(route.timeout),
+                                std::max(route.timeout, milliseconds(1)));
+  call->deadline = now + allowed;
+  const auto target =
+      routing::DrawTarget(route, kernel::Fraction(proxy.random));
+  call->service = &proxy.rules->services[target.idx];
+  call->demand.service = call->service;
+  call->demand.tier = routing::TierOf(route, account);
+  if (call->service->generates) {
+    call->demand.parts = facts.parts;
+    call->demand.prompt_tokens = std::max(facts.prompt_tokens, 1U);
+  }
+  call->facts = std::move(facts);
+  call->body_bytes = caller->request().body.size();
+  return call;
+}
+
+void OnTimeout(Proxy& proxy, const CallPtr& call) {
+  const bool may_have_run =
+      call->may_have_run > 0 ||
+      (call->attempt != nullptr && call->attempt->left);
+  DropAttempt(proxy, call);
+  if (call->caller->begun()) {
+    call->caller->Break();
+    EndCall(proxy, call, "cut-at-deadline");
+    return;
+  }
+  RefuseCall(proxy, call, may_have_run ? kGatewayTimeout : kUnavailable,
+             "timeout", {});
+}
+
+void OnCallerGone(Proxy& proxy, const CallPtr& call) {
+  DropAttempt(proxy, call);
+  EndCall(proxy, call, "caller-gone");
+}
+
+void Wait(Proxy& proxy, const CallPtr& call) {
+  if (call->waiting) return;
+  if (proxy.waiting.size() >= routing::kWaitingMost) {
+    // The least urgent that came last makes room, which may be this one.
+    const auto last = std::prev(proxy.waiting.end());
+    if (last->first.first <= call->demand.tier) {
+      RefuseCall(proxy, call, kUnavailable, "overloaded", kNotReadyRetry);
+      return;
+    }
+    const CallPtr shed = last->second;
+    RefuseCall(proxy, shed, kUnavailable, "overloaded", kNotReadyRetry);
+  }
+  call->waiting = true;
+  proxy.waiting.emplace(std::pair(call->demand.tier, call->number), call);
+  if (!proxy.waiting_timed) {
+    proxy.waiting_timed = true;
+    proxy.waiting_timer = kernel::Every(
+        *proxy.loop, kWaitingPeriod, [&proxy] { DispatchWaiting(proxy); });
+  }
+}
+
+void StopWaiting(Proxy& proxy, const CallPtr& call) {
+  if (!call->waiting) return;
+  call->waiting = false;
+  proxy.waiting.erase(std::pair(call->demand.tier, call->number));
+}
+
+bool HasRoomForBody(const Proxy& proxy, std::size_t bytes) {
+  const double most =
+      kBodiesPart * static_cast<double>(proxy.options.memory_bytes);
+  return static_cast<double>(proxy.body_bytes + bytes) <= most;
+}
+
+}  // namespace
+
+void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller) {
+  const net::HttpRequest& request = caller->request();
+  if (proxy.rules == nullptr) {
+    Reject(proxy, caller, kUnavailable, "not_ready", "no rules are known yet",
+           kNotReadyRetry);
+    return;
+  }
+  const routing::Route* route = routing::FindRoute(
+      *proxy.rules, net::ValueOf(request.fields, "Host"), request.target);
+  if (route == nullptr) {
+    Reject(proxy, caller, kNotFound, "unknown_route", "no route matches", {});
+    return;
+  }
+  auto facts = proxy.dialect->read_call(request);
+  if (!facts) {
+    Reject(proxy, caller, kBadRequest, "bad_request",
+           kernel::Describe(facts.error()), {});
+    return;
+  }
+  const routing::ClientAccount* account = nullptr;
+  if (proxy.rules->has_accounts && !facts.value().key.empty()) {
+    account = routing::FindAccount(*proxy.rules, facts.value().key);
+  }
+  if (proxy.rules->has_accounts && !route->is_public && account == nullptr) {
+    Reject(proxy, caller, kUnauthorized, "unknown_key", "no account has the key",
+           {});
+    return;
+  }
+  if (!HasRoomForBody(proxy, request.body.size())) {
+    Reject(proxy, caller, kUnavailable, "overloaded", "no room for the body",
+           kNotReadyRetry);
+    return;
+  }
+  const CallPtr call =
+      MakeCall(proxy, caller, *route, account, std::move(facts).value());
+  proxy.body_bytes += call->body_bytes;
+  proxy.calls.emplace(call->number, call);
+  routing::OnRequest(proxy.retry_shares[call->service->name],
+                     proxy.options.retries, call->arrived);
+  caller->OnGone([&proxy, call] { OnCallerGone(proxy, call); });
+  call->timeout = kernel::After(
+      *proxy.loop,
+      std::chrono::ceil<milliseconds>(call->deadline - call->arrived) +
+          kDeadlineMargin,
+      [&proxy, weak = std::weak_ptr<Call>(call)] {
+        if (const auto kept = weak.lock()) OnTimeout(proxy, kept);
+      });
+  Dispatch(proxy, call);
+}
+
+void Dispatch(Proxy& proxy, const CallPtr& call) {
+  const Time now = NowOf(proxy);
+  const routing::Placement placement = routing::Place(
+      proxy.endpoints, call->demand, call->tried,
+      routing::PartOf(proxy.members, now), proxy.random, now);
+  routing::AdmitAsk ask;
+  if (!call->waiting) call->waits_since = now;
+  ask.waits_since = call->waits_since;
+  ask.deadline = call->deadline;
+  ask.target = call->route->target;
+  ask.came_before = call->arrivals > 0;
+  const routing::AdmitVerdict verdict =
+      routing::DecideSend(ask, placement, now);
+  if (verdict == routing::AdmitVerdict::kWait) {
+    Wait(proxy, call);
+    return;
+  }
+  StopWaiting(proxy, call);
+  if (verdict == routing::AdmitVerdict::kSend) {
+    StartAttempt(proxy, call, placement);
+    return;
+  }
+  kernel::Log(LogPart::kRoute, LogLevel::kInfo,
+              "Not sent: req=" + call->facts.id +
+                  " verdict=" + routing::NameOf(verdict) +
+                  " place=" + routing::NameOf(placement.reason) +
+                  " expected_ms=" + std::to_string(placement.expected_ms) +
+                  " service=" + call->service->name);
+  if (call->caller->begun()) {
+    call->caller->Break();
+    EndCall(proxy, call, "broke-off");
+    return;
+  }
+  const bool may_have_run = call->may_have_run > 0;
+  RefuseCall(proxy, call, may_have_run ? kBadGateway : kUnavailable,
+             routing::NameOf(verdict),
+             routing::ComeBackAfter(placement, call->route->target,
+                                    proxy.random));
+}
+
+void DispatchWaiting(Proxy& proxy) {
+  // A copy: a dispatch may end other calls that wait.
+  std::vector<CallPtr> waiting;
+  waiting.reserve(proxy.waiting.size());
+  for (const auto& [place, call] : proxy.waiting) waiting.push_back(call);
+  for (const CallPtr& call : waiting) {
+    if (call->waiting) Dispatch(proxy, call);
+  }
+  if (proxy.waiting.empty()) {
+    proxy.waiting_timed = false;
+    proxy.waiting_timer = {};
+  }
+}
+
+void RefuseCall(Proxy& proxy, const CallPtr& call, int status, const char* code,
+                milliseconds retry_after) {
+  StopWaiting(proxy, call);
+  const bool ran = status == kBadGateway || status == kGatewayTimeout;
+  AnswerError(call->caller, status, code,
+              ran ? "the request may have run" : "the request has not run",
+              ran ? "unknown" : "no", ran ? milliseconds{} : retry_after);
+  EndCall(proxy, call, code);
+}
+
+void EndCall(Proxy& proxy, const CallPtr& call, const char* outcome) {
+  StopWaiting(proxy, call);
+  if (proxy.calls.erase(call->number) == 0) return;
+  call->timeout = {};
+  call->patience = {};
+  call->caller->OnGone(nullptr);
+  proxy.body_bytes -= call->body_bytes;
+  const Time now = NowOf(proxy);
+  kernel::Observe(proxy.metrics, proxy.handles.whole_answer,
+                  now - call->arrived);
+  Count(proxy, "egretladder_calls_total", "Calls ended, by outcome.",
+        std::string("outcome=\"") + outcome + "\"");
+  kernel::Log(
+      LogPart::kRoute, LogLevel::kInfo,
+      "Ended: req=" + call->facts.id + " outcome=" + outcome +
+          " route=" + call->route->name + " account=" +
+          (call->account ? call->account->name : "-") + " ms=" +
+          std::to_string(
+              std::chrono::duration_cast<milliseconds>(now - call->arrived)
+                  .count()) +
+          " sends=" + std::to_string(call->may_have_run + call->not_run) +
+          " events=" + std::to_string(call->events));
+}
+
+}  // namespace egretladder::proxy
--- /dev/null
+++ b/proxy/src/news_codec.cc
@@ -0,0 +1,177 @@
+#include "news_codec_p.h"
+
+#include <algorithm>
+
+namespace egretladder::proxy {
+namespace {
+
+using kernel::LogLevel;
+using kernel::LogPart;
+
+void WriteMember(const routing::Member& member,
+                 exchange::Member::Builder builder) {
+  builder.setNode(member.node);
+  builder.setCallers(member.callers);
+  builder.setPeers(member.peers);
+  builder.setZone(member.zone);
+  builder.setRegion(member.region);
+  builder.setIncarnation(member.incarnation);
+  builder.setHeartbeat(member.heartbeat);
+  builder.setLeaving(member.leaving);
+}
+
+routing::Member ReadMember(exchange::Member::Reader reader) {
+  routing::Member member;
+  member.node = reader.getNode();
+  member.callers = reader.getCallers();
+  member.peers = reader.getPeers();
+  member.zone = reader.getZone();
+  member.region = reader.getRegion();
+  member.incarnation = reader.getIncarnation();
+  member.heartbeat = reader.getHeartbeat();
+  member.leaving = reader.getLeaving();
+  return member;
+}
+
+void WriteChanges(const routing::Changes& changes,
+                  exchange::Changes::Builder builder) {
+  builder.setFeed(static_cast<std::uint8_t>(changes.feed));
+  builder.setWhole(changes.whole);
+  builder.setRevision(changes.revision);
+  auto items = builder.initItems(static_cast<unsigned>(changes.items.size()));
+  for (unsigned i = 0; i < items.size(); ++i) {
+    const routing::Item& item = changes.items[i];
+    items[i].setKey(item.key);
+    items[i].setValue(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(item.value.data()),
+        item.value.size()));
+    items[i].setRev(item.rev);
+    items[i].setRemoved(item.removed);
+  }
+}
+
+routing::Changes ReadChanges(exchange::Changes::Reader reader) {
+  routing::Changes changes;
+  changes.feed = static_cast<routing::Feed>(reader.getFeed());
+  changes.whole = reader.getWhole();
+  changes.revision = reader.getRevision();
+  for (const auto item : reader.getItems()) {
+    const auto value = item.getValue();
+    changes.items.push_back(
+        {item.getKey(),
+         std::string(reinterpret_cast<const char*>(value.begin()),
+                     value.size()),
+         item.getRev(), item.getRemoved()});
+  }
+  return changes;
+}
+
+bool IsListed(const Proxy& proxy, routing::Feed feed) {
+  return routing::StateOf(proxy.catalog, feed).revision > 0;
+}
+
+// Load: many nodes that send to the same endpoints. Without the others' load
+// each would count its own part as the whole. In a large fleet it comes too
+// rarely to be worth its bytes.
+void WriteLoads(Proxy& proxy, exchange::News::Builder news) {
+  if (proxy.members.others.size() >= routing::kLoadNodesMost) return;
+  std::vector<const routing::Endpoint*> busy;
+  for (const auto& [id, endpoint] : proxy.endpoints.by_id) {
+    if (endpoint->in_flight > 0) busy.push_back(endpoint.get());
+  }
+  auto loads = news.initLoads(static_cast<unsigned>(busy.size()));
+  for (unsigned i = 0; i < loads.size(); ++i) {
+    double tokens = 0;
+    for (const double some : busy[i]->waiting_tokens) tokens += some;
+    loads[i].setEndpoint(busy[i]->entry.id);
+    loads[i].setInFlight(busy[i]->in_flight);
+    loads[i].setWaitingTokens(static_cast<std::uint32_t>(tokens));
+  }
+}
+
+// Sums up anew what peers said; what is too old no longer counts.
+void SumLoads(Proxy& proxy, Time now) {
+  for (const auto& [id, endpoint] : proxy.endpoints.by_id) {
+    endpoint->others_in_flight = 0;
+    endpoint->others_tokens = 0;
+  }
+  std::erase_if(proxy.peer_loads, [now](const auto& entry) {
+    return now - entry.second.told > routing::kLoadKept;
+  });
+  for (const auto& [node, told] : proxy.peer_loads) {
+    for (const PeerLoads::Load& load : told.loads) {
+      const auto at = proxy.endpoints.by_id.find(load.endpoint);
+      if (at == proxy.endpoints.by_id.end()) continue;
+      at->second->others_in_flight += load.in_flight;
+      at->second->others_tokens += load.waiting_tokens;
+    }
+  }
+}
+
+void TakeLoads(Proxy& proxy, const std::string& node,
+               exchange::News::Reader news, Time now) {
+  PeerLoads& told = proxy.peer_loads[node];
+  told.told = now;
+  told.loads.clear();
+  for (const auto load : news.getLoads()) {
+    told.loads.push_back(
+        {load.getEndpoint(), load.getInFlight(), load.getWaitingTokens()});
+  }
+  SumLoads(proxy, now);
+}
+
+void TakeMembers(Proxy& proxy, const std::vector<routing::Member>& told,
+                 Time now) {
+  for (const std::string& node : routing::Hear(proxy.members, told, now)) {
+    kernel::Log(LogPart::kFleet, LogLevel::kInfo, "Node there: node=" + node);
+  }
+}
+
+}  // namespace
+
+void WriteNews(Proxy& proxy,
+               const std::array<std::uint64_t, routing::kFeeds>& theirs,
+               exchange::News::Builder news) {
+  const Time now = NowOf(proxy);
+  const auto members = routing::ToTell(proxy.members, proxy.random, now);
+  auto list = news.initMembers(static_cast<unsigned>(members.size()));
+  for (unsigned i = 0; i < list.size(); ++i) WriteMember(members[i], list[i]);
+  auto revisions = news.initRevisions(routing::kFeeds);
+  std::vector<routing::Changes> lacking;
+  for (unsigned i = 0; i < routing::kFeeds; ++i) {
+    const auto feed = static_cast<routing::Feed>(i);
+    const std::uint64_t own = routing::StateOf(proxy.catalog, feed).revision;
+    revisions.set(i, own);
+    if (!IsListed(proxy, feed) || theirs[i] >= own) continue;
+    lacking.push_back(routing::ChangesSince(proxy.catalog, feed, theirs[i]));
+  }
+  auto changes = news.initChanges(static_cast<unsigned>(lacking.size()));
+  for (unsigned i = 0; i < changes.size(); ++i) {
+    WriteChanges(lacking[i], changes[i]);
+  }
+  WriteLoads(proxy, news);
+}
+
+std::array<std::uint64_t, routing::kFeeds> TakeNews(
+    Proxy& proxy, exchange::News::Reader news) {
+  const Time now = NowOf(proxy);
+  std::vector<routing::Member> members;
+  for (const auto member : news.getMembers()) {
+    members.push_back(ReadMember(member));
+  }
+  TakeMembers(proxy, members, now);
+  for (const auto reader : news.getChanges()) {
+    if (reader.getFeed() >= routing::kFeeds) continue;  // Of a newer node.
+    TakeChanges(proxy, ReadChanges(reader), "peer");
+  }
+  // The first member is the sender itself.
+  if (!members.empty()) TakeLoads(proxy, members.front().node, news, now);
+  std::array<std::uint64_t, routing::kFeeds> theirs{};
+  const auto revisions = news.getRevisions();
+  for (unsigned i = 0; i < revisions.size() && i < routing::kFeeds; ++i) {
+    theirs[i] = revisions[i];
+  }
+  return theirs;
+}
+
+}  // namespace egretladder::proxy
--- /dev/null
+++ b/proxy/src/peers_capnp.cc
@@ -0,0 +1,227 @@
+// Exchanges between nodes over Cap'n Proto RPC.
+#include <capnp/rpc-twoparty.h>
+#include <kj/exception.h>
+
+#include <cerrno>
+#include <map>
+#include <utility>
+
+#include "egretladder/net/address.h"
+#include "egretladder/net/kj_loop.h"
+#include "egretladder/net/socket.h"
+#include "news_codec_p.h"
+
+namespace egretladder::proxy {
+namespace {
+
+using VatId = capnp::rpc::twoparty::VatId;
+using Revisions = std::array<std::uint64_t, routing::kFeeds>;
+
+capnp::ReaderOptions ReceiveOptions() {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = kNewsWords;
+  constexpr int kNesting = 16;
+  options.nestingLimit = kNesting;
+  return options;
+}
+
+// A connection to one peer.
+struct PeerOut : private kj::TaskSet::ErrorHandler {
+  PeerOut(net::Bufferevent buffer, Time now)
+      : stream(std::move(buffer)),
+        network(stream, capnp::rpc::twoparty::Side::CLIENT, ReceiveOptions()),
+        system(capnp::makeRpcClient(network)),
+        peer(nullptr),
+        opened(now),
+        asked(now),
+        tasks(*this) {
+    capnp::word scratch[4] = {};
+    capnp::MallocMessageBuilder message(scratch);
+    auto vat = message.getRoot<VatId>();
+    vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+    peer = system.bootstrap(vat).castAs<exchange::Peer>();
+  }
+
+  void taskFailed(kj::Exception&& /*exception*/) override { broken = true; }
+
+  net::BuffereventStream stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<VatId> system;
+  exchange::Peer::Client peer;
+  Time opened{};
+  Time asked{};
+  bool waits = false;     // An exchange is unanswered.
+  bool answered = false;  // At least one was.
+  bool broken = false;
+  Revisions theirs{};  // As it last said.
+  kj::TaskSet tasks;   // Last, so that it goes first.
+};
+
+struct PeerIn {
+  PeerIn(net::Bufferevent buffer, capnp::Capability::Client self)
+      : stream(std::move(buffer)),
+        network(stream, capnp::rpc::twoparty::Side::SERVER, ReceiveOptions()),
+        system(capnp::makeRpcServer(network, std::move(self))),
+        ended(network.onDisconnect()
+                  .then([this] { broken = true; },
+                        [this](kj::Exception&& /*e*/) { broken = true; })
+                  .eagerlyEvaluate(nullptr)) {}
+
+  net::BuffereventStream stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<VatId> system;
+  bool broken = false;
+  kj::Promise<void> ended;
+};
+
+}  // namespace
+
+struct PeerNet {
+  Proxy* proxy = nullptr;
+  std::shared_ptr<net::KjLoop> kj;
+  net::Listener listener;
+  std::map<std::string, std::unique_ptr<PeerOut>> out;
+  std::vector<std::unique_ptr<PeerIn>> in;
+  kernel::Watch sweep;
+};
+
+namespace {
+
+class PeerServer final : public exchange::Peer::Server {
+ public:
+  explicit PeerServer(Proxy& proxy) : proxy_(proxy) {}
+
+  kj::Promise<void> exchange(ExchangeContext context) override {
+    const Revisions theirs = TakeNews(proxy_, context.getParams().getNews());
+    routing::OnExchanged(proxy_.members, NowOf(proxy_));
+    WriteNews(proxy_, theirs, context.getResults().initNews());
+    return kj::READY_NOW;
+  }
+
+ private:
+  Proxy& proxy_;
+};
+
+void AcceptPeer(evconnlistener* /*listener*/, evutil_socket_t fd,
+                sockaddr* /*address*/, int /*size*/, void* arg) {
+  auto& net = *static_cast<PeerNet*>(arg);
+  if (net.in.size() >= kPeerConnections) {
+    evutil_closesocket(fd);
+    return;
+  }
+  net::PrepareSocket(fd);
+  net::Bufferevent buffer(bufferevent_socket_new(
+      net.proxy->loop->base.get(), fd, BEV_OPT_CLOSE_ON_FREE));
+  net.in.push_back(std::make_unique<PeerIn>(
+      std::move(buffer), kj::heap<PeerServer>(*net.proxy)));
+}
+
+bool IsOver(const PeerOut& peer, Time now) {
+  return peer.broken || peer.stream.IsOver() ||
+         (peer.waits && now - peer.asked > kExchangeTime);
+}
+
+void Sweep(PeerNet& net) {
+  const Time now = NowOf(*net.proxy);
+  for (auto at = net.out.begin(); at != net.out.end();) {
+    const PeerOut& peer = *at->second;
+    const bool over = IsOver(peer, now);
+    if (over && !peer.answered && now - peer.opened < kRefusedWithin) {
+      routing::OnUnreachable(net.proxy->members, at->first, now);
+    }
+    at = over || now - peer.asked > kPeerIdleTime ? net.out.erase(at)
+                                                  : std::next(at);
+  }
+  std::erase_if(net.in, [](const std::unique_ptr<PeerIn>& peer) {
+    return peer->broken || peer->stream.IsOver();
+  });
+}
+
+PeerOut* Connect(PeerNet& net, const std::string& address, Time now) {
+  auto target = net::ParseAddress(address);
+  if (!target) return nullptr;
+  net::Bufferevent buffer(bufferevent_socket_new(
+      net.proxy->loop->base.get(), -1, BEV_OPT_CLOSE_ON_FREE));
+  if (bufferevent_socket_connect(buffer.get(), target->get(), target->size) !=
+      0) {
+    return nullptr;
+  }
+  net::PrepareSocket(bufferevent_getfd(buffer.get()));
+  return net.out
+      .emplace(address, std::make_unique<PeerOut>(std::move(buffer), now))
+      .first->second.get();
+}
+
+void ExchangeWith(PeerNet& net, const std::string& address) {
+  Proxy& proxy = *net.proxy;
+  const Time now = NowOf(proxy);
+  auto at = net.out.find(address);
+  if (at != net.out.end() && IsOver(*at->second, now)) {
+    net.out.erase(at);
+    at = net.out.end();
+  }
+  PeerOut* peer = at != net.out.end() ? at->second.get()
+                                      : Connect(net, address, now);
+  // One at a time: what is told is state, and the next exchange tells it anew.
+  if (peer == nullptr || peer->waits) return;
+  auto request = peer->peer.exchangeRequest();
+  WriteNews(proxy, peer->theirs, request.initNews());
+  peer->waits = true;
+  peer->asked = now;
+  peer->tasks.add(request.send().then([&proxy, peer](auto&& answer) {
+    peer->waits = false;
+    peer->answered = true;
+    routing::OnExchanged(proxy.members, NowOf(proxy));
+    peer->theirs = TakeNews(proxy, answer.getNews());
+  }));
+}
+
+}  // namespace
+
+void PeerNetDelete::operator()(PeerNet* net) const { delete net; }
+
+kernel::Result<PeerNetPtr> OpenPeers(Proxy& proxy, std::string* address) {
+  PeerNetPtr net(new PeerNet);
+  net->proxy = &proxy;
+  BOOST_OUTCOME_TRY(kj, net::AcquireKjLoop(*proxy.loop));
+  net->kj = std::move(kj);
+  const std::string& listen = proxy.options.peers;
+  auto target = net::ParseAddress(listen);
+  evconnlistener* listener =
+      target ? evconnlistener_new_bind(
+                   proxy.loop->base.get(), AcceptPeer, net.get(),
+                   LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, target->get(),
+                   target->size)
+             : nullptr;
+  if (listener == nullptr) {
+    return kernel::MakeError(kernel::ErrorCode::kUnavailable, "listen", listen,
+                             evutil_socket_error_to_string(errno));
+  }
+  net->listener.reset(listener);
+  *address = net::WithBoundPort(listen, evconnlistener_get_fd(listener));
+  net->sweep =
+      kernel::Every(*proxy.loop, kTick, [raw = net.get()] { Sweep(*raw); });
+  return net;
+}
+
+void Exchange(Proxy& proxy) {
+  const Time now = NowOf(proxy);
+  routing::Beat(proxy.members, now);
+  const std::string address =
+      routing::NextPeer(proxy.members, proxy.random, now);
+  if (!address.empty()) ExchangeWith(*proxy.peers, address);
+}
+
+void TellAll(Proxy& proxy) {
+  routing::Beat(proxy.members, NowOf(proxy));
+  std::size_t told = 0;
+  for (const auto& [node, known] : proxy.members.others) {
+    if (!routing::IsThere(known, NowOf(proxy))) continue;
+    ExchangeWith(*proxy.peers, known.member.peers);
+    if (++told >= routing::kLoadNodesMost) break;
+  }
+}
+
+std::size_t CountPeers(const PeerNet& net) { return net.out.size(); }
+
+}  // namespace egretladder::proxy
--- /dev/null
+++ b/proxy/src/proxy.cc
@@ -0,0 +1,215 @@
+#include "egretladder/proxy/proxy.h"
+
+#include <algorithm>
+
+#include "egretladder/kernel/registry.h"
+#include "state_p.h"
+
+namespace egretladder::proxy {
+namespace {
+
+using kernel::LogLevel;
+using kernel::LogPart;
+
+void ShowGauges(Proxy& proxy) {
+  const auto set = [&proxy](const char* name, const char* help, double value) {
+    kernel::Set(proxy.metrics, kernel::AddGauge(proxy.metrics, name, help),
+                value);
+  };
+  set("egretladder_rules_version", "Version of the rules in force.",
+      static_cast<double>(proxy.rules ? proxy.rules->version : 0));
+  set("egretladder_endpoints", "Endpoints known.",
+      static_cast<double>(proxy.endpoints.by_id.size()));
+  set("egretladder_nodes", "Nodes known, this one included.",
+      static_cast<double>(proxy.members.others.size() + 1));
+  set("egretladder_calls", "Calls in progress.",
+      static_cast<double>(proxy.calls.size()));
+  set("egretladder_waiting", "Calls that wait for an endpoint.",
+      static_cast<double>(proxy.waiting.size()));
+  set("egretladder_endpoint_connections_opened",
+      "Connections to endpoints and the store opened since the start.",
+      static_cast<double>(proxy.client->opened()));
+}
+
+void OnPaused(Proxy& proxy, milliseconds gap) {
+  // The process stood still: watches may have gone silent, and what peers said
+  // is old.
+  kernel::Log(LogPart::kKernel, LogLevel::kWarning,
+              "The process stood still: ms=" + std::to_string(gap.count()));
+  RestartReading(proxy);
+}
+
+void OnTick(Proxy& proxy) {
+  const Time now = NowOf(proxy);
+  const auto gap =
+      std::chrono::duration_cast<milliseconds>(now - proxy.ticked);
+  proxy.ticked = now;
+  if (gap > kPaused) OnPaused(proxy, gap);
+  for (const std::string& id : routing::DropLapsed(proxy.endpoints, now)) {
+    kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
+                "Endpoint gone: endpoint=" + id + " source=lapsed");
+  }
+  routing::ForgetRemovals(proxy.catalog, now);
+  for (const std::string& node : routing::ForgetMembers(proxy.members, now)) {
+    kernel::Log(LogPart::kFleet, LogLevel::kInfo, "Node gone: node=" + node);
+  }
+  ShowGauges(proxy);
+}
+
+kernel::Result<std::unique_ptr<net::HttpServer>> Serve(
+    Proxy& proxy, const std::string& address,
+    void (*answer)(Proxy&, const net::HttpCallPtr&)) {
+  net::ServerHandlers handlers;
+  handlers.on_request = [&proxy, answer](const net::HttpCallPtr& call) {
+    answer(proxy, call);
+  };
+  handlers.on_refused = [&proxy](int status, const std::string& why) {
+    Count(proxy, "egretladder_unreadable_total",
+          "Requests refused since they could not be read.",
+          "status=\"" + std::to_string(status) + "\"");
+    kernel::Log(LogPart::kCaller, LogLevel::kInfo,
+                "Unreadable request: status=" + std::to_string(status) +
+                    " why=\"" + why + "\"");
+  };
+  handlers.refusal_body = [](int /*status*/, std::string_view why) {
+    return ErrorBody("bad_request", why, "no");
+  };
+  auto server =
+      std::make_unique<net::HttpServer>(*proxy.loop, std::move(handlers));
+  BOOST_OUTCOME_TRY(server->Listen(address));
+  return server;
+}
+
+kernel::Result<void> OpenServers(Proxy& proxy) {
+  const ProxyOptions& options = proxy.options;
+  BOOST_OUTCOME_TRY(callers, Serve(proxy, options.callers, OnRequest));
+  proxy.callers = std::move(callers);
+  BOOST_OUTCOME_TRY(ready, Serve(proxy, options.ready, AnswerReady));
+  proxy.ready = std::move(ready);
+  BOOST_OUTCOME_TRY(directory,
+                    Serve(proxy, options.directory, AnswerDirectory));
+  proxy.directory = std::move(directory);
+  if (options.metrics.empty()) return boost::outcome_v2::success();
+  BOOST_OUTCOME_TRY(metrics, Serve(proxy, options.metrics, AnswerMetrics));
+  proxy.metrics_server = std::move(metrics);
+  return boost::outcome_v2::success();
+}
+
+routing::Member SelfOf(const Proxy& proxy, const std::string& peers) {
+  routing::Member self;
+  self.node = proxy.options.node;
+  self.callers = proxy.callers->address();
+  self.peers = peers;
+  self.zone = proxy.options.zone;
+  self.region = proxy.options.region;
+  // The time of day: higher with each start unless the clock goes back, and
+  // then the members' rule for older lives raises it.
+  self.incarnation = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+  return self;
+}
+
+}  // namespace
+
+void ProxyDelete::operator()(Proxy* proxy) const {
+  const auto calls = proxy->calls;
+  for (const auto& [number, call] : calls) {
+    DropAttempt(*proxy, call);
+    call->caller->OnGone(nullptr);
+    call->caller->Break();
+  }
+  for (StoreReader& reader : proxy->readers) net::Cancel(reader.exchange);
+  delete proxy;
+}
+
+void Count(Proxy& proxy, const char* name, const char* help,
+           const std::string& labels) {
+  kernel::Increment(proxy.metrics,
+                    kernel::AddCounter(proxy.metrics, name, help, labels));
+}
+
+bool IsReady(const Proxy& proxy) {
+  return !proxy.leaving && proxy.rules != nullptr &&
+         routing::StateOf(proxy.catalog, routing::Feed::kEndpoints).revision >
+             0;
+}
+
+kernel::Result<ProxyPtr> StartProxy(kernel::Loop& loop,
+                                    const ProxyOptions& options) {
+  ProxyPtr proxy(new Proxy);
+  proxy->loop = &loop;
+  proxy->options = options;
+  proxy->dialect = kernel::FindPlugin<Dialect>(options.dialect);
+  if (proxy->dialect == nullptr) {
+    return kernel::MakeError(kernel::ErrorCode::kInvalidInput, "start",
+                             options.dialect, "no such dialect");
+  }
+  proxy->random.seed(kernel::SecretBits());
+  proxy->handles.first_event = kernel::AddQuantiles(
+      proxy->metrics, "egretladder_first_event_seconds",
+      "From a call's arrival to its answer's first byte.");
+  proxy->handles.whole_answer = kernel::AddQuantiles(
+      proxy->metrics, "egretladder_call_seconds",
+      "From a call's arrival to its end.");
+  proxy->handles.waited = kernel::AddQuantiles(
+      proxy->metrics, "egretladder_waited_seconds",
+      "From a call's arrival to each send.");
+  proxy->client = std::make_unique<net::HttpClient>(loop);
+  BOOST_OUTCOME_TRY(OpenServers(*proxy));
+  std::string peers;
+  BOOST_OUTCOME_TRY(net, OpenPeers(*proxy, &peers));
+  proxy->peers = std::move(net);
+  const Time now = NowOf(*proxy);
+  proxy->members =
+      routing::StartMembers(SelfOf(*proxy, peers), options.seeds, now);
+  proxy->ticked = now;
+  proxy->tick =
+      kernel::Every(loop, kTick, [raw = proxy.get()] { OnTick(*raw); });
+  proxy->exchange_tick =
+      kernel::Every(loop, routing::kExchangePeriod,
+                    [raw = proxy.get()] { Exchange(*raw); });
+  StartReading(*proxy);
+  Exchange(*proxy);
+  return proxy;
+}
+
+void Leave(Proxy& proxy) {
+  proxy.leaving = true;
+  proxy.leaving_since = NowOf(proxy);
+  proxy.members.self.leaving = true;
+  proxy.callers->CloseAfterAnswers();
+  TellAll(proxy);
+}
+
+bool MayEnd(const Proxy& proxy) {
+  if (!proxy.leaving) return false;
+  const auto since = NowOf(proxy) - proxy.leaving_since;
+  if (since >= proxy.options.grace - kStopMargin) return true;
+  return since >= kLinger && proxy.calls.empty();
+}
+
+void SetSeeds(Proxy& proxy, const std::vector<std::string>& seeds) {
+  proxy.members.seeds = seeds;
+}
+
+kernel::Metrics& MetricsOf(Proxy& proxy) { return proxy.metrics; }
+
+ProxyView ViewOf(Proxy& proxy) {
+  ProxyView view;
+  view.callers = proxy.callers->address();
+  view.ready = proxy.ready->address();
+  view.directory = proxy.directory->address();
+  view.peers = proxy.members.self.peers;
+  view.rules_version = proxy.rules ? proxy.rules->version : 0;
+  view.endpoints = proxy.endpoints.by_id.size();
+  view.nodes =
+      routing::PartOf(proxy.members, NowOf(proxy)).names.size();
+  view.calls = proxy.calls.size();
+  view.waiting = proxy.waiting.size();
+  view.ready_now = IsReady(proxy);
+  return view;
+}
+
+}  // namespace egretladder::proxy
--- /dev/null
+++ b/proxy/src/settings.cc
@@ -0,0 +1,124 @@
+#include "egretladder/proxy/settings.h"
+
+#include <array>
+
+#include "egretladder/kernel/registry.h"
+#include "egretladder/kernel/settings.h"
+#include "egretladder/net/address.h"
+#include "egretladder/proxy/dialect.h"
+
+namespace egretladder::proxy {
+namespace {
+
+using kernel::SettingKind;
+
+constexpr const char* kAddressExpected = "IP:port";
+constexpr const char* kDurationExpected = "a number with ms, s, m or h";
+
+constexpr std::array<kernel::SettingSpec, 18> kSpecs = {{
+    {"node", "name", SettingKind::kText, "", true, "the node's name"},
+    {"node", "zone", SettingKind::kText, "", true, "an availability zone"},
+    {"node", "region", SettingKind::kText, "", false, "a region"},
+    {"node", "dialect", SettingKind::kText, "platform", false,
+     "the name of a dialect"},
+    {"listen", "callers", SettingKind::kAddress, "", true, kAddressExpected},
+    {"listen", "ready", SettingKind::kAddress, "", true, kAddressExpected},
+    {"listen", "directory", SettingKind::kAddress, "", true, kAddressExpected},
+    {"listen", "peers", SettingKind::kAddress, "", true, kAddressExpected},
+    {"listen", "metrics", SettingKind::kText, "", false, kAddressExpected},
+    {"peers", "seeds", SettingKind::kText, "", false,
+     "peer addresses IP:port, separated by commas"},
+    {"store", "address", SettingKind::kAddress, "", true, kAddressExpected},
+    {"retries", "ratio", SettingKind::kNumber, "0.1", false,
+     "retries for each request, all nodes together"},
+    {"retries", "slack", SettingKind::kNumber, "10", false,
+     "retries beyond that in a window, all nodes together"},
+    {"retries", "window", SettingKind::kDuration, "10s", false,
+     kDurationExpected},
+    {"limits", "memory", SettingKind::kBytes, "256MiB", false,
+     "a number with B, KiB or MiB"},
+    {"limits", "descriptors", SettingKind::kCount, "4096", false,
+     "a whole number"},
+    {"stop", "grace", SettingKind::kDuration, "8s", false, kDurationExpected},
+    {"log", "level", SettingKind::kText, "info", false,
+     "debug, info, warning or error"},
+}};
+
+kernel::Error Fault(std::string_view file, const std::string& detail) {
+  return kernel::MakeError(kernel::ErrorCode::kInvalidInput, "read settings",
+                           std::string(file), detail);
+}
+
+void ReadNode(const kernel::Settings& settings, ProxyOptions& options) {
+  const auto text = [&settings](const char* section, const char* key) {
+    return kernel::TextOf(settings, section, key);
+  };
+  options.node = text("node", "name");
+  options.zone = text("node", "zone");
+  options.region = text("node", "region");
+  options.dialect = text("node", "dialect");
+  options.callers = text("listen", "callers");
+  options.ready = text("listen", "ready");
+  options.directory = text("listen", "directory");
+  options.peers = text("listen", "peers");
+  options.metrics = text("listen", "metrics");
+  options.store = text("store", "address");
+  options.seeds = kernel::SplitList(text("peers", "seeds"));
+}
+
+void ReadNumbers(const kernel::Settings& settings, ProxyOptions& options) {
+  options.retries.ratio = kernel::NumberOf(settings, "retries", "ratio");
+  options.retries.slack = kernel::NumberOf(settings, "retries", "slack");
+  options.retries.window = kernel::DurationOf(settings, "retries", "window");
+  options.memory_bytes = kernel::BytesOf(settings, "limits", "memory");
+  options.descriptors = kernel::CountOf(settings, "limits", "descriptors");
+  options.grace = kernel::DurationOf(settings, "stop", "grace");
+}
+
+void Check(const ProxyOptions& options, std::string_view file,
+           std::vector<kernel::Error>& faults) {
+  for (const std::string& seed : options.seeds) {
+    if (net::SplitAddress(seed).second != 0) continue;
+    faults.push_back(Fault(
+        file, "peers.seeds has '" + seed + "', expected " + kAddressExpected));
+  }
+  if (!options.metrics.empty() &&
+      net::SplitAddress(options.metrics).second == 0) {
+    faults.push_back(Fault(file, "listen.metrics is '" + options.metrics +
+                                     "', expected " + kAddressExpected));
+  }
+  if (options.retries.window.count() == 0) {
+    faults.push_back(Fault(file, "retries.window is 0"));
+  }
+  if (kernel::FindPlugin<Dialect>(options.dialect) == nullptr) {
+    faults.push_back(Fault(
+        file, "node.dialect is '" + options.dialect + "', which none has"));
+  }
+}
+
+}  // namespace
+
+std::string DescribeSettings() { return kernel::DescribeSettings(kSpecs); }
+
+kernel::Result<ProxyConfig> ReadProxyConfig(
+    const std::string& text, std::string_view file,
+    std::vector<kernel::Error>* faults) {
+  BOOST_OUTCOME_TRY(settings, kernel::ReadSettings(text, file, kSpecs, faults));
+  ProxyConfig config;
+  ReadNode(settings, config.proxy);
+  ReadNumbers(settings, config.proxy);
+  std::vector<kernel::Error> found;
+  Check(config.proxy, file, found);
+  const std::string& level = kernel::TextOf(settings, "log", "level");
+  if (const auto read = kernel::ParseLogLevel(level)) {
+    config.log_level = *read;
+  } else {
+    found.push_back(Fault(file, "log.level is '" + level + "'"));
+  }
+  if (found.empty()) return config;
+  const kernel::Error first = found.front();
+  if (faults != nullptr) *faults = std::move(found);
+  return first;
+}
+
+}  // namespace egretladder::proxy
--- /dev/null
+++ b/proxy/src/state_p.h
@@ -0,0 +1,210 @@
+// What the parts of one proxy share.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "egretladder/kernel/hash.h"
+#include "egretladder/kernel/log.h"
+#include "egretladder/net/event_splitter.h"
+#include "egretladder/net/http_client.h"
+#include "egretladder/net/http_server.h"
+#include "egretladder/proxy/dialect.h"
+#include "egretladder/proxy/limits.h"
+#include "egretladder/proxy/proxy.h"
+#include "egretladder/routing/admit.h"
+#include "egretladder/routing/after_attempt.h"
+#include "egretladder/routing/catalog.h"
+#include "egretladder/routing/members.h"
+#include "egretladder/routing/place.h"
+#include "egretladder/routing/retry_share.h"
+
+namespace egretladder::proxy {
+
+using kernel::Time;
+
+/// One attempt of a call at an endpoint.
+struct Attempt {
+  std::uint64_t number = 0;
+  routing::EndpointPtr endpoint;
+  routing::Placement placement;
+  net::HttpExchangePtr exchange;
+  Time sent{};
+  bool left = false;     ///< Its first byte left this node.
+  bool started = false;  ///< The endpoint answered or sent an event.
+  bool events = false;   ///< The answer is a stream, passed on as it comes.
+  net::HttpAnswerHead head;
+  AnswerFacts facts;
+  std::string body;  ///< Of an answer that is held whole.
+  net::EventSplitter splitter;
+};
+
+/// One request of a caller.
+struct Call {
+  std::uint64_t number = 0;
+  net::HttpCallPtr caller;
+  CallFacts facts;
+  routing::RouteTablePtr table;  ///< In force when it arrived.
+  const routing::Route* route = nullptr;
+  const routing::ClientAccount* account = nullptr;  ///< Null: none.
+  const routing::Service* service = nullptr;
+  routing::Demand demand;
+  Time arrived{};
+  Time deadline{};
+  std::vector<routing::EndpointPtr> tried;
+  std::uint32_t may_have_run = 0;
+  std::uint32_t not_run = 0;
+  std::uint32_t arrivals = 0;  ///< Sends that reached an endpoint.
+  std::unique_ptr<Attempt> attempt;
+  std::string last_event;  ///< That the caller got from this node.
+  std::uint64_t events = 0;
+  bool waiting = false;
+  Time waits_since{};  ///< Since it has needed an endpoint.
+  kernel::Watch timeout;
+  kernel::Watch patience;
+  std::size_t body_bytes = 0;
+};
+using CallPtr = std::shared_ptr<Call>;
+
+/// The reading of one feed.
+struct StoreReader {
+  routing::Feed feed = routing::Feed::kRules;
+  bool listed = false;  ///< A whole list came since the start or the last gap.
+  bool reading = false;
+  routing::Changes list;   ///< Of the pages so far.
+  std::string after;       ///< Last key of the pages so far.
+  net::HttpExchangePtr exchange;
+  std::string body;
+  int status = 0;
+  milliseconds backoff{};
+  kernel::Watch timer;
+  std::uint64_t calls = 0;
+};
+
+/// What one peer said of its load.
+struct PeerLoads {
+  struct Load {
+    std::string endpoint;
+    std::uint32_t in_flight = 0;
+    std::uint32_t waiting_tokens = 0;
+  };
+  Time told{};
+  std::vector<Load> loads;
+};
+
+struct PeerNet;
+struct PeerNetDelete {
+  void operator()(PeerNet* net) const;
+};
+using PeerNetPtr = std::unique_ptr<PeerNet, PeerNetDelete>;
+
+/// Counters by name; made on first use.
+struct ProxyMetrics {
+  kernel::QuantileHandle first_event;
+  kernel::QuantileHandle whole_answer;
+  kernel::QuantileHandle waited;
+};
+
+struct Proxy {
+  kernel::Loop* loop = nullptr;
+  ProxyOptions options;
+  const Dialect* dialect = nullptr;
+  kernel::Metrics metrics;
+  ProxyMetrics handles;
+  kernel::Random random;
+
+  // What it knows.
+  routing::Catalog catalog;
+  routing::RouteTablePtr rules;
+  routing::EndpointSet endpoints;
+  routing::Members members;
+  std::map<std::string, PeerLoads> peer_loads;
+  std::unordered_map<std::string, routing::RetryShare> retry_shares;
+  Time store_trouble{};  ///< Last failed call; default: none.
+
+  // What it does.
+  std::unique_ptr<net::HttpClient> client;
+  std::unique_ptr<net::HttpServer> callers;
+  std::unique_ptr<net::HttpServer> ready;
+  std::unique_ptr<net::HttpServer> directory;
+  std::unique_ptr<net::HttpServer> metrics_server;
+  std::array<StoreReader, routing::kFeeds> readers;
+  std::unordered_map<std::uint64_t, CallPtr> calls;
+  std::map<std::pair<routing::Tier, std::uint64_t>, CallPtr> waiting;
+  kernel::Watch waiting_timer;
+  bool waiting_timed = false;
+  std::size_t body_bytes = 0;
+  std::uint64_t last_number = 0;
+  Time ticked{};
+  kernel::Watch tick;
+  kernel::Watch exchange_tick;
+  bool leaving = false;
+  Time leaving_since{};
+  PeerNetPtr peers;  ///< Last, so that it goes first.
+};
+
+inline Time NowOf(const Proxy& proxy) { return kernel::Now(proxy.loop->clock); }
+
+/// Counts one event under a label.
+void Count(Proxy& proxy, const char* name, const char* help,
+           const std::string& labels);
+
+// calls.cc
+/// A caller's request was read.
+void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller);
+/// Sends the call now, lets it wait, or refuses it.
+void Dispatch(Proxy& proxy, const CallPtr& call);
+/// Tries those that wait, in their order.
+void DispatchWaiting(Proxy& proxy);
+/// Ends the call without an endpoint's answer. `ran`: it may have run.
+void RefuseCall(Proxy& proxy, const CallPtr& call, int status, const char* code,
+                milliseconds retry_after);
+/// The caller has its end; forgets the call.
+void EndCall(Proxy& proxy, const CallPtr& call, const char* outcome);
+
+// attempts.cc
+void StartAttempt(Proxy& proxy, const CallPtr& call,
+                  const routing::Placement& placement);
+/// Stops the attempt without a decision; the endpoint sees a closed connection.
+void DropAttempt(Proxy& proxy, const CallPtr& call);
+void EndAttempt(Proxy& proxy, const CallPtr& call, routing::AttemptEnd end,
+                const std::string& detail);
+
+// answers.cc
+/// A page of the node itself: addresses, readiness, metrics.
+void AnswerDirectory(Proxy& proxy, const net::HttpCallPtr& caller);
+void AnswerReady(Proxy& proxy, const net::HttpCallPtr& caller);
+void AnswerMetrics(Proxy& proxy, const net::HttpCallPtr& caller);
+/// An error in the product's own form.
+std::string ErrorBody(const char* code, std::string_view message,
+                      const char* ran);
+void AnswerError(const net::HttpCallPtr& caller, int status, const char* code,
+                 std::string_view message, const char* ran,
+                 milliseconds retry_after);
+
+// store.cc
+void StartReading(Proxy& proxy);
+/// Opens the watches anew: what they would bring may be lost.
+void RestartReading(Proxy& proxy);
+/// Takes news of the store, from itself or a peer.
+void TakeChanges(Proxy& proxy, const routing::Changes& changes,
+                 const char* source);
+
+// peers_capnp.cc
+kernel::Result<PeerNetPtr> OpenPeers(Proxy& proxy, std::string* address);
+/// One exchange with one peer.
+void Exchange(Proxy& proxy);
+/// Tells as many peers as it can at once.
+void TellAll(Proxy& proxy);
+std::size_t CountPeers(const PeerNet& net);
+
+// proxy.cc
+bool IsReady(const Proxy& proxy);
+
+}  // namespace egretladder::proxy
--- /dev/null
+++ b/proxy/src/store.cc
@@ -0,0 +1,289 @@
+// Reading the platform's store: each feed is listed once and then watched.
+#include <algorithm>
+
+#include "state_p.h"
+
+namespace egretladder::proxy {
+namespace {
+
+using kernel::LogLevel;
+using kernel::LogPart;
+using routing::Feed;
+
+constexpr int kOk = 200;
+constexpr int kHistoryGone = 410;
+
+void Read(Proxy& proxy, StoreReader& reader);
+
+const char* NameOf(Feed feed) {
+  return feed == Feed::kRules ? "rules" : "endpoints";
+}
+
+std::uint64_t RevisionOf(const Proxy& proxy, Feed feed) {
+  return routing::StateOf(proxy.catalog, feed).revision;
+}
+
+void ReadAfter(Proxy& proxy, StoreReader& reader, milliseconds delay) {
+  reader.timer = kernel::After(*proxy.loop, delay,
+                               [&proxy, &reader] { Read(proxy, reader); });
+}
+
+void OnReadFailed(Proxy& proxy, StoreReader& reader, const std::string& why) {
+  reader.reading = false;
+  proxy.store_trouble = NowOf(proxy);
+  reader.backoff = reader.backoff.count() == 0
+                       ? kStoreBackoffFirst
+                       : std::min(2 * reader.backoff, kStoreBackoffMost);
+  // Jittered: all nodes lost the store together.
+  const auto jitter = milliseconds(kernel::Below(
+      proxy.random, static_cast<std::uint64_t>(reader.backoff.count())));
+  kernel::Log(LogPart::kPlatform, LogLevel::kWarning,
+              std::string("Store not read: feed=") + NameOf(reader.feed) +
+                  " why=\"" + why + "\" again_ms=" +
+                  std::to_string((reader.backoff / 2 + jitter).count()) +
+                  " revision=" + std::to_string(RevisionOf(proxy, reader.feed)));
+  Count(proxy, "egretladder_store_failures_total", "Failed reads of the store.",
+        std::string("feed=\"") + NameOf(reader.feed) + "\"");
+  ReadAfter(proxy, reader, reader.backoff / 2 + jitter);
+}
+
+void OnReadWell(StoreReader& reader) {
+  if (reader.backoff.count() > 0) {
+    kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
+                std::string("Store read again: feed=") + NameOf(reader.feed));
+  }
+  reader.backoff = {};
+}
+
+void TakePage(Proxy& proxy, StoreReader& reader) {
+  auto page = proxy.dialect->read_page(reader.body);
+  if (!page) {
+    OnReadFailed(proxy, reader, kernel::Describe(page.error()));
+    return;
+  }
+  OnReadWell(reader);
+  if (reader.after.empty()) {
+    // Pages are no snapshot: what changes between them is in the watch that
+    // goes on from the first.
+    reader.list = {};
+    reader.list.feed = reader.feed;
+    reader.list.whole = true;
+    reader.list.revision = page.value().revision;
+  }
+  auto& items = page.value().items;
+  const bool more = page.value().more && !items.empty();
+  if (more) reader.after = items.back().key;
+  std::move(items.begin(), items.end(), std::back_inserter(reader.list.items));
+  if (more) {
+    Read(proxy, reader);
+    return;
+  }
+  reader.after.clear();
+  reader.listed = true;
+  TakeChanges(proxy, std::exchange(reader.list, {}), "list");
+  Read(proxy, reader);
+}
+
+void TakeWatch(Proxy& proxy, StoreReader& reader) {
+  auto changes = proxy.dialect->read_changes(reader.feed, reader.body);
+  if (!changes) {
+    OnReadFailed(proxy, reader, kernel::Describe(changes.error()));
+    return;
+  }
+  OnReadWell(reader);
+  TakeChanges(proxy, changes.value(), "watch");
+  Read(proxy, reader);
+}
+
+void OnReadEnd(Proxy& proxy, StoreReader& reader) {
+  reader.timer = {};
+  reader.exchange = nullptr;
+  reader.reading = false;
+  if (reader.listed && reader.status == kHistoryGone) {
+    kernel::Log(LogPart::kPlatform, LogLevel::kWarning,
+                std::string("History gone, listing anew: feed=") +
+                    NameOf(reader.feed));
+    reader.listed = false;
+    Read(proxy, reader);
+    return;
+  }
+  if (reader.status != kOk) {
+    reader.after.clear();
+    OnReadFailed(proxy, reader, "status " + std::to_string(reader.status));
+    return;
+  }
+  if (reader.listed) {
+    TakeWatch(proxy, reader);
+  } else {
+    TakePage(proxy, reader);
+  }
+}
+
+void Read(Proxy& proxy, StoreReader& reader) {
+  if (reader.reading) return;
+  reader.reading = true;
+  reader.body.clear();
+  reader.status = 0;
+  ++reader.calls;
+  Count(proxy, "egretladder_store_calls_total", "Calls to the store.",
+        std::string("feed=\"") + NameOf(reader.feed) + "\"");
+  net::ExchangeRequest request;
+  request.address = proxy.options.store;
+  request.head = net::RequestText(
+      "GET",
+      reader.listed
+          ? proxy.dialect->watch_target(
+                reader.feed, RevisionOf(proxy, reader.feed), kWatchWait)
+          : proxy.dialect->list_target(reader.feed, reader.after),
+      {{"Host", proxy.options.store}}, net::BodyFraming::kNone, 0);
+  net::ExchangeHandlers handlers;
+  handlers.on_head = [&reader](const net::HttpAnswerHead& head) {
+    reader.status = head.status;
+    return net::HeadVerdict::kTake;
+  };
+  handlers.on_body = [&reader](std::string_view piece) {
+    reader.body.append(piece);
+  };
+  handlers.on_end = [&proxy, &reader] { OnReadEnd(proxy, reader); };
+  handlers.on_fault = [&proxy, &reader](net::ExchangeFault /*fault*/,
+                                        const std::string& detail) {
+    reader.timer = {};
+    reader.exchange = nullptr;
+    reader.after.clear();
+    OnReadFailed(proxy, reader, detail);
+  };
+  reader.exchange =
+      proxy.client->Start(std::move(request), std::move(handlers));
+  const milliseconds most =
+      reader.listed ? kWatchWait + kWatchMargin : kListTime;
+  reader.timer = kernel::After(*proxy.loop, most, [&proxy, &reader] {
+    net::Cancel(std::exchange(reader.exchange, nullptr));
+    reader.after.clear();
+    OnReadFailed(proxy, reader, "no answer in time");
+  });
+}
+
+void TakeRules(Proxy& proxy, const routing::Item& item, const char* source) {
+  if (item.removed) return;  // The last good version stays in force.
+  auto rules = proxy.dialect->read_rules(item.value);
+  if (!rules) {
+    kernel::Log(LogPart::kRules, LogLevel::kError,
+                "Rules refused, the last good ones stay: rev=" +
+                    std::to_string(item.rev) +
+                    " why=" + kernel::Describe(rules.error()));
+    return;
+  }
+  const std::uint64_t before = proxy.rules ? proxy.rules->version : 0;
+  if (rules.value()->version <= before && proxy.rules != nullptr) {
+    kernel::Log(LogPart::kRules, LogLevel::kWarning,
+                "Older rules ignored: version=" +
+                    std::to_string(rules.value()->version) +
+                    " in_force=" + std::to_string(before));
+    return;
+  }
+  proxy.rules = std::move(rules).value();
+  net::ServerLimits limits;
+  limits.size = {proxy.rules->limits.head_bytes, proxy.rules->limits.body_bytes};
+  limits.head_time = proxy.rules->limits.head_time;
+  limits.idle_time = proxy.rules->limits.idle_time;
+  limits.connections =
+      proxy.options.descriptors > 2 * kDescriptorsKept
+          ? proxy.options.descriptors - kDescriptorsKept
+          : proxy.options.descriptors / 2;
+  proxy.callers->SetLimits(limits);
+  kernel::Log(LogPart::kRules, LogLevel::kInfo,
+              "Rules in force: version=" +
+                  std::to_string(proxy.rules->version) +
+                  " before=" + std::to_string(before) + " source=" + source +
+                  " routes=" + std::to_string(proxy.rules->routes.size()));
+}
+
+void LogEndpoint(const std::string& id, routing::EntryChange change,
+                 const char* source, std::uint64_t rev) {
+  if (change == routing::EntryChange::kNone) return;
+  kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
+              "Endpoint " + std::string(routing::NameOf(change)) +
+                  ": endpoint=" + id + " source=" + source +
+                  " rev=" + std::to_string(rev));
+}
+
+// Entries that all go at once are the store's fault rather than theirs.
+bool IsMassRemoval(const Proxy& proxy, const std::vector<routing::Item>& news) {
+  constexpr std::size_t kFew = 3;
+  constexpr std::size_t kPart = 3;
+  const auto removed = static_cast<std::size_t>(
+      std::count_if(news.begin(), news.end(),
+                    [](const routing::Item& item) { return item.removed; }));
+  return removed >= kFew &&
+         removed * kPart >= proxy.endpoints.by_id.size();
+}
+
+void TakeEndpoint(Proxy& proxy, const routing::Item& item, const char* source,
+                  bool trouble) {
+  const Time now = NowOf(proxy);
+  const std::string id = proxy.dialect->endpoint_id(item.key);
+  if (item.removed) {
+    LogEndpoint(id,
+                routing::OnEntryRemoved(proxy.endpoints, id, trouble, now),
+                source, item.rev);
+    return;
+  }
+  const auto entry = proxy.dialect->read_endpoint(item);
+  if (!entry) {
+    kernel::Log(LogPart::kPlatform, LogLevel::kWarning,
+                "Entry ignored: " + kernel::Describe(entry.error()));
+    routing::OnEntryRemoved(proxy.endpoints, id, false, now);
+    return;
+  }
+  LogEndpoint(id, routing::OnEntry(proxy.endpoints, entry.value(), now), source,
+              item.rev);
+}
+
+}  // namespace
+
+void StartReading(Proxy& proxy) {
+  proxy.readers[0].feed = Feed::kRules;
+  proxy.readers[1].feed = Feed::kEndpoints;
+  for (StoreReader& reader : proxy.readers) Read(proxy, reader);
+}
+
+void RestartReading(Proxy& proxy) {
+  for (StoreReader& reader : proxy.readers) {
+    net::Cancel(std::exchange(reader.exchange, nullptr));
+    reader.timer = {};
+    reader.after.clear();
+    reader.reading = false;
+    Read(proxy, reader);
+  }
+}
+
+void TakeChanges(Proxy& proxy, const routing::Changes& changes,
+                 const char* source) {
+  const Time now = NowOf(proxy);
+  const auto news = routing::Apply(proxy.catalog, changes, now);
+  const bool trouble =
+      (proxy.store_trouble != Time{} &&
+       now - proxy.store_trouble < routing::kTroubleRecent) ||
+      IsMassRemoval(proxy, news);
+  for (const routing::Item& item : news) {
+    if (proxy.dialect->is_rules(item.key)) {
+      TakeRules(proxy, item, source);
+      continue;
+    }
+    const std::string zone = proxy.dialect->zone_out(item.key);
+    if (!zone.empty()) {
+      routing::SetZoneOut(proxy.endpoints, zone, !item.removed);
+      kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
+                  "Zone " + std::string(item.removed ? "back" : "out") +
+                      ": zone=" + zone + " source=" + source +
+                      " rev=" + std::to_string(item.rev));
+      continue;
+    }
+    if (changes.feed == Feed::kEndpoints) {
+      TakeEndpoint(proxy, item, source, trouble);
+    }
+  }
+  if (!news.empty() && !proxy.waiting.empty()) DispatchWaiting(proxy);
+}
+
+}  // namespace egretladder::proxy
--- /dev/null
+++ b/routing/include/egretladder/routing/limits.h
@@ -0,0 +1,140 @@
+// Every threshold of routing by discovered endpoints: the load it answers and
+// where the figure comes from.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace egretladder::routing {
+
+using std::chrono::milliseconds;
+
+// --- Placing (place.h) ---
+
+/// Prompt tokens that an engine reads in a millisecond. Only its ratio to the
+/// other costs matters: what it is wrong by shows as drift (endpoints.h) and is
+/// added to the cost of the endpoint. Order of magnitude of the engines in use.
+inline constexpr double kPromptTokensPerMs = 150;
+/// What one more running request adds to the time to a first event, in ms: each
+/// step of the batch gets longer by its part.
+inline constexpr double kCostPerRunningMs = 0.5;
+/// What a request adds to the wait at a service with few slots, as part of the
+/// mean time of a request there. In ms until a mean is known.
+inline constexpr double kServiceTimeUnknownMs = 40;
+/// Endpoints drawn at random beside those that the prompt's session prefers.
+/// Few, so that cost doesn't grow with the fleet and nodes with the same old
+/// news don't all run to one endpoint (Mitzenmacher, "The Power of Two
+/// Choices").
+inline constexpr std::size_t kDrawn = 4;
+/// Endpoints that a session prefers, in order.
+inline constexpr std::size_t kPreferred = 2;
+/// How long a prompt part is expected to stay in an engine's memory after its
+/// last use here.
+inline constexpr milliseconds kPartKept{60'000};
+/// Prompt parts remembered for each endpoint; the oldest go first. 4,096 take
+/// about 200 KB.
+inline constexpr std::size_t kPartsMost = 4096;
+/// What another availability zone costs, in ms: a round trip, and a tie goes to
+/// the near one.
+inline constexpr double kOtherZoneMs = 2;
+/// What an endpoint that fails all requests costs, in ms: as much as a second's
+/// wait. One that fails some costs its part, so that an unwell endpoint is
+/// still used when the others have long queues.
+inline constexpr double kFailingMs = 1000;
+/// What a cold endpoint costs, in ms.
+inline constexpr double kColdMs = 200;
+
+// --- Trust in an endpoint (endpoints.h) ---
+
+/// Weight of the newest answer in the share of failures and in the drift. Five
+/// answers make up two thirds.
+inline constexpr double kNewestWeight = 0.2;
+/// Failures are forgotten by half in this time, so that an endpoint that got no
+/// requests for its failures is tried again.
+inline constexpr milliseconds kFailureHalfLife{2000};
+/// An endpoint that refused a connection is left alone this long; doubles.
+inline constexpr milliseconds kAvoidFirst{150};
+/// Longest such time: an endpoint that comes back announces itself.
+inline constexpr milliseconds kAvoidMost{2000};
+/// An endpoint that said it is full is left alone for about this long.
+inline constexpr milliseconds kFullPause{60};
+/// Unanswered requests are a sign of trouble once they wait longer than this
+/// times what was expected, and this long at least.
+inline constexpr double kSilentRatio = 2;
+/// As above.
+inline constexpr milliseconds kSilentLeast{400};
+
+// --- Share of an endpoint among nodes ---
+
+/// In flight from one node: this times its even part of the slots, so that
+/// uneven traffic finds room and all nodes together don't flood an endpoint.
+inline constexpr double kSlotsOver = 2.0;
+/// In flight from one node at least.
+inline constexpr std::uint32_t kSlotsLeast = 2;
+/// Nodes that send to one cold endpoint at most; a rendezvous hash picks them.
+/// With more, each one's part of the rate falls below one request in a second
+/// or two, and their first requests together already exceed it.
+inline constexpr std::size_t kColdSenders = 8;
+/// Part of the rate that a cold endpoint bears that is used. The nodes' views
+/// differ for a moment, and a request may arrive later than it was counted.
+inline constexpr double kColdUsed = 0.8;
+/// Nodes assumed while this one knows too little of the fleet.
+inline constexpr std::size_t kNodesUnknown = 12;
+/// A smaller fleet than was known is believed after this long: in a partition
+/// the others still send.
+inline constexpr std::chrono::seconds kNodesRemembered{60};
+
+// --- Endpoints that come and go ---
+
+/// How long an entry that was removed around an outage of the platform's store
+/// is still believed: leases ran out because nobody could renew them.
+inline constexpr milliseconds kLapseGrace{2000};
+/// An outage counts as recent for this long after its end.
+inline constexpr milliseconds kTroubleRecent{2000};
+
+// --- Retries (retry_share.h) ---
+
+/// Buckets of the window over which retries are counted.
+inline constexpr std::size_t kRetryBuckets = 20;
+/// Part of the allowance that is used; nodes see their own part only, and
+/// traffic is uneven.
+inline constexpr double kRetryUsed = 0.8;
+
+// --- Waiting (waiting.h) ---
+
+/// Requests that wait at a node. Beyond it the least urgent are refused. Bodies
+/// are 17 KB at the mean: 1,000 take 17 MB of a node's 160.
+inline constexpr std::size_t kWaitingMost = 1000;
+/// Part of its target time that a request waits for an endpoint to come free
+/// before it is refused: its caller still has time to come back elsewhere.
+inline constexpr double kWaitPart = 0.5;
+/// Shortest such wait.
+inline constexpr milliseconds kWaitLeast{50};
+/// The same for work that was sent before: an endpoint's crash is noticed by
+/// all within a second.
+inline constexpr milliseconds kWaitAgain{1000};
+/// Part of the time left within which a first event must be expected; else the
+/// request is refused at once.
+inline constexpr double kUsefulPart = 0.7;
+
+// --- Members (members.h) ---
+
+/// Between two exchanges with peers.
+inline constexpr milliseconds kExchangePeriod{100};
+/// A member whose heartbeat hasn't risen for this long is left out of what
+/// callers are told.
+inline constexpr milliseconds kMemberSilence{2000};
+/// A member unheard for this long is forgotten.
+inline constexpr std::chrono::seconds kMemberForgotten{60};
+/// Members told in one exchange.
+inline constexpr std::size_t kMembersTold = 32;
+/// What peers said of their load counts for this long.
+inline constexpr milliseconds kLoadKept{2000};
+/// Most nodes whose load each node keeps; with more each hears of the others
+/// too rarely for it to be worth the bytes.
+inline constexpr std::size_t kLoadNodesMost = 16;
+/// Nodes told to one caller.
+inline constexpr std::size_t kDirectoryMost = 64;
+
+}  // namespace egretladder::routing
--- /dev/null
+++ b/routing/include/egretladder/routing/members.h
@@ -0,0 +1,96 @@
+// The nodes of the fleet, found through seeds and kept by gossip alone.
+//
+// Each node raises a heartbeat; exchanges spread the newest ones. Nobody is
+// declared dead for others: a member whose heartbeat stands still here is left
+// out of what callers are told, and is back as soon as it rises. A node that
+// hears an older life of its own outbids it, since its clock may have gone back
+// (SWIM: Das et al., DSN 2002).
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "egretladder/kernel/hash.h"
+#include "egretladder/kernel/time.h"
+#include "egretladder/routing/limits.h"
+#include "egretladder/routing/place.h"
+
+namespace egretladder::routing {
+
+/// One node, as nodes tell each other.
+struct Member {
+  std::string node;
+  std::string callers;  ///< Address for callers, `IP:port`.
+  std::string peers;    ///< Address for nodes.
+  std::string zone;
+  std::string region;
+  std::uint64_t incarnation = 0;  ///< Rises with each start.
+  std::uint64_t heartbeat = 0;
+  bool leaving = false;
+};
+
+/// What this node knows of another.
+struct KnownMember {
+  Member member;
+  Time heard{};              ///< When its heartbeat last rose here.
+  bool unreachable = false;  ///< Refused a connection since.
+};
+
+/// All nodes.
+struct Members {
+  Member self;
+  std::vector<std::string> seeds;
+  std::map<std::string, KnownMember> others;
+  Time started{};
+  Time exchanged{};  ///< Last time a peer answered; default: never.
+  std::size_t most_nodes = 1;
+  Time most_nodes_at{};
+  std::size_t seed_turn = 0;
+};
+
+/// Begins with this node alone.
+Members StartMembers(const Member& self, const std::vector<std::string>& seeds,
+                     Time now);
+
+/// Raises the own heartbeat; call once an exchange period.
+void Beat(Members& members, Time now);
+
+/// Takes what a peer told. Returns those that are new or came back, for the
+/// log.
+std::vector<std::string> Hear(Members& members, const std::vector<Member>& told,
+                              Time now);
+
+/// A peer answered an exchange.
+void OnExchanged(Members& members, Time now);
+/// Nothing listens at the peer address: its process is gone until its heartbeat
+/// rises again.
+void OnUnreachable(Members& members, const std::string& peers, Time now);
+
+/// Members to tell: this node, those heard last, and some others.
+std::vector<Member> ToTell(const Members& members, kernel::Random& random,
+                           Time now);
+
+/// Peer address for the next exchange: a member drawn at random, or now and
+/// then a seed that isn't known yet; empty: none.
+std::string NextPeer(Members& members, kernel::Random& random, Time now);
+
+/// True for a member that callers may use.
+bool IsThere(const KnownMember& known, Time now);
+
+/// Addresses for a caller in `zone`: nodes that are there, this one last resort.
+std::vector<std::string> AddressesFor(const Members& members,
+                                      std::string_view zone,
+                                      kernel::Random& random, Time now);
+
+/// This node's part of what all share. After a start, in a partition and after
+/// losses the fleet counts as large as it was known to be.
+FleetPart PartOf(Members& members, Time now);
+
+/// Forgets members unheard for `kMemberForgotten`. Returns their names.
+std::vector<std::string> ForgetMembers(Members& members, Time now);
+
+}  // namespace egretladder::routing
--- /dev/null
+++ b/routing/include/egretladder/routing/place.h
@@ -0,0 +1,91 @@
+// Where a request goes: the endpoint at which its first event is expected
+// soonest.
+//
+// Load: long prompts of which most is shared. An engine that still holds the
+// shared part starts within tens of milliseconds, one that doesn't reads it
+// anew, and every request beside it waits. All nodes agree without messages on
+// the endpoints that a session prefers (rendezvous hash: Thaler and Ravishankar,
+// "Using Name-Based Mappings to Increase Hit Rates"), and leave them as soon as
+// the wait there costs more than reading anew. One figure, milliseconds until
+// the first event, weighs cache, queue, slowness and failures against each
+// other.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "egretladder/kernel/hash.h"
+#include "egretladder/routing/endpoints.h"
+
+namespace egretladder::routing {
+
+/// One part of a prompt, in order.
+struct PromptPart {
+  std::uint64_t id = 0;
+  std::uint32_t tokens = 0;
+};
+
+/// What a request asks of an endpoint.
+struct Demand {
+  const Service* service = nullptr;
+  Tier tier = 0;
+  std::vector<PromptPart> parts;
+  std::uint32_t prompt_tokens = 0;  ///< 0: not a generation.
+};
+
+/// What a node knows of its fleet, for its part of what is shared.
+struct FleetPart {
+  std::size_t nodes = 1;
+  std::string self;                ///< This node's name.
+  std::vector<std::string> names;  ///< All nodes, this one included.
+  std::string zone;                ///< Of this node.
+};
+
+/// Why a request goes where it goes, or nowhere.
+enum class PlaceReason : std::uint8_t {
+  kSession,   ///< Preferred by its session's hash.
+  kCached,    ///< Read its shared parts before.
+  kCheapest,  ///< The smallest expected wait.
+  kNoneKnown,
+  kAllLeaving,  ///< Or in a zone that is out.
+  kAllFull,
+  kAllCold,
+  kAllDown,
+  kAllTried,
+};
+/// As logs show it.
+const char* NameOf(PlaceReason reason);
+
+/// The choice.
+struct Placement {
+  EndpointPtr endpoint;  ///< Null: none.
+  PlaceReason reason = PlaceReason::kNoneKnown;
+  double expected_ms = 0;       ///< Until the first event.
+  double uncached_tokens = 0;   ///< That it will read.
+};
+
+/// Chooses among the endpoints of the demand's service, leaving out those in
+/// `tried`. Takes nothing: call `OnSent` for what is then sent.
+Placement Place(const EndpointSet& set, const Demand& demand,
+                const std::vector<EndpointPtr>& tried, const FleetPart& fleet,
+                kernel::Random& random, Time now);
+
+/// Counts a request that is about to be sent, and takes its part of the rate of
+/// a cold endpoint.
+void OnSent(Endpoint& endpoint, const Demand& demand, std::uint64_t attempt,
+            const Placement& placement, const FleetPart& fleet, Time now);
+/// Its first byte came, or it ended without.
+void OnStarted(Endpoint& endpoint, const Demand& demand, std::uint64_t attempt,
+               const Placement& placement);
+/// It ended.
+void OnDone(Endpoint& endpoint);
+
+/// How many nodes send to a cold endpoint, and whether this one does.
+struct ColdPart {
+  std::size_t senders = 1;
+  bool may_send = true;
+};
+ColdPart ColdPartOf(const Endpoint& endpoint, const FleetPart& fleet);
+
+}  // namespace egretladder::routing
--- /dev/null
+++ b/routing/include/egretladder/routing/retry_share.h
@@ -0,0 +1,45 @@
+// This node's share of the retries that a service may get.
+//
+// Load: every answer fails for some seconds. Without a bound each request
+// becomes as many as its attempts, and the load outlives the fault. The bound
+// holds for the sum over all nodes, so each uses a part of its own requests'
+// and an even part of the fixed allowance (retry budgets: Beyer et al., "Site
+// Reliability Engineering", chapter 22).
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+#include "egretladder/kernel/time.h"
+#include "egretladder/routing/limits.h"
+
+namespace egretladder::routing {
+
+using kernel::Time;
+
+/// What all nodes together may repeat.
+struct RetryRule {
+  double ratio = 0.1;                ///< Of the requests in the window.
+  double slack = 10;                 ///< Beyond that, all nodes together.
+  std::chrono::milliseconds window{10'000};
+};
+
+/// Counts of one service, in slices of the window.
+struct RetryShare {
+  struct Slice {
+    std::int64_t number = -1;
+    std::uint32_t requests = 0;
+    std::uint32_t repeats = 0;
+  };
+  std::array<Slice, kRetryBuckets> slices;
+};
+
+/// A request for the service came in.
+void OnRequest(RetryShare& share, const RetryRule& rule, Time now);
+
+/// True when one more repeat fits; counts it then. `nodes` share the slack.
+bool TakeRetry(RetryShare& share, const RetryRule& rule, std::size_t nodes,
+               Time now);
+
+}  // namespace egretladder::routing
--- /dev/null
+++ b/routing/src/admit.cc
@@ -0,0 +1,53 @@
+#include "egretladder/routing/admit.h"
+
+#include <algorithm>
+
+namespace egretladder::routing {
+
+const char* NameOf(AdmitVerdict verdict) {
+  switch (verdict) {
+    case AdmitVerdict::kSend:
+      return "send";
+    case AdmitVerdict::kWait:
+      return "wait";
+    case AdmitVerdict::kTooLate:
+      return "too-late";
+    case AdmitVerdict::kNoEndpoint:
+      return "no-endpoint";
+  }
+  return "unknown";
+}
+
+AdmitVerdict DecideSend(const AdmitAsk& ask, const Placement& placement,
+                        Time now) {
+  const auto left = std::chrono::duration<double, std::milli>(
+      ask.deadline - now);
+  if (placement.endpoint == nullptr) {
+    const auto part =
+        std::chrono::duration_cast<milliseconds>(ask.target * kWaitPart);
+    const auto longest =
+        std::max(part, ask.came_before ? kWaitAgain : kWaitLeast);
+    const bool waited_enough =
+        now - ask.waits_since >= longest || left.count() <= 0;
+    return waited_enough ? AdmitVerdict::kNoEndpoint : AdmitVerdict::kWait;
+  }
+  if (placement.expected_ms > left.count() * kUsefulPart) {
+    return AdmitVerdict::kTooLate;
+  }
+  return AdmitVerdict::kSend;
+}
+
+milliseconds ComeBackAfter(const Placement& placement, milliseconds target,
+                           kernel::Random& random) {
+  // Without an endpoint there is no estimate; a transient fault of a few
+  // endpoints is over, or known to all nodes, within a second.
+  constexpr double kUnknownMs = 500;
+  const double wait =
+      placement.endpoint == nullptr ? kUnknownMs : placement.expected_ms;
+  const double least = static_cast<double>(target.count()) / 4;
+  const double spread = 0.5 + kernel::Fraction(random);
+  return milliseconds(
+      static_cast<std::int64_t>(std::max(least, wait / 2) * spread));
+}
+
+}  // namespace egretladder::routing
--- /dev/null
+++ b/routing/src/members.cc
@@ -0,0 +1,170 @@
+#include "egretladder/routing/members.h"
+
+#include <algorithm>
+
+namespace egretladder::routing {
+namespace {
+
+bool IsNewer(const Member& told, const Member& known) {
+  if (told.incarnation != known.incarnation) {
+    return told.incarnation > known.incarnation;
+  }
+  return told.heartbeat > known.heartbeat;
+}
+
+void HearOfSelf(Members& members, const Member& told) {
+  // An older life under this node's name, or an echo of this one.
+  if (told.incarnation >= members.self.incarnation &&
+      told.heartbeat > members.self.heartbeat) {
+    members.self.incarnation = told.incarnation + 1;
+  } else if (told.incarnation > members.self.incarnation) {
+    members.self.incarnation = told.incarnation + 1;
+  }
+}
+
+template <typename T>
+void Shuffle(std::vector<T>& items, kernel::Random& random) {
+  for (std::size_t i = items.size(); i > 1; --i) {
+    std::swap(items[i - 1], items[kernel::Below(random, i)]);
+  }
+}
+
+}  // namespace
+
+Members StartMembers(const Member& self, const std::vector<std::string>& seeds,
+                     Time now) {
+  Members members;
+  members.self = self;
+  members.seeds = seeds;
+  members.started = now;
+  members.most_nodes_at = now;
+  return members;
+}
+
+void Beat(Members& members, Time /*now*/) { ++members.self.heartbeat; }
+
+std::vector<std::string> Hear(Members& members, const std::vector<Member>& told,
+                              Time now) {
+  std::vector<std::string> news;
+  for (const Member& member : told) {
+    if (member.node == members.self.node) {
+      HearOfSelf(members, member);
+      continue;
+    }
+    const auto at = members.others.find(member.node);
+    if (at == members.others.end()) {
+      members.others[member.node] = {member, now, false};
+      news.push_back(member.node);
+      continue;
+    }
+    if (!IsNewer(member, at->second.member)) continue;
+    if (!IsThere(at->second, now)) news.push_back(member.node);
+    at->second = {member, now, false};
+  }
+  return news;
+}
+
+void OnExchanged(Members& members, Time now) { members.exchanged = now; }
+
+void OnUnreachable(Members& members, const std::string& peers, Time /*now*/) {
+  for (auto& [node, known] : members.others) {
+    if (known.member.peers == peers) known.unreachable = true;
+  }
+}
+
+std::vector<Member> ToTell(const Members& members, kernel::Random& random,
+                           Time now) {
+  std::vector<const KnownMember*> there;
+  for (const auto& [node, known] : members.others) {
+    // What is silent is not told: it would look new to a node that starts.
+    if (now - known.heard < kMemberSilence && !known.unreachable) {
+      there.push_back(&known);
+    }
+  }
+  Shuffle(there, random);
+  if (there.size() > kMembersTold) there.resize(kMembersTold);
+  std::vector<Member> told = {members.self};
+  for (const KnownMember* known : there) told.push_back(known->member);
+  return told;
+}
+
+std::string NextPeer(Members& members, kernel::Random& random, Time now) {
+  std::vector<std::string> addresses;
+  for (const auto& [node, known] : members.others) {
+    if (IsThere(known, now) || known.member.leaving) {
+      addresses.push_back(known.member.peers);
+    }
+  }
+  // Every eighth turn, and whenever nobody is there, a seed: two parts of a
+  // fleet that started apart meet there.
+  constexpr std::size_t kSeedTurns = 8;
+  const std::size_t turn = members.seed_turn++;
+  if ((addresses.empty() || turn % kSeedTurns == 0) && !members.seeds.empty()) {
+    const std::string& seed =
+        members.seeds[kernel::Below(random, members.seeds.size())];
+    if (seed != members.self.peers) return seed;
+  }
+  if (addresses.empty()) return {};
+  return addresses[kernel::Below(random, addresses.size())];
+}
+
+bool IsThere(const KnownMember& known, Time now) {
+  return !known.member.leaving && !known.unreachable &&
+         now - known.heard < kMemberSilence;
+}
+
+std::vector<std::string> AddressesFor(const Members& members,
+                                      std::string_view zone,
+                                      kernel::Random& random, Time now) {
+  std::vector<const Member*> there;
+  if (!members.self.leaving) there.push_back(&members.self);
+  for (const auto& [node, known] : members.others) {
+    if (IsThere(known, now)) there.push_back(&known.member);
+  }
+  if (there.empty()) there.push_back(&members.self);
+  Shuffle(there, random);
+  if (there.size() > kDirectoryMost) {
+    std::stable_partition(
+        there.begin(), there.end(),
+        [zone](const Member* member) { return member->zone == zone; });
+    there.resize(kDirectoryMost);
+  }
+  std::vector<std::string> addresses;
+  addresses.reserve(there.size());
+  for (const Member* member : there) addresses.push_back(member->callers);
+  return addresses;
+}
+
+FleetPart PartOf(Members& members, Time now) {
+  FleetPart part;
+  part.self = members.self.node;
+  part.zone = members.self.zone;
+  part.names.push_back(members.self.node);
+  for (const auto& [node, known] : members.others) {
+    if (IsThere(known, now)) part.names.push_back(node);
+  }
+  const std::size_t seen = part.names.size();
+  if (seen >= members.most_nodes ||
+      now - members.most_nodes_at > kNodesRemembered) {
+    members.most_nodes = seen;
+    members.most_nodes_at = now;
+  }
+  part.nodes = members.most_nodes;
+  constexpr std::chrono::seconds kSettled{3};
+  if (now - members.started < kSettled || members.exchanged == Time{}) {
+    part.nodes = std::max(part.nodes, kNodesUnknown);
+  }
+  return part;
+}
+
+std::vector<std::string> ForgetMembers(Members& members, Time now) {
+  std::vector<std::string> gone;
+  std::erase_if(members.others, [&](const auto& entry) {
+    if (now - entry.second.heard < kMemberForgotten) return false;
+    gone.push_back(entry.first);
+    return true;
+  });
+  return gone;
+}
+
+}  // namespace egretladder::routing
--- /dev/null
+++ b/routing/src/place.cc
@@ -0,0 +1,261 @@
+#include "egretladder/routing/place.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace egretladder::routing {
+namespace {
+
+std::uint64_t SessionOf(const Demand& demand) {
+  const auto& parts = demand.parts;
+  if (parts.empty()) return 0;
+  // The last part is the request's own where there are several.
+  return parts[parts.size() > 1 ? parts.size() - 2 : 0].id;
+}
+
+std::uint32_t SlotsOfNode(const Endpoint& endpoint, const FleetPart& fleet) {
+  const double even = static_cast<double>(endpoint.entry.slots) /
+                      static_cast<double>(std::max<std::size_t>(fleet.nodes, 1));
+  return std::max(kSlotsLeast,
+                  static_cast<std::uint32_t>(std::ceil(kSlotsOver * even)));
+}
+
+bool IsCold(const Endpoint& endpoint, Time now) {
+  return now < endpoint.cold_until;
+}
+
+// Tokens that it reads before the first event.
+double UncachedAt(const Endpoint& endpoint, const Demand& demand,
+                  bool preferred, Time now) {
+  double uncached = demand.prompt_tokens;
+  // The last part is new unless it was read here before.
+  for (std::size_t i = 0; i < demand.parts.size(); ++i) {
+    const PromptPart& part = demand.parts[i];
+    const bool last = i + 1 == demand.parts.size();
+    const bool held = HoldsPart(endpoint, part.id, now) ||
+                      (preferred && !last && !IsCold(endpoint, now));
+    if (!held) break;
+    uncached -= part.tokens;
+  }
+  return std::max(0.0, uncached);
+}
+
+double TokensAhead(const Endpoint& endpoint, Tier tier) {
+  double tokens = endpoint.others_tokens;
+  for (std::size_t i = 0; i <= tier && i < kTiers; ++i) {
+    tokens += endpoint.waiting_tokens[i];
+  }
+  return tokens;
+}
+
+double QueueMs(const Endpoint& endpoint, const Demand& demand) {
+  const double in_flight = endpoint.in_flight + endpoint.others_in_flight;
+  if (demand.prompt_tokens > 0) {
+    return TokensAhead(endpoint, demand.tier) / kPromptTokensPerMs +
+           in_flight * kCostPerRunningMs;
+  }
+  const double mean =
+      endpoint.trust.mean_ms > 0 ? endpoint.trust.mean_ms : kServiceTimeUnknownMs;
+  return mean * in_flight / std::max<std::uint32_t>(endpoint.entry.slots, 1);
+}
+
+double CostMs(const Endpoint& endpoint, const Demand& demand, double uncached,
+              const FleetPart& fleet, Time now) {
+  double cost = QueueMs(endpoint, demand) + uncached / kPromptTokensPerMs;
+  cost += endpoint.trust.drift_ms;
+  cost += FailingOf(endpoint.trust, now) * kFailingMs;
+  cost += static_cast<double>(SilenceOf(endpoint, now).count());
+  if (endpoint.entry.zone != fleet.zone) cost += kOtherZoneMs;
+  if (IsCold(endpoint, now)) cost += kColdMs;
+  if (endpoint.phase == EndpointPhase::kLapsed) cost += kColdMs;
+  return cost;
+}
+
+struct Usable {
+  std::vector<EndpointPtr> endpoints;
+  PlaceReason why_none = PlaceReason::kNoneKnown;
+};
+
+// Why it can't be used now; `kCheapest` when it can.
+PlaceReason UseOf(const EndpointSet& set, const Endpoint& endpoint,
+                  const Demand& demand, const FleetPart& fleet, Time now) {
+  if (endpoint.phase == EndpointPhase::kLeaving ||
+      endpoint.phase == EndpointPhase::kGone ||
+      IsZoneOut(set, endpoint.entry.zone)) {
+    return PlaceReason::kAllLeaving;
+  }
+  if (now < endpoint.trust.avoid_until) return PlaceReason::kAllDown;
+  if (now < endpoint.trust.full_until ||
+      endpoint.in_flight >= SlotsOfNode(endpoint, fleet)) {
+    return PlaceReason::kAllFull;
+  }
+  if (IsCold(endpoint, now) && demand.service->cold_per_second > 0) {
+    if (now < endpoint.cold_next || !ColdPartOf(endpoint, fleet).may_send) {
+      return PlaceReason::kAllCold;
+    }
+  }
+  return PlaceReason::kCheapest;
+}
+
+Usable FindUsable(const EndpointSet& set, const Demand& demand,
+                  const std::vector<EndpointPtr>& tried,
+                  const FleetPart& fleet, Time now) {
+  Usable usable;
+  const auto at = set.by_service.find(demand.service->name);
+  if (at == set.by_service.end()) return usable;
+  for (const EndpointPtr& endpoint : at->second) {
+    if (std::find(tried.begin(), tried.end(), endpoint) != tried.end()) {
+      if (usable.why_none == PlaceReason::kNoneKnown) {
+        usable.why_none = PlaceReason::kAllTried;
+      }
+      continue;
+    }
+    const PlaceReason use = UseOf(set, *endpoint, demand, fleet, now);
+    if (use == PlaceReason::kCheapest) {
+      usable.endpoints.push_back(endpoint);
+    } else {
+      usable.why_none = use;
+    }
+  }
+  return usable;
+}
+
+std::uint64_t Weight(std::uint64_t session, const Endpoint& endpoint) {
+  return kernel::HashOf(endpoint.entry.id, session);
+}
+
+// Moves the endpoints that the session prefers to the front, in order.
+void PreferFirst(std::vector<EndpointPtr>& endpoints, std::uint64_t session) {
+  const std::size_t count = std::min(kPreferred, endpoints.size());
+  std::partial_sort(
+      endpoints.begin(),
+      endpoints.begin() + static_cast<std::ptrdiff_t>(count), endpoints.end(),
+      [session](const EndpointPtr& left, const EndpointPtr& right) {
+        return Weight(session, *left) > Weight(session, *right);
+      });
+}
+
+// Moves random ones to places `from` and on.
+void DrawSome(std::vector<EndpointPtr>& endpoints, std::size_t from,
+              kernel::Random& random) {
+  const std::size_t until = std::min(endpoints.size(), from + kDrawn);
+  for (std::size_t i = from; i < until; ++i) {
+    const std::size_t other = i + kernel::Below(random, endpoints.size() - i);
+    std::swap(endpoints[i], endpoints[other]);
+  }
+  endpoints.resize(until);
+}
+
+}  // namespace
+
+const char* NameOf(PlaceReason reason) {
+  switch (reason) {
+    case PlaceReason::kSession:
+      return "session";
+    case PlaceReason::kCached:
+      return "cached";
+    case PlaceReason::kCheapest:
+      return "cheapest";
+    case PlaceReason::kNoneKnown:
+      return "none-known";
+    case PlaceReason::kAllLeaving:
+      return "all-leaving";
+    case PlaceReason::kAllFull:
+      return "all-full";
+    case PlaceReason::kAllCold:
+      return "all-cold";
+    case PlaceReason::kAllDown:
+      return "all-down";
+    case PlaceReason::kAllTried:
+      return "all-tried";
+  }
+  return "unknown";
+}
+
+ColdPart ColdPartOf(const Endpoint& endpoint, const FleetPart& fleet) {
+  ColdPart part;
+  part.senders = std::max(fleet.nodes, fleet.names.size());
+  if (part.senders <= kColdSenders) return part;
+  // Those that the hash prefers; a node that others don't know yet, or that
+  // knows few of them, is rarely among them.
+  const std::uint64_t own = kernel::HashOf(endpoint.entry.id + fleet.self);
+  std::size_t before = 0;
+  for (const std::string& name : fleet.names) {
+    if (kernel::HashOf(endpoint.entry.id + name) > own) ++before;
+  }
+  const double unknown =
+      static_cast<double>(part.senders) - static_cast<double>(fleet.names.size());
+  part.may_send = static_cast<double>(before) + unknown / 2 <
+                  static_cast<double>(kColdSenders);
+  part.senders = kColdSenders;
+  return part;
+}
+
+Placement Place(const EndpointSet& set, const Demand& demand,
+                const std::vector<EndpointPtr>& tried, const FleetPart& fleet,
+                kernel::Random& random, Time now) {
+  Placement best;
+  Usable usable = FindUsable(set, demand, tried, fleet, now);
+  if (usable.endpoints.empty()) {
+    best.reason = usable.why_none;
+    return best;
+  }
+  const std::uint64_t session = SessionOf(demand);
+  std::size_t preferred = 0;
+  if (session != 0) {
+    PreferFirst(usable.endpoints, session);
+    preferred = std::min(kPreferred, usable.endpoints.size());
+  }
+  DrawSome(usable.endpoints, preferred, random);
+  best.expected_ms = std::numeric_limits<double>::max();
+  for (std::size_t i = 0; i < usable.endpoints.size(); ++i) {
+    const EndpointPtr& endpoint = usable.endpoints[i];
+    const bool first = session != 0 && i == 0;
+    const double uncached = UncachedAt(*endpoint, demand, first, now);
+    const double cost = CostMs(*endpoint, demand, uncached, fleet, now);
+    if (cost >= best.expected_ms) continue;
+    best = {endpoint, PlaceReason::kCheapest, cost, uncached};
+    if (first) {
+      best.reason = PlaceReason::kSession;
+    } else if (uncached < demand.prompt_tokens) {
+      best.reason = PlaceReason::kCached;
+    }
+  }
+  return best;
+}
+
+void OnSent(Endpoint& endpoint, const Demand& demand, std::uint64_t attempt,
+            const Placement& placement, const FleetPart& fleet, Time now) {
+  ++endpoint.in_flight;
+  endpoint.waiting_tokens[std::min<std::size_t>(demand.tier, kTiers - 1)] +=
+      placement.uncached_tokens;
+  const auto expected = std::chrono::duration_cast<Time::duration>(
+      std::chrono::duration<double, std::milli>(placement.expected_ms));
+  endpoint.unanswered[attempt] = {now, now + expected};
+  std::vector<std::uint64_t> parts;
+  parts.reserve(demand.parts.size());
+  for (const PromptPart& part : demand.parts) parts.push_back(part.id);
+  NoteParts(endpoint, parts, now);
+  if (IsCold(endpoint, now) && demand.service->cold_per_second > 0) {
+    const double part = kColdUsed * demand.service->cold_per_second /
+                        static_cast<double>(ColdPartOf(endpoint, fleet).senders);
+    endpoint.cold_next =
+        now + std::chrono::duration_cast<Time::duration>(
+                  std::chrono::duration<double>(1 / part));
+  }
+}
+
+void OnStarted(Endpoint& endpoint, const Demand& demand, std::uint64_t attempt,
+               const Placement& placement) {
+  if (endpoint.unanswered.erase(attempt) == 0) return;
+  double& waiting =
+      endpoint.waiting_tokens[std::min<std::size_t>(demand.tier, kTiers - 1)];
+  waiting = std::max(0.0, waiting - placement.uncached_tokens);
+}
+
+void OnDone(Endpoint& endpoint) {
+  if (endpoint.in_flight > 0) --endpoint.in_flight;
+}
+
+}  // namespace egretladder::routing
--- /dev/null
+++ b/routing/src/retry_share.cc
@@ -0,0 +1,48 @@
+#include "egretladder/routing/retry_share.h"
+
+#include <algorithm>
+
+namespace egretladder::routing {
+namespace {
+
+std::int64_t NumberAt(const RetryRule& rule, Time now) {
+  const auto slice = rule.window / kRetryBuckets;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             now.time_since_epoch()) /
+         slice;
+}
+
+RetryShare::Slice& SliceAt(RetryShare& share, std::int64_t number) {
+  auto& slice = share.slices[static_cast<std::size_t>(number) % kRetryBuckets];
+  if (slice.number != number) slice = {number, 0, 0};
+  return slice;
+}
+
+}  // namespace
+
+void OnRequest(RetryShare& share, const RetryRule& rule, Time now) {
+  ++SliceAt(share, NumberAt(rule, now)).requests;
+}
+
+bool TakeRetry(RetryShare& share, const RetryRule& rule, std::size_t nodes,
+               Time now) {
+  const std::int64_t number = NumberAt(rule, now);
+  double requests = 0;
+  double repeats = 0;
+  for (const RetryShare::Slice& slice : share.slices) {
+    if (number - slice.number >= static_cast<std::int64_t>(kRetryBuckets)) {
+      continue;
+    }
+    requests += slice.requests;
+    repeats += slice.repeats;
+  }
+  const double allowed =
+      kRetryUsed * (rule.ratio * requests +
+                    rule.slack / static_cast<double>(std::max<std::size_t>(
+                                     nodes, 1)));
+  if (repeats + 1 > allowed) return false;
+  ++SliceAt(share, number).repeats;
+  return true;
+}
+
+}  // namespace egretladder::routing
