Rank by both tiers; let strays cost more; refuse late at a leaving node

Ruled out: capacity.

Change: ranks are numbered by (account's tier, route's tier); a miss at an endpoint that the session does not prefer costs four times its time, over three preferred endpoints; callers keep addresses 1 s in place of 2 and a leaving node refuses after 3.2 s.

--- a/gateway/main/front_hosts.cc
+++ b/gateway/main/front_hosts.cc
@@ -70,18 +70,16 @@
   void Reload(const char* why) {
     auto text = ek::ReadFile(path_);
     if (!text) {
-      Say(ek::LogLevel::kWarning,
-          "Settings not read, the last ones stay: " +
-              ek::Describe(text.error()));
+      Say(ek::LogLevel::kWarning, "Settings not read, the last ones stay: " +
+                                      ek::Describe(text.error()));
       return;
     }
     if (text.value() == text_) return;
     text_ = text.value();
     const auto config = ep::ReadProxyConfig(text_, path_);
     if (!config) {
-      Say(ek::LogLevel::kWarning,
-          "Settings not valid, the last ones stay: " +
-              ek::Describe(config.error()));
+      Say(ek::LogLevel::kWarning, "Settings not valid, the last ones stay: " +
+                                      ek::Describe(config.error()));
       return;
     }
     ep::SetSeeds(proxy_, config.value().proxy.seeds);
--- a/gateway/src/caller_evhttp.cc
+++ b/gateway/src/caller_evhttp.cc
@@ -3,10 +3,10 @@
 #include <string>
 #include <vector>
 
-#include "egretladder/net/address.h"
 #include "caller_body_p.h"
 #include "egretladder/kernel/hash.h"
 #include "egretladder/kernel/log.h"
+#include "egretladder/net/address.h"
 #include "gateway_p.h"
 #include "http_headers_p.h"
 
--- a/gateway/src/http_client_evhttp.cc
+++ b/gateway/src/http_client_evhttp.cc
@@ -5,8 +5,8 @@
 #include <map>
 #include <unordered_map>
 
-#include "egretladder/net/address.h"
 #include "egretladder/gateway/limits.h"
+#include "egretladder/net/address.h"
 #include "http_client_p.h"
 
 namespace egretladder::gateway {
--- a/gateway/src/peer_capnp.cc
+++ b/gateway/src/peer_capnp.cc
@@ -7,11 +7,11 @@
 #include <utility>
 #include <vector>
 
-#include "egretladder/net/address.h"
 #include "egretladder/kernel/hash.h"
 #include "egretladder/kernel/log.h"
-#include "gateway_p.h"
+#include "egretladder/net/address.h"
 #include "egretladder/net/kj_loop.h"
+#include "gateway_p.h"
 #include "peer_codec_p.h"
 
 namespace egretladder::gateway {
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -5,9 +5,9 @@
 #include <cctype>
 #include <string>
 
-#include "egretladder/net/address.h"
 #include "egretladder/kernel/ini.h"
 #include "egretladder/kernel/registry.h"
+#include "egretladder/net/address.h"
 #include "egretladder/policy/scheduler.h"
 
 namespace egretladder::gateway {
--- a/net/include/egretladder/net/http_reader.h
+++ b/net/include/egretladder/net/http_reader.h
@@ -21,7 +21,7 @@
 /// Why a message can't be read.
 enum class ReadFault : std::uint8_t {
   kNone,
-  kSyntax,         ///< Breaks RFC 9112, or its end is open to doubt.
+  kSyntax,  ///< Breaks RFC 9112, or its end is open to doubt.
   kHeadTooLarge,
   kBodyTooLarge,
 };
--- a/net/src/address.cc
+++ b/net/src/address.cc
@@ -1,11 +1,11 @@
+#include "egretladder/net/address.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
 #include <cstdlib>
 
-#include "egretladder/net/address.h"
-
 namespace egretladder::net {
 
 std::pair<std::string, std::uint16_t> SplitAddress(const std::string& address) {
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -156,9 +156,8 @@
                                                BEV_OPT_CLOSE_ON_FREE));
     Attach();
     ++client_->opened;
-    if (!target || bufferevent_socket_connect(link_->buffer.get(),
-                                              target->get(),
-                                              target->size) != 0) {
+    if (!target || bufferevent_socket_connect(
+                       link_->buffer.get(), target->get(), target->size) != 0) {
       Later([this] { Fail(ExchangeFault::kNotConnected, "no connection"); });
       return;
     }
@@ -232,7 +231,8 @@
   // Hands on what was read. False when nothing more is to be read.
   bool Advance() {
     if (!head_given_ && reader_.state() != ReadState::kHead &&
-        !(reader_.state() == ReadState::kFailed && reader_.head().status == 0)) {
+        !(reader_.state() == ReadState::kFailed &&
+          reader_.head().status == 0)) {
       head_given_ = true;
       const HttpAnswerHead& head = reader_.head();
       link_->keeps = KeepsFor(head.fields);
--- a/net/src/http_message.cc
+++ b/net/src/http_message.cc
@@ -4,10 +4,9 @@
 
 #include <algorithm>
 #include <array>
-#include <ostream>  // Beast needs it and does not say so.
-
 #include <boost/beast/http/status.hpp>
 #include <cstdio>
+#include <ostream>  // Beast needs it and does not say so.
 
 namespace egretladder::net {
 namespace {
@@ -51,9 +50,8 @@
 
 std::size_t CountOf(const HttpFields& fields, std::string_view name) {
   return static_cast<std::size_t>(std::count_if(
-      fields.begin(), fields.end(), [name](const HttpField& field) {
-        return SameName(field.name, name);
-      }));
+      fields.begin(), fields.end(),
+      [name](const HttpField& field) { return SameName(field.name, name); }));
 }
 
 bool IsOfOneConnection(std::string_view name) {
--- a/net/src/http_reader_beast.cc
+++ b/net/src/http_reader_beast.cc
@@ -64,8 +64,7 @@
 template <bool isRequest>
 void SetLimits(Parser<isRequest>& parser, const ReadLimits& limits) {
   constexpr std::size_t kMost = std::numeric_limits<std::uint32_t>::max();
-  parser.header_limit(
-      static_cast<std::uint32_t>(std::min(limits.head, kMost)));
+  parser.header_limit(static_cast<std::uint32_t>(std::min(limits.head, kMost)));
   parser.body_limit(limits.body);
 }
 
@@ -169,8 +168,7 @@
     state.request.body = std::move(state.parser.body);
     state.request.keep_alive = state.parser.keep_alive();
     constexpr int kFirstWithChunks = 11;
-    state.request.chunks_understood =
-        state.parser.version >= kFirstWithChunks;
+    state.request.chunks_understood = state.parser.version >= kFirstWithChunks;
   }
   return used;
 }
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -239,10 +239,10 @@
   if (over()) return;
   begun_ = true;
   chunked_ = request_.chunks_understood;
-  connection_->Put(AnswerText(
-      status, reason, fields,
-      chunked_ ? BodyFraming::kChunked : BodyFraming::kNone, 0,
-      !chunked_ || MustClose()));
+  connection_->Put(
+      AnswerText(status, reason, fields,
+                 chunked_ ? BodyFraming::kChunked : BodyFraming::kNone, 0,
+                 !chunked_ || MustClose()));
 }
 
 void HttpCall::Send(std::string_view piece) {
--- a/net/src/kj_loop.cc
+++ b/net/src/kj_loop.cc
@@ -1,11 +1,11 @@
+#include "egretladder/net/kj_loop.h"
+
 #include <event2/buffer.h>
 #include <kj/debug.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 
-#include "egretladder/net/kj_loop.h"
-
 namespace egretladder::net {
 namespace {
 
--- a/proxy/include/egretladder/proxy/dialect.h
+++ b/proxy/include/egretladder/proxy/dialect.h
@@ -49,11 +49,11 @@
 
 /// What an endpoint's answer says beside its status.
 struct AnswerFacts {
-  std::string id;         ///< Of the request that it answers; empty: not said.
-  bool not_run = false;   ///< The endpoint certainly did not run it.
-  bool sealed = false;    ///< Signed by the endpoint, as each success is.
-  bool encoded = false;   ///< The body isn't the endpoint's own bytes.
-  bool is_events = false; ///< The body is a stream of events.
+  std::string id;          ///< Of the request that it answers; empty: not said.
+  bool not_run = false;    ///< The endpoint certainly did not run it.
+  bool sealed = false;     ///< Signed by the endpoint, as each success is.
+  bool encoded = false;    ///< The body isn't the endpoint's own bytes.
+  bool is_events = false;  ///< The body is a stream of events.
 };
 
 /// The functions of one platform.
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -51,11 +51,13 @@
 
 // --- The node ---
 
-/// Callers keep the list of addresses this long.
-inline constexpr milliseconds kDirectoryKeep{2000};
-/// A leaving node stays this long, for callers that still keep its address:
-/// some keep it three times as long as told.
-inline constexpr milliseconds kLinger{6200};
+/// Callers keep the list of addresses this long. Some keep it three times as
+/// long as told: a leaving node must take requests until then, and finish them
+/// within its grace.
+inline constexpr milliseconds kDirectoryKeep{1000};
+/// How long a leaving node takes requests. One that comes later is refused as
+/// not run, since it might be cut at the end.
+inline constexpr milliseconds kTakeWhileLeaving{3200};
 /// Before the end of the grace for a stop, when what is left is cut.
 inline constexpr milliseconds kStopMargin{700};
 /// Housekeeping, and how a pause of the process is noticed.
--- a/proxy/include/egretladder/proxy/proxy.h
+++ b/proxy/include/egretladder/proxy/proxy.h
@@ -20,7 +20,7 @@
   std::string node;
   std::string zone;
   std::string region;
-  std::string dialect;             ///< Name of the platform's plug-in.
+  std::string dialect;  ///< Name of the platform's plug-in.
   std::string callers = "127.0.0.1:0";
   std::string ready = "127.0.0.1:0";
   std::string directory = "127.0.0.1:0";
--- a/proxy/src/answers.cc
+++ b/proxy/src/answers.cc
@@ -15,9 +15,8 @@
 
 std::string SecondsText(milliseconds time) {
   std::array<char, 32> text{};
-  const int size =
-      std::snprintf(text.data(), text.size(), "%.3f",
-                    std::chrono::duration<double>(time).count());
+  const int size = std::snprintf(text.data(), text.size(), "%.3f",
+                                 std::chrono::duration<double>(time).count());
   return {text.data(), static_cast<std::size_t>(size)};
 }
 
@@ -64,8 +63,8 @@
     AnswerError(caller, kNotFound, "unknown_page", "no such page", "no", {});
     return;
   }
-  const auto addresses = routing::AddressesFor(proxy.members, zone,
-                                               proxy.random, NowOf(proxy));
+  const auto addresses =
+      routing::AddressesFor(proxy.members, zone, proxy.random, NowOf(proxy));
   AnswerText(caller, kOk, "application/json",
              proxy.dialect->directory_body(addresses, kDirectoryKeep));
 }
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -15,6 +15,8 @@
 constexpr int kUnavailable = 503;
 constexpr int kMisdirected = 421;
 constexpr int kServerErrors = 500;
+// Endpoints tell ten steps apart.
+constexpr std::uint8_t kLowestPriority = 9;
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
@@ -46,9 +48,9 @@
   const Time now = NowOf(proxy);
   routing::OnStarted(*attempt.endpoint, call->demand, attempt.number,
                      attempt.placement);
-  routing::OnFirstByte(*attempt.endpoint, Since(attempt.sent, now),
-                       milliseconds(static_cast<std::int64_t>(
-                           attempt.placement.expected_ms)));
+  routing::OnFirstByte(
+      *attempt.endpoint, Since(attempt.sent, now),
+      milliseconds(static_cast<std::int64_t>(attempt.placement.expected_ms)));
   kernel::Observe(proxy.metrics, proxy.handles.first_event,
                   now - call->arrived);
 }
@@ -67,8 +69,7 @@
   if (PromisesNotRun(status) || attempt.facts.encoded) {
     return AttemptEnd::kBadAnswer;
   }
-  return status >= kServerErrors ? AttemptEnd::kFailed
-                                 : AttemptEnd::kSucceeded;
+  return status >= kServerErrors ? AttemptEnd::kFailed : AttemptEnd::kSucceeded;
 }
 
 void PassOn(Proxy& proxy, const CallPtr& call, const Attempt& attempt) {
@@ -115,8 +116,7 @@
   if (call->caller->Unsent() > kCallerBacklog) {
     net::SetReading(attempt.exchange, false);
     call->patience = kernel::After(
-        *proxy.loop, milliseconds(50),
-        [weak = std::weak_ptr<Call>(call)] {
+        *proxy.loop, milliseconds(50), [weak = std::weak_ptr<Call>(call)] {
           const auto kept = weak.lock();
           if (kept != nullptr && kept->attempt != nullptr) {
             net::SetReading(kept->attempt->exchange, true);
@@ -133,10 +133,10 @@
   if (call->attempt == nullptr) return;
   const Time now = NowOf(proxy);
   const bool more = call->may_have_run + 1 < call->route->attempts;
-  if (!more || !routing::TakeRetry(proxy.retry_shares[call->service->name],
-                                   proxy.options.retries,
-                                   routing::PartOf(proxy.members, now).nodes,
-                                   now)) {
+  if (!more ||
+      !routing::TakeRetry(proxy.retry_shares[call->service->name],
+                          proxy.options.retries,
+                          routing::PartOf(proxy.members, now).nodes, now)) {
     return;
   }
   net::Cancel(call->attempt->exchange);
@@ -144,13 +144,12 @@
 }
 
 void SetPatience(Proxy& proxy, const CallPtr& call, milliseconds patience) {
-  call->patience =
-      kernel::After(*proxy.loop, patience,
-                    [&proxy, weak = std::weak_ptr<Call>(call)] {
-                      if (const auto kept = weak.lock()) {
-                        OnImpatient(proxy, kept);
-                      }
-                    });
+  call->patience = kernel::After(*proxy.loop, patience,
+                                 [&proxy, weak = std::weak_ptr<Call>(call)] {
+                                   if (const auto kept = weak.lock()) {
+                                     OnImpatient(proxy, kept);
+                                   }
+                                 });
 }
 
 milliseconds PatienceFor(const Call& call,
@@ -290,8 +289,8 @@
                   fleet, now);
   kernel::Observe(proxy.metrics, proxy.handles.waited, now - call->arrived);
   kernel::Log(LogPart::kRoute, LogLevel::kInfo,
-              "Sent: req=" + call->facts.id + " endpoint=" +
-                  placement.endpoint->entry.id + " why=" +
+              "Sent: req=" + call->facts.id +
+                  " endpoint=" + placement.endpoint->entry.id + " why=" +
                   routing::NameOf(placement.reason) + " expected_ms=" +
                   std::to_string(static_cast<int>(placement.expected_ms)) +
                   " tier=" + std::to_string(call->demand.tier) +
@@ -303,7 +302,9 @@
   facts.endpoint_id = placement.endpoint->entry.id;
   if (call->account != nullptr) facts.account = call->account->name;
   facts.left = std::max(milliseconds(1), Since(now, call->deadline));
-  if (call->service->generates) facts.priority = call->demand.tier;
+  if (call->service->generates) {
+    facts.priority = std::min(call->demand.tier, kLowestPriority);
+  }
   facts.resume_after = call->last_event;
   const bool bodyless = request.body.empty() &&
                         net::CountOf(request.fields, "Content-Length") == 0 &&
@@ -335,8 +336,8 @@
                                      const std::string& detail) {
     EndAttempt(proxy, call, EndOfFault(fault), detail);
   };
-  attempt.exchange = proxy.client->Start(std::move(exchange),
-                                         std::move(handlers));
+  attempt.exchange =
+      proxy.client->Start(std::move(exchange), std::move(handlers));
   if (routing::MayRepeat(*call->route)) {
     SetPatience(proxy, call, PatienceFor(*call, placement));
   }
@@ -389,11 +390,11 @@
         std::string("end=\"") + routing::NameOf(end) + "\"");
   if (end != AttemptEnd::kSucceeded) {
     kernel::Log(LogPart::kEndpoint, LogLevel::kInfo,
-                "Attempt ended: req=" + call->facts.id + " endpoint=" +
-                    attempt->endpoint->entry.id + " end=" +
-                    routing::NameOf(end) + " status=" +
-                    std::to_string(attempt->head.status) + " detail=\"" +
-                    detail + "\" ms=" +
+                "Attempt ended: req=" + call->facts.id +
+                    " endpoint=" + attempt->endpoint->entry.id +
+                    " end=" + routing::NameOf(end) +
+                    " status=" + std::to_string(attempt->head.status) +
+                    " detail=\"" + detail + "\" ms=" +
                     std::to_string(Since(attempt->sent, now).count()) +
                     " next=" + routing::NameOf(step));
   }
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -16,6 +16,7 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr milliseconds kNotReadyRetry{300};
+constexpr milliseconds kLeavingRetry{20};
 
 // A request that ends before it is a call.
 void Reject(Proxy& proxy, const net::HttpCallPtr& caller, int status,
@@ -23,11 +24,11 @@
   Count(proxy, "egretladder_rejected_total",
         "Requests ended before they were routed.",
         std::string("code=\"") + code + "\"");
-  kernel::Log(LogPart::kRoute, LogLevel::kInfo,
-              "Rejected: status=" + std::to_string(status) + " code=" + code +
-                  " why=\"" + why + "\" target=" + caller->request().target +
-                  " rules=" +
-                  std::to_string(proxy.rules ? proxy.rules->version : 0));
+  kernel::Log(
+      LogPart::kRoute, LogLevel::kInfo,
+      "Rejected: status=" + std::to_string(status) + " code=" + code +
+          " why=\"" + why + "\" target=" + caller->request().target +
+          " rules=" + std::to_string(proxy.rules ? proxy.rules->version : 0));
   AnswerError(caller, status, code, why, "no", retry);
 }
 
@@ -49,7 +50,7 @@
       routing::DrawTarget(route, kernel::Fraction(proxy.random));
   call->service = &proxy.rules->services[target.idx];
   call->demand.service = call->service;
-  call->demand.tier = routing::TierOf(route, account);
+  call->demand.tier = routing::RankOf(*proxy.rules, route, account);
   if (call->service->generates) {
     call->demand.parts = facts.parts;
     call->demand.prompt_tokens = std::max(facts.prompt_tokens, 1U);
@@ -60,9 +61,8 @@
 }
 
 void OnTimeout(Proxy& proxy, const CallPtr& call) {
-  const bool may_have_run =
-      call->may_have_run > 0 ||
-      (call->attempt != nullptr && call->attempt->left);
+  const bool may_have_run = call->may_have_run > 0 ||
+                            (call->attempt != nullptr && call->attempt->left);
   DropAttempt(proxy, call);
   if (call->caller->begun()) {
     call->caller->Break();
@@ -94,8 +94,8 @@
   proxy.waiting.emplace(std::pair(call->demand.tier, call->number), call);
   if (!proxy.waiting_timed) {
     proxy.waiting_timed = true;
-    proxy.waiting_timer = kernel::Every(
-        *proxy.loop, kWaitingPeriod, [&proxy] { DispatchWaiting(proxy); });
+    proxy.waiting_timer = kernel::Every(*proxy.loop, kWaitingPeriod,
+                                        [&proxy] { DispatchWaiting(proxy); });
   }
 }
 
@@ -115,6 +115,12 @@
 
 void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller) {
   const net::HttpRequest& request = caller->request();
+  if (proxy.leaving &&
+      NowOf(proxy) - proxy.leaving_since >= kTakeWhileLeaving) {
+    Reject(proxy, caller, kUnavailable, "leaving", "this node is leaving",
+           kLeavingRetry);
+    return;
+  }
   if (proxy.rules == nullptr) {
     Reject(proxy, caller, kUnavailable, "not_ready", "no rules are known yet",
            kNotReadyRetry);
@@ -137,8 +143,8 @@
     account = routing::FindAccount(*proxy.rules, facts.value().key);
   }
   if (proxy.rules->has_accounts && !route->is_public && account == nullptr) {
-    Reject(proxy, caller, kUnauthorized, "unknown_key", "no account has the key",
-           {});
+    Reject(proxy, caller, kUnauthorized, "unknown_key",
+           "no account has the key", {});
     return;
   }
   if (!HasRoomForBody(proxy, request.body.size())) {
@@ -165,9 +171,9 @@
 
 void Dispatch(Proxy& proxy, const CallPtr& call) {
   const Time now = NowOf(proxy);
-  const routing::Placement placement = routing::Place(
-      proxy.endpoints, call->demand, call->tried,
-      routing::PartOf(proxy.members, now), proxy.random, now);
+  const routing::Placement placement =
+      routing::Place(proxy.endpoints, call->demand, call->tried,
+                     routing::PartOf(proxy.members, now), proxy.random, now);
   routing::AdmitAsk ask;
   if (!call->waiting) call->waits_since = now;
   ask.waits_since = call->waits_since;
@@ -197,10 +203,10 @@
     return;
   }
   const bool may_have_run = call->may_have_run > 0;
-  RefuseCall(proxy, call, may_have_run ? kBadGateway : kUnavailable,
-             routing::NameOf(verdict),
-             routing::ComeBackAfter(placement, call->route->target,
-                                    proxy.random));
+  RefuseCall(
+      proxy, call, may_have_run ? kBadGateway : kUnavailable,
+      routing::NameOf(verdict),
+      routing::ComeBackAfter(placement, call->route->target, proxy.random));
 }
 
 void DispatchWaiting(Proxy& proxy) {
@@ -242,8 +248,8 @@
   kernel::Log(
       LogPart::kRoute, LogLevel::kInfo,
       "Ended: req=" + call->facts.id + " outcome=" + outcome +
-          " route=" + call->route->name + " account=" +
-          (call->account ? call->account->name : "-") + " ms=" +
+          " route=" + call->route->name +
+          " account=" + (call->account ? call->account->name : "-") + " ms=" +
           std::to_string(
               std::chrono::duration_cast<milliseconds>(now - call->arrived)
                   .count()) +
--- a/proxy/src/news_codec.cc
+++ b/proxy/src/news_codec.cc
@@ -1,7 +1,7 @@
-#include "news_codec_p.h"
-
 #include <algorithm>
 
+#include "news_codec_p.h"
+
 namespace egretladder::proxy {
 namespace {
 
@@ -42,9 +42,9 @@
   for (unsigned i = 0; i < items.size(); ++i) {
     const routing::Item& item = changes.items[i];
     items[i].setKey(item.key);
-    items[i].setValue(kj::arrayPtr(
-        reinterpret_cast<const kj::byte*>(item.value.data()),
-        item.value.size()));
+    items[i].setValue(
+        kj::arrayPtr(reinterpret_cast<const kj::byte*>(item.value.data()),
+                     item.value.size()));
     items[i].setRev(item.rev);
     items[i].setRemoved(item.removed);
   }
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -110,10 +110,10 @@
     return;
   }
   net::PrepareSocket(fd);
-  net::Bufferevent buffer(bufferevent_socket_new(
-      net.proxy->loop->base.get(), fd, BEV_OPT_CLOSE_ON_FREE));
-  net.in.push_back(std::make_unique<PeerIn>(
-      std::move(buffer), kj::heap<PeerServer>(*net.proxy)));
+  net::Bufferevent buffer(bufferevent_socket_new(net.proxy->loop->base.get(),
+                                                 fd, BEV_OPT_CLOSE_ON_FREE));
+  net.in.push_back(std::make_unique<PeerIn>(std::move(buffer),
+                                            kj::heap<PeerServer>(*net.proxy)));
 }
 
 bool IsOver(const PeerOut& peer, Time now) {
@@ -140,8 +140,8 @@
 PeerOut* Connect(PeerNet& net, const std::string& address, Time now) {
   auto target = net::ParseAddress(address);
   if (!target) return nullptr;
-  net::Bufferevent buffer(bufferevent_socket_new(
-      net.proxy->loop->base.get(), -1, BEV_OPT_CLOSE_ON_FREE));
+  net::Bufferevent buffer(bufferevent_socket_new(net.proxy->loop->base.get(),
+                                                 -1, BEV_OPT_CLOSE_ON_FREE));
   if (bufferevent_socket_connect(buffer.get(), target->get(), target->size) !=
       0) {
     return nullptr;
@@ -160,8 +160,8 @@
     net.out.erase(at);
     at = net.out.end();
   }
-  PeerOut* peer = at != net.out.end() ? at->second.get()
-                                      : Connect(net, address, now);
+  PeerOut* peer =
+      at != net.out.end() ? at->second.get() : Connect(net, address, now);
   // One at a time: what is told is state, and the next exchange tells it anew.
   if (peer == nullptr || peer->waits) return;
   auto request = peer->peer.exchangeRequest();
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -41,10 +41,12 @@
 
 void OnTick(Proxy& proxy) {
   const Time now = NowOf(proxy);
-  const auto gap =
-      std::chrono::duration_cast<milliseconds>(now - proxy.ticked);
+  const auto gap = std::chrono::duration_cast<milliseconds>(now - proxy.ticked);
   proxy.ticked = now;
   if (gap > kPaused) OnPaused(proxy, gap);
+  if (proxy.leaving && now - proxy.leaving_since >= kTakeWhileLeaving) {
+    proxy.callers->StopListening();
+  }
   for (const std::string& id : routing::DropLapsed(proxy.endpoints, now)) {
     kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
                 "Endpoint gone: endpoint=" + id + " source=lapsed");
@@ -147,15 +149,15 @@
                              options.dialect, "no such dialect");
   }
   proxy->random.seed(kernel::SecretBits());
-  proxy->handles.first_event = kernel::AddQuantiles(
-      proxy->metrics, "egretladder_first_event_seconds",
-      "From a call's arrival to its answer's first byte.");
-  proxy->handles.whole_answer = kernel::AddQuantiles(
-      proxy->metrics, "egretladder_call_seconds",
-      "From a call's arrival to its end.");
-  proxy->handles.waited = kernel::AddQuantiles(
-      proxy->metrics, "egretladder_waited_seconds",
-      "From a call's arrival to each send.");
+  proxy->handles.first_event =
+      kernel::AddQuantiles(proxy->metrics, "egretladder_first_event_seconds",
+                           "From a call's arrival to its answer's first byte.");
+  proxy->handles.whole_answer =
+      kernel::AddQuantiles(proxy->metrics, "egretladder_call_seconds",
+                           "From a call's arrival to its end.");
+  proxy->handles.waited =
+      kernel::AddQuantiles(proxy->metrics, "egretladder_waited_seconds",
+                           "From a call's arrival to each send.");
   proxy->client = std::make_unique<net::HttpClient>(loop);
   BOOST_OUTCOME_TRY(OpenServers(*proxy));
   std::string peers;
@@ -167,9 +169,8 @@
   proxy->ticked = now;
   proxy->tick =
       kernel::Every(loop, kTick, [raw = proxy.get()] { OnTick(*raw); });
-  proxy->exchange_tick =
-      kernel::Every(loop, routing::kExchangePeriod,
-                    [raw = proxy.get()] { Exchange(*raw); });
+  proxy->exchange_tick = kernel::Every(loop, routing::kExchangePeriod,
+                                       [raw = proxy.get()] { Exchange(*raw); });
   StartReading(*proxy);
   Exchange(*proxy);
   return proxy;
@@ -187,7 +188,7 @@
   if (!proxy.leaving) return false;
   const auto since = NowOf(proxy) - proxy.leaving_since;
   if (since >= proxy.options.grace - kStopMargin) return true;
-  return since >= kLinger && proxy.calls.empty();
+  return since >= kTakeWhileLeaving && proxy.calls.empty();
 }
 
 void SetSeeds(Proxy& proxy, const std::vector<std::string>& seeds) {
@@ -204,8 +205,7 @@
   view.peers = proxy.members.self.peers;
   view.rules_version = proxy.rules ? proxy.rules->version : 0;
   view.endpoints = proxy.endpoints.by_id.size();
-  view.nodes =
-      routing::PartOf(proxy.members, NowOf(proxy)).names.size();
+  view.nodes = routing::PartOf(proxy.members, NowOf(proxy)).names.size();
   view.calls = proxy.calls.size();
   view.waiting = proxy.waiting.size();
   view.ready_now = IsReady(proxy);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -77,8 +77,8 @@
   routing::Feed feed = routing::Feed::kRules;
   bool listed = false;  ///< A whole list came since the start or the last gap.
   bool reading = false;
-  routing::Changes list;   ///< Of the pages so far.
-  std::string after;       ///< Last key of the pages so far.
+  routing::Changes list;  ///< Of the pages so far.
+  std::string after;      ///< Last key of the pages so far.
   net::HttpExchangePtr exchange;
   std::string body;
   int status = 0;
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -37,11 +37,12 @@
   // Jittered: all nodes lost the store together.
   const auto jitter = milliseconds(kernel::Below(
       proxy.random, static_cast<std::uint64_t>(reader.backoff.count())));
-  kernel::Log(LogPart::kPlatform, LogLevel::kWarning,
-              std::string("Store not read: feed=") + NameOf(reader.feed) +
-                  " why=\"" + why + "\" again_ms=" +
-                  std::to_string((reader.backoff / 2 + jitter).count()) +
-                  " revision=" + std::to_string(RevisionOf(proxy, reader.feed)));
+  kernel::Log(
+      LogPart::kPlatform, LogLevel::kWarning,
+      std::string("Store not read: feed=") + NameOf(reader.feed) + " why=\"" +
+          why + "\" again_ms=" +
+          std::to_string((reader.backoff / 2 + jitter).count()) +
+          " revision=" + std::to_string(RevisionOf(proxy, reader.feed)));
   Count(proxy, "egretladder_store_failures_total", "Failed reads of the store.",
         std::string("feed=\"") + NameOf(reader.feed) + "\"");
   ReadAfter(proxy, reader, reader.backoff / 2 + jitter);
@@ -100,9 +101,9 @@
   reader.exchange = nullptr;
   reader.reading = false;
   if (reader.listed && reader.status == kHistoryGone) {
-    kernel::Log(LogPart::kPlatform, LogLevel::kWarning,
-                std::string("History gone, listing anew: feed=") +
-                    NameOf(reader.feed));
+    kernel::Log(
+        LogPart::kPlatform, LogLevel::kWarning,
+        std::string("History gone, listing anew: feed=") + NameOf(reader.feed));
     reader.listed = false;
     Read(proxy, reader);
     return;
@@ -183,19 +184,19 @@
   }
   proxy.rules = std::move(rules).value();
   net::ServerLimits limits;
-  limits.size = {proxy.rules->limits.head_bytes, proxy.rules->limits.body_bytes};
+  limits.size = {proxy.rules->limits.head_bytes,
+                 proxy.rules->limits.body_bytes};
   limits.head_time = proxy.rules->limits.head_time;
   limits.idle_time = proxy.rules->limits.idle_time;
-  limits.connections =
-      proxy.options.descriptors > 2 * kDescriptorsKept
-          ? proxy.options.descriptors - kDescriptorsKept
-          : proxy.options.descriptors / 2;
+  limits.connections = proxy.options.descriptors > 2 * kDescriptorsKept
+                           ? proxy.options.descriptors - kDescriptorsKept
+                           : proxy.options.descriptors / 2;
   proxy.callers->SetLimits(limits);
-  kernel::Log(LogPart::kRules, LogLevel::kInfo,
-              "Rules in force: version=" +
-                  std::to_string(proxy.rules->version) +
-                  " before=" + std::to_string(before) + " source=" + source +
-                  " routes=" + std::to_string(proxy.rules->routes.size()));
+  kernel::Log(
+      LogPart::kRules, LogLevel::kInfo,
+      "Rules in force: version=" + std::to_string(proxy.rules->version) +
+          " before=" + std::to_string(before) + " source=" + source +
+          " routes=" + std::to_string(proxy.rules->routes.size()));
 }
 
 void LogEndpoint(const std::string& id, routing::EntryChange change,
@@ -214,8 +215,7 @@
   const auto removed = static_cast<std::size_t>(
       std::count_if(news.begin(), news.end(),
                     [](const routing::Item& item) { return item.removed; }));
-  return removed >= kFew &&
-         removed * kPart >= proxy.endpoints.by_id.size();
+  return removed >= kFew && removed * kPart >= proxy.endpoints.by_id.size();
 }
 
 void TakeEndpoint(Proxy& proxy, const routing::Item& item, const char* source,
@@ -223,8 +223,7 @@
   const Time now = NowOf(proxy);
   const std::string id = proxy.dialect->endpoint_id(item.key);
   if (item.removed) {
-    LogEndpoint(id,
-                routing::OnEntryRemoved(proxy.endpoints, id, trouble, now),
+    LogEndpoint(id, routing::OnEntryRemoved(proxy.endpoints, id, trouble, now),
                 source, item.rev);
     return;
   }
@@ -261,10 +260,9 @@
                  const char* source) {
   const Time now = NowOf(proxy);
   const auto news = routing::Apply(proxy.catalog, changes, now);
-  const bool trouble =
-      (proxy.store_trouble != Time{} &&
-       now - proxy.store_trouble < routing::kTroubleRecent) ||
-      IsMassRemoval(proxy, news);
+  const bool trouble = (proxy.store_trouble != Time{} &&
+                        now - proxy.store_trouble < routing::kTroubleRecent) ||
+                       IsMassRemoval(proxy, news);
   for (const routing::Item& item : news) {
     if (proxy.dialect->is_rules(item.key)) {
       TakeRules(proxy, item, source);
--- a/routing/include/egretladder/routing/after_attempt.h
+++ b/routing/include/egretladder/routing/after_attempt.h
@@ -35,12 +35,12 @@
 
 /// What follows.
 enum class NextStep : std::uint8_t {
-  kSendAgain,   ///< Whole, at another endpoint.
-  kResume,      ///< From the last event that the caller got.
-  kPassOn,      ///< Give the caller the endpoint's answer.
-  kRefuse,      ///< 503: it never ran and never will.
-  kUnknown,     ///< 502: it may have run.
-  kBreakOff,    ///< The caller has a part: close, so that it looks incomplete.
+  kSendAgain,  ///< Whole, at another endpoint.
+  kResume,     ///< From the last event that the caller got.
+  kPassOn,     ///< Give the caller the endpoint's answer.
+  kRefuse,     ///< 503: it never ran and never will.
+  kUnknown,    ///< 502: it may have run.
+  kBreakOff,   ///< The caller has a part: close, so that it looks incomplete.
 };
 /// As logs show it.
 const char* NameOf(NextStep step);
@@ -48,9 +48,9 @@
 /// What the decision depends on.
 struct AfterAttempt {
   AttemptEnd end = AttemptEnd::kBroken;
-  bool may_repeat = false;   ///< `MayRepeat` of the route.
-  bool resumable = false;    ///< A stream that may go on elsewhere.
-  bool answer_begun = false; ///< The caller has a part of an answer.
+  bool may_repeat = false;         ///< `MayRepeat` of the route.
+  bool resumable = false;          ///< A stream that may go on elsewhere.
+  bool answer_begun = false;       ///< The caller has a part of an answer.
   std::uint32_t attempts = 1;      ///< Allowed by the route.
   std::uint32_t may_have_run = 0;  ///< Attempts so far that may have run.
   std::uint32_t not_run = 0;       ///< Attempts so far that did not.
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -28,7 +28,12 @@
 /// Choices").
 inline constexpr std::size_t kDrawn = 4;
 /// Endpoints that a session prefers, in order.
-inline constexpr std::size_t kPreferred = 2;
+inline constexpr std::size_t kPreferred = 3;
+/// What reading a shared part anew costs at an endpoint that the session
+/// doesn't prefer, times the time that it takes. The part then fills a second
+/// memory and delays all behind it: in a burst, work that spills freely is read
+/// anew everywhere, and the engines spend their time on that.
+inline constexpr double kStrayCost = 4;
 /// How long a prompt part is expected to stay in an engine's memory after its
 /// last use here.
 inline constexpr milliseconds kPartKept{60'000};
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -81,7 +81,8 @@
 /// True for a member that callers may use.
 bool IsThere(const KnownMember& known, Time now);
 
-/// Addresses for a caller in `zone`: nodes that are there, this one last resort.
+/// Addresses for a caller in `zone`: nodes that are there, this one last
+/// resort.
 std::vector<std::string> AddressesFor(const Members& members,
                                       std::string_view zone,
                                       kernel::Random& random, Time now);
--- a/routing/include/egretladder/routing/place.h
+++ b/routing/include/egretladder/routing/place.h
@@ -4,11 +4,11 @@
 // Load: long prompts of which most is shared. An engine that still holds the
 // shared part starts within tens of milliseconds, one that doesn't reads it
 // anew, and every request beside it waits. All nodes agree without messages on
-// the endpoints that a session prefers (rendezvous hash: Thaler and Ravishankar,
-// "Using Name-Based Mappings to Increase Hit Rates"), and leave them as soon as
-// the wait there costs more than reading anew. One figure, milliseconds until
-// the first event, weighs cache, queue, slowness and failures against each
-// other.
+// the endpoints that a session prefers (rendezvous hash: Thaler and
+// Ravishankar, "Using Name-Based Mappings to Increase Hit Rates"), and leave
+// them as soon as the wait there costs more than reading anew. One figure,
+// milliseconds until the first event, weighs cache, queue, slowness and
+// failures against each other.
 #pragma once
 
 #include <cstdint>
@@ -61,8 +61,8 @@
 struct Placement {
   EndpointPtr endpoint;  ///< Null: none.
   PlaceReason reason = PlaceReason::kNoneKnown;
-  double expected_ms = 0;       ///< Until the first event.
-  double uncached_tokens = 0;   ///< That it will read.
+  double expected_ms = 0;      ///< Until the first event.
+  double uncached_tokens = 0;  ///< That it will read.
 };
 
 /// Chooses among the endpoints of the demand's service, leaving out those in
--- a/routing/include/egretladder/routing/retry_share.h
+++ b/routing/include/egretladder/routing/retry_share.h
@@ -20,8 +20,8 @@
 
 /// What all nodes together may repeat.
 struct RetryRule {
-  double ratio = 0.1;                ///< Of the requests in the window.
-  double slack = 10;                 ///< Beyond that, all nodes together.
+  double ratio = 0.1;  ///< Of the requests in the window.
+  double slack = 10;   ///< Beyond that, all nodes together.
   std::chrono::milliseconds window{10'000};
 };
 
--- a/routing/include/egretladder/routing/route_table.h
+++ b/routing/include/egretladder/routing/route_table.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace egretladder::routing {
@@ -62,8 +63,8 @@
   double cold_per_second = 0;
   milliseconds cold_start{};
   std::uint32_t connections = 0;  ///< An endpoint accepts, of all nodes.
-  bool generates = false;         ///< A model engine: work is counted in tokens.
-  std::uint64_t cache_tokens = 0; ///< Memory of one engine, in tokens.
+  bool generates = false;  ///< A model engine: work is counted in tokens.
+  std::uint64_t cache_tokens = 0;  ///< Memory of one engine, in tokens.
 };
 
 /// Who sends requests.
@@ -92,6 +93,7 @@
   bool has_accounts = false;
   std::unordered_map<std::string, std::vector<std::uint32_t>> routes_of_host;
   std::unordered_map<std::string, std::uint32_t> service_of_name;
+  std::map<std::pair<Tier, Tier>, Tier> ranks;  ///< By both tiers.
 };
 /// Shared by all that read it.
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
@@ -109,8 +111,15 @@
 const ClientAccount* FindAccount(const RouteTable& table,
                                  const std::string& key);
 
-/// The rank of a request: the account's, if it has one, else the route's.
-Tier TierOf(const Route& route, const ClientAccount* account);
+/// The rank of a request, 0 first: the account's tier, if it has one, goes
+/// before the route's; among requests of equal tier the route's decides.
+///
+/// Load: a burst in which all accounts have the same tier. By the account's
+/// tier alone all requests are equal, and short questions wait behind long
+/// prompts. Ranks are numbered without gaps, so that the few steps that
+/// endpoints tell apart are enough.
+Tier RankOf(const RouteTable& table, const Route& route,
+            const ClientAccount* account);
 
 /// The service for one request. `draw` is from 0 up to 1.
 ServiceHandle DrawTarget(const Route& route, double draw);
--- a/routing/src/admit.cc
+++ b/routing/src/admit.cc
@@ -20,8 +20,8 @@
 
 AdmitVerdict DecideSend(const AdmitAsk& ask, const Placement& placement,
                         Time now) {
-  const auto left = std::chrono::duration<double, std::milli>(
-      ask.deadline - now);
+  const auto left =
+      std::chrono::duration<double, std::milli>(ask.deadline - now);
   if (placement.endpoint == nullptr) {
     const auto part =
         std::chrono::duration_cast<milliseconds>(ask.target * kWaitPart);
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -144,8 +144,7 @@
 void OnConnectFailed(Endpoint& endpoint, Time now) {
   Trust& trust = endpoint.trust;
   constexpr std::uint32_t kDoublings = 5;
-  const auto pause =
-      kAvoidFirst * (1U << std::min(trust.refused, kDoublings));
+  const auto pause = kAvoidFirst * (1U << std::min(trust.refused, kDoublings));
   trust.avoid_until = now + std::min<milliseconds>(pause, kAvoidMost);
   ++trust.refused;
 }
@@ -181,7 +180,8 @@
   const auto age =
       std::chrono::duration<double, std::milli>(now - trust.failing_at);
   return trust.failing *
-         std::exp2(-age.count() / static_cast<double>(kFailureHalfLife.count()));
+         std::exp2(-age.count() /
+                   static_cast<double>(kFailureHalfLife.count()));
 }
 
 milliseconds SilenceOf(const Endpoint& endpoint, Time now) {
@@ -203,7 +203,8 @@
   std::vector<Time> uses;
   uses.reserve(endpoint.parts.size());
   for (const auto& [part, used] : endpoint.parts) uses.push_back(used);
-  const auto middle = uses.begin() + static_cast<std::ptrdiff_t>(uses.size() / 2);
+  const auto middle =
+      uses.begin() + static_cast<std::ptrdiff_t>(uses.size() / 2);
   std::nth_element(uses.begin(), middle, uses.end());
   std::erase_if(endpoint.parts, [oldest = *middle](const auto& entry) {
     return entry.second < oldest;
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -12,14 +12,11 @@
   return told.heartbeat > known.heartbeat;
 }
 
+// A life under this node's name that others take for newer than this one: an
+// earlier process, or this one before the time of day went back.
 void HearOfSelf(Members& members, const Member& told) {
-  // An older life under this node's name, or an echo of this one.
-  if (told.incarnation >= members.self.incarnation &&
-      told.heartbeat > members.self.heartbeat) {
-    members.self.incarnation = told.incarnation + 1;
-  } else if (told.incarnation > members.self.incarnation) {
-    members.self.incarnation = told.incarnation + 1;
-  }
+  Member& self = members.self;
+  if (IsNewer(told, self)) self.incarnation = told.incarnation + 1;
 }
 
 template <typename T>
--- a/routing/src/place.cc
+++ b/routing/src/place.cc
@@ -15,8 +15,9 @@
 }
 
 std::uint32_t SlotsOfNode(const Endpoint& endpoint, const FleetPart& fleet) {
-  const double even = static_cast<double>(endpoint.entry.slots) /
-                      static_cast<double>(std::max<std::size_t>(fleet.nodes, 1));
+  const double even =
+      static_cast<double>(endpoint.entry.slots) /
+      static_cast<double>(std::max<std::size_t>(fleet.nodes, 1));
   return std::max(kSlotsLeast,
                   static_cast<std::uint32_t>(std::ceil(kSlotsOver * even)));
 }
@@ -25,20 +26,30 @@
   return now < endpoint.cold_until;
 }
 
-// Tokens that it reads before the first event.
-double UncachedAt(const Endpoint& endpoint, const Demand& demand,
-                  bool preferred, Time now) {
-  double uncached = demand.prompt_tokens;
-  // The last part is new unless it was read here before.
+// What it reads before the first event, in tokens.
+struct Uncached {
+  double shared = 0;  // Parts that other requests share.
+  double own = 0;
+  double Sum() const { return shared + own; }
+};
+
+Uncached UncachedAt(const Endpoint& endpoint, const Demand& demand, bool first,
+                    Time now) {
+  Uncached uncached;
+  uncached.own = demand.prompt_tokens;
+  bool held = true;
   for (std::size_t i = 0; i < demand.parts.size(); ++i) {
     const PromptPart& part = demand.parts[i];
+    // The last part is the request's own, unless it was read here before.
     const bool last = i + 1 == demand.parts.size();
-    const bool held = HoldsPart(endpoint, part.id, now) ||
-                      (preferred && !last && !IsCold(endpoint, now));
-    if (!held) break;
-    uncached -= part.tokens;
+    held = held && (HoldsPart(endpoint, part.id, now) ||
+                    (first && !last && !IsCold(endpoint, now)));
+    if (!held && last) break;
+    uncached.own -= part.tokens;
+    if (!held) uncached.shared += part.tokens;
   }
-  return std::max(0.0, uncached);
+  uncached.own = std::max(0.0, uncached.own);
+  return uncached;
 }
 
 double TokensAhead(const Endpoint& endpoint, Tier tier) {
@@ -55,14 +66,17 @@
     return TokensAhead(endpoint, demand.tier) / kPromptTokensPerMs +
            in_flight * kCostPerRunningMs;
   }
-  const double mean =
-      endpoint.trust.mean_ms > 0 ? endpoint.trust.mean_ms : kServiceTimeUnknownMs;
+  const double mean = endpoint.trust.mean_ms > 0 ? endpoint.trust.mean_ms
+                                                 : kServiceTimeUnknownMs;
   return mean * in_flight / std::max<std::uint32_t>(endpoint.entry.slots, 1);
 }
 
-double CostMs(const Endpoint& endpoint, const Demand& demand, double uncached,
-              const FleetPart& fleet, Time now) {
-  double cost = QueueMs(endpoint, demand) + uncached / kPromptTokensPerMs;
+double CostMs(const Endpoint& endpoint, const Demand& demand,
+              const Uncached& uncached, bool preferred, const FleetPart& fleet,
+              Time now) {
+  double cost = QueueMs(endpoint, demand);
+  cost += (uncached.own + uncached.shared * (preferred ? 1 : kStrayCost)) /
+          kPromptTokensPerMs;
   cost += endpoint.trust.drift_ms;
   cost += FailingOf(endpoint.trust, now) * kFailingMs;
   cost += static_cast<double>(SilenceOf(endpoint, now).count());
@@ -99,8 +113,8 @@
 }
 
 Usable FindUsable(const EndpointSet& set, const Demand& demand,
-                  const std::vector<EndpointPtr>& tried,
-                  const FleetPart& fleet, Time now) {
+                  const std::vector<EndpointPtr>& tried, const FleetPart& fleet,
+                  Time now) {
   Usable usable;
   const auto at = set.by_service.find(demand.service->name);
   if (at == set.by_service.end()) return usable;
@@ -129,8 +143,8 @@
 void PreferFirst(std::vector<EndpointPtr>& endpoints, std::uint64_t session) {
   const std::size_t count = std::min(kPreferred, endpoints.size());
   std::partial_sort(
-      endpoints.begin(),
-      endpoints.begin() + static_cast<std::ptrdiff_t>(count), endpoints.end(),
+      endpoints.begin(), endpoints.begin() + static_cast<std::ptrdiff_t>(count),
+      endpoints.end(),
       [session](const EndpointPtr& left, const EndpointPtr& right) {
         return Weight(session, *left) > Weight(session, *right);
       });
@@ -184,8 +198,8 @@
   for (const std::string& name : fleet.names) {
     if (kernel::HashOf(endpoint.entry.id + name) > own) ++before;
   }
-  const double unknown =
-      static_cast<double>(part.senders) - static_cast<double>(fleet.names.size());
+  const double unknown = static_cast<double>(part.senders) -
+                         static_cast<double>(fleet.names.size());
   part.may_send = static_cast<double>(before) + unknown / 2 <
                   static_cast<double>(kColdSenders);
   part.senders = kColdSenders;
@@ -208,17 +222,19 @@
     preferred = std::min(kPreferred, usable.endpoints.size());
   }
   DrawSome(usable.endpoints, preferred, random);
-  best.expected_ms = std::numeric_limits<double>::max();
+  double least = std::numeric_limits<double>::max();
   for (std::size_t i = 0; i < usable.endpoints.size(); ++i) {
     const EndpointPtr& endpoint = usable.endpoints[i];
     const bool first = session != 0 && i == 0;
-    const double uncached = UncachedAt(*endpoint, demand, first, now);
-    const double cost = CostMs(*endpoint, demand, uncached, fleet, now);
-    if (cost >= best.expected_ms) continue;
-    best = {endpoint, PlaceReason::kCheapest, cost, uncached};
+    const Uncached uncached = UncachedAt(*endpoint, demand, first, now);
+    const double cost =
+        CostMs(*endpoint, demand, uncached, i < preferred, fleet, now);
+    if (cost >= least) continue;
+    least = cost;
+    best = {endpoint, PlaceReason::kCheapest, cost, uncached.Sum()};
     if (first) {
       best.reason = PlaceReason::kSession;
-    } else if (uncached < demand.prompt_tokens) {
+    } else if (demand.prompt_tokens > 0 && uncached.shared == 0) {
       best.reason = PlaceReason::kCached;
     }
   }
@@ -238,11 +254,11 @@
   for (const PromptPart& part : demand.parts) parts.push_back(part.id);
   NoteParts(endpoint, parts, now);
   if (IsCold(endpoint, now) && demand.service->cold_per_second > 0) {
-    const double part = kColdUsed * demand.service->cold_per_second /
-                        static_cast<double>(ColdPartOf(endpoint, fleet).senders);
-    endpoint.cold_next =
-        now + std::chrono::duration_cast<Time::duration>(
-                  std::chrono::duration<double>(1 / part));
+    const double part =
+        kColdUsed * demand.service->cold_per_second /
+        static_cast<double>(ColdPartOf(endpoint, fleet).senders);
+    endpoint.cold_next = now + std::chrono::duration_cast<Time::duration>(
+                                   std::chrono::duration<double>(1 / part));
   }
 }
 
--- a/routing/src/retry_share.cc
+++ b/routing/src/retry_share.cc
@@ -37,9 +37,9 @@
     repeats += slice.repeats;
   }
   const double allowed =
-      kRetryUsed * (rule.ratio * requests +
-                    rule.slack / static_cast<double>(std::max<std::size_t>(
-                                     nodes, 1)));
+      kRetryUsed *
+      (rule.ratio * requests +
+       rule.slack / static_cast<double>(std::max<std::size_t>(nodes, 1)));
   if (repeats + 1 > allowed) return false;
   ++SliceAt(share, number).repeats;
   return true;
--- a/routing/src/route_table.cc
+++ b/routing/src/route_table.cc
@@ -14,6 +14,24 @@
   return key;
 }
 
+std::pair<Tier, Tier> TiersOf(const Route& route,
+                              const ClientAccount* account) {
+  const bool own = account != nullptr && account->tier.has_value();
+  return {own ? *account->tier : route.tier, route.tier};
+}
+
+void NumberRanks(RouteTable& table) {
+  table.ranks.clear();
+  for (const Route& route : table.routes) {
+    table.ranks[TiersOf(route, nullptr)] = 0;
+    for (const ClientAccount& account : table.accounts) {
+      table.ranks[TiersOf(route, &account)] = 0;
+    }
+  }
+  Tier next = 0;
+  for (auto& [tiers, rank] : table.ranks) rank = next++;
+}
+
 }  // namespace
 
 void IndexTable(RouteTable& table) {
@@ -29,6 +47,7 @@
                               table.routes[right].prefix.size();
                      });
   }
+  NumberRanks(table);
   for (std::uint32_t i = 0; i < table.services.size(); ++i) {
     table.service_of_name.emplace(table.services[i].name, i);
   }
@@ -52,9 +71,10 @@
                                           : &table.accounts[at->second];
 }
 
-Tier TierOf(const Route& route, const ClientAccount* account) {
-  if (account != nullptr && account->tier) return *account->tier;
-  return route.tier;
+Tier RankOf(const RouteTable& table, const Route& route,
+            const ClientAccount* account) {
+  const auto at = table.ranks.find(TiersOf(route, account));
+  return at == table.ranks.end() ? route.tier : at->second;
 }
 
 ServiceHandle DrawTarget(const Route& route, double draw) {
