--- a/net/src/http_reader_beast.cc
+++ b/net/src/http_reader_beast.cc
@@ -93,17 +93,36 @@
          head.find("\r\n\t") != std::string_view::npos;
 }
 
+// A line that ends without its carriage return ends the head for some readers
+// only.
+bool HasBareLineFeed(std::string_view head) {
+  for (std::size_t at = head.find('\n'); at != std::string_view::npos;
+       at = head.find('\n', at + 1)) {
+    if (at == 0 || head[at - 1] != '\r') return true;
+  }
+  return false;
+}
+
+bool IsPlainNumber(std::string_view text) {
+  return !text.empty() &&
+         text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
 // What Beast lets pass and RFC 9112 sections 3.2 and 6.1 do not.
 const char* FaultOfHead(const HttpFields& fields, std::string_view target) {
   if (CountOf(fields, "Host") != 1) return "not exactly one Host";
-  if (CountOf(fields, "Content-Length") > 1) return "two Content-Length";
+  const std::size_t lengths = CountOf(fields, "Content-Length");
+  if (lengths > 1) return "two Content-Length";
+  if (lengths == 1 && !IsPlainNumber(ValueOf(fields, "Content-Length"))) {
+    return "a Content-Length that is no plain number";
+  }
   const std::size_t codings = CountOf(fields, "Transfer-Encoding");
   if (codings > 1) return "two Transfer-Encoding";
   if (codings == 1) {
     if (!SameName(ValueOf(fields, "Transfer-Encoding"), "chunked")) {
       return "a Transfer-Encoding other than chunked";
     }
-    if (CountOf(fields, "Content-Length") > 0) return "two framings";
+    if (lengths > 0) return "two framings";
   }
   if (target.empty() || target.front() != '/') return "a target without path";
   return nullptr;
@@ -137,6 +156,12 @@
     state.detail = std::move(detail);
   };
   const bool had_head = state.parser.is_header_done();
+  const std::string_view head =
+      had_head ? std::string_view() : bytes.substr(0, bytes.find("\r\n\r\n"));
+  if (HasBareLineFeed(head)) {
+    fail(ReadFault::kSyntax, "a line feed by itself");
+    return 0;
+  }
   error_code ec;
   const std::size_t used = FeedParser(state.parser, bytes, ec);
   if (ec == http::error::header_limit) {
@@ -149,7 +174,6 @@
   if (state.state == ReadState::kFailed) return used;
   if (!state.parser.is_header_done()) return used;
   if (!had_head) {
-    const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
     const char* fault = HasFoldedLine(head) ? "a folded line" : nullptr;
     if (fault == nullptr) {
       fault = FaultOfHead(state.parser.fields, state.parser.target);
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -258,6 +258,12 @@
 
 void HttpCall::Break() {
   if (over()) return;
+  if (begun_ && chunked_) {
+    // What was passed on still reaches the caller; the missing last chunk says
+    // that it isn't all.
+    Finish(true);
+    return;
+  }
   gone_ = nullptr;
   const auto connection = connection_;
   connection->Close();
--- /dev/null
+++ b/net/tests/event_splitter_test.cc
@@ -0,0 +1,34 @@
+#include "egretladder/net/event_splitter.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace en = egretladder::net;
+
+TEST_GROUP(EventSplitter){};
+
+// An endpoint dies in the middle of an event. If the caller had the half
+// already, nobody could give it the rest, and the stream would be lost.
+TEST(EventSplitter, HoldsBackHalfAnEvent) {
+  en::EventSplitter splitter;
+  STRCMP_EQUAL(
+      "id: 1\ndata: a\n\n",
+      en::SplitEvents(splitter, "id: 1\ndata: a\n\nid: 2\nda").c_str());
+  STRCMP_EQUAL("1", splitter.last_id.c_str());
+  LONGS_EQUAL(1, splitter.events);
+  STRCMP_EQUAL("", en::SplitEvents(splitter, "ta: b\n").c_str());
+  STRCMP_EQUAL("id: 2\ndata: b\n\n", en::SplitEvents(splitter, "\n").c_str());
+  STRCMP_EQUAL("2", splitter.last_id.c_str());
+  LONGS_EQUAL(0, splitter.rest.size());
+}
+
+TEST(EventSplitter, TakesAnyCutOfTheBytesAndEitherLineEnd) {
+  const std::string text = "id:7\r\ndata: x\r\n\r\nid:8\r\ndata: y\r\n\r\n";
+  en::EventSplitter splitter;
+  std::string passed;
+  for (const char c : text) {
+    passed += en::SplitEvents(splitter, std::string(1, c));
+  }
+  STRCMP_EQUAL(text.c_str(), passed.c_str());
+  STRCMP_EQUAL("8", splitter.last_id.c_str());
+  LONGS_EQUAL(2, splitter.events);
+}
--- /dev/null
+++ b/routing/tests/admit_test.cc
@@ -0,0 +1,63 @@
+#include "egretladder/routing/admit.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+namespace er = egretladder::routing;
+using er::AdmitVerdict;
+
+namespace {
+
+constexpr er::Time kStart{std::chrono::hours(1)};
+
+er::AdmitAsk Ask() {
+  er::AdmitAsk ask;
+  ask.waits_since = kStart;
+  ask.deadline = kStart + 8s;
+  ask.target = 1000ms;
+  return ask;
+}
+
+er::Placement Found(double expected_ms) {
+  er::Placement placement;
+  placement.endpoint = std::make_shared<er::Endpoint>();
+  placement.expected_ms = expected_ms;
+  return placement;
+}
+
+}  // namespace
+
+TEST_GROUP(Admit){};
+
+// A burst is far over what the engines bear. Held until its deadline, a caller
+// learns nothing in time; refused at once, it can come back.
+TEST(Admit, WhatCannotStartInTimeIsRefusedAtOnce) {
+  CHECK(er::DecideSend(Ask(), Found(500), kStart) == AdmitVerdict::kSend);
+  CHECK(er::DecideSend(Ask(), Found(7000), kStart) == AdmitVerdict::kTooLate);
+  CHECK(er::DecideSend(Ask(), Found(500), kStart + 7500ms) ==
+        AdmitVerdict::kTooLate);
+}
+
+TEST(Admit, WaitsForAnEndpointForPartOfTheTarget) {
+  CHECK(er::DecideSend(Ask(), {}, kStart) == AdmitVerdict::kWait);
+  CHECK(er::DecideSend(Ask(), {}, kStart + 400ms) == AdmitVerdict::kWait);
+  CHECK(er::DecideSend(Ask(), {}, kStart + 500ms) == AdmitVerdict::kNoEndpoint);
+}
+
+// An engine crashed in the middle of a stream, and the others are full for a
+// moment. Given up at once, all that was generated is lost.
+TEST(Admit, WorkThatWasSentBeforeWaitsLonger) {
+  er::AdmitAsk ask = Ask();
+  ask.target = 200ms;
+  ask.came_before = true;
+  CHECK(er::DecideSend(ask, {}, kStart + 900ms) == AdmitVerdict::kWait);
+}
+
+TEST(Admit, CallersThatWereRefusedTogetherReturnApart) {
+  egretladder::kernel::Random random{5};
+  const auto first = er::ComeBackAfter({}, 1000ms, random);
+  const auto second = er::ComeBackAfter({}, 1000ms, random);
+  CHECK(first != second);
+  CHECK(first >= 125ms);
+  CHECK(first <= 1s);
+}
--- /dev/null
+++ b/routing/tests/endpoints_test.cc
@@ -0,0 +1,106 @@
+#include "egretladder/routing/endpoints.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+namespace er = egretladder::routing;
+using er::EntryChange;
+
+namespace {
+
+constexpr er::Time kStart{std::chrono::hours(1)};
+
+er::EndpointEntry Entry(const std::string& id) {
+  er::EndpointEntry entry;
+  entry.id = id;
+  entry.service = "engines";
+  entry.address = "10.0.0.1:80";
+  entry.zone = "a";
+  entry.slots = 8;
+  entry.born = 100;
+  return entry;
+}
+
+}  // namespace
+
+TEST_GROUP(Endpoints) { er::EndpointSet set; };
+
+TEST(Endpoints, ComeChangeAndGo) {
+  CHECK(er::OnEntry(set, Entry("x"), kStart) == EntryChange::kNew);
+  CHECK(er::OnEntry(set, Entry("x"), kStart) == EntryChange::kNone);
+  er::EndpointEntry leaving = Entry("x");
+  leaving.leaving = true;
+  CHECK(er::OnEntry(set, leaving, kStart) == EntryChange::kLeaving);
+  CHECK(er::OnEntryRemoved(set, "x", false, kStart) == EntryChange::kGone);
+  CHECK(set.by_service["engines"].empty());
+}
+
+// An endpoint crashes and starts again under its name. What this node knew of
+// it, its warm memory above all, is gone with the process.
+TEST(Endpoints, ARestartedProcessHasNoHistory) {
+  er::OnEntry(set, Entry("x"), kStart);
+  const er::EndpointPtr before = set.by_id["x"];
+  er::NoteParts(*before, {7}, kStart);
+  before->in_flight = 3;
+  er::EndpointEntry again = Entry("x");
+  again.born = 200;
+  again.cold_left = 3s;
+  CHECK(er::OnEntry(set, again, kStart + 1s) == EntryChange::kRestarted);
+  const er::EndpointPtr after = set.by_id["x"];
+  CHECK(after != before);
+  CHECK(before->phase == er::EndpointPhase::kGone);
+  LONGS_EQUAL(0, after->in_flight);
+  CHECK_FALSE(er::HoldsPart(*after, 7, kStart + 1s));
+  CHECK(after->cold_until == kStart + 4s);
+}
+
+// The store was away longer than leases last: on its return it names no
+// endpoint at all until they have registered anew. Believed at once, no request
+// would be served for two seconds.
+TEST(Endpoints, AnEntryThatLapsedInAnOutageIsBelievedForAWhile) {
+  er::OnEntry(set, Entry("x"), kStart);
+  CHECK(er::OnEntryRemoved(set, "x", true, kStart) == EntryChange::kLapsed);
+  LONGS_EQUAL(1, set.by_service["engines"].size());
+  CHECK(er::DropLapsed(set, kStart + 1s).empty());
+  CHECK(er::OnEntry(set, Entry("x"), kStart + 1s) == EntryChange::kChanged);
+  CHECK(er::DropLapsed(set, kStart + 5s).empty());
+  er::OnEntryRemoved(set, "x", true, kStart + 6s);
+  LONGS_EQUAL(1, er::DropLapsed(set, kStart + 8s).size());
+  CHECK(set.by_id.empty());
+}
+
+// An endpoint that was leaving before the outage is not kept by it.
+TEST(Endpoints, ALeavingOneGoesAlsoInAnOutage) {
+  er::EndpointEntry leaving = Entry("x");
+  leaving.leaving = true;
+  er::OnEntry(set, leaving, kStart);
+  CHECK(er::OnEntryRemoved(set, "x", true, kStart) == EntryChange::kGone);
+}
+
+TEST(Endpoints, FailuresFadeAndRefusalsDouble) {
+  er::OnEntry(set, Entry("x"), kStart);
+  er::Endpoint& endpoint = *set.by_id["x"];
+  er::OnFailed(endpoint, kStart);
+  const double failing = er::FailingOf(endpoint.trust, kStart);
+  CHECK(failing > 0);
+  DOUBLES_EQUAL(failing / 2,
+                er::FailingOf(endpoint.trust, kStart + er::kFailureHalfLife),
+                0.001);
+  er::OnConnectFailed(endpoint, kStart);
+  CHECK(endpoint.trust.avoid_until == kStart + er::kAvoidFirst);
+  er::OnConnectFailed(endpoint, kStart);
+  CHECK(endpoint.trust.avoid_until == kStart + 2 * er::kAvoidFirst);
+  er::OnAnswered(endpoint, 10ms, kStart);
+  CHECK(endpoint.trust.avoid_until == er::Time{});
+}
+
+TEST(Endpoints, ForgetsTheOlderHalfOfTheParts) {
+  er::OnEntry(set, Entry("x"), kStart);
+  er::Endpoint& endpoint = *set.by_id["x"];
+  for (std::uint64_t part = 1; part <= er::kPartsMost + 1; ++part) {
+    er::NoteParts(endpoint, {part}, kStart + std::chrono::microseconds(part));
+  }
+  CHECK(endpoint.parts.size() <= er::kPartsMost);
+  CHECK(er::HoldsPart(endpoint, er::kPartsMost + 1, kStart + 1s));
+  CHECK_FALSE(er::HoldsPart(endpoint, 1, kStart + 1s));
+}
--- /dev/null
+++ b/routing/tests/members_test.cc
@@ -0,0 +1,152 @@
+#include "egretladder/routing/members.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace std::chrono_literals;
+namespace er = egretladder::routing;
+namespace ek = egretladder::kernel;
+
+namespace {
+
+constexpr er::Time kStart{std::chrono::hours(1)};
+
+er::Member Node(const std::string& name, std::uint64_t incarnation = 10) {
+  er::Member member;
+  member.node = name;
+  member.callers = name + ":80";
+  member.peers = name + ":90";
+  member.zone = "a";
+  member.incarnation = incarnation;
+  return member;
+}
+
+bool Names(const std::vector<std::string>& addresses, const std::string& one) {
+  return std::find(addresses.begin(), addresses.end(), one) != addresses.end();
+}
+
+// Nodes that exchange with each other in rounds, without a network.
+struct Fleet {
+  std::vector<er::Members> nodes;
+  std::vector<bool> runs;
+  ek::Random random{3};
+
+  explicit Fleet(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      nodes.push_back(er::StartMembers(Node("n" + std::to_string(i)),
+                                       {"n0:90", "n1:90"}, kStart));
+      runs.push_back(true);
+    }
+  }
+  void Round(er::Time now) {
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (!runs[i]) continue;
+      er::Beat(nodes[i], now);
+      const std::string peer = er::NextPeer(nodes[i], random, now);
+      for (std::size_t j = 0; j < nodes.size(); ++j) {
+        if (nodes[j].self.peers != peer || i == j) continue;
+        if (!runs[j]) {
+          er::OnUnreachable(nodes[i], peer, now);
+          continue;
+        }
+        er::Hear(nodes[j], er::ToTell(nodes[i], random, now), now);
+        er::Hear(nodes[i], er::ToTell(nodes[j], random, now), now);
+        er::OnExchanged(nodes[i], now);
+        er::OnExchanged(nodes[j], now);
+      }
+    }
+  }
+  void Run(er::Time& now, std::chrono::milliseconds time) {
+    for (const er::Time end = now + time; now < end;
+         now += er::kExchangePeriod) {
+      Round(now);
+    }
+  }
+  std::vector<std::string> Told(std::size_t by, er::Time now) {
+    return er::AddressesFor(nodes[by], "a", random, now);
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(Members){};
+
+TEST(Members, FindEachOtherThroughSeeds) {
+  for (const std::size_t count : {std::size_t{7}, std::size_t{60}}) {
+    Fleet fleet(count);
+    er::Time now = kStart;
+    fleet.Run(now, 3s);
+    for (std::size_t i = 0; i < count; ++i) {
+      LONGS_EQUAL(count, fleet.Told(i, now).size());
+    }
+  }
+}
+
+// A node loses its power. Callers that are told its address connect to nothing
+// and lose a second each time.
+TEST(Members, AKilledNodeIsNotToldForLongAndALivingOneIsToldAlways) {
+  Fleet fleet(7);
+  er::Time now = kStart;
+  fleet.Run(now, 3s);
+  fleet.runs[3] = false;
+  for (int i = 0; i < 50; ++i) {
+    fleet.Round(now);
+    now += er::kExchangePeriod;
+    const auto told = fleet.Told(0, now);
+    for (int other = 0; other < 7; ++other) {
+      if (other == 3) continue;
+      CHECK(Names(told, "n" + std::to_string(other) + ":80"));
+    }
+  }
+  CHECK_FALSE(Names(fleet.Told(0, now), "n3:80"));
+}
+
+TEST(Members, ALeavingNodeIsNotToldAtOnce) {
+  Fleet fleet(3);
+  er::Time now = kStart;
+  fleet.Run(now, 2s);
+  fleet.nodes[2].self.leaving = true;
+  fleet.Run(now, 500ms);
+  CHECK_FALSE(Names(fleet.Told(0, now), "n2:80"));
+  CHECK_FALSE(Names(fleet.Told(2, now), "n2:80"));
+}
+
+// A machine's time of day goes back, and its process starts again with a lower
+// number than before. Its peers take what it says for old; it must outbid the
+// life that they remember, or no caller would ever be sent to it.
+TEST(Members, AProcessThatStartsWithAnEarlierTimeOfDayIsBelieved) {
+  Fleet fleet(3);
+  er::Time now = kStart;
+  fleet.Run(now, 2s);
+  fleet.nodes[2] = er::StartMembers(Node("n2", 4), {"n0:90"}, now);
+  fleet.Run(now, 4s);
+  CHECK(Names(fleet.Told(0, now), "n2:80"));
+  CHECK(Names(fleet.Told(1, now), "n2:80"));
+}
+
+// All nodes but one are gone. It still names itself.
+TEST(Members, TheLastNodeNamesItself) {
+  er::Members alone = er::StartMembers(Node("n0"), {}, kStart);
+  alone.self.leaving = true;
+  ek::Random random{1};
+  CHECK(Names(er::AddressesFor(alone, "a", random, kStart), "n0:80"));
+}
+
+// The network splits in two. Each half sees fewer nodes, and must not take a
+// larger part of what all share.
+TEST(Members, TheFleetCountsAsLargeAsItWasKnownToBe) {
+  Fleet fleet(7);
+  er::Time now = kStart;
+  fleet.Run(now, 4s);
+  LONGS_EQUAL(7, er::PartOf(fleet.nodes[0], now).nodes);
+  now += 10s;  // Nobody is heard.
+  LONGS_EQUAL(7, er::PartOf(fleet.nodes[0], now).nodes);
+  LONGS_EQUAL(1, er::PartOf(fleet.nodes[0], now).names.size());
+}
+
+// A node that just started knows nobody, and would take all for itself.
+TEST(Members, ANewNodeTakesTheSmallestPart) {
+  er::Members fresh = er::StartMembers(Node("n0"), {"n1:90"}, kStart);
+  LONGS_EQUAL(er::kNodesUnknown, er::PartOf(fresh, kStart).nodes);
+}
--- /dev/null
+++ b/routing/tests/place_test.cc
@@ -0,0 +1,208 @@
+#include "egretladder/routing/place.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace std::chrono_literals;
+namespace er = egretladder::routing;
+namespace ek = egretladder::kernel;
+using er::PlaceReason;
+
+namespace {
+
+constexpr er::Time kStart{std::chrono::hours(1)};
+
+}  // namespace
+
+TEST_GROUP(Place) {
+  er::EndpointSet set;
+  er::Service engines{.name = "engines"};
+  er::FleetPart fleet{1, "n1", {"n1"}, "a"};
+  ek::Random random{7};
+
+  void Add(const std::string& id, const std::string& zone = "a") {
+    er::EndpointEntry entry;
+    entry.id = id;
+    entry.service = "engines";
+    entry.address = "10.0.0.1:80";
+    entry.zone = zone;
+    entry.slots = 16;
+    er::OnEntry(set, entry, kStart);
+  }
+  er::Endpoint& At(const std::string& id) { return *set.by_id[id]; }
+
+  er::Demand Prompt(std::uint64_t session) const {
+    er::Demand demand;
+    demand.service = &engines;
+    demand.parts = {{session, 13'000}, {session + 1'000'000, 3'000}};
+    demand.prompt_tokens = 16'000;
+    return demand;
+  }
+  er::Demand Plain() const {
+    er::Demand demand;
+    demand.service = &engines;
+    return demand;
+  }
+  er::Placement Choose(const er::Demand& demand, er::Time now = kStart) {
+    return er::Place(set, demand, {}, fleet, random, now);
+  }
+};
+
+TEST(Place, ASessionStaysWithItsEndpointOnEveryNode) {
+  for (const char* id : {"w", "x", "y", "z"}) Add(id);
+  std::map<std::string, int> chosen;
+  for (std::uint64_t session = 1; session <= 200; ++session) {
+    const er::Placement first = Choose(Prompt(session));
+    random.seed(session);
+    const er::Placement again = Choose(Prompt(session));
+    CHECK(first.endpoint == again.endpoint);
+    CHECK(first.reason == PlaceReason::kSession);
+    ++chosen[first.endpoint->entry.id];
+  }
+  for (const auto& [id, count] : chosen) CHECK(count > 25);
+  LONGS_EQUAL(4, chosen.size());
+}
+
+// One session gets much of the traffic. All of it at one endpoint would queue
+// for seconds there while the others stand idle; all of it everywhere would be
+// read anew everywhere.
+TEST(Place, AHotSessionSpillsToFewEndpoints) {
+  for (int i = 0; i < 12; ++i) Add("e" + std::to_string(i));
+  const er::Demand demand = Prompt(5);
+  std::map<std::string, int> sent;
+  for (std::uint64_t n = 1; n <= 40; ++n) {
+    const er::Placement placement = Choose(demand);
+    er::OnSent(*placement.endpoint, demand, n, placement, fleet, kStart);
+    ++sent[placement.endpoint->entry.id];
+  }
+  CHECK(sent.size() >= 2);
+  CHECK(sent.size() <= er::kPreferred);
+}
+
+TEST(Place, WorkGoesToTheLeastLoadedAndNearest) {
+  Add("far", "b");
+  Add("near");
+  CHECK(Choose(Plain()).endpoint == set.by_id["near"]);
+  At("near").in_flight = 8;
+  CHECK(Choose(Plain()).endpoint == set.by_id["far"]);
+  At("far").others_in_flight = 12;
+  CHECK(Choose(Plain()).endpoint == set.by_id["near"]);
+}
+
+// An endpoint fails its requests at once. It looks idle, and without a price on
+// failures it would draw all work and fail it.
+TEST(Place, AnEndpointThatFailsLosesItsWork) {
+  Add("bad");
+  Add("good");
+  for (int i = 0; i < 5; ++i) er::OnFailed(At("bad"), kStart);
+  At("good").in_flight = 10;
+  CHECK(Choose(Plain()).endpoint == set.by_id["good"]);
+  CHECK(Choose(Plain(), kStart + 20s).endpoint == set.by_id["bad"]);
+}
+
+// An endpoint hangs: it accepts requests and answers none. Its health check
+// still passes.
+TEST(Place, ASilentEndpointIsLeft) {
+  Add("mute");
+  er::Placement to_mute = Choose(Plain());
+  er::OnSent(At("mute"), Plain(), 1, to_mute, fleet, kStart);
+  Add("good");
+  At("good").in_flight = 6;
+  CHECK(Choose(Plain(), kStart + 2s).endpoint == set.by_id["good"]);
+}
+
+TEST(Place, NothingGoesToLeavingOnesOrZonesOut) {
+  Add("x");
+  At("x").phase = er::EndpointPhase::kLeaving;
+  CHECK(Choose(Plain()).reason == PlaceReason::kAllLeaving);
+  Add("y");
+  er::SetZoneOut(set, "a", true);
+  POINTERS_EQUAL(nullptr, Choose(Plain()).endpoint.get());
+  er::SetZoneOut(set, "a", false);
+  CHECK(Choose(Plain()).endpoint == set.by_id["y"]);
+}
+
+// Endpoints come back cold, and every node sends them work at once: they crash.
+// The rate that they bear holds for the sum over all nodes, at every second.
+TEST(Place, AColdEndpointGetsNoMoreThanItsRateFromAllNodesTogether) {
+  constexpr std::size_t kNodes = 7;
+  engines.cold_per_second = 19;
+  std::vector<er::EndpointSet> sets(kNodes);
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    names.push_back("n" + std::to_string(i));
+  }
+  for (er::EndpointSet& one : sets) {
+    er::EndpointEntry entry;
+    entry.id = "cold";
+    entry.service = "engines";
+    entry.address = "10.0.0.1:80";
+    entry.slots = 1000;
+    entry.cold_left = 3s;
+    er::OnEntry(one, entry, kStart);
+  }
+  std::vector<er::Time> arrivals;
+  std::uint64_t attempt = 0;
+  for (er::Time now = kStart; now < kStart + 3s; now += 5ms) {
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      const er::FleetPart part{kNodes, names[i], names, "a"};
+      const auto placement = er::Place(sets[i], Plain(), {}, part, random, now);
+      if (placement.endpoint == nullptr) continue;
+      er::OnSent(*placement.endpoint, Plain(), ++attempt, placement, part, now);
+      arrivals.push_back(now);
+    }
+  }
+  for (const er::Time from : arrivals) {
+    const auto in_second = std::count_if(
+        arrivals.begin(), arrivals.end(),
+        [from](er::Time at) { return at >= from && at < from + 1s; });
+    CHECK(in_second <= 19 * 1.5 + 5);
+  }
+  CHECK(arrivals.size() > 19);
+}
+
+// A fleet of ninety nodes, which know each other: only a few of them may send.
+TEST(Place, FewNodesOfALargeFleetSendToAColdEndpoint) {
+  Add("cold");
+  std::vector<std::string> names;
+  for (int i = 0; i < 90; ++i) names.push_back("node-" + std::to_string(i));
+  std::size_t senders = 0;
+  for (const std::string& name : names) {
+    const er::FleetPart part{names.size(), name, names, "a"};
+    if (er::ColdPartOf(At("cold"), part).may_send) ++senders;
+  }
+  LONGS_EQUAL(er::kColdSenders, senders);
+}
+
+// The network splits, and a node sees itself alone. It must not take the whole
+// rate for itself, since the others still send.
+TEST(Place, ANodeCutOffFromALargeFleetDoesNotTakeTheWholeRate) {
+  Add("cold");
+  const er::FleetPart part{90, "alone", {"alone"}, "a"};
+  CHECK_FALSE(er::ColdPartOf(At("cold"), part).may_send);
+}
+
+TEST(Place, OneNodeTakesNoMoreThanItsPartOfTheSlots) {
+  Add("x");
+  fleet.nodes = 8;
+  At("x").in_flight = 4;
+  CHECK(Choose(Plain()).reason == PlaceReason::kAllFull);
+  fleet.nodes = 4;
+  CHECK(Choose(Plain()).endpoint == set.by_id["x"]);
+}
+
+TEST(Place, SaysWhyThereIsNone) {
+  CHECK(Choose(Plain()).reason == PlaceReason::kNoneKnown);
+  Add("x");
+  er::OnConnectFailed(At("x"), kStart);
+  CHECK(Choose(Plain()).reason == PlaceReason::kAllDown);
+  At("x").trust = {};
+  er::OnFull(At("x"), 60ms, kStart);
+  CHECK(Choose(Plain()).reason == PlaceReason::kAllFull);
+  At("x").trust = {};
+  const auto placement =
+      er::Place(set, Plain(), {set.by_id["x"]}, fleet, random, kStart);
+  CHECK(placement.reason == PlaceReason::kAllTried);
+}
--- /dev/null
+++ b/routing/tests/route_table_test.cc
@@ -0,0 +1,74 @@
+#include "egretladder/routing/route_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace er = egretladder::routing;
+
+namespace {
+
+er::RouteTable MakeTable() {
+  er::RouteTable table;
+  table.services = {{.name = "engines"}, {.name = "orders"}};
+  er::Route quick{.name = "quick", .host = "shop.example", .prefix = "/q/"};
+  quick.tier = 0;
+  quick.targets = {{{0}, 90}, {{1}, 10}};
+  er::Route deep{.name = "deep", .host = "shop.example", .prefix = "/q/deep/"};
+  deep.tier = 2;
+  deep.targets = {{{1}, 1}};
+  table.routes = {quick, deep};
+  table.accounts = {{.name = "a", .tier = 1}, {.name = "b", .tier = {}}};
+  table.account_of_key = {{"key-a", 0}, {"key-b", 1}};
+  table.has_accounts = true;
+  er::IndexTable(table);
+  return table;
+}
+
+}  // namespace
+
+TEST_GROUP(RouteTable){};
+
+TEST(RouteTable, TakesTheLongestPrefixOfTheHost) {
+  const er::RouteTable table = MakeTable();
+  STRCMP_EQUAL(
+      "quick",
+      er::FindRoute(table, "Shop.Example:80", "/q/x?y=/q/deep/")->name.c_str());
+  STRCMP_EQUAL("deep",
+               er::FindRoute(table, "shop.example", "/q/deep/x")->name.c_str());
+  POINTERS_EQUAL(nullptr, er::FindRoute(table, "shop.example", "/q"));
+  POINTERS_EQUAL(nullptr, er::FindRoute(table, "other.example", "/q/x"));
+}
+
+TEST(RouteTable, SplitsByWeight) {
+  const er::RouteTable table = MakeTable();
+  LONGS_EQUAL(0, er::DrawTarget(table.routes[0], 0.0).idx);
+  LONGS_EQUAL(0, er::DrawTarget(table.routes[0], 0.89).idx);
+  LONGS_EQUAL(1, er::DrawTarget(table.routes[0], 0.91).idx);
+  LONGS_EQUAL(1, er::DrawTarget(table.routes[0], 0.999).idx);
+}
+
+// All client accounts have the same tier, and a burst of long prompts comes. By
+// the account's tier alone buyers' short questions wait behind the prompts, and
+// their callers leave without an answer.
+TEST(RouteTable, RanksByTheAccountsTierAndThenByTheRoutes) {
+  const er::RouteTable table = MakeTable();
+  const er::ClientAccount* with_tier = er::FindAccount(table, "key-a");
+  const er::ClientAccount* without = er::FindAccount(table, "key-b");
+  const er::Route& quick = table.routes[0];
+  const er::Route& deep = table.routes[1];
+  CHECK(er::RankOf(table, quick, with_tier) <
+        er::RankOf(table, deep, with_tier));
+  // The account's tier goes first.
+  CHECK(er::RankOf(table, quick, without) <
+        er::RankOf(table, quick, with_tier));
+  CHECK(er::RankOf(table, deep, with_tier) < er::RankOf(table, deep, without));
+  CHECK(er::RankOf(table, deep, without) < 10);
+}
+
+TEST(RouteTable, KnowsWhatMayRunTwice) {
+  er::Route route{.kind = er::RouteKind::kOnce};
+  CHECK_FALSE(er::MayRepeat(route));
+  route.kind = er::RouteKind::kStream;
+  CHECK_FALSE(er::MayRepeat(route));
+  route.resumable = true;
+  CHECK(er::MayRepeat(route));
+}
