--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -18,6 +18,9 @@
   changes @2 :List(Changes);
   loads @3 :List(Load);
   blames @4 :List(Blame);
+  # The sender failed to read the store lately: removals that it tells of may be
+  # leases that nobody could renew.
+  storeTroubled @5 :Bool;
 }
 
 struct Member {
--- a/proxy/src/news_codec.cc
+++ b/proxy/src/news_codec.cc
@@ -150,6 +150,7 @@
     WriteChanges(lacking[i], changes[i]);
   }
   WriteLoads(proxy, news);
+  news.setStoreTroubled(IsStoreTroubled(proxy));
 }
 
 std::array<std::uint64_t, routing::kFeeds> TakeNews(
@@ -162,7 +163,8 @@
   TakeMembers(proxy, members, now);
   for (const auto reader : news.getChanges()) {
     if (reader.getFeed() >= routing::kFeeds) continue;  // Of a newer node.
-    TakeChanges(proxy, ReadChanges(reader), "peer");
+    TakeChanges(proxy, ReadChanges(reader), Source::kPeer,
+                news.getStoreTroubled());
   }
   // The first member is the sender itself.
   if (!members.empty()) TakeLoads(proxy, members.front().node, news, now);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -192,9 +192,14 @@
 void StartReading(Proxy& proxy);
 /// Opens the watches anew: what they would bring may be lost.
 void RestartReading(Proxy& proxy);
-/// Takes news of the store, from itself or a peer.
-void TakeChanges(Proxy& proxy, const routing::Changes& changes,
-                 const char* source);
+/// Where news of the store come from; for the log.
+enum class Source : std::uint8_t { kList, kWatch, kPeer };
+/// Takes news of the store. `troubled`: whoever read them failed to read the
+/// store lately.
+void TakeChanges(Proxy& proxy, const routing::Changes& changes, Source source,
+                 bool troubled);
+/// True when this node failed to read the store lately.
+bool IsStoreTroubled(const Proxy& proxy);
 
 // peers_capnp.cc
 kernel::Result<PeerNetPtr> OpenPeers(Proxy& proxy, std::string* address);
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -23,6 +23,18 @@
   return routing::StateOf(proxy.catalog, feed).revision;
 }
 
+const char* NameOf(Source source) {
+  switch (source) {
+    case Source::kList:
+      return "list";
+    case Source::kWatch:
+      return "watch";
+    case Source::kPeer:
+      break;
+  }
+  return "peer";
+}
+
 void ReadAfter(Proxy& proxy, StoreReader& reader, milliseconds delay) {
   reader.timer = kernel::After(*proxy.loop, delay,
                                [&proxy, &reader] { Read(proxy, reader); });
@@ -81,7 +93,8 @@
   }
   reader.after.clear();
   reader.listed = true;
-  TakeChanges(proxy, std::exchange(reader.list, {}), "list");
+  TakeChanges(proxy, std::exchange(reader.list, {}), Source::kList,
+              IsStoreTroubled(proxy));
   Read(proxy, reader);
 }
 
@@ -92,7 +105,8 @@
     return;
   }
   OnReadWell(reader);
-  TakeChanges(proxy, changes.value(), "watch");
+  TakeChanges(proxy, changes.value(), Source::kWatch,
+              IsStoreTroubled(proxy));
   Read(proxy, reader);
 }
 
@@ -164,7 +178,7 @@
   });
 }
 
-void TakeRules(Proxy& proxy, const routing::Item& item, const char* source) {
+void TakeRules(Proxy& proxy, const routing::Item& item, Source source) {
   if (item.removed) return;  // The last good version stays in force.
   auto rules = proxy.dialect->read_rules(item.value);
   if (!rules) {
@@ -195,16 +209,16 @@
   kernel::Log(
       LogPart::kRules, LogLevel::kInfo,
       "Rules in force: version=" + std::to_string(proxy.rules->version) +
-          " before=" + std::to_string(before) + " source=" + source +
+          " before=" + std::to_string(before) + " source=" + NameOf(source) +
           " routes=" + std::to_string(proxy.rules->routes.size()));
 }
 
 void LogEndpoint(const std::string& id, routing::EntryChange change,
-                 const char* source, std::uint64_t rev) {
+                 Source source, std::uint64_t rev) {
   if (change == routing::EntryChange::kNone) return;
   kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
               "Endpoint " + std::string(routing::NameOf(change)) +
-                  ": endpoint=" + id + " source=" + source +
+                  ": endpoint=" + id + " source=" + NameOf(source) +
                   " rev=" + std::to_string(rev));
 }
 
@@ -218,7 +232,7 @@
   return removed >= kFew && removed * kPart >= proxy.endpoints.by_id.size();
 }
 
-void TakeEndpoint(Proxy& proxy, const routing::Item& item, const char* source,
+void TakeEndpoint(Proxy& proxy, const routing::Item& item, Source source,
                   bool trouble) {
   const Time now = NowOf(proxy);
   const std::string id = proxy.dialect->endpoint_id(item.key);
@@ -240,6 +254,11 @@
 
 }  // namespace
 
+bool IsStoreTroubled(const Proxy& proxy) {
+  return proxy.store_trouble != Time{} &&
+         NowOf(proxy) - proxy.store_trouble < routing::kTroubleRecent;
+}
+
 void StartReading(Proxy& proxy) {
   proxy.readers[0].feed = Feed::kRules;
   proxy.readers[1].feed = Feed::kEndpoints;
@@ -256,13 +275,10 @@
   }
 }
 
-void TakeChanges(Proxy& proxy, const routing::Changes& changes,
-                 const char* source) {
-  const Time now = NowOf(proxy);
-  const auto news = routing::Apply(proxy.catalog, changes, now);
-  const bool trouble = (proxy.store_trouble != Time{} &&
-                        now - proxy.store_trouble < routing::kTroubleRecent) ||
-                       IsMassRemoval(proxy, news);
+void TakeChanges(Proxy& proxy, const routing::Changes& changes, Source source,
+                 bool troubled) {
+  const auto news = routing::Apply(proxy.catalog, changes, NowOf(proxy));
+  const bool lapses = troubled || IsMassRemoval(proxy, news);
   for (const routing::Item& item : news) {
     if (proxy.dialect->is_rules(item.key)) {
       TakeRules(proxy, item, source);
@@ -273,12 +289,12 @@
       routing::SetZoneOut(proxy.endpoints, zone, !item.removed);
       kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
                   "Zone " + std::string(item.removed ? "back" : "out") +
-                      ": zone=" + zone + " source=" + source +
+                      ": zone=" + zone + " source=" + NameOf(source) +
                       " rev=" + std::to_string(item.rev));
       continue;
     }
     if (changes.feed == Feed::kEndpoints) {
-      TakeEndpoint(proxy, item, source, trouble);
+      TakeEndpoint(proxy, item, source, lapses);
     }
   }
   if (!news.empty() && !proxy.waiting.empty()) DispatchWaiting(proxy);
