Read callers' requests strictly on the product's own interface too

Cause: evhttp took the first of two Content-Length (the rest ran at an endpoint as a request of its own), ignored a header with a space before its colon, took +3 and a chunk of 0x3, added a Content-Type to answers that had none, and its own 400 and 413 were HTML pages. It hands over a request only after its body, so none of this can be mended at its edge.

Change: callers are read by net's server (Boost.Beast's parsers on the same loop), as the proxy's are; evhttp stays towards endpoints.

--- a/gateway/src/apply_actions.cc
+++ b/gateway/src/apply_actions.cc
@@ -44,7 +44,7 @@
   if (call->caller != nullptr) CountOutcome(*call, Outcome::kServed);
   HttpHeaders headers;
   if (!stored.answer->content_type.empty()) {
-    headers.emplace_back("Content-Type", stored.answer->content_type);
+    headers.push_back({"Content-Type", stored.answer->content_type});
   }
   AnswerCallWhole(*call, stored.answer->status, headers, stored.answer->body);
   ForgetIfDone(*call);
--- a/gateway/src/caller_pages.cc
+++ b/gateway/src/caller_pages.cc
@@ -35,12 +35,14 @@
   writer.Bool(value);
 }
 
-std::string QueryOf(evhttp_request* request, const char* key) {
-  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
-  const char* query = uri == nullptr ? nullptr : evhttp_uri_get_query(uri);
-  if (query == nullptr) return "";
+std::string QueryOf(const net::HttpCallPtr& request, const char* key) {
+  const std::string& target = request->request().target;
+  const std::size_t mark = target.find('?');
+  if (mark == std::string::npos) return "";
   evkeyvalq values{};
-  if (evhttp_parse_query_str(query, &values) != 0) return "";
+  if (evhttp_parse_query_str(target.c_str() + mark + 1, &values) != 0) {
+    return "";
+  }
   const std::string value(HeaderOf(&values, key));
   evhttp_clear_headers(&values);
   return value;
@@ -161,7 +163,8 @@
   Put(writer, "calls", std::uint64_t{view.calls});
   Put(writer, "lane_keys", std::uint64_t{view.lanes.keys});
   Put(writer, "lane_bytes", std::uint64_t{view.lanes.bytes});
-  Put(writer, "connections", std::uint64_t{gateway.front.connections.size()});
+  Put(writer, "connections",
+      std::uint64_t{gateway.front.server->connections()});
   Put(writer, "peers", std::uint64_t{CountPeers(*gateway.peers)});
   writer.EndObject();
   return text.GetString();
@@ -172,12 +175,12 @@
   kernel::Metrics& metrics = gateway.metrics;
   kernel::Set(metrics, calls.resident, static_cast<double>(ResidentBytes()));
   kernel::Set(metrics, calls.connections,
-              static_cast<double>(gateway.front.connections.size()));
+              static_cast<double>(gateway.front.server->connections()));
   kernel::Set(metrics, calls.calls, static_cast<double>(gateway.calls.size()));
   return kernel::PrometheusText(metrics);
 }
 
-void AnswerReady(Gateway& gateway, evhttp_request* request) {
+void AnswerReady(Gateway& gateway, const net::HttpCallPtr& request) {
   const bool ready = node::ViewOf(*gateway.node, NowOf(gateway)).ready;
   ReplyText(request, ready ? HTTP_OK : HTTP_SERVUNAVAIL, kText,
             ready ? "ready\n" : "not ready\n");
@@ -185,7 +188,7 @@
 
 }  // namespace
 
-bool AnswerPage(Gateway& gateway, evhttp_request* request,
+bool AnswerPage(Gateway& gateway, const net::HttpCallPtr& request,
                 const std::string& path) {
   if (path == "/where") {
     ReplyText(request, HTTP_OK, kJson,
--- a/gateway/src/endpoint_evhttp.cc
+++ b/gateway/src/endpoint_evhttp.cc
@@ -331,9 +331,9 @@
   }
   ExchangeSpec spec = SpecOf(call, send.address);
   spec.uri = call.request.uri;
-  spec.headers.emplace_back(kRequestIdHeader, call.request_id);
-  spec.headers.emplace_back("X-Priority", std::to_string(send.engine_priority));
-  spec.headers.emplace_back("X-Attempt", std::to_string(send.attempt));
+  spec.headers.push_back({kRequestIdHeader, call.request_id});
+  spec.headers.push_back({"X-Priority", std::to_string(send.engine_priority)});
+  spec.headers.push_back({"X-Attempt", std::to_string(send.attempt)});
   ExchangeEvents events = EventsOf(call);
   events.may_send = [&gateway, id = call.id, attempt = send.attempt] {
     return MaySend(gateway, id, attempt);
@@ -350,8 +350,8 @@
   CallerCall& call = *at->second;
   ExchangeSpec spec = SpecOf(call, forward.caller_address);
   spec.uri = call.request.original_uri;
-  spec.headers.emplace_back(kLaneHeader, call.lane);
-  spec.headers.emplace_back(kForwardedHeader, gateway.options.node.fleet.node);
+  spec.headers.push_back({kLaneHeader, call.lane});
+  spec.headers.push_back({kForwardedHeader, gateway.options.node.fleet.node});
   Attempt attempt;
   attempt.forward = true;
   Begin(call, std::move(attempt), std::move(spec), EventsOf(call));
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -76,7 +76,7 @@
 kernel::Result<void> StartNode(Gateway& gateway) {
   node::NodeOptions& options = gateway.options.node;
   if (options.fleet.caller_address.empty()) {
-    options.fleet.caller_address = gateway.front.address;
+    options.fleet.caller_address = gateway.front.server->address();
   }
   Identify(options);
   node::Actions actions;
@@ -149,6 +149,8 @@
   if (gateway.leaving) return;
   gateway.leaving = true;
   gateway.linger_until = NowOf(gateway) + gateway.options.linger;
+  // Callers should not keep connections for further calls.
+  gateway.front.server->CloseAfterAnswers();
   node::Actions actions;
   node::Leave(*gateway.node, NowOf(gateway), actions);
   Pump(gateway, std::move(actions));
@@ -156,10 +158,7 @@
 
 bool IsIdle(const Gateway& gateway) {
   if (!gateway.calls.empty() || !node::IsIdle(*gateway.node)) return false;
-  for (const auto& [buffer, connection] : gateway.front.connections) {
-    if (evbuffer_get_length(bufferevent_get_output(buffer)) > 0) return false;
-  }
-  return true;
+  return gateway.front.server->unsent() == 0;
 }
 
 bool MayEnd(const Gateway& gateway) {
@@ -168,7 +167,7 @@
 }
 
 const std::string& CallerAddressOf(const Gateway& gateway) {
-  return gateway.front.address;
+  return gateway.front.server->address();
 }
 
 const std::string& PeerAddressOf(const Gateway& gateway) {
@@ -181,7 +180,7 @@
 
 GatewayView ViewOf(const Gateway& gateway) {
   GatewayView view;
-  view.connections = gateway.front.connections.size();
+  view.connections = gateway.front.server->connections();
   view.calls = gateway.calls.size();
   view.exchanges = CountExchanges(*gateway.client);
   view.paused = CountPaused(*gateway.client);
--- a/gateway/src/gateway_p.h
+++ b/gateway/src/gateway_p.h
@@ -15,6 +15,7 @@
 #include "call_metrics_p.h"
 #include "documents_p.h"
 #include "egretladder/gateway/gateway.h"
+#include "egretladder/net/http_server.h"
 #include "http_client_p.h"
 #include "sse_scanner_p.h"
 
@@ -68,28 +69,11 @@
   CallerRequest request;
   rules::ClassHandle cls;
   kernel::Time arrived{};
-  evhttp_request* caller = nullptr;  ///< Null once answered or gone.
+  net::HttpCallPtr caller;  ///< Null once answered or gone.
   bool reply_started = false;
   Attempt attempt;
 };
 
-/// A connection of a caller. The reference counts the buffer's owner, so that
-/// it can be asked later whether evhttp has closed it.
-struct CallerConnection {
-  bufferevent* buffer = nullptr;
-  kernel::Time since{};     ///< Of the connect or the last answer.
-  kernel::Time progress{};  ///< Of the last output taken, as a sweep saw it.
-  std::uint64_t taken = 0;  ///< Bytes of output that left.
-  std::uint64_t taken_before = 0;  ///< At the last sweep.
-  evbuffer_cb_entry* output_watch = nullptr;
-  bool busy = false;      ///< A call of it is in progress.
-  bool prepared = false;  ///< Socket options are set.
-};
-
-struct HttpServerFree {
-  void operator()(evhttp* server) const { evhttp_free(server); }
-};
-
 struct TlsContext;
 struct TlsContextFree {
   void operator()(TlsContext* context) const;
@@ -98,12 +82,8 @@
 /// The callers' side.
 struct CallerFront {
   std::unique_ptr<TlsContext, TlsContextFree> tls;
-  std::unique_ptr<evhttp, HttpServerFree> server;
-  evconnlistener* listener = nullptr;  ///< The server's.
-  std::unordered_map<bufferevent*, CallerConnection> connections;
-  std::string address;
+  std::unique_ptr<net::HttpServer> server;
   std::size_t most_output = 0;
-  kernel::Watch sweep;
 };
 
 struct PeerNet;
@@ -151,17 +131,15 @@
 // apply_actions.cc
 void Apply(Gateway& gateway, node::Action&& action);
 
-// caller_evhttp.cc
+// caller_http.cc
 kernel::Result<void> OpenFront(Gateway& gateway);
 void CloseFront(Gateway& gateway);
-/// Marks the connection of `call` as free for its next request.
-void ReleaseConnection(CallerCall& call);
 /// Lets the request's body go, once the call can't be sent again.
 void ReleaseBody(CallerCall& call);
 
 // caller_pages.cc
 /// Answers `/where`, `/metrics` and the other pages; false: no such page.
-bool AnswerPage(Gateway& gateway, evhttp_request* request,
+bool AnswerPage(Gateway& gateway, const net::HttpCallPtr& request,
                 const std::string& path);
 
 // caller_reply.cc
@@ -174,10 +152,10 @@
 };
 std::string ErrorJson(const ErrorBody& error, const std::string& request_id);
 /// Answers a request that never became a call.
-void ReplyError(evhttp_request* request, const ErrorBody& error,
+void ReplyError(const net::HttpCallPtr& request, const ErrorBody& error,
                 const std::string& request_id);
-void ReplyText(evhttp_request* request, int status, const char* content_type,
-               std::string_view text);
+void ReplyText(const net::HttpCallPtr& request, int status,
+               const char* content_type, std::string_view text);
 /// Each of these ends the caller's part of the call.
 void AnswerCallError(CallerCall& call, const ErrorBody& error);
 void AnswerCallWhole(CallerCall& call, int status, const HttpHeaders& headers,
@@ -212,6 +190,7 @@
 // tls_openssl.cc
 kernel::Result<std::unique_ptr<TlsContext, TlsContextFree>> OpenTls(
     const TlsOptions& options);
-bufferevent* NewTlsBuffer(event_base* base, TlsContext& context);
+net::Bufferevent NewTlsBuffer(event_base* base, evutil_socket_t fd,
+                              TlsContext& context);
 
 }  // namespace egretladder::gateway
--- a/gateway/src/http_client_p.h
+++ b/gateway/src/http_client_p.h
@@ -14,10 +14,11 @@
 #include <vector>
 
 #include "egretladder/kernel/loop.h"
+#include "egretladder/net/http_message.h"
 
 namespace egretladder::gateway {
 
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+using HttpHeaders = net::HttpFields;
 
 struct ExchangeSpec {
   std::string address;  ///< `IP:port`.
--- a/gateway/src/http_headers.cc
+++ b/gateway/src/http_headers.cc
@@ -8,24 +8,12 @@
 namespace egretladder::gateway {
 namespace {
 
-constexpr std::array<const char*, 11> kOfOneConnection = {"Connection",
-                                                          "Keep-Alive",
-                                                          "Proxy-Authenticate",
-                                                          "TE",
-                                                          "Trailer",
-                                                          "Proxy-Authorization",
-                                                          "Upgrade",
-                                                          "Transfer-Encoding",
-                                                          "Content-Length",
-                                                          "Host",
-                                                          "Expect"};
-
 constexpr std::array<const char*, 6> kOwnOfRequests = {
     kRequestIdHeader, "X-Priority",     "X-Attempt",
     kLaneHeader,      kForwardedHeader, "Proxy-Connection"};
 
-constexpr std::array<const char*, 3> kOwnOfAnswers = {kRequestIdHeader,
-                                                      kNotRunHeader, "Date"};
+constexpr std::array<const char*, 2> kOwnOfAnswers = {kRequestIdHeader,
+                                                      kNotRunHeader};
 
 template <typename Names>
 bool Contains(const Names& names, const char* name) {
@@ -34,25 +22,33 @@
   });
 }
 
-template <typename Own>
-HttpHeaders Pass(const evkeyvalq* headers, const Own& own) {
-  HttpHeaders passed;
-  for (const evkeyval* at = headers->tqh_first; at != nullptr;
-       at = at->next.tqe_next) {
-    if (Contains(kOfOneConnection, at->key) || Contains(own, at->key)) continue;
-    passed.emplace_back(at->key, at->value);
-  }
-  return passed;
+// `Host` names this node, not the endpoint.
+bool IsOfThisHop(const char* name) {
+  return net::IsOfOneConnection(name) || net::SameName(name, "Host");
 }
 
 }  // namespace
 
-HttpHeaders RequestHeadersToPass(const evkeyvalq* headers) {
-  return Pass(headers, kOwnOfRequests);
+HttpHeaders RequestHeadersToPass(const net::HttpFields& headers) {
+  HttpHeaders passed;
+  for (const net::HttpField& field : headers) {
+    if (IsOfThisHop(field.name.c_str()) ||
+        Contains(kOwnOfRequests, field.name.c_str())) {
+      continue;
+    }
+    passed.push_back(field);
+  }
+  return passed;
 }
 
 HttpHeaders AnswerHeadersToPass(const evkeyvalq* headers) {
-  return Pass(headers, kOwnOfAnswers);
+  HttpHeaders passed;
+  for (const evkeyval* at = headers->tqh_first; at != nullptr;
+       at = at->next.tqe_next) {
+    if (IsOfThisHop(at->key) || Contains(kOwnOfAnswers, at->key)) continue;
+    passed.push_back({at->key, at->value});
+  }
+  return passed;
 }
 
 std::string_view HeaderOf(const evkeyvalq* headers, const char* name) {
@@ -60,14 +56,4 @@
   return value == nullptr ? std::string_view() : value;
 }
 
-std::string_view HeaderOf(const HttpHeaders& headers, std::string_view name) {
-  for (const auto& [key, value] : headers) {
-    if (key.size() == name.size() &&
-        strncasecmp(key.data(), name.data(), name.size()) == 0) {
-      return value;
-    }
-  }
-  return {};
-}
-
 }  // namespace egretladder::gateway
--- a/gateway/src/http_headers_p.h
+++ b/gateway/src/http_headers_p.h
@@ -17,12 +17,11 @@
 
 /// Headers of a request that an endpoint gets: all but those of one connection
 /// (RFC 9110, 7.6.1) and those that are this node's own to set.
-HttpHeaders RequestHeadersToPass(const evkeyvalq* headers);
+HttpHeaders RequestHeadersToPass(const net::HttpFields& headers);
 /// Headers of an answer that the caller gets.
 HttpHeaders AnswerHeadersToPass(const evkeyvalq* headers);
 
 /// The value of a header, or an empty text.
 std::string_view HeaderOf(const evkeyvalq* headers, const char* name);
-std::string_view HeaderOf(const HttpHeaders& headers, std::string_view name);
 
 }  // namespace egretladder::gateway
--- a/gateway/src/platform_evhttp.cc
+++ b/gateway/src/platform_evhttp.cc
@@ -107,7 +107,7 @@
   }
   ExchangeSpec spec = SpecOf(gateway.options.platform, "/vms", kPlatformTime);
   if (!gateway.vm_list.etag.empty()) {
-    spec.headers.emplace_back("If-None-Match", gateway.vm_list.etag);
+    spec.headers.push_back({"If-None-Match", gateway.vm_list.etag});
   }
   Fetch(*gateway.client, std::move(spec), kDocumentBytes,
         [&gateway, take](const Fetched* fetched) {
@@ -149,7 +149,7 @@
   const rules::Endpoint& endpoint = in_force->endpoints[order.endpoint.idx];
   ExchangeSpec spec = SpecOf(endpoint.address, "/orders", kReportTime);
   spec.method = EVHTTP_REQ_POST;
-  spec.headers.emplace_back("Content-Type", "application/json");
+  spec.headers.push_back({"Content-Type", "application/json"});
   spec.body = std::make_shared<const std::string>(
       OrderText(order, in_force->targets[order.target.idx].source.name));
   Fetch(*gateway.client, std::move(spec), kDocumentBytes,
--- a/gateway/src/tls_openssl.cc
+++ b/gateway/src/tls_openssl.cc
@@ -46,15 +46,16 @@
   return made;
 }
 
-bufferevent* NewTlsBuffer(event_base* base, TlsContext& context) {
+net::Bufferevent NewTlsBuffer(event_base* base, evutil_socket_t fd,
+                              TlsContext& context) {
   SSL* session = SSL_new(context.context);
   if (session == nullptr) return nullptr;
-  bufferevent* buffer = bufferevent_openssl_socket_new(
-      base, -1, session, BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE);
+  net::Bufferevent buffer(bufferevent_openssl_socket_new(
+      base, fd, session, BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE));
   if (buffer != nullptr) {
     // Callers often leave without TLS's own good-bye; lengths are checked by
     // HTTP itself.
-    bufferevent_openssl_set_allow_dirty_shutdown(buffer, 1);
+    bufferevent_openssl_set_allow_dirty_shutdown(buffer.get(), 1);
   }
   return buffer;
 }
--- a/gateway/tests/fault_test.cc
+++ b/gateway/tests/fault_test.cc
@@ -250,6 +250,34 @@
   CHECK_TRUE(et::RunUntil(one.loop, [&caller] { return caller.ended; }));
 }
 
+// A caller sends a request whose end is open to doubt, and another one behind
+// it. Read as two, the second would run at an endpoint under an account that its
+// sender chose.
+TEST(CallerFaults, DoubtfulFramingReachesNoEndpoint) {
+  et::OneNode one;
+  const std::string hidden = et::ChatRequest(et::ChatBodyText(false));
+  for (const char* framing :
+       {"Content-Length: 3\r\nContent-Length: 40", "Content-Length : 3",
+        "Content-Length: +3", "Transfer-Encoding: chunked\r\nX: y\r\n\r\n0x3",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3"}) {
+    const std::string got =
+        Ask(one, "POST /svc/booking/x HTTP/1.1\r\nHost: n\r\n" +
+                     std::string(framing) + "\r\n\r\nabc" + hidden);
+    CHECK_EQUAL(400, et::StatusIn(got));
+    STRCMP_CONTAINS("\"code\":\"bad_request\"", got.c_str());
+  }
+  CHECK_EQUAL(0U, one.endpoint.seen.size());
+}
+
+// An endpoint's answer names no type. One made up here would mislead whoever
+// shows it.
+TEST(CallerFaults, NoContentTypeIsAddedToAnAnswer) {
+  const std::string got =
+      AnswerTo("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", false, false);
+  CHECK_EQUAL(200, et::StatusIn(got));
+  CHECK_TRUE(got.find("Content-Type") == std::string::npos);
+}
+
 // A broker sends hundreds of long records at once. Kept until an engine takes
 // them, they could fill the node's memory and leave no room for a question.
 TEST(CallerFaults, BodiesThatWaitLeaveRoomForHigherTiers) {
--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -14,6 +14,8 @@
 #include "egretladder/kernel/loop.h"
 #include "egretladder/net/http_message.h"
 #include "egretladder/net/http_reader.h"
+#include "egretladder/net/limits.h"
+#include "egretladder/net/socket.h"
 
 namespace egretladder::net {
 
@@ -21,8 +23,11 @@
 /// it holds for requests that begin later.
 struct ServerLimits {
   ReadLimits size{std::size_t{16} << 10U, std::size_t{4} << 20U};
-  std::chrono::milliseconds head_time{3000};   ///< From its first byte.
+  std::chrono::milliseconds head_time{3000};  ///< From its first byte.
+  std::chrono::milliseconds body_time{kRequestBodyTime};  ///< After its head.
   std::chrono::milliseconds idle_time{15000};  ///< Between two requests.
+  /// A caller that takes nothing of its answer for this long is dropped.
+  std::chrono::milliseconds drain_time{30000};
   std::size_t connections = 2000;
 };
 
@@ -42,6 +47,9 @@
   /// replace it.
   void OnGone(std::function<void()> action) { gone_ = std::move(action); }
 
+  /// Called each time the caller has taken all that was passed on.
+  void OnDrained(std::function<void()> action) { drained_ = std::move(action); }
+
   /// Gives a whole answer.
   void Answer(int status, std::string_view reason, const HttpFields& fields,
               std::string_view body);
@@ -67,6 +75,7 @@
   std::shared_ptr<HttpConnection> connection_;
   HttpRequest request_;
   std::function<void()> gone_;
+  std::function<void()> drained_;
   bool begun_ = false;
   bool chunked_ = false;
 };
@@ -80,6 +89,9 @@
   std::function<void(int status, const std::string& why)> on_refused;
   /// Body of such an answer, in the product's own form.
   std::function<std::string(int status, std::string_view why)> refusal_body;
+  /// Makes the buffer of an accepted socket, for instance with TLS; not set:
+  /// plain.
+  std::function<Bufferevent(event_base* base, evutil_socket_t fd)> make_buffer;
 };
 
 /// Listens on one address.
@@ -99,8 +111,11 @@
   void CloseAfterAnswers();
   /// New connections are refused from now on.
   void StopListening();
-  /// Connections now open.
+  /// Connections now open. At most as many as the limits say; more wait in the
+  /// backlog until one closes.
   std::size_t connections() const;
+  /// Connections whose answer has not left yet.
+  std::size_t unsent() const;
 
  private:
   friend class HttpConnection;
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -14,6 +14,9 @@
 /// caller that pipelines is held back beyond it.
 inline constexpr std::size_t kHttpReadAhead = std::size_t{128} << 10U;
 
+/// Between two looks at connections whose time is up.
+inline constexpr std::chrono::milliseconds kHttpSweep{100};
+
 /// How long a connection is kept after an answer that ends it, so that the
 /// caller can read that answer: closing with unread input resets it.
 inline constexpr std::chrono::milliseconds kLingeringClose{1000};
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "egretladder/net/address.h"
 #include "egretladder/net/http_server.h"
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr int kContinue = 100;
+constexpr int kRequestTimeout = 408;
 
 int StatusOf(ReadFault fault) {
   switch (fault) {
@@ -38,9 +40,22 @@
   Listener listener;
   std::string address;
   bool close_after_answers = false;
+  kernel::Watch sweep;
+
+  void Sweep();
+
   std::unordered_set<std::shared_ptr<HttpConnection>> connections;
 };
 
+// What a connection waits for, and what follows when it takes too long.
+enum class Awaits : std::uint8_t {
+  kNothing,  // An answer is being made.
+  kRequest,
+  kHead,
+  kBody,
+  kClose,  // Lingers after an answer that ends it.
+};
+
 // One connection of a caller. Lives while it is in the server's set or a call
 // refers to it.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
@@ -52,22 +67,44 @@
   void Open() {
     bufferevent_setcb(buffer_.get(), OnReadable, OnWritten, OnEvent, this);
     bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kHttpReadAhead);
+    if (const auto server = server_.lock()) {
+      const timeval drain = kernel::ToTimeval(server->limits.drain_time);
+      bufferevent_set_timeouts(buffer_.get(), nullptr, &drain);
+    }
     bufferevent_enable(buffer_.get(), EV_READ | EV_WRITE);
     AwaitRequest();
   }
 
+  bool IsDue(kernel::Time now) const {
+    return awaits_ != Awaits::kNothing && now >= due_;
+  }
+
+  // What it waits for took too long.
+  void TimeOut() {
+    if (awaits_ == Awaits::kHead) {
+      Refuse(kRequestTimeout, "the request took too long");
+    } else if (awaits_ == Awaits::kBody) {
+      Refuse(kRequestTimeout, "the body took too long");
+    } else {
+      Close();
+    }
+  }
+
   // Drops the socket at once. What the caller has not taken is lost.
   void Close() {
     if (closed_) return;
     closed_ = true;
     const auto self = shared_from_this();
-    timer_ = {};
+    awaits_ = Awaits::kNothing;
     buffer_.reset();
     if (const auto call = std::exchange(call_, nullptr)) {
       call->connection_ = nullptr;
       if (auto gone = std::exchange(call->gone_, nullptr)) gone();
     }
-    if (const auto server = server_.lock()) server->connections.erase(self);
+    if (const auto server = server_.lock()) {
+      server->connections.erase(self);
+      if (server->listener) evconnlistener_enable(server->listener.get());
+    }
   }
 
   void Put(std::string_view bytes) {
@@ -115,15 +152,12 @@
     reader_ = std::make_unique<RequestReader>(server->limits.size);
     began_ = false;
     continued_ = false;
-    SetTimer(server->limits.idle_time, [this] { Close(); });
+    Await(Awaits::kRequest, server->limits.idle_time);
   }
 
-  void SetTimer(std::chrono::milliseconds delay, std::function<void()> action) {
-    timer_ = kernel::After(loop_, delay,
-                           [self = weak_from_this(), act = std::move(action)] {
-                             const auto kept = self.lock();
-                             if (kept != nullptr) act();
-                           });
+  void Await(Awaits what, std::chrono::milliseconds most) {
+    awaits_ = what;
+    due_ = kernel::Now(loop_.clock) + most;
   }
 
   void Read() {
@@ -138,20 +172,18 @@
     if (server == nullptr) return;
     if (!began_) {
       began_ = true;
-      SetTimer(server->limits.head_time,
-               [this] { Refuse(408, "the request took too long"); });
+      Await(Awaits::kHead, server->limits.head_time);
     }
     const ReadState before = reader_->state();
     Consume(buffer_.get(), reader_->Feed(input));
     if (reader_->state() == ReadState::kFailed) {
       Refuse(StatusOf(reader_->fault()), reader_->detail());
     } else if (reader_->state() == ReadState::kDone) {
-      timer_ = {};
+      awaits_ = Awaits::kNothing;
       StartCall(*server);
     } else if (reader_->state() == ReadState::kBody) {
       if (before == ReadState::kHead) {
-        SetTimer(kRequestBodyTime,
-                 [this] { Refuse(408, "the body took too long"); });
+        Await(Awaits::kBody, server->limits.body_time);
       }
       if (reader_->WantsContinue() && !std::exchange(continued_, true)) {
         Put(AnswerText(kContinue, ReasonOf(kContinue), {}, BodyFraming::kNone,
@@ -185,11 +217,16 @@
 
   void LingerThenClose() {
     lingering_ = true;
-    SetTimer(kLingeringClose, [this] { Close(); });
+    Await(Awaits::kClose, kLingeringClose);
     if (WaitingOutput(buffer_.get()) == 0) Written();
   }
 
   void Written() {
+    if (closed_) return;
+    if (call_ != nullptr && call_->drained_) {
+      const auto drained = call_->drained_;
+      drained();
+    }
     if (!lingering_ || closed_) return;
     shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
   }
@@ -199,7 +236,8 @@
   Bufferevent buffer_;
   std::unique_ptr<RequestReader> reader_;
   HttpCallPtr call_;
-  kernel::Watch timer_;
+  Awaits awaits_ = Awaits::kNothing;
+  kernel::Time due_{};
   bool began_ = false;      // The first byte of a request is there.
   bool continued_ = false;  // `100 Continue` was sent.
   bool lingering_ = false;
@@ -216,6 +254,7 @@
 
 void HttpCall::Finish(bool close) {
   gone_ = nullptr;
+  drained_ = nullptr;
   const auto connection = std::exchange(connection_, nullptr);
   connection->CallOver(close);
 }
@@ -289,18 +328,29 @@
   const auto accept = [](evconnlistener* /*listener*/, evutil_socket_t fd,
                          sockaddr* /*peer*/, int /*size*/, void* arg) {
     const auto state = static_cast<State*>(arg);
-    if (state->connections.size() >= state->limits.connections) {
+    PrepareSocket(fd);
+    Bufferevent buffer =
+        state->handlers.make_buffer
+            ? state->handlers.make_buffer(state->loop->base.get(), fd)
+            : Bufferevent(bufferevent_socket_new(state->loop->base.get(), fd,
+                                                 BEV_OPT_CLOSE_ON_FREE));
+    if (buffer == nullptr) {
       evutil_closesocket(fd);
       return;
     }
-    PrepareSocket(fd);
-    Bufferevent buffer(bufferevent_socket_new(state->loop->base.get(), fd,
-                                              BEV_OPT_CLOSE_ON_FREE));
     auto connection = std::make_shared<HttpConnection>(
         state->weak_from_this(), *state->loop, std::move(buffer));
     state->connections.insert(connection);
+    if (state->connections.size() >= state->limits.connections) {
+      evconnlistener_disable(state->listener.get());
+    }
     connection->Open();
   };
+  // No descriptor is left for another connection. The socket stays readable, so
+  // libevent would try again at once and for ever.
+  const auto refuse = [](evconnlistener* listener, void* /*arg*/) {
+    evconnlistener_disable(listener);  // Until the next sweep.
+  };
   auto target = ParseAddress(address);
   evconnlistener* listener =
       target ? evconnlistener_new_bind(
@@ -312,17 +362,38 @@
     return kernel::MakeError(kernel::ErrorCode::kUnavailable, "listen", address,
                              evutil_socket_error_to_string(errno));
   }
+  evconnlistener_set_error_cb(listener, refuse);
+  state_->sweep = kernel::Every(*state_->loop, kHttpSweep,
+                                [state = state_.get()] { state->Sweep(); });
   state_->listener.reset(listener);
   state_->address = WithBoundPort(address, evconnlistener_get_fd(listener));
   return kernel::Result<void>(boost::outcome_v2::success());
 }
 
+void HttpServer::State::Sweep() {
+  const kernel::Time now = kernel::Now(loop->clock);
+  std::vector<std::shared_ptr<HttpConnection>> due;
+  for (const auto& connection : connections) {
+    if (connection->IsDue(now)) due.push_back(connection);
+  }
+  for (const auto& connection : due) connection->TimeOut();
+  if (listener && connections.size() < limits.connections) {
+    evconnlistener_enable(listener.get());
+  }
+}
+
 const std::string& HttpServer::address() const { return state_->address; }
 void HttpServer::SetLimits(const ServerLimits& limits) {
   state_->limits = limits;
 }
 void HttpServer::CloseAfterAnswers() { state_->close_after_answers = true; }
 void HttpServer::StopListening() { state_->listener.reset(); }
+std::size_t HttpServer::unsent() const {
+  return static_cast<std::size_t>(std::count_if(
+      state_->connections.begin(), state_->connections.end(),
+      [](const auto& connection) { return connection->Unsent() > 0; }));
+}
+
 std::size_t HttpServer::connections() const {
   return state_->connections.size();
 }
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -105,8 +105,7 @@
     return;
   }
   OnReadWell(reader);
-  TakeChanges(proxy, changes.value(), Source::kWatch,
-              IsStoreTroubled(proxy));
+  TakeChanges(proxy, changes.value(), Source::kWatch, IsStoreTroubled(proxy));
   Read(proxy, reader);
 }
 
--- a/routing/src/place.cc
+++ b/routing/src/place.cc
@@ -75,9 +75,9 @@
               const Uncached& uncached, bool preferred, const FleetPart& fleet,
               Time now) {
   double cost = QueueMs(endpoint, demand);
-  cost += (uncached.own +
-           uncached.shared * (preferred ? kSpillCost : kStrayCost)) /
-          kPromptTokensPerMs;
+  cost +=
+      (uncached.own + uncached.shared * (preferred ? kSpillCost : kStrayCost)) /
+      kPromptTokensPerMs;
   cost += endpoint.trust.drift_ms;
   cost += FailingOf(endpoint.trust, now) * kFailingMs;
   cost += static_cast<double>(SilenceOf(endpoint, now).count());
