--- a/gateway/main/front_hosts.cc
+++ b/gateway/main/front_hosts.cc
@@ -1,6 +1,6 @@
 // Serves requests by host and path at endpoints that it discovers.
 #include <sys/resource.h>
-#include <sys/stat.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "egretladder/kernel/ini.h"
-#include "egretladder/kernel/log.h"
+#include "egretladder/kernel/log_event.h"
 #include "egretladder/kernel/loop.h"
 #include "egretladder/kernel/registry.h"
 #include "egretladder/proxy/proxy.h"
@@ -26,8 +26,8 @@
 /// signal.
 constexpr std::chrono::milliseconds kSettingsCheck{2000};
 
-void Say(ek::LogLevel level, const std::string& sentence) {
-  ek::Log(ek::LogPart::kKernel, level, sentence);
+void Say(ek::LogLevel level, const char* event, ek::LogFields fields) {
+  ek::LogEvent(ek::LogPart::kKernel, level, event, fields);
 }
 
 void RaiseDescriptorLimit() {
@@ -55,12 +55,12 @@
   void Stop() {
     if (leaving_) return;
     leaving_ = true;
-    Say(ek::LogLevel::kInfo, "Leaving: calls in progress go to their end.");
+    Say(ek::LogLevel::kInfo, "leaving", {{"calls", ep::ViewOf(proxy_).calls}});
     ep::Leave(proxy_);
     end_ = ek::Every(loop_, kEndCheck, [this] {
       if (!ep::MayEnd(proxy_)) return;
-      Say(ek::LogLevel::kInfo,
-          "Left: calls=" + std::to_string(ep::ViewOf(proxy_).calls));
+      Say(ek::LogLevel::kInfo, "left",
+          {{"calls_cut", ep::ViewOf(proxy_).calls}});
       ek::StopLoop(loop_);
     });
   }
@@ -70,20 +70,20 @@
   void Reload(const char* why) {
     auto text = ek::ReadFile(path_);
     if (!text) {
-      Say(ek::LogLevel::kWarning, "Settings not read, the last ones stay: " +
-                                      ek::Describe(text.error()));
+      Say(ek::LogLevel::kWarning, "settings-not-read",
+          {{"why", ek::Describe(text.error())}});
       return;
     }
     if (text.value() == text_) return;
     text_ = text.value();
     const auto config = ep::ReadProxyConfig(text_, path_);
     if (!config) {
-      Say(ek::LogLevel::kWarning, "Settings not valid, the last ones stay: " +
-                                      ek::Describe(config.error()));
+      Say(ek::LogLevel::kWarning, "settings-refused",
+          {{"why", ek::Describe(config.error())}});
       return;
     }
     ep::SetSeeds(proxy_, config.value().proxy.seeds);
-    Say(ek::LogLevel::kInfo, std::string("Settings reloaded: why=") + why);
+    Say(ek::LogLevel::kInfo, "settings-reloaded", {{"why", why}});
   }
 
   ek::Loop& loop_;
@@ -100,20 +100,23 @@
 
 int Run(const ep::ProxyConfig& config, const std::string& text,
         const std::string& path) {
-  ek::StartLogs(config.log_format, config.log_level,
-                ek::LogTarget::kStandardOutput);
   std::signal(SIGPIPE, SIG_IGN);
   RaiseDescriptorLimit();
   ek::Loop loop = ek::OpenLoop();
   loop.clock = ek::SuspendAwareClock();
+  ek::StartEventLog(STDOUT_FILENO, config.log_level, loop.clock);
   auto proxy = ep::StartProxy(loop, config.proxy);
   if (!proxy) {
-    Say(ek::LogLevel::kError, ek::Describe(proxy.error()));
+    Say(ek::LogLevel::kError, "not-started",
+        {{"why", ek::Describe(proxy.error())}});
     return EXIT_FAILURE;
   }
-  Say(ek::LogLevel::kInfo, "Started: node=" + config.proxy.node +
-                               " zone=" + config.proxy.zone +
-                               " callers=" + config.proxy.callers);
+  Say(ek::LogLevel::kInfo, "started",
+      {{"node", config.proxy.node},
+       {"zone", config.proxy.zone},
+       {"callers", config.proxy.callers},
+       {"store", config.proxy.store},
+       {"seeds", config.proxy.seeds.size()}});
   const Service service(loop, *proxy.value(), text, path);
   ek::RunLoop(loop);
   return EXIT_SUCCESS;
--- a/gateway/tests/fault_test.cc
+++ b/gateway/tests/fault_test.cc
@@ -251,8 +251,8 @@
 }
 
 // A caller sends a request whose end is open to doubt, and another one behind
-// it. Read as two, the second would run at an endpoint under an account that its
-// sender chose.
+// it. Read as two, the second would run at an endpoint under an account that
+// its sender chose.
 TEST(CallerFaults, DoubtfulFramingReachesNoEndpoint) {
   et::OneNode one;
   const std::string hidden = et::ChatRequest(et::ChatBodyText(false));
--- a/kernel/include/egretladder/kernel/log.h
+++ b/kernel/include/egretladder/kernel/log.h
@@ -22,23 +22,22 @@
   kLab,
 };
 
+/// The part's fixed prefix.
+const char* NameOf(LogPart part);
+
 /// From the least to the most urgent.
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
 
 /// Plain lines, or one JSON object a line.
 enum class LogFormat : std::uint8_t { kText, kJson };
 
-/// Where lines go.
-enum class LogTarget : std::uint8_t { kStandardError, kStandardOutput };
-
 /// Reads `text` or `json`; nothing for another word.
 std::optional<LogFormat> ParseLogFormat(std::string_view word);
 /// Reads `debug`, `info`, `warning` or `error`; nothing for another word.
 std::optional<LogLevel> ParseLogLevel(std::string_view word);
 
-/// Starts logging. Call once, first thing in main.
-void StartLogs(LogFormat format, LogLevel lowest,
-               LogTarget target = LogTarget::kStandardError);
+/// Starts logging to standard error. Call once, first thing in main.
+void StartLogs(LogFormat format, LogLevel lowest);
 
 /// True when `Log` would write; saves making the sentence.
 bool LogEnabled(LogPart part, LogLevel level);
--- a/kernel/src/log.cc
+++ b/kernel/src/log.cc
@@ -47,6 +47,10 @@
 
 }  // namespace
 
+const char* NameOf(LogPart part) {
+  return kPrefixes[static_cast<std::size_t>(part)];
+}
+
 std::optional<LogFormat> ParseLogFormat(std::string_view word) {
   if (word == "text") return LogFormat::kText;
   if (word == "json") return LogFormat::kJson;
@@ -61,7 +65,7 @@
   return static_cast<LogLevel>(at - kLevels.begin());
 }
 
-void StartLogs(LogFormat format, LogLevel lowest, LogTarget target) {
+void StartLogs(LogFormat format, LogLevel lowest) {
   log4cxx::LayoutPtr layout;
   if (format == LogFormat::kJson) {
     layout = std::make_shared<log4cxx::JSONLayout>();
@@ -70,9 +74,7 @@
         std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %p %c: %m%n");
   }
   auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, target == LogTarget::kStandardOutput
-                  ? log4cxx::ConsoleAppender::getSystemOut()
-                  : log4cxx::ConsoleAppender::getSystemErr());
+      layout, log4cxx::ConsoleAppender::getSystemErr());
   auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
--- a/proxy/include/egretladder/proxy/dialect.h
+++ b/proxy/include/egretladder/proxy/dialect.h
@@ -84,6 +84,8 @@
 
   // --- Requests and answers ---
 
+  /// The caller's id of a request that may be anything; empty: none.
+  std::string (*request_id)(const net::HttpRequest& request);
   /// Fails on a request that no endpoint may get.
   kernel::Result<CallFacts> (*read_call)(const net::HttpRequest& request);
   /// The fields that an endpoint gets.
--- a/proxy/include/egretladder/proxy/settings.h
+++ b/proxy/include/egretladder/proxy/settings.h
@@ -14,7 +14,6 @@
 /// What the binary needs besides the proxy's own options.
 struct ProxyConfig {
   ProxyOptions proxy;
-  kernel::LogFormat log_format = kernel::LogFormat::kJson;
   kernel::LogLevel log_level = kernel::LogLevel::kInfo;
 };
 
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -76,8 +76,8 @@
   call->caller->OnGone(nullptr);
   call->caller->Answer(attempt.head.status, attempt.head.reason,
                        FieldsToPass(attempt.head.fields), attempt.body);
-  EndCall(proxy, call,
-          IsSuccess(attempt.head.status) ? "answered" : "endpoint-failure");
+  call->ended_well = IsSuccess(attempt.head.status);
+  EndCall(proxy, call, call->ended_well ? "answered" : "endpoint-failure");
 }
 
 net::HeadVerdict OnHead(Proxy& proxy, const CallPtr& call,
@@ -85,10 +85,10 @@
   Attempt& attempt = *call->attempt;
   const AnswerFacts facts = proxy.dialect->read_answer(head);
   if (!facts.id.empty() && facts.id != call->facts.id) {
-    kernel::Log(LogPart::kEndpoint, LogLevel::kWarning,
-                "Answer to another request skipped: req=" + call->facts.id +
-                    " endpoint=" + attempt.endpoint->entry.id +
-                    " answers=" + facts.id);
+    kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "foreign-answer",
+                     {{"req", call->facts.id},
+                      {"endpoint", attempt.endpoint->entry.id},
+                      {"answers", facts.id}});
     return net::HeadVerdict::kSkip;
   }
   attempt.head = head;
@@ -254,6 +254,7 @@
       if (attempt->events) {
         call->caller->OnGone(nullptr);
         call->caller->End();
+        call->ended_well = true;
         EndCall(proxy, call, "answered");
       } else {
         PassOn(proxy, call, *attempt);
@@ -288,14 +289,20 @@
   routing::OnSent(*placement.endpoint, call->demand, attempt.number, placement,
                   fleet, now);
   kernel::Observe(proxy.metrics, proxy.handles.waited, now - call->arrived);
-  kernel::Log(LogPart::kRoute, LogLevel::kInfo,
-              "Sent: req=" + call->facts.id +
-                  " endpoint=" + placement.endpoint->entry.id + " why=" +
-                  routing::NameOf(placement.reason) + " expected_ms=" +
-                  std::to_string(static_cast<int>(placement.expected_ms)) +
-                  " tier=" + std::to_string(call->demand.tier) +
-                  " route=" + call->route->name +
-                  " rules=" + std::to_string(call->table->version));
+  kernel::LogEvent(LogPart::kRoute, LogLevel::kInfo, "sent",
+                   {{"req", call->facts.id},
+                    {"endpoint", placement.endpoint->entry.id},
+                    {"why", routing::NameOf(placement.reason)},
+                    {"expected_ms", placement.expected_ms},
+                    {"waited_ms", Since(call->arrived, now)},
+                    {"left_ms", Since(now, call->deadline)},
+                    {"in_flight", placement.endpoint->in_flight},
+                    {"others", placement.endpoint->others_in_flight},
+                    {"phase", routing::NameOf(placement.endpoint->phase)},
+                    {"tier", call->demand.tier},
+                    {"route", call->route->name},
+                    {"rules", call->table->version},
+                    {"after_event", call->last_event}});
 
   const net::HttpRequest& request = call->caller->request();
   SendFacts facts;
@@ -389,14 +396,15 @@
   Count(proxy, "egretladder_attempts_total", "Attempts ended, by how.",
         std::string("end=\"") + routing::NameOf(end) + "\"");
   if (end != AttemptEnd::kSucceeded) {
-    kernel::Log(LogPart::kEndpoint, LogLevel::kInfo,
-                "Attempt ended: req=" + call->facts.id +
-                    " endpoint=" + attempt->endpoint->entry.id +
-                    " end=" + routing::NameOf(end) +
-                    " status=" + std::to_string(attempt->head.status) +
-                    " detail=\"" + detail + "\" ms=" +
-                    std::to_string(Since(attempt->sent, now).count()) +
-                    " next=" + routing::NameOf(step));
+    kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "attempt-ended",
+                     {{"req", call->facts.id},
+                      {"endpoint", attempt->endpoint->entry.id},
+                      {"end", routing::NameOf(end)},
+                      {"status", attempt->head.status},
+                      {"detail", detail},
+                      {"ms", Since(attempt->sent, now)},
+                      {"phase", routing::NameOf(attempt->endpoint->phase)},
+                      {"next", routing::NameOf(step)}});
   }
   Follow(proxy, call, step, std::move(attempt));
 }
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -18,17 +18,23 @@
 constexpr milliseconds kNotReadyRetry{300};
 constexpr milliseconds kLeavingRetry{20};
 
+milliseconds Between(Time from, Time to) {
+  return std::chrono::duration_cast<milliseconds>(to - from);
+}
+
 // A request that ends before it is a call.
 void Reject(Proxy& proxy, const net::HttpCallPtr& caller, int status,
             const char* code, const std::string& why, milliseconds retry) {
   Count(proxy, "egretladder_rejected_total",
         "Requests ended before they were routed.",
         std::string("code=\"") + code + "\"");
-  kernel::Log(
-      LogPart::kRoute, LogLevel::kInfo,
-      "Rejected: status=" + std::to_string(status) + " code=" + code +
-          " why=\"" + why + "\" target=" + caller->request().target +
-          " rules=" + std::to_string(proxy.rules ? proxy.rules->version : 0));
+  kernel::LogEvent(LogPart::kRoute, LogLevel::kWarning, "rejected",
+                   {{"req", proxy.dialect->request_id(caller->request())},
+                    {"status", status},
+                    {"code", code},
+                    {"why", why},
+                    {"target", caller->request().target},
+                    {"rules", proxy.rules ? proxy.rules->version : 0}});
   AnswerError(caller, status, code, why, "no", retry);
 }
 
@@ -191,12 +197,16 @@
     StartAttempt(proxy, call, placement);
     return;
   }
-  kernel::Log(LogPart::kRoute, LogLevel::kInfo,
-              "Not sent: req=" + call->facts.id +
-                  " verdict=" + routing::NameOf(verdict) +
-                  " place=" + routing::NameOf(placement.reason) +
-                  " expected_ms=" + std::to_string(placement.expected_ms) +
-                  " service=" + call->service->name);
+  kernel::LogEvent(LogPart::kRoute, LogLevel::kWarning, "not-sent",
+                   {{"req", call->facts.id},
+                    {"verdict", routing::NameOf(verdict)},
+                    {"place", routing::NameOf(placement.reason)},
+                    {"expected_ms", placement.expected_ms},
+                    {"left_ms", Between(now, call->deadline)},
+                    {"waited_ms", Between(call->waits_since, now)},
+                    {"service", call->service->name},
+                    {"tier", call->demand.tier},
+                    {"nodes", routing::PartOf(proxy.members, now).nodes}});
   if (call->caller->begun()) {
     call->caller->Break();
     EndCall(proxy, call, "broke-off");
@@ -245,16 +255,17 @@
                   now - call->arrived);
   Count(proxy, "egretladder_calls_total", "Calls ended, by outcome.",
         std::string("outcome=\"") + outcome + "\"");
-  kernel::Log(
-      LogPart::kRoute, LogLevel::kInfo,
-      "Ended: req=" + call->facts.id + " outcome=" + outcome +
-          " route=" + call->route->name +
-          " account=" + (call->account ? call->account->name : "-") + " ms=" +
-          std::to_string(
-              std::chrono::duration_cast<milliseconds>(now - call->arrived)
-                  .count()) +
-          " sends=" + std::to_string(call->may_have_run + call->not_run) +
-          " events=" + std::to_string(call->events));
+  kernel::LogEvent(LogPart::kRoute,
+                   call->ended_well ? LogLevel::kInfo : LogLevel::kWarning,
+                   "ended",
+                   {{"req", call->facts.id},
+                    {"outcome", outcome},
+                    {"route", call->route->name},
+                    {"account", call->account ? call->account->name : "-"},
+                    {"ms", Between(call->arrived, now)},
+                    {"may_have_run", call->may_have_run},
+                    {"not_run", call->not_run},
+                    {"events", call->events}});
 }
 
 }  // namespace egretladder::proxy
--- a/proxy/src/news_codec.cc
+++ b/proxy/src/news_codec.cc
@@ -123,7 +123,8 @@
 void TakeMembers(Proxy& proxy, const std::vector<routing::Member>& told,
                  Time now) {
   for (const std::string& node : routing::Hear(proxy.members, told, now)) {
-    kernel::Log(LogPart::kFleet, LogLevel::kInfo, "Node there: node=" + node);
+    kernel::LogEvent(LogPart::kFleet, LogLevel::kInfo, "node-there",
+                     {{"node", node}});
   }
 }
 
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -34,8 +34,8 @@
 void OnPaused(Proxy& proxy, milliseconds gap) {
   // The process stood still: watches may have gone silent, and what peers said
   // is old.
-  kernel::Log(LogPart::kKernel, LogLevel::kWarning,
-              "The process stood still: ms=" + std::to_string(gap.count()));
+  kernel::LogEvent(LogPart::kKernel, LogLevel::kWarning, "stood-still",
+                   {{"ms", gap}});
   RestartReading(proxy);
 }
 
@@ -48,14 +48,17 @@
     proxy.callers->StopListening();
   }
   for (const std::string& id : routing::DropLapsed(proxy.endpoints, now)) {
-    kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
-                "Endpoint gone: endpoint=" + id + " source=lapsed");
+    kernel::LogEvent(
+        LogPart::kPlatform, LogLevel::kInfo, "endpoint",
+        {{"endpoint", id}, {"change", "gone"}, {"source", "lapsed"}});
   }
   routing::ForgetRemovals(proxy.catalog, now);
   for (const std::string& node : routing::ForgetMembers(proxy.members, now)) {
-    kernel::Log(LogPart::kFleet, LogLevel::kInfo, "Node gone: node=" + node);
+    kernel::LogEvent(LogPart::kFleet, LogLevel::kInfo, "node-forgotten",
+                     {{"node", node}});
   }
   ShowGauges(proxy);
+  kernel::FlushEventLog();
 }
 
 kernel::Result<std::unique_ptr<net::HttpServer>> Serve(
@@ -69,9 +72,8 @@
     Count(proxy, "egretladder_unreadable_total",
           "Requests refused since they could not be read.",
           "status=\"" + std::to_string(status) + "\"");
-    kernel::Log(LogPart::kCaller, LogLevel::kInfo,
-                "Unreadable request: status=" + std::to_string(status) +
-                    " why=\"" + why + "\"");
+    kernel::LogEvent(LogPart::kCaller, LogLevel::kWarning, "unreadable",
+                     {{"status", status}, {"why", why}});
   };
   handlers.refusal_body = [](int /*status*/, std::string_view why) {
     return ErrorBody("bad_request", why, "no");
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "egretladder/kernel/hash.h"
-#include "egretladder/kernel/log.h"
+#include "egretladder/kernel/log_event.h"
 #include "egretladder/net/event_splitter.h"
 #include "egretladder/net/http_client.h"
 #include "egretladder/net/http_server.h"
@@ -69,6 +69,7 @@
   kernel::Watch timeout;
   kernel::Watch patience;
   std::size_t body_bytes = 0;
+  bool ended_well = false;  ///< The caller got the endpoint's success.
 };
 using CallPtr = std::shared_ptr<Call>;
 
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -49,12 +49,11 @@
   // Jittered: all nodes lost the store together.
   const auto jitter = milliseconds(kernel::Below(
       proxy.random, static_cast<std::uint64_t>(reader.backoff.count())));
-  kernel::Log(
-      LogPart::kPlatform, LogLevel::kWarning,
-      std::string("Store not read: feed=") + NameOf(reader.feed) + " why=\"" +
-          why + "\" again_ms=" +
-          std::to_string((reader.backoff / 2 + jitter).count()) +
-          " revision=" + std::to_string(RevisionOf(proxy, reader.feed)));
+  kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "store-not-read",
+                   {{"feed", NameOf(reader.feed)},
+                    {"why", why},
+                    {"again_ms", reader.backoff / 2 + jitter},
+                    {"revision", RevisionOf(proxy, reader.feed)}});
   Count(proxy, "egretladder_store_failures_total", "Failed reads of the store.",
         std::string("feed=\"") + NameOf(reader.feed) + "\"");
   ReadAfter(proxy, reader, reader.backoff / 2 + jitter);
@@ -62,8 +61,8 @@
 
 void OnReadWell(StoreReader& reader) {
   if (reader.backoff.count() > 0) {
-    kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
-                std::string("Store read again: feed=") + NameOf(reader.feed));
+    kernel::LogEvent(LogPart::kPlatform, LogLevel::kInfo, "store-read-again",
+                     {{"feed", NameOf(reader.feed)}});
   }
   reader.backoff = {};
 }
@@ -114,9 +113,8 @@
   reader.exchange = nullptr;
   reader.reading = false;
   if (reader.listed && reader.status == kHistoryGone) {
-    kernel::Log(
-        LogPart::kPlatform, LogLevel::kWarning,
-        std::string("History gone, listing anew: feed=") + NameOf(reader.feed));
+    kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "history-gone",
+                     {{"feed", NameOf(reader.feed)}});
     reader.listed = false;
     Read(proxy, reader);
     return;
@@ -181,18 +179,18 @@
   if (item.removed) return;  // The last good version stays in force.
   auto rules = proxy.dialect->read_rules(item.value);
   if (!rules) {
-    kernel::Log(LogPart::kRules, LogLevel::kError,
-                "Rules refused, the last good ones stay: rev=" +
-                    std::to_string(item.rev) +
-                    " why=" + kernel::Describe(rules.error()));
+    kernel::LogEvent(LogPart::kRules, LogLevel::kError, "rules-refused",
+                     {{"rev", item.rev},
+                      {"why", kernel::Describe(rules.error())},
+                      {"in_force", proxy.rules ? proxy.rules->version : 0}});
     return;
   }
   const std::uint64_t before = proxy.rules ? proxy.rules->version : 0;
   if (rules.value()->version <= before && proxy.rules != nullptr) {
-    kernel::Log(LogPart::kRules, LogLevel::kWarning,
-                "Older rules ignored: version=" +
-                    std::to_string(rules.value()->version) +
-                    " in_force=" + std::to_string(before));
+    kernel::LogEvent(LogPart::kRules, LogLevel::kWarning, "rules-older",
+                     {{"version", rules.value()->version},
+                      {"in_force", before},
+                      {"source", NameOf(source)}});
     return;
   }
   proxy.rules = std::move(rules).value();
@@ -205,20 +203,22 @@
                            ? proxy.options.descriptors - kDescriptorsKept
                            : proxy.options.descriptors / 2;
   proxy.callers->SetLimits(limits);
-  kernel::Log(
-      LogPart::kRules, LogLevel::kInfo,
-      "Rules in force: version=" + std::to_string(proxy.rules->version) +
-          " before=" + std::to_string(before) + " source=" + NameOf(source) +
-          " routes=" + std::to_string(proxy.rules->routes.size()));
+  kernel::LogEvent(LogPart::kRules, LogLevel::kInfo, "rules-in-force",
+                   {{"version", proxy.rules->version},
+                    {"before", before},
+                    {"source", NameOf(source)},
+                    {"rev", item.rev},
+                    {"routes", proxy.rules->routes.size()}});
 }
 
 void LogEndpoint(const std::string& id, routing::EntryChange change,
                  Source source, std::uint64_t rev) {
   if (change == routing::EntryChange::kNone) return;
-  kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
-              "Endpoint " + std::string(routing::NameOf(change)) +
-                  ": endpoint=" + id + " source=" + NameOf(source) +
-                  " rev=" + std::to_string(rev));
+  kernel::LogEvent(LogPart::kPlatform, LogLevel::kInfo, "endpoint",
+                   {{"endpoint", id},
+                    {"change", routing::NameOf(change)},
+                    {"source", NameOf(source)},
+                    {"rev", rev}});
 }
 
 // Entries that all go at once are the store's fault rather than theirs.
@@ -242,8 +242,10 @@
   }
   const auto entry = proxy.dialect->read_endpoint(item);
   if (!entry) {
-    kernel::Log(LogPart::kPlatform, LogLevel::kWarning,
-                "Entry ignored: " + kernel::Describe(entry.error()));
+    kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "entry-ignored",
+                     {{"endpoint", id},
+                      {"why", kernel::Describe(entry.error())},
+                      {"rev", item.rev}});
     routing::OnEntryRemoved(proxy.endpoints, id, false, now);
     return;
   }
@@ -286,10 +288,11 @@
     const std::string zone = proxy.dialect->zone_out(item.key);
     if (!zone.empty()) {
       routing::SetZoneOut(proxy.endpoints, zone, !item.removed);
-      kernel::Log(LogPart::kPlatform, LogLevel::kInfo,
-                  "Zone " + std::string(item.removed ? "back" : "out") +
-                      ": zone=" + zone + " source=" + NameOf(source) +
-                      " rev=" + std::to_string(item.rev));
+      kernel::LogEvent(LogPart::kPlatform, LogLevel::kInfo, "zone",
+                       {{"zone", zone},
+                        {"change", item.removed ? "back" : "out"},
+                        {"source", NameOf(source)},
+                        {"rev", item.rev}});
       continue;
     }
     if (changes.feed == Feed::kEndpoints) {
