--- a/routing/src/place.cc
+++ b/routing/src/place.cc
@@ -121,15 +121,13 @@
   if (at == set.by_service.end()) return usable;
   for (const EndpointPtr& endpoint : at->second) {
     if (std::find(tried.begin(), tried.end(), endpoint) != tried.end()) {
-      if (usable.why_none == PlaceReason::kNoneKnown) {
-        usable.why_none = PlaceReason::kAllTried;
-      }
+      usable.why_none = PlaceReason::kAllTried;
       continue;
     }
     const PlaceReason use = UseOf(set, *endpoint, demand, fleet, now);
     if (use == PlaceReason::kCheapest) {
       usable.endpoints.push_back(endpoint);
-    } else {
+    } else if (usable.why_none != PlaceReason::kAllTried) {
       usable.why_none = use;
     }
   }
@@ -212,6 +210,10 @@
                 kernel::Random& random, Time now) {
   Placement best;
   Usable usable = FindUsable(set, demand, tried, fleet, now);
+  if (usable.endpoints.empty() && usable.why_none == PlaceReason::kAllTried) {
+    // The only one that there is may do better the second time.
+    usable = FindUsable(set, demand, {}, fleet, now);
+  }
   if (usable.endpoints.empty()) {
     best.reason = usable.why_none;
     return best;
