--- a/net/tests/http_reader_test.cc
+++ b/net/tests/http_reader_test.cc
@@ -151,8 +151,8 @@
                 std::string(96, 'a')) == en::ReadFault::kBodyTooLarge);
 }
 
-// A caller's head and body come in pieces, cut anywhere, and the body holds line
-// feeds and blanks. Taken for a part of the head, they would have a sound
+// A caller's head and body come in pieces, cut anywhere, and the body holds
+// line feeds and blanks. Taken for a part of the head, they would have a sound
 // request refused.
 TEST(RequestReader, ReadsTheSameHoweverTheBytesAreCut) {
   const std::string text =
