Keep one copy of listening and of RPC connections

duplicates named gateway's and proxy's peers as twins: both now stand on net/socket.h and net/rpc_connection.h.

--- a/gateway/src/peer_capnp.cc
+++ b/gateway/src/peer_capnp.cc
@@ -1,4 +1,3 @@
-#include <capnp/rpc-twoparty.h>
 #include <event2/listener.h>
 #include <kj/exception.h>
 
@@ -11,13 +10,13 @@
 #include "egretladder/kernel/log.h"
 #include "egretladder/net/address.h"
 #include "egretladder/net/kj_loop.h"
+#include "egretladder/net/rpc_connection.h"
 #include "gateway_p.h"
 #include "peer_codec_p.h"
 
 namespace egretladder::gateway {
 using net::AcquireKjLoop;
 using net::Bufferevent;
-using net::BuffereventStream;
 using net::KjLoop;
 using net::ParseAddress;
 using net::SetNoDelay;
@@ -26,31 +25,15 @@
 
 using kernel::LogLevel;
 using kernel::LogPart;
-using VatId = capnp::rpc::twoparty::VatId;
-
-capnp::ReaderOptions ReceiveOptions() {
-  capnp::ReaderOptions options;
-  options.traversalLimitInWords = kPeerMessageWords;
-  constexpr int kNesting = 16;
-  options.nestingLimit = kNesting;
-  return options;
-}
-
 // One connection to a peer: messages go out on it, answers come back.
 struct PeerOut : private kj::TaskSet::ErrorHandler {
   PeerOut(Bufferevent buffer, const fleet::Sender& self, kernel::Time now)
-      : stream(std::move(buffer)),
-        network(stream, capnp::rpc::twoparty::Side::CLIENT, ReceiveOptions()),
-        system(capnp::makeRpcClient(network)),
+      : rpc(std::move(buffer), kPeerMessageWords),
         inbox(nullptr),
         last_sent(now),
         last_answer(now),
         tasks(*this) {
-    capnp::word scratch[4] = {};
-    capnp::MallocMessageBuilder message(scratch);
-    auto vat = message.getRoot<VatId>();
-    vat.setSide(capnp::rpc::twoparty::Side::SERVER);
-    auto peer = system.bootstrap(vat).castAs<wire::Peer>();
+    auto peer = rpc.Bootstrap().castAs<wire::Peer>();
     auto request = peer.helloRequest();
     Write(self, request.initSender());
     auto answer = request.send();
@@ -61,9 +44,7 @@
 
   void taskFailed(kj::Exception&& /*exception*/) override { broken = true; }
 
-  BuffereventStream stream;
-  capnp::TwoPartyVatNetwork network;
-  capnp::RpcSystem<VatId> system;
+  net::RpcClientConnection rpc;
   wire::Inbox::Client inbox;
   fleet::Sender them;  ///< Known before the first reply comes.
   std::uint32_t unanswered = 0;
@@ -80,38 +61,15 @@
   kernel::Time until{};
 };
 
-struct PeerIn {
-  PeerIn(Bufferevent buffer, capnp::Capability::Client self)
-      : stream(std::move(buffer)),
-        network(stream, capnp::rpc::twoparty::Side::SERVER, ReceiveOptions()),
-        system(capnp::makeRpcServer(network, std::move(self))),
-        ended(network.onDisconnect()
-                  .then([this] { broken = true; },
-                        [this](kj::Exception&& /*e*/) { broken = true; })
-                  .eagerlyEvaluate(nullptr)) {}
-
-  BuffereventStream stream;
-  capnp::TwoPartyVatNetwork network;
-  capnp::RpcSystem<VatId> system;
-  bool broken = false;
-  kj::Promise<void> ended;
-};
-
-struct ListenerFree {
-  void operator()(evconnlistener* listener) const {
-    evconnlistener_free(listener);
-  }
-};
-
 }  // namespace
 
 struct PeerNet {
   Gateway* gateway = nullptr;
   std::shared_ptr<KjLoop> kj;
-  std::unique_ptr<evconnlistener, ListenerFree> listener;
+  net::Listener listener;
   std::map<std::string, std::unique_ptr<PeerOut>> out;
   std::map<std::string, PeerBackoff> backoffs;
-  std::vector<std::unique_ptr<PeerIn>> in;
+  std::vector<std::unique_ptr<net::RpcServerConnection>> in;
   kernel::Random random;
   kernel::CounterHandle dropped;
   kernel::Watch sweep;
@@ -232,8 +190,9 @@
   SetNoDelay(fd);
   Bufferevent buffer(bufferevent_socket_new(net.gateway->loop->base.get(), fd,
                                             BEV_OPT_CLOSE_ON_FREE));
-  net.in.push_back(std::make_unique<PeerIn>(
-      std::move(buffer), kj::heap<PeerServer>(*net.gateway)));
+  net.in.push_back(std::make_unique<net::RpcServerConnection>(
+      std::move(buffer), kj::heap<PeerServer>(*net.gateway),
+      kPeerMessageWords));
 }
 
 void BackOff(PeerNet& net, const std::string& address, kernel::Time now) {
@@ -251,7 +210,7 @@
   const bool silent = peer.unanswered > 0 &&
                       now - peer.last_answer > kPeerSilence &&
                       now - peer.last_sent < kPeerSilence + kPeerIdle;
-  return peer.broken || peer.stream.IsOver() || silent;
+  return peer.broken || peer.rpc.stream.IsOver() || silent;
 }
 
 void SweepPeers(PeerNet& net) {
@@ -270,7 +229,7 @@
     return now - entry.second.until > kPeerIdle;
   });
   // A peer that sends without taking its answers would pile them up here.
-  std::erase_if(net.in, [](const std::unique_ptr<PeerIn>& peer) {
+  std::erase_if(net.in, [](const auto& peer) {
     return peer->broken || peer->stream.IsOver() ||
            peer->network.getCurrentQueueSize() > kPeerBytes;
   });
@@ -329,19 +288,10 @@
       gateway.metrics, "egretladder_peer_messages_dropped_total",
       "Messages that a peer had no room for, or could not be reached with.");
   const std::string& listen = gateway.options.peer_listen;
-  auto target = ParseAddress(listen);
-  evconnlistener* listener =
-      target ? evconnlistener_new_bind(
-                   gateway.loop->base.get(), AcceptPeer, net.get(),
-                   LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, target->get(),
-                   target->size)
-             : nullptr;
-  if (listener == nullptr) {
-    return kernel::MakeError(kernel::ErrorCode::kUnavailable, "listen", listen,
-                             evutil_socket_error_to_string(errno));
-  }
-  net->listener.reset(listener);
-  *address = WithBoundPort(listen, evconnlistener_get_fd(listener));
+  BOOST_OUTCOME_TRY(listener, net::ListenOn(gateway.loop->base.get(), listen,
+                                            -1, AcceptPeer, net.get()));
+  net->listener = std::move(listener);
+  *address = WithBoundPort(listen, evconnlistener_get_fd(net->listener.get()));
   net->sweep = kernel::Every(*gateway.loop, kSweep,
                              [raw = net.get()] { SweepPeers(*raw); });
   return net;
@@ -350,7 +300,7 @@
 void SendToPeer(PeerNet& net, const fleet::SendMessage& send) {
   const kernel::Time now = NowOf(*net.gateway);
   auto at = net.out.find(send.peer_address);
-  if (at != net.out.end() && at->second->stream.IsOver() &&
+  if (at != net.out.end() && at->second->rpc.stream.IsOver() &&
       at->second->answered) {
     // The peer was replaced; its successor is tried at once.
     net.out.erase(at);
@@ -363,8 +313,8 @@
   // for others, and keeping it all would take the node's memory.
   if (peer == nullptr || IsOver(*peer, now) ||
       peer->unanswered >= kPeerMessages ||
-      peer->network.getCurrentQueueSize() > kPeerBytes / 2 ||
-      peer->stream.WaitingOutput() > kPeerBytes / 2) {
+      peer->rpc.network.getCurrentQueueSize() > kPeerBytes / 2 ||
+      peer->rpc.stream.WaitingOutput() > kPeerBytes / 2) {
     kernel::Increment(net.gateway->metrics, net.dropped);
     return;
   }
--- a/net/include/egretladder/net/socket.h
+++ b/net/include/egretladder/net/socket.h
@@ -6,8 +6,11 @@
 #include <event2/util.h>
 
 #include <memory>
+#include <string>
 #include <string_view>
 
+#include "egretladder/kernel/error.h"
+
 namespace egretladder::net {
 
 /// Frees a bufferevent and closes its socket.
@@ -34,6 +37,12 @@
 /// request waits on it until its deadline.
 void PrepareSocket(evutil_socket_t fd);
 
+/// Listens on `address` (`IP:port`, port 0 for any); `accept` gets each
+/// connection and `arg`. Fails with `kUnavailable` when it can't be bound.
+kernel::Result<Listener> ListenOn(event_base* base, const std::string& address,
+                                  int backlog, evconnlistener_cb accept,
+                                  void* arg);
+
 /// The bytes that wait to be read. Valid until the buffer changes.
 std::string_view InputOf(bufferevent* buffer);
 /// Takes `size` bytes off the input.
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -2,7 +2,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -351,22 +350,14 @@
   const auto refuse = [](evconnlistener* listener, void* /*arg*/) {
     evconnlistener_disable(listener);  // Until the next sweep.
   };
-  auto target = ParseAddress(address);
-  evconnlistener* listener =
-      target ? evconnlistener_new_bind(
-                   state_->loop->base.get(), accept, state_.get(),
-                   LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kHttpBacklog,
-                   target->get(), target->size)
-             : nullptr;
-  if (listener == nullptr) {
-    return kernel::MakeError(kernel::ErrorCode::kUnavailable, "listen", address,
-                             evutil_socket_error_to_string(errno));
-  }
-  evconnlistener_set_error_cb(listener, refuse);
+  BOOST_OUTCOME_TRY(listener, ListenOn(state_->loop->base.get(), address,
+                                       kHttpBacklog, accept, state_.get()));
+  state_->listener = std::move(listener);
+  evconnlistener_set_error_cb(state_->listener.get(), refuse);
+  state_->address =
+      WithBoundPort(address, evconnlistener_get_fd(state_->listener.get()));
   state_->sweep = kernel::Every(*state_->loop, kHttpSweep,
                                 [state = state_.get()] { state->Sweep(); });
-  state_->listener.reset(listener);
-  state_->address = WithBoundPort(address, evconnlistener_get_fd(listener));
   return kernel::Result<void>(boost::outcome_v2::success());
 }
 
--- /dev/null
+++ b/net/src/rpc_connection.cc
@@ -0,0 +1,44 @@
+#include "egretladder/net/rpc_connection.h"
+
+#include <kj/exception.h>
+
+#include <utility>
+
+namespace egretladder::net {
+
+using capnp::rpc::twoparty::Side;
+using capnp::rpc::twoparty::VatId;
+
+capnp::ReaderOptions RpcReaderOptions(std::uint64_t words) {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = words;
+  options.nestingLimit = kRpcNesting;
+  return options;
+}
+
+RpcServerConnection::RpcServerConnection(Bufferevent buffer,
+                                         capnp::Capability::Client self,
+                                         std::uint64_t words)
+    : stream(std::move(buffer)),
+      network(stream, Side::SERVER, RpcReaderOptions(words)),
+      system(capnp::makeRpcServer(network, std::move(self))),
+      ended(network.onDisconnect()
+                .then([this] { broken = true; },
+                      [this](kj::Exception&& /*e*/) { broken = true; })
+                .eagerlyEvaluate(nullptr)) {}
+
+RpcClientConnection::RpcClientConnection(Bufferevent buffer,
+                                         std::uint64_t words)
+    : stream(std::move(buffer)),
+      network(stream, Side::CLIENT, RpcReaderOptions(words)),
+      system(capnp::makeRpcClient(network)) {}
+
+capnp::Capability::Client RpcClientConnection::Bootstrap() {
+  capnp::word scratch[4] = {};
+  capnp::MallocMessageBuilder message(scratch);
+  auto vat = message.getRoot<VatId>();
+  vat.setSide(Side::SERVER);
+  return system.bootstrap(vat);
+}
+
+}  // namespace egretladder::net
--- a/net/src/socket.cc
+++ b/net/src/socket.cc
@@ -5,6 +5,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+
 #include "egretladder/net/address.h"
 #include "egretladder/net/limits.h"
 
@@ -24,6 +26,22 @@
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
+kernel::Result<Listener> ListenOn(event_base* base, const std::string& address,
+                                  int backlog, evconnlistener_cb accept,
+                                  void* arg) {
+  auto target = ParseAddress(address);
+  Listener listener(target ? evconnlistener_new_bind(
+                                 base, accept, arg,
+                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                 backlog, target->get(), target->size)
+                           : nullptr);
+  if (listener == nullptr) {
+    return kernel::MakeError(kernel::ErrorCode::kUnavailable, "listen", address,
+                             evutil_socket_error_to_string(errno));
+  }
+  return listener;
+}
+
 std::string_view InputOf(bufferevent* buffer) {
   evbuffer* input = bufferevent_get_input(buffer);
   const std::size_t size = evbuffer_get_length(input);
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -1,52 +1,32 @@
 // Exchanges between nodes over Cap'n Proto RPC.
-#include <capnp/rpc-twoparty.h>
 #include <kj/exception.h>
 
-#include <cerrno>
 #include <map>
 #include <utility>
 
 #include "egretladder/net/address.h"
 #include "egretladder/net/kj_loop.h"
+#include "egretladder/net/rpc_connection.h"
 #include "egretladder/net/socket.h"
 #include "news_codec_p.h"
 
 namespace egretladder::proxy {
 namespace {
 
-using VatId = capnp::rpc::twoparty::VatId;
 using Revisions = std::array<std::uint64_t, routing::kFeeds>;
 
-capnp::ReaderOptions ReceiveOptions() {
-  capnp::ReaderOptions options;
-  options.traversalLimitInWords = kNewsWords;
-  constexpr int kNesting = 16;
-  options.nestingLimit = kNesting;
-  return options;
-}
-
 // A connection to one peer.
 struct PeerOut : private kj::TaskSet::ErrorHandler {
   PeerOut(net::Bufferevent buffer, Time now)
-      : stream(std::move(buffer)),
-        network(stream, capnp::rpc::twoparty::Side::CLIENT, ReceiveOptions()),
-        system(capnp::makeRpcClient(network)),
-        peer(nullptr),
+      : rpc(std::move(buffer), kNewsWords),
+        peer(rpc.Bootstrap().castAs<exchange::Peer>()),
         opened(now),
         asked(now),
-        tasks(*this) {
-    capnp::word scratch[4] = {};
-    capnp::MallocMessageBuilder message(scratch);
-    auto vat = message.getRoot<VatId>();
-    vat.setSide(capnp::rpc::twoparty::Side::SERVER);
-    peer = system.bootstrap(vat).castAs<exchange::Peer>();
-  }
+        tasks(*this) {}
 
   void taskFailed(kj::Exception&& /*exception*/) override { broken = true; }
 
-  net::BuffereventStream stream;
-  capnp::TwoPartyVatNetwork network;
-  capnp::RpcSystem<VatId> system;
+  net::RpcClientConnection rpc;
   exchange::Peer::Client peer;
   Time opened{};
   Time asked{};
@@ -57,23 +37,6 @@
   kj::TaskSet tasks;   // Last, so that it goes first.
 };
 
-struct PeerIn {
-  PeerIn(net::Bufferevent buffer, capnp::Capability::Client self)
-      : stream(std::move(buffer)),
-        network(stream, capnp::rpc::twoparty::Side::SERVER, ReceiveOptions()),
-        system(capnp::makeRpcServer(network, std::move(self))),
-        ended(network.onDisconnect()
-                  .then([this] { broken = true; },
-                        [this](kj::Exception&& /*e*/) { broken = true; })
-                  .eagerlyEvaluate(nullptr)) {}
-
-  net::BuffereventStream stream;
-  capnp::TwoPartyVatNetwork network;
-  capnp::RpcSystem<VatId> system;
-  bool broken = false;
-  kj::Promise<void> ended;
-};
-
 }  // namespace
 
 struct PeerNet {
@@ -81,7 +44,7 @@
   std::shared_ptr<net::KjLoop> kj;
   net::Listener listener;
   std::map<std::string, std::unique_ptr<PeerOut>> out;
-  std::vector<std::unique_ptr<PeerIn>> in;
+  std::vector<std::unique_ptr<net::RpcServerConnection>> in;
   kernel::Watch sweep;
 };
 
@@ -124,12 +87,12 @@
   net::PrepareSocket(fd);
   net::Bufferevent buffer(bufferevent_socket_new(net.proxy->loop->base.get(),
                                                  fd, BEV_OPT_CLOSE_ON_FREE));
-  net.in.push_back(std::make_unique<PeerIn>(std::move(buffer),
-                                            kj::heap<PeerServer>(*net.proxy)));
+  net.in.push_back(std::make_unique<net::RpcServerConnection>(
+      std::move(buffer), kj::heap<PeerServer>(*net.proxy), kNewsWords));
 }
 
 bool IsOver(const PeerOut& peer, Time now) {
-  return peer.broken || peer.stream.IsOver() ||
+  return peer.broken || peer.rpc.stream.IsOver() ||
          (peer.waits && now - peer.asked > kExchangeTime);
 }
 
@@ -144,7 +107,7 @@
     at = over || now - peer.asked > kPeerIdleTime ? net.out.erase(at)
                                                   : std::next(at);
   }
-  std::erase_if(net.in, [](const std::unique_ptr<PeerIn>& peer) {
+  std::erase_if(net.in, [](const auto& peer) {
     return peer->broken || peer->stream.IsOver();
   });
 }
@@ -199,20 +162,12 @@
   net->proxy = &proxy;
   BOOST_OUTCOME_TRY(kj, net::AcquireKjLoop(*proxy.loop));
   net->kj = std::move(kj);
-  const std::string& listen = proxy.options.peers;
-  auto target = net::ParseAddress(listen);
-  evconnlistener* listener =
-      target ? evconnlistener_new_bind(
-                   proxy.loop->base.get(), AcceptPeer, net.get(),
-                   LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, target->get(),
-                   target->size)
-             : nullptr;
-  if (listener == nullptr) {
-    return kernel::MakeError(kernel::ErrorCode::kUnavailable, "listen", listen,
-                             evutil_socket_error_to_string(errno));
-  }
-  net->listener.reset(listener);
-  *address = net::WithBoundPort(listen, evconnlistener_get_fd(listener));
+  BOOST_OUTCOME_TRY(
+      listener, net::ListenOn(proxy.loop->base.get(), proxy.options.peers, -1,
+                              AcceptPeer, net.get()));
+  net->listener = std::move(listener);
+  *address = net::WithBoundPort(proxy.options.peers,
+                                evconnlistener_get_fd(net->listener.get()));
   net->sweep =
       kernel::Every(*proxy.loop, kTick, [raw = net.get()] { Sweep(*raw); });
   return net;
