Keep long prompts away from tight streams where there are many engines

Ruled out: load (0.9% of a core a node, engines mostly idle).

Change: one engine in eight, by a hash of its name, is kept for streams with a gap target up to 200 ms, softly (300 ms for a long prompt there, 100 ms for a tight stream elsewhere), from 24 engines on; below, nothing changes.

--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -60,6 +60,8 @@
   if (call->service->generates) {
     call->demand.parts = facts.parts;
     call->demand.prompt_tokens = std::max(facts.prompt_tokens, 1U);
+    call->demand.tight =
+        route.gap_target.count() > 0 && route.gap_target <= routing::kTightGap;
   }
   call->facts = std::move(facts);
   call->body_bytes = caller->request().body.size();
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -38,6 +38,22 @@
 inline constexpr double kStrayCost = 12;
 /// The same at the endpoints that the session prefers after its first.
 inline constexpr double kSpillCost = 8;
+/// A stream whose events may pause no longer than this is delayed past it by a
+/// long prompt beside it: an event holds some eight tokens, and each step that
+/// carries a part of the prompt takes about 18 ms in place of 4.
+inline constexpr milliseconds kTightGap{200};
+/// A prompt longer than this, in tokens, is read in several parts.
+inline constexpr std::uint32_t kLongPrompt = 4096;
+/// One engine in so many is kept for tight streams, softly; below
+/// `kSplitLeast` engines a single one is too large a part of them.
+inline constexpr std::uint64_t kQuietOneIn = 8;
+/// As above.
+inline constexpr std::size_t kSplitLeast = 24;
+/// What a tight stream costs at an engine that takes long prompts, in ms.
+inline constexpr double kTightElsewhereMs = 100;
+/// What a long prompt costs at an engine kept for tight streams, in ms: it
+/// spills there only when it would wait this much longer elsewhere.
+inline constexpr double kLongAtQuietMs = 300;
 /// How long a prompt part is expected to stay in an engine's memory after its
 /// last use here.
 inline constexpr milliseconds kPartKept{60'000};
--- a/routing/include/egretladder/routing/place.h
+++ b/routing/include/egretladder/routing/place.h
@@ -32,6 +32,7 @@
   Tier tier = 0;
   std::vector<PromptPart> parts;
   std::uint32_t prompt_tokens = 0;  ///< 0: not a generation.
+  bool tight = false;  ///< A stream with short pauses; see `kTightGap`.
 };
 
 /// What a node knows of its fleet, for its part of what is shared.
@@ -71,6 +72,14 @@
                 const std::vector<EndpointPtr>& tried, const FleetPart& fleet,
                 kernel::Random& random, Time now);
 
+/// True for an engine that is kept for tight streams where there are many: by a
+/// hash of its name, so that all nodes agree, and none changes its part when
+/// others come and go.
+///
+/// Load: long prompts among short streams. Read in parts between the tokens of
+/// the streams beside it, one prompt makes each of them pause too long.
+bool IsQuiet(const Endpoint& endpoint);
+
 /// Counts a request that is about to be sent, and takes its part of the rate of
 /// a cold endpoint.
 void OnSent(Endpoint& endpoint, const Demand& demand, std::uint64_t attempt,
--- a/routing/src/place.cc
+++ b/routing/src/place.cc
@@ -71,10 +71,22 @@
   return mean * in_flight / std::max<std::uint32_t>(endpoint.entry.slots, 1);
 }
 
+// Whether tight streams and long prompts are kept apart, and whether the
+// endpoint is on the demand's side then.
+bool IsOnItsSide(const Endpoint& endpoint, const Demand& demand, bool split) {
+  if (!split || (!demand.tight && demand.prompt_tokens <= kLongPrompt)) {
+    return true;
+  }
+  return IsQuiet(endpoint) == demand.tight;
+}
+
 double CostMs(const Endpoint& endpoint, const Demand& demand,
-              const Uncached& uncached, bool preferred, const FleetPart& fleet,
-              Time now) {
+              const Uncached& uncached, bool preferred, bool split,
+              const FleetPart& fleet, Time now) {
   double cost = QueueMs(endpoint, demand);
+  if (!IsOnItsSide(endpoint, demand, split)) {
+    cost += demand.tight ? kTightElsewhereMs : kLongAtQuietMs;
+  }
   cost +=
       (uncached.own + uncached.shared * (preferred ? kSpillCost : kStrayCost)) /
       kPromptTokensPerMs;
@@ -139,12 +151,15 @@
 }
 
 // Moves the endpoints that the session prefers to the front, in order.
-void PreferFirst(std::vector<EndpointPtr>& endpoints, std::uint64_t session) {
+void PreferFirst(std::vector<EndpointPtr>& endpoints, const Demand& demand,
+                 std::uint64_t session, bool split) {
   const std::size_t count = std::min(kPreferred, endpoints.size());
   std::partial_sort(
       endpoints.begin(), endpoints.begin() + static_cast<std::ptrdiff_t>(count),
-      endpoints.end(),
-      [session](const EndpointPtr& left, const EndpointPtr& right) {
+      endpoints.end(), [&](const EndpointPtr& left, const EndpointPtr& right) {
+        const bool left_side = IsOnItsSide(*left, demand, split);
+        const bool right_side = IsOnItsSide(*right, demand, split);
+        if (left_side != right_side) return left_side;
         return Weight(session, *left) > Weight(session, *right);
       });
 }
@@ -186,6 +201,11 @@
   return "unknown";
 }
 
+bool IsQuiet(const Endpoint& endpoint) {
+  constexpr std::uint64_t kSeed = 17;  // Apart from the sessions' hashes.
+  return kernel::HashOf(endpoint.entry.id, kSeed) % kQuietOneIn == 0;
+}
+
 ColdPart ColdPartOf(const Endpoint& endpoint, const FleetPart& fleet) {
   ColdPart part;
   part.senders = std::max(fleet.nodes, fleet.names.size());
@@ -219,9 +239,10 @@
     return best;
   }
   const std::uint64_t session = SessionOf(demand);
+  const bool split = usable.endpoints.size() >= kSplitLeast;
   std::size_t preferred = 0;
   if (session != 0) {
-    PreferFirst(usable.endpoints, session);
+    PreferFirst(usable.endpoints, demand, session, split);
     preferred = std::min(kPreferred, usable.endpoints.size());
   }
   DrawSome(usable.endpoints, preferred, random);
@@ -231,7 +252,7 @@
     const bool first = session != 0 && i == 0;
     const Uncached uncached = UncachedAt(*endpoint, demand, first, now);
     const double cost =
-        CostMs(*endpoint, demand, uncached, i < preferred, fleet, now);
+        CostMs(*endpoint, demand, uncached, i < preferred, split, fleet, now);
     if (cost >= least) continue;
     least = cost;
     best = {endpoint, PlaceReason::kCheapest, cost, uncached.Sum()};
--- a/routing/tests/place_test.cc
+++ b/routing/tests/place_test.cc
@@ -242,3 +242,42 @@
       er::Place(set, Plain(), {set.by_id["x"]}, fleet, random, kStart);
   CHECK(elsewhere.endpoint == set.by_id["other"]);
 }
+
+// Short streams whose events must follow each other closely run beside long
+// prompts. Each part of a prompt that is read delays them, and callers see a
+// pause in the middle of their answer.
+TEST(Place, LongPromptsStayAwayFromTightStreamsWhereThereAreManyEngines) {
+  for (int i = 0; i < 96; ++i) Add("e" + std::to_string(i));
+  std::size_t together = 0;
+  for (std::uint64_t session = 1; session <= 200; ++session) {
+    er::Demand tight = Prompt(session);
+    tight.parts = {{session, 300}, {session + 1'000'000, 900}};
+    tight.prompt_tokens = 1200;
+    tight.tight = true;
+    if (!er::IsQuiet(*Choose(tight).endpoint)) ++together;
+    if (er::IsQuiet(*Choose(Prompt(session + 500)).endpoint)) ++together;
+  }
+  CHECK_EQUAL(0U, together);
+  // Kept apart softly: with long queues everywhere else, prompts go there too.
+  for (const auto& [id, endpoint] : set.by_id) {
+    if (!er::IsQuiet(*endpoint)) endpoint->waiting_tokens[0] = 300'000;
+  }
+  std::size_t spilled = 0;
+  for (std::uint64_t session = 1; session <= 200; ++session) {
+    if (er::IsQuiet(*Choose(Prompt(session)).endpoint)) ++spilled;
+  }
+  CHECK(spilled > 20);
+}
+
+TEST(Place, FewEnginesServeAll) {
+  for (int i = 0; i < 12; ++i) Add("e" + std::to_string(i));
+  std::size_t at_quiet = 0;
+  for (std::uint64_t session = 1; session <= 300; ++session) {
+    if (er::IsQuiet(*Choose(Prompt(session)).endpoint)) ++at_quiet;
+  }
+  std::size_t quiet = 0;
+  for (const auto& [id, endpoint] : set.by_id) {
+    if (er::IsQuiet(*endpoint)) ++quiet;
+  }
+  CHECK(quiet == 0 || at_quiet > 0);
+}
