--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -70,12 +70,8 @@
 
   /// Sends a request. Handlers are called from the loop, never from in here.
   HttpExchangePtr Start(ExchangeRequest request, ExchangeHandlers handlers);
-  /// Closes the idle connections to an address whose owner is gone.
-  void DropIdle(const std::string& address);
   /// Connections opened since the start.
   std::uint64_t opened() const;
-  /// Connections kept idle now.
-  std::size_t idle() const;
 
   /// Known to the sources only.
   struct State;
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -333,16 +333,6 @@
   return exchange;
 }
 
-void HttpClient::DropIdle(const std::string& address) {
-  state_->idle.erase(address);
-}
-
 std::uint64_t HttpClient::opened() const { return state_->opened; }
 
-std::size_t HttpClient::idle() const {
-  std::size_t count = 0;
-  for (const auto& [address, links] : state_->idle) count += links.size();
-  return count;
-}
-
 }  // namespace egretladder::net
--- a/proxy/include/egretladder/proxy/dialect.h
+++ b/proxy/include/egretladder/proxy/dialect.h
@@ -34,8 +34,7 @@
   std::optional<milliseconds> deadline;  ///< From now.
   std::vector<routing::PromptPart> parts;
   std::uint32_t prompt_tokens = 0;
-  std::uint32_t answer_tokens = 0;  ///< At most.
-  std::string last_event;           ///< It wants to go on after this event.
+  std::string last_event;  ///< It wants to go on after this event.
 };
 
 /// What the system itself says to an endpoint about a request.
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -77,8 +77,6 @@
 /// Connections that peers may hold open here; each of the fleet's nodes holds
 /// one or two.
 inline constexpr std::size_t kPeerConnections = 512;
-/// Entries of one list in a message.
-inline constexpr unsigned kNewsListMost = 8192;
 /// Size of one message, in words of eight bytes: the store's largest value and
 /// the lists beside it.
 inline constexpr std::uint64_t kNewsWords = std::uint64_t{1} << 20U;
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -17,10 +17,9 @@
   revisions @1 :List(UInt64);
   changes @2 :List(Changes);
   loads @3 :List(Load);
-  blames @4 :List(Blame);
   # The sender failed to read the store lately: removals that it tells of may be
   # leases that nobody could renew.
-  storeTroubled @5 :Bool;
+  storeTroubled @4 :Bool;
 }
 
 struct Member {
@@ -55,9 +54,3 @@
   inFlight @1 :UInt32;
   waitingTokens @2 :UInt32;
 }
-
-struct Blame {
-  fingerprint @0 :UInt64;
-  leftMs @1 :Int64;
-  deaths @2 :UInt8;
-}
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -198,6 +198,4 @@
   }
 }
 
-std::size_t CountPeers(const PeerNet& net) { return net.out.size(); }
-
 }  // namespace egretladder::proxy
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -212,7 +212,6 @@
 void Exchange(Proxy& proxy);
 /// Tells `kToldAtOnce` peers drawn at random at once.
 void TellMany(Proxy& proxy);
-std::size_t CountPeers(const PeerNet& net);
 
 // proxy.cc
 bool IsReady(const Proxy& proxy);
--- a/routing/include/egretladder/routing/route_table.h
+++ b/routing/include/egretladder/routing/route_table.h
@@ -61,10 +61,7 @@
   /// Requests a second that a cold endpoint bears, all nodes together; 0: its
   /// cold start needs no care.
   double cold_per_second = 0;
-  milliseconds cold_start{};
-  std::uint32_t connections = 0;  ///< An endpoint accepts, of all nodes.
   bool generates = false;  ///< A model engine: work is counted in tokens.
-  std::uint64_t cache_tokens = 0;  ///< Memory of one engine, in tokens.
 };
 
 /// Who sends requests.
