Send callers away from a node without rules for as long as that has lasted

Cause: with the store away and all nodes just without power, callers came back after 0.3 s to a node that knew as little as before, and had used their one try.

--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -131,7 +131,8 @@
   }
   if (proxy.rules == nullptr) {
     Reject(proxy, caller, kUnavailable, "not_ready", "no rules are known yet",
-           kNotReadyRetry);
+           routing::ComeBackWhenReady(
+               Between(proxy.members.started, NowOf(proxy)), proxy.random));
     return;
   }
   const routing::Route* route = routing::FindRoute(
--- a/routing/include/egretladder/routing/admit.h
+++ b/routing/include/egretladder/routing/admit.h
@@ -44,4 +44,11 @@
 milliseconds ComeBackAfter(const Placement& placement, milliseconds target,
                            kernel::Random& random);
 
+/// When a caller should come back to a node that has known no rules for
+/// `lasted` so far: about as long again, since that is the best guess for an
+/// outage whose cause is not known. A node that just started knows them within
+/// milliseconds; one whose store is away may not for seconds, and callers have
+/// few tries.
+milliseconds ComeBackWhenReady(milliseconds lasted, kernel::Random& random);
+
 }  // namespace egretladder::routing
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -143,6 +143,12 @@
 /// request is refused at once.
 inline constexpr double kUsefulPart = 0.7;
 
+/// Bounds of the time after which a caller comes back to a node without rules.
+/// Longer than the upper one, most callers would have no time left.
+inline constexpr milliseconds kReadyRetryLeast{200};
+/// As above.
+inline constexpr milliseconds kReadyRetryMost{1500};
+
 // --- Members (members.h) ---
 
 /// A fleet up to this size is small: every node tells its load and reads the
--- a/routing/src/admit.cc
+++ b/routing/src/admit.cc
@@ -50,4 +50,10 @@
       static_cast<std::int64_t>(std::max(least, wait / 2) * spread));
 }
 
+milliseconds ComeBackWhenReady(milliseconds lasted, kernel::Random& random) {
+  const auto wait = std::clamp(lasted, kReadyRetryLeast, kReadyRetryMost);
+  const double spread = 0.75 + kernel::Fraction(random) / 2;
+  return std::chrono::duration_cast<milliseconds>(wait * spread);
+}
+
 }  // namespace egretladder::routing
--- a/routing/tests/admit_test.cc
+++ b/routing/tests/admit_test.cc
@@ -61,3 +61,17 @@
   CHECK(first >= 125ms);
   CHECK(first <= 1s);
 }
+
+// All nodes lost their power while the store was away. Callers that come back
+// at once find a node that knows as little as before, and have used up their
+// try.
+TEST(Admit, CallersComeBackToANodeWithoutRulesAfterAboutAsLongAgain) {
+  egretladder::kernel::Random random{5};
+  for (int i = 0; i < 100; ++i) {
+    const auto early = er::ComeBackWhenReady(10ms, random);
+    CHECK(early >= 150ms && early <= 250ms);
+    const auto later = er::ComeBackWhenReady(1000ms, random);
+    CHECK(later >= 750ms && later <= 1250ms);
+    CHECK(er::ComeBackWhenReady(60s, random) <= 1875ms);
+  }
+}
