Rank by the route's tier first, then by the account's

Change: the order is turned round; account tiers decide among requests of equal route tier. The test of the old order gives way to one of the new, as strict.

--- a/routing/include/egretladder/routing/route_table.h
+++ b/routing/include/egretladder/routing/route_table.h
@@ -90,7 +90,8 @@
   bool has_accounts = false;
   std::unordered_map<std::string, std::vector<std::uint32_t>> routes_of_host;
   std::unordered_map<std::string, std::uint32_t> service_of_name;
-  std::map<std::pair<Tier, Tier>, Tier> ranks;  ///< By both tiers.
+  /// By the route's tier and the account's.
+  std::map<std::pair<Tier, Tier>, Tier> ranks;
 };
 /// Shared by all that read it.
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
@@ -108,13 +109,13 @@
 const ClientAccount* FindAccount(const RouteTable& table,
                                  const std::string& key);
 
-/// The rank of a request, 0 first: the account's tier, if it has one, goes
-/// before the route's; among requests of equal tier the route's decides.
+/// The rank of a request, 0 first: the route's tier, and among requests of
+/// equal tier the account's, if it has one.
 ///
-/// Load: a burst in which all accounts have the same tier. By the account's
-/// tier alone all requests are equal, and short questions wait behind long
-/// prompts. Ranks are numbered without gaps, so that the few steps that
-/// endpoints tell apart are enough.
+/// Load: a burst in which engines' memory runs out, so that they put back the
+/// least urgent. With the account's tier first, short questions of one account
+/// were put back while long prompts of another ran on. Ranks are numbered
+/// without gaps, so that the few steps that endpoints tell apart are enough.
 Tier RankOf(const RouteTable& table, const Route& route,
             const ClientAccount* account);
 
--- a/routing/src/route_table.cc
+++ b/routing/src/route_table.cc
@@ -17,7 +17,7 @@
 std::pair<Tier, Tier> TiersOf(const Route& route,
                               const ClientAccount* account) {
   const bool own = account != nullptr && account->tier.has_value();
-  return {own ? *account->tier : route.tier, route.tier};
+  return {route.tier, own ? *account->tier : route.tier};
 }
 
 void NumberRanks(RouteTable& table) {
