--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -29,10 +29,6 @@
          kPromises.end();
 }
 
-milliseconds Since(Time from, Time now) {
-  return std::chrono::duration_cast<milliseconds>(now - from);
-}
-
 net::HttpFields FieldsToPass(const net::HttpFields& fields) {
   net::HttpFields passed;
   for (const net::HttpField& field : fields) {
@@ -49,7 +45,7 @@
   routing::OnStarted(*attempt.endpoint, call->demand, attempt.number,
                      attempt.placement);
   routing::OnFirstByte(
-      *attempt.endpoint, Since(attempt.sent, now),
+      *attempt.endpoint, Between(attempt.sent, now),
       milliseconds(static_cast<std::int64_t>(attempt.placement.expected_ms)));
   kernel::Observe(proxy.metrics, proxy.handles.first_event,
                   now - call->arrived);
@@ -125,8 +121,6 @@
   }
 }
 
-void SetPatience(Proxy& proxy, const CallPtr& call, milliseconds patience);
-
 // Whether the wait for this endpoint is worth ending: only work that may run
 // twice, with attempts, time and retries left.
 void OnImpatient(Proxy& proxy, const CallPtr& call) {
@@ -232,7 +226,7 @@
       routing::OnFailed(endpoint, now);
       break;
     case AttemptEnd::kSucceeded:
-      routing::OnAnswered(endpoint, Since(call.attempt->sent, now), now);
+      routing::OnAnswered(endpoint, Between(call.attempt->sent, now), now);
       break;
   }
 }
@@ -274,59 +268,57 @@
   }
 }
 
-}  // namespace
-
-void StartAttempt(Proxy& proxy, const CallPtr& call,
-                  const routing::Placement& placement) {
-  const Time now = NowOf(proxy);
-  call->attempt = std::make_unique<Attempt>();
-  Attempt& attempt = *call->attempt;
-  attempt.number = ++proxy.last_number;
-  attempt.endpoint = placement.endpoint;
-  attempt.placement = placement;
-  attempt.sent = now;
-  const routing::FleetPart fleet = routing::PartOf(proxy.members, now);
-  routing::OnSent(*placement.endpoint, call->demand, attempt.number, placement,
-                  fleet, now);
-  kernel::Observe(proxy.metrics, proxy.handles.waited, now - call->arrived);
+void LogSent(const Call& call, Time now) {
+  const routing::Placement& placement = call.attempt->placement;
+  const routing::Endpoint& endpoint = *placement.endpoint;
   kernel::LogEvent(LogPart::kRoute, LogLevel::kInfo, "sent",
-                   {{"req", call->facts.id},
-                    {"endpoint", placement.endpoint->entry.id},
+                   {{"req", call.facts.id},
+                    {"endpoint", endpoint.entry.id},
                     {"why", routing::NameOf(placement.reason)},
                     {"expected_ms", placement.expected_ms},
-                    {"waited_ms", Since(call->arrived, now)},
-                    {"left_ms", Since(now, call->deadline)},
-                    {"in_flight", placement.endpoint->in_flight},
-                    {"others", placement.endpoint->others_in_flight},
-                    {"phase", routing::NameOf(placement.endpoint->phase)},
-                    {"tier", call->demand.tier},
-                    {"route", call->route->name},
-                    {"rules", call->table->version},
-                    {"after_event", call->last_event}});
-
-  const net::HttpRequest& request = call->caller->request();
+                    {"waited_ms", Between(call.arrived, now)},
+                    {"left_ms", Between(now, call.deadline)},
+                    {"in_flight", endpoint.in_flight},
+                    {"others", endpoint.others_in_flight},
+                    {"phase", routing::NameOf(endpoint.phase)},
+                    {"tier", call.demand.tier},
+                    {"route", call.route->name},
+                    {"rules", call.table->version},
+                    {"after_event", call.last_event}});
+}
+
+SendFacts FactsFor(const Call& call, Time now) {
   SendFacts facts;
-  facts.endpoint_id = placement.endpoint->entry.id;
-  if (call->account != nullptr) facts.account = call->account->name;
-  facts.left = std::max(milliseconds(1), Since(now, call->deadline));
-  if (call->service->generates) {
-    facts.priority = std::min(call->demand.tier, kLowestPriority);
+  facts.endpoint_id = call.attempt->endpoint->entry.id;
+  if (call.account != nullptr) facts.account = call.account->name;
+  facts.left = std::max(milliseconds(1), Between(now, call.deadline));
+  if (call.service->generates) {
+    facts.priority = std::min(call.demand.tier, kLowestPriority);
   }
-  facts.resume_after = call->last_event;
+  facts.resume_after = call.last_event;
+  return facts;
+}
+
+net::ExchangeRequest ExchangeFor(const Proxy& proxy, const Call& call,
+                                 Time now) {
+  const net::HttpRequest& request = call.caller->request();
   const bool bodyless = request.body.empty() &&
                         net::CountOf(request.fields, "Content-Length") == 0 &&
                         net::CountOf(request.fields, "Transfer-Encoding") == 0;
   net::ExchangeRequest exchange;
-  exchange.address = placement.endpoint->entry.address;
+  exchange.address = call.attempt->endpoint->entry.address;
   exchange.head = net::RequestText(
       request.method, request.target,
-      proxy.dialect->endpoint_fields(request, facts),
+      proxy.dialect->endpoint_fields(request, FactsFor(call, now)),
       bodyless ? net::BodyFraming::kNone : net::BodyFraming::kLength,
       request.body.size());
   exchange.body = request.body;
   exchange.is_head = request.method == "HEAD";
-  exchange.once = !routing::MayRepeat(*call->route);
+  exchange.once = !routing::MayRepeat(*call.route);
+  return exchange;
+}
 
+net::ExchangeHandlers HandlersFor(Proxy& proxy, const CallPtr& call) {
   net::ExchangeHandlers handlers;
   handlers.may_send = [call] {
     call->attempt->left = true;
@@ -343,8 +335,64 @@
                                      const std::string& detail) {
     EndAttempt(proxy, call, EndOfFault(fault), detail);
   };
-  attempt.exchange =
-      proxy.client->Start(std::move(exchange), std::move(handlers));
+  return handlers;
+}
+
+// What follows an attempt that ended, with room in the retry share taken where
+// it is sent again.
+NextStep NextFor(Proxy& proxy, const Call& call, AttemptEnd end) {
+  const Time now = NowOf(proxy);
+  routing::AfterAttempt after;
+  after.end = end;
+  after.may_repeat = routing::MayRepeat(*call.route);
+  after.resumable = call.route->resumable && !call.last_event.empty();
+  after.answer_begun = call.caller->begun();
+  after.attempts = call.route->attempts;
+  after.may_have_run = call.may_have_run;
+  after.not_run = call.not_run;
+  after.time_left = now < call.deadline;
+  const NextStep step = routing::DecideNext(after);
+  const bool again = step == NextStep::kSendAgain || step == NextStep::kResume;
+  // Impatience took its retry before it gave the attempt up.
+  if (!again || end == AttemptEnd::kSilent || call.arrivals == 0) return step;
+  if (routing::TakeRetry(proxy.retry_shares[call.service->name],
+                         proxy.options.retries,
+                         routing::PartOf(proxy.members, now).nodes, now)) {
+    return step;
+  }
+  after.time_left = false;
+  return routing::DecideNext(after);
+}
+
+void CountEnd(Call& call, AttemptEnd end,
+              const routing::EndpointPtr& endpoint) {
+  if (end != AttemptEnd::kNotSent) ++call.arrivals;
+  if (routing::IsNotRun(end)) {
+    // It may come back there once the endpoint's own pause is over.
+    ++call.not_run;
+  } else {
+    ++call.may_have_run;
+    call.tried.push_back(endpoint);
+  }
+}
+
+}  // namespace
+
+void StartAttempt(Proxy& proxy, const CallPtr& call,
+                  const routing::Placement& placement) {
+  const Time now = NowOf(proxy);
+  call->attempt = std::make_unique<Attempt>();
+  Attempt& attempt = *call->attempt;
+  attempt.number = ++proxy.last_number;
+  attempt.endpoint = placement.endpoint;
+  attempt.placement = placement;
+  attempt.sent = now;
+  routing::OnSent(*placement.endpoint, call->demand, attempt.number, placement,
+                  routing::PartOf(proxy.members, now), now);
+  kernel::Observe(proxy.metrics, proxy.handles.waited, now - call->arrived);
+  LogSent(*call, now);
+  attempt.exchange = proxy.client->Start(ExchangeFor(proxy, *call, now),
+                                         HandlersFor(proxy, call));
   if (routing::MayRepeat(*call->route)) {
     SetPatience(proxy, call, PatienceFor(*call, placement));
   }
@@ -364,35 +412,8 @@
   NoteEnd(proxy, *call, end);
   auto attempt = std::move(call->attempt);
   Release(call, *attempt);
-  if (end != AttemptEnd::kNotSent) ++call->arrivals;
-  if (routing::IsNotRun(end)) {
-    // It may come back there once the endpoint's own pause is over.
-    ++call->not_run;
-  } else {
-    ++call->may_have_run;
-    call->tried.push_back(attempt->endpoint);
-  }
-
-  const Time now = NowOf(proxy);
-  routing::AfterAttempt after;
-  after.end = end;
-  after.may_repeat = routing::MayRepeat(*call->route);
-  after.resumable = call->route->resumable && !call->last_event.empty();
-  after.answer_begun = call->caller->begun();
-  after.attempts = call->route->attempts;
-  after.may_have_run = call->may_have_run;
-  after.not_run = call->not_run;
-  after.time_left = now < call->deadline;
-  NextStep step = routing::DecideNext(after);
-  const bool again = step == NextStep::kSendAgain || step == NextStep::kResume;
-  // Impatience took its retry before it gave the attempt up.
-  if (again && end != AttemptEnd::kSilent && call->arrivals > 0 &&
-      !routing::TakeRetry(proxy.retry_shares[call->service->name],
-                          proxy.options.retries,
-                          routing::PartOf(proxy.members, now).nodes, now)) {
-    after.time_left = false;
-    step = routing::DecideNext(after);
-  }
+  CountEnd(*call, end, attempt->endpoint);
+  const NextStep step = NextFor(proxy, *call, end);
   Count(proxy, "egretladder_attempts_total", "Attempts ended, by how.",
         std::string("end=\"") + routing::NameOf(end) + "\"");
   if (end != AttemptEnd::kSucceeded) {
@@ -402,7 +423,7 @@
                       {"end", routing::NameOf(end)},
                       {"status", attempt->head.status},
                       {"detail", detail},
-                      {"ms", Since(attempt->sent, now)},
+                      {"ms", Between(attempt->sent, NowOf(proxy))},
                       {"phase", routing::NameOf(attempt->endpoint->phase)},
                       {"next", routing::NameOf(step)}});
   }
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -1,5 +1,6 @@
 // The life of a caller's request, from its arrival to its end.
 #include <algorithm>
+#include <optional>
 
 #include "state_p.h"
 
@@ -18,10 +19,6 @@
 constexpr milliseconds kNotReadyRetry{300};
 constexpr milliseconds kLeavingRetry{20};
 
-milliseconds Between(Time from, Time to) {
-  return std::chrono::duration_cast<milliseconds>(to - from);
-}
-
 // A request that ends before it is a call.
 void Reject(Proxy& proxy, const net::HttpCallPtr& caller, int status,
             const char* code, const std::string& why, milliseconds retry) {
@@ -119,50 +116,74 @@
   return static_cast<double>(proxy.body_bytes + bytes) <= most;
 }
 
-}  // namespace
-
-void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller) {
-  const net::HttpRequest& request = caller->request();
-  if (proxy.leaving &&
-      NowOf(proxy) - proxy.leaving_since >= kTakeWhileLeaving) {
+// Whether this node takes requests now; else the caller has its answer.
+bool IsTaking(Proxy& proxy, const net::HttpCallPtr& caller) {
+  const Time now = NowOf(proxy);
+  if (proxy.leaving && now - proxy.leaving_since >= kTakeWhileLeaving) {
     Reject(proxy, caller, kUnavailable, "leaving", "this node is leaving",
            kLeavingRetry);
-    return;
+    return false;
   }
   if (proxy.rules == nullptr) {
     Reject(proxy, caller, kUnavailable, "not_ready", "no rules are known yet",
-           routing::ComeBackWhenReady(
-               Between(proxy.members.started, NowOf(proxy)), proxy.random));
-    return;
+           routing::ComeBackWhenReady(Between(proxy.members.started, now),
+                                      proxy.random));
+    return false;
   }
-  const routing::Route* route = routing::FindRoute(
-      *proxy.rules, net::ValueOf(request.fields, "Host"), request.target);
-  if (route == nullptr) {
+  if (!HasRoomForBody(proxy, caller->request().body.size())) {
+    Reject(proxy, caller, kUnavailable, "overloaded", "no room for the body",
+           kNotReadyRetry);
+    return false;
+  }
+  return true;
+}
+
+// What the rules in force make of a request.
+struct Routed {
+  const routing::Route* route = nullptr;
+  const routing::ClientAccount* account = nullptr;  // Null: none is needed.
+  CallFacts facts;
+};
+
+// Nothing when the request may not be routed; its caller has its answer then.
+std::optional<Routed> RouteRequest(Proxy& proxy,
+                                   const net::HttpCallPtr& caller) {
+  const routing::RouteTable& rules = *proxy.rules;
+  const net::HttpRequest& request = caller->request();
+  Routed routed;
+  routed.route = routing::FindRoute(rules, net::ValueOf(request.fields, "Host"),
+                                    request.target);
+  if (routed.route == nullptr) {
     Reject(proxy, caller, kNotFound, "unknown_route", "no route matches", {});
-    return;
+    return std::nullopt;
   }
   auto facts = proxy.dialect->read_call(request);
   if (!facts) {
     Reject(proxy, caller, kBadRequest, "bad_request",
            kernel::Describe(facts.error()), {});
-    return;
+    return std::nullopt;
   }
-  const routing::ClientAccount* account = nullptr;
-  if (proxy.rules->has_accounts && !facts.value().key.empty()) {
-    account = routing::FindAccount(*proxy.rules, facts.value().key);
+  routed.facts = std::move(facts).value();
+  if (!rules.has_accounts) return routed;
+  if (!routed.facts.key.empty()) {
+    routed.account = routing::FindAccount(rules, routed.facts.key);
   }
-  if (proxy.rules->has_accounts && !route->is_public && account == nullptr) {
+  if (routed.account == nullptr && !routed.route->is_public) {
     Reject(proxy, caller, kUnauthorized, "unknown_key",
            "no account has the key", {});
-    return;
-  }
-  if (!HasRoomForBody(proxy, request.body.size())) {
-    Reject(proxy, caller, kUnavailable, "overloaded", "no room for the body",
-           kNotReadyRetry);
-    return;
+    return std::nullopt;
   }
-  const CallPtr call =
-      MakeCall(proxy, caller, *route, account, std::move(facts).value());
+  return routed;
+}
+
+}  // namespace
+
+void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller) {
+  if (!IsTaking(proxy, caller)) return;
+  auto routed = RouteRequest(proxy, caller);
+  if (!routed) return;
+  const CallPtr call = MakeCall(proxy, caller, *routed->route, routed->account,
+                                std::move(routed->facts));
   proxy.body_bytes += call->body_bytes;
   proxy.calls.emplace(call->number, call);
   routing::OnRequest(proxy.retry_shares[call->service->name],
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -154,6 +154,11 @@
 
 inline Time NowOf(const Proxy& proxy) { return kernel::Now(proxy.loop->clock); }
 
+/// Whole milliseconds from one moment to another.
+inline milliseconds Between(Time from, Time to) {
+  return std::chrono::duration_cast<milliseconds>(to - from);
+}
+
 /// Counts one event under a label.
 void Count(Proxy& proxy, const char* name, const char* help,
            const std::string& labels);
