Count the fleet without copying its names; ask for retries in one place

Each request made the list of all nodes' names two to four times, mostly for its length alone; it is made once now, for placing, and counted elsewhere. Two copies of the question for a retry are one, and gateway compares header names as net does and no longer repeats one of net's.

--- a/gateway/src/http_headers.cc
+++ b/gateway/src/http_headers.cc
@@ -1,5 +1,3 @@
-#include <strings.h>
-
 #include <algorithm>
 #include <array>
 
@@ -8,9 +6,8 @@
 namespace egretladder::gateway {
 namespace {
 
-constexpr std::array<const char*, 6> kOwnOfRequests = {
-    kRequestIdHeader, "X-Priority",     "X-Attempt",
-    kLaneHeader,      kForwardedHeader, "Proxy-Connection"};
+constexpr std::array<const char*, 5> kOwnOfRequests = {
+    kRequestIdHeader, "X-Priority", "X-Attempt", kLaneHeader, kForwardedHeader};
 
 constexpr std::array<const char*, 2> kOwnOfAnswers = {kRequestIdHeader,
                                                       kNotRunHeader};
@@ -18,7 +15,7 @@
 template <typename Names>
 bool Contains(const Names& names, const char* name) {
   return std::any_of(names.begin(), names.end(), [name](const char* one) {
-    return strcasecmp(one, name) == 0;
+    return net::SameName(one, name);
   });
 }
 
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -37,6 +37,14 @@
   return passed;
 }
 
+// True when the call's service may get one more repeat; counts it then.
+bool TakeRetry(Proxy& proxy, const Call& call) {
+  const Time now = NowOf(proxy);
+  return routing::TakeRetry(proxy.retry_shares[call.service->name],
+                            proxy.options.retries,
+                            routing::NodesOf(proxy.members, now), now);
+}
+
 void NoteStarted(Proxy& proxy, const CallPtr& call) {
   Attempt& attempt = *call->attempt;
   if (attempt.started) return;
@@ -125,12 +133,8 @@
 // twice, with attempts, time and retries left.
 void OnImpatient(Proxy& proxy, const CallPtr& call) {
   if (call->attempt == nullptr) return;
-  const Time now = NowOf(proxy);
   const bool more = call->may_have_run + 1 < call->route->attempts;
-  if (!more ||
-      !routing::TakeRetry(proxy.retry_shares[call->service->name],
-                          proxy.options.retries,
-                          routing::PartOf(proxy.members, now).nodes, now)) {
+  if (!more || !TakeRetry(proxy, *call)) {
     return;
   }
   net::Cancel(call->attempt->exchange);
@@ -341,7 +345,6 @@
 // What follows an attempt that ended, with room in the retry share taken where
 // it is sent again.
 NextStep NextFor(Proxy& proxy, const Call& call, AttemptEnd end) {
-  const Time now = NowOf(proxy);
   routing::AfterAttempt after;
   after.end = end;
   after.may_repeat = routing::MayRepeat(*call.route);
@@ -350,14 +353,12 @@
   after.attempts = call.route->attempts;
   after.may_have_run = call.may_have_run;
   after.not_run = call.not_run;
-  after.time_left = now < call.deadline;
+  after.time_left = NowOf(proxy) < call.deadline;
   const NextStep step = routing::DecideNext(after);
   const bool again = step == NextStep::kSendAgain || step == NextStep::kResume;
   // Impatience took its retry before it gave the attempt up.
   if (!again || end == AttemptEnd::kSilent || call.arrivals == 0) return step;
-  if (routing::TakeRetry(proxy.retry_shares[call.service->name],
-                         proxy.options.retries,
-                         routing::PartOf(proxy.members, now).nodes, now)) {
+  if (TakeRetry(proxy, call)) {
     return step;
   }
   after.time_left = false;
@@ -379,7 +380,8 @@
 }  // namespace
 
 void StartAttempt(Proxy& proxy, const CallPtr& call,
-                  const routing::Placement& placement) {
+                  const routing::Placement& placement,
+                  const routing::FleetPart& fleet) {
   const Time now = NowOf(proxy);
   call->attempt = std::make_unique<Attempt>();
   Attempt& attempt = *call->attempt;
@@ -388,7 +390,7 @@
   attempt.placement = placement;
   attempt.sent = now;
   routing::OnSent(*placement.endpoint, call->demand, attempt.number, placement,
-                  routing::PartOf(proxy.members, now), now);
+                  fleet, now);
   kernel::Observe(proxy.metrics, proxy.handles.waited, now - call->arrived);
   LogSent(*call, now);
   attempt.exchange = proxy.client->Start(ExchangeFor(proxy, *call, now),
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -201,9 +201,9 @@
 
 void Dispatch(Proxy& proxy, const CallPtr& call) {
   const Time now = NowOf(proxy);
-  const routing::Placement placement =
-      routing::Place(proxy.endpoints, call->demand, call->tried,
-                     routing::PartOf(proxy.members, now), proxy.random, now);
+  const routing::FleetPart fleet = routing::PartOf(proxy.members, now);
+  const routing::Placement placement = routing::Place(
+      proxy.endpoints, call->demand, call->tried, fleet, proxy.random, now);
   routing::AdmitAsk ask;
   if (!call->waiting) call->waits_since = now;
   ask.waits_since = call->waits_since;
@@ -218,7 +218,7 @@
   }
   StopWaiting(proxy, call);
   if (verdict == routing::AdmitVerdict::kSend) {
-    StartAttempt(proxy, call, placement);
+    StartAttempt(proxy, call, placement, fleet);
     return;
   }
   kernel::LogEvent(LogPart::kRoute, LogLevel::kWarning, "not-sent",
@@ -230,7 +230,7 @@
                     {"waited_ms", Between(call->waits_since, now)},
                     {"service", call->service->name},
                     {"tier", call->demand.tier},
-                    {"nodes", routing::PartOf(proxy.members, now).nodes}});
+                    {"nodes", fleet.nodes}});
   if (call->caller->begun()) {
     call->caller->Break();
     EndCall(proxy, call, "broke-off");
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -178,7 +178,8 @@
 
 // attempts.cc
 void StartAttempt(Proxy& proxy, const CallPtr& call,
-                  const routing::Placement& placement);
+                  const routing::Placement& placement,
+                  const routing::FleetPart& fleet);
 /// Stops the attempt without a decision; the endpoint sees a closed connection.
 void DropAttempt(Proxy& proxy, const CallPtr& call);
 void EndAttempt(Proxy& proxy, const CallPtr& call, routing::AttemptEnd end,
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -101,6 +101,9 @@
                                       std::string_view zone,
                                       kernel::Random& random, Time now);
 
+/// Nodes among which is shared what all share; see `PartOf`.
+std::size_t NodesOf(Members& members, Time now);
+
 /// This node's part of what all share. After a start, in a partition and after
 /// losses the fleet counts as large as it was known to be.
 FleetPart PartOf(Members& members, Time now);
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -150,24 +150,33 @@
   return addresses;
 }
 
-FleetPart PartOf(Members& members, Time now) {
-  FleetPart part;
-  part.self = members.self.node;
-  part.zone = members.self.zone;
-  part.names.push_back(members.self.node);
-  for (const auto& [node, known] : members.others) {
-    if (IsThere(members, known, now)) part.names.push_back(node);
-  }
-  const std::size_t seen = part.names.size();
+std::size_t NodesOf(Members& members, Time now) {
+  const auto others =
+      std::count_if(members.others.begin(), members.others.end(),
+                    [&members, now](const auto& entry) {
+                      return IsThere(members, entry.second, now);
+                    });
+  const std::size_t seen = 1 + static_cast<std::size_t>(others);
   if (seen >= members.most_nodes ||
       now - members.most_nodes_at > kNodesRemembered) {
     members.most_nodes = seen;
     members.most_nodes_at = now;
   }
-  part.nodes = members.most_nodes;
   constexpr std::chrono::seconds kSettled{3};
   if (now - members.started < kSettled || members.exchanged == Time{}) {
-    part.nodes = std::max(part.nodes, kNodesUnknown);
+    return std::max(members.most_nodes, kNodesUnknown);
+  }
+  return members.most_nodes;
+}
+
+FleetPart PartOf(Members& members, Time now) {
+  FleetPart part;
+  part.nodes = NodesOf(members, now);
+  part.self = members.self.node;
+  part.zone = members.self.zone;
+  part.names.push_back(members.self.node);
+  for (const auto& [node, known] : members.others) {
+    if (IsThere(members, known, now)) part.names.push_back(node);
   }
   return part;
 }
