Send work that may run once only where a sign of life is recent

Cause: five engines lost power; their connections stayed open and nothing answered. Later, when the engines were back, kept connections were reset one by one: reads with two attempts met two of them. Ruled out: noticing by the first unanswered request (that one is lost), and a shorter patience (such work isn't sent again). Change: such work takes an open connection only when the endpoint was heard in the last 300 ms, else a new one, on which nothing leaves until it is accepted. A reset of a kept connection closes its siblings.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -39,14 +39,20 @@
   std::function<void(ExchangeFault, const std::string& detail)> on_fault;
 };
 
+/// Which open connections a request may take.
+enum class Reuse : std::uint8_t {
+  kAny,    ///< Any that the endpoint is expected to keep open.
+  kYoung,  ///< Only one that it can't be closing yet.
+  kNone,   ///< None: nothing leaves until a new one is accepted.
+};
+
 /// One request to be sent.
 struct ExchangeRequest {
   std::string address;  ///< `IP:port`.
   std::string head;
   std::string body;
   bool is_head = false;  ///< The method is HEAD: the answer has no body.
-  /// It may run once only: a connection that may close on its way is not used.
-  bool once = false;
+  Reuse reuse = Reuse::kAny;
   std::chrono::milliseconds connect_time{};  ///< 0: the standard.
 };
 
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -52,7 +52,7 @@
 /// which it isn't used any more: a request that meets the close on its way may
 /// have run.
 inline constexpr double kIdlePart = 0.6;
-/// For requests that may run once only.
-inline constexpr double kIdlePartOnce = 0.3;
+/// The same for requests that ask for a young one.
+inline constexpr double kIdlePartYoung = 0.3;
 
 }  // namespace egretladder::net
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -40,10 +40,10 @@
   return std::chrono::seconds(seconds);
 }
 
-bool IsFresh(const Link& link, bool once, kernel::Time now) {
+bool IsFresh(const Link& link, Reuse reuse, kernel::Time now) {
   const auto keeps = link.keeps.count() > 0 ? link.keeps : kIdleUnknown;
   const auto allowed = std::chrono::duration<double, std::milli>(keeps) *
-                       (once ? kIdlePartOnce : kIdlePart);
+                       (reuse == Reuse::kAny ? kIdlePart : kIdlePartYoung);
   return now - link.idle_since < allowed;
 }
 
@@ -54,20 +54,21 @@
   std::unordered_map<std::string, std::vector<LinkPtr>> idle;
   std::uint64_t opened = 0;
 
-  LinkPtr TakeIdle(const std::string& address, bool once);
+  LinkPtr TakeIdle(const std::string& address, Reuse reuse);
   void KeepIdle(LinkPtr link);
   static void Drop(Link* link);
 };
 
-LinkPtr HttpClient::State::TakeIdle(const std::string& address, bool once) {
+LinkPtr HttpClient::State::TakeIdle(const std::string& address, Reuse reuse) {
+  if (reuse == Reuse::kNone) return nullptr;
   const auto at = idle.find(address);
   if (at == idle.end()) return nullptr;
   const kernel::Time now = kernel::Now(loop->clock);
   while (!at->second.empty()) {
-    if (!IsFresh(*at->second.back(), once, now)) {
-      // The last used is the freshest; one that is too old for a request that
-      // runs once may still serve others.
-      if (!once) at->second.clear();
+    if (!IsFresh(*at->second.back(), reuse, now)) {
+      // The last used is the youngest; one that is too old for a request that
+      // asks for young ones may still serve others.
+      if (reuse == Reuse::kAny) at->second.clear();
       return nullptr;
     }
     LinkPtr link = std::move(at->second.back());
@@ -115,8 +116,9 @@
 
   void Start() {
     self_ = shared_from_this();
-    link_ = client_->TakeIdle(request_.address, request_.once);
+    link_ = client_->TakeIdle(request_.address, request_.reuse);
     if (link_ != nullptr) {
+      reused_ = true;
       Attach();
       Later([this] { SendRequest(); });
       return;
@@ -199,6 +201,9 @@
       OnEnded();
       return;
     }
+    // Another process stands behind the address by now: its other connections
+    // are of no use either, and each would cost a request an attempt.
+    if (reused_ && !head_given_) client_->idle.erase(request_.address);
     // A reset is no end, also of an answer that has no length.
     Fail(ExchangeFault::kBroken, "the connection was reset");
   }
@@ -305,6 +310,7 @@
   LinkPtr link_;
   kernel::Watch later_;
   HttpExchangePtr self_;  // Until it is over.
+  bool reused_ = false;   // The connection served another request before.
   bool sent_ = false;
   bool head_given_ = false;
   bool skip_ = false;
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -95,6 +95,7 @@
                       {"answers", facts.id}});
     return net::HeadVerdict::kSkip;
   }
+  routing::OnHeard(*attempt.endpoint, NowOf(proxy));
   attempt.head = head;
   attempt.facts = facts;
   attempt.events = IsSuccess(head.status) && facts.is_events && facts.sealed &&
@@ -165,6 +166,7 @@
 
 void OnBody(Proxy& proxy, const CallPtr& call, std::string_view piece) {
   Attempt& attempt = *call->attempt;
+  routing::OnHeard(*attempt.endpoint, NowOf(proxy));
   if (attempt.events) {
     NoteStarted(proxy, call);
     PassEvents(proxy, call, piece);
@@ -303,6 +305,13 @@
   return facts;
 }
 
+net::Reuse ReuseFor(const Call& call, Time now) {
+  if (routing::MayRepeat(*call.route)) return net::Reuse::kAny;
+  return routing::IsHeardLately(*call.attempt->endpoint, now)
+             ? net::Reuse::kYoung
+             : net::Reuse::kNone;
+}
+
 net::ExchangeRequest ExchangeFor(const Proxy& proxy, const Call& call,
                                  Time now) {
   const net::HttpRequest& request = call.caller->request();
@@ -318,7 +327,7 @@
       request.body.size());
   exchange.body = request.body;
   exchange.is_head = request.method == "HEAD";
-  exchange.once = !routing::MayRepeat(*call.route);
+  exchange.reuse = ReuseFor(call, now);
   return exchange;
 }
 
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -70,6 +70,7 @@
   Time cold_until{};
   Time cold_next{};  ///< When this node may next send while it is cold.
   std::uint32_t in_flight = 0;  ///< Of this node.
+  Time heard_at{};              ///< Last sign of life to this node.
   TokensByTier waiting_tokens{};
   double others_in_flight = 0;
   double others_tokens = 0;
@@ -125,6 +126,9 @@
 bool IsZoneOut(const EndpointSet& set, std::string_view zone);
 
 /// Evidence of this node's own requests.
+void OnHeard(Endpoint& endpoint, Time now);
+/// True when it gave a sign of life within `kHeardLately`.
+bool IsHeardLately(const Endpoint& endpoint, Time now);
 void OnConnectFailed(Endpoint& endpoint, Time now);
 /// It broke off, or gave what is no answer.
 void OnFailed(Endpoint& endpoint, Time now);
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -90,6 +90,13 @@
 /// As above.
 inline constexpr milliseconds kSilentLeast{400};
 
+/// Work that may run once goes over a connection that is open already only if
+/// its endpoint was heard within this time. One that lost its power answers
+/// nothing and resets nothing: what is sent there is lost, while a new
+/// connection shows it before anything leaves. Engines in use are silent for up
+/// to 0.1 s while they read a prompt. A new connection takes 2 ms.
+inline constexpr milliseconds kHeardLately{300};
+
 // --- Share of an endpoint among nodes ---
 
 /// In flight from one node: this times its even part of the slots, so that
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -141,6 +141,12 @@
   return at != set.zones_out.end() && at->second;
 }
 
+void OnHeard(Endpoint& endpoint, Time now) { endpoint.heard_at = now; }
+
+bool IsHeardLately(const Endpoint& endpoint, Time now) {
+  return now - endpoint.heard_at < kHeardLately;
+}
+
 void OnConnectFailed(Endpoint& endpoint, Time now) {
   Trust& trust = endpoint.trust;
   constexpr std::uint32_t kDoublings = 5;
