Hold back requests that crash endpoints, at all nodes together

Ruled out: policy's blame, as it stands: it quarantines at the second death and tells suspects apart by running them alone, which needs slots of its own; and reads of one path share a fingerprint here. Blame by single nodes: callers go elsewhere with each try, seven nodes would let in seven. Change: breaks by request and endpoint, joined over the nodes; three that came one after the other hold it for a minute, an answer clears it, breaks side by side count as one. Told for 3 s after a change only.

--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -20,6 +20,8 @@
   # The sender failed to read the store lately: removals that it tells of may be
   # leases that nobody could renew.
   storeTroubled @4 :Bool;
+  # Requests under which connections broke.
+  suspects @5 :List(Suspect);
 }
 
 struct Member {
@@ -48,6 +50,19 @@
   removed @3 :Bool;
 }
 
+struct Suspect {
+  request @0 :UInt64;
+  breaks @1 :List(Break);
+  # Longer than anything is remembered: never.
+  clearedAgoMs @2 :UInt32;
+}
+
+struct Break {
+  endpoint @0 :UInt64;
+  sentAgoMs @1 :UInt32;
+  brokeAgoMs @2 :UInt32;
+}
+
 # Of the sender itself.
 struct Load {
   endpoint @0 :Text;
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -237,6 +237,23 @@
   }
 }
 
+// What the end says of the request: one that crashes endpoints shows by breaks
+// at one after the other.
+void NoteSuspect(Proxy& proxy, Call& call, AttemptEnd end) {
+  const Attempt& attempt = *call.attempt;
+  const Time now = NowOf(proxy);
+  if (end == AttemptEnd::kBroken) {
+    routing::OnBroke(
+        proxy.suspects, FingerprintOf(call),
+        {kernel::HashOf(attempt.endpoint->entry.id), attempt.sent, now});
+    return;
+  }
+  const bool ran = end == AttemptEnd::kSucceeded || end == AttemptEnd::kFailed;
+  if (ran && !proxy.suspects.by_request.empty()) {
+    routing::OnRan(proxy.suspects, FingerprintOf(call), now);
+  }
+}
+
 void Release(const CallPtr& call, const Attempt& attempt) {
   routing::OnStarted(*attempt.endpoint, call->demand, attempt.number,
                      attempt.placement);
@@ -421,6 +438,7 @@
   if (call->attempt == nullptr) return;
   call->patience = {};
   NoteEnd(proxy, *call, end);
+  NoteSuspect(proxy, *call, end);
   auto attempt = std::move(call->attempt);
   Release(call, *attempt);
   CountEnd(*call, end, attempt->endpoint);
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -176,8 +176,46 @@
   return routed;
 }
 
+// Ends a call that gets no endpoint any more.
+void RefuseOrBreak(Proxy& proxy, const CallPtr& call, const char* code,
+                   milliseconds retry_after) {
+  if (call->caller->begun()) {
+    call->caller->Break();
+    EndCall(proxy, call, "broke-off");
+    return;
+  }
+  RefuseCall(proxy, call, call->may_have_run > 0 ? kBadGateway : kUnavailable,
+             code, retry_after);
+}
+
+// How much longer the request gets no endpoint, since it crashes them.
+milliseconds HeldFor(const Proxy& proxy, Call& call, Time now) {
+  if (proxy.suspects.by_request.empty()) return {};
+  return routing::HeldFor(proxy.suspects, FingerprintOf(call), now);
+}
+
+void RefuseSuspect(Proxy& proxy, const CallPtr& call, milliseconds held) {
+  kernel::LogEvent(LogPart::kRoute, LogLevel::kWarning, "not-sent",
+                   {{"req", call->facts.id},
+                    {"verdict", "crashes-endpoints"},
+                    {"held_ms", held},
+                    {"service", call->service->name}});
+  RefuseOrBreak(proxy, call, "crashes_endpoints", held);
+}
+
 }  // namespace
 
+std::uint64_t FingerprintOf(Call& call) {
+  if (call.fingerprint == 0) {
+    const net::HttpRequest& request = call.caller->request();
+    const std::uint64_t asker =
+        call.account != nullptr ? kernel::HashOf(call.account->name) : 0;
+    const std::uint64_t target = kernel::HashOf(request.target, asker);
+    call.fingerprint = kernel::HashOf(request.body, target);
+  }
+  return call.fingerprint;
+}
+
 void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller) {
   if (!IsTaking(proxy, caller)) return;
   auto routed = RouteRequest(proxy, caller);
@@ -201,6 +239,10 @@
 
 void Dispatch(Proxy& proxy, const CallPtr& call) {
   const Time now = NowOf(proxy);
+  if (const auto held = HeldFor(proxy, *call, now); held.count() > 0) {
+    RefuseSuspect(proxy, call, held);
+    return;
+  }
   const routing::FleetPart fleet = routing::PartOf(proxy.members, now);
   const routing::Placement placement = routing::Place(
       proxy.endpoints, call->demand, call->tried, fleet, proxy.random, now);
@@ -231,15 +273,8 @@
                     {"service", call->service->name},
                     {"tier", call->demand.tier},
                     {"nodes", fleet.nodes}});
-  if (call->caller->begun()) {
-    call->caller->Break();
-    EndCall(proxy, call, "broke-off");
-    return;
-  }
-  const bool may_have_run = call->may_have_run > 0;
-  RefuseCall(
-      proxy, call, may_have_run ? kBadGateway : kUnavailable,
-      routing::NameOf(verdict),
+  RefuseOrBreak(
+      proxy, call, routing::NameOf(verdict),
       routing::ComeBackAfter(placement, call->route->target, proxy.random));
 }
 
--- a/proxy/src/news_codec.cc
+++ b/proxy/src/news_codec.cc
@@ -122,6 +122,41 @@
   SumLoads(proxy, now);
 }
 
+std::uint32_t MillisOf(milliseconds age) {
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, age.count()));
+}
+
+void WriteSuspects(const Proxy& proxy, exchange::News::Builder news, Time now) {
+  if (proxy.suspects.by_request.empty()) return;
+  const auto told = routing::SuspectsToTell(proxy.suspects, now);
+  auto list = news.initSuspects(static_cast<unsigned>(told.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setRequest(told[i].request);
+    list[i].setClearedAgoMs(MillisOf(told[i].cleared_ago));
+    auto breaks =
+        list[i].initBreaks(static_cast<unsigned>(told[i].breaks.size()));
+    for (unsigned j = 0; j < breaks.size(); ++j) {
+      breaks[j].setEndpoint(told[i].breaks[j].endpoint);
+      breaks[j].setSentAgoMs(MillisOf(told[i].breaks[j].sent_ago));
+      breaks[j].setBrokeAgoMs(MillisOf(told[i].breaks[j].broke_ago));
+    }
+  }
+}
+
+void TakeSuspects(Proxy& proxy, exchange::News::Reader news, Time now) {
+  for (const auto reader : news.getSuspects()) {
+    routing::ToldSuspect told;
+    told.request = reader.getRequest();
+    told.cleared_ago = milliseconds(reader.getClearedAgoMs());
+    for (const auto seen : reader.getBreaks()) {
+      told.breaks.push_back({seen.getEndpoint(),
+                             milliseconds(seen.getSentAgoMs()),
+                             milliseconds(seen.getBrokeAgoMs())});
+    }
+    routing::HearSuspect(proxy.suspects, told, now);
+  }
+}
+
 void TakeMembers(Proxy& proxy, const std::vector<routing::Member>& told,
                  Time now) {
   for (const std::string& node : routing::Hear(proxy.members, told, now)) {
@@ -153,6 +188,7 @@
     WriteChanges(lacking[i], changes[i]);
   }
   WriteLoads(proxy, news);
+  WriteSuspects(proxy, news, now);
   news.setStoreTroubled(IsStoreTroubled(proxy));
 }
 
@@ -169,6 +205,7 @@
     TakeChanges(proxy, ReadChanges(reader), Source::kPeer,
                 news.getStoreTroubled());
   }
+  TakeSuspects(proxy, news, now);
   // The first member is the sender itself.
   if (!members.empty()) TakeLoads(proxy, members.front().node, news, now);
   std::array<std::uint64_t, routing::kFeeds> theirs{};
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -53,6 +53,7 @@
         {{"endpoint", id}, {"change", "gone"}, {"source", "lapsed"}});
   }
   routing::ForgetRemovals(proxy.catalog, now);
+  routing::ForgetSuspects(proxy.suspects, now);
   for (const std::string& node : routing::ForgetMembers(proxy.members, now)) {
     kernel::LogEvent(LogPart::kFleet, LogLevel::kInfo, "node-forgotten",
                      {{"node", node}});
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -24,6 +24,7 @@
 #include "egretladder/routing/members.h"
 #include "egretladder/routing/place.h"
 #include "egretladder/routing/retry_share.h"
+#include "egretladder/routing/suspects.h"
 
 namespace egretladder::proxy {
 
@@ -69,7 +70,8 @@
   kernel::Watch timeout;
   kernel::Watch patience;
   std::size_t body_bytes = 0;
-  bool ended_well = false;  ///< The caller got the endpoint's success.
+  std::uint64_t fingerprint = 0;  ///< Of what it asks; 0: not needed so far.
+  bool ended_well = false;        ///< The caller got the endpoint's success.
 };
 using CallPtr = std::shared_ptr<Call>;
 
@@ -127,6 +129,7 @@
   routing::Members members;
   std::map<std::string, PeerLoads> peer_loads;
   std::unordered_map<std::string, routing::RetryShare> retry_shares;
+  routing::Suspects suspects;
   Time store_trouble{};  ///< Last failed call; default: none.
 
   // What it does.
@@ -173,6 +176,9 @@
 /// Ends the call without an endpoint's answer. `ran`: it may have run.
 void RefuseCall(Proxy& proxy, const CallPtr& call, int status, const char* code,
                 milliseconds retry_after);
+/// Hash of what the call asks for and who asks: it stays when the call comes
+/// again under another id.
+std::uint64_t FingerprintOf(Call& call);
 /// The caller has its end; forgets the call.
 void EndCall(Proxy& proxy, const CallPtr& call, const char* outcome);
 
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -133,6 +133,32 @@
 /// traffic is uneven.
 inline constexpr double kRetryUsed = 0.8;
 
+// --- Requests that crash endpoints (suspects.h) ---
+
+/// Crashes in turn after which a request gets no endpoint. With two, a request
+/// that met two failing endpoints by chance would be refused; the platform
+/// allows three.
+inline constexpr std::size_t kCrashesMost = 3;
+/// How long it gets none. Callers give up within seconds, and an innocent one
+/// is let in again.
+inline constexpr std::chrono::milliseconds kSuspectHeld{60'000};
+/// How long a break is held against a request; longer than it is held back, so
+/// that one more crash holds it again.
+inline constexpr std::chrono::milliseconds kSuspectKept{120'000};
+/// Suspects that a node remembers: a zone of a small fleet goes down with some
+/// hundred requests on it. About 200 bytes each.
+inline constexpr std::size_t kSuspectsMost = 1024;
+/// Breaks remembered for one request.
+inline constexpr std::size_t kBreaksKept = 6;
+/// A suspect is told for this long after it changed: in a fleet of 90 news
+/// reach all within 2 s.
+inline constexpr std::chrono::milliseconds kSuspectTold{3000};
+/// Suspects told in one exchange, newest first; one takes about 80 bytes.
+inline constexpr std::size_t kSuspectsTold = 8;
+/// Ages grow by the time that a message takes. Two breaks of one endpoint that
+/// are closer than this are one; an endpoint takes longer to start again.
+inline constexpr std::chrono::milliseconds kSameBreak{500};
+
 // --- Waiting (waiting.h) ---
 
 /// Requests that wait at a node. Beyond it the least urgent are refused. Bodies
