Count calls by class and account, and show times as histograms

Cause: metrics of the platform's front knew outcomes only; on call nobody could see whose requests fail, nor add up times over nodes, nor which endpoints are down, cold or full, nor how many repeats are left. A request that timed out after it was sent counts as unknown, not as refused: what its caller was told decides.

--- a/kernel/include/egretladder/kernel/metrics.h
+++ b/kernel/include/egretladder/kernel/metrics.h
@@ -22,6 +22,12 @@
   std::uint32_t idx = 0;
 };
 
+/// Counts of a duration by ranges, by Boost.Histogram. Unlike quantiles they
+/// can be added up over processes.
+struct HistogramHandle {
+  std::uint32_t idx = 0;
+};
+
 struct MetricsState;
 
 /// Owns the metrics of a process. One thread.
@@ -52,6 +58,11 @@
                             const std::string& help,
                             const std::string& labels = "");
 
+/// As `AddCounter`. Ranges end at 5 ms to 10 s, in steps of 2 to 2.5.
+HistogramHandle AddHistogram(Metrics& metrics, const std::string& name,
+                             const std::string& help,
+                             const std::string& labels = "");
+
 /// Raises a counter.
 void Increment(Metrics& metrics, CounterHandle counter, std::uint64_t by = 1);
 /// Sets a gauge, in the unit that its name gives.
@@ -60,6 +71,10 @@
 void Observe(Metrics& metrics, QuantileHandle quantiles,
              std::chrono::nanoseconds sample);
 
+/// Takes one sample into the histogram.
+void Observe(Metrics& metrics, HistogramHandle histogram,
+             std::chrono::nanoseconds sample);
+
 /// The counter's value since the start.
 std::uint64_t ValueOf(const Metrics& metrics, CounterHandle counter);
 /// `quantile` is 0.5, 0.95 or 0.99; zero before the first sample.
--- a/kernel/src/metrics.cc
+++ b/kernel/src/metrics.cc
@@ -6,6 +6,7 @@
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 #include <map>
 #include <sstream>
 #include <utility>
@@ -23,6 +24,21 @@
                          acc::stats<acc::tag::count, acc::tag::sum,
                                     acc::tag::extended_p_square_quantile>>;
 
+// Upper ends in seconds, from a small answer's time to what no caller waits
+// for.
+constexpr std::array<double, 11> kEnds = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+                                          0.5,   1,    2.5,   5,    10};
+
+namespace bh = boost::histogram;
+using Ranges = decltype(bh::make_histogram(
+    bh::axis::variable<>(std::begin(kEnds), std::end(kEnds))));
+
+struct Histogram {
+  Ranges ranges = bh::make_histogram(
+      bh::axis::variable<>(std::begin(kEnds), std::end(kEnds)));
+  double sum = 0;
+};
+
 struct Series {
   std::string name;
   std::string help;
@@ -43,6 +59,7 @@
   std::vector<std::uint64_t> counters;
   std::vector<double> gauges;
   std::vector<Quantiles> quantiles;
+  std::vector<Histogram> histograms;
 };
 
 Metrics::Metrics() : state_(std::make_unique<MetricsState>()) {}
@@ -86,6 +103,27 @@
       << '\n';
 }
 
+void WriteHistogram(std::ostream& out, const Series& series,
+                    const Histogram& histogram) {
+  // A range's upper end belongs to the next one in Boost's and to it in
+  // Prometheus's; a sample of just that length is as good as none.
+  double below = histogram.ranges.at(-1);
+  for (std::size_t i = 0; i < kEnds.size(); ++i) {
+    if (i > 0) below += histogram.ranges.at(static_cast<int>(i) - 1);
+    std::ostringstream label;
+    label << "le=\"" << kEnds[i] << "\"";
+    out << series.name << "_bucket" << Labelled(series, label.str()) << ' '
+        << below << '\n';
+  }
+  const double all =
+      below + histogram.ranges.at(static_cast<int>(kEnds.size()) - 1);
+  out << series.name << "_bucket" << Labelled(series, "le=\"+Inf\"") << ' '
+      << all << '\n';
+  out << series.name << "_sum" << Labelled(series) << ' ' << histogram.sum
+      << '\n';
+  out << series.name << "_count" << Labelled(series) << ' ' << all << '\n';
+}
+
 }  // namespace
 
 CounterHandle AddCounter(Metrics& metrics, const std::string& name,
@@ -122,6 +160,18 @@
   return handle;
 }
 
+HistogramHandle AddHistogram(Metrics& metrics, const std::string& name,
+                             const std::string& help,
+                             const std::string& labels) {
+  auto& histograms = metrics.state().histograms;
+  HistogramHandle handle;
+  if (AddSeries(metrics, {name, help, labels, "histogram"},
+                static_cast<std::uint32_t>(histograms.size()), &handle.idx)) {
+    histograms.emplace_back();
+  }
+  return handle;
+}
+
 void Increment(Metrics& metrics, CounterHandle counter, std::uint64_t by) {
   metrics.state().counters[counter.idx] += by;
 }
@@ -135,6 +185,13 @@
   metrics.state().quantiles[quantiles.idx](Seconds(sample));
 }
 
+void Observe(Metrics& metrics, HistogramHandle histogram,
+             std::chrono::nanoseconds sample) {
+  Histogram& into = metrics.state().histograms[histogram.idx];
+  into.ranges(Seconds(sample));
+  into.sum += Seconds(sample);
+}
+
 std::uint64_t ValueOf(const Metrics& metrics, CounterHandle counter) {
   return metrics.state().counters[counter.idx];
 }
@@ -160,6 +217,8 @@
     const std::string_view type = series.type;
     if (type == "summary") {
       WriteQuantiles(out, series, state.quantiles[series.idx]);
+    } else if (type == "histogram") {
+      WriteHistogram(out, series, state.histograms[series.idx]);
     } else if (type == "counter") {
       out << series.name << Labelled(series) << ' '
           << state.counters[series.idx] << '\n';
--- a/kernel/tests/kernel_test.cc
+++ b/kernel/tests/kernel_test.cc
@@ -117,6 +117,26 @@
   CHECK(median > 480ms && median < 520ms);
 }
 
+// Each bucket counts all samples up to its end, as Prometheus adds them up over
+// processes.
+TEST(Metrics, HistogramsCountUpToEachEnd) {
+  ek::Metrics metrics;
+  const auto wait = ek::AddHistogram(metrics, "wait", "Wait.", "class=\"a\"");
+  for (const auto sample : {1ms, 20ms, 700ms, 60'000ms}) {
+    ek::Observe(metrics, wait, sample);
+  }
+  const std::string text = ek::PrometheusText(metrics);
+  for (const char* line :
+       {"# TYPE wait histogram\n", "wait_bucket{class=\"a\",le=\"0.005\"} 1\n",
+        "wait_bucket{class=\"a\",le=\"0.025\"} 2\n",
+        "wait_bucket{class=\"a\",le=\"1\"} 3\n",
+        "wait_bucket{class=\"a\",le=\"10\"} 3\n",
+        "wait_bucket{class=\"a\",le=\"+Inf\"} 4\n",
+        "wait_count{class=\"a\"} 4\n", "wait_sum{class=\"a\"} 60.721\n"}) {
+    CHECK(text.find(line) != std::string::npos);
+  }
+}
+
 TEST(Metrics, SameNameAndLabelsGiveSameHandle) {
   ek::Metrics metrics;
   const auto first = ek::AddCounter(metrics, "calls", "Calls.");
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -65,6 +65,17 @@
 /// Longer between two ticks: the process was paused.
 inline constexpr milliseconds kPaused{700};
 
+// --- Metrics ---
+
+/// Classes with times of their own, each in three histograms of about 200
+/// bytes; the others share one.
+inline constexpr std::size_t kClassesMeasured = 256;
+/// Series of ended calls, by class, account, outcome and reason; about 300
+/// bytes each. 240 accounts with 5 classes and 3 outcomes take 3,600.
+inline constexpr std::size_t kCallSeriesMost = 4096;
+/// Class under which the rest is counted.
+inline constexpr const char* kOtherClass = "other";
+
 // --- Peers ---
 
 /// An exchange unanswered for this long ends its connection.
--- a/proxy/include/egretladder/proxy/proxy.h
+++ b/proxy/include/egretladder/proxy/proxy.h
@@ -64,6 +64,7 @@
   std::string ready;
   std::string directory;
   std::string peers;
+  std::string metrics;  ///< Empty: not served.
   std::uint64_t rules_version = 0;
   std::size_t endpoints = 0;
   std::size_t nodes = 1;    ///< There, this one included.
--- a/proxy/src/answers.cc
+++ b/proxy/src/answers.cc
@@ -80,6 +80,7 @@
 }
 
 void AnswerMetrics(Proxy& proxy, const net::HttpCallPtr& caller) {
+  ShowGauges(proxy);
   AnswerText(caller, kOk, "text/plain; version=0.0.4",
              kernel::PrometheusText(proxy.metrics));
 }
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -55,7 +55,7 @@
   routing::OnFirstByte(
       *attempt.endpoint, Between(attempt.sent, now),
       milliseconds(static_cast<std::int64_t>(attempt.placement.expected_ms)));
-  kernel::Observe(proxy.metrics, proxy.handles.first_event,
+  kernel::Observe(proxy.metrics, call->measures->first_event,
                   now - call->arrived);
 }
 
@@ -417,7 +417,7 @@
   attempt.sent = now;
   routing::OnSent(*placement.endpoint, call->demand, attempt.number, placement,
                   fleet, now);
-  kernel::Observe(proxy.metrics, proxy.handles.waited, now - call->arrived);
+  kernel::Observe(proxy.metrics, call->measures->waited, now - call->arrived);
   LogSent(*call, now);
   attempt.exchange = proxy.client->Start(ExchangeFor(proxy, *call, now),
                                          HandlersFor(proxy, call));
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -46,6 +46,7 @@
   call->route = &route;
   call->account = account;
   call->arrived = now;
+  call->measures = MeasuresFor(proxy, route.name);
   const auto allowed = std::min(facts.deadline.value_or(route.timeout),
                                 std::max(route.timeout, milliseconds(1)));
   call->deadline = now + allowed;
@@ -295,6 +296,7 @@
 void RefuseCall(Proxy& proxy, const CallPtr& call, int status, const char* code,
                 milliseconds retry_after) {
   StopWaiting(proxy, call);
+  call->refused_with = status;
   const bool ran = status == kBadGateway || status == kGatewayTimeout;
   AnswerError(call->caller, status, code,
               ran ? "the request may have run" : "the request has not run",
@@ -310,10 +312,9 @@
   call->caller->OnGone(nullptr);
   proxy.body_bytes -= call->body_bytes;
   const Time now = NowOf(proxy);
-  kernel::Observe(proxy.metrics, proxy.handles.whole_answer,
+  kernel::Observe(proxy.metrics, call->measures->whole_answer,
                   now - call->arrived);
-  Count(proxy, "egretladder_calls_total", "Calls ended, by outcome.",
-        std::string("outcome=\"") + outcome + "\"");
+  CountCall(proxy, *call, outcome);
   kernel::LogEvent(LogPart::kRoute,
                    call->ended_well ? LogLevel::kInfo : LogLevel::kWarning,
                    "ended",
--- /dev/null
+++ b/proxy/src/measures.cc
@@ -0,0 +1,172 @@
+// What `GET /metrics` shows of a proxy: calls by class and account, times by
+// class, and what the node knows at the moment.
+#include <algorithm>
+
+#include "state_p.h"
+
+namespace egretladder::proxy {
+namespace {
+
+constexpr int kUnavailable = 503;
+
+std::string Label(const char* name, std::string_view value) {
+  std::string label = std::string(name) + "=\"";
+  // Names come from the configuration, which may hold any character.
+  for (const char c : value) {
+    if (c == '"' || c == '\\') label += '\\';
+    label += c == '\n' ? ' ' : c;
+  }
+  return label + '"';
+}
+
+// What became of a call, for whoever counts; the reason says more.
+const char* OutcomeOf(const Call& call, std::string_view reason) {
+  if (call.ended_well) return "answered";
+  if (reason == "caller-gone") return "gone";
+  if (call.caller->begun()) return "broken";
+  if (reason == "endpoint-failure") return "failed";
+  // Of the statuses of this node only 503 says that nothing ran.
+  return call.refused_with == kUnavailable ? "refused" : "unknown";
+}
+
+void SetGauge(Proxy& proxy, const char* name, const char* help, double value,
+              const std::string& labels = "") {
+  kernel::Set(proxy.metrics,
+              kernel::AddGauge(proxy.metrics, name, help, labels), value);
+}
+
+double SecondsSince(Time then, Time now) {
+  return std::chrono::duration<double>(now - then).count();
+}
+
+const char* StateOf(const Proxy& proxy, const routing::Endpoint& endpoint,
+                    Time now) {
+  if (endpoint.phase != routing::EndpointPhase::kServing) {
+    return routing::NameOf(endpoint.phase);
+  }
+  if (routing::IsZoneOut(proxy.endpoints, endpoint.entry.zone)) {
+    return "zone-out";
+  }
+  if (now < endpoint.trust.avoid_until) return "down";
+  if (now < endpoint.trust.full_until) return "full";
+  if (now < endpoint.cold_until) return "cold";
+  return "serving";
+}
+
+void ShowEndpoints(Proxy& proxy, Time now) {
+  // States that nothing is in any more are shown as 0.
+  for (auto& [labels, count] : proxy.measures.endpoint_states) count = 0;
+  for (const auto& [id, endpoint] : proxy.endpoints.by_id) {
+    const std::string labels = Label("service", endpoint->entry.service) + "," +
+                               Label("state", StateOf(proxy, *endpoint, now));
+    ++proxy.measures.endpoint_states[labels];
+  }
+  for (const auto& [labels, count] : proxy.measures.endpoint_states) {
+    SetGauge(proxy, "egretladder_endpoints",
+             "Endpoints known, by service and state.", count, labels);
+  }
+}
+
+void ShowKnowledge(Proxy& proxy, Time now) {
+  SetGauge(proxy, "egretladder_rules_version", "Version of the rules in force.",
+           static_cast<double>(proxy.rules ? proxy.rules->version : 0));
+  SetGauge(proxy, "egretladder_rules_in_force_seconds",
+           "Since the rules came into force.",
+           proxy.rules ? SecondsSince(proxy.rules_since, now) : 0);
+  for (const auto feed : {routing::Feed::kRules, routing::Feed::kEndpoints}) {
+    const std::string label =
+        Label("feed", feed == routing::Feed::kRules ? "rules" : "endpoints");
+    SetGauge(
+        proxy, "egretladder_store_revision",
+        "Revision of the store up to which a feed is known.",
+        static_cast<double>(routing::StateOf(proxy.catalog, feed).revision),
+        label);
+  }
+  SetGauge(proxy, "egretladder_store_trouble",
+           "1 while reads of the store failed lately.",
+           IsStoreTroubled(proxy) ? 1 : 0);
+  SetGauge(
+      proxy, "egretladder_nodes", "Nodes there, this one included.",
+      static_cast<double>(routing::PartOf(proxy.members, now).names.size()));
+}
+
+void ShowLoad(Proxy& proxy, Time now) {
+  SetGauge(proxy, "egretladder_calls", "Calls in progress.",
+           static_cast<double>(proxy.calls.size()));
+  SetGauge(proxy, "egretladder_waiting", "Calls that wait for an endpoint.",
+           static_cast<double>(proxy.waiting.size()));
+  SetGauge(proxy, "egretladder_body_bytes", "Bodies of calls in progress.",
+           static_cast<double>(proxy.body_bytes));
+  SetGauge(proxy, "egretladder_suspects",
+           "Requests under which a connection broke lately.",
+           static_cast<double>(proxy.suspects.by_request.size()));
+  SetGauge(proxy, "egretladder_endpoint_connections_opened",
+           "Connections to endpoints and the store opened since the start.",
+           static_cast<double>(proxy.client->opened()));
+  const std::size_t nodes = routing::NodesOf(proxy.members, now);
+  for (const auto& [service, share] : proxy.retry_shares) {
+    SetGauge(proxy, "egretladder_retries_left",
+             "Repeats that this node may still make in the window.",
+             routing::RetriesLeft(share, proxy.options.retries, nodes, now),
+             Label("service", service));
+  }
+}
+
+}  // namespace
+
+void Count(Proxy& proxy, const char* name, const char* help,
+           const std::string& labels) {
+  kernel::Increment(proxy.metrics,
+                    kernel::AddCounter(proxy.metrics, name, help, labels));
+}
+
+const ClassMeasures* MeasuresFor(Proxy& proxy, const std::string& cls) {
+  auto& classes = proxy.measures.classes;
+  const bool known = classes.contains(cls);
+  const std::string& name =
+      known || classes.size() < kClassesMeasured ? cls : kOtherClass;
+  const auto [at, is_new] = classes.try_emplace(name);
+  if (is_new) {
+    const std::string label = Label("class", name);
+    at->second.waited =
+        kernel::AddHistogram(proxy.metrics, "egretladder_waited_seconds",
+                             "From a call's arrival to each send.", label);
+    at->second.first_event = kernel::AddHistogram(
+        proxy.metrics, "egretladder_first_event_seconds",
+        "From a call's arrival to its answer's first byte.", label);
+    at->second.whole_answer =
+        kernel::AddHistogram(proxy.metrics, "egretladder_call_seconds",
+                             "From a call's arrival to its end.", label);
+  }
+  return &at->second;
+}
+
+void CountCall(Proxy& proxy, const Call& call, const char* reason) {
+  Measures& measures = proxy.measures;
+  const std::string account = call.account ? call.account->name : "-";
+  std::string labels =
+      Label("class", call.route->name) + "," + Label("account", account) + "," +
+      Label("outcome", OutcomeOf(call, reason)) + "," + Label("reason", reason);
+  const bool known = measures.calls.contains(labels);
+  if (!known && measures.calls.size() >= kCallSeriesMost) {
+    labels = Label("class", kOtherClass) + "," + Label("account", "other") +
+             "," + Label("outcome", OutcomeOf(call, reason)) + "," +
+             Label("reason", reason);
+  }
+  const auto [at, is_new] = measures.calls.try_emplace(labels);
+  if (is_new) {
+    at->second = kernel::AddCounter(
+        proxy.metrics, "egretladder_calls_total",
+        "Calls ended, by class, account, outcome and reason.", labels);
+  }
+  kernel::Increment(proxy.metrics, at->second);
+}
+
+void ShowGauges(Proxy& proxy) {
+  const Time now = NowOf(proxy);
+  ShowKnowledge(proxy, now);
+  ShowEndpoints(proxy, now);
+  ShowLoad(proxy, now);
+}
+
+}  // namespace egretladder::proxy
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -11,26 +11,6 @@
 using kernel::LogLevel;
 using kernel::LogPart;
 
-void ShowGauges(Proxy& proxy) {
-  const auto set = [&proxy](const char* name, const char* help, double value) {
-    kernel::Set(proxy.metrics, kernel::AddGauge(proxy.metrics, name, help),
-                value);
-  };
-  set("egretladder_rules_version", "Version of the rules in force.",
-      static_cast<double>(proxy.rules ? proxy.rules->version : 0));
-  set("egretladder_endpoints", "Endpoints known.",
-      static_cast<double>(proxy.endpoints.by_id.size()));
-  set("egretladder_nodes", "Nodes known, this one included.",
-      static_cast<double>(proxy.members.others.size() + 1));
-  set("egretladder_calls", "Calls in progress.",
-      static_cast<double>(proxy.calls.size()));
-  set("egretladder_waiting", "Calls that wait for an endpoint.",
-      static_cast<double>(proxy.waiting.size()));
-  set("egretladder_endpoint_connections_opened",
-      "Connections to endpoints and the store opened since the start.",
-      static_cast<double>(proxy.client->opened()));
-}
-
 void OnPaused(Proxy& proxy, milliseconds gap) {
   // The process stood still: watches may have gone silent, and what peers said
   // is old.
@@ -59,7 +39,6 @@
                      {{"node", node}});
   }
   UpdateReading(proxy);
-  ShowGauges(proxy);
   kernel::FlushEventLog();
 }
 
@@ -141,12 +120,6 @@
   delete proxy;
 }
 
-void Count(Proxy& proxy, const char* name, const char* help,
-           const std::string& labels) {
-  kernel::Increment(proxy.metrics,
-                    kernel::AddCounter(proxy.metrics, name, help, labels));
-}
-
 bool IsReady(const Proxy& proxy) {
   return !proxy.leaving && proxy.rules != nullptr &&
          routing::StateOf(proxy.catalog, routing::Feed::kEndpoints).revision >
@@ -164,15 +137,6 @@
                              options.dialect, "no such dialect");
   }
   proxy->random.seed(kernel::SecretBits());
-  proxy->handles.first_event =
-      kernel::AddQuantiles(proxy->metrics, "egretladder_first_event_seconds",
-                           "From a call's arrival to its answer's first byte.");
-  proxy->handles.whole_answer =
-      kernel::AddQuantiles(proxy->metrics, "egretladder_call_seconds",
-                           "From a call's arrival to its end.");
-  proxy->handles.waited =
-      kernel::AddQuantiles(proxy->metrics, "egretladder_waited_seconds",
-                           "From a call's arrival to each send.");
   proxy->client = std::make_unique<net::HttpClient>(loop);
   BOOST_OUTCOME_TRY(OpenServers(*proxy));
   std::string peers;
@@ -219,6 +183,9 @@
   view.ready = proxy.ready->address();
   view.directory = proxy.directory->address();
   view.peers = proxy.members.self.peers;
+  if (proxy.metrics_server != nullptr) {
+    view.metrics = proxy.metrics_server->address();
+  }
   view.rules_version = proxy.rules ? proxy.rules->version : 0;
   view.endpoints = proxy.endpoints.by_id.size();
   view.nodes = routing::PartOf(proxy.members, NowOf(proxy)).names.size();
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -30,6 +30,13 @@
 
 using kernel::Time;
 
+/// Times of one class of calls.
+struct ClassMeasures {
+  kernel::HistogramHandle first_event;
+  kernel::HistogramHandle whole_answer;
+  kernel::HistogramHandle waited;
+};
+
 /// One attempt of a call at an endpoint.
 struct Attempt {
   std::uint64_t number = 0;
@@ -55,6 +62,7 @@
   const routing::Route* route = nullptr;
   const routing::ClientAccount* account = nullptr;  ///< Null: none.
   const routing::Service* service = nullptr;
+  const ClassMeasures* measures = nullptr;
   routing::Demand demand;
   Time arrived{};
   Time deadline{};
@@ -71,7 +79,8 @@
   kernel::Watch patience;
   std::size_t body_bytes = 0;
   std::uint64_t fingerprint = 0;  ///< Of what it asks; 0: not needed so far.
-  bool ended_well = false;        ///< The caller got the endpoint's success.
+  int refused_with = 0;     ///< Status of this node\'s own refusal; 0: none.
+  bool ended_well = false;  ///< The caller got the endpoint's success.
 };
 using CallPtr = std::shared_ptr<Call>;
 
@@ -107,11 +116,11 @@
 };
 using PeerNetPtr = std::unique_ptr<PeerNet, PeerNetDelete>;
 
-/// Counters by name; made on first use.
-struct ProxyMetrics {
-  kernel::QuantileHandle first_event;
-  kernel::QuantileHandle whole_answer;
-  kernel::QuantileHandle waited;
+/// Series made on first use.
+struct Measures {
+  std::map<std::string, ClassMeasures> classes;
+  std::unordered_map<std::string, kernel::CounterHandle> calls;  ///< By labels.
+  std::map<std::string, std::uint32_t> endpoint_states;          ///< By labels.
 };
 
 struct Proxy {
@@ -119,12 +128,13 @@
   ProxyOptions options;
   const Dialect* dialect = nullptr;
   kernel::Metrics metrics;
-  ProxyMetrics handles;
+  Measures measures;
   kernel::Random random;
 
   // What it knows.
   routing::Catalog catalog;
   routing::RouteTablePtr rules;
+  Time rules_since{};
   routing::EndpointSet endpoints;
   routing::Members members;
   std::map<std::string, PeerLoads> peer_loads;
@@ -162,9 +172,16 @@
   return std::chrono::duration_cast<milliseconds>(to - from);
 }
 
+// measures.cc
 /// Counts one event under a label.
 void Count(Proxy& proxy, const char* name, const char* help,
            const std::string& labels);
+/// Times of a class, which is named as the route.
+const ClassMeasures* MeasuresFor(Proxy& proxy, const std::string& cls);
+/// Counts a call that has ended.
+void CountCall(Proxy& proxy, const Call& call, const char* reason);
+/// Sets what is shown of the moment.
+void ShowGauges(Proxy& proxy);
 
 // calls.cc
 /// A caller's request was read.
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -201,6 +201,7 @@
     return;
   }
   proxy.rules = std::move(rules).value();
+  proxy.rules_since = NowOf(proxy);
   net::ServerLimits limits;
   limits.size = {proxy.rules->limits.head_bytes,
                  proxy.rules->limits.body_bytes};
--- a/routing/include/egretladder/routing/retry_share.h
+++ b/routing/include/egretladder/routing/retry_share.h
@@ -42,4 +42,8 @@
 bool TakeRetry(RetryShare& share, const RetryRule& rule, std::size_t nodes,
                Time now);
 
+/// Repeats that still fit.
+double RetriesLeft(const RetryShare& share, const RetryRule& rule,
+                   std::size_t nodes, Time now);
+
 }  // namespace egretladder::routing
--- a/routing/src/retry_share.cc
+++ b/routing/src/retry_share.cc
@@ -24,8 +24,8 @@
   ++SliceAt(share, NumberAt(rule, now)).requests;
 }
 
-bool TakeRetry(RetryShare& share, const RetryRule& rule, std::size_t nodes,
-               Time now) {
+double RetriesLeft(const RetryShare& share, const RetryRule& rule,
+                   std::size_t nodes, Time now) {
   const std::int64_t number = NumberAt(rule, now);
   double requests = 0;
   double repeats = 0;
@@ -40,8 +40,13 @@
       kRetryUsed *
       (rule.ratio * requests +
        rule.slack / static_cast<double>(std::max<std::size_t>(nodes, 1)));
-  if (repeats + 1 > allowed) return false;
-  ++SliceAt(share, number).repeats;
+  return std::max(0.0, allowed - repeats);
+}
+
+bool TakeRetry(RetryShare& share, const RetryRule& rule, std::size_t nodes,
+               Time now) {
+  if (RetriesLeft(share, rule, nodes, now) < 1) return false;
+  ++SliceAt(share, NumberAt(rule, now)).repeats;
   return true;
 }
 
