--- a/gateway/main/egretladderd.cc
+++ b/gateway/main/egretladderd.cc
@@ -1,5 +1,6 @@
 // The node: `egretladderd --config node.ini`.
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -26,6 +27,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Settings may change while the node starts. Without this the signal that says
+  // so ends the process, and nobody starts it again; the front that is chosen
+  // looks at the file later.
+  std::signal(SIGHUP, SIG_IGN);
   CLI::App app("A node of egretladder, the router for language-model traffic.");
   std::string path;
   std::string front = "calls";
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -22,6 +22,10 @@
   storeTroubled @4 :Bool;
   # Requests under which connections broke.
   suspects @5 :List(Suspect);
+  # Of members that the other side knows.
+  pulses @6 :List(Pulse);
+  # Nodes of which the sender heard a pulse and doesn't know who they are.
+  unknown @7 :List(UInt32);
 }
 
 struct Member {
@@ -36,6 +40,16 @@
   storeTroubled @8 :Bool;
 }
 
+struct Pulse {
+  # Low half of the hash of the node's name.
+  node @0 :UInt32;
+  # Low half of its incarnation.
+  life @1 :UInt32;
+  heartbeat @2 :UInt32;
+  leaving @3 :Bool;
+  storeTroubled @4 :Bool;
+}
+
 struct Changes {
   feed @0 :UInt8;
   whole @1 :Bool;
--- a/proxy/src/news_codec.cc
+++ b/proxy/src/news_codec.cc
@@ -157,8 +157,41 @@
   }
 }
 
-void TakeMembers(Proxy& proxy, const std::vector<routing::Member>& told,
-                 Time now) {
+void WriteMembers(const routing::MemberNews& told,
+                  exchange::News::Builder news) {
+  auto members = news.initMembers(static_cast<unsigned>(told.members.size()));
+  for (unsigned i = 0; i < members.size(); ++i) {
+    WriteMember(told.members[i], members[i]);
+  }
+  auto pulses = news.initPulses(static_cast<unsigned>(told.pulses.size()));
+  for (unsigned i = 0; i < pulses.size(); ++i) {
+    const routing::Pulse& pulse = told.pulses[i];
+    pulses[i].setNode(pulse.node);
+    pulses[i].setLife(pulse.life);
+    pulses[i].setHeartbeat(static_cast<std::uint32_t>(pulse.heartbeat));
+    pulses[i].setLeaving(pulse.leaving);
+    pulses[i].setStoreTroubled(pulse.store_troubled);
+  }
+  auto unknown = news.initUnknown(static_cast<unsigned>(told.unknown.size()));
+  for (unsigned i = 0; i < unknown.size(); ++i) {
+    unknown.set(i, told.unknown[i]);
+  }
+}
+
+routing::MemberNews ReadMembers(exchange::News::Reader news) {
+  routing::MemberNews told;
+  for (const auto member : news.getMembers()) {
+    told.members.push_back(ReadMember(member));
+  }
+  for (const auto pulse : news.getPulses()) {
+    told.pulses.push_back({pulse.getNode(), pulse.getLife(),
+                           pulse.getHeartbeat(), pulse.getLeaving(),
+                           pulse.getStoreTroubled()});
+  }
+  return told;
+}
+
+void TakeMembers(Proxy& proxy, const routing::MemberNews& told, Time now) {
   for (const std::string& node : routing::Hear(proxy.members, told, now)) {
     kernel::LogEvent(LogPart::kFleet, LogLevel::kInfo, "node-there",
                      {{"node", node}});
@@ -167,21 +200,20 @@
 
 }  // namespace
 
-void WriteNews(Proxy& proxy,
-               const std::array<std::uint64_t, routing::kFeeds>& theirs,
+void WriteNews(Proxy& proxy, const PeerLacks& peer,
                exchange::News::Builder news) {
   const Time now = NowOf(proxy);
-  const auto members = routing::ToTell(proxy.members, proxy.random, now);
-  auto list = news.initMembers(static_cast<unsigned>(members.size()));
-  for (unsigned i = 0; i < list.size(); ++i) WriteMember(members[i], list[i]);
+  WriteMembers(routing::ToTell(proxy.members, peer.unknown, proxy.random, now),
+               news);
   auto revisions = news.initRevisions(routing::kFeeds);
   std::vector<routing::Changes> lacking;
   for (unsigned i = 0; i < routing::kFeeds; ++i) {
     const auto feed = static_cast<routing::Feed>(i);
     const std::uint64_t own = routing::StateOf(proxy.catalog, feed).revision;
     revisions.set(i, own);
-    if (!IsListed(proxy, feed) || theirs[i] >= own) continue;
-    lacking.push_back(routing::ChangesSince(proxy.catalog, feed, theirs[i]));
+    if (!IsListed(proxy, feed) || peer.revisions[i] >= own) continue;
+    lacking.push_back(
+        routing::ChangesSince(proxy.catalog, feed, peer.revisions[i]));
   }
   auto changes = news.initChanges(static_cast<unsigned>(lacking.size()));
   for (unsigned i = 0; i < changes.size(); ++i) {
@@ -192,14 +224,10 @@
   news.setStoreTroubled(IsStoreTroubled(proxy));
 }
 
-std::array<std::uint64_t, routing::kFeeds> TakeNews(
-    Proxy& proxy, exchange::News::Reader news) {
+PeerLacks TakeNews(Proxy& proxy, exchange::News::Reader news) {
   const Time now = NowOf(proxy);
-  std::vector<routing::Member> members;
-  for (const auto member : news.getMembers()) {
-    members.push_back(ReadMember(member));
-  }
-  TakeMembers(proxy, members, now);
+  const routing::MemberNews told = ReadMembers(news);
+  TakeMembers(proxy, told, now);
   for (const auto reader : news.getChanges()) {
     if (reader.getFeed() >= routing::kFeeds) continue;  // Of a newer node.
     TakeChanges(proxy, ReadChanges(reader), Source::kPeer,
@@ -207,13 +235,16 @@
   }
   TakeSuspects(proxy, news, now);
   // The first member is the sender itself.
-  if (!members.empty()) TakeLoads(proxy, members.front().node, news, now);
-  std::array<std::uint64_t, routing::kFeeds> theirs{};
+  if (!told.members.empty()) {
+    TakeLoads(proxy, told.members.front().node, news, now);
+  }
+  PeerLacks peer;
   const auto revisions = news.getRevisions();
   for (unsigned i = 0; i < revisions.size() && i < routing::kFeeds; ++i) {
-    theirs[i] = revisions[i];
+    peer.revisions[i] = revisions[i];
   }
-  return theirs;
+  for (const auto node : news.getUnknown()) peer.unknown.push_back(node);
+  return peer;
 }
 
 }  // namespace egretladder::proxy
--- a/proxy/src/news_codec_p.h
+++ b/proxy/src/news_codec_p.h
@@ -6,13 +6,17 @@
 
 namespace egretladder::proxy {
 
-/// What a node that knows the feeds up to `theirs` should hear.
-void WriteNews(Proxy& proxy,
-               const std::array<std::uint64_t, routing::kFeeds>& theirs,
+/// What a peer said of what it lacks.
+struct PeerLacks {
+  std::array<std::uint64_t, routing::kFeeds> revisions{};  ///< It has these.
+  std::vector<std::uint32_t> unknown;  ///< Nodes that it doesn't know.
+};
+
+/// What such a peer should hear.
+void WriteNews(Proxy& proxy, const PeerLacks& peer,
                exchange::News::Builder news);
 
-/// Takes in what a peer told. Returns its own place in each feed.
-std::array<std::uint64_t, routing::kFeeds> TakeNews(
-    Proxy& proxy, exchange::News::Reader news);
+/// Takes in what a peer told.
+PeerLacks TakeNews(Proxy& proxy, exchange::News::Reader news);
 
 }  // namespace egretladder::proxy
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -13,8 +13,6 @@
 namespace egretladder::proxy {
 namespace {
 
-using Revisions = std::array<std::uint64_t, routing::kFeeds>;
-
 // A connection to one peer.
 struct PeerOut : private kj::TaskSet::ErrorHandler {
   PeerOut(net::Bufferevent buffer, Time now)
@@ -33,8 +31,8 @@
   bool waits = false;     // An exchange is unanswered.
   bool answered = false;  // At least one was.
   bool broken = false;
-  Revisions theirs{};  // As it last said.
-  kj::TaskSet tasks;   // Last, so that it goes first.
+  PeerLacks lacks;    // As it last said.
+  kj::TaskSet tasks;  // Last, so that it goes first.
 };
 
 }  // namespace
@@ -65,10 +63,10 @@
 
   kj::Promise<void> exchange(ExchangeContext context) override {
     CountBytes(proxy_, "in", context.getParams().totalSize().wordCount);
-    const Revisions theirs = TakeNews(proxy_, context.getParams().getNews());
+    const PeerLacks lacks = TakeNews(proxy_, context.getParams().getNews());
     routing::OnExchanged(proxy_.members, NowOf(proxy_));
     auto news = context.getResults().initNews();
-    WriteNews(proxy_, theirs, news);
+    WriteNews(proxy_, lacks, news);
     CountBytes(proxy_, "out", news.totalSize().wordCount);
     return kj::READY_NOW;
   }
@@ -140,7 +138,7 @@
   // One at a time: what is told is state, and the next exchange tells it anew.
   if (peer == nullptr || peer->waits) return;
   auto request = peer->peer.exchangeRequest();
-  WriteNews(proxy, peer->theirs, request.initNews());
+  WriteNews(proxy, peer->lacks, request.initNews());
   CountBytes(proxy, "out", request.totalSize().wordCount);
   peer->waits = true;
   peer->asked = now;
@@ -149,7 +147,7 @@
     peer->answered = true;
     routing::OnExchanged(proxy.members, NowOf(proxy));
     CountBytes(proxy, "in", answer.totalSize().wordCount);
-    peer->theirs = TakeNews(proxy, answer.getNews());
+    peer->lacks = TakeNews(proxy, answer.getNews());
   }));
 }
 
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -199,8 +199,16 @@
 inline constexpr milliseconds kMemberSilenceLarge{4000};
 /// A member unheard for this long is forgotten.
 inline constexpr std::chrono::seconds kMemberForgotten{60};
-/// Members told in one exchange. A member takes about 130 bytes.
+/// Members told whole in one exchange; one takes about 130 bytes.
 inline constexpr std::size_t kMembersTold = 16;
+/// Pulses told in one exchange; one takes 16 bytes. In a fleet of 390 each node
+/// is then heard of often enough never to look silent; with 48 four looked so
+/// at a time.
+inline constexpr std::size_t kPulsesTold = 96;
+/// A member is told whole for this long after this node met it.
+inline constexpr std::chrono::seconds kMemberNew{3};
+/// Nodes asked for at once; as many as are told whole.
+inline constexpr std::size_t kUnknownMost = kMembersTold;
 /// Nodes that read the platform's store for all. Each call is counted, and a
 /// watch answers every reader; more than a few add calls, not safety, since a
 /// reader that fails is replaced.
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -34,10 +34,29 @@
   bool store_troubled = false;  ///< It fails to read the platform's store.
 };
 
+/// A heartbeat of a node that others know already: 16 bytes, where a `Member`
+/// takes about 130.
+struct Pulse {
+  std::uint32_t node = 0;  ///< Low half of the hash of its name.
+  std::uint32_t life = 0;  ///< Low half of its incarnation.
+  std::uint64_t heartbeat = 0;
+  bool leaving = false;
+  bool store_troubled = false;
+};
+
+/// What one exchange tells of members.
+struct MemberNews {
+  std::vector<Member> members;  ///< The sender first.
+  std::vector<Pulse> pulses;
+  /// Nodes of which the sender heard a pulse and doesn't know who they are.
+  std::vector<std::uint32_t> unknown;
+};
+
 /// What this node knows of another.
 struct KnownMember {
   Member member;
   Time heard{};              ///< When its heartbeat last rose here.
+  Time met{};                ///< When this life of it was first heard of.
   bool unreachable = false;  ///< Refused a connection since.
 };
 
@@ -51,6 +70,7 @@
   std::size_t most_nodes = 1;
   Time most_nodes_at{};
   std::size_t seed_turn = 0;
+  std::vector<std::uint32_t> unknown;  ///< As in `MemberNews`.
 };
 
 /// Begins with this node alone.
@@ -62,7 +82,7 @@
 
 /// Takes what a peer told. Returns those that are new or came back, for the
 /// log.
-std::vector<std::string> Hear(Members& members, const std::vector<Member>& told,
+std::vector<std::string> Hear(Members& members, const MemberNews& told,
                               Time now);
 
 /// A peer answered an exchange.
@@ -71,9 +91,11 @@
 /// rises again.
 void OnUnreachable(Members& members, const std::string& peers, Time now);
 
-/// Members to tell: this node, those heard last, and some others.
-std::vector<Member> ToTell(const Members& members, kernel::Random& random,
-                           Time now);
+/// What to tell: this node, those met lately and those that the peer doesn't
+/// know (`asked`) whole, and of the others some pulses.
+MemberNews ToTell(const Members& members,
+                  const std::vector<std::uint32_t>& asked,
+                  kernel::Random& random, Time now);
 
 /// Peer address for the next exchange: a member drawn at random, or now and
 /// then a seed that isn't known yet; empty: none.
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -1,6 +1,7 @@
 #include "egretladder/routing/members.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace egretladder::routing {
 namespace {
@@ -19,6 +20,60 @@
   if (IsNewer(told, self)) self.incarnation = told.incarnation + 1;
 }
 
+std::uint32_t LowHalf(std::uint64_t number) {
+  return static_cast<std::uint32_t>(number);
+}
+
+std::uint32_t KeyOf(const std::string& node) {
+  return LowHalf(kernel::HashOf(node));
+}
+
+// Takes what is newer of a node that is known. A new life is met anew.
+void Refresh(Members& members, KnownMember& known, const Member& told, Time now,
+             std::vector<std::string>& news) {
+  if (!IsNewer(told, known.member)) return;
+  if (!IsThere(members, known, now)) news.push_back(told.node);
+  const bool same_life = told.incarnation == known.member.incarnation;
+  known = {told, now, same_life ? known.met : now, false};
+}
+
+void HearMember(Members& members, const Member& told, Time now,
+                std::vector<std::string>& news) {
+  std::erase(members.unknown, KeyOf(told.node));
+  if (told.node == members.self.node) {
+    HearOfSelf(members, told);
+    return;
+  }
+  const auto at = members.others.find(told.node);
+  if (at != members.others.end()) {
+    Refresh(members, at->second, told, now, news);
+    return;
+  }
+  members.others[told.node] = {told, now, now, false};
+  news.push_back(told.node);
+}
+
+Member WithPulse(Member member, const Pulse& pulse) {
+  member.heartbeat = pulse.heartbeat;
+  member.leaving = pulse.leaving;
+  member.store_troubled = pulse.store_troubled;
+  return member;
+}
+
+Pulse PulseOf(const Member& member) {
+  return {KeyOf(member.node), LowHalf(member.incarnation), member.heartbeat,
+          member.leaving, member.store_troubled};
+}
+
+// The next peer is asked who that is. One that nobody knows any more drops out
+// as others fill the list.
+void AskFor(Members& members, std::uint32_t key) {
+  auto& unknown = members.unknown;
+  if (std::find(unknown.begin(), unknown.end(), key) != unknown.end()) return;
+  if (unknown.size() >= kUnknownMost) unknown.erase(unknown.begin());
+  unknown.push_back(key);
+}
+
 template <typename T>
 void Shuffle(std::vector<T>& items, kernel::Random& random) {
   for (std::size_t i = items.size(); i > 1; --i) {
@@ -40,23 +95,30 @@
 
 void Beat(Members& members, Time /*now*/) { ++members.self.heartbeat; }
 
-std::vector<std::string> Hear(Members& members, const std::vector<Member>& told,
+std::vector<std::string> Hear(Members& members, const MemberNews& told,
                               Time now) {
   std::vector<std::string> news;
-  for (const Member& member : told) {
-    if (member.node == members.self.node) {
-      HearOfSelf(members, member);
-      continue;
-    }
-    const auto at = members.others.find(member.node);
-    if (at == members.others.end()) {
-      members.others[member.node] = {member, now, false};
-      news.push_back(member.node);
-      continue;
+  for (const Member& member : told.members) {
+    HearMember(members, member, now, news);
+  }
+  std::unordered_map<std::uint32_t, KnownMember*> by_key;
+  for (auto& [node, known] : members.others)
+    by_key.emplace(KeyOf(node), &known);
+  const std::uint32_t self = KeyOf(members.self.node);
+  for (const Pulse& pulse : told.pulses) {
+    const auto at = by_key.find(pulse.node);
+    const Member* known = at != by_key.end()   ? &at->second->member
+                          : pulse.node == self ? &members.self
+                                               : nullptr;
+    // Another life may have other addresses, and of this node it may be one
+    // that it has to outbid.
+    if (known == nullptr || LowHalf(known->incarnation) != pulse.life) {
+      AskFor(members, pulse.node);
+    } else if (at != by_key.end()) {
+      Refresh(members, *at->second, WithPulse(*known, pulse), now, news);
+    } else {
+      HearOfSelf(members, WithPulse(*known, pulse));
     }
-    if (!IsNewer(member, at->second.member)) continue;
-    if (!IsThere(members, at->second, now)) news.push_back(member.node);
-    at->second = {member, now, false};
   }
   return news;
 }
@@ -69,8 +131,9 @@
   }
 }
 
-std::vector<Member> ToTell(const Members& members, kernel::Random& random,
-                           Time now) {
+MemberNews ToTell(const Members& members,
+                  const std::vector<std::uint32_t>& asked,
+                  kernel::Random& random, Time now) {
   std::vector<const KnownMember*> there;
   for (const auto& [node, known] : members.others) {
     // What is silent is not told: it would look new to a node that starts.
@@ -79,9 +142,19 @@
     }
   }
   Shuffle(there, random);
-  if (there.size() > kMembersTold) there.resize(kMembersTold);
-  std::vector<Member> told = {members.self};
-  for (const KnownMember* known : there) told.push_back(known->member);
+  MemberNews told;
+  told.members = {members.self};
+  told.unknown = members.unknown;
+  for (const KnownMember* known : there) {
+    const bool is_asked = std::find(asked.begin(), asked.end(),
+                                    KeyOf(known->member.node)) != asked.end();
+    if ((is_asked || now - known->met < kMemberNew) &&
+        told.members.size() <= kMembersTold) {
+      told.members.push_back(known->member);
+    } else if (told.pulses.size() < kPulsesTold) {
+      told.pulses.push_back(PulseOf(known->member));
+    }
+  }
   return told;
 }
 
--- a/routing/tests/members_test.cc
+++ b/routing/tests/members_test.cc
@@ -33,6 +33,8 @@
   std::vector<bool> runs;
   ek::Random random{3};
   std::size_t silent = SIZE_MAX;  // Refuses nothing, answers nothing.
+  std::size_t rounds = 0;
+  bool turns = false;
 
   explicit Fleet(std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
@@ -42,8 +44,12 @@
     }
   }
   void Round(er::Time now) {
+    ++rounds;
     for (std::size_t i = 0; i < nodes.size(); ++i) {
       if (!runs[i]) continue;
+      // A node that knows its fleet to be large exchanges every other time.
+      const bool turn = !turns || (rounds + i) % 2 == 0;
+      if (!turn && !er::IsSmallFleet(nodes[i])) continue;
       er::Beat(nodes[i], now);
       const std::string peer = er::NextPeer(nodes[i], random, now);
       for (std::size_t j = 0; j < nodes.size(); ++j) {
@@ -52,8 +58,10 @@
           if (j != silent) er::OnUnreachable(nodes[i], peer, now);
           continue;
         }
-        er::Hear(nodes[j], er::ToTell(nodes[i], random, now), now);
-        er::Hear(nodes[i], er::ToTell(nodes[j], random, now), now);
+        const er::MemberNews asks = er::ToTell(nodes[i], {}, random, now);
+        er::Hear(nodes[j], asks, now);
+        er::Hear(nodes[i], er::ToTell(nodes[j], asks.unknown, random, now),
+                 now);
         er::OnExchanged(nodes[i], now);
         er::OnExchanged(nodes[j], now);
       }
@@ -89,6 +97,59 @@
   }
 }
 
+// Most of what is told is a hash and two numbers. A node that missed the moment
+// when others were told of a newcomer must find out who that is.
+TEST(Members, ANodeAsksWhoItIsOfWhomItHearsOnlyPulses) {
+  er::Members late = er::StartMembers(Node("late"), {}, kStart);
+  er::Members peer = er::StartMembers(Node("peer"), {}, kStart);
+  er::MemberNews met;
+  met.members = {Node("other")};
+  er::Hear(peer, met, kStart);
+  ek::Random random{1};
+  const er::Time now = kStart + er::kMemberNew;
+  met.members[0].heartbeat = 1;
+  er::Hear(peer, met, now - 100ms);
+  const er::MemberNews told = er::ToTell(peer, {}, random, now);
+  LONGS_EQUAL(1, told.members.size());
+  LONGS_EQUAL(1, told.pulses.size());
+  er::Hear(late, told, now);
+  CHECK_FALSE(Names(er::AddressesFor(late, "a", random, now), "other:80"));
+  const er::MemberNews asks = er::ToTell(late, {}, random, now);
+  LONGS_EQUAL(1, asks.unknown.size());
+  er::Hear(late, er::ToTell(peer, asks.unknown, random, now), now);
+  CHECK(Names(er::AddressesFor(late, "a", random, now), "other:80"));
+  CHECK(er::ToTell(late, {}, random, now).unknown.empty());
+}
+
+// A node starts again at another address while most hear of it by pulses. Its
+// old address must not be told with the new life's heartbeats.
+TEST(Members, APulseOfANewLifeIsNotTakenForTheOldOne) {
+  er::Members node = er::StartMembers(Node("n0"), {}, kStart);
+  er::MemberNews told;
+  told.members = {Node("n1", 10)};
+  er::Hear(node, told, kStart);
+  er::MemberNews pulse;
+  pulse.pulses = {{static_cast<std::uint32_t>(ek::HashOf("n1")), 11, 5}};
+  er::Hear(node, pulse, kStart + 100ms);
+  LONGS_EQUAL(10, node.others.at("n1").member.incarnation);
+  ek::Random random{1};
+  LONGS_EQUAL(1, er::ToTell(node, {}, random, kStart).unknown.size());
+}
+
+// The size of the first letter. A living node that is heard of too rarely drops
+// out of what callers are told, and its part of the load falls on the others.
+TEST(Members, InAFleetOf390LivingNodesAreToldAndADeadOneIsNot) {
+  Fleet fleet(390);
+  fleet.turns = true;
+  er::Time now = kStart;
+  fleet.Run(now, 10s);
+  LONGS_EQUAL(390, er::PartOf(fleet.nodes[0], now).names.size());
+  LONGS_EQUAL(390, er::PartOf(fleet.nodes[200], now).names.size());
+  fleet.Silence(3);
+  fleet.Run(now, er::kMemberSilenceLarge + 2s);
+  LONGS_EQUAL(389, er::PartOf(fleet.nodes[0], now).names.size());
+}
+
 // A node loses its power. Callers that are told its address connect to nothing
 // and lose a second each time.
 TEST(Members, AKilledNodeIsNotToldForLongAndALivingOneIsToldAlways) {
