--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -33,11 +33,16 @@
 /// doesn't prefer, times the time that it takes. The part then fills a second
 /// memory and delays all behind it: in a burst, work that spills freely is read
 /// anew everywhere, and the engines spend their time on that. With 4 here and 2
-/// below, requests served on a day of bursts fell from 93 to 85 in 100; twice
-/// these figures changed nothing more.
-inline constexpr double kStrayCost = 12;
+/// below, requests served on a day of bursts at 12 engines fell from 93 to 85
+/// in 100. With 12 and 8 the worth of days of bursts and crashes at 112 engines
+/// was 0.26 to 0.33 in place of 0.31 to 0.36 (four pairs of runs, each lower);
+/// with 60 and 50 it was 0.01 higher there and 0.05 lower at 90 engines.
+inline constexpr double kStrayCost = 24;
 /// The same at the endpoints that the session prefers after its first.
-inline constexpr double kSpillCost = 8;
+inline constexpr double kSpillCost = 20;
+/// The most that reading shared parts anew costs, in ms: a request doesn't wait
+/// longer than this for the engine that holds them while another one is idle.
+inline constexpr double kAnewMostMs = 1600;
 /// A stream whose events may pause no longer than this is delayed past it by a
 /// long prompt beside it: an event holds some eight tokens, and each step that
 /// carries a part of the prompt takes about 18 ms in place of 4.
--- a/routing/src/place.cc
+++ b/routing/src/place.cc
@@ -87,9 +87,9 @@
   if (!IsOnItsSide(endpoint, demand, split)) {
     cost += demand.tight ? kTightElsewhereMs : kLongAtQuietMs;
   }
-  cost +=
-      (uncached.own + uncached.shared * (preferred ? kSpillCost : kStrayCost)) /
-      kPromptTokensPerMs;
+  const double anew = uncached.shared * (preferred ? kSpillCost : kStrayCost);
+  cost += uncached.own / kPromptTokensPerMs;
+  cost += std::min(anew / kPromptTokensPerMs, kAnewMostMs);
   cost += endpoint.trust.drift_ms;
   cost += FailingOf(endpoint.trust, now) * kFailingMs;
   cost += static_cast<double>(SilenceOf(endpoint, now).count());
