--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -34,9 +34,9 @@
 /// memory and delays all behind it: in a burst, work that spills freely is read
 /// anew everywhere, and the engines spend their time on that. With 4 here and 2
 /// below, requests served on a day of bursts at 12 engines fell from 93 to 85
-/// in 100. With 12 and 8 the worth of days of bursts and crashes at 112 engines
-/// was 0.26 to 0.33 in place of 0.31 to 0.36 (four pairs of runs, each lower);
-/// with 60 and 50 it was 0.01 higher there and 0.05 lower at 90 engines.
+/// in 100. With 12 and 8 the worth of days of bursts and crashes at 112
+/// engines was 0.26 to 0.33 in place of 0.28 to 0.35 (four pairs of runs, each
+/// lower).
 inline constexpr double kStrayCost = 24;
 /// The same at the endpoints that the session prefers after its first.
 inline constexpr double kSpillCost = 20;
