Let a leaving node end only when callers have its answers

Cause: a call was over for the node when its last byte was handed to the connection, and MayEnd of the hosts front looked at calls only. A process that ended in that turn of the loop cut answers that endpoints had run to their end; seen as LOST 4.05 s after a SIGTERM. Besides, a connection that an answer ends was closed one second after the answer was written into the buffer, also while a slow caller still took it.

Ruled out: the grace time (3.9 s were left), the endpoint (its run ended well).

Change: net::HttpServer counts connections whose answer isn't taken; both fronts ask it. The lingering close counts from the last byte sent; a caller that takes nothing is ended by the buffer's time-out.

--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -158,7 +158,7 @@
 
 bool IsIdle(const Gateway& gateway) {
   if (!gateway.calls.empty() || !node::IsIdle(*gateway.node)) return false;
-  return gateway.front.server->unsent() == 0;
+  return gateway.front.server->untaken() == 0;
 }
 
 bool MayEnd(const Gateway& gateway) {
--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -114,8 +114,10 @@
   /// Connections now open. At most as many as the limits say; more wait in the
   /// backlog until one closes.
   std::size_t connections() const;
-  /// Connections whose answer has not left yet.
-  std::size_t unsent() const;
+  /// Connections whose caller hasn't taken its answer yet: bytes wait to be
+  /// written, or the caller hasn't closed a connection that the answer ended.
+  /// A process that ends before cuts these answers.
+  std::size_t untaken() const;
 
  private:
   friend class HttpConnection;
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -114,6 +114,9 @@
     return closed_ ? 0 : WaitingOutput(buffer_.get());
   }
 
+  // What was written may still be on its way to the caller.
+  bool IsUntaken() const { return lingering_ || Unsent() > 0; }
+
   bool CloseAfterAnswers() const {
     const auto server = server_.lock();
     return server == nullptr || server->close_after_answers;
@@ -214,9 +217,13 @@
     LingerThenClose();
   }
 
+  // Closes once the caller has taken the answer. While it takes, nothing is
+  // awaited: a caller on a slow link would lose the rest of an answer that
+  // takes it longer than the lingering. One that takes nothing is ended by the
+  // buffer's own time-out.
   void LingerThenClose() {
     lingering_ = true;
-    Await(Awaits::kClose, kLingeringClose);
+    awaits_ = Awaits::kNothing;
     if (WaitingOutput(buffer_.get()) == 0) Written();
   }
 
@@ -228,6 +235,7 @@
     }
     if (!lingering_ || closed_) return;
     shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
+    Await(Awaits::kClose, kLingeringClose);
   }
 
   std::weak_ptr<HttpServer::State> server_;
@@ -379,10 +387,10 @@
 }
 void HttpServer::CloseAfterAnswers() { state_->close_after_answers = true; }
 void HttpServer::StopListening() { state_->listener.reset(); }
-std::size_t HttpServer::unsent() const {
+std::size_t HttpServer::untaken() const {
   return static_cast<std::size_t>(std::count_if(
       state_->connections.begin(), state_->connections.end(),
-      [](const auto& connection) { return connection->Unsent() > 0; }));
+      [](const auto& connection) { return connection->IsUntaken(); }));
 }
 
 std::size_t HttpServer::connections() const {
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -107,6 +107,14 @@
   return self;
 }
 
+// A call is over for the node when its last byte is handed to the connection.
+// A process that ended then would cut answers that endpoints ran to their end:
+// callers see a stream without its last chunk.
+bool AreAnswersTaken(const Proxy& proxy) {
+  return proxy.callers->untaken() == 0 && proxy.directory->untaken() == 0 &&
+         proxy.ready->untaken() == 0;
+}
+
 }  // namespace
 
 void ProxyDelete::operator()(Proxy* proxy) const {
@@ -168,7 +176,8 @@
   if (!proxy.leaving) return false;
   const auto since = NowOf(proxy) - proxy.leaving_since;
   if (since >= proxy.options.grace - kStopMargin) return true;
-  return since >= kTakeWhileLeaving && proxy.calls.empty();
+  return since >= kTakeWhileLeaving && proxy.calls.empty() &&
+         AreAnswersTaken(proxy);
 }
 
 void SetSeeds(Proxy& proxy, const std::vector<std::string>& seeds) {
