Let few nodes of a large fleet keep trying a store that is away

Cause: a reader that fails to read the store is replaced, so that in an outage all nodes of a fleet become readers, and each tries twice in 0.8 s.

Ruled out: fewer readers altogether. A herd kill of half of the nodes would leave none of four in 6 of 100 cases, and changes of the configuration would be late until a silent one is replaced.

Change: beyond the first sixteen nodes by the hash, one that knows rules waits up to 3.2 s between two tries in place of 0.8 s.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -23,6 +23,9 @@
 inline constexpr milliseconds kStoreBackoffFirst{100};
 /// Longest such wait: the store's return must be noticed well within a second.
 inline constexpr milliseconds kStoreBackoffMost{800};
+/// The same at a node that isn't among the first to read and knows the rules:
+/// news reach it from these.
+inline constexpr milliseconds kStoreBackoffOthers{3200};
 
 // --- Calls ---
 
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -40,12 +40,18 @@
                                [&proxy, &reader] { Read(proxy, reader); });
 }
 
+milliseconds LongestBackoff(const Proxy& proxy) {
+  const bool first = proxy.rules == nullptr ||
+                     routing::IsFirstReader(proxy.members, NowOf(proxy));
+  return first ? kStoreBackoffMost : kStoreBackoffOthers;
+}
+
 void OnReadFailed(Proxy& proxy, StoreReader& reader, const std::string& why) {
   reader.reading = false;
   proxy.store_trouble = NowOf(proxy);
   reader.backoff = reader.backoff.count() == 0
                        ? kStoreBackoffFirst
-                       : std::min(2 * reader.backoff, kStoreBackoffMost);
+                       : std::min(2 * reader.backoff, LongestBackoff(proxy));
   // Jittered: all nodes lost the store together.
   const auto jitter = milliseconds(kernel::Below(
       proxy.random, static_cast<std::uint64_t>(reader.backoff.count())));
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -218,6 +218,10 @@
 /// watch answers every reader; more than a few add calls, not safety, since a
 /// reader that fails is replaced.
 inline constexpr std::size_t kReadersMost = 8;
+/// Nodes that go on trying at the full rate while nobody can read the store.
+/// Where the store turns a third of the nodes away, all sixteen are among these
+/// once in fifty million times.
+inline constexpr std::size_t kFirstReaders = 16;
 /// Peers that a reader tells of news at once.
 inline constexpr std::size_t kToldAtOnce = 16;
 /// What peers said of their load counts for this long.
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -117,6 +117,14 @@
 /// then answered once to every node, and the calls cost more than all else.
 bool IsReader(const Members& members, Time now);
 
+/// True when this node is among the first `kFirstReaders` by that hash, whether
+/// they can read the store or not: the others try it more rarely.
+///
+/// Load: the store is away, no reader can read, and each node of a large fleet
+/// takes a reader's place. At 78 nodes 4,300 calls were made in an outage of
+/// some seconds, against 1,400 on a day without one.
+bool IsFirstReader(const Members& members, Time now);
+
 /// Addresses for a caller in `zone`: nodes that are there, this one last
 /// resort.
 std::vector<std::string> AddressesFor(const Members& members,
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -191,14 +191,29 @@
          now - known.heard < SilenceAllowed(members);
 }
 
-bool IsReader(const Members& members, Time now) {
+namespace {
+
+// Nodes that a hash prefers to this one.
+std::size_t NodesBefore(const Members& members, bool untroubled_only,
+                        Time now) {
   const std::uint64_t own = kernel::HashOf(members.self.node);
   std::size_t before = 0;
   for (const auto& [node, known] : members.others) {
-    if (!IsThere(members, known, now) || known.member.store_troubled) continue;
+    if (!IsThere(members, known, now)) continue;
+    if (untroubled_only && known.member.store_troubled) continue;
     if (kernel::HashOf(node) > own) ++before;
   }
-  return before < kReadersMost;
+  return before;
+}
+
+}  // namespace
+
+bool IsReader(const Members& members, Time now) {
+  return NodesBefore(members, true, now) < kReadersMost;
+}
+
+bool IsFirstReader(const Members& members, Time now) {
+  return NodesBefore(members, false, now) < kFirstReaders;
 }
 
 std::vector<std::string> AddressesFor(const Members& members,
