Divide many engines by the demand for tight streams; place by pace

One engine in eight was kept for such streams; at bursts they need a third to a half.

Change: place.cc's cost is a table of named mechanisms, each of which a setting leaves out and a log line shows. The part of the engines for tight streams follows the demand, on which nodes agree by averaging in their exchanges; the division is hard while the side has room. Tight streams go by the pace of engines, learned from the pauses between events that callers get. Parts below 256 tokens keep no session together. Each call logs its first event and longest pause; metrics hold them by class.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -70,7 +70,7 @@
 
 // --- Metrics ---
 
-/// Classes with times of their own, each in three histograms of about 200
+/// Classes with times of their own, each in four histograms of about 200
 /// bytes; the others share one.
 inline constexpr std::size_t kClassesMeasured = 256;
 /// Series of ended calls, by class, account, outcome and reason; about 300
--- a/proxy/include/egretladder/proxy/proxy.h
+++ b/proxy/include/egretladder/proxy/proxy.h
@@ -11,6 +11,7 @@
 #include "egretladder/kernel/error.h"
 #include "egretladder/kernel/loop.h"
 #include "egretladder/kernel/metrics.h"
+#include "egretladder/routing/endpoints.h"
 #include "egretladder/routing/retry_share.h"
 
 namespace egretladder::proxy {
@@ -29,6 +30,8 @@
   std::string store;               ///< `IP:port`.
   std::vector<std::string> seeds;  ///< Peer addresses; may be stale.
   routing::RetryRule retries;
+  /// Mechanisms of placing that are left out, to measure their worth.
+  routing::MechanismsOff placing_without;
   std::size_t memory_bytes = std::size_t{256} << 20U;
   std::size_t descriptors = 4096;
   /// From SIGTERM until the process must be gone.
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -26,6 +26,10 @@
   pulses @6 :List(Pulse);
   # Nodes of which the sender heard a pulse and doesn't know who they are.
   unknown @7 :List(UInt32);
+  # Engines that the requests at the sender keep busy: tight streams, and long
+  # prompts.
+  tightDemand @8 :Float32;
+  restDemand @9 :Float32;
 }
 
 struct Member {
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -1,6 +1,7 @@
 // One attempt of a call at an endpoint: sending, reading, and what follows.
 #include <algorithm>
 
+#include "egretladder/routing/place_cost.h"
 #include "state_p.h"
 
 namespace egretladder::proxy {
@@ -103,12 +104,43 @@
   return net::HeadVerdict::kTake;
 }
 
+// One sample of the engine's pace each few events.
+void NotePace(Proxy& proxy, const Call& call, std::uint64_t events) {
+  Attempt& attempt = *call.attempt;
+  const Time now = NowOf(proxy);
+  if (attempt.paced == Time{}) {
+    attempt.paced = now;
+    return;
+  }
+  attempt.paced_events += events;
+  if (attempt.paced_events < routing::kPaceEvery) return;
+  const std::chrono::duration<double, std::milli> took = now - attempt.paced;
+  routing::Endpoint& endpoint = *attempt.endpoint;
+  routing::OnPause(endpoint.pace, proxy.endpoints.paces[call.service->name],
+                   endpoint.in_flight + endpoint.others_in_flight,
+                   took / static_cast<double>(attempt.paced_events));
+  attempt.paced = now;
+  attempt.paced_events = 0;
+}
+
+void NotePause(Call& call, Time now) {
+  if (call.first_event_at == Time{}) {
+    call.first_event_at = now;
+  } else {
+    call.longest_pause =
+        std::max(call.longest_pause, Between(call.last_event_at, now));
+  }
+  call.last_event_at = now;
+}
+
 void PassEvents(Proxy& proxy, const CallPtr& call, std::string_view piece) {
   Attempt& attempt = *call->attempt;
   const std::uint64_t before = attempt.splitter.events;
   const std::string events = net::SplitEvents(attempt.splitter, piece);
   if (events.empty()) return;
   call->events += attempt.splitter.events - before;
+  NotePace(proxy, *call, attempt.splitter.events - before);
+  NotePause(*call, NowOf(proxy));
   if (!attempt.splitter.last_id.empty()) {
     call->last_event = attempt.splitter.last_id;
   }
@@ -272,6 +304,9 @@
         call->caller->OnGone(nullptr);
         call->caller->End();
         call->ended_well = true;
+        routing::OnStreamEnded(proxy.endpoints.paces[call->service->name],
+                               call->route->name,
+                               static_cast<double>(call->events));
         EndCall(proxy, call, "answered");
       } else {
         PassOn(proxy, call, *attempt);
@@ -291,7 +326,7 @@
   }
 }
 
-void LogSent(const Call& call, Time now) {
+void LogSent(const Proxy& proxy, const Call& call, Time now) {
   const routing::Placement& placement = call.attempt->placement;
   const routing::Endpoint& endpoint = *placement.endpoint;
   kernel::LogEvent(LogPart::kRoute, LogLevel::kInfo, "sent",
@@ -299,6 +334,8 @@
                     {"endpoint", endpoint.entry.id},
                     {"why", routing::NameOf(placement.reason)},
                     {"expected_ms", placement.expected_ms},
+                    {"cost", routing::Describe(placement.costs)},
+                    {"tight_part", proxy.endpoints.tight_part},
                     {"waited_ms", Between(call.arrived, now)},
                     {"left_ms", Between(now, call.deadline)},
                     {"in_flight", endpoint.in_flight},
@@ -423,7 +460,7 @@
   routing::OnSent(*placement.endpoint, call->demand, attempt.number, placement,
                   fleet, now);
   kernel::Observe(proxy.metrics, call->measures->waited, now - call->arrived);
-  LogSent(*call, now);
+  LogSent(proxy, *call, now);
   attempt.exchange = proxy.client->Start(ExchangeFor(proxy, *call, now),
                                          HandlersFor(proxy, call));
   if (routing::MayRepeat(*call->route)) {
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -58,6 +58,10 @@
   if (call->service->generates) {
     call->demand.parts = facts.parts;
     call->demand.prompt_tokens = std::max(facts.prompt_tokens, 1U);
+    if (route.kind == routing::RouteKind::kStream) {
+      call->demand.events = routing::EventsExpected(
+          routing::PaceOf(proxy.endpoints, call->service->name), route.name);
+    }
     call->demand.tight =
         route.gap_target.count() > 0 && route.gap_target <= routing::kTightGap;
   }
@@ -225,6 +229,9 @@
                                 std::move(routed->facts));
   proxy.body_bytes += call->body_bytes;
   proxy.calls.emplace(call->number, call);
+  routing::OnArrival(proxy.sides, call->demand,
+                     routing::PaceOf(proxy.endpoints, call->service->name),
+                     call->arrived);
   routing::OnRequest(proxy.retry_shares[call->service->name],
                      proxy.options.retries, call->arrived);
   caller->OnGone([&proxy, call] { OnCallerGone(proxy, call); });
@@ -314,19 +321,27 @@
   const Time now = NowOf(proxy);
   kernel::Observe(proxy.metrics, call->measures->whole_answer,
                   now - call->arrived);
+  if (call->events > 1) {
+    kernel::Observe(proxy.metrics, call->measures->longest_pause,
+                    call->longest_pause);
+  }
   CountCall(proxy, *call, outcome);
-  kernel::LogEvent(LogPart::kRoute,
-                   call->ended_well ? LogLevel::kInfo : LogLevel::kWarning,
-                   "ended",
-                   {{"req", call->facts.id},
-                    {"outcome", outcome},
-                    {"route", call->route->name},
-                    {"account", call->account ? call->account->name : "-"},
-                    {"ms", Between(call->arrived, now)},
-                    {"may_have_run", call->may_have_run},
-                    {"not_run", call->not_run},
-                    {"not_sent", call->not_sent},
-                    {"events", call->events}});
+  kernel::LogEvent(
+      LogPart::kRoute, call->ended_well ? LogLevel::kInfo : LogLevel::kWarning,
+      "ended",
+      {{"req", call->facts.id},
+       {"outcome", outcome},
+       {"route", call->route->name},
+       {"account", call->account ? call->account->name : "-"},
+       {"ms", Between(call->arrived, now)},
+       {"first_ms", call->events > 0
+                        ? Between(call->arrived, call->first_event_at)
+                        : milliseconds{}},
+       {"pause_ms", call->longest_pause},
+       {"may_have_run", call->may_have_run},
+       {"not_run", call->not_run},
+       {"not_sent", call->not_sent},
+       {"events", call->events}});
 }
 
 }  // namespace egretladder::proxy
--- a/proxy/src/measures.cc
+++ b/proxy/src/measures.cc
@@ -137,6 +137,9 @@
     at->second.whole_answer =
         kernel::AddHistogram(proxy.metrics, "egretladder_call_seconds",
                              "From a call's arrival to its end.", label);
+    at->second.longest_pause = kernel::AddHistogram(
+        proxy.metrics, "egretladder_longest_pause_seconds",
+        "Longest time between two events of a stream.", label);
   }
   return &at->second;
 }
@@ -167,6 +170,9 @@
   ShowKnowledge(proxy, now);
   ShowEndpoints(proxy, now);
   ShowLoad(proxy, now);
+  SetGauge(proxy, "egretladder_tight_part",
+           "Part of the engines that is for streams with short pauses.",
+           proxy.endpoints.tight_part);
 }
 
 }  // namespace egretladder::proxy
--- a/proxy/src/news_codec.cc
+++ b/proxy/src/news_codec.cc
@@ -219,6 +219,8 @@
   for (unsigned i = 0; i < changes.size(); ++i) {
     WriteChanges(lacking[i], changes[i]);
   }
+  news.setTightDemand(static_cast<float>(proxy.agreed.mean.tight));
+  news.setRestDemand(static_cast<float>(proxy.agreed.mean.rest));
   WriteLoads(proxy, news);
   WriteSuspects(proxy, news, now);
   news.setStoreTroubled(IsStoreTroubled(proxy));
@@ -234,6 +236,8 @@
                 news.getStoreTroubled());
   }
   TakeSuspects(proxy, news, now);
+  routing::Agree(proxy.agreed, {news.getTightDemand(), news.getRestDemand()});
+  proxy.endpoints.tight_part = routing::TightPartOf(proxy.agreed.mean);
   // The first member is the sender itself.
   if (!told.members.empty()) {
     TakeLoads(proxy, told.members.front().node, news, now);
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -173,6 +173,8 @@
 
 void Exchange(Proxy& proxy) {
   const Time now = NowOf(proxy);
+  routing::Pull(proxy.agreed, proxy.sides, now);
+  proxy.endpoints.tight_part = routing::TightPartOf(proxy.agreed.mean);
   routing::Beat(proxy.members, now);
   const std::string address =
       routing::NextPeer(proxy.members, proxy.random, now);
--- a/proxy/src/settings.cc
+++ b/proxy/src/settings.cc
@@ -6,6 +6,7 @@
 #include "egretladder/kernel/settings.h"
 #include "egretladder/net/address.h"
 #include "egretladder/proxy/dialect.h"
+#include "egretladder/routing/place_cost.h"
 
 namespace egretladder::proxy {
 namespace {
@@ -15,7 +16,7 @@
 constexpr const char* kAddressExpected = "IP:port";
 constexpr const char* kDurationExpected = "a number with ms, s, m or h";
 
-constexpr std::array<kernel::SettingSpec, 18> kSpecs = {{
+constexpr std::array<kernel::SettingSpec, 19> kSpecs = {{
     {"node", "name", SettingKind::kText, "", true, "the node's name"},
     {"node", "zone", SettingKind::kText, "", true, "an availability zone"},
     {"node", "region", SettingKind::kText, "", false, "a region"},
@@ -35,6 +36,8 @@
      "retries beyond that in a window, all nodes together"},
     {"retries", "window", SettingKind::kDuration, "10s", false,
      kDurationExpected},
+    {"placing", "without", SettingKind::kText, "", false,
+     "mechanisms of placing to leave out, separated by commas"},
     {"limits", "memory", SettingKind::kBytes, "256MiB", false,
      "a number with B, KiB or MiB"},
     {"limits", "descriptors", SettingKind::kCount, "4096", false,
@@ -75,6 +78,20 @@
   options.grace = kernel::DurationOf(settings, "stop", "grace");
 }
 
+void ReadPlacing(const kernel::Settings& settings, std::string_view file,
+                 ProxyOptions& options, std::vector<kernel::Error>& faults) {
+  for (const std::string& name :
+       kernel::SplitList(kernel::TextOf(settings, "placing", "without"))) {
+    if (const auto mechanism = routing::FindMechanism(name)) {
+      options.placing_without.set(static_cast<std::size_t>(*mechanism));
+    } else {
+      faults.push_back(Fault(file, "placing.without has '" + name +
+                                       "', expected one of " +
+                                       routing::MechanismNames()));
+    }
+  }
+}
+
 void Check(const ProxyOptions& options, std::string_view file,
            std::vector<kernel::Error>& faults) {
   for (const std::string& seed : options.seeds) {
@@ -108,6 +125,7 @@
   ReadNode(settings, config.proxy);
   ReadNumbers(settings, config.proxy);
   std::vector<kernel::Error> found;
+  ReadPlacing(settings, file, config.proxy, found);
   Check(config.proxy, file, found);
   const std::string& level = kernel::TextOf(settings, "log", "level");
   if (const auto read = kernel::ParseLogLevel(level)) {
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -24,6 +24,7 @@
 #include "egretladder/routing/members.h"
 #include "egretladder/routing/place.h"
 #include "egretladder/routing/retry_share.h"
+#include "egretladder/routing/sides.h"
 #include "egretladder/routing/suspects.h"
 
 namespace egretladder::proxy {
@@ -35,6 +36,7 @@
   kernel::HistogramHandle first_event;
   kernel::HistogramHandle whole_answer;
   kernel::HistogramHandle waited;
+  kernel::HistogramHandle longest_pause;
 };
 
 /// One attempt of a call at an endpoint.
@@ -47,6 +49,8 @@
   bool left = false;     ///< Its first byte left this node.
   bool started = false;  ///< The endpoint answered or sent an event.
   bool events = false;   ///< The answer is a stream, passed on as it comes.
+  Time paced{};          ///< Begin of the present sample of its pace.
+  std::uint64_t paced_events = 0;  ///< Events in that sample so far.
   net::HttpAnswerHead head;
   AnswerFacts facts;
   std::string body;  ///< Of an answer that is held whole.
@@ -74,6 +78,9 @@
   std::unique_ptr<Attempt> attempt;
   std::string last_event;  ///< That the caller got from this node.
   std::uint64_t events = 0;
+  Time first_event_at{};
+  Time last_event_at{};
+  milliseconds longest_pause{};  ///< Between two events that callers got.
   bool waiting = false;
   Time waits_since{};  ///< Since it has needed an endpoint.
   kernel::Watch timeout;
@@ -139,6 +146,8 @@
   routing::EndpointSet endpoints;
   routing::Members members;
   std::map<std::string, PeerLoads> peer_loads;
+  routing::SideMeter sides;
+  routing::AgreedDemand agreed;
   std::unordered_map<std::string, routing::RetryShare> retry_shares;
   routing::Suspects suspects;
   Time store_trouble{};  ///< Last failed call; default: none.
--- a/proxy/tests/settings_test.cc
+++ b/proxy/tests/settings_test.cc
@@ -72,6 +72,17 @@
   STRCMP_CONTAINS("listen.metrics", FaultOf(With("127.0.0.1:5", "5")).c_str());
 }
 
+TEST(ProxySettings, MechanismsOfPlacingCanBeLeftOut) {
+  const auto config = ep::ReadProxyConfig(
+      kSettings + "[placing]\nwithout = pace,sides\n", "n.ini");
+  CHECK(config.has_value());
+  LONGS_EQUAL(2, config.value().proxy.placing_without.count());
+  const std::string fault =
+      FaultOf(kSettings + "[placing]\nwithout = pase\n");
+  STRCMP_CONTAINS("placing.without has 'pase'", fault.c_str());
+  STRCMP_CONTAINS("pace", fault.c_str());
+}
+
 // A platform leaves out what a deployment has no bounds for: the section of the
 // template is empty then.
 TEST(ProxySettings, BoundsThatAreNotGivenHaveStandards) {
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <bitset>
 #include <chrono>
 #include <cstdint>
 #include <list>
@@ -15,6 +16,7 @@
 
 #include "egretladder/kernel/time.h"
 #include "egretladder/routing/limits.h"
+#include "egretladder/routing/pace.h"
 #include "egretladder/routing/route_table.h"
 
 namespace egretladder::routing {
@@ -65,6 +67,10 @@
 /// One endpoint.
 struct Endpoint {
   EndpointEntry entry;
+  /// Its place among the endpoints of its service by a hash of their names,
+  /// from 0 up to 1: the same at all nodes.
+  double order = 0;
+  std::uint64_t name_hash = 0;
   EndpointPhase phase = EndpointPhase::kServing;
   Time lapsed_until{};
   Time cold_until{};
@@ -75,6 +81,7 @@
   double others_in_flight = 0;
   double others_tokens = 0;
   Trust trust;
+  EnginePace pace;
   /// Requests of this node without an answer so far: when sent, and until when
   /// an answer was expected.
   std::map<std::uint64_t, std::pair<Time, Time>> unanswered;
@@ -84,11 +91,19 @@
 /// Attempts in progress keep an endpoint that is no longer published.
 using EndpointPtr = std::shared_ptr<Endpoint>;
 
+/// Parts of the decision where a request goes; see `Mechanism` in place.h.
+inline constexpr std::size_t kMechanisms = 11;
+/// Mechanisms that settings switch off.
+using MechanismsOff = std::bitset<kMechanisms>;
+
 /// All endpoints that may get work, and those that just went.
 struct EndpointSet {
   std::map<std::string, EndpointPtr> by_id;
   std::unordered_map<std::string, std::vector<EndpointPtr>> by_service;
   std::map<std::string, bool, std::less<>> zones_out;
+  std::unordered_map<std::string, ServicePace> paces;  ///< By service.
+  double tight_part = kTightPartUnknown;               ///< See sides.h.
+  MechanismsOff off;
 };
 
 /// What became of an endpoint by a change of its entry; for the log.
@@ -125,6 +140,9 @@
 /// True while nothing may be sent to the zone.
 bool IsZoneOut(const EndpointSet& set, std::string_view zone);
 
+/// What the engines of the service have in common.
+const ServicePace& PaceOf(const EndpointSet& set, const std::string& service);
+
 /// Evidence of this node's own requests.
 void OnHeard(Endpoint& endpoint, Time now);
 /// True when it gave a sign of life within `kHeardLately`.
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -27,6 +27,10 @@
 /// news don't all run to one endpoint (Mitzenmacher, "The Power of Two
 /// Choices").
 inline constexpr std::size_t kDrawn = 4;
+/// Shared tokens from which on a session prefers endpoints. Reading fewer anew
+/// takes two milliseconds; kept together, a session with a quarter of the
+/// traffic fills an engine while others are idle.
+inline constexpr std::uint32_t kSessionTokens = 256;
 /// Endpoints that a session prefers, in order.
 inline constexpr std::size_t kPreferred = 3;
 /// What reading a shared part anew costs at an endpoint that the session
@@ -49,16 +53,8 @@
 inline constexpr milliseconds kTightGap{200};
 /// A prompt longer than this, in tokens, is read in several parts.
 inline constexpr std::uint32_t kLongPrompt = 4096;
-/// One engine in so many is kept for tight streams, softly; below
-/// `kSplitLeast` engines a single one is too large a part of them.
-inline constexpr std::uint64_t kQuietOneIn = 8;
-/// As above.
+/// Below so many engines they are not divided: one of them is too large a part.
 inline constexpr std::size_t kSplitLeast = 24;
-/// What a tight stream costs at an engine that takes long prompts, in ms.
-inline constexpr double kTightElsewhereMs = 100;
-/// What a long prompt costs at an engine kept for tight streams, in ms: it
-/// spills there only when it would wait this much longer elsewhere.
-inline constexpr double kLongAtQuietMs = 300;
 /// How long a prompt part is expected to stay in an engine's memory after its
 /// last use here.
 inline constexpr milliseconds kPartKept{60'000};
@@ -75,6 +71,50 @@
 /// What a cold endpoint costs, in ms.
 inline constexpr double kColdMs = 200;
 
+// --- Sides (sides.h) ---
+
+/// How long a request counts in the demand, in the mean. A burst shows within
+/// it; shorter, and the few requests that a node sees say little.
+inline constexpr milliseconds kSideMemory{2000};
+/// How fast the figure that nodes agree on follows what each measures. Ten
+/// exchanges a second average it over the fleet meanwhile.
+inline constexpr milliseconds kSidePull{1500};
+/// Room for tight streams beyond their mean demand, as a factor: one engine of
+/// theirs that is full costs more than one of the others.
+inline constexpr double kTightMargin = 1.15;
+/// Requests that an engine runs side by side on either side of the division.
+inline constexpr double kSideBatch = 12;
+/// Part of the engines for tight streams until a demand was seen.
+inline constexpr double kTightPartUnknown = 0.25;
+/// Bounds of that part, so that the first requests of either kind find room.
+inline constexpr double kTightPartLeast = 0.1;
+/// As above.
+inline constexpr double kTightPartMost = 0.75;
+
+// --- Pace of engines (pace.h) ---
+
+/// What one more running request adds to the time between two events, as part
+/// of that time with nothing else running. A prior, of the engines in use:
+/// steps of 3.4 ms and 0.1 ms more for each request.
+inline constexpr double kPacePerRunning = 0.03;
+/// Time between two events until one was seen, in ms.
+inline constexpr double kEventMsUnknown = 25;
+/// Events of a stream until one of its route ended.
+inline constexpr double kEventsUnknown = 32;
+/// Weight of the newest sample in an engine's pace. A sample spans some events;
+/// ten make up two thirds.
+inline constexpr double kPaceWeight = 0.1;
+/// Samples as which the service's mean counts beside an engine's own.
+inline constexpr double kPacePriorSamples = 5;
+/// Samples of one engine that count; it may change.
+inline constexpr double kPaceSamplesMost = 30;
+/// The same in the pace of a service: all its engines add to it.
+inline constexpr double kPaceWeightOfService = 0.02;
+/// The same in the length of a route's streams; they differ by a factor of two.
+inline constexpr double kEventsWeight = 0.05;
+/// Events between two samples of one stream.
+inline constexpr std::uint64_t kPaceEvery = 8;
+
 // --- Trust in an endpoint (endpoints.h) ---
 
 /// Weight of the newest answer in the share of failures and in the drift. Five
--- /dev/null
+++ b/routing/include/egretladder/routing/pace.h
@@ -0,0 +1,51 @@
+// How fast an engine makes the events of a stream, learned from the streams
+// that this node passes on.
+//
+// Load: engines of one service differ, and all slow down with what they run.
+// A stream of fifty events takes 1.2 s at one and 2 s at another; it is in time
+// at the one only, and more often cut by what happens meanwhile. Nothing is
+// asked of the engines: what callers get is the measure.
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <unordered_map>
+
+#include "egretladder/routing/limits.h"
+
+namespace egretladder::routing {
+
+/// Of one engine.
+struct EnginePace {
+  /// Between two events with nothing else running, in ms, smoothed.
+  double alone_ms = 0;
+  /// Samples so far, `kPaceSamplesMost` at most; few of them say little.
+  double samples = 0;
+};
+
+/// What the engines of one service have in common.
+struct ServicePace {
+  /// Mean of the engines' `alone_ms`; a prior for those not seen yet.
+  double alone_ms = 0;
+  /// Events of a whole stream, by route, smoothed.
+  std::unordered_map<std::string, double> events;
+};
+
+/// Takes one sample: `pause` between two events while `running` requests ran at
+/// the engine.
+void OnPause(EnginePace& engine, ServicePace& service, double running,
+             std::chrono::duration<double, std::milli> pause);
+
+/// A stream of the route ended whole after `events`.
+void OnStreamEnded(ServicePace& service, const std::string& route,
+                   double events);
+
+/// Events that a stream of the route is expected to have.
+double EventsExpected(const ServicePace& service, const std::string& route);
+
+/// Expected time between two events at an engine that runs `running` requests,
+/// in ms.
+double EventMs(const EnginePace& engine, const ServicePace& service,
+               double running);
+
+}  // namespace egretladder::routing
--- a/routing/include/egretladder/routing/place.h
+++ b/routing/include/egretladder/routing/place.h
@@ -11,6 +11,7 @@
 // failures against each other.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -33,6 +34,7 @@
   std::vector<PromptPart> parts;
   std::uint32_t prompt_tokens = 0;  ///< 0: not a generation.
   bool tight = false;  ///< A stream with short pauses; see `kTightGap`.
+  double events = 0;   ///< That its answer is expected to have.
 };
 
 /// What a node knows of its fleet, for its part of what is shared.
@@ -58,12 +60,39 @@
 /// As logs show it.
 const char* NameOf(PlaceReason reason);
 
+/// What takes part in the decision: the terms of a placement's cost in the
+/// order of the table in place_cost.cc, and two that choose among whom it is
+/// made. Each can be switched off by a setting, so that its worth can be
+/// measured.
+enum class Mechanism : std::uint8_t {
+  kQueue,    ///< What is read or run before it.
+  kReading,  ///< Its own prompt.
+  kAgain,    ///< Shared parts that another endpoint holds.
+  kPace,     ///< The length of its own stream at the pace there.
+  kDrift,    ///< First events that came later than expected.
+  kFailing,
+  kSilence,
+  kZone,
+  kCold,
+  kSides,     ///< Tight streams and long prompts at engines of their own.
+  kSessions,  ///< Endpoints preferred by the hash of the shared part.
+};
+
+/// The figure of each term, in ms; 0 for a mechanism that is no term.
+struct Costs {
+  std::array<double, kMechanisms> ms{};
+  double Total() const;
+  /// Of the terms that delay the request's first event.
+  double UntilFirst() const;
+};
+
 /// The choice.
 struct Placement {
   EndpointPtr endpoint;  ///< Null: none.
   PlaceReason reason = PlaceReason::kNoneKnown;
   double expected_ms = 0;      ///< Until the first event.
   double uncached_tokens = 0;  ///< That it will read.
+  Costs costs;
 };
 
 /// Chooses among the endpoints of the demand's service, leaving out those in
@@ -72,14 +101,6 @@
                 const std::vector<EndpointPtr>& tried, const FleetPart& fleet,
                 kernel::Random& random, Time now);
 
-/// True for an engine that is kept for tight streams where there are many: by a
-/// hash of its name, so that all nodes agree, and none changes its part when
-/// others come and go.
-///
-/// Load: long prompts among short streams. Read in parts between the tokens of
-/// the streams beside it, one prompt makes each of them pause too long.
-bool IsQuiet(const Endpoint& endpoint);
-
 /// Counts a request that is about to be sent, and takes its part of the rate of
 /// a cold endpoint.
 void OnSent(Endpoint& endpoint, const Demand& demand, std::uint64_t attempt,
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -2,13 +2,30 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+
+#include "egretladder/kernel/hash.h"
 
 namespace egretladder::routing {
 namespace {
 
+// Places by rank, not by the hash itself: with ninety engines a part of them
+// would else differ by a quarter from what was asked for.
+void SetOrder(std::vector<EndpointPtr> list) {
+  std::sort(list.begin(), list.end(),
+            [](const EndpointPtr& left, const EndpointPtr& right) {
+              return left->name_hash < right->name_hash;
+            });
+  const double size = static_cast<double>(list.size());
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    list[i]->order = static_cast<double>(i) / size;
+  }
+}
+
 void Unlist(EndpointSet& set, const EndpointPtr& endpoint) {
   auto& list = set.by_service[endpoint->entry.service];
   std::erase(list, endpoint);
+  SetOrder(list);
 }
 
 void Remove(EndpointSet& set, const std::string& id) {
@@ -22,10 +39,13 @@
 EntryChange Add(EndpointSet& set, const EndpointEntry& entry, Time now) {
   auto endpoint = std::make_shared<Endpoint>();
   endpoint->entry = entry;
+  endpoint->name_hash = kernel::HashOf(entry.id);
   endpoint->phase =
       entry.leaving ? EndpointPhase::kLeaving : EndpointPhase::kServing;
   endpoint->cold_until = now + entry.cold_left;
-  set.by_service[entry.service].push_back(endpoint);
+  auto& list = set.by_service[entry.service];
+  list.push_back(endpoint);
+  SetOrder(list);
   set.by_id[entry.id] = std::move(endpoint);
   return EntryChange::kNew;
 }
@@ -141,6 +161,12 @@
   return at != set.zones_out.end() && at->second;
 }
 
+const ServicePace& PaceOf(const EndpointSet& set, const std::string& service) {
+  static const ServicePace kNone;
+  const auto at = set.paces.find(service);
+  return at != set.paces.end() ? at->second : kNone;
+}
+
 void OnHeard(Endpoint& endpoint, Time now) { endpoint.heard_at = now; }
 
 bool IsHeardLately(const Endpoint& endpoint, Time now) {
--- /dev/null
+++ b/routing/src/pace.cc
@@ -0,0 +1,44 @@
+#include "egretladder/routing/pace.h"
+
+#include <algorithm>
+
+namespace egretladder::routing {
+namespace {
+
+double AloneMs(const EnginePace& engine, const ServicePace& service) {
+  const double prior =
+      service.alone_ms > 0 ? service.alone_ms : kEventMsUnknown;
+  return (engine.samples * engine.alone_ms + kPacePriorSamples * prior) /
+         (engine.samples + kPacePriorSamples);
+}
+
+void Smooth(double& value, double sample, double weight) {
+  value = value > 0 ? value + weight * (sample - value) : sample;
+}
+
+}  // namespace
+
+void OnPause(EnginePace& engine, ServicePace& service, double running,
+             std::chrono::duration<double, std::milli> pause) {
+  const double alone = pause.count() / (1 + kPacePerRunning * running);
+  Smooth(engine.alone_ms, alone, kPaceWeight);
+  engine.samples = std::min(engine.samples + 1, kPaceSamplesMost);
+  Smooth(service.alone_ms, alone, kPaceWeightOfService);
+}
+
+void OnStreamEnded(ServicePace& service, const std::string& route,
+                   double events) {
+  Smooth(service.events[route], events, kEventsWeight);
+}
+
+double EventsExpected(const ServicePace& service, const std::string& route) {
+  const auto at = service.events.find(route);
+  return at != service.events.end() ? at->second : kEventsUnknown;
+}
+
+double EventMs(const EnginePace& engine, const ServicePace& service,
+               double running) {
+  return AloneMs(engine, service) * (1 + kPacePerRunning * running);
+}
+
+}  // namespace egretladder::routing
--- a/routing/src/place.cc
+++ b/routing/src/place.cc
@@ -4,12 +4,24 @@
 #include <cmath>
 #include <limits>
 
+#include "egretladder/routing/place_cost.h"
+#include "egretladder/routing/sides.h"
+
 namespace egretladder::routing {
 namespace {
 
+// All parts but the last, which is the request's own.
+std::uint32_t SharedTokens(const Demand& demand) {
+  std::uint32_t tokens = 0;
+  for (std::size_t i = 0; i + 1 < demand.parts.size(); ++i) {
+    tokens += demand.parts[i].tokens;
+  }
+  return tokens;
+}
+
 std::uint64_t SessionOf(const Demand& demand) {
   const auto& parts = demand.parts;
-  if (parts.empty()) return 0;
+  if (parts.empty() || SharedTokens(demand) < kSessionTokens) return 0;
   // The last part is the request's own where there are several.
   return parts[parts.size() > 1 ? parts.size() - 2 : 0].id;
 }
@@ -26,13 +38,6 @@
   return now < endpoint.cold_until;
 }
 
-// What it reads before the first event, in tokens.
-struct Uncached {
-  double shared = 0;  // Parts that other requests share.
-  double own = 0;
-  double Sum() const { return shared + own; }
-};
-
 Uncached UncachedAt(const Endpoint& endpoint, const Demand& demand, bool first,
                     Time now) {
   Uncached uncached;
@@ -52,53 +57,6 @@
   return uncached;
 }
 
-double TokensAhead(const Endpoint& endpoint, Tier tier) {
-  double tokens = endpoint.others_tokens;
-  for (std::size_t i = 0; i <= tier && i < kTiers; ++i) {
-    tokens += endpoint.waiting_tokens[i];
-  }
-  return tokens;
-}
-
-double QueueMs(const Endpoint& endpoint, const Demand& demand) {
-  const double in_flight = endpoint.in_flight + endpoint.others_in_flight;
-  if (demand.prompt_tokens > 0) {
-    return TokensAhead(endpoint, demand.tier) / kPromptTokensPerMs +
-           in_flight * kCostPerRunningMs;
-  }
-  const double mean = endpoint.trust.mean_ms > 0 ? endpoint.trust.mean_ms
-                                                 : kServiceTimeUnknownMs;
-  return mean * in_flight / std::max<std::uint32_t>(endpoint.entry.slots, 1);
-}
-
-// Whether tight streams and long prompts are kept apart, and whether the
-// endpoint is on the demand's side then.
-bool IsOnItsSide(const Endpoint& endpoint, const Demand& demand, bool split) {
-  if (!split || (!demand.tight && demand.prompt_tokens <= kLongPrompt)) {
-    return true;
-  }
-  return IsQuiet(endpoint) == demand.tight;
-}
-
-double CostMs(const Endpoint& endpoint, const Demand& demand,
-              const Uncached& uncached, bool preferred, bool split,
-              const FleetPart& fleet, Time now) {
-  double cost = QueueMs(endpoint, demand);
-  if (!IsOnItsSide(endpoint, demand, split)) {
-    cost += demand.tight ? kTightElsewhereMs : kLongAtQuietMs;
-  }
-  const double anew = uncached.shared * (preferred ? kSpillCost : kStrayCost);
-  cost += uncached.own / kPromptTokensPerMs;
-  cost += std::min(anew / kPromptTokensPerMs, kAnewMostMs);
-  cost += endpoint.trust.drift_ms;
-  cost += FailingOf(endpoint.trust, now) * kFailingMs;
-  cost += static_cast<double>(SilenceOf(endpoint, now).count());
-  if (endpoint.entry.zone != fleet.zone) cost += kOtherZoneMs;
-  if (IsCold(endpoint, now)) cost += kColdMs;
-  if (endpoint.phase == EndpointPhase::kLapsed) cost += kColdMs;
-  return cost;
-}
-
 struct Usable {
   std::vector<EndpointPtr> endpoints;
   PlaceReason why_none = PlaceReason::kNoneKnown;
@@ -151,19 +109,25 @@
 }
 
 // Moves the endpoints that the session prefers to the front, in order.
-void PreferFirst(std::vector<EndpointPtr>& endpoints, const Demand& demand,
-                 std::uint64_t session, bool split) {
+void PreferFirst(std::vector<EndpointPtr>& endpoints, std::uint64_t session) {
   const std::size_t count = std::min(kPreferred, endpoints.size());
   std::partial_sort(
       endpoints.begin(), endpoints.begin() + static_cast<std::ptrdiff_t>(count),
       endpoints.end(), [&](const EndpointPtr& left, const EndpointPtr& right) {
-        const bool left_side = IsOnItsSide(*left, demand, split);
-        const bool right_side = IsOnItsSide(*right, demand, split);
-        if (left_side != right_side) return left_side;
         return Weight(session, *left) > Weight(session, *right);
       });
 }
 
+// Leaves those on the demand's side, if there are any.
+void KeepItsSide(std::vector<EndpointPtr>& endpoints, const Demand& demand,
+                 double tight_part) {
+  const auto end = std::stable_partition(
+      endpoints.begin(), endpoints.end(), [&](const EndpointPtr& endpoint) {
+        return IsOnItsSide(*endpoint, demand, tight_part);
+      });
+  if (end != endpoints.begin()) endpoints.erase(end, endpoints.end());
+}
+
 // Moves random ones to places `from` and on.
 void DrawSome(std::vector<EndpointPtr>& endpoints, std::size_t from,
               kernel::Random& random) {
@@ -201,11 +165,6 @@
   return "unknown";
 }
 
-bool IsQuiet(const Endpoint& endpoint) {
-  constexpr std::uint64_t kSeed = 17;  // Apart from the sessions' hashes.
-  return kernel::HashOf(endpoint.entry.id, kSeed) % kQuietOneIn == 0;
-}
-
 ColdPart ColdPartOf(const Endpoint& endpoint, const FleetPart& fleet) {
   ColdPart part;
   part.senders = std::max(fleet.nodes, fleet.names.size());
@@ -238,24 +197,33 @@
     best.reason = usable.why_none;
     return best;
   }
-  const std::uint64_t session = SessionOf(demand);
-  const bool split = usable.endpoints.size() >= kSplitLeast;
+  const auto is_off = [&set](Mechanism mechanism) {
+    return set.off.test(static_cast<std::size_t>(mechanism));
+  };
+  const std::uint64_t session =
+      is_off(Mechanism::kSessions) ? 0 : SessionOf(demand);
+  if (usable.endpoints.size() >= kSplitLeast && !is_off(Mechanism::kSides)) {
+    KeepItsSide(usable.endpoints, demand, set.tight_part);
+  }
   std::size_t preferred = 0;
   if (session != 0) {
-    PreferFirst(usable.endpoints, demand, session, split);
+    PreferFirst(usable.endpoints, session);
     preferred = std::min(kPreferred, usable.endpoints.size());
   }
   DrawSome(usable.endpoints, preferred, random);
+  const ServicePace& pace = PaceOf(set, demand.service->name);
   double least = std::numeric_limits<double>::max();
   for (std::size_t i = 0; i < usable.endpoints.size(); ++i) {
     const EndpointPtr& endpoint = usable.endpoints[i];
     const bool first = session != 0 && i == 0;
     const Uncached uncached = UncachedAt(*endpoint, demand, first, now);
-    const double cost =
-        CostMs(*endpoint, demand, uncached, i < preferred, split, fleet, now);
-    if (cost >= least) continue;
-    least = cost;
-    best = {endpoint, PlaceReason::kCheapest, cost, uncached.Sum()};
+    const Costs costs =
+        CostsOf({*endpoint, demand, uncached, pace, fleet, i < preferred, now},
+                set.off);
+    if (costs.Total() >= least) continue;
+    least = costs.Total();
+    best = {endpoint, PlaceReason::kCheapest, costs.UntilFirst(),
+            uncached.Sum(), costs};
     if (first) {
       best.reason = PlaceReason::kSession;
     } else if (demand.prompt_tokens > 0 && uncached.shared == 0) {
--- /dev/null
+++ b/routing/src/sides.cc
@@ -0,0 +1,94 @@
+#include "egretladder/routing/sides.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace egretladder::routing {
+namespace {
+
+// Tokens that an engine reads for it while it holds the shared parts.
+double OwnTokens(const Demand& demand) {
+  double tokens = demand.prompt_tokens;
+  for (std::size_t i = 0; i + 1 < demand.parts.size(); ++i) {
+    tokens -= demand.parts[i].tokens;
+  }
+  return std::max(0.0, tokens);
+}
+
+// Time for which one request keeps an engine busy that runs a batch.
+double EngineMs(const Demand& demand, const ServicePace& pace) {
+  const double length = demand.events * EventMs({}, pace, kSideBatch);
+  return OwnTokens(demand) / kPromptTokensPerMs + length / kSideBatch;
+}
+
+double Decay(Time from, Time to) {
+  const std::chrono::duration<double, std::milli> age = to - from;
+  return std::exp(-age.count() / static_cast<double>(kSideMemory.count()));
+}
+
+}  // namespace
+
+void OnArrival(SideMeter& meter, const Demand& demand, const ServicePace& pace,
+               Time now) {
+  const bool is_long = IsLongPrompt(demand);
+  if (!demand.tight && !is_long) return;
+  meter.demand = DemandOf(meter, now);
+  meter.at = now;
+  const double engines =
+      EngineMs(demand, pace) / static_cast<double>(kSideMemory.count());
+  if (demand.tight) {
+    meter.demand.tight += engines * kTightMargin;
+  } else {
+    meter.demand.rest += engines;
+  }
+}
+
+SideDemand DemandOf(const SideMeter& meter, Time now) {
+  const double left = Decay(meter.at, now);
+  return {meter.demand.tight * left, meter.demand.rest * left};
+}
+
+void Agree(AgreedDemand& agreed, const SideDemand& told) {
+  if (told.tight + told.rest <= 0) return;  // It knows nothing yet.
+  if (!agreed.known) {
+    agreed.mean = told;
+    agreed.known = true;
+    return;
+  }
+  agreed.mean.tight = (agreed.mean.tight + told.tight) / 2;
+  agreed.mean.rest = (agreed.mean.rest + told.rest) / 2;
+}
+
+void Pull(AgreedDemand& agreed, const SideMeter& meter, Time now) {
+  const SideDemand own = DemandOf(meter, now);
+  if (!agreed.known) {
+    agreed.known = own.tight + own.rest > 0;
+    agreed.mean = own;
+    agreed.pulled = now;
+    return;
+  }
+  const std::chrono::duration<double, std::milli> since = now - agreed.pulled;
+  agreed.pulled = now;
+  const double part =
+      1 - std::exp(-since.count() / static_cast<double>(kSidePull.count()));
+  agreed.mean.tight += part * (own.tight - agreed.mean.tight);
+  agreed.mean.rest += part * (own.rest - agreed.mean.rest);
+}
+
+double TightPartOf(const SideDemand& mean) {
+  const double sum = mean.tight + mean.rest;
+  if (sum <= 0) return kTightPartUnknown;
+  return std::clamp(mean.tight / sum, kTightPartLeast, kTightPartMost);
+}
+
+bool IsLongPrompt(const Demand& demand) {
+  return demand.prompt_tokens > kLongPrompt;
+}
+
+bool IsOnItsSide(const Endpoint& endpoint, const Demand& demand,
+                 double tight_part) {
+  if (!demand.tight && !IsLongPrompt(demand)) return true;
+  return (endpoint.order < tight_part) == demand.tight;
+}
+
+}  // namespace egretladder::routing
--- /dev/null
+++ b/routing/tests/pace_test.cc
@@ -0,0 +1,59 @@
+#include "egretladder/routing/pace.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+namespace er = egretladder::routing;
+
+TEST_GROUP(Pace) {
+  er::ServicePace service;
+  er::EnginePace fast;
+  er::EnginePace slow;
+
+  void See(er::EnginePace & engine, double pause_ms, int times,
+           double running = 0) {
+    for (int i = 0; i < times; ++i) {
+      er::OnPause(engine, service, running,
+                  std::chrono::duration<double, std::milli>(pause_ms));
+    }
+  }
+};
+
+TEST(Pace, AnEngineNotSeenYetIsTakenForAMeanOne) {
+  See(fast, 20, 200);
+  DOUBLES_EQUAL(20, er::EventMs(er::EnginePace{}, service, 0), 0.1);
+}
+
+// One sample in a busy moment must not keep work away from an engine.
+TEST(Pace, FewSamplesSayLittle) {
+  See(fast, 20, 200);
+  See(slow, 60, 1);
+  CHECK(er::EventMs(slow, service, 0) < 30);
+  See(slow, 60, 30);
+  CHECK(er::EventMs(slow, service, 0) > 45);
+}
+
+// Engines run many requests when they are seen, and their number differs. What
+// is learned is the engine, not the load of that moment.
+TEST(Pace, TheLoadOfTheMomentIsTakenOut) {
+  See(fast, 20 * (1 + 10 * er::kPacePerRunning), 50, 10);
+  DOUBLES_EQUAL(20, er::EventMs(fast, service, 0), 0.1);
+  DOUBLES_EQUAL(20 * (1 + 4 * er::kPacePerRunning),
+                er::EventMs(fast, service, 4), 0.1);
+}
+
+// An engine turns slow in the middle of a day.
+TEST(Pace, AnEngineThatTurnsSlowIsKnownWithinSeconds) {
+  See(fast, 20, 200);
+  See(slow, 20, 200);
+  See(slow, 100, 20);  // Four streams of forty events.
+  CHECK(er::EventMs(slow, service, 0) > 2 * er::EventMs(fast, service, 0));
+}
+
+TEST(Pace, TheLengthOfStreamsIsLearnedByRoute) {
+  DOUBLES_EQUAL(er::kEventsUnknown, er::EventsExpected(service, "chat"), 0);
+  for (int i = 0; i < 200; ++i) er::OnStreamEnded(service, "chat", 50);
+  for (int i = 0; i < 200; ++i) er::OnStreamEnded(service, "tag", 3);
+  DOUBLES_EQUAL(50, er::EventsExpected(service, "chat"), 0.1);
+  DOUBLES_EQUAL(3, er::EventsExpected(service, "tag"), 0.1);
+}
--- /dev/null
+++ b/routing/tests/sides_test.cc
@@ -0,0 +1,146 @@
+#include "egretladder/routing/sides.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "egretladder/kernel/hash.h"
+
+using namespace std::chrono_literals;
+namespace er = egretladder::routing;
+namespace ek = egretladder::kernel;
+
+namespace {
+
+constexpr er::Time kStart{std::chrono::hours(1)};
+constexpr std::size_t kNodes = 78;
+
+er::Demand LongPrompt() {
+  er::Demand demand;
+  demand.parts = {{1, 5000}, {2, 6600}};
+  demand.prompt_tokens = 11'600;
+  demand.events = 42;
+  return demand;
+}
+
+er::Demand TightStream() {
+  er::Demand demand;
+  demand.parts = {{3, 200}, {4, 600}};
+  demand.prompt_tokens = 800;
+  demand.events = 32;
+  demand.tight = true;
+  return demand;
+}
+
+}  // namespace
+
+TEST_GROUP(Sides) {
+  ek::Random random{11};
+  er::ServicePace pace;
+  std::vector<er::SideMeter> meters{kNodes};
+  std::vector<er::AgreedDemand> agreed{kNodes};
+  er::Time now = kStart;
+
+  // Requests of so many a second in all, each at a node drawn at random.
+  void Arrive(const er::Demand& demand, double per_second,
+              std::chrono::milliseconds step) {
+    double due = per_second * std::chrono::duration<double>(step).count();
+    while (due > 0 && (due >= 1 || ek::Fraction(random) < due)) {
+      er::OnArrival(meters[ek::Below(random, kNodes)], demand, pace, now);
+      due -= 1;
+    }
+  }
+
+  // Plays the load, with an exchange of each node with a random peer every
+  // 200 ms.
+  void Play(std::chrono::milliseconds time, double tight, double rest,
+            bool exchange = true) {
+    for (const er::Time end = now + time; now < end; now += 10ms) {
+      Arrive(TightStream(), tight, 10ms);
+      Arrive(LongPrompt(), rest, 10ms);
+      if ((now - kStart) % 200ms != 0ms) continue;
+      for (std::size_t i = 0; i < kNodes; ++i) {
+        er::Pull(agreed[i], meters[i], now);
+        if (!exchange) continue;
+        const std::size_t peer = ek::Below(random, kNodes);
+        const er::SideDemand told = agreed[i].mean;
+        er::Agree(agreed[i], agreed[peer].mean);
+        er::Agree(agreed[peer], told);
+      }
+    }
+  }
+
+  std::vector<double> Parts() const {
+    std::vector<double> parts;
+    for (const er::AgreedDemand& one : agreed) {
+      parts.push_back(er::TightPartOf(one.mean));
+    }
+    std::sort(parts.begin(), parts.end());
+    return parts;
+  }
+  double Spread() const {
+    const auto parts = Parts();
+    return parts[kNodes * 9 / 10] - parts[kNodes / 10];
+  }
+  double Middle() const { return Parts()[kNodes / 2]; }
+};
+
+// Each of many nodes sees one or two requests a second of either kind. Going by
+// these alone, nodes would draw the boundary at quite different engines, and
+// those between would get both kinds.
+TEST(Sides, NodesAgreeOnTheBoundary) {
+  Play(8s, 117, 145);
+  CHECK(Spread() < 0.06);  // Five engines of ninety.
+  const double with = Spread();
+  agreed.assign(kNodes, {});
+  meters.assign(kNodes, {});
+  Play(8s, 117, 145, false);
+  CHECK(Spread() > 3 * with);
+}
+
+// Parents ask at twice the rate for some seconds. Engines kept for others by
+// then would leave their questions waiting.
+TEST(Sides, TheBoundaryFollowsABurst) {
+  Play(8s, 117, 145);
+  const double calm = Middle();
+  Play(5s, 280, 145);
+  const double burst = Middle();
+  CHECK(burst > calm + 0.1);
+  Play(6s, 117, 330);
+  CHECK(Middle() < calm - 0.05);
+}
+
+TEST(Sides, ANodeThatStartsTakesWhatItsPeersAgreedOn) {
+  Play(8s, 117, 145);
+  er::AgreedDemand fresh;
+  er::Agree(fresh, agreed.front().mean);
+  DOUBLES_EQUAL(er::TightPartOf(agreed.front().mean),
+                er::TightPartOf(fresh.mean), 0.001);
+}
+
+// A node that knows nothing yet would pull the others' figure to nothing.
+TEST(Sides, ANodeThatKnowsNothingChangesNoFigure) {
+  er::AgreedDemand known;
+  er::Agree(known, {4, 8});
+  er::Agree(known, {});
+  DOUBLES_EQUAL(4, known.mean.tight, 0);
+}
+
+TEST(Sides, EachKindFindsRoomBeforeItsDemandIsKnown) {
+  DOUBLES_EQUAL(er::kTightPartUnknown, er::TightPartOf({}), 0);
+  DOUBLES_EQUAL(er::kTightPartLeast, er::TightPartOf({0, 10}), 0);
+  DOUBLES_EQUAL(er::kTightPartMost, er::TightPartOf({10, 0}), 0);
+}
+
+TEST(Sides, ShortRequestsThatMayPauseGoToBoth) {
+  er::Endpoint endpoint;
+  endpoint.order = 0.1;
+  er::Demand demand = TightStream();
+  demand.tight = false;
+  CHECK(er::IsOnItsSide(endpoint, demand, 0.3));
+  endpoint.order = 0.9;
+  CHECK(er::IsOnItsSide(endpoint, demand, 0.3));
+  CHECK_FALSE(er::IsOnItsSide(endpoint, TightStream(), 0.3));
+  CHECK(er::IsOnItsSide(endpoint, LongPrompt(), 0.3));
+}
