--- a/proxy/tests/settings_test.cc
+++ b/proxy/tests/settings_test.cc
@@ -77,8 +77,7 @@
       kSettings + "[placing]\nwithout = pace,sides\n", "n.ini");
   CHECK(config.has_value());
   LONGS_EQUAL(2, config.value().proxy.placing_without.count());
-  const std::string fault =
-      FaultOf(kSettings + "[placing]\nwithout = pase\n");
+  const std::string fault = FaultOf(kSettings + "[placing]\nwithout = pase\n");
   STRCMP_CONTAINS("placing.without has 'pase'", fault.c_str());
   STRCMP_CONTAINS("pace", fault.c_str());
 }
