Leave a silent engine while another can still be in time; try an absent store less

Cause, engines: work that may be repeated was sent again only after the whole promised time, so that the second answer was late for certain. Half of the promised time, or 2.5 times what is expected, is waited now. Plain services keep the whole time: their work takes most of it.

Two tests: the new one fails with the whole promised time.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -37,6 +37,12 @@
 /// to a first event, and the promised time at least: earlier, a mere queue
 /// would double the load.
 inline constexpr double kPatienceRatio = 2.5;
+/// Where the promise is for a first event, this part of it: what is left is for
+/// the other endpoint. Of parents' questions on a day of lost answers 3 in 100
+/// had their first event 340 ms after they came, with 300 ms promised and
+/// waited for; with half of it, served in time rose from 0.981 to 0.990 of a
+/// calm day's credit. A third gave no more.
+inline constexpr double kPatiencePart = 0.5;
 /// A stream that pauses for this times the longest pause in time, and
 /// `kStallLeast` at least, goes on elsewhere.
 inline constexpr double kStallRatio = 4;
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -187,7 +187,11 @@
                          const routing::Placement& placement) {
   const auto expected = milliseconds(
       static_cast<std::int64_t>(placement.expected_ms * kPatienceRatio));
-  return std::max(call.route->target, expected);
+  const auto least = call.service->generates
+                         ? std::chrono::duration_cast<milliseconds>(
+                               call.route->target * kPatiencePart)
+                         : call.route->target;
+  return std::max(least, expected);
 }
 
 milliseconds StallOf(const Call& call) {
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -40,18 +40,19 @@
                                [&proxy, &reader] { Read(proxy, reader); });
 }
 
-milliseconds LongestBackoff(const Proxy& proxy) {
+// The wait after one more failed call, before its jitter.
+milliseconds NextBackoff(const Proxy& proxy, milliseconds before) {
   const bool first = proxy.rules == nullptr ||
                      routing::IsFirstReader(proxy.members, NowOf(proxy));
-  return first ? kStoreBackoffMost : kStoreBackoffOthers;
+  if (!first) return kStoreBackoffOthers;
+  return before.count() == 0 ? kStoreBackoffFirst
+                             : std::min(2 * before, kStoreBackoffMost);
 }
 
 void OnReadFailed(Proxy& proxy, StoreReader& reader, const std::string& why) {
   reader.reading = false;
   proxy.store_trouble = NowOf(proxy);
-  reader.backoff = reader.backoff.count() == 0
-                       ? kStoreBackoffFirst
-                       : std::min(2 * reader.backoff, LongestBackoff(proxy));
+  reader.backoff = NextBackoff(proxy, reader.backoff);
   // Jittered: all nodes lost the store together.
   const auto jitter = milliseconds(kernel::Below(
       proxy.random, static_cast<std::uint64_t>(reader.backoff.count())));
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -121,8 +121,9 @@
 /// they can read the store or not: the others try it more rarely.
 ///
 /// Load: the store is away, no reader can read, and each node of a large fleet
-/// takes a reader's place. At 78 nodes 4,300 calls were made in an outage of
-/// some seconds, against 1,400 on a day without one.
+/// takes a reader's place. At 78 nodes 4,300 calls were made on a day with two
+/// outages of some seconds, half of them in vain, against 1,400 on days
+/// without.
 bool IsFirstReader(const Members& members, Time now);
 
 /// Addresses for a caller in `zone`: nodes that are there, this one last
