--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -54,6 +54,8 @@
 /// A prompt longer than this, in tokens, is read in several parts.
 inline constexpr std::uint32_t kLongPrompt = 4096;
 /// Below so many engines they are not divided: one of them is too large a part.
+/// With a division into halves at nine engines a calm day's worth fell from
+/// 0.87 to 0.83.
 inline constexpr std::size_t kSplitLeast = 24;
 /// How long a prompt part is expected to stay in an engine's memory after its
 /// last use here.
@@ -80,7 +82,9 @@
 /// exchanges a second average it over the fleet meanwhile.
 inline constexpr milliseconds kSidePull{1500};
 /// Room for tight streams beyond their mean demand, as a factor: one engine of
-/// theirs that is full costs more than one of the others.
+/// theirs that is full costs more than one of the others. On a day of bursts at
+/// 90 engines 1.8 gave tight streams 0.82 of their credit and long prompts
+/// 0.49, 1.3 gave 0.80 and 0.61, and 1.15 0.73 and 0.65 (one run each).
 inline constexpr double kTightMargin = 1.15;
 /// Requests that an engine runs side by side on either side of the division.
 inline constexpr double kSideBatch = 12;
@@ -101,19 +105,18 @@
 inline constexpr double kEventMsUnknown = 25;
 /// Events of a stream until one of its route ended.
 inline constexpr double kEventsUnknown = 32;
-/// Weight of the newest sample in an engine's pace. A sample spans some events;
-/// ten make up two thirds.
+/// Events between two samples of one stream.
+inline constexpr std::uint64_t kPaceEvery = 8;
+/// Weight of the newest sample in an engine's pace. Ten make up two thirds.
 inline constexpr double kPaceWeight = 0.1;
-/// Samples as which the service's mean counts beside an engine's own.
-inline constexpr double kPacePriorSamples = 5;
-/// Samples of one engine that count; it may change.
-inline constexpr double kPaceSamplesMost = 30;
 /// The same in the pace of a service: all its engines add to it.
 inline constexpr double kPaceWeightOfService = 0.02;
 /// The same in the length of a route's streams; they differ by a factor of two.
 inline constexpr double kEventsWeight = 0.05;
-/// Events between two samples of one stream.
-inline constexpr std::uint64_t kPaceEvery = 8;
+/// Samples as which the service's mean counts beside an engine's own.
+inline constexpr double kPacePriorSamples = 5;
+/// Samples of one engine that count; it may change.
+inline constexpr double kPaceSamplesMost = 30;
 
 // --- Trust in an endpoint (endpoints.h) ---
 
--- a/routing/include/egretladder/routing/place.h
+++ b/routing/include/egretladder/routing/place.h
@@ -1,5 +1,5 @@
 // Where a request goes: the endpoint at which its first event is expected
-// soonest.
+// soonest, and a stream that must not pause also ends soonest.
 //
 // Load: long prompts of which most is shared. An engine that still holds the
 // shared part starts within tens of milliseconds, one that doesn't reads it
--- a/routing/include/egretladder/routing/place_cost.h
+++ b/routing/include/egretladder/routing/place_cost.h
@@ -1,5 +1,5 @@
 // What sending a request to an endpoint costs, term by term, in milliseconds:
-// the request's own wait and length, and what it adds to those that run there.
+// its wait for the first event, and for a tight stream its length as well.
 //
 // Each term is a function in one table and can be switched off by a setting, so
 // that its worth can be measured on any load.
--- a/routing/tests/place_test.cc
+++ b/routing/tests/place_test.cc
@@ -128,6 +128,20 @@
   CHECK(Choose(Plain()).endpoint == set.by_id["near"]);
 }
 
+// An engine with free slots reads a long prompt of a lower rank. It reads on to
+// the end, and a parent's question behind it has its first event late.
+TEST(Place, AQuestionDoesNotWaitBehindAPromptThatIsBeingRead) {
+  Add("reading", "a");
+  Add("idle", "b");
+  At("reading").waiting_tokens[2] = 50'000;
+  CHECK(Choose(Tight(1)).endpoint == set.by_id["idle"]);
+  // With all slots taken the engine admits by rank: the question goes first.
+  At("reading").in_flight = 16;
+  At("idle").in_flight = 30;
+  At("idle").waiting_tokens[0] = 50'000;
+  CHECK(Choose(Tight(1)).endpoint == set.by_id["reading"]);
+}
+
 // An endpoint fails its requests at once. It looks idle, and without a price on
 // failures it would draw all work and fail it.
 TEST(Place, AnEndpointThatFailsLosesItsWork) {
