Wait the whole promised time where a second engine would read a long prompt

Cause: with half of the promised time for all generations, streams with prompts of 9,000 and 17,000 tokens were sent to a second engine too early, which read them anew.

Change: half of it for prompts up to 4,096 tokens.

--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -187,10 +187,11 @@
                          const routing::Placement& placement) {
   const auto expected = milliseconds(
       static_cast<std::int64_t>(placement.expected_ms * kPatienceRatio));
-  const auto least = call.service->generates
-                         ? std::chrono::duration_cast<milliseconds>(
-                               call.route->target * kPatiencePart)
-                         : call.route->target;
+  const bool cheap =
+      call.service->generates && !routing::IsLongPrompt(call.demand);
+  const auto least = cheap ? std::chrono::duration_cast<milliseconds>(
+                                 call.route->target * kPatiencePart)
+                           : call.route->target;
   return std::max(least, expected);
 }
 
