Let a node that starts keep the demand that it took from a peer

Cause, found on reading: Pull measured the time since its last call, which for a node that had its first figure from a peer was the time since the clock's zero, so that it went to its own demand of nothing at once and divided the engines by the standard quarter (0.25 where 0.365 was agreed).

Ruled out: Agree, which leaves out peers that know nothing.

Change: the time counts from the first call. The new test gave 0.25 before and passes now; the others as before.

--- a/routing/src/sides.cc
+++ b/routing/src/sides.cc
@@ -64,6 +64,8 @@
     agreed.pulled = now;
     return;
   }
+  // A figure taken from a peer counts from here on.
+  if (agreed.pulled == Time{}) agreed.pulled = now;
   const std::chrono::duration<double, std::milli> since = now - agreed.pulled;
   agreed.pulled = now;
   const double part =
--- a/routing/tests/sides_test.cc
+++ b/routing/tests/sides_test.cc
@@ -119,6 +119,21 @@
                 er::TightPartOf(fresh.mean), 0.001);
 }
 
+// It has seen no request by the time of its own next exchange. Pulled to that
+// at once, it would send long prompts to a quarter of the engines that the
+// others keep for tight streams.
+TEST(Sides, ANodeThatStartsKeepsWhatItTookUntilItHasMeasured) {
+  Play(8s, 117, 145);
+  const double part = er::TightPartOf(agreed.front().mean);
+  er::AgreedDemand fresh;
+  er::Agree(fresh, agreed.front().mean);
+  const er::SideMeter idle;
+  er::Pull(fresh, idle, now);
+  er::Pull(fresh, idle, now + 200ms);
+  DOUBLES_EQUAL(part, er::TightPartOf(fresh.mean), 0.001);
+  CHECK(fresh.mean.tight > agreed.front().mean.tight / 2);
+}
+
 // A node that knows nothing yet would pull the others' figure to nothing.
 TEST(Sides, ANodeThatKnowsNothingChangesNoFigure) {
   er::AgreedDemand known;
