Show what a stopping node takes, and what it cuts

Cause: the log of a node said that it left and how many calls it cut, but neither which, nor how late they had come, nor whether that was to be expected. A stream cut since it was taken too late looked like one that only ran long, and answers that no caller had taken were not counted.

Change: one line for each request that is sent while the node stops (time since the stop began, what is left, its deadline, the expected time to its whole answer), one for each that ends with the process (in its answer, outcome unknown, not run; events so far and expected), counters of both, and the answers untaken at the end. No decision changes. The parts of a stop stand in a file of their own.

--- a/proxy/include/egretladder/proxy/proxy.h
+++ b/proxy/include/egretladder/proxy/proxy.h
@@ -55,6 +55,8 @@
 void Leave(Proxy& proxy);
 /// True when a leaving node may end.
 bool MayEnd(const Proxy& proxy);
+/// Logs each request that ends with the process, and why it is cut.
+void LogEnd(Proxy& proxy);
 /// New seeds from changed settings.
 void SetSeeds(Proxy& proxy, const std::vector<std::string>& seeds);
 
@@ -73,6 +75,7 @@
   std::size_t nodes = 1;    ///< There, this one included.
   std::size_t calls = 0;    ///< In progress.
   std::size_t waiting = 0;  ///< Of these, without an endpoint.
+  std::size_t untaken = 0;  ///< Answers that callers have not taken yet.
   bool ready_now = false;
 };
 ProxyView ViewOf(Proxy& proxy);
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -71,8 +71,7 @@
 }
 
 void OnTimeout(Proxy& proxy, const CallPtr& call) {
-  const bool may_have_run = call->may_have_run > 0 ||
-                            (call->attempt != nullptr && call->attempt->left);
+  const bool may_have_run = WasSent(*call);
   DropAttempt(proxy, call);
   if (call->caller->begun()) {
     call->caller->Break();
@@ -268,6 +267,7 @@
   }
   StopWaiting(proxy, call);
   if (verdict == routing::AdmitVerdict::kSend) {
+    LogMetStop(proxy, *call, placement);
     StartAttempt(proxy, call, placement, fleet);
     return;
   }
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -107,14 +107,6 @@
   return self;
 }
 
-// A call is over for the node when its last byte is handed to the connection.
-// A process that ended then would cut answers that endpoints ran to their end:
-// callers see a stream without its last chunk.
-bool AreAnswersTaken(const Proxy& proxy) {
-  return proxy.callers->untaken() == 0 && proxy.directory->untaken() == 0 &&
-         proxy.ready->untaken() == 0;
-}
-
 }  // namespace
 
 void ProxyDelete::operator()(Proxy* proxy) const {
@@ -165,22 +157,6 @@
   return proxy;
 }
 
-void Leave(Proxy& proxy) {
-  proxy.leaving = true;
-  proxy.leaving_since = NowOf(proxy);
-  proxy.members.self.leaving = true;
-  proxy.callers->CloseAfterAnswers();
-  TellMany(proxy);
-}
-
-bool MayEnd(const Proxy& proxy) {
-  if (!proxy.leaving) return false;
-  const auto since = NowOf(proxy) - proxy.leaving_since;
-  if (since >= proxy.options.grace - kStopMargin) return true;
-  return since >= kTakeWhileLeaving && proxy.calls.empty() &&
-         AreAnswersTaken(proxy);
-}
-
 void SetSeeds(Proxy& proxy, const std::vector<std::string>& seeds) {
   proxy.members.seeds = seeds;
 }
@@ -201,6 +177,7 @@
   view.nodes = routing::PartOf(proxy.members, NowOf(proxy)).names.size();
   view.calls = proxy.calls.size();
   view.waiting = proxy.waiting.size();
+  view.untaken = UntakenOf(proxy);
   view.ready_now = IsReady(proxy);
   return view;
 }
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -25,6 +25,7 @@
 #include "egretladder/routing/place.h"
 #include "egretladder/routing/retry_share.h"
 #include "egretladder/routing/sides.h"
+#include "egretladder/routing/stop_take.h"
 #include "egretladder/routing/suspects.h"
 
 namespace egretladder::proxy {
@@ -209,6 +210,22 @@
 /// The caller has its end; forgets the call.
 void EndCall(Proxy& proxy, const CallPtr& call, const char* outcome);
 
+/// True when an endpoint may run the request, or may have.
+inline bool WasSent(const Call& call) {
+  return call.may_have_run > 0 ||
+         (call.attempt != nullptr && call.attempt->left);
+}
+
+// stop.cc
+/// Answers that callers have not taken yet.
+std::size_t UntakenOf(const Proxy& proxy);
+/// Time since the stop began.
+milliseconds StoppingFor(const Proxy& proxy);
+/// Says of a request that is sent by a node that stops what it is expected to
+/// take, and what is left.
+void LogMetStop(Proxy& proxy, const Call& call,
+                const routing::Placement& placement);
+
 // attempts.cc
 void StartAttempt(Proxy& proxy, const CallPtr& call,
                   const routing::Placement& placement,
