--- a/gateway/main/front_hosts.cc
+++ b/gateway/main/front_hosts.cc
@@ -59,9 +59,8 @@
     ep::Leave(proxy_);
     end_ = ek::Every(loop_, kEndCheck, [this] {
       if (!ep::MayEnd(proxy_)) return;
-      ep::LogEnd(proxy_);
       Say(ek::LogLevel::kInfo, "left",
-          {{"calls_cut", ep::ViewOf(proxy_).calls},
+          {{"calls_cut", ep::ViewOf(proxy_).cut},
            {"answers_untaken", ep::ViewOf(proxy_).untaken}});
       ek::StopLoop(loop_);
     });
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -65,35 +65,6 @@
     {"stop", "linger", SettingKind::kDuration, "5s", false, kDurationExpected},
 }};
 
-// Faults that need more than one value, or another part's knowledge.
-class Checker {
- public:
-  Checker(const std::string& text, std::string_view file,
-          std::vector<kernel::Error>& faults)
-      : file_(file), faults_(faults) {
-    auto entries = kernel::ReadIni(text, file);
-    if (entries) entries_ = std::move(entries).value();
-  }
-
-  void Fault(std::string_view section, std::string_view key,
-             const std::string& detail) {
-    const auto at = std::find_if(
-        entries_.begin(), entries_.end(), [&](const kernel::IniEntry& entry) {
-          return entry.section == section && entry.key == key;
-        });
-    const std::uint32_t line = at == entries_.end() ? 0 : at->line;
-    faults_.push_back(kernel::MakeError(
-        kernel::ErrorCode::kInvalidInput, "read settings",
-        file_ + ":" + std::to_string(line),
-        std::string(section) + "." + std::string(key) + " " + detail));
-  }
-
- private:
-  std::string file_;
-  std::vector<kernel::Error>& faults_;
-  std::vector<kernel::IniEntry> entries_;
-};
-
 bool IsName(const std::string& text) {
   return !text.empty() &&
          std::all_of(text.begin(), text.end(), [](unsigned char c) {
@@ -105,7 +76,7 @@
   return text.empty() ? other : text;
 }
 
-void ReadNode(const kernel::Settings& settings, Checker& checker,
+void ReadNode(const kernel::Settings& settings, kernel::SettingsChecker& checker,
               GatewayOptions& options) {
   const auto text = [&settings](const char* key) {
     return kernel::TextOf(settings, "node", key);
@@ -145,7 +116,7 @@
   options.node.lane_secret = text("lane_secret");
 }
 
-void ReadLimits(const kernel::Settings& settings, Checker& checker,
+void ReadLimits(const kernel::Settings& settings, kernel::SettingsChecker& checker,
                 Limits& limits) {
   const auto bytes = [&settings](const char* key) {
     return kernel::BytesOf(settings, "limits", key);
@@ -172,7 +143,7 @@
   limits.drain_time = time("drain_time");
 }
 
-void ReadTls(const kernel::Settings& settings, Checker& checker,
+void ReadTls(const kernel::Settings& settings, kernel::SettingsChecker& checker,
              TlsOptions& tls) {
   tls.certificate = kernel::TextOf(settings, "tls", "certificate");
   tls.key = kernel::TextOf(settings, "tls", "key");
@@ -182,7 +153,7 @@
   }
 }
 
-void ReadLog(const kernel::Settings& settings, Checker& checker,
+void ReadLog(const kernel::Settings& settings, kernel::SettingsChecker& checker,
              NodeConfig& config) {
   const std::string& format = kernel::TextOf(settings, "log", "format");
   if (const auto read = kernel::ParseLogFormat(format)) {
@@ -200,7 +171,7 @@
   }
 }
 
-void ReadStop(const kernel::Settings& settings, Checker& checker,
+void ReadStop(const kernel::Settings& settings, kernel::SettingsChecker& checker,
               NodeConfig& config) {
   config.stop_time = kernel::DurationOf(settings, "stop", "time");
   const auto linger = kernel::DurationOf(settings, "stop", "linger");
@@ -227,7 +198,7 @@
                                           std::vector<kernel::Error>* faults) {
   BOOST_OUTCOME_TRY(settings, kernel::ReadSettings(text, file, kSpecs, faults));
   std::vector<kernel::Error> found;
-  Checker checker(text, file, found);
+  kernel::SettingsChecker checker(text, file, found);
   NodeConfig config;
   ReadNode(settings, checker, config.gateway);
   config.gateway.platform = kernel::TextOf(settings, "platform", "address");
--- a/kernel/include/egretladder/kernel/settings.h
+++ b/kernel/include/egretladder/kernel/settings.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "egretladder/kernel/error.h"
+#include "egretladder/kernel/ini.h"
 
 namespace egretladder::kernel {
 
@@ -50,6 +51,24 @@
 /// One line for each setting: section, key, standard value, what is expected.
 std::string DescribeSettings(std::span<const SettingSpec> specs);
 
+/// Collects faults of values that are valid each, but not together or not for
+/// the part that reads them. Each names file, line and key.
+class SettingsChecker {
+ public:
+  /// `text` is what was read from `file`; `faults` outlives the checker.
+  SettingsChecker(const std::string& text, std::string_view file,
+                  std::vector<Error>& faults);
+
+  /// `detail` follows the name of the setting, as in "is 0".
+  void Fault(std::string_view section, std::string_view key,
+             const std::string& detail);
+
+ private:
+  std::string file_;
+  std::vector<Error>& faults_;
+  std::vector<IniEntry> entries_;
+};
+
 /// Splits a list of values at commas; blanks are dropped.
 std::vector<std::string> SplitList(const std::string& text);
 
--- a/kernel/src/settings.cc
+++ b/kernel/src/settings.cc
@@ -171,6 +171,25 @@
   return text;
 }
 
+SettingsChecker::SettingsChecker(const std::string& text, std::string_view file,
+                                 std::vector<Error>& faults)
+    : file_(file), faults_(faults) {
+  auto entries = ReadIni(text, file);
+  if (entries) entries_ = std::move(entries).value();
+}
+
+void SettingsChecker::Fault(std::string_view section, std::string_view key,
+                            const std::string& detail) {
+  const auto at = std::find_if(
+      entries_.begin(), entries_.end(), [&](const IniEntry& entry) {
+        return entry.section == section && entry.key == key;
+      });
+  const std::uint32_t line = at == entries_.end() ? 0 : at->line;
+  faults_.push_back(MakeError(ErrorCode::kInvalidInput, "read settings",
+                              file_ + ":" + std::to_string(line),
+                              NameOf(section, key) + " " + detail));
+}
+
 std::vector<std::string> SplitList(const std::string& text) {
   std::vector<std::string> items;
   std::size_t at = 0;
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -62,15 +62,16 @@
 
 // --- The node ---
 
-/// Callers keep the list of addresses this long. Some keep it three times as
-/// long as told: a leaving node must take requests until then, and finish them
-/// within its grace.
-inline constexpr milliseconds kDirectoryKeep{1000};
-/// How long a leaving node takes requests. One that comes later is refused as
-/// not run, since it might be cut at the end.
-inline constexpr milliseconds kTakeWhileLeaving{3200};
-/// Before the end of the grace for a stop, when what is left is cut.
+/// Times as long as told that some callers keep the list of addresses.
+inline constexpr int kDirectoryKeptTimes = 3;
+/// After that, for what callers sent last to arrive at a node that stops.
+inline constexpr milliseconds kStopSettle{200};
+/// Before the end of the grace time, when requests in progress are ended and
+/// told so. Their answers need time to reach callers.
 inline constexpr milliseconds kStopMargin{700};
+/// Before the end of the grace time, when the process ends itself. A loop that
+/// is late must not be killed first.
+inline constexpr milliseconds kExitMargin{200};
 /// Housekeeping, and how a pause of the process is noticed.
 inline constexpr milliseconds kTick{100};
 /// Longer between two ticks: the process was paused.
--- a/proxy/include/egretladder/proxy/proxy.h
+++ b/proxy/include/egretladder/proxy/proxy.h
@@ -11,6 +11,7 @@
 #include "egretladder/kernel/error.h"
 #include "egretladder/kernel/loop.h"
 #include "egretladder/kernel/metrics.h"
+#include "egretladder/policy/stopping.h"
 #include "egretladder/routing/endpoints.h"
 #include "egretladder/routing/retry_share.h"
 
@@ -36,6 +37,8 @@
   std::size_t descriptors = 4096;
   /// From SIGTERM until the process must be gone.
   std::chrono::milliseconds grace{8000};
+  /// How long callers are told to keep the list of addresses.
+  std::chrono::milliseconds directory_keep{1000};
 };
 
 struct Proxy;
@@ -51,12 +54,14 @@
 kernel::Result<ProxyPtr> StartProxy(kernel::Loop& loop,
                                     const ProxyOptions& options);
 
+/// The stop that these settings ask for.
+policy::StopPlan StopPlanOf(const ProxyOptions& options);
 /// Begins a graceful stop: out of the directory at once, calls go to their end.
+/// Later calls change nothing.
 void Leave(Proxy& proxy);
-/// True when a leaving node may end.
-bool MayEnd(const Proxy& proxy);
-/// Logs each request that ends with the process, and why it is cut.
-void LogEnd(Proxy& proxy);
+/// Ends what a leaving node can't finish, once its time is up. True when the
+/// process may end.
+bool MayEnd(Proxy& proxy);
 /// New seeds from changed settings.
 void SetSeeds(Proxy& proxy, const std::vector<std::string>& seeds);
 
@@ -75,6 +80,7 @@
   std::size_t nodes = 1;    ///< There, this one included.
   std::size_t calls = 0;    ///< In progress.
   std::size_t waiting = 0;  ///< Of these, without an endpoint.
+  std::size_t cut = 0;      ///< Ended by the stop before their answers.
   std::size_t untaken = 0;  ///< Answers that callers have not taken yet.
   bool ready_now = false;
 };
--- a/proxy/src/answers.cc
+++ b/proxy/src/answers.cc
@@ -66,7 +66,8 @@
   const auto addresses =
       routing::AddressesFor(proxy.members, zone, proxy.random, NowOf(proxy));
   AnswerText(caller, kOk, "application/json",
-             proxy.dialect->directory_body(addresses, kDirectoryKeep));
+             proxy.dialect->directory_body(
+                 addresses, proxy.options.directory_keep));
 }
 
 void AnswerReady(Proxy& proxy, const net::HttpCallPtr& caller) {
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -17,7 +17,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr milliseconds kNotReadyRetry{300};
-constexpr milliseconds kLeavingRetry{20};
 
 // A request that ends before it is a call.
 void Reject(Proxy& proxy, const net::HttpCallPtr& caller, int status,
@@ -71,15 +70,8 @@
 }
 
 void OnTimeout(Proxy& proxy, const CallPtr& call) {
-  const bool may_have_run = WasSent(*call);
-  DropAttempt(proxy, call);
-  if (call->caller->begun()) {
-    call->caller->Break();
-    EndCall(proxy, call, "cut-at-deadline");
-    return;
-  }
-  RefuseCall(proxy, call, may_have_run ? kGatewayTimeout : kUnavailable,
-             "timeout", {});
+  GiveUp(proxy, call, kGatewayTimeout,
+         call->caller->begun() ? "cut-at-deadline" : "timeout", {});
 }
 
 void OnCallerGone(Proxy& proxy, const CallPtr& call) {
@@ -122,16 +114,15 @@
 
 // Whether this node takes requests now; else the caller has its answer.
 bool IsTaking(Proxy& proxy, const net::HttpCallPtr& caller) {
-  const Time now = NowOf(proxy);
-  if (proxy.leaving && now - proxy.leaving_since >= kTakeWhileLeaving) {
+  if (!IsTakingAny(proxy)) {
     Reject(proxy, caller, kUnavailable, "leaving", "this node is leaving",
            kLeavingRetry);
     return false;
   }
   if (proxy.rules == nullptr) {
     Reject(proxy, caller, kUnavailable, "not_ready", "no rules are known yet",
-           routing::ComeBackWhenReady(Between(proxy.members.started, now),
-                                      proxy.random));
+           routing::ComeBackWhenReady(
+               Between(proxy.members.started, NowOf(proxy)), proxy.random));
     return false;
   }
   if (!HasRoomForBody(proxy, caller->request().body.size())) {
@@ -267,7 +258,10 @@
   }
   StopWaiting(proxy, call);
   if (verdict == routing::AdmitVerdict::kSend) {
-    LogMetStop(proxy, *call, placement);
+    if (call->may_have_run == 0 && !MayTake(proxy, *call, placement)) {
+      RefuseCall(proxy, call, kUnavailable, "leaving", kLeavingRetry);
+      return;
+    }
     StartAttempt(proxy, call, placement, fleet);
     return;
   }
@@ -311,6 +305,19 @@
   EndCall(proxy, call, code);
 }
 
+void GiveUp(Proxy& proxy, const CallPtr& call, int status_if_sent,
+            const char* code, milliseconds retry_after) {
+  const bool sent = WasSent(*call);
+  DropAttempt(proxy, call);
+  if (call->caller->begun()) {
+    call->caller->Break();
+    EndCall(proxy, call, code);
+    return;
+  }
+  RefuseCall(proxy, call, sent ? status_if_sent : kUnavailable, code,
+             retry_after);
+}
+
 void EndCall(Proxy& proxy, const CallPtr& call, const char* outcome) {
   StopWaiting(proxy, call);
   if (proxy.calls.erase(call->number) == 0) return;
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -24,9 +24,7 @@
   const auto gap = std::chrono::duration_cast<milliseconds>(now - proxy.ticked);
   proxy.ticked = now;
   if (gap > kPaused) OnPaused(proxy, gap);
-  if (proxy.leaving && now - proxy.leaving_since >= kTakeWhileLeaving) {
-    proxy.callers->StopListening();
-  }
+  OnStopTick(proxy);
   for (const std::string& id : routing::DropLapsed(proxy.endpoints, now)) {
     kernel::LogEvent(
         LogPart::kPlatform, LogLevel::kInfo, "endpoint",
@@ -177,6 +175,7 @@
   view.nodes = routing::PartOf(proxy.members, NowOf(proxy)).names.size();
   view.calls = proxy.calls.size();
   view.waiting = proxy.waiting.size();
+  view.cut = proxy.cut;
   view.untaken = UntakenOf(proxy);
   view.ready_now = IsReady(proxy);
   return view;
--- a/proxy/src/settings.cc
+++ b/proxy/src/settings.cc
@@ -6,6 +6,7 @@
 #include "egretladder/kernel/settings.h"
 #include "egretladder/net/address.h"
 #include "egretladder/proxy/dialect.h"
+#include "egretladder/proxy/limits.h"
 #include "egretladder/routing/place_cost.h"
 
 namespace egretladder::proxy {
@@ -16,7 +17,7 @@
 constexpr const char* kAddressExpected = "IP:port";
 constexpr const char* kDurationExpected = "a number with ms, s, m or h";
 
-constexpr std::array<kernel::SettingSpec, 19> kSpecs = {{
+constexpr std::array<kernel::SettingSpec, 20> kSpecs = {{
     {"node", "name", SettingKind::kText, "", true, "the node's name"},
     {"node", "zone", SettingKind::kText, "", true, "an availability zone"},
     {"node", "region", SettingKind::kText, "", false, "a region"},
@@ -42,16 +43,13 @@
      "a number with B, KiB or MiB"},
     {"limits", "descriptors", SettingKind::kCount, "4096", false,
      "a whole number"},
+    {"directory", "keep", SettingKind::kDuration, "1s", false,
+     kDurationExpected},
     {"stop", "grace", SettingKind::kDuration, "8s", false, kDurationExpected},
     {"log", "level", SettingKind::kText, "info", false,
      "debug, info, warning or error"},
 }};
 
-kernel::Error Fault(std::string_view file, const std::string& detail) {
-  return kernel::MakeError(kernel::ErrorCode::kInvalidInput, "read settings",
-                           std::string(file), detail);
-}
-
 void ReadNode(const kernel::Settings& settings, ProxyOptions& options) {
   const auto text = [&settings](const char* section, const char* key) {
     return kernel::TextOf(settings, section, key);
@@ -76,41 +74,59 @@
   options.memory_bytes = kernel::BytesOf(settings, "limits", "memory");
   options.descriptors = kernel::CountOf(settings, "limits", "descriptors");
   options.grace = kernel::DurationOf(settings, "stop", "grace");
+  options.directory_keep = kernel::DurationOf(settings, "directory", "keep");
 }
 
-void ReadPlacing(const kernel::Settings& settings, std::string_view file,
-                 ProxyOptions& options, std::vector<kernel::Error>& faults) {
+void ReadPlacing(const kernel::Settings& settings,
+                 kernel::SettingsChecker& checker, ProxyOptions& options) {
   for (const std::string& name :
        kernel::SplitList(kernel::TextOf(settings, "placing", "without"))) {
     if (const auto mechanism = routing::FindMechanism(name)) {
       options.placing_without.set(static_cast<std::size_t>(*mechanism));
     } else {
-      faults.push_back(Fault(file, "placing.without has '" + name +
-                                       "', expected one of " +
-                                       routing::MechanismNames()));
+      checker.Fault(
+          "placing", "without",
+          "has '" + name + "', expected one of " + routing::MechanismNames());
     }
   }
 }
 
-void Check(const ProxyOptions& options, std::string_view file,
-           std::vector<kernel::Error>& faults) {
+// A grace time that ends while callers still keep the address would cut what
+// they send, with nothing to tell the operator why.
+void CheckStop(const ProxyOptions& options, kernel::SettingsChecker& checker) {
+  if (options.directory_keep.count() == 0) {
+    checker.Fault("directory", "keep", "is 0, expected a time above 0");
+  }
+  const policy::StopPlan plan = StopPlanOf(options);
+  const milliseconds least = policy::ShortestGrace(plan);
+  if (options.grace >= least) return;
+  checker.Fault("stop", "grace",
+                "is " + std::to_string(options.grace.count()) +
+                    "ms, expected " + std::to_string(least.count()) +
+                    "ms or more, as callers keep addresses for " +
+                    std::to_string(plan.addresses_kept.count()) +
+                    "ms with this directory.keep");
+}
+
+void Check(const ProxyOptions& options, kernel::SettingsChecker& checker) {
   for (const std::string& seed : options.seeds) {
     if (net::SplitAddress(seed).second != 0) continue;
-    faults.push_back(Fault(
-        file, "peers.seeds has '" + seed + "', expected " + kAddressExpected));
+    checker.Fault("peers", "seeds",
+                  "has '" + seed + "', expected " + kAddressExpected);
   }
   if (!options.metrics.empty() &&
       net::SplitAddress(options.metrics).second == 0) {
-    faults.push_back(Fault(file, "listen.metrics is '" + options.metrics +
-                                     "', expected " + kAddressExpected));
+    checker.Fault("listen", "metrics",
+                  "is '" + options.metrics + "', expected " + kAddressExpected);
   }
   if (options.retries.window.count() == 0) {
-    faults.push_back(Fault(file, "retries.window is 0"));
+    checker.Fault("retries", "window", "is 0");
   }
   if (kernel::FindPlugin<Dialect>(options.dialect) == nullptr) {
-    faults.push_back(Fault(
-        file, "node.dialect is '" + options.dialect + "', which none has"));
+    checker.Fault("node", "dialect",
+                  "is '" + options.dialect + "', which none has");
   }
+  CheckStop(options, checker);
 }
 
 }  // namespace
@@ -125,13 +141,15 @@
   ReadNode(settings, config.proxy);
   ReadNumbers(settings, config.proxy);
   std::vector<kernel::Error> found;
-  ReadPlacing(settings, file, config.proxy, found);
-  Check(config.proxy, file, found);
+  kernel::SettingsChecker checker(text, file, found);
+  ReadPlacing(settings, checker, config.proxy);
+  Check(config.proxy, checker);
   const std::string& level = kernel::TextOf(settings, "log", "level");
   if (const auto read = kernel::ParseLogLevel(level)) {
     config.log_level = *read;
   } else {
-    found.push_back(Fault(file, "log.level is '" + level + "'"));
+    checker.Fault("log", "level",
+                  "is '" + level + "', expected debug, info, warning or error");
   }
   if (found.empty()) return config;
   const kernel::Error first = found.front();
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -173,6 +173,7 @@
   kernel::Watch exchange_tick;
   bool leaving = false;
   Time leaving_since{};
+  std::size_t cut = 0;  ///< Calls ended by the stop before their answers.
   PeerNetPtr peers;  ///< Last, so that it goes first.
 };
 
@@ -201,6 +202,8 @@
 void Dispatch(Proxy& proxy, const CallPtr& call);
 /// Tries those that wait, in their order.
 void DispatchWaiting(Proxy& proxy);
+/// When a caller should come back that is sent to another node.
+inline constexpr milliseconds kLeavingRetry{20};
 /// Ends the call without an endpoint's answer. `ran`: it may have run.
 void RefuseCall(Proxy& proxy, const CallPtr& call, int status, const char* code,
                 milliseconds retry_after);
@@ -215,16 +218,25 @@
   return call.may_have_run > 0 ||
          (call.attempt != nullptr && call.attempt->left);
 }
+/// Ends the call without a whole answer, as truthfully as its state allows: a
+/// begun answer is broken off, a request that left this node may have run, any
+/// other has not.
+void GiveUp(Proxy& proxy, const CallPtr& call, int status_if_sent,
+            const char* code, milliseconds retry_after);
 
 // stop.cc
 /// Answers that callers have not taken yet.
 std::size_t UntakenOf(const Proxy& proxy);
 /// Time since the stop began.
 milliseconds StoppingFor(const Proxy& proxy);
-/// Says of a request that is sent by a node that stops what it is expected to
-/// take, and what is left.
-void LogMetStop(Proxy& proxy, const Call& call,
-                const routing::Placement& placement);
+/// False once a stop is too far for any request that arrives.
+bool IsTakingAny(const Proxy& proxy);
+/// True unless the node stops and the rest of its grace time can't be expected
+/// to hold the call, which no endpoint has run so far.
+bool MayTake(Proxy& proxy, const Call& call,
+             const routing::Placement& placement);
+/// What a stop needs done as time passes.
+void OnStopTick(Proxy& proxy);
 
 // attempts.cc
 void StartAttempt(Proxy& proxy, const CallPtr& call,
--- a/proxy/src/stop.cc
+++ b/proxy/src/stop.cc
@@ -8,6 +8,13 @@
 
 using kernel::LogLevel;
 using kernel::LogPart;
+using policy::StopPhase;
+
+constexpr int kBadGateway = 502;
+
+StopPhase PhaseNow(const Proxy& proxy) {
+  return policy::PhaseOf(StopPlanOf(proxy.options), StoppingFor(proxy));
+}
 
 void LogCut(Proxy& proxy, const Call& call) {
   const bool begun = call.caller->begun();
@@ -27,8 +34,49 @@
                     {"events_expected", call.demand.events}});
 }
 
+// The grace time holds them no longer. Ended here, each caller learns what
+// became of its request; ended with the process, all would see a connection
+// that closes.
+void CutCalls(Proxy& proxy) {
+  std::vector<CallPtr> calls;
+  calls.reserve(proxy.calls.size());
+  for (const auto& [number, call] : proxy.calls) calls.push_back(call);
+  for (const CallPtr& call : calls) {
+    LogCut(proxy, *call);
+    ++proxy.cut;
+    GiveUp(proxy, call, kBadGateway, "cut_by_stop", kLeavingRetry);
+  }
+}
+
+void LogTake(Proxy& proxy, const Call& call, const routing::StopAsk& ask,
+             routing::StopVerdict verdict) {
+  Count(proxy, "egretladder_stop_requests_total",
+        "Requests that met a node that stops, by what was decided.",
+        std::string("verdict=\"") + routing::NameOf(verdict) + "\"");
+  kernel::LogEvent(
+      LogPart::kRoute, LogLevel::kInfo, "met-stop",
+      {{"req", call.facts.id},
+       {"verdict", routing::NameOf(verdict)},
+       {"stop_ms", ask.since},
+       {"left_ms",
+        policy::LeftForWork(StopPlanOf(proxy.options), ask.since)},
+       {"deadline_ms", ask.deadline},
+       {"expected_ms", ask.expected},
+       {"route", call.route->name}});
+}
+
 }  // namespace
 
+policy::StopPlan StopPlanOf(const ProxyOptions& options) {
+  policy::StopPlan plan;
+  plan.addresses_kept = options.directory_keep * kDirectoryKeptTimes;
+  plan.settle = kStopSettle;
+  plan.grace = options.grace;
+  plan.cut_margin = kStopMargin;
+  plan.exit_margin = kExitMargin;
+  return plan;
+}
+
 // A call is over for the node when its last byte is handed to the connection.
 // A process that ended then would cut answers that endpoints ran to their end:
 // callers see a stream without its last chunk.
@@ -41,24 +89,36 @@
   return Between(proxy.leaving_since, NowOf(proxy));
 }
 
-void LogMetStop(Proxy& proxy, const Call& call,
-                const routing::Placement& placement) {
+bool IsTakingAny(const Proxy& proxy) {
+  if (!proxy.leaving) return true;
+  const StopPhase phase = PhaseNow(proxy);
+  return phase == StopPhase::kTaking || phase == StopPhase::kSettling;
+}
+
+bool MayTake(Proxy& proxy, const Call& call,
+             const routing::Placement& placement) {
+  if (!proxy.leaving) return true;
+  routing::StopAsk ask;
+  ask.arrived = Between(proxy.leaving_since, call.arrived);
+  ask.since = StoppingFor(proxy);
+  ask.deadline = Between(NowOf(proxy), call.deadline) + kDeadlineMargin;
+  ask.expected =
+      routing::ExpectedWhole(proxy.endpoints, call.demand, placement);
+  const routing::StopVerdict verdict =
+      routing::DecideTake(StopPlanOf(proxy.options), ask);
+  LogTake(proxy, call, ask, verdict);
+  return routing::IsTaken(verdict);
+}
+
+void OnStopTick(Proxy& proxy) {
   if (!proxy.leaving) return;
-  const milliseconds since = StoppingFor(proxy);
-  Count(proxy, "egretladder_stop_requests_total",
-        "Requests that met a node that stops.", "");
-  kernel::LogEvent(
-      LogPart::kRoute, LogLevel::kInfo, "met-stop",
-      {{"req", call.facts.id},
-       {"stop_ms", since},
-       {"left_ms", proxy.options.grace - kStopMargin - since},
-       {"deadline_ms", Between(NowOf(proxy), call.deadline)},
-       {"expected_ms",
-        routing::ExpectedWhole(proxy.endpoints, call.demand, placement)},
-       {"route", call.route->name}});
+  const StopPhase phase = PhaseNow(proxy);
+  if (phase >= StopPhase::kFinishing) proxy.callers->StopListening();
+  if (phase >= StopPhase::kCutting) CutCalls(proxy);
 }
 
 void Leave(Proxy& proxy) {
+  if (proxy.leaving) return;
   proxy.leaving = true;
   proxy.leaving_since = NowOf(proxy);
   proxy.members.self.leaving = true;
@@ -66,16 +126,11 @@
   TellMany(proxy);
 }
 
-bool MayEnd(const Proxy& proxy) {
+bool MayEnd(Proxy& proxy) {
   if (!proxy.leaving) return false;
-  const milliseconds since = StoppingFor(proxy);
-  if (since >= proxy.options.grace - kStopMargin) return true;
-  return since >= kTakeWhileLeaving && proxy.calls.empty() &&
-         UntakenOf(proxy) == 0;
-}
-
-void LogEnd(Proxy& proxy) {
-  for (const auto& [number, call] : proxy.calls) LogCut(proxy, *call);
+  OnStopTick(proxy);
+  return policy::MayExit(PhaseNow(proxy),
+                         proxy.calls.empty() && UntakenOf(proxy) == 0);
 }
 
 }  // namespace egretladder::proxy
--- a/proxy/tests/settings_test.cc
+++ b/proxy/tests/settings_test.cc
@@ -90,3 +90,22 @@
   CHECK(config.has_value());
   CHECK(config.value().proxy.retries.window == 10s);
 }
+
+// An operator gives nodes three seconds to stop, while callers keep addresses
+// as long. Each stop would cut requests, and nothing would say why; the
+// settings are refused before that, with the place to change.
+TEST(ProxySettings, AGraceThatCallersOutlastIsRefused) {
+  STRCMP_CONTAINS(
+      "n.ini:23: stop.grace is 3000ms, expected 3900ms or more, as callers "
+      "keep addresses for 3000ms with this directory.keep",
+      FaultOf(With("grace = 8s", "grace = 3s")).c_str());
+  STRCMP_CONTAINS(
+      "stop.grace is 8000ms, expected 15900ms or more",
+      FaultOf(With("[stop]", "[directory]\nkeep = 5s\n[stop]")).c_str());
+  STRCMP_CONTAINS(
+      "directory.keep is 0",
+      FaultOf(With("[stop]", "[directory]\nkeep = 0s\n[stop]")).c_str());
+  CHECK(ep::ReadProxyConfig(
+            With("grace = 8s", "grace = 3s\n[directory]\nkeep = 500ms"), "n.ini")
+            .has_value());
+}
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -230,6 +230,13 @@
 /// As above.
 inline constexpr milliseconds kReadyRetryMost{1500};
 
+// --- Stopping (stop_take.h) ---
+
+/// A node that stops takes a request whose end is only estimated if this many
+/// times the estimate is left. How long an answer gets is not known before; one
+/// in twenty has three times the mean.
+inline constexpr int kStopDoubt = 3;
+
 // --- Members (members.h) ---
 
 /// A fleet up to this size is small: every node tells its load and reads the
--- a/routing/include/egretladder/routing/stop_take.h
+++ b/routing/include/egretladder/routing/stop_take.h
@@ -1,11 +1,46 @@
-// What a request that meets a node that stops is expected to take.
+// Whether a node that stops still takes a request.
+//
+// Load: planned stops while long streams run. Callers keep this node's address
+// for seconds after it began to stop. A node that takes whatever they send
+// takes streams that the rest of its grace time can't hold, and cuts them in
+// the middle; their callers lose work that ran. Refused as not run, a caller
+// has its answer from another node some milliseconds later. So a request is
+// taken only if it ends in time: for certain by its deadline, or else as far as
+// can be expected.
 #pragma once
 
+#include <cstdint>
+
+#include "egretladder/policy/stopping.h"
 #include "egretladder/routing/endpoints.h"
 #include "egretladder/routing/place.h"
 
 namespace egretladder::routing {
 
+/// What is decided for one request at a node that stops.
+enum class StopVerdict : std::uint8_t {
+  kEndsByDeadline,  ///< Taken: its deadline comes before the node's end.
+  kExpectedInTime,  ///< Taken: it is expected to end well before.
+  kTooLong,         ///< Refused: it may be cut.
+  kTooLate,         ///< Refused: no caller should send here any more.
+};
+/// As logs show it.
+const char* NameOf(StopVerdict verdict);
+
+/// True for the two by which a request is taken.
+bool IsTaken(StopVerdict verdict);
+
+/// What the decision depends on.
+struct StopAsk {
+  milliseconds arrived{};   ///< From the stop's begin; below 0: before it.
+  milliseconds since{};     ///< Since the stop began.
+  milliseconds deadline{};  ///< Until the request is ended anyway.
+  milliseconds expected{};  ///< Until its whole answer.
+};
+
+/// Decides.
+StopVerdict DecideTake(const policy::StopPlan& plan, const StopAsk& ask);
+
 /// Expected time to the whole answer at the endpoint that was found.
 milliseconds ExpectedWhole(const EndpointSet& set, const Demand& demand,
                            const Placement& placement);
--- a/routing/src/stop_take.cc
+++ b/routing/src/stop_take.cc
@@ -5,6 +5,39 @@
 
 namespace egretladder::routing {
 
+const char* NameOf(StopVerdict verdict) {
+  switch (verdict) {
+    case StopVerdict::kEndsByDeadline:
+      return "ends-by-deadline";
+    case StopVerdict::kExpectedInTime:
+      return "expected-in-time";
+    case StopVerdict::kTooLong:
+      return "too-long";
+    case StopVerdict::kTooLate:
+      return "too-late";
+  }
+  return "unknown";
+}
+
+bool IsTaken(StopVerdict verdict) {
+  return verdict == StopVerdict::kEndsByDeadline ||
+         verdict == StopVerdict::kExpectedInTime;
+}
+
+StopVerdict DecideTake(const policy::StopPlan& plan, const StopAsk& ask) {
+  const policy::StopPhase phase = policy::PhaseOf(plan, ask.arrived);
+  const milliseconds left = policy::LeftForWork(plan, ask.since);
+  const bool may_take = phase == policy::StopPhase::kTaking ||
+                        phase == policy::StopPhase::kSettling;
+  if (!may_take) return StopVerdict::kTooLate;
+  if (ask.deadline <= left) return StopVerdict::kEndsByDeadline;
+  // An estimate may be wrong. That risk is worth taking only for callers that
+  // could not know of the stop.
+  if (phase == policy::StopPhase::kSettling) return StopVerdict::kTooLate;
+  return ask.expected * kStopDoubt <= left ? StopVerdict::kExpectedInTime
+                                           : StopVerdict::kTooLong;
+}
+
 milliseconds ExpectedWhole(const EndpointSet& set, const Demand& demand,
                            const Placement& placement) {
   double ms = placement.expected_ms;
--- /dev/null
+++ b/routing/tests/stop_take_test.cc
@@ -0,0 +1,114 @@
+#include "egretladder/routing/stop_take.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+namespace ep = egretladder::policy;
+namespace er = egretladder::routing;
+using er::StopVerdict;
+
+namespace {
+
+// Requests are ended 7.3 s after the stop began.
+ep::StopPlan Plan() {
+  ep::StopPlan plan;
+  plan.addresses_kept = 3000ms;
+  plan.settle = 200ms;
+  plan.grace = 8000ms;
+  plan.cut_margin = 700ms;
+  plan.exit_margin = 200ms;
+  return plan;
+}
+
+er::StopAsk Arriving(std::chrono::milliseconds since) {
+  er::StopAsk ask;
+  ask.arrived = since;
+  ask.since = since;
+  ask.deadline = 8000ms;
+  ask.expected = 1000ms;
+  return ask;
+}
+
+}  // namespace
+
+TEST_GROUP(StopTake){};
+
+// Callers don't know yet that the node stops, and send what they always send.
+// Refusing all of it would take one try from each of them for nothing.
+TEST(StopTake, WhatIsExpectedToEndInTimeIsTaken) {
+  CHECK(er::DecideTake(Plan(), Arriving(100ms)) ==
+        StopVerdict::kExpectedInTime);
+  CHECK(er::DecideTake(Plan(), Arriving(2900ms)) ==
+        StopVerdict::kExpectedInTime);
+}
+
+// A long stream behind a queue reaches a node that stops. Taken, it would be
+// cut in the middle of its answer.
+TEST(StopTake, WhatMayOutlastTheGraceIsRefused) {
+  er::StopAsk ask = Arriving(2900ms);
+  ask.expected = 1500ms;
+  CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kTooLong);
+  ask.arrived = ask.since = 2000ms;
+  CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kExpectedInTime);
+}
+
+// A caller kept the address for longer than it should. An estimate may be
+// wrong; a deadline can't be.
+TEST(StopTake, AfterTheAddressesLapsedOnlyADeadlineCounts) {
+  er::StopAsk ask = Arriving(3000ms);
+  CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kTooLate);
+  ask.deadline = 4300ms;
+  CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kEndsByDeadline);
+  ask.deadline = 4301ms;
+  CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kTooLate);
+  ask = Arriving(3200ms);
+  ask.deadline = 100ms;
+  CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kTooLate);
+}
+
+// A request came before the stop and waited in the node, which is full. It has
+// not run, so that its caller can be sent elsewhere as soon as the rest of the
+// grace time is too short for it, and not before.
+TEST(StopTake, WhatWaitsIsJudgedByWhatIsLeft) {
+  er::StopAsk ask = Arriving(-200ms);
+  ask.since = 3500ms;
+  CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kExpectedInTime);
+  ask.since = 5000ms;
+  CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kTooLong);
+  ask.deadline = 2000ms;
+  CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kEndsByDeadline);
+}
+
+// Operators give a stop more or less time; the same requests are then taken
+// longer or not at all.
+TEST(StopTake, FollowsTheGraceTime) {
+  ep::StopPlan plan = Plan();
+  plan.grace = 30s;
+  er::StopAsk ask = Arriving(2900ms);
+  ask.expected = 8000ms;
+  ask.deadline = 60s;
+  CHECK(er::DecideTake(plan, ask) == StopVerdict::kExpectedInTime);
+  plan.grace = 4s;
+  ask.expected = 300ms;
+  CHECK(er::DecideTake(plan, ask) == StopVerdict::kTooLong);
+}
+
+// The expected end counts the wait before the first event and all events after
+// it, at the pace of an engine that is busy with others.
+TEST(StopTake, ExpectsTheWholeStream) {
+  er::EndpointSet set;
+  er::Service service;
+  service.name = "engines";
+  set.paces["engines"].alone_ms = 20;
+  er::Demand demand;
+  demand.service = &service;
+  demand.events = 51;
+  er::Placement placement;
+  placement.endpoint = std::make_shared<er::Endpoint>();
+  placement.expected_ms = 300;
+  CHECK(er::ExpectedWhole(set, demand, placement) == 1300ms);
+  placement.endpoint->in_flight = 10;
+  CHECK(er::ExpectedWhole(set, demand, placement) > 1400ms);
+  demand.events = 0;
+  CHECK(er::ExpectedWhole(set, demand, placement) == 300ms);
+}
