--- a/proxy/src/answers.cc
+++ b/proxy/src/answers.cc
@@ -65,9 +65,9 @@
   }
   const auto addresses =
       routing::AddressesFor(proxy.members, zone, proxy.random, NowOf(proxy));
-  AnswerText(caller, kOk, "application/json",
-             proxy.dialect->directory_body(
-                 addresses, proxy.options.directory_keep));
+  AnswerText(
+      caller, kOk, "application/json",
+      proxy.dialect->directory_body(addresses, proxy.options.directory_keep));
 }
 
 void AnswerReady(Proxy& proxy, const net::HttpCallPtr& caller) {
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -116,9 +116,12 @@
   if (attempt.paced_events < routing::kPaceEvery) return;
   const std::chrono::duration<double, std::milli> took = now - attempt.paced;
   routing::Endpoint& endpoint = *attempt.endpoint;
-  routing::OnPause(endpoint.pace, proxy.endpoints.paces[call.service->name],
+  routing::ServicePace& pace = proxy.endpoints.paces[call.service->name];
+  routing::OnPause(endpoint.pace, pace,
                    endpoint.in_flight + endpoint.others_in_flight,
                    took / static_cast<double>(attempt.paced_events));
+  routing::OnStreamRunning(pace, call.route->name,
+                           static_cast<double>(call.events));
   attempt.paced = now;
   attempt.paced_events = 0;
 }
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -58,8 +58,10 @@
     call->demand.parts = facts.parts;
     call->demand.prompt_tokens = std::max(facts.prompt_tokens, 1U);
     if (route.kind == routing::RouteKind::kStream) {
-      call->demand.events = routing::EventsExpected(
-          routing::PaceOf(proxy.endpoints, call->service->name), route.name);
+      const routing::ServicePace& pace =
+          routing::PaceOf(proxy.endpoints, call->service->name);
+      call->demand.events = routing::EventsExpected(pace, route.name);
+      call->demand.longest = routing::EventsAtMost(pace, route.name);
     }
     call->demand.tight =
         route.gap_target.count() > 0 && route.gap_target <= routing::kTightGap;
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -174,7 +174,7 @@
   bool leaving = false;
   Time leaving_since{};
   std::size_t cut = 0;  ///< Calls ended by the stop before their answers.
-  PeerNetPtr peers;  ///< Last, so that it goes first.
+  PeerNetPtr peers;     ///< Last, so that it goes first.
 };
 
 inline Time NowOf(const Proxy& proxy) { return kernel::Now(proxy.loop->clock); }
--- a/proxy/src/stop.cc
+++ b/proxy/src/stop.cc
@@ -31,7 +31,7 @@
                     {"ms", Between(call.arrived, NowOf(proxy))},
                     {"left_ms", Between(NowOf(proxy), call.deadline)},
                     {"events", call.events},
-                    {"events_expected", call.demand.events}});
+                    {"events_longest", call.demand.longest}});
 }
 
 // The grace time holds them no longer. Ended here, each caller learns what
@@ -58,10 +58,9 @@
       {{"req", call.facts.id},
        {"verdict", routing::NameOf(verdict)},
        {"stop_ms", ask.since},
-       {"left_ms",
-        policy::LeftForWork(StopPlanOf(proxy.options), ask.since)},
+       {"left_ms", policy::LeftForWork(StopPlanOf(proxy.options), ask.since)},
        {"deadline_ms", ask.deadline},
-       {"expected_ms", ask.expected},
+       {"longest_ms", ask.longest},
        {"route", call.route->name}});
 }
 
@@ -102,8 +101,7 @@
   ask.arrived = Between(proxy.leaving_since, call.arrived);
   ask.since = StoppingFor(proxy);
   ask.deadline = Between(NowOf(proxy), call.deadline) + kDeadlineMargin;
-  ask.expected =
-      routing::ExpectedWhole(proxy.endpoints, call.demand, placement);
+  ask.longest = routing::LongestWhole(proxy.endpoints, call.demand, placement);
   const routing::StopVerdict verdict =
       routing::DecideTake(StopPlanOf(proxy.options), ask);
   LogTake(proxy, call, ask, verdict);
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -105,6 +105,11 @@
 inline constexpr double kEventMsUnknown = 25;
 /// Events of a stream until one of its route ended.
 inline constexpr double kEventsUnknown = 32;
+/// Events of a long stream until one of its route ended.
+inline constexpr double kEventsMostUnknown = 96;
+/// How much of the longest stream's lead over another one is forgotten when
+/// that one ends: some thirty later, little of it is left.
+inline constexpr double kLongestForgets = 1.0 / 32;
 /// Events between two samples of one stream.
 inline constexpr std::uint64_t kPaceEvery = 8;
 /// Weight of the newest sample in an engine's pace. Ten make up two thirds.
@@ -230,13 +235,6 @@
 /// As above.
 inline constexpr milliseconds kReadyRetryMost{1500};
 
-// --- Stopping (stop_take.h) ---
-
-/// A node that stops takes a request whose end is only estimated if this many
-/// times the estimate is left. How long an answer gets is not known before; one
-/// in twenty has three times the mean.
-inline constexpr int kStopDoubt = 3;
-
 // --- Members (members.h) ---
 
 /// A fleet up to this size is small: every node tells its load and reads the
--- a/routing/include/egretladder/routing/pace.h
+++ b/routing/include/egretladder/routing/pace.h
@@ -23,12 +23,20 @@
   double samples = 0;
 };
 
+/// Events of a whole stream of one route.
+struct StreamLength {
+  double mean = 0;  ///< Smoothed.
+  /// About that of the longest in thirty. Lengths of one route differ by a
+  /// factor of ten and more, so that the mean says little of how long one may
+  /// last.
+  double longest = kEventsMostUnknown;
+};
+
 /// What the engines of one service have in common.
 struct ServicePace {
   /// Mean of the engines' `alone_ms`; a prior for those not seen yet.
   double alone_ms = 0;
-  /// Events of a whole stream, by route, smoothed.
-  std::unordered_map<std::string, double> events;
+  std::unordered_map<std::string, StreamLength> lengths;  ///< By route.
 };
 
 /// Takes one sample: `pause` between two events while `running` requests ran at
@@ -40,9 +48,17 @@
 void OnStreamEnded(ServicePace& service, const std::string& route,
                    double events);
 
+/// A stream of the route is still running after `events`. Those that last long
+/// are seen here seconds before they end.
+void OnStreamRunning(ServicePace& service, const std::string& route,
+                     double events);
+
 /// Events that a stream of the route is expected to have.
 double EventsExpected(const ServicePace& service, const std::string& route);
 
+/// Events that a long stream of the route has.
+double EventsAtMost(const ServicePace& service, const std::string& route);
+
 /// Expected time between two events at an engine that runs `running` requests,
 /// in ms.
 double EventMs(const EnginePace& engine, const ServicePace& service,
--- a/routing/include/egretladder/routing/place.h
+++ b/routing/include/egretladder/routing/place.h
@@ -35,6 +35,7 @@
   std::uint32_t prompt_tokens = 0;  ///< 0: not a generation.
   bool tight = false;  ///< A stream with short pauses; see `kTightGap`.
   double events = 0;   ///< That its answer is expected to have.
+  double longest = 0;  ///< The same if it is a long one.
 };
 
 /// Tokens of all parts but the last, which is the request's own.
--- a/routing/include/egretladder/routing/stop_take.h
+++ b/routing/include/egretladder/routing/stop_take.h
@@ -20,7 +20,7 @@
 /// What is decided for one request at a node that stops.
 enum class StopVerdict : std::uint8_t {
   kEndsByDeadline,  ///< Taken: its deadline comes before the node's end.
-  kExpectedInTime,  ///< Taken: it is expected to end well before.
+  kExpectedInTime,  ///< Taken: even a long one would end before.
   kTooLong,         ///< Refused: it may be cut.
   kTooLate,         ///< Refused: no caller should send here any more.
 };
@@ -35,14 +35,15 @@
   milliseconds arrived{};   ///< From the stop's begin; below 0: before it.
   milliseconds since{};     ///< Since the stop began.
   milliseconds deadline{};  ///< Until the request is ended anyway.
-  milliseconds expected{};  ///< Until its whole answer.
+  milliseconds longest{};   ///< Until its whole answer, if it is a long one.
 };
 
 /// Decides.
 StopVerdict DecideTake(const policy::StopPlan& plan, const StopAsk& ask);
 
-/// Expected time to the whole answer at the endpoint that was found.
-milliseconds ExpectedWhole(const EndpointSet& set, const Demand& demand,
-                           const Placement& placement);
+/// Time to the whole answer at the endpoint that was found, if the answer is a
+/// long one of its route.
+milliseconds LongestWhole(const EndpointSet& set, const Demand& demand,
+                          const Placement& placement);
 
 }  // namespace egretladder::routing
--- a/routing/src/pace.cc
+++ b/routing/src/pace.cc
@@ -28,12 +28,27 @@
 
 void OnStreamEnded(ServicePace& service, const std::string& route,
                    double events) {
-  Smooth(service.events[route], events, kEventsWeight);
+  StreamLength& length = service.lengths[route];
+  Smooth(length.mean, events, kEventsWeight);
+  length.longest = std::max(
+      events, length.longest - kLongestForgets * (length.longest - events));
+}
+
+void OnStreamRunning(ServicePace& service, const std::string& route,
+                     double events) {
+  const auto at = service.lengths.find(route);
+  if (at == service.lengths.end()) return;
+  at->second.longest = std::max(at->second.longest, events);
 }
 
 double EventsExpected(const ServicePace& service, const std::string& route) {
-  const auto at = service.events.find(route);
-  return at != service.events.end() ? at->second : kEventsUnknown;
+  const auto at = service.lengths.find(route);
+  return at != service.lengths.end() ? at->second.mean : kEventsUnknown;
+}
+
+double EventsAtMost(const ServicePace& service, const std::string& route) {
+  const auto at = service.lengths.find(route);
+  return at != service.lengths.end() ? at->second.longest : kEventsMostUnknown;
 }
 
 double EventMs(const EnginePace& engine, const ServicePace& service,
--- a/routing/src/stop_take.cc
+++ b/routing/src/stop_take.cc
@@ -34,17 +34,17 @@
   // An estimate may be wrong. That risk is worth taking only for callers that
   // could not know of the stop.
   if (phase == policy::StopPhase::kSettling) return StopVerdict::kTooLate;
-  return ask.expected * kStopDoubt <= left ? StopVerdict::kExpectedInTime
-                                           : StopVerdict::kTooLong;
+  return ask.longest <= left ? StopVerdict::kExpectedInTime
+                             : StopVerdict::kTooLong;
 }
 
-milliseconds ExpectedWhole(const EndpointSet& set, const Demand& demand,
-                           const Placement& placement) {
+milliseconds LongestWhole(const EndpointSet& set, const Demand& demand,
+                          const Placement& placement) {
   double ms = placement.expected_ms;
-  if (placement.endpoint != nullptr && demand.events > 1) {
+  if (placement.endpoint != nullptr && demand.longest > 1) {
     const Endpoint& endpoint = *placement.endpoint;
     const double running = endpoint.in_flight + endpoint.others_in_flight;
-    ms += (demand.events - 1) *
+    ms += (demand.longest - 1) *
           EventMs(endpoint.pace, PaceOf(set, demand.service->name), running);
   }
   return milliseconds(std::llround(std::max(ms, 0.0)));
--- a/routing/tests/pace_test.cc
+++ b/routing/tests/pace_test.cc
@@ -57,3 +57,25 @@
   DOUBLES_EQUAL(50, er::EventsExpected(service, "chat"), 0.1);
   DOUBLES_EQUAL(3, er::EventsExpected(service, "tag"), 0.1);
 }
+
+// Lengths of one route differ by a factor of ten. A node that counts on the
+// mean takes streams, just before it stops, that outlast it by seconds.
+TEST(Pace, KnowsHowLongALongStreamIs) {
+  for (int stream = 0; stream < 200; ++stream) {
+    er::OnStreamEnded(service, "record", stream % 20 == 0 ? 60 : 5);
+  }
+  CHECK(er::EventsExpected(service, "record") < 30);
+  CHECK(er::EventsAtMost(service, "record") > 30);
+  CHECK(er::EventsAtMost(service, "record") <= 60);
+}
+
+// A node that just started has seen short streams end, since the long ones are
+// still running. It must not take the short ones for all there is.
+TEST(Pace, AFewShortStreamsDoNotHideTheLongOnes) {
+  for (int stream = 0; stream < 5; ++stream) {
+    er::OnStreamEnded(service, "record", 5);
+  }
+  CHECK(er::EventsAtMost(service, "record") > er::kEventsMostUnknown / 2);
+  er::OnStreamRunning(service, "record", 300);
+  DOUBLES_EQUAL(300, er::EventsAtMost(service, "record"), 0);
+}
--- a/routing/tests/stop_take_test.cc
+++ b/routing/tests/stop_take_test.cc
@@ -25,7 +25,7 @@
   ask.arrived = since;
   ask.since = since;
   ask.deadline = 8000ms;
-  ask.expected = 1000ms;
+  ask.longest = 4200ms;
   return ask;
 }
 
@@ -46,7 +46,7 @@
 // cut in the middle of its answer.
 TEST(StopTake, WhatMayOutlastTheGraceIsRefused) {
   er::StopAsk ask = Arriving(2900ms);
-  ask.expected = 1500ms;
+  ask.longest = 4500ms;
   CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kTooLong);
   ask.arrived = ask.since = 2000ms;
   CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kExpectedInTime);
@@ -71,7 +71,7 @@
 // grace time is too short for it, and not before.
 TEST(StopTake, WhatWaitsIsJudgedByWhatIsLeft) {
   er::StopAsk ask = Arriving(-200ms);
-  ask.since = 3500ms;
+  ask.since = 3100ms;
   CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kExpectedInTime);
   ask.since = 5000ms;
   CHECK(er::DecideTake(Plan(), ask) == StopVerdict::kTooLong);
@@ -85,30 +85,31 @@
   ep::StopPlan plan = Plan();
   plan.grace = 30s;
   er::StopAsk ask = Arriving(2900ms);
-  ask.expected = 8000ms;
+  ask.longest = 25s;
   ask.deadline = 60s;
   CHECK(er::DecideTake(plan, ask) == StopVerdict::kExpectedInTime);
   plan.grace = 4s;
-  ask.expected = 300ms;
+  ask.longest = 500ms;
   CHECK(er::DecideTake(plan, ask) == StopVerdict::kTooLong);
 }
 
-// The expected end counts the wait before the first event and all events after
-// it, at the pace of an engine that is busy with others.
-TEST(StopTake, ExpectsTheWholeStream) {
+// Streams of one route differ by a factor of ten. What counts is how long a
+// long one lasts, at the pace of an engine that is busy with others.
+TEST(StopTake, ExpectsALongStreamOfItsRoute) {
   er::EndpointSet set;
   er::Service service;
   service.name = "engines";
-  set.paces["engines"].alone_ms = 20;
+  er::ServicePace& pace = set.paces["engines"];
+  pace.alone_ms = 20;
   er::Demand demand;
   demand.service = &service;
-  demand.events = 51;
+  demand.longest = 51;
   er::Placement placement;
   placement.endpoint = std::make_shared<er::Endpoint>();
   placement.expected_ms = 300;
-  CHECK(er::ExpectedWhole(set, demand, placement) == 1300ms);
+  CHECK(er::LongestWhole(set, demand, placement) == 1300ms);
   placement.endpoint->in_flight = 10;
-  CHECK(er::ExpectedWhole(set, demand, placement) > 1400ms);
-  demand.events = 0;
-  CHECK(er::ExpectedWhole(set, demand, placement) == 300ms);
+  CHECK(er::LongestWhole(set, demand, placement) > 1500ms);
+  demand.longest = 0;
+  CHECK(er::LongestWhole(set, demand, placement) == 300ms);
 }
