--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -76,8 +76,8 @@
   return text.empty() ? other : text;
 }
 
-void ReadNode(const kernel::Settings& settings, kernel::SettingsChecker& checker,
-              GatewayOptions& options) {
+void ReadNode(const kernel::Settings& settings,
+              kernel::SettingsChecker& checker, GatewayOptions& options) {
   const auto text = [&settings](const char* key) {
     return kernel::TextOf(settings, "node", key);
   };
@@ -116,8 +116,8 @@
   options.node.lane_secret = text("lane_secret");
 }
 
-void ReadLimits(const kernel::Settings& settings, kernel::SettingsChecker& checker,
-                Limits& limits) {
+void ReadLimits(const kernel::Settings& settings,
+                kernel::SettingsChecker& checker, Limits& limits) {
   const auto bytes = [&settings](const char* key) {
     return kernel::BytesOf(settings, "limits", key);
   };
@@ -171,8 +171,8 @@
   }
 }
 
-void ReadStop(const kernel::Settings& settings, kernel::SettingsChecker& checker,
-              NodeConfig& config) {
+void ReadStop(const kernel::Settings& settings,
+              kernel::SettingsChecker& checker, NodeConfig& config) {
   config.stop_time = kernel::DurationOf(settings, "stop", "time");
   const auto linger = kernel::DurationOf(settings, "stop", "linger");
   config.gateway.linger = linger;
--- a/proxy/tests/settings_test.cc
+++ b/proxy/tests/settings_test.cc
@@ -105,7 +105,8 @@
   STRCMP_CONTAINS(
       "directory.keep is 0",
       FaultOf(With("[stop]", "[directory]\nkeep = 0s\n[stop]")).c_str());
-  CHECK(ep::ReadProxyConfig(
-            With("grace = 8s", "grace = 3s\n[directory]\nkeep = 500ms"), "n.ini")
-            .has_value());
+  CHECK(
+      ep::ReadProxyConfig(
+          With("grace = 8s", "grace = 3s\n[directory]\nkeep = 500ms"), "n.ini")
+          .has_value());
 }
