End the calls of the first front truthfully when a stop's time is up

Cause: at the end of its time, or at a second signal, the front of calls ended its process with all calls in progress.

The node ends each call (leaving and not run where it waited, time-out and unknown where an endpoint may run it) and the process stays up to 0.7 s for callers to read it.

Before: no answer at all, as read in the code; the function that the new test calls did not exist.

--- a/gateway/include/egretladder/gateway/gateway.h
+++ b/gateway/include/egretladder/gateway/gateway.h
@@ -78,6 +78,13 @@
 /// answer of `/where` that names it.
 bool MayEnd(const Gateway& gateway);
 
+/// Ends the calls in progress of a leaving node whose time is up. Their callers
+/// learn what became of them; a process that just ended would leave them with a
+/// connection that closes.
+void EndCalls(Gateway& gateway);
+/// True when no caller waits for an answer, or for the rest of one.
+bool IsAnswered(const Gateway& gateway);
+
 /// The address bound for callers, `IP:port`.
 const std::string& CallerAddressOf(const Gateway& gateway);
 /// The address bound for peers, `IP:port`.
--- a/gateway/include/egretladder/gateway/limits.h
+++ b/gateway/include/egretladder/gateway/limits.h
@@ -28,6 +28,9 @@
 inline constexpr std::chrono::seconds kDrainTime{30};
 /// For calls in progress after a graceful stop began.
 inline constexpr std::chrono::seconds kStopTime{300};
+/// Before the end of that time, or after a second signal, for the answers of
+/// calls that are ended to reach their callers.
+inline constexpr std::chrono::milliseconds kStopMargin{700};
 /// Callers keep the answer to `/where` this long. A node that ended sooner
 /// would leave them a closed port, and retries of its lanes' keys would hear
 /// "unknown" though it had their answers. Nothing is gained by longer.
--- a/gateway/main/front_calls.cc
+++ b/gateway/main/front_calls.cc
@@ -2,6 +2,7 @@
 // all nodes and endpoints.
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -14,12 +15,14 @@
 #include "egretladder/kernel/log.h"
 #include "egretladder/kernel/loop.h"
 #include "egretladder/kernel/registry.h"
+#include "egretladder/policy/stopping.h"
 #include "front.h"
 
 namespace {
 
 namespace eg = egretladder::gateway;
 namespace ek = egretladder::kernel;
+namespace ep = egretladder::policy;
 
 constexpr std::chrono::milliseconds kIdleCheck{20};
 
@@ -29,14 +32,15 @@
 
 // Ends the process in order: callers are sent elsewhere at once, answers in
 // progress go to their ends, callers that still keep this node's address get
-// answers as long as they do. A second signal or too long a wait cuts it short.
+// answers as long as they do. A second signal or too long a wait ends the calls
+// that are left.
 class Stop {
  public:
   Stop(ek::Loop& loop, eg::Gateway& gateway, const eg::NodeConfig& config)
-      : loop_(loop),
-        gateway_(gateway),
-        linger_(config.gateway.linger),
-        most_(config.stop_time) {
+      : loop_(loop), gateway_(gateway) {
+    plan_.addresses_kept = config.gateway.linger;
+    plan_.grace = config.stop_time;
+    plan_.cut_margin = eg::kStopMargin;
     for (std::size_t i = 0; i < signals_.size(); ++i) {
       signals_[i] = ek::OnSignal(loop, i == 0 ? SIGTERM : SIGINT,
                                  [this] { OnStopSignal(); });
@@ -47,45 +51,55 @@
   bool IsCut() const { return cut_; }
 
  private:
+  std::chrono::milliseconds Since() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        ek::Now(loop_.clock) - began_);
+  }
+
   void OnStopSignal() {
     if (leaving_) {
+      plan_.grace = std::min(plan_.grace, Since() + plan_.cut_margin);
       Cut("a second signal came");
       return;
     }
     leaving_ = true;
+    began_ = ek::Now(loop_.clock);
     Say(ek::LogLevel::kInfo,
         "Leaving: calls in progress end first. Staying for " +
-            std::to_string(linger_.count()) +
+            std::to_string(plan_.addresses_kept.count()) +
             " ms at least, for callers that still keep "
             "this address.");
     eg::Leave(gateway_);
-    timeout_ = ek::After(loop_, most_, [this] { Cut("the time was up"); });
-    idle_ = ek::Every(loop_, kIdleCheck, [this] { EndWhenDone(); });
+    look_ = ek::Every(loop_, kIdleCheck, [this] { Look(); });
   }
 
-  void EndWhenDone() {
-    if (!eg::MayEnd(gateway_)) return;
-    Say(ek::LogLevel::kInfo, "Left: no call was cut.");
+  void Look() {
+    const ep::StopPhase phase = ep::PhaseOf(plan_, Since());
+    if (phase >= ep::StopPhase::kCutting) Cut("the time was up");
+    const bool answered =
+        cut_ ? eg::IsAnswered(gateway_) : eg::MayEnd(gateway_);
+    if (!ep::MayExit(phase, answered)) return;
+    if (!cut_) Say(ek::LogLevel::kInfo, "Left: no call was cut.");
     ek::StopLoop(loop_);
   }
 
   void Cut(const std::string& why) {
+    if (cut_) return;
+    cut_ = true;
     Say(ek::LogLevel::kWarning, "Stopped, since " + why + ": " +
                                     std::to_string(eg::ViewOf(gateway_).calls) +
                                     " calls were cut.");
-    cut_ = true;
-    ek::StopLoop(loop_);
+    eg::EndCalls(gateway_);
   }
 
   ek::Loop& loop_;
   eg::Gateway& gateway_;
-  std::chrono::milliseconds linger_;
-  std::chrono::milliseconds most_;
+  ep::StopPlan plan_;
+  ek::Time began_{};
   bool leaving_ = false;
   bool cut_ = false;
   std::array<ek::Watch, 2> signals_;
-  ek::Watch timeout_;
-  ek::Watch idle_;
+  ek::Watch look_;
 };
 
 // Each call takes two descriptors, and many systems start processes with 1,024.
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -166,6 +166,16 @@
          IsIdle(gateway);
 }
 
+void EndCalls(Gateway& gateway) {
+  node::Actions actions;
+  node::EndCalls(*gateway.node, NowOf(gateway), actions);
+  Pump(gateway, std::move(actions));
+}
+
+bool IsAnswered(const Gateway& gateway) {
+  return gateway.calls.empty() && gateway.front.server->untaken() == 0;
+}
+
 const std::string& CallerAddressOf(const Gateway& gateway) {
   return gateway.front.server->address();
 }
--- a/gateway/tests/fault_test.cc
+++ b/gateway/tests/fault_test.cc
@@ -454,3 +454,29 @@
   }));
   CHECK_EQUAL(0U, eg::ViewOf(*one.node).paused);
 }
+
+TEST_GROUP(StopFaults){};
+
+// A node is stopped while an engine still works on a call, and the time for the
+// stop is up. The caller is told that nobody knows whether it ran, and the
+// process stays until it has read that. A process that just ended would leave
+// it with a connection that closes.
+TEST(StopFaults, ACallInProgressAtTheEndIsToldSo) {
+  et::OneNode one;
+  one.endpoint.handler = [](evhttp_request* /*request*/) {};
+  et::RawCaller caller(one.loop, eg::CallerAddressOf(*one.node));
+  caller.Send(et::ChatRequest(et::ChatBodyText(false)));
+  CHECK_TRUE(
+      et::RunUntil(one.loop, [&one] { return one.endpoint.seen.size() == 1; }));
+  eg::Leave(*one.node);
+  CHECK_FALSE(eg::IsAnswered(*one.node));
+  eg::EndCalls(*one.node);
+  CHECK_FALSE(eg::IsAnswered(*one.node));
+  CHECK_TRUE(
+      et::RunUntil(one.loop, [&caller] { return et::IsWhole(caller.got); }));
+  CHECK_EQUAL(504, et::StatusIn(caller.got));
+  STRCMP_CONTAINS("\"ran\":\"unknown\"", caller.got.c_str());
+  caller.Leave();
+  CHECK_TRUE(
+      et::RunUntil(one.loop, [&one] { return eg::IsAnswered(*one.node); }));
+}
--- a/node/include/egretladder/node/node.h
+++ b/node/include/egretladder/node/node.h
@@ -193,6 +193,10 @@
 void OnReport(NodeState& state, EndpointHandle endpoint,
               const policy::EngineReport* report, Time now, Actions& out);
 
+/// Ends all calls in progress, each as truthfully as its state allows: the
+/// process ends before they would.
+void EndCalls(NodeState& state, Time now, Actions& out);
+
 /// Begins a graceful leave: out of `/where` at once, new calls get `kLeaving`,
 /// calls in progress end in their own time.
 void Leave(NodeState& state, Time now, Actions& out);
--- a/node/src/calls.cc
+++ b/node/src/calls.cc
@@ -97,10 +97,14 @@
       out);
 }
 
+GiveUpReason LeavingReason() {
+  return {AnswerCode::kLeaving, "ask /where of another node", kHoldDelay};
+}
+
 /// Time is up. A call that may not be repeated goes on at its endpoint, so that
 /// a retry with its key can learn the outcome.
-void TimeOut(NodeState& state, CallRecord& record, Time now, Actions& out) {
-  const GiveUpReason reason{AnswerCode::kTimeout, "the call's time is up", {}};
+void TimeOut(NodeState& state, CallRecord& record, const GiveUpReason& reason,
+             Time now, Actions& out) {
   const bool goes_on = IsSent(record.stage) && record.lane && !record.detached;
   if (goes_on) {
     Decide(state, record, "detach", "timeout", now, out);
@@ -233,7 +237,8 @@
     if (record == nullptr) {
       state.wakes.erase(state.wakes.begin());
     } else if (record->give_up <= now) {
-      TimeOut(state, *record, now, out);
+      TimeOut(state, *record,
+              {AnswerCode::kTimeout, "the call's time is up", {}}, now, out);
     } else {
       Queue(state, *record, now, out);
     }
@@ -249,10 +254,7 @@
   if (IsOnce(record) && !BeginOnce(state, record, now, out)) return;
   if (!CheckNames(state, record, *rules, now, out)) return;
   if (state.leaving) {
-    return GiveUp(
-        state, record,
-        {AnswerCode::kLeaving, "ask /where of another node", kHoldDelay}, now,
-        out);
+    return GiveUp(state, record, LeavingReason(), now, out);
   }
   TargetNote& target = state.targets[record.request.target.idx];
   target.last_call = now;
@@ -260,6 +262,23 @@
   Queue(state, record, now, out);
 }
 
+void EndCalls(NodeState& state, Time now, Actions& out) {
+  std::vector<CallId> calls;
+  calls.reserve(state.calls.size());
+  for (const auto& [call, record] : state.calls) calls.push_back(call);
+  for (const CallId call : calls) {
+    CallRecord* record = FindCall(state, call);
+    if (record == nullptr || record->detached) continue;
+    const bool waits =
+        record->stage == Stage::kWaiting || record->stage == Stage::kDelayed;
+    const bool ran = record->may_have_run || !waits;
+    TimeOut(state, *record,
+            ran ? GiveUpReason{AnswerCode::kTimeout, "the node stops", {}}
+                : LeavingReason(),
+            now, out);
+  }
+}
+
 void OnCallerGone(NodeState& state, CallId call, Time now, Actions& out) {
   CallRecord* record = FindCall(state, call);
   if (record == nullptr || record->detached) return;
