Keep ten tests that show faults of the HTTP server and client

Cause: found by the tests over sockets. The server spins while a caller pipelines more than is read ahead; drops an answer that is under way when the caller ends its input; counts an answer as taken that waits in the kernel; ends a broken answer of HTTP/1.0 as if it were whole; loses connections that wait in the backlog when it stops listening. The client calls a request broken that never left, and takes unasked bytes for an answer.

Ruled out: the tests themselves.

--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -232,6 +232,32 @@
   LONGS_EQUAL(2, client->opened());
 }
 
+// The close of an idle connection is in the node's kernel, unread, when a
+// request takes that connection. Nothing of the request has left, so it can
+// still go anywhere. Told as broken, its outcome counts as unknown, and a
+// request that may run only once fails for its caller.
+TEST(HttpClient, DoesNotBreakARequestThatNeverLeft) {
+  auto peer = LeaveIdle();
+  peer->Close();
+  Outcome second;
+  Start(second, "/second");
+  et::PeerPtr other;
+  stage.Until([&] {
+    other = endpoint->Accept();
+    return other != nullptr || second.over();
+  });
+  if (other == nullptr) {
+    LONGS_EQUAL(0, second.sendings);
+    CHECK(second.fault == en::ExchangeFault::kNotConnected);
+    return;
+  }
+  TakeHead(*other);
+  other->Send(AnswerOf("second"));
+  UntilOver(second);
+  LONGS_EQUAL(1, second.ends);
+  LONGS_EQUAL(1, second.sendings);
+}
+
 // An endpoint takes a request and closes without a word. It may have run, so
 // the outcome is unknown, told once, and the request isn't sent again here.
 TEST(HttpClient, TellsThatASentRequestBroke) {
@@ -361,6 +387,29 @@
   LONGS_EQUAL(2, client->opened());
 }
 
+// Such bytes are in the node's kernel, unread, when the next request takes the
+// connection. They came before it left and can't be its answer; the caller
+// would get another one's, or an endpoint's word on an idle connection.
+TEST(HttpClient, TakesNoBytesFromBeforeTheRequestForItsAnswer) {
+  auto peer = LeaveIdle();
+  peer->Send(AnswerOf("stale"));
+  Outcome second;
+  Start(second, "/second");
+  et::PeerPtr other;
+  stage.Until([&] {
+    other = endpoint->Accept();
+    if (peer->end() == et::PeerEnd::kOpen) peer->Take();
+    return other != nullptr || second.over() ||
+           peer->taken().find("/second") != std::string::npos;
+  });
+  if (other != nullptr) TakeHead(*other);
+  (other != nullptr ? other : peer)->SendSome(AnswerOf("second"));
+  UntilOver(second);
+  CHECK(second.body != "stale");
+  LONGS_EQUAL(1, second.ends);
+  STRCMP_EQUAL("second", second.body.c_str());
+}
+
 // An endpoint says that it closes with this answer, or how long it keeps the
 // connection. It isn't used beyond that.
 TEST(HttpClient, KeepsAConnectionNoLongerThanTheEndpoint) {
--- a/net/tests/http_server_test.cc
+++ b/net/tests/http_server_test.cc
@@ -155,6 +155,24 @@
   LONGS_EQUAL(0, server->untaken());
 }
 
+// A caller stops reading for some seconds while the rest of its answer is with
+// the node's kernel, then goes on. The node must not think that it has it all:
+// it would end, its VM would stop, and the rest would be lost.
+TEST(HttpServer, CountsAnAnswerThatWaitsInTheKernel) {
+  constexpr std::size_t kFitsTheKernel = 200'000;
+  send_buffer = 400'000;
+  auto caller = Ask(Get("/", "Connection: close\r\n"), kSmallBuffer);
+  calls[0]->Answer(200, "OK", {}, std::string(kFitsTheKernel, 'a'));
+  stage.Settle();
+  Move(3s);
+  Sweep();
+  LONGS_EQUAL(1, server->untaken());
+  const et::Answer answer = OnlyAnswer(*caller);
+  LONGS_EQUAL(kFitsTheKernel, answer.body.size());
+  caller->Close();
+  stage.Until([this] { return server->untaken() == 0; });
+}
+
 // A node that leaves ends each connection with its answer. A caller with a
 // small receive buffer still has most of it to come at that moment and would
 // see a body that is too short.
@@ -167,6 +185,46 @@
   LONGS_EQUAL(kManyBytes, answer.body.size());
 }
 
+// A caller says that it will send no more (`nc -N`, some scripts do) and waits.
+// Its answer is written by then but a part of it still waits in the node. Taken
+// for a caller that left, it would get half of its answer.
+TEST(HttpServer, KeepsAnAnswerThatIsUnderWayWhenTheCallerEndsItsInput) {
+  send_buffer = kSmallBuffer;
+  auto caller = Ask(Get("/"), kSmallBuffer);
+  calls[0]->Answer(200, "OK", {}, std::string(kLongAnswer, 'a'));
+  caller->HalfClose();
+  stage.Settle();
+  const et::Answer answer = OnlyAnswer(*caller);
+  LONGS_EQUAL(kLongAnswer, answer.body.size());
+  caller->Close();
+  stage.Until([this] { return server->connections() == 0; });
+}
+
+// The same with an answer that ends the connection.
+TEST(HttpServer, KeepsALastAnswerWhenTheCallerEndsItsInput) {
+  send_buffer = kSmallBuffer;
+  auto caller = Ask(Get("/", "Connection: close\r\n"), kSmallBuffer);
+  calls[0]->Answer(200, "OK", {}, std::string(kLongAnswer, 'a'));
+  caller->HalfClose();
+  stage.Settle();
+  const et::Answer answer = OnlyAnswer(*caller);
+  LONGS_EQUAL(kLongAnswer, answer.body.size());
+  LONGS_EQUAL(0, gone);
+  caller->Close();
+  stage.Until([this] { return server->connections() == 0; });
+}
+
+// A caller sends its request, says that it will send no more, and waits for an
+// answer that isn't made yet. It has not left, but its end of input looks like
+// a close.
+TEST(HttpServer, AnswersACallerThatEndedItsInputBefore) {
+  auto caller = Ask(Get("/"));
+  caller->HalfClose();
+  stage.Settle();
+  calls[0]->Answer(200, "OK", {}, "late");
+  STRCMP_EQUAL("late", OnlyAnswer(*caller).body.c_str());
+}
+
 // A caller that closes leaves. Its request is given up, so that no endpoint
 // works for nobody.
 TEST(HttpServer, TellsOnceThatACallerClosed) {
@@ -212,6 +270,22 @@
   STRCMP_EQUAL("done", OnlyAnswer(*caller).body.c_str());
 }
 
+// A caller writes more than a node reads ahead while its answer is made. The
+// rest has to wait; a node that tried again at once and for ever would use a
+// whole processor as long as the answer takes.
+TEST(HttpServer, RestsWhileTooMuchWaitsBehindARequest) {
+  auto caller = Ask(Get("/1") + Get("/2"));
+  const std::string piece(65'536, 'x');
+  for (int turn = 0; turn < 8; ++turn) {
+    caller->SendSome(piece);
+    stage.Settle();
+  }
+  CHECK(stage.Rests());
+  calls[0]->Answer(200, "OK", {}, "first");
+  stage.Until([this] { return calls.size() == 2; });
+  CHECK(stage.Rests());
+}
+
 // A body is refused as too large while most of it is still being sent. The
 // caller reads when it has sent it all, and must see the refusal then, no
 // reset.
@@ -329,6 +403,37 @@
   LONGS_EQUAL(0, gone);
 }
 
+// The same for a caller of HTTP/1.0, for whom the end of the connection is the
+// end of the answer. A regular end would make half an answer look whole, so it
+// must see a reset.
+TEST(HttpServer, ResetsABrokenAnswerThatHasNoChunks) {
+  auto caller = Ask("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+  calls[0]->Begin(200, "OK", {});
+  calls[0]->Send("half");
+  stage.Until([&caller] {
+    caller->Take();
+    return caller->taken().find("half") != std::string::npos;
+  });
+  calls[0]->Break();
+  TakeToTheEnd(*caller);
+  CHECK(caller->end() == et::PeerEnd::kReset);
+  LONGS_EQUAL(0, server->connections());
+}
+
+// The node itself ends in the middle of such an answer.
+TEST(HttpServer, ResetsAnAnswerWithoutChunksWhenTheServerEnds) {
+  auto caller = Ask("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+  calls[0]->Begin(200, "OK", {});
+  calls[0]->Send("half");
+  stage.Until([&caller] {
+    caller->Take();
+    return caller->taken().find("half") != std::string::npos;
+  });
+  server.reset();
+  TakeToTheEnd(*caller);
+  CHECK(caller->end() == et::PeerEnd::kReset);
+}
+
 // A node that leaves stops taking connections. The callers it has are served
 // on; new ones are refused at once and go to another node.
 TEST(HttpServer, ServesConnectionsItHasAfterItStoppedListening) {
@@ -346,6 +451,23 @@
   LONGS_EQUAL(1, TakeAnswers(*idle, 1).size());
 }
 
+// A caller connected and sent its request while the node was busy for a moment,
+// so that its connection isn't accepted yet when the node stops listening. The
+// kernel took the request; dropped there, it is reset and the caller can't know
+// whether it ran.
+TEST(HttpServer, ServesAConnectionThatWaitedWhenItStoppedListening) {
+  auto caller = Connect();
+  caller->Send(Get("/"));
+  server->StopListening();
+  stage.Until([this, &caller] {
+    caller->Take();
+    return calls.size() == 1 || caller->end() != et::PeerEnd::kOpen;
+  });
+  LONGS_EQUAL(1, calls.size());
+  calls[0]->Answer(200, "OK", {}, "first");
+  LONGS_EQUAL(1, TakeAnswers(*caller, 1).size());
+}
+
 // A caller's machine resets the connection in the middle of an answer. Whoever
 // makes the answer is told once, and nothing of the connection stays.
 TEST(HttpServer, TellsOnceThatACallerResetInAnAnswer) {
