Let the server rest while too much waits behind a request

Cause: libevent calls the reader back, deferred, each time that it returns with the input at its high mark. While an answer is being made nothing is taken, so a caller that wrote 128 KiB behind its request kept the loop at work without a rest until its answer was out. A debugger showed bufferevent_trigger, event_deferred_cb_schedule_ and event_callback_activate_ without end.

Ruled out: the socket itself, which is not read at the mark; the test's turn of the loop, which returns when nothing else is active.

Change: reading is off from the mark on until the answer is out; an answer that ends the connection drops what waits and reads on. A caller's end is seen no earlier than before, since libevent doesn't read at the mark either.

--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -131,6 +131,7 @@
       return;
     }
     AwaitRequest();
+    SetReading(true);
     // From the loop, so that a pipelined request doesn't nest in the answer to
     // the one before.
     bufferevent_trigger(buffer_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
@@ -157,6 +158,14 @@
     Await(Awaits::kRequest, server->limits.idle_time);
   }
 
+  void SetReading(bool reading) {
+    if (reading) {
+      bufferevent_enable(buffer_.get(), EV_READ);
+    } else {
+      bufferevent_disable(buffer_.get(), EV_READ);
+    }
+  }
+
   void Await(Awaits what, std::chrono::milliseconds most) {
     awaits_ = what;
     due_ = kernel::Now(loop_.clock) + most;
@@ -167,8 +176,13 @@
       Consume(buffer_.get(), InputOf(buffer_.get()).size());
       return;
     }
-    if (call_ != nullptr || closed_) return;  // Read when its answer is out.
+    if (closed_) return;
     const std::string_view input = InputOf(buffer_.get());
+    if (call_ != nullptr) {  // Read when its answer is out.
+      // Called back at once and for ever while it is full.
+      if (input.size() >= kHttpReadAhead) SetReading(false);
+      return;
+    }
     if (input.empty()) return;
     const auto server = server_.lock();
     if (server == nullptr) return;
@@ -224,6 +238,8 @@
   void LingerThenClose() {
     lingering_ = true;
     awaits_ = Awaits::kNothing;
+    Consume(buffer_.get(), InputOf(buffer_.get()).size());
+    SetReading(true);
     if (WaitingOutput(buffer_.get()) == 0) Written();
   }
 
