Keep an answer that is under way when the caller ends its input

Cause: the server closed at any event of the connection, an end of input among them, and with that dropped what waited in its output. A caller that sent its request and half-closed lost the rest of a long answer.

Ruled out: a close by the handler of the request, which had given its whole answer; the lingering, which had not begun.

Change: when a whole answer waits and no other is being made, an end of input lets it go out first and then ends the connection. A caller that really left resets the first write. A request whose answer isn't whole yet is given up at an end of input as before: an end by close looks the same, and work for callers that left has to stop.

--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -145,8 +145,26 @@
     static_cast<HttpConnection*>(arg)->shared_from_this()->Written();
   }
   // NOLINTNEXTLINE(google-runtime-int)
-  static void OnEvent(bufferevent* /*buffer*/, short /*what*/, void* arg) {
-    static_cast<HttpConnection*>(arg)->shared_from_this()->Close();
+  static void OnEvent(bufferevent* /*buffer*/, short what, void* arg) {
+    const auto self = static_cast<HttpConnection*>(arg)->shared_from_this();
+    constexpr int kNoEnd = BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT;
+    if ((what & BEV_EVENT_EOF) != 0 && (what & kNoEnd) == 0) {
+      self->InputEnded();
+    } else {
+      self->Close();
+    }
+  }
+
+  // A caller that sends no more may still take the answer that is on its way.
+  // One that waits for its answer can't be told from one that left.
+  void InputEnded() {
+    if (closed_) return;
+    input_ended_ = true;
+    if (call_ != nullptr || Unsent() == 0) {
+      Close();
+    } else if (!lingering_) {
+      LingerThenClose();
+    }
   }
 
   void AwaitRequest() {
@@ -251,7 +269,9 @@
     }
     if (!lingering_ || closed_) return;
     shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
-    Await(Awaits::kClose, kLingeringClose);
+    // Nothing can be left unread once the caller ended its input.
+    Await(Awaits::kClose,
+          input_ended_ ? std::chrono::milliseconds(0) : kLingeringClose);
   }
 
   std::weak_ptr<HttpServer::State> server_;
@@ -264,6 +284,7 @@
   bool began_ = false;      // The first byte of a request is there.
   bool continued_ = false;  // `100 Continue` was sent.
   bool lingering_ = false;
+  bool input_ended_ = false;
   bool closed_ = false;
 };
 
