Count an answer that waits in the kernel as untaken

Cause: the server gave a connection one second from the last byte that went to the kernel, which holds hundreds of kilobytes of an answer, and closed it then. A node that leaves counted that answer as taken while the caller had a small part of it; a byte that the caller sent meanwhile would also reset it.

Change: when the second is over, the kernel is asked what the caller hasn't acknowledged. The connection stays while that falls, and is given up when it doesn't for the time in which a caller has to take something.

--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -1,4 +1,5 @@
 #include <event2/buffer.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -30,6 +31,12 @@
   return 400;
 }
 
+// Bytes, and the end after them, that the other side hasn't acknowledged.
+int HeldByKernel(evutil_socket_t fd) {
+  int held = 0;
+  return ioctl(fd, TIOCOUTQ, &held) == 0 ? held : 0;
+}
+
 }  // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<State> {
@@ -84,6 +91,8 @@
       Refuse(kRequestTimeout, "the request took too long");
     } else if (awaits_ == Awaits::kBody) {
       Refuse(kRequestTimeout, "the body took too long");
+    } else if (awaits_ == Awaits::kClose && IsBeingTaken()) {
+      AwaitClose();
     } else {
       Close();
     }
@@ -269,11 +278,27 @@
     }
     if (!lingering_ || closed_) return;
     shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
+    held_since_ = kernel::Now(loop_.clock);
+    AwaitClose();
+  }
+
+  void AwaitClose() {
     // Nothing can be left unread once the caller ended its input.
     Await(Awaits::kClose,
           input_ended_ ? std::chrono::milliseconds(0) : kLingeringClose);
   }
 
+  // The kernel holds a part of the answer, and the caller took some of it
+  // within the time for that.
+  bool IsBeingTaken() {
+    const auto server = server_.lock();
+    const int held = HeldByKernel(bufferevent_getfd(buffer_.get()));
+    if (server == nullptr || held == 0) return false;
+    const kernel::Time now = kernel::Now(loop_.clock);
+    if (std::exchange(held_, held) != held) held_since_ = now;
+    return now - held_since_ < server->limits.drain_time;
+  }
+
   std::weak_ptr<HttpServer::State> server_;
   kernel::Loop& loop_;
   Bufferevent buffer_;
@@ -281,6 +306,8 @@
   HttpCallPtr call_;
   Awaits awaits_ = Awaits::kNothing;
   kernel::Time due_{};
+  int held_ = 0;  // By the kernel, when it was looked at last.
+  kernel::Time held_since_{};
   bool began_ = false;      // The first byte of a request is there.
   bool continued_ = false;  // `100 Continue` was sent.
   bool lingering_ = false;
--- a/net/tests/http_server_test.cc
+++ b/net/tests/http_server_test.cc
@@ -173,6 +173,21 @@
   stage.Until([this] { return server->untaken() == 0; });
 }
 
+// The caller never goes on. Its connection is given up after the time for
+// taking, so that it can't hold up a node that leaves.
+TEST(HttpServer, DropsACallerThatLeavesItsAnswerInTheKernel) {
+  send_buffer = 400'000;
+  auto caller = Ask(Get("/", "Connection: close\r\n"), kSmallBuffer);
+  calls[0]->Answer(200, "OK", {}, std::string(200'000, 'a'));
+  stage.Settle();
+  Move(2s);
+  Sweep();
+  LONGS_EQUAL(1, server->untaken());
+  Move(31s);
+  stage.Until([this] { return server->connections() == 0; });
+  LONGS_EQUAL(0, server->untaken());
+}
+
 // A node that leaves ends each connection with its answer. A caller with a
 // small receive buffer still has most of it to come at that moment and would
 // see a body that is too short.
