Reset a caller of HTTP/1.0 whose answer breaks

Cause: an answer to HTTP/1.0 whose length isn't known ends with its connection. Break, a caller's time-out and the end of the server closed the socket, which the caller sees as that end: half an answer looked whole.

Ruled out: chunked answers, where the missing last chunk says it.

Change: a connection that is dropped in the middle of such an answer is reset. An answer that was given whole and waits in the output isn't covered.

--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -37,6 +37,12 @@
   return ioctl(fd, TIOCOUTQ, &held) == 0 ? held : 0;
 }
 
+// A regular end would make a half answer without chunks look whole.
+void ResetOnClose(evutil_socket_t fd) {
+  const linger now{1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
 }  // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<State> {
@@ -104,6 +110,9 @@
     closed_ = true;
     const auto self = shared_from_this();
     awaits_ = Awaits::kNothing;
+    if (call_ != nullptr && call_->begun_ && !call_->chunked_) {
+      ResetOnClose(bufferevent_getfd(buffer_.get()));
+    }
     buffer_.reset();
     if (const auto call = std::exchange(call_, nullptr)) {
       call->connection_ = nullptr;
