Take the connections that wait when the server stops listening

Cause: closing a listening socket resets what the kernel accepted for it and the program didn't take yet. A caller that connected and sent its request in that moment was reset and can't know whether it ran.

Ruled out: connections that were taken already, which are served on; new ones, which are refused before a byte leaves.

Change: what waits is taken first, up to the limit of connections; what waits beyond it is still reset. What comes between the last look and the close is, too.

--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -54,6 +55,9 @@
   bool close_after_answers = false;
   kernel::Watch sweep;
 
+  void Accept(evutil_socket_t fd);
+  // Takes what the kernel accepted already and would reset with the listener.
+  void AcceptWaiting();
   void Sweep();
 
   std::unordered_set<std::shared_ptr<HttpConnection>> connections;
@@ -406,26 +410,8 @@
 
 kernel::Result<void> HttpServer::Listen(const std::string& address) {
   const auto accept = [](evconnlistener* /*listener*/, evutil_socket_t fd,
-                         sockaddr* /*peer*/, int /*size*/, void* arg) {
-    const auto state = static_cast<State*>(arg);
-    PrepareSocket(fd);
-    Bufferevent buffer =
-        state->handlers.make_buffer
-            ? state->handlers.make_buffer(state->loop->base.get(), fd)
-            : Bufferevent(bufferevent_socket_new(state->loop->base.get(), fd,
-                                                 BEV_OPT_CLOSE_ON_FREE));
-    if (buffer == nullptr) {
-      evutil_closesocket(fd);
-      return;
-    }
-    auto connection = std::make_shared<HttpConnection>(
-        state->weak_from_this(), *state->loop, std::move(buffer));
-    state->connections.insert(connection);
-    if (state->connections.size() >= state->limits.connections) {
-      evconnlistener_disable(state->listener.get());
-    }
-    connection->Open();
-  };
+                         sockaddr* /*peer*/, int /*size*/,
+                         void* arg) { static_cast<State*>(arg)->Accept(fd); };
   // No descriptor is left for another connection. The socket stays readable, so
   // libevent would try again at once and for ever.
   const auto refuse = [](evconnlistener* listener, void* /*arg*/) {
@@ -442,6 +428,37 @@
   return kernel::Result<void>(boost::outcome_v2::success());
 }
 
+void HttpServer::State::Accept(evutil_socket_t fd) {
+  PrepareSocket(fd);
+  Bufferevent buffer = handlers.make_buffer
+                           ? handlers.make_buffer(loop->base.get(), fd)
+                           : Bufferevent(bufferevent_socket_new(
+                                 loop->base.get(), fd, BEV_OPT_CLOSE_ON_FREE));
+  if (buffer == nullptr) {
+    evutil_closesocket(fd);
+    return;
+  }
+  auto connection = std::make_shared<HttpConnection>(weak_from_this(), *loop,
+                                                     std::move(buffer));
+  connections.insert(connection);
+  if (listener && connections.size() >= limits.connections) {
+    evconnlistener_disable(listener.get());
+  }
+  connection->Open();
+}
+
+void HttpServer::State::AcceptWaiting() {
+  while (listener && connections.size() < limits.connections) {
+    const int fd = accept4(evconnlistener_get_fd(listener.get()), nullptr,
+                           nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      Accept(fd);
+    } else if (errno != ECONNABORTED && errno != EINTR) {
+      return;
+    }
+  }
+}
+
 void HttpServer::State::Sweep() {
   const kernel::Time now = kernel::Now(loop->clock);
   std::vector<std::shared_ptr<HttpConnection>> due;
@@ -459,7 +476,10 @@
   state_->limits = limits;
 }
 void HttpServer::CloseAfterAnswers() { state_->close_after_answers = true; }
-void HttpServer::StopListening() { state_->listener.reset(); }
+void HttpServer::StopListening() {
+  state_->AcceptWaiting();
+  state_->listener.reset();
+}
 std::size_t HttpServer::untaken() const {
   return static_cast<std::size_t>(std::count_if(
       state_->connections.begin(), state_->connections.end(),
