Connect anew when a kept connection is of no use before the request left

Cause: an exchange takes an idle connection at once and sends from the loop. What the endpoint sent before was seen in between: an end was told as a broken request, although no byte had left, so that a request that may run only once failed for its caller; unasked bytes stayed in the input and were taken for the answer.

Ruled out: ends and bytes that the loop sees while the connection is idle, which drop it; bytes with the answer before, which keep it from being kept.

Change: an exchange whose connection ends or speaks before it sends opens a new one. What arrives after the request left can't be told apart here.

--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -152,6 +152,7 @@
 
   void Connect() {
     auto target = ParseAddress(request_.address);
+    reused_ = false;
     link_ = std::make_unique<Link>();
     link_->address = request_.address;
     link_->buffer.reset(bufferevent_socket_new(client_->loop->base.get(), -1,
@@ -197,6 +198,10 @@
       Fail(ExchangeFault::kNotConnected, "the connection was refused");
       return;
     }
+    if (!sent_) {
+      Connect();  // A kept one that ended before the request left.
+      return;
+    }
     if ((what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0) {
       OnEnded();
       return;
@@ -210,6 +215,10 @@
 
   void SendRequest() {
     const auto self = shared_from_this();
+    if (!InputOf(link_->buffer.get()).empty()) {
+      Connect();  // What is there belongs to no request.
+      return;
+    }
     if (handlers_.may_send && !handlers_.may_send()) {
       if (link_ != nullptr) Cancel();
       return;
