--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -1,7 +1,9 @@
 #include <event2/buffer.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -30,6 +32,18 @@
   return 400;
 }
 
+// Bytes, and the end after them, that the other side hasn't acknowledged.
+int HeldByKernel(evutil_socket_t fd) {
+  int held = 0;
+  return ioctl(fd, TIOCOUTQ, &held) == 0 ? held : 0;
+}
+
+// A regular end would make a half answer without chunks look whole.
+void ResetOnClose(evutil_socket_t fd) {
+  const linger now{1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
 }  // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<State> {
@@ -41,6 +55,9 @@
   bool close_after_answers = false;
   kernel::Watch sweep;
 
+  void Accept(evutil_socket_t fd);
+  // Takes what the kernel accepted already and would reset with the listener.
+  void AcceptWaiting();
   void Sweep();
 
   std::unordered_set<std::shared_ptr<HttpConnection>> connections;
@@ -84,6 +101,8 @@
       Refuse(kRequestTimeout, "the request took too long");
     } else if (awaits_ == Awaits::kBody) {
       Refuse(kRequestTimeout, "the body took too long");
+    } else if (awaits_ == Awaits::kClose && IsBeingTaken()) {
+      AwaitClose();
     } else {
       Close();
     }
@@ -95,6 +114,9 @@
     closed_ = true;
     const auto self = shared_from_this();
     awaits_ = Awaits::kNothing;
+    if (call_ != nullptr && call_->begun_ && !call_->chunked_) {
+      ResetOnClose(bufferevent_getfd(buffer_.get()));
+    }
     buffer_.reset();
     if (const auto call = std::exchange(call_, nullptr)) {
       call->connection_ = nullptr;
@@ -131,6 +153,7 @@
       return;
     }
     AwaitRequest();
+    SetReading(true);
     // From the loop, so that a pipelined request doesn't nest in the answer to
     // the one before.
     bufferevent_trigger(buffer_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
@@ -144,8 +167,26 @@
     static_cast<HttpConnection*>(arg)->shared_from_this()->Written();
   }
   // NOLINTNEXTLINE(google-runtime-int)
-  static void OnEvent(bufferevent* /*buffer*/, short /*what*/, void* arg) {
-    static_cast<HttpConnection*>(arg)->shared_from_this()->Close();
+  static void OnEvent(bufferevent* /*buffer*/, short what, void* arg) {
+    const auto self = static_cast<HttpConnection*>(arg)->shared_from_this();
+    constexpr int kNoEnd = BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT;
+    if ((what & BEV_EVENT_EOF) != 0 && (what & kNoEnd) == 0) {
+      self->InputEnded();
+    } else {
+      self->Close();
+    }
+  }
+
+  // A caller that sends no more may still take the answer that is on its way.
+  // One that waits for its answer can't be told from one that left.
+  void InputEnded() {
+    if (closed_) return;
+    input_ended_ = true;
+    if (call_ != nullptr || Unsent() == 0) {
+      Close();
+    } else if (!lingering_) {
+      LingerThenClose();
+    }
   }
 
   void AwaitRequest() {
@@ -157,6 +198,14 @@
     Await(Awaits::kRequest, server->limits.idle_time);
   }
 
+  void SetReading(bool reading) {
+    if (reading) {
+      bufferevent_enable(buffer_.get(), EV_READ);
+    } else {
+      bufferevent_disable(buffer_.get(), EV_READ);
+    }
+  }
+
   void Await(Awaits what, std::chrono::milliseconds most) {
     awaits_ = what;
     due_ = kernel::Now(loop_.clock) + most;
@@ -167,8 +216,13 @@
       Consume(buffer_.get(), InputOf(buffer_.get()).size());
       return;
     }
-    if (call_ != nullptr || closed_) return;  // Read when its answer is out.
+    if (closed_) return;
     const std::string_view input = InputOf(buffer_.get());
+    if (call_ != nullptr) {  // Read when its answer is out.
+      // Called back at once and for ever while it is full.
+      if (input.size() >= kHttpReadAhead) SetReading(false);
+      return;
+    }
     if (input.empty()) return;
     const auto server = server_.lock();
     if (server == nullptr) return;
@@ -224,6 +278,8 @@
   void LingerThenClose() {
     lingering_ = true;
     awaits_ = Awaits::kNothing;
+    Consume(buffer_.get(), InputOf(buffer_.get()).size());
+    SetReading(true);
     if (WaitingOutput(buffer_.get()) == 0) Written();
   }
 
@@ -235,7 +291,25 @@
     }
     if (!lingering_ || closed_) return;
     shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
-    Await(Awaits::kClose, kLingeringClose);
+    held_since_ = kernel::Now(loop_.clock);
+    AwaitClose();
+  }
+
+  void AwaitClose() {
+    // Nothing can be left unread once the caller ended its input.
+    Await(Awaits::kClose,
+          input_ended_ ? std::chrono::milliseconds(0) : kLingeringClose);
+  }
+
+  // The kernel holds a part of the answer, and the caller took some of it
+  // within the time for that.
+  bool IsBeingTaken() {
+    const auto server = server_.lock();
+    const int held = HeldByKernel(bufferevent_getfd(buffer_.get()));
+    if (server == nullptr || held == 0) return false;
+    const kernel::Time now = kernel::Now(loop_.clock);
+    if (std::exchange(held_, held) != held) held_since_ = now;
+    return now - held_since_ < server->limits.drain_time;
   }
 
   std::weak_ptr<HttpServer::State> server_;
@@ -245,9 +319,12 @@
   HttpCallPtr call_;
   Awaits awaits_ = Awaits::kNothing;
   kernel::Time due_{};
+  int held_ = 0;  // By the kernel, when it was looked at last.
+  kernel::Time held_since_{};
   bool began_ = false;      // The first byte of a request is there.
   bool continued_ = false;  // `100 Continue` was sent.
   bool lingering_ = false;
+  bool input_ended_ = false;
   bool closed_ = false;
 };
 
@@ -333,26 +410,8 @@
 
 kernel::Result<void> HttpServer::Listen(const std::string& address) {
   const auto accept = [](evconnlistener* /*listener*/, evutil_socket_t fd,
-                         sockaddr* /*peer*/, int /*size*/, void* arg) {
-    const auto state = static_cast<State*>(arg);
-    PrepareSocket(fd);
-    Bufferevent buffer =
-        state->handlers.make_buffer
-            ? state->handlers.make_buffer(state->loop->base.get(), fd)
-            : Bufferevent(bufferevent_socket_new(state->loop->base.get(), fd,
-                                                 BEV_OPT_CLOSE_ON_FREE));
-    if (buffer == nullptr) {
-      evutil_closesocket(fd);
-      return;
-    }
-    auto connection = std::make_shared<HttpConnection>(
-        state->weak_from_this(), *state->loop, std::move(buffer));
-    state->connections.insert(connection);
-    if (state->connections.size() >= state->limits.connections) {
-      evconnlistener_disable(state->listener.get());
-    }
-    connection->Open();
-  };
+                         sockaddr* /*peer*/, int /*size*/,
+                         void* arg) { static_cast<State*>(arg)->Accept(fd); };
   // No descriptor is left for another connection. The socket stays readable, so
   // libevent would try again at once and for ever.
   const auto refuse = [](evconnlistener* listener, void* /*arg*/) {
@@ -369,6 +428,37 @@
   return kernel::Result<void>(boost::outcome_v2::success());
 }
 
+void HttpServer::State::Accept(evutil_socket_t fd) {
+  PrepareSocket(fd);
+  Bufferevent buffer = handlers.make_buffer
+                           ? handlers.make_buffer(loop->base.get(), fd)
+                           : Bufferevent(bufferevent_socket_new(
+                                 loop->base.get(), fd, BEV_OPT_CLOSE_ON_FREE));
+  if (buffer == nullptr) {
+    evutil_closesocket(fd);
+    return;
+  }
+  auto connection = std::make_shared<HttpConnection>(weak_from_this(), *loop,
+                                                     std::move(buffer));
+  connections.insert(connection);
+  if (listener && connections.size() >= limits.connections) {
+    evconnlistener_disable(listener.get());
+  }
+  connection->Open();
+}
+
+void HttpServer::State::AcceptWaiting() {
+  while (listener && connections.size() < limits.connections) {
+    const int fd = accept4(evconnlistener_get_fd(listener.get()), nullptr,
+                           nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      Accept(fd);
+    } else if (errno != ECONNABORTED && errno != EINTR) {
+      return;
+    }
+  }
+}
+
 void HttpServer::State::Sweep() {
   const kernel::Time now = kernel::Now(loop->clock);
   std::vector<std::shared_ptr<HttpConnection>> due;
@@ -386,7 +476,10 @@
   state_->limits = limits;
 }
 void HttpServer::CloseAfterAnswers() { state_->close_after_answers = true; }
-void HttpServer::StopListening() { state_->listener.reset(); }
+void HttpServer::StopListening() {
+  state_->AcceptWaiting();
+  state_->listener.reset();
+}
 std::size_t HttpServer::untaken() const {
   return static_cast<std::size_t>(std::count_if(
       state_->connections.begin(), state_->connections.end(),
