Test the life of a request over sockets in the package that has it

Cause: proxy had tests of its settings only; what it does over sockets was tested through the platform's names, and much of it nowhere: connections between nodes that end under an answer, routes, keys, zones and entries that go under requests, bodies half sent, answers cut at each byte, retries used up, a silent store, the end of all peers, stops without rules or store.

Ruled out: the platform's harness, since it is linked to the platform's dialect and its store stand-in, which depend on proxy.

No product code.

--- /dev/null
+++ b/proxy/tests/peers_test.cc
@@ -0,0 +1,149 @@
+// Nodes whose peers go, in the middle of an exchange or for good.
+#include <CppUTest/TestHarness.h>
+
+#include <list>
+#include <memory>
+
+#include "harness.h"
+
+namespace ep = egretladder::proxy;
+namespace et = egretladder::proxy::test;
+
+namespace {
+
+// Stands between a node that connects and one that answers.
+class Relay {
+ public:
+  Relay(et::World& world, const std::string& target)
+      : world_(world),
+        target_(target),
+        port_(world.loop, [this](auto wire) { Accept(std::move(wire)); }) {}
+
+  const std::string& address() const { return port_.address(); }
+  /// Ends the next connection on which so many bytes of answers came, before
+  /// more of them are read.
+  void CutAt(std::size_t bytes, bool by_reset) {
+    cut_at_ = bytes;
+    by_reset_ = by_reset;
+  }
+  bool has_cut() const { return cut_at_ == 0; }
+  /// Bytes of answers on the newest connection.
+  std::size_t answered() const { return pairs_.back().back->received().size(); }
+  std::size_t connections() const { return pairs_.size(); }
+
+ private:
+  struct Pair {
+    std::unique_ptr<et::Wire> front;
+    std::unique_ptr<et::Wire> back;
+    std::size_t front_passed = 0;
+    std::size_t back_passed = 0;
+  };
+
+  void Accept(std::unique_ptr<et::Wire> wire) {
+    Pair& pair = pairs_.emplace_back();
+    pair.front = std::move(wire);
+    pair.back = std::make_unique<et::Wire>(world_.loop, target_);
+    pair.front->OnChange([this, &pair] { Pass(pair); });
+    pair.back->OnChange([this, &pair] { Pass(pair); });
+  }
+
+  void Pass(Pair& pair) {
+    if (cut_at_ > 0 && pair.back->received().size() >= cut_at_) {
+      cut_at_ = 0;
+      by_reset_ ? pair.back->Reset() : pair.back->Close();
+      by_reset_ ? pair.front->Reset() : pair.front->Close();
+      return;
+    }
+    PassOn(*pair.front, *pair.back, pair.front_passed);
+    PassOn(*pair.back, *pair.front, pair.back_passed);
+  }
+
+  static void PassOn(const et::Wire& from, et::Wire& to, std::size_t& passed) {
+    const std::string_view received = from.received();
+    to.Send(received.substr(passed));
+    passed = from.received().size();
+    if (from.ended()) to.Close();
+  }
+
+  et::World& world_;
+  std::string target_;
+  std::size_t cut_at_ = 0;
+  bool by_reset_ = false;
+  std::list<Pair> pairs_;
+  et::Port port_;
+};
+
+}  // namespace
+
+TEST_GROUP(Peers) {
+  et::World world;
+
+  std::string Directory(ep::Proxy & proxy) {
+    et::Wire& asker = world.Connect(ep::ViewOf(proxy).directory);
+    asker.Send("GET /nodes/a HTTP/1.1\r\nHost: h\r\n\r\n");
+    world.Until([&asker] { return !et::Told(asker).empty(); });
+    return et::AnswersIn(asker.received())[0].body;
+  }
+
+  // A node that can't read the store and learns all from `seed`.
+  ep::Proxy& StartAt(const std::string& name, const std::string& seed) {
+    ep::ProxyOptions options = world.OptionsOf(name);
+    options.store = "127.0.0.1:1";
+    options.seeds = {seed};
+    return world.Start(options);
+  }
+};
+
+// A connection between two nodes ends while one of them sends its answer, of
+// which most still waits in its process. Both go on, the next exchange is as
+// any other, and callers notice nothing.
+TEST(Peers, AConnectionThatEndsUnderAnAnswerHarmsNeitherNode) {
+  constexpr std::size_t kNote = std::size_t{4} << 20U;
+  world.AddEndpoint("e1", et::AnswersDone());
+  world.store.Put("note", std::string(kNote, 'x'));
+  ep::Proxy& first = world.StartReady();
+  int started = 0;
+  for (const std::size_t bytes : {1U, 1000U, 100'000U, 2'000'000U}) {
+    for (const bool by_reset : {false, true}) {
+      Relay relay(world, ep::ViewOf(first).peers);
+      relay.CutAt(bytes, by_reset);
+      ep::Proxy& second =
+          StartAt("n" + std::to_string(2 + started++), relay.address());
+      world.Until([&relay] { return relay.has_cut(); });
+      STRCMP_EQUAL("200", world.AskFor(first, {.path = "/once/a"}).c_str());
+      world.Until(
+          [&relay] { return relay.connections() > 1 && relay.answered() > 0; });
+      world.UntilKnown(second, 1);
+      STRCMP_EQUAL("200", world.AskFor(second, {.path = "/once/b"}).c_str());
+      world.Publish();
+      world.UntilRules(second);
+      STRCMP_EQUAL("200", world.AskFor(first, {.path = "/once/c"}).c_str());
+      world.Kill(second);
+    }
+  }
+}
+
+// All other nodes are killed. The one that is left serves alone, names no
+// address at which nobody answers, and finds a node that starts.
+TEST(Peers, TheLastNodeServesAloneAndNamesOnlyItself) {
+  world.AddEndpoint("e1", et::AnswersDone());
+  ep::Proxy& last = world.StartReady();
+  const std::string seed = ep::ViewOf(last).peers;
+  ep::Proxy& second = StartAt("n2", seed);
+  ep::Proxy& third = StartAt("n3", seed);
+  world.UntilKnown(second, 1);
+  world.UntilKnown(third, 1);
+  world.Until([&last] { return ep::ViewOf(last).nodes == 3; });
+  world.Kill(second);
+  world.Kill(third);
+  world.Until([&last] { return ep::ViewOf(last).nodes == 1; });
+  const std::string own = ep::ViewOf(last).callers + "\n";
+  STRCMP_EQUAL(own.c_str(), Directory(last).c_str());
+  CHECK(ep::ViewOf(last).ready_now);
+  STRCMP_EQUAL("200", world.AskFor(last, {.path = "/once/a"}).c_str());
+  ep::Proxy& again = StartAt("n2", seed);
+  world.UntilKnown(again, 1);
+  world.Until([&last] { return ep::ViewOf(last).nodes == 2; });
+  const std::string named = Directory(last);
+  CHECK(named.find(ep::ViewOf(again).callers) != std::string::npos);
+}
