Show two faults of streams whose callers read slowly (red)

Cause, both in PassEvents: above kCallerBacklog the endpoint isn't read for 50 ms, then it is read again without a look at what the caller took, so that what is held grows with each turn (about 73 KB a second, up to the stream's deadline).

Ruled out: the caller's own buffers; what is measured is what the node holds. The stall itself: when events are still to be read after the caller has caught up, the stream goes on elsewhere after about a second.

The server's call already tells when a caller has taken all (OnDrained); nobody uses it. No product code.

--- a/proxy/tests/slow_reader_test.cc
+++ b/proxy/tests/slow_reader_test.cc
@@ -2,6 +2,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "harness.h"
+#include "state_p.h"
 
 using namespace std::chrono_literals;
 namespace ep = egretladder::proxy;
@@ -11,6 +12,24 @@
 
 const std::string kData(1000, 'x');
 
+// Bytes that the node holds for its callers.
+std::size_t UnsentOf(const ep::Proxy& proxy) {
+  std::size_t bytes = 0;
+  for (const auto& [number, call] : proxy.calls) {
+    bytes += call->caller->Unsent();
+  }
+  return bytes;
+}
+
+// Events that the node has read of its streams.
+int EventsOf(const ep::Proxy& proxy) {
+  int events = 0;
+  for (const auto& [number, call] : proxy.calls) {
+    events += static_cast<int>(call->events);
+  }
+  return events;
+}
+
 std::string EventsText(int from, int to) {
   std::string events;
   for (int i = from; i <= to; ++i) {
@@ -60,3 +79,61 @@
   LONGS_EQUAL(1, answers.size());
   CHECK(answers[0].body == EventsText(1, kEvents));
 }
+
+// A caller takes nothing of its stream any more, as behind a link that broke.
+// What the node reads of its endpoint stays in the node; some hundred such
+// callers cost it its memory unless it stops reading.
+TEST(SlowReader, WhatIsHeldForACallerThatTakesNothingDoesNotGrow) {
+  world.AddEndpoint("e1", [](const et::Served& served) {
+    served.Begin(1, 0);
+    for (int i = 1; i <= 12'000; ++i) {
+      served.wire->Send(et::EventBytes(i, kData));
+    }
+  });
+  ep::Proxy& proxy = world.StartReady();
+  AskAndHold(proxy, "/tell/a");
+  world.Until([&proxy] { return UnsentOf(proxy) > ep::kCallerBacklog; });
+  const std::size_t held = UnsentOf(proxy);
+  world.Turn(1000ms);
+  CHECK_COMPARE(UnsentOf(proxy), <=, held);
+}
+
+// An engine falls silent while its caller is behind with reading. The caller
+// catches up and waits; the stream goes on at another engine, as it would for a
+// caller that had read at once.
+TEST(SlowReader, AStreamThatStallsMeanwhileGoesOnElsewhere) {
+  const auto handler = [](const et::Served& served) {
+    served.Begin(1, 0);
+    if (served.after() == 0) return;
+    served.wire->Send(et::EventBytes(served.after() + 1, kData));
+    served.wire->Send(et::kEventsEnd);
+  };
+  const et::Endpoint& first = world.AddEndpoint("e1", handler);
+  const et::Endpoint& second = world.AddEndpoint("e2", handler);
+  ep::Proxy& proxy = world.StartReady();
+  et::Wire& caller = AskAndHold(proxy, "/talk/a");
+  world.Until([&] { return first.seen().size() + second.seen().size() == 1; });
+  const et::Served served =
+      (first.seen().empty() ? second : first).seen().at(0);
+  int sent = 0;
+  // The node has read all that the engine said when it falls silent.
+  world.Until([&] {
+    if (EventsOf(proxy) < sent) return false;
+    if (UnsentOf(proxy) > ep::kCallerBacklog) return true;
+    served.wire->Send(et::EventBytes(++sent, kData));
+    return false;
+  });
+  caller.Hold(false);
+  world.Until([&] {
+    return caller.received().find("id: " + std::to_string(sent)) !=
+           std::string::npos;
+  });
+  const auto limit = std::chrono::steady_clock::now() + 4s;
+  world.Until([&] {
+    return !et::Told(caller).empty() ||
+           std::chrono::steady_clock::now() > limit;
+  });
+  const auto answers = et::AnswersIn(caller.received());
+  LONGS_EQUAL(1, answers.size());
+  CHECK(answers[0].body == EventsText(1, sent + 1));
+}
