Show that a second Leave puts off the end of a node (red)

Cause: Leave sets leaving_since each time, and MayEnd counts the grace from it.

Ruled out: the program, which takes only the first of its signals; so nobody has seen it. Whoever calls Leave from elsewhere has no such guard.

No product code.

--- a/proxy/tests/stop_test.cc
+++ b/proxy/tests/stop_test.cc
@@ -91,3 +91,21 @@
   caller.Close();
   UntilMayEnd(proxy);
 }
+
+// The program tells the node a second time that it is to stop, when half of the
+// grace is over, and a request never ends. The platform kills the process when
+// the grace is over since the first time: counted from the second, the node
+// would be killed with its requests.
+TEST(Stop, ASecondTimeDoesNotPutOffTheEnd) {
+  et::Endpoint& endpoint = world.AddEndpoint("e1", et::AnswersLater());
+  ep::Proxy& proxy = world.StartReady();
+  world.Send(proxy, {.path = "/once/a", .wait_ms = 20'000});
+  world.Until([&endpoint] { return endpoint.seen().size() == 1; });
+  ep::Leave(proxy);
+  world.MoveClock(world.OptionsOf("n1").grace / 2);
+  world.Turn(20ms);
+  ep::Leave(proxy);
+  world.MoveClock(world.OptionsOf("n1").grace / 2 - 100ms);
+  world.Turn(100ms);
+  CHECK(ep::MayEnd(proxy));
+}
