Let an empty endpoint tempt the node where a zone or an endpoint leaves

Cause: two tests could not fail for what they are there for. The endpoint that must get nothing more already had as many requests as one node sends there, so that a trial in which a zone that is out was ignored passed.

Ruled out: a fault of the product; with room at both endpoints the tests pass as well.

Change: both endpoints have room, and six requests come side by side, of which some would go to the one that leaves. No product code.

--- a/proxy/tests/changes_test.cc
+++ b/proxy/tests/changes_test.cc
@@ -2,6 +2,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <vector>
 
 #include "harness.h"
 #include "state_p.h"
@@ -10,6 +11,13 @@
 namespace ep = egretladder::proxy;
 namespace et = egretladder::proxy::test;
 
+namespace {
+
+// Slots that let one node send more requests than a test has.
+constexpr int kMany = 60;
+
+}  // namespace
+
 TEST_GROUP(Changes) {
   et::World world;
   et::Endpoint* endpoint = nullptr;
@@ -17,14 +25,11 @@
   et::Wire* order = nullptr;
   et::Wire* stream = nullptr;
 
-  void Start() {
+  // An order without an answer so far and a stream with two events.
+  void StartWithRequests(int slots = kMany) {
     endpoint = &world.AddEndpoint("e1", et::AnswersLater());
+    world.Register("e1", endpoint->address(), "a", "serving", slots);
     proxy = &world.StartReady();
-  }
-
-  // An order without an answer so far and a stream with two events.
-  void StartWithRequests() {
-    Start();
     order = &world.Send(*proxy, {.path = "/once/a", .id = "order"});
     stream = &world.Send(*proxy, {.path = "/tell/a", .id = "stream"});
     world.Until([this] { return endpoint->seen().size() == 2; });
@@ -44,6 +49,24 @@
         [&id](const et::Served& served) { return served.id() == id; });
   }
 
+  // Of requests that come now, side by side, all reach `other`.
+  void AllReach(const et::Endpoint& other) {
+    std::vector<const et::Wire*> callers;
+    for (int i = 0; i < 6; ++i) {
+      callers.push_back(&world.Send(*proxy, {.path = "/once/b"}));
+    }
+    const std::size_t before = endpoint->seen().size();
+    world.Until([&] {
+      return endpoint->seen().size() + other.seen().size() == before + 6;
+    });
+    LONGS_EQUAL(6, other.seen().size());
+    for (const et::Served& served : other.seen()) served.Answer(200, "done");
+    for (const et::Wire* caller : callers) {
+      world.Until([caller] { return !et::Told(*caller).empty(); });
+      STRCMP_EQUAL("200", et::Told(*caller).c_str());
+    }
+  }
+
   // The endpoint ends both, and their callers have them whole.
   void EndRequests() {
     Seen("order").Answer(200, "done");
@@ -78,7 +101,7 @@
 // The same for a request that waits for a free place at an endpoint: it is sent
 // as the rules said when it came.
 TEST(Changes, ARequestThatWaitsOnARouteThatIsDroppedIsSent) {
-  StartWithRequests();
+  StartWithRequests(8);
   const et::Wire& waits =
       world.Send(*proxy, {.path = "/once/c", .id = "waits"});
   world.Until([this] { return ep::ViewOf(*proxy).waiting == 1; });
@@ -124,14 +147,12 @@
 // everything new goes to the other zones.
 TEST(Changes, RequestsInAZoneThatIsTakenOutEndWhole) {
   StartWithRequests();
-  const et::Endpoint& other = world.AddEndpoint("e2", et::AnswersDone(), "b");
+  const et::Endpoint& other = world.AddEndpoint("e2", et::AnswersLater(), "b");
+  world.Register("e2", other.address(), "b", "serving", kMany);
   world.UntilKnown(*proxy, 2);
   world.store.Put("out/a", "1");
   world.Until([this] { return er::IsZoneOut(proxy->endpoints, "a"); });
-  for (int i = 0; i < 4; ++i) {
-    STRCMP_EQUAL("200", world.AskFor(*proxy, {.path = "/once/b"}).c_str());
-  }
-  LONGS_EQUAL(4, other.seen().size());
+  AllReach(other);
   EndRequests();
   LONGS_EQUAL(2, endpoint->seen().size());
 }
@@ -139,14 +160,12 @@
 // An endpoint says that it leaves. It ends what it has and gets nothing new.
 TEST(Changes, RequestsAtAnEndpointThatLeavesEndWhole) {
   StartWithRequests();
-  const et::Endpoint& other = world.AddEndpoint("e2", et::AnswersDone());
+  const et::Endpoint& other = world.AddEndpoint("e2", et::AnswersLater());
+  world.Register("e2", other.address(), "a", "serving", kMany);
   world.UntilKnown(*proxy, 2);
-  world.Register("e1", endpoint->address(), "a", "leaving");
+  world.Register("e1", endpoint->address(), "a", "leaving", kMany);
   world.Until([this] { return Known().phase == er::EndpointPhase::kLeaving; });
-  for (int i = 0; i < 4; ++i) {
-    STRCMP_EQUAL("200", world.AskFor(*proxy, {.path = "/once/b"}).c_str());
-  }
-  LONGS_EQUAL(4, other.seen().size());
+  AllReach(other);
   EndRequests();
 }
 
--- a/proxy/tests/harness.cc
+++ b/proxy/tests/harness.cc
@@ -339,14 +339,14 @@
   return Tables().at(value);
 }
 
-// `ADDRESS ZONE STATE`
+// `ADDRESS ZONE STATE SLOTS`
 kernel::Result<routing::EndpointEntry> ReadEndpoint(const routing::Item& item) {
   routing::EndpointEntry entry;
   entry.id = EndpointId(item.key);
   entry.service = "all";
-  entry.slots = 8;
   std::string state;
-  std::istringstream(item.value) >> entry.address >> entry.zone >> state;
+  std::istringstream(item.value) >> entry.address >> entry.zone >> state >>
+      entry.slots;
   entry.leaving = state == "leaving";
   return entry;
 }
@@ -558,8 +558,10 @@
 }
 
 void World::Register(const std::string& id, const std::string& address,
-                     const std::string& zone, const std::string& state) {
-  store.Put(std::string(kEndpoints) + id, address + " " + zone + " " + state);
+                     const std::string& zone, const std::string& state,
+                     int slots) {
+  store.Put(std::string(kEndpoints) + id,
+            address + " " + zone + " " + state + " " + std::to_string(slots));
 }
 
 ProxyOptions World::OptionsOf(const std::string& node) const {
--- a/proxy/tests/harness.h
+++ b/proxy/tests/harness.h
@@ -214,9 +214,10 @@
   Endpoint& AddEndpoint(const std::string& id, Endpoint::Handler handler,
                         const std::string& zone = "a");
   /// Registers what listens at `address`; `state`: `serving` or `leaving`.
+  /// A node alone sends two requests at a time to eight slots.
   void Register(const std::string& id, const std::string& address,
                 const std::string& zone = "a",
-                const std::string& state = "serving");
+                const std::string& state = "serving", int slots = 8);
 
   ProxyOptions OptionsOf(const std::string& node) const;
   Proxy& Start(const ProxyOptions& options);
