Test that a peer that fell silent is asked again on another connection

Cause: a trial in which an unanswered exchange never ends its connection passed all tests of proxy.

Ruled out: a fault of the product; the node asks again after kExchangeTime.

Change: one test with a relay that passes nothing on. No product code.

--- a/proxy/tests/peers_test.cc
+++ b/proxy/tests/peers_test.cc
@@ -26,6 +26,8 @@
     cut_at_ = bytes;
     by_reset_ = by_reset;
   }
+  /// Passes nothing on, and ends nothing, on connections that come now.
+  void SetSilent(bool silent) { silent_ = silent; }
   bool has_cut() const { return cut_at_ == 0; }
   /// Bytes of answers on the newest connection.
   std::size_t answered() const { return pairs_.back().back->received().size(); }
@@ -37,17 +39,20 @@
     std::unique_ptr<et::Wire> back;
     std::size_t front_passed = 0;
     std::size_t back_passed = 0;
+    bool silent = false;
   };
 
   void Accept(std::unique_ptr<et::Wire> wire) {
     Pair& pair = pairs_.emplace_back();
     pair.front = std::move(wire);
+    pair.silent = silent_;
     pair.back = std::make_unique<et::Wire>(world_.loop, target_);
     pair.front->OnChange([this, &pair] { Pass(pair); });
     pair.back->OnChange([this, &pair] { Pass(pair); });
   }
 
   void Pass(Pair& pair) {
+    if (pair.silent) return;
     if (cut_at_ > 0 && pair.back->received().size() >= cut_at_) {
       cut_at_ = 0;
       by_reset_ ? pair.back->Reset() : pair.back->Close();
@@ -69,6 +74,7 @@
   std::string target_;
   std::size_t cut_at_ = 0;
   bool by_reset_ = false;
+  bool silent_ = false;
   std::list<Pair> pairs_;
   et::Port port_;
 };
@@ -123,6 +129,23 @@
   }
 }
 
+// A peer's machine lost its power: the connection to it stands and nothing
+// answers. A node that waited for the answer would learn nothing through that
+// address again, and without the store serve nobody.
+TEST(Peers, APeerThatFellSilentIsAskedAgainOnAnotherConnection) {
+  world.AddEndpoint("e1", et::AnswersDone());
+  ep::Proxy& first = world.StartReady();
+  Relay relay(world, ep::ViewOf(first).peers);
+  relay.SetSilent(true);
+  ep::Proxy& second = StartAt("n2", relay.address());
+  world.Until([&relay] { return relay.connections() == 1; });
+  STRCMP_EQUAL("503 no", world.AskFor(second, {.path = "/once/a"}).c_str());
+  relay.SetSilent(false);
+  world.UntilKnown(second, 1);
+  LONGS_EQUAL(2, relay.connections());
+  STRCMP_EQUAL("200", world.AskFor(second, {.path = "/once/b"}).c_str());
+}
+
 // All other nodes are killed. The one that is left serves alone, names no
 // address at which nobody answers, and finds a node that starts.
 TEST(Peers, TheLastNodeServesAloneAndNamesOnlyItself) {
