--- a/proxy/include/egretladder/proxy/proxy.h
+++ b/proxy/include/egretladder/proxy/proxy.h
@@ -59,9 +59,9 @@
 /// Begins a graceful stop: out of the directory at once, calls go to their end.
 /// Later calls change nothing.
 void Leave(Proxy& proxy);
-/// Ends what a leaving node can't finish, once its time is up. True when the
-/// process may end.
-bool MayEnd(Proxy& proxy);
+/// True when a leaving node may end: callers have their answers, or its time is
+/// up.
+bool MayEnd(const Proxy& proxy);
 /// New seeds from changed settings.
 void SetSeeds(Proxy& proxy, const std::vector<std::string>& seeds);
 
--- a/proxy/src/stop.cc
+++ b/proxy/src/stop.cc
@@ -124,9 +124,8 @@
   TellMany(proxy);
 }
 
-bool MayEnd(Proxy& proxy) {
+bool MayEnd(const Proxy& proxy) {
   if (!proxy.leaving) return false;
-  OnStopTick(proxy);
   return policy::MayExit(PhaseNow(proxy),
                          proxy.calls.empty() && UntakenOf(proxy) == 0);
 }
