Read on for a slow caller when it has taken what waits, not by time

Cause: an endpoint that was held back for a slow caller was read again each 50 ms, whether the caller had taken anything or not, so that what waits for it grew without bound (386,369 bytes after 1.2 s, bound 313,103). The timer for that took the place of the one that notices a stream that stalls: a stream whose engine fell silent meanwhile never went on elsewhere.

Ruled out: the kernel's buffers, which the test lets fill first.

Change: the endpoint is read again when the caller has taken all that waited, and the watch for a stall begins anew then.

--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -136,35 +136,6 @@
   call.last_event_at = now;
 }
 
-void PassEvents(Proxy& proxy, const CallPtr& call, std::string_view piece) {
-  Attempt& attempt = *call->attempt;
-  const std::uint64_t before = attempt.splitter.events;
-  const std::string events = net::SplitEvents(attempt.splitter, piece);
-  if (events.empty()) return;
-  call->events += attempt.splitter.events - before;
-  NotePace(proxy, *call, attempt.splitter.events - before);
-  NotePause(*call, NowOf(proxy));
-  if (!attempt.splitter.last_id.empty()) {
-    call->last_event = attempt.splitter.last_id;
-  }
-  if (!call->caller->begun()) {
-    call->caller->Begin(attempt.head.status, attempt.head.reason,
-                        FieldsToPass(attempt.head.fields));
-  }
-  call->caller->Send(events);
-  // A caller that reads slowly holds back its endpoint, not this node.
-  if (call->caller->Unsent() > kCallerBacklog) {
-    net::SetReading(attempt.exchange, false);
-    call->patience = kernel::After(
-        *proxy.loop, milliseconds(50), [weak = std::weak_ptr<Call>(call)] {
-          const auto kept = weak.lock();
-          if (kept != nullptr && kept->attempt != nullptr) {
-            net::SetReading(kept->attempt->exchange, true);
-          }
-        });
-  }
-}
-
 // Whether the wait for this endpoint is worth ending: only work that may run
 // twice, with attempts, time and retries left.
 void OnImpatient(Proxy& proxy, const CallPtr& call) {
@@ -204,14 +175,52 @@
   return std::max(gap, kStallLeast);
 }
 
+// A caller that reads slowly holds back its endpoint, not this node: events
+// that it hasn't taken would pile up here, and some hundred such callers cost
+// the node its memory. Read on once it has taken all; until then its endpoint
+// can't be called silent.
+void HoldBack(Proxy& proxy, const CallPtr& call) {
+  net::SetReading(call->attempt->exchange, false);
+  call->patience = {};
+  call->caller->OnDrained([&proxy, weak = std::weak_ptr<Call>(call)] {
+    const auto kept = weak.lock();
+    if (kept == nullptr || kept->attempt == nullptr) return;
+    kept->caller->OnDrained(nullptr);
+    net::SetReading(kept->attempt->exchange, true);
+    if (routing::MayRepeat(*kept->route)) {
+      SetPatience(proxy, kept, StallOf(*kept));
+    }
+  });
+}
+
+void PassEvents(Proxy& proxy, const CallPtr& call, std::string_view piece) {
+  Attempt& attempt = *call->attempt;
+  const std::uint64_t before = attempt.splitter.events;
+  const std::string events = net::SplitEvents(attempt.splitter, piece);
+  if (events.empty()) return;
+  call->events += attempt.splitter.events - before;
+  NotePace(proxy, *call, attempt.splitter.events - before);
+  NotePause(*call, NowOf(proxy));
+  if (!attempt.splitter.last_id.empty()) {
+    call->last_event = attempt.splitter.last_id;
+  }
+  if (!call->caller->begun()) {
+    call->caller->Begin(attempt.head.status, attempt.head.reason,
+                        FieldsToPass(attempt.head.fields));
+  }
+  call->caller->Send(events);
+  if (call->caller->Unsent() > kCallerBacklog) HoldBack(proxy, call);
+}
+
 void OnBody(Proxy& proxy, const CallPtr& call, std::string_view piece) {
   Attempt& attempt = *call->attempt;
   routing::OnHeard(*attempt.endpoint, NowOf(proxy));
   if (attempt.events) {
     NoteStarted(proxy, call);
     PassEvents(proxy, call, piece);
+    const bool held_back = call->caller->Unsent() > kCallerBacklog;
     if (call->attempt != nullptr && routing::MayRepeat(*call->route) &&
-        call->caller->Unsent() <= kCallerBacklog) {
+        !held_back) {
       SetPatience(proxy, call, StallOf(*call));
     }
     return;
