Let callers pause for as long as they may take an answer

Cause: unacknowledged bytes are given up after 2.5 s, which is how connections to machines without power end. The kernel counts a caller that reads nothing for a while the same way, so that one which paused for three seconds lost the rest of an answer that had run; drain_time promises it 30 s.

Ruled out: the server's own times (a trial with 60 s for the kernel passes).

Change: a server gives its callers drain_time for that. What a caller without power holds is bounded by its request's deadline, by kCallerBacklog and by the idle time; endpoints, the store and peers keep 2.5 s.

Before: the test of a pause of six seconds red.

--- a/net/include/egretladder/net/socket.h
+++ b/net/include/egretladder/net/socket.h
@@ -5,11 +5,13 @@
 #include <event2/listener.h>
 #include <event2/util.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
 
 #include "egretladder/kernel/error.h"
+#include "egretladder/net/limits.h"
 
 namespace egretladder::net {
 
@@ -30,12 +32,16 @@
 using Listener = std::unique_ptr<evconnlistener, ListenerFree>;
 
 /// Small writes leave at once, and a peer that fell silent without a reset is
-/// given up within `kUserTimeout` and the keep-alive times of limits.h.
+/// given up after `unacknowledged`, or the keep-alive times of limits.h.
 ///
 /// A machine that lost its power or is cut off answers nothing, and a
 /// connection may fall silent for good while new ones work. Without this a
 /// request waits on it until its deadline.
-void PrepareSocket(evutil_socket_t fd);
+///
+/// The kernel takes a peer that reads nothing for one that isn't there. Give
+/// those that may pause, as callers do, as long as they may.
+void PrepareSocket(evutil_socket_t fd,
+                   std::chrono::milliseconds unacknowledged = kUserTimeout);
 
 /// Listens on `address` (`IP:port`, port 0 for any); `accept` gets each
 /// connection and `arg`. Fails with `kUnavailable` when it can't be bound.
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -429,7 +429,7 @@
 }
 
 void HttpServer::State::Accept(evutil_socket_t fd) {
-  PrepareSocket(fd);
+  PrepareSocket(fd, limits.drain_time);
   Bufferevent buffer = handlers.make_buffer
                            ? handlers.make_buffer(loop->base.get(), fd)
                            : Bufferevent(bufferevent_socket_new(
--- a/net/src/socket.cc
+++ b/net/src/socket.cc
@@ -12,13 +12,14 @@
 
 namespace egretladder::net {
 
-void PrepareSocket(evutil_socket_t fd) {
+void PrepareSocket(evutil_socket_t fd,
+                   std::chrono::milliseconds unacknowledged) {
   SetNoDelay(fd);
   const int on = 1;
   const int idle = static_cast<int>(kKeepAliveIdle.count());
   const int every = static_cast<int>(kKeepAliveEvery.count());
   const int probes = kKeepAliveProbes;
-  const int timeout = static_cast<int>(kUserTimeout.count());
+  const int timeout = static_cast<int>(unacknowledged.count());
   setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof(every));
