Count for each side what engines do for the requests placed there

Change: a request counts when it is sent, with the tokens that its engine will read and the part of its slots for the length of its stream, learned by route from the first event to the end. Each retry counts, and a request that is refused doesn't.

Tests: engines of 128 slots beside 24, parts read anew, short prompts and plain requests. sides_test's load now goes through the placed request; its checks and bounds are as before.

--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -311,7 +311,8 @@
         call->ended_well = true;
         routing::OnStreamEnded(proxy.endpoints.paces[call->service->name],
                                call->route->name,
-                               static_cast<double>(call->events));
+                               static_cast<double>(call->events),
+                               Between(call->first_event_at, NowOf(proxy)));
         EndCall(proxy, call, "answered");
       } else {
         PassOn(proxy, call, *attempt);
@@ -462,6 +463,7 @@
   attempt.endpoint = placement.endpoint;
   attempt.placement = placement;
   attempt.sent = now;
+  routing::OnPlaced(proxy.sides, call->demand, placement, now);
   routing::OnSent(*placement.endpoint, call->demand, attempt.number, placement,
                   fleet, now);
   kernel::Observe(proxy.metrics, call->measures->waited, now - call->arrived);
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -59,8 +59,10 @@
     call->demand.parts = facts.parts;
     call->demand.prompt_tokens = std::max(facts.prompt_tokens, 1U);
     if (route.kind == routing::RouteKind::kStream) {
-      call->demand.events = routing::EventsExpected(
-          routing::PaceOf(proxy.endpoints, call->service->name), route.name);
+      const routing::ServicePace& pace =
+          routing::PaceOf(proxy.endpoints, call->service->name);
+      call->demand.events = routing::EventsExpected(pace, route.name);
+      call->demand.length_ms = routing::LengthExpected(pace, route.name);
     }
     call->demand.tight =
         route.gap_target.count() > 0 && route.gap_target <= routing::kTightGap;
@@ -229,9 +231,6 @@
                                 std::move(routed->facts));
   proxy.body_bytes += call->body_bytes;
   proxy.calls.emplace(call->number, call);
-  routing::OnArrival(proxy.sides, call->demand,
-                     routing::PaceOf(proxy.endpoints, call->service->name),
-                     call->arrived);
   routing::OnRequest(proxy.retry_shares[call->service->name],
                      proxy.options.retries, call->arrived);
   caller->OnGone([&proxy, call] { OnCallerGone(proxy, call); });
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -86,8 +86,6 @@
 /// 90 engines 1.8 gave tight streams 0.82 of their credit and long prompts
 /// 0.49, 1.3 gave 0.80 and 0.61, and 1.15 0.73 and 0.65 (one run each).
 inline constexpr double kTightMargin = 1.15;
-/// Requests that an engine runs side by side on either side of the division.
-inline constexpr double kSideBatch = 12;
 /// Part of the engines for tight streams until a demand was seen.
 inline constexpr double kTightPartUnknown = 0.25;
 /// Bounds of that part, so that the first requests of either kind find room.
--- a/routing/include/egretladder/routing/pace.h
+++ b/routing/include/egretladder/routing/pace.h
@@ -29,6 +29,8 @@
   double alone_ms = 0;
   /// Events of a whole stream, by route, smoothed.
   std::unordered_map<std::string, double> events;
+  /// From its first event to its end, in ms, by route, smoothed.
+  std::unordered_map<std::string, double> length_ms;
 };
 
 /// Takes one sample: `pause` between two events while `running` requests ran at
@@ -36,12 +38,15 @@
 void OnPause(EnginePace& engine, ServicePace& service, double running,
              std::chrono::duration<double, std::milli> pause);
 
-/// A stream of the route ended whole after `events`.
+/// A stream of the route ended whole after `events`, which took `length`.
 void OnStreamEnded(ServicePace& service, const std::string& route,
-                   double events);
+                   double events,
+                   std::chrono::duration<double, std::milli> length);
 
 /// Events that a stream of the route is expected to have.
 double EventsExpected(const ServicePace& service, const std::string& route);
+/// How long a stream of the route is expected to run, in ms.
+double LengthExpected(const ServicePace& service, const std::string& route);
 
 /// Expected time between two events at an engine that runs `running` requests,
 /// in ms.
--- a/routing/include/egretladder/routing/place.h
+++ b/routing/include/egretladder/routing/place.h
@@ -33,8 +33,9 @@
   Tier tier = 0;
   std::vector<PromptPart> parts;
   std::uint32_t prompt_tokens = 0;  ///< 0: not a generation.
-  bool tight = false;  ///< A stream with short pauses; see `kTightGap`.
-  double events = 0;   ///< That its answer is expected to have.
+  bool tight = false;    ///< A stream with short pauses; see `kTightGap`.
+  double events = 0;     ///< That its answer is expected to have.
+  double length_ms = 0;  ///< Of its stream, from the first event on.
 };
 
 /// Tokens of all parts but the last, which is the request's own.
--- a/routing/include/egretladder/routing/sides.h
+++ b/routing/include/egretladder/routing/sides.h
@@ -7,9 +7,11 @@
 //
 // All nodes reach the same division without asking each other: engines stand in
 // the order of a hash of their names, and the first ones, as many as the demand
-// for tight streams takes of the whole, are theirs. The demand is what this
-// node sees and what its peers say that they see, so that the boundary follows
-// a burst of either kind within seconds and moves one engine at a time.
+// for tight streams takes of the whole, are theirs. The demand is what engines
+// do for the requests that this node and its peers place: an engine with many
+// slots runs a stream beside many others, and one that lost a shared part reads
+// it anew. The boundary follows a burst of either kind within seconds and moves
+// one engine at a time.
 #pragma once
 
 #include "egretladder/kernel/time.h"
@@ -31,9 +33,11 @@
   Time at{};
 };
 
-/// A request arrived. Requests of neither side don't count.
-void OnArrival(SideMeter& meter, const Demand& demand, const ServicePace& pace,
-               Time now);
+/// A request is about to be sent where it was placed. What the engine will read
+/// of it counts, with shared parts that it doesn't hold, and its stream's part
+/// of a full batch there. Requests of neither side don't count.
+void OnPlaced(SideMeter& meter, const Demand& demand,
+              const Placement& placement, Time now);
 
 /// The demand as of now.
 SideDemand DemandOf(const SideMeter& meter, Time now);
--- a/routing/src/pace.cc
+++ b/routing/src/pace.cc
@@ -27,8 +27,10 @@
 }
 
 void OnStreamEnded(ServicePace& service, const std::string& route,
-                   double events) {
+                   double events,
+                   std::chrono::duration<double, std::milli> length) {
   Smooth(service.events[route], events, kEventsWeight);
+  Smooth(service.length_ms[route], length.count(), kEventsWeight);
 }
 
 double EventsExpected(const ServicePace& service, const std::string& route) {
@@ -36,6 +38,12 @@
   return at != service.events.end() ? at->second : kEventsUnknown;
 }
 
+double LengthExpected(const ServicePace& service, const std::string& route) {
+  const auto at = service.length_ms.find(route);
+  return at != service.length_ms.end() ? at->second
+                                       : kEventsUnknown * kEventMsUnknown;
+}
+
 double EventMs(const EnginePace& engine, const ServicePace& service,
                double running) {
   return AloneMs(engine, service) * (1 + kPacePerRunning * running);
--- a/routing/src/sides.cc
+++ b/routing/src/sides.cc
@@ -6,16 +6,12 @@
 namespace egretladder::routing {
 namespace {
 
-// Tokens that an engine reads for it while it holds the shared parts.
-double OwnTokens(const Demand& demand) {
-  return std::max(
-      0.0, static_cast<double>(demand.prompt_tokens) - SharedTokens(demand));
-}
-
-// Time for which one request keeps an engine busy that runs a batch.
-double EngineMs(const Demand& demand, const ServicePace& pace) {
-  const double length = demand.events * EventMs({}, pace, kSideBatch);
-  return OwnTokens(demand) / kPromptTokensPerMs + length / kSideBatch;
+// Time for which the engine is busy with one request while it runs a batch.
+double EngineMs(const Demand& demand, const Placement& placement) {
+  const Endpoint& engine = *placement.endpoint;
+  const double slots = std::max<std::uint32_t>(engine.entry.slots, 1);
+  return placement.uncached_tokens / kPromptTokensPerMs +
+         demand.length_ms / slots;
 }
 
 double Decay(Time from, Time to) {
@@ -25,14 +21,14 @@
 
 }  // namespace
 
-void OnArrival(SideMeter& meter, const Demand& demand, const ServicePace& pace,
-               Time now) {
+void OnPlaced(SideMeter& meter, const Demand& demand,
+              const Placement& placement, Time now) {
   const bool is_long = IsLongPrompt(demand);
   if (!demand.tight && !is_long) return;
   meter.demand = DemandOf(meter, now);
   meter.at = now;
   const double engines =
-      EngineMs(demand, pace) / static_cast<double>(kSideMemory.count());
+      EngineMs(demand, placement) / static_cast<double>(kSideMemory.count());
   if (demand.tight) {
     meter.demand.tight += engines * kTightMargin;
   } else {
--- a/routing/tests/pace_test.cc
+++ b/routing/tests/pace_test.cc
@@ -52,8 +52,12 @@
 
 TEST(Pace, TheLengthOfStreamsIsLearnedByRoute) {
   DOUBLES_EQUAL(er::kEventsUnknown, er::EventsExpected(service, "chat"), 0);
-  for (int i = 0; i < 200; ++i) er::OnStreamEnded(service, "chat", 50);
-  for (int i = 0; i < 200; ++i) er::OnStreamEnded(service, "tag", 3);
+  for (int i = 0; i < 200; ++i) er::OnStreamEnded(service, "chat", 50, 1500ms);
+  for (int i = 0; i < 200; ++i) er::OnStreamEnded(service, "tag", 3, 90ms);
   DOUBLES_EQUAL(50, er::EventsExpected(service, "chat"), 0.1);
   DOUBLES_EQUAL(3, er::EventsExpected(service, "tag"), 0.1);
+  DOUBLES_EQUAL(1500, er::LengthExpected(service, "chat"), 1);
+  DOUBLES_EQUAL(90, er::LengthExpected(service, "tag"), 1);
+  DOUBLES_EQUAL(er::kEventsUnknown * er::kEventMsUnknown,
+                er::LengthExpected(service, "other"), 0);
 }
--- a/routing/tests/sides_test.cc
+++ b/routing/tests/sides_test.cc
@@ -20,7 +20,7 @@
   er::Demand demand;
   demand.parts = {{1, 5000}, {2, 6600}};
   demand.prompt_tokens = 11'600;
-  demand.events = 42;
+  demand.length_ms = 3000;
   return demand;
 }
 
@@ -28,7 +28,7 @@
   er::Demand demand;
   demand.parts = {{3, 200}, {4, 600}};
   demand.prompt_tokens = 800;
-  demand.events = 32;
+  demand.length_ms = 1300;
   demand.tight = true;
   return demand;
 }
@@ -37,17 +37,31 @@
 
 TEST_GROUP(Sides) {
   ek::Random random{11};
-  er::ServicePace pace;
   std::vector<er::SideMeter> meters{kNodes};
   std::vector<er::AgreedDemand> agreed{kNodes};
   er::Time now = kStart;
 
+  static er::Placement At(std::uint32_t slots, double uncached) {
+    er::Placement placement;
+    placement.endpoint = std::make_shared<er::Endpoint>();
+    placement.endpoint->entry.slots = slots;
+    placement.uncached_tokens = uncached;
+    return placement;
+  }
+
+  void Place(er::SideMeter & meter, const er::Demand& demand,
+             const er::Placement& placement) const {
+    er::OnPlaced(meter, demand, placement, now);
+  }
+
   // Requests of so many a second in all, each at a node drawn at random.
   void Arrive(const er::Demand& demand, double per_second,
               std::chrono::milliseconds step) {
+    const double uncached = demand.prompt_tokens - er::SharedTokens(demand);
+    const er::Placement placement = At(24, uncached);
     double due = per_second * std::chrono::duration<double>(step).count();
     while (due > 0 && (due >= 1 || ek::Fraction(random) < due)) {
-      er::OnArrival(meters[ek::Below(random, kNodes)], demand, pace, now);
+      Place(meters[ek::Below(random, kNodes)], demand, placement);
       due -= 1;
     }
   }
@@ -148,6 +162,62 @@
   DOUBLES_EQUAL(er::kTightPartMost, er::TightPartOf({10, 0}), 0);
 }
 
+// An engine of 128 slots runs a stream beside many others, and its part of the
+// engine is small. Counted as on an engine of 24, streams would be given half
+// of the engines while long prompts wait at the other half.
+TEST(Sides, AStreamTakesASmallerPartOfAnEngineWithMoreSlots) {
+  er::SideMeter small;
+  er::SideMeter large;
+  Place(small, TightStream(), At(24, 600));
+  Place(large, TightStream(), At(128, 600));
+  CHECK(large.demand.tight > 0);
+  CHECK(large.demand.tight < small.demand.tight / 2);
+}
+
+// Engines of 24 and of 128 slots serve one service. Each counts with what a
+// request takes of it, wherever the node sends.
+TEST(Sides, EnginesOfDifferentSizesAddUp) {
+  er::SideMeter small;
+  er::SideMeter large;
+  er::SideMeter both;
+  Place(small, TightStream(), At(24, 600));
+  Place(large, TightStream(), At(128, 600));
+  Place(both, TightStream(), At(24, 600));
+  Place(both, TightStream(), At(128, 600));
+  DOUBLES_EQUAL(small.demand.tight + large.demand.tight, both.demand.tight,
+                0.0001);
+}
+
+// Engines lose what long prompts share, and read it anew. The prompts then take
+// most of the engines' time; counted as if all were held, they would be given
+// too few engines, and lose more.
+TEST(Sides, SharedPartsThatAreReadAnewCountAsDemand) {
+  er::SideMeter held;
+  er::SideMeter anew;
+  Place(held, LongPrompt(), At(24, 6600));
+  Place(anew, LongPrompt(), At(24, 11'600));
+  CHECK(anew.demand.rest > held.demand.rest);
+}
+
+// A service gets many short prompts that may pause, another one plain requests.
+// Both go to all engines and need none of their own.
+TEST(Sides, RequestsOfNeitherSideAreNoDemand) {
+  er::Demand brief = TightStream();
+  brief.tight = false;
+  const er::Demand plain;
+  er::SideMeter meter;
+  for (int i = 0; i < 1000; ++i) {
+    Place(meter, brief, At(24, 600));
+    Place(meter, plain, At(6, 0));
+  }
+  DOUBLES_EQUAL(0, meter.demand.tight, 0);
+  DOUBLES_EQUAL(0, meter.demand.rest, 0);
+  Place(meter, LongPrompt(), At(24, 6600));
+  const er::SideDemand before = meter.demand;
+  Place(meter, brief, At(24, 600));
+  DOUBLES_EQUAL(before.rest, meter.demand.rest, 0);
+}
+
 TEST(Sides, ShortRequestsThatMayPauseGoToBoth) {
   er::Endpoint endpoint;
   endpoint.order = 0.1;
