--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -62,6 +62,7 @@
           routing::PaceOf(proxy.endpoints, call->service->name);
       call->demand.events = routing::EventsExpected(pace, route.name);
       call->demand.longest = routing::EventsAtMost(pace, route.name);
+      call->demand.length_ms = routing::LengthExpected(pace, route.name);
     }
     call->demand.tight =
         route.gap_target.count() > 0 && route.gap_target <= routing::kTightGap;
@@ -221,9 +222,6 @@
                                 std::move(routed->facts));
   proxy.body_bytes += call->body_bytes;
   proxy.calls.emplace(call->number, call);
-  routing::OnArrival(proxy.sides, call->demand,
-                     routing::PaceOf(proxy.endpoints, call->service->name),
-                     call->arrived);
   routing::OnRequest(proxy.retry_shares[call->service->name],
                      proxy.options.retries, call->arrived);
   caller->OnGone([&proxy, call] { OnCallerGone(proxy, call); });
--- a/routing/include/egretladder/routing/pace.h
+++ b/routing/include/egretladder/routing/pace.h
@@ -23,10 +23,11 @@
   double samples = 0;
 };
 
-/// Events of a whole stream of one route.
+/// Of whole streams of one route.
 struct StreamLength {
-  double mean = 0;  ///< Smoothed.
-  /// About that of the longest in thirty. Lengths of one route differ by a
+  double events = 0;  ///< Smoothed.
+  double ms = 0;      ///< From the first event to the end, smoothed.
+  /// Events of about the longest in thirty. Lengths of one route differ by a
   /// factor of ten and more, so that the mean says little of how long one may
   /// last.
   double longest = kEventsMostUnknown;
@@ -44,9 +45,10 @@
 void OnPause(EnginePace& engine, ServicePace& service, double running,
              std::chrono::duration<double, std::milli> pause);
 
-/// A stream of the route ended whole after `events`.
+/// A stream of the route ended whole after `events`, which took `lasted`.
 void OnStreamEnded(ServicePace& service, const std::string& route,
-                   double events);
+                   double events,
+                   std::chrono::duration<double, std::milli> lasted);
 
 /// A stream of the route is still running after `events`. Those that last long
 /// are seen here seconds before they end.
@@ -55,6 +57,8 @@
 
 /// Events that a stream of the route is expected to have.
 double EventsExpected(const ServicePace& service, const std::string& route);
+/// How long a stream of the route is expected to run, in ms.
+double LengthExpected(const ServicePace& service, const std::string& route);
 
 /// Events that a long stream of the route has.
 double EventsAtMost(const ServicePace& service, const std::string& route);
--- a/routing/src/pace.cc
+++ b/routing/src/pace.cc
@@ -27,9 +27,11 @@
 }
 
 void OnStreamEnded(ServicePace& service, const std::string& route,
-                   double events) {
+                   double events,
+                   std::chrono::duration<double, std::milli> lasted) {
   StreamLength& length = service.lengths[route];
-  Smooth(length.mean, events, kEventsWeight);
+  Smooth(length.events, events, kEventsWeight);
+  Smooth(length.ms, lasted.count(), kEventsWeight);
   length.longest = std::max(
       events, length.longest - kLongestForgets * (length.longest - events));
 }
@@ -43,7 +45,7 @@
 
 double EventsExpected(const ServicePace& service, const std::string& route) {
   const auto at = service.lengths.find(route);
-  return at != service.lengths.end() ? at->second.mean : kEventsUnknown;
+  return at != service.lengths.end() ? at->second.events : kEventsUnknown;
 }
 
 double EventsAtMost(const ServicePace& service, const std::string& route) {
@@ -51,6 +53,12 @@
   return at != service.lengths.end() ? at->second.longest : kEventsMostUnknown;
 }
 
+double LengthExpected(const ServicePace& service, const std::string& route) {
+  const auto at = service.lengths.find(route);
+  return at != service.lengths.end() ? at->second.ms
+                                     : kEventsUnknown * kEventMsUnknown;
+}
+
 double EventMs(const EnginePace& engine, const ServicePace& service,
                double running) {
   return AloneMs(engine, service) * (1 + kPacePerRunning * running);
--- a/routing/tests/pace_test.cc
+++ b/routing/tests/pace_test.cc
@@ -52,17 +52,21 @@
 
 TEST(Pace, TheLengthOfStreamsIsLearnedByRoute) {
   DOUBLES_EQUAL(er::kEventsUnknown, er::EventsExpected(service, "chat"), 0);
-  for (int i = 0; i < 200; ++i) er::OnStreamEnded(service, "chat", 50);
-  for (int i = 0; i < 200; ++i) er::OnStreamEnded(service, "tag", 3);
+  for (int i = 0; i < 200; ++i) er::OnStreamEnded(service, "chat", 50, 1500ms);
+  for (int i = 0; i < 200; ++i) er::OnStreamEnded(service, "tag", 3, 90ms);
   DOUBLES_EQUAL(50, er::EventsExpected(service, "chat"), 0.1);
   DOUBLES_EQUAL(3, er::EventsExpected(service, "tag"), 0.1);
+  DOUBLES_EQUAL(1500, er::LengthExpected(service, "chat"), 1);
+  DOUBLES_EQUAL(90, er::LengthExpected(service, "tag"), 1);
+  DOUBLES_EQUAL(er::kEventsUnknown * er::kEventMsUnknown,
+                er::LengthExpected(service, "other"), 0);
 }
 
 // Lengths of one route differ by a factor of ten. A node that counts on the
 // mean takes streams, just before it stops, that outlast it by seconds.
 TEST(Pace, KnowsHowLongALongStreamIs) {
   for (int stream = 0; stream < 200; ++stream) {
-    er::OnStreamEnded(service, "record", stream % 20 == 0 ? 60 : 5);
+    er::OnStreamEnded(service, "record", stream % 20 == 0 ? 60 : 5, 1s);
   }
   CHECK(er::EventsExpected(service, "record") < 30);
   CHECK(er::EventsAtMost(service, "record") > 30);
@@ -73,7 +77,7 @@
 // still running. It must not take the short ones for all there is.
 TEST(Pace, AFewShortStreamsDoNotHideTheLongOnes) {
   for (int stream = 0; stream < 5; ++stream) {
-    er::OnStreamEnded(service, "record", 5);
+    er::OnStreamEnded(service, "record", 5, 1s);
   }
   CHECK(er::EventsAtMost(service, "record") > er::kEventsMostUnknown / 2);
   er::OnStreamRunning(service, "record", 300);
