Show what a stopping node still owes its callers at its end (red)

Cause: `MayEnd` looks at calls and untaken answers only, `LongestWhole` knows no running time but that of streams, `Wait` refuses without a look at what the call has had.

Ruled out: the order of a test's steps. With the tick between the pause and the look the caller is told; with a short second request the caller's leaving is noticed.

No product code.

--- a/gateway/tests/input_test.cc
+++ b/gateway/tests/input_test.cc
@@ -210,6 +210,14 @@
   STRCMP_CONTAINS("n.ini:3: node.zone is 'bo le'", FirstFault(zone).c_str());
 }
 
+// The time for a stop ends when callers still keep the node's address: calls
+// are ended some 100 ms before it, and what callers send until the end of their
+// keeping is cut.
+TEST(NodeConfig, AStopThatCallersOutlastIsRefused) {
+  STRCMP_CONTAINS(
+      "stop.", FirstFault(whole_ + "[stop]\ntime = 8s\nlinger = 8s\n").c_str());
+}
+
 TEST(NodeConfig, EverySettingIsDescribed) {
   const std::string text = eg::DescribeSettings();
   for (const ek::SettingSpec& spec : eg::NodeSettings()) {
--- /dev/null
+++ b/proxy/tests/stop_end_test.cc
@@ -0,0 +1,221 @@
+// What a node that stops still owes its callers when it ends.
+#include <CppUTest/TestHarness.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+#include "egretladder/net/address.h"
+#include "harness.h"
+
+using namespace std::chrono_literals;
+namespace en = egretladder::net;
+namespace ep = egretladder::proxy;
+namespace et = egretladder::proxy::test;
+
+namespace {
+
+constexpr auto kNoMoreTaken = 3300ms;
+
+// Sends a request to a process whose loop doesn't turn meanwhile.
+int SendAside(const std::string& address, const std::string& bytes) {
+  auto target = en::ParseAddress(address);
+  if (!target) return -1;
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const timeval most{2, 0};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &most, sizeof(most));
+  if (connect(fd, target->get(), static_cast<socklen_t>(target->size)) != 0)
+    return -1;
+  if (send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) return -1;
+  return fd;
+}
+
+std::string ReadAside(int fd) {
+  std::array<char, 4096> bytes{};
+  const auto size = recv(fd, bytes.data(), bytes.size(), 0);
+  return size > 0 ? std::string(bytes.data(), static_cast<std::size_t>(size))
+                  : std::string();
+}
+
+}  // namespace
+
+TEST_GROUP(StopEnd) {
+  et::World world;
+
+  // As the program does at one of its looks.
+  void EndIfItMay(ep::Proxy & proxy) {
+    if (ep::MayEnd(proxy)) world.Kill(proxy);
+  }
+};
+
+// The process is paused, or its loop is late, until shortly before it is
+// killed, while an order is in progress. The program may look before the node
+// has ended its calls, and ends the process: the caller sees a connection that
+// closes, though there was time to tell it that the outcome is unknown.
+TEST(StopEnd, AProcessThatStoodStillTellsItsCallersBeforeItEnds) {
+  const et::Endpoint& endpoint = world.AddEndpoint("e1", et::AnswersLater());
+  ep::Proxy& proxy = world.StartReady();
+  et::Wire& caller = world.Send(proxy, {.path = "/once/a", .wait_ms = 20'000});
+  world.Until([&endpoint] { return endpoint.seen().size() == 1; });
+  ep::Leave(proxy);
+  world.Turn(20ms);
+  world.MoveClock(world.OptionsOf("n1").grace - 180ms);
+  world.Until([&proxy] { return ep::MayEnd(proxy); });
+  world.Kill(proxy);
+  world.Until(
+      [&caller] { return !et::Told(caller).empty() || caller.ended(); });
+  STRCMP_EQUAL("502 unknown", et::Told(caller).c_str());
+}
+
+// A caller on a slow link is still sending its order when callers no longer
+// keep the address and nothing else is in progress. The process ends, and a
+// connection that closes promises nothing: the caller may not send the order
+// again, though nothing of it ran.
+TEST(StopEnd, ACallerThatIsStillSendingIsToldThatNothingRan) {
+  world.AddEndpoint("e1", et::AnswersDone());
+  ep::Proxy& proxy = world.StartReady();
+  et::Wire& caller = world.Connect(ep::ViewOf(proxy).callers);
+  const std::string bytes = et::RequestBytes(
+      {.path = "/once/a", .body = std::string(1000, 'x'), .wait_ms = 2000});
+  ep::Leave(proxy);
+  world.MoveClock(kNoMoreTaken - 200ms);
+  caller.Send(bytes.substr(0, 600));
+  world.Turn(50ms);
+  world.MoveClock(200ms);
+  world.Turn(150ms);
+  EndIfItMay(proxy);
+  caller.Send(bytes.substr(600));
+  world.Until(
+      [&caller] { return !et::Told(caller).empty() || caller.ended(); });
+  STRCMP_EQUAL("503 no", et::Told(caller).c_str());
+}
+
+// A whole request waits in a connection that the kernel has accepted while the
+// process's loop is late. The program looks first and ends the process: the
+// connection is reset, and the caller doesn't know whether its order ran.
+TEST(StopEnd, AWholeRequestThatIsNotReadYetIsToldThatNothingRan) {
+  world.AddEndpoint("e1", et::AnswersDone());
+  ep::Proxy& proxy = world.StartReady();
+  ep::Leave(proxy);
+  world.Turn(20ms);
+  const int fd = SendAside(ep::ViewOf(proxy).callers,
+                           et::RequestBytes({.path = "/once/a"}));
+  CHECK(fd >= 0);
+  world.MoveClock(kNoMoreTaken);
+  EndIfItMay(proxy);
+  world.Turn(200ms);
+  const std::string received = ReadAside(fd);
+  close(fd);
+  STRCMP_CONTAINS("503", received.c_str());
+}
+
+// A request comes too late for a stopping node while all its endpoints are
+// busy. It will be refused whatever becomes free; held until then, its caller
+// loses up to half of the time that its route promises.
+TEST(StopEnd, ARequestThatIsNotTakenIsRefusedWhileItWaits) {
+  const et::Endpoint& endpoint = world.AddEndpoint("e1", et::AnswersLater());
+  ep::Proxy& proxy = world.StartReady();
+  for (const char* id : {"r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8"}) {
+    world.Send(proxy, {.path = "/once/a", .id = id, .wait_ms = 20'000});
+  }
+  world.Until([&] {
+    return ep::ViewOf(proxy).waiting > 0 && endpoint.seen().size() == 2;
+  });
+  ep::Leave(proxy);
+  world.Turn(20ms);
+  world.MoveClock(3050ms);
+  const et::Wire& late = world.Send(
+      proxy, {.path = "/once/late", .id = "late", .wait_ms = 20'000});
+  world.Turn(250ms);
+  STRCMP_EQUAL("503 no", et::Told(late).c_str());
+}
+
+// A node that is alone stops and finishes what it has. Its directory goes on to
+// name its address, and callers that follow meet a closed port.
+TEST(StopEnd, ItsDirectoryNamesNoClosedPort) {
+  const et::Endpoint& endpoint = world.AddEndpoint("e1", et::AnswersLater());
+  ep::Proxy& proxy = world.StartReady();
+  world.Send(proxy, {.path = "/once/a", .wait_ms = 20'000});
+  world.Until([&endpoint] { return endpoint.seen().size() == 1; });
+  ep::Leave(proxy);
+  world.MoveClock(kNoMoreTaken);
+  world.Turn(200ms);
+  const ep::ProxyView view = ep::ViewOf(proxy);
+  et::Wire& asker = world.Connect(view.directory);
+  asker.Send("GET /nodes/a HTTP/1.1\r\nHost: h\r\n\r\n");
+  world.Until([&asker] { return !et::Told(asker).empty() || asker.ended(); });
+  const std::string named = et::AnswersIn(asker.received()).at(0).body;
+  if (named.find(view.callers) == std::string::npos) return;
+  et::Wire& caller = world.Connect(view.callers);
+  caller.Send(et::RequestBytes({.path = "/once/b", .id = "b"}));
+  world.Until(
+      [&caller] { return !et::Told(caller).empty() || caller.ended(); });
+  STRCMP_EQUAL("503 no", et::Told(caller).c_str());
+}
+
+// A caller on a slow link has not taken its answer, which waits in the kernel
+// on a connection that was to be kept. The process ends and its machine is
+// switched off: the caller loses an answer of work that ran.
+TEST(StopEnd, AnAnswerThatWaitsInTheKernelIsNotTakenYet) {
+  const std::string body(100'000, 'x');
+  world.AddEndpoint(
+      "e1", [&body](const et::Served& served) { served.Answer(200, body); });
+  ep::Proxy& proxy = world.StartReady();
+  et::Wire& caller = world.Connect(ep::ViewOf(proxy).callers, 8192);
+  caller.Hold(true);
+  caller.Send(et::RequestBytes({.path = "/once/a"}));
+  world.Until([&proxy] { return ep::ViewOf(proxy).calls == 1; });
+  world.Until([&proxy] {
+    const ep::ProxyView view = ep::ViewOf(proxy);
+    return view.calls == 0 && view.untaken == 0;
+  });
+  ep::Leave(proxy);
+  world.MoveClock(kNoMoreTaken);
+  world.Turn(150ms);
+  CHECK(caller.waiting() < body.size());
+  CHECK_FALSE(ep::MayEnd(proxy));
+}
+
+// The process is paused for two seconds when its signal comes. The platform
+// counts the grace from the signal; counted from the end of the pause, the
+// process is killed before it has told its callers anything.
+TEST(StopEnd, ASignalDuringAPauseCountsFromThePause) {
+  const et::Endpoint& endpoint = world.AddEndpoint("e1", et::AnswersLater());
+  ep::Proxy& proxy = world.StartReady();
+  et::Wire& caller = world.Send(proxy, {.path = "/once/a", .wait_ms = 20'000});
+  world.Until([&endpoint] { return endpoint.seen().size() == 1; });
+  world.MoveClock(2000ms);
+  ep::Leave(proxy);
+  world.Turn(20ms);
+  world.MoveClock(world.OptionsOf("n1").grace - 2000ms - 500ms);
+  world.Turn(300ms);
+  STRCMP_EQUAL("502 unknown", et::Told(caller).c_str());
+}
+
+// Orders take five seconds at their endpoint, which is idle. One that comes
+// when the node has four left is cut in the middle, and its caller doesn't know
+// whether it ran; refused as not run, it would be served by another node.
+TEST(StopEnd, AnOrderThatItsGraceCantHoldIsRefused) {
+  const et::Endpoint& endpoint = world.AddEndpoint("e1", et::AnswersLater());
+  ep::Proxy& proxy = world.StartReady();
+  for (std::size_t i = 0; i < 20; ++i) {
+    et::Wire& caller =
+        world.Send(proxy, {.path = "/once/a", .wait_ms = 20'000});
+    world.Until([&] { return endpoint.seen().size() == i + 1; });
+    world.MoveClock(5000ms);
+    endpoint.seen()[i].Answer(200, "done");
+    world.Until([&caller] { return !et::Told(caller).empty(); });
+    STRCMP_EQUAL("200", et::Told(caller).c_str());
+    caller.Close();
+  }
+  ep::Leave(proxy);
+  world.Turn(20ms);
+  world.MoveClock(2900ms);
+  const et::Wire& late = world.Send(
+      proxy, {.path = "/once/late", .id = "late", .wait_ms = 20'000});
+  world.Turn(100ms);
+  LONGS_EQUAL(20, endpoint.seen().size());
+  STRCMP_EQUAL("503 no", et::Told(late).c_str());
+}
