Shed a request that may have run as what it is

Cause: when 1,000 requests wait at a node, the least urgent is refused as not run, whatever became of it before. A read that had run was told that nothing ran; a stream that had begun got the head of a 503 in its middle.

--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -88,11 +88,11 @@
     // The least urgent that came last makes room, which may be this one.
     const auto last = std::prev(proxy.waiting.end());
     if (last->first.first <= call->demand.tier) {
-      RefuseCall(proxy, call, kUnavailable, "overloaded", kNotReadyRetry);
+      GiveUp(proxy, call, kBadGateway, "overloaded", kNotReadyRetry);
       return;
     }
     const CallPtr shed = last->second;
-    RefuseCall(proxy, shed, kUnavailable, "overloaded", kNotReadyRetry);
+    GiveUp(proxy, shed, kBadGateway, "overloaded", kNotReadyRetry);
   }
   call->waiting = true;
   proxy.waiting.emplace(std::pair(call->demand.tier, call->number), call);
