Refuse a stop of the first front that callers outlast

stop.time equal to stop.linger was taken, though calls are ended 0.7 s before the time is up, while callers still keep the address.

--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -9,6 +9,7 @@
 #include "egretladder/kernel/registry.h"
 #include "egretladder/net/address.h"
 #include "egretladder/policy/scheduler.h"
+#include "egretladder/policy/stopping.h"
 
 namespace egretladder::gateway {
 using net::SplitAddress;
@@ -184,7 +185,17 @@
   }
   if (linger > config.stop_time) {
     checker.Fault("stop", "linger", "is longer than stop.time");
+    return;
   }
+  policy::StopPlan plan;
+  plan.addresses_kept = linger;
+  plan.cut_margin = kStopMargin;
+  const auto least = policy::ShortestGrace(plan);
+  if (config.stop_time >= least) return;
+  checker.Fault("stop", "time",
+                "is " + std::to_string(config.stop_time.count()) +
+                    "ms, expected " + std::to_string(least.count()) +
+                    "ms or more with this stop.linger");
 }
 
 }  // namespace
