Owe callers an answer until the very end of a stop

Three times the mean time of whole answers at the endpoint counts now. - A caller that is still sending its request held nothing back. The process waits for the rest, and at the cut refuses it as not run. - What was sent just before the node stopped listening was not read when the process ended. It stays for 0.2 s after it stopped listening. - A process that was late ended without having cut anything. It ends calls first and leaves 50 ms later. - A signal in a pause counted from the pause's end, so that the kill came before the cut. It counts from the last turn of the loop before the pause. - A request that will be refused waited for a free endpoint first. It is judged when it comes. Besides, bytes that the kernel holds of an answer on a kept connection count as untaken: power lost as the last step would lose them.

Class: as before, the end is decided by what the node has done, not by what its callers have or still send.

--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -114,6 +114,12 @@
   /// Connections now open. At most as many as the limits say; more wait in the
   /// backlog until one closes.
   std::size_t connections() const;
+  /// Connections whose caller has sent a part of a request so far. A process
+  /// that ends before the rest leaves it with a connection that closes, which
+  /// doesn't say that nothing ran.
+  std::size_t half_read() const;
+  /// Answers these as not run, and ends their connections.
+  void RefuseHalfRead(const std::string& why);
   /// Connections whose caller hasn't taken its answer yet: bytes wait to be
   /// written, or the caller hasn't closed a connection that the answer ended.
   /// A process that ends before cuts these answers.
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -18,6 +18,7 @@
 
 constexpr int kContinue = 100;
 constexpr int kRequestTimeout = 408;
+constexpr int kUnavailable = 503;
 
 int StatusOf(ReadFault fault) {
   switch (fault) {
@@ -136,8 +137,21 @@
     return closed_ ? 0 : WaitingOutput(buffer_.get());
   }
 
+  // A part of a request came, and not all of it.
+  bool IsHalfRead() const {
+    return awaits_ == Awaits::kHead || awaits_ == Awaits::kBody;
+  }
+
+  void RefuseHalfRead(const std::string& why) {
+    if (IsHalfRead()) Refuse(kUnavailable, why);
+  }
+
   // What was written may still be on its way to the caller.
-  bool IsUntaken() const { return lingering_ || Unsent() > 0; }
+  bool IsUntaken() const {
+    if (closed_) return false;
+    return lingering_ || Unsent() > 0 ||
+           HeldByKernel(bufferevent_getfd(buffer_.get())) > 0;
+  }
 
   bool CloseAfterAnswers() const {
     const auto server = server_.lock();
@@ -480,6 +494,17 @@
   state_->AcceptWaiting();
   state_->listener.reset();
 }
+std::size_t HttpServer::half_read() const {
+  return static_cast<std::size_t>(std::count_if(
+      state_->connections.begin(), state_->connections.end(),
+      [](const auto& connection) { return connection->IsHalfRead(); }));
+}
+
+void HttpServer::RefuseHalfRead(const std::string& why) {
+  const auto connections = state_->connections;
+  for (const auto& connection : connections) connection->RefuseHalfRead(why);
+}
+
 std::size_t HttpServer::untaken() const {
   return static_cast<std::size_t>(std::count_if(
       state_->connections.begin(), state_->connections.end(),
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -72,6 +72,11 @@
 /// Before the end of the grace time, when the process ends itself. A loop that
 /// is late must not be killed first.
 inline constexpr milliseconds kExitMargin{200};
+/// For the last answers of a process that was too late to end its calls in
+/// time.
+inline constexpr milliseconds kLastAnswers{50};
+/// When a caller should come back that is sent to another node.
+inline constexpr milliseconds kLeavingRetry{20};
 /// Housekeeping, and how a pause of the process is noticed.
 inline constexpr milliseconds kTick{100};
 /// Longer between two ticks: the process was paused.
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -252,16 +252,19 @@
   ask.came_before = call->arrivals > 0;
   const routing::AdmitVerdict verdict =
       routing::DecideSend(ask, placement, now);
+  const bool goes_on =
+      verdict == routing::AdmitVerdict::kSend ||
+      (verdict == routing::AdmitVerdict::kWait && !call->waiting);
+  if (goes_on && call->may_have_run == 0 && !MayTake(proxy, *call, placement)) {
+    RefuseCall(proxy, call, kUnavailable, "leaving", kLeavingRetry);
+    return;
+  }
   if (verdict == routing::AdmitVerdict::kWait) {
     Wait(proxy, call);
     return;
   }
   StopWaiting(proxy, call);
   if (verdict == routing::AdmitVerdict::kSend) {
-    if (call->may_have_run == 0 && !MayTake(proxy, *call, placement)) {
-      RefuseCall(proxy, call, kUnavailable, "leaving", kLeavingRetry);
-      return;
-    }
     StartAttempt(proxy, call, placement, fleet);
     return;
   }
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -88,7 +88,7 @@
   kernel::Watch patience;
   std::size_t body_bytes = 0;
   std::uint64_t fingerprint = 0;  ///< Of what it asks; 0: not needed so far.
-  int refused_with = 0;     ///< Status of this node\'s own refusal; 0: none.
+  int refused_with = 0;     ///< Status of this node's own refusal; 0: none.
   bool ended_well = false;  ///< The caller got the endpoint's success.
 };
 using CallPtr = std::shared_ptr<Call>;
@@ -173,8 +173,10 @@
   kernel::Watch exchange_tick;
   bool leaving = false;
   Time leaving_since{};
-  std::size_t cut = 0;  ///< Calls ended by the stop before their answers.
-  PeerNetPtr peers;     ///< Last, so that it goes first.
+  Time listened_until{};  ///< Default: it listens.
+  Time cut_at{};          ///< When the stop ended what was left; default: not.
+  std::size_t cut = 0;    ///< Calls ended by the stop before their answers.
+  PeerNetPtr peers;       ///< Last, so that it goes first.
 };
 
 inline Time NowOf(const Proxy& proxy) { return kernel::Now(proxy.loop->clock); }
@@ -202,9 +204,7 @@
 void Dispatch(Proxy& proxy, const CallPtr& call);
 /// Tries those that wait, in their order.
 void DispatchWaiting(Proxy& proxy);
-/// When a caller should come back that is sent to another node.
-inline constexpr milliseconds kLeavingRetry{20};
-/// Ends the call without an endpoint's answer. `ran`: it may have run.
+/// Ends the call without an endpoint's answer.
 void RefuseCall(Proxy& proxy, const CallPtr& call, int status, const char* code,
                 milliseconds retry_after);
 /// Hash of what the call asks for and who asks: it stays when the call comes
--- a/proxy/src/stop.cc
+++ b/proxy/src/stop.cc
@@ -111,23 +111,49 @@
 void OnStopTick(Proxy& proxy) {
   if (!proxy.leaving) return;
   const StopPhase phase = PhaseNow(proxy);
-  if (phase >= StopPhase::kFinishing) proxy.callers->StopListening();
-  if (phase >= StopPhase::kCutting) CutCalls(proxy);
+  if (phase < StopPhase::kFinishing) return;
+  if (proxy.listened_until == Time{}) {
+    proxy.callers->StopListening();
+    proxy.listened_until = NowOf(proxy);
+  }
+  if (phase < StopPhase::kCutting) return;
+  CutCalls(proxy);
+  proxy.callers->RefuseHalfRead("this node is leaving");
+  if (proxy.cut_at == Time{}) proxy.cut_at = NowOf(proxy);
 }
 
 void Leave(Proxy& proxy) {
   if (proxy.leaving) return;
+  const Time now = NowOf(proxy);
   proxy.leaving = true;
-  proxy.leaving_since = NowOf(proxy);
+  // The signal may have come at any time of a pause, and the platform counts
+  // the grace from the signal: counted from the pause's end, the process would
+  // be killed before it has told its callers anything.
+  const bool stood_still = now - proxy.ticked > kPaused;
+  proxy.leaving_since = stood_still ? proxy.ticked : now;
   proxy.members.self.leaving = true;
   proxy.callers->CloseAfterAnswers();
   TellMany(proxy);
 }
 
+// What was sent before the node stopped listening may not be read yet, and a
+// process that was late may have cut nothing so far: its callers would see a
+// connection that closes.
 bool MayEnd(const Proxy& proxy) {
   if (!proxy.leaving) return false;
-  return policy::MayExit(PhaseNow(proxy),
-                         proxy.calls.empty() && UntakenOf(proxy) == 0);
+  const Time now = NowOf(proxy);
+  const StopPhase phase = PhaseNow(proxy);
+  if (phase == StopPhase::kOver) {
+    const bool told = proxy.cut_at == Time{}
+                          ? proxy.calls.empty()
+                          : now - proxy.cut_at >= kLastAnswers;
+    return told || StoppingFor(proxy) >= proxy.options.grace;
+  }
+  const bool all_read = proxy.listened_until != Time{} &&
+                        now - proxy.listened_until >= kStopSettle &&
+                        proxy.callers->half_read() == 0;
+  return policy::MayExit(
+      phase, all_read && proxy.calls.empty() && UntakenOf(proxy) == 0);
 }
 
 }  // namespace egretladder::proxy
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -235,6 +235,13 @@
 /// As above.
 inline constexpr milliseconds kReadyRetryMost{1500};
 
+// --- Stopping (stop_take.h) ---
+
+/// What a long answer that is no stream takes, in times of the mean at its
+/// endpoint; one in twenty takes longer if times are spread evenly on a
+/// logarithmic scale of ten.
+inline constexpr double kLongWhole = 3;
+
 // --- Members (members.h) ---
 
 /// A fleet up to this size is small: every node tells its load and reads the
--- a/routing/include/egretladder/routing/stop_take.h
+++ b/routing/include/egretladder/routing/stop_take.h
@@ -41,8 +41,9 @@
 /// Decides.
 StopVerdict DecideTake(const policy::StopPlan& plan, const StopAsk& ask);
 
-/// Time to the whole answer at the endpoint that was found, if the answer is a
-/// long one of its route.
+/// Time to the whole answer at the endpoint that was found, if any, and if the
+/// answer is a long one: by its route's streams, or by what the endpoint took
+/// for whole answers.
 milliseconds LongestWhole(const EndpointSet& set, const Demand& demand,
                           const Placement& placement);
 
--- a/routing/src/stop_take.cc
+++ b/routing/src/stop_take.cc
@@ -41,11 +41,15 @@
 milliseconds LongestWhole(const EndpointSet& set, const Demand& demand,
                           const Placement& placement) {
   double ms = placement.expected_ms;
-  if (placement.endpoint != nullptr && demand.longest > 1) {
-    const Endpoint& endpoint = *placement.endpoint;
+  const Endpoint unknown;
+  const Endpoint& endpoint =
+      placement.endpoint != nullptr ? *placement.endpoint : unknown;
+  if (demand.longest > 1) {
     const double running = endpoint.in_flight + endpoint.others_in_flight;
     ms += (demand.longest - 1) *
           EventMs(endpoint.pace, PaceOf(set, demand.service->name), running);
+  } else {
+    ms += endpoint.trust.mean_ms * kLongWhole;
   }
   return milliseconds(std::llround(std::max(ms, 0.0)));
 }
--- a/routing/tests/endpoints_test.cc
+++ b/routing/tests/endpoints_test.cc
@@ -69,10 +69,10 @@
   CHECK(set.by_id.empty());
 }
 
-// A third of a service's endpoints are emptied at once and remove their entries.
-// That looks like an outage's work, so that they are believed for a while; but
-// two seconds later nothing may be sent to them, and a node looks at what has
-// lapsed ten times a second.
+// A third of a service's endpoints are emptied at once and remove their
+// entries. That looks like an outage's work, so that they are believed for a
+// while; but two seconds later nothing may be sent to them, and a node looks at
+// what has lapsed ten times a second.
 TEST(Endpoints, ManyThatLeaveAtOnceGetNothingTwoSecondsLater) {
   for (const char* id : {"x", "y", "z"}) er::OnEntry(set, Entry(id), kStart);
   for (const char* id : {"x", "y", "z"}) {
