Name two questions of the stop by what they ask

IsTakingAny and MayTake stood beside IsTaking, DecideTake and IsTaken, and a newcomer could not tell them apart. No behaviour changes.

--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -117,7 +117,7 @@
 
 // Whether this node takes requests now; else the caller has its answer.
 bool IsTaking(Proxy& proxy, const net::HttpCallPtr& caller) {
-  if (!IsTakingAny(proxy)) {
+  if (!TakesNewRequests(proxy)) {
     Reject(proxy, caller, kUnavailable, "leaving", "this node is leaving",
            kLeavingRetry);
     return false;
@@ -255,7 +255,8 @@
   const bool goes_on =
       verdict == routing::AdmitVerdict::kSend ||
       (verdict == routing::AdmitVerdict::kWait && !call->waiting);
-  if (goes_on && call->may_have_run == 0 && !MayTake(proxy, *call, placement)) {
+  if (goes_on && call->may_have_run == 0 &&
+      !CanStillFinish(proxy, *call, placement)) {
     RefuseCall(proxy, call, kUnavailable, "leaving", kLeavingRetry);
     return;
   }
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -230,11 +230,11 @@
 /// Time since the stop began.
 milliseconds StoppingFor(const Proxy& proxy);
 /// False once a stop is too far for any request that arrives.
-bool IsTakingAny(const Proxy& proxy);
+bool TakesNewRequests(const Proxy& proxy);
 /// True unless the node stops and the rest of its grace time can't be expected
 /// to hold the call, which no endpoint has run so far.
-bool MayTake(Proxy& proxy, const Call& call,
-             const routing::Placement& placement);
+bool CanStillFinish(Proxy& proxy, const Call& call,
+                    const routing::Placement& placement);
 /// What a stop needs done as time passes.
 void OnStopTick(Proxy& proxy);
 
--- a/proxy/src/stop.cc
+++ b/proxy/src/stop.cc
@@ -88,14 +88,14 @@
   return Between(proxy.leaving_since, NowOf(proxy));
 }
 
-bool IsTakingAny(const Proxy& proxy) {
+bool TakesNewRequests(const Proxy& proxy) {
   if (!proxy.leaving) return true;
   const StopPhase phase = PhaseNow(proxy);
   return phase == StopPhase::kTaking || phase == StopPhase::kSettling;
 }
 
-bool MayTake(Proxy& proxy, const Call& call,
-             const routing::Placement& placement) {
+bool CanStillFinish(Proxy& proxy, const Call& call,
+                    const routing::Placement& placement) {
   if (!proxy.leaving) return true;
   routing::StopAsk ask;
   ask.arrived = Between(proxy.leaving_since, call.arrived);
--- a/proxy/tests/stop_test.cc
+++ b/proxy/tests/stop_begin_test.cc
@@ -7,7 +7,7 @@
 namespace ep = egretladder::proxy;
 namespace et = egretladder::proxy::test;
 
-TEST_GROUP(Stop) {
+TEST_GROUP(StopBegin) {
   et::World world;
 
   // Callers that kept the node's address have let it go by then.
@@ -20,7 +20,7 @@
 // The process is stopped right after its start, before it has read any rules.
 // Requests that reach it are told that nothing ran, and it may end as any
 // other.
-TEST(Stop, BeforeTheRulesAreKnownRefusesAndEnds) {
+TEST(StopBegin, BeforeTheRulesAreKnownRefusesAndEnds) {
   world.store.SetSilent(true);
   ep::Proxy& proxy = world.Start(world.OptionsOf("n1"));
   ep::Leave(proxy);
@@ -33,7 +33,7 @@
 
 // The rules come only after the stop began. A node that leaves must not call
 // itself ready because of them.
-TEST(Stop, RulesThatComeLaterMakeNoLeavingNodeReady) {
+TEST(StopBegin, RulesThatComeLaterMakeNoLeavingNodeReady) {
   world.AddEndpoint("e1", et::AnswersDone());
   ep::Proxy& proxy = world.Start(world.OptionsOf("n1"));
   ep::Leave(proxy);
@@ -47,7 +47,7 @@
 // The store is away or silent when the process is stopped, and it can't hear of
 // anything any more. What it knows serves the requests in progress and those
 // that still come.
-TEST(Stop, DuringAnOutageOfTheStoreServesWhatItHas) {
+TEST(StopBegin, DuringAnOutageOfTheStoreServesWhatItHas) {
   for (const bool silent : {false, true}) {
     et::World outage;
     et::Endpoint& endpoint = outage.AddEndpoint("e1", et::AnswersLater());
@@ -76,7 +76,7 @@
 
 // The node is told a second time that it is to stop. What is in progress is not
 // cut, and the node may end when it is done.
-TEST(Stop, ASecondTimeCutsNothing) {
+TEST(StopBegin, ASecondTimeCutsNothing) {
   et::Endpoint& endpoint = world.AddEndpoint("e1", et::AnswersLater());
   ep::Proxy& proxy = world.StartReady();
   et::Wire& caller = world.Send(proxy, {.path = "/once/a"});
@@ -96,7 +96,7 @@
 // grace is over, and a request never ends. The platform kills the process when
 // the grace is over since the first time: counted from the second, the node
 // would be killed with its requests.
-TEST(Stop, ASecondTimeDoesNotPutOffTheEnd) {
+TEST(StopBegin, ASecondTimeDoesNotPutOffTheEnd) {
   et::Endpoint& endpoint = world.AddEndpoint("e1", et::AnswersLater());
   ep::Proxy& proxy = world.StartReady();
   world.Send(proxy, {.path = "/once/a", .wait_ms = 20'000});
