--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -252,6 +252,8 @@
   ask.came_before = call->arrivals > 0;
   const routing::AdmitVerdict verdict =
       routing::DecideSend(ask, placement, now);
+  // A stopping node refuses what it can't finish before it waits for a free
+  // endpoint: its caller's time is for another node.
   const bool goes_on =
       verdict == routing::AdmitVerdict::kSend ||
       (verdict == routing::AdmitVerdict::kWait && !call->waiting);
