--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -1,4 +1,5 @@
 #include <event2/buffer.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -39,6 +40,13 @@
   return ioctl(fd, TIOCOUTQ, &held) == 0 ? held : 0;
 }
 
+// The other side reset the connection or ended its input; what it sent before
+// may still be unread.
+bool HasLeft(evutil_socket_t fd) {
+  pollfd look{fd, POLLRDHUP, 0};
+  return poll(&look, 1, 0) > 0;
+}
+
 // A regular end would make a half answer without chunks look whole.
 void ResetOnClose(evutil_socket_t fd) {
   const linger now{1, 0};
@@ -96,6 +104,13 @@
     return awaits_ != Awaits::kNothing && now >= due_;
   }
 
+  // A connection that isn't read shows no end by itself, and the endpoint would
+  // work on for nobody.
+  bool LeftUnread() const {
+    return read_held_ && call_ != nullptr &&
+           HasLeft(bufferevent_getfd(buffer_.get()));
+  }
+
   // What it waits for took too long.
   void TimeOut() {
     if (awaits_ == Awaits::kHead) {
@@ -213,6 +228,7 @@
   }
 
   void SetReading(bool reading) {
+    read_held_ = !reading;
     if (reading) {
       bufferevent_enable(buffer_.get(), EV_READ);
     } else {
@@ -339,6 +355,7 @@
   bool continued_ = false;  // `100 Continue` was sent.
   bool lingering_ = false;
   bool input_ended_ = false;
+  bool read_held_ = false;  // Too much waits behind the call.
   bool closed_ = false;
 };
 
@@ -476,10 +493,13 @@
 void HttpServer::State::Sweep() {
   const kernel::Time now = kernel::Now(loop->clock);
   std::vector<std::shared_ptr<HttpConnection>> due;
+  std::vector<std::shared_ptr<HttpConnection>> left;
   for (const auto& connection : connections) {
     if (connection->IsDue(now)) due.push_back(connection);
+    if (connection->LeftUnread()) left.push_back(connection);
   }
   for (const auto& connection : due) connection->TimeOut();
+  for (const auto& connection : left) connection->Close();
   if (listener && connections.size() < limits.connections) {
     evconnlistener_enable(listener.get());
   }
