Announce what is known, and fetch changes from one peer at a time

Cause: a node that opened a connection to a peer believed that the peer knew nothing and told it the whole catalog: all rules and all endpoints, 60 to 350 KB. With hundreds of nodes a connection is seldom used twice within the time that it is kept, so most of the five exchanges a second began that way; every peer asked told it again, and one grown configuration went out many times at once over links of 10 Mbit/s. Ruled out as the main cause: members and pulses (about 2 KB a message), loads (not told above 16 nodes).

Change: exchanges and announcements carry how far the sender knows each feed (all changes up to here; the last of them). A node that lacks changes fetches them from one peer, one in its own zone first, with a time-out and another peer next; a peer whose link is busy with other transfers says so. Content is compressed (Zstandard, with checksum and a bound on what it unpacks to). A peer that has only looked at the store, without a change, is not asked.

The note in the test of broken connections is now of random letters: one of equal letters no longer takes any bytes.

--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -8,18 +8,30 @@
 interface Peer {
   # Both sides tell what they know, in one round trip.
   exchange @0 (news :News) -> (news :News);
+
+  # What the asked node has of a feed beyond a revision. Busy: nothing is sent,
+  # another peer may have it.
+  fetch @1 (feed :UInt8, after :UInt64) -> (busy :Bool, packed :PackedChanges);
+
+  # The sender has news, which may be fetched from it.
+  announce @2 (peers :Text, zone :Text, progress :List(Progress));
+}
+
+struct PackedChanges {
+  # A message whose root is `Changes`, compressed (Zstandard, with checksum).
+  bytes @0 :Data;
+  # Size of the message.
+  unpacked @1 :UInt32;
 }
 
 struct News {
   members @0 :List(Member);
-  # The sender's own place in each feed, so that the other side can send what it
-  # lacks.
-  revisions @1 :List(UInt64);
-  changes @2 :List(Changes);
+  # Not sent any more.
+  retired1 @1 :List(UInt64);
+  # Not sent any more.
+  retired2 @2 :List(Changes);
   loads @3 :List(Load);
-  # The sender failed to read the store lately: removals that it tells of may be
-  # leases that nobody could renew.
-  storeTroubled @4 :Bool;
+  retired4 @4 :Bool;
   # Requests under which connections broke.
   suspects @5 :List(Suspect);
   # Of members that the other side knows.
@@ -30,6 +42,16 @@
   # which nodes agree by averaging: tight streams, and long prompts.
   tightDemand @8 :Float32;
   restDemand @9 :Float32;
+  # How far the sender knows each feed, so that the other side can fetch what it
+  # lacks.
+  progress @10 :List(Progress);
+}
+
+struct Progress {
+  # All changes up to here.
+  known @0 :UInt64;
+  # The last of them.
+  changed @1 :UInt64;
 }
 
 struct Member {
@@ -59,6 +81,9 @@
   whole @1 :Bool;
   revision @2 :UInt64;
   items @3 :List(Item);
+  # The sender failed to read the store lately: removals that it tells of may be
+  # leases that nobody could renew.
+  storeTroubled @4 :Bool;
 }
 
 struct Item {
--- a/proxy/src/news_codec.cc
+++ b/proxy/src/news_codec.cc
@@ -1,5 +1,12 @@
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
 #include <algorithm>
+#include <cstring>
+#include <utility>
 
+#include "egretladder/net/pack.h"
+#include "egretladder/net/rpc_connection.h"
 #include "news_codec_p.h"
 
 namespace egretladder::proxy {
@@ -68,10 +75,6 @@
   return changes;
 }
 
-bool IsListed(const Proxy& proxy, routing::Feed feed) {
-  return routing::StateOf(proxy.catalog, feed).revision > 0;
-}
-
 // Load: many nodes that send to the same endpoints. Without the others' load
 // each would count its own part as the whole. In a large fleet it comes too
 // rarely to be worth its bytes.
@@ -200,55 +203,102 @@
 
 }  // namespace
 
-void WriteNews(Proxy& proxy, const PeerLacks& peer,
+Progress OwnProgress(const Proxy& proxy) {
+  Progress own{};
+  for (std::size_t i = 0; i < own.size(); ++i) {
+    own[i] = routing::ProgressOf(proxy.catalog, static_cast<routing::Feed>(i));
+  }
+  return own;
+}
+
+void WriteProgress(const Progress& progress,
+                   capnp::List<exchange::Progress>::Builder list) {
+  for (unsigned i = 0; i < progress.size(); ++i) {
+    list[i].setKnown(progress[i].known);
+    list[i].setChanged(progress[i].changed);
+  }
+}
+
+Progress ReadProgress(capnp::List<exchange::Progress>::Reader list) {
+  Progress progress{};
+  for (unsigned i = 0; i < list.size() && i < progress.size(); ++i) {
+    progress[i] = {list[i].getKnown(), list[i].getChanged()};
+  }
+  return progress;
+}
+
+void WriteNews(Proxy& proxy, const std::vector<std::uint32_t>& unknown,
                exchange::News::Builder news) {
   const Time now = NowOf(proxy);
-  WriteMembers(routing::ToTell(proxy.members, peer.unknown, proxy.random, now),
+  WriteMembers(routing::ToTell(proxy.members, unknown, proxy.random, now),
                news);
-  auto revisions = news.initRevisions(routing::kFeeds);
-  std::vector<routing::Changes> lacking;
-  for (unsigned i = 0; i < routing::kFeeds; ++i) {
-    const auto feed = static_cast<routing::Feed>(i);
-    const std::uint64_t own = routing::StateOf(proxy.catalog, feed).revision;
-    revisions.set(i, own);
-    if (!IsListed(proxy, feed) || peer.revisions[i] >= own) continue;
-    lacking.push_back(
-        routing::ChangesSince(proxy.catalog, feed, peer.revisions[i]));
-  }
-  auto changes = news.initChanges(static_cast<unsigned>(lacking.size()));
-  for (unsigned i = 0; i < changes.size(); ++i) {
-    WriteChanges(lacking[i], changes[i]);
-  }
+  WriteProgress(OwnProgress(proxy), news.initProgress(routing::kFeeds));
   news.setTightDemand(static_cast<float>(proxy.agreed.mean.tight));
   news.setRestDemand(static_cast<float>(proxy.agreed.mean.rest));
   WriteLoads(proxy, news);
   WriteSuspects(proxy, news, now);
-  news.setStoreTroubled(IsStoreTroubled(proxy));
 }
 
-PeerLacks TakeNews(Proxy& proxy, exchange::News::Reader news) {
+PeerState TakeNews(Proxy& proxy, exchange::News::Reader news) {
   const Time now = NowOf(proxy);
   const routing::MemberNews told = ReadMembers(news);
   TakeMembers(proxy, told, now);
-  for (const auto reader : news.getChanges()) {
-    if (reader.getFeed() >= routing::kFeeds) continue;  // Of a newer node.
-    TakeChanges(proxy, ReadChanges(reader), Source::kPeer,
-                news.getStoreTroubled());
-  }
   TakeSuspects(proxy, news, now);
   routing::Agree(proxy.agreed, {news.getTightDemand(), news.getRestDemand()});
   proxy.endpoints.tight_part = routing::TightPartOf(proxy.agreed.mean);
+  PeerState peer;
   // The first member is the sender itself.
   if (!told.members.empty()) {
     TakeLoads(proxy, told.members.front().node, news, now);
+    peer.peers = told.members.front().peers;
+    peer.zone = told.members.front().zone;
   }
-  PeerLacks peer;
-  const auto revisions = news.getRevisions();
-  for (unsigned i = 0; i < revisions.size() && i < routing::kFeeds; ++i) {
-    peer.revisions[i] = revisions[i];
-  }
+  peer.progress = ReadProgress(news.getProgress());
   for (const auto node : news.getUnknown()) peer.unknown.push_back(node);
   return peer;
 }
 
+kernel::Result<PackedChanges> PackChanges(const Proxy& proxy,
+                                          routing::Feed feed,
+                                          std::uint64_t after) {
+  capnp::MallocMessageBuilder message;
+  auto builder = message.initRoot<exchange::Changes>();
+  WriteChanges(routing::ChangesSince(proxy.catalog, feed, after), builder);
+  builder.setStoreTroubled(IsStoreTroubled(proxy));
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  BOOST_OUTCOME_TRY(
+      packed,
+      net::Pack({reinterpret_cast<const char*>(bytes.begin()), bytes.size()}));
+  return PackedChanges{std::move(packed),
+                       static_cast<std::uint32_t>(bytes.size())};
+}
+
+kernel::Result<ReceivedChanges> UnpackChanges(const PackedChanges& packed,
+                                              routing::Feed feed) {
+  constexpr std::size_t kMost = kNewsWords * sizeof(capnp::word);
+  BOOST_OUTCOME_TRY(bytes, net::Unpack(packed.bytes, kMost));
+  auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+  std::memcpy(words.begin(), bytes.data(), words.asBytes().size());
+  ReceivedChanges received;
+  const auto fault = kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader message(words,
+                                          net::RpcReaderOptions(kNewsWords));
+    const auto reader = message.getRoot<exchange::Changes>();
+    received.changes = ReadChanges(reader);
+    received.store_troubled = reader.getStoreTroubled();
+  });
+  KJ_IF_MAYBE (exception, fault) {
+    return kernel::MakeError(kernel::ErrorCode::kInvalidInput,
+                             "read changes of a peer", "",
+                             exception->getDescription().cStr());
+  }
+  if (received.changes.feed != feed) {
+    return kernel::MakeError(kernel::ErrorCode::kInvalidInput,
+                             "read changes of a peer", "",
+                             "changes of another feed");
+  }
+  return received;
+}
+
 }  // namespace egretladder::proxy
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -1,60 +1,27 @@
 // Exchanges between nodes over Cap'n Proto RPC.
-#include <kj/exception.h>
-
 #include <map>
 #include <utility>
 
 #include "egretladder/net/address.h"
-#include "egretladder/net/kj_loop.h"
-#include "egretladder/net/rpc_connection.h"
-#include "egretladder/net/socket.h"
-#include "news_codec_p.h"
+#include "peers_p.h"
 
 namespace egretladder::proxy {
 namespace {
 
-// A connection to one peer.
-struct PeerOut : private kj::TaskSet::ErrorHandler {
-  PeerOut(net::Bufferevent buffer, Time now)
-      : rpc(std::move(buffer), kNewsWords),
-        peer(rpc.Bootstrap().castAs<exchange::Peer>()),
-        opened(now),
-        asked(now),
-        tasks(*this) {}
-
-  void taskFailed(kj::Exception&& /*exception*/) override { broken = true; }
-
-  net::RpcClientConnection rpc;
-  exchange::Peer::Client peer;
-  Time opened{};
-  Time asked{};
-  bool waits = false;     // An exchange is unanswered.
-  bool answered = false;  // At least one was.
-  bool broken = false;
-  PeerLacks lacks;    // As it last said.
-  kj::TaskSet tasks;  // Last, so that it goes first.
-};
-
-}  // namespace
-
-struct PeerNet {
-  Proxy* proxy = nullptr;
-  std::shared_ptr<net::KjLoop> kj;
-  net::Listener listener;
-  std::map<std::string, std::unique_ptr<PeerOut>> out;
-  std::vector<std::unique_ptr<net::RpcServerConnection>> in;
-  kernel::Watch sweep;
-};
-
-namespace {
+const char* NameOf(Message message) {
+  switch (message) {
+    case Message::kExchange:
+      return "exchange";
+    case Message::kAnnounce:
+      return "announce";
+    case Message::kContent:
+      break;
+  }
+  return "content";
+}
 
-void CountBytes(Proxy& proxy, const char* direction, std::uint64_t words) {
-  kernel::Increment(
-      proxy.metrics,
-      kernel::AddCounter(proxy.metrics, "egretladder_peer_bytes_total",
-                         "Bytes of news exchanged with peers.",
-                         std::string("direction=\"") + direction + "\""),
-      words * sizeof(capnp::word));
+bool IsNear(const Proxy& proxy, std::string_view zone) {
+  return proxy.members.self.zone == zone;
 }
 
 class PeerServer final : public exchange::Peer::Server {
@@ -62,17 +29,40 @@
   explicit PeerServer(Proxy& proxy) : proxy_(proxy) {}
 
   kj::Promise<void> exchange(ExchangeContext context) override {
-    CountBytes(proxy_, "in", context.getParams().totalSize().wordCount);
-    const PeerLacks lacks = TakeNews(proxy_, context.getParams().getNews());
+    const auto told = context.getParams();
+    const PeerState peer = TakeNews(proxy_, told.getNews());
+    near_ = IsNear(proxy_, peer.zone);
+    CountBytes(proxy_, "in", Message::kExchange, near_,
+               told.totalSize().wordCount);
     routing::OnExchanged(proxy_.members, NowOf(proxy_));
     auto news = context.getResults().initNews();
-    WriteNews(proxy_, lacks, news);
-    CountBytes(proxy_, "out", news.totalSize().wordCount);
+    WriteNews(proxy_, peer.unknown, news);
+    CountBytes(proxy_, "out", Message::kExchange, near_,
+               news.totalSize().wordCount);
+    HearProgress(proxy_, peer.peers, near_, peer.progress);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> fetch(FetchContext context) override {
+    const auto asked = context.getParams();
+    ServeContent(proxy_, near_, asked.getFeed(), asked.getAfter(),
+                 context.getResults());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> announce(AnnounceContext context) override {
+    const auto told = context.getParams();
+    near_ = IsNear(proxy_, std::string_view(told.getZone().cStr()));
+    CountBytes(proxy_, "in", Message::kAnnounce, near_,
+               told.totalSize().wordCount);
+    HearProgress(proxy_, told.getPeers(), near_,
+                 ReadProgress(told.getProgress()));
     return kj::READY_NOW;
   }
 
  private:
   Proxy& proxy_;
+  bool near_ = false;  // As the peer last said.
 };
 
 void AcceptPeer(evconnlistener* /*listener*/, evutil_socket_t fd,
@@ -91,7 +81,7 @@
 
 bool IsOver(const PeerOut& peer, Time now) {
   return peer.broken || peer.rpc.stream.IsOver() ||
-         (peer.waits && now - peer.asked > kExchangeTime);
+         (peer.unanswered > 0 && now - peer.waits_since > kExchangeTime);
 }
 
 void Sweep(PeerNet& net) {
@@ -102,12 +92,18 @@
     if (over && !peer.answered && now - peer.opened < kRefusedWithin) {
       routing::OnUnreachable(net.proxy->members, at->first, now);
     }
+    if (over) {
+      for (routing::FeedPull& pull : net.pulls.feeds) {
+        routing::OnPullFailed(pull, at->first, routing::kPullSilentPause, now);
+      }
+    }
     at = over || now - peer.asked > kPeerIdleTime ? net.out.erase(at)
                                                   : std::next(at);
   }
   std::erase_if(net.in, [](const auto& peer) {
     return peer->broken || peer->stream.IsOver();
   });
+  FetchNews(*net.proxy);
 }
 
 PeerOut* Connect(PeerNet& net, const std::string& address, Time now) {
@@ -127,32 +123,95 @@
 
 void ExchangeWith(PeerNet& net, const std::string& address) {
   Proxy& proxy = *net.proxy;
-  const Time now = NowOf(proxy);
-  auto at = net.out.find(address);
-  if (at != net.out.end() && IsOver(*at->second, now)) {
-    net.out.erase(at);
-    at = net.out.end();
-  }
-  PeerOut* peer =
-      at != net.out.end() ? at->second.get() : Connect(net, address, now);
+  PeerOut* peer = PeerAt(net, address);
   // One at a time: what is told is state, and the next exchange tells it anew.
-  if (peer == nullptr || peer->waits) return;
+  if (peer == nullptr || peer->exchanging) return;
   auto request = peer->peer.exchangeRequest();
-  WriteNews(proxy, peer->lacks, request.initNews());
-  CountBytes(proxy, "out", request.totalSize().wordCount);
-  peer->waits = true;
-  peer->asked = now;
-  peer->tasks.add(request.send().then([&proxy, peer](auto&& answer) {
-    peer->waits = false;
-    peer->answered = true;
+  WriteNews(proxy, peer->unknown, request.initNews());
+  CountBytes(proxy, "out", Message::kExchange, peer->near,
+             request.totalSize().wordCount);
+  peer->exchanging = true;
+  OnAsk(*peer, NowOf(proxy));
+  peer->tasks.add(request.send().then([&proxy, peer, address](auto&& answer) {
+    peer->exchanging = false;
+    OnAnswer(*peer, NowOf(proxy));
     routing::OnExchanged(proxy.members, NowOf(proxy));
-    CountBytes(proxy, "in", answer.totalSize().wordCount);
-    peer->lacks = TakeNews(proxy, answer.getNews());
+    PeerState state = TakeNews(proxy, answer.getNews());
+    peer->near = IsNear(proxy, state.zone);
+    CountBytes(proxy, "in", Message::kExchange, peer->near,
+               answer.totalSize().wordCount);
+    peer->unknown = std::move(state.unknown);
+    HearProgress(proxy, address, peer->near, state.progress);
   }));
 }
 
+// Addresses of members that are there, drawn at random.
+std::vector<std::string> DrawPeers(Proxy& proxy, std::size_t most) {
+  const Time now = NowOf(proxy);
+  std::vector<std::string> peers;
+  for (const auto& [node, known] : proxy.members.others) {
+    if (routing::IsThere(proxy.members, known, now)) {
+      peers.push_back(known.member.peers);
+    }
+  }
+  const std::size_t count = std::min(peers.size(), most);
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(peers[i],
+              peers[i + kernel::Below(proxy.random, peers.size() - i)]);
+  }
+  peers.resize(count);
+  return peers;
+}
+
+void AnnounceTo(PeerNet& net, const std::string& address) {
+  Proxy& proxy = *net.proxy;
+  PeerOut* peer = PeerAt(net, address);
+  if (peer == nullptr) return;
+  auto request = peer->peer.announceRequest();
+  request.setPeers(proxy.members.self.peers);
+  request.setZone(proxy.members.self.zone);
+  WriteProgress(OwnProgress(proxy), request.initProgress(routing::kFeeds));
+  CountBytes(proxy, "out", Message::kAnnounce, peer->near,
+             request.totalSize().wordCount);
+  OnAsk(*peer, NowOf(proxy));
+  peer->tasks.add(request.send().then(
+      [&proxy, peer](auto&& /*answer*/) { OnAnswer(*peer, NowOf(proxy)); }));
+}
+
 }  // namespace
 
+void CountBytes(Proxy& proxy, const char* direction, Message message, bool near,
+                std::uint64_t words) {
+  kernel::Increment(
+      proxy.metrics,
+      kernel::AddCounter(proxy.metrics, "egretladder_peer_bytes_total",
+                         "Bytes exchanged with peers.",
+                         std::string("direction=\"") + direction +
+                             "\",message=\"" + NameOf(message) + "\",zone=\"" +
+                             (near ? "own" : "other") + "\""),
+      words * sizeof(capnp::word));
+}
+
+PeerOut* PeerAt(PeerNet& net, const std::string& address) {
+  const Time now = NowOf(*net.proxy);
+  const auto at = net.out.find(address);
+  if (at == net.out.end()) return Connect(net, address, now);
+  if (!IsOver(*at->second, now)) return at->second.get();
+  net.out.erase(at);
+  return Connect(net, address, now);
+}
+
+void OnAsk(PeerOut& peer, Time now) {
+  if (peer.unanswered++ == 0) peer.waits_since = now;
+  peer.asked = now;
+}
+
+void OnAnswer(PeerOut& peer, Time now) {
+  --peer.unanswered;
+  peer.waits_since = now;
+  peer.answered = true;
+}
+
 void PeerNetDelete::operator()(PeerNet* net) const { delete net; }
 
 kernel::Result<PeerNetPtr> OpenPeers(Proxy& proxy, std::string* address) {
@@ -182,20 +241,24 @@
 }
 
 void TellMany(Proxy& proxy) {
-  const Time now = NowOf(proxy);
-  routing::Beat(proxy.members, now);
-  std::vector<std::string> peers;
-  for (const auto& [node, known] : proxy.members.others) {
-    if (routing::IsThere(proxy.members, known, now)) {
-      peers.push_back(known.member.peers);
-    }
-  }
-  const std::size_t count = std::min(peers.size(), routing::kToldAtOnce);
-  for (std::size_t i = 0; i < count; ++i) {
-    std::swap(peers[i],
-              peers[i + kernel::Below(proxy.random, peers.size() - i)]);
-    ExchangeWith(*proxy.peers, peers[i]);
+  routing::Beat(proxy.members, NowOf(proxy));
+  for (const std::string& peer : DrawPeers(proxy, routing::kToldAtOnce)) {
+    ExchangeWith(*proxy.peers, peer);
   }
 }
 
+void NewsSoon(Proxy& proxy, std::size_t announce_to) {
+  PeerNet& net = *proxy.peers;
+  net.announce_to = std::max(net.announce_to, announce_to);
+  if (std::exchange(net.soon_armed, true)) return;
+  net.soon = kernel::After(*proxy.loop, milliseconds(0), [&proxy, &net] {
+    net.soon_armed = false;
+    FetchNews(proxy);
+    const std::size_t most = std::exchange(net.announce_to, 0);
+    for (const std::string& peer : DrawPeers(proxy, most)) {
+      AnnounceTo(net, peer);
+    }
+  });
+}
+
 }  // namespace egretladder::proxy
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -280,6 +280,10 @@
 void Exchange(Proxy& proxy);
 /// Tells `kToldAtOnce` peers drawn at random at once.
 void TellMany(Proxy& proxy);
+/// At the loop's next turn asks peers for what they announced, and announces
+/// what this node has to `announce_to` of them. Not at once: an answer that is
+/// being taken must not end its own connection.
+void NewsSoon(Proxy& proxy, std::size_t announce_to);
 
 // proxy.cc
 bool IsReady(const Proxy& proxy);
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -15,10 +15,6 @@
 
 void Read(Proxy& proxy, StoreReader& reader);
 
-const char* NameOf(Feed feed) {
-  return feed == Feed::kRules ? "rules" : "endpoints";
-}
-
 std::uint64_t RevisionOf(const Proxy& proxy, Feed feed) {
   return routing::StateOf(proxy.catalog, feed).revision;
 }
@@ -57,19 +53,19 @@
   const auto jitter = milliseconds(kernel::Below(
       proxy.random, static_cast<std::uint64_t>(reader.backoff.count())));
   kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "store-not-read",
-                   {{"feed", NameOf(reader.feed)},
+                   {{"feed", routing::NameOf(reader.feed)},
                     {"why", why},
                     {"again_ms", reader.backoff / 2 + jitter},
                     {"revision", RevisionOf(proxy, reader.feed)}});
   Count(proxy, "egretladder_store_failures_total", "Failed reads of the store.",
-        std::string("feed=\"") + NameOf(reader.feed) + "\"");
+        std::string("feed=\"") + routing::NameOf(reader.feed) + "\"");
   ReadAfter(proxy, reader, reader.backoff / 2 + jitter);
 }
 
 void OnReadWell(StoreReader& reader) {
   if (reader.backoff.count() > 0) {
     kernel::LogEvent(LogPart::kPlatform, LogLevel::kInfo, "store-read-again",
-                     {{"feed", NameOf(reader.feed)}});
+                     {{"feed", routing::NameOf(reader.feed)}});
   }
   reader.backoff = {};
 }
@@ -121,7 +117,7 @@
   reader.reading = false;
   if (reader.listed && reader.status == kHistoryGone) {
     kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "history-gone",
-                     {{"feed", NameOf(reader.feed)}});
+                     {{"feed", routing::NameOf(reader.feed)}});
     reader.listed = false;
     Read(proxy, reader);
     return;
@@ -145,7 +141,7 @@
   reader.status = 0;
   ++reader.calls;
   Count(proxy, "egretladder_store_calls_total", "Calls to the store.",
-        std::string("feed=\"") + NameOf(reader.feed) + "\"");
+        std::string("feed=\"") + routing::NameOf(reader.feed) + "\"");
   net::ExchangeRequest request;
   request.address = proxy.options.store;
   request.head = net::RequestText(
@@ -334,9 +330,10 @@
     }
   }
   if (news.empty()) return;
-  // Nodes that don't read the store hear of it now rather than in some rounds.
-  if (source != Source::kPeer && !routing::IsSmallFleet(proxy.members)) {
-    TellMany(proxy);
+  // Other nodes hear of it now rather than in some rounds.
+  if (!routing::IsSmallFleet(proxy.members)) {
+    NewsSoon(proxy, source == Source::kPeer ? routing::kToldOnward
+                                            : routing::kToldAtOnce);
   }
   if (!proxy.waiting.empty()) DispatchWaiting(proxy);
 }
--- a/proxy/tests/peers_test.cc
+++ b/proxy/tests/peers_test.cc
@@ -4,6 +4,7 @@
 #include <list>
 #include <memory>
 
+#include "egretladder/kernel/hash.h"
 #include "harness.h"
 
 namespace ep = egretladder::proxy;
@@ -11,6 +12,16 @@
 
 namespace {
 
+// Letters that no compression makes much shorter.
+std::string Letters(std::size_t size) {
+  egretladder::kernel::Random random(1);
+  std::string letters(size, ' ');
+  for (char& letter : letters) {
+    letter = static_cast<char>('0' + egretladder::kernel::Below(random, 64));
+  }
+  return letters;
+}
+
 // Stands between a node that connects and one that answers.
 class Relay {
  public:
@@ -29,6 +40,8 @@
   /// Passes nothing on, and ends nothing, on connections that come now.
   void SetSilent(bool silent) { silent_ = silent; }
   bool has_cut() const { return cut_at_ == 0; }
+  /// Bytes of questions on the newest connection.
+  std::size_t asked() const { return pairs_.back().front->received().size(); }
   /// Bytes of answers on the newest connection.
   std::size_t answered() const { return pairs_.back().back->received().size(); }
   std::size_t connections() const { return pairs_.size(); }
@@ -106,7 +119,7 @@
 TEST(Peers, AConnectionThatEndsUnderAnAnswerHarmsNeitherNode) {
   constexpr std::size_t kNote = std::size_t{4} << 20U;
   world.AddEndpoint("e1", et::AnswersDone());
-  world.store.Put("note", std::string(kNote, 'x'));
+  world.store.Put("note", Letters(kNote));
   ep::Proxy& first = world.StartReady();
   int started = 0;
   for (const std::size_t bytes : {1U, 1000U, 100'000U, 2'000'000U}) {
@@ -129,6 +142,25 @@
   }
 }
 
+// Guards against a node that tells all it knows whenever it opens a connection,
+// which in a large fleet it does several times a second.
+TEST(Peers, ANewConnectionCarriesNothingThatThePeerKnows) {
+  constexpr std::size_t kNote = std::size_t{1} << 20U;
+  world.AddEndpoint("e1", et::AnswersDone());
+  world.store.Put("note", Letters(kNote));
+  ep::Proxy& first = world.StartReady();
+  Relay relay(world, ep::ViewOf(first).peers);
+  ep::Proxy& second = StartAt("n2", relay.address());
+  world.UntilKnown(second, 1);
+  world.UntilRules(second);
+  relay.CutAt(1, false);
+  world.Until([&relay] { return relay.has_cut(); });
+  world.Until(
+      [&relay] { return relay.connections() > 1 && relay.answered() > 2000; });
+  CHECK(relay.asked() < kNote / 10);
+  CHECK(relay.answered() < kNote / 10);
+}
+
 // A peer's machine lost its power: the connection to it stands and nothing
 // answers. A node that waited for the answer would learn nothing through that
 // address again, and without the store serve nobody.
--- a/routing/include/egretladder/routing/catalog.h
+++ b/routing/include/egretladder/routing/catalog.h
@@ -24,6 +24,8 @@
   kRules,      ///< Routes and zones taken out.
   kEndpoints,  ///< What endpoints say of themselves.
 };
+/// For logs and metrics.
+const char* NameOf(Feed feed);
 /// Number of feeds.
 inline constexpr std::size_t kFeeds = 2;
 
@@ -35,11 +37,18 @@
   bool removed = false;
 };
 
+/// How far somebody knows a feed.
+struct FeedProgress {
+  std::uint64_t known = 0;    ///< All changes up to here; 0: none.
+  std::uint64_t changed = 0;  ///< The last of them.
+};
+
 /// What is known of one feed.
 struct FeedState {
   std::map<std::string, Item> items;  ///< Removed ones too, for a while.
   std::map<std::string, Time> removed_at;
   std::uint64_t revision = 0;  ///< All changes up to here are known.
+  std::uint64_t changed = 0;   ///< The last change that is known.
   /// Removals up to here were forgotten: a peer that knows less needs a list.
   std::uint64_t forgotten = 0;
 };
@@ -68,6 +77,13 @@
 /// same revision when it lacks nothing.
 Changes ChangesSince(const Catalog& catalog, Feed feed, std::uint64_t revision);
 
+/// How far this node knows a feed.
+FeedProgress ProgressOf(const Catalog& catalog, Feed feed);
+
+/// A peer said how far it knows a feed. True when this node lacks changes that
+/// the peer has. Else it knows now, too, that nothing changed since.
+bool LacksChanges(Catalog& catalog, Feed feed, const FeedProgress& peer);
+
 /// Forgets removals older than `kRemovalsKept`.
 void ForgetRemovals(Catalog& catalog, Time now);
 
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -271,9 +271,31 @@
 inline constexpr std::size_t kFirstReaders = 16;
 /// Peers that a reader tells of news at once.
 inline constexpr std::size_t kToldAtOnce = 16;
+/// Peers that any other node tells of news that it took, in a large fleet.
+inline constexpr std::size_t kToldOnward = 2;
 /// What peers said of their load counts for this long.
 inline constexpr milliseconds kLoadKept{2000};
 /// Nodes told to one caller.
 inline constexpr std::size_t kDirectoryMost = 64;
 
+// --- Pulls (pulls.h) ---
+
+/// Peers with news that are remembered for each feed.
+inline constexpr std::size_t kOffersMost = 8;
+/// A peer asked for changes that hasn't sent them by then is left for another.
+inline constexpr milliseconds kPullTime{700};
+/// A peer that was silent or broke off is asked again after this.
+inline constexpr milliseconds kPullSilentPause{1000};
+/// One that was busy; a large change leaves a slow link within it.
+inline constexpr milliseconds kPullBusyPause{60};
+/// Changes up to this many bytes are sent to all that ask: telling them to ask
+/// another peer costs about as much.
+inline constexpr std::size_t kSmallChanges = 4096;
+/// Larger ones wait while this many bytes for other peers are unsent: a few
+/// tens of milliseconds of a link of 10 Mbit/s.
+inline constexpr std::size_t kPeerBacklog = std::size_t{48} << 10U;
+/// A node that has started leaves the store this long to answer before it asks
+/// a peer for all that is published.
+inline constexpr milliseconds kStoreFirst{300};
+
 }  // namespace egretladder::routing
--- a/routing/src/catalog.cc
+++ b/routing/src/catalog.cc
@@ -29,6 +29,10 @@
 
 }  // namespace
 
+const char* NameOf(Feed feed) {
+  return feed == Feed::kRules ? "rules" : "endpoints";
+}
+
 FeedState& StateOf(Catalog& catalog, Feed feed) {
   return catalog.feeds[static_cast<std::size_t>(feed)];
 }
@@ -41,6 +45,7 @@
   FeedState& feed = StateOf(catalog, changes.feed);
   std::vector<Item> news;
   for (const Item& item : changes.items) {
+    feed.changed = std::max(feed.changed, item.rev);
     if (Take(feed, item, now)) news.push_back(item);
   }
   if (changes.whole) {
@@ -54,6 +59,7 @@
       gone.push_back({key, {}, changes.revision, true});
     }
     for (const Item& item : gone) {
+      feed.changed = std::max(feed.changed, item.rev);
       feed.items[item.key] = item;
       feed.removed_at[item.key] = now;
       news.push_back(item);
@@ -79,6 +85,19 @@
   return changes;
 }
 
+FeedProgress ProgressOf(const Catalog& catalog, Feed feed) {
+  const FeedState& state = StateOf(catalog, feed);
+  return {state.revision, state.changed};
+}
+
+bool LacksChanges(Catalog& catalog, Feed feed, const FeedProgress& peer) {
+  FeedState& state = StateOf(catalog, feed);
+  if (peer.known <= state.revision) return false;
+  if (state.revision == 0 || peer.changed > state.revision) return true;
+  state.revision = peer.known;
+  return false;
+}
+
 void ForgetRemovals(Catalog& catalog, Time now) {
   for (FeedState& feed : catalog.feeds) {
     std::erase_if(feed.removed_at, [&feed, now](const auto& entry) {
--- a/routing/src/route_table.cc
+++ b/routing/src/route_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 namespace egretladder::routing {
 namespace {
@@ -20,13 +21,19 @@
   return {route.tier, own ? *account->tier : route.tier};
 }
 
+// By distinct tiers, since a table may hold thousands of routes and hundreds of
+// accounts.
 void NumberRanks(RouteTable& table) {
+  std::set<Tier> of_routes;
+  for (const Route& route : table.routes) of_routes.insert(route.tier);
+  std::set<Tier> of_accounts;
+  for (const ClientAccount& account : table.accounts) {
+    if (account.tier.has_value()) of_accounts.insert(*account.tier);
+  }
   table.ranks.clear();
-  for (const Route& route : table.routes) {
-    table.ranks[TiersOf(route, nullptr)] = 0;
-    for (const ClientAccount& account : table.accounts) {
-      table.ranks[TiersOf(route, &account)] = 0;
-    }
+  for (const Tier route : of_routes) {
+    table.ranks[{route, route}] = 0;
+    for (const Tier account : of_accounts) table.ranks[{route, account}] = 0;
   }
   Tier next = 0;
   for (auto& [tiers, rank] : table.ranks) rank = next++;
--- a/routing/tests/catalog_test.cc
+++ b/routing/tests/catalog_test.cc
@@ -86,3 +86,27 @@
   LONGS_EQUAL(1, news.size());
   CHECK(news[0].removed);
 }
+
+// Guards against asking for changes each time that a peer has only looked.
+TEST(Catalog, APeerThatKnowsNoNewChangeIsNotAsked) {
+  er::Catalog reader;
+  er::Catalog other;
+  er::Apply(reader, List(5, {{"a", "1", 3}}), kStart);
+  er::Apply(other, er::ChangesSince(reader, er::Feed::kEndpoints, 0), kStart);
+  er::Apply(reader, Watch(9, {}), kStart);
+  const auto feed = er::Feed::kEndpoints;
+  CHECK_FALSE(er::LacksChanges(other, feed, er::ProgressOf(reader, feed)));
+  LONGS_EQUAL(9, er::ProgressOf(other, feed).known);
+  er::Apply(reader, Watch(12, {{"a", "2", 11}}), kStart);
+  CHECK(er::LacksChanges(other, feed, er::ProgressOf(reader, feed)));
+  LONGS_EQUAL(9, er::ProgressOf(other, feed).known);
+}
+
+// Guards against a node that takes a peer's look for a list of its own.
+TEST(Catalog, ANodeThatKnowsNothingLacksEvenAnEmptyFeed) {
+  er::Catalog reader;
+  er::Catalog other;
+  const auto feed = er::Feed::kEndpoints;
+  er::Apply(reader, List(5, {}), kStart);
+  CHECK(er::LacksChanges(other, feed, er::ProgressOf(reader, feed)));
+}
--- /dev/null
+++ b/routing/tests/spread_test.cc
@@ -0,0 +1,199 @@
+// How a change spreads over hundreds of nodes, by the code that decides it, on
+// a clock of its own: what is told is counted, and links take their time.
+#include <CppUTest/TestHarness.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "egretladder/kernel/hash.h"
+#include "egretladder/routing/catalog.h"
+#include "egretladder/routing/limits.h"
+#include "egretladder/routing/pulls.h"
+
+using namespace std::chrono_literals;
+namespace ek = egretladder::kernel;
+namespace er = egretladder::routing;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kNodes = 300;
+constexpr std::size_t kZones = 5;
+constexpr auto kOneWay = 2ms;
+// 10 Mbit/s.
+constexpr double kBytesPerUs = 1.25;
+constexpr er::Feed kFeed = er::Feed::kRules;
+
+struct Node {
+  er::Catalog catalog;
+  er::FeedPull pull;
+  er::Time link_free{};
+  std::size_t received = 0;  // Contents.
+  bool dead = false;
+};
+
+class Fleet {
+ public:
+  Fleet() : nodes_(kNodes) {
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      er::Apply(nodes_[i].catalog, {kFeed, true, 1, {{"rules", "", 1}}}, now_);
+      At(milliseconds(ek::Below(random_, 200)), [this, i] { Exchange(i); });
+    }
+  }
+
+  Node& node(std::size_t i) { return nodes_[i]; }
+
+  // Some nodes read the change at the store.
+  void Publish(std::uint64_t revision, std::size_t bytes, std::size_t readers) {
+    bytes_ = bytes;
+    for (std::size_t i = 0; i < readers; ++i) {
+      Take(i, {kFeed, false, revision, {{"rules", "", revision}}},
+           er::kToldAtOnce);
+    }
+  }
+
+  // Time until all living nodes know the revision.
+  milliseconds UntilAllKnow(std::uint64_t revision) {
+    const er::Time begin = now_;
+    while (!AllKnow(revision) && now_ - begin < 20s) Step();
+    return std::chrono::duration_cast<milliseconds>(now_ - begin);
+  }
+
+ private:
+  void At(std::chrono::nanoseconds delay, std::function<void()> action) {
+    due_.emplace(now_ + delay, std::move(action));
+  }
+
+  void Step() {
+    const auto first = due_.begin();
+    now_ = first->first;
+    const auto action = std::move(first->second);
+    due_.erase(first);
+    action();
+  }
+
+  bool AllKnow(std::uint64_t revision) const {
+    for (const Node& node : nodes_) {
+      if (node.dead) continue;
+      if (er::ProgressOf(node.catalog, kFeed).known < revision) return false;
+    }
+    return true;
+  }
+
+  std::size_t Draw(std::size_t but) {
+    const std::size_t drawn = ek::Below(random_, kNodes - 1);
+    return drawn < but ? drawn : drawn + 1;
+  }
+
+  void Exchange(std::size_t i) {
+    At(er::kExchangePeriodLarge, [this, i] { Exchange(i); });
+    const std::size_t peer = Draw(i);
+    if (nodes_[i].dead || nodes_[peer].dead) return;
+    Tell(i, peer);
+    Tell(peer, i);
+    Ask(i);  // As the periodic look does.
+  }
+
+  void Tell(std::size_t from, std::size_t to) {
+    const auto progress = er::ProgressOf(nodes_[from].catalog, kFeed);
+    At(kOneWay, [this, from, to, progress] {
+      Node& node = nodes_[to];
+      if (node.dead) return;
+      if (!er::LacksChanges(node.catalog, kFeed, progress)) return;
+      er::OnOffer(node.pull, std::to_string(from), from % kZones == to % kZones,
+                  progress.known);
+      Ask(to);
+    });
+  }
+
+  void Ask(std::size_t i) {
+    const std::string peer = er::NextPull(
+        nodes_[i].pull, er::ProgressOf(nodes_[i].catalog, kFeed).known, now_);
+    if (peer.empty()) return;
+    At(kOneWay, [this, i, peer] { Serve(std::stoul(peer), i); });
+  }
+
+  void Serve(std::size_t from, std::size_t to) {
+    Node& server = nodes_[from];
+    if (server.dead) return;
+    const auto busy_us = std::chrono::duration_cast<microseconds>(
+        std::max(server.link_free - now_, er::Time::duration{}));
+    const auto unsent = static_cast<std::size_t>(
+        static_cast<double>(busy_us.count()) * kBytesPerUs);
+    if (!er::MaySend(bytes_, unsent)) {
+      At(kOneWay, [this, from, to] {
+        er::OnPullFailed(nodes_[to].pull, std::to_string(from),
+                         er::kPullBusyPause, now_);
+        Ask(to);
+      });
+      return;
+    }
+    const microseconds sending(
+        static_cast<std::int64_t>(static_cast<double>(bytes_) / kBytesPerUs));
+    server.link_free = std::max(server.link_free, now_) + sending;
+    const auto after = er::ProgressOf(nodes_[to].catalog, kFeed).known;
+    const er::Changes changes = er::ChangesSince(server.catalog, kFeed, after);
+    At(server.link_free - now_ + kOneWay, [this, from, to, changes] {
+      er::OnPulled(nodes_[to].pull, std::to_string(from));
+      ++nodes_[to].received;
+      Take(to, changes, er::kToldOnward);
+      Ask(to);
+    });
+  }
+
+  void Take(std::size_t i, const er::Changes& changes, std::size_t told) {
+    if (er::Apply(nodes_[i].catalog, changes, now_).empty()) return;
+    for (std::size_t n = 0; n < told; ++n) Tell(i, Draw(i));
+  }
+
+  er::Time now_ = er::Time{} + std::chrono::hours(1);
+  std::vector<Node> nodes_;
+  std::multimap<er::Time, std::function<void()>> due_;
+  ek::Random random_{7};
+  std::size_t bytes_ = 0;
+};
+
+}  // namespace
+
+TEST_GROUP(Spread) { Fleet fleet; };
+
+// Guards against a leaving endpoint that some nodes go on using.
+TEST(Spread, ASmallChangeReachesAllWithinASecond) {
+  fleet.Publish(2, 400, er::kReadersMost);
+  CHECK(fleet.UntilAllKnow(2) < 1000ms);
+}
+
+// Guards against rules that come into force late where links are slow, and
+// against content that is sent to the same node by several peers.
+TEST(Spread, ALargeChangeReachesAllWithinTwoSecondsAndEachOnce) {
+  fleet.Publish(2, 60'000, er::kReadersMost);
+  CHECK(fleet.UntilAllKnow(2) < 2000ms);
+  for (std::size_t i = er::kReadersMost; i < kNodes; ++i) {
+    LONGS_EQUAL(1, fleet.node(i).received);
+  }
+}
+
+// Guards against nodes that wait for peers that just lost their power.
+TEST(Spread, ATenthOfTheNodesMayBeDead) {
+  for (std::size_t i = 0; i < kNodes; i += 10) fleet.node(i).dead = true;
+  fleet.Publish(2, 60'000, er::kReadersMost);
+  CHECK(fleet.UntilAllKnow(2) < 3000ms);
+}
+
+// Guards against a second version that waits behind the first.
+TEST(Spread, TwoVersionsAtOnceEndWithTheSecondEverywhere) {
+  fleet.Publish(2, 60'000, er::kReadersMost);
+  fleet.Publish(3, 60'000, 1);
+  CHECK(fleet.UntilAllKnow(3) < 3000ms);
+}
+
+// Guards against a fleet that depends on several readers.
+TEST(Spread, OneReaderIsEnough) {
+  fleet.Publish(2, 60'000, 1);
+  CHECK(fleet.UntilAllKnow(2) < 3000ms);
+}
