Call the store less: peers first, fewer readers, and few that try while it is away

Eight nodes each ended a watch every 3 s and after each change; each start of a node listed both feeds though its peers knew them; while the store was away every node of the fleet took the place of a reader that failed, and tried both feeds.

Change: a node of a running fleet asks its peers first and reads the store after 150 ms, or at once when a peer knows nothing either; in a fleet that starts for the first time (setting peers.fleet = new) seeds read for all. What a peer has of a whole feed counts as listed. Above 16 nodes five read in place of eight, watches wait 5 s in place of 3, and pause 100 ms after changes. Only the first twelve nodes ever become readers, with back-off up to 1.6 s, and one feed notices for both that the store is back.

Longer watches would notice a silent connection later: a watch that hasn't told within a second what a peer told is opened again.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -14,18 +14,28 @@
 /// How long a watch may wait for changes. A connection may fall silent without
 /// a reset: what the node knows is then older than it thinks by this and
 /// `kWatchMargin` at most. Shorter costs calls, which are counted.
-inline constexpr milliseconds kWatchWait{3000};
+inline constexpr milliseconds kWatchWait{5000};
 /// Beyond `kWatchWait`, before the watch counts as lost.
 inline constexpr milliseconds kWatchMargin{800};
+/// After a watch that told of changes, before the next: more changes may come
+/// with it.
+inline constexpr milliseconds kWatchPause{100};
+/// A watch that hasn't told this long what peers know is lost.
+inline constexpr milliseconds kWatchLost{1000};
+/// A node that starts leaves its peers this long to tell what is published
+/// before it reads the store.
+inline constexpr milliseconds kPeersFirst{150};
+/// The same while the whole fleet starts for the first time, with no callers
+/// yet; nodes that are seeds read at once.
+inline constexpr milliseconds kNewFleetWait{2000};
 /// For a read of one page.
 inline constexpr milliseconds kListTime{2000};
 /// Wait after a failed call; doubles, jittered by half.
 inline constexpr milliseconds kStoreBackoffFirst{100};
-/// Longest such wait: the store's return must be noticed well within a second.
-inline constexpr milliseconds kStoreBackoffMost{800};
-/// The same at a node that isn't among the first to read and knows the rules:
-/// news reach it from these.
-inline constexpr milliseconds kStoreBackoffOthers{3200};
+/// Longest such wait. Several nodes try, each at its own moment, and what one of
+/// them reads reaches the others: together they notice the store's return well
+/// within a second.
+inline constexpr milliseconds kStoreBackoffMost{1600};
 
 // --- Calls ---
 
--- a/proxy/include/egretladder/proxy/proxy.h
+++ b/proxy/include/egretladder/proxy/proxy.h
@@ -30,6 +30,8 @@
   std::string metrics;             ///< Empty: not served.
   std::string store;               ///< `IP:port`.
   std::vector<std::string> seeds;  ///< Peer addresses; may be stale.
+  /// The whole fleet starts for the first time, without callers so far.
+  bool new_fleet = false;
   routing::RetryRule retries;
   /// Mechanisms of placing that are left out, to measure their worth.
   routing::MechanismsOff placing_without;
--- a/proxy/src/content_capnp.cc
+++ b/proxy/src/content_capnp.cc
@@ -114,9 +114,9 @@
 // A node that has just started hears of everything from peers while the store
 // is about to answer the same.
 bool WaitsForStore(const Proxy& proxy, Feed feed) {
-  return routing::StateOf(proxy.catalog, feed).revision == 0 &&
-         !IsStoreTroubled(proxy) &&
-         NowOf(proxy) - proxy.members.started < routing::kStoreFirst;
+  return proxy.reads_store && !IsStoreTroubled(proxy) &&
+         routing::StateOf(proxy.catalog, feed).revision == 0 &&
+         NowOf(proxy) - proxy.store_from < routing::kStoreFirst;
 }
 
 }  // namespace
@@ -157,6 +157,8 @@
   bool lacks = false;
   for (std::size_t i = 0; i < progress.size(); ++i) {
     const auto feed = static_cast<Feed>(i);
+    const std::uint64_t own = routing::StateOf(proxy.catalog, feed).revision;
+    if (own == 0 && progress[i].known == 0) OnPeerKnowsNothing(proxy);
     if (!routing::LacksChanges(proxy.catalog, feed, progress[i])) continue;
     routing::OnOffer(proxy.peers->pulls.feeds[i], peer, near,
                      progress[i].known);
--- a/proxy/src/settings.cc
+++ b/proxy/src/settings.cc
@@ -17,7 +17,7 @@
 constexpr const char* kAddressExpected = "IP:port";
 constexpr const char* kDurationExpected = "a number with ms, s, m or h";
 
-constexpr std::array<kernel::SettingSpec, 20> kSpecs = {{
+constexpr std::array<kernel::SettingSpec, 21> kSpecs = {{
     {"node", "name", SettingKind::kText, "", true, "the node's name"},
     {"node", "zone", SettingKind::kText, "", true, "an availability zone"},
     {"node", "region", SettingKind::kText, "", false, "a region"},
@@ -30,6 +30,7 @@
     {"listen", "metrics", SettingKind::kText, "", false, kAddressExpected},
     {"peers", "seeds", SettingKind::kText, "", false,
      "peer addresses IP:port, separated by commas"},
+    {"peers", "fleet", SettingKind::kText, "running", false, "new or running"},
     {"store", "address", SettingKind::kAddress, "", true, kAddressExpected},
     {"retries", "ratio", SettingKind::kNumber, "0.1", false,
      "retries for each request, all nodes together"},
@@ -63,6 +64,7 @@
   options.directory = text("listen", "directory");
   options.peers = text("listen", "peers");
   options.metrics = text("listen", "metrics");
+  options.new_fleet = text("peers", "fleet") == "new";
   options.store = text("store", "address");
   options.seeds = kernel::SplitList(text("peers", "seeds"));
 }
@@ -108,12 +110,18 @@
                     "ms with this directory.keep");
 }
 
-void Check(const ProxyOptions& options, kernel::SettingsChecker& checker) {
+void Check(const kernel::Settings& settings, const ProxyOptions& options,
+           kernel::SettingsChecker& checker) {
   for (const std::string& seed : options.seeds) {
     if (net::SplitAddress(seed).second != 0) continue;
     checker.Fault("peers", "seeds",
                   "has '" + seed + "', expected " + kAddressExpected);
   }
+  if (const std::string& fleet = kernel::TextOf(settings, "peers", "fleet");
+      fleet != "new" && fleet != "running") {
+    checker.Fault("peers", "fleet",
+                  "is '" + fleet + "', expected new or running");
+  }
   if (!options.metrics.empty() &&
       net::SplitAddress(options.metrics).second == 0) {
     checker.Fault("listen", "metrics",
@@ -143,7 +151,7 @@
   std::vector<kernel::Error> found;
   kernel::SettingsChecker checker(text, file, found);
   ReadPlacing(settings, checker, config.proxy);
-  Check(config.proxy, checker);
+  Check(settings, config.proxy, checker);
   const std::string& level = kernel::TextOf(settings, "log", "level");
   if (const auto read = kernel::ParseLogLevel(level)) {
     config.log_level = *read;
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -98,12 +98,15 @@
   routing::Feed feed = routing::Feed::kRules;
   bool listed = false;  ///< A whole list came since the start or the last gap.
   bool reading = false;
+  bool watching = false;  ///< What is being read is a watch.
+  Time changed_since{};   ///< A peer told of changes that the watch didn't.
   routing::Changes list;  ///< Of the pages so far.
   std::string after;      ///< Last key of the pages so far.
   net::HttpExchangePtr exchange;
   std::string body;
   int status = 0;
   milliseconds backoff{};
+  bool waits_for_rules = false;  ///< Tried again once the rules were read.
   kernel::Watch timer;
   std::uint64_t calls = 0;
 };
@@ -160,7 +163,9 @@
   std::unique_ptr<net::HttpServer> directory;
   std::unique_ptr<net::HttpServer> metrics_server;
   std::array<StoreReader, routing::kFeeds> readers;
-  bool reads_store = true;  ///< Else other nodes read it for this one.
+  bool reads_store = false;  ///< Else other nodes read it for this one.
+  /// A node that knows nothing reads the store from then on.
+  Time store_from{};
   std::unordered_map<std::uint64_t, CallPtr> calls;
   std::map<std::pair<routing::Tier, std::uint64_t>, CallPtr> waiting;
   kernel::Watch waiting_timer;
@@ -265,6 +270,8 @@
 void RestartReading(Proxy& proxy);
 /// Reads the store or leaves it to other nodes, as the fleet is now.
 void UpdateReading(Proxy& proxy);
+/// A peer knows as little as this node: the whole fleet may have just started.
+void OnPeerKnowsNothing(Proxy& proxy);
 /// Where news of the store come from; for the log.
 enum class Source : std::uint8_t { kList, kWatch, kPeer };
 /// Takes news of the store. `troubled`: whoever read them failed to read the
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -37,18 +37,23 @@
 }
 
 // The wait after one more failed call, before its jitter.
-milliseconds NextBackoff(const Proxy& proxy, milliseconds before) {
-  const bool first = proxy.rules == nullptr ||
-                     routing::IsFirstReader(proxy.members, NowOf(proxy));
-  if (!first) return kStoreBackoffOthers;
+milliseconds NextBackoff(milliseconds before) {
   return before.count() == 0 ? kStoreBackoffFirst
                              : std::min(2 * before, kStoreBackoffMost);
 }
 
+// One feed is enough to notice that the store is back.
+bool WaitsForRules(Proxy& proxy, const StoreReader& reader) {
+  const StoreReader& rules =
+      proxy.readers[static_cast<std::size_t>(Feed::kRules)];
+  return &reader != &rules && rules.backoff.count() > 0;
+}
+
 void OnReadFailed(Proxy& proxy, StoreReader& reader, const std::string& why) {
   reader.reading = false;
   proxy.store_trouble = NowOf(proxy);
-  reader.backoff = NextBackoff(proxy, reader.backoff);
+  reader.changed_since = {};
+  reader.backoff = NextBackoff(reader.backoff);
   // Jittered: all nodes lost the store together.
   const auto jitter = milliseconds(kernel::Below(
       proxy.random, static_cast<std::uint64_t>(reader.backoff.count())));
@@ -59,15 +64,21 @@
                     {"revision", RevisionOf(proxy, reader.feed)}});
   Count(proxy, "egretladder_store_failures_total", "Failed reads of the store.",
         std::string("feed=\"") + routing::NameOf(reader.feed) + "\"");
+  reader.waits_for_rules = WaitsForRules(proxy, reader);
+  if (reader.waits_for_rules) return;
   ReadAfter(proxy, reader, reader.backoff / 2 + jitter);
 }
 
-void OnReadWell(StoreReader& reader) {
+void OnReadWell(Proxy& proxy, StoreReader& reader) {
   if (reader.backoff.count() > 0) {
     kernel::LogEvent(LogPart::kPlatform, LogLevel::kInfo, "store-read-again",
                      {{"feed", routing::NameOf(reader.feed)}});
   }
   reader.backoff = {};
+  if (reader.feed != Feed::kRules) return;
+  for (StoreReader& other : proxy.readers) {
+    if (std::exchange(other.waits_for_rules, false)) Read(proxy, other);
+  }
 }
 
 void TakePage(Proxy& proxy, StoreReader& reader) {
@@ -76,7 +87,7 @@
     OnReadFailed(proxy, reader, kernel::Describe(page.error()));
     return;
   }
-  OnReadWell(reader);
+  OnReadWell(proxy, reader);
   if (reader.after.empty()) {
     // Pages are no snapshot: what changes between them is in the watch that
     // goes on from the first.
@@ -106,16 +117,23 @@
     OnReadFailed(proxy, reader, kernel::Describe(changes.error()));
     return;
   }
-  OnReadWell(reader);
+  OnReadWell(proxy, reader);
+  const bool changed = !changes.value().items.empty();
   TakeChanges(proxy, changes.value(), Source::kWatch, IsStoreTroubled(proxy));
-  Read(proxy, reader);
+  // Each watch is a call, and changes often come several together.
+  if (changed) {
+    ReadAfter(proxy, reader, kWatchPause);
+  } else {
+    Read(proxy, reader);
+  }
 }
 
 void OnReadEnd(Proxy& proxy, StoreReader& reader) {
   reader.timer = {};
   reader.exchange = nullptr;
   reader.reading = false;
-  if (reader.listed && reader.status == kHistoryGone) {
+  reader.changed_since = {};
+  if (reader.watching && reader.status == kHistoryGone) {
     kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "history-gone",
                      {{"feed", routing::NameOf(reader.feed)}});
     reader.listed = false;
@@ -127,7 +145,7 @@
     OnReadFailed(proxy, reader, "status " + std::to_string(reader.status));
     return;
   }
-  if (reader.listed) {
+  if (reader.watching) {
     TakeWatch(proxy, reader);
   } else {
     TakePage(proxy, reader);
@@ -137,6 +155,8 @@
 void Read(Proxy& proxy, StoreReader& reader) {
   if (reader.reading) return;
   reader.reading = true;
+  reader.watching = reader.listed;
+  reader.changed_since = {};
   reader.body.clear();
   reader.status = 0;
   ++reader.calls;
@@ -183,6 +203,24 @@
   reader.timer = {};
   reader.after.clear();
   reader.reading = false;
+  reader.waits_for_rules = false;
+  reader.changed_since = {};
+}
+
+// A watch whose connection fell silent, or whose answer was lost, looks like
+// one that has nothing to tell. That peers know of changes shows it long before
+// it ends by itself.
+void RestartLostWatch(Proxy& proxy, StoreReader& reader) {
+  if (!reader.watching || !reader.reading) return;
+  if (reader.changed_since == Time{}) return;
+  if (NowOf(proxy) - reader.changed_since < kWatchLost) return;
+  StopReading(reader);
+  OnReadFailed(proxy, reader, "a peer told of changes that the watch didn't");
+}
+
+// What a peer has of a whole feed is as good as a list of one's own.
+void OnWholeFromPeer(StoreReader& reader) {
+  if (!reader.reading) reader.listed = true;
 }
 
 void TakeRules(Proxy& proxy, const routing::Item& item, Source source) {
@@ -274,7 +312,28 @@
 void StartReading(Proxy& proxy) {
   proxy.readers[0].feed = Feed::kRules;
   proxy.readers[1].feed = Feed::kEndpoints;
-  for (StoreReader& reader : proxy.readers) Read(proxy, reader);
+  // A new fleet has time: its first nodes read the store for all. One that runs
+  // has nodes that know everything already.
+  const auto& seeds = proxy.options.seeds;
+  const std::string& own = proxy.members.self.peers;
+  const bool is_seed =
+      std::find(seeds.begin(), seeds.end(), own) != seeds.end();
+  const bool alone = seeds.empty() || (is_seed && seeds.size() == 1);
+  const Time now = NowOf(proxy);
+  if (alone || (proxy.options.new_fleet && is_seed)) {
+    proxy.store_from = now;
+  } else {
+    proxy.store_from =
+        now + (proxy.options.new_fleet ? kNewFleetWait : kPeersFirst);
+  }
+  UpdateReading(proxy);
+}
+
+void OnPeerKnowsNothing(Proxy& proxy) {
+  const Time now = NowOf(proxy);
+  if (proxy.options.new_fleet || proxy.store_from <= now) return;
+  proxy.store_from = now;
+  UpdateReading(proxy);
 }
 
 void RestartReading(Proxy& proxy) {
@@ -288,10 +347,12 @@
 void UpdateReading(Proxy& proxy) {
   const Time now = NowOf(proxy);
   proxy.members.self.store_troubled = IsStoreTroubled(proxy);
+  for (StoreReader& reader : proxy.readers) RestartLostWatch(proxy, reader);
   // A node that has nothing yet reads for itself, whoever else does.
   const bool knows = proxy.rules != nullptr && proxy.readers[0].listed &&
                      proxy.readers[1].listed;
-  const bool should = !knows || routing::IsReader(proxy.members, now);
+  const bool should =
+      knows ? routing::IsReader(proxy.members, now) : now >= proxy.store_from;
   if (should == proxy.reads_store) return;
   proxy.reads_store = should;
   kernel::LogEvent(LogPart::kPlatform, LogLevel::kInfo, "reads-store",
@@ -308,7 +369,15 @@
 
 void TakeChanges(Proxy& proxy, const routing::Changes& changes, Source source,
                  bool troubled) {
-  const auto news = routing::Apply(proxy.catalog, changes, NowOf(proxy));
+  const Time now = NowOf(proxy);
+  const auto news = routing::Apply(proxy.catalog, changes, now);
+  if (source == Source::kPeer) {
+    StoreReader& reader = proxy.readers[static_cast<std::size_t>(changes.feed)];
+    if (changes.whole) OnWholeFromPeer(reader);
+    if (!news.empty() && reader.changed_since == Time{}) {
+      reader.changed_since = now;
+    }
+  }
   const bool lapses = troubled || IsMassRemoval(proxy, news);
   for (const routing::Item& item : news) {
     if (proxy.dialect->is_rules(item.key)) {
--- a/proxy/tests/harness.cc
+++ b/proxy/tests/harness.cc
@@ -452,6 +452,7 @@
 }
 
 void Store::Take(const net::HttpCallPtr& call) {
+  ++calls_;
   if (silent_) {
     ++unanswered_;
   } else if (!TryAnswer(call)) {
--- a/proxy/tests/harness.h
+++ b/proxy/tests/harness.h
@@ -164,6 +164,8 @@
   void SetSilent(bool silent);
   /// Requests that came while it was silent.
   int unanswered() const { return unanswered_; }
+  /// All requests.
+  int calls() const { return calls_; }
 
  private:
   struct Item {
@@ -186,6 +188,7 @@
   bool away_ = false;
   bool silent_ = false;
   int unanswered_ = 0;
+  int calls_ = 0;
 };
 
 /// Routes of host `h` to the service `all`: `/read/` may run twice, `/once/`
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -264,11 +264,13 @@
 /// Nodes that read the platform's store for all. Each call is counted, and a
 /// watch answers every reader; more than a few add calls, not safety, since a
 /// reader that fails is replaced.
-inline constexpr std::size_t kReadersMost = 8;
-/// Nodes that go on trying at the full rate while nobody can read the store.
-/// Where the store turns a third of the nodes away, all sixteen are among these
-/// once in fifty million times.
-inline constexpr std::size_t kFirstReaders = 16;
+inline constexpr std::size_t kReadersMost = 5;
+/// A node younger than this knows too few others to tell whether it is one.
+inline constexpr std::chrono::seconds kReaderLeastAge{1};
+/// Nodes of a large fleet that may become readers. While nobody can read the
+/// store these try, and no others. Where the store turns a third of the nodes
+/// away, all twelve are among these once in five hundred thousand times.
+inline constexpr std::size_t kReadersAble = 12;
 /// Peers that a reader tells of news at once.
 inline constexpr std::size_t kToldAtOnce = 16;
 /// Peers that any other node tells of news that it took, in a large fleet.
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -114,18 +114,11 @@
 /// `kReadersMost` nodes, by a hash of their names, of those that can.
 ///
 /// Load: a large fleet in which every node watches. Each change of the store is
-/// then answered once to every node, and the calls cost more than all else.
+/// then answered once to every node, and the calls cost more than all else. The
+/// same while the store is away, if each node took the place of a reader that
+/// failed: only the first `kReadersAble` by that hash ever read.
 bool IsReader(const Members& members, Time now);
 
-/// True when this node is among the first `kFirstReaders` by that hash, whether
-/// they can read the store or not: the others try it more rarely.
-///
-/// Load: the store is away, no reader can read, and each node of a large fleet
-/// takes a reader's place. At 78 nodes 4,300 calls were made on a day with two
-/// outages of some seconds, half of them in vain, against 1,400 on days
-/// without.
-bool IsFirstReader(const Members& members, Time now);
-
 /// Addresses for a caller in `zone`: nodes that are there, this one last
 /// resort.
 std::vector<std::string> AddressesFor(const Members& members,
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -209,11 +209,11 @@
 }  // namespace
 
 bool IsReader(const Members& members, Time now) {
-  return NodesBefore(members, true, now) < kReadersMost;
-}
-
-bool IsFirstReader(const Members& members, Time now) {
-  return NodesBefore(members, false, now) < kFirstReaders;
+  const bool young = now - members.started < kReaderLeastAge;
+  if (young && !members.seeds.empty()) return false;
+  if (IsSmallFleet(members)) return true;
+  return NodesBefore(members, true, now) < kReadersMost &&
+         NodesBefore(members, false, now) < kReadersAble;
 }
 
 std::vector<std::string> AddressesFor(const Members& members,
