Earn the allowance of repeats over the window instead of with each start

Change: a process uses the part of the slack that its age is of the window, and one repeat at least.

Ruled out as the whole cause: that a new process counts the fleet too small. It counts for 3 s at the most; the age bounds that too.

Test: nodes that live 3 s each stay within the slack over a window; red before (each life took its part).

--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -42,8 +42,7 @@
 bool TakeRetry(Proxy& proxy, const Call& call) {
   const Time now = NowOf(proxy);
   return routing::TakeRetry(proxy.retry_shares[call.service->name],
-                            proxy.options.retries,
-                            routing::NodesOf(proxy.members, now), now);
+                            proxy.options.retries, RetryFleetOf(proxy), now);
 }
 
 void NoteStarted(Proxy& proxy, const CallPtr& call) {
--- a/proxy/src/measures.cc
+++ b/proxy/src/measures.cc
@@ -103,11 +103,11 @@
   SetGauge(proxy, "egretladder_endpoint_connections_opened",
            "Connections to endpoints and the store opened since the start.",
            static_cast<double>(proxy.client->opened()));
-  const std::size_t nodes = routing::NodesOf(proxy.members, now);
+  const routing::RetryFleet fleet = RetryFleetOf(proxy);
   for (const auto& [service, share] : proxy.retry_shares) {
     SetGauge(proxy, "egretladder_retries_left",
              "Repeats that this node may still make in the window.",
-             routing::RetriesLeft(share, proxy.options.retries, nodes, now),
+             routing::RetriesLeft(share, proxy.options.retries, fleet, now),
              Label("service", service));
   }
 }
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -191,6 +191,13 @@
   return std::chrono::duration_cast<milliseconds>(to - from);
 }
 
+/// Those among whom the allowance of repeats is shared.
+inline routing::RetryFleet RetryFleetOf(Proxy& proxy) {
+  const Time now = NowOf(proxy);
+  return {routing::NodesOf(proxy.members, now),
+          Between(proxy.members.started, now)};
+}
+
 // measures.cc
 /// Counts one event under a label.
 void Count(Proxy& proxy, const char* name, const char* help,
--- a/routing/include/egretladder/routing/retry_share.h
+++ b/routing/include/egretladder/routing/retry_share.h
@@ -25,6 +25,14 @@
   std::chrono::milliseconds window{10'000};
 };
 
+/// Who shares the fixed allowance.
+struct RetryFleet {
+  std::size_t nodes = 1;
+  /// Since this process started. One younger than the window has an earlier
+  /// life, whose repeats still count.
+  std::chrono::milliseconds age{};
+};
+
 /// Counts of one service, in slices of the window.
 struct RetryShare {
   struct Slice {
@@ -38,12 +46,16 @@
 /// A request for the service came in.
 void OnRequest(RetryShare& share, const RetryRule& rule, Time now);
 
-/// True when one more repeat fits; counts it then. `nodes` share the slack.
-bool TakeRetry(RetryShare& share, const RetryRule& rule, std::size_t nodes,
-               Time now);
+/// True when one more repeat fits; counts it then.
+bool TakeRetry(RetryShare& share, const RetryRule& rule,
+               const RetryFleet& fleet, Time now);
 
 /// Repeats that still fit.
+///
+/// Load: every node is restarted, some several times within the window. With
+/// its whole part of the slack at each start a node uses it as often as it
+/// starts; it is earned over the window instead, but for one repeat.
 double RetriesLeft(const RetryShare& share, const RetryRule& rule,
-                   std::size_t nodes, Time now);
+                   const RetryFleet& fleet, Time now);
 
 }  // namespace egretladder::routing
--- a/routing/src/retry_share.cc
+++ b/routing/src/retry_share.cc
@@ -18,6 +18,17 @@
   return slice;
 }
 
+// This process's part of the fixed allowance.
+double SlackOf(const RetryRule& rule, const RetryFleet& fleet) {
+  const double part =
+      rule.slack / static_cast<double>(std::max<std::size_t>(fleet.nodes, 1));
+  const double lived =
+      std::min(1.0, std::chrono::duration<double>(fleet.age) / rule.window);
+  // Enough for one repeat, if the part is.
+  const double least = std::min(part, 1 / kRetryUsed);
+  return std::max(least, part * lived);
+}
+
 }  // namespace
 
 void OnRequest(RetryShare& share, const RetryRule& rule, Time now) {
@@ -25,7 +36,7 @@
 }
 
 double RetriesLeft(const RetryShare& share, const RetryRule& rule,
-                   std::size_t nodes, Time now) {
+                   const RetryFleet& fleet, Time now) {
   const std::int64_t number = NumberAt(rule, now);
   double requests = 0;
   double repeats = 0;
@@ -37,15 +48,13 @@
     repeats += slice.repeats;
   }
   const double allowed =
-      kRetryUsed *
-      (rule.ratio * requests +
-       rule.slack / static_cast<double>(std::max<std::size_t>(nodes, 1)));
+      kRetryUsed * (rule.ratio * requests + SlackOf(rule, fleet));
   return std::max(0.0, allowed - repeats);
 }
 
-bool TakeRetry(RetryShare& share, const RetryRule& rule, std::size_t nodes,
-               Time now) {
-  if (RetriesLeft(share, rule, nodes, now) < 1) return false;
+bool TakeRetry(RetryShare& share, const RetryRule& rule,
+               const RetryFleet& fleet, Time now) {
+  if (RetriesLeft(share, rule, fleet, now) < 1) return false;
   ++SliceAt(share, NumberAt(rule, now)).repeats;
   return true;
 }
--- a/routing/tests/retry_share_test.cc
+++ b/routing/tests/retry_share_test.cc
@@ -26,7 +26,9 @@
   for (er::Time now = kStart; now < kStart + 60s; now += 10ms) {
     auto& share = shares[requests++ % kNodes];
     er::OnRequest(share, kRule, now);
-    if (er::TakeRetry(share, kRule, kNodes, now)) repeats.push_back(now);
+    if (er::TakeRetry(share, kRule, {kNodes, 1min}, now)) {
+      repeats.push_back(now);
+    }
   }
   std::size_t first = 0;
   for (std::size_t last = 0; last < repeats.size(); ++last) {
@@ -40,11 +42,40 @@
 TEST(RetryShare, AQuietNodeMayRepeatAFew) {
   er::RetryShare share;
   er::OnRequest(share, kRule, kStart);
-  CHECK(er::TakeRetry(share, kRule, 7, kStart));
+  CHECK(er::TakeRetry(share, kRule, {7, 1min}, kStart));
   int more = 0;
   for (int i = 0; i < 54; ++i) {
-    if (er::TakeRetry(share, kRule, 7, kStart)) ++more;
+    if (er::TakeRetry(share, kRule, {7, 1min}, kStart)) ++more;
   }
   CHECK(more < 54 / 7);
-  CHECK(er::TakeRetry(share, kRule, 7, kStart + 11s));
+  CHECK(er::TakeRetry(share, kRule, {7, 1min}, kStart + 11s));
+}
+
+// Guards against a fleet whose nodes are restarted in turn and each repeat,
+// with every start, as much as if nothing had been repeated before.
+TEST(RetryShare, NodesThatRestartStayWithinTheSlack) {
+  constexpr std::size_t kNodes = 7;
+  constexpr auto kLife = 3s;
+  std::size_t repeats = 0;
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    er::RetryShare share;
+    er::Time started = kStart;
+    for (er::Time now = kStart; now < kStart + kRule.window; now += 100ms) {
+      if (now - started >= kLife) {
+        share = {};
+        started = now;
+      }
+      const auto age =
+          std::chrono::duration_cast<std::chrono::milliseconds>(now - started);
+      if (er::TakeRetry(share, kRule, {kNodes, age}, now)) ++repeats;
+    }
+  }
+  CHECK(static_cast<double>(repeats) <= kRule.slack);
+  CHECK(repeats >= kNodes);
+}
+
+TEST(RetryShare, AProcessThatJustStartedMayRepeatOnce) {
+  er::RetryShare share;
+  CHECK(er::TakeRetry(share, kRule, {7, 0s}, kStart));
+  CHECK_FALSE(er::TakeRetry(share, kRule, {7, 0s}, kStart));
 }
