Keep most exchanges of a large fleet in their availability zone

Peers were drawn from the whole fleet, so with five zones four fifths of the gossip crossed zones, which is priced. One exchange in four, and every eighth turn's seed, still leaves the zone. Test: the part that stays; the fleets of members tests hear of each other in time as before.

--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -243,6 +243,10 @@
 inline constexpr milliseconds kExchangePeriod{100};
 /// The same in a large one, where each message carries more members.
 inline constexpr milliseconds kExchangePeriodLarge{200};
+/// In a large fleet one exchange in so many may leave the availability zone.
+/// Bytes between zones cost more, and each zone has nodes enough to carry its
+/// news over.
+inline constexpr std::size_t kTurnsPerZoneLeft = 4;
 /// A member whose heartbeat hasn't risen for this long is left out of what
 /// callers are told.
 inline constexpr milliseconds kMemberSilence{2000};
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -160,11 +160,17 @@
 
 std::string NextPeer(Members& members, kernel::Random& random, Time now) {
   std::vector<std::string> addresses;
+  std::vector<std::string> near;
   for (const auto& [node, known] : members.others) {
-    if (IsThere(members, known, now) || known.member.leaving) {
-      addresses.push_back(known.member.peers);
+    if (!IsThere(members, known, now) && !known.member.leaving) continue;
+    addresses.push_back(known.member.peers);
+    if (known.member.zone == members.self.zone) {
+      near.push_back(known.member.peers);
     }
   }
+  const bool stays = !IsSmallFleet(members) && !near.empty() &&
+                     kernel::Below(random, kTurnsPerZoneLeft) != 0;
+  if (stays) addresses = std::move(near);
   // Every eighth turn, and whenever nobody is there, a seed: two parts of a
   // fleet that started apart meet there.
   constexpr std::size_t kSeedTurns = 8;
--- a/routing/tests/members_test.cc
+++ b/routing/tests/members_test.cc
@@ -274,3 +274,28 @@
   fleet.Run(now, 3s);
   for (const er::Members& node : fleet.nodes) CHECK(er::IsReader(node, now));
 }
+
+// Guards against gossip of hundreds of nodes of which four fifths crosses
+// zones, and against a zone that hears nothing of the others.
+TEST(Members, MostExchangesOfALargeFleetStayInTheZone) {
+  er::Members node = er::StartMembers(Node("n0"), {"n1:90"}, kStart);
+  er::MemberNews told;
+  for (int i = 1; i < 100; ++i) {
+    er::Member other = Node("n" + std::to_string(i));
+    other.zone = i < 20 ? "a" : "b";
+    told.members.push_back(other);
+  }
+  er::Hear(node, told, kStart);
+  ek::Random random{5};
+  std::size_t near = 0;
+  constexpr std::size_t kTurns = 1000;
+  for (std::size_t i = 0; i < kTurns; ++i) {
+    const std::string peer = er::NextPeer(node, random, kStart);
+    const auto at = std::find_if(
+        told.members.begin(), told.members.end(),
+        [&peer](const er::Member& member) { return member.peers == peer; });
+    if (at->zone == "a") ++near;
+  }
+  CHECK(near > kTurns * 6 / 10);
+  CHECK(near < kTurns * 9 / 10);
+}
