--- a/policy/include/egretladder/policy/limits.h
+++ b/policy/include/egretladder/policy/limits.h
@@ -77,10 +77,9 @@
   /// Part of a target's slots that aged work of lower tiers may hold while
   /// higher tiers want them all; 0: no trickle.
   /// Load: the top tier alone over capacity for an hour. Without it lower tiers
-  /// are never served. The bound is derived in docs/design/two-promises.md.
-  /// Swept 0 to 0.05: without it a class goes 219 s unserved, at 0.01 137 s and
-  /// buyers lose 0.6 points, at 0.05 3.1.
-  double trickle_share = 0.01;
+  /// are never served, and with much of it the top tier is late. The bound is
+  /// derived in docs/design/two-promises.md.
+  double trickle_share = 0.02;
   /// A lower tier's request counts as aged after this wait.
   milliseconds trickle_age{5000};
 
