--- a/policy/include/egretladder/policy/limits.h
+++ b/policy/include/egretladder/policy/limits.h
@@ -1,7 +1,5 @@
-// Every threshold of the decisions under load: the load it answers, what goes
-// wrong without it, and the measurement that set it
-// (docs/design/policy-thresholds.md). Thresholds said to be "not swept" are
-// plain bounds that no run depends on closely.
+// Every threshold of the decisions under load: the load it answers and what
+// goes wrong without it. Sweeps of them: docs/design/policy-thresholds.md.
 #pragma once
 
 #include <chrono>
@@ -16,9 +14,8 @@
 
 /// Answers in time, per slot, before slots grow.
 /// Load: a fleet that starts cold under full load. Without it slots grow by the
-/// clock, and an endpoint that still loads weights gets work it drops. Trial of
-/// 1 to 8: at 1 cold engines drop work, at 4 a cold fleet loses 4 points of
-/// buyers in time.
+/// clock, and an endpoint that still loads weights gets work it drops. With
+/// many a cold fleet stays cold for its callers.
 inline constexpr std::uint32_t kAnswersPerSlotBeforeGrowth = 2;
 
 /// Share of late or failed answers at which an endpoint counts as overloaded,
@@ -44,8 +41,7 @@
 /// Load: an endpoint that refuses connections just as a node starts. Without it
 /// the node's first failures go to their callers until ten answers succeeded.
 /// Not larger: nodes that start into an outage all spend it at once, before any
-/// success shows that retries help; 390 nodes add 1,950 attempts in all. Not
-/// swept.
+/// success shows that retries help.
 inline constexpr double kRetryBudgetAtStart = 5;
 inline constexpr std::uint8_t kAttemptsMost = 3;
 /// Delay before the second attempt; doubles with each. Jittered, so that those
@@ -61,7 +57,7 @@
 inline constexpr milliseconds kBlameKept{10 * 60 * 1000};
 /// How long a quarantined body gets no endpoint.
 inline constexpr milliseconds kQuarantineKept{30 * 60 * 1000};
-/// Bounds memory when a zone dies with its work. Not swept.
+/// Bounds memory when a zone dies with its work.
 inline constexpr std::size_t kBlamesMost = 4096;
 
 // --- The ladder (scheduler_ladder.cc) ---
@@ -70,8 +66,8 @@
 /// same load over several values and each idea can be switched off.
 struct Limits {
   /// Requests that wait at a node, all classes together.
-  /// Load: a broker's batch. Without it memory grows with the batch. 20,000 at
-  /// about 600 bytes stay under 5% of a node's 256 MB. Not swept.
+  /// Load: a broker's batch. Without it memory grows with the batch, by about
+  /// 600 bytes a request.
   std::uint32_t waiting_most = 20'000;
 
   /// Part of a target's slots that aged work of lower tiers may hold while
@@ -87,23 +83,19 @@
   /// tiers run (their fluctuation), at most `reserve_share_most` of the slots
   /// and, where higher tiers ran lately, at least one; 0: none.
   /// Load: a batch of long work takes every slot. Without it a buyer's question
-  /// waits until one of them ends.
-  /// Swept 0 to 1.5: off, a batch on few slots leaves buyers 65% in time in
-  /// place of 94%; above 0.5 only lower tiers lose.
+  /// waits until one of them ends. More of it is lost to lower tiers alone.
   double reserve_factor = 0.5;
   double reserve_share_most = 0.2;
 
   /// Ends seen at which a learned wait counts half; 0: it always counts whole.
   /// Load: long work among short, and the start of a node. Without it the first
   /// long answers refuse callers that could be served.
-  /// Swept 4 to 64: little difference.
   double ends_half_trusted = 16;
   /// Ends over which service times are learned. Fewer let one very long answer
   /// shift the estimate; more are slow to see a change.
-  /// Swept 32 to 1024: at 32 refusals come after 3.0 s in place of 0.4 s.
   double ends_remembered = 256;
   /// Whether work that can't make it is refused at once.
-  /// Off, callers in a burst wait 30 s for a refusal in place of 0.4 s.
+  /// Off, callers in a burst wait for their refusal until their time is up.
   bool refuse_early = true;
   /// Bounds of the time that a refused caller is told to stay away.
   milliseconds retry_after_least{200};
@@ -112,33 +104,27 @@
   /// Whether expected tokens are charged when work starts.
   /// Load: an account that starts many at once. Without it none of them is
   /// charged until its tokens come, and the account takes every slot meanwhile.
-  /// Quotes in time 93.0%, without it 92.1%.
   bool charge_expected = true;
 
   /// Endpoints drawn for one choice. One ignores load; more than a few cost
   /// time and herd to the same endpoint.
-  /// Swept 1 to 12: 95 in 100 first tokens within 0.95 s at 1, 0.69 s at 3,
-  /// 0.50 s at 6 and 12.
   std::uint32_t choices = 6;
   /// An endpoint takes a prompt for its cached prefix while it holds at most
   /// this times the mean load; 0: no affinity.
   /// Load: a few prefixes with most of the load. Without the bound they
   /// overload one endpoint; without affinity each prompt is computed anew.
-  /// Mean first token 0.83 s off, 0.72 s at 1.00, 0.45 s at 1.50.
   double affinity_load = 1.5;
   /// Endpoints that may hold one prefix.
   std::uint32_t affinity_homes = 2;
   /// What a report's load counts half as much after. Reports lag.
-  /// Swept 1 ms to 5 s: 0.92 s without, 0.50 s from 1 s on (95 in 100).
   milliseconds report_half_life{1000};
-  /// Part of the load by which the own zone is preferred: half a millisecond
-  /// between zones is worth no more than a tie. Not swept.
+  /// Part of the load by which the own zone is preferred; the way to another is
+  /// worth no more than a tie.
   double near_zone_gain = 0.02;
 
   /// An endpoint whose first tokens take this times the usual is slow; 0: never
   /// noticed. Load: one endpoint 5 times slower that reports health. Without it
   /// the endpoint gets its full part of the questions, and each is late.
-  /// Buyers in time 99.8%, off 98.9%; 1.5 gives 99.6%.
   double slow_ratio = 2.5;
   /// Answers before an endpoint may be called slow.
   std::uint32_t slow_answers = 6;
@@ -156,8 +142,8 @@
   /// Load: a zone out and back. Without it every new request goes to the zone's
   /// idle endpoints, and all are late if it is not well.
   double shift_start = 0.125;
-  /// Swept with a zone that returns 5 times slower: buyers in time 99.2% off,
-  /// 99.0% at 1 s, 99.5% at 4 s, 99.6% at 8 s.
+  /// Long enough to notice that the zone is slow before it has much of the
+  /// work.
   milliseconds shift_doubling{4000};
 };
 
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -1,5 +1,4 @@
-// Every threshold of routing by discovered endpoints: the load it answers and
-// where the figure comes from.
+// Every threshold of routing by discovered endpoints, and the load it answers.
 #pragma once
 
 #include <chrono>
@@ -14,7 +13,7 @@
 
 /// Prompt tokens that an engine reads in a millisecond. Only its ratio to the
 /// other costs matters: what it is wrong by shows as drift (endpoints.h) and is
-/// added to the cost of the endpoint. Order of magnitude of the engines in use.
+/// added to the cost of the endpoint.
 inline constexpr double kPromptTokensPerMs = 150;
 /// What one more running request adds to the time to a first event, in ms: each
 /// step of the batch gets longer by its part.
@@ -28,8 +27,8 @@
 /// Choices").
 inline constexpr std::size_t kDrawn = 4;
 /// Shared tokens from which on a session prefers endpoints. Reading fewer anew
-/// takes two milliseconds; kept together, a session with a quarter of the
-/// traffic fills an engine while others are idle.
+/// takes little; kept together, a busy session fills an engine while others are
+/// idle.
 inline constexpr std::uint32_t kSessionTokens = 256;
 /// Endpoints that a session prefers, in order.
 inline constexpr std::size_t kPreferred = 3;
@@ -44,8 +43,8 @@
 /// longer than this for the engine that holds them while another one is idle.
 inline constexpr double kAnewMostMs = 1600;
 /// A stream whose events may pause no longer than this is delayed past it by a
-/// long prompt beside it: an event holds some eight tokens, and each step that
-/// carries a part of the prompt takes about 18 ms in place of 4.
+/// long prompt beside it: an event holds several tokens, and each step that
+/// carries a part of the prompt takes several times as long.
 inline constexpr milliseconds kTightGap{200};
 /// A prompt longer than this, in tokens, is read in several parts.
 inline constexpr std::uint32_t kLongPrompt = 4096;
@@ -54,8 +53,8 @@
 /// How long a prompt part is expected to stay in an engine's memory after its
 /// last use here.
 inline constexpr milliseconds kPartKept{60'000};
-/// Prompt parts remembered for each endpoint; the oldest go first. 4,096 take
-/// about 200 KB.
+/// Prompt parts remembered for each endpoint, about 50 bytes each; the oldest
+/// go first.
 inline constexpr std::size_t kPartsMost = 4096;
 /// What another availability zone costs, in ms: a round trip, and a tie goes to
 /// the near one.
@@ -72,8 +71,8 @@
 /// How long a request counts in the demand, in the mean. A burst shows within
 /// it; shorter, and the few requests that a node sees say little.
 inline constexpr milliseconds kSideMemory{2000};
-/// How fast the figure that nodes agree on follows what each measures. Ten
-/// exchanges a second average it over the fleet meanwhile.
+/// How fast the figure that nodes agree on follows what each measures; several
+/// exchanges average it over the fleet meanwhile.
 inline constexpr milliseconds kSidePull{1500};
 /// Room for tight streams beyond their mean demand, as a factor: one engine of
 /// theirs that is full costs more than one of the others.
@@ -88,8 +87,7 @@
 // --- Pace of engines (pace.h) ---
 
 /// What one more running request adds to the time between two events, as part
-/// of that time with nothing else running. A prior, of the engines in use:
-/// steps of 3.4 ms and 0.1 ms more for each request.
+/// of that time with nothing else running. A prior.
 inline constexpr double kPacePerRunning = 0.03;
 /// Time between two events until one was seen, in ms.
 inline constexpr double kEventMsUnknown = 25;
@@ -136,8 +134,8 @@
 /// Work that may run once goes over a connection that is open already only if
 /// its endpoint was heard within this time. One that lost its power answers
 /// nothing and resets nothing: what is sent there is lost, while a new
-/// connection shows it before anything leaves. Engines in use are silent for up
-/// to 0.1 s while they read a prompt. A new connection takes 2 ms.
+/// connection shows it before anything leaves. Longer than an engine is silent
+/// while it reads a prompt.
 inline constexpr milliseconds kHeardLately{300};
 
 // --- Share of an endpoint among nodes ---
@@ -195,8 +193,8 @@
 inline constexpr std::size_t kSuspectsMost = 1024;
 /// Breaks remembered for one request.
 inline constexpr std::size_t kBreaksKept = 6;
-/// A suspect is told for this long after it changed: in a fleet of 90 news
-/// reach all within 2 s.
+/// A suspect is told for this long after it changed, so that it reaches all
+/// nodes.
 inline constexpr std::chrono::milliseconds kSuspectTold{3000};
 /// Suspects told in one exchange, newest first; one takes about 80 bytes.
 inline constexpr std::size_t kSuspectsTold = 8;
@@ -206,8 +204,8 @@
 
 // --- Waiting (waiting.h) ---
 
-/// Requests that wait at a node. Beyond it the least urgent are refused. Bodies
-/// are 17 KB at the mean: 1,000 take 17 MB of a node's 160.
+/// Requests that wait at a node. Beyond it the least urgent are refused; their
+/// bodies count against the node's memory besides.
 inline constexpr std::size_t kWaitingMost = 1000;
 /// Part of its target time that a request waits for an endpoint to come free
 /// before it is refused: its caller still has time to come back elsewhere.
@@ -250,16 +248,14 @@
 /// A member whose heartbeat hasn't risen for this long is left out of what
 /// callers are told.
 inline constexpr milliseconds kMemberSilence{2000};
-/// The same in a large fleet: a heartbeat passes through several nodes, and at
-/// 90 nodes each is heard of about 1.4 times a second.
+/// The same in a large fleet: a heartbeat passes through several nodes.
 inline constexpr milliseconds kMemberSilenceLarge{4000};
 /// A member unheard for this long is forgotten.
 inline constexpr std::chrono::seconds kMemberForgotten{60};
 /// Members told whole in one exchange; one takes about 130 bytes.
 inline constexpr std::size_t kMembersTold = 16;
-/// Pulses told in one exchange; one takes 16 bytes. In a fleet of 390 each node
-/// is then heard of often enough never to look silent; with 48 four looked so
-/// at a time.
+/// Pulses told in one exchange; one takes 16 bytes. With a quarter of a fleet
+/// of hundreds in each message no node looks silent by chance.
 inline constexpr std::size_t kPulsesTold = 96;
 /// A member is told whole for this long after this node met it.
 inline constexpr std::chrono::seconds kMemberNew{3};
@@ -298,7 +294,7 @@
 /// another peer costs about as much.
 inline constexpr std::size_t kSmallChanges = 4096;
 /// Larger ones wait while this many bytes for other peers are unsent: a few
-/// tens of milliseconds of a link of 10 Mbit/s.
+/// tens of milliseconds of a slow link.
 inline constexpr std::size_t kPeerBacklog = std::size_t{48} << 10U;
 /// A node that has started leaves the store this long to answer before it asks
 /// a peer for all that is published.
