--- a/net/include/egretladder/net/socket.h
+++ b/net/include/egretladder/net/socket.h
@@ -58,4 +58,13 @@
 /// Bytes that wait to be sent.
 std::size_t WaitingOutput(bufferevent* buffer);
 
+/// Bytes, and the end after them, that the other side hasn't acknowledged.
+int HeldByKernel(evutil_socket_t fd);
+/// The other side reset the connection or ended its input; what it sent before
+/// may still be unread.
+bool HasLeft(evutil_socket_t fd);
+/// Lets the close of the connection be a reset: a regular end would make a half
+/// answer without chunks look whole.
+void ResetOnClose(evutil_socket_t fd);
+
 }  // namespace egretladder::net
--- a/net/src/socket.cc
+++ b/net/src/socket.cc
@@ -3,6 +3,8 @@
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -62,4 +64,19 @@
   return evbuffer_get_length(bufferevent_get_output(buffer));
 }
 
+int HeldByKernel(evutil_socket_t fd) {
+  int held = 0;
+  return ioctl(fd, TIOCOUTQ, &held) == 0 ? held : 0;
+}
+
+bool HasLeft(evutil_socket_t fd) {
+  pollfd look{fd, POLLRDHUP, 0};
+  return poll(&look, 1, 0) > 0;
+}
+
+void ResetOnClose(evutil_socket_t fd) {
+  const linger now{1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
 }  // namespace egretladder::net
