--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
-# Two jobs: `make test` passes the tests, `make demo` shows the product at work.
+# `make test` passes the tests, `make demo` shows the product at work.
 # Each does all the set-up it needs on a fresh machine.
-.PHONY: all setup build test demo
+.PHONY: all setup build test demo regress
 
 all: build
 
@@ -15,3 +15,7 @@
 
 demo: build
 	@scripts/demo
+
+# Scores the deployments that must not fall; see DEVELOPING.md.
+regress:
+	@scripts/regress
