Forget what a peer announced once it has answered

A peer that announces changes, restarts and then knows less answered a fetch with less than announced; its offer stayed, and the node asked it again at once, for as long as it knew less. Found by reading the change; a test, red before, shows it.

Packed changes are kept by whether the store is in trouble, too: the mark goes with them. Names: TakeProgress for what it does, MessageKind; a limit of the proxy moves to its own header.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -28,13 +28,16 @@
 /// The same while the whole fleet starts for the first time, with no callers
 /// yet; nodes that are seeds read at once.
 inline constexpr milliseconds kNewFleetWait{2000};
+/// A node that reads the store for the first time leaves it this long to answer
+/// before it asks a peer for the same.
+inline constexpr milliseconds kStoreFirst{300};
 /// For a read of one page.
 inline constexpr milliseconds kListTime{2000};
 /// Wait after a failed call; doubles, jittered by half.
 inline constexpr milliseconds kStoreBackoffFirst{100};
-/// Longest such wait. Several nodes try, each at its own moment, and what one of
-/// them reads reaches the others: together they notice the store's return well
-/// within a second.
+/// Longest such wait. Several nodes try, each at its own moment, and what one
+/// of them reads reaches the others: together they notice the store's return
+/// well within a second.
 inline constexpr milliseconds kStoreBackoffMost{1600};
 
 // --- Calls ---
--- a/proxy/src/content_capnp.cc
+++ b/proxy/src/content_capnp.cc
@@ -25,9 +25,13 @@
                                                   std::uint64_t after) {
   KeptContent& kept = proxy.peers->content[static_cast<std::size_t>(feed)];
   const std::uint64_t revision = routing::StateOf(proxy.catalog, feed).revision;
-  if (kept.after == after && kept.revision == revision) return &kept.packed;
+  const bool troubled = IsStoreTroubled(proxy);
+  if (kept.after == after && kept.revision == revision &&
+      kept.store_troubled == troubled) {
+    return &kept.packed;
+  }
   BOOST_OUTCOME_TRY(packed, PackChanges(proxy, feed, after));
-  kept = {after, revision, std::move(packed)};
+  kept = {after, revision, troubled, std::move(packed)};
   return &kept.packed;
 }
 
@@ -75,7 +79,7 @@
 void OnFetched(Proxy& proxy, Feed feed, const std::string& from, bool near,
                Time asked,
                capnp::Response<exchange::Peer::FetchResults>&& answer) {
-  CountBytes(proxy, "in", Message::kContent, near,
+  CountBytes(proxy, "in", MessageKind::kContent, near,
              answer.totalSize().wordCount);
   if (answer.getBusy()) {
     CountFetch(proxy, "busy");
@@ -116,7 +120,7 @@
 bool WaitsForStore(const Proxy& proxy, Feed feed) {
   return proxy.reads_store && !IsStoreTroubled(proxy) &&
          routing::StateOf(proxy.catalog, feed).revision == 0 &&
-         NowOf(proxy) - proxy.store_from < routing::kStoreFirst;
+         NowOf(proxy) - proxy.store_from < kStoreFirst;
 }
 
 }  // namespace
@@ -147,7 +151,7 @@
       kj::arrayPtr(reinterpret_cast<const kj::byte*>(packed.bytes.data()),
                    packed.bytes.size()));
   answer.setUnpacked(packed.unpacked);
-  CountBytes(proxy, "out", Message::kContent, near,
+  CountBytes(proxy, "out", MessageKind::kContent, near,
              results.totalSize().wordCount);
 }
 
@@ -159,7 +163,7 @@
     const auto feed = static_cast<Feed>(i);
     const std::uint64_t own = routing::StateOf(proxy.catalog, feed).revision;
     if (own == 0 && progress[i].known == 0) OnPeerKnowsNothing(proxy);
-    if (!routing::LacksChanges(proxy.catalog, feed, progress[i])) continue;
+    if (!routing::TakeProgress(proxy.catalog, feed, progress[i])) continue;
     routing::OnOffer(proxy.peers->pulls.feeds[i], peer, near,
                      progress[i].known);
     lacks = true;
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -8,13 +8,13 @@
 namespace egretladder::proxy {
 namespace {
 
-const char* NameOf(Message message) {
+const char* NameOf(MessageKind message) {
   switch (message) {
-    case Message::kExchange:
+    case MessageKind::kExchange:
       return "exchange";
-    case Message::kAnnounce:
+    case MessageKind::kAnnounce:
       return "announce";
-    case Message::kContent:
+    case MessageKind::kContent:
       break;
   }
   return "content";
@@ -32,12 +32,12 @@
     const auto told = context.getParams();
     const PeerState peer = TakeNews(proxy_, told.getNews());
     near_ = IsNear(proxy_, peer.zone);
-    CountBytes(proxy_, "in", Message::kExchange, near_,
+    CountBytes(proxy_, "in", MessageKind::kExchange, near_,
                told.totalSize().wordCount);
     routing::OnExchanged(proxy_.members, NowOf(proxy_));
     auto news = context.getResults().initNews();
     WriteNews(proxy_, peer.unknown, news);
-    CountBytes(proxy_, "out", Message::kExchange, near_,
+    CountBytes(proxy_, "out", MessageKind::kExchange, near_,
                news.totalSize().wordCount);
     HearProgress(proxy_, peer.peers, near_, peer.progress);
     return kj::READY_NOW;
@@ -53,7 +53,7 @@
   kj::Promise<void> announce(AnnounceContext context) override {
     const auto told = context.getParams();
     near_ = IsNear(proxy_, std::string_view(told.getZone().cStr()));
-    CountBytes(proxy_, "in", Message::kAnnounce, near_,
+    CountBytes(proxy_, "in", MessageKind::kAnnounce, near_,
                told.totalSize().wordCount);
     HearProgress(proxy_, told.getPeers(), near_,
                  ReadProgress(told.getProgress()));
@@ -128,7 +128,7 @@
   if (peer == nullptr || peer->exchanging) return;
   auto request = peer->peer.exchangeRequest();
   WriteNews(proxy, peer->unknown, request.initNews());
-  CountBytes(proxy, "out", Message::kExchange, peer->near,
+  CountBytes(proxy, "out", MessageKind::kExchange, peer->near,
              request.totalSize().wordCount);
   peer->exchanging = true;
   OnAsk(*peer, NowOf(proxy));
@@ -138,7 +138,7 @@
     routing::OnExchanged(proxy.members, NowOf(proxy));
     PeerState state = TakeNews(proxy, answer.getNews());
     peer->near = IsNear(proxy, state.zone);
-    CountBytes(proxy, "in", Message::kExchange, peer->near,
+    CountBytes(proxy, "in", MessageKind::kExchange, peer->near,
                answer.totalSize().wordCount);
     peer->unknown = std::move(state.unknown);
     HearProgress(proxy, address, peer->near, state.progress);
@@ -171,7 +171,7 @@
   request.setPeers(proxy.members.self.peers);
   request.setZone(proxy.members.self.zone);
   WriteProgress(OwnProgress(proxy), request.initProgress(routing::kFeeds));
-  CountBytes(proxy, "out", Message::kAnnounce, peer->near,
+  CountBytes(proxy, "out", MessageKind::kAnnounce, peer->near,
              request.totalSize().wordCount);
   OnAsk(*peer, NowOf(proxy));
   peer->tasks.add(request.send().then(
@@ -180,8 +180,8 @@
 
 }  // namespace
 
-void CountBytes(Proxy& proxy, const char* direction, Message message, bool near,
-                std::uint64_t words) {
+void CountBytes(Proxy& proxy, const char* direction, MessageKind message,
+                bool near, std::uint64_t words) {
   kernel::Increment(
       proxy.metrics,
       kernel::AddCounter(proxy.metrics, "egretladder_peer_bytes_total",
--- a/proxy/src/peers_p.h
+++ b/proxy/src/peers_p.h
@@ -46,6 +46,7 @@
 struct KeptContent {
   std::uint64_t after = 0;
   std::uint64_t revision = 0;
+  bool store_troubled = false;
   PackedChanges packed;
 };
 
@@ -64,7 +65,7 @@
 };
 
 /// What a message between nodes is about; for metrics.
-enum class Message : std::uint8_t { kExchange, kAnnounce, kContent };
+enum class MessageKind : std::uint8_t { kExchange, kAnnounce, kContent };
 
 // peers_capnp.cc
 /// The connection to a peer, opened now if there is none; null: not possible.
@@ -74,8 +75,8 @@
 /// It was answered.
 void OnAnswer(PeerOut& peer, Time now);
 /// Counts what was told or heard.
-void CountBytes(Proxy& proxy, const char* direction, Message message, bool near,
-                std::uint64_t words);
+void CountBytes(Proxy& proxy, const char* direction, MessageKind message,
+                bool near, std::uint64_t words);
 
 // content_capnp.cc
 /// Answers a peer that lacks changes.
--- a/routing/include/egretladder/routing/catalog.h
+++ b/routing/include/egretladder/routing/catalog.h
@@ -80,9 +80,10 @@
 /// How far this node knows a feed.
 FeedProgress ProgressOf(const Catalog& catalog, Feed feed);
 
-/// A peer said how far it knows a feed. True when this node lacks changes that
-/// the peer has. Else it knows now, too, that nothing changed since.
-bool LacksChanges(Catalog& catalog, Feed feed, const FeedProgress& peer);
+/// Takes in how far a peer knows a feed. Returns true when this node lacks
+/// changes that the peer has; else it knows now, too, that nothing changed
+/// since.
+bool TakeProgress(Catalog& catalog, Feed feed, const FeedProgress& peer);
 
 /// Forgets removals older than `kRemovalsKept`.
 void ForgetRemovals(Catalog& catalog, Time now);
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -296,8 +296,5 @@
 /// Larger ones wait while this many bytes for other peers are unsent: a few
 /// tens of milliseconds of a slow link.
 inline constexpr std::size_t kPeerBacklog = std::size_t{48} << 10U;
-/// A node that has started leaves the store this long to answer before it asks
-/// a peer for all that is published.
-inline constexpr milliseconds kStoreFirst{300};
 
 }  // namespace egretladder::routing
--- a/routing/include/egretladder/routing/pulls.h
+++ b/routing/include/egretladder/routing/pulls.h
@@ -48,7 +48,8 @@
 /// asked. Empty: none has, one is being asked, or all were tried just now.
 std::string NextPull(FeedPull& pull, std::uint64_t own, Time now);
 
-/// The peer that was asked answered; what it sent is taken in.
+/// The peer that was asked answered; what it sent is taken in, and what it
+/// announced before counts no longer.
 void OnPulled(FeedPull& pull, const std::string& peer);
 
 /// It was busy, or its connection broke: it is left alone for `pause`.
--- a/routing/src/catalog.cc
+++ b/routing/src/catalog.cc
@@ -90,7 +90,7 @@
   return {state.revision, state.changed};
 }
 
-bool LacksChanges(Catalog& catalog, Feed feed, const FeedProgress& peer) {
+bool TakeProgress(Catalog& catalog, Feed feed, const FeedProgress& peer) {
   FeedState& state = StateOf(catalog, feed);
   if (peer.known <= state.revision) return false;
   if (state.revision == 0 || peer.changed > state.revision) return true;
--- a/routing/src/pulls.cc
+++ b/routing/src/pulls.cc
@@ -56,6 +56,8 @@
 
 void OnPulled(FeedPull& pull, const std::string& peer) {
   if (pull.asked == peer) pull.asked.clear();
+  std::erase_if(pull.offers,
+                [&peer](const Offer& offer) { return offer.peer == peer; });
 }
 
 void OnPullFailed(FeedPull& pull, const std::string& peer, milliseconds pause,
--- a/routing/tests/catalog_test.cc
+++ b/routing/tests/catalog_test.cc
@@ -95,10 +95,10 @@
   er::Apply(other, er::ChangesSince(reader, er::Feed::kEndpoints, 0), kStart);
   er::Apply(reader, Watch(9, {}), kStart);
   const auto feed = er::Feed::kEndpoints;
-  CHECK_FALSE(er::LacksChanges(other, feed, er::ProgressOf(reader, feed)));
+  CHECK_FALSE(er::TakeProgress(other, feed, er::ProgressOf(reader, feed)));
   LONGS_EQUAL(9, er::ProgressOf(other, feed).known);
   er::Apply(reader, Watch(12, {{"a", "2", 11}}), kStart);
-  CHECK(er::LacksChanges(other, feed, er::ProgressOf(reader, feed)));
+  CHECK(er::TakeProgress(other, feed, er::ProgressOf(reader, feed)));
   LONGS_EQUAL(9, er::ProgressOf(other, feed).known);
 }
 
@@ -108,5 +108,5 @@
   er::Catalog other;
   const auto feed = er::Feed::kEndpoints;
   er::Apply(reader, List(5, {}), kStart);
-  CHECK(er::LacksChanges(other, feed, er::ProgressOf(reader, feed)));
+  CHECK(er::TakeProgress(other, feed, er::ProgressOf(reader, feed)));
 }
--- a/routing/tests/pulls_test.cc
+++ b/routing/tests/pulls_test.cc
@@ -64,6 +64,15 @@
   STRCMP_EQUAL("a", Next().c_str());
 }
 
+// Guards against asking a peer for ever that announced changes, restarted and
+// knows less than before.
+TEST(Pulls, APeerThatSentLessThanItAnnouncedIsNotAskedAgainAtOnce) {
+  er::OnOffer(pull, "a", true, 5);
+  STRCMP_EQUAL("a", Next().c_str());
+  er::OnPulled(pull, "a");
+  STRCMP_EQUAL("", Next(2).c_str());
+}
+
 // Guards against offers that grow with the fleet.
 TEST(Pulls, OffersAreBounded) {
   for (int i = 0; i < 100; ++i) {
--- a/routing/tests/spread_test.cc
+++ b/routing/tests/spread_test.cc
@@ -104,7 +104,7 @@
     At(kOneWay, [this, from, to, progress] {
       Node& node = nodes_[to];
       if (node.dead) return;
-      if (!er::LacksChanges(node.catalog, kFeed, progress)) return;
+      if (!er::TakeProgress(node.catalog, kFeed, progress)) return;
       er::OnOffer(node.pull, std::to_string(from), from % kZones == to % kZones,
                   progress.known);
       Ask(to);
