--- a/proxy/src/news_codec.cc
+++ b/proxy/src/news_codec.cc
@@ -116,7 +116,12 @@
 void TakeLoads(Proxy& proxy, const std::string& node,
                exchange::News::Reader news, Time now) {
   // In a large fleet nobody tells, and adding up goes over all endpoints.
-  if (news.getLoads().size() == 0 && !proxy.peer_loads.contains(node)) return;
+  if (!routing::IsSmallFleet(proxy.members)) {
+    if (proxy.peer_loads.empty()) return;
+    proxy.peer_loads.clear();
+    SumLoads(proxy, now);
+    return;
+  }
   PeerLoads& told = proxy.peer_loads[node];
   told.told = now;
   told.loads.clear();
