--- a/proxy/tests/settings_test.cc
+++ b/proxy/tests/settings_test.cc
@@ -82,6 +82,16 @@
   STRCMP_CONTAINS("pace", fault.c_str());
 }
 
+TEST(ProxySettings, AFleetIsNewOrRunning) {
+  const auto config =
+      ep::ReadProxyConfig(With("[store]", "fleet = new\n[store]"), "n.ini");
+  CHECK(config.has_value());
+  CHECK(config.value().proxy.new_fleet);
+  CHECK_FALSE(ep::ReadProxyConfig(kSettings, "n.ini").value().proxy.new_fleet);
+  STRCMP_CONTAINS("peers.fleet is 'fresh', expected new or running",
+                  FaultOf(With("[store]", "fleet = fresh\n[store]")).c_str());
+}
+
 // A platform leaves out what a deployment has no bounds for: the section of the
 // template is empty then.
 TEST(ProxySettings, BoundsThatAreNotGivenHaveStandards) {
