Count the nodes before this one once

Whether a node reads the store was found by two passes over all members, each hashing every name, ten times a second; one pass counts both. A comment says what a limit is for without a figure, and an include that nothing used goes.

--- a/proxy/src/content_capnp.cc
+++ b/proxy/src/content_capnp.cc
@@ -1,7 +1,4 @@
 // What a node lacks of the platform's store, asked of one peer at a time.
-#include <event2/buffer.h>
-
-#include <algorithm>
 #include <numeric>
 
 #include "peers_p.h"
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -68,8 +68,8 @@
 
 // --- Sides (sides.h) ---
 
-/// How long a request counts in the demand, in the mean. A burst shows within
-/// it; shorter, and the few requests that a node sees say little.
+/// How long a request counts in the demand on average. Long enough for the few
+/// requests that one node sees, short enough for a burst to show.
 inline constexpr milliseconds kSideMemory{2000};
 /// How fast the figure that nodes agree on follows what each measures; several
 /// exchanges average it over the fleet meanwhile.
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -200,14 +200,18 @@
 namespace {
 
 // Nodes that a hash prefers to this one.
-std::size_t NodesBefore(const Members& members, bool untroubled_only,
-                        Time now) {
+struct NodesBefore {
+  std::size_t all = 0;
+  std::size_t untroubled = 0;  // Of these, nodes that can read the store.
+};
+
+NodesBefore CountBefore(const Members& members, Time now) {
   const std::uint64_t own = kernel::HashOf(members.self.node);
-  std::size_t before = 0;
+  NodesBefore before;
   for (const auto& [node, known] : members.others) {
-    if (!IsThere(members, known, now)) continue;
-    if (untroubled_only && known.member.store_troubled) continue;
-    if (kernel::HashOf(node) > own) ++before;
+    if (!IsThere(members, known, now) || kernel::HashOf(node) <= own) continue;
+    ++before.all;
+    if (!known.member.store_troubled) ++before.untroubled;
   }
   return before;
 }
@@ -218,8 +222,8 @@
   const bool young = now - members.started < kReaderLeastAge;
   if (young && !members.seeds.empty()) return false;
   if (IsSmallFleet(members)) return true;
-  return NodesBefore(members, true, now) < kReadersMost &&
-         NodesBefore(members, false, now) < kReadersAble;
+  const NodesBefore before = CountBefore(members, now);
+  return before.untroubled < kReadersMost && before.all < kReadersAble;
 }
 
 std::vector<std::string> AddressesFor(const Members& members,
