Let the members say that this node no longer listens

The directory compared its own answer with the node's address to notice that it named a closed port. Who is named is decided in AddressesFor: it names nobody when no other node is there and this one has stopped listening.

--- a/proxy/src/answers.cc
+++ b/proxy/src/answers.cc
@@ -65,11 +65,7 @@
   }
   const auto addresses =
       routing::AddressesFor(proxy.members, zone, proxy.random, NowOf(proxy));
-  // Callers that follow to a closed port lose the time until they ask again.
-  const bool none_listens = proxy.listened_until != Time{} &&
-                            addresses.size() == 1 &&
-                            addresses.front() == proxy.members.self.callers;
-  if (none_listens) {
+  if (addresses.empty()) {
     AnswerError(caller, kUnavailable, "no_node", "no node takes callers", "no",
                 kLeavingRetry);
     return;
--- a/proxy/src/stop.cc
+++ b/proxy/src/stop.cc
@@ -114,6 +114,7 @@
   if (phase < StopPhase::kFinishing) return;
   if (proxy.listened_until == Time{}) {
     proxy.callers->StopListening();
+    proxy.members.listens = false;
     proxy.listened_until = NowOf(proxy);
   }
   if (phase < StopPhase::kCutting) return;
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -64,6 +64,7 @@
 struct Members {
   Member self;
   std::vector<std::string> seeds;
+  bool listens = true;  ///< This node takes connections of callers.
   std::map<std::string, KnownMember> others;
   Time started{};
   Time exchanged{};  ///< Last time a peer answered; default: never.
@@ -120,7 +121,7 @@
 bool IsReader(const Members& members, Time now);
 
 /// Addresses for a caller in `zone`: nodes that are there, this one last
-/// resort.
+/// resort while it listens; empty: none.
 std::vector<std::string> AddressesFor(const Members& members,
                                       std::string_view zone,
                                       kernel::Random& random, Time now);
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -234,7 +234,7 @@
   for (const auto& [node, known] : members.others) {
     if (IsThere(members, known, now)) there.push_back(&known.member);
   }
-  if (there.empty()) there.push_back(&members.self);
+  if (there.empty() && members.listens) there.push_back(&members.self);
   Shuffle(there, random);
   if (there.size() > kDirectoryMost) {
     std::stable_partition(
--- a/routing/tests/members_test.cc
+++ b/routing/tests/members_test.cc
@@ -255,6 +255,16 @@
   LONGS_EQUAL(er::kReadersMost, others);
 }
 
+// Guards against callers that follow to a closed port.
+TEST(Members, ANodeThatIsAloneAndDoesntListenNamesNobody) {
+  ek::Random random{1};
+  er::Members alone = er::StartMembers(Node("n0"), {}, kStart);
+  alone.self.leaving = true;
+  LONGS_EQUAL(1, er::AddressesFor(alone, "a", random, kStart).size());
+  alone.listens = false;
+  CHECK(er::AddressesFor(alone, "a", random, kStart).empty());
+}
+
 // Guards against a store that is met by the whole fleet when it comes back.
 TEST(Members, FewNodesOfALargeFleetKeepTryingAStoreThatIsAway) {
   Fleet fleet(60);
