Take the place of readers of the store that fall silent within two seconds

What callers saw: rules that the store had for 3.2 s and more not in force (404 on new routes), and requests at endpoints that had said 3.1 s and more before that they leave, on the nodes that were left when most of a fleet of 78 lost its power.

Cause: five nodes read the store for all, chosen by a hash. Others take their place when gossip no longer counts them as there, which in a large fleet takes 4 s without a heartbeat; a node that lost its power refuses no connection. When all five are lost together nobody reads for that long.

Change: a reader shows the seven nodes after it by that hash each 400 ms that it is there (an announcement of some 100 bytes). Those read themselves once fewer than five of the nodes before them were heard within 1.2 s, each later by 150 ms than the one before it. A standby that hears nobody reads, so that a cut costs calls rather than news.

--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -35,6 +35,7 @@
     CountBytes(proxy_, "in", MessageKind::kExchange, near_,
                told.totalSize().wordCount);
     routing::OnExchanged(proxy_.members, NowOf(proxy_));
+    routing::OnHeardFrom(proxy_.members, peer.peers, NowOf(proxy_));
     auto news = context.getResults().initNews();
     WriteNews(proxy_, peer.unknown, news);
     CountBytes(proxy_, "out", MessageKind::kExchange, near_,
@@ -55,8 +56,9 @@
     near_ = IsNear(proxy_, std::string_view(told.getZone().cStr()));
     CountBytes(proxy_, "in", MessageKind::kAnnounce, near_,
                told.totalSize().wordCount);
-    HearProgress(proxy_, told.getPeers(), near_,
-                 ReadProgress(told.getProgress()));
+    const std::string peer = told.getPeers();
+    routing::OnHeardFrom(proxy_.members, peer, NowOf(proxy_));
+    HearProgress(proxy_, peer, near_, ReadProgress(told.getProgress()));
     return kj::READY_NOW;
   }
 
@@ -136,6 +138,7 @@
     peer->exchanging = false;
     OnAnswer(*peer, NowOf(proxy));
     routing::OnExchanged(proxy.members, NowOf(proxy));
+    routing::OnHeardFrom(proxy.members, address, NowOf(proxy));
     PeerState state = TakeNews(proxy, answer.getNews());
     peer->near = IsNear(proxy, state.zone);
     CountBytes(proxy, "in", MessageKind::kExchange, peer->near,
@@ -247,6 +250,14 @@
   }
 }
 
+void TellStandbys(Proxy& proxy) {
+  if (routing::IsSmallFleet(proxy.members)) return;
+  for (const std::string& peer :
+       routing::StandbysOf(proxy.members, NowOf(proxy))) {
+    AnnounceTo(*proxy.peers, peer);
+  }
+}
+
 void NewsSoon(Proxy& proxy, std::size_t announce_to) {
   PeerNet& net = *proxy.peers;
   net.announce_to = std::max(net.announce_to, announce_to);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -23,6 +23,7 @@
 #include "egretladder/routing/catalog.h"
 #include "egretladder/routing/members.h"
 #include "egretladder/routing/place.h"
+#include "egretladder/routing/readers.h"
 #include "egretladder/routing/retry_share.h"
 #include "egretladder/routing/sides.h"
 #include "egretladder/routing/stop_take.h"
@@ -176,6 +177,8 @@
   Time exchanged{};  ///< When the last exchange began.
   kernel::Watch tick;
   kernel::Watch exchange_tick;
+  kernel::Watch standby_tick;  ///< While it reads the store.
+  kernel::Watch standby_soon;
   bool leaving = false;
   Time leaving_since{};
   Time listened_until{};  ///< Default: it listens.
@@ -294,6 +297,8 @@
 void Exchange(Proxy& proxy);
 /// Tells `kToldAtOnce` peers drawn at random at once.
 void TellMany(Proxy& proxy);
+/// A reader shows the nodes that would take its place that it is there.
+void TellStandbys(Proxy& proxy);
 /// At the loop's next turn asks peers for what they announced, and announces
 /// what this node has to `announce_to` of them. Not at once: an answer that is
 /// being taken must not end its own connection.
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -302,6 +302,17 @@
               item.rev);
 }
 
+// The first time at the loop's next turn: an answer of a peer that is being
+// taken must not end its own connection.
+void KeepTellingStandbys(Proxy& proxy) {
+  proxy.standby_tick = {};
+  proxy.standby_soon = {};
+  if (!proxy.reads_store) return;
+  const auto tell = [&proxy] { TellStandbys(proxy); };
+  proxy.standby_soon = kernel::After(*proxy.loop, milliseconds(0), tell);
+  proxy.standby_tick = kernel::Every(*proxy.loop, routing::kReaderPulse, tell);
+}
+
 }  // namespace
 
 bool IsStoreTroubled(const Proxy& proxy) {
@@ -365,6 +376,7 @@
       StopReading(reader);
     }
   }
+  KeepTellingStandbys(proxy);
 }
 
 void TakeChanges(Proxy& proxy, const routing::Changes& changes, Source source,
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -271,6 +271,13 @@
 /// store these try, and no others. Where the store turns a third of the nodes
 /// away, all twelve are among these once in five hundred thousand times.
 inline constexpr std::size_t kReadersAble = 12;
+/// Between two messages by which a reader shows its standbys that it is there.
+inline constexpr milliseconds kReaderPulse{400};
+/// A reader unheard for three of these is silent to the first standby. Changes
+/// have seconds to be in force everywhere, and spreading takes its part.
+inline constexpr milliseconds kReaderSilence{1200};
+/// Each further standby waits this much longer, so that few read together.
+inline constexpr milliseconds kReaderStagger{150};
 /// Peers that a reader tells of news at once.
 inline constexpr std::size_t kToldAtOnce = 16;
 /// Peers that any other node tells of news that it took, in a large fleet.
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -57,6 +57,7 @@
   Member member;
   Time heard{};              ///< When its heartbeat last rose here.
   Time met{};                ///< When this life of it was first heard of.
+  Time heard_itself{};       ///< Last message from it; default: none.
   bool unreachable = false;  ///< Refused a connection since.
 };
 
@@ -88,6 +89,8 @@
 
 /// A peer answered an exchange.
 void OnExchanged(Members& members, Time now);
+/// A message came from the node with that peer address.
+void OnHeardFrom(Members& members, const std::string& peers, Time now);
 /// Nothing listens at the peer address: its process is gone until its heartbeat
 /// rises again.
 void OnUnreachable(Members& members, const std::string& peers, Time now);
@@ -111,15 +114,6 @@
 /// True when the fleet is small; see `kSmallFleet`.
 bool IsSmallFleet(const Members& members);
 
-/// True when this node should read the platform's store: it is among the first
-/// `kReadersMost` nodes, by a hash of their names, of those that can.
-///
-/// Load: a large fleet in which every node watches. Each change of the store is
-/// then answered once to every node, and the calls cost more than all else. The
-/// same while the store is away, if each node took the place of a reader that
-/// failed: only the first `kReadersAble` by that hash ever read.
-bool IsReader(const Members& members, Time now);
-
 /// Addresses for a caller in `zone`: nodes that are there, this one last
 /// resort while it listens; empty: none.
 std::vector<std::string> AddressesFor(const Members& members,
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -34,7 +34,10 @@
   if (!IsNewer(told, known.member)) return;
   if (!IsThere(members, known, now)) news.push_back(told.node);
   const bool same_life = told.incarnation == known.member.incarnation;
-  known = {told, now, same_life ? known.met : now, false};
+  if (!same_life) known = {.met = now};
+  known.member = told;
+  known.heard = now;
+  known.unreachable = false;
 }
 
 void HearMember(Members& members, const Member& told, Time now,
@@ -49,7 +52,7 @@
     Refresh(members, at->second, told, now, news);
     return;
   }
-  members.others[told.node] = {told, now, now, false};
+  members.others[told.node] = {.member = told, .heard = now, .met = now};
   news.push_back(told.node);
 }
 
@@ -125,6 +128,12 @@
 
 void OnExchanged(Members& members, Time now) { members.exchanged = now; }
 
+void OnHeardFrom(Members& members, const std::string& peers, Time now) {
+  for (auto& [node, known] : members.others) {
+    if (known.member.peers == peers) known.heard_itself = now;
+  }
+}
+
 void OnUnreachable(Members& members, const std::string& peers, Time /*now*/) {
   for (auto& [node, known] : members.others) {
     if (known.member.peers == peers) known.unreachable = true;
@@ -197,35 +206,6 @@
          now - known.heard < SilenceAllowed(members);
 }
 
-namespace {
-
-// Nodes that a hash prefers to this one.
-struct NodesBefore {
-  std::size_t all = 0;
-  std::size_t untroubled = 0;  // Of these, nodes that can read the store.
-};
-
-NodesBefore CountBefore(const Members& members, Time now) {
-  const std::uint64_t own = kernel::HashOf(members.self.node);
-  NodesBefore before;
-  for (const auto& [node, known] : members.others) {
-    if (!IsThere(members, known, now) || kernel::HashOf(node) <= own) continue;
-    ++before.all;
-    if (!known.member.store_troubled) ++before.untroubled;
-  }
-  return before;
-}
-
-}  // namespace
-
-bool IsReader(const Members& members, Time now) {
-  const bool young = now - members.started < kReaderLeastAge;
-  if (young && !members.seeds.empty()) return false;
-  if (IsSmallFleet(members)) return true;
-  const NodesBefore before = CountBefore(members, now);
-  return before.untroubled < kReadersMost && before.all < kReadersAble;
-}
-
 std::vector<std::string> AddressesFor(const Members& members,
                                       std::string_view zone,
                                       kernel::Random& random, Time now) {
--- a/routing/tests/members_test.cc
+++ b/routing/tests/members_test.cc
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <set>
+
+#include "egretladder/routing/readers.h"
 
 using namespace std::chrono_literals;
 namespace er = egretladder::routing;
@@ -27,12 +30,14 @@
   return std::find(addresses.begin(), addresses.end(), one) != addresses.end();
 }
 
+constexpr std::size_t kRoundsPerPulse = er::kReaderPulse / er::kExchangePeriod;
+
 // Nodes that exchange with each other in rounds, without a network.
 struct Fleet {
   std::vector<er::Members> nodes;
   std::vector<bool> runs;
   ek::Random random{3};
-  std::size_t silent = SIZE_MAX;  // Refuses nothing, answers nothing.
+  std::set<std::size_t> dark;
   std::size_t rounds = 0;
   bool turns = false;
 
@@ -44,7 +49,7 @@
     }
   }
   void Round(er::Time now) {
-    ++rounds;
+    if (++rounds % kRoundsPerPulse == 0) ShowReaders(now);
     for (std::size_t i = 0; i < nodes.size(); ++i) {
       if (!runs[i]) continue;
       // A node that knows its fleet to be large exchanges every other time.
@@ -55,7 +60,7 @@
       for (std::size_t j = 0; j < nodes.size(); ++j) {
         if (nodes[j].self.peers != peer || i == j) continue;
         if (!runs[j]) {
-          if (j != silent) er::OnUnreachable(nodes[i], peer, now);
+          if (!dark.contains(j)) er::OnUnreachable(nodes[i], peer, now);
           continue;
         }
         const er::MemberNews asks = er::ToTell(nodes[i], {}, random, now);
@@ -67,9 +72,21 @@
       }
     }
   }
-  void Silence(std::size_t node) {
+  void ShowReaders(er::Time now) {
+    for (const std::size_t reader : Readers(now)) {
+      for (const std::string& peer : er::StandbysOf(nodes[reader], now)) {
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+          if (runs[i] && nodes[i].self.peers == peer) {
+            er::OnHeardFrom(nodes[i], nodes[reader].self.peers, now);
+          }
+        }
+      }
+    }
+  }
+  // It refuses nothing and answers nothing.
+  void LosePower(std::size_t node) {
     runs[node] = false;
-    silent = node;
+    dark.insert(node);
   }
   void Run(er::Time& now, std::chrono::milliseconds time) {
     for (const er::Time end = now + time; now < end;
@@ -77,6 +94,14 @@
       Round(now);
     }
   }
+  // Nodes that read the store for all.
+  std::vector<std::size_t> Readers(er::Time now) const {
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (runs[i] && er::IsReader(nodes[i], now)) found.push_back(i);
+    }
+    return found;
+  }
   std::vector<std::string> Told(std::size_t by, er::Time now) {
     return er::AddressesFor(nodes[by], "a", random, now);
   }
@@ -145,7 +170,7 @@
   fleet.Run(now, 10s);
   LONGS_EQUAL(390, er::PartOf(fleet.nodes[0], now).names.size());
   LONGS_EQUAL(390, er::PartOf(fleet.nodes[200], now).names.size());
-  fleet.Silence(3);
+  fleet.LosePower(3);
   fleet.Run(now, er::kMemberSilenceLarge + 2s);
   LONGS_EQUAL(389, er::PartOf(fleet.nodes[0], now).names.size());
 }
@@ -175,7 +200,7 @@
   Fleet fleet(7);
   er::Time now = kStart;
   fleet.Run(now, 3s);
-  fleet.Silence(3);
+  fleet.LosePower(3);
   fleet.Run(now, er::kMemberSilence + 500ms);
   CHECK_FALSE(Names(fleet.Told(0, now), "n3:80"));
 }
@@ -235,26 +260,36 @@
   Fleet fleet(60);
   er::Time now = kStart;
   fleet.Run(now, 5s);
-  const auto readers = [&] {
-    std::vector<std::size_t> found;
-    for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
-      if (er::IsReader(fleet.nodes[i], now)) found.push_back(i);
-    }
-    return found;
-  };
-  const auto first = readers();
+  const auto first = fleet.Readers(now);
   LONGS_EQUAL(er::kReadersMost, first.size());
   for (const std::size_t reader : first) {
     fleet.nodes[reader].self.store_troubled = true;
   }
   fleet.Run(now, 3s);
   std::size_t others = 0;
-  for (const std::size_t reader : readers()) {
+  for (const std::size_t reader : fleet.Readers(now)) {
     if (std::find(first.begin(), first.end(), reader) == first.end()) ++others;
   }
   LONGS_EQUAL(er::kReadersMost, others);
 }
 
+// Guards against rules and leaving endpoints of which no node hears for
+// seconds.
+TEST(Members, WhenAllReadersLoseTheirPowerOthersReadWithinTwoSeconds) {
+  for (const std::size_t count : {std::size_t{40}, std::size_t{120}}) {
+    Fleet fleet(count);
+    er::Time now = kStart;
+    fleet.Run(now, 6s);
+    const auto first = fleet.Readers(now);
+    LONGS_EQUAL(er::kReadersMost, first.size());
+    for (const std::size_t reader : first) fleet.LosePower(reader);
+    fleet.Run(now, 2s);
+    CHECK(!fleet.Readers(now).empty());
+    fleet.Run(now, 5s);
+    LONGS_EQUAL(er::kReadersMost, fleet.Readers(now).size());
+  }
+}
+
 // Guards against callers that follow to a closed port.
 TEST(Members, ANodeThatIsAloneAndDoesntListenNamesNobody) {
   ek::Random random{1};
