Try more peers at a turn while exchanges hang

What callers saw: after most of a fleet of 78 had lost its power, one of six survivors answered by rules that were 3.2 s old, though two others had the new ones 0.8 s after the store.

Cause: each node tries one peer each 200 ms, drawn among all that gossip still counts as there. With one in thirteen alive two survivors meet after seconds.

Change: a turn tries one more peer for each exchange that has been unanswered for 200 ms, eight at most. Nothing changes while peers answer.

--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -1,4 +1,5 @@
 // Exchanges between nodes over Cap'n Proto RPC.
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -148,6 +149,16 @@
   }));
 }
 
+// Exchanges that were begun and not answered for a while.
+std::size_t Hanging(const PeerNet& net, Time now) {
+  const auto hanging =
+      std::count_if(net.out.begin(), net.out.end(), [now](const auto& entry) {
+        const PeerOut& peer = *entry.second;
+        return peer.exchanging && now - peer.waits_since >= routing::kHanging;
+      });
+  return static_cast<std::size_t>(hanging);
+}
+
 // Addresses of members that are there, drawn at random.
 std::vector<std::string> DrawPeers(Proxy& proxy, std::size_t most) {
   const Time now = NowOf(proxy);
@@ -238,9 +249,12 @@
   routing::Pull(proxy.agreed, proxy.sides, now);
   proxy.endpoints.tight_part = routing::TightPartOf(proxy.agreed.mean);
   routing::Beat(proxy.members, now);
-  const std::string address =
-      routing::NextPeer(proxy.members, proxy.random, now);
-  if (!address.empty()) ExchangeWith(*proxy.peers, address);
+  const std::size_t peers = routing::PeersToTry(Hanging(*proxy.peers, now));
+  for (std::size_t i = 0; i < peers; ++i) {
+    const std::string address =
+        routing::NextPeer(proxy.members, proxy.random, now);
+    if (!address.empty()) ExchangeWith(*proxy.peers, address);
+  }
 }
 
 void TellMany(Proxy& proxy) {
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -271,6 +271,10 @@
 /// store these try, and no others. Where the store turns a third of the nodes
 /// away, all twelve are among these once in five hundred thousand times.
 inline constexpr std::size_t kReadersAble = 12;
+/// An exchange unanswered for this long hangs: answers take a round trip.
+inline constexpr milliseconds kHanging{200};
+/// Peers tried in one turn at most.
+inline constexpr std::size_t kPeersTriedMost = 8;
 /// Between two messages by which a reader shows its standbys that it is there.
 inline constexpr milliseconds kReaderPulse{400};
 /// A reader unheard for three of these is silent to the first standby. Changes
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -105,6 +105,12 @@
 /// then a seed that isn't known yet; empty: none.
 std::string NextPeer(Members& members, kernel::Random& random, Time now);
 
+/// Peers to exchange with at one turn while earlier exchanges hang.
+///
+/// Load: most nodes lose their power at once. The others look for each other
+/// among peers that answer nothing, while the rules change.
+std::size_t PeersToTry(std::size_t hanging);
+
 /// How long a member may be silent, by the size of the fleet.
 std::chrono::milliseconds SilenceAllowed(const Members& members);
 
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -193,6 +193,10 @@
   return addresses[kernel::Below(random, addresses.size())];
 }
 
+std::size_t PeersToTry(std::size_t hanging) {
+  return std::min(1 + hanging, kPeersTriedMost);
+}
+
 bool IsSmallFleet(const Members& members) {
   return members.others.size() < kSmallFleet;
 }
--- a/routing/tests/spread_test.cc
+++ b/routing/tests/spread_test.cc
@@ -2,6 +2,7 @@
 // a clock of its own: what is told is counted, and links take their time.
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -12,6 +13,7 @@
 #include "egretladder/kernel/hash.h"
 #include "egretladder/routing/catalog.h"
 #include "egretladder/routing/limits.h"
+#include "egretladder/routing/members.h"
 #include "egretladder/routing/pulls.h"
 
 using namespace std::chrono_literals;
@@ -25,6 +27,7 @@
 constexpr std::size_t kNodes = 300;
 constexpr std::size_t kZones = 5;
 constexpr auto kOneWay = 2ms;
+constexpr auto kExchangeTime = 1000ms;
 // 10 Mbit/s.
 constexpr double kBytesPerUs = 1.25;
 constexpr er::Feed kFeed = er::Feed::kRules;
@@ -35,6 +38,7 @@
   er::Time link_free{};
   std::size_t received = 0;  // Contents.
   bool dead = false;
+  std::deque<er::Time> unanswered;  // Exchanges with dead nodes, when begun.
 };
 
 class Fleet {
@@ -92,11 +96,29 @@
 
   void Exchange(std::size_t i) {
     At(er::kExchangePeriodLarge, [this, i] { Exchange(i); });
-    const std::size_t peer = Draw(i);
-    if (nodes_[i].dead || nodes_[peer].dead) return;
+    if (nodes_[i].dead) return;
+    const std::size_t peers = er::PeersToTry(Hanging(i));
+    for (std::size_t n = 0; n < peers; ++n) ExchangeWith(i, Draw(i));
+    Ask(i);  // As the periodic look does.
+  }
+
+  std::size_t Hanging(std::size_t i) {
+    auto& unanswered = nodes_[i].unanswered;
+    while (!unanswered.empty() && now_ - unanswered.front() > kExchangeTime) {
+      unanswered.pop_front();
+    }
+    return static_cast<std::size_t>(std::count_if(
+        unanswered.begin(), unanswered.end(),
+        [this](er::Time begun) { return now_ - begun >= er::kHanging; }));
+  }
+
+  void ExchangeWith(std::size_t i, std::size_t peer) {
+    if (nodes_[peer].dead) {
+      nodes_[i].unanswered.push_back(now_);
+      return;
+    }
     Tell(i, peer);
     Tell(peer, i);
-    Ask(i);  // As the periodic look does.
   }
 
   void Tell(std::size_t from, std::size_t to) {
@@ -185,6 +207,15 @@
   CHECK(fleet.UntilAllKnow(2) < 3000ms);
 }
 
+// Guards against survivors of a large loss that don't meet among the dead.
+TEST(Spread, ASmallChangeReachesTheSurvivorsOfALargeLossInTime) {
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    if (i % 5 > 1) fleet.node(i).dead = true;
+  }
+  fleet.Publish(2, 400, 1);
+  CHECK(fleet.UntilAllKnow(2) < 1500ms);
+}
+
 // Guards against a second version that waits behind the first.
 TEST(Spread, TwoVersionsAtOnceEndWithTheSecondEverywhere) {
   fleet.Publish(2, 60'000, er::kReadersMost);
