Play news of leaving endpoints beside rules that grow, on slow links

The test plays both feeds over the same links of 10 Mbit/s at 300 nodes, bound 2 s of the 3 that a leaving endpoint allows. It fails when a node's link may be filled (kPeerBacklog a thousand times larger).

--- a/routing/tests/spread_test.cc
+++ b/routing/tests/spread_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -30,11 +31,11 @@
 constexpr auto kExchangeTime = 1000ms;
 // 10 Mbit/s.
 constexpr double kBytesPerUs = 1.25;
-constexpr er::Feed kFeed = er::Feed::kRules;
+constexpr std::array kFeeds = {er::Feed::kRules, er::Feed::kEndpoints};
 
 struct Node {
   er::Catalog catalog;
-  er::FeedPull pull;
+  er::Pulls pulls;
   er::Time link_free{};
   std::size_t received = 0;  // Contents.
   bool dead = false;
@@ -45,7 +46,9 @@
  public:
   Fleet() : nodes_(kNodes) {
     for (std::size_t i = 0; i < kNodes; ++i) {
-      er::Apply(nodes_[i].catalog, {kFeed, true, 1, {{"rules", "", 1}}}, now_);
+      for (const er::Feed feed : kFeeds) {
+        er::Apply(nodes_[i].catalog, {feed, true, 1, {{"one", "", 1}}}, now_);
+      }
       At(milliseconds(ek::Below(random_, 200)), [this, i] { Exchange(i); });
     }
   }
@@ -53,18 +56,20 @@
   Node& node(std::size_t i) { return nodes_[i]; }
 
   // Some nodes read the change at the store.
-  void Publish(std::uint64_t revision, std::size_t bytes, std::size_t readers) {
-    bytes_ = bytes;
+  void Publish(std::uint64_t revision, std::size_t bytes, std::size_t readers,
+               er::Feed feed = er::Feed::kRules) {
+    bytes_[feed] = bytes;
     for (std::size_t i = 0; i < readers; ++i) {
-      Take(i, {kFeed, false, revision, {{"rules", "", revision}}},
+      Take(i, {feed, false, revision, {{"one", "", revision}}},
            er::kToldAtOnce);
     }
   }
 
   // Time until all living nodes know the revision.
-  milliseconds UntilAllKnow(std::uint64_t revision) {
+  milliseconds UntilAllKnow(std::uint64_t revision,
+                            er::Feed feed = er::Feed::kRules) {
     const er::Time begin = now_;
-    while (!AllKnow(revision) && now_ - begin < 20s) Step();
+    while (!AllKnow(revision, feed) && now_ - begin < 20s) Step();
     return std::chrono::duration_cast<milliseconds>(now_ - begin);
   }
 
@@ -81,10 +86,10 @@
     action();
   }
 
-  bool AllKnow(std::uint64_t revision) const {
+  bool AllKnow(std::uint64_t revision, er::Feed feed) const {
     for (const Node& node : nodes_) {
       if (node.dead) continue;
-      if (er::ProgressOf(node.catalog, kFeed).known < revision) return false;
+      if (er::ProgressOf(node.catalog, feed).known < revision) return false;
     }
     return true;
   }
@@ -99,7 +104,8 @@
     if (nodes_[i].dead) return;
     const std::size_t peers = er::PeersToTry(Hanging(i));
     for (std::size_t n = 0; n < peers; ++n) ExchangeWith(i, Draw(i));
-    Ask(i);  // As the periodic look does.
+    // As the periodic look does.
+    for (const er::Feed feed : kFeeds) Ask(i, feed);
   }
 
   std::size_t Hanging(std::size_t i) {
@@ -122,49 +128,58 @@
   }
 
   void Tell(std::size_t from, std::size_t to) {
-    const auto progress = er::ProgressOf(nodes_[from].catalog, kFeed);
-    At(kOneWay, [this, from, to, progress] {
-      Node& node = nodes_[to];
-      if (node.dead) return;
-      if (!er::TakeProgress(node.catalog, kFeed, progress)) return;
-      er::OnOffer(node.pull, std::to_string(from), from % kZones == to % kZones,
-                  progress.known);
-      Ask(to);
-    });
+    for (const er::Feed feed : kFeeds) {
+      const auto progress = er::ProgressOf(nodes_[from].catalog, feed);
+      At(kOneWay,
+         [this, from, to, feed, progress] { Hear(from, to, feed, progress); });
+    }
+  }
+
+  void Hear(std::size_t from, std::size_t to, er::Feed feed,
+            const er::FeedProgress& progress) {
+    Node& node = nodes_[to];
+    if (node.dead) return;
+    if (!er::TakeProgress(node.catalog, feed, progress)) return;
+    er::OnOffer(er::PullOf(node.pulls, feed), std::to_string(from),
+                from % kZones == to % kZones, progress.known);
+    Ask(to, feed);
   }
 
-  void Ask(std::size_t i) {
-    const std::string peer = er::NextPull(
-        nodes_[i].pull, er::ProgressOf(nodes_[i].catalog, kFeed).known, now_);
+  void Ask(std::size_t i, er::Feed feed) {
+    Node& node = nodes_[i];
+    const std::string peer =
+        er::NextPull(er::PullOf(node.pulls, feed),
+                     er::ProgressOf(node.catalog, feed).known, now_);
     if (peer.empty()) return;
-    At(kOneWay, [this, i, peer] { Serve(std::stoul(peer), i); });
+    At(kOneWay, [this, i, feed, peer] { Serve(std::stoul(peer), i, feed); });
   }
 
-  void Serve(std::size_t from, std::size_t to) {
+  void Serve(std::size_t from, std::size_t to, er::Feed feed) {
     Node& server = nodes_[from];
     if (server.dead) return;
     const auto busy_us = std::chrono::duration_cast<microseconds>(
         std::max(server.link_free - now_, er::Time::duration{}));
     const auto unsent = static_cast<std::size_t>(
         static_cast<double>(busy_us.count()) * kBytesPerUs);
-    if (!er::MaySend(bytes_, unsent)) {
-      At(kOneWay, [this, from, to] {
-        er::OnPullFailed(nodes_[to].pull, std::to_string(from),
-                         er::kPullBusyPause, now_);
-        Ask(to);
+    const std::size_t bytes = bytes_[feed];
+    if (!er::MaySend(bytes, unsent)) {
+      At(kOneWay, [this, from, to, feed] {
+        er::OnPullFailed(er::PullOf(nodes_[to].pulls, feed),
+                         std::to_string(from), er::kPullBusyPause, now_);
+        Ask(to, feed);
       });
       return;
     }
     const microseconds sending(
-        static_cast<std::int64_t>(static_cast<double>(bytes_) / kBytesPerUs));
+        static_cast<std::int64_t>(static_cast<double>(bytes) / kBytesPerUs));
     server.link_free = std::max(server.link_free, now_) + sending;
-    const auto after = er::ProgressOf(nodes_[to].catalog, kFeed).known;
-    const er::Changes changes = er::ChangesSince(server.catalog, kFeed, after);
-    At(server.link_free - now_ + kOneWay, [this, from, to, changes] {
-      er::OnPulled(nodes_[to].pull, std::to_string(from));
+    const auto after = er::ProgressOf(nodes_[to].catalog, feed).known;
+    const er::Changes changes = er::ChangesSince(server.catalog, feed, after);
+    At(server.link_free - now_ + kOneWay, [this, from, to, feed, changes] {
+      er::OnPulled(er::PullOf(nodes_[to].pulls, feed), std::to_string(from));
       ++nodes_[to].received;
       Take(to, changes, er::kToldOnward);
-      Ask(to);
+      Ask(to, feed);
     });
   }
 
@@ -177,7 +192,7 @@
   std::vector<Node> nodes_;
   std::multimap<er::Time, std::function<void()>> due_;
   ek::Random random_{7};
-  std::size_t bytes_ = 0;
+  std::map<er::Feed, std::size_t> bytes_;
 };
 
 }  // namespace
@@ -207,6 +222,14 @@
   CHECK(fleet.UntilAllKnow(2) < 3000ms);
 }
 
+// Guards against news of a leaving endpoint that wait behind rules on the
+// links.
+TEST(Spread, ALeavingEndpointIsKnownInTimeWhileLargeRulesSpread) {
+  fleet.Publish(2, 200'000, er::kReadersMost);
+  fleet.Publish(2, 400, er::kReadersMost, er::Feed::kEndpoints);
+  CHECK(fleet.UntilAllKnow(2, er::Feed::kEndpoints) < 2000ms);
+}
+
 // Guards against survivors of a large loss that don't meet among the dead.
 TEST(Spread, ASmallChangeReachesTheSurvivorsOfALargeLossInTime) {
   for (std::size_t i = 0; i < kNodes; ++i) {
