Give the rate that nodes share at an endpoint a file of its own

Cold endpoints have one; an endpoint that names a limit needs the same: few senders by a hash on which all agree, each with its turn. No behaviour changes: a turn follows from the last request under the rate, where it was kept as a moment before.

--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -310,8 +310,7 @@
 }  // namespace
 
 void StartAttempt(Proxy& proxy, const CallPtr& call,
-                  const routing::Placement& placement,
-                  const routing::FleetPart& fleet) {
+                  const routing::Placement& placement) {
   const Time now = NowOf(proxy);
   call->attempt = std::make_unique<Attempt>();
   Attempt& attempt = *call->attempt;
@@ -321,7 +320,7 @@
   attempt.sent = now;
   routing::OnPlaced(proxy.sides, call->demand, placement, now);
   routing::OnSent(*placement.endpoint, call->demand, attempt.number, placement,
-                  fleet, now);
+                  now);
   kernel::Observe(proxy.metrics, call->measures->waited, now - call->arrived);
   LogSent(proxy, *call, now);
   attempt.exchange = proxy.client->Start(ExchangeFor(proxy, *call, now),
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -268,7 +268,7 @@
   }
   StopWaiting(proxy, call);
   if (verdict == routing::AdmitVerdict::kSend) {
-    StartAttempt(proxy, call, placement, fleet);
+    StartAttempt(proxy, call, placement);
     return;
   }
   kernel::LogEvent(LogPart::kRoute, LogLevel::kWarning, "not-sent",
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -255,8 +255,7 @@
 
 // attempts.cc
 void StartAttempt(Proxy& proxy, const CallPtr& call,
-                  const routing::Placement& placement,
-                  const routing::FleetPart& fleet);
+                  const routing::Placement& placement);
 /// Stops the attempt without a decision; the endpoint sees a closed connection.
 void DropAttempt(Proxy& proxy, const CallPtr& call);
 void EndAttempt(Proxy& proxy, const CallPtr& call, routing::AttemptEnd end,
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -74,7 +74,7 @@
   EndpointPhase phase = EndpointPhase::kServing;
   Time lapsed_until{};
   Time cold_until{};
-  Time cold_next{};  ///< When this node may next send while it is cold.
+  Time rated_sent{};  ///< Last request of this node under a shared rate.
   std::uint32_t in_flight = 0;  ///< Of this node.
   Time heard_at{};              ///< Last sign of life to this node.
   TokensByTier waiting_tokens{};
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -149,9 +149,9 @@
 /// With more, each one's part of the rate falls below one request in a second
 /// or two, and their first requests together already exceed it.
 inline constexpr std::size_t kColdSenders = 8;
-/// Part of the rate that a cold endpoint bears that is used. The nodes' views
-/// differ for a moment, and a request may arrive later than it was counted.
-inline constexpr double kColdUsed = 0.8;
+/// Part of a shared rate that is used. The nodes' views differ for a moment,
+/// and a request may arrive later than it was counted.
+inline constexpr double kRateUsed = 0.8;
 /// Nodes assumed while this one knows too little of the fleet.
 inline constexpr std::size_t kNodesUnknown = 12;
 /// A smaller fleet than was known is believed after this long: in a partition
--- a/routing/include/egretladder/routing/place.h
+++ b/routing/include/egretladder/routing/place.h
@@ -106,21 +106,14 @@
                 const std::vector<EndpointPtr>& tried, const FleetPart& fleet,
                 kernel::Random& random, Time now);
 
-/// Counts a request that is about to be sent, and takes its part of the rate of
-/// a cold endpoint.
+/// Counts a request that is about to be sent, and takes this node's turn where
+/// nodes share a rate.
 void OnSent(Endpoint& endpoint, const Demand& demand, std::uint64_t attempt,
-            const Placement& placement, const FleetPart& fleet, Time now);
+            const Placement& placement, Time now);
 /// Its first byte came, or it ended without.
 void OnStarted(Endpoint& endpoint, const Demand& demand, std::uint64_t attempt,
                const Placement& placement);
 /// It ended.
 void OnDone(Endpoint& endpoint);
 
-/// How many nodes send to a cold endpoint, and whether this one does.
-struct ColdPart {
-  std::size_t senders = 1;
-  bool may_send = true;
-};
-ColdPart ColdPartOf(const Endpoint& endpoint, const FleetPart& fleet);
-
 }  // namespace egretladder::routing
--- a/routing/src/place.cc
+++ b/routing/src/place.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "egretladder/routing/place_cost.h"
+#include "egretladder/routing/shared_rate.h"
 #include "egretladder/routing/sides.h"
 
 namespace egretladder::routing {
@@ -66,8 +67,9 @@
       endpoint.in_flight >= SlotsOfNode(endpoint, fleet)) {
     return PlaceReason::kAllFull;
   }
-  if (IsCold(endpoint, now) && demand.service->cold_per_second > 0) {
-    if (now < endpoint.cold_next || !ColdPartOf(endpoint, fleet).may_send) {
+  if (const auto rate = SharedRateOf(endpoint, *demand.service, now)) {
+    if (now < NextTurn(endpoint, *rate, fleet) ||
+        !IsSender(endpoint, *rate, fleet)) {
       return PlaceReason::kAllCold;
     }
   }
@@ -164,25 +166,6 @@
   return "unknown";
 }
 
-ColdPart ColdPartOf(const Endpoint& endpoint, const FleetPart& fleet) {
-  ColdPart part;
-  part.senders = std::max(fleet.nodes, fleet.names.size());
-  if (part.senders <= kColdSenders) return part;
-  // Those that the hash prefers; a node that others don't know yet, or that
-  // knows few of them, is rarely among them.
-  const std::uint64_t own = kernel::HashOf(endpoint.entry.id + fleet.self);
-  std::size_t before = 0;
-  for (const std::string& name : fleet.names) {
-    if (kernel::HashOf(endpoint.entry.id + name) > own) ++before;
-  }
-  const double unknown = static_cast<double>(part.senders) -
-                         static_cast<double>(fleet.names.size());
-  part.may_send = static_cast<double>(before) + unknown / 2 <
-                  static_cast<double>(kColdSenders);
-  part.senders = kColdSenders;
-  return part;
-}
-
 Placement Place(const EndpointSet& set, const Demand& demand,
                 const std::vector<EndpointPtr>& tried, const FleetPart& fleet,
                 kernel::Random& random, Time now) {
@@ -233,7 +216,7 @@
 }
 
 void OnSent(Endpoint& endpoint, const Demand& demand, std::uint64_t attempt,
-            const Placement& placement, const FleetPart& fleet, Time now) {
+            const Placement& placement, Time now) {
   ++endpoint.in_flight;
   endpoint.waiting_tokens[std::min<std::size_t>(demand.tier, kTiers - 1)] +=
       placement.uncached_tokens;
@@ -244,13 +227,7 @@
   parts.reserve(demand.parts.size());
   for (const PromptPart& part : demand.parts) parts.push_back(part.id);
   NoteParts(endpoint, parts, now);
-  if (IsCold(endpoint, now) && demand.service->cold_per_second > 0) {
-    const double part =
-        kColdUsed * demand.service->cold_per_second /
-        static_cast<double>(ColdPartOf(endpoint, fleet).senders);
-    endpoint.cold_next = now + std::chrono::duration_cast<Time::duration>(
-                                   std::chrono::duration<double>(1 / part));
-  }
+  if (SharedRateOf(endpoint, *demand.service, now)) endpoint.rated_sent = now;
 }
 
 void OnStarted(Endpoint& endpoint, const Demand& demand, std::uint64_t attempt,
--- a/routing/tests/place_test.cc
+++ b/routing/tests/place_test.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <map>
 
+#include "egretladder/routing/shared_rate.h"
+
 using namespace std::chrono_literals;
 namespace er = egretladder::routing;
 namespace ek = egretladder::kernel;
@@ -13,6 +15,7 @@
 namespace {
 
 constexpr er::Time kStart{std::chrono::hours(1)};
+constexpr er::SharedRate kColdRate{19, er::kColdSenders, er::RateReason::kCold};
 
 }  // namespace
 
@@ -87,7 +90,7 @@
   std::map<std::string, int> sent;
   for (std::uint64_t n = 1; n <= 40; ++n) {
     const er::Placement placement = Choose(demand);
-    er::OnSent(*placement.endpoint, demand, n, placement, fleet, kStart);
+    er::OnSent(*placement.endpoint, demand, n, placement, kStart);
     ++sent[placement.endpoint->entry.id];
   }
   CHECK(sent.size() >= 2);
@@ -105,8 +108,7 @@
     for (std::uint64_t session = 1; session <= 120; ++session) {
       const er::Demand demand = Prompt(session);
       const er::Placement placement = Choose(demand);
-      er::OnSent(*placement.endpoint, demand, ++attempt, placement, fleet,
-                 kStart);
+      er::OnSent(*placement.endpoint, demand, ++attempt, placement, kStart);
       ++readers[session][placement.endpoint->entry.id];
       er::OnStarted(*placement.endpoint, demand, attempt, placement);
       placement.endpoint->waiting_tokens[0] = 150'000.0 * (session % 5) / 5;
@@ -158,7 +160,7 @@
 TEST(Place, ASilentEndpointIsLeft) {
   Add("mute");
   er::Placement to_mute = Choose(Plain());
-  er::OnSent(At("mute"), Plain(), 1, to_mute, fleet, kStart);
+  er::OnSent(At("mute"), Plain(), 1, to_mute, kStart);
   Add("good");
   At("good").in_flight = 6;
   CHECK(Choose(Plain(), kStart + 2s).endpoint == set.by_id["good"]);
@@ -201,7 +203,7 @@
       const er::FleetPart part{kNodes, names[i], names, "a"};
       const auto placement = er::Place(sets[i], Plain(), {}, part, random, now);
       if (placement.endpoint == nullptr) continue;
-      er::OnSent(*placement.endpoint, Plain(), ++attempt, placement, part, now);
+      er::OnSent(*placement.endpoint, Plain(), ++attempt, placement, now);
       arrivals.push_back(now);
     }
   }
@@ -222,7 +224,7 @@
   std::size_t senders = 0;
   for (const std::string& name : names) {
     const er::FleetPart part{names.size(), name, names, "a"};
-    if (er::ColdPartOf(At("cold"), part).may_send) ++senders;
+    if (er::IsSender(At("cold"), kColdRate, part)) ++senders;
   }
   LONGS_EQUAL(er::kColdSenders, senders);
 }
@@ -232,7 +234,7 @@
 TEST(Place, ANodeCutOffFromALargeFleetDoesNotTakeTheWholeRate) {
   Add("cold");
   const er::FleetPart part{90, "alone", {"alone"}, "a"};
-  CHECK_FALSE(er::ColdPartOf(At("cold"), part).may_send);
+  CHECK_FALSE(er::IsSender(At("cold"), kColdRate, part));
 }
 
 TEST(Place, OneNodeTakesNoMoreThanItsPartOfTheSlots) {
@@ -317,7 +319,7 @@
   for (std::uint64_t n = 1; n <= 120; ++n) {
     const er::Demand demand = Tight(5);
     const er::Placement placement = Choose(demand);
-    er::OnSent(*placement.endpoint, demand, n, placement, fleet, kStart);
+    er::OnSent(*placement.endpoint, demand, n, placement, kStart);
     ++sent[placement.endpoint->entry.id];
   }
   for (const auto& [id, count] : sent) CHECK(count <= 14);
--- a/routing/tests/placing_load_test.cc
+++ b/routing/tests/placing_load_test.cc
@@ -157,8 +157,7 @@
     const er::Placement placement =
         er::Place(set, demand, {}, fleet, random_, now_);
     if (placement.endpoint == nullptr) return;
-    er::OnSent(*placement.endpoint, demand, ++attempts_, placement, fleet,
-               now_);
+    er::OnSent(*placement.endpoint, demand, ++attempts_, placement, now_);
     Engine& engine =
         engines_[std::stoul(placement.endpoint->entry.id.substr(1))];
     Run run;
