Hold all nodes together to the limit that an endpoint names

What was seen: two engines of Abay named a limit of about two requests a second and went on getting five to six, 27 and 28 in 4 s where 18 and 13 are allowed.

Cause: nobody read the field; it passed through to callers like any other.

Why this works: each answer is read for a limit. While one holds, few nodes send, by a hash on which all agree (four, and two for each request a second), each its turn of four fifths of the limit: together they are ahead by a request each at most, which the endpoint's own margin covers. It is the mechanism of cold endpoints. The others send elsewhere; a node that heard nothing for 10 s asks at its turn of a tenth of the limit whether it still holds. A limit that can't be read changes nothing and is logged; a tiny or huge one is bounded.

--- a/kernel/include/egretladder/kernel/hash.h
+++ b/kernel/include/egretladder/kernel/hash.h
@@ -11,6 +11,9 @@
 /// Hashes `bytes`; the same on every node.
 std::uint64_t HashOf(std::string_view bytes, std::uint64_t seed = 0);
 
+/// The hash as a part of all hashes, from 0 up to 1.
+double FractionOf(std::uint64_t hash);
+
 /// The random numbers of one owner; tests fix the seed.
 using Random = std::mt19937_64;
 
--- a/kernel/src/hash.cc
+++ b/kernel/src/hash.cc
@@ -17,11 +17,13 @@
   return bound == 0 ? 0 : random() % bound;
 }
 
-double Fraction(Random& random) {
+double FractionOf(std::uint64_t hash) {
   constexpr double kSteps = 9007199254740992.0;  // 2^53
-  return static_cast<double>(random() >> 11) / kSteps;
+  return static_cast<double>(hash >> 11) / kSteps;
 }
 
+double Fraction(Random& random) { return FractionOf(random()); }
+
 std::uint64_t SecretBits() {
   std::uint64_t bits = 0;
   RAND_bytes(reinterpret_cast<unsigned char*>(&bits), sizeof bits);
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "attempts_p.h"
+#include "egretladder/routing/named_limits.h"
 #include "egretladder/routing/place_cost.h"
 
 namespace egretladder::proxy {
@@ -57,6 +58,25 @@
   return status >= kServerErrors ? AttemptEnd::kFailed : AttemptEnd::kSucceeded;
 }
 
+// What the answer says of its endpoint's limit. A success without one, or a
+// failure of the endpoint's own, says that there is none any more.
+void NoteLimit(Proxy& proxy, const Call& call, const AnswerFacts& facts) {
+  routing::Endpoint& endpoint = *call.attempt->endpoint;
+  if (facts.limit_unclear) {
+    kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "limit-unclear",
+                     {{"req", call.facts.id}, {"endpoint", endpoint.entry.id}});
+    return;
+  }
+  if (!facts.limit && !facts.sealed) return;
+  const double before = endpoint.limit.per_second;
+  if (!routing::OnLimit(endpoint, facts.limit, NowOf(proxy))) return;
+  kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo, "endpoint-limit",
+                   {{"endpoint", endpoint.entry.id},
+                    {"per_second", endpoint.limit.per_second},
+                    {"before", before},
+                    {"req", call.facts.id}});
+}
+
 net::HeadVerdict OnHead(Proxy& proxy, const CallPtr& call,
                         const net::HttpAnswerHead& head) {
   Attempt& attempt = *call->attempt;
@@ -69,6 +89,7 @@
     return net::HeadVerdict::kSkip;
   }
   routing::OnHeard(*attempt.endpoint, NowOf(proxy));
+  if (head.status != kMisdirected) NoteLimit(proxy, *call, facts);
   attempt.head = head;
   attempt.facts = facts;
   attempt.events = IsSuccess(head.status) && facts.is_events && facts.sealed &&
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -35,6 +35,12 @@
   std::uint64_t born = 0;  ///< Unix ms of its start; 0: not said.
 };
 
+/// A limit that an endpoint names for all nodes together.
+struct NamedLimit {
+  double per_second = 0;  ///< 0: none.
+  Time named{};           ///< When it last said so.
+};
+
 /// What an entry makes of an endpoint.
 enum class EndpointPhase : std::uint8_t {
   kServing,
@@ -74,6 +80,7 @@
   EndpointPhase phase = EndpointPhase::kServing;
   Time lapsed_until{};
   Time cold_until{};
+  NamedLimit limit;
   Time rated_sent{};  ///< Last request of this node under a shared rate.
   std::uint32_t in_flight = 0;  ///< Of this node.
   Time heard_at{};              ///< Last sign of life to this node.
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -152,6 +152,24 @@
 /// Part of a shared rate that is used. The nodes' views differ for a moment,
 /// and a request may arrive later than it was counted.
 inline constexpr double kRateUsed = 0.8;
+/// Nodes that share a limit that an endpoint names: this many, and
+/// `kLimitSendersPerRate` for each request a second. Each may be one request
+/// early, and an endpoint that says what it takes has little room beyond it.
+inline constexpr double kLimitSenders = 4;
+/// As above.
+inline constexpr double kLimitSendersPerRate = 2;
+/// Whether a limit of which a node heard nothing for this long still holds is
+/// found out by requests, all nodes in turn.
+inline constexpr std::chrono::seconds kLimitHeard{10};
+/// Part of the limit that those requests take: they come beside the senders'.
+inline constexpr double kLimitProbed = 0.1;
+/// Bounds of a limit, in requests a second. With less no node would hear for
+/// minutes that it ended.
+inline constexpr double kLimitLeast = 0.1;
+/// As above.
+inline constexpr double kLimitMost = 1e6;
+/// A limit that changes by this part of it is logged.
+inline constexpr double kLimitChange = 0.2;
 /// Nodes assumed while this one knows too little of the fleet.
 inline constexpr std::size_t kNodesUnknown = 12;
 /// A smaller fleet than was known is believed after this long: in a partition
--- a/routing/include/egretladder/routing/place.h
+++ b/routing/include/egretladder/routing/place.h
@@ -59,6 +59,7 @@
   kAllLeaving,  ///< Or in a zone that is out.
   kAllFull,
   kAllCold,
+  kAllLimited,  ///< They name limits, and it isn't this node's turn.
   kAllDown,
   kAllTried,
 };
--- a/routing/include/egretladder/routing/shared_rate.h
+++ b/routing/include/egretladder/routing/shared_rate.h
@@ -17,7 +17,8 @@
 
 /// What bounds an endpoint's requests.
 enum class RateReason : std::uint8_t {
-  kCold,  ///< It bears few requests until it is warm.
+  kCold,     ///< It bears few requests until it is warm.
+  kLimited,  ///< It names a limit.
 };
 
 /// A rate that all nodes share.
@@ -25,6 +26,8 @@
   double per_second = 0;
   std::size_t senders = 1;  ///< Nodes that share it at most.
   RateReason reason = RateReason::kCold;
+  /// Turns begin then, spread over the first pause; default: long ago.
+  Time since{};
 };
 
 /// The rate at which the endpoint may be sent to now; nothing: no bound.
--- a/routing/src/place.cc
+++ b/routing/src/place.cc
@@ -70,7 +70,8 @@
   if (const auto rate = SharedRateOf(endpoint, *demand.service, now)) {
     if (now < NextTurn(endpoint, *rate, fleet) ||
         !IsSender(endpoint, *rate, fleet)) {
-      return PlaceReason::kAllCold;
+      return rate->reason == RateReason::kCold ? PlaceReason::kAllCold
+                                               : PlaceReason::kAllLimited;
     }
   }
   return PlaceReason::kCheapest;
@@ -158,6 +159,8 @@
       return "all-full";
     case PlaceReason::kAllCold:
       return "all-cold";
+    case PlaceReason::kAllLimited:
+      return "all-limited";
     case PlaceReason::kAllDown:
       return "all-down";
     case PlaceReason::kAllTried:
--- a/routing/src/shared_rate.cc
+++ b/routing/src/shared_rate.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 
 #include "egretladder/kernel/hash.h"
 
@@ -12,13 +13,37 @@
   return std::max(fleet.nodes, fleet.names.size());
 }
 
+std::optional<SharedRate> ColdRateOf(const Endpoint& endpoint,
+                                     const Service& service, Time now) {
+  if (now >= endpoint.cold_until || service.cold_per_second <= 0) return {};
+  return SharedRate{kRateUsed * service.cold_per_second, kColdSenders,
+                    RateReason::kCold};
+}
+
+std::optional<SharedRate> LimitOf(const Endpoint& endpoint, Time now) {
+  const NamedLimit& limit = endpoint.limit;
+  if (limit.per_second <= 0) return {};
+  if (now - limit.named > kLimitHeard) {
+    return SharedRate{kLimitProbed * limit.per_second,
+                      std::numeric_limits<std::size_t>::max(),
+                      RateReason::kLimited, limit.named + kLimitHeard};
+  }
+  const double senders =
+      kLimitSenders + kLimitSendersPerRate * limit.per_second;
+  return SharedRate{kRateUsed * limit.per_second,
+                    static_cast<std::size_t>(senders), RateReason::kLimited};
+}
+
 }  // namespace
 
 std::optional<SharedRate> SharedRateOf(const Endpoint& endpoint,
                                        const Service& service, Time now) {
-  if (now >= endpoint.cold_until || service.cold_per_second <= 0) return {};
-  return SharedRate{kRateUsed * service.cold_per_second, kColdSenders,
-                    RateReason::kCold};
+  const auto cold = ColdRateOf(endpoint, service, now);
+  const auto limit = LimitOf(endpoint, now);
+  if (!cold || !limit) return cold ? cold : limit;
+  SharedRate rate = cold->per_second < limit->per_second ? *cold : *limit;
+  rate.senders = std::min(cold->senders, limit->senders);
+  return rate;
 }
 
 bool IsSender(const Endpoint& endpoint, const SharedRate& rate,
@@ -42,8 +67,13 @@
   const std::size_t senders = std::min(NodesOf(fleet), rate.senders);
   const std::chrono::duration<double> pause(static_cast<double>(senders) /
                                             rate.per_second);
-  return endpoint.rated_sent +
-         std::chrono::duration_cast<Time::duration>(pause);
+  if (endpoint.rated_sent >= rate.since) {
+    return endpoint.rated_sent +
+           std::chrono::duration_cast<Time::duration>(pause);
+  }
+  const double part =
+      kernel::FractionOf(kernel::HashOf(endpoint.entry.id + fleet.self));
+  return rate.since + std::chrono::duration_cast<Time::duration>(pause * part);
 }
 
 }  // namespace egretladder::routing
--- /dev/null
+++ b/routing/tests/named_limits_test.cc
@@ -0,0 +1,188 @@
+// An endpoint that names a limit, and all nodes that send to it, on a clock of
+// the test's own.
+#include "egretladder/routing/named_limits.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "egretladder/kernel/hash.h"
+#include "egretladder/routing/limits.h"
+#include "egretladder/routing/shared_rate.h"
+
+using namespace std::chrono_literals;
+namespace ek = egretladder::kernel;
+namespace er = egretladder::routing;
+
+namespace {
+
+constexpr er::Time kStart{std::chrono::hours(1)};
+constexpr auto kStep = 25ms;
+constexpr auto kAnswerTime = 300ms;
+
+// Nodes that send as often as they may to one endpoint, which names a limit.
+class LimitedFleet {
+ public:
+  explicit LimitedFleet(std::size_t nodes) : sets_(nodes) {
+    service_.name = "engines";
+    for (std::size_t i = 0; i < nodes; ++i) {
+      names_.push_back("n" + std::to_string(i));
+      er::EndpointEntry entry;
+      entry.id = "limited";
+      entry.service = service_.name;
+      entry.address = "10.0.0.1:80";
+      entry.slots = 100'000;
+      er::OnEntry(sets_[i], entry, kStart);
+    }
+  }
+
+  // Nothing: it names none.
+  void Name(std::optional<double> limit) { limit_ = limit; }
+
+  void Run(std::chrono::milliseconds time) {
+    for (const er::Time end = now_ + time; now_ < end; now_ += kStep) Step();
+  }
+
+  std::size_t MostWithin(std::chrono::milliseconds window,
+                         er::Time from) const {
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < arrivals_.size(); ++i) {
+      if (arrivals_[i] < from) first = i + 1;
+      while (first < i && arrivals_[i] - arrivals_[first] >= window) ++first;
+      if (first <= i) most = std::max(most, i - first + 1);
+    }
+    return most;
+  }
+
+  er::Time now() const { return now_; }
+  er::Endpoint& At(std::size_t node) { return *sets_[node].by_id["limited"]; }
+
+ private:
+  struct Answer {
+    er::Time due{};
+    std::size_t node = 0;
+    std::optional<double> limit;
+  };
+
+  void Step() {
+    for (; !answers_.empty() && answers_.front().due <= now_;
+         answers_.pop_front()) {
+      er::OnLimit(At(answers_.front().node), answers_.front().limit, now_);
+    }
+    for (std::size_t i = 0; i < sets_.size(); ++i) {
+      const er::FleetPart part{names_.size(), names_[i], names_, "a"};
+      er::Demand demand;
+      demand.service = &service_;
+      const auto placement =
+          er::Place(sets_[i], demand, {}, part, random_, now_);
+      if (placement.endpoint == nullptr) continue;
+      er::OnSent(*placement.endpoint, demand, ++attempts_, placement, now_);
+      arrivals_.push_back(now_);
+      answers_.push_back({now_ + kAnswerTime, i, limit_});
+    }
+  }
+
+  er::Service service_;
+  std::vector<er::EndpointSet> sets_;
+  std::vector<std::string> names_;
+  std::vector<er::Time> arrivals_;
+  std::deque<Answer> answers_;
+  std::optional<double> limit_;
+  ek::Random random_{11};
+  std::uint64_t attempts_ = 0;
+  er::Time now_ = kStart;
+};
+
+std::size_t AllowedWithinFourSeconds(double limit) {
+  return static_cast<std::size_t>(1.5 * limit * 4 + 5);
+}
+
+}  // namespace
+
+TEST_GROUP(NamedLimits){};
+
+// Guards against a sum over nodes that is many times what the endpoint takes.
+TEST(NamedLimits, HoldForAllNodesTogetherInFleetsOfAnySize) {
+  for (const std::size_t nodes : {1, 7, 90, 300}) {
+    for (const double limit : {0.3, 2.0, 12.0}) {
+      LimitedFleet fleet(nodes);
+      fleet.Name(limit);
+      fleet.Run(1s);
+      const er::Time told = fleet.now();
+      fleet.Run(25s);
+      CHECK(fleet.MostWithin(4s, told) <= AllowedWithinFourSeconds(limit));
+    }
+  }
+}
+
+// Guards against an endpoint that gets nothing, or goes on getting little,
+// after it has recovered.
+TEST(NamedLimits, EndOnceTheEndpointNamesNone) {
+  LimitedFleet fleet(7);
+  fleet.Name(2);
+  fleet.Run(5s);
+  const er::Time limited = fleet.now();
+  fleet.Run(6s);
+  CHECK(fleet.MostWithin(4s, limited) >= 4);
+  fleet.Name(std::nullopt);
+  fleet.Run(6s);
+  for (std::size_t i = 0; i < 7; ++i) {
+    DOUBLES_EQUAL(0, fleet.At(i).limit.per_second, 0);
+  }
+}
+
+// Guards against a flood when a limit shrinks while nodes hold turns under the
+// larger one.
+TEST(NamedLimits, ASmallerLimitHoldsAtOnce) {
+  LimitedFleet fleet(78);
+  fleet.Name(60);
+  fleet.Run(4s);
+  fleet.Name(2);
+  fleet.Run(2s);
+  const er::Time told = fleet.now();
+  fleet.Run(12s);
+  CHECK(fleet.MostWithin(4s, told) <= AllowedWithinFourSeconds(2));
+}
+
+TEST(NamedLimits, AreKeptWithinBounds) {
+  LimitedFleet fleet(1);
+  er::Endpoint& endpoint = fleet.At(0);
+  CHECK(er::OnLimit(endpoint, 0, kStart));
+  DOUBLES_EQUAL(er::kLimitLeast, endpoint.limit.per_second, 0);
+  CHECK(er::OnLimit(endpoint, 1e300, kStart));
+  DOUBLES_EQUAL(er::kLimitMost, endpoint.limit.per_second, 0);
+  // What hardly changes isn't worth a line.
+  CHECK_FALSE(er::OnLimit(endpoint, 0.9e6, kStart));
+  CHECK(er::OnLimit(endpoint, std::nullopt, kStart));
+}
+
+// Guards against callers that wait for an endpoint in need while others are
+// free.
+TEST(NamedLimits, OtherEndpointsTakeWhatALimitedOneMayNot) {
+  er::EndpointSet set;
+  er::Service service{.name = "engines"};
+  for (const char* id : {"limited", "free"}) {
+    er::OnEntry(
+        set,
+        {.id = id, .service = "engines", .address = "10.0.0.1:80", .slots = 16},
+        kStart);
+  }
+  er::OnLimit(*set.by_id["limited"], 1, kStart);
+  er::Demand demand;
+  demand.service = &service;
+  const er::FleetPart alone{1, "n1", {"n1"}, "a"};
+  ek::Random random{5};
+  for (int i = 0; i < 20; ++i) {
+    const auto placement =
+        er::Place(set, demand, {}, alone, random, kStart + 1ms);
+    CHECK(placement.endpoint == set.by_id["free"]);
+  }
+  er::OnLimit(*set.by_id["free"], 1, kStart);
+  const auto none = er::Place(set, demand, {}, alone, random, kStart + 1ms);
+  CHECK(none.endpoint == nullptr);
+  CHECK(none.reason == er::PlaceReason::kAllLimited);
+}
