Tell other nodes of the limits that endpoints name

Few nodes send to an endpoint that names a limit. The others heard of its end by their own rare requests only: at a limit of two a second and 300 nodes, one node in five seconds. And a node that had no answer from it yet went on sending until it had.

Limits heard of in the last 10 s, and those that ended in that time, are told with their age in exchanges, 16 at most, some 40 bytes each; what a node heard later itself stays, and news of a process that has started anew since are not believed.

--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -45,6 +45,16 @@
   # How far the sender knows each feed, so that the other side can fetch what it
   # lacks.
   progress @10 :List(Progress);
+  # Limits that endpoints name.
+  limits @11 :List(Limit);
+}
+
+struct Limit {
+  endpoint @0 :Text;
+  # Requests a second from all nodes together; 0: it ended.
+  perSecond @1 :Float64;
+  # Since the endpoint said so.
+  namedAgoMs @2 :UInt32;
 }
 
 struct Progress {
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -2,7 +2,6 @@
 #include <algorithm>
 
 #include "attempts_p.h"
-#include "egretladder/routing/named_limits.h"
 #include "egretladder/routing/place_cost.h"
 
 namespace egretladder::proxy {
@@ -58,25 +57,6 @@
   return status >= kServerErrors ? AttemptEnd::kFailed : AttemptEnd::kSucceeded;
 }
 
-// What the answer says of its endpoint's limit. A success without one, or a
-// failure of the endpoint's own, says that there is none any more.
-void NoteLimit(Proxy& proxy, const Call& call, const AnswerFacts& facts) {
-  routing::Endpoint& endpoint = *call.attempt->endpoint;
-  if (facts.limit_unclear) {
-    kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "limit-unclear",
-                     {{"req", call.facts.id}, {"endpoint", endpoint.entry.id}});
-    return;
-  }
-  if (!facts.limit && !facts.sealed) return;
-  const double before = endpoint.limit.per_second;
-  if (!routing::OnLimit(endpoint, facts.limit, NowOf(proxy))) return;
-  kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo, "endpoint-limit",
-                   {{"endpoint", endpoint.entry.id},
-                    {"per_second", endpoint.limit.per_second},
-                    {"before", before},
-                    {"req", call.facts.id}});
-}
-
 net::HeadVerdict OnHead(Proxy& proxy, const CallPtr& call,
                         const net::HttpAnswerHead& head) {
   Attempt& attempt = *call->attempt;
--- a/proxy/src/news_codec.cc
+++ b/proxy/src/news_codec.cc
@@ -244,6 +244,7 @@
   news.setRestDemand(static_cast<float>(proxy.agreed.mean.rest));
   WriteLoads(proxy, news);
   WriteSuspects(proxy, news, now);
+  WriteLimits(proxy, news);
 }
 
 PeerState TakeNews(Proxy& proxy, exchange::News::Reader news) {
@@ -251,6 +252,7 @@
   const routing::MemberNews told = ReadMembers(news);
   TakeMembers(proxy, told, now);
   TakeSuspects(proxy, news, now);
+  TakeLimits(proxy, news);
   routing::Agree(proxy.agreed, {news.getTightDemand(), news.getRestDemand()});
   proxy.endpoints.tight_part = routing::TightPartOf(proxy.agreed.mean);
   PeerState peer;
--- a/proxy/src/news_codec_p.h
+++ b/proxy/src/news_codec_p.h
@@ -44,6 +44,13 @@
 /// Takes in what a peer told.
 PeerState TakeNews(Proxy& proxy, exchange::News::Reader news);
 
+// named_limits.cc
+/// Writes the limits of endpoints that a peer should hear of.
+void WriteLimits(Proxy& proxy, exchange::News::Builder news);
+/// Takes in those that a peer told.
+void TakeLimits(Proxy& proxy, exchange::News::Reader news);
+
+// news_codec.cc
 /// Writes progress into a list of `kFeeds`.
 void WriteProgress(const Progress& progress,
                    capnp::List<exchange::Progress>::Builder list);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -261,6 +261,11 @@
 void EndAttempt(Proxy& proxy, const CallPtr& call, routing::AttemptEnd end,
                 const std::string& detail);
 
+// named_limits.cc
+/// Takes what an answer says of its endpoint's limit. A success without one, or
+/// a failure of the endpoint's own, says that there is none any more.
+void NoteLimit(Proxy& proxy, const Call& call, const AnswerFacts& facts);
+
 // answers.cc
 /// A page of the node itself: addresses, readiness, metrics.
 void AnswerDirectory(Proxy& proxy, const net::HttpCallPtr& caller);
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -39,6 +40,7 @@
 struct NamedLimit {
   double per_second = 0;  ///< 0: none.
   Time named{};           ///< When it last said so.
+  Time ended{};           ///< When it last ceased to name one.
 };
 
 /// What an entry makes of an endpoint.
@@ -108,6 +110,7 @@
   std::map<std::string, EndpointPtr> by_id;
   std::unordered_map<std::string, std::vector<EndpointPtr>> by_service;
   std::map<std::string, bool, std::less<>> zones_out;
+  std::set<std::string> limited;  ///< By id; those of which peers are told.
   std::unordered_map<std::string, ServicePace> paces;  ///< By service.
   double tight_part = kTightPartUnknown;               ///< See sides.h.
   MechanismsOff off;
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -163,6 +163,8 @@
 inline constexpr std::chrono::seconds kLimitHeard{10};
 /// Part of the limit that those requests take: they come beside the senders'.
 inline constexpr double kLimitProbed = 0.1;
+/// Limits told in one exchange; one takes about 40 bytes.
+inline constexpr std::size_t kLimitsTold = 16;
 /// Bounds of a limit, in requests a second. With less no node would hear for
 /// minutes that it ended.
 inline constexpr double kLimitLeast = 0.1;
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -46,6 +46,8 @@
   endpoint->phase =
       entry.leaving ? EndpointPhase::kLeaving : EndpointPhase::kServing;
   endpoint->cold_until = now + entry.cold_left;
+  // What peers heard of an earlier process doesn't count.
+  endpoint->limit.named = now;
   auto& list = set.by_service[entry.service];
   list.push_back(endpoint);
   SetOrder(list);
--- a/routing/tests/named_limits_test.cc
+++ b/routing/tests/named_limits_test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,17 @@
     }
   }
 
+  // Nodes tell each other from now on.
+  void LetThemTalk() { talk_ = true; }
+
+  std::size_t NodesThatTakeItForLimited() {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < sets_.size(); ++i) {
+      if (At(i).limit.per_second > 0) ++count;
+    }
+    return count;
+  }
+
   // Nothing: it names none.
   void Name(std::optional<double> limit) { limit_ = limit; }
 
@@ -59,6 +71,7 @@
   }
 
   er::Time now() const { return now_; }
+  er::EndpointSet& Set(std::size_t node) { return sets_[node]; }
   er::Endpoint& At(std::size_t node) { return *sets_[node].by_id["limited"]; }
 
  private:
@@ -68,10 +81,27 @@
     std::optional<double> limit;
   };
 
+  void Tell(std::size_t from, std::size_t to) {
+    for (const auto& told : er::LimitsToTell(sets_[from], random_, now_)) {
+      er::HearLimit(sets_[to], told, now_);
+    }
+  }
+
+  void Exchange() {
+    for (std::size_t i = 0; i < sets_.size(); ++i) {
+      const std::size_t peer = ek::Below(random_, sets_.size());
+      Tell(i, peer);
+      Tell(peer, i);
+    }
+  }
+
   void Step() {
+    const auto passed = now_ - kStart;
+    if (talk_ && passed % er::kExchangePeriodLarge < kStep) Exchange();
     for (; !answers_.empty() && answers_.front().due <= now_;
          answers_.pop_front()) {
-      er::OnLimit(At(answers_.front().node), answers_.front().limit, now_);
+      er::OnLimit(sets_[answers_.front().node], At(answers_.front().node),
+                  answers_.front().limit, now_);
     }
     for (std::size_t i = 0; i < sets_.size(); ++i) {
       const er::FleetPart part{names_.size(), names_[i], names_, "a"};
@@ -92,6 +122,7 @@
   std::vector<er::Time> arrivals_;
   std::deque<Answer> answers_;
   std::optional<double> limit_;
+  bool talk_ = false;
   ek::Random random_{11};
   std::uint64_t attempts_ = 0;
   er::Time now_ = kStart;
@@ -110,6 +141,7 @@
   for (const std::size_t nodes : {1, 7, 90, 300}) {
     for (const double limit : {0.3, 2.0, 12.0}) {
       LimitedFleet fleet(nodes);
+      if (nodes > 16) fleet.LetThemTalk();
       fleet.Name(limit);
       fleet.Run(1s);
       const er::Time told = fleet.now();
@@ -135,6 +167,41 @@
   }
 }
 
+// Guards against nodes that leave an endpoint out for as long as they run: they
+// don't send to it, and hear of its limit from others only.
+TEST(NamedLimits, NodesThatDoNotSendHearThatALimitEnded) {
+  LimitedFleet fleet(90);
+  fleet.LetThemTalk();
+  fleet.Name(2);
+  fleet.Run(8s);
+  LONGS_EQUAL(90, fleet.NodesThatTakeItForLimited());
+  fleet.Name(std::nullopt);
+  fleet.Run(8s);
+  LONGS_EQUAL(0, fleet.NodesThatTakeItForLimited());
+}
+
+// Guards against an endpoint that started anew and gets little, since others
+// tell of the process before it.
+TEST(NamedLimits, NewsOfAnEarlierProcessAreNotBelieved) {
+  LimitedFleet fleet(1);
+  const er::ToldLimit before{"limited", 2, 500ms};
+  CHECK_FALSE(er::HearLimit(fleet.Set(0), before, kStart + 400ms));
+  CHECK(er::HearLimit(fleet.Set(0), before, kStart + 600ms));
+  DOUBLES_EQUAL(2, fleet.At(0).limit.per_second, 0);
+}
+
+// Guards against a peer whose news are old or nonsense.
+TEST(NamedLimits, OddNewsChangeNothing) {
+  LimitedFleet fleet(1);
+  const double none = std::numeric_limits<double>::quiet_NaN();
+  const er::Time now = kStart + 60s;
+  CHECK_FALSE(er::HearLimit(fleet.Set(0), {"limited", none, 0ms}, now));
+  CHECK_FALSE(er::HearLimit(fleet.Set(0), {"limited", -1, 0ms}, now));
+  CHECK_FALSE(er::HearLimit(fleet.Set(0), {"unknown", 2, 0ms}, now));
+  CHECK_FALSE(er::HearLimit(fleet.Set(0), {"limited", 2, 11s}, now));
+  DOUBLES_EQUAL(0, fleet.At(0).limit.per_second, 0);
+}
+
 // Guards against a flood when a limit shrinks while nodes hold turns under the
 // larger one.
 TEST(NamedLimits, ASmallerLimitHoldsAtOnce) {
@@ -151,13 +218,13 @@
 TEST(NamedLimits, AreKeptWithinBounds) {
   LimitedFleet fleet(1);
   er::Endpoint& endpoint = fleet.At(0);
-  CHECK(er::OnLimit(endpoint, 0, kStart));
+  CHECK(er::OnLimit(fleet.Set(0), endpoint, 0, kStart));
   DOUBLES_EQUAL(er::kLimitLeast, endpoint.limit.per_second, 0);
-  CHECK(er::OnLimit(endpoint, 1e300, kStart));
+  CHECK(er::OnLimit(fleet.Set(0), endpoint, 1e300, kStart));
   DOUBLES_EQUAL(er::kLimitMost, endpoint.limit.per_second, 0);
   // What hardly changes isn't worth a line.
-  CHECK_FALSE(er::OnLimit(endpoint, 0.9e6, kStart));
-  CHECK(er::OnLimit(endpoint, std::nullopt, kStart));
+  CHECK_FALSE(er::OnLimit(fleet.Set(0), endpoint, 0.9e6, kStart));
+  CHECK(er::OnLimit(fleet.Set(0), endpoint, std::nullopt, kStart));
 }
 
 // Guards against callers that wait for an endpoint in need while others are
@@ -171,7 +238,7 @@
         {.id = id, .service = "engines", .address = "10.0.0.1:80", .slots = 16},
         kStart);
   }
-  er::OnLimit(*set.by_id["limited"], 1, kStart);
+  er::OnLimit(set, *set.by_id["limited"], 1, kStart);
   er::Demand demand;
   demand.service = &service;
   const er::FleetPart alone{1, "n1", {"n1"}, "a"};
@@ -181,7 +248,7 @@
         er::Place(set, demand, {}, alone, random, kStart + 1ms);
     CHECK(placement.endpoint == set.by_id["free"]);
   }
-  er::OnLimit(*set.by_id["free"], 1, kStart);
+  er::OnLimit(set, *set.by_id["free"], 1, kStart);
   const auto none = er::Place(set, demand, {}, alone, random, kStart + 1ms);
   CHECK(none.endpoint == nullptr);
   CHECK(none.reason == er::PlaceReason::kAllLimited);
