Say when room comes where all endpoints of a service name limits

Where every endpoint of a service names a limit, a request was held for its part of the promised time, also when this node's next turn came later, and refused with a fixed time to come back.

Now a request whose turn can't come within that time is refused at once, and the caller is told to come back about when the turn is, spread by a half either way; others wait as before, the urgent ones first.

Tests: Admit.NobodyWaitsForATurnThatComesTooLate, NamedLimits.WhereAllAreLimitedTheNextTurnIsKnown.

--- a/routing/include/egretladder/routing/place.h
+++ b/routing/include/egretladder/routing/place.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,9 @@
   double expected_ms = 0;      ///< Until the first event.
   double uncached_tokens = 0;  ///< That it will read.
   Costs costs;
+  /// Until this node's next turn, where all endpoints name limits; nothing: not
+  /// known.
+  std::optional<milliseconds> room_in;
 };
 
 /// Chooses among the endpoints of the demand's service, leaving out those in
--- a/routing/src/admit.cc
+++ b/routing/src/admit.cc
@@ -4,6 +4,20 @@
 
 namespace egretladder::routing {
 
+namespace {
+
+// Until a caller that comes back is expected to find room.
+double RoomExpectedMs(const Placement& placement) {
+  // A transient fault of a few endpoints is over, or known to all nodes, within
+  // a second.
+  constexpr double kUnknownMs = 250;
+  if (placement.endpoint != nullptr) return placement.expected_ms / 2;
+  if (!placement.room_in) return kUnknownMs;
+  return static_cast<double>(placement.room_in->count());
+}
+
+}  // namespace
+
 const char* NameOf(AdmitVerdict verdict) {
   switch (verdict) {
     case AdmitVerdict::kSend:
@@ -27,8 +41,10 @@
         std::chrono::duration_cast<milliseconds>(ask.target * kWaitPart);
     const auto longest =
         std::max(part, ask.came_before ? kWaitAgain : kWaitLeast);
+    const auto waited = now - ask.waits_since;
+    const auto until_room = placement.room_in.value_or(milliseconds{});
     const bool waited_enough =
-        now - ask.waits_since >= longest || left.count() <= 0;
+        waited >= longest || left.count() <= 0 || waited + until_room > longest;
     return waited_enough ? AdmitVerdict::kNoEndpoint : AdmitVerdict::kWait;
   }
   if (placement.expected_ms > left.count() * kUsefulPart) {
@@ -39,15 +55,10 @@
 
 milliseconds ComeBackAfter(const Placement& placement, milliseconds target,
                            kernel::Random& random) {
-  // Without an endpoint there is no estimate; a transient fault of a few
-  // endpoints is over, or known to all nodes, within a second.
-  constexpr double kUnknownMs = 500;
-  const double wait =
-      placement.endpoint == nullptr ? kUnknownMs : placement.expected_ms;
   const double least = static_cast<double>(target.count()) / 4;
   const double spread = 0.5 + kernel::Fraction(random);
-  return milliseconds(
-      static_cast<std::int64_t>(std::max(least, wait / 2) * spread));
+  return milliseconds(static_cast<std::int64_t>(
+      std::max(least, RoomExpectedMs(placement)) * spread));
 }
 
 milliseconds ComeBackWhenReady(milliseconds lasted, kernel::Random& random) {
--- a/routing/src/place.cc
+++ b/routing/src/place.cc
@@ -52,8 +52,30 @@
 struct Usable {
   std::vector<EndpointPtr> endpoints;
   PlaceReason why_none = PlaceReason::kNoneKnown;
+  bool may_come_free = false;  // One that isn't used now, at any moment.
+  std::optional<Time> turn;    // The next one of this node under a limit.
 };
 
+// Remembers when room is expected at an endpoint that can't be used now.
+void NoteRoom(Usable& usable, PlaceReason use, const Endpoint& endpoint,
+              const Demand& demand, const FleetPart& fleet, Time now) {
+  if (use == PlaceReason::kAllLeaving) return;
+  const auto rate = SharedRateOf(endpoint, *demand.service, now);
+  if (use != PlaceReason::kAllLimited || !rate) {
+    usable.may_come_free = true;
+    return;
+  }
+  const Time turn = NextTurn(endpoint, *rate, fleet);
+  // One that had its turn and may not send isn't this node's to use.
+  if (turn <= now) return;
+  usable.turn = usable.turn ? std::min(*usable.turn, turn) : turn;
+}
+
+std::optional<milliseconds> RoomIn(const Usable& usable, Time now) {
+  if (usable.may_come_free || !usable.turn) return {};
+  return std::chrono::ceil<milliseconds>(*usable.turn - now);
+}
+
 // Why it can't be used now; `kCheapest` when it can.
 PlaceReason UseOf(const EndpointSet& set, const Endpoint& endpoint,
                   const Demand& demand, const FleetPart& fleet, Time now) {
@@ -91,9 +113,10 @@
     const PlaceReason use = UseOf(set, *endpoint, demand, fleet, now);
     if (use == PlaceReason::kCheapest) {
       usable.endpoints.push_back(endpoint);
-    } else if (usable.why_none != PlaceReason::kAllTried) {
-      usable.why_none = use;
+      continue;
     }
+    NoteRoom(usable, use, *endpoint, demand, fleet, now);
+    if (usable.why_none != PlaceReason::kAllTried) usable.why_none = use;
   }
   return usable;
 }
@@ -180,6 +203,7 @@
   }
   if (usable.endpoints.empty()) {
     best.reason = usable.why_none;
+    best.room_in = RoomIn(usable, now);
     return best;
   }
   const auto is_off = [&set](Mechanism mechanism) {
--- a/routing/tests/admit_test.cc
+++ b/routing/tests/admit_test.cc
@@ -53,6 +53,21 @@
   CHECK(er::DecideSend(ask, {}, kStart + 900ms) == AdmitVerdict::kWait);
 }
 
+// Guards against callers that are held for a turn that comes after their time.
+TEST(Admit, NobodyWaitsForATurnThatComesTooLate) {
+  er::Placement limited;
+  limited.reason = er::PlaceReason::kAllLimited;
+  limited.room_in = 300ms;
+  CHECK(er::DecideSend(Ask(), limited, kStart) == AdmitVerdict::kWait);
+  limited.room_in = 3s;
+  CHECK(er::DecideSend(Ask(), limited, kStart) == AdmitVerdict::kNoEndpoint);
+  egretladder::kernel::Random random{5};
+  for (int i = 0; i < 20; ++i) {
+    const auto back = er::ComeBackAfter(limited, 1000ms, random);
+    CHECK(back >= 1500ms && back <= 4500ms);
+  }
+}
+
 TEST(Admit, CallersThatWereRefusedTogetherReturnApart) {
   egretladder::kernel::Random random{5};
   const auto first = er::ComeBackAfter({}, 1000ms, random);
--- a/routing/tests/named_limits_test.cc
+++ b/routing/tests/named_limits_test.cc
@@ -248,8 +248,31 @@
         er::Place(set, demand, {}, alone, random, kStart + 1ms);
     CHECK(placement.endpoint == set.by_id["free"]);
   }
-  er::OnLimit(set, *set.by_id["free"], 1, kStart);
-  const auto none = er::Place(set, demand, {}, alone, random, kStart + 1ms);
+}
+
+TEST(NamedLimits, WhereAllAreLimitedTheNextTurnIsKnown) {
+  er::EndpointSet set;
+  er::Service service{.name = "engines"};
+  for (const char* id : {"one", "two"}) {
+    er::OnEntry(
+        set,
+        {.id = id, .service = "engines", .address = "10.0.0.1:80", .slots = 16},
+        kStart);
+  }
+  er::Demand demand;
+  demand.service = &service;
+  const er::FleetPart alone{1, "n1", {"n1"}, "a"};
+  ek::Random random{5};
+  er::OnLimit(set, *set.by_id["one"], 1, kStart);
+  er::OnLimit(set, *set.by_id["two"], 4, kStart);
+  auto none = er::Place(set, demand, {}, alone, random, kStart + 100ms);
   CHECK(none.endpoint == nullptr);
   CHECK(none.reason == er::PlaceReason::kAllLimited);
+  // A turn is a second by four fifths of the larger limit.
+  CHECK(none.room_in == 213ms);
+  // One that is full for a moment may be free before that.
+  er::OnLimit(set, *set.by_id["two"], std::nullopt, kStart);
+  er::OnFull(*set.by_id["two"], 200ms, kStart);
+  none = er::Place(set, demand, {}, alone, random, kStart + 100ms);
+  CHECK(none.endpoint == nullptr && !none.room_in);
 }
