Split what is read of the store from what it means; tidy two leftovers

store.cc reads feeds, knowledge.cc takes what they say, from the store or from peers. A comment told the story of its tuning; two tests built the same endpoints. No behaviour changes.

--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -286,14 +286,16 @@
 void UpdateReading(Proxy& proxy);
 /// A peer knows as little as this node: the whole fleet may have just started.
 void OnPeerKnowsNothing(Proxy& proxy);
+/// True when this node failed to read the store lately.
+bool IsStoreTroubled(const Proxy& proxy);
+
+// knowledge.cc
 /// Where news of the store come from; for the log.
 enum class Source : std::uint8_t { kList, kWatch, kPeer };
 /// Takes news of the store. `troubled`: whoever read them failed to read the
 /// store lately.
 void TakeChanges(Proxy& proxy, const routing::Changes& changes, Source source,
                  bool troubled);
-/// True when this node failed to read the store lately.
-bool IsStoreTroubled(const Proxy& proxy);
 
 // peers_capnp.cc
 kernel::Result<PeerNetPtr> OpenPeers(Proxy& proxy, std::string* address);
--- a/routing/src/place_cost.cc
+++ b/routing/src/place_cost.cc
@@ -13,10 +13,7 @@
 bool IsGeneration(const CostAsk& ask) { return ask.demand.prompt_tokens > 0; }
 
 // Engines read what they have admitted in turn, and admit by rank only while
-// their slots are taken. With the own rank's tokens alone a question goes
-// behind a prompt of 50,000 tokens. Five days with three seeds at nine engines
-// gave a mean worth of 0.717 and, played again, 0.712, in place of 0.711:
-// little.
+// their slots are taken: until then all that waits is ahead, whatever its rank.
 double TokensAhead(const Endpoint& endpoint, Tier tier) {
   const bool by_rank = RunningAt(endpoint) >= endpoint.entry.slots;
   double tokens = endpoint.others_tokens;
--- a/routing/tests/named_limits_test.cc
+++ b/routing/tests/named_limits_test.cc
@@ -132,6 +132,17 @@
   return static_cast<std::size_t>(1.5 * limit * 4 + 5);
 }
 
+er::EndpointSet WithEndpoints(const std::vector<std::string>& ids) {
+  er::EndpointSet set;
+  for (const std::string& id : ids) {
+    er::OnEntry(
+        set,
+        {.id = id, .service = "engines", .address = "10.0.0.1:80", .slots = 16},
+        kStart);
+  }
+  return set;
+}
+
 }  // namespace
 
 TEST_GROUP(NamedLimits){};
@@ -230,14 +241,8 @@
 // Guards against callers that wait for an endpoint in need while others are
 // free.
 TEST(NamedLimits, OtherEndpointsTakeWhatALimitedOneMayNot) {
-  er::EndpointSet set;
+  er::EndpointSet set = WithEndpoints({"limited", "free"});
   er::Service service{.name = "engines"};
-  for (const char* id : {"limited", "free"}) {
-    er::OnEntry(
-        set,
-        {.id = id, .service = "engines", .address = "10.0.0.1:80", .slots = 16},
-        kStart);
-  }
   er::OnLimit(set, *set.by_id["limited"], 1, kStart);
   er::Demand demand;
   demand.service = &service;
@@ -251,14 +256,8 @@
 }
 
 TEST(NamedLimits, WhereAllAreLimitedTheNextTurnIsKnown) {
-  er::EndpointSet set;
+  er::EndpointSet set = WithEndpoints({"one", "two"});
   er::Service service{.name = "engines"};
-  for (const char* id : {"one", "two"}) {
-    er::OnEntry(
-        set,
-        {.id = id, .service = "engines", .address = "10.0.0.1:80", .slots = 16},
-        kStart);
-  }
   er::Demand demand;
   demand.service = &service;
   const er::FleetPart alone{1, "n1", {"n1"}, "a"};
