--- a/routing/tests/named_limits_test.cc
+++ b/routing/tests/named_limits_test.cc
@@ -147,7 +147,7 @@
 
 TEST_GROUP(NamedLimits){};
 
-// Guards against a sum over nodes that is many times what the endpoint takes.
+// Guards against a sum over nodes that is many times the limit.
 TEST(NamedLimits, HoldForAllNodesTogetherInFleetsOfAnySize) {
   for (const std::size_t nodes : {1, 7, 90, 300}) {
     for (const double limit : {0.3, 2.0, 12.0}) {
@@ -162,8 +162,7 @@
   }
 }
 
-// Guards against an endpoint that gets nothing, or goes on getting little,
-// after it has recovered.
+// Guards against an endpoint that goes on getting little once it has recovered.
 TEST(NamedLimits, EndOnceTheEndpointNamesNone) {
   LimitedFleet fleet(7);
   fleet.Name(2);
@@ -178,8 +177,7 @@
   }
 }
 
-// Guards against nodes that leave an endpoint out for as long as they run: they
-// don't send to it, and hear of its limit from others only.
+// Guards against nodes that leave an endpoint out for as long as they run.
 TEST(NamedLimits, NodesThatDoNotSendHearThatALimitEnded) {
   LimitedFleet fleet(90);
   fleet.LetThemTalk();
@@ -191,8 +189,7 @@
   LONGS_EQUAL(0, fleet.NodesThatTakeItForLimited());
 }
 
-// Guards against an endpoint that started anew and gets little, since others
-// tell of the process before it.
+// Guards against an endpoint whose earlier process was in need.
 TEST(NamedLimits, NewsOfAnEarlierProcessAreNotBelieved) {
   LimitedFleet fleet(1);
   const er::ToldLimit before{"limited", 2, 500ms};
@@ -213,8 +210,7 @@
   DOUBLES_EQUAL(0, fleet.At(0).limit.per_second, 0);
 }
 
-// Guards against a flood when a limit shrinks while nodes hold turns under the
-// larger one.
+// Guards against a flood by turns taken under a larger limit.
 TEST(NamedLimits, ASmallerLimitHoldsAtOnce) {
   LimitedFleet fleet(78);
   fleet.Name(60);
@@ -238,8 +234,7 @@
   CHECK(er::OnLimit(fleet.Set(0), endpoint, std::nullopt, kStart));
 }
 
-// Guards against callers that wait for an endpoint in need while others are
-// free.
+// Guards against callers that wait while other endpoints are free.
 TEST(NamedLimits, OtherEndpointsTakeWhatALimitedOneMayNot) {
   er::EndpointSet set = WithEndpoints({"limited", "free"});
   er::Service service{.name = "engines"};
