--- a/routing/tests/named_limits_test.cc
+++ b/routing/tests/named_limits_test.cc
@@ -222,6 +222,21 @@
   CHECK(fleet.MostWithin(4s, told) <= AllowedWithinFourSeconds(2));
 }
 
+TEST(NamedLimits, BesideAColdStartTheSmallerRateHolds) {
+  er::EndpointSet set = WithEndpoints({"one"});
+  er::Endpoint& endpoint = *set.by_id["one"];
+  er::Service service{.name = "engines", .cold_per_second = 5};
+  endpoint.cold_until = kStart + 10s;
+  er::OnLimit(set, endpoint, 2, kStart);
+  auto rate = er::SharedRateOf(endpoint, service, kStart);
+  CHECK(rate->reason == er::RateReason::kLimited);
+  LONGS_EQUAL(8, rate->senders);
+  er::OnLimit(set, endpoint, 60, kStart);
+  rate = er::SharedRateOf(endpoint, service, kStart);
+  CHECK(rate->reason == er::RateReason::kCold);
+  LONGS_EQUAL(er::kColdSenders, rate->senders);
+}
+
 TEST(NamedLimits, AreKeptWithinBounds) {
   LimitedFleet fleet(1);
   er::Endpoint& endpoint = fleet.At(0);
