Ask few nodes' names to tell who may send to a cold endpoint

What it cost: placing one request asked for every cold or limited endpoint how a hash ranks all nodes.

Change: the count ends once more nodes than may send are preferred, and the hash is taken without building a text. Fleets of two versions rank differently for as long as both run.

--- a/routing/src/shared_rate.cc
+++ b/routing/src/shared_rate.cc
@@ -50,16 +50,16 @@
               const FleetPart& fleet) {
   const std::size_t nodes = NodesOf(fleet);
   if (nodes <= rate.senders) return true;
-  const std::uint64_t own = kernel::HashOf(endpoint.entry.id + fleet.self);
-  const auto before = std::count_if(
-      fleet.names.begin(), fleet.names.end(), [&](const std::string& name) {
-        return kernel::HashOf(endpoint.entry.id + name) > own;
-      });
   // A node that others don't know yet, or that knows few of them, is rarely
   // among them.
-  const double unknown = static_cast<double>(nodes - fleet.names.size());
-  return static_cast<double>(before) + unknown / 2 <
-         static_cast<double>(rate.senders);
+  std::size_t before = (nodes - fleet.names.size()) / 2;
+  const std::uint64_t own = kernel::HashOf(fleet.self, endpoint.name_hash);
+  for (const std::string& name : fleet.names) {
+    // Asked for each endpoint by each request: most nodes know after a few.
+    if (before >= rate.senders) return false;
+    if (kernel::HashOf(name, endpoint.name_hash) > own) ++before;
+  }
+  return before < rate.senders;
 }
 
 Time NextTurn(const Endpoint& endpoint, const SharedRate& rate,
