--- a/routing/include/egretladder/routing/shared_rate.h
+++ b/routing/include/egretladder/routing/shared_rate.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 #include "egretladder/routing/endpoints.h"
--- a/routing/src/readers.cc
+++ b/routing/src/readers.cc
@@ -7,9 +7,9 @@
 namespace egretladder::routing {
 namespace {
 
-// Nodes that are there and of which a hash prefers some to others.
+// The other nodes that are there, by whether a hash prefers them to this one.
 struct Ranked {
-  std::vector<const KnownMember*> before;  // This one.
+  std::vector<const KnownMember*> before;
   std::vector<const KnownMember*> after;
 };
 
@@ -24,9 +24,9 @@
   return ranked;
 }
 
-// The first to take a reader's place tells the next ones before their time
-// comes.
-milliseconds SilenceOfReaders(std::size_t rank) {
+// How long readers may be silent to a standby. The first to take a reader's
+// place tells the next ones before their time comes.
+milliseconds SilenceAllowedTo(std::size_t rank) {
   return kReaderSilence +
          kReaderStagger * static_cast<std::int64_t>(rank - kReadersMost);
 }
@@ -48,7 +48,7 @@
   const std::size_t rank = before.size();
   if (rank < kReadersMost) return true;
   if (rank >= kReadersAble) return false;
-  const milliseconds allowed = SilenceOfReaders(rank);
+  const milliseconds allowed = SilenceAllowedTo(rank);
   const auto reading = std::count_if(
       before.begin(), before.end(), [&](const KnownMember* known) {
         return !known->member.store_troubled &&
