--- a/proxy/include/egretladder/proxy/dialect.h
+++ b/proxy/include/egretladder/proxy/dialect.h
@@ -53,8 +53,8 @@
   bool sealed = false;     ///< Signed by the endpoint, as each success is.
   bool encoded = false;    ///< The body isn't the endpoint's own bytes.
   bool is_events = false;  ///< The body is a stream of events.
-  /// Requests a second that the endpoint takes from all nodes together; nothing:
-  /// it names no limit.
+  /// Requests a second that the endpoint takes from all nodes together;
+  /// nothing: it names no limit.
   std::optional<double> limit;
   bool limit_unclear = false;  ///< It names one that can't be read.
 };
