Wait briefly for a store that was just silent

What callers saw: on seven nodes, 404 on a new route 2.27 s after the store had the version (bound 2 s), three seconds after the store was back.

Cause: a watch that is opened while the store is silent is lost, and the node waits for it 5.8 s. In an outage all nodes lose their watches and open others at about the same time, so that none can tell the others that the store is back.

Ruled out: the exchange (nobody knew the version), reading (no line on any node).

Change: after a failed call a watch waits for 0.4 s, until one is answered. The cost is a call in two seconds and node while a store is silent.

Test: SilentStore.ACallAfterALostOneWaitsBriefly failed before (5,000 ms).

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -15,7 +15,10 @@
 /// a reset: what the node knows is then older than it thinks by this and
 /// `kWatchMargin` at most. Shorter costs calls, which are counted.
 inline constexpr milliseconds kWatchWait{5000};
-/// Beyond `kWatchWait`, before the watch counts as lost.
+/// The same after a failed call. A change that came meanwhile has to be in
+/// force within seconds of the store's return.
+inline constexpr milliseconds kWatchWaitAgain{400};
+/// Beyond either, before the watch counts as lost.
 inline constexpr milliseconds kWatchMargin{800};
 /// After a watch that told of changes, before the next: more changes may come
 /// with it.
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -140,6 +140,12 @@
   }
 }
 
+// What is asked of a silent store is lost, and a long wait for it would hide
+// that the store is back.
+milliseconds WatchWaitOf(const StoreReader& reader) {
+  return reader.backoff.count() > 0 ? kWatchWaitAgain : kWatchWait;
+}
+
 void Read(Proxy& proxy, StoreReader& reader) {
   if (reader.reading) return;
   reader.reading = true;
@@ -150,14 +156,14 @@
   ++reader.calls;
   Count(proxy, "egretladder_store_calls_total", "Calls to the store.",
         std::string("feed=\"") + routing::NameOf(reader.feed) + "\"");
+  const milliseconds wait = WatchWaitOf(reader);
   net::ExchangeRequest request;
   request.address = proxy.options.store;
   request.head = net::RequestText(
       "GET",
-      reader.listed
-          ? proxy.dialect->watch_target(
-                reader.feed, RevisionOf(proxy, reader.feed), kWatchWait)
-          : proxy.dialect->list_target(reader.feed, reader.after),
+      reader.listed ? proxy.dialect->watch_target(
+                          reader.feed, RevisionOf(proxy, reader.feed), wait)
+                    : proxy.dialect->list_target(reader.feed, reader.after),
       {{"Host", proxy.options.store}}, net::BodyFraming::kNone, 0);
   net::ExchangeHandlers handlers;
   handlers.on_head = [&reader](const net::HttpAnswerHead& head) {
@@ -177,8 +183,7 @@
   };
   reader.exchange =
       proxy.client->Start(std::move(request), std::move(handlers));
-  const milliseconds most =
-      reader.listed ? kWatchWait + kWatchMargin : kListTime;
+  const milliseconds most = reader.listed ? wait + kWatchMargin : kListTime;
   reader.timer = kernel::After(*proxy.loop, most, [&proxy, &reader] {
     net::Cancel(std::exchange(reader.exchange, nullptr));
     reader.after.clear();
--- a/proxy/tests/harness.cc
+++ b/proxy/tests/harness.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <sstream>
 #include <utility>
 
@@ -304,8 +305,9 @@
 }
 
 std::string WatchTarget(routing::Feed feed, std::uint64_t revision,
-                        milliseconds /*wait*/) {
-  return "/" + FeedName(feed) + "/" + std::to_string(revision);
+                        milliseconds wait) {
+  return "/" + FeedName(feed) + "/" + std::to_string(revision) +
+         "?wait=" + std::to_string(wait.count());
 }
 
 // A revision, then a line for each item: key, revision, `-` if it is removed,
@@ -453,6 +455,13 @@
 
 void Store::Take(const net::HttpCallPtr& call) {
   ++calls_;
+  const std::string& target = call->request().target;
+  const std::size_t wait = target.find("?wait=");
+  last_wait_ = milliseconds(
+      wait == std::string::npos
+          ? 0
+          : std::strtol(target.c_str() + wait + std::strlen("?wait="), nullptr,
+                        10));
   if (silent_) {
     ++unanswered_;
   } else if (!TryAnswer(call)) {
--- a/proxy/tests/harness.h
+++ b/proxy/tests/harness.h
@@ -166,6 +166,8 @@
   int unanswered() const { return unanswered_; }
   /// All requests.
   int calls() const { return calls_; }
+  /// How long the last request would wait for changes; a list doesn't.
+  std::chrono::milliseconds last_wait() const { return last_wait_; }
 
  private:
   struct Item {
@@ -189,6 +191,7 @@
   bool silent_ = false;
   int unanswered_ = 0;
   int calls_ = 0;
+  std::chrono::milliseconds last_wait_{};
 };
 
 /// Routes of host `h` to the service `all`: `/read/` may run twice, `/once/`
--- a/proxy/tests/store_test.cc
+++ b/proxy/tests/store_test.cc
@@ -24,6 +24,17 @@
   STRCMP_EQUAL("200", world.AskFor(proxy, {.path = "/once/b"}).c_str());
 }
 
+// Guards against a watch that is lost in the silence and hides the store's
+// return.
+TEST(SilentStore, ACallAfterALostOneWaitsBriefly) {
+  world.AddEndpoint("e1", et::AnswersDone());
+  world.StartReady();
+  world.Turn(std::chrono::milliseconds(50));
+  world.store.SetSilent(true);
+  world.Until([this] { return world.store.unanswered() > 0; });
+  CHECK(world.store.last_wait() <= std::chrono::milliseconds(500));
+}
+
 // The store falls silent under the watches of a node. What it knew stays in
 // force, and it has what changed meanwhile once the store is back: a node that
 // waited for the old watches would never hear of it.
