Ask an endpoint that took nothing again within seconds

Cause: a limit of 0 counted as one request in ten seconds, shared by three nodes, and each node took the moment at which it heard of the limit for a turn, so that all asked together and 37 s later. Nobody asked, so nobody heard of the end.

Change: the least that counts is one request in two seconds, turns are spread over the first pause by a hash, and three nodes and not four share the smallest: 4.6 requests in 4 s at a limit of 0, where five are allowed.

Tests: NamedLimits.AnEndpointThatTookNothingIsAskedAgainWithinSeconds failed before; limits of 0 join NamedLimits.HoldForAllNodesTogetherInFleetsOfAnySize. The soak lets callers ask on for 8 s before it counts who is served: no node can know the end of a limit before it asks.

--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -40,6 +40,7 @@
 struct NamedLimit {
   double per_second = 0;  ///< 0: none.
   Time named{};           ///< When it last said so.
+  Time began{};           ///< When this node first heard of it.
   Time ended{};           ///< When it last ceased to name one.
 };
 
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -155,7 +155,7 @@
 /// Nodes that share a limit that an endpoint names: this many, and
 /// `kLimitSendersPerRate` for each request a second. Each may be one request
 /// early, and an endpoint that says what it takes has little room beyond it.
-inline constexpr double kLimitSenders = 4;
+inline constexpr double kLimitSenders = 3;
 /// As above.
 inline constexpr double kLimitSendersPerRate = 2;
 /// Whether a limit of which a node heard nothing for this long still holds is
@@ -165,9 +165,9 @@
 inline constexpr double kLimitProbed = 0.1;
 /// Limits told in one exchange; one takes about 40 bytes.
 inline constexpr std::size_t kLimitsTold = 16;
-/// Bounds of a limit, in requests a second. With less no node would hear for
-/// minutes that it ended.
-inline constexpr double kLimitLeast = 0.1;
+/// Bounds of a limit, in requests a second. One that takes nothing still gets
+/// the least, so that the end of its limit shows within seconds.
+inline constexpr double kLimitLeast = 0.5;
 /// As above.
 inline constexpr double kLimitMost = 1e6;
 /// A limit that changes by this part of it is logged.
--- a/routing/src/named_limits.cc
+++ b/routing/src/named_limits.cc
@@ -16,8 +16,7 @@
   limit.named = named;
   if (limit.per_second > 0) set.limited.insert(endpoint.entry.id);
   if (limit.per_second == 0 && before > 0) limit.ended = now;
-  // What was sent before it was known counts as a turn that was taken.
-  if (limit.per_second > 0 && before == 0) endpoint.rated_sent = now;
+  if (limit.per_second > 0 && before == 0) limit.began = now;
   return std::abs(limit.per_second - before) >
          kLimitChange * std::max(limit.per_second, before);
 }
--- a/routing/src/shared_rate.cc
+++ b/routing/src/shared_rate.cc
@@ -31,7 +31,8 @@
   const double senders =
       kLimitSenders + kLimitSendersPerRate * limit.per_second;
   return SharedRate{kRateUsed * limit.per_second,
-                    static_cast<std::size_t>(senders), RateReason::kLimited};
+                    static_cast<std::size_t>(senders), RateReason::kLimited,
+                    limit.began};
 }
 
 }  // namespace
