--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -18,39 +18,21 @@
 constexpr int kGatewayTimeout = 504;
 constexpr milliseconds kOverloadRetryDelay{300};
 
-// Answers a request with an error before a call is created for it.
-void Reject(Proxy& proxy, const net::HttpCallPtr& caller, int status,
-            const char* code, const std::string& reason,
-            milliseconds retry_after) {
-  IncrementCounter(proxy, "egretladder_rejected_total",
-                   "Requests rejected before they were routed.",
-                   std::string("code=\"") + code + "\"");
-  kernel::LogEvent(LogPart::kRoute, LogLevel::kWarning, "rejected",
-                   {{"req", proxy.dialect->request_id(caller->request())},
-                    {"status", status},
-                    {"code", code},
-                    {"why", reason},
-                    {"target", caller->request().target},
-                    {"rules", proxy.rules ? proxy.rules->version : 0}});
-  AnswerError(caller, status, code, reason, "no", retry_after);
-}
-
 CallPtr MakeCall(Proxy& proxy, const net::HttpCallPtr& caller,
                  const routing::Route& route,
                  const routing::ClientAccount* account,
-                 RequestMetadata metadata) {
-  const Time now = NowOf(proxy);
+                 RequestMetadata metadata, Time arrived_at) {
   auto call = std::make_shared<Call>();
   call->number = ++proxy.last_number;
   call->caller = caller;
   call->table = proxy.rules;
   call->route = &route;
   call->account = account;
-  call->arrived_at = now;
+  call->arrived_at = arrived_at;
   call->class_metrics = GetClassMetrics(proxy, route.name);
   const auto timeout = std::min(metadata.deadline.value_or(route.timeout),
                                 std::max(route.timeout, milliseconds(1)));
-  call->deadline = now + timeout;
+  call->deadline = arrived_at + timeout;
   const auto target =
       routing::PickTarget(route, kernel::RandomFraction(proxy.random));
   call->service = &proxy.rules->services[target.idx];
@@ -122,19 +104,13 @@
 // Returns true if this node accepts the request; otherwise rejects it.
 bool AcceptRequest(Proxy& proxy, const net::HttpCallPtr& caller) {
   if (!CanAcceptRequests(proxy)) {
-    Reject(proxy, caller, kUnavailable, "leaving", "this node is leaving",
-           kLeavingRetryDelay);
-    return false;
-  }
-  if (proxy.rules == nullptr) {
-    Reject(proxy, caller, kUnavailable, "not_ready", "no rules are known yet",
-           routing::RetryAfterNotReady(
-               Elapsed(proxy.members.started, NowOf(proxy)), proxy.random));
+    RejectRequest(proxy, caller, kUnavailable, "leaving",
+                  "this node is leaving", kLeavingRetryDelay);
     return false;
   }
   if (!HasRoomForBody(proxy, caller->request().body.size())) {
-    Reject(proxy, caller, kUnavailable, "overloaded", "no room for the body",
-           kOverloadRetryDelay);
+    RejectRequest(proxy, caller, kUnavailable, "overloaded",
+                  "no room for the body", kOverloadRetryDelay);
     return false;
   }
   return true;
@@ -157,13 +133,14 @@
   routed.route = routing::FindRoute(
       rules, net::FirstFieldValue(request.fields, "Host"), request.target);
   if (routed.route == nullptr) {
-    Reject(proxy, caller, kNotFound, "unknown_route", "no route matches", {});
+    RejectRequest(proxy, caller, kNotFound, "unknown_route", "no route matches",
+                  {});
     return std::nullopt;
   }
   auto metadata = proxy.dialect->read_call(request);
   if (!metadata) {
-    Reject(proxy, caller, kBadRequest, "bad_request",
-           kernel::Describe(metadata.error()), {});
+    RejectRequest(proxy, caller, kBadRequest, "bad_request",
+                  kernel::Describe(metadata.error()), {});
     return std::nullopt;
   }
   routed.metadata = std::move(metadata).value();
@@ -172,8 +149,8 @@
     routed.account = routing::FindAccount(rules, routed.metadata.key);
   }
   if (routed.account == nullptr && !routed.route->is_public) {
-    Reject(proxy, caller, kUnauthorized, "unknown_key",
-           "no account has the key", {});
+    RejectRequest(proxy, caller, kUnauthorized, "unknown_key",
+                  "no account has the key", {});
     return std::nullopt;
   }
   return routed;
@@ -221,20 +198,45 @@
   return call.fingerprint;
 }
 
+void RejectRequest(Proxy& proxy, const net::HttpCallPtr& caller, int status,
+                   const char* code, const std::string& reason,
+                   milliseconds retry_after) {
+  IncrementCounter(proxy, "egretladder_rejected_total",
+                   "Requests rejected before they were routed.",
+                   std::string("code=\"") + code + "\"");
+  kernel::LogEvent(LogPart::kRoute, LogLevel::kWarning, "rejected",
+                   {{"req", proxy.dialect->request_id(caller->request())},
+                    {"status", status},
+                    {"code", code},
+                    {"why", reason},
+                    {"target", caller->request().target},
+                    {"rules", proxy.rules ? proxy.rules->version : 0}});
+  AnswerError(caller, status, code, reason, "no", retry_after);
+}
+
 void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller) {
   if (!AcceptRequest(proxy, caller)) return;
+  if (proxy.rules == nullptr) {
+    AwaitRules(proxy, caller);
+    return;
+  }
+  RouteAndDispatch(proxy, caller, NowOf(proxy));
+}
+
+void RouteAndDispatch(Proxy& proxy, const net::HttpCallPtr& caller,
+                      Time arrived_at) {
   auto routed = RouteRequest(proxy, caller);
   if (!routed) return;
   const CallPtr call = MakeCall(proxy, caller, *routed->route, routed->account,
-                                std::move(routed->metadata));
+                                std::move(routed->metadata), arrived_at);
   proxy.body_bytes += call->body_bytes;
   proxy.calls.emplace(call->number, call);
   routing::OnRequest(proxy.retry_budgets[call->service->name],
-                     proxy.options.retries, call->arrived_at);
+                     proxy.options.retries, NowOf(proxy));
   caller->OnDisconnect([&proxy, call] { OnCallerGone(proxy, call); });
   call->deadline_timer = kernel::RunAfter(
       *proxy.loop,
-      std::chrono::ceil<milliseconds>(call->deadline - call->arrived_at) +
+      std::chrono::ceil<milliseconds>(call->deadline - NowOf(proxy)) +
           kDeadlineMargin,
       [&proxy, weak_call = std::weak_ptr<Call>(call)] {
         if (const auto locked = weak_call.lock()) OnDeadline(proxy, locked);
--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -98,6 +98,9 @@
            static_cast<double>(proxy.calls.size()));
   SetGauge(proxy, "egretladder_waiting", "Calls that wait for an endpoint.",
            static_cast<double>(proxy.waiting_calls.size()));
+  SetGauge(proxy, "egretladder_awaiting_rules",
+           "Requests that wait for the first rules.",
+           static_cast<double>(proxy.requests_without_rules.size()));
   SetGauge(proxy, "egretladder_body_bytes",
            "Size of the bodies of calls in progress.",
            static_cast<double>(proxy.body_bytes));
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -120,6 +120,10 @@
     call->caller->OnDisconnect(nullptr);
     call->caller->Abort();
   }
+  for (const auto& [number, request] : proxy->requests_without_rules) {
+    request.caller->OnDisconnect(nullptr);
+    request.caller->Abort();
+  }
   for (StoreReader& reader : proxy->readers) net::Cancel(reader.exchange);
   delete proxy;
 }
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -97,6 +97,13 @@
 };
 using CallPtr = std::shared_ptr<Call>;
 
+/// A request of a caller that can't be routed before the rules are known.
+struct RequestWithoutRules {
+  net::HttpCallPtr caller;
+  Time arrived_at{};
+  kernel::EventWatcher timer;  ///< Rejects it when it has waited long enough.
+};
+
 /// Reads one feed of the store.
 struct StoreReader {
   routing::Feed feed = routing::Feed::kRules;
@@ -177,9 +184,12 @@
   std::unordered_map<std::uint64_t, CallPtr> calls;
   /// Calls that wait for an endpoint, by tier and number.
   std::map<std::pair<routing::Tier, std::uint64_t>, CallPtr> waiting_calls;
+  /// Requests that arrived before the rules, by number.
+  std::map<std::uint64_t, RequestWithoutRules> requests_without_rules;
   kernel::EventWatcher waiting_timer;
   bool waiting_timer_armed = false;
-  std::size_t body_bytes = 0;     ///< Size of the bodies of all calls.
+  /// Size of the bodies of all calls and all requests without rules.
+  std::size_t body_bytes = 0;
   std::uint64_t last_number = 0;  ///< Last number of a call or an attempt.
   Time last_tick_at{};
   Time last_exchange_at{};  ///< When the last exchange began.
@@ -225,6 +235,13 @@
 // calls.cc
 /// Routes a caller's request that was received completely, or rejects it.
 void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller);
+/// Routes a request that arrived at `arrived_at` by the rules in force.
+void RouteAndDispatch(Proxy& proxy, const net::HttpCallPtr& caller,
+                      Time arrived_at);
+/// Answers a request with an error before a call is created for it.
+void RejectRequest(Proxy& proxy, const net::HttpCallPtr& caller, int status,
+                   const char* code, const std::string& reason,
+                   milliseconds retry_after);
 /// Sends the call to an endpoint, queues it, or refuses it.
 void Dispatch(Proxy& proxy, const CallPtr& call);
 /// Tries to dispatch all waiting calls, in the order of the queue.
@@ -252,6 +269,15 @@
 void AbortCall(Proxy& proxy, const CallPtr& call, int status_if_sent,
                const char* code, milliseconds retry_after);
 
+// requests_without_rules.cc
+/// Keeps the request until the rules are known, or rejects it if it can't wait
+/// any longer.
+void AwaitRules(Proxy& proxy, const net::HttpCallPtr& caller);
+/// Routes the requests that waited for the rules.
+void RouteRequestsWithoutRules(Proxy& proxy);
+/// Rejects the requests that wait for the rules at a node that leaves.
+void RejectRequestsWithoutRules(Proxy& proxy);
+
 // stop.cc
 /// Returns the number of answers that callers have not yet received.
 std::size_t CountUndeliveredAnswers(const Proxy& proxy);
--- a/proxy/src/stop.cc
+++ b/proxy/src/stop.cc
@@ -139,6 +139,7 @@
   proxy.leaving_since = was_paused ? proxy.last_tick_at : now;
   proxy.members.self.leaving = true;
   proxy.caller_server->CloseAfterAnswers();
+  RejectRequestsWithoutRules(proxy);
   ExchangeWithManyPeers(proxy);
 }
 
--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -152,6 +152,7 @@
                                         ? routing::kRelayFanout
                                         : routing::kReaderFanout);
   }
+  if (proxy.rules != nullptr) RouteRequestsWithoutRules(proxy);
   if (!proxy.waiting_calls.empty()) DispatchWaiting(proxy);
 }
 
--- a/routing/include/egretladder/routing/admission.h
+++ b/routing/include/egretladder/routing/admission.h
@@ -9,7 +9,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "egretladder/kernel/hash.h"
 #include "egretladder/routing/placement.h"
@@ -46,6 +48,16 @@
 milliseconds RetryAfterRejection(const Placement& placement,
                                  milliseconds target, kernel::Random& random);
 
+/// Returns how long a request waits for the rules at a node that has none; 0: it
+/// is rejected at once. `waiting` requests wait there already. A request without
+/// a deadline doesn't wait.
+///
+/// After a loss of all nodes, none has rules until the store answers. Callers
+/// that are rejected meanwhile return late even if the store answers the next
+/// moment, and most of them have one retry only.
+milliseconds MaxWaitForRules(std::optional<milliseconds> deadline,
+                             std::size_t waiting);
+
 /// Returns the retry delay for a caller of a node that has had no rules for
 /// `lasted`. The delay is about `lasted` again, the best estimate for an outage
 /// of unknown cause: a node that just started gets its rules within
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -257,6 +257,14 @@
 /// Otherwise the request is rejected at once.
 inline constexpr double kMaxExpectedWaitRatio = 0.7;
 
+/// Part of its caller's deadline that a request waits at a node without rules.
+/// Its target time isn't known before the rules are, and a longer wait would
+/// mostly end after it.
+inline constexpr double kRulesWaitRatio = 0.125;
+/// Upper bound of that wait.
+inline constexpr milliseconds kMaxRulesWait{2000};
+/// Requests that may wait for the rules.
+inline constexpr std::size_t kMaxRequestsWithoutRules = kMaxWaitingRequests;
 /// Lower bound of the delay after which a caller returns to a node without
 /// rules.
 inline constexpr milliseconds kMinNotReadyRetryDelay{200};
--- a/routing/src/admission.cc
+++ b/routing/src/admission.cc
@@ -62,6 +62,15 @@
       std::max(min_delay_ms, ExpectedRoomMs(placement)) * jitter));
 }
 
+milliseconds MaxWaitForRules(std::optional<milliseconds> deadline,
+                             std::size_t waiting) {
+  if (!deadline || deadline->count() <= 0) return {};
+  if (waiting >= kMaxRequestsWithoutRules) return {};
+  const auto wait = *deadline * kRulesWaitRatio;
+  if (wait >= kMaxRulesWait) return kMaxRulesWait;
+  return std::chrono::duration_cast<milliseconds>(wait);
+}
+
 milliseconds RetryAfterNotReady(milliseconds lasted, kernel::Random& random) {
   const auto wait =
       std::clamp(lasted, kMinNotReadyRetryDelay, kMaxNotReadyRetryDelay);
--- a/routing/tests/admission_test.cc
+++ b/routing/tests/admission_test.cc
@@ -86,6 +86,18 @@
   CHECK(first <= 1s);
 }
 
+// Guards against a node without rules that keeps requests without bound, or
+// longer than their callers can profit from it.
+TEST(Admission, RequestsWaitForTheRulesForAPartOfTheirDeadline) {
+  CHECK(er::MaxWaitForRules(8000ms, 0) == 1000ms);
+  CHECK(er::MaxWaitForRules(std::chrono::milliseconds::max(), 0) ==
+        er::kMaxRulesWait);
+  CHECK(er::MaxWaitForRules({}, 0) == 0ms);
+  CHECK(er::MaxWaitForRules(0ms, 0) == 0ms);
+  CHECK(er::MaxWaitForRules(-5ms, 0) == 0ms);
+  CHECK(er::MaxWaitForRules(8000ms, er::kMaxRequestsWithoutRules) == 0ms);
+}
+
 // Guards against callers that use up their retries at once when all nodes lost
 // power while the store was unreachable: the node still has no rules then.
 TEST(Admission, RetryDelayOfANodeWithoutRulesFollowsTheOutage) {
