--- a/routing/include/egretladder/routing/admission.h
+++ b/routing/include/egretladder/routing/admission.h
@@ -48,9 +48,9 @@
 milliseconds RetryAfterRejection(const Placement& placement,
                                  milliseconds target, kernel::Random& random);
 
-/// Returns how long a request waits for the rules at a node that has none; 0: it
-/// is rejected at once. `waiting` requests wait there already. A request without
-/// a deadline doesn't wait.
+/// Returns how long a request waits for the rules at a node that has none; 0:
+/// it is rejected at once. `waiting` requests wait there already. A request
+/// without a deadline doesn't wait.
 ///
 /// After a loss of all nodes, none has rules until the store answers. Callers
 /// that are rejected meanwhile return late even if the store answers the next
