Split engines only while streams pause too long beside long prompts

Cause: a stream counted as tight if its route promised pauses of 200 ms or less. Whether it is late beside long prompts depends on the engine and on the tokens in one event as well.

Change: nodes estimate the interval between events that one in fifty exceeds at engines that take long prompts, by stochastic approximation, and average it with peers in each exchange (four bytes). A stream with a short prompt that promises less, but not less than events take without prompts, avoids long prompts. Engines are split while a node has placed such a stream in the last 5 s; otherwise all engines serve all. Engines that are slow for another reason don't count. `kMaxTightGap` now decides the cost term `pace` only.

Tests that set a fixed tight fraction now set the estimate as well.

--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -50,6 +50,9 @@
   progress @10 :List(Progress);
   # Rate limits that endpoints state.
   limits @11 :List(Limit);
+  # The interval between two events that one in fifty exceeds beside long
+  # prompts; 0: not known. Nodes agree on it by averaging.
+  longPauseMs @12 :Float32;
 }
 
 struct Limit {
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -1,5 +1,6 @@
 // Attempts of calls at endpoints: sends the request and reads the answer.
 #include <algorithm>
+#include <utility>
 
 #include "attempts_p.h"
 #include "egretladder/routing/placement_cost.h"
@@ -104,6 +105,22 @@
   attempt.pace_sample_events = 0;
 }
 
+// Learns from the time since the attempt's last event how long streams pause
+// beside long prompts.
+void RecordInterval(Proxy& proxy, const Call& call) {
+  Attempt& attempt = *call.attempt;
+  const Time now = NowOf(proxy);
+  const Time last_event_at = std::exchange(attempt.last_event_at, now);
+  if (last_event_at == Time{} ||
+      !routing::TakesLongPrompts(proxy.endpoints, *attempt.endpoint)) {
+    return;
+  }
+  routing::OnIntervalBesidePrompts(
+      proxy.endpoints.pauses, attempt.endpoint->pace,
+      routing::FindServicePace(proxy.endpoints, call.service->name),
+      now - last_event_at);
+}
+
 void RecordPause(Call& call, Time now) {
   if (call.first_event_at == Time{}) {
     call.first_event_at = now;
@@ -181,6 +198,7 @@
   if (events.empty()) return;
   call->events += attempt.splitter.events - events_before;
   RecordPace(proxy, *call, attempt.splitter.events - events_before);
+  RecordInterval(proxy, *call);
   RecordPause(*call, NowOf(proxy));
   if (!attempt.splitter.last_id.empty()) {
     call->last_event_id = attempt.splitter.last_id;
@@ -252,6 +270,7 @@
                     {"expected_ms", placement.expected_ms},
                     {"cost", routing::Describe(placement.costs)},
                     {"tight_part", proxy.endpoints.tight_fraction},
+                    {"pause_ms", proxy.endpoints.pauses.ms},
                     {"waited_ms", Elapsed(call.arrived_at, now)},
                     {"left_ms", Elapsed(now, call.deadline)},
                     {"in_flight", endpoint.in_flight},
@@ -335,7 +354,9 @@
   attempt.placement = placement;
   attempt.sent_at = now;
   routing::OnRequestPlaced(proxy.split_demand_meter, call->demand, placement,
-                           now);
+                           proxy.endpoints.pauses, now);
+  if (routing::AvoidsLongPrompts(proxy.endpoints, call->demand))
+    proxy.endpoints.last_delayed_stream_at = now;
   routing::OnAttemptSent(*placement.endpoint, call->demand, attempt.number,
                          placement, now);
   kernel::Observe(proxy.metrics, call->class_metrics->waited,
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -49,6 +49,7 @@
       call->demand.expected_stream_ms =
           routing::ExpectedStreamMs(pace, route.name);
     }
+    call->demand.gap_target = route.gap_target;
     call->demand.tight = route.gap_target.count() > 0 &&
                          route.gap_target <= routing::kMaxTightGap;
   }
--- a/proxy/src/gossip_codec.cc
+++ b/proxy/src/gossip_codec.cc
@@ -252,6 +252,7 @@
   WriteProgress(OwnProgress(proxy), news.initProgress(routing::kFeedCount));
   news.setTightDemand(static_cast<float>(proxy.fleet_demand.mean.tight));
   news.setRestDemand(static_cast<float>(proxy.fleet_demand.mean.rest));
+  news.setLongPauseMs(static_cast<float>(proxy.endpoints.pauses.ms));
   WriteLoads(proxy, news);
   WriteSuspects(proxy, news, now);
   WriteLimits(proxy, news);
@@ -265,8 +266,8 @@
   ApplyLimits(proxy, news);
   routing::MergePeerDemand(proxy.fleet_demand,
                            {news.getTightDemand(), news.getRestDemand()});
-  proxy.endpoints.tight_fraction =
-      routing::TightFraction(proxy.fleet_demand.mean);
+  routing::MergePeerPauses(proxy.endpoints.pauses, news.getLongPauseMs());
+  routing::UpdateSplit(proxy.endpoints, proxy.fleet_demand, now);
   PeerState peer;
   // The first member is the sender itself.
   if (!gossip.members.empty()) {
--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -179,6 +179,10 @@
   UpdateStoreGauges(proxy, now);
   UpdateEndpointGauges(proxy, now);
   UpdateLoadGauges(proxy, now);
+  SetGauge(proxy, "egretladder_long_pause_ms",
+           "Time between two events of a stream beside long prompts that one "
+           "in fifty exceeds, in milliseconds.",
+           proxy.endpoints.pauses.ms);
   SetGauge(proxy, "egretladder_tight_part",
            "Fraction of the engines reserved for streams with short pauses.",
            proxy.endpoints.tight_fraction);
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -265,8 +265,7 @@
   const Time now = NowOf(proxy);
   routing::FollowMeasuredDemand(proxy.fleet_demand, proxy.split_demand_meter,
                                 now);
-  proxy.endpoints.tight_fraction =
-      routing::TightFraction(proxy.fleet_demand.mean);
+  routing::UpdateSplit(proxy.endpoints, proxy.fleet_demand, now);
   routing::IncrementHeartbeat(proxy.members, now);
   const std::size_t peers =
       routing::MaxPeersToTry(CountUnansweredExchanges(*proxy.peers, now));
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -52,6 +52,7 @@
   bool started = false;       ///< The endpoint answered or sent an event.
   /// The answer is a stream whose events are forwarded as they arrive.
   bool is_event_stream = false;
+  Time last_event_at{};                  ///< Default: none came yet.
   Time pace_sample_start{};              ///< Start of the current pace sample.
   std::uint64_t pace_sample_events = 0;  ///< Events in that sample so far.
   net::HttpAnswerHead head;
--- a/proxy/tests/gossip_codec_test.cc
+++ b/proxy/tests/gossip_codec_test.cc
@@ -1,11 +1,13 @@
 // Encoding of the changes of a feed that nodes send each other.
 #include <CppUTest/TestHarness.h>
+#include <capnp/message.h>
 
 #include <string>
 
 #include "egretladder/net/compression.h"
 #include "gossip_codec_p.h"
 
+namespace ek = egretladder::kernel;
 namespace en = egretladder::net;
 namespace ep = egretladder::proxy;
 namespace er = egretladder::routing;
@@ -66,3 +68,17 @@
   const ep::PackedChanges packed{en::Compress(large).value(), 0};
   CHECK_FALSE(ep::UnpackChanges(packed, er::Feed::kEndpoints).has_value());
 }
+
+// Guards against nodes that disagree on whether the engines are split.
+TEST(GossipCodec, TheEstimatedPauseIsSentToPeers) {
+  ek::Loop loop = ek::CreateLoop();
+  proxy.loop = &loop;
+  proxy.endpoints.pauses.ms = 180;
+  capnp::MallocMessageBuilder message;
+  auto news = message.initRoot<egretladder::exchange::News>();
+  ep::WriteGossip(proxy, {}, news);
+  ep::Proxy peer;
+  peer.loop = proxy.loop;
+  ep::ApplyGossip(peer, news.asReader());
+  DOUBLES_EQUAL(180, peer.endpoints.pauses.ms, 0);
+}
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -19,6 +19,7 @@
 #include "egretladder/kernel/time.h"
 #include "egretladder/routing/limits.h"
 #include "egretladder/routing/pace.h"
+#include "egretladder/routing/prompt_pauses.h"
 #include "egretladder/routing/route_table.h"
 
 namespace egretladder::routing {
@@ -124,8 +125,13 @@
   /// Ids of the endpoints whose limit, or its recent end, is gossiped to peers.
   std::set<std::string> limited;
   std::unordered_map<std::string, ServicePace> service_paces;  ///< By service.
-  /// Fraction of the engines that serves tight streams; see engine_split.h.
-  double tight_fraction = kDefaultTightFraction;
+  /// Fraction of the engines that serves tight streams; 0: the engines aren't
+  /// split. See engine_split.h.
+  double tight_fraction = 0;
+  PauseEstimate pauses;  ///< Of streams beside long prompts.
+  /// When this node last placed a stream that long prompts would delay beyond
+  /// its promise; default: never.
+  Time last_delayed_stream_at{};
   DisabledMechanisms disabled_mechanisms;
 };
 
--- a/routing/include/egretladder/routing/engine_split.h
+++ b/routing/include/egretladder/routing/engine_split.h
@@ -2,8 +2,11 @@
 //
 // An engine prefills a long prompt in parts between the tokens of the streams
 // beside it, and each part makes a step three times as long. An event of nine
-// tokens then comes 150 ms after the one before, instead of 40 ms. On separate
-// engines both kinds of request are in time.
+// tokens then comes 150 ms after the one before, instead of 40 ms. Where
+// streams promise less than that, both kinds of request are in time on separate
+// engines only. Where they promise more, the engines aren't split: prompts have
+// all of them, and sessions needn't move with the boundary. The pauses that
+// streams show beside long prompts decide it (prompt_pauses.h).
 //
 // All nodes derive the same split without asking each other. Engines are
 // ordered by the hash of their names, and the first ones serve tight streams:
@@ -14,6 +17,8 @@
 // follows a burst of either kind within seconds and moves one engine at a time.
 #pragma once
 
+#include <vector>
+
 #include "egretladder/kernel/time.h"
 #include "egretladder/routing/endpoints.h"
 #include "egretladder/routing/placement.h"
@@ -36,9 +41,10 @@
 /// Adds a request that is about to be sent to the demand: the engine's time for
 /// prefilling what it hasn't cached, and the stream's part of a full batch
 /// there. A request that is neither a tight stream nor a long prompt isn't
-/// counted.
+/// counted. A stream is tight if it promises about what `pauses` says or less.
 void OnRequestPlaced(SplitDemandMeter& meter, const Demand& demand,
-                     const Placement& placement, Time now);
+                     const Placement& placement, const PauseEstimate& pauses,
+                     Time now);
 
 /// Returns the demand at `now`.
 SplitDemand CurrentDemand(const SplitDemandMeter& meter, Time now);
@@ -69,9 +75,20 @@
 /// Returns true for a prompt that is prefilled in several parts.
 bool IsLongPrompt(const Demand& demand);
 
-/// Returns true if the endpoint serves the demand's kind of request. All
-/// endpoints serve demands that are neither tight nor have a long prompt.
-bool IsOnDemandSide(const Endpoint& endpoint, const Demand& demand,
-                    double tight_fraction);
+/// Returns true for a stream with a short prompt that long prompts beside it
+/// would delay beyond its promise.
+bool AvoidsLongPrompts(const EndpointSet& set, const Demand& demand);
+
+/// Splits the engines by the fleet's demand, or ends the split if this node has
+/// placed no stream lately that avoids long prompts. Called at each exchange.
+void UpdateSplit(EndpointSet& set, const FleetDemand& fleet, Time now);
+
+/// Returns true if the endpoint takes long prompts.
+bool TakesLongPrompts(const EndpointSet& set, const Endpoint& endpoint);
+
+/// Drops the endpoints on the other side of the split, unless none is left. All
+/// endpoints serve demands that neither avoid long prompts nor have one.
+void KeepDemandSide(const EndpointSet& set, const Demand& demand,
+                    std::vector<EndpointPtr>& endpoints);
 
 }  // namespace egretladder::routing
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -47,10 +47,8 @@
 /// doesn't wait longer than this for an engine that has them cached while
 /// another engine is idle.
 inline constexpr double kMaxRereadCostMs = 1600;
-/// A stream whose events may pause at most this long is tight. A long prompt at
-/// the same engine delays it beyond the bound: an event holds several tokens,
-/// and each step that prefills a part of the prompt takes several times as
-/// long.
+/// A stream whose events may pause at most this long is placed by the pace of
+/// the engines as well, because a slow engine delays each of its events.
 inline constexpr milliseconds kMaxTightGap{200};
 /// A prompt with more tokens than this is prefilled in several parts.
 inline constexpr std::uint32_t kLongPromptTokens = 4096;
@@ -92,6 +90,26 @@
 /// Upper bound of that fraction, so that the first long prompts find room.
 inline constexpr double kMaxTightFraction = 0.75;
 
+// --- Pauses beside long prompts (prompt_pauses.h) ---
+
+/// Part of the intervals between events that may exceed the estimated pause. A
+/// stream of some tens of events is late by a single one of them.
+inline constexpr double kLongPauseShare = 0.02;
+/// Step of the estimate per interval, on a logarithmic scale. A node that sees
+/// some tens of intervals a second follows a burst within seconds.
+inline constexpr double kPauseEstimateStep = 0.1;
+/// Upper bound of an estimate. A longer interval is a stall of the engine.
+inline constexpr milliseconds kMaxPauseEstimate{10'000};
+/// An engine that is slower than the mean of its service by this factor is slow
+/// for another reason than the prompts that it prefills.
+inline constexpr double kSlowEngineFactor = 2;
+/// How long engines stay reserved after the last stream that needed it.
+inline constexpr milliseconds kSplitRetention{5000};
+/// Streams whose promise is at most this multiple of the estimated pause count
+/// as demand for engines of their own, so that the split has the right size as
+/// soon as it is needed.
+inline constexpr double kNearPauseFactor = 1.5;
+
 // --- Pace of engines (pace.h) ---
 
 /// Time that each running request adds between two events, relative to that
--- a/routing/include/egretladder/routing/placement.h
+++ b/routing/include/egretladder/routing/placement.h
@@ -34,9 +34,11 @@
   Tier tier = 0;
   std::vector<PromptPart> parts;    ///< In the order of the prompt.
   std::uint32_t prompt_tokens = 0;  ///< 0: not a generation.
-  bool tight = false;  ///< A stream with short pauses; see `kMaxTightGap`.
-  double events = 0;   ///< Expected number of events in the answer.
-  double longest = 0;  ///< Number of events if the stream is a long one.
+  /// A stream that is placed by the pace of engines; see `kMaxTightGap`.
+  bool tight = false;
+  milliseconds gap_target{};  ///< Promised longest pause; 0: none.
+  double events = 0;          ///< Expected number of events in the answer.
+  double longest = 0;         ///< Number of events if the stream is a long one.
   double expected_stream_ms = 0;  ///< From the first event to the end.
 };
 
--- a/routing/src/engine_split.cc
+++ b/routing/src/engine_split.cc
@@ -15,6 +15,11 @@
          demand.expected_stream_ms / slots;
 }
 
+bool IsNearPause(const Demand& demand, const PauseEstimate& pauses) {
+  const auto target_ms = static_cast<double>(demand.gap_target.count());
+  return target_ms > 0 && target_ms < kNearPauseFactor * pauses.ms;
+}
+
 double DecayFactor(Time from, Time to) {
   const std::chrono::duration<double, std::milli> age = to - from;
   return std::exp(-age.count() /
@@ -24,15 +29,17 @@
 }  // namespace
 
 void OnRequestPlaced(SplitDemandMeter& meter, const Demand& demand,
-                     const Placement& placement, Time now) {
+                     const Placement& placement, const PauseEstimate& pauses,
+                     Time now) {
   const bool is_long = IsLongPrompt(demand);
-  if (!demand.tight && !is_long) return;
+  const bool is_tight = !is_long && IsNearPause(demand, pauses);
+  if (!is_tight && !is_long) return;
   meter.demand = CurrentDemand(meter, now);
   meter.at = now;
   const double busy_engines =
       EngineBusyMs(demand, placement) /
       static_cast<double>(kSplitDemandTimeConstant.count());
-  if (demand.tight) {
+  if (is_tight) {
     meter.demand.tight += busy_engines * kTightDemandFactor;
   } else {
     meter.demand.rest += busy_engines;
@@ -86,10 +93,32 @@
   return demand.prompt_tokens > kLongPromptTokens;
 }
 
-bool IsOnDemandSide(const Endpoint& endpoint, const Demand& demand,
-                    double tight_fraction) {
-  if (!demand.tight && !IsLongPrompt(demand)) return true;
-  return (endpoint.hash_position < tight_fraction) == demand.tight;
+bool AvoidsLongPrompts(const EndpointSet& set, const Demand& demand) {
+  return !IsLongPrompt(demand) && demand.gap_target.count() > 0 &&
+         PausesTooLong(set.pauses, FindServicePace(set, demand.service->name),
+                       demand.gap_target);
+}
+
+void UpdateSplit(EndpointSet& set, const FleetDemand& fleet, Time now) {
+  const bool is_needed = set.last_delayed_stream_at != Time{} &&
+                         now - set.last_delayed_stream_at < kSplitRetention;
+  set.tight_fraction = is_needed ? TightFraction(fleet.mean) : 0;
+}
+
+bool TakesLongPrompts(const EndpointSet& set, const Endpoint& endpoint) {
+  return endpoint.hash_position >= set.tight_fraction;
+}
+
+void KeepDemandSide(const EndpointSet& set, const Demand& demand,
+                    std::vector<EndpointPtr>& endpoints) {
+  if (set.tight_fraction <= 0) return;
+  const bool avoids_long_prompts = AvoidsLongPrompts(set, demand);
+  if (!avoids_long_prompts && !IsLongPrompt(demand)) return;
+  const auto end = std::stable_partition(
+      endpoints.begin(), endpoints.end(), [&](const EndpointPtr& endpoint) {
+        return TakesLongPrompts(set, *endpoint) != avoids_long_prompts;
+      });
+  if (end != endpoints.begin()) endpoints.erase(end, endpoints.end());
 }
 
 }  // namespace egretladder::routing
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -154,17 +154,6 @@
       });
 }
 
-// Drops the endpoints on the other side of the engine split, unless no other
-// endpoint is usable.
-void KeepDemandSide(std::vector<EndpointPtr>& endpoints, const Demand& demand,
-                    double tight_fraction) {
-  const auto end = std::stable_partition(
-      endpoints.begin(), endpoints.end(), [&](const EndpointPtr& endpoint) {
-        return IsOnDemandSide(*endpoint, demand, tight_fraction);
-      });
-  if (end != endpoints.begin()) endpoints.erase(end, endpoints.end());
-}
-
 // Moves random endpoints to the positions from `first_drawn` on and drops those
 // after them.
 void DrawRandomCandidates(std::vector<EndpointPtr>& endpoints,
@@ -239,7 +228,7 @@
       is_off(Mechanism::kSessionAffinity) ? 0 : SessionHash(demand);
   if (usable.endpoints.size() >= kMinEnginesToSplit &&
       !is_off(Mechanism::kEngineSplit)) {
-    KeepDemandSide(usable.endpoints, demand, set.tight_fraction);
+    KeepDemandSide(set, demand, usable.endpoints);
   }
   std::size_t preferred = 0;
   if (session != 0) {
--- a/routing/tests/placement_test.cc
+++ b/routing/tests/placement_test.cc
@@ -51,9 +51,14 @@
     demand.parts = {{session, 200}, {session + 1'000'000, 600}};
     demand.prompt_tokens = 800;
     demand.tight = true;
+    demand.gap_target = 150ms;
     demand.events = 32;
     return demand;
   }
+  void SplitEngines() {
+    set.tight_fraction = 0.25;
+    set.pauses.ms = 200;
+  }
   bool ServesTightStreams(const er::Endpoint& endpoint) const {
     return endpoint.hash_position < set.tight_fraction;
   }
@@ -284,7 +289,7 @@
 // part of a prompt that is prefilled delays their events.
 TEST(Placement, ManyEnginesAreSplitBetweenLongPromptsAndTightStreams) {
   for (int i = 0; i < 96; ++i) AddEndpoint("e" + std::to_string(i));
-  set.tight_fraction = 0.25;
+  SplitEngines();
   std::size_t misplaced = 0;
   for (std::uint64_t session = 1; session <= 200; ++session) {
     if (!ServesTightStreams(*PlaceRequest(TightStream(session)).endpoint))
@@ -299,7 +304,7 @@
 // the other side has free engines.
 TEST(Placement, LongPromptsUseTheOtherSideIfTheirsIsFull) {
   for (int i = 0; i < 96; ++i) AddEndpoint("e" + std::to_string(i));
-  set.tight_fraction = 0.25;
+  SplitEngines();
   for (const auto& [id, endpoint] : set.by_id) {
     if (!ServesTightStreams(*endpoint))
       er::OnEndpointFull(*endpoint, 60ms, kStart);
@@ -313,7 +318,7 @@
 
 TEST(Placement, FewEnginesAreNotSplit) {
   for (int i = 0; i < 12; ++i) AddEndpoint("e" + std::to_string(i));
-  set.tight_fraction = 0.25;
+  SplitEngines();
   std::size_t at_tight_engines = 0;
   for (std::uint64_t session = 1; session <= 300; ++session) {
     if (ServesTightStreams(*PlaceRequest(LongPrompt(session)).endpoint))
@@ -339,7 +344,7 @@
 // Operators measure the benefit of a mechanism with a setting that disables it.
 TEST(Placement, ADisabledMechanismHasNoEffect) {
   for (int i = 0; i < 96; ++i) AddEndpoint("e" + std::to_string(i));
-  set.tight_fraction = 0.25;
+  SplitEngines();
   set.disabled_mechanisms.set(
       static_cast<std::size_t>(er::Mechanism::kEngineSplit));
   set.disabled_mechanisms.set(static_cast<std::size_t>(er::Mechanism::kZone));
