--- a/gateway/include/egretladder/gateway/gateway.h
+++ b/gateway/include/egretladder/gateway/gateway.h
@@ -1,5 +1,5 @@
-// A node with its sockets: callers, endpoints, the platform and peers, all on
-// one loop. Several may run on one loop and thread, as tests do.
+// A node and its sockets, for callers, endpoints, the platform and peers, all
+// on one loop. Several gateways can share a loop and a thread, as tests do.
 #pragma once
 
 #include <chrono>
@@ -15,95 +15,97 @@
 
 namespace egretladder::gateway {
 
-/// Bounds that keep a node's memory and sockets finite whatever comes in.
+/// Upper bounds on the memory and the sockets that a node uses.
 struct Limits {
   std::size_t header_bytes = kHeaderBytes;
   std::size_t body_bytes = kBodyBytes;
-  /// Of all calls whose answer has not begun; they are kept to be sent again.
+  /// Total size of the bodies of all calls without an answer so far. They are
+  /// kept for retries.
   std::size_t bodies_bytes = kBodiesBytes;
-  std::size_t connections = kConnections;  ///< Of callers.
-  /// Reading one request, and idle time between two.
+  std::size_t connections = kConnections;  ///< Open connections of callers.
+  /// Timeout for reading one request, and for the next one on a connection.
   std::chrono::milliseconds request_time = kRequestTime;
-  /// From sending to an endpoint until its first byte.
+  /// Time from sending a request to the first byte of its answer.
   std::chrono::milliseconds answer_time = kAnswerTime;
-  /// Between two bytes of an endpoint's answer.
+  /// Longest time between two bytes of an endpoint's answer.
   std::chrono::milliseconds idle_timeout = kIdleTime;
-  /// A caller that takes nothing for this long is dropped.
+  /// A caller that reads nothing for this long is disconnected.
   std::chrono::milliseconds write_timeout = kDrainTime;
-  /// Unread output of one caller above which its endpoint is not read.
+  /// When a caller has more unread output than this, its endpoint isn't read.
   std::size_t caller_buffer = kCallerBuffer;
-  /// Largest answer that is held whole before the caller gets any of it.
+  /// Largest answer that is buffered completely before it is forwarded.
   std::size_t answer_bytes = kAnswerBytes;
 };
 
-/// TLS towards callers; both empty: plain HTTP.
+/// TLS for connections of callers. If both are empty, plain HTTP is used.
 struct TlsOptions {
-  std::string certificate;  ///< PEM file with the chain.
-  std::string key;          ///< PEM file.
+  std::string certificate;  ///< PEM file with the certificate chain.
+  std::string key;          ///< PEM file with the private key.
 };
 
-/// What a gateway is started with, from its settings.
+/// The options of a gateway, from its settings.
 struct GatewayOptions {
-  /// `fleet.caller_address` and `fleet.peer_address`, where empty, become the
-  /// bound addresses.
+  /// If `fleet.caller_address` or `fleet.peer_address` is empty, the bound
+  /// address is used.
   node::NodeOptions node;
-  std::string caller_listen = "127.0.0.1:0";  ///< Port 0: any free one.
+  std::string caller_listen = "127.0.0.1:0";  ///< Port 0: any free port.
   std::string peer_listen = "127.0.0.1:0";
-  std::string platform;  ///< `IP:port`; empty: none.
+  std::string platform;  ///< `IP:port`; empty: no platform.
   Limits limits;
   TlsOptions tls;
-  /// How long a leaving node stays at least, also when it is idle.
+  /// Minimum time for which a leaving node keeps running, even if it is idle.
   std::chrono::milliseconds linger = kLinger;
 };
 
 struct Gateway;
-/// Lets `GatewayPtr` own a type that only the sources know.
+/// Deleter of the incomplete type `Gateway`.
 struct GatewayDelete {
   void operator()(Gateway* gateway) const;
 };
-/// Owns a node with its sockets; closes them when it goes.
+/// Owns a node and its sockets. Destruction closes the sockets.
 using GatewayPtr = std::unique_ptr<Gateway, GatewayDelete>;
 
-/// Binds the sockets and starts the node. `loop` must outlive it. Fails when an
-/// address can't be bound, the certificate can't be read or the scheduler has
-/// no such name.
+/// Binds the sockets and starts the node. `loop` must outlive the gateway.
+/// Fails if an address can't be bound, the certificate can't be read or the
+/// scheduler is unknown.
 kernel::Result<GatewayPtr> StartGateway(kernel::Loop& loop,
                                         const GatewayOptions& options);
 
-/// Begins a graceful stop: out of `/where` at once, calls in progress end.
+/// Begins a graceful stop: the node leaves `/where` at once and completes the
+/// calls in progress.
 void Leave(Gateway& gateway);
-/// True when no call is in progress and every answer has left.
+/// Returns true if no call is in progress and all answers were sent.
 bool IsIdle(const Gateway& gateway);
-/// True when a leaving node may end: it is idle, and no caller still keeps an
-/// answer of `/where` that names it.
+/// Returns true if a leaving node may exit: it is idle, and no caller still has
+/// an answer of `/where` that lists it.
 bool CanShutDown(const Gateway& gateway);
 
-/// Ends the calls in progress of a leaving node whose time is up. Their callers
-/// learn what became of them; a process that just ended would leave them with a
-/// connection that closes.
+/// Ends the calls in progress of a leaving node whose grace period is over, and
+/// tells their callers whether they ran. If the process simply exited, callers
+/// would only see a closed connection.
 void EndCalls(Gateway& gateway);
-/// True when no caller waits for an answer, or for the rest of one.
+/// Returns true if no caller waits for an answer or for the rest of one.
 bool IsAnswered(const Gateway& gateway);
 
-/// The address bound for callers, `IP:port`.
+/// Returns the bound address for callers, `IP:port`.
 const std::string& CallerAddressOf(const Gateway& gateway);
-/// The address bound for peers, `IP:port`.
+/// Returns the bound address for peers, `IP:port`.
 const std::string& PeerAddressOf(const Gateway& gateway);
-/// The node behind the sockets, for its views.
+/// Returns the state of the node, for its views.
 node::NodeState& NodeOf(Gateway& gateway);
-/// What `GET /metrics` shows.
+/// Returns the metrics that `GET /metrics` serves.
 kernel::Metrics& MetricsOf(Gateway& gateway);
 
-/// Numbers for tests and benchmarks.
+/// The current state, for tests and benchmarks.
 struct GatewayView {
-  std::size_t connections = 0;        ///< Of callers.
-  std::size_t calls = 0;              ///< In progress.
-  std::size_t exchanges = 0;          ///< With endpoints and other servers.
-  std::size_t paused = 0;             ///< Exchanges held back for slow callers.
-  std::size_t most_output_bytes = 0;  ///< Largest output waiting for a caller.
-  std::size_t peers = 0;              ///< Connected.
+  std::size_t connections = 0;  ///< Open connections of callers.
+  std::size_t calls = 0;        ///< Calls in progress.
+  std::size_t exchanges = 0;    ///< Requests in progress to other servers.
+  std::size_t paused = 0;       ///< Exchanges paused for slow callers.
+  std::size_t most_output_bytes = 0;  ///< Largest backlog of one caller.
+  std::size_t peers = 0;              ///< Connected peers.
 };
-/// What is open and in progress now.
+/// Returns the current state.
 GatewayView ViewOf(const Gateway& gateway);
 
 }  // namespace egretladder::gateway
--- a/gateway/include/egretladder/gateway/limits.h
+++ b/gateway/include/egretladder/gateway/limits.h
@@ -1,5 +1,5 @@
-// Limits of the gateway that are not settings, and the standard values of those
-// that are.
+// Limits of the gateway that are not settings, and the default values of its
+// settings.
 #pragma once
 
 #include <chrono>
@@ -10,111 +10,114 @@
 
 namespace egretladder::gateway {
 
-// Standard values of settings.
+// Default values of settings.
 
-/// Headers of one request, in bytes.
+/// Maximum size of the header fields of one request, in bytes.
 inline constexpr std::size_t kHeaderBytes = std::size_t{16} << 10U;
-/// Largest body of a request.
+/// Maximum size of the body of one request, in bytes.
 inline constexpr std::size_t kBodyBytes = std::size_t{4} << 20U;
-/// Connections of callers.
+/// Maximum number of open connections of callers.
 inline constexpr std::size_t kConnections = 4096;
-/// To read one request, and between two on one connection.
+/// Timeout for reading one request, and for the next one on a connection.
 inline constexpr std::chrono::seconds kRequestTime{30};
-/// From sending to an endpoint until its first byte.
+/// Time from sending a request to an endpoint to the first byte of its answer.
 inline constexpr std::chrono::seconds kAnswerTime{120};
-/// Between two bytes of an endpoint's answer.
+/// Longest time between two bytes of an endpoint's answer.
 inline constexpr std::chrono::seconds kIdleTime{30};
-/// After which a caller that takes nothing is dropped.
+/// Time after which a caller that reads nothing is disconnected.
 inline constexpr std::chrono::seconds kDrainTime{30};
-/// For calls in progress after a graceful stop began.
+/// Time that calls in progress have after a graceful stop began.
 inline constexpr std::chrono::seconds kStopTime{300};
-/// Before the end of that time, or after a second signal, for the answers of
-/// calls that are ended to reach their callers.
+/// Part of that time, at its end or after a second signal, in which the answers
+/// of calls that were ended reach their callers.
 inline constexpr std::chrono::milliseconds kStopMargin{700};
-/// Callers keep the answer to `/where` this long. A node that ended sooner
-/// would leave them a closed port, and retries of its lanes' keys would hear
-/// "unknown" though it had their answers. Nothing is gained by longer.
+/// How long callers keep the answer to `/where`. If a node exited earlier, they
+/// would connect to a closed port, and retries with a key of its lanes would
+/// get "unknown" although the node had their answers. A longer time has no
+/// benefit.
 inline constexpr std::chrono::milliseconds kLinger = node::kWhereAnswerTtl;
-/// Unread output of one caller above which its endpoint is not read.
+/// When a caller has more unread output than this, its endpoint isn't read.
 inline constexpr std::size_t kCallerBuffer = std::size_t{64} << 10U;
-/// Bodies of all calls whose answer has not begun.
+/// Maximum total size of the bodies of all calls without an answer so far.
 inline constexpr std::size_t kBodiesBytes = std::size_t{128} << 20U;
-/// Largest answer that is held whole.
+/// Largest answer that is buffered completely.
 inline constexpr std::size_t kAnswerBytes = std::size_t{1} << 20U;
 
-/// When a caller whose body found no room should come back.
+/// Retry delay for a caller whose body found no room.
 inline constexpr std::chrono::milliseconds kNoRoomRetryAfter{1000};
 
-/// Part of the room for request bodies that each tier below the top leaves
-/// free. Load: a batch of long bodies. Without it the batch takes all the room,
-/// and a buyer's short question is refused for want of it. Not swept: any part
-/// that holds a few thousand questions of some KiB does.
+/// Part of the memory for request bodies that each tier below the top leaves
+/// free. Without it, a batch of long bodies would take all of the memory, and a
+/// short question of a higher tier would be rejected. The part holds a few
+/// thousand questions of some KiB.
 inline constexpr double kBodiesPerTier = 0.1;
 
-/// Connections that may wait to be accepted. Load: a burst of new callers.
-/// evhttp's own 128 is used up by some hundred connections within one turn of
-/// the loop; the rest then wait a second for their SYN to be sent again
-/// (docs/BENCHMARKS.md, "One node").
+/// Length of the listen backlog. A burst of new callers fills evhttp's default
+/// of 128 within one iteration of the loop; the others then wait a second until
+/// their SYN is sent again (docs/BENCHMARKS.md, "One node").
 inline constexpr int kBacklog = 4096;
 
-/// Input that may wait unread on one connection to an endpoint. A chunk has to
-/// fit, since evhttp hands on whole chunks only.
+/// Maximum unread input on one connection to an endpoint. A complete chunk must
+/// fit, because evhttp only delivers complete chunks.
 inline constexpr std::size_t kEndpointBuffer = std::size_t{1} << 20U;
 
-/// How long a connection to an endpoint may take; endpoints are one or two
-/// network hops away, so a longer wait means that it is down or cut off.
+/// Timeout for connecting to an endpoint. Endpoints are one or two network hops
+/// away, so one that takes longer is down or unreachable.
 inline constexpr std::chrono::milliseconds kConnectTime{1000};
-/// After a connection broke, how long until it is asked whether the endpoint
-/// still listens. A process that dies may close its connections before its
-/// listener: asked at once, a death passes for a bad connection, and the
-/// request that caused it goes on to the next endpoint unblamed
-/// (`scripts/check_processes poison`).
+/// Delay between a broken connection and the probe whether the endpoint still
+/// listens. A process that dies may close its connections before its listener.
+/// If it were probed at once, its death would look like one bad connection, and
+/// the request that caused it would be sent to the next endpoint without being
+/// blamed (`scripts/check_processes poison`).
 inline constexpr std::chrono::milliseconds kDeathPause{20};
-/// Idle connections kept for reuse, per address.
+/// Maximum number of idle connections kept for reuse, per address.
 inline constexpr std::size_t kIdleConnections = 256;
-/// How long such a connection is kept.
+/// How long an idle connection is kept.
 inline constexpr std::chrono::seconds kKeepAlive{20};
 
-/// Between two looks for exchanges and callers whose time is up.
+/// Interval between two checks for exchanges and callers that timed out.
 inline constexpr std::chrono::milliseconds kSweep{100};
 
-/// Bytes of the messages that count as a prompt's first part.
+/// Bytes of the messages that count as the first part of a prompt.
 inline constexpr std::size_t kPrefixBytes = 1024;
-/// Characters of one token, for estimates before the engine counted.
+/// Characters per token, for estimates before the engine's own count is known.
 inline constexpr std::size_t kCharactersPerToken = 4;
 
-/// Time a document of the platform may take to arrive.
+/// Timeout for reading a document of the platform.
 inline constexpr std::chrono::milliseconds kPlatformTime{5000};
-/// The same for an endpoint's report or its answer to an order.
+/// Timeout for an endpoint's report or its answer to an order.
 inline constexpr std::chrono::milliseconds kReportTime{1000};
-/// How long the platform may hold a watch before it says "nothing new".
+/// How long the platform may wait before it answers a watch without changes.
 inline constexpr std::chrono::milliseconds kWatchTime{20000};
-/// Largest document or report; a longer one counts as not read.
+/// Maximum size of a document or report. A larger one counts as not read.
 inline constexpr std::size_t kDocumentBytes = std::size_t{2} << 20U;
 
-/// What may wait unanswered at one peer. One rules document has to fit; the
-/// messages are states that are sent anew, so what does not fit is dropped.
+/// Maximum size of the unanswered messages to one peer. One rules document must
+/// fit. Messages that don't fit are dropped, because their content is sent
+/// again periodically.
 inline constexpr std::size_t kPeerBytes = std::size_t{3} << 20U;
-/// Messages to one peer that may be unanswered at once.
+/// Maximum number of unanswered messages to one peer.
 inline constexpr std::uint32_t kPeerMessages = 64;
-/// Connections that peers opened.
+/// Maximum number of connections that peers may open to this node.
 inline constexpr std::size_t kPeersIn = 1024;
-/// Connections opened to peers.
+/// Maximum number of connections that this node opens to peers.
 inline constexpr std::size_t kPeersOut = 512;
-/// A peer that answers nothing for this long is connected to anew.
+/// Time without an answer after which the connection to a peer is replaced.
 inline constexpr std::chrono::milliseconds kPeerSilence{5000};
-/// A connection on which nothing was sent for this long is closed.
+/// Time without a message after which the connection to a peer is closed.
 inline constexpr std::chrono::seconds kPeerIdle{30};
-/// Wait before a broken connection to a peer is tried again; doubles.
+/// Backoff before a broken connection to a peer is retried. It doubles with
+/// each further failure.
 inline constexpr std::chrono::milliseconds kBackoffFirst{100};
-/// Longest such wait.
+/// Maximum backoff.
 inline constexpr std::chrono::milliseconds kBackoffMost{5000};
-/// Entries of one list in a peer's message. The longest that nodes send name
-/// each endpoint or member of the two-year plan, 790 and 390.
+/// Maximum number of entries in one list of a peer's message. The longest lists
+/// have an entry for each endpoint or member, 790 and 390 in the two-year plan.
 inline constexpr unsigned kPeerListMost = 2048;
-/// Longest span of time in a peer's message; what they say lapses in minutes.
+/// Longest duration in a peer's message. All content of messages expires within
+/// minutes.
 inline constexpr std::chrono::hours kPeerSpanMost{24 * 7};
-/// Words of eight bytes in one message of a peer.
+/// Maximum size of one message of a peer, in words of eight bytes.
 inline constexpr std::uint64_t kPeerMessageWords = std::uint64_t{1} << 18U;
 
 }  // namespace egretladder::gateway
--- a/gateway/include/egretladder/gateway/settings.h
+++ b/gateway/include/egretladder/gateway/settings.h
@@ -14,23 +14,24 @@
 
 namespace egretladder::gateway {
 
-/// All settings of a node, for checks and for the operators' page.
+/// Returns all settings of a node, for validation and for the operators' page.
 std::span<const kernel::SettingSpec> NodeSettings();
 
-/// One line for each setting: section, key, what is expected, standard value.
+/// Returns one line per setting: section, key, expected value and default.
 std::string DescribeSettings();
 
-/// What the binary needs besides the gateway's own options.
+/// The options of a gateway and those of the process that runs it.
 struct NodeConfig {
   GatewayOptions gateway;
   kernel::LogFormat log_format = kernel::LogFormat::kText;
   kernel::LogLevel log_level = kernel::LogLevel::kInfo;
-  /// A graceful stop that takes longer is ended.
+  /// Time after which a graceful stop ends the calls in progress.
   std::chrono::milliseconds stop_time = kStopTime;
 };
 
-/// Checks the whole text; `faults` gets every fault found. No fault shows a
-/// secret.
+/// Parses and validates the settings in `text`; `file` is named in errors.
+/// Returns the first error, and stores all errors in `faults` if it is not
+/// null. No error contains a secret.
 kernel::Result<NodeConfig> ReadNodeConfig(
     const std::string& text, std::string_view file,
     std::vector<kernel::Error>* faults = nullptr);
--- a/gateway/main/egretladderd.cc
+++ b/gateway/main/egretladderd.cc
@@ -27,9 +27,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  // Settings may change while the node starts. Without this the signal that
-  // says so ends the process, and nobody starts it again; the front that is
-  // chosen looks at the file later.
+  // The signal for changed settings may arrive while the node starts. Its
+  // default action would end the process. The front reads the file later.
   std::signal(SIGHUP, SIG_IGN);
   CLI::App app("A node of egretladder, the router for language-model traffic.");
   std::string path;
--- a/gateway/main/front.h
+++ b/gateway/main/front.h
@@ -1,19 +1,19 @@
-// What the program serves, chosen by name at start.
+// The interfaces that the program can serve, selected by name at its start.
 #pragma once
 
 #include <string>
 #include <string_view>
 
-/// One way to serve. Registered under its name.
+/// One interface, registered under its name.
 struct Front {
   static constexpr std::string_view kKind = "front";
 
-  /// Checks the settings in `text` and serves until the process is told to
-  /// stop. Returns the process's exit status.
+  /// Validates the settings in `text` and serves until the process is stopped.
+  /// Returns the exit status of the process.
   int (*run)(const std::string& text, const std::string& path);
-  /// Its settings, for `--help`.
+  /// Describes its settings, for `--help`.
   std::string (*describe)();
 };
 
-/// Exit status for settings that are not valid.
+/// Exit status for invalid settings.
 inline constexpr int kBadSettings = 2;
--- a/gateway/main/front_calls.cc
+++ b/gateway/main/front_calls.cc
@@ -1,5 +1,5 @@
-// Serves calls by account, class and model, under published rules that name
-// all nodes and endpoints.
+// Serves calls by account, class and model. Published rules list all nodes and
+// endpoints.
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -30,10 +30,10 @@
   ek::Log(ek::LogPart::kKernel, level, sentence);
 }
 
-// Ends the process in order: callers are sent elsewhere at once, answers in
-// progress go to their ends, callers that still keep this node's address get
-// answers as long as they do. A second signal or too long a wait ends the calls
-// that are left.
+// The graceful stop: new callers are directed to other nodes at once, answers
+// in progress are completed, and callers that still have this node's address
+// are served. A second signal or the end of the grace period ends the remaining
+// calls.
 class Stop {
  public:
   Stop(ek::Loop& loop, eg::Gateway& gateway, const eg::NodeConfig& config)
@@ -47,7 +47,7 @@
     }
   }
 
-  /// True when calls in progress were not waited for.
+  /// True if calls in progress were ended.
   bool IsCut() const { return cut_; }
 
  private:
@@ -102,7 +102,7 @@
   ek::EventWatcher look_;
 };
 
-// Each call takes two descriptors, and many systems start processes with 1,024.
+// Each call needs two descriptors, and many systems limit processes to 1,024.
 void RaiseDescriptorLimit(const eg::Limits& limits) {
   rlimit allowed{};
   getrlimit(RLIMIT_NOFILE, &allowed);
--- a/gateway/main/front_hosts.cc
+++ b/gateway/main/front_hosts.cc
@@ -22,7 +22,7 @@
 namespace ep = egretladder::proxy;
 
 constexpr std::chrono::milliseconds kEndCheck{50};
-/// Between two looks whether the settings file changed: it may do so without a
+/// Interval between two checks of the settings file, which may change without a
 /// signal.
 constexpr std::chrono::milliseconds kSettingsCheck{2000};
 
@@ -37,7 +37,7 @@
   setrlimit(RLIMIT_NOFILE, &allowed);
 }
 
-// Stops in order, and takes in changed settings while it runs.
+// Stops gracefully, and applies changed settings while it runs.
 class Service {
  public:
   Service(ek::Loop& loop, ep::Proxy& proxy, std::string text, std::string path)
@@ -66,8 +66,8 @@
     });
   }
 
-  // Only the seeds may change in a running process; what it listens on stays
-  // until its next start.
+  // Only the seeds may change in a running process. Its addresses change with
+  // the next start.
   void Reload(const char* why) {
     auto text = ek::ReadFile(path_);
     if (!text) {
--- a/gateway/src/call_metrics_p.h
+++ b/gateway/src/call_metrics_p.h
@@ -1,5 +1,5 @@
-// What a gateway counts. Labels come from the rules only, so that callers can't
-// make series without bound.
+// Metrics of a gateway. Labels are taken from the rules only, so that callers
+// can't create any number of series.
 #pragma once
 
 #include <array>
@@ -40,13 +40,13 @@
 };
 
 CallMetrics AddCallMetrics(kernel::Metrics& metrics);
-/// The series of a class; those of `unknown` for a handle that is not valid.
+/// Returns the series of a class, or those of `unknown` for an invalid handle.
 ClassMetrics& MetricsOfClass(CallMetrics& calls, kernel::Metrics& metrics,
                              const rules::Rules* rules, rules::ClassHandle cls);
 void CountFirstToken(CallMetrics& calls, kernel::Metrics& metrics,
                      const rules::Rules* rules, rules::ClassHandle cls,
                      std::chrono::nanoseconds after);
-/// Bytes of memory that the process holds.
+/// Returns the resident memory of the process, in bytes.
 std::uint64_t ResidentBytes();
 
 }  // namespace egretladder::gateway
--- a/gateway/src/caller_body.cc
+++ b/gateway/src/caller_body.cc
@@ -13,7 +13,7 @@
 namespace egretladder::gateway {
 namespace {
 
-// Iterative: a body of a million brackets must not use up the stack.
+// Iterative, because a body of a million brackets must not exhaust the stack.
 constexpr unsigned kParseFlags = rapidjson::kParseIterativeFlag;
 
 using Value = rapidjson::Value;
@@ -22,7 +22,7 @@
   return {value.GetString(), value.GetStringLength()};
 }
 
-// Text parts of a message's content, which is a string or a list of parts.
+// Visits the text parts of a message's content, a string or a list of parts.
 void AddContent(const Value& content, std::string& prefix, std::size_t& size) {
   const auto add = [&](std::string_view text) {
     size += text.size();
@@ -121,9 +121,9 @@
 }  // namespace
 
 kernel::Result<ChatBody> ReadChatBody(std::string_view text) {
-  // Load: thousands of small requests a second. RapidJSON's own first block is
-  // 64 KiB from the heap for each, which showed as the allocator merging free
-  // blocks; most bodies fit the stack.
+  // RapidJSON would allocate a first block of 64 KiB on the heap for each of
+  // thousands of small requests a second, and the allocator would spend its
+  // time on merging free blocks. Most bodies fit on the stack.
   constexpr std::size_t kArena = 8192;
   alignas(std::max_align_t) std::array<char, kArena> arena;
   rapidjson::MemoryPoolAllocator<> pool(arena.data(), arena.size(), kArena);
--- a/gateway/src/caller_http.cc
+++ b/gateway/src/caller_http.cc
@@ -1,4 +1,4 @@
-// Callers' requests: read whole by net's server, turned into calls.
+// Turns the complete requests that net's server has read into calls.
 #include <array>
 #include <string>
 #include <vector>
@@ -23,7 +23,7 @@
   std::string_view name;
   evhttp_cmd_type command;
 };
-// What may be passed on.
+// The methods that are forwarded.
 constexpr std::array<Method, 7> kMethods = {{{"GET", EVHTTP_REQ_GET},
                                              {"POST", EVHTTP_REQ_POST},
                                              {"HEAD", EVHTTP_REQ_HEAD},
@@ -43,13 +43,13 @@
   return {kBadRequest, code, std::move(message)};
 }
 
-// The caller closed its connection before its answer was whole.
+// Called when a caller disconnects before its answer is complete.
 void OnDisconnect(Gateway& gateway, CallId id) {
   const auto at = gateway.calls.find(id);
   if (at == gateway.calls.end()) return;
   CallerCall& call = *at->second;
   call.caller = nullptr;
-  // An attempt held back for this caller ends or runs on without it.
+  // An attempt that was paused for this caller ends or continues without it.
   if (call.attempt.exchange != nullptr) SetReading(call.attempt.exchange, true);
   const ClassMetrics& of =
       MetricsOfClass(gateway.call_metrics, gateway.metrics,
@@ -69,7 +69,8 @@
   });
 }
 
-// Fills in what the rules decide by. Returns false after answering a fault.
+// Reads the values by which the rules decide. Returns false if the request is
+// invalid and was answered.
 bool ReadCallHeaders(const net::HttpFields& headers,
                      const rules::CallerHeaders& names, node::Call& call,
                      ErrorBody* fault) {
@@ -111,7 +112,7 @@
   return true;
 }
 
-// `/svc/NAME/rest?query` goes to the service NAME as `/rest?query`.
+// `/svc/NAME/rest?query` is sent to the service NAME as `/rest?query`.
 void ReadService(CallerRequest& shape, node::Call& call) {
   const std::string rest = shape.original_uri.substr(kServicePath.size());
   const std::size_t end = rest.find_first_of("/?");
@@ -123,8 +124,8 @@
                                      static_cast<std::uint64_t>(shape.method)));
 }
 
-// Whether there is room to keep the body until the answer begins. Lower tiers
-// leave some for the higher ones; a class that is not known counts as lowest.
+// Returns true if there is room to keep the body until the answer begins. Lower
+// tiers leave a part of it to higher ones; an unknown class counts as lowest.
 bool HasRoom(const Gateway& gateway, const node::Call& call,
              std::size_t bytes) {
   const auto rules = node::RulesOf(*gateway.node);
--- a/gateway/src/caller_reply.cc
+++ b/gateway/src/caller_reply.cc
@@ -10,7 +10,7 @@
 namespace egretladder::gateway {
 namespace {
 
-// The widely used form groups codes by who has to act.
+// The common format of errors groups codes by who has to act.
 const char* TypeOf(int status) {
   constexpr int kTooManyRequests = 429;
   constexpr int kFirstServerError = 500;
@@ -90,8 +90,8 @@
 void AnswerCallError(CallerCall& call, const ErrorBody& error) {
   if (call.caller == nullptr) return;
   if (call.reply_started) {
-    // The status line is out: the caller learns of the break by an event of the
-    // error's form and by the missing `[DONE]`.
+    // The status line was sent. An event with the error and the missing
+    // `[DONE]` tell the caller that the answer is incomplete.
     if (call.request.stream) {
       call.caller->Send("data: " + ErrorJson(error, call.request_id) + "\n\n");
       EndStream(call);
@@ -131,9 +131,9 @@
   Gateway& gateway = *call.gateway;
   const std::size_t output = call.caller->UnsentBytes();
   gateway.front.most_output = std::max(gateway.front.most_output, output);
-  // Load: a caller that reads slower than its engine writes. Without this its
-  // part of the answer piles up here, and some hundred such callers take the
-  // node's memory. The engine is held back instead, by TCP.
+  // A caller may read slower than its engine writes. Its answer would pile up
+  // here, and some hundred such callers would exhaust the node's memory. TCP
+  // slows the engine down instead.
   if (output > gateway.options.limits.caller_buffer &&
       call.attempt.exchange != nullptr) {
     SetReading(call.attempt.exchange, false);
--- a/gateway/src/documents.cc
+++ b/gateway/src/documents.cc
@@ -79,7 +79,7 @@
     return Invalid("read report", "not a JSON object");
   }
   policy::EngineReport report;
-  // An age beyond a day says no more than a day does, and can't overflow.
+  // A longer age means no more than a day, which can't overflow.
   constexpr std::uint64_t kMostAge = 86'400'000;
   report.age = std::chrono::milliseconds(
       std::min(NumberIn(document, "age_ms"), kMostAge));
--- a/gateway/src/documents_p.h
+++ b/gateway/src/documents_p.h
@@ -1,4 +1,4 @@
-// JSON documents of the platform and of engines.
+// Parses the JSON documents of the platform and of engines.
 #pragma once
 
 #include <string>
@@ -13,21 +13,21 @@
 /// `[{"name":"n1","leaving":false},...]`
 kernel::Result<std::vector<fleet::VmEntry>> ReadVms(std::string_view text);
 
-/// The VM list as last read. At 390 nodes and 790 runners it has some 45 KB,
-/// more each second than a node may spend on control; it changes a few hundred
-/// times a day.
+/// The VM list that was read last. With 390 nodes and 790 runners it has some
+/// 45 KB; reading that each second would exceed what a node may spend on
+/// control. It changes a few hundred times a day.
 struct VmListRead {
-  std::string etag;  ///< Empty: the platform sends none.
+  std::string etag;  ///< Empty: the platform sent none.
   std::vector<fleet::VmEntry> vms;
 };
 
-/// What an answer to a read of the VM list stands for, given the last one; null
-/// when it could not be read. Valid until the next call.
+/// Returns the VM list that an answer stands for, given the previous one; null
+/// if the answer can't be parsed. Valid until the next call.
 const std::vector<fleet::VmEntry>* TakeVmList(VmListRead& last, int status,
                                               const std::string& etag,
                                               std::string_view body);
 
-/// `{"boot":N,"age_ms":N,"running":N,...}`; models that the rules don't name
+/// `{"boot":N,"age_ms":N,"running":N,...}`. Models that are not in the rules
 /// are left out.
 kernel::Result<policy::EngineReport> ReadEngineReport(
     std::string_view text, const rules::Rules& rules);
--- a/gateway/src/endpoint_evhttp.cc
+++ b/gateway/src/endpoint_evhttp.cc
@@ -43,7 +43,7 @@
   call.attempt.exchange = nullptr;
 }
 
-// Tells the node that the attempt failed. The call may be gone afterwards.
+// Reports a failed attempt to the node. The call may be removed by it.
 void Fail(CallerCall& call, EndKind end, const std::string& detail) {
   Gateway& gateway = *call.gateway;
   const CallId id = call.id;
@@ -67,9 +67,9 @@
   });
 }
 
-// A connection that breaks may mean a dead endpoint or one bad connection. What
-// follows differs: a death is held against the request that ran there. So it
-// is found out whether anything still listens.
+// A broken connection may mean a dead endpoint or one bad connection. Only a
+// dead endpoint is blamed on the request that ran there, so the endpoint is
+// probed first.
 void FailAfterProbe(CallerCall& call, const std::string& detail) {
   Gateway& gateway = *call.gateway;
   call.attempt.exchange = nullptr;
@@ -94,7 +94,8 @@
       kernel::RunAfter(*gateway.loop, kDeathPause, probe);
 }
 
-// The caller gets a part of the answer from here on, so it can't be sent again.
+// From now on the caller receives a part of the answer, so the request can't be
+// sent again.
 void SeeFirstByte(CallerCall& call) {
   if (call.attempt.first_byte) return;
   call.attempt.first_byte = true;
@@ -130,7 +131,7 @@
   if (attempt.events && !attempt.keep_answer) attempt.mode = RelayMode::kStream;
 }
 
-// Begins to pass on an answer that has grown too large to be held whole.
+// Begins to forward an answer that has become too large to be buffered.
 void StopHolding(CallerCall& call) {
   Attempt& attempt = call.attempt;
   attempt.mode = RelayMode::kStream;
@@ -176,7 +177,7 @@
   StreamOn(call, data);
 }
 
-// What is wrong with a complete HTTP answer; empty: nothing.
+// Returns what is wrong with a complete HTTP answer; empty: nothing.
 std::string FaultOf(CallerCall& call) {
   const Attempt& attempt = call.attempt;
   if (!call.request.chat || attempt.forward) return "";
@@ -241,7 +242,7 @@
       Fail(call, end.sent ? EndKind::kFailed : EndKind::kNotRun, end.detail);
       return;
     case ExchangeEndKind::kBroken:
-      // Everything the caller needs may have come before the break.
+      // The answer may have been complete before the connection broke.
       if (call.attempt.events && call.attempt.sse.done) break;
       if (!end.sent) {
         Fail(call, EndKind::kNotRun, end.detail);
@@ -282,7 +283,7 @@
 
 ExchangeEvents EventsOf(CallerCall& call) {
   ExchangeEvents events;
-  // The call outlives its exchange: it is forgotten only without one.
+  // The call outlives its exchange, because it is removed only without one.
   events.on_head = [&call](const ExchangeHead& head) { OnHead(call, head); };
   events.on_data = [&call](evbuffer* data) { OnData(call, data); };
   events.on_end = [&call](const ExchangeEnd& end) { OnEnd(call, end); };
@@ -370,7 +371,8 @@
   const auto at = gateway.calls.find(call.id);
   if (at == gateway.calls.end()) return;
   ReleaseBody(call);
-  // Kept until the loop's next turn: callbacks of this turn may still hold it.
+  // Kept until the next iteration of the loop, since callbacks of this one may
+  // still use it.
   gateway.ended.push_back(std::move(at->second));
   gateway.calls.erase(at);
   event_active(gateway.pump.get(), 0, 0);
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -56,7 +56,7 @@
   return node + "-" + text.data() + "-";
 }
 
-// Fills in what differs with each start of a process.
+// Sets the values that differ with each start of the process.
 void Identify(node::NodeOptions& options) {
   if (options.fleet.incarnation == 0) {
     options.fleet.incarnation = kernel::SecureRandom64();
@@ -66,7 +66,7 @@
     options.fleet.started = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::seconds>(since).count());
   }
-  // Only this process checks its lanes, so a secret of its own will do.
+  // Only this process checks its lanes, so it uses a secret of its own.
   if (options.lane_secret.empty()) {
     options.lane_secret = std::to_string(kernel::SecureRandom64()) +
                           std::to_string(kernel::SecureRandom64());
@@ -110,8 +110,7 @@
 
 kernel::Result<GatewayPtr> StartGateway(kernel::Loop& loop,
                                         const GatewayOptions& options) {
-  // A peer that closes while we write must end that connection, not the
-  // process.
+  // A write to a connection that a peer closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   GatewayPtr gateway(new Gateway);
   gateway->loop = &loop;
@@ -149,7 +148,7 @@
   if (gateway.leaving) return;
   gateway.leaving = true;
   gateway.linger_until = NowOf(gateway) + gateway.options.linger;
-  // Callers should not keep connections for further calls.
+  // Callers must not keep connections for further calls.
   gateway.front.server->CloseAfterAnswers();
   node::Actions actions;
   node::Leave(*gateway.node, NowOf(gateway), actions);
--- a/gateway/src/gateway_p.h
+++ b/gateway/src/gateway_p.h
@@ -1,4 +1,4 @@
-// What the parts of one gateway share.
+// State of a gateway and the functions that its sources share.
 #pragma once
 
 #include <event2/bufferevent.h>
@@ -23,22 +23,22 @@
 
 using node::CallId;
 
-/// How an attempt's answer is handed on.
+/// How the answer of an attempt is forwarded.
 enum class RelayMode : std::uint8_t {
-  kHold,    ///< Kept whole until it is complete.
-  kStream,  ///< Passed to the caller as it comes.
+  kHold,    ///< Buffered until it is complete.
+  kStream,  ///< Forwarded as it arrives.
 };
 
 /// One attempt of a call at an endpoint, or at the node that owns its lane.
 struct Attempt {
   std::uint8_t number = 0;
-  bool open = false;  ///< The node waits for its end.
+  bool open = false;  ///< It has not ended.
   Exchange* exchange = nullptr;
   std::string address;
   bool forward = false;
   bool keep_answer = false;
   bool first_byte = false;
-  bool not_run = false;  ///< The endpoint says so.
+  bool not_run = false;  ///< The endpoint states that it did not run it.
   bool events = false;   ///< The answer is an event stream.
   RelayMode mode = RelayMode::kHold;
   int status = 0;
@@ -49,11 +49,11 @@
   std::uint64_t tokens = 0;
 };
 
-/// What the caller asked for, as it is sent to an endpoint.
+/// The request of a caller, as it is sent to an endpoint.
 struct CallerRequest {
   evhttp_cmd_type method = EVHTTP_REQ_GET;
-  std::string original_uri;  ///< As the caller sent it; for another node.
-  std::string uri;           ///< As the endpoint gets it.
+  std::string original_uri;  ///< As the caller sent it, for another node.
+  std::string uri;           ///< As it is sent to an endpoint.
   HttpHeaders headers;
   std::shared_ptr<const std::string> body;
   bool chat = false;
@@ -69,7 +69,7 @@
   CallerRequest request;
   rules::ClassHandle cls;
   kernel::Time arrived{};
-  net::HttpCallPtr caller;  ///< Null once answered or gone.
+  net::HttpCallPtr caller;  ///< Null after the answer or a disconnect.
   bool reply_started = false;
   Attempt attempt;
 };
@@ -79,7 +79,7 @@
   void operator()(TlsContext* context) const;
 };
 
-/// The callers' side.
+/// The state of the connections of callers.
 struct CallerFront {
   std::unique_ptr<TlsContext, TlsContextFree> tls;
   std::unique_ptr<net::HttpServer> server;
@@ -97,9 +97,9 @@
   GatewayOptions options;
   kernel::Metrics metrics;
   CallMetrics call_metrics;
-  std::string request_prefix;  ///< Tells this process's request ids apart.
+  std::string request_prefix;  ///< Makes request ids unique to this process.
   CallId last_call = 0;
-  std::size_t bodies_bytes = 0;  ///< Held for calls, to be sent again.
+  std::size_t bodies_bytes = 0;  ///< Size of the bodies kept for retries.
   HttpClientPtr client;
   CallerFront front;
   node::NodePtr node;
@@ -107,12 +107,12 @@
   std::vector<std::unique_ptr<CallerCall>> ended;
   std::deque<node::Action> queue;
   std::vector<std::function<void()>> later;
-  /// Calls whose endpoint is about to be asked whether it still listens.
+  /// Calls whose endpoint is about to be probed.
   std::map<CallId, kernel::EventWatcher> death_pauses;
   bool pumping = false;
   bool leaving = false;
-  kernel::Time linger_until{};   ///< Once leaving.
-  bool platform_answers = true;  ///< As last logged.
+  kernel::Time linger_until{};   ///< Set when the node leaves.
+  bool platform_answers = true;  ///< As it was last logged.
   VmListRead vm_list;
   kernel::Event pump;
   kernel::EventWatcher tick;
@@ -122,8 +122,8 @@
 kernel::Time NowOf(const Gateway& gateway);
 
 // gateway.cc
-/// Carries out what the node decided. Inside a callback that must not start or
-/// end exchanges, use `PumpLater`.
+/// Carries out the actions that the node decided on. Use `PumpLater` in
+/// callbacks that must not start or end exchanges.
 void Pump(Gateway& gateway, node::Actions&& actions);
 void PumpLater(Gateway& gateway, node::Actions&& actions);
 void Later(Gateway& gateway, std::function<void()> work);
@@ -134,11 +134,12 @@
 // caller_http.cc
 kernel::Result<void> OpenFront(Gateway& gateway);
 void CloseFront(Gateway& gateway);
-/// Lets the request's body go, once the call can't be sent again.
+/// Frees the body of a request that can't be sent again.
 void ReleaseBody(CallerCall& call);
 
 // caller_pages.cc
-/// Answers `/where`, `/metrics` and the other pages; false: no such page.
+/// Answers `/where`, `/metrics` and the other pages of the node. Returns false
+/// if there is no such page.
 bool AnswerPage(Gateway& gateway, const net::HttpCallPtr& request,
                 const std::string& path);
 
@@ -151,29 +152,30 @@
   std::chrono::milliseconds retry_after{};
 };
 std::string ErrorJson(const ErrorBody& error, const std::string& request_id);
-/// Answers a request that never became a call.
+/// Answers a request for which no call was created.
 void ReplyError(const net::HttpCallPtr& request, const ErrorBody& error,
                 const std::string& request_id);
 void ReplyText(const net::HttpCallPtr& request, int status,
                const char* content_type, std::string_view text);
-/// Each of these ends the caller's part of the call.
+// Each of these functions ends the answer to the caller.
 void AnswerCallError(CallerCall& call, const ErrorBody& error);
 void AnswerCallWhole(CallerCall& call, int status, const HttpHeaders& headers,
                      std::string_view body);
 void EndStream(CallerCall& call);
-/// Closes the caller's connection, so that half an answer can't be taken for a
-/// whole one.
+/// Closes the caller's connection, so that an incomplete answer doesn't look
+/// complete.
 void BreakOff(CallerCall& call);
-/// Begins an answer that is passed on as it comes.
+/// Begins an answer that is forwarded as it arrives.
 void StartStream(CallerCall& call, int status, const HttpHeaders& headers);
-/// Passes on and holds the endpoint back while the caller is slow.
+/// Forwards a piece of an answer. Stops reading from the endpoint while the
+/// caller is slow.
 void StreamOn(CallerCall& call, evbuffer* data);
 
 // endpoint_evhttp.cc
 void SendToEndpoint(Gateway& gateway, const node::SendCall& send);
 void SendToOwner(Gateway& gateway, const node::ForwardCall& forward);
 void CancelAttempt(CallerCall& call);
-/// Forgets the call when neither a caller nor an attempt is left.
+/// Removes the call if it has neither a caller nor an attempt.
 void ForgetIfDone(CallerCall& call);
 
 // platform_evhttp.cc
--- a/gateway/src/http_client_evhttp.cc
+++ b/gateway/src/http_client_evhttp.cc
@@ -36,7 +36,7 @@
   ExchangeSpec spec;
   ExchangeEvents events;
   Phase phase = Phase::kConnecting;
-  kernel::Time progress{};  ///< Of the last step forward.
+  kernel::Time progress{};  ///< Last progress.
   evbuffer_cb_entry* output_watch = nullptr;
   bool sent = false;
   bool refused_by_owner = false;
@@ -48,8 +48,8 @@
   kernel::Loop* loop = nullptr;
   std::unordered_map<Exchange*, std::unique_ptr<Exchange>> exchanges;
   std::map<std::string, std::vector<IdleConnection>> idle;
-  // Freed on the next turn of the loop: evhttp may still be inside one of their
-  // callbacks.
+  // Freed in the next iteration of the loop, since evhttp may still be inside
+  // one of their callbacks.
   std::vector<std::unique_ptr<Exchange>> ended;
   std::vector<Connection> closing;
   std::size_t paused = 0;
@@ -67,9 +67,9 @@
   return kernel::Now(client.loop->clock);
 }
 
-// True when the connection is open and nothing stands in it unread. Bytes that
-// an endpoint sent after a complete answer (a wrong length) would otherwise be
-// taken for the answer to the next request, which belongs to another caller.
+// Returns true if the connection is open and has no unread input. If an
+// endpoint sent more bytes than the length of its answer, they would otherwise
+// be taken for the answer to the next request, which belongs to another caller.
 bool IsReusable(evhttp_connection* connection) {
   bufferevent* buffer = evhttp_connection_get_bufferevent(connection);
   const evutil_socket_t fd = bufferevent_getfd(buffer);
@@ -88,8 +88,8 @@
   exchange.output_watch = nullptr;
 }
 
-// Takes the exchange out of the live ones. `reuse`: the connection goes back to
-// the idle ones, else it is closed.
+// Removes the exchange from those in progress. If `reuse` is true, its
+// connection is kept for reuse; otherwise it is closed.
 void Retire(Exchange& exchange, bool reuse) {
   HttpClient& client = *exchange.client;
   const auto at = client.exchanges.find(&exchange);
@@ -119,8 +119,8 @@
   if (tell) on_end(end);
 }
 
-// Sees each change of the connection's output: the first bytes added are the
-// request about to leave, the first removed have left.
+// Called at each change of the connection's output buffer. The first bytes that
+// are added are the request; the first that are removed were sent.
 void OnOutput(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* arg) {
   auto& exchange = *static_cast<Exchange*>(arg);
   if (exchange.phase == Phase::kEnded) return;
@@ -131,14 +131,14 @@
     exchange.progress = NowOf(*exchange.client);
     SetNoDelay(fd);
     if (exchange.events.may_send && !exchange.events.may_send()) {
-      // evhttp can't be stopped here; a socket shut for writing lets no byte
-      // out, so what was refused is certainly not sent.
+      // evhttp can't be stopped here. A socket that is shut down for writing
+      // sends nothing, so a refused request is certainly not sent.
       exchange.refused_by_owner = true;
       shutdown(fd, SHUT_WR);
     }
   }
-  // evhttp also empties the buffer when it gives a connection up; by then the
-  // socket is gone.
+  // evhttp also empties the buffer when it abandons a connection. The socket is
+  // closed by then.
   if (info->n_deleted > 0 && fd >= 0 && !exchange.refused_by_owner &&
       (bufferevent_get_enabled(buffer) & EV_WRITE) != 0) {
     exchange.sent = true;
@@ -186,7 +186,7 @@
 void OnError(evhttp_request_error error, void* arg) {
   auto& exchange = *static_cast<Exchange*>(arg);
   if (exchange.phase == Phase::kEnded) return;
-  if (exchange.phase == Phase::kConnecting) return;  // OnDone follows.
+  if (exchange.phase == Phase::kConnecting) return;  // OnDone is called next.
   switch (error) {
     case EVREQ_HTTP_TIMEOUT:
       End(exchange, ExchangeEndKind::kTimeout, "timeout");
@@ -210,7 +210,7 @@
   bufferevent_setwatermark(buffer, EV_READ, 0, kEndpointBuffer);
   Connection connection(evhttp_connection_base_bufferevent_new(
       client.loop->base.get(), nullptr, buffer, host.c_str(), port));
-  // Time-outs are the sweep's, which tells their kinds apart.
+  // Timeouts are handled by the sweep, which distinguishes their kinds.
   constexpr int kNeverSeconds = 1'000'000;
   evhttp_connection_set_timeout(connection.get(), kNeverSeconds);
   evhttp_connection_set_max_headers_size(connection.get(), kHeaderBytes);
@@ -285,7 +285,7 @@
     evhttp_add_header(headers, name.c_str(), value.c_str());
   }
   if (!spec.body) return;
-  // The body is shared with the call, which may be sent again; no copy.
+  // The body is shared with the call, which may send it again, to avoid a copy.
   auto* kept = new std::shared_ptr<const std::string>(spec.body);
   evbuffer_add_reference(
       evhttp_request_get_output_buffer(request), spec.body->data(),
@@ -296,9 +296,9 @@
       kept);
 }
 
-// On a reused connection the request stands in the output now; it leaves before
-// the loop can be held up between `MaySend` and the first byte. evhttp goes on
-// when the socket reports that it can be written to.
+// Sends the request on a reused connection at once, so that the loop can't be
+// delayed between `MaySend` and the first byte. evhttp continues when the
+// socket is writable.
 void SendNow(Exchange& exchange) {
   if (exchange.phase != Phase::kSending || exchange.refused_by_owner) return;
   bufferevent* buffer = BufferOf(exchange);
@@ -350,7 +350,7 @@
   if (evhttp_make_request(exchange->connection.get(), request,
                           exchange->spec.method,
                           exchange->spec.uri.c_str()) != 0) {
-    // The sweep reports it, so that no callback comes before the return.
+    // Reported by the sweep, so that no callback is called before the return.
     exchange->phase = Phase::kConnecting;
     exchange->progress = {};
   }
--- a/gateway/src/http_client_p.h
+++ b/gateway/src/http_client_p.h
@@ -26,9 +26,9 @@
   std::string uri = "/";
   HttpHeaders headers;
   std::shared_ptr<const std::string> body;   ///< Null: none.
-  std::chrono::milliseconds answer_time{};   ///< Until the first byte.
-  std::chrono::milliseconds idle_timeout{};  ///< Between two bytes.
-  bool fresh = false;  ///< On a new connection, never on an idle one.
+  std::chrono::milliseconds answer_time{};   ///< Timeout for the first byte.
+  std::chrono::milliseconds idle_timeout{};  ///< Timeout between two bytes.
+  bool fresh = false;                        ///< Opens a new connection.
 };
 
 /// The status line and headers of an answer. Valid during the callback only.
@@ -40,8 +40,8 @@
 enum class ExchangeEndKind : std::uint8_t {
   kComplete,
   kRefused,       ///< The connection was refused.
-  kNotConnected,  ///< No connection in time.
-  kBroken,        ///< Broke off, or not HTTP.
+  kNotConnected,  ///< The connection was not opened in time.
+  kBroken,        ///< The connection broke, or the answer is not HTTP.
   kTimeout,
 };
 
@@ -51,13 +51,13 @@
   std::string detail;
 };
 
-/// What an exchange tells its owner. After `on_end`, or a refusal by
-/// `may_send`, nothing more comes.
+/// Callbacks of an exchange. After `on_end`, or after `may_send` returned
+/// false, none is called.
 struct ExchangeEvents {
-  /// Asked right before the request's first byte is handed to the socket.
+  /// Called right before the first byte of the request is passed to the socket.
   std::function<bool()> may_send;
   std::function<void(const ExchangeHead&)> on_head;
-  /// Takes what it wants out of the buffer; the rest is dropped.
+  /// Removes the bytes that it uses from the buffer; the others are dropped.
   std::function<void(evbuffer*)> on_data;
   std::function<void(const ExchangeEnd&)> on_end;
 };
@@ -71,30 +71,31 @@
 
 HttpClientPtr OpenHttpClient(kernel::Loop& loop);
 
-/// Never calls back before it returns, but for `may_send`.
+/// Starts an exchange. No callback but `may_send` is called before it returns.
 Exchange* StartExchange(HttpClient& client, ExchangeSpec spec,
                         ExchangeEvents events);
-/// Closes the exchange's connection; nothing more comes from it.
+/// Closes the connection of the exchange. None of its callbacks is called
+/// afterwards.
 void CancelExchange(Exchange* exchange);
-/// Stops or goes on reading the answer.
+/// Stops or resumes reading the answer.
 void SetReading(Exchange* exchange, bool reading);
 
 std::size_t CountExchanges(const HttpClient& client);
 std::size_t CountPaused(const HttpClient& client);
 
-/// Reads a small document whole; null when it could not be had or is larger
-/// than `most`. `status` is 0 then.
+/// A small document; null if it can't be read or is larger than `most`.
+/// `status` is 0 then.
 struct Fetched {
   int status = 0;
-  std::string etag;  ///< Empty: none was sent.
+  std::string etag;  ///< Empty: the answer has none.
   std::string body;
 };
 void Fetch(HttpClient& client, ExchangeSpec spec, std::size_t most,
            std::function<void(const Fetched*)> done);
 
-/// Finds out by a new connection whether anything listens at `address`.
-/// `refused` is true only when the connection was refused outright. `done` must
-/// not end exchanges.
+/// Opens a new connection to find out whether a process listens at `address`.
+/// `refused` is true only if the connection was refused. `done` must not end
+/// exchanges.
 void ProbeListener(HttpClient& client, const std::string& address,
                    std::function<void(bool refused)> done);
 
--- a/gateway/src/http_fetch.cc
+++ b/gateway/src/http_fetch.cc
@@ -32,12 +32,12 @@
                    std::function<void(bool refused)> done) {
   ExchangeSpec spec;
   spec.address = address;
-  // An endpoint that dies closes its connections one after another: an idle one
-  // still looks open, so the death would pass for one bad connection and the
-  // request that caused it would be sent to the next endpoint without blame.
+  // An endpoint that dies closes its connections one after another. An idle one
+  // may still look open, so that the death would look like one bad connection,
+  // and the request that caused it would be sent to the next endpoint.
   spec.fresh = true;
   ExchangeEvents events;
-  // Connected is all there is to learn: nothing is sent.
+  // Only the connection matters; nothing is sent.
   events.may_send = [done] {
     done(false);
     return false;
--- a/gateway/src/http_headers.cc
+++ b/gateway/src/http_headers.cc
@@ -19,7 +19,7 @@
   });
 }
 
-// `Host` names this node, not the endpoint.
+// `Host` is this node's, not the endpoint's.
 bool IsOfThisHop(const char* name) {
   return net::IsHopByHopField(name) || net::IsSameFieldName(name, "Host");
 }
--- a/gateway/src/http_headers_p.h
+++ b/gateway/src/http_headers_p.h
@@ -1,4 +1,4 @@
-// Which HTTP headers pass through a node.
+// Selects the HTTP header fields that a node forwards.
 #pragma once
 
 #include <event2/keyvalq_struct.h>
@@ -15,13 +15,13 @@
 inline constexpr const char* kKeyHeader = "Idempotency-Key";
 inline constexpr const char* kNotRunHeader = "X-Not-Run";
 
-/// Headers of a request that an endpoint gets: all but those of one connection
-/// (RFC 9110, 7.6.1) and those that are this node's own to set.
+/// Returns the fields of a request that are forwarded to an endpoint: all but
+/// those of one connection (RFC 9110, 7.6.1) and those that this node sets.
 HttpHeaders RequestHeadersToPass(const net::HttpFields& headers);
-/// Headers of an answer that the caller gets.
+/// Returns the fields of an answer that are forwarded to the caller.
 HttpHeaders AnswerHeadersToPass(const evkeyvalq* headers);
 
-/// The value of a header, or an empty text.
+/// Returns the value of a field; empty if there is none.
 std::string_view HeaderOf(const evkeyvalq* headers, const char* name);
 
 }  // namespace egretladder::gateway
--- a/gateway/src/peer_capnp.cc
+++ b/gateway/src/peer_capnp.cc
@@ -25,7 +25,7 @@
 
 using kernel::LogLevel;
 using kernel::LogPart;
-// One connection to a peer: messages go out on it, answers come back.
+// A connection to a peer, for messages and their answers.
 struct PeerOut : private kj::TaskSet::ErrorHandler {
   PeerOut(Bufferevent buffer, const fleet::Sender& self, kernel::Time now)
       : rpc(std::move(buffer), kPeerMessageWords),
@@ -37,7 +37,7 @@
     auto request = peer.helloRequest();
     Write(self, request.initSender());
     auto answer = request.send();
-    inbox = answer.getInbox();  // Usable at once: calls on it are pipelined.
+    inbox = answer.getInbox();  // Calls on it are pipelined.
     tasks.add(answer.then(
         [this](auto&& hello) { them = ReadSender(hello.getSender()); }));
   }
@@ -46,16 +46,16 @@
 
   net::RpcClientConnection rpc;
   wire::Inbox::Client inbox;
-  fleet::Sender them;  ///< Known before the first reply comes.
+  fleet::Sender them;  ///< Known before the first reply.
   std::uint32_t unanswered = 0;
   kernel::Time last_sent{};
   kernel::Time last_answer{};
   bool answered = false;
   bool broken = false;
-  kj::TaskSet tasks;  // Last, so that it goes first.
+  kj::TaskSet tasks;  // The last member, so that it is destroyed first.
 };
 
-// What outlives a connection: when the next may be tried.
+// State that outlives a connection: when the next attempt is allowed.
 struct PeerBackoff {
   std::chrono::milliseconds delay{};
   kernel::Time until{};
@@ -91,8 +91,8 @@
   return {self.node, self.incarnation};
 }
 
-// Most of what nodes tell each other is an answer. Sent as calls of their own,
-// answers would double the bytes of the control traffic.
+// Most messages between nodes are answers. As separate calls they would double
+// the bytes of the control traffic.
 std::vector<fleet::Message> TakeReplies(node::Actions& actions) {
   std::vector<fleet::Message> replies;
   std::erase_if(actions, [&replies](node::Action& action) {
@@ -115,8 +115,8 @@
   }
 }
 
-// Called while the connection's own promise runs: what follows from a reply
-// may close that connection, so it is done later.
+// Called while a promise of the connection runs. The effects of a reply may
+// close that connection, so they are deferred.
 void TakeAnswer(Gateway& gateway, const fleet::Sender& sender,
                 wire::Inbox::DeliverResults::Reader answer) {
   node::Actions actions;
@@ -131,7 +131,7 @@
   PumpLater(gateway, std::move(actions));
 }
 
-// What one peer's process hands its messages to.
+// Receives the messages of one peer.
 class InboxServer final : public wire::Inbox::Server {
  public:
   InboxServer(Gateway& gateway, fleet::Sender sender)
@@ -141,7 +141,7 @@
     const auto params = context.getParams();
     auto message = ReadMessage(params.getMessage());
     if (!message) {
-      // A newer node may send kinds that this one does not know.
+      // A newer node may send kinds that this version doesn't know.
       kernel::Log(LogPart::kPeer, LogLevel::kDebug,
                   "Message of " + sender_.node +
                       " left out: " + message.error().detail + ".");
@@ -163,7 +163,7 @@
   fleet::Sender sender_;
 };
 
-// The capability that each peer gets of this node.
+// The capability that each peer gets from this node.
 class PeerServer final : public wire::Peer::Server {
  public:
   explicit PeerServer(Gateway& gateway) : gateway_(gateway) {}
@@ -200,7 +200,7 @@
   backoff.delay = backoff.delay.count() == 0
                       ? kBackoffFirst
                       : std::min(2 * backoff.delay, kBackoffMost);
-  // Jittered, so that nodes don't come back to a restarted peer all at once.
+  // With jitter, so that not all nodes reconnect to a restarted peer at once.
   const auto jitter = std::chrono::milliseconds(kernel::RandomBelow(
       net.random, static_cast<std::uint64_t>(backoff.delay.count() / 2 + 1)));
   backoff.until = now + backoff.delay / 2 + jitter;
@@ -228,7 +228,7 @@
   std::erase_if(net.backoffs, [now](const auto& entry) {
     return now - entry.second.until > kPeerIdle;
   });
-  // A peer that sends without taking its answers would pile them up here.
+  // The answers for a peer that sends without reading would pile up here.
   std::erase_if(net.in, [](const auto& peer) {
     return peer->broken || peer->stream.IsDisconnected() ||
            peer->network.getCurrentQueueSize() > kPeerBytes;
@@ -302,15 +302,15 @@
   auto at = net.out.find(send.peer_address);
   if (at != net.out.end() && at->second->rpc.stream.IsDisconnected() &&
       at->second->answered) {
-    // The peer was replaced; its successor is tried at once.
+    // The peer was replaced. Its successor is tried at once.
     net.out.erase(at);
     at = net.out.end();
   }
   PeerOut* peer = at != net.out.end() ? at->second.get()
                                       : Connect(net, send.peer_address, now);
-  // Load: a peer that is paused or cut off. Messages are states that are sent
-  // anew, so what finds no room is dropped; waiting for it would stop this node
-  // for others, and keeping it all would take the node's memory.
+  // A peer may be paused or unreachable. Messages without room are dropped,
+  // because their content is sent again periodically. Waiting would stop this
+  // node for its other peers, and buffering would exhaust its memory.
   if (peer == nullptr || IsDisconnected(*peer, now) ||
       peer->unanswered >= kPeerMessages ||
       peer->rpc.network.getCurrentQueueSize() > kPeerBytes / 2 ||
--- a/gateway/src/peer_codec.cc
+++ b/gateway/src/peer_codec.cc
@@ -35,17 +35,17 @@
                            std::string("unknown ") + what);
 }
 
-// A list of empty entries takes no room on the wire, so a few bytes can ask for
-// millions of them. Without this a broken peer makes the node run out of
-// memory, and its callers go with it.
+// A list of empty entries takes no space on the wire, so a few bytes can claim
+// millions of them. Without the bound a faulty peer would exhaust the memory of
+// this node.
 kernel::Result<void> CheckSize(unsigned size) {
   if (size <= kPeerListMost) return BOOST_OUTCOME_V2_NAMESPACE::success();
   return kernel::MakeError(kernel::ErrorCode::kInvalidInput,
                            "read peer message", "", "a list is too long");
 }
 
-// A span is added to the clock later on; one near the end of its type would
-// overflow there and land in the past.
+// A duration is added to the clock later. One near the limit of its type would
+// overflow and yield a time in the past.
 milliseconds SpanOf(std::int64_t count) {
   return std::clamp<milliseconds>(milliseconds(count), milliseconds{0},
                                   kPeerSpanMost);
--- a/gateway/src/peer_codec_p.h
+++ b/gateway/src/peer_codec_p.h
@@ -1,4 +1,4 @@
-// Between the fleet's messages and their wire form.
+// Encodes and decodes the messages between nodes.
 #pragma once
 
 #include <peer.capnp.h>
@@ -14,12 +14,12 @@
 void Write(const fleet::Message& message, wire::Message::Builder out);
 
 fleet::Sender ReadSender(wire::Sender::Reader in);
-/// Fails with `kInvalidInput` on a kind or state that this version does not
-/// know. Throws `kj::Exception` on a message that is cut off or whose pointers
-/// lead nowhere, as Cap'n Proto's readers do.
+/// Decodes a message. Fails with `kInvalidInput` on a kind or state that this
+/// version doesn't know. Like Cap'n Proto's readers, throws `kj::Exception` on
+/// a message that is truncated or has invalid pointers.
 kernel::Result<fleet::Message> ReadMessage(wire::Message::Reader in);
 
-/// What a message is called in metrics.
+/// Returns the name of a message in metrics.
 const char* KindOf(const fleet::Message& message);
 
 }  // namespace egretladder::gateway
--- a/gateway/src/platform_evhttp.cc
+++ b/gateway/src/platform_evhttp.cc
@@ -12,8 +12,8 @@
 using kernel::LogLevel;
 using kernel::LogPart;
 
-// One line when the platform is lost and one when it is back; rules and members
-// in force stay meanwhile.
+// Logs one line when the platform becomes unavailable and one when it is back.
+// Rules and members stay in force meanwhile.
 void LogPlatform(Gateway& gateway, const Fetched* fetched) {
   const bool answers =
       fetched != nullptr &&
@@ -65,7 +65,7 @@
     node::OnRulesDocument(*gateway.node, &fetched->body, now, actions);
   } else if (fetched != nullptr && fetched->status == HTTP_NOTMODIFIED &&
              in_force) {
-    // The watch ran out: what is in force is what is published.
+    // The watch ended without changes.
     node::OnRulesDocument(*gateway.node, &in_force->text, now, actions);
   } else {
     node::OnRulesDocument(*gateway.node, nullptr, now, actions);
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -21,8 +21,8 @@
 constexpr const char* kBytesExpected = "a number with B, KiB or MiB";
 constexpr const char* kAddressExpected = "IP:port";
 
-// Standard values of `[limits]` repeat those of limits.h in the file's own
-// units; a test compares them.
+// The defaults of `[limits]` repeat those of limits.h in the units of the file.
+// A test compares them.
 constexpr std::array<kernel::SettingSpec, 26> kSpecs = {{
     {"node", "name", SettingKind::kText, "", true, "the node's name"},
     {"node", "zone", SettingKind::kText, "", true, "an availability zone"},
--- a/gateway/src/sse_scanner_p.h
+++ b/gateway/src/sse_scanner_p.h
@@ -1,4 +1,4 @@
-// Counts the events of a server-sent-event stream as it passes.
+// Counts the events of a stream of server-sent events that is forwarded.
 #pragma once
 
 #include <event2/buffer.h>
@@ -11,16 +11,16 @@
 namespace egretladder::gateway {
 
 struct SseScanner {
-  std::array<char, 16> line{};  ///< The present line's first bytes.
-  std::size_t line_size = 0;    ///< Of the whole line so far.
-  std::uint64_t events = 0;     ///< `data:` lines but for the last, `[DONE]`.
-  bool done = false;            ///< `data: [DONE]` came.
-  bool garbage = false;         ///< A line that no such stream holds.
+  std::array<char, 16> line{};  ///< First bytes of the current line.
+  std::size_t line_size = 0;    ///< Size of the current line so far.
+  std::uint64_t events = 0;     ///< `data:` lines without the last, `[DONE]`.
+  bool done = false;            ///< `data: [DONE]` was received.
+  bool garbage = false;         ///< A line is not part of such a stream.
 };
 
-/// Reads `bytes`; returns the events among them.
+/// Scans `bytes` and returns the number of events that they complete.
 std::uint64_t Scan(SseScanner& scanner, std::string_view bytes);
-/// Reads a buffer without taking anything out of it.
+/// Scans a buffer without removing anything from it.
 std::uint64_t Scan(SseScanner& scanner, evbuffer* buffer);
 
 }  // namespace egretladder::gateway
--- a/gateway/src/tls_openssl.cc
+++ b/gateway/src/tls_openssl.cc
@@ -19,7 +19,7 @@
 
 namespace {
 
-// OpenSSL's own words name the file's fault, never its contents.
+// OpenSSL's messages describe what is wrong with a file, but not its content.
 kernel::Error TlsError(const std::string& file) {
   const char* reason = ERR_reason_error_string(ERR_get_error());
   ERR_clear_error();
@@ -53,8 +53,8 @@
   net::Bufferevent buffer(bufferevent_openssl_socket_new(
       base, fd, session, BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE));
   if (buffer != nullptr) {
-    // Callers often leave without TLS's own good-bye; lengths are checked by
-    // HTTP itself.
+    // Callers often disconnect without a close_notify alert. HTTP checks the
+    // lengths itself.
     bufferevent_openssl_set_allow_dirty_shutdown(buffer.get(), 1);
   }
   return buffer;
