Reword the comments of lab's public headers in plain technical English

Change: comments of the public headers only; every reason and number stays. No code changed: a diff without comment lines is empty; lab_tests pass.

--- a/lab/include/egretladder/lab/config.h
+++ b/lab/include/egretladder/lab/config.h
@@ -1,4 +1,4 @@
-// Limits of the lab, in one place.
+// Limits of the lab.
 #pragma once
 
 #include <chrono>
@@ -7,24 +7,24 @@
 
 namespace egretladder::lab {
 
-/// Largest body a stand-in or the load tool takes. Rules may be a megabyte, a
-/// prompt less.
+/// Maximum size of a body that a stand-in or the load tool accepts. Rules can
+/// have a megabyte, prompts have less.
 inline constexpr std::size_t kMaxBodyBytes = std::size_t{4} << 20U;
 
-/// Request names and keys a stand-in remembers. Bounds its memory in a run that
-/// was left alone; a run of the demo uses a few thousand.
+/// Request names and keys that a stand-in remembers, which bounds its memory in
+/// an unattended run. A run of the demo uses a few thousand.
 inline constexpr std::size_t kMaxRememberedKeys = 1'000'000;
 
-/// Waiting watches the platform stand-in holds at once.
+/// Maximum number of pending watches at the platform stand-in.
 inline constexpr std::size_t kMaxWatches = 10'000;
 
-/// Characters of a prompt that count as one token.
+/// Characters per token of a prompt.
 inline constexpr std::size_t kCharsPerToken = 4;
 
-/// Tokens of a prompt that are cached or dropped together.
+/// Tokens per block of the prefix cache.
 inline constexpr std::uint32_t kTokensPerBlock = 16;
 
-/// A stand-in waits no longer than this for a slow client.
+/// Timeout of a stand-in for a slow client.
 inline constexpr std::chrono::seconds kHttpTimeout{600};
 
 }  // namespace egretladder::lab
--- a/lab/include/egretladder/lab/driver.h
+++ b/lab/include/egretladder/lab/driver.h
@@ -1,8 +1,8 @@
-// Drives real nodes without sockets: one paused clock, a wire between the nodes
-// that can be cut, and processes that can be killed and paused. The one thin
-// adapter that the scenario runner uses and an outside test driver binds to
-// (docs/DRIVING.md). It knows nothing of endpoints, callers or the platform:
-// what a node asks of those goes to the sink.
+// Drives real nodes without sockets: a paused clock, a simulated network
+// between the nodes that can be cut, and processes that can be killed and
+// paused. The scenario runner uses this adapter, and an external test driver
+// can bind to it (docs/DRIVING.md). It knows nothing about endpoints, callers
+// or the platform; the actions of a node for those are passed to the sink.
 #pragma once
 
 #include <chrono>
@@ -23,75 +23,77 @@
 /// Index of a node, in the order of `AddNode`.
 using NodeIdx = std::size_t;
 
-/// Takes every action of a node but messages to peers, which the driver itself
-/// carries. Called while the node is not being driven: it may feed nodes.
+/// Receives every action of a node except messages to peers, which the driver
+/// delivers. It is not called during an event of the node, so it may pass
+/// events to nodes.
 using ActionSink = std::function<void(NodeIdx, node::Action&)>;
 
-/// One event for a node: any `On...` function of node/node.h.
+/// An event for a node: a call of any `On...` function of node/node.h.
 using NodeEvent =
     std::function<void(node::NodeState&, Time now, node::Actions& out)>;
 
-/// What the wire between the nodes is like.
+/// The properties of the network between the nodes.
 struct DriverOptions {
-  std::chrono::microseconds wire_delay{500};  ///< Between nodes, one way.
-  std::uint64_t seed = 1;                     ///< For lost messages.
+  std::chrono::microseconds wire_delay{500};  ///< One-way delay between nodes.
+  std::uint64_t seed = 1;  ///< Selects the messages that are lost.
 };
 
 struct DriverState;
-/// Lets `DriverPtr` own a type that only the sources know.
+/// Deleter of the incomplete type `Driver`.
 struct DriverDelete {
   void operator()(DriverState* state) const;
 };
-/// Owns the nodes, the clock and what is on the wire.
+/// Owns the nodes, the clock and the messages in transit.
 using DriverPtr = std::unique_ptr<DriverState, DriverDelete>;
 
-/// Starts a world without nodes, on a paused clock.
+/// Creates a driver without nodes, with a paused clock.
 DriverPtr StartDriver(const DriverOptions& options, ActionSink sink);
 
-/// Starts a node process. Its peer address is where messages to it go. Fails
-/// when no scheduler has the name given.
+/// Starts a node. Messages to it are sent to its peer address. Fails if the
+/// scheduler is unknown.
 kernel::Result<NodeIdx> AddNode(DriverState& state,
                                 const node::NodeOptions& options);
 
-/// The paused clock's time.
+/// Returns the time of the paused clock.
 Time Now(const DriverState& state);
 
-/// Runs `what` at `when`; events of one moment run in the order of this call.
+/// Runs `what` at `when`. Events of the same time run in the order in which
+/// they were scheduled.
 void At(DriverState& state, Time when, std::function<void()> what);
 
-/// Steps the clock through every event and every node's ticks up to `until`.
+/// Advances the clock to `until` and runs all events and ticks on the way.
 void RunUntil(DriverState& state, Time until);
 
-/// Called after each tick of the clock (`node::kNodeTickInterval`), for
-/// invariants.
+/// Sets a function that is called after each tick of the clock
+/// (`node::kNodeTickInterval`), for invariants.
 void AfterEachTick(DriverState& state, std::function<void()> check);
 
-/// Gives one event to a node: now; when it wakes, if it is paused; never, if it
-/// is down. Returns false in the last case.
+/// Passes an event to a node: at once, or when a paused node resumes. Returns
+/// false and drops the event if the node is down.
 bool Feed(DriverState& state, NodeIdx node, NodeEvent event);
 
-/// The node itself, for its views; null while it is down.
+/// Returns the state of a node, for its views; null while it is down.
 node::NodeState* NodeOf(DriverState& state, NodeIdx node);
 
-/// The process ends at once, without a word to anyone.
+/// Ends the process at once, without a graceful stop.
 void KillNode(DriverState& state, NodeIdx node);
-/// Starts it again with a new incarnation and no memory.
+/// Starts it again with a new incarnation and empty state.
 void RestartNode(DriverState& state, NodeIdx node);
-/// The process stands still; what reaches it waits. Its clock goes on.
+/// Pauses the process. Events for it are queued, and its clock continues.
 void PauseNode(DriverState& state, NodeIdx node, Time until);
-/// True while the process stands still.
+/// Returns true while the process is paused.
 bool IsPaused(const DriverState& state, NodeIdx node);
 
-/// Drops whatever `from` sends to `to`; the other direction stays as it is.
+/// Drops all messages from `from` to `to`, but none in the other direction.
 void CutWire(DriverState& state, NodeIdx from, NodeIdx to);
-/// Lets messages from `from` to `to` through again.
+/// Delivers messages from `from` to `to` again.
 void HealWire(DriverState& state, NodeIdx from, NodeIdx to);
-/// True while `CutWire` holds for this direction.
+/// Returns true while messages in this direction are dropped.
 bool IsCut(const DriverState& state, NodeIdx from, NodeIdx to);
-/// Loses this share of all messages between nodes, 0 to 1.
+/// Drops this share of all messages between nodes, 0 to 1.
 void LoseMessages(DriverState& state, double share);
 
-/// Messages carried between nodes so far.
+/// Returns the number of messages delivered between nodes so far.
 std::uint64_t MessagesCarried(const DriverState& state);
 
 }  // namespace egretladder::lab
--- a/lab/include/egretladder/lab/fault.h
+++ b/lab/include/egretladder/lab/fault.h
@@ -1,5 +1,5 @@
-// Faults that a control call puts on a stand-in. Seeded, so that the same run
-// meets the same faults.
+// Faults that a control call injects into a stand-in. They are seeded, so that
+// runs can be repeated.
 #pragma once
 
 #include <cstdint>
@@ -10,23 +10,23 @@
 
 namespace egretladder::lab {
 
-/// What goes wrong.
+/// Kinds of faults.
 enum class FaultKind : std::uint8_t {
   kNone,
   kSlow,         ///< Everything takes `factor` times as long.
   kCrash,        ///< The process exits at once.
-  kCold,         ///< An engine loses what made it fast.
-  kGarbage,      ///< Answers bytes that are no answer.
-  kHalf,         ///< Breaks off in the middle of the answer.
-  kHang,         ///< Takes the request and never answers.
+  kCold,         ///< An engine becomes cold.
+  kGarbage,      ///< Answers with invalid bytes.
+  kHalf,         ///< Breaks off in the middle of an answer.
+  kHang,         ///< Accepts requests and never answers.
   kWrongLength,  ///< Announces more bytes than it sends.
 };
 
-/// A fault, how strong it is and how many requests meet it.
+/// A fault, its strength and the share of affected requests.
 struct Fault {
   FaultKind kind = FaultKind::kNone;
-  double factor = 1;  ///< Of `kSlow`.
-  double share = 1;   ///< Of the requests that meet the fault, 0 to 1.
+  double factor = 1;  ///< For `kSlow`.
+  double share = 1;   ///< Share of affected requests, 0 to 1.
 };
 
 /// The faults of one stand-in.
@@ -35,10 +35,11 @@
   kernel::Random random;
 };
 
-/// Reads `{"fault":"slow","factor":5,"share":0.2}`. Fails with `kInvalidInput`.
+/// Parses `{"fault":"slow","factor":5,"share":0.2}`. Fails with
+/// `kInvalidInput`.
 kernel::Result<Fault> ReadFault(const std::string& json);
 
-/// Draws whether the next request meets the fault, and which.
+/// Returns the fault that affects the next request.
 FaultKind DrawFault(FaultState& state);
 
 }  // namespace egretladder::lab
--- a/lab/include/egretladder/lab/load_account.h
+++ b/lab/include/egretladder/lab/load_account.h
@@ -1,4 +1,4 @@
-// What callers got: counts and times for each class, and how they print.
+// Results of a load: counts and times of each class, and their table.
 #pragma once
 
 #include <chrono>
@@ -9,15 +9,15 @@
 
 namespace egretladder::lab {
 
-/// How one call ended, as its caller saw it.
+/// How a call ended for its caller.
 enum class CallEnd : std::uint8_t {
   kServed,      ///< The complete answer to its own request.
-  kShed,        ///< Told "not run".
-  kUnknown,     ///< Told "unknown", or never told.
-  kCut,         ///< A stream that broke off.
-  kWrong,       ///< Someone else's answer, or garbage taken for one.
-  kRefused,     ///< The request itself was not valid.
-  kNotSent,     ///< No node was found, or the load tool had no connection left.
+  kShed,        ///< Rejected as not run.
+  kUnknown,     ///< The outcome is unknown, or no answer came.
+  kCut,         ///< A stream that was cut.
+  kWrong,       ///< Another call's answer, or invalid bytes.
+  kRefused,     ///< The request was invalid.
+  kNotSent,     ///< No node or no free connection was found.
   kUnfinished,  ///< Still in progress when the run ended.
 };
 
@@ -25,13 +25,13 @@
 struct ClassTargets {
   std::uint32_t tier = 0;
   std::chrono::milliseconds first_token{};
-  std::chrono::milliseconds between_tokens{};  ///< 0: none.
+  std::chrono::milliseconds between_tokens{};  ///< 0: no target.
 };
 
-/// What was seen of one call.
+/// The measurements of one call.
 struct CallSeen {
   CallEnd end = CallEnd::kNotSent;
-  std::chrono::microseconds first_token{};  ///< From the moment it was planned.
+  std::chrono::microseconds first_token{};      ///< From its planned time.
   std::vector<std::chrono::microseconds> gaps;  ///< Between tokens.
   std::uint32_t tokens = 0;
 };
@@ -59,21 +59,23 @@
   std::map<std::string, ClassAccount> classes;
 };
 
-/// A served call is in time when its first token came within the class's target
-/// and the mean time between its tokens kept to the other.
+/// Returns true if the first token came within the target of the class and the
+/// mean time between tokens is within the other target.
 bool IsInTime(const ClassTargets& targets, const CallSeen& seen);
 
 void Record(ClassAccount& account, const CallSeen& seen);
 
-/// The nearest-rank quantile of `samples`; zero without any. Sorts them.
+/// Returns the nearest-rank quantile of `samples`, which it sorts; 0 if there
+/// are none.
 std::chrono::microseconds QuantileOf(
     std::vector<std::chrono::microseconds>& samples, double quantile);
 
-/// Calls served in time out of those sent, 0 to 1; 1 when none was sent.
+/// Returns the share of the sent calls that were served in time; 1 if none was
+/// sent.
 double AttainmentOf(const ClassAccount& account);
 
-/// One line for each class, by tier, and one for each class with ends that the
-/// table sums up as `other`. `took` is the load's duration.
+/// Formats one line per class, by tier, and one for each class with outcomes
+/// that the table counts as `other`. `took` is the duration of the load.
 std::string TableOf(LoadAccount& account, const std::string& title,
                     std::chrono::milliseconds took);
 std::string JsonOf(LoadAccount& account, const std::string& title,
--- a/lab/include/egretladder/lab/platform_model.h
+++ b/lab/include/egretladder/lab/platform_model.h
@@ -1,5 +1,5 @@
-// The platform without its network: publishes rules and the VM list, counts
-// each call, and can be down, slow, stale or back at an older version.
+// The platform without a network: publishes rules and the VM list, counts all
+// calls, and can be down, slow, stale or back at an older version.
 #pragma once
 
 #include <cstdint>
@@ -10,13 +10,13 @@
 
 namespace egretladder::lab {
 
-/// What is wrong with every answer of the platform.
+/// Faults of the platform.
 enum class PlatformFault : std::uint8_t {
   kNone,
   kDown,   ///< Every read fails.
   kSlow,   ///< Every read takes seconds.
-  kStale,  ///< Serves what was the latest when the fault began.
-  kOld,    ///< Serves the first version it ever published.
+  kStale,  ///< Serves the version of the time when the fault began.
+  kOld,    ///< Serves the first version that was published.
 };
 
 /// One rules document.
@@ -25,17 +25,17 @@
   std::string text;
 };
 
-/// Calls since the start, by what they read.
+/// Calls since the start, by kind.
 struct PlatformCounts {
   std::uint64_t rules = 0;
-  std::uint64_t watches = 0;  ///< A waiting watch counts as one call.
+  std::uint64_t watches = 0;  ///< A pending watch counts as one call.
   std::uint64_t vms = 0;
-  std::uint64_t failed = 0;  ///< Calls that met `kDown`; counted above too.
+  std::uint64_t failed = 0;  ///< Calls during `kDown`, which also count above.
 };
 
-/// One platform: what it published and what is wrong with it.
+/// The state of the platform.
 struct PlatformState {
-  std::vector<Publication> published;  ///< In the order published.
+  std::vector<Publication> published;  ///< In order of publication.
   std::string vms = "[]";              ///< The VM list, as JSON.
   PlatformFault fault = PlatformFault::kNone;
   std::size_t stale_at = 0;  ///< Index served while stale.
@@ -43,23 +43,24 @@
   PlatformCounts counts;
 };
 
-/// Publishes `text`, whatever its version: a platform checks nothing. Fails
-/// with `kInvalidInput` when no version can be read from it.
+/// Publishes `text` without validation, with any version. Fails with
+/// `kInvalidInput` if it has no version.
 kernel::Result<std::uint64_t> Publish(PlatformState& state, std::string text);
 
-/// Applies the JSON object of a control call: `fault`, `rules`, `vms`, `only`.
+/// Applies a control call, a JSON object with `fault`, `rules`, `vms` or
+/// `only`.
 kernel::Result<void> Control(PlatformState& state, const std::string& json);
 
-/// True when a read that came to `host` fails.
+/// Returns true if a read sent to `host` fails.
 bool IsDown(const PlatformState& state, const std::string& host);
 
-/// What a read gets now; null before the first publication.
+/// Returns what a read returns now; null before the first publication.
 const Publication* Served(const PlatformState& state);
 
-/// The VM list that follows from `[node]` rules: all nodes, with `leaving`.
+/// Returns the VM list of the `[node]` rules: all nodes, with `leaving`.
 std::string VmsOf(const std::string& rules_text);
 
-/// The answer to `GET /counts`.
+/// Returns the answer to `GET /counts`.
 std::string PlatformCountsJson(const PlatformState& state,
                                std::size_t waiting_watches);
 
--- a/lab/include/egretladder/lab/stand_in.h
+++ b/lab/include/egretladder/lab/stand_in.h
@@ -1,5 +1,5 @@
-// Stand-ins: small programs that take the place of engines, plain services and
-// the platform. `egretladder stand-in KIND` finds them by kind.
+// Stand-ins: small programs that replace engines, plain services and the
+// platform in tests. `egretladder stand-in KIND` runs one.
 #pragma once
 
 #include <string_view>
--- a/lab/include/egretladder/lab/status_table.h
+++ b/lab/include/egretladder/lab/status_table.h
@@ -1,4 +1,4 @@
-// The state of a fleet in one table, from each node's `/status`.
+// Formats the state of a fleet as a table, from the `/status` of its nodes.
 #pragma once
 
 #include <cstdint>
@@ -8,17 +8,18 @@
 
 namespace egretladder::lab {
 
-/// What one node answered.
+/// The status of one node.
 struct NodeStatus {
-  std::string address;  ///< As asked.
-  std::string json;     ///< Empty: it did not answer.
+  std::string address;  ///< The address that was asked.
+  std::string json;     ///< Empty: no answer.
 };
 
-/// Nodes, endpoints summed over them, queues summed over them. An answer that
-/// is no status stands in the table as such.
+/// Formats the nodes, and the sums of their endpoints and queues. An invalid
+/// status is shown as such.
 std::string StatusTable(const std::vector<NodeStatus>& nodes);
 
-/// True when every node answered, is ready, and has the same version in force.
+/// Returns true if all nodes answered, are ready and have the same version in
+/// force.
 bool IsSound(const std::vector<NodeStatus>& nodes);
 
 }  // namespace egretladder::lab
