Learn pauses from generations only, and check the sides of the split

Cause: a stream of a service that isn't a model engine would have moved the estimate of pauses beside prompts; no deployment has one.

Change: intervals of services that generate count only. A test checks that each kind keeps to its side, for every engine.

--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -111,7 +111,7 @@
   Attempt& attempt = *call.attempt;
   const Time now = NowOf(proxy);
   const Time last_event_at = std::exchange(attempt.last_event_at, now);
-  if (last_event_at == Time{} ||
+  if (last_event_at == Time{} || !call.service->generates ||
       !routing::TakesLongPrompts(proxy.endpoints, *attempt.endpoint)) {
     return;
   }
--- a/routing/tests/engine_split_test.cc
+++ b/routing/tests/engine_split_test.cc
@@ -295,6 +295,17 @@
   CHECK(CountUsable(Stream(150ms)) < 40);
 }
 
+TEST(EngineSplitState, EachKindKeepsToItsSide) {
+  set.tight_fraction = 0.3;
+  std::vector<er::EndpointPtr> usable = endpoints;
+  er::KeepDemandSide(set, Stream(150ms), usable);
+  for (const auto& endpoint : usable) CHECK(endpoint->hash_position < 0.3);
+  usable = endpoints;
+  er::KeepDemandSide(set, Prompt(), usable);
+  for (const auto& endpoint : usable) CHECK(endpoint->hash_position >= 0.3);
+  LONGS_EQUAL(28, usable.size());
+}
+
 // Guards against a long prompt with a short promise that is sent to the engines
 // which are kept free of long prompts.
 TEST(EngineSplitState, ALongPromptNeverAvoidsLongPrompts) {
