Send nothing more to an endpoint once it said that it leaves

Callers saw nothing: all requests of the incident were answered. But they were sent to an engine that was about to end, up to 4.7 s after its own answer had said so.

Cause: nodes learned that an endpoint leaves from its entry in the store only, and the store was silent for 13 s.

The statement now takes the endpoint out for the node that received it, from the head of that answer on. It holds for the process that gave it, by id, start time, address and service: neither an entry that still says ready nor one that expires and returns brings it back, and another process starts without it. An answer that comes when the entry is gone reaches the entry that returns. Notices of removed endpoints are bounded in number. An endpoint that leaves by its own word isn't kept as lapsed when its entry expires in an outage.

New tests without sockets: EndpointNotices (5), Placement.AnEndpointThatSaidItLeavesGetsNothing.

Why it works: what decides is the endpoint's word in the answer, which no outage between node and store can delay.

--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -119,6 +119,13 @@
 /// published.
 using EndpointPtr = std::shared_ptr<Endpoint>;
 
+/// The notices of a removed endpoint.
+struct RememberedNotices {
+  EndpointEntry entry;  ///< Its last entry.
+  StandingNotices notices;
+  std::uint64_t number = 0;  ///< Rises with each removal.
+};
+
 /// Number of placement mechanisms; see `Mechanism` in placement.h.
 inline constexpr std::size_t kMechanismCount = 11;
 /// The mechanisms that settings switch off.
@@ -132,6 +139,9 @@
   std::map<std::string, bool, std::less<>> zones_out;
   /// Ids of the endpoints whose limit, or its recent end, is gossiped to peers.
   std::set<std::string> limited;
+  /// Notices of removed endpoints, by id, in case that their entries return.
+  std::unordered_map<std::string, RememberedNotices> remembered_notices;
+  std::uint64_t last_removal_number = 0;  ///< Of `remembered_notices`.
   std::unordered_map<std::string, ServicePace> service_paces;  ///< By service.
   /// Fraction of the engines that serves tight streams; 0: the engines aren't
   /// split. See engine_split.h.
@@ -157,6 +167,13 @@
 /// Returns the change's name in logs.
 const char* NameOf(EntryChange change);
 
+/// Returns true if two entries with the same id come from the same process.
+bool IsSameProcess(const EndpointEntry& left, const EndpointEntry& right);
+
+/// Returns true if the endpoint takes no new work, by its entry or by its own
+/// answers.
+bool IsLeaving(const Endpoint& endpoint);
+
 /// Applies a published entry. An endpoint whose process restarted starts
 /// without history.
 EntryChange OnEntryPublished(EndpointSet& set, const EndpointEntry& entry,
--- a/routing/src/endpoint_notices.cc
+++ b/routing/src/endpoint_notices.cc
@@ -20,6 +20,23 @@
   return nullptr;
 }
 
+void Merge(StandingNotices& notices, const StandingNotices& other) {
+  notices.leaving = notices.leaving || other.leaving;
+  notices.backoff_until = std::max(notices.backoff_until, other.backoff_until);
+}
+
+// Passes the notices of an endpoint that was removed while it answered to the
+// process's new entry, or keeps them until there is one.
+void ForwardNotices(EndpointSet& set, const Endpoint& removed) {
+  const auto at = set.by_id.find(removed.entry.id);
+  if (at == set.by_id.end()) {
+    RememberNotices(set, removed);
+  } else if (removed.entry.started_unix_ms != 0 &&
+             IsSameProcess(at->second->entry, removed.entry)) {
+    Merge(at->second->notices, removed.notices);
+  }
+}
+
 }  // namespace
 
 EndpointPtr FindAnsweringEndpoint(const EndpointSet& set,
@@ -35,19 +52,43 @@
   return addressed;
 }
 
-NoticeChange OnNotice(EndpointSet& /*set*/, Endpoint& endpoint,
+NoticeChange OnNotice(EndpointSet& set, Endpoint& endpoint,
                       const EndpointNotice& notice, Time now) {
   StandingNotices& standing = endpoint.notices;
-  NoticeChange change;
-  change.leaving = notice.leaving && !standing.leaving;
-  standing.leaving = standing.leaving || notice.leaving;
-  const Time backoff_until = now + notice.backoff;
+  const StandingNotices stated{notice.leaving, now + notice.backoff};
   const Time known_until = std::max(standing.backoff_until, now);
-  change.backoff = backoff_until - known_until > kMinLoggedBackoffChange;
-  standing.backoff_until = std::max(standing.backoff_until, backoff_until);
+  NoticeChange change;
+  change.leaving = stated.leaving && !standing.leaving;
+  change.backoff = stated.backoff_until - known_until > kMinLoggedBackoffChange;
+  Merge(standing, stated);
+  if (endpoint.phase == EndpointPhase::kGone) ForwardNotices(set, endpoint);
   return change;
 }
 
+void RememberNotices(EndpointSet& set, const Endpoint& endpoint) {
+  const bool has_notice =
+      endpoint.notices.leaving || endpoint.notices.backoff_until != Time{};
+  // Without a start time, the process can't be recognized when it returns.
+  if (!has_notice || endpoint.entry.started_unix_ms == 0) return;
+  auto& remembered = set.remembered_notices;
+  const std::uint64_t number = ++set.last_removal_number;
+  remembered[endpoint.entry.id] = {endpoint.entry, endpoint.notices, number};
+  if (remembered.size() <= kMaxRememberedNotices) return;
+  remembered.erase(std::min_element(remembered.begin(), remembered.end(),
+                                    [](const auto& left, const auto& right) {
+                                      return left.second.number <
+                                             right.second.number;
+                                    }));
+}
+
+void RestoreNotices(EndpointSet& set, Endpoint& endpoint) {
+  const auto at = set.remembered_notices.find(endpoint.entry.id);
+  if (at == set.remembered_notices.end()) return;
+  if (IsSameProcess(at->second.entry, endpoint.entry))
+    endpoint.notices = at->second.notices;
+  set.remembered_notices.erase(at);
+}
+
 milliseconds RemainingBackoff(const Endpoint& endpoint, Time now) {
   if (now >= endpoint.notices.backoff_until) return {};
   return std::chrono::ceil<milliseconds>(endpoint.notices.backoff_until - now);
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "egretladder/kernel/hash.h"
+#include "egretladder/routing/endpoint_notices.h"
 
 namespace egretladder::routing {
 namespace {
@@ -42,6 +43,7 @@
   const auto at = set.by_id.find(id);
   if (at == set.by_id.end()) return;
   at->second->phase = EndpointPhase::kGone;
+  RememberNotices(set, *at->second);
   RemoveFromService(set, at->second);
   set.by_id.erase(at);
 }
@@ -55,6 +57,7 @@
   endpoint->cold_until = now + entry.cold_left;
   // Limits that peers learned from an earlier process don't count.
   endpoint->limit.advertised_at = now;
+  RestoreNotices(set, *endpoint);
   AddToService(set, endpoint);
   set.by_id[entry.id] = std::move(endpoint);
   return EntryChange::kNew;
@@ -102,14 +105,22 @@
   return "unknown";
 }
 
+bool IsSameProcess(const EndpointEntry& left, const EndpointEntry& right) {
+  return left.started_unix_ms == right.started_unix_ms &&
+         left.address == right.address && left.service == right.service;
+}
+
+bool IsLeaving(const Endpoint& endpoint) {
+  return endpoint.phase == EndpointPhase::kLeaving ||
+         endpoint.phase == EndpointPhase::kGone || endpoint.notices.leaving;
+}
+
 EntryChange OnEntryPublished(EndpointSet& set, const EndpointEntry& entry,
                              Time now) {
   const auto at = set.by_id.find(entry.id);
   if (at == set.by_id.end()) return Add(set, entry, now);
   Endpoint& known = *at->second;
-  if (known.entry.started_unix_ms != entry.started_unix_ms ||
-      known.entry.address != entry.address ||
-      known.entry.service != entry.service) {
+  if (!IsSameProcess(known.entry, entry)) {
     Remove(set, entry.id);
     Add(set, entry, now);
     return EntryChange::kRestarted;
@@ -136,7 +147,8 @@
                            bool store_was_unreachable, Time now) {
   const auto at = set.by_id.find(id);
   if (at == set.by_id.end()) return EntryChange::kNone;
-  if (store_was_unreachable && at->second->phase == EndpointPhase::kServing) {
+  if (store_was_unreachable && at->second->phase == EndpointPhase::kServing &&
+      !IsLeaving(*at->second)) {
     at->second->phase = EndpointPhase::kLapsed;
     at->second->lapsed_until = now + kLapseGrace;
     return EntryChange::kLapsed;
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -94,9 +94,7 @@
 PlacementReason WhyUnusable(const EndpointSet& set, const Endpoint& endpoint,
                             const Demand& demand, const FleetSnapshot& fleet,
                             Time now) {
-  if (endpoint.phase == EndpointPhase::kLeaving ||
-      endpoint.phase == EndpointPhase::kGone ||
-      IsZoneOut(set, endpoint.entry.zone)) {
+  if (IsLeaving(endpoint) || IsZoneOut(set, endpoint.entry.zone)) {
     return PlacementReason::kAllLeaving;
   }
   if (now < endpoint.health.avoid_until) return PlacementReason::kAllDown;
--- a/routing/tests/endpoint_notices_test.cc
+++ b/routing/tests/endpoint_notices_test.cc
@@ -51,6 +51,70 @@
   CHECK(er::RemainingBackoff(*endpoint, kStart + 3s) == 0ms);
 }
 
+// Guards against an endpoint whose entry expires in an outage of the store and
+// returns: it would get requests again, although it is about to end.
+TEST(EndpointNotices, HoldWhenTheSameProcessIsPublishedAgain) {
+  er::OnNotice(set, *Publish(MakeEntry("x")), {true, 3s}, kStart);
+  er::OnEntryRemoved(set, "x", false, kStart);
+  const er::EndpointPtr returned = Publish(MakeEntry("x"));
+  CHECK(er::IsLeaving(*returned));
+  CHECK(er::RemainingBackoff(*returned, kStart) == 3s);
+  // The entry is kept no longer because the store was unreachable.
+  CHECK(er::OnEntryRemoved(set, "x", true, kStart) == er::EntryChange::kGone);
+}
+
+// Guards against a new process that gets no requests because of what the one
+// before it stated.
+TEST(EndpointNotices, DoNotBindANewProcess) {
+  er::OnNotice(set, *Publish(MakeEntry("x")), {true, 3s}, kStart);
+  er::EndpointEntry restarted = MakeEntry("x");
+  restarted.started_unix_ms = 200;
+  const er::EndpointPtr successor = Publish(restarted);
+  CHECK(!er::IsLeaving(*successor));
+  CHECK(er::RemainingBackoff(*successor, kStart) == 0ms);
+  // Nor does it inherit them after its own entry was removed.
+  er::OnEntryRemoved(set, "x", false, kStart);
+  CHECK(!er::IsLeaving(*Publish(restarted)));
+  CHECK(!er::IsLeaving(*Publish(MakeEntry("y"))));
+}
+
+// Guards against a process without a published start time that can't be told
+// from the one before it, and is left out for good.
+TEST(EndpointNotices, EndWithTheEntryIfNoStartTimeIsPublished) {
+  er::EndpointEntry entry = MakeEntry("x");
+  entry.started_unix_ms = 0;
+  er::OnNotice(set, *Publish(entry), {true, {}}, kStart);
+  er::OnEntryRemoved(set, "x", false, kStart);
+  CHECK(!er::IsLeaving(*Publish(entry)));
+}
+
+// Guards against a notice that is lost because the endpoint's entry expired
+// while the request was running there.
+TEST(EndpointNotices, OfALateAnswerReachTheEntryThatReturned) {
+  const er::EndpointPtr removed = Publish(MakeEntry("x"));
+  er::OnEntryRemoved(set, "x", false, kStart);
+  er::OnNotice(set, *removed, {true, {}}, kStart);
+  CHECK(er::IsLeaving(*Publish(MakeEntry("x"))));
+  const er::EndpointPtr other = Publish(MakeEntry("y"));
+  er::OnEntryRemoved(set, "y", false, kStart);
+  const er::EndpointPtr returned = Publish(MakeEntry("y"));
+  er::OnNotice(set, *other, {true, {}}, kStart);
+  CHECK(er::IsLeaving(*returned));
+}
+
+// Guards against memory that grows with each endpoint that ever left.
+TEST(EndpointNotices, OfRemovedEndpointsAreBounded) {
+  constexpr std::size_t kEndpoints = er::kMaxRememberedNotices + 10;
+  for (std::size_t i = 0; i < kEndpoints; ++i) {
+    const std::string id = "e" + std::to_string(i);
+    er::OnNotice(set, *Publish(MakeEntry(id)), {true, {}}, kStart);
+    er::OnEntryRemoved(set, id, false, kStart);
+  }
+  LONGS_EQUAL(er::kMaxRememberedNotices, set.remembered_notices.size());
+  CHECK(!er::IsLeaving(*Publish(MakeEntry("e9"))));
+  CHECK(er::IsLeaving(*Publish(MakeEntry("e10"))));
+}
+
 // Guards against a notice that is held against an endpoint which has not given
 // it: addresses are used again.
 TEST(EndpointNotices, BelongToTheEndpointThatAnswered) {
--- a/routing/tests/placement_test.cc
+++ b/routing/tests/placement_test.cc
@@ -190,6 +190,21 @@
 
 // Guards against crashing an endpoint after a cold start. Its rate limit holds
 // for the sum over all nodes within every second.
+// Guards against requests to an endpoint whose answers say that it leaves while
+// its entry still says that it serves.
+TEST(Placement, AnEndpointThatSaidItLeavesGetsNothing) {
+  AddEndpoint("x");
+  AddEndpoint("y");
+  EndpointOf("x").notices.leaving = true;
+  for (std::uint64_t session = 1; session <= 50; ++session)
+    STRCMP_EQUAL("y",
+                 PlaceRequest(LongPrompt(session)).endpoint->entry.id.c_str());
+  EndpointOf("y").notices.leaving = true;
+  const er::Placement none = PlaceRequest(PlainRequest());
+  CHECK(none.endpoint == nullptr);
+  CHECK(none.reason == PlacementReason::kAllLeaving);
+}
+
 TEST(Placement, AColdEndpointGetsAtMostItsRateFromAllNodesTogether) {
   constexpr std::size_t kNodes = 7;
   engines.cold_per_second = 19;
