Leave an endpoint alone for the time that it asked for

A 503 that says that the request has not run left the endpoint out for 30 to 90 ms, whatever it asked for.

If all endpoints of a service ask for it, a request waits where the first end is within its allowed wait, and is refused at once otherwise; its caller is told to come back not before that end (in place of a quarter of a second). This holds as well for a call that is refused after its last attempt.

Of several reasons why no endpoint can be used, the log now names the last one in a fixed order in place of that of the last endpoint looked at, so that "all backing off" means just that.

New tests without sockets: Placement.AnEndpointThatAskedForABackoffGetsNothingUntil- ItsEnd, Admission.RetryDelayIsNotShorterThanTheBackoffOfTheEndpoints.

Why it works: the decision uses the endpoint's own figure; nothing in it depends on the store, on other nodes or on why the endpoint is busy.

--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -100,9 +100,8 @@
       }
       return;
     case NextStep::kRefuse:
-      RefuseCall(
-          proxy, call, kUnavailable, "no_endpoint",
-          routing::RetryAfterRejection({}, call->route->target, proxy.random));
+      RefuseCall(proxy, call, kUnavailable, "no_endpoint",
+                 RetryDelayAfterAttempts(proxy, *call));
       return;
     case NextStep::kUnknown:
       RefuseCall(proxy, call, kBadGateway, "outcome_unknown", {});
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -245,6 +245,18 @@
   Dispatch(proxy, call);
 }
 
+milliseconds RetryDelayAfterAttempts(Proxy& proxy, const Call& call) {
+  const Time now = NowOf(proxy);
+  routing::Placement placement = routing::ChoosePlacement(
+      proxy.endpoints, call.demand, call.tried_endpoints,
+      routing::MakeFleetSnapshot(proxy.members, now), proxy.random, now);
+  // An endpoint that could be used now doesn't say when a caller will be
+  // served: the attempts of this call have failed.
+  if (placement.endpoint != nullptr) placement = {};
+  return routing::RetryAfterRejection(placement, call.route->target,
+                                      proxy.random);
+}
+
 void Dispatch(Proxy& proxy, const CallPtr& call) {
   const Time now = NowOf(proxy);
   if (const auto hold_time = GetHoldTime(proxy, *call, now);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -243,6 +243,9 @@
 void RejectRequest(Proxy& proxy, const net::HttpCallPtr& caller, int status,
                    const char* code, const std::string& reason,
                    milliseconds retry_after);
+/// Returns the retry delay for a call whose attempts were all refused by their
+/// endpoints.
+milliseconds RetryDelayAfterAttempts(Proxy& proxy, const Call& call);
 /// Sends the call to an endpoint, queues it, or refuses it.
 void Dispatch(Proxy& proxy, const CallPtr& call);
 /// Tries to dispatch all waiting calls, in the order of the queue.
--- a/routing/include/egretladder/routing/admission.h
+++ b/routing/include/egretladder/routing/admission.h
@@ -44,7 +44,8 @@
                                  const Placement& placement, Time now);
 
 /// Returns the retry delay for a rejected caller: the wait that the request
-/// met, with jitter so that callers rejected together don't return together.
+/// met, with jitter so that callers rejected together don't return together. If
+/// all endpoints asked for a backoff, it isn't shorter than the first of them.
 milliseconds RetryAfterRejection(const Placement& placement,
                                  milliseconds target, kernel::Random& random);
 
--- a/routing/include/egretladder/routing/placement.h
+++ b/routing/include/egretladder/routing/placement.h
@@ -55,13 +55,15 @@
   std::string zone;                ///< This node's availability zone.
 };
 
-/// Why an endpoint was chosen, or why none was.
+/// Why an endpoint was chosen, or why none was. If several reasons keep
+/// endpoints from being used, the last one in this order is reported.
 enum class PlacementReason : std::uint8_t {
-  kSession,     ///< It is the session's first choice by hash.
-  kCached,      ///< It has all shared parts in its prefix cache.
-  kCheapest,    ///< It has the lowest cost.
-  kNoneKnown,   ///< The service has no endpoints.
-  kAllLeaving,  ///< All are leaving or in a zone that is out.
+  kSession,        ///< It is the session's first choice by hash.
+  kCached,         ///< It has all shared parts in its prefix cache.
+  kCheapest,       ///< It has the lowest cost.
+  kNoneKnown,      ///< The service has no endpoints.
+  kAllLeaving,     ///< All are leaving or in a zone that is out.
+  kAllBackingOff,  ///< They asked for no requests for some time.
   kAllFull,
   kAllCold,
   kAllLimited,  ///< They advertise limits, and it isn't this node's turn.
@@ -104,8 +106,8 @@
   double expected_ms = 0;      ///< Expected time to the first event.
   double uncached_tokens = 0;  ///< Prompt tokens that the endpoint prefills.
   PlacementCosts costs;
-  /// Time until this node may next send, if advertised limits are the only
-  /// obstacle; nullopt: unknown.
+  /// Time until this node may next send, if advertised limits and backoffs that
+  /// endpoints asked for are the only obstacles; nullopt: unknown.
   std::optional<milliseconds> next_turn_in;
 };
 
--- a/routing/src/admission.cc
+++ b/routing/src/admission.cc
@@ -57,7 +57,10 @@
 milliseconds RetryAfterRejection(const Placement& placement,
                                  milliseconds target, kernel::Random& random) {
   const double min_delay_ms = static_cast<double>(target.count()) / 4;
-  const double jitter = 0.5 + kernel::RandomFraction(random);
+  // Before the end of a backoff, the caller would be rejected once more.
+  const bool is_backoff = placement.reason == PlacementReason::kAllBackingOff;
+  const double fraction = kernel::RandomFraction(random);
+  const double jitter = is_backoff ? 1 + fraction / 2 : 0.5 + fraction;
   return milliseconds(static_cast<std::int64_t>(
       std::max(min_delay_ms, ExpectedRoomMs(placement)) * jitter));
 }
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include "egretladder/routing/endpoint_notices.h"
 #include "egretladder/routing/engine_split.h"
 #include "egretladder/routing/placement_cost.h"
 #include "egretladder/routing/shared_rate.h"
@@ -63,15 +64,24 @@
   PlacementReason reason_if_none = PlacementReason::kNoneKnown;
   // An endpoint that can't be used now may become usable at any moment.
   bool may_free_up = false;
-  // This node's earliest turn at an endpoint that advertises a limit.
+  // When this node may first send to an endpoint that advertises a limit or
+  // asked for a backoff.
   std::optional<Time> next_turn;
 };
 
+void KeepEarlier(std::optional<Time>& earliest, Time time) {
+  earliest = earliest ? std::min(*earliest, time) : time;
+}
+
 // Records when an endpoint that can't be used now is expected to have room.
 void RecordNextTurn(UsableEndpoints& usable, PlacementReason reason,
                     const Endpoint& endpoint, const Demand& demand,
                     const FleetSnapshot& fleet, Time now) {
   if (reason == PlacementReason::kAllLeaving) return;
+  if (reason == PlacementReason::kAllBackingOff) {
+    KeepEarlier(usable.next_turn, endpoint.notices.backoff_until);
+    return;
+  }
   const auto rate = FindSharedRate(endpoint, *demand.service, now);
   if (reason != PlacementReason::kAllLimited || !rate) {
     usable.may_free_up = true;
@@ -80,8 +90,7 @@
   const Time next_turn = NextTurnTime(endpoint, *rate, fleet);
   // A turn in the past means that this node is not among the senders.
   if (next_turn <= now) return;
-  usable.next_turn =
-      usable.next_turn ? std::min(*usable.next_turn, next_turn) : next_turn;
+  KeepEarlier(usable.next_turn, next_turn);
 }
 
 std::optional<milliseconds> TimeToNextTurn(const UsableEndpoints& usable,
@@ -97,6 +106,9 @@
   if (IsLeaving(endpoint) || IsZoneOut(set, endpoint.entry.zone)) {
     return PlacementReason::kAllLeaving;
   }
+  if (RemainingBackoff(endpoint, now).count() > 0) {
+    return PlacementReason::kAllBackingOff;
+  }
   if (now < endpoint.health.avoid_until) return PlacementReason::kAllDown;
   if (now < endpoint.health.full_until ||
       endpoint.in_flight >= MaxInFlightPerNode(endpoint, fleet)) {
@@ -130,8 +142,7 @@
       continue;
     }
     RecordNextTurn(usable, reason, *endpoint, demand, fleet, now);
-    if (usable.reason_if_none != PlacementReason::kAllTried)
-      usable.reason_if_none = reason;
+    usable.reason_if_none = std::max(usable.reason_if_none, reason);
   }
   return usable;
 }
@@ -188,6 +199,8 @@
       return "none-known";
     case PlacementReason::kAllLeaving:
       return "all-leaving";
+    case PlacementReason::kAllBackingOff:
+      return "all-backing-off";
     case PlacementReason::kAllFull:
       return "all-full";
     case PlacementReason::kAllCold:
--- a/routing/tests/admission_test.cc
+++ b/routing/tests/admission_test.cc
@@ -77,6 +77,21 @@
   }
 }
 
+// Guards against callers that use up their retries before an endpoint takes
+// requests again.
+TEST(Admission, RetryDelayIsNotShorterThanTheBackoffOfTheEndpoints) {
+  er::Placement backing_off;
+  backing_off.reason = er::PlacementReason::kAllBackingOff;
+  backing_off.next_turn_in = 3s;
+  CHECK(er::DecideAdmission(MakeInput(), backing_off, kStart) ==
+        AdmissionVerdict::kNoEndpoint);
+  egretladder::kernel::Random random{5};
+  for (int i = 0; i < 20; ++i) {
+    const auto delay = er::RetryAfterRejection(backing_off, 1000ms, random);
+    CHECK(delay >= 3s && delay <= 4500ms);
+  }
+}
+
 TEST(Admission, RetryDelaysOfCallersRejectedTogetherDiffer) {
   egretladder::kernel::Random random{5};
   const auto first = er::RetryAfterRejection({}, 1000ms, random);
--- a/routing/tests/placement_test.cc
+++ b/routing/tests/placement_test.cc
@@ -205,6 +205,31 @@
   CHECK(none.reason == PlacementReason::kAllLeaving);
 }
 
+// Guards against requests to an endpoint in the time for which it asked for
+// none, and against callers that return before its end.
+TEST(Placement, AnEndpointThatAskedForABackoffGetsNothingUntilItsEnd) {
+  AddEndpoint("x");
+  AddEndpoint("y");
+  EndpointOf("x").notices.backoff_until = kStart + 3s;
+  for (std::uint64_t session = 1; session <= 50; ++session)
+    STRCMP_EQUAL("y",
+                 PlaceRequest(LongPrompt(session)).endpoint->entry.id.c_str());
+  EndpointOf("y").notices.backoff_until = kStart + 2s;
+  const er::Placement none = PlaceRequest(PlainRequest(), kStart + 500ms);
+  CHECK(none.endpoint == nullptr);
+  CHECK(none.reason == PlacementReason::kAllBackingOff);
+  CHECK(none.next_turn_in == 1500ms);
+  STRCMP_EQUAL(
+      "y",
+      PlaceRequest(PlainRequest(), kStart + 2s).endpoint->entry.id.c_str());
+  // An endpoint that is full may have room before.
+  EndpointOf("y").notices.backoff_until = {};
+  EndpointOf("y").health.full_until = kStart + 2s;
+  const er::Placement full = PlaceRequest(PlainRequest(), kStart + 1s);
+  CHECK(full.reason == PlacementReason::kAllFull);
+  CHECK(!full.next_turn_in);
+}
+
 TEST(Placement, AColdEndpointGetsAtMostItsRateFromAllNodesTogether) {
   constexpr std::size_t kNodes = 7;
   engines.cold_per_second = 19;
