Check that an endpoint still takes requests before the first byte is sent

A request that was placed before its endpoint stated that it leaves, or asked for no requests, was sent afterwards: it waits for its connection up to 0.4 s, and one on an idle connection for the next round of the loop. The same held for a zone that was taken out, and for an endpoint whose entry was removed meanwhile.

The last check before the first byte now ends such an attempt as `withheld`: nothing was sent, so that the request goes to another endpoint or is refused as not run. It counts among the attempts without a byte sent, which are bounded, and says nothing about the endpoint's health.

New tests without sockets: Placement.AnEndpointThatStoppedTakingRequestsIsNotSentTo, NextStep.AWithheldRequestHasNotRun.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -34,7 +34,7 @@
 /// `on_end` or `on_error`.
 struct ExchangeHandlers {
   /// Called before the first byte is sent. Returns false to cancel the
-  /// exchange.
+  /// exchange; no other handler is called then.
   std::function<bool()> may_send;
   std::function<HeadVerdict(const HttpAnswerHead&)> on_head;
   std::function<void(std::string_view piece)> on_body;
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -32,6 +32,8 @@
     case AttemptOutcome::kNotSent:
       routing::OnConnectFailed(endpoint, now);
       break;
+    case AttemptOutcome::kWithheld:
+      break;
     case AttemptOutcome::kFull: {
       const auto jitter = milliseconds(kernel::RandomBelow(
           proxy.random,
@@ -143,7 +145,8 @@
 
 void CountAttempt(Call& call, AttemptOutcome outcome,
                   const routing::EndpointPtr& endpoint) {
-  if (outcome == AttemptOutcome::kNotSent) {
+  if (outcome == AttemptOutcome::kNotSent ||
+      outcome == AttemptOutcome::kWithheld) {
     ++call.not_sent;
     return;
   }
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -323,12 +323,21 @@
   return exchange;
 }
 
+// Called before the first byte is sent. Returns false if the attempt was ended
+// instead.
+bool BeginSending(Proxy& proxy, const CallPtr& call) {
+  if (!routing::MaySend(proxy.endpoints, *call->attempt->endpoint,
+                        NowOf(proxy))) {
+    EndAttempt(proxy, call, AttemptOutcome::kWithheld, "");
+    return false;
+  }
+  call->attempt->request_sent = true;
+  return true;
+}
+
 net::ExchangeHandlers MakeExchangeHandlers(Proxy& proxy, const CallPtr& call) {
   net::ExchangeHandlers handlers;
-  handlers.may_send = [call] {
-    call->attempt->request_sent = true;
-    return true;
-  };
+  handlers.may_send = [&proxy, call] { return BeginSending(proxy, call); };
   handlers.on_head = [&proxy, call](const net::HttpAnswerHead& head) {
     return OnHead(proxy, call, head);
   };
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -78,7 +78,7 @@
   std::vector<routing::EndpointPtr> tried_endpoints;
   std::uint32_t may_have_run = 0;        ///< Attempts that may have run.
   std::uint32_t not_run = 0;             ///< Attempts that endpoints refused.
-  std::uint32_t not_sent = 0;            ///< Attempts without a connection.
+  std::uint32_t not_sent = 0;            ///< Attempts without a byte sent.
   std::uint32_t delivered_attempts = 0;  ///< `may_have_run` and `not_run`.
   std::unique_ptr<Attempt> attempt;      ///< The current attempt, if any.
   std::string last_event_id;  ///< Id of the last event sent to the caller.
--- a/routing/include/egretladder/routing/next_step.h
+++ b/routing/include/egretladder/routing/next_step.h
@@ -20,6 +20,7 @@
 /// How an attempt ended.
 enum class AttemptOutcome : std::uint8_t {
   kNotSent,        ///< No connection, so no byte was sent.
+  kWithheld,       ///< Not sent: the endpoint takes no requests any more.
   kFull,           ///< The endpoint reported that it did not run the request.
   kWrongInstance,  ///< Another process has the address; not run.
   kBroken,         ///< The connection broke before a complete answer; unknown.
@@ -57,18 +58,18 @@
   std::uint32_t attempts = 1;      ///< Attempts that the route allows.
   std::uint32_t may_have_run = 0;  ///< Attempts so far that may have run.
   std::uint32_t not_run = 0;       ///< Attempts so far that endpoints rejected.
-  std::uint32_t not_sent = 0;      ///< Attempts so far without a connection.
-  bool has_time_left = true;       ///< The request's deadline has not passed.
+  std::uint32_t not_sent = 0;  ///< Attempts so far of which no byte was sent.
+  bool has_time_left = true;   ///< The request's deadline has not passed.
 };
 
 /// Attempts rejected by endpoints before the request itself is rejected. Each
 /// attempt goes to another endpoint, and a higher bound would let one request
 /// try every endpoint of a full fleet.
 inline constexpr std::uint32_t kMaxNotRunAttempts = 3;
-/// Failed connections before the request is rejected. A refused connection
-/// costs the endpoint nothing and takes a millisecond. With a third of the
-/// endpoints gone, one request in 6,000 meets eight refusals in a row, and one
-/// in 27 meets three.
+/// Attempts without a byte sent before the request is rejected. A refused
+/// connection costs the endpoint nothing and takes a millisecond. With a third
+/// of the endpoints gone, one request in 6,000 meets eight refusals in a row,
+/// and one in 27 meets three.
 inline constexpr std::uint32_t kMaxNotSentAttempts = 8;
 
 /// Decides the next step. For `kSendAgain` and `kResume` the caller still has
--- a/routing/include/egretladder/routing/placement.h
+++ b/routing/include/egretladder/routing/placement.h
@@ -119,6 +119,11 @@
                           const FleetSnapshot& fleet, kernel::Random& random,
                           Time now);
 
+/// Returns true if a request may be sent to an endpoint at which it was placed
+/// before: the endpoint takes new work and asked for no backoff meanwhile. A
+/// request may wait some hundred milliseconds for its connection.
+bool MaySend(const EndpointSet& set, const Endpoint& endpoint, Time now);
+
 /// Counts a request that is about to be sent. If the endpoint has a rate that
 /// nodes share, it also uses this node's turn.
 void OnAttemptSent(Endpoint& endpoint, const Demand& demand,
--- a/routing/src/next_step.cc
+++ b/routing/src/next_step.cc
@@ -24,6 +24,8 @@
   switch (outcome) {
     case AttemptOutcome::kNotSent:
       return "not-sent";
+    case AttemptOutcome::kWithheld:
+      return "withheld";
     case AttemptOutcome::kFull:
       return "full";
     case AttemptOutcome::kWrongInstance:
@@ -62,6 +64,7 @@
 
 bool IsNotRun(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kNotSent ||
+         outcome == AttemptOutcome::kWithheld ||
          outcome == AttemptOutcome::kFull ||
          outcome == AttemptOutcome::kWrongInstance;
 }
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -270,6 +270,11 @@
   return placement;
 }
 
+bool MaySend(const EndpointSet& set, const Endpoint& endpoint, Time now) {
+  return !IsLeaving(endpoint) && !IsZoneOut(set, endpoint.entry.zone) &&
+         RemainingBackoff(endpoint, now).count() == 0;
+}
+
 void OnAttemptSent(Endpoint& endpoint, const Demand& demand,
                    std::uint64_t attempt, const Placement& placement,
                    Time now) {
--- a/routing/tests/next_step_test.cc
+++ b/routing/tests/next_step_test.cc
@@ -10,18 +10,20 @@
 
 namespace {
 
-constexpr std::array<AttemptOutcome, 8> kOutcomes = {
-    AttemptOutcome::kNotSent,       AttemptOutcome::kFull,
-    AttemptOutcome::kWrongInstance, AttemptOutcome::kBroken,
-    AttemptOutcome::kBadAnswer,     AttemptOutcome::kSilent,
-    AttemptOutcome::kFailed,        AttemptOutcome::kSucceeded,
+constexpr std::array<AttemptOutcome, 9> kOutcomes = {
+    AttemptOutcome::kNotSent,   AttemptOutcome::kWithheld,
+    AttemptOutcome::kFull,      AttemptOutcome::kWrongInstance,
+    AttemptOutcome::kBroken,    AttemptOutcome::kBadAnswer,
+    AttemptOutcome::kSilent,    AttemptOutcome::kFailed,
+    AttemptOutcome::kSucceeded,
 };
 
 er::NextStepInput MakeInput(AttemptOutcome outcome) {
   er::NextStepInput input;
   input.end = outcome;
   input.attempts = 2;
-  if (outcome == AttemptOutcome::kNotSent) {
+  if (outcome == AttemptOutcome::kNotSent ||
+      outcome == AttemptOutcome::kWithheld) {
     input.not_sent = 1;
   } else {
     (er::IsNotRun(outcome) ? input.not_run : input.may_have_run) = 1;
@@ -113,3 +115,13 @@
   input.not_run = er::kMaxNotRunAttempts;
   CHECK(er::DecideNextStep(input) == NextStep::kRefuse);
 }
+
+// Guards against a request that is reported as one that may have run, or is
+// placed without end, because its endpoints stop taking requests.
+TEST(NextStep, AWithheldRequestHasNotRun) {
+  CHECK(er::IsNotRun(AttemptOutcome::kWithheld));
+  er::NextStepInput input = MakeInput(AttemptOutcome::kWithheld);
+  CHECK(er::DecideNextStep(input) == NextStep::kSendAgain);
+  input.not_sent = er::kMaxNotSentAttempts;
+  CHECK(er::DecideNextStep(input) == NextStep::kRefuse);
+}
--- a/routing/tests/placement_test.cc
+++ b/routing/tests/placement_test.cc
@@ -230,6 +230,23 @@
   CHECK(!full.next_turn_in);
 }
 
+// Guards against a request that was placed before its endpoint stopped taking
+// requests.
+TEST(Placement, AnEndpointThatStoppedTakingRequestsIsNotSentTo) {
+  AddEndpoint("x");
+  er::Endpoint& endpoint = EndpointOf("x");
+  CHECK(er::MaySend(set, endpoint, kStart));
+  endpoint.notices.backoff_until = kStart + 1s;
+  CHECK(!er::MaySend(set, endpoint, kStart));
+  CHECK(er::MaySend(set, endpoint, kStart + 1s));
+  er::SetZoneOut(set, "a", true);
+  CHECK(!er::MaySend(set, endpoint, kStart + 1s));
+  er::SetZoneOut(set, "a", false);
+  const er::EndpointPtr removed = set.by_id["x"];
+  er::OnEntryRemoved(set, "x", false, kStart);
+  CHECK(!er::MaySend(set, *removed, kStart + 1s));
+}
+
 TEST(Placement, AColdEndpointGetsAtMostItsRateFromAllNodesTogether) {
   constexpr std::size_t kNodes = 7;
   engines.cold_per_second = 19;
