Keep an endpoint's limit when its entry expires and returns

Around an outage of the store entries expire and return while the process runs on; the node then knew of no limit until the endpoint's next answer, and sent as to any other endpoint until that came. Limits that peers passed on were refused, as if an earlier process had stated them.

The limit is now remembered with the notices, for the same process only.

AdvertisedLimits.HoldWhenTheSameProcessIsPublishedAgain failed without the line that restores it (0 requests a second where the endpoint stated 2). Tests of routing (162) pass.

--- a/routing/include/egretladder/routing/endpoint_notices.h
+++ b/routing/include/egretladder/routing/endpoint_notices.h
@@ -43,15 +43,15 @@
 NoticeChange OnNotice(EndpointSet& set, Endpoint& endpoint,
                       const EndpointNotice& notice, Time now);
 
-/// Keeps the notices of an endpoint that is being removed: its entry may expire
-/// and return while the process runs on. At most `kMaxRememberedNotices` are
-/// kept, the last ones.
-void RememberNotices(EndpointSet& set, const Endpoint& endpoint);
-
-/// Gives a new endpoint the notices that its process gave before the entry was
-/// removed. Another process under the same id starts without notices, and so
-/// does one that doesn't publish when it started.
-void RestoreNotices(EndpointSet& set, Endpoint& endpoint);
+/// Keeps what an endpoint that is being removed stated, its limit included: its
+/// entry may expire and return while the process runs on. The statements of the
+/// last `kMaxRememberedStatements` such endpoints are kept.
+void RememberStatements(EndpointSet& set, const Endpoint& endpoint);
+
+/// Gives a new endpoint what its process stated before the entry was removed.
+/// Another process under the same id starts without statements, and so does one
+/// that doesn't publish when it started.
+void RestoreStatements(EndpointSet& set, Endpoint& endpoint);
 
 /// Returns how much longer the endpoint wants no requests; 0: it takes them.
 milliseconds RemainingBackoff(const Endpoint& endpoint, Time now);
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -119,10 +119,11 @@
 /// published.
 using EndpointPtr = std::shared_ptr<Endpoint>;
 
-/// The notices of a removed endpoint.
-struct RememberedNotices {
+/// What a removed endpoint had stated about itself.
+struct RememberedStatements {
   EndpointEntry entry;  ///< Its last entry.
   StandingNotices notices;
+  AdvertisedLimit limit;
   std::uint64_t number = 0;  ///< Rises with each removal.
 };
 
@@ -139,9 +140,9 @@
   std::map<std::string, bool, std::less<>> zones_out;
   /// Ids of the endpoints whose limit, or its recent end, is gossiped to peers.
   std::set<std::string> limited;
-  /// Notices of removed endpoints, by id, in case that their entries return.
-  std::unordered_map<std::string, RememberedNotices> remembered_notices;
-  std::uint64_t last_removal_number = 0;  ///< Of `remembered_notices`.
+  /// Statements of removed endpoints, by id, in case that their entries return.
+  std::unordered_map<std::string, RememberedStatements> remembered_statements;
+  std::uint64_t last_removal_number = 0;  ///< Of `remembered_statements`.
   std::unordered_map<std::string, ServicePace> service_paces;  ///< By service.
   /// Fraction of the engines that serves tight streams; 0: the engines aren't
   /// split. See engine_split.h.
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -228,8 +228,8 @@
 /// Upper bound of the time for which an endpoint can ask for no requests. A
 /// longer one is taken as this.
 inline constexpr std::chrono::hours kMaxEndpointBackoff{24};
-/// Removed endpoints whose notices are remembered, about 300 bytes each.
-inline constexpr std::size_t kMaxRememberedNotices = 1024;
+/// Removed endpoints whose statements are remembered, about 300 bytes each.
+inline constexpr std::size_t kMaxRememberedStatements = 1024;
 /// A backoff that ends later than known before by more than this is logged.
 inline constexpr milliseconds kMinLoggedBackoffChange{500};
 
--- a/routing/src/endpoint_notices.cc
+++ b/routing/src/endpoint_notices.cc
@@ -30,7 +30,7 @@
 void ForwardNotices(EndpointSet& set, const Endpoint& removed) {
   const auto at = set.by_id.find(removed.entry.id);
   if (at == set.by_id.end()) {
-    RememberNotices(set, removed);
+    RememberStatements(set, removed);
   } else if (removed.entry.started_unix_ms != 0 &&
              IsSameProcess(at->second->entry, removed.entry)) {
     Merge(at->second->notices, removed.notices);
@@ -65,15 +65,16 @@
   return change;
 }
 
-void RememberNotices(EndpointSet& set, const Endpoint& endpoint) {
-  const bool has_notice =
-      endpoint.notices.leaving || endpoint.notices.backoff_until != Time{};
+void RememberStatements(EndpointSet& set, const Endpoint& endpoint) {
+  const bool has_stated = endpoint.notices.leaving ||
+                          endpoint.notices.backoff_until != Time{} ||
+                          endpoint.limit.per_second > 0;
   // Without a start time, the process can't be recognized when it returns.
-  if (!has_notice || endpoint.entry.started_unix_ms == 0) return;
-  auto& remembered = set.remembered_notices;
-  const std::uint64_t number = ++set.last_removal_number;
-  remembered[endpoint.entry.id] = {endpoint.entry, endpoint.notices, number};
-  if (remembered.size() <= kMaxRememberedNotices) return;
+  if (!has_stated || endpoint.entry.started_unix_ms == 0) return;
+  auto& remembered = set.remembered_statements;
+  remembered[endpoint.entry.id] = {endpoint.entry, endpoint.notices,
+                                   endpoint.limit, ++set.last_removal_number};
+  if (remembered.size() <= kMaxRememberedStatements) return;
   remembered.erase(std::min_element(remembered.begin(), remembered.end(),
                                     [](const auto& left, const auto& right) {
                                       return left.second.number <
@@ -81,12 +82,15 @@
                                     }));
 }
 
-void RestoreNotices(EndpointSet& set, Endpoint& endpoint) {
-  const auto at = set.remembered_notices.find(endpoint.entry.id);
-  if (at == set.remembered_notices.end()) return;
-  if (IsSameProcess(at->second.entry, endpoint.entry))
+void RestoreStatements(EndpointSet& set, Endpoint& endpoint) {
+  const auto at = set.remembered_statements.find(endpoint.entry.id);
+  if (at == set.remembered_statements.end()) return;
+  if (IsSameProcess(at->second.entry, endpoint.entry)) {
     endpoint.notices = at->second.notices;
-  set.remembered_notices.erase(at);
+    endpoint.limit = at->second.limit;
+    if (endpoint.limit.per_second > 0) set.limited.insert(endpoint.entry.id);
+  }
+  set.remembered_statements.erase(at);
 }
 
 milliseconds RemainingBackoff(const Endpoint& endpoint, Time now) {
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -43,7 +43,7 @@
   const auto at = set.by_id.find(id);
   if (at == set.by_id.end()) return;
   at->second->phase = EndpointPhase::kGone;
-  RememberNotices(set, *at->second);
+  RememberStatements(set, *at->second);
   RemoveFromService(set, at->second);
   set.by_id.erase(at);
 }
@@ -57,7 +57,7 @@
   endpoint->cold_until = now + entry.cold_left;
   // Limits that peers learned from an earlier process don't count.
   endpoint->limit.advertised_at = now;
-  RestoreNotices(set, *endpoint);
+  RestoreStatements(set, *endpoint);
   AddToService(set, endpoint);
   set.by_id[entry.id] = std::move(endpoint);
   return EntryChange::kNew;
--- a/routing/tests/advertised_limits_test.cc
+++ b/routing/tests/advertised_limits_test.cc
@@ -152,6 +152,27 @@
 
 TEST_GROUP(AdvertisedLimits){};
 
+// Guards against an endpoint whose limit is forgotten because its entry expired
+// in an outage of the store and returned while the process ran on.
+TEST(AdvertisedLimits, HoldWhenTheSameProcessIsPublishedAgain) {
+  er::EndpointSet set;
+  er::EndpointEntry entry;
+  entry.id = "x";
+  entry.service = "engines";
+  entry.address = "10.0.0.1:80";
+  entry.started_unix_ms = 100;
+  er::OnEntryPublished(set, entry, kStart);
+  er::OnAdvertisedLimit(set, *set.by_id["x"], 2.0, kStart);
+  er::OnEntryRemoved(set, "x", false, kStart + 1s);
+  er::OnEntryPublished(set, entry, kStart + 2s);
+  DOUBLES_EQUAL(2, set.by_id["x"]->limit.per_second, 0);
+  CHECK(set.by_id["x"]->limit.began_at == kStart);
+  er::OnEntryRemoved(set, "x", false, kStart + 3s);
+  entry.started_unix_ms = 200;
+  er::OnEntryPublished(set, entry, kStart + 4s);
+  DOUBLES_EQUAL(0, set.by_id["x"]->limit.per_second, 0);
+}
+
 // Guards against exceeding the limit many times over in the sum of all nodes.
 TEST(AdvertisedLimits, HoldForAllNodesTogetherInFleetsOfAnySize) {
   for (const std::size_t nodes : {1, 7, 90, 300}) {
