Pass a notice on only where an answer has one

The node was called, and its queue of actions run, for each answer of an endpoint on the first front, though hardly any states something about its endpoint. Tests of EndpointFaults (12) pass.

--- a/gateway/src/endpoint_evhttp.cc
+++ b/gateway/src/endpoint_evhttp.cc
@@ -122,9 +122,11 @@
 // states nothing about an endpoint.
 void PassNotice(CallerCall& call, const ExchangeHead& head) {
   if (call.attempt.forward) return;
+  const node::EndpointNotice notice = NoticeOf(head);
+  if (!notice.leaving && notice.backoff.count() == 0) return;
   Gateway& gateway = *call.gateway;
   node::Actions actions;
-  node::OnNotice(*gateway.node, call.id, call.attempt.number, NoticeOf(head),
+  node::OnNotice(*gateway.node, call.id, call.attempt.number, notice,
                  NowOf(gateway), actions);
   PumpLater(gateway, std::move(actions));
 }
