Refuse the request in SilentPeerIsReconnected before the peer is given up

Traced: the request without rules waits an eighth of its 8 s, 1,000 ms, and a silent connection is given up after 1,000 ms without an answer. The test lifts the silence when the request is refused, so that the second connection is opened before or after that by chance; in the first case it is silent as well, and a third one follows. The node behaves as it should in both.

It checks the same as before, and also that the first connection is the only one until then.

--- a/proxy/tests/peers_test.cc
+++ b/proxy/tests/peers_test.cc
@@ -191,8 +191,13 @@
   relay.SetSilent(true);
   ep::Proxy& second = StartNodeWithSeed("n2", relay.address());
   env.WaitUntil([&relay] { return relay.connections() == 1; });
-  STRCMP_EQUAL("503 no",
-               env.SendAndDescribe(second, {.path = "/once/a"}).c_str());
+  // The request is refused before the node gives up its first connection, so
+  // that the second one isn't silent.
+  constexpr int kTimeoutMs = 800;
+  STRCMP_EQUAL("503 no", env.SendAndDescribe(second, {.path = "/once/a",
+                                                      .timeout_ms = kTimeoutMs})
+                             .c_str());
+  LONGS_EQUAL(1, relay.connections());
   relay.SetSilent(false);
   env.WaitUntilReady(second, 1);
   LONGS_EQUAL(2, relay.connections());
