Log and count whether a service answers this node

New: the log line service-reach (lost, returning, reached, with the age of the last answer), the gauges egretladder_service_reached and egretladder_service_answer_age_seconds. The evidence is three endpoints in a row without an answer, from attempts sent after the last answered one; answers to earlier attempts don't refute it, since old connections may live on. No decision uses it yet.

--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -74,7 +74,9 @@
   }
 }
 
-void ReleaseEndpoint(const CallPtr& call, const Attempt& attempt) {
+void ReleaseEndpoint(Proxy& proxy, const CallPtr& call,
+                     const Attempt& attempt) {
+  RecordAttemptEnded(proxy, *call, attempt);
   routing::OnAttemptStarted(*attempt.endpoint, call->demand, attempt.number,
                             attempt.placement);
   routing::OnAttemptEnded(*attempt.endpoint);
@@ -178,11 +180,11 @@
                                   MakeRetryBudgetFleet(proxy), now);
 }
 
-void CancelAttempt(Proxy& /*proxy*/, const CallPtr& call) {
+void CancelAttempt(Proxy& proxy, const CallPtr& call) {
   if (call->attempt == nullptr) return;
   const auto attempt = std::move(call->attempt);
   net::Cancel(attempt->exchange);
-  ReleaseEndpoint(call, *attempt);
+  ReleaseEndpoint(proxy, call, *attempt);
 }
 
 void EndAttempt(Proxy& proxy, const CallPtr& call, AttemptOutcome outcome,
@@ -191,8 +193,9 @@
   call->silence_timer = {};
   RecordEndpointResult(proxy, *call, outcome);
   RecordSuspect(proxy, *call, outcome);
+  RecordUnanswered(proxy, *call, outcome);
   auto attempt = std::move(call->attempt);
-  ReleaseEndpoint(call, *attempt);
+  ReleaseEndpoint(proxy, call, *attempt);
   CountAttempt(*call, outcome, attempt->endpoint);
   const NextStep step = ChooseNextStep(proxy, *call, outcome);
   IncrementCounter(proxy, "egretladder_attempts_total",
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -64,6 +64,7 @@
                         const net::HttpAnswerHead& head) {
   Attempt& attempt = *call->attempt;
   const AnswerMetadata metadata = proxy.dialect->read_answer(head);
+  RecordAnswered(proxy, *call);
   ApplyEndpointNotice(proxy, *call, head.status, metadata);
   if (!metadata.id.empty() && metadata.id != call->metadata.id) {
     kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "foreign-answer",
@@ -369,6 +370,7 @@
     proxy.endpoints.last_delayed_stream_at = now;
   routing::OnAttemptSent(*placement.endpoint, call->demand, attempt.number,
                          placement, now);
+  RecordAttemptBegan(proxy, *call);
   kernel::Observe(proxy.metrics, call->class_metrics->waited,
                   now - call->arrived_at);
   LogSent(proxy, *call, now);
--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -123,6 +123,23 @@
   }
 }
 
+void UpdateReachGauges(Proxy& proxy, Time now) {
+  for (const auto& [service, reach] : proxy.reaches) {
+    const std::string label = FormatLabel("service", service);
+    SetGauge(proxy, "egretladder_service_reached",
+             "1 if this node's attempts at the service are answered, 0 if they "
+             "are not, 0.5 while they are resumed.",
+             reach.state == routing::ReachState::kReached     ? 1
+             : reach.state == routing::ReachState::kReturning ? 0.5
+                                                              : 0,
+             label);
+    if (reach.last_answer_at == Time{}) continue;
+    SetGauge(proxy, "egretladder_service_answer_age_seconds",
+             "Time since an endpoint of the service last began an answer.",
+             SecondsSince(reach.last_answer_at, now), label);
+  }
+}
+
 }  // namespace
 
 void IncrementCounter(Proxy& proxy, const char* name, const char* help,
@@ -183,6 +200,7 @@
   UpdateStoreGauges(proxy, now);
   UpdateEndpointGauges(proxy, now);
   UpdateLoadGauges(proxy, now);
+  UpdateReachGauges(proxy, now);
   SetGauge(proxy, "egretladder_long_pause_ms",
            "Time between two events of a stream beside long prompts that one "
            "in fifty exceeds, in milliseconds.",
--- /dev/null
+++ b/proxy/src/service_reach.cc
@@ -0,0 +1,70 @@
+// Evidence of this node's links to the services, and its log.
+#include "egretladder/routing/service_reach.h"
+
+#include "state_p.h"
+
+namespace egretladder::proxy {
+namespace {
+
+using kernel::LogLevel;
+using kernel::LogPart;
+using routing::AttemptOutcome;
+
+std::size_t CountEndpoints(const Proxy& proxy, const std::string& service) {
+  const auto at = proxy.endpoints.by_service.find(service);
+  return at != proxy.endpoints.by_service.end() ? at->second.size() : 0;
+}
+
+bool IsUnanswered(const Attempt& attempt, AttemptOutcome outcome) {
+  if (outcome == AttemptOutcome::kNotSent) return true;
+  return attempt.head.status == 0 && (outcome == AttemptOutcome::kSilent ||
+                                      outcome == AttemptOutcome::kBroken);
+}
+
+void LogState(const std::string& service, const routing::ServiceReach& reach,
+              std::size_t endpoints, Time now) {
+  const milliseconds answer_age = reach.last_answer_at == Time{}
+                                      ? milliseconds(-1)
+                                      : Elapsed(reach.last_answer_at, now);
+  kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "service-reach",
+                   {{"service", service},
+                    {"state", routing::NameOf(reach.state)},
+                    {"answer_age_ms", answer_age},
+                    {"endpoints", endpoints}});
+}
+
+}  // namespace
+
+void RecordAttemptBegan(Proxy& proxy, const Call& call) {
+  routing::OnReachAttemptBegan(proxy.reaches[call.service->name]);
+}
+
+void RecordAttemptEnded(Proxy& proxy, const Call& call,
+                        const Attempt& attempt) {
+  routing::OnReachAttemptEnded(proxy.reaches[call.service->name],
+                               attempt.sent_at);
+}
+
+void RecordAnswered(Proxy& proxy, const Call& call) {
+  const std::string& service = call.service->name;
+  routing::ServiceReach& reach = proxy.reaches[service];
+  const Time now = NowOf(proxy);
+  if (!routing::OnReachAnswered(reach, call.attempt->sent_at, now)) return;
+  LogState(service, reach, CountEndpoints(proxy, service), now);
+}
+
+void RecordUnanswered(Proxy& proxy, const Call& call, AttemptOutcome outcome) {
+  const Attempt& attempt = *call.attempt;
+  if (!IsUnanswered(attempt, outcome)) return;
+  const std::string& service = call.service->name;
+  routing::ServiceReach& reach = proxy.reaches[service];
+  const Time now = NowOf(proxy);
+  const std::size_t endpoints = CountEndpoints(proxy, service);
+  if (!routing::OnReachUnanswered(reach, attempt.endpoint->name_hash, endpoints,
+                                  attempt.sent_at, now)) {
+    return;
+  }
+  LogState(service, reach, endpoints, now);
+}
+
+}  // namespace egretladder::proxy
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -25,6 +25,7 @@
 #include "egretladder/routing/next_step.h"
 #include "egretladder/routing/placement.h"
 #include "egretladder/routing/retry_budget.h"
+#include "egretladder/routing/service_reach.h"
 #include "egretladder/routing/stop_admission.h"
 #include "egretladder/routing/store_readers.h"
 #include "egretladder/routing/suspects.h"
@@ -169,6 +170,7 @@
   routing::SplitDemandMeter split_demand_meter;
   routing::FleetDemand fleet_demand;
   std::unordered_map<std::string, routing::NodeRetryBudget> retry_budgets;
+  std::map<std::string, routing::ServiceReach> reaches;  ///< By service.
   routing::Suspects suspects;
   Time last_store_failure{};  ///< Last failed call to the store; default: none.
 
@@ -322,6 +324,17 @@
 void ApplyEndpointNotice(Proxy& proxy, const Call& call, int status,
                          const AnswerMetadata& metadata);
 
+// service_reach.cc
+/// Records that the call's attempt began.
+void RecordAttemptBegan(Proxy& proxy, const Call& call);
+/// Records that an attempt of the call ended or was cancelled.
+void RecordAttemptEnded(Proxy& proxy, const Call& call, const Attempt& attempt);
+/// Records that the endpoint answers the call's attempt.
+void RecordAnswered(Proxy& proxy, const Call& call);
+/// Records that the call's attempt ended without any answer, if it did.
+void RecordUnanswered(Proxy& proxy, const Call& call,
+                      routing::AttemptOutcome outcome);
+
 // answers.cc
 // Pages of the node itself.
 void AnswerDirectory(Proxy& proxy, const net::HttpCallPtr& caller);
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -241,6 +241,25 @@
 /// traffic is uneven.
 inline constexpr double kUsableRetryRatio = 0.8;
 
+// --- Links to a service (service_reach.h) ---
+
+/// Endpoints at which attempts must fail in a row before the service counts as
+/// lost. With fewer, two endpoints that crash together would look like it.
+inline constexpr std::size_t kMinUnansweringEndpoints = 3;
+/// Interval at which a request probes a lost service. The request may lose a
+/// connect timeout.
+inline constexpr milliseconds kReachProbeInterval{500};
+/// Upper bound of that interval for a service that is lost again and again.
+inline constexpr milliseconds kMaxReachProbeInterval{4000};
+/// A request with less time left doesn't probe: after a connect timeout it has
+/// to be answered elsewhere.
+inline constexpr milliseconds kMinProbeTimeLeft{1200};
+/// Requests in flight right after the service returned. Each answer doubles
+/// them.
+inline constexpr std::uint32_t kInitialReturningInFlight = 2;
+/// Requests in flight beyond which the service counts as reached again.
+inline constexpr std::uint32_t kMaxReturningInFlight = 32;
+
 // --- Requests that crash endpoints (suspects.h) ---
 
 /// Successive crashes after which a request is held back. With two, a request
--- /dev/null
+++ b/routing/include/egretladder/routing/service_reach.h
@@ -0,0 +1,72 @@
+// Tells a node that lost its links to the endpoints of a service from single
+// endpoints that fail.
+//
+// A node judges each endpoint by its own attempts. If its links to all
+// endpoints are lost, the endpoints look down one by one, and each request is
+// sent to several of them in vain before it is refused, while other nodes are
+// answered by the same endpoints. Attempts that fail in a row at several
+// endpoints show the loss within one connect timeout. Bytes on connections that
+// were opened before don't refute it: they may live on while new ones fail.
+//
+// The node returns to a service by one request at a time, and then by steps,
+// because a link that comes and goes would otherwise cost each caller a
+// timeout.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "egretladder/kernel/time.h"
+#include "egretladder/routing/limits.h"
+
+namespace egretladder::routing {
+
+using kernel::Time;
+
+/// Whether a node's attempts at the endpoints of a service are answered.
+enum class ReachState : std::uint8_t {
+  kReached,
+  kLost,       ///< No attempt is answered; one probes from time to time.
+  kReturning,  ///< A probe was answered; a growing number of requests is sent.
+};
+/// Returns the state's name in logs.
+const char* NameOf(ReachState state);
+
+/// What a node's own attempts show of its links to one service.
+struct ServiceReach {
+  ReachState state = ReachState::kReached;
+  Time state_since{};     ///< Default: since the start.
+  Time last_answer_at{};  ///< Last answer to an attempt; default: never.
+  /// When the first of the attempts that failed in a row was sent; default:
+  /// the last attempt was answered.
+  Time failing_since{};
+  /// Hashes of the ids of the endpoints at which they failed, without
+  /// repetition, `kMinUnansweringEndpoints` at most.
+  std::vector<std::uint64_t> unanswering;
+  Time next_probe_at{};           ///< While lost.
+  milliseconds probe_interval{};  ///< While lost.
+  std::uint32_t in_flight = 0;    ///< Attempts that began since `state_since`.
+  std::uint32_t max_in_flight = 0;  ///< While returning.
+};
+
+/// Records that an attempt began.
+void OnReachAttemptBegan(ServiceReach& reach);
+/// Records that an attempt sent at `sent_at` ended or was cancelled.
+void OnReachAttemptEnded(ServiceReach& reach, Time sent_at);
+/// Records that an attempt sent at `sent_at` was answered. Returns true if the
+/// state changed.
+bool OnReachAnswered(ServiceReach& reach, Time sent_at, Time now);
+/// Records that an attempt sent at `sent_at` to the endpoint with that hash
+/// ended without any answer. The service has `endpoints` endpoints. Returns
+/// true if the state changed.
+bool OnReachUnanswered(ServiceReach& reach, std::uint64_t endpoint,
+                       std::size_t endpoints, Time sent_at, Time now);
+
+/// Returns true if this node may send a request with `time_left` to an endpoint
+/// of the service itself. While the service is lost, this is true for one
+/// request in each probe interval, which begins with the call.
+bool TryReach(ServiceReach& reach, milliseconds time_left, Time now);
+
+}  // namespace egretladder::routing
--- /dev/null
+++ b/routing/src/service_reach.cc
@@ -0,0 +1,105 @@
+#include "egretladder/routing/service_reach.h"
+
+#include <algorithm>
+
+namespace egretladder::routing {
+namespace {
+
+void Enter(ServiceReach& reach, ReachState state, Time now) {
+  reach.state = state;
+  reach.state_since = now;
+  reach.in_flight = 0;
+}
+
+void EnterLost(ServiceReach& reach, Time now) {
+  // A link that was lost again soon after it returned is probed less often.
+  const bool is_relapse = reach.state == ReachState::kReturning;
+  reach.probe_interval =
+      is_relapse ? std::min(2 * reach.probe_interval, kMaxReachProbeInterval)
+                 : kReachProbeInterval;
+  reach.next_probe_at = now + reach.probe_interval;
+  Enter(reach, ReachState::kLost, now);
+}
+
+void AddUnanswering(ServiceReach& reach, std::uint64_t endpoint) {
+  auto& known = reach.unanswering;
+  if (known.size() >= kMinUnansweringEndpoints) return;
+  if (std::find(known.begin(), known.end(), endpoint) != known.end()) return;
+  known.push_back(endpoint);
+}
+
+}  // namespace
+
+const char* NameOf(ReachState state) {
+  switch (state) {
+    case ReachState::kReached:
+      return "reached";
+    case ReachState::kLost:
+      return "lost";
+    case ReachState::kReturning:
+      return "returning";
+  }
+  return "unknown";
+}
+
+void OnReachAttemptBegan(ServiceReach& reach) { ++reach.in_flight; }
+
+void OnReachAttemptEnded(ServiceReach& reach, Time sent_at) {
+  if (sent_at < reach.state_since) return;
+  if (reach.in_flight > 0) --reach.in_flight;
+}
+
+bool OnReachAnswered(ServiceReach& reach, Time sent_at, Time now) {
+  reach.last_answer_at = now;
+  // An answer to an attempt from before the failures says nothing about the
+  // links since.
+  if (sent_at < reach.failing_since) return false;
+  reach.failing_since = {};
+  reach.unanswering.clear();
+  switch (reach.state) {
+    case ReachState::kReached:
+      return false;
+    case ReachState::kLost:
+      reach.max_in_flight = kInitialReturningInFlight;
+      Enter(reach, ReachState::kReturning, now);
+      return true;
+    case ReachState::kReturning:
+      reach.max_in_flight *= 2;
+      if (reach.max_in_flight <= kMaxReturningInFlight) return false;
+      Enter(reach, ReachState::kReached, now);
+      return true;
+  }
+  return false;
+}
+
+bool OnReachUnanswered(ServiceReach& reach, std::uint64_t endpoint,
+                       std::size_t endpoints, Time sent_at, Time now) {
+  if (sent_at < reach.state_since || reach.state == ReachState::kLost) {
+    return false;
+  }
+  if (reach.failing_since == Time{} || sent_at < reach.failing_since) {
+    reach.failing_since = sent_at;
+  }
+  AddUnanswering(reach, endpoint);
+  const std::size_t needed =
+      std::min(std::max<std::size_t>(endpoints, 1), kMinUnansweringEndpoints);
+  if (reach.unanswering.size() < needed) return false;
+  EnterLost(reach, now);
+  return true;
+}
+
+bool TryReach(ServiceReach& reach, milliseconds time_left, Time now) {
+  switch (reach.state) {
+    case ReachState::kReached:
+      return true;
+    case ReachState::kReturning:
+      return reach.in_flight < reach.max_in_flight;
+    case ReachState::kLost:
+      break;
+  }
+  if (now < reach.next_probe_at || time_left < kMinProbeTimeLeft) return false;
+  reach.next_probe_at = now + reach.probe_interval;
+  return true;
+}
+
+}  // namespace egretladder::routing
