Test that callers of a node without links to endpoints are served

The callers get 503 although another node is answered by the same endpoints, and both directories list the node without links.

A node under test reaches its endpoints through relays of the harness, which hang (a full listen backlog), reset or refuse, while another node connects to the same endpoints directly.

--- /dev/null
+++ b/proxy/tests/harness_links.cc
@@ -0,0 +1,154 @@
+#include "harness_links.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <utility>
+
+#include "egretladder/kernel/registry.h"
+#include "egretladder/net/address.h"
+#include "egretladder/proxy/dialect.h"
+
+namespace egretladder::proxy::test {
+namespace {
+
+// Small, so that a few connections fill it.
+constexpr int kBacklog = 4;
+
+EndpointLinks*& CurrentLinks() {
+  static EndpointLinks* links = nullptr;
+  return links;
+}
+
+const Dialect& PlainDialect() {
+  static const Dialect* plain = kernel::FindPlugin<Dialect>("plain");
+  return *plain;
+}
+
+kernel::Result<routing::EndpointEntry> ReadLinkedEndpoint(
+    const routing::Item& item) {
+  BOOST_OUTCOME_TRY(entry, PlainDialect().read_endpoint(item));
+  if (CurrentLinks() != nullptr)
+    entry.address = CurrentLinks()->AddressOf(entry.address);
+  return entry;
+}
+
+Dialect& LinkedDialect() {
+  static Dialect dialect;
+  return dialect;
+}
+
+const kernel::PluginRegistrar<Dialect> kRegistrar("linked", LinkedDialect());
+
+}  // namespace
+
+EndpointLink::EndpointLink(kernel::Loop& loop, const std::string& target)
+    : loop_(loop), target_(target) {
+  const evutil_socket_t fd =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  auto any = net::ParseAddress("127.0.0.1:0");
+  if (bind(fd, any->get(), static_cast<socklen_t>(any->size)) != 0) {
+    std::abort();
+  }
+  listener_.reset(evconnlistener_new(
+      loop.base.get(),
+      [](evconnlistener* /*l*/, evutil_socket_t accepted, sockaddr* /*a*/,
+         int /*size*/,
+         void* arg) { static_cast<EndpointLink*>(arg)->Accept(accepted); },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_DISABLED, 0, fd));
+  address_ = net::WithBoundPort("127.0.0.1:0", fd);
+  Listen();
+}
+
+EndpointLink::~EndpointLink() = default;
+
+void EndpointLink::Listen() {
+  listen(evconnlistener_get_fd(listener_.get()), kBacklog);
+  evconnlistener_enable(listener_.get());
+}
+
+// The socket stays bound, so that no other one gets its port.
+void EndpointLink::StopListening() {
+  evconnlistener_disable(listener_.get());
+  shutdown(evconnlistener_get_fd(listener_.get()), SHUT_RD);
+}
+
+// Once the backlog is full, the kernel drops further connection requests.
+void EndpointLink::FillBacklog() {
+  for (int i = 0; i < 2 * kBacklog; ++i) {
+    fillers_.push_back(std::make_unique<TestConnection>(loop_, address_));
+  }
+}
+
+void EndpointLink::Set(Cut cut) {
+  fillers_.clear();
+  StopListening();
+  if (cut != Cut::kRefuseNew) {
+    for (Pair& pair : pairs_) {
+      if (cut == Cut::kReset && !std::exchange(pair.closed, true)) {
+        pair.node->Reset();
+        pair.endpoint->Close();
+      }
+      if (cut == Cut::kHang) pair.silent = true;
+    }
+  }
+  if (cut == Cut::kNone) Listen();
+  if (cut == Cut::kHang) {
+    listen(evconnlistener_get_fd(listener_.get()), kBacklog);
+    FillBacklog();
+  }
+}
+
+void EndpointLink::Accept(evutil_socket_t fd) {
+  Pair& pair = pairs_.emplace_back();
+  pair.node = std::make_unique<TestConnection>(loop_, fd);
+  pair.endpoint = std::make_unique<TestConnection>(loop_, target_);
+  pair.node->OnChange([this, &pair] { Forward(pair); });
+  pair.endpoint->OnChange([this, &pair] { Forward(pair); });
+}
+
+void EndpointLink::Forward(Pair& pair) {
+  if (pair.silent || pair.closed) return;
+  pair.endpoint->Send(
+      std::string_view(pair.node->received()).substr(pair.node_forwarded));
+  pair.node_forwarded = pair.node->received().size();
+  pair.node->Send(std::string_view(pair.endpoint->received())
+                      .substr(pair.endpoint_forwarded));
+  pair.endpoint_forwarded = pair.endpoint->received().size();
+  if (!pair.node->ended() && !pair.endpoint->ended()) return;
+  pair.closed = true;
+  pair.node->Close();
+  pair.endpoint->Close();
+}
+
+EndpointLinks::EndpointLinks(kernel::Loop& loop) : loop_(loop) {
+  LinkedDialect() = PlainDialect();
+  LinkedDialect().read_endpoint = ReadLinkedEndpoint;
+  CurrentLinks() = this;
+}
+
+EndpointLinks::~EndpointLinks() { CurrentLinks() = nullptr; }
+
+void EndpointLinks::Set(Cut cut) {
+  cut_ = cut;
+  for (const auto& [target, link] : links_) link->Set(cut);
+}
+
+const std::string& EndpointLinks::AddressOf(const std::string& target) {
+  auto& link = links_[target];
+  if (link == nullptr) {
+    link = std::make_unique<EndpointLink>(loop_, target);
+    if (cut_ != Cut::kNone) link->Set(cut_);
+  }
+  return link->address();
+}
+
+std::size_t EndpointLinks::connections() const {
+  std::size_t connections = 0;
+  for (const auto& [target, link] : links_) connections += link->connections();
+  return connections;
+}
+
+}  // namespace egretladder::proxy::test
