--- a/proxy/include/egretladder/proxy/dialect.h
+++ b/proxy/include/egretladder/proxy/dialect.h
@@ -108,6 +108,12 @@
   /// Returns the header fields of the forwarded request.
   net::HttpFields (*endpoint_fields)(const net::HttpRequest& request,
                                      const ForwardMetadata& metadata);
+  /// Returns the header fields of a request that is handed over to a peer:
+  /// those of the caller, but with `time_left`, and with `resume_after` unless
+  /// that is empty.
+  net::HttpFields (*peer_fields)(const net::HttpRequest& request,
+                                 milliseconds time_left,
+                                 const std::string& resume_after);
   /// Parses the metadata of an endpoint's answer.
   AnswerMetadata (*read_answer)(const net::HttpAnswerHead& head);
 
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -86,6 +86,13 @@
 /// available for connections of callers.
 inline constexpr std::size_t kReservedDescriptors = 1200;
 
+/// How much earlier than this node's deadline a request ends at the peer to
+/// which it is handed over. Otherwise this node would give up a moment before
+/// the peer's answer, and would not know whether the request ran.
+inline constexpr milliseconds kHandoverReserve{40};
+/// Size of the fields that nodes add to a request that is handed over.
+inline constexpr std::size_t kMaxHandoverFieldBytes = 2048;
+
 // --- The node ---
 
 /// Some callers keep the list of addresses for this multiple of the time that
--- a/proxy/include/egretladder/proxy/proxy.h
+++ b/proxy/include/egretladder/proxy/proxy.h
@@ -28,8 +28,10 @@
   std::string ready = "127.0.0.1:0";      ///< For readiness checks.
   std::string directory = "127.0.0.1:0";  ///< For the addresses of nodes.
   std::string peers = "127.0.0.1:0";      ///< For other nodes.
-  std::string metrics;                    ///< Empty: metrics are not served.
-  std::string store;  ///< Address of the platform's store, `IP:port`.
+  /// For requests that other nodes hand over; empty: none are accepted.
+  std::string handovers = "127.0.0.1:0";
+  std::string metrics;  ///< Empty: metrics are not served.
+  std::string store;    ///< Address of the platform's store, `IP:port`.
   std::vector<std::string> seeds;  ///< Peer addresses; some may be stale.
   /// True while the whole fleet starts for the first time, before it has any
   /// callers.
@@ -79,6 +81,7 @@
   std::string ready;
   std::string directory;
   std::string peers;
+  std::string handovers;            ///< Empty: none are accepted.
   std::string metrics;              ///< Empty: metrics are not served.
   std::uint64_t rules_version = 0;  ///< 0: no rules are known.
   std::size_t endpoints = 0;        ///< Known endpoints.
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -80,6 +80,10 @@
   heartbeat @6 :UInt64;
   leaving @7 :Bool;
   storeTroubled @8 :Bool;
+  # Address for requests that other nodes hand over; empty: none are accepted.
+  handovers @9 :Text;
+  # Services that the node doesn't reach, one bit each in the order of the rules.
+  unreached @10 :UInt16;
 }
 
 struct Pulse {
@@ -90,6 +94,8 @@
   heartbeat @2 :UInt32;
   leaving @3 :Bool;
   storeTroubled @4 :Bool;
+  # As in `Member`.
+  unreached @5 :UInt16;
 }
 
 struct Changes {
--- a/proxy/src/advertised_limits.cc
+++ b/proxy/src/advertised_limits.cc
@@ -22,8 +22,8 @@
 }  // namespace
 
 void UpdateEndpointLimit(Proxy& proxy, const Call& call,
+                         routing::Endpoint& endpoint,
                          const AnswerMetadata& metadata) {
-  routing::Endpoint& endpoint = *call.attempt->endpoint;
   if (metadata.is_limit_invalid) {
     kernel::LogEvent(
         LogPart::kEndpoint, LogLevel::kWarning, "limit-unclear",
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -18,8 +18,13 @@
 void ForwardAnswer(Proxy& proxy, const CallPtr& call, const Attempt& attempt) {
   call->caller->OnDisconnect(nullptr);
   call->caller->Answer(attempt.head.status, attempt.head.reason,
-                       FieldsToForward(attempt.head.fields), attempt.body);
+                       FieldsToForward(*call, attempt), attempt.body);
   call->succeeded = IsSuccess(attempt.head.status);
+  if (!attempt.peer.empty() && ImpliesNotRun(attempt.head.status)) {
+    call->refusal_status = attempt.head.status;
+    EndCall(proxy, call, "refused-by-peer");
+    return;
+  }
   EndCall(proxy, call, call->succeeded ? "answered" : "endpoint-failure");
 }
 
@@ -33,6 +38,8 @@
       routing::OnConnectFailed(endpoint, now);
       break;
     case AttemptOutcome::kWithheld:
+    case AttemptOutcome::kDeclined:
+    case AttemptOutcome::kRefused:
       break;
     case AttemptOutcome::kFull: {
       const auto jitter = milliseconds(kernel::RandomBelow(
@@ -61,6 +68,7 @@
 void RecordSuspect(Proxy& proxy, Call& call, AttemptOutcome outcome) {
   const Attempt& attempt = *call.attempt;
   const Time now = NowOf(proxy);
+  if (outcome == AttemptOutcome::kBroken && !attempt.peer.empty()) return;
   if (outcome == AttemptOutcome::kBroken) {
     routing::OnConnectionBroke(
         proxy.suspects, GetFingerprint(call),
@@ -74,8 +82,11 @@
   }
 }
 
-void ReleaseEndpoint(Proxy& proxy, const CallPtr& call,
-                     const Attempt& attempt) {
+void ReleaseTarget(Proxy& proxy, const CallPtr& call, const Attempt& attempt) {
+  if (!attempt.peer.empty()) {
+    routing::OnHandoverEnded(proxy.handovers, attempt.peer);
+    return;
+  }
   RecordAttemptEnded(proxy, *call, attempt);
   routing::OnAttemptStarted(*attempt.endpoint, call->demand, attempt.number,
                             attempt.placement);
@@ -126,7 +137,7 @@
   input.is_repeatable = routing::IsRouteRepeatable(*call.route);
   input.resumable = call.route->resumable && !call.last_event_id.empty();
   input.is_answer_started = call.caller->begun();
-  input.attempts = call.route->attempts;
+  input.attempts = call.max_attempts;
   input.may_have_run = call.may_have_run;
   input.not_run = call.not_run;
   input.not_sent = call.not_sent;
@@ -145,10 +156,40 @@
   return routing::DecideNextStep(input);
 }
 
+void CountAttemptEnd(Proxy& proxy, bool is_own_attempt,
+                     AttemptOutcome outcome) {
+  const std::string label =
+      std::string("end=\"") + routing::NameOf(outcome) + "\"";
+  if (is_own_attempt) {
+    IncrementCounter(proxy, "egretladder_attempts_total",
+                     "Attempts ended, by outcome.", label);
+  } else {
+    IncrementCounter(proxy, "egretladder_handovers_total",
+                     "Requests handed over to peers, by outcome.", label);
+  }
+}
+
+void LogHandoverEnd(Proxy& proxy, const Call& call, const Attempt& attempt,
+                    AttemptOutcome outcome, const std::string& detail,
+                    NextStep step) {
+  kernel::LogEvent(LogPart::kRoute,
+                   outcome == AttemptOutcome::kSucceeded ? LogLevel::kInfo
+                                                         : LogLevel::kWarning,
+                   "handover-ended",
+                   {{"req", call.metadata.id},
+                    {"peer", attempt.peer},
+                    {"end", routing::NameOf(outcome)},
+                    {"status", attempt.head.status},
+                    {"detail", detail},
+                    {"ms", Elapsed(attempt.sent_at, NowOf(proxy))},
+                    {"next", routing::NameOf(step)}});
+}
+
 void CountAttempt(Call& call, AttemptOutcome outcome,
                   const routing::EndpointPtr& endpoint) {
   if (outcome == AttemptOutcome::kNotSent ||
-      outcome == AttemptOutcome::kWithheld) {
+      outcome == AttemptOutcome::kWithheld ||
+      outcome == AttemptOutcome::kDeclined) {
     ++call.not_sent;
     return;
   }
@@ -159,17 +200,20 @@
     ++call.not_run;
   } else {
     ++call.may_have_run;
-    call.tried_endpoints.push_back(endpoint);
+    if (endpoint != nullptr) call.tried_endpoints.push_back(endpoint);
   }
 }
 
 }  // namespace
 
-net::HttpFields FieldsToForward(const net::HttpFields& fields) {
+net::HttpFields FieldsToForward(const Call& call, const Attempt& attempt) {
   net::HttpFields forwarded;
-  for (const net::HttpField& field : fields) {
+  for (const net::HttpField& field : attempt.head.fields) {
     if (!net::IsHopByHopField(field.name)) forwarded.push_back(field);
   }
+  if (!attempt.peer.empty()) RemoveHandoverFields(forwarded);
+  if (call.handed_over)
+    forwarded.push_back(MakeEndpointField(*attempt.endpoint));
   return forwarded;
 }
 
@@ -184,24 +228,27 @@
   if (call->attempt == nullptr) return;
   const auto attempt = std::move(call->attempt);
   net::Cancel(attempt->exchange);
-  ReleaseEndpoint(proxy, call, *attempt);
+  ReleaseTarget(proxy, call, *attempt);
 }
 
 void EndAttempt(Proxy& proxy, const CallPtr& call, AttemptOutcome outcome,
                 const std::string& detail) {
   if (call->attempt == nullptr) return;
   call->silence_timer = {};
-  RecordEndpointResult(proxy, *call, outcome);
+  const bool is_own_attempt = call->attempt->peer.empty();
+  if (is_own_attempt) {
+    RecordEndpointResult(proxy, *call, outcome);
+    RecordUnanswered(proxy, *call, outcome);
+  }
   RecordSuspect(proxy, *call, outcome);
-  RecordUnanswered(proxy, *call, outcome);
   auto attempt = std::move(call->attempt);
-  ReleaseEndpoint(proxy, call, *attempt);
+  ReleaseTarget(proxy, call, *attempt);
   CountAttempt(*call, outcome, attempt->endpoint);
   const NextStep step = ChooseNextStep(proxy, *call, outcome);
-  IncrementCounter(proxy, "egretladder_attempts_total",
-                   "Attempts ended, by outcome.",
-                   std::string("end=\"") + routing::NameOf(outcome) + "\"");
-  if (outcome != AttemptOutcome::kSucceeded) {
+  CountAttemptEnd(proxy, is_own_attempt, outcome);
+  if (!is_own_attempt) {
+    LogHandoverEnd(proxy, *call, *attempt, outcome, detail, step);
+  } else if (outcome != AttemptOutcome::kSucceeded) {
     kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "attempt-ended",
                      {{"req", call->metadata.id},
                       {"endpoint", attempt->endpoint->entry.id},
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -12,34 +12,24 @@
 using kernel::LogPart;
 using routing::AttemptOutcome;
 
-constexpr int kUnavailable = 503;
 constexpr int kMisdirected = 421;
 constexpr int kMinServerError = 500;
 // Endpoints distinguish ten priorities, 0 to 9.
 constexpr std::uint8_t kLowestPriority = 9;
 
-// Returns true for the statuses by which this node tells callers that a request
-// has not run. An endpoint's answer with such a status is forwarded only if the
-// endpoint also states that it did not run the request.
-bool ImpliesNotRun(int status) {
-  constexpr std::array<int, 4> kNotRunStatuses = {408, kMisdirected, 429,
-                                                  kUnavailable};
-  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
-         kNotRunStatuses.end();
-}
-
 void MarkAttemptStarted(Proxy& proxy, const CallPtr& call) {
   Attempt& attempt = *call->attempt;
   if (attempt.started) return;
   attempt.started = true;
   const Time now = NowOf(proxy);
+  kernel::Observe(proxy.metrics, call->class_metrics->first_event,
+                  now - call->arrived_at);
+  if (!attempt.peer.empty()) return;
   routing::OnAttemptStarted(*attempt.endpoint, call->demand, attempt.number,
                             attempt.placement);
   routing::OnFirstByte(
       *attempt.endpoint, Elapsed(attempt.sent_at, now),
       milliseconds(static_cast<std::int64_t>(attempt.placement.expected_ms)));
-  kernel::Observe(proxy.metrics, call->class_metrics->first_event,
-                  now - call->arrived_at);
 }
 
 AttemptOutcome ClassifyWholeAnswer(const Attempt& attempt) {
@@ -65,7 +55,7 @@
   Attempt& attempt = *call->attempt;
   const AnswerMetadata metadata = proxy.dialect->read_answer(head);
   RecordAnswered(proxy, *call);
-  ApplyEndpointNotice(proxy, *call, head.status, metadata);
+  ApplyEndpointNotice(proxy, *call, attempt.endpoint, head.status, metadata);
   if (!metadata.id.empty() && metadata.id != call->metadata.id) {
     kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "foreign-answer",
                      {{"req", call->metadata.id},
@@ -74,12 +64,9 @@
     return net::HeadVerdict::kSkip;
   }
   routing::OnSignOfLife(*attempt.endpoint, NowOf(proxy));
-  if (head.status != kMisdirected) UpdateEndpointLimit(proxy, *call, metadata);
-  attempt.head = head;
-  attempt.metadata = metadata;
-  attempt.is_event_stream = IsSuccess(head.status) &&
-                            metadata.is_event_stream && metadata.sealed &&
-                            !metadata.encoded && !metadata.not_run;
+  if (head.status != kMisdirected)
+    UpdateEndpointLimit(proxy, *call, *attempt.endpoint, metadata);
+  KeepAnswerHead(attempt, head, metadata);
   return net::HeadVerdict::kAccept;
 }
 
@@ -138,7 +125,7 @@
 // may run twice.
 void OnSilenceTimeout(Proxy& proxy, const CallPtr& call) {
   if (call->attempt == nullptr) return;
-  const bool has_attempts_left = call->may_have_run + 1 < call->route->attempts;
+  const bool has_attempts_left = call->may_have_run + 1 < call->max_attempts;
   if (!has_attempts_left || !TryConsumeRetry(proxy, *call)) {
     return;
   }
@@ -146,16 +133,6 @@
   EndAttempt(proxy, call, AttemptOutcome::kSilent, "no event in time");
 }
 
-void StartSilenceTimer(Proxy& proxy, const CallPtr& call,
-                       milliseconds timeout) {
-  call->silence_timer = kernel::RunAfter(
-      *proxy.loop, timeout, [&proxy, weak_call = std::weak_ptr<Call>(call)] {
-        if (const auto locked = weak_call.lock()) {
-          OnSilenceTimeout(proxy, locked);
-        }
-      });
-}
-
 milliseconds GetFirstEventTimeout(const Call& call,
                                   const routing::Placement& placement) {
   const auto expected = milliseconds(static_cast<std::int64_t>(
@@ -199,69 +176,23 @@
   const std::string events = net::SplitEvents(attempt.splitter, piece);
   if (events.empty()) return;
   call->events += attempt.splitter.events - events_before;
-  RecordPace(proxy, *call, attempt.splitter.events - events_before);
-  RecordInterval(proxy, *call);
+  if (attempt.peer.empty()) {
+    RecordPace(proxy, *call, attempt.splitter.events - events_before);
+    RecordInterval(proxy, *call);
+  }
   RecordPause(*call, NowOf(proxy));
   if (!attempt.splitter.last_id.empty()) {
     call->last_event_id = attempt.splitter.last_id;
   }
   if (!call->caller->begun()) {
     call->caller->Begin(attempt.head.status, attempt.head.reason,
-                        FieldsToForward(attempt.head.fields));
+                        FieldsToForward(*call, attempt));
   }
   call->caller->Send(events);
   if (call->caller->UnsentBytes() > kMaxCallerBacklogBytes)
     PauseReading(proxy, call);
 }
 
-void OnBody(Proxy& proxy, const CallPtr& call, std::string_view piece) {
-  Attempt& attempt = *call->attempt;
-  routing::OnSignOfLife(*attempt.endpoint, NowOf(proxy));
-  if (attempt.is_event_stream) {
-    MarkAttemptStarted(proxy, call);
-    ForwardEvents(proxy, call, piece);
-    const bool is_backlogged =
-        call->caller->UnsentBytes() > kMaxCallerBacklogBytes;
-    if (call->attempt != nullptr && routing::IsRouteRepeatable(*call->route) &&
-        !is_backlogged) {
-      StartSilenceTimer(proxy, call, GetStallTimeout(*call));
-    }
-    return;
-  }
-  attempt.body.append(piece);
-  if (attempt.body.size() > kMaxBufferedAnswerBytes) {
-    net::Cancel(attempt.exchange);
-    EndAttempt(proxy, call, AttemptOutcome::kBadAnswer,
-               "the answer is too large");
-  }
-}
-
-void OnEnd(Proxy& proxy, const CallPtr& call) {
-  Attempt& attempt = *call->attempt;
-  MarkAttemptStarted(proxy, call);
-  if (!attempt.is_event_stream) {
-    EndAttempt(proxy, call, ClassifyWholeAnswer(attempt), "");
-    return;
-  }
-  const bool is_complete =
-      attempt.splitter.incomplete_event.empty() && call->events > 0;
-  EndAttempt(proxy, call,
-             is_complete ? AttemptOutcome::kSucceeded : AttemptOutcome::kBroken,
-             is_complete ? "" : "the stream ended inside an event");
-}
-
-AttemptOutcome ClassifyExchangeError(net::ExchangeError error) {
-  switch (error) {
-    case net::ExchangeError::kNotConnected:
-      return AttemptOutcome::kNotSent;
-    case net::ExchangeError::kBroken:
-      return AttemptOutcome::kBroken;
-    case net::ExchangeError::kBadAnswer:
-      break;
-  }
-  return AttemptOutcome::kBadAnswer;
-}
-
 void LogSent(const Proxy& proxy, const Call& call, Time now) {
   const routing::Placement& placement = call.attempt->placement;
   const routing::Endpoint& endpoint = *placement.endpoint;
@@ -307,19 +238,12 @@
 net::ExchangeRequest MakeExchangeRequest(const Proxy& proxy, const Call& call,
                                          Time now) {
   const net::HttpRequest& request = call.caller->request();
-  const bool has_no_body =
-      request.body.empty() &&
-      net::CountFields(request.fields, "Content-Length") == 0 &&
-      net::CountFields(request.fields, "Transfer-Encoding") == 0;
-  net::ExchangeRequest exchange;
+  net::HttpFields fields =
+      proxy.dialect->endpoint_fields(request, MakeForwardMetadata(call, now));
+  if (call.handed_over) RemoveHandoverFields(fields);
+  net::ExchangeRequest exchange =
+      MakeForwardedRequest(request, std::move(fields));
   exchange.address = call.attempt->endpoint->entry.address;
-  exchange.head = net::FormatRequestHead(
-      request.method, request.target,
-      proxy.dialect->endpoint_fields(request, MakeForwardMetadata(call, now)),
-      has_no_body ? net::BodyFraming::kNone : net::BodyFraming::kLength,
-      request.body.size());
-  exchange.body = request.body;
-  exchange.is_head_request = request.method == "HEAD";
   exchange.reuse = GetConnectionReuse(call, now);
   return exchange;
 }
@@ -336,12 +260,102 @@
   return true;
 }
 
-net::ExchangeHandlers MakeExchangeHandlers(Proxy& proxy, const CallPtr& call) {
-  net::ExchangeHandlers handlers;
+void OnBody(Proxy& proxy, const CallPtr& call, std::string_view piece) {
+  Attempt& attempt = *call->attempt;
+  if (attempt.peer.empty())
+    routing::OnSignOfLife(*attempt.endpoint, NowOf(proxy));
+  if (attempt.is_event_stream) {
+    MarkAttemptStarted(proxy, call);
+    ForwardEvents(proxy, call, piece);
+    const bool is_backlogged =
+        call->caller->UnsentBytes() > kMaxCallerBacklogBytes;
+    if (call->attempt != nullptr && routing::IsRouteRepeatable(*call->route) &&
+        !is_backlogged) {
+      StartSilenceTimer(proxy, call, GetStallTimeout(*call));
+    }
+    return;
+  }
+  attempt.body.append(piece);
+  if (attempt.body.size() > kMaxBufferedAnswerBytes) {
+    net::Cancel(attempt.exchange);
+    EndAttempt(proxy, call, AttemptOutcome::kBadAnswer,
+               "the answer is too large");
+  }
+}
+
+void OnEnd(Proxy& proxy, const CallPtr& call) {
+  Attempt& attempt = *call->attempt;
+  MarkAttemptStarted(proxy, call);
+  if (!attempt.is_event_stream) {
+    EndAttempt(proxy, call,
+               attempt.peer.empty() ? ClassifyWholeAnswer(attempt)
+                                    : ClassifyPeerAnswer(attempt),
+               "");
+    return;
+  }
+  const bool is_complete =
+      attempt.splitter.incomplete_event.empty() && call->events > 0;
+  EndAttempt(proxy, call,
+             is_complete ? AttemptOutcome::kSucceeded : AttemptOutcome::kBroken,
+             is_complete ? "" : "the stream ended inside an event");
+}
+
+AttemptOutcome ClassifyExchangeError(net::ExchangeError error) {
+  switch (error) {
+    case net::ExchangeError::kNotConnected:
+      return AttemptOutcome::kNotSent;
+    case net::ExchangeError::kBroken:
+      return AttemptOutcome::kBroken;
+    case net::ExchangeError::kBadAnswer:
+      break;
+  }
+  return AttemptOutcome::kBadAnswer;
+}
+
+net::ExchangeHandlers MakeEndpointHandlers(Proxy& proxy, const CallPtr& call) {
+  net::ExchangeHandlers handlers = MakeAnswerHandlers(proxy, call);
   handlers.may_send = [&proxy, call] { return BeginSending(proxy, call); };
   handlers.on_head = [&proxy, call](const net::HttpAnswerHead& head) {
     return OnHead(proxy, call, head);
   };
+  return handlers;
+}
+
+}  // namespace
+
+bool ImpliesNotRun(int status) {
+  constexpr std::array<int, 4> kNotRunStatuses = {408, kMisdirected, 429, 503};
+  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
+         kNotRunStatuses.end();
+}
+
+void KeepAnswerHead(Attempt& attempt, const net::HttpAnswerHead& head,
+                    const AnswerMetadata& metadata) {
+  attempt.head = head;
+  attempt.metadata = metadata;
+  attempt.is_event_stream = IsSuccess(head.status) &&
+                            metadata.is_event_stream && metadata.sealed &&
+                            !metadata.encoded && !metadata.not_run;
+}
+
+net::ExchangeRequest MakeForwardedRequest(const net::HttpRequest& request,
+                                          net::HttpFields fields) {
+  const bool has_no_body =
+      request.body.empty() &&
+      net::CountFields(request.fields, "Content-Length") == 0 &&
+      net::CountFields(request.fields, "Transfer-Encoding") == 0;
+  net::ExchangeRequest exchange;
+  exchange.head = net::FormatRequestHead(
+      request.method, request.target, fields,
+      has_no_body ? net::BodyFraming::kNone : net::BodyFraming::kLength,
+      request.body.size());
+  exchange.body = request.body;
+  exchange.is_head_request = request.method == "HEAD";
+  return exchange;
+}
+
+net::ExchangeHandlers MakeAnswerHandlers(Proxy& proxy, const CallPtr& call) {
+  net::ExchangeHandlers handlers;
   handlers.on_body = [&proxy, call](std::string_view piece) {
     OnBody(proxy, call, piece);
   };
@@ -353,7 +367,15 @@
   return handlers;
 }
 
-}  // namespace
+void StartSilenceTimer(Proxy& proxy, const CallPtr& call,
+                       milliseconds timeout) {
+  call->silence_timer = kernel::RunAfter(
+      *proxy.loop, timeout, [&proxy, weak_call = std::weak_ptr<Call>(call)] {
+        if (const auto locked = weak_call.lock()) {
+          OnSilenceTimeout(proxy, locked);
+        }
+      });
+}
 
 void StartAttempt(Proxy& proxy, const CallPtr& call,
                   const routing::Placement& placement) {
@@ -375,7 +397,7 @@
                   now - call->arrived_at);
   LogSent(proxy, *call, now);
   attempt.exchange = proxy.client->Start(MakeExchangeRequest(proxy, *call, now),
-                                         MakeExchangeHandlers(proxy, call));
+                                         MakeEndpointHandlers(proxy, call));
   if (routing::IsRouteRepeatable(*call->route)) {
     StartSilenceTimer(proxy, call, GetFirstEventTimeout(*call, placement));
   }
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -7,9 +7,33 @@
 
 inline bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
-/// Returns the fields of an endpoint's answer that are forwarded to the caller;
-/// hop-by-hop fields are not.
-net::HttpFields FieldsToForward(const net::HttpFields& fields);
+// attempts.cc
+/// Returns true for the statuses by which a node tells callers that a request
+/// has not run. An endpoint's answer with such a status is forwarded only if
+/// the endpoint also states that it did not run the request.
+bool ImpliesNotRun(int status);
+/// Keeps the head of the answer that is to be forwarded.
+void KeepAnswerHead(Attempt& attempt, const net::HttpAnswerHead& head,
+                    const AnswerMetadata& metadata);
+/// Returns a caller's request with other fields. The address is not set.
+net::ExchangeRequest MakeForwardedRequest(const net::HttpRequest& request,
+                                          net::HttpFields fields);
+/// Returns the handlers of an answer but for those of its head and of sending.
+net::ExchangeHandlers MakeAnswerHandlers(Proxy& proxy, const CallPtr& call);
+/// Abandons the call's attempt if nothing comes from it for `timeout`.
+void StartSilenceTimer(Proxy& proxy, const CallPtr& call, milliseconds timeout);
+
+// attempt_end.cc
+/// Returns the fields of the answer that are forwarded to the caller;
+/// hop-by-hop fields are not. A peer that handed the request over also learns
+/// the endpoint.
+net::HttpFields FieldsToForward(const Call& call, const Attempt& attempt);
+
+// handovers.cc
+/// Removes the fields that only nodes set.
+void RemoveHandoverFields(net::HttpFields& fields);
+/// Returns the field that names the endpoint of an answer to a peer.
+net::HttpField MakeEndpointField(const routing::Endpoint& endpoint);
 
 /// Returns true if the retry budget of the call's service allows one more
 /// retry, and takes it from the budget then.
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -18,10 +18,38 @@
 constexpr int kGatewayTimeout = 504;
 constexpr milliseconds kOverloadRetryDelay{300};
 
+// Returns the service that a peer chose, if these rules allow it, or chooses
+// one.
+routing::ServiceHandle PickService(Proxy& proxy, const routing::Route& route,
+                                   const HandoverHeader* handover) {
+  if (handover != nullptr) {
+    for (const routing::WeightedTarget& target : route.targets) {
+      if (proxy.rules->services[target.service.idx].name == handover->service) {
+        return target.service;
+      }
+    }
+  }
+  return routing::PickTarget(route, kernel::RandomFraction(proxy.random));
+}
+
+// A handover is one attempt of the node that the caller asked. That node counts
+// the attempts and decides about the next one.
+void ApplyHandover(Proxy& proxy, const HandoverHeader& handover, Call& call) {
+  call.handed_over = true;
+  call.max_attempts = 1;
+  ++proxy.handovers_served;
+  for (const std::string& id : handover.tried) {
+    const auto at = proxy.endpoints.by_id.find(id);
+    if (at != proxy.endpoints.by_id.end())
+      call.tried_endpoints.push_back(at->second);
+  }
+}
+
 CallPtr MakeCall(Proxy& proxy, const net::HttpCallPtr& caller,
                  const routing::Route& route,
                  const routing::ClientAccount* account,
-                 RequestMetadata metadata, Time arrived_at) {
+                 RequestMetadata metadata, Time arrived_at,
+                 const HandoverHeader* handover) {
   auto call = std::make_shared<Call>();
   call->number = ++proxy.last_number;
   call->caller = caller;
@@ -33,9 +61,10 @@
   const auto timeout = std::min(metadata.deadline.value_or(route.timeout),
                                 std::max(route.timeout, milliseconds(1)));
   call->deadline = arrived_at + timeout;
-  const auto target =
-      routing::PickTarget(route, kernel::RandomFraction(proxy.random));
+  const auto target = PickService(proxy, route, handover);
   call->service = &proxy.rules->services[target.idx];
+  call->max_attempts = route.attempts;
+  if (handover != nullptr) ApplyHandover(proxy, *handover, *call);
   call->demand.service = call->service;
   call->demand.tier = routing::FindRank(*proxy.rules, route, account);
   if (call->service->generates) {
@@ -96,12 +125,6 @@
   proxy.waiting_calls.erase(std::pair(call->demand.tier, call->number));
 }
 
-bool HasRoomForBody(const Proxy& proxy, std::size_t bytes) {
-  const double max_bytes =
-      kBodyMemoryRatio * static_cast<double>(proxy.options.memory_bytes);
-  return static_cast<double>(proxy.body_bytes + bytes) <= max_bytes;
-}
-
 // Returns true if this node accepts the request; otherwise rejects it.
 bool AcceptRequest(Proxy& proxy, const net::HttpCallPtr& caller) {
   if (!CanAcceptRequests(proxy)) {
@@ -185,8 +208,48 @@
   RefuseOrAbort(proxy, call, "crashes_endpoints", hold_time);
 }
 
+routing::FleetSnapshot MakeFleetSnapshot(Proxy& proxy, const Call& call,
+                                         Time now) {
+  return routing::MakeFleetSnapshot(
+      proxy.members, routing::BitOfService(*call.table, call.service->name),
+      now);
+}
+
+// Hands the call over to a peer if this node can't make the next attempt
+// itself. Returns true if it did.
+bool TryHandOver(Proxy& proxy, const CallPtr& call,
+                 const routing::Placement& placement) {
+  if (call->handed_over) return false;
+  const Time now = NowOf(proxy);
+  routing::HandoverInput input;
+  input.is_all_down = placement.reason == routing::PlacementReason::kAllDown;
+  input.not_sent = call->not_sent;
+  // Without an endpoint there is nothing to probe.
+  routing::ServiceReach& reach = proxy.reaches[call->service->name];
+  input.may_reach =
+      placement.endpoint == nullptr
+          ? reach.state != routing::ReachState::kLost
+          : routing::TryReach(reach, Elapsed(now, call->deadline), now);
+  const routing::HandoverReason reason = routing::DecideHandover(input);
+  if (reason == routing::HandoverReason::kNone) return false;
+  const auto peer = routing::ChooseHandoverPeer(
+      proxy.members, proxy.handovers,
+      routing::BitOfService(*call->table, call->service->name),
+      call->tried_peers, proxy.random, now);
+  if (!peer) return false;
+  DequeueCall(proxy, call);
+  StartHandover(proxy, call, *peer, reason);
+  return true;
+}
+
 }  // namespace
 
+bool HasRoomForBody(const Proxy& proxy, std::size_t bytes) {
+  const double max_bytes =
+      kBodyMemoryRatio * static_cast<double>(proxy.options.memory_bytes);
+  return static_cast<double>(proxy.body_bytes + bytes) <= max_bytes;
+}
+
 std::uint64_t GetFingerprint(Call& call) {
   if (call.fingerprint == 0) {
     const net::HttpRequest& request = call.caller->request();
@@ -221,19 +284,23 @@
     AwaitRules(proxy, caller);
     return;
   }
-  RouteAndDispatch(proxy, caller, NowOf(proxy));
+  RouteAndDispatch(proxy, caller, NowOf(proxy), nullptr);
 }
 
 void RouteAndDispatch(Proxy& proxy, const net::HttpCallPtr& caller,
-                      Time arrived_at) {
+                      Time arrived_at, const HandoverHeader* handover) {
   auto routed = RouteRequest(proxy, caller);
   if (!routed) return;
-  const CallPtr call = MakeCall(proxy, caller, *routed->route, routed->account,
-                                std::move(routed->metadata), arrived_at);
+  const CallPtr call =
+      MakeCall(proxy, caller, *routed->route, routed->account,
+               std::move(routed->metadata), arrived_at, handover);
   proxy.body_bytes += call->body_bytes;
   proxy.calls.emplace(call->number, call);
-  routing::OnRequest(proxy.retry_budgets[call->service->name],
-                     proxy.options.retries, NowOf(proxy));
+  // The node that the caller asked has counted a handed over request.
+  if (handover == nullptr) {
+    routing::OnRequest(proxy.retry_budgets[call->service->name],
+                       proxy.options.retries, NowOf(proxy));
+  }
   caller->OnDisconnect([&proxy, call] { OnCallerGone(proxy, call); });
   call->deadline_timer = kernel::RunAfter(
       *proxy.loop,
@@ -249,7 +316,7 @@
   const Time now = NowOf(proxy);
   routing::Placement placement = routing::ChoosePlacement(
       proxy.endpoints, call.demand, call.tried_endpoints,
-      routing::MakeFleetSnapshot(proxy.members, now), proxy.random, now);
+      MakeFleetSnapshot(proxy, call, now), proxy.random, now);
   // An endpoint that could be used now doesn't say when a caller will be
   // served: the attempts of this call have failed.
   if (placement.endpoint != nullptr) placement = {};
@@ -264,8 +331,7 @@
     RefuseSuspect(proxy, call, hold_time);
     return;
   }
-  const routing::FleetSnapshot fleet =
-      routing::MakeFleetSnapshot(proxy.members, now);
+  const routing::FleetSnapshot fleet = MakeFleetSnapshot(proxy, *call, now);
   const routing::Placement placement =
       routing::ChoosePlacement(proxy.endpoints, call->demand,
                                call->tried_endpoints, fleet, proxy.random, now);
@@ -287,6 +353,7 @@
     RefuseCall(proxy, call, kUnavailable, "leaving", kLeavingRetryDelay);
     return;
   }
+  if (TryHandOver(proxy, call, placement)) return;
   if (verdict == routing::AdmissionVerdict::kWait) {
     EnqueueCall(proxy, call);
     return;
@@ -358,6 +425,7 @@
   call->silence_timer = {};
   call->caller->OnDisconnect(nullptr);
   proxy.body_bytes -= call->body_bytes;
+  if (call->handed_over) --proxy.handovers_served;
   const Time now = NowOf(proxy);
   kernel::Observe(proxy.metrics, call->class_metrics->whole_answer,
                   now - call->arrived_at);
--- a/proxy/src/endpoint_notices.cc
+++ b/proxy/src/endpoint_notices.cc
@@ -17,11 +17,12 @@
                    std::string("notice=\"") + kind + "\"");
 }
 
-void ReportUnclear(Proxy& proxy, const Call& call, const char* kind) {
+void ReportUnclear(Proxy& proxy, const Call& call,
+                   const routing::Endpoint& endpoint, const char* kind) {
   CountNotice(proxy, "unclear");
   kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "notice-unclear",
                    {{"req", call.metadata.id},
-                    {"endpoint", call.attempt->endpoint->entry.id},
+                    {"endpoint", endpoint.entry.id},
                     {"notice", kind}});
 }
 
@@ -45,17 +46,19 @@
 
 }  // namespace
 
-void ApplyEndpointNotice(Proxy& proxy, const Call& call, int status,
+void ApplyEndpointNotice(Proxy& proxy, const Call& call,
+                         const routing::EndpointPtr& addressed, int status,
                          const AnswerMetadata& metadata) {
-  if (metadata.is_leaving_invalid) ReportUnclear(proxy, call, "leaving");
-  if (metadata.is_backoff_invalid) ReportUnclear(proxy, call, "backoff");
+  if (metadata.is_leaving_invalid)
+    ReportUnclear(proxy, call, *addressed, "leaving");
+  if (metadata.is_backoff_invalid)
+    ReportUnclear(proxy, call, *addressed, "backoff");
   const routing::EndpointNotice& notice = metadata.notice;
   if (!notice.leaving && notice.backoff.count() == 0) return;
   if (notice.leaving) CountNotice(proxy, "leaving");
   if (notice.backoff.count() > 0) CountNotice(proxy, "backoff");
   const routing::EndpointPtr endpoint = routing::FindAnsweringEndpoint(
-      proxy.endpoints, call.attempt->endpoint, metadata.instance_id,
-      status == kMisdirected);
+      proxy.endpoints, addressed, metadata.instance_id, status == kMisdirected);
   if (endpoint == nullptr) return;
   const Time now = NowOf(proxy);
   LogChange(call, *endpoint, status,
--- a/proxy/src/gossip_codec.cc
+++ b/proxy/src/gossip_codec.cc
@@ -27,6 +27,8 @@
   builder.setHeartbeat(member.heartbeat);
   builder.setLeaving(member.leaving);
   builder.setStoreTroubled(member.store_troubled);
+  builder.setHandovers(member.handovers);
+  builder.setUnreached(member.unreached);
 }
 
 routing::Member ReadMember(exchange::Member::Reader reader) {
@@ -40,6 +42,8 @@
   member.heartbeat = reader.getHeartbeat();
   member.leaving = reader.getLeaving();
   member.store_troubled = reader.getStoreTroubled();
+  member.handovers = reader.getHandovers();
+  member.unreached = reader.getUnreached();
   return member;
 }
 
@@ -188,6 +192,7 @@
         static_cast<std::uint32_t>(heartbeat.heartbeat));
     member_heartbeats[i].setLeaving(heartbeat.leaving);
     member_heartbeats[i].setStoreTroubled(heartbeat.store_troubled);
+    member_heartbeats[i].setUnreached(heartbeat.unreached);
   }
   auto unknown = news.initUnknown(static_cast<unsigned>(gossip.unknown.size()));
   for (unsigned i = 0; i < unknown.size(); ++i) {
@@ -203,7 +208,8 @@
   for (const auto heartbeat : news.getPulses()) {
     gossip.member_heartbeats.push_back(
         {heartbeat.getNode(), heartbeat.getLife(), heartbeat.getHeartbeat(),
-         heartbeat.getLeaving(), heartbeat.getStoreTroubled()});
+         heartbeat.getLeaving(), heartbeat.getStoreTroubled(),
+         heartbeat.getUnreached()});
   }
   return gossip;
 }
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -33,6 +33,7 @@
   }
   routing::PruneTombstones(proxy.catalog, now);
   routing::ForgetSuspects(proxy.suspects, now);
+  ForgetUnprobedLosses(proxy);
   for (const std::string& node : routing::ForgetMembers(proxy.members, now)) {
     kernel::LogEvent(LogPart::kFleet, LogLevel::kInfo, "node-forgotten",
                      {{"node", node}});
@@ -87,6 +88,11 @@
   BOOST_OUTCOME_TRY(directory,
                     StartServer(proxy, options.directory, AnswerDirectory));
   proxy.directory_server = std::move(directory);
+  if (!options.handovers.empty()) {
+    BOOST_OUTCOME_TRY(handovers,
+                      StartServer(proxy, options.handovers, OnHandedOver));
+    proxy.handover_server = std::move(handovers);
+  }
   if (options.metrics.empty()) return boost::outcome_v2::success();
   BOOST_OUTCOME_TRY(metrics,
                     StartServer(proxy, options.metrics, AnswerMetrics));
@@ -99,6 +105,8 @@
   self.node = proxy.options.node;
   self.callers = proxy.caller_server->address();
   self.peers = peer_address;
+  if (proxy.handover_server != nullptr)
+    self.handovers = proxy.handover_server->address();
   self.zone = proxy.options.zone;
   self.region = proxy.options.region;
   // The wall clock time makes the incarnation rise with each start. If the
@@ -177,6 +185,7 @@
   view.ready = proxy.ready_server->address();
   view.directory = proxy.directory_server->address();
   view.peers = proxy.members.self.peers;
+  view.handovers = proxy.members.self.handovers;
   if (proxy.metrics_server != nullptr) {
     view.metrics = proxy.metrics_server->address();
   }
--- a/proxy/src/requests_without_rules.cc
+++ b/proxy/src/requests_without_rules.cc
@@ -62,7 +62,7 @@
   while (!proxy.requests_without_rules.empty()) {
     const auto& [number, waiting] = *proxy.requests_without_rules.begin();
     const Time arrived_at = waiting.arrived_at;
-    RouteAndDispatch(proxy, Remove(proxy, number), arrived_at);
+    RouteAndDispatch(proxy, Remove(proxy, number), arrived_at, nullptr);
   }
 }
 
--- a/proxy/src/service_reach.cc
+++ b/proxy/src/service_reach.cc
@@ -33,8 +33,34 @@
                     {"endpoints", endpoints}});
 }
 
+void OnStateChanged(Proxy& proxy, const std::string& service,
+                    const routing::ServiceReach& reach) {
+  LogState(service, reach, CountEndpoints(proxy, service), NowOf(proxy));
+  if (UpdateUnreached(proxy)) ExchangeWithManyPeers(proxy);
+}
+
 }  // namespace
 
+bool UpdateUnreached(Proxy& proxy) {
+  routing::ServiceBits unreached = 0;
+  for (const auto& [service, reach] : proxy.reaches) {
+    if (reach.state != routing::ReachState::kLost || proxy.rules == nullptr) {
+      continue;
+    }
+    unreached |= routing::BitOfService(*proxy.rules, service);
+  }
+  const bool changed = unreached != proxy.members.self.unreached;
+  proxy.members.self.unreached = unreached;
+  return changed;
+}
+
+void ForgetUnprobedLosses(Proxy& proxy) {
+  for (auto& [service, reach] : proxy.reaches) {
+    if (routing::ForgetUnprobedLoss(reach, NowOf(proxy)))
+      OnStateChanged(proxy, service, reach);
+  }
+}
+
 void RecordAttemptBegan(Proxy& proxy, const Call& call) {
   routing::OnReachAttemptBegan(proxy.reaches[call.service->name]);
 }
@@ -50,7 +76,7 @@
   routing::ServiceReach& reach = proxy.reaches[service];
   const Time now = NowOf(proxy);
   if (!routing::OnReachAnswered(reach, call.attempt->sent_at, now)) return;
-  LogState(service, reach, CountEndpoints(proxy, service), now);
+  OnStateChanged(proxy, service, reach);
 }
 
 void RecordUnanswered(Proxy& proxy, const Call& call, AttemptOutcome outcome) {
@@ -64,7 +90,7 @@
                                   attempt.sent_at, now)) {
     return;
   }
-  LogState(service, reach, endpoints, now);
+  OnStateChanged(proxy, service, reach);
 }
 
 }  // namespace egretladder::proxy
--- a/proxy/src/settings.cc
+++ b/proxy/src/settings.cc
@@ -17,7 +17,7 @@
 constexpr const char* kAddressExpected = "IP:port";
 constexpr const char* kDurationExpected = "a number with ms, s, m or h";
 
-constexpr std::array<kernel::SettingSpec, 21> kSpecs = {{
+constexpr std::array<kernel::SettingSpec, 22> kSpecs = {{
     {"node", "name", SettingKind::kText, "", true, "the node's name"},
     {"node", "zone", SettingKind::kText, "", true, "an availability zone"},
     {"node", "region", SettingKind::kText, "", false, "a region"},
@@ -27,6 +27,7 @@
     {"listen", "ready", SettingKind::kAddress, "", true, kAddressExpected},
     {"listen", "directory", SettingKind::kAddress, "", true, kAddressExpected},
     {"listen", "peers", SettingKind::kAddress, "", true, kAddressExpected},
+    {"listen", "handovers", SettingKind::kText, "", false, kAddressExpected},
     {"listen", "metrics", SettingKind::kText, "", false, kAddressExpected},
     {"peers", "seeds", SettingKind::kText, "", false,
      "peer addresses IP:port, separated by commas"},
@@ -63,6 +64,7 @@
   options.ready = text("listen", "ready");
   options.directory = text("listen", "directory");
   options.peers = text("listen", "peers");
+  options.handovers = text("listen", "handovers");
   options.metrics = text("listen", "metrics");
   options.is_new_fleet = text("peers", "fleet") == "new";
   options.store = text("store", "address");
@@ -111,6 +113,13 @@
                        "ms with this directory.keep");
 }
 
+void CheckOptionalAddress(const std::string& address, const char* key,
+                          kernel::SettingsChecker& checker) {
+  if (address.empty() || net::SplitAddress(address).second != 0) return;
+  checker.AddError("listen", key,
+                   "is '" + address + "', expected " + kAddressExpected);
+}
+
 void CheckValues(const kernel::Settings& settings, const ProxyOptions& options,
                  kernel::SettingsChecker& checker) {
   for (const std::string& seed : options.seeds) {
@@ -123,12 +132,8 @@
     checker.AddError("peers", "fleet",
                      "is '" + fleet + "', expected new or running");
   }
-  if (!options.metrics.empty() &&
-      net::SplitAddress(options.metrics).second == 0) {
-    checker.AddError(
-        "listen", "metrics",
-        "is '" + options.metrics + "', expected " + kAddressExpected);
-  }
+  CheckOptionalAddress(options.handovers, "handovers", checker);
+  CheckOptionalAddress(options.metrics, "metrics", checker);
   if (options.retries.window.count() == 0) {
     checker.AddError("retries", "window", "is 0");
   }
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -21,6 +21,7 @@
 #include "egretladder/routing/admission.h"
 #include "egretladder/routing/catalog.h"
 #include "egretladder/routing/engine_split.h"
+#include "egretladder/routing/handover.h"
 #include "egretladder/routing/members.h"
 #include "egretladder/routing/next_step.h"
 #include "egretladder/routing/placement.h"
@@ -42,10 +43,15 @@
   kernel::HistogramHandle longest_pause;  ///< Between two events of a stream.
 };
 
-/// One attempt of a call at an endpoint.
+/// One attempt of a call, at an endpoint or by a peer to which the request is
+/// handed over.
 struct Attempt {
   std::uint64_t number = 0;
+  /// Null if a peer makes the attempt. Then it is the endpoint that the peer's
+  /// answer names, if this node knows it.
   routing::EndpointPtr endpoint;
+  std::string peer;  ///< Name of the peer; empty: this node makes the attempt.
+  bool declined = false;  ///< The peer did not take the request.
   routing::Placement placement;
   net::HttpExchangePtr exchange;
   Time sent_at{};
@@ -77,6 +83,10 @@
   Time deadline{};
   /// Endpoints of the attempts that may have run.
   std::vector<routing::EndpointPtr> tried_endpoints;
+  std::vector<std::string> tried_peers;  ///< Peers of all handovers.
+  /// A peer handed the request over. It is not handed over again.
+  bool handed_over = false;
+  std::uint32_t max_attempts = 1;        ///< Attempts that may run.
   std::uint32_t may_have_run = 0;        ///< Attempts that may have run.
   std::uint32_t not_run = 0;             ///< Attempts that endpoints refused.
   std::uint32_t not_sent = 0;            ///< Attempts without a byte sent.
@@ -128,6 +138,14 @@
   std::uint64_t calls = 0;
 };
 
+/// What a peer states about a request that it hands over.
+struct HandoverHeader {
+  std::string peer;  ///< Name of the node that hands the request over.
+  std::uint64_t rules_version = 0;  ///< Rules by which it routed the request.
+  std::string service;              ///< The service that it chose.
+  std::vector<std::string> tried;   ///< Endpoints that were tried before.
+};
+
 /// The load that one peer reported.
 struct PeerLoads {
   struct Load {
@@ -171,6 +189,8 @@
   routing::FleetDemand fleet_demand;
   std::unordered_map<std::string, routing::NodeRetryBudget> retry_budgets;
   std::map<std::string, routing::ServiceReach> reaches;  ///< By service.
+  routing::Handovers handovers;
+  std::size_t handovers_served = 0;  ///< Handed over calls in progress.
   routing::Suspects suspects;
   Time last_store_failure{};  ///< Last failed call to the store; default: none.
 
@@ -179,6 +199,7 @@
   std::unique_ptr<net::HttpServer> caller_server;
   std::unique_ptr<net::HttpServer> ready_server;
   std::unique_ptr<net::HttpServer> directory_server;
+  std::unique_ptr<net::HttpServer> handover_server;  ///< Null: none accepted.
   std::unique_ptr<net::HttpServer> metrics_server;
   std::array<StoreReader, routing::kFeedCount> readers;
   bool reads_store = false;  ///< Otherwise peers read the store for this node.
@@ -239,8 +260,11 @@
 /// Routes a caller's request that was received completely, or rejects it.
 void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller);
 /// Routes a request that arrived at `arrived_at` by the rules in force.
+/// `handover` is null for a request of a caller.
 void RouteAndDispatch(Proxy& proxy, const net::HttpCallPtr& caller,
-                      Time arrived_at);
+                      Time arrived_at, const HandoverHeader* handover);
+/// Returns true if the node's memory has room for a body of that size.
+bool HasRoomForBody(const Proxy& proxy, std::size_t bytes);
 /// Answers a request with an error before a call is created for it.
 void RejectRequest(Proxy& proxy, const net::HttpCallPtr& caller, int status,
                    const char* code, const std::string& reason,
@@ -312,16 +336,30 @@
 void EndAttempt(Proxy& proxy, const CallPtr& call, routing::AttemptOutcome end,
                 const std::string& detail);
 
+// handovers.cc
+/// Hands the call over to a peer.
+void StartHandover(Proxy& proxy, const CallPtr& call,
+                   const routing::HandoverPeer& peer,
+                   routing::HandoverReason reason);
+/// Classifies the complete answer of a peer.
+routing::AttemptOutcome ClassifyPeerAnswer(const Attempt& attempt);
+
+// handovers_served.cc
+/// Serves a request that a peer hands over, or declines it.
+void OnHandedOver(Proxy& proxy, const net::HttpCallPtr& peer);
+
 // advertised_limits.cc
 /// Applies the limit that an answer states for its endpoint. A sealed answer
 /// without a limit ends an earlier limit.
 void UpdateEndpointLimit(Proxy& proxy, const Call& call,
+                         routing::Endpoint& endpoint,
                          const AnswerMetadata& metadata);
 
 // endpoint_notices.cc
-/// Applies the notices that an answer with `status` to the call's attempt gives
-/// about the endpoint. The answer may belong to an earlier request.
-void ApplyEndpointNotice(Proxy& proxy, const Call& call, int status,
+/// Applies the notices that an answer with `status` to a request at the
+/// endpoint `addressed` gives. The answer may belong to an earlier request.
+void ApplyEndpointNotice(Proxy& proxy, const Call& call,
+                         const routing::EndpointPtr& addressed, int status,
                          const AnswerMetadata& metadata);
 
 // service_reach.cc
@@ -331,6 +369,12 @@
 void RecordAttemptEnded(Proxy& proxy, const Call& call, const Attempt& attempt);
 /// Records that the endpoint answers the call's attempt.
 void RecordAnswered(Proxy& proxy, const Call& call);
+/// Gives up the loss of services that no request has probed for a while, so
+/// that a node without callers gets some again.
+void ForgetUnprobedLosses(Proxy& proxy);
+/// Updates the services that this node doesn't reach, which gossip tells peers.
+/// Returns true if they changed.
+bool UpdateUnreached(Proxy& proxy);
 /// Records that the call's attempt ended without any answer, if it did.
 void RecordUnanswered(Proxy& proxy, const Call& call,
                       routing::AttemptOutcome outcome);
--- a/proxy/src/stop.cc
+++ b/proxy/src/stop.cc
@@ -85,7 +85,8 @@
 std::size_t CountUndeliveredAnswers(const Proxy& proxy) {
   return proxy.caller_server->undelivered() +
          proxy.directory_server->undelivered() +
-         proxy.ready_server->undelivered();
+         proxy.ready_server->undelivered() +
+         (proxy.handover_server ? proxy.handover_server->undelivered() : 0);
 }
 
 milliseconds TimeSinceStop(const Proxy& proxy) {
@@ -139,6 +140,7 @@
   proxy.leaving_since = was_paused ? proxy.last_tick_at : now;
   proxy.members.self.leaving = true;
   proxy.caller_server->CloseAfterAnswers();
+  if (proxy.handover_server) proxy.handover_server->CloseAfterAnswers();
   RejectRequestsWithoutRules(proxy);
   ExchangeWithManyPeers(proxy);
 }
--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -56,6 +56,12 @@
                            ? proxy.options.descriptors - kReservedDescriptors
                            : proxy.options.descriptors / 2;
   proxy.caller_server->SetLimits(limits);
+  if (proxy.handover_server != nullptr) {
+    limits.size.max_head_bytes += kMaxHandoverFieldBytes;
+    proxy.handover_server->SetLimits(limits);
+  }
+  proxy.members.all_services = routing::BitsOfAllServices(*proxy.rules);
+  UpdateUnreached(proxy);
   kernel::LogEvent(LogPart::kRules, LogLevel::kInfo, "rules-in-force",
                    {{"version", proxy.rules->version},
                     {"before", previous_version},
--- a/proxy/tests/harness.cc
+++ b/proxy/tests/harness.cc
@@ -383,6 +383,21 @@
           {"X-After", metadata.resume_after}};
 }
 
+net::HttpFields PeerFields(const net::HttpRequest& request,
+                           milliseconds time_left,
+                           const std::string& resume_after) {
+  net::HttpFields fields;
+  for (const net::HttpField& field : request.fields) {
+    const bool is_replaced = field.name == "X-Wait-Ms" ||
+                             (!resume_after.empty() && field.name == "X-After");
+    if (!is_replaced && !net::IsHopByHopField(field.name))
+      fields.push_back(field);
+  }
+  fields.push_back({"X-Wait-Ms", std::to_string(time_left.count())});
+  if (!resume_after.empty()) fields.push_back({"X-After", resume_after});
+  return fields;
+}
+
 AnswerMetadata ReadAnswer(const net::HttpAnswerHead& head) {
   AnswerMetadata metadata;
   metadata.id = net::FirstFieldValue(head.fields, "X-Id");
@@ -420,6 +435,7 @@
     .request_id = RequestId,
     .read_call = ReadCall,
     .endpoint_fields = EndpointFields,
+    .peer_fields = PeerFields,
     .read_answer = ReadAnswer,
     .is_directory_request = IsDirectory,
     .directory_body = DirectoryBody,
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -251,6 +251,9 @@
 inline constexpr milliseconds kReachProbeInterval{500};
 /// Upper bound of that interval for a service that is lost again and again.
 inline constexpr milliseconds kMaxReachProbeInterval{4000};
+/// A lost service that no request has probed for this long returns. The node is
+/// not listed to callers meanwhile, and without a request it would never be.
+inline constexpr milliseconds kMaxUnprobedTime{2000};
 /// A request with less time left doesn't probe: after a connect timeout it has
 /// to be answered elsewhere.
 inline constexpr milliseconds kMinProbeTimeLeft{1200};
@@ -260,6 +263,28 @@
 /// Requests in flight beyond which the service counts as reached again.
 inline constexpr std::uint32_t kMaxReturningInFlight = 32;
 
+/// Services with a bit in a heartbeat (members.h): as many as fit into its
+/// unused bytes.
+inline constexpr std::size_t kMaxServiceBits = 16;
+
+// --- Handovers between nodes (handover.h) ---
+
+/// Peers drawn at random as candidates for a handover.
+inline constexpr std::size_t kHandoverCandidates = 2;
+/// Handovers in progress at a peer that weigh as much as another availability
+/// zone: the zone's bytes cost more, but a few nodes must not carry all of it.
+inline constexpr std::uint32_t kOtherZoneHandovers = 8;
+/// How long a peer that declined a handover gets none for the same service.
+/// Gossip tells meanwhile whether it reaches the service.
+inline constexpr milliseconds kDeclinedPause{1000};
+/// Peers that one request tries.
+inline constexpr std::size_t kMaxHandoverPeers = 3;
+/// Connections in a row that fail before the request is handed over. Each of
+/// them may take a whole connect timeout.
+inline constexpr std::uint32_t kMaxNotSentBeforeHandover = 2;
+/// Handed over requests that a node serves at the same time.
+inline constexpr std::size_t kMaxHandoversServed = 500;
+
 // --- Requests that crash endpoints (suspects.h) ---
 
 /// Successive crashes after which a request is held back. With two, a request
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -23,17 +23,26 @@
 
 namespace egretladder::routing {
 
+/// A set of services, one bit each in the order of the rules. Services beyond
+/// the 16th have no bit.
+using ServiceBits = std::uint16_t;
+
 /// One node, as nodes gossip it.
 struct Member {
   std::string node;
   std::string callers;  ///< Address for callers, `IP:port`.
   std::string peers;    ///< Address for other nodes, `IP:port`.
+  /// Address for requests that other nodes hand over, `IP:port`; empty: the
+  /// node accepts none.
+  std::string handovers;
   std::string zone;
   std::string region;
   std::uint64_t incarnation = 0;  ///< Rises with each start of the process.
   std::uint64_t heartbeat = 0;
   bool leaving = false;
   bool store_troubled = false;  ///< It fails to read the platform's store.
+  /// Services whose endpoints don't answer its attempts; see service_reach.h.
+  ServiceBits unreached = 0;
 };
 
 /// The heartbeat of a node that other nodes know already: 16 bytes, where a
@@ -44,6 +53,7 @@
   std::uint64_t heartbeat = 0;
   bool leaving = false;
   bool store_troubled = false;
+  ServiceBits unreached = 0;
 };
 
 /// The members that one exchange gossips.
@@ -79,6 +89,7 @@
   Time max_nodes_at{};
   std::size_t exchange_count = 0;  ///< Exchanges for which a peer was picked.
   std::vector<std::uint32_t> unknown;  ///< See `MemberGossip::unknown`.
+  ServiceBits all_services = 0;        ///< Of the rules in force.
 };
 
 /// Returns a membership that holds this node alone.
@@ -135,9 +146,16 @@
 /// Returns true if the fleet is small; see `kMaxSmallFleetNodes`.
 bool IsSmallFleet(const Members& members);
 
+/// Returns the bit of a service; 0 if it has none.
+ServiceBits BitOfService(const RouteTable& rules, const std::string& service);
+/// Returns the bits of all services.
+ServiceBits BitsOfAllServices(const RouteTable& rules);
+/// Returns true if the node reaches no service of the rules in force.
+bool IsCutOff(const Members& members, const Member& member);
+
 /// Returns the caller addresses of the available nodes, for a caller in `zone`.
-/// If no node is available, the result is this node's address while it listens,
-/// and empty otherwise.
+/// Nodes that are cut off are left out unless all are. If no node is available,
+/// the result is this node's address while it listens, and empty otherwise.
 std::vector<std::string> DirectoryFor(const Members& members,
                                       std::string_view zone,
                                       kernel::Random& random, Time now);
@@ -150,6 +168,10 @@
 /// partition and after losses of nodes, the fleet counts as large as it was
 /// last known to be.
 FleetSnapshot MakeFleetSnapshot(Members& members, Time now);
+/// The same without the nodes that don't reach one of the `services`: they send
+/// nothing there, and their part of shared limits would be lost.
+FleetSnapshot MakeFleetSnapshot(Members& members, ServiceBits services,
+                                Time now);
 
 /// Forgets members whose heartbeat hasn't risen for `kMemberRetention`. Returns
 /// their names.
--- a/routing/include/egretladder/routing/next_step.h
+++ b/routing/include/egretladder/routing/next_step.h
@@ -23,6 +23,8 @@
   kWithheld,       ///< Not sent: the endpoint takes no requests any more.
   kFull,           ///< The endpoint reported that it did not run the request.
   kWrongInstance,  ///< Another process has the address; not run.
+  kDeclined,       ///< The peer didn't take the handed over request; not run.
+  kRefused,        ///< The peer refused the request for its caller; not run.
   kBroken,         ///< The connection broke before a complete answer; unknown.
   kBadAnswer,      ///< The answer can't be forwarded; outcome unknown.
   kSilent,         ///< Timed out waiting for the answer; outcome unknown.
--- a/routing/include/egretladder/routing/service_reach.h
+++ b/routing/include/egretladder/routing/service_reach.h
@@ -69,4 +69,10 @@
 /// request in each probe interval, which begins with the call.
 bool TryReach(ServiceReach& reach, milliseconds time_left, Time now);
 
+/// Returns what `TryReach` would, without beginning a probe interval.
+bool MayReach(const ServiceReach& reach, Time now);
+/// Lets a service return that is lost and that no request has probed for
+/// `kMaxUnprobedTime`. Returns true if the state changed.
+bool ForgetUnprobedLoss(ServiceReach& reach, Time now);
+
 }  // namespace egretladder::routing
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -65,12 +65,13 @@
   member.heartbeat = heartbeat.heartbeat;
   member.leaving = heartbeat.leaving;
   member.store_troubled = heartbeat.store_troubled;
+  member.unreached = heartbeat.unreached;
   return member;
 }
 
 MemberHeartbeat MakeHeartbeat(const Member& member) {
   return {NodeKey(member.node), LowHalf(member.incarnation), member.heartbeat,
-          member.leaving, member.store_troubled};
+          member.leaving,       member.store_troubled,       member.unreached};
 }
 
 // Requests the record of an unknown node from the next peer. A node that no
@@ -233,6 +234,24 @@
          now - known.heartbeat_at < MaxMemberSilence(members);
 }
 
+ServiceBits BitOfService(const RouteTable& rules, const std::string& service) {
+  const auto at = rules.service_by_name.find(service);
+  if (at == rules.service_by_name.end() || at->second >= kMaxServiceBits) {
+    return 0;
+  }
+  return static_cast<ServiceBits>(1U << at->second);
+}
+
+ServiceBits BitsOfAllServices(const RouteTable& rules) {
+  const std::size_t bits = std::min(rules.services.size(), kMaxServiceBits);
+  return static_cast<ServiceBits>((1U << bits) - 1);
+}
+
+bool IsCutOff(const Members& members, const Member& member) {
+  return members.all_services != 0 &&
+         (member.unreached & members.all_services) == members.all_services;
+}
+
 std::vector<std::string> DirectoryFor(const Members& members,
                                       std::string_view zone,
                                       kernel::Random& random, Time now) {
@@ -242,6 +261,11 @@
     if (IsMemberAvailable(members, known, now))
       available.push_back(&known.member);
   }
+  const auto is_cut_off = [&members](const Member* member) {
+    return IsCutOff(members, *member);
+  };
+  if (!std::all_of(available.begin(), available.end(), is_cut_off))
+    std::erase_if(available, is_cut_off);
   if (available.empty() && members.is_listening)
     available.push_back(&members.self);
   Shuffle(available, random);
@@ -278,14 +302,28 @@
 }
 
 FleetSnapshot MakeFleetSnapshot(Members& members, Time now) {
+  return MakeFleetSnapshot(members, 0, now);
+}
+
+FleetSnapshot MakeFleetSnapshot(Members& members, ServiceBits services,
+                                Time now) {
   FleetSnapshot fleet;
-  fleet.nodes = EstimateFleetSize(members, now);
   fleet.self = members.self.node;
   fleet.zone = members.self.zone;
-  fleet.names.push_back(members.self.node);
+  std::size_t cut_off = 0;
+  const auto add = [&](const Member& member) {
+    if ((member.unreached & services) != 0) {
+      ++cut_off;
+    } else {
+      fleet.names.push_back(member.node);
+    }
+  };
+  add(members.self);
   for (const auto& [node, known] : members.others) {
-    if (IsMemberAvailable(members, known, now)) fleet.names.push_back(node);
+    if (IsMemberAvailable(members, known, now)) add(known.member);
   }
+  const std::size_t nodes = EstimateFleetSize(members, now);
+  fleet.nodes = nodes > cut_off ? nodes - cut_off : 1;
   return fleet;
 }
 
--- a/routing/src/next_step.cc
+++ b/routing/src/next_step.cc
@@ -18,6 +18,13 @@
   return input.may_have_run > 0 ? NextStep::kUnknown : NextStep::kRefuse;
 }
 
+// The peer's answer tells the caller when to return. It is true only if no
+// earlier attempt may have run.
+NextStep DecideAfterRefusal(const NextStepInput& input) {
+  if (input.is_answer_started) return NextStep::kBreakOff;
+  return input.may_have_run > 0 ? NextStep::kUnknown : NextStep::kPassOn;
+}
+
 }  // namespace
 
 const char* NameOf(AttemptOutcome outcome) {
@@ -30,6 +37,10 @@
       return "full";
     case AttemptOutcome::kWrongInstance:
       return "wrong-instance";
+    case AttemptOutcome::kDeclined:
+      return "declined";
+    case AttemptOutcome::kRefused:
+      return "refused";
     case AttemptOutcome::kBroken:
       return "broken";
     case AttemptOutcome::kBadAnswer:
@@ -66,11 +77,14 @@
   return outcome == AttemptOutcome::kNotSent ||
          outcome == AttemptOutcome::kWithheld ||
          outcome == AttemptOutcome::kFull ||
-         outcome == AttemptOutcome::kWrongInstance;
+         outcome == AttemptOutcome::kWrongInstance ||
+         outcome == AttemptOutcome::kDeclined ||
+         outcome == AttemptOutcome::kRefused;
 }
 
 NextStep DecideNextStep(const NextStepInput& input) {
   if (input.end == AttemptOutcome::kSucceeded) return NextStep::kPassOn;
+  if (input.end == AttemptOutcome::kRefused) return DecideAfterRefusal(input);
   if (IsNotRun(input.end)) return DecideAfterNotRun(input);
   const bool has_attempts_left =
       input.has_time_left && input.may_have_run < input.attempts;
--- a/routing/src/service_reach.cc
+++ b/routing/src/service_reach.cc
@@ -21,6 +21,13 @@
   Enter(reach, ReachState::kLost, now);
 }
 
+void EnterReturning(ServiceReach& reach, Time now) {
+  reach.failing_since = {};
+  reach.unanswering.clear();
+  reach.max_in_flight = kInitialReturningInFlight;
+  Enter(reach, ReachState::kReturning, now);
+}
+
 void AddUnanswering(ServiceReach& reach, std::uint64_t endpoint) {
   auto& known = reach.unanswering;
   if (known.size() >= kMinUnansweringEndpoints) return;
@@ -60,8 +67,7 @@
     case ReachState::kReached:
       return false;
     case ReachState::kLost:
-      reach.max_in_flight = kInitialReturningInFlight;
-      Enter(reach, ReachState::kReturning, now);
+      EnterReturning(reach, now);
       return true;
     case ReachState::kReturning:
       reach.max_in_flight *= 2;
@@ -88,7 +94,7 @@
   return true;
 }
 
-bool TryReach(ServiceReach& reach, milliseconds time_left, Time now) {
+bool MayReach(const ServiceReach& reach, Time now) {
   switch (reach.state) {
     case ReachState::kReached:
       return true;
@@ -97,9 +103,24 @@
     case ReachState::kLost:
       break;
   }
-  if (now < reach.next_probe_at || time_left < kMinProbeTimeLeft) return false;
+  return now >= reach.next_probe_at;
+}
+
+bool TryReach(ServiceReach& reach, milliseconds time_left, Time now) {
+  if (!MayReach(reach, now)) return false;
+  if (reach.state != ReachState::kLost) return true;
+  if (time_left < kMinProbeTimeLeft) return false;
   reach.next_probe_at = now + reach.probe_interval;
   return true;
 }
 
+bool ForgetUnprobedLoss(ServiceReach& reach, Time now) {
+  if (reach.state != ReachState::kLost ||
+      now - reach.next_probe_at < kMaxUnprobedTime) {
+    return false;
+  }
+  EnterReturning(reach, now);
+  return true;
+}
+
 }  // namespace egretladder::routing
