Decline a handed over request that this node can't place either

What callers saw: right after the links are lost, half of the nodes hand requests to others that have lost theirs too and don't know it yet.

A node declines such a request if no byte of it was sent to an endpoint, so that the first node asks another peer.

Tests: the choice of peers (300 nodes, own zone, declined, tried), the fields, the directory and shared limits without nodes that are cut off, streams over a peer that dies, unknown outcomes, leaving callers, long bodies, the return, and what a handover checks. The relays of the harness keep their ports while they refuse: a socket that was shut down could not listen again.

--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -216,10 +216,9 @@
 }
 
 // Hands the call over to a peer if this node can't make the next attempt
-// itself. Returns true if it did.
+// itself, or declines it if a peer handed it over. Returns true if it did.
 bool TryHandOver(Proxy& proxy, const CallPtr& call,
                  const routing::Placement& placement) {
-  if (call->handed_over) return false;
   const Time now = NowOf(proxy);
   routing::HandoverInput input;
   input.is_all_down = placement.reason == routing::PlacementReason::kAllDown;
@@ -232,6 +231,12 @@
           : routing::TryReach(reach, Elapsed(now, call->deadline), now);
   const routing::HandoverReason reason = routing::DecideHandover(input);
   if (reason == routing::HandoverReason::kNone) return false;
+  if (call->handed_over) {
+    if (call->delivered_attempts > 0) return false;
+    DequeueCall(proxy, call);
+    DeclineCall(proxy, call, reason);
+    return true;
+  }
   const auto peer = routing::ChooseHandoverPeer(
       proxy.members, proxy.handovers,
       routing::BitOfService(*call->table, call->service->name),
--- a/proxy/src/handovers_served.cc
+++ b/proxy/src/handovers_served.cc
@@ -40,11 +40,11 @@
 }
 
 void Decline(Proxy& proxy, const net::HttpCallPtr& peer,
-             const HandoverHeader& header, const char* reason) {
+             const std::string& service, const char* reason) {
+  CountVerdict(proxy, reason);
   kernel::LogEvent(LogPart::kRoute, LogLevel::kInfo, "handover-declined",
                    {{"req", proxy.dialect->request_id(peer->request())},
-                    {"peer", header.peer},
-                    {"service", header.service},
+                    {"service", service},
                     {"why", reason}});
   peer->Answer(kUnavailable, net::ReasonPhrase(kUnavailable),
                {{"Content-Type", "application/json"}, {kDeclinedField, reason}},
@@ -63,12 +63,20 @@
     return;
   }
   const char* reason = WhyDeclined(proxy, *header, request.body.size());
-  CountVerdict(proxy, reason == nullptr ? "accepted" : reason);
   if (reason != nullptr) {
-    Decline(proxy, peer, *header, reason);
+    Decline(proxy, peer, header->service, reason);
     return;
   }
+  CountVerdict(proxy, "accepted");
   RouteAndDispatch(proxy, peer, NowOf(proxy), &*header);
 }
 
+void DeclineCall(Proxy& proxy, const CallPtr& call,
+                 routing::HandoverReason reason) {
+  call->refusal_status = kUnavailable;
+  call->caller->OnDisconnect(nullptr);
+  Decline(proxy, call->caller, call->service->name, routing::NameOf(reason));
+  EndCall(proxy, call, "declined");
+}
+
 }  // namespace egretladder::proxy
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -347,6 +347,10 @@
 // handovers_served.cc
 /// Serves a request that a peer hands over, or declines it.
 void OnHandedOver(Proxy& proxy, const net::HttpCallPtr& peer);
+/// Declines a handed over call of which no byte was sent, so that the peer can
+/// choose another node.
+void DeclineCall(Proxy& proxy, const CallPtr& call,
+                 routing::HandoverReason reason);
 
 // advertised_limits.cc
 /// Applies the limit that an answer states for its endpoint. A sealed answer
--- a/proxy/tests/cut_off_test.cc
+++ b/proxy/tests/cut_off_test.cc
@@ -15,8 +15,9 @@
   et::TestEnvironment env;
   et::EndpointLinks links{env.loop};
   std::vector<et::FakeEndpoint*> endpoints;
-  ep::Proxy* cut = nullptr;   // The node whose links a test cuts.
-  ep::Proxy* peer = nullptr;  // A node that keeps its links.
+  ep::Proxy* cut = nullptr;     // The node whose links a test cuts.
+  ep::Proxy* peer = nullptr;    // A node that keeps its links.
+  ep::Proxy* second = nullptr;  // Another one.
 
   // Answers requests, and begins streams that don't end.
   static et::FakeEndpoint::Handler AnswerOrBeginStream() {
@@ -47,6 +48,22 @@
     env.WaitUntil([this] { return ep::ViewOf(*cut).nodes == 2; });
   }
 
+  ep::Proxy& StartAnother(const std::string& name,
+                          const char* dialect = et::EndpointLinks::Dialect()) {
+    ep::ProxyOptions options = env.MakeOptions(name);
+    options.dialect = dialect;
+    options.seeds = {ep::ViewOf(*cut).peers};
+    ep::Proxy& proxy = env.StartNode(options);
+    env.WaitUntilReady(proxy, kEndpoints);
+    if (dialect != et::EndpointLinks::Dialect()) second = &proxy;
+    return proxy;
+  }
+
+  // Kills the node that serves the handed over request.
+  void KillServingPeer() {
+    env.KillNode(ep::ViewOf(*peer).calls > 0 ? *peer : *second);
+  }
+
   std::size_t CountRequests() const {
     std::size_t requests = 0;
     for (const et::FakeEndpoint* endpoint : endpoints)
@@ -147,3 +164,147 @@
         env.SendAndDescribe(*cut, {.path = "/once/a", .id = id}).c_str());
   }
 }
+
+// Guards against requests that two nodes without links hand to each other.
+TEST(CutOff, HalfOfTheNodesWithoutLinksAreServedByTheOthers) {
+  StartNodes(et::AnswerImmediately());
+  std::vector<ep::Proxy*> others;
+  for (int i = 0; i < 2; ++i) {
+    others.push_back(&StartAnother("cut" + std::to_string(i)));
+  }
+  env.WaitUntil([this] { return ep::ViewOf(*cut).nodes == 4; });
+  links.Set(et::Cut::kHang);
+  LetNodeNotice();
+  CheckAllServed("/once/a");
+  links.Set(et::Cut::kReset);
+  CheckAllServed("/once/b");
+}
+
+// Guards against a node that goes on without its own links once they are back.
+TEST(CutOff, NodeReturnsToItsOwnLinks) {
+  StartNodes(et::AnswerImmediately());
+  links.Set(et::Cut::kReset);
+  LetNodeNotice();
+  links.Set(et::Cut::kNone);
+  const std::size_t before = links.connections();
+  env.WaitUntil([this, before] {
+    env.SendAndWait(*cut, {.path = "/read/a", .id = "w"});
+    return links.connections() > before;
+  });
+  env.RunLoopFor(100ms);
+  CheckAllServed("/read/a");
+  const std::size_t served = links.connections();
+  CheckAllServed("/once/a");
+  CHECK(links.connections() >= served);
+}
+
+// Guards against streams that a handover delays, cuts or doubles, and against a
+// peer that dies in mid-stream.
+TEST(CutOff, StreamContinuesAtAnotherPeer) {
+  std::vector<et::EndpointRequest> streams;
+  StartNodes([&streams](const et::EndpointRequest& request) {
+    const int next = request.last_event_id() + 1;
+    request.BeginStream(next, next + 1);
+    streams.push_back(request);
+  });
+  StartAnother("second", "plain");
+  env.WaitUntil([this] { return ep::ViewOf(*cut).nodes == 3; });
+  links.Set(et::Cut::kReset);
+  et::TestConnection& caller =
+      env.SendRequest(*cut, {.path = "/talk/a", .id = "s"});
+  const auto received = [&caller] {
+    return et::ParseAnswers(caller.received() + et::kLastChunk);
+  };
+  env.WaitUntil([&] {
+    return !received().empty() &&
+           received().front().body == et::FormatEvents(1, 2);
+  });
+  LONGS_EQUAL(1, streams.size());
+  streams[0].connection->Send(et::FormatEventChunk(3));
+  env.WaitUntil(
+      [&] { return received().front().body == et::FormatEvents(1, 3); });
+  KillServingPeer();
+  env.WaitUntil([&streams] { return streams.size() == 2; });
+  LONGS_EQUAL(3, streams[1].last_event_id());
+  streams[1].connection->Send(et::kLastChunk);
+  env.WaitUntil([&] { return !et::ParseAnswers(caller.received()).empty(); });
+  STRCMP_EQUAL(et::FormatEvents(1, 5).c_str(),
+               et::ParseAnswers(caller.received()).front().body.c_str());
+}
+
+// Guards against the statement that a request has not run, which a dead peer
+// may have sent to an endpoint, and against running it again.
+TEST(CutOff, RequestOfAPeerThatDiesIsUnknown) {
+  StartNodes(et::LeaveUnanswered());
+  links.Set(et::Cut::kReset);
+  et::TestConnection& caller =
+      env.SendRequest(*cut, {.path = "/once/a", .id = "o"});
+  env.WaitUntil([this] { return CountRequests() == 1; });
+  env.KillNode(*peer);
+  env.WaitUntil([&caller] { return !et::DescribeAnswer(caller).empty(); });
+  STRCMP_EQUAL("502 unknown", et::DescribeAnswer(caller).c_str());
+  LONGS_EQUAL(1, CountRequests());
+}
+
+// Guards against endpoints that work for callers who have left.
+TEST(CutOff, CallerThatLeavesIsGoneAtTheEndpointToo) {
+  StartNodes(et::LeaveUnanswered());
+  links.Set(et::Cut::kReset);
+  et::TestConnection& caller =
+      env.SendRequest(*cut, {.path = "/once/a", .id = "o"});
+  env.WaitUntil([this] { return CountRequests() == 1; });
+  caller.Close();
+  env.WaitUntil([this] {
+    for (const et::FakeEndpoint* endpoint : endpoints) {
+      if (!endpoint->requests().empty())
+        return endpoint->requests().front().connection->ended();
+    }
+    return false;
+  });
+}
+
+// Guards against a body that is changed or cut on its way through two nodes.
+TEST(CutOff, LongBodyArrivesUnchanged) {
+  StartNodes(et::AnswerImmediately());
+  links.Set(et::Cut::kReset);
+  std::string body(3 << 20, ' ');
+  for (std::size_t i = 0; i < body.size(); ++i)
+    body[i] = static_cast<char>('a' + i % 23);
+  STRCMP_EQUAL("200", env.SendAndDescribe(
+                             *cut, {.path = "/once/a", .id = "o", .body = body})
+                          .c_str());
+  std::size_t arrived = 0;
+  for (const et::FakeEndpoint* endpoint : endpoints) {
+    for (const et::EndpointRequest& request : endpoint->requests()) {
+      ++arrived;
+      CHECK(request.http.body == body);
+      LONGS_EQUAL(0, egretladder::net::CountFields(request.http.fields,
+                                                   "Egretladder-Forwarded"));
+    }
+  }
+  LONGS_EQUAL(1, arrived);
+}
+
+// Guards against handovers from callers, with foreign keys or to a node that
+// doesn't know the rules yet.
+TEST(CutOff, HandedOverRequestIsCheckedLikeACallers) {
+  StartNodes(et::AnswerImmediately());
+  const auto answer = [this](const std::string& field, const std::string& key) {
+    et::TestConnection& node = env.Connect(ep::ViewOf(*peer).handovers);
+    std::string request =
+        et::FormatRequest({.path = "/once/a", .id = "h", .key = key});
+    request.insert(request.find("\r\n") + 2, field);
+    node.Send(request);
+    env.WaitUntil([&node] { return !et::DescribeAnswer(node).empty(); });
+    return node.received();
+  };
+  const std::string field =
+      "Egretladder-Forwarded: n; rules=1; service=all\r\n";
+  STRNCMP_EQUAL("HTTP/1.1 400", answer("", "k1").c_str(), 12);
+  STRNCMP_EQUAL("HTTP/1.1 401", answer(field, "other").c_str(), 12);
+  STRNCMP_EQUAL("HTTP/1.1 200", answer(field, "k1").c_str(), 12);
+  const std::string newer =
+      answer("Egretladder-Forwarded: n; rules=9; service=all\r\n", "k1");
+  STRNCMP_EQUAL("HTTP/1.1 503", newer.c_str(), 12);
+  CHECK(newer.find("Egretladder-Declined: older-rules") != std::string::npos);
+}
--- a/proxy/tests/harness.cc
+++ b/proxy/tests/harness.cc
@@ -378,9 +378,11 @@
 
 net::HttpFields EndpointFields(const net::HttpRequest& request,
                                const ForwardMetadata& metadata) {
-  return {{"Host", "h"},
-          {"X-Id", RequestId(request)},
-          {"X-After", metadata.resume_after}};
+  const std::string after =
+      metadata.resume_after.empty()
+          ? std::string(net::FirstFieldValue(request.fields, "X-After"))
+          : metadata.resume_after;
+  return {{"Host", "h"}, {"X-Id", RequestId(request)}, {"X-After", after}};
 }
 
 net::HttpFields PeerFields(const net::HttpRequest& request,
--- a/proxy/tests/harness_links.cc
+++ b/proxy/tests/harness_links.cc
@@ -46,33 +46,28 @@
 
 EndpointLink::EndpointLink(kernel::Loop& loop, const std::string& target)
     : loop_(loop), target_(target) {
-  const evutil_socket_t fd =
-      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  port_holder_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  evutil_make_listen_socket_reuseable(port_holder_);
   auto any = net::ParseAddress("127.0.0.1:0");
-  if (bind(fd, any->get(), static_cast<socklen_t>(any->size)) != 0) {
+  if (bind(port_holder_, any->get(), static_cast<socklen_t>(any->size)) != 0) {
     std::abort();
   }
-  listener_.reset(evconnlistener_new(
-      loop.base.get(),
-      [](evconnlistener* /*l*/, evutil_socket_t accepted, sockaddr* /*a*/,
-         int /*size*/,
-         void* arg) { static_cast<EndpointLink*>(arg)->Accept(accepted); },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_DISABLED, 0, fd));
-  address_ = net::WithBoundPort("127.0.0.1:0", fd);
-  Listen();
+  address_ = net::WithBoundPort("127.0.0.1:0", port_holder_);
+  Listen(true);
 }
 
-EndpointLink::~EndpointLink() = default;
-
-void EndpointLink::Listen() {
-  listen(evconnlistener_get_fd(listener_.get()), kBacklog);
-  evconnlistener_enable(listener_.get());
-}
+EndpointLink::~EndpointLink() { evutil_closesocket(port_holder_); }
 
-// The socket stays bound, so that no other one gets its port.
-void EndpointLink::StopListening() {
-  evconnlistener_disable(listener_.get());
-  shutdown(evconnlistener_get_fd(listener_.get()), SHUT_RD);
+void EndpointLink::Listen(bool accept) {
+  auto listener = net::ListenOn(
+      loop_.base.get(), address_, kBacklog,
+      [](evconnlistener* /*l*/, evutil_socket_t fd, sockaddr* /*a*/,
+         int /*size*/,
+         void* arg) { static_cast<EndpointLink*>(arg)->Accept(fd); },
+      this);
+  if (!listener) std::abort();
+  listener_ = std::move(listener).value();
+  if (!accept) evconnlistener_disable(listener_.get());
 }
 
 // Once the backlog is full, the kernel drops further connection requests.
@@ -84,7 +79,7 @@
 
 void EndpointLink::Set(Cut cut) {
   fillers_.clear();
-  StopListening();
+  listener_.reset();
   if (cut != Cut::kRefuseNew) {
     for (Pair& pair : pairs_) {
       if (cut == Cut::kReset && !std::exchange(pair.closed, true)) {
@@ -94,9 +89,9 @@
       if (cut == Cut::kHang) pair.silent = true;
     }
   }
-  if (cut == Cut::kNone) Listen();
+  if (cut == Cut::kNone) Listen(true);
   if (cut == Cut::kHang) {
-    listen(evconnlistener_get_fd(listener_.get()), kBacklog);
+    Listen(false);
     FillBacklog();
   }
 }
--- a/proxy/tests/harness_links.h
+++ b/proxy/tests/harness_links.h
@@ -45,8 +45,8 @@
     bool silent = false;
     bool closed = false;
   };
-  void Listen();
-  void StopListening();
+  /// Listens, and accepts connections unless they are to hang.
+  void Listen(bool accept);
   void FillBacklog();
   void Accept(evutil_socket_t fd);
   void Forward(Pair& pair);
@@ -54,6 +54,9 @@
   kernel::Loop& loop_;
   std::string target_;
   std::string address_;
+  /// Bound to the address and not listening, so that no other socket gets the
+  /// port while the link refuses connections.
+  evutil_socket_t port_holder_ = -1;
   net::Listener listener_;
   std::list<Pair> pairs_;
   std::list<std::unique_ptr<TestConnection>> fillers_;
--- a/routing/tests/members_test.cc
+++ b/routing/tests/members_test.cc
@@ -360,3 +360,68 @@
   CHECK(same_zone > kExchanges * 6 / 10);
   CHECK(same_zone < kExchanges * 9 / 10);
 }
+
+// Guards against callers that are sent to nodes without links to any endpoint,
+// and against an empty directory when all nodes have lost them.
+TEST(Members, TheDirectoryLeavesOutNodesThatAreCutOff) {
+  Fleet fleet(7);
+  er::Time now = kStart;
+  for (er::Members& node : fleet.nodes) node.all_services = 3;
+  fleet.nodes[2].self.unreached = 3;
+  fleet.nodes[3].self.unreached = 1;
+  fleet.Run(now, 2s);
+  for (const std::size_t node : {0U, 2U}) {
+    CHECK_FALSE(Contains(fleet.Directory(node, now), "n2:80"));
+    CHECK(Contains(fleet.Directory(node, now), "n3:80"));
+  }
+  fleet.nodes[2].self.unreached = 0;
+  fleet.Run(now, 2s);
+  CHECK(Contains(fleet.Directory(0, now), "n2:80"));
+  for (er::Members& node : fleet.nodes) node.self.unreached = 3;
+  fleet.Run(now, 2s);
+  LONGS_EQUAL(7, fleet.Directory(0, now).size());
+}
+
+// Guards against news of lost links that takes longer in a large fleet than
+// callers can wait.
+TEST(Members, LostLinksAreKnownInALargeFleetWithinSeconds) {
+  Fleet fleet(300);
+  er::Time now = kStart;
+  for (er::Members& node : fleet.nodes) node.all_services = 1;
+  fleet.Run(now, 6s);
+  fleet.nodes[5].self.unreached = 1;
+  fleet.Run(now, 3s);
+  std::size_t unaware = 0;
+  for (er::Members& node : fleet.nodes) {
+    if (er::MakeFleetSnapshot(node, 1, now).names.size() == 300) ++unaware;
+  }
+  LONGS_EQUAL(0, unaware);
+}
+
+// Guards against parts of shared limits that nodes without links would hold in
+// vain.
+TEST(Members, NodesWithoutLinksHoldNoPartOfSharedLimits) {
+  Fleet fleet(7);
+  er::Time now = kStart;
+  fleet.nodes[2].self.unreached = 2;
+  fleet.Run(now, 4s);
+  for (const std::size_t node : {0U, 2U}) {
+    LONGS_EQUAL(6, er::MakeFleetSnapshot(fleet.nodes[node], 2, now).nodes);
+    LONGS_EQUAL(6,
+                er::MakeFleetSnapshot(fleet.nodes[node], 2, now).names.size());
+    LONGS_EQUAL(7, er::MakeFleetSnapshot(fleet.nodes[node], 1, now).nodes);
+  }
+}
+
+TEST(Members, ServicesBeyondTheSixteenthHaveNoBit) {
+  er::RouteTable rules;
+  for (int i = 0; i < 18; ++i) {
+    rules.services.push_back({.name = "s" + std::to_string(i)});
+  }
+  er::IndexTable(rules);
+  LONGS_EQUAL(1, er::BitOfService(rules, "s0"));
+  LONGS_EQUAL(0x8000, er::BitOfService(rules, "s15"));
+  LONGS_EQUAL(0, er::BitOfService(rules, "s16"));
+  LONGS_EQUAL(0, er::BitOfService(rules, "unknown"));
+  LONGS_EQUAL(0xffff, er::BitsOfAllServices(rules));
+}
--- a/routing/tests/service_reach_test.cc
+++ b/routing/tests/service_reach_test.cc
@@ -133,3 +133,14 @@
   Fail(2);
   CHECK_FALSE(Fail(3));
 }
+
+// Guards against a node that is listed to no caller and so never probes.
+TEST(ServiceReach, LossThatNobodyProbesIsForgotten) {
+  Lose();
+  Advance(static_cast<int>(
+      (er::kReachProbeInterval + er::kMaxUnprobedTime).count() - 10));
+  CHECK_FALSE(er::ForgetUnprobedLoss(reach, now));
+  Advance(10);
+  CHECK_TRUE(er::ForgetUnprobedLoss(reach, now));
+  CheckState(er::ReachState::kReturning);
+}
