Keep within the room of brittle endpoints, all nodes together

What callers saw: endpoints that turn away more requests in a second than they tolerate fall over, and their load falls on the others; 12 falls in nine seconds of the test, where 2 are allowed.

Cause: Server-Brittle was read by nobody, and each node filled twice its even share of an endpoint's slots and came back 60 ms after each refusal.

While a service is brittle, a node has at most its part of the slots in flight at an endpoint; with more nodes than slots, rendezvous hashing chooses the nodes that send. The bound rises by one a second. The statement is one for the service, gossiped with its age, and ends three seconds after the last answer with it.

Weighed and not taken: choosing fewer senders from the start, by the tolerance. With three endpoints and a tolerance of three, most nodes could not send at all.

--- a/proxy/include/egretladder/proxy/dialect.h
+++ b/proxy/include/egretladder/proxy/dialect.h
@@ -60,6 +60,10 @@
   /// unset: the answer states no limit.
   std::optional<double> limit;
   bool is_limit_invalid = false;  ///< The stated limit can't be parsed.
+  /// Requests that the endpoint can turn away in a second without falling over;
+  /// unset: the answer doesn't state that it is brittle.
+  std::optional<std::uint32_t> brittle_tolerance;
+  bool is_brittle_invalid = false;  ///< The tolerance can't be parsed.
   std::string instance_id;  ///< Endpoint that answered; empty: not stated.
   routing::EndpointNotice notice;
   bool is_leaving_invalid = false;  ///< Whether it leaves can't be parsed.
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -53,6 +53,23 @@
   # The interval between two events that one in fifty exceeds beside long
   # prompts; 0: not known. Nodes agree on it by averaging.
   longPauseMs @12 :Float32;
+  # Services whose endpoints fall over if they turn too many requests away.
+  brittle @13 :List(Brittle);
+}
+
+struct Brittle {
+  service @0 :Text;
+  # Requests that an endpoint can turn away in a second.
+  tolerance @1 :UInt32;
+  # Time since an endpoint stated it.
+  statedAgoMs @2 :UInt32;
+  # Endpoints that turned requests of the sender away of late.
+  refusals @3 :List(Refusal);
+}
+
+struct Refusal {
+  endpoint @0 :Text;
+  agoMs @1 :UInt32;
 }
 
 struct Limit {
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "attempts_p.h"
+#include "egretladder/routing/brittle.h"
 
 namespace egretladder::proxy {
 namespace {
@@ -28,6 +29,26 @@
   EndCall(proxy, call, call->succeeded ? "answered" : "endpoint-failure");
 }
 
+void RecordBrittleRefusal(Proxy& proxy, const Call& call, Time now) {
+  const routing::BrittleStatement* brittle =
+      routing::FindBrittle(proxy.endpoints, call.service->name, now);
+  if (brittle == nullptr) return;
+  routing::Endpoint& endpoint = *call.attempt->endpoint;
+  routing::OnBrittleRefusal(endpoint, *brittle,
+                            MakeFleetSnapshot(proxy, call, now), proxy.random,
+                            now);
+  IncrementCounter(proxy, "egretladder_brittle_refusals_total",
+                   "Requests that brittle endpoints turned away.",
+                   "service=\"" + call.service->name + "\"");
+  kernel::LogEvent(
+      LogPart::kEndpoint, LogLevel::kWarning, "brittle-refusal",
+      {{"req", call.metadata.id},
+       {"endpoint", endpoint.entry.id},
+       {"tolerance", brittle->tolerance},
+       {"in_flight", endpoint.in_flight},
+       {"closed_ms", Elapsed(now, endpoint.brittle_room.closed_until)}});
+}
+
 // Records what the outcome says about the endpoint.
 void RecordEndpointResult(Proxy& proxy, const Call& call,
                           AttemptOutcome outcome) {
@@ -46,6 +67,7 @@
           proxy.random,
           static_cast<std::uint64_t>(routing::kFullPause.count()) + 1));
       routing::OnEndpointFull(endpoint, routing::kFullPause / 2 + jitter, now);
+      RecordBrittleRefusal(proxy, call, now);
       break;
     }
     case AttemptOutcome::kWrongInstance:
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -208,13 +208,6 @@
   RefuseOrAbort(proxy, call, "crashes_endpoints", hold_time);
 }
 
-routing::FleetSnapshot MakeFleetSnapshot(Proxy& proxy, const Call& call,
-                                         Time now) {
-  return routing::MakeFleetSnapshot(
-      proxy.members, routing::BitOfService(*call.table, call.service->name),
-      now);
-}
-
 // Hands the call over to a peer if this node can't make the next attempt
 // itself, or declines it if a peer handed it over. Returns true if it did.
 bool TryHandOver(Proxy& proxy, const CallPtr& call,
@@ -249,6 +242,13 @@
 
 }  // namespace
 
+routing::FleetSnapshot MakeFleetSnapshot(Proxy& proxy, const Call& call,
+                                         Time now) {
+  return routing::MakeFleetSnapshot(
+      proxy.members, routing::BitOfService(*call.table, call.service->name),
+      now);
+}
+
 bool HasRoomForBody(const Proxy& proxy, std::size_t bytes) {
   const double max_bytes =
       kBodyMemoryRatio * static_cast<double>(proxy.options.memory_bytes);
--- a/proxy/src/endpoint_notices.cc
+++ b/proxy/src/endpoint_notices.cc
@@ -1,6 +1,7 @@
 // Notices that endpoints give in their answers.
 #include "egretladder/routing/endpoint_notices.h"
 
+#include "egretladder/routing/brittle.h"
 #include "state_p.h"
 
 namespace egretladder::proxy {
@@ -44,8 +45,28 @@
   }
 }
 
+void ApplyBrittle(Proxy& proxy, const Call& call,
+                  const AnswerMetadata& metadata) {
+  if (!metadata.brittle_tolerance) return;
+  CountNotice(proxy, "brittle");
+  const std::string& service = call.service->name;
+  if (routing::OnBrittleStated(proxy.endpoints, service,
+                               *metadata.brittle_tolerance, NowOf(proxy))) {
+    LogBrittle(proxy, service, "answer");
+  }
+}
+
 }  // namespace
 
+void LogBrittle(const Proxy& proxy, const std::string& service,
+                const char* source) {
+  kernel::LogEvent(
+      LogPart::kEndpoint, LogLevel::kInfo, "service-brittle",
+      {{"service", service},
+       {"tolerance", proxy.endpoints.brittle_services.at(service).tolerance},
+       {"source", source}});
+}
+
 void ApplyEndpointNotice(Proxy& proxy, const Call& call,
                          const routing::EndpointPtr& addressed, int status,
                          const AnswerMetadata& metadata) {
@@ -53,6 +74,9 @@
     ReportUnclear(proxy, call, *addressed, "leaving");
   if (metadata.is_backoff_invalid)
     ReportUnclear(proxy, call, *addressed, "backoff");
+  if (metadata.is_brittle_invalid)
+    ReportUnclear(proxy, call, *addressed, "brittle");
+  ApplyBrittle(proxy, call, metadata);
   const routing::EndpointNotice& notice = metadata.notice;
   if (!notice.leaving && notice.backoff.count() == 0) return;
   if (notice.leaving) CountNotice(proxy, "leaving");
--- a/proxy/src/gossip_codec.cc
+++ b/proxy/src/gossip_codec.cc
@@ -8,6 +8,7 @@
 
 #include "egretladder/net/compression.h"
 #include "egretladder/net/rpc_connection.h"
+#include "egretladder/routing/brittle.h"
 #include "gossip_codec_p.h"
 
 namespace egretladder::proxy {
@@ -176,6 +177,39 @@
   }
 }
 
+void WriteBrittle(const Proxy& proxy, exchange::News::Builder news, Time now) {
+  if (proxy.endpoints.brittle_services.empty()) return;
+  const auto gossip = routing::MakeBrittleGossip(proxy.endpoints, now);
+  auto list = news.initBrittle(static_cast<unsigned>(gossip.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setService(gossip[i].service);
+    list[i].setTolerance(gossip[i].tolerance);
+    list[i].setStatedAgoMs(ToMillis(gossip[i].stated_ago));
+    auto refusals =
+        list[i].initRefusals(static_cast<unsigned>(gossip[i].refusals.size()));
+    for (unsigned j = 0; j < refusals.size(); ++j) {
+      refusals[j].setEndpoint(gossip[i].refusals[j].endpoint);
+      refusals[j].setAgoMs(ToMillis(gossip[i].refusals[j].ago));
+    }
+  }
+}
+
+void ApplyBrittle(Proxy& proxy, exchange::News::Reader news, Time now) {
+  for (const auto reader : news.getBrittle()) {
+    routing::BrittleGossip gossip;
+    gossip.service = reader.getService();
+    gossip.tolerance =
+        std::min(reader.getTolerance(), routing::kMaxBrittleTolerance);
+    gossip.stated_ago = milliseconds(reader.getStatedAgoMs());
+    for (const auto refusal : reader.getRefusals()) {
+      gossip.refusals.push_back(
+          {refusal.getEndpoint(), milliseconds(refusal.getAgoMs())});
+    }
+    if (routing::ApplyBrittleGossip(proxy.endpoints, gossip, now))
+      LogBrittle(proxy, gossip.service, "peer");
+  }
+}
+
 void WriteMembers(const routing::MemberGossip& gossip,
                   exchange::News::Builder news) {
   auto members = news.initMembers(static_cast<unsigned>(gossip.members.size()));
@@ -262,6 +296,7 @@
   WriteLoads(proxy, news);
   WriteSuspects(proxy, news, now);
   WriteLimits(proxy, news);
+  WriteBrittle(proxy, news, now);
 }
 
 PeerState ApplyGossip(Proxy& proxy, exchange::News::Reader news) {
@@ -270,6 +305,7 @@
   ApplyMembers(proxy, gossip, now);
   ApplySuspects(proxy, news, now);
   ApplyLimits(proxy, news);
+  ApplyBrittle(proxy, news, now);
   routing::MergePeerDemand(proxy.fleet_demand,
                            {news.getTightDemand(), news.getRestDemand()});
   routing::MergePeerPauses(proxy.endpoints.pauses, news.getLongPauseMs());
--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -2,6 +2,7 @@
 // class, and gauges of the node's current state.
 #include <algorithm>
 
+#include "egretladder/routing/brittle.h"
 #include "egretladder/routing/endpoint_notices.h"
 #include "state_p.h"
 
@@ -56,6 +57,10 @@
   if (now < endpoint.health.full_until) return "full";
   if (now < endpoint.cold_until) return "cold";
   if (endpoint.limit.per_second > 0) return "limited";
+  if (routing::FindBrittle(proxy.endpoints, endpoint.entry.service, now) !=
+      nullptr) {
+    return "brittle";
+  }
   return "serving";
 }
 
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -272,6 +272,10 @@
 /// Returns the retry delay for a call whose attempts were all refused by their
 /// endpoints.
 milliseconds RetryDelayAfterAttempts(Proxy& proxy, const Call& call);
+/// Returns what this node knows about the fleet, without nodes that don't reach
+/// the call's service.
+routing::FleetSnapshot MakeFleetSnapshot(Proxy& proxy, const Call& call,
+                                         Time now);
 /// Sends the call to an endpoint, queues it, or refuses it.
 void Dispatch(Proxy& proxy, const CallPtr& call);
 /// Tries to dispatch all waiting calls, in the order of the queue.
@@ -383,6 +387,10 @@
 void RecordUnanswered(Proxy& proxy, const Call& call,
                       routing::AttemptOutcome outcome);
 
+/// Logs that a service is brittle.
+void LogBrittle(const Proxy& proxy, const std::string& service,
+                const char* source);
+
 // answers.cc
 // Pages of the node itself.
 void AnswerDirectory(Proxy& proxy, const net::HttpCallPtr& caller);
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -55,6 +55,21 @@
   Time backoff_until{};  ///< It wants no request from this node until then.
 };
 
+/// That the endpoints of a service are brittle; see brittle.h.
+struct BrittleStatement {
+  /// Requests that an endpoint can turn away in a second without falling over.
+  std::uint32_t tolerance = 0;
+  Time stated_at{};  ///< When an endpoint last stated it.
+};
+
+/// What this node learned of the room of a brittle endpoint.
+struct BrittleRoom {
+  double max_in_flight = 0;  ///< At `refused_at`; it rises from then on.
+  Time refused_at{};         ///< Last refusal at any node; default: none.
+  Time own_refusal_at{};     ///< Last refusal at this node; default: none.
+  Time closed_until{};       ///< This node sends nothing before.
+};
+
 /// An endpoint's phase, as its entry in the store determines it.
 enum class EndpointPhase : std::uint8_t {
   kServing,
@@ -101,6 +116,7 @@
   Time cold_until{};
   AdvertisedLimit limit;
   StandingNotices notices;
+  BrittleRoom brittle_room;
   Time last_limited_send{};  ///< Last request of this node under a shared rate.
   std::uint32_t in_flight = 0;  ///< Requests in flight from this node.
   Time last_heard_at{};         ///< When this node last received bytes from it.
@@ -140,6 +156,8 @@
   std::map<std::string, bool, std::less<>> zones_out;
   /// Ids of the endpoints whose limit, or its recent end, is gossiped to peers.
   std::set<std::string> limited;
+  /// Last statements that services are brittle, by service.
+  std::map<std::string, BrittleStatement> brittle_services;
   /// Statements of removed endpoints, by id, in case that their entries return.
   std::unordered_map<std::string, RememberedStatements> remembered_statements;
   std::uint64_t last_removal_number = 0;  ///< Of `remembered_statements`.
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -213,6 +213,31 @@
 /// believed. In a network partition the other nodes still send.
 inline constexpr std::chrono::seconds kFleetSizeRetention{60};
 
+// --- Brittle endpoints (brittle.h) ---
+
+/// How long a statement that a service is brittle holds. Its endpoints repeat
+/// it in each answer.
+inline constexpr milliseconds kBrittleFreshTime{3000};
+/// What a node that was turned away may have in flight, as a part of what it
+/// had.
+inline constexpr double kBrittleRefusalRatio = 0.5;
+/// The same for a node that hears of another one's refusal.
+inline constexpr double kBrittleNewsRatio = 0.75;
+/// Steps by which that bound rises.
+inline constexpr double kBrittleGrowthPerSecond = 1;
+/// Bounds of the pause of a node that was turned away.
+inline constexpr milliseconds kMinBrittlePause{1000};
+inline constexpr milliseconds kMaxBrittlePause{8000};
+/// How long a refusal is gossiped.
+inline constexpr milliseconds kBrittleNewsTime{800};
+/// Ages in gossip grow by the transfer time of the message: refusals that
+/// differ by less count as the same.
+inline constexpr milliseconds kSameRefusalWindow{100};
+/// Refusals sent in one exchange for each brittle service, about 40 bytes each.
+inline constexpr std::size_t kMaxRefusalsPerExchange = 16;
+/// Upper bound of the tolerance that is believed.
+inline constexpr std::uint32_t kMaxBrittleTolerance = 1'000'000;
+
 // --- Endpoint registration (endpoints.h) ---
 
 /// How long an endpoint stays usable after its entry was removed around an
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include "egretladder/routing/brittle.h"
 #include "egretladder/routing/endpoint_notices.h"
 #include "egretladder/routing/engine_split.h"
 #include "egretladder/routing/placement_cost.h"
@@ -114,6 +115,10 @@
       endpoint.in_flight >= MaxInFlightPerNode(endpoint, fleet)) {
     return PlacementReason::kAllFull;
   }
+  if (FindBrittle(set, demand.service->name, now) != nullptr &&
+      !HasBrittleRoom(endpoint, fleet, now)) {
+    return PlacementReason::kAllFull;
+  }
   if (const auto rate = FindSharedRate(endpoint, *demand.service, now)) {
     if (now < NextTurnTime(endpoint, *rate, fleet) ||
         !IsSender(endpoint, *rate, fleet)) {
