Keep a lost service lost while requests for it come

A node that lost one of its services went back to it after two seconds without a probe, although callers kept asking: while all endpoints are in their connect backoff, no request can probe. Up to three requests lost a connect timeout each time.

The loss is now forgotten only if no request for the service came for two seconds, as at a node that is listed to no caller. Also: the routes command names the new rules, the comments on TCP_USER_TIMEOUT say what ends a connection, and a test that an endpoint's silence of a second ends nothing (green before as well).

--- a/lab/src/command_routes.cc
+++ b/lab/src/command_routes.cc
@@ -65,7 +65,11 @@
       << " (0 goes first)\n";
   WriteTargets(table, *route, out);
   out << "  no endpoint that has answered this node that it leaves, or that it "
-         "wants no requests for some time\n";
+         "wants no requests for some time\n"
+         "  while the service is brittle, no more at an endpoint than this "
+         "node's part of its slots\n"
+         "  handed over to another node while this one reaches no endpoint of "
+         "the service\n";
   return kExitDone;
 }
 
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -33,7 +33,8 @@
 inline constexpr std::chrono::seconds kKeepAliveIdleTime{1};
 /// Interval between two keep-alive probes.
 inline constexpr std::chrono::seconds kKeepAliveInterval{1};
-/// Unanswered keep-alive probes after which the connection is closed.
+/// Unanswered keep-alive probes after which the connection is closed. Decides
+/// only where TCP_USER_TIMEOUT is 0, which would end the connection otherwise.
 inline constexpr int kKeepAliveProbes{2};
 
 /// Timeout for opening a connection to an endpoint. One way between two
--- a/net/include/egretladder/net/socket.h
+++ b/net/include/egretladder/net/socket.h
@@ -33,8 +33,9 @@
 
 /// Disables Nagle's algorithm and enables the detection of peers that
 /// disappeared without a reset. The connection fails if sent bytes stay
-/// unacknowledged for `user_timeout`, or if the keep-alive probes of limits.h
-/// stay unanswered.
+/// unacknowledged for `user_timeout`, or if nothing has come for that long and
+/// a keep-alive probe of limits.h is unanswered: the kernel gives up at the
+/// first probe after `user_timeout`, whatever the number of probes.
 ///
 /// A machine that lost power or its network doesn't answer, and a connection
 /// can stay silent for good while new ones work. Without these options a
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -218,6 +218,7 @@
   input.not_sent = call->not_sent;
   // Without an endpoint there is nothing to probe.
   routing::ServiceReach& reach = proxy.reaches[call->service->name];
+  routing::OnReachWanted(reach, now);
   input.may_reach =
       placement.endpoint == nullptr
           ? reach.state != routing::ReachState::kLost
--- a/proxy/src/service_reach.cc
+++ b/proxy/src/service_reach.cc
@@ -54,9 +54,9 @@
   return changed;
 }
 
-void ForgetUnprobedLosses(Proxy& proxy) {
+void ForgetUnwantedLosses(Proxy& proxy) {
   for (auto& [service, reach] : proxy.reaches) {
-    if (routing::ForgetUnprobedLoss(reach, NowOf(proxy)))
+    if (routing::ForgetUnwantedLoss(reach, NowOf(proxy)))
       OnStateChanged(proxy, service, reach);
   }
 }
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -377,9 +377,9 @@
 void RecordAttemptEnded(Proxy& proxy, const Call& call, const Attempt& attempt);
 /// Records that the endpoint answers the call's attempt.
 void RecordAnswered(Proxy& proxy, const Call& call);
-/// Gives up the loss of services that no request has probed for a while, so
+/// Gives up the loss of services for which no request has come for a while, so
 /// that a node without callers gets some again.
-void ForgetUnprobedLosses(Proxy& proxy);
+void ForgetUnwantedLosses(Proxy& proxy);
 /// Updates the services that this node doesn't reach, which gossip tells peers.
 /// Returns true if they changed.
 bool UpdateUnreached(Proxy& proxy);
--- a/proxy/tests/endpoint_failures_test.cc
+++ b/proxy/tests/endpoint_failures_test.cc
@@ -296,3 +296,36 @@
   CHECK(caller.received().find(et::FormatEvents(2, 2)) != std::string::npos);
   LONGS_EQUAL(1, CountRequests(endpoints));
 }
+
+// Guards against a sound endpoint that falls silent for a second and is given
+// up, its request lost or run twice.
+TEST(EndpointFailures, SilenceOfASecondEndsNothing) {
+  std::vector<et::EndpointRequest> requests;
+  env.AddEndpoint("e1", [&requests](const et::EndpointRequest& request) {
+    requests.push_back(request);
+    if (request.http.target.starts_with("/tell/")) request.BeginStream(1, 2);
+  });
+  ep::Proxy& proxy = env.StartReadyNode();
+  et::TestConnection& once =
+      env.SendRequest(proxy, {.path = "/once/a", .id = "o"});
+  et::TestConnection& stream =
+      env.SendRequest(proxy, {.path = "/tell/a", .id = "s"});
+  env.WaitUntil([&requests] { return requests.size() == 2; });
+  env.RunLoopFor(std::chrono::milliseconds(1300));
+  for (const et::EndpointRequest& request : requests) {
+    if (request.id() == "o") {
+      request.Answer(200, "done");
+    } else {
+      request.connection->Send(et::FormatEventChunk(3));
+      request.connection->Send(et::kLastChunk);
+    }
+  }
+  env.WaitUntil([&] {
+    return !et::DescribeAnswer(once).empty() &&
+           !et::DescribeAnswer(stream).empty();
+  });
+  STRCMP_EQUAL("200", et::DescribeAnswer(once).c_str());
+  STRCMP_EQUAL(et::FormatEvents(1, 3).c_str(),
+               et::ParseAnswers(stream.received()).front().body.c_str());
+  LONGS_EQUAL(2, requests.size());
+}
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -276,9 +276,9 @@
 inline constexpr milliseconds kReachProbeInterval{500};
 /// Upper bound of that interval for a service that is lost again and again.
 inline constexpr milliseconds kMaxReachProbeInterval{4000};
-/// A lost service that no request has probed for this long returns. The node is
-/// not listed to callers meanwhile, and without a request it would never be.
-inline constexpr milliseconds kMaxUnprobedTime{2000};
+/// A lost service for which no request has come for this long returns. The node
+/// is not listed to callers meanwhile, and without a request it would never be.
+inline constexpr milliseconds kMaxUnwantedTime{2000};
 /// A request with less time left doesn't probe: after a connect timeout it has
 /// to be answered elsewhere.
 inline constexpr milliseconds kMinProbeTimeLeft{1200};
--- a/routing/include/egretladder/routing/service_reach.h
+++ b/routing/include/egretladder/routing/service_reach.h
@@ -46,6 +46,7 @@
   /// repetition, `kMinUnansweringEndpoints` at most.
   std::vector<std::uint64_t> unanswering;
   Time next_probe_at{};           ///< While lost.
+  Time last_wanted_at{};          ///< Last request for the service while lost.
   milliseconds probe_interval{};  ///< While lost.
   std::uint32_t in_flight = 0;    ///< Attempts that began since `state_since`.
   std::uint32_t max_in_flight = 0;  ///< While returning.
@@ -71,8 +72,10 @@
 
 /// Returns what `TryReach` would, without beginning a probe interval.
 bool MayReach(const ServiceReach& reach, Time now);
-/// Lets a service return that is lost and that no request has probed for
-/// `kMaxUnprobedTime`. Returns true if the state changed.
-bool ForgetUnprobedLoss(ServiceReach& reach, Time now);
+/// Records that a request for the service came, whether or not it may probe.
+void OnReachWanted(ServiceReach& reach, Time now);
+/// Lets a service return that is lost and for which no request has come for
+/// `kMaxUnwantedTime`. Returns true if the state changed.
+bool ForgetUnwantedLoss(ServiceReach& reach, Time now);
 
 }  // namespace egretladder::routing
--- a/routing/src/service_reach.cc
+++ b/routing/src/service_reach.cc
@@ -114,9 +114,14 @@
   return true;
 }
 
-bool ForgetUnprobedLoss(ServiceReach& reach, Time now) {
+void OnReachWanted(ServiceReach& reach, Time now) {
+  reach.last_wanted_at = now;
+}
+
+bool ForgetUnwantedLoss(ServiceReach& reach, Time now) {
   if (reach.state != ReachState::kLost ||
-      now - reach.next_probe_at < kMaxUnprobedTime) {
+      now - std::max(reach.last_wanted_at, reach.next_probe_at) <
+          kMaxUnwantedTime) {
     return false;
   }
   EnterReturning(reach, now);
--- a/routing/tests/service_reach_test.cc
+++ b/routing/tests/service_reach_test.cc
@@ -135,12 +135,13 @@
 }
 
 // Guards against a node that is listed to no caller and so never probes.
-TEST(ServiceReach, LossThatNobodyProbesIsForgotten) {
+TEST(ServiceReach, LossIsForgottenOnceNobodyWantsTheService) {
   Lose();
-  Advance(static_cast<int>(
-      (er::kReachProbeInterval + er::kMaxUnprobedTime).count() - 10));
-  CHECK_FALSE(er::ForgetUnprobedLoss(reach, now));
-  Advance(10);
-  CHECK_TRUE(er::ForgetUnprobedLoss(reach, now));
+  Advance(5000);
+  er::OnReachWanted(reach, now);
+  Advance(static_cast<int>(er::kMaxUnwantedTime.count()) - 1);
+  CHECK_FALSE(er::ForgetUnwantedLoss(reach, now));
+  Advance(1);
+  CHECK_TRUE(er::ForgetUnwantedLoss(reach, now));
   CheckState(er::ReachState::kReturning);
 }
