Notice lost links from two endpoints and from attempts that still wait

Cause: sessions prefer endpoints with their prompt in the cache, so that a third endpoint never failed; and an attempt counted only once it had ended, which for work that may not run twice is its deadline.

One silent endpoint alone is still nothing.

--- a/lab/src/command_trace.cc
+++ b/lab/src/command_trace.cc
@@ -90,21 +90,13 @@
 }
 
 bool IsBelief(const Line& line) {
-  static const std::set<std::string> kBeliefs = {"endpoint",
-                                                 "endpoint-leaving",
-                                                 "endpoint-backoff",
-                                                 "endpoint-limit",
-                                                 "zone",
-                                                 "rules-in-force",
-                                                 "rules-refused",
-                                                 "store-not-read",
-                                                 "store-read-again",
-                                                 "history-gone",
-                                                 "stood-still",
-                                                 "entry-ignored",
-                                                 "leaving",
-                                                 "started",
-                                                 "lines-dropped"};
+  static const std::set<std::string> kBeliefs = {
+      "endpoint",       "endpoint-leaving", "endpoint-backoff",
+      "endpoint-limit", "service-reach",    "service-brittle",
+      "zone",           "rules-in-force",   "rules-refused",
+      "store-not-read", "store-read-again", "history-gone",
+      "stood-still",    "entry-ignored",    "leaving",
+      "started",        "lines-dropped"};
   return kBeliefs.contains(line.event);
 }
 
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -88,6 +88,8 @@
 }
 
 void OnDeadline(Proxy& proxy, const CallPtr& call) {
+  if (call->attempt != nullptr && call->attempt->peer.empty())
+    RecordUnanswered(proxy, *call, routing::AttemptOutcome::kSilent);
   AbortCall(proxy, call, kGatewayTimeout,
             call->caller->begun() ? "cut-at-deadline" : "timeout", {});
 }
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -33,6 +33,7 @@
   }
   routing::PruneTombstones(proxy.catalog, now);
   routing::ForgetSuspects(proxy.suspects, now);
+  CheckOverdueAttempts(proxy);
   ForgetUnwantedLosses(proxy);
   for (const std::string& node : routing::ForgetMembers(proxy.members, now)) {
     kernel::LogEvent(LogPart::kFleet, LogLevel::kInfo, "node-forgotten",
--- a/proxy/src/service_reach.cc
+++ b/proxy/src/service_reach.cc
@@ -54,6 +54,16 @@
   return changed;
 }
 
+void CheckOverdueAttempts(Proxy& proxy) {
+  const Time now = NowOf(proxy);
+  for (auto& [service, reach] : proxy.reaches) {
+    const auto at = proxy.endpoints.by_service.find(service);
+    if (at == proxy.endpoints.by_service.end()) continue;
+    if (routing::CheckOverdueAttempts(reach, at->second, now))
+      OnStateChanged(proxy, service, reach);
+  }
+}
+
 void ForgetUnwantedLosses(Proxy& proxy) {
   for (auto& [service, reach] : proxy.reaches) {
     if (routing::ForgetUnwantedLoss(reach, NowOf(proxy)))
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -377,6 +377,8 @@
 void RecordAttemptEnded(Proxy& proxy, const Call& call, const Attempt& attempt);
 /// Records that the endpoint answers the call's attempt.
 void RecordAnswered(Proxy& proxy, const Call& call);
+/// Notices services of which no endpoint answers attempts that still wait.
+void CheckOverdueAttempts(Proxy& proxy);
 /// Gives up the loss of services for which no request has come for a while, so
 /// that a node without callers gets some again.
 void ForgetUnwantedLosses(Proxy& proxy);
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -271,6 +271,12 @@
 /// Endpoints at which attempts must fail in a row before the service counts as
 /// lost. With fewer, two endpoints that crash together would look like it.
 inline constexpr std::size_t kMinUnansweringEndpoints = 3;
+/// Failures in a row after which two endpoints suffice: sessions prefer few
+/// endpoints, and may not try a third one.
+inline constexpr std::uint32_t kManyUnanswered = 6;
+/// An attempt that is overdue and has had no answer for this long counts as a
+/// failure while it still waits. An endpoint may fall silent for a second.
+inline constexpr milliseconds kMinServiceSilence{1200};
 /// Interval at which a request probes a lost service. The request may lose a
 /// connect timeout.
 inline constexpr milliseconds kReachProbeInterval{500};
--- a/routing/include/egretladder/routing/service_reach.h
+++ b/routing/include/egretladder/routing/service_reach.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "egretladder/kernel/time.h"
+#include "egretladder/routing/endpoints.h"
 #include "egretladder/routing/limits.h"
 
 namespace egretladder::routing {
@@ -45,6 +46,7 @@
   /// Hashes of the ids of the endpoints at which they failed, without
   /// repetition, `kMinUnansweringEndpoints` at most.
   std::vector<std::uint64_t> unanswering;
+  std::uint32_t failures = 0;     ///< Attempts that failed in a row.
   Time next_probe_at{};           ///< While lost.
   Time last_wanted_at{};          ///< Last request for the service while lost.
   milliseconds probe_interval{};  ///< While lost.
@@ -65,6 +67,12 @@
 bool OnReachUnanswered(ServiceReach& reach, std::uint64_t endpoint,
                        std::size_t endpoints, Time sent_at, Time now);
 
+/// Counts attempts that still wait at the endpoints as failures, if they are
+/// overdue and no attempt was answered since they were sent. Returns true if
+/// the state changed.
+bool CheckOverdueAttempts(ServiceReach& reach,
+                          const std::vector<EndpointPtr>& endpoints, Time now);
+
 /// Returns true if this node may send a request with `time_left` to an endpoint
 /// of the service itself. While the service is lost, this is true for one
 /// request in each probe interval, which begins with the call.
--- a/routing/src/service_reach.cc
+++ b/routing/src/service_reach.cc
@@ -21,18 +21,26 @@
   Enter(reach, ReachState::kLost, now);
 }
 
-void EnterReturning(ServiceReach& reach, Time now) {
+void ForgetFailures(ServiceReach& reach) {
   reach.failing_since = {};
   reach.unanswering.clear();
+  reach.failures = 0;
+}
+
+void EnterReturning(ServiceReach& reach, Time now) {
+  ForgetFailures(reach);
   reach.max_in_flight = kInitialReturningInFlight;
   Enter(reach, ReachState::kReturning, now);
 }
 
+bool IsUnanswering(const ServiceReach& reach, std::uint64_t endpoint) {
+  return std::find(reach.unanswering.begin(), reach.unanswering.end(),
+                   endpoint) != reach.unanswering.end();
+}
+
 void AddUnanswering(ServiceReach& reach, std::uint64_t endpoint) {
-  auto& known = reach.unanswering;
-  if (known.size() >= kMinUnansweringEndpoints) return;
-  if (std::find(known.begin(), known.end(), endpoint) != known.end()) return;
-  known.push_back(endpoint);
+  if (reach.unanswering.size() >= kMinUnansweringEndpoints) return;
+  if (!IsUnanswering(reach, endpoint)) reach.unanswering.push_back(endpoint);
 }
 
 }  // namespace
@@ -61,8 +69,7 @@
   // An answer to an attempt from before the failures says nothing about the
   // links since.
   if (sent_at < reach.failing_since) return false;
-  reach.failing_since = {};
-  reach.unanswering.clear();
+  ForgetFailures(reach);
   switch (reach.state) {
     case ReachState::kReached:
       return false;
@@ -87,13 +94,34 @@
     reach.failing_since = sent_at;
   }
   AddUnanswering(reach, endpoint);
+  ++reach.failures;
+  const std::size_t enough =
+      reach.failures >= kManyUnanswered ? 2 : kMinUnansweringEndpoints;
   const std::size_t needed =
-      std::min(std::max<std::size_t>(endpoints, 1), kMinUnansweringEndpoints);
+      std::min(std::max<std::size_t>(endpoints, 1), enough);
   if (reach.unanswering.size() < needed) return false;
   EnterLost(reach, now);
   return true;
 }
 
+bool CheckOverdueAttempts(ServiceReach& reach,
+                          const std::vector<EndpointPtr>& endpoints, Time now) {
+  if (reach.state == ReachState::kLost) return false;
+  for (const EndpointPtr& endpoint : endpoints) {
+    if (IsUnanswering(reach, endpoint->name_hash)) continue;
+    if (OverdueTime(*endpoint, now).count() == 0) continue;
+    const Time sent_at = endpoint->unanswered.begin()->second.first;
+    if (sent_at < reach.last_answer_at || now - sent_at < kMinServiceSilence) {
+      continue;
+    }
+    if (OnReachUnanswered(reach, endpoint->name_hash, endpoints.size(), sent_at,
+                          now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool MayReach(const ServiceReach& reach, Time now) {
   switch (reach.state) {
     case ReachState::kReached:
--- a/routing/tests/service_reach_test.cc
+++ b/routing/tests/service_reach_test.cc
@@ -47,6 +47,51 @@
   CheckState(er::ReachState::kReached);
 }
 
+// Guards against sessions that keep to two endpoints, so that a third never
+// fails.
+TEST(ServiceReach, ManyFailuresAtTwoEndpointsSuffice) {
+  for (std::uint32_t i = 0; i + 1 < er::kManyUnanswered; ++i)
+    CHECK_FALSE(Fail(1 + i % 2));
+  CHECK_TRUE(Fail(2));
+}
+
+// Guards against requests that are sent into silence until the first of them
+// has timed out.
+TEST(ServiceReach, AttemptsThatStillWaitCountAsFailures) {
+  std::vector<er::EndpointPtr> endpoints;
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    endpoints.push_back(std::make_shared<er::Endpoint>());
+    endpoints.back()->name_hash = i;
+    endpoints.back()->unanswered[i] = {now, now + milliseconds(50)};
+  }
+  Advance(static_cast<int>(er::kMinServiceSilence.count()) - 1);
+  CHECK_FALSE(er::CheckOverdueAttempts(reach, endpoints, now));
+  Advance(1);
+  CHECK_TRUE(er::CheckOverdueAttempts(reach, endpoints, now));
+  CheckState(er::ReachState::kLost);
+}
+
+// Guards against one silent endpoint that is taken for a lost service.
+TEST(ServiceReach, OneSilentEndpointIsNotTheService) {
+  std::vector<er::EndpointPtr> endpoints;
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    endpoints.push_back(std::make_shared<er::Endpoint>());
+    endpoints.back()->name_hash = i;
+  }
+  endpoints[0]->unanswered[1] = {now, now + milliseconds(50)};
+  for (int i = 0; i < 30; ++i) {
+    Advance(100);
+    CHECK_FALSE(er::CheckOverdueAttempts(reach, endpoints, now));
+  }
+  // An answer from another endpoint since refutes the silence of all.
+  endpoints[1]->unanswered[2] = {now, now + milliseconds(50)};
+  endpoints[2]->unanswered[3] = {now, now + milliseconds(50)};
+  Advance(10);
+  Answer(5);
+  Advance(1500);
+  CHECK_FALSE(er::CheckOverdueAttempts(reach, endpoints, now));
+}
+
 // Guards against a loss that is seen between answers of other endpoints.
 TEST(ServiceReach, AnAnswerBetweenFailuresRefutesThem) {
   Fail(1);
