--- a/proxy/tests/harness_links.cc
+++ b/proxy/tests/harness_links.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <string_view>
 #include <utility>
 
 #include "egretladder/kernel/registry.h"
@@ -106,12 +107,12 @@
 
 void EndpointLink::Forward(Pair& pair) {
   if (pair.silent || pair.closed) return;
-  pair.endpoint->Send(
-      std::string_view(pair.node->received()).substr(pair.node_forwarded));
-  pair.node_forwarded = pair.node->received().size();
-  pair.node->Send(std::string_view(pair.endpoint->received())
-                      .substr(pair.endpoint_forwarded));
-  pair.endpoint_forwarded = pair.endpoint->received().size();
+  const std::string_view from_node = pair.node->received();
+  pair.endpoint->Send(from_node.substr(pair.node_forwarded));
+  pair.node_forwarded = from_node.size();
+  const std::string_view from_endpoint = pair.endpoint->received();
+  pair.node->Send(from_endpoint.substr(pair.endpoint_forwarded));
+  pair.endpoint_forwarded = from_endpoint.size();
   if (!pair.node->ended() && !pair.endpoint->ended()) return;
   pair.closed = true;
   pair.node->Close();
