Repeat a request at a peer when the node's own links gave no answer

Cause: one unanswered attempt is not yet a lost service, so that the retry was placed here again; and requests that may run twice took any open connection.

While the last attempts at a service failed, a request whose own attempt got no answer is repeated by a peer, and open connections are used only if the endpoint was heard within 0.3 s, since a new connection fails before anything is sent.

--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -227,8 +227,14 @@
   return metadata;
 }
 
-net::ConnectionReuse GetConnectionReuse(const Call& call, Time now) {
-  if (routing::IsRouteRepeatable(*call.route))
+net::ConnectionReuse GetConnectionReuse(const Proxy& proxy, const Call& call,
+                                        Time now) {
+  // Open connections may have fallen silent with the links. A new one fails
+  // before anything is sent.
+  const auto reach = proxy.reaches.find(call.service->name);
+  const bool is_failing =
+      reach != proxy.reaches.end() && routing::IsFailing(reach->second);
+  if (routing::IsRouteRepeatable(*call.route) && !is_failing)
     return net::ConnectionReuse::kAny;
   return routing::IsRecentlyHeard(*call.attempt->endpoint, now)
              ? net::ConnectionReuse::kRecentlyUsed
@@ -244,7 +250,7 @@
   net::ExchangeRequest exchange =
       MakeForwardedRequest(request, std::move(fields));
   exchange.address = call.attempt->endpoint->entry.address;
-  exchange.reuse = GetConnectionReuse(call, now);
+  exchange.reuse = GetConnectionReuse(proxy, call, now);
   return exchange;
 }
 
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -218,9 +218,11 @@
   routing::HandoverInput input;
   input.is_all_down = placement.reason == routing::PlacementReason::kAllDown;
   input.not_sent = call->not_sent;
+  input.unanswered = call->unanswered;
   // Without an endpoint there is nothing to probe.
   routing::ServiceReach& reach = proxy.reaches[call->service->name];
   routing::OnReachWanted(reach, now);
+  input.is_failing = routing::IsFailing(reach);
   input.may_reach =
       placement.endpoint == nullptr
           ? reach.state != routing::ReachState::kLost
--- a/proxy/src/service_reach.cc
+++ b/proxy/src/service_reach.cc
@@ -89,9 +89,10 @@
   OnStateChanged(proxy, service, reach);
 }
 
-void RecordUnanswered(Proxy& proxy, const Call& call, AttemptOutcome outcome) {
+void RecordUnanswered(Proxy& proxy, Call& call, AttemptOutcome outcome) {
   const Attempt& attempt = *call.attempt;
   if (!IsUnanswered(attempt, outcome)) return;
+  if (outcome != AttemptOutcome::kNotSent) ++call.unanswered;
   const std::string& service = call.service->name;
   routing::ServiceReach& reach = proxy.reaches[service];
   const Time now = NowOf(proxy);
--- a/proxy/tests/cut_off_test.cc
+++ b/proxy/tests/cut_off_test.cc
@@ -328,3 +328,27 @@
   STRCMP_CONTAINS("egretladder_endpoints{service=\"all\",state=\"leaving\"} 1",
                   page.received().c_str());
 }
+
+// Guards against a request that is repeated over the same silent links, though
+// another node could serve it.
+TEST(CutOff, RequestSentIntoSilenceIsRepeatedByAPeer) {
+  bool hold = true;
+  std::vector<et::EndpointRequest> held;
+  StartNodes([&](const et::EndpointRequest& request) {
+    if (hold) {
+      held.push_back(request);
+    } else {
+      request.Answer(200, "done");
+    }
+  });
+  // Leaves open connections to the endpoints.
+  for (int i = 0; i < kEndpoints; ++i)
+    env.SendRequest(*cut, {.path = "/once/a", .id = "h" + std::to_string(i)});
+  env.WaitUntil([&held] { return held.size() == kEndpoints; });
+  for (const et::EndpointRequest& request : held) request.Answer(200, "done");
+  env.RunLoopFor(50ms);
+  hold = false;
+  links.Set(et::Cut::kHang);
+  STRCMP_EQUAL(
+      "200", env.SendAndDescribe(*cut, {.path = "/read/a", .id = "r"}).c_str());
+}
--- a/routing/include/egretladder/routing/handover.h
+++ b/routing/include/egretladder/routing/handover.h
@@ -39,10 +39,11 @@
 
 /// Why a node makes an attempt through a peer instead of an endpoint.
 enum class HandoverReason : std::uint8_t {
-  kNone,     ///< It makes the attempt itself.
-  kLost,     ///< It lost its links to the service.
-  kAllDown,  ///< None of the service's endpoints accepts its connections.
-  kNotSent,  ///< Connections of this request failed in a row.
+  kNone,        ///< It makes the attempt itself.
+  kLost,        ///< It lost its links to the service.
+  kAllDown,     ///< None of the service's endpoints accepts its connections.
+  kNotSent,     ///< Connections of this request failed in a row.
+  kUnanswered,  ///< Neither this request nor any since its start was answered.
 };
 /// Returns the reason's name in logs.
 const char* NameOf(HandoverReason reason);
@@ -52,6 +53,9 @@
   bool may_reach = true;       ///< `TryReach` of the service.
   bool is_all_down = false;    ///< The placement found all endpoints down.
   std::uint32_t not_sent = 0;  ///< Attempts of the request without a byte sent.
+  /// Attempts of the request of which a byte was sent and none came back.
+  std::uint32_t unanswered = 0;
+  bool is_failing = false;  ///< `IsFailing` of the service.
 };
 /// Decides whether the next attempt of a request is to be handed over.
 HandoverReason DecideHandover(const HandoverInput& input);
--- a/routing/include/egretladder/routing/service_reach.h
+++ b/routing/include/egretladder/routing/service_reach.h
@@ -78,6 +78,9 @@
 /// request in each probe interval, which begins with the call.
 bool TryReach(ServiceReach& reach, milliseconds time_left, Time now);
 
+/// Returns true if the last attempts at the service failed, which need not be
+/// enough for a loss.
+bool IsFailing(const ServiceReach& reach);
 /// Returns what `TryReach` would, without beginning a probe interval.
 bool MayReach(const ServiceReach& reach, Time now);
 /// Records that a request for the service came, whether or not it may probe.
--- a/routing/src/handover.cc
+++ b/routing/src/handover.cc
@@ -60,6 +60,8 @@
       return "all-down";
     case HandoverReason::kNotSent:
       return "not-sent";
+    case HandoverReason::kUnanswered:
+      return "unanswered";
   }
   return "unknown";
 }
@@ -70,6 +72,10 @@
   if (input.not_sent >= kMaxNotSentBeforeHandover) {
     return HandoverReason::kNotSent;
   }
+  // Another endpoint would be asked over the same links.
+  if (input.is_failing && input.unanswered > 0) {
+    return HandoverReason::kUnanswered;
+  }
   return HandoverReason::kNone;
 }
 
--- a/routing/src/service_reach.cc
+++ b/routing/src/service_reach.cc
@@ -122,6 +122,10 @@
   return false;
 }
 
+bool IsFailing(const ServiceReach& reach) {
+  return reach.state != ReachState::kReached || reach.failing_since != Time{};
+}
+
 bool MayReach(const ServiceReach& reach, Time now) {
   switch (reach.state) {
     case ReachState::kReached:
--- a/routing/tests/handover_test.cc
+++ b/routing/tests/handover_test.cc
@@ -122,4 +122,8 @@
   CHECK(er::DecideHandover({.is_all_down = true}) ==
         er::HandoverReason::kAllDown);
   CHECK(er::DecideHandover({.may_reach = false}) == er::HandoverReason::kLost);
+  CHECK(er::DecideHandover({.unanswered = 1}) == er::HandoverReason::kNone);
+  CHECK(er::DecideHandover({.is_failing = true}) == er::HandoverReason::kNone);
+  CHECK(er::DecideHandover({.unanswered = 1, .is_failing = true}) ==
+        er::HandoverReason::kUnanswered);
 }
