Count and log retries by the outcome that they follow

No log line or metric told the hypotheses about repeats over the budget apart: a sent line didn't say that it is a retry, of what, and how long ago that was decided, and arrivals beyond the first weren't counted.

Now: fields retry_of and retry_ms of sent lines, and the counter egretladder_retries_total by service and cause. Summed over all nodes it is what the budget bounds. A retry that is handed over counts at the node that the caller asked, since the peer doesn't know what came before.

--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -208,7 +208,7 @@
 }
 
 void CountAttempt(Call& call, AttemptOutcome outcome,
-                  const routing::EndpointPtr& endpoint) {
+                  const routing::EndpointPtr& endpoint, Time now) {
   if (outcome == AttemptOutcome::kNotSent ||
       outcome == AttemptOutcome::kWithheld ||
       outcome == AttemptOutcome::kDeclined) {
@@ -216,6 +216,8 @@
     return;
   }
   ++call.delivered_attempts;
+  call.retry_cause = outcome;
+  call.retry_decided_at = now;
   if (routing::IsNotRun(outcome)) {
     // The endpoint stays eligible for later attempts, once the pause after its
     // refusal is over.
@@ -265,7 +267,7 @@
   if (is_own_attempt) RecordUnanswered(proxy, *call, outcome);
   auto attempt = std::move(call->attempt);
   ReleaseTarget(proxy, call, *attempt);
-  CountAttempt(*call, outcome, attempt->endpoint);
+  CountAttempt(*call, outcome, attempt->endpoint, NowOf(proxy));
   const NextStep step = ChooseNextStep(proxy, *call, outcome);
   CountAttemptEnd(proxy, is_own_attempt, outcome);
   if (!is_own_attempt) {
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -193,26 +193,35 @@
     PauseReading(proxy, call);
 }
 
+// Returns "-" for an attempt that isn't a retry.
+const char* NameOfRetryCause(const Call& call) {
+  return call.retry_cause ? routing::NameOf(*call.retry_cause) : "-";
+}
+
 void LogSent(const Proxy& proxy, const Call& call, Time now) {
   const routing::Placement& placement = call.attempt->placement;
   const routing::Endpoint& endpoint = *placement.endpoint;
-  kernel::LogEvent(LogPart::kRoute, LogLevel::kInfo, "sent",
-                   {{"req", call.metadata.id},
-                    {"endpoint", endpoint.entry.id},
-                    {"why", routing::NameOf(placement.reason)},
-                    {"expected_ms", placement.expected_ms},
-                    {"cost", routing::Describe(placement.costs)},
-                    {"tight_part", proxy.endpoints.tight_fraction},
-                    {"pause_ms", proxy.endpoints.pauses.ms},
-                    {"waited_ms", Elapsed(call.arrived_at, now)},
-                    {"left_ms", Elapsed(now, call.deadline)},
-                    {"in_flight", endpoint.in_flight},
-                    {"others", endpoint.peers_in_flight},
-                    {"phase", routing::NameOf(endpoint.phase)},
-                    {"tier", call.demand.tier},
-                    {"route", call.route->name},
-                    {"rules", call.table->version},
-                    {"after_event", call.last_event_id}});
+  kernel::LogEvent(
+      LogPart::kRoute, LogLevel::kInfo, "sent",
+      {{"req", call.metadata.id},
+       {"endpoint", endpoint.entry.id},
+       {"why", routing::NameOf(placement.reason)},
+       {"expected_ms", placement.expected_ms},
+       {"cost", routing::Describe(placement.costs)},
+       {"tight_part", proxy.endpoints.tight_fraction},
+       {"pause_ms", proxy.endpoints.pauses.ms},
+       {"waited_ms", Elapsed(call.arrived_at, now)},
+       {"left_ms", Elapsed(now, call.deadline)},
+       {"in_flight", endpoint.in_flight},
+       {"others", endpoint.peers_in_flight},
+       {"phase", routing::NameOf(endpoint.phase)},
+       {"tier", call.demand.tier},
+       {"route", call.route->name},
+       {"rules", call.table->version},
+       {"after_event", call.last_event_id},
+       {"retry_of", NameOfRetryCause(call)},
+       {"retry_ms", call.retry_cause ? Elapsed(call.retry_decided_at, now)
+                                     : milliseconds{}}});
 }
 
 ForwardMetadata MakeForwardMetadata(const Call& call, Time now) {
@@ -263,6 +272,7 @@
     return false;
   }
   call->attempt->request_sent = true;
+  CountRetry(proxy, *call);
   return true;
 }
 
@@ -329,6 +339,15 @@
 
 }  // namespace
 
+void CountRetry(Proxy& proxy, const Call& call) {
+  if (!call.retry_cause) return;
+  IncrementCounter(proxy, "egretladder_retries_total",
+                   "Arrivals at endpoints beyond the first of each request, by "
+                   "the outcome that they follow.",
+                   "service=\"" + call.service->name + "\",after=\"" +
+                       routing::NameOf(*call.retry_cause) + "\"");
+}
+
 bool ImpliesNotRun(int status) {
   constexpr std::array<int, 4> kNotRunStatuses = {408, kMisdirected, 429, 503};
   return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -92,7 +93,10 @@
   std::uint32_t not_sent = 0;            ///< Attempts without a byte sent.
   std::uint32_t delivered_attempts = 0;  ///< `may_have_run` and `not_run`.
   std::uint32_t unanswered = 0;          ///< Own attempts that timed out.
-  std::unique_ptr<Attempt> attempt;      ///< The current attempt, if any.
+  /// How the last delivered attempt ended. The next one is a retry.
+  std::optional<routing::AttemptOutcome> retry_cause;
+  Time retry_decided_at{};           ///< When that attempt ended.
+  std::unique_ptr<Attempt> attempt;  ///< The current attempt, if any.
   std::string last_event_id;  ///< Id of the last event sent to the caller.
   std::uint64_t events = 0;   ///< Events sent to the caller.
   Time first_event_at{};
@@ -330,6 +334,9 @@
 void OnStopTick(Proxy& proxy);
 
 // attempts.cc and attempt_end.cc
+/// Counts the call's attempt, whose first byte is sent now, by cause if it is a
+/// retry.
+void CountRetry(Proxy& proxy, const Call& call);
 /// Sends the call to the endpoint that was chosen.
 void StartAttempt(Proxy& proxy, const CallPtr& call,
                   const routing::Placement& placement);
