--- a/routing/tests/retry_budget_test.cc
+++ b/routing/tests/retry_budget_test.cc
@@ -12,6 +12,14 @@
 constexpr er::Time kStart{std::chrono::hours(1)};
 constexpr er::RetryBudgetRule kRule{0.2, 54, 10s};
 
+// Makes all retries that the budget allows now. Returns their number.
+std::size_t UseAll(er::NodeRetryBudget& budget,
+                   const er::RetryBudgetFleet& fleet, er::Time now) {
+  std::size_t retries = 0;
+  while (er::TryConsumeRetry(budget, kRule, fleet, now)) ++retries;
+  return retries;
+}
+
 }  // namespace
 
 TEST_GROUP(RetryBudget){};
@@ -80,3 +88,62 @@
   CHECK(er::TryConsumeRetry(budget, kRule, {7, 0s}, kStart));
   CHECK_FALSE(er::TryConsumeRetry(budget, kRule, {7, 0s}, kStart));
 }
+
+// Guards against two bursts of retries within one window that both use the
+// whole budget.
+TEST(RetryBudget, BurstsLessThanAWindowApartShareTheBudget) {
+  constexpr auto kGap = 9'960ms;
+  for (auto offset = 0ms; offset < kRule.window; offset += 20ms) {
+    er::NodeRetryBudget budget;
+    const er::Time first = kStart + offset;
+    const std::size_t retries =
+        UseAll(budget, {1, 1h}, first) + UseAll(budget, {1, 1h}, first + kGap);
+    CHECK(static_cast<double>(retries) <= kRule.slack);
+  }
+}
+
+// Guards against a process that earns anew what its predecessor used within the
+// same window.
+TEST(RetryBudget, ARestartDoesNotRenewTheSlack) {
+  constexpr std::size_t kNodes = 7;
+  std::size_t retries = 0;
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    er::NodeRetryBudget predecessor;
+    retries += UseAll(predecessor, {kNodes, 1h}, kStart);
+    er::NodeRetryBudget successor;
+    for (auto age = 0ms; age < kRule.window; age += 100ms)
+      retries += UseAll(successor, {kNodes, age}, kStart + age);
+  }
+  CHECK(static_cast<double>(retries) <= kRule.slack);
+}
+
+// Guards against a retry at each start of processes that die again and again.
+TEST(RetryBudget, ProcessesThatKeepDyingStayWithinTheSlack) {
+  constexpr std::size_t kNodes = 30;
+  constexpr int kStarts = 3;
+  std::size_t retries = 0;
+  for (std::size_t node = 0; node < kNodes * kStarts; ++node) {
+    er::NodeRetryBudget budget;
+    retries += UseAll(budget, {kNodes, 0ms}, kStart);
+  }
+  CHECK(static_cast<double>(retries) <= kRule.slack);
+}
+
+// Guards against nodes that join and use parts of the slack which the others
+// have used already, before they knew of the new ones.
+TEST(RetryBudget, NodesThatJoinStayWithinTheSlack) {
+  constexpr std::size_t kBefore = 7;
+  constexpr std::size_t kAfter = 14;
+  constexpr auto kNotice = 1s;  // Until all nodes know of the new ones.
+  std::vector<er::NodeRetryBudget> budgets(kAfter);
+  std::size_t retries = 0;
+  for (std::size_t node = 0; node < kBefore; ++node)
+    retries += UseAll(budgets[node], {kBefore, 1h}, kStart + kNotice);
+  for (auto age = kNotice + 10ms; age < kRule.window + kNotice; age += 10ms) {
+    for (std::size_t node = 0; node < kAfter; ++node) {
+      const std::chrono::milliseconds node_age = node < kBefore ? 1h : age;
+      retries += UseAll(budgets[node], {kAfter, node_age}, kStart + age);
+    }
+  }
+  CHECK(static_cast<double>(retries) <= kRule.slack);
+}
