Count retries over a whole window, not up to half a second less

Callers saw nothing of it; the service got two bursts of retries where the budget is for one.

Cause: twenty buckets of half a second, the one in progress included, reach back between 9.5 and 10 s. Retries at the start of a bucket's time are remembered for 10 s, those at its end for 9.5 s, and a fault that lasts uses the budget again as soon as it is forgotten.

Evidence: two bursts 9.96 s apart made twice the part of the slack (BurstsLessThanAWindowApartShareTheBudget, red before, green now).

Change: one bucket more for retries; requests, which earn retries, are counted without it, so that their time is shorter than the window. Of a node's budget the retries of half a second more count, a twentieth.

--- a/routing/include/egretladder/routing/retry_budget.h
+++ b/routing/include/egretladder/routing/retry_budget.h
@@ -40,7 +40,9 @@
     std::uint32_t requests = 0;
     std::uint32_t retries = 0;
   };
-  std::array<Bucket, kRetryBuckets> buckets;
+  /// One more than the window has, since the first and the last one that it
+  /// touches are partly outside of it.
+  std::array<Bucket, kRetryBuckets + 1> buckets;
 };
 
 /// Counts a request for the service.
--- a/routing/src/retry_budget.cc
+++ b/routing/src/retry_budget.cc
@@ -15,7 +15,7 @@
 NodeRetryBudget::Bucket& BucketAt(NodeRetryBudget& budget,
                                   std::int64_t number) {
   auto& bucket =
-      budget.buckets[static_cast<std::size_t>(number) % kRetryBuckets];
+      budget.buckets[static_cast<std::size_t>(number) % budget.buckets.size()];
   if (bucket.number != number) bucket = {number, 0, 0};
   return bucket;
 }
@@ -42,12 +42,14 @@
   const std::int64_t number = BucketNumber(rule, now);
   double requests = 0;
   double retries = 0;
+  // All buckets together are longer than the window, and without the first one
+  // they are shorter. Retries are counted in the longer time, requests in the
+  // shorter one.
+  constexpr auto kWindowBuckets = static_cast<std::int64_t>(kRetryBuckets);
   for (const NodeRetryBudget::Bucket& bucket : budget.buckets) {
-    if (number - bucket.number >= static_cast<std::int64_t>(kRetryBuckets)) {
-      continue;
-    }
-    requests += bucket.requests;
-    retries += bucket.retries;
+    const std::int64_t age = number - bucket.number;
+    if (age <= kWindowBuckets) retries += bucket.retries;
+    if (age < kWindowBuckets) requests += bucket.requests;
   }
   const double allowed =
       kUsableRetryRatio * (rule.ratio * requests + NodeSlack(rule, fleet));
