Give a process its part of the retry slack once no predecessor's counts

Cause: what a process has used is forgotten when it ends. Its successor earned the node's part of the slack from its start on, up to 1.9 times the part in a window, and had one retry with each start; nodes that join used parts that the others had used before they knew of them; and a node that had met no peer took a twelfth.

Change: a process has its part of the slack from one and a quarter windows after its start on, and none while it has met none of its peers. What its own requests earn it has at once. Weighed: a part that is earned at a steady rate from nothing holds as well, but halves what a node has at hand in a calm fleet; telling peers what a node has used costs messages, and is lost with the peers that die at the same time.

What it costs: a process that has just started can't send any of its first six requests again (0.8 x 0.2 for each), where it had one retry before.

--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -242,11 +242,14 @@
   return std::chrono::duration_cast<milliseconds>(to - from);
 }
 
-/// Returns the fleet among whose nodes the retry budget is shared.
+/// Returns the fleet among whose nodes the retry budget is shared. A node that
+/// has met none of its peers doesn't know how many they are.
 inline routing::RetryBudgetFleet MakeRetryBudgetFleet(Proxy& proxy) {
   const Time now = NowOf(proxy);
+  const bool knows_fleet =
+      proxy.members.seeds.empty() || proxy.members.last_exchange_at != Time{};
   return {routing::EstimateFleetSize(proxy.members, now),
-          Elapsed(proxy.members.started, now)};
+          knows_fleet ? Elapsed(proxy.members.started, now) : milliseconds{}};
 }
 
 // metrics.cc
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -265,6 +265,9 @@
 /// Part of the retry allowance that is used. A node sees only its own part, and
 /// traffic is uneven.
 inline constexpr double kUsableRetryRatio = 0.8;
+/// Age from which a process has a part of the fixed allowance, as a multiple of
+/// the window. The part beyond 1 is the time until all nodes know a new one.
+inline constexpr double kRetrySlackDelayRatio = 1.25;
 
 // --- Links to a service (service_reach.h) ---
 
--- a/routing/include/egretladder/routing/retry_budget.h
+++ b/routing/include/egretladder/routing/retry_budget.h
@@ -28,8 +28,9 @@
 /// The fleet that shares the fixed allowance.
 struct RetryBudgetFleet {
   std::size_t nodes = 1;
-  /// Time since this process started. If it is shorter than the window, retries
-  /// of the node's earlier process may still count.
+  /// Time since this process started, if it has met a peer or has none. Until
+  /// it is longer than the window, retries of the node's earlier processes
+  /// count.
   std::chrono::milliseconds age{};
 };
 
@@ -55,9 +56,10 @@
 
 /// Returns the number of retries for which the budget still has room.
 ///
-/// If a node had its whole part of the slack after each start, a node that is
-/// restarted several times within the window would use the part as often. It is
-/// therefore earned over the window, except for one retry.
+/// A process doesn't know what its predecessors on the node have used, and
+/// nodes that don't know it yet share the slack without it. Its part of the
+/// slack therefore begins once neither counts any more. Retries that its own
+/// requests earn have no such delay.
 double RetriesLeft(const NodeRetryBudget& budget, const RetryBudgetRule& rule,
                    const RetryBudgetFleet& fleet, Time now);
 
--- a/routing/src/retry_budget.cc
+++ b/routing/src/retry_budget.cc
@@ -22,13 +22,9 @@
 
 // Returns this process's part of the fixed allowance.
 double NodeSlack(const RetryBudgetRule& rule, const RetryBudgetFleet& fleet) {
-  const double even_share =
-      rule.slack / static_cast<double>(std::max<std::size_t>(fleet.nodes, 1));
-  const double window_ratio =
-      std::min(1.0, std::chrono::duration<double>(fleet.age) / rule.window);
-  // At least one retry is allowed, if the node's part is as large as that.
-  const double min_slack = std::min(even_share, 1 / kUsableRetryRatio);
-  return std::max(min_slack, even_share * window_ratio);
+  if (fleet.age < rule.window * kRetrySlackDelayRatio) return 0;
+  return rule.slack /
+         static_cast<double>(std::max<std::size_t>(fleet.nodes, 1));
 }
 
 }  // namespace
