Count a retry when it is sent, and reserve it from its decision on

Callers saw nothing of it; a service got retries of two windows in one.

Cause: a retry took its place in the window in which it was decided. After that it waits for an endpoint, up to a second or half of its target, and through attempts without a connection up to some seconds more. What was decided while endpoints were away arrived when they were back, beside what was decided then. A retry without a connection took a second place from the budget, too.

Change: a decided retry is reserved, counts against the budget without a time, and takes its place in the window when its first byte is sent. Without a connection it stays reserved; a call that ends gives it back. A retry that is handed over counts when the handover ends, since the peer may send it at any time until then.

--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -104,6 +104,12 @@
   }
 }
 
+// The peer may have sent a handed over retry at any time until its answer.
+void CountRetryAtPeer(Proxy& proxy, Call& call, const Attempt& attempt) {
+  if (attempt.peer.empty() || !attempt.request_sent || attempt.declined) return;
+  OnRetrySent(proxy, call);
+}
+
 void ReleaseTarget(Proxy& proxy, const CallPtr& call, const Attempt& attempt) {
   if (!attempt.peer.empty()) {
     routing::OnHandoverEnded(proxy.handovers, attempt.peer);
@@ -150,10 +156,9 @@
   }
 }
 
-// Returns what follows an attempt that ended. Takes a retry from the budget if
-// the request is sent again.
-NextStep ChooseNextStep(Proxy& proxy, const Call& call,
-                        AttemptOutcome outcome) {
+// Returns what follows an attempt that ended. Reserves a retry if the request
+// is sent again.
+NextStep ChooseNextStep(Proxy& proxy, Call& call, AttemptOutcome outcome) {
   routing::NextStepInput input;
   input.end = outcome;
   input.is_repeatable = routing::IsRouteRepeatable(*call.route);
@@ -167,13 +172,8 @@
   const NextStep step = routing::DecideNextStep(input);
   const bool is_retry =
       step == NextStep::kSendAgain || step == NextStep::kResume;
-  // For a silent endpoint, `OnSilenceTimeout` has already taken the retry.
-  if (!is_retry || outcome == AttemptOutcome::kSilent ||
-      call.delivered_attempts == 0)
-    return step;
-  if (TryConsumeRetry(proxy, call)) {
-    return step;
-  }
+  if (!is_retry || call.delivered_attempts == 0) return step;
+  if (TryReserveRetry(proxy, call)) return step;
   input.has_time_left = false;
   return routing::DecideNextStep(input);
 }
@@ -241,17 +241,11 @@
   return forwarded;
 }
 
-bool TryConsumeRetry(Proxy& proxy, const Call& call) {
-  const Time now = NowOf(proxy);
-  return routing::TryConsumeRetry(proxy.retry_budgets[call.service->name],
-                                  proxy.options.retries,
-                                  MakeRetryBudgetFleet(proxy), now);
-}
-
 void CancelAttempt(Proxy& proxy, const CallPtr& call) {
   if (call->attempt == nullptr) return;
   const auto attempt = std::move(call->attempt);
   net::Cancel(attempt->exchange);
+  CountRetryAtPeer(proxy, *call, *attempt);
   ReleaseTarget(proxy, call, *attempt);
 }
 
@@ -266,6 +260,7 @@
   RecordSuspect(proxy, *call, outcome);
   if (is_own_attempt) RecordUnanswered(proxy, *call, outcome);
   auto attempt = std::move(call->attempt);
+  CountRetryAtPeer(proxy, *call, *attempt);
   ReleaseTarget(proxy, call, *attempt);
   CountAttempt(*call, outcome, attempt->endpoint, NowOf(proxy));
   const NextStep step = ChooseNextStep(proxy, *call, outcome);
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -126,7 +126,7 @@
 void OnSilenceTimeout(Proxy& proxy, const CallPtr& call) {
   if (call->attempt == nullptr) return;
   const bool has_attempts_left = call->may_have_run + 1 < call->max_attempts;
-  if (!has_attempts_left || !TryConsumeRetry(proxy, *call)) {
+  if (!has_attempts_left || !TryReserveRetry(proxy, *call)) {
     return;
   }
   net::Cancel(call->attempt->exchange);
@@ -193,11 +193,6 @@
     PauseReading(proxy, call);
 }
 
-// Returns "-" for an attempt that isn't a retry.
-const char* NameOfRetryCause(const Call& call) {
-  return call.retry_cause ? routing::NameOf(*call.retry_cause) : "-";
-}
-
 void LogSent(const Proxy& proxy, const Call& call, Time now) {
   const routing::Placement& placement = call.attempt->placement;
   const routing::Endpoint& endpoint = *placement.endpoint;
@@ -272,7 +267,7 @@
     return false;
   }
   call->attempt->request_sent = true;
-  CountRetry(proxy, *call);
+  OnRetrySent(proxy, *call);
   return true;
 }
 
@@ -339,15 +334,6 @@
 
 }  // namespace
 
-void CountRetry(Proxy& proxy, const Call& call) {
-  if (!call.retry_cause) return;
-  IncrementCounter(proxy, "egretladder_retries_total",
-                   "Arrivals at endpoints beyond the first of each request, by "
-                   "the outcome that they follow.",
-                   "service=\"" + call.service->name + "\",after=\"" +
-                       routing::NameOf(*call.retry_cause) + "\"");
-}
-
 bool ImpliesNotRun(int status) {
   constexpr std::array<int, 4> kNotRunStatuses = {408, kMisdirected, 429, 503};
   return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -35,8 +35,4 @@
 /// Returns the field that names the endpoint of an answer to a peer.
 net::HttpField MakeEndpointField(const routing::Endpoint& endpoint);
 
-/// Returns true if the retry budget of the call's service allows one more
-/// retry, and takes it from the budget then.
-bool TryConsumeRetry(Proxy& proxy, const Call& call);
-
 }  // namespace egretladder::proxy
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -433,6 +433,7 @@
   if (proxy.calls.erase(call->number) == 0) return;
   call->deadline_timer = {};
   call->silence_timer = {};
+  ReleaseRetry(proxy, *call);
   call->caller->OnDisconnect(nullptr);
   proxy.body_bytes -= call->body_bytes;
   if (call->handed_over) --proxy.handovers_served;
--- a/proxy/src/handovers.cc
+++ b/proxy/src/handovers.cc
@@ -73,9 +73,8 @@
 
 net::ExchangeHandlers MakePeerHandlers(Proxy& proxy, const CallPtr& call) {
   net::ExchangeHandlers handlers = MakeAnswerHandlers(proxy, call);
-  handlers.may_send = [&proxy, call] {
+  handlers.may_send = [call] {
     call->attempt->request_sent = true;
-    CountRetry(proxy, *call);
     return true;
   };
   handlers.on_head = [&proxy, call](const net::HttpAnswerHead& head) {
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -95,7 +95,8 @@
   std::uint32_t unanswered = 0;          ///< Own attempts that timed out.
   /// How the last delivered attempt ended. The next one is a retry.
   std::optional<routing::AttemptOutcome> retry_cause;
-  Time retry_decided_at{};           ///< When that attempt ended.
+  Time retry_decided_at{};      ///< When that attempt ended.
+  bool retry_reserved = false;  ///< The retry budget has one for this call.
   std::unique_ptr<Attempt> attempt;  ///< The current attempt, if any.
   std::string last_event_id;  ///< Id of the last event sent to the caller.
   std::uint64_t events = 0;   ///< Events sent to the caller.
@@ -337,9 +338,6 @@
 void OnStopTick(Proxy& proxy);
 
 // attempts.cc and attempt_end.cc
-/// Counts the call's attempt, whose first byte is sent now, by cause if it is a
-/// retry.
-void CountRetry(Proxy& proxy, const Call& call);
 /// Sends the call to the endpoint that was chosen.
 void StartAttempt(Proxy& proxy, const CallPtr& call,
                   const routing::Placement& placement);
@@ -351,6 +349,18 @@
 void EndAttempt(Proxy& proxy, const CallPtr& call, routing::AttemptOutcome end,
                 const std::string& detail);
 
+// retries.cc
+/// Returns true if the retry budget of the call's service has a retry for the
+/// call, and reserves it.
+bool TryReserveRetry(Proxy& proxy, Call& call);
+/// Counts the call's reserved retry, if any, as sent now.
+void OnRetrySent(Proxy& proxy, Call& call);
+/// Gives the call's reserved retry, if any, back to the budget.
+void ReleaseRetry(Proxy& proxy, Call& call);
+/// Returns the name of the outcome that the call's retry follows; "-" for a
+/// first attempt.
+const char* NameOfRetryCause(const Call& call);
+
 // handovers.cc
 /// Hands the call over to a peer.
 void StartHandover(Proxy& proxy, const CallPtr& call,
--- a/routing/include/egretladder/routing/retry_budget.h
+++ b/routing/include/egretladder/routing/retry_budget.h
@@ -5,6 +5,9 @@
 // budget holds for the sum over all nodes, so each node may retry a part of its
 // own requests and has an even part of the fixed allowance (retry budgets:
 // Beyer et al., "Site Reliability Engineering", chapter 22).
+//
+// A retry counts when it is sent. It may wait for an endpoint before, and is
+// reserved meanwhile.
 #pragma once
 
 #include <array>
@@ -44,16 +47,25 @@
   /// One more than the window has, since the first and the last one that it
   /// touches are partly outside of it.
   std::array<Bucket, kRetryBuckets + 1> buckets;
+  std::uint32_t reserved = 0;  ///< Retries that are decided but not sent.
 };
 
 /// Counts a request for the service.
 void OnRequest(NodeRetryBudget& budget, const RetryBudgetRule& rule, Time now);
 
-/// Counts a retry and returns true if the budget has room for one. Otherwise
-/// returns false.
-bool TryConsumeRetry(NodeRetryBudget& budget, const RetryBudgetRule& rule,
+/// Reserves a retry and returns true if the budget has room for one. Otherwise
+/// returns false. The reservation ends with `OnReservedRetrySent` or
+/// `ReleaseRetry`.
+bool TryReserveRetry(NodeRetryBudget& budget, const RetryBudgetRule& rule,
                      const RetryBudgetFleet& fleet, Time now);
 
+/// Counts a reserved retry that is sent now.
+void OnReservedRetrySent(NodeRetryBudget& budget, const RetryBudgetRule& rule,
+                         Time now);
+
+/// Gives back a reserved retry that won't be sent.
+void ReleaseRetry(NodeRetryBudget& budget);
+
 /// Returns the number of retries for which the budget still has room.
 ///
 /// A process doesn't know what its predecessors on the node have used, and
--- a/routing/src/retry_budget.cc
+++ b/routing/src/retry_budget.cc
@@ -49,14 +49,22 @@
   }
   const double allowed =
       kUsableRetryRatio * (rule.ratio * requests + NodeSlack(rule, fleet));
-  return std::max(0.0, allowed - retries);
+  return std::max(0.0, allowed - retries - budget.reserved);
 }
 
-bool TryConsumeRetry(NodeRetryBudget& budget, const RetryBudgetRule& rule,
+bool TryReserveRetry(NodeRetryBudget& budget, const RetryBudgetRule& rule,
                      const RetryBudgetFleet& fleet, Time now) {
   if (RetriesLeft(budget, rule, fleet, now) < 1) return false;
-  ++BucketAt(budget, BucketNumber(rule, now)).retries;
+  ++budget.reserved;
   return true;
 }
 
+void OnReservedRetrySent(NodeRetryBudget& budget, const RetryBudgetRule& rule,
+                         Time now) {
+  --budget.reserved;
+  ++BucketAt(budget, BucketNumber(rule, now)).retries;
+}
+
+void ReleaseRetry(NodeRetryBudget& budget) { --budget.reserved; }
+
 }  // namespace egretladder::routing
--- a/routing/tests/retry_budget_test.cc
+++ b/routing/tests/retry_budget_test.cc
@@ -12,11 +12,19 @@
 constexpr er::Time kStart{std::chrono::hours(1)};
 constexpr er::RetryBudgetRule kRule{0.2, 54, 10s};
 
+// Decides and sends a retry if the budget allows it now.
+bool TryRetry(er::NodeRetryBudget& budget, const er::RetryBudgetFleet& fleet,
+              er::Time now) {
+  if (!er::TryReserveRetry(budget, kRule, fleet, now)) return false;
+  er::OnReservedRetrySent(budget, kRule, now);
+  return true;
+}
+
 // Makes all retries that the budget allows now. Returns their number.
 std::size_t UseAll(er::NodeRetryBudget& budget,
                    const er::RetryBudgetFleet& fleet, er::Time now) {
   std::size_t retries = 0;
-  while (er::TryConsumeRetry(budget, kRule, fleet, now)) ++retries;
+  while (TryRetry(budget, fleet, now)) ++retries;
   return retries;
 }
 
@@ -34,7 +42,7 @@
   for (er::Time now = kStart; now < kStart + 60s; now += 10ms) {
     auto& budget = budgets[requests++ % kNodes];
     er::OnRequest(budget, kRule, now);
-    if (er::TryConsumeRetry(budget, kRule, {kNodes, 1min}, now)) {
+    if (TryRetry(budget, {kNodes, 1min}, now)) {
       retries.push_back(now);
     }
   }
@@ -50,14 +58,13 @@
 TEST(RetryBudget, ANodeWithFewRequestsHasAFewRetries) {
   er::NodeRetryBudget budget;
   er::OnRequest(budget, kRule, kStart);
-  CHECK(er::TryConsumeRetry(budget, kRule, {7, 1min}, kStart));
+  CHECK(TryRetry(budget, {7, 1min}, kStart));
   int further_retries = 0;
   for (int i = 0; i < 54; ++i) {
-    if (er::TryConsumeRetry(budget, kRule, {7, 1min}, kStart))
-      ++further_retries;
+    if (TryRetry(budget, {7, 1min}, kStart)) ++further_retries;
   }
   CHECK(further_retries < 54 / 7);
-  CHECK(er::TryConsumeRetry(budget, kRule, {7, 1min}, kStart + 11s));
+  CHECK(TryRetry(budget, {7, 1min}, kStart + 11s));
 }
 
 // Guards against nodes that get their whole part of the slack anew with each
@@ -79,7 +86,7 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(now - started);
       er::OnRequest(budget, kRule, now);
       ++requests;
-      if (er::TryConsumeRetry(budget, kRule, {kNodes, age}, now)) ++retries;
+      if (TryRetry(budget, {kNodes, age}, now)) ++retries;
     }
   }
   CHECK(static_cast<double>(retries) <=
@@ -89,10 +96,10 @@
 
 TEST(RetryBudget, AProcessThatJustStartedHasTheRetriesOfItsRequestsAlone) {
   er::NodeRetryBudget budget;
-  CHECK_FALSE(er::TryConsumeRetry(budget, kRule, {7, 0s}, kStart));
+  CHECK_FALSE(TryRetry(budget, {7, 0s}, kStart));
   for (int i = 0; i < 7; ++i) er::OnRequest(budget, kRule, kStart);
-  CHECK(er::TryConsumeRetry(budget, kRule, {7, 0s}, kStart));
-  CHECK_FALSE(er::TryConsumeRetry(budget, kRule, {7, 0s}, kStart));
+  CHECK(TryRetry(budget, {7, 0s}, kStart));
+  CHECK_FALSE(TryRetry(budget, {7, 0s}, kStart));
 }
 
 TEST(RetryBudget, AProcessHasItsWholePartOfTheSlackOnceItIsOldEnough) {
@@ -159,3 +166,26 @@
   }
   CHECK(static_cast<double>(retries) <= kRule.slack);
 }
+
+TEST(RetryBudget, AReservedRetryCountsFromTheTimeWhenItIsSent) {
+  constexpr er::RetryBudgetFleet kFleet{7, 1h};
+  er::NodeRetryBudget budget;
+  const double all = er::RetriesLeft(budget, kRule, kFleet, kStart);
+  CHECK(er::TryReserveRetry(budget, kRule, kFleet, kStart));
+  const er::Time sent = kStart + 2 * kRule.window;
+  DOUBLES_EQUAL(all - 1, er::RetriesLeft(budget, kRule, kFleet, sent), 0.01);
+  er::OnReservedRetrySent(budget, kRule, sent);
+  const er::Time late = sent + kRule.window - 1ms;
+  DOUBLES_EQUAL(all - 1, er::RetriesLeft(budget, kRule, kFleet, late), 0.01);
+  const er::Time over = sent + kRule.window * 11 / 10;
+  DOUBLES_EQUAL(all, er::RetriesLeft(budget, kRule, kFleet, over), 0.01);
+}
+
+TEST(RetryBudget, ARetryThatIsNotSentIsGivenBack) {
+  constexpr er::RetryBudgetFleet kFleet{7, 1h};
+  er::NodeRetryBudget budget;
+  const double all = er::RetriesLeft(budget, kRule, kFleet, kStart);
+  CHECK(er::TryReserveRetry(budget, kRule, kFleet, kStart));
+  er::ReleaseRetry(budget);
+  DOUBLES_EQUAL(all, er::RetriesLeft(budget, kRule, kFleet, kStart), 0.01);
+}
