Divide the retry slack among the nodes seen within two hours, not a minute

Cause: a node divides the slack by the largest fleet that it has seen within a minute. When regions lose each other for an hour, each part takes itself for the fleet after that minute, and the slack is used once by each of them.

Change: the slack is divided by the largest fleet of the last two hours. Limits of cold, limited and brittle endpoints keep the minute: there a node that is gone leaves its part unused. After a fleet has shrunk for good, its nodes have less of the slack for two hours.

--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -249,7 +249,7 @@
   const Time now = NowOf(proxy);
   const bool knows_fleet =
       proxy.members.seeds.empty() || proxy.members.last_exchange_at != Time{};
-  return {routing::EstimateFleetSize(proxy.members, now),
+  return {routing::CountRetrySharers(proxy.members, now),
           knows_fleet ? Elapsed(proxy.members.started, now) : milliseconds{}};
 }
 
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -212,6 +212,8 @@
 /// How long the largest known fleet size is kept before a smaller one is
 /// believed. In a network partition the other nodes still send.
 inline constexpr std::chrono::seconds kFleetSizeRetention{60};
+/// The same for the retry slack. Regions may lose each other for an hour.
+inline constexpr std::chrono::hours kRetryFleetRetention{2};
 
 // --- Brittle endpoints (brittle.h) ---
 
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -75,6 +75,12 @@
   bool unreachable = false;  ///< It refused a connection since.
 };
 
+/// The largest number of available nodes that was seen of late.
+struct FleetPeak {
+  std::size_t nodes = 1;
+  Time seen_at{};
+};
+
 /// This node and all nodes that it knows.
 struct Members {
   Member self;
@@ -83,10 +89,8 @@
   std::map<std::string, KnownMember> others;  ///< By node name.
   Time started{};
   Time last_exchange_at{};  ///< Last time a peer answered; default: never.
-  /// Largest fleet size seen within `kFleetSizeRetention`; see
-  /// `EstimateFleetSize`.
-  std::size_t max_nodes = 1;
-  Time max_nodes_at{};
+  FleetPeak recent_peak;    ///< Within `kFleetSizeRetention`.
+  FleetPeak long_peak;      ///< Within `kRetryFleetRetention`.
   std::size_t exchange_count = 0;  ///< Exchanges for which a peer was picked.
   std::vector<std::uint32_t> unknown;  ///< See `MemberGossip::unknown`.
   ServiceBits all_services = 0;        ///< Of the rules in force.
@@ -164,6 +168,12 @@
 /// `MakeFleetSnapshot`.
 std::size_t EstimateFleetSize(Members& members, Time now);
 
+/// Returns the number of nodes among which the retry slack is divided. Unlike
+/// other limits it is of little use in a calm fleet, so that a larger number
+/// costs little, and the parts of a fleet that is split for an hour must not
+/// use it once each.
+std::size_t CountRetrySharers(Members& members, Time now);
+
 /// Returns what this node knows about the fleet. After a start, in a network
 /// partition and after losses of nodes, the fleet counts as large as it was
 /// last known to be.
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -83,6 +83,32 @@
   unknown.push_back(key);
 }
 
+void UpdatePeak(FleetPeak& peak, std::size_t nodes,
+                std::chrono::seconds retention, Time now) {
+  if (nodes < peak.nodes && now - peak.seen_at <= retention) return;
+  peak = {nodes, now};
+}
+
+void UpdatePeaks(Members& members, Time now) {
+  const auto others =
+      std::count_if(members.others.begin(), members.others.end(),
+                    [&members, now](const auto& entry) {
+                      return IsMemberAvailable(members, entry.second, now);
+                    });
+  const std::size_t nodes = 1 + static_cast<std::size_t>(others);
+  UpdatePeak(members.recent_peak, nodes, kFleetSizeRetention, now);
+  UpdatePeak(members.long_peak, nodes, kRetryFleetRetention, now);
+}
+
+// A node that has just started, or met no peer, doesn't know all nodes yet.
+std::size_t AtLeastDefaultIfNew(const Members& members, std::size_t nodes,
+                                Time now) {
+  constexpr std::chrono::seconds kSettlingTime{3};
+  const bool is_new = now - members.started < kSettlingTime ||
+                      members.last_exchange_at == Time{};
+  return is_new ? std::max(nodes, kDefaultFleetSize) : nodes;
+}
+
 template <typename T>
 void Shuffle(std::vector<T>& items, kernel::Random& random) {
   for (std::size_t i = items.size(); i > 1; --i) {
@@ -98,7 +124,8 @@
   members.self = self;
   members.seeds = seeds;
   members.started = now;
-  members.max_nodes_at = now;
+  members.recent_peak.seen_at = now;
+  members.long_peak.seen_at = now;
   return members;
 }
 
@@ -282,23 +309,13 @@
 }
 
 std::size_t EstimateFleetSize(Members& members, Time now) {
-  const auto others =
-      std::count_if(members.others.begin(), members.others.end(),
-                    [&members, now](const auto& entry) {
-                      return IsMemberAvailable(members, entry.second, now);
-                    });
-  const std::size_t nodes = 1 + static_cast<std::size_t>(others);
-  if (nodes >= members.max_nodes ||
-      now - members.max_nodes_at > kFleetSizeRetention) {
-    members.max_nodes = nodes;
-    members.max_nodes_at = now;
-  }
-  constexpr std::chrono::seconds kSettlingTime{3};
-  if (now - members.started < kSettlingTime ||
-      members.last_exchange_at == Time{}) {
-    return std::max(members.max_nodes, kDefaultFleetSize);
-  }
-  return members.max_nodes;
+  UpdatePeaks(members, now);
+  return AtLeastDefaultIfNew(members, members.recent_peak.nodes, now);
+}
+
+std::size_t CountRetrySharers(Members& members, Time now) {
+  UpdatePeaks(members, now);
+  return AtLeastDefaultIfNew(members, members.long_peak.nodes, now);
 }
 
 FleetSnapshot MakeFleetSnapshot(Members& members, Time now) {
--- a/routing/tests/members_test.cc
+++ b/routing/tests/members_test.cc
@@ -260,6 +260,19 @@
   LONGS_EQUAL(1, er::MakeFleetSnapshot(fleet.nodes[0], now).names.size());
 }
 
+// Guards against a fleet whose parts each use the whole retry slack while they
+// don't see each other.
+TEST(Members, APartitionOfAnHourDoesNotReduceTheRetrySharers) {
+  Fleet fleet(7);
+  er::Time now = kStart;
+  fleet.Run(now, 4s);
+  LONGS_EQUAL(7, er::CountRetrySharers(fleet.nodes[0], now));
+  now += 1h;  // No gossip arrives.
+  LONGS_EQUAL(7, er::CountRetrySharers(fleet.nodes[0], now));
+  now += 3h;
+  LONGS_EQUAL(1, er::CountRetrySharers(fleet.nodes[0], now));
+}
+
 // Guards against a node that uses a shared limit alone because it has just
 // started and knows no other node.
 TEST(Members, ANewNodeAssumesTheDefaultFleetSize) {
