Log answers of the store with items that are taken for old

The logs of a restored store couldn't show its last step: an item whose revision is below the one known changes nothing, and no line said so. Now a line for lists and watches, and a counter that has peers' changes too.

--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -117,11 +117,32 @@
       source, item.rev);
 }
 
+// Items that this node takes for old change nothing. If that is wrong, no other
+// line shows it.
+void LogOlderItems(Proxy& proxy, const routing::Changes& changes,
+                   ChangeSource source) {
+  const std::size_t count = routing::CountOlderItems(proxy.catalog, changes);
+  if (count == 0) return;
+  IncrementCounter(proxy, "egretladder_store_older_changes_total",
+                   "Changes of the store with items older than those known.",
+                   std::string("feed=\"") + routing::NameOf(changes.feed) +
+                       "\",source=\"" + NameOf(source) + "\"");
+  if (source == ChangeSource::kPeer) return;  // Peers repeat themselves.
+  kernel::LogEvent(
+      LogPart::kPlatform, LogLevel::kWarning, "items-older",
+      {{"feed", routing::NameOf(changes.feed)},
+       {"count", count},
+       {"source", NameOf(source)},
+       {"revision", changes.revision},
+       {"known", routing::GetFeedState(proxy.catalog, changes.feed).revision}});
+}
+
 }  // namespace
 
 void ApplyChanges(Proxy& proxy, const routing::Changes& changes,
                   ChangeSource source, bool troubled) {
   const Time now = NowOf(proxy);
+  LogOlderItems(proxy, changes, source);
   const auto changed_items = routing::Apply(proxy.catalog, changes, now);
   if (source == ChangeSource::kPeer) {
     StoreReader& reader = proxy.readers[static_cast<std::size_t>(changes.feed)];
--- a/routing/include/egretladder/routing/catalog.h
+++ b/routing/include/egretladder/routing/catalog.h
@@ -77,6 +77,9 @@
 /// than the known state have no effect.
 std::vector<Item> Apply(Catalog& catalog, const Changes& changes, Time now);
 
+/// Returns how many items of the changes are older than what is known of them.
+std::size_t CountOlderItems(const Catalog& catalog, const Changes& changes);
+
 /// Returns the changes that a peer lacks which knows the feed up to `revision`.
 /// If it lacks nothing, the result has no items and the feed's revision.
 Changes ChangesSince(const Catalog& catalog, Feed feed, std::uint64_t revision);
--- a/routing/src/catalog.cc
+++ b/routing/src/catalog.cc
@@ -70,6 +70,16 @@
   return changed_items;
 }
 
+std::size_t CountOlderItems(const Catalog& catalog, const Changes& changes) {
+  const FeedState& feed = GetFeedState(catalog, changes.feed);
+  const auto is_older = [&feed](const Item& item) {
+    const auto at = feed.items.find(item.key);
+    return at != feed.items.end() && at->second.rev > item.rev;
+  };
+  return static_cast<std::size_t>(
+      std::count_if(changes.items.begin(), changes.items.end(), is_older));
+}
+
 Changes ChangesSince(const Catalog& catalog, Feed feed,
                      std::uint64_t revision) {
   const FeedState& state = GetFeedState(catalog, feed);
