Order what the store says by its era, then by its revision

Callers saw requests served by a configuration that had been replaced for seconds (a key that was taken away still worked), and requests at endpoints that had said they leave.

Cause: the store was away for two seconds and came back from an older copy, with lower revisions. Nodes order all that they know by revision alone: what was written again or anew changed nothing until the revisions had passed the old ones, and a change whose revision had been given out before was lost for good. Watches from the old revision got 410, lists changed nothing, and so on, 300 reads a second and node.

Change: - the era that all answers of the store state is read; a higher one, on whatever answer, means that all is read anew by lists, each reader some milliseconds later; - a complete list of a higher era replaces what is known, of a lower one it changes nothing; a watch that began in another era is not applied; - rules are ordered by their own version: an older one of the copy changes nothing, a newer one is taken whatever its revision, and nodes that know an older version than a peer fetch the peer's, so that one that starts on the copy gets it; - an endpoint's entries are ordered by its start and their number: one that was leaving or gone isn't used because the copy says so; one that the copy lacks is kept as after an outage, for 1.8 s; - a zone that the copy shows in another state than was known changes after 2.5 s, unless the operators write it anew before; - the era goes with exchanges, announcements and changes between nodes. A peer without one counts in the current era until that rises; from then on its news are left alone, and a node that hears only such peers reads the store itself.

An era that is missing, no number or lower than before is logged, and the answer counts in the era that is known.

--- a/proxy/include/egretladder/proxy/dialect.h
+++ b/proxy/include/egretladder/proxy/dialect.h
@@ -29,6 +29,12 @@
   std::uint64_t revision = 0;
 };
 
+/// The era of the store that one of its answers states.
+struct StoreEraStatement {
+  routing::StoreEra era = 0;  ///< 0: none, or an invalid one.
+  bool is_invalid = false;
+};
+
 /// Metadata of a caller's request, from its headers.
 struct RequestMetadata {
   std::string id;   ///< Set by the caller; for logs and to match answers.
@@ -82,6 +88,8 @@
   /// Request target that waits up to `wait` for changes after `revision`.
   std::string (*watch_target)(routing::Feed feed, std::uint64_t revision,
                               milliseconds wait);
+  /// Parses the era that any answer of the store states.
+  StoreEraStatement (*read_store_era)(const net::HttpAnswerHead& head);
   /// Parses the answer to a list request.
   kernel::Result<StorePage> (*read_page)(const std::string& body);
   /// Parses the answer to a watch request.
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -21,6 +21,12 @@
 inline constexpr milliseconds kWatchRetryTimeout{400};
 /// How long after the requested wait a watch without an answer counts as lost.
 inline constexpr milliseconds kWatchTimeoutMargin{800};
+/// Longest delay before the store is read anew after it was restored. All
+/// readers notice it at the same time.
+inline constexpr milliseconds kMaxNewEraDelay{50};
+/// How long after news of a peer that doesn't know eras a node reads the store
+/// itself. During an upgrade all readers may be such peers.
+inline constexpr milliseconds kPeerWithoutEraTime{10'000};
 /// Delay between a watch that returned changes and the next one. Changes often
 /// come in groups, and the next watch returns those made during the delay
 /// together.
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -85,6 +85,10 @@
   known @0 :UInt64;
   # Revision of the last of these changes.
   changed @1 :UInt64;
+  # Era of the store in which these revisions count; 0: not known.
+  era @2 :UInt64;
+  # Version of the newest rules that the sender knows.
+  version @3 :UInt64;
 }
 
 struct Member {
@@ -123,6 +127,8 @@
   # The sender recently failed to read the store, so that removals among the
   # changes may be leases that could not be renewed.
   storeTroubled @4 :Bool;
+  # As in `Progress`.
+  era @5 :UInt64;
 }
 
 struct Item {
--- a/proxy/src/feed_fetch_capnp.cc
+++ b/proxy/src/feed_fetch_capnp.cc
@@ -1,5 +1,6 @@
 // Fetches the data of the platform's store that this node lacks, from one peer
 // at a time, and serves it to peers.
+#include <algorithm>
 #include <numeric>
 
 #include "peers_p.h"
@@ -23,15 +24,15 @@
                                                       std::uint64_t after) {
   CachedChanges& cached =
       proxy.peers->cached_changes[static_cast<std::size_t>(feed)];
-  const std::uint64_t revision =
-      routing::GetFeedState(proxy.catalog, feed).revision;
+  const routing::FeedProgress progress =
+      routing::GetFeedProgress(proxy.catalog, feed);
   const bool troubled = IsStoreTroubled(proxy);
-  if (cached.after == after && cached.revision == revision &&
+  if (cached.after == after && cached.progress == progress &&
       cached.store_troubled == troubled) {
     return &cached.packed;
   }
   BOOST_OUTCOME_TRY(packed, PackChanges(proxy, feed, after));
-  cached = {after, revision, troubled, std::move(packed)};
+  cached = {after, progress, troubled, std::move(packed)};
   return &cached.packed;
 }
 
@@ -55,8 +56,16 @@
                     {"ms", Elapsed(requested_at, NowOf(proxy))}});
 }
 
-void OnChangesReceived(Proxy& proxy, Feed feed, const std::string& from,
-                       const PackedChanges& packed, Time requested_at) {
+// A fetch in progress.
+struct FetchRequest {
+  std::string from;           // The peer's address.
+  std::uint64_t version = 0;  // Version of its rules, as it announced.
+  Time sent_at{};
+};
+
+void OnChangesReceived(Proxy& proxy, Feed feed, const FetchRequest& request,
+                       const PackedChanges& packed) {
+  const std::string& from = request.from;
   auto received = UnpackChanges(packed, feed);
   routing::FeedFetch& fetch =
       routing::GetFeedFetch(proxy.peers->feed_fetches, feed);
@@ -73,20 +82,26 @@
   CountFetch(proxy, "taken");
   routing::OnFetchDone(fetch, from);
   LogFetched(proxy, feed, from, packed, received.value().changes.revision,
-             requested_at);
-  ApplyChanges(proxy, received.value().changes, ChangeSource::kPeer,
-               received.value().store_troubled);
+             request.sent_at);
+  const bool are_rules_readable =
+      ApplyChanges(proxy, std::move(received.value().changes),
+                   ChangeSource::kPeer, received.value().store_troubled);
+  if (!are_rules_readable) {
+    routing::FeedState& state = routing::GetFeedState(proxy.catalog, feed);
+    state.unreadable_version =
+        std::max(state.unreadable_version, request.version);
+  }
 }
 
-void OnFetchReply(Proxy& proxy, Feed feed, const std::string& from,
-                  bool same_zone, Time requested_at,
+void OnFetchReply(Proxy& proxy, Feed feed, const FetchRequest& request,
+                  bool same_zone,
                   capnp::Response<exchange::Peer::FetchResults>&& answer) {
   CountBytes(proxy, "in", MessageKind::kContent, same_zone,
              answer.totalSize().wordCount);
   if (answer.getBusy()) {
     CountFetch(proxy, "busy");
     routing::OnFetchFailed(
-        routing::GetFeedFetch(proxy.peers->feed_fetches, feed), from,
+        routing::GetFeedFetch(proxy.peers->feed_fetches, feed), request.from,
         routing::kFetchBusyBackoff, NowOf(proxy));
     return;
   }
@@ -94,10 +109,13 @@
   const PackedChanges packed{
       std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size()),
       answer.getPacked().getUnpacked()};
-  OnChangesReceived(proxy, feed, from, packed, requested_at);
+  OnChangesReceived(proxy, feed, request, packed);
 }
 
-void FetchFeed(Proxy& proxy, Feed feed, const std::string& from) {
+void FetchFeed(Proxy& proxy, Feed feed, const routing::Offer& offer) {
+  const std::string from = offer.peer;
+  const std::uint64_t after =
+      routing::FetchAfter(proxy.catalog, feed, offer.progress);
   PeerConnection* peer = GetOrConnectPeer(*proxy.peers, from);
   const Time now = NowOf(proxy);
   routing::FeedFetch& fetch =
@@ -108,12 +126,13 @@
   }
   auto request = peer->client.fetchRequest();
   request.setFeed(static_cast<std::uint8_t>(feed));
-  request.setAfter(routing::GetFeedState(proxy.catalog, feed).revision);
+  request.setAfter(after);
   OnRequestSent(*peer, now);
+  const FetchRequest sent{from, offer.progress.version, now};
   peer->tasks.add(
-      request.send().then([&proxy, peer, feed, from, now](auto&& answer) {
+      request.send().then([&proxy, peer, feed, sent](auto&& answer) {
         OnReplyReceived(*peer, NowOf(proxy));
-        OnFetchReply(proxy, feed, from, peer->same_zone, now,
+        OnFetchReply(proxy, feed, sent, peer->same_zone,
                      std::forward<decltype(answer)>(answer));
         ScheduleFetchAndAnnounce(proxy, 0);
       }));
@@ -169,9 +188,16 @@
     const std::uint64_t own_revision =
         routing::GetFeedState(proxy.catalog, feed).revision;
     if (own_revision == 0 && progress[i].known == 0) OnPeerWithoutData(proxy);
-    if (!routing::ApplyPeerProgress(proxy.catalog, feed, progress[i])) continue;
+    if (progress[i].era == 0 &&
+        routing::GetFeedState(proxy.catalog, feed).is_restored) {
+      proxy.peer_without_era_at = NowOf(proxy);
+    }
+    const routing::FeedProgress peer_progress =
+        routing::InterpretProgress(proxy.catalog, feed, progress[i]);
+    if (!routing::ApplyPeerProgress(proxy.catalog, feed, peer_progress))
+      continue;
     routing::OnOffer(proxy.peers->feed_fetches.feeds[i], peer, same_zone,
-                     progress[i].known);
+                     peer_progress);
     has_missing_changes = true;
   }
   if (has_missing_changes) ScheduleFetchAndAnnounce(proxy, 0);
@@ -181,10 +207,10 @@
   for (std::size_t i = 0; i < routing::kFeedCount; ++i) {
     const auto feed = static_cast<Feed>(i);
     if (ShouldWaitForStore(proxy, feed)) continue;
-    const std::string peer = routing::StartNextFetch(
+    const routing::Offer* offer = routing::StartNextFetch(
         proxy.peers->feed_fetches.feeds[i],
-        routing::GetFeedState(proxy.catalog, feed).revision, NowOf(proxy));
-    if (!peer.empty()) FetchFeed(proxy, feed, peer);
+        routing::GetFeedProgress(proxy.catalog, feed), NowOf(proxy));
+    if (offer != nullptr) FetchFeed(proxy, feed, *offer);
   }
 }
 
--- a/proxy/src/gossip_codec.cc
+++ b/proxy/src/gossip_codec.cc
@@ -53,6 +53,7 @@
   builder.setFeed(static_cast<std::uint8_t>(changes.feed));
   builder.setWhole(changes.whole);
   builder.setRevision(changes.revision);
+  builder.setEra(changes.era);
   auto items = builder.initItems(static_cast<unsigned>(changes.items.size()));
   for (unsigned i = 0; i < items.size(); ++i) {
     const routing::Item& item = changes.items[i];
@@ -70,6 +71,7 @@
   changes.feed = static_cast<routing::Feed>(reader.getFeed());
   changes.whole = reader.getWhole();
   changes.revision = reader.getRevision();
+  changes.era = reader.getEra();
   for (const auto item : reader.getItems()) {
     const auto value = item.getValue();
     changes.items.push_back(
@@ -272,13 +274,16 @@
   for (unsigned i = 0; i < progress.size(); ++i) {
     list[i].setKnown(progress[i].known);
     list[i].setChanged(progress[i].changed);
+    list[i].setEra(progress[i].era);
+    list[i].setVersion(progress[i].version);
   }
 }
 
 Progress ReadProgress(capnp::List<exchange::Progress>::Reader list) {
   Progress progress{};
   for (unsigned i = 0; i < list.size() && i < progress.size(); ++i) {
-    progress[i] = {list[i].getKnown(), list[i].getChanged()};
+    progress[i] = {list[i].getKnown(), list[i].getChanged(), list[i].getEra(),
+                   list[i].getVersion()};
   }
   return progress;
 }
--- a/proxy/src/peers_p.h
+++ b/proxy/src/peers_p.h
@@ -48,7 +48,7 @@
 /// Packed changes of one feed, cached for the next peer that fetches the same.
 struct CachedChanges {
   std::uint64_t after = 0;
-  std::uint64_t revision = 0;
+  routing::FeedProgress progress{};
   bool store_troubled = false;
   PackedChanges packed;
 };
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -31,6 +31,7 @@
         LogPart::kPlatform, LogLevel::kInfo, "endpoint",
         {{"endpoint", id}, {"change", "gone"}, {"source", "lapsed"}});
   }
+  ApplyDueZones(proxy);
   routing::PruneTombstones(proxy.catalog, now);
   routing::ForgetSuspects(proxy.suspects, now);
   CheckOverdueAttempts(proxy);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -130,6 +130,10 @@
   bool has_full_list = false;
   bool reading = false;   ///< A request to the store is in progress.
   bool watching = false;  ///< That request is a watch.
+  /// Era of the revision after which the watch asks for changes.
+  routing::StoreEra watch_era = 0;
+  /// Era that the answer states; see `ReadEra`.
+  routing::StoreEra answer_era = 0;
   /// When a peer first sent changes that the watch in progress has not
   /// returned; default: never.
   Time missed_change_since{};
@@ -199,6 +203,13 @@
   std::size_t handovers_served = 0;  ///< Handed over calls in progress.
   routing::Suspects suspects;
   Time last_store_failure{};  ///< Last failed call to the store; default: none.
+  /// The latest era of the store that any of its answers or a peer stated.
+  routing::StoreEra store_era = 0;
+  routing::StoreEra last_odd_era = 0;  ///< Last lower era that was logged.
+  bool is_era_unclear = false;         ///< The last answer stated no valid era.
+  /// When a peer last told its progress without an era, though the era has
+  /// risen here: its news can't be used. Default: never.
+  Time peer_without_era_at{};
 
   // Servers, calls in progress and timers.
   std::unique_ptr<net::HttpClient> client;
@@ -442,14 +453,20 @@
 void OnPeerWithoutData(Proxy& proxy);
 /// Returns true if a read of the store failed at this node recently.
 bool IsStoreTroubled(const Proxy& proxy);
+/// Records an era of the store that an answer or a peer stated. If it is a new
+/// one, what is known is read anew.
+void OnStoreEra(Proxy& proxy, routing::StoreEra era, const char* source);
 
 // store_changes.cc
 /// The source of changes of the store; for the log.
 enum class ChangeSource : std::uint8_t { kList, kWatch, kPeer };
 /// Applies changes of the store. `troubled` states that the node that read them
-/// recently failed to read the store.
-void ApplyChanges(Proxy& proxy, const routing::Changes& changes,
-                  ChangeSource source, bool troubled);
+/// recently failed to read the store. Returns false if rules among them can't
+/// be read.
+bool ApplyChanges(Proxy& proxy, routing::Changes changes, ChangeSource source,
+                  bool troubled);
+/// Applies changes of zones that were deferred after a restore of the store.
+void ApplyDueZones(Proxy& proxy);
 
 // peers_capnp.cc
 /// Starts to listen for peers and stores the bound address in `address`. Fails
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -19,6 +19,40 @@
   return routing::GetFeedState(proxy.catalog, feed).revision;
 }
 
+// A watch continues from the revision that is known, which means nothing in
+// another era.
+bool CanWatch(const Proxy& proxy, const StoreReader& reader) {
+  return reader.has_full_list &&
+         routing::GetFeedState(proxy.catalog, reader.feed).era ==
+             proxy.store_era;
+}
+
+void LogUnclearEra(Proxy& proxy, const StoreReader& reader,
+                   const StoreEraStatement& stated) {
+  const bool is_unclear = stated.era == 0 && proxy.store_era > 0;
+  const bool is_lower = stated.era > 0 && stated.era < proxy.store_era;
+  const bool is_news = (is_unclear && !proxy.is_era_unclear) ||
+                       (is_lower && proxy.last_odd_era != stated.era);
+  proxy.is_era_unclear = is_unclear;
+  if (is_lower) proxy.last_odd_era = stated.era;
+  if (!is_news) return;
+  kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "store-era-unclear",
+                   {{"feed", routing::NameOf(reader.feed)},
+                    {"why", is_lower            ? "lower than before"
+                            : stated.is_invalid ? "no number"
+                                                : "missing"},
+                    {"known", proxy.store_era}});
+}
+
+// Reads the era from the head of an answer. One without a usable era counts in
+// the era that is known.
+void ReadEra(Proxy& proxy, StoreReader& reader,
+             const net::HttpAnswerHead& head) {
+  const StoreEraStatement stated = proxy.dialect->read_store_era(head);
+  LogUnclearEra(proxy, reader, stated);
+  reader.answer_era = std::max(stated.era, proxy.store_era);
+}
+
 void ScheduleRead(Proxy& proxy, StoreReader& reader, milliseconds delay) {
   reader.timer = kernel::RunAfter(
       *proxy.loop, delay, [&proxy, &reader] { StartRead(proxy, reader); });
@@ -87,6 +121,11 @@
     reader.partial_list.feed = reader.feed;
     reader.partial_list.whole = true;
     reader.partial_list.revision = page.value().revision;
+    reader.partial_list.era = reader.answer_era;
+  } else if (reader.partial_list.era != reader.answer_era) {
+    reader.last_key.clear();
+    StartRead(proxy, reader);
+    return;
   }
   auto& items = page.value().items;
   const bool has_more = page.value().has_more && !items.empty();
@@ -111,8 +150,14 @@
     return;
   }
   OnReadSucceeded(proxy, reader);
+  if (reader.watch_era != reader.answer_era) {
+    // The answer continues from a revision that means something else now.
+    StartRead(proxy, reader);
+    return;
+  }
   const bool changed = !changes.value().items.empty();
-  ApplyChanges(proxy, changes.value(), ChangeSource::kWatch,
+  changes.value().era = reader.answer_era;
+  ApplyChanges(proxy, std::move(changes).value(), ChangeSource::kWatch,
                IsStoreTroubled(proxy));
   // Each watch is a call to the store, and changes often come in groups.
   if (changed) {
@@ -122,16 +167,22 @@
   }
 }
 
+void OnHistoryGone(Proxy& proxy, StoreReader& reader) {
+  kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "history-gone",
+                   {{"feed", routing::NameOf(reader.feed)},
+                    {"revision", GetKnownRevision(proxy, reader.feed)}});
+  reader.has_full_list = false;
+  StartRead(proxy, reader);
+}
+
 void OnReadEnd(Proxy& proxy, StoreReader& reader) {
   reader.timer = {};
   reader.exchange = nullptr;
   reader.reading = false;
   reader.missed_change_since = {};
+  OnStoreEra(proxy, reader.answer_era, "store");
   if (reader.watching && reader.status == kHistoryGone) {
-    kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "history-gone",
-                     {{"feed", routing::NameOf(reader.feed)}});
-    reader.has_full_list = false;
-    StartRead(proxy, reader);
+    OnHistoryGone(proxy, reader);
     return;
   }
   if (reader.status != kOk) {
@@ -156,7 +207,9 @@
 void StartRead(Proxy& proxy, StoreReader& reader) {
   if (reader.reading) return;
   reader.reading = true;
-  reader.watching = reader.has_full_list;
+  reader.watching = CanWatch(proxy, reader);
+  reader.watch_era = proxy.store_era;
+  reader.answer_era = proxy.store_era;
   reader.missed_change_since = {};
   reader.body.clear();
   reader.status = 0;
@@ -169,14 +222,15 @@
   request.address = proxy.options.store;
   request.head = net::FormatRequestHead(
       "GET",
-      reader.has_full_list
+      reader.watching
           ? proxy.dialect->watch_target(
                 reader.feed, GetKnownRevision(proxy, reader.feed), wait)
           : proxy.dialect->list_target(reader.feed, reader.last_key),
       {{"Host", proxy.options.store}}, net::BodyFraming::kNone, 0);
   net::ExchangeHandlers handlers;
-  handlers.on_head = [&reader](const net::HttpAnswerHead& head) {
+  handlers.on_head = [&proxy, &reader](const net::HttpAnswerHead& head) {
     reader.status = head.status;
+    ReadEra(proxy, reader, head);
     return net::HeadVerdict::kAccept;
   };
   handlers.on_body = [&reader](std::string_view piece) {
@@ -193,7 +247,7 @@
   reader.exchange =
       proxy.client->Start(std::move(request), std::move(handlers));
   const milliseconds timeout =
-      reader.has_full_list ? wait + kWatchTimeoutMargin : kListTimeout;
+      reader.watching ? wait + kWatchTimeoutMargin : kListTimeout;
   reader.timer = kernel::RunAfter(*proxy.loop, timeout, [&proxy, &reader] {
     net::Cancel(std::exchange(reader.exchange, nullptr));
     reader.last_key.clear();
@@ -270,6 +324,33 @@
   UpdateStoreReaders(proxy);
 }
 
+void OnStoreEra(Proxy& proxy, routing::StoreEra era, const char* source) {
+  if (era <= proxy.store_era) return;
+  const routing::StoreEra known_era = std::exchange(proxy.store_era, era);
+  // The first era that a process hears of is no news.
+  if (known_era == 0) {
+    for (routing::FeedState& feed : proxy.catalog.feeds)
+      if (feed.revision == 0) feed.era = era;
+  }
+  kernel::LogEvent(
+      LogPart::kPlatform, LogLevel::kWarning, "store-era",
+      {{"era", era - 1},
+       {"before",
+        known_era > 0 ? std::to_string(known_era - 1) : std::string("-")},
+       {"source", source},
+       {"rules_revision", GetKnownRevision(proxy, Feed::kRules)},
+       {"endpoints_revision", GetKnownRevision(proxy, Feed::kEndpoints)}});
+  if (!proxy.reads_store) return;
+  for (StoreReader& reader : proxy.readers) {
+    if (!reader.reading) continue;
+    StopReader(reader);
+    ScheduleRead(proxy, reader,
+                 milliseconds(kernel::RandomBelow(
+                     proxy.random,
+                     static_cast<std::uint64_t>(kMaxNewEraDelay.count()))));
+  }
+}
+
 void RestartStoreReaders(Proxy& proxy) {
   if (!proxy.reads_store) return;
   for (StoreReader& reader : proxy.readers) {
@@ -286,8 +367,12 @@
   const bool has_all_feeds = proxy.rules != nullptr &&
                              proxy.readers[0].has_full_list &&
                              proxy.readers[1].has_full_list;
-  const bool should_read = has_all_feeds ? routing::IsReader(proxy.members, now)
-                                         : now >= proxy.initial_read_at;
+  const bool lacks_peers =
+      proxy.peer_without_era_at != Time{} &&
+      now - proxy.peer_without_era_at < kPeerWithoutEraTime;
+  const bool should_read =
+      has_all_feeds ? lacks_peers || routing::IsReader(proxy.members, now)
+                    : now >= proxy.initial_read_at;
   if (should_read == proxy.reads_store) return;
   proxy.reads_store = should_read;
   kernel::LogEvent(LogPart::kPlatform, LogLevel::kInfo, "reads-store",
--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -1,6 +1,7 @@
 // Applies changes of the store that this node or a peer has read.
 #include <algorithm>
 
+#include "egretladder/routing/restored_entries.h"
 #include "state_p.h"
 
 namespace egretladder::proxy {
@@ -93,14 +94,24 @@
          removed * kMinRemovalShare >= proxy.endpoints.by_id.size();
 }
 
-void ApplyEndpoint(Proxy& proxy, const routing::Item& item, ChangeSource source,
-                   bool may_be_outage) {
+// How changes of the store came about.
+struct ChangeContext {
+  ChangeSource source = ChangeSource::kPeer;
+  // Removals may be leases that could not be renewed.
+  bool may_be_outage = false;
+  // They say what an older copy has, to which the store was restored.
+  bool is_restore = false;
+};
+
+void ApplyEndpoint(Proxy& proxy, const routing::Item& item,
+                   const ChangeContext& context) {
   const Time now = NowOf(proxy);
   const std::string id = proxy.dialect->endpoint_id(item.key);
   if (item.removed) {
-    LogEndpointChange(
-        id, routing::OnEntryRemoved(proxy.endpoints, id, may_be_outage, now),
-        source, item.rev);
+    LogEndpointChange(id,
+                      routing::OnEntryRemoved(proxy.endpoints, id,
+                                              context.may_be_outage, now),
+                      context.source, item.rev);
     return;
   }
   const auto entry = proxy.dialect->read_endpoint(item);
@@ -112,9 +123,44 @@
     routing::OnEntryRemoved(proxy.endpoints, id, false, now);
     return;
   }
-  LogEndpointChange(
-      id, routing::OnEntryPublished(proxy.endpoints, entry.value(), now),
-      source, item.rev);
+  const routing::EntryChange change =
+      context.is_restore
+          ? routing::OnRestoredEntry(proxy.endpoints, entry.value(), now)
+          : routing::OnEntryPublished(proxy.endpoints, entry.value(), now);
+  LogEndpointChange(id, change, context.source, item.rev);
+}
+
+void LogZone(const std::string& zone, bool is_out, const char* source) {
+  kernel::LogEvent(LogPart::kPlatform, LogLevel::kInfo, "zone",
+                   {{"zone", zone},
+                    {"change", is_out ? "out" : "back"},
+                    {"source", source}});
+}
+
+void ApplyZone(Proxy& proxy, const std::string& zone, bool is_out,
+               const ChangeContext& context) {
+  if (context.is_restore && proxy.endpoints.zones_out.contains(zone)) {
+    routing::OnRestoredZone(proxy.endpoints, zone, is_out, NowOf(proxy));
+    return;
+  }
+  routing::SetZoneOut(proxy.endpoints, zone, is_out);
+  LogZone(zone, is_out, NameOf(context.source));
+}
+
+// Sets the versions of rules, by which they are ordered. Returns false if some
+// can't be read.
+bool SetVersions(const Proxy& proxy, routing::Changes& changes) {
+  bool are_readable = true;
+  for (routing::Item& item : changes.items) {
+    if (item.removed || !proxy.dialect->is_rules_key(item.key)) continue;
+    const auto rules = proxy.dialect->read_rules(item.value);
+    if (rules) {
+      item.version = rules.value()->version;
+    } else {
+      are_readable = false;
+    }
+  }
+  return are_readable;
 }
 
 // Items that this node takes for old change nothing. If that is wrong, no other
@@ -139,10 +185,19 @@
 
 }  // namespace
 
-void ApplyChanges(Proxy& proxy, const routing::Changes& changes,
-                  ChangeSource source, bool troubled) {
+void ApplyDueZones(Proxy& proxy) {
+  for (const std::string& zone :
+       routing::ApplyDueZoneChanges(proxy.endpoints, NowOf(proxy))) {
+    LogZone(zone, routing::IsZoneOut(proxy.endpoints, zone), "restored");
+  }
+}
+
+bool ApplyChanges(Proxy& proxy, routing::Changes changes, ChangeSource source,
+                  bool troubled) {
   const Time now = NowOf(proxy);
+  const bool are_rules_readable = SetVersions(proxy, changes);
   LogOlderItems(proxy, changes, source);
+  const bool is_restore = routing::IsRestore(proxy.catalog, changes);
   const auto changed_items = routing::Apply(proxy.catalog, changes, now);
   if (source == ChangeSource::kPeer) {
     StoreReader& reader = proxy.readers[static_cast<std::size_t>(changes.feed)];
@@ -150,8 +205,11 @@
     if (!changed_items.empty() && reader.missed_change_since == Time{}) {
       reader.missed_change_since = now;
     }
+    OnStoreEra(proxy, changes.era, "peer");
   }
-  const bool may_be_outage = troubled || IsMassRemoval(proxy, changed_items);
+  const ChangeContext context{
+      source, troubled || is_restore || IsMassRemoval(proxy, changed_items),
+      is_restore};
   for (const routing::Item& item : changed_items) {
     if (proxy.dialect->is_rules_key(item.key)) {
       ApplyRules(proxy, item, source);
@@ -159,19 +217,12 @@
     }
     const std::string zone = proxy.dialect->zone_out(item.key);
     if (!zone.empty()) {
-      routing::SetZoneOut(proxy.endpoints, zone, !item.removed);
-      kernel::LogEvent(LogPart::kPlatform, LogLevel::kInfo, "zone",
-                       {{"zone", zone},
-                        {"change", item.removed ? "back" : "out"},
-                        {"source", NameOf(source)},
-                        {"rev", item.rev}});
+      ApplyZone(proxy, zone, !item.removed, context);
       continue;
     }
-    if (changes.feed == Feed::kEndpoints) {
-      ApplyEndpoint(proxy, item, source, may_be_outage);
-    }
+    if (changes.feed == Feed::kEndpoints) ApplyEndpoint(proxy, item, context);
   }
-  if (changed_items.empty()) return;
+  if (changed_items.empty() && !is_restore) return are_rules_readable;
   // Announces the changes at once; exchanges alone take several rounds to
   // spread them.
   if (!routing::IsSmallFleet(proxy.members)) {
@@ -181,6 +232,7 @@
   }
   if (proxy.rules != nullptr) RouteRequestsWithoutRules(proxy);
   if (!proxy.waiting_calls.empty()) DispatchWaiting(proxy);
+  return are_rules_readable;
 }
 
 }  // namespace egretladder::proxy
--- a/proxy/tests/harness.cc
+++ b/proxy/tests/harness.cc
@@ -425,9 +425,14 @@
 
 bool IsReadinessRequest(std::string_view target) { return target == "/ready"; }
 
+StoreEraStatement ReadStoreEra(const net::HttpAnswerHead& /*head*/) {
+  return {};
+}
+
 constexpr Dialect kTestDialect = {
     .list_target = ListTarget,
     .watch_target = WatchTarget,
+    .read_store_era = ReadStoreEra,
     .read_page = ReadPage,
     .read_changes = ReadChanges,
     .is_rules_key = IsRules,
--- a/routing/include/egretladder/routing/catalog.h
+++ b/routing/include/egretladder/routing/catalog.h
@@ -6,6 +6,10 @@
 // their revision, so that updates from two sources never move the state
 // backwards. The scheme follows list and watch with resource versions, as in
 // etcd's clients.
+//
+// A store that comes back from an older copy gives revisions out a second time.
+// Each time it does, its era rises, and a complete list of the new era replaces
+// all that is known of earlier ones.
 #pragma once
 
 #include <array>
@@ -30,12 +34,19 @@
 /// Number of feeds.
 inline constexpr std::size_t kFeedCount = 2;
 
+/// How often the store came back from an older copy: one more than the number
+/// that it states; 0: it states none.
+using StoreEra = std::uint64_t;
+
 /// One item of the store as it was written, or a tombstone for its removal.
 struct Item {
   std::string key;
   std::string value;
   std::uint64_t rev = 0;  ///< Revision of the item's last change.
   bool removed = false;   ///< The item is a tombstone.
+  /// Version that the writer gave the item's content; 0: none. A lower version
+  /// never replaces a higher one, whatever their revisions.
+  std::uint64_t version = 0;
 };
 
 /// How far a node knows a feed.
@@ -43,12 +54,21 @@
   /// All changes up to this revision are known; 0: none.
   std::uint64_t known = 0;
   std::uint64_t changed = 0;  ///< Revision of the last known change.
+  StoreEra era = 0;           ///< Era of these revisions.
+  std::uint64_t version = 0;  ///< Highest version of an item.
+
+  bool operator==(const FeedProgress&) const = default;
 };
 
 /// What is known of one feed.
 struct FeedState {
   std::map<std::string, Item> items;       ///< By key; includes tombstones.
   std::map<std::string, Time> removed_at;  ///< Tombstones: when received.
+  StoreEra era = 0;                        ///< Era of all revisions below.
+  bool is_restored = false;   ///< The era rose since this process began.
+  std::uint64_t version = 0;  ///< Highest version of an item.
+  /// Version of a peer's item that can't be read here; not fetched again.
+  std::uint64_t unreadable_version = 0;
   std::uint64_t revision = 0;  ///< All changes up to this one are known.
   std::uint64_t changed = 0;   ///< Revision of the last known change.
   /// Tombstones up to this revision may be pruned: a peer that knows less needs
@@ -70,13 +90,18 @@
   bool whole = false;  ///< A complete list: items missing from it are removed.
   std::uint64_t revision = 0;  ///< The feed's revision after these changes.
   std::vector<Item> items;
+  StoreEra era = 0;
 };
 
 /// Applies changes from a watch, a complete list or a peer. Returns the items
 /// that changed the known state, including tombstones. Changes that are older
-/// than the known state have no effect.
+/// than the known state have no effect, except for items of a higher version.
+/// Changes of a later era have none unless they are a complete list.
 std::vector<Item> Apply(Catalog& catalog, const Changes& changes, Time now);
 
+/// Returns true if the changes would replace what is known of an earlier era.
+bool IsRestore(const Catalog& catalog, const Changes& changes);
+
 /// Returns how many items of the changes are older than what is known of them.
 std::size_t CountOlderItems(const Catalog& catalog, const Changes& changes);
 
@@ -84,6 +109,21 @@
 /// If it lacks nothing, the result has no items and the feed's revision.
 Changes ChangesSince(const Catalog& catalog, Feed feed, std::uint64_t revision);
 
+/// Returns a peer's progress with the era in which its revisions count here,
+/// and without a version that can't be read here. A peer that states no era
+/// counts in the current one until that has risen.
+FeedProgress InterpretProgress(const Catalog& catalog, Feed feed,
+                               const FeedProgress& peer);
+
+/// Returns the revision after which this node has to fetch changes from a peer
+/// with this progress; 0: it needs a complete list.
+std::uint64_t FetchAfter(const Catalog& catalog, Feed feed,
+                         const FeedProgress& peer);
+
+/// Returns true if a peer with this progress has changes that a node with the
+/// other one lacks.
+bool HasNews(const FeedProgress& peer, const FeedProgress& own);
+
 /// Returns how far this node knows a feed.
 FeedProgress GetFeedProgress(const Catalog& catalog, Feed feed);
 
--- a/routing/include/egretladder/routing/endpoint_notices.h
+++ b/routing/include/egretladder/routing/endpoint_notices.h
@@ -45,8 +45,8 @@
 
 /// Keeps what an endpoint that is being removed stated, its limit included: its
 /// entry may expire and return while the process runs on. The statements of the
-/// last `kMaxRememberedStatements` such endpoints are kept.
-void RememberStatements(EndpointSet& set, const Endpoint& endpoint);
+/// last `kMaxRememberedEndpoints` such endpoints are kept.
+void RememberRemoved(EndpointSet& set, const Endpoint& endpoint);
 
 /// Gives a new endpoint what its process stated before the entry was removed.
 /// Another process under the same id starts without statements, and so does one
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -38,6 +38,8 @@
   bool leaving = false;      ///< Takes no new work.
   milliseconds cold_left{};  ///< Time until it is warm after a cold start.
   std::uint64_t started_unix_ms = 0;  ///< Process start; 0: not published.
+  /// Rises with each entry that the process writes.
+  std::uint64_t sequence = 0;
 };
 
 /// A rate limit that an endpoint advertises for all nodes together.
@@ -135,14 +137,21 @@
 /// published.
 using EndpointPtr = std::shared_ptr<Endpoint>;
 
-/// What a removed endpoint had stated about itself.
-struct RememberedStatements {
-  EndpointEntry entry;  ///< Its last entry.
+/// What is remembered of a removed endpoint: its last entry, and what it had
+/// stated about itself.
+struct RemovedEndpoint {
+  EndpointEntry entry;
   StandingNotices notices;
   AdvertisedLimit limit;
   std::uint64_t number = 0;  ///< Rises with each removal.
 };
 
+/// A change of a zone that is applied later; see restored_entries.h.
+struct DeferredZoneChange {
+  bool is_out = false;
+  Time due_at{};
+};
+
 /// Number of placement mechanisms; see `Mechanism` in placement.h.
 inline constexpr std::size_t kMechanismCount = 11;
 /// The mechanisms that settings switch off.
@@ -158,9 +167,11 @@
   std::set<std::string> limited;
   /// Last statements that services are brittle, by service.
   std::map<std::string, BrittleStatement> brittle_services;
-  /// Statements of removed endpoints, by id, in case that their entries return.
-  std::unordered_map<std::string, RememberedStatements> remembered_statements;
-  std::uint64_t last_removal_number = 0;  ///< Of `remembered_statements`.
+  /// Removed endpoints by id, in case that their entries return.
+  std::unordered_map<std::string, RemovedEndpoint> removed_endpoints;
+  std::uint64_t last_removal_number = 0;  ///< Of `removed_endpoints`.
+  std::map<std::string, DeferredZoneChange>
+      deferred_zone_changes;                                   ///< By zone.
   std::unordered_map<std::string, ServicePace> service_paces;  ///< By service.
   /// Fraction of the engines that serves tight streams; 0: the engines aren't
   /// split. See engine_split.h.
@@ -211,7 +222,7 @@
 std::vector<std::string> RemoveLapsedEndpoints(EndpointSet& set, Time now);
 
 /// Marks a zone that operators took out of service, or puts it back. Endpoints
-/// in a zone that is out get no new requests.
+/// in a zone that is out get no new requests. Ends a deferred change.
 void SetZoneOut(EndpointSet& set, const std::string& zone, bool is_out);
 /// Returns true while the zone is out.
 bool IsZoneOut(const EndpointSet& set, std::string_view zone);
--- a/routing/include/egretladder/routing/feed_fetch.h
+++ b/routing/include/egretladder/routing/feed_fetch.h
@@ -19,10 +19,10 @@
 
 /// A peer that announced changes.
 struct Offer {
-  std::string peer;            ///< The peer's address.
-  bool near = false;           ///< It is in the same availability zone.
-  std::uint64_t revision = 0;  ///< The latest revision that it announced.
-  Time not_before{};  ///< End of the backoff after it was busy or failed.
+  std::string peer;         ///< The peer's address.
+  bool near = false;        ///< It is in the same availability zone.
+  FeedProgress progress{};  ///< As it announced last.
+  Time not_before{};        ///< End of the backoff after it was busy or failed.
 };
 
 /// The state of fetching one feed's changes.
@@ -40,17 +40,17 @@
 /// Returns the state of one feed.
 FeedFetch& GetFeedFetch(FeedFetches& feed_fetches, Feed feed);
 
-/// Records that a peer announced `revision`. If `kMaxOffers` peers are known,
+/// Records that a peer announced its progress. If `kMaxOffers` peers are known,
 /// the oldest offer is dropped.
 void OnOffer(FeedFetch& fetch, const std::string& peer, bool near,
-             std::uint64_t revision);
+             const FeedProgress& progress);
 
-/// Starts the next fetch if none is in progress. Returns the address of the
-/// peer to ask, which has a later revision than `own_revision`. The result is
-/// empty if no peer has one, a fetch is in progress, or all peers are in
-/// backoff. A fetch in progress for `kFetchTimeout` counts as failed.
-std::string StartNextFetch(FeedFetch& fetch, std::uint64_t own_revision,
-                           Time now);
+/// Starts the next fetch if none is in progress. Returns the offer of the peer
+/// to ask, which has changes that a node with the progress `own` lacks. The
+/// result is null if no peer has any, a fetch is in progress, or all peers are
+/// in backoff. A fetch in progress for `kFetchTimeout` counts as failed.
+const Offer* StartNextFetch(FeedFetch& fetch, const FeedProgress& own,
+                            Time now);
 
 /// Records that the peer's changes arrived and were applied. Its earlier
 /// announcement is dropped.
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -247,6 +247,8 @@
 /// renew them. Two seconds after the entry is gone nothing may be sent to the
 /// endpoint, and a removal is noticed and acted on up to 0.2 s late.
 inline constexpr milliseconds kLapseGrace{1800};
+/// How long operators may take to write again what a restored store has lost.
+inline constexpr milliseconds kRestoredZoneDelay{2500};
 /// How long after its end an outage of the store counts as recent.
 inline constexpr milliseconds kRecentOutageWindow{2000};
 
@@ -255,8 +257,8 @@
 /// Upper bound of the time for which an endpoint can ask for no requests. A
 /// longer one is taken as this.
 inline constexpr std::chrono::hours kMaxEndpointBackoff{24};
-/// Removed endpoints whose statements are remembered, about 300 bytes each.
-inline constexpr std::size_t kMaxRememberedStatements = 1024;
+/// Removed endpoints that are remembered, about 300 bytes each.
+inline constexpr std::size_t kMaxRememberedEndpoints = 1024;
 /// A backoff that ends later than known before by more than this is logged.
 inline constexpr milliseconds kMinLoggedBackoffChange{500};
 
--- a/routing/src/endpoint_notices.cc
+++ b/routing/src/endpoint_notices.cc
@@ -30,7 +30,7 @@
 void ForwardNotices(EndpointSet& set, const Endpoint& removed) {
   const auto at = set.by_id.find(removed.entry.id);
   if (at == set.by_id.end()) {
-    RememberStatements(set, removed);
+    RememberRemoved(set, removed);
   } else if (removed.entry.started_unix_ms != 0 &&
              IsSameProcess(at->second->entry, removed.entry)) {
     Merge(at->second->notices, removed.notices);
@@ -65,16 +65,13 @@
   return change;
 }
 
-void RememberStatements(EndpointSet& set, const Endpoint& endpoint) {
-  const bool has_stated = endpoint.notices.leaving ||
-                          endpoint.notices.backoff_until != Time{} ||
-                          endpoint.limit.per_second > 0;
+void RememberRemoved(EndpointSet& set, const Endpoint& endpoint) {
   // Without a start time, the process can't be recognized when it returns.
-  if (!has_stated || endpoint.entry.started_unix_ms == 0) return;
-  auto& remembered = set.remembered_statements;
+  if (endpoint.entry.started_unix_ms == 0) return;
+  auto& remembered = set.removed_endpoints;
   remembered[endpoint.entry.id] = {endpoint.entry, endpoint.notices,
                                    endpoint.limit, ++set.last_removal_number};
-  if (remembered.size() <= kMaxRememberedStatements) return;
+  if (remembered.size() <= kMaxRememberedEndpoints) return;
   remembered.erase(std::min_element(remembered.begin(), remembered.end(),
                                     [](const auto& left, const auto& right) {
                                       return left.second.number <
@@ -83,14 +80,14 @@
 }
 
 void RestoreStatements(EndpointSet& set, Endpoint& endpoint) {
-  const auto at = set.remembered_statements.find(endpoint.entry.id);
-  if (at == set.remembered_statements.end()) return;
+  const auto at = set.removed_endpoints.find(endpoint.entry.id);
+  if (at == set.removed_endpoints.end()) return;
   if (IsSameProcess(at->second.entry, endpoint.entry)) {
     endpoint.notices = at->second.notices;
     endpoint.limit = at->second.limit;
     if (endpoint.limit.per_second > 0) set.limited.insert(endpoint.entry.id);
   }
-  set.remembered_statements.erase(at);
+  set.removed_endpoints.erase(at);
 }
 
 milliseconds RemainingBackoff(const Endpoint& endpoint, Time now) {
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -43,7 +43,7 @@
   const auto at = set.by_id.find(id);
   if (at == set.by_id.end()) return;
   at->second->phase = EndpointPhase::kGone;
-  RememberStatements(set, *at->second);
+  RememberRemoved(set, *at->second);
   RemoveFromService(set, at->second);
   set.by_id.erase(at);
 }
@@ -178,6 +178,7 @@
 
 void SetZoneOut(EndpointSet& set, const std::string& zone, bool is_out) {
   set.zones_out[zone] = is_out;
+  set.deferred_zone_changes.erase(zone);
 }
 
 bool IsZoneOut(const EndpointSet& set, std::string_view zone) {
--- a/routing/src/feed_fetch.cc
+++ b/routing/src/feed_fetch.cc
@@ -16,7 +16,9 @@
 // revision, whose link is the least likely to be busy with other peers.
 bool IsBetter(const Offer& left, const Offer& right) {
   if (left.near != right.near) return left.near;
-  return left.revision > right.revision;
+  if (left.progress.era != right.progress.era)
+    return left.progress.era > right.progress.era;
+  return left.progress.known > right.progress.known;
 }
 
 }  // namespace
@@ -26,23 +28,23 @@
 }
 
 void OnOffer(FeedFetch& fetch, const std::string& peer, bool near,
-             std::uint64_t revision) {
+             const FeedProgress& progress) {
   if (Offer* offer = FindOffer(fetch, peer)) {
-    offer->revision = std::max(offer->revision, revision);
+    offer->progress = progress;
     return;
   }
   if (fetch.offers.size() >= kMaxOffers)
     fetch.offers.erase(fetch.offers.begin());
-  fetch.offers.push_back({peer, near, revision, {}});
+  fetch.offers.push_back({peer, near, progress, {}});
 }
 
-std::string StartNextFetch(FeedFetch& fetch, std::uint64_t own_revision,
-                           Time now) {
-  std::erase_if(fetch.offers, [own_revision](const Offer& offer) {
-    return offer.revision <= own_revision;
+const Offer* StartNextFetch(FeedFetch& fetch, const FeedProgress& own,
+                            Time now) {
+  std::erase_if(fetch.offers, [&own](const Offer& offer) {
+    return !HasNews(offer.progress, own);
   });
   if (!fetch.asked_peer.empty()) {
-    if (now - fetch.asked_at < kFetchTimeout) return {};
+    if (now - fetch.asked_at < kFetchTimeout) return nullptr;
     const std::string silent_peer = fetch.asked_peer;
     OnFetchFailed(fetch, silent_peer, kFetchTimeoutBackoff, now);
   }
@@ -52,10 +54,10 @@
     if (best_offer == nullptr || IsBetter(offer, *best_offer))
       best_offer = &offer;
   }
-  if (best_offer == nullptr) return {};
+  if (best_offer == nullptr) return nullptr;
   fetch.asked_peer = best_offer->peer;
   fetch.asked_at = now;
-  return fetch.asked_peer;
+  return best_offer;
 }
 
 void OnFetchDone(FeedFetch& fetch, const std::string& peer) {
--- a/routing/tests/endpoint_notices_test.cc
+++ b/routing/tests/endpoint_notices_test.cc
@@ -104,13 +104,13 @@
 
 // Guards against memory that grows with each endpoint that ever left.
 TEST(EndpointNotices, OfRemovedEndpointsAreBounded) {
-  constexpr std::size_t kEndpoints = er::kMaxRememberedStatements + 10;
+  constexpr std::size_t kEndpoints = er::kMaxRememberedEndpoints + 10;
   for (std::size_t i = 0; i < kEndpoints; ++i) {
     const std::string id = "e" + std::to_string(i);
     er::OnNotice(set, *Publish(MakeEntry(id)), {true, {}}, kStart);
     er::OnEntryRemoved(set, id, false, kStart);
   }
-  LONGS_EQUAL(er::kMaxRememberedStatements, set.remembered_statements.size());
+  LONGS_EQUAL(er::kMaxRememberedEndpoints, set.removed_endpoints.size());
   CHECK(!er::IsLeaving(*Publish(MakeEntry("e9"))));
   CHECK(er::IsLeaving(*Publish(MakeEntry("e10"))));
 }
--- a/routing/tests/feed_fetch_test.cc
+++ b/routing/tests/feed_fetch_test.cc
@@ -13,14 +13,20 @@
   er::FeedFetch fetch;
 
   std::string StartNext(std::uint64_t own_revision = 0) {
-    return er::StartNextFetch(fetch, own_revision, now);
+    const er::Offer* offer =
+        er::StartNextFetch(fetch, {own_revision, own_revision}, now);
+    return offer == nullptr ? "" : offer->peer;
+  }
+
+  void Offer(const std::string& peer, bool near, std::uint64_t revision) {
+    er::OnOffer(fetch, peer, near, {revision, revision});
   }
 };
 
 // Guards against receiving the same change from each peer that has it.
 TEST(FeedFetch, OnePeerIsAskedAtATime) {
-  er::OnOffer(fetch, "a", false, 5);
-  er::OnOffer(fetch, "b", false, 5);
+  Offer("a", false, 5);
+  Offer("b", false, 5);
   STRCMP_EQUAL("a", StartNext().c_str());
   STRCMP_EQUAL("", StartNext().c_str());
   er::OnFetchDone(fetch, "a");
@@ -30,15 +36,15 @@
 // Guards against fetching changes from another zone although a peer in the same
 // zone has them.
 TEST(FeedFetch, APeerInTheSameZoneIsAskedFirst) {
-  er::OnOffer(fetch, "far", false, 9);
-  er::OnOffer(fetch, "near", true, 8);
+  Offer("far", false, 9);
+  Offer("near", true, 8);
   STRCMP_EQUAL("near", StartNext().c_str());
 }
 
 // Guards against waiting for a peer whose machine lost power.
 TEST(FeedFetch, AnotherPeerIsAskedAfterATimeout) {
-  er::OnOffer(fetch, "a", true, 5);
-  er::OnOffer(fetch, "b", false, 5);
+  Offer("a", true, 5);
+  Offer("b", false, 5);
   STRCMP_EQUAL("a", StartNext().c_str());
   now += er::kFetchTimeout;
   STRCMP_EQUAL("b", StartNext().c_str());
@@ -46,8 +52,8 @@
 
 // Guards against a late answer to a timed-out fetch that ends the next fetch.
 TEST(FeedFetch, ALateAnswerDoesNotEndTheNextFetch) {
-  er::OnOffer(fetch, "a", true, 5);
-  er::OnOffer(fetch, "b", false, 5);
+  Offer("a", true, 5);
+  Offer("b", false, 5);
   StartNext();
   now += er::kFetchTimeout;
   StartNext();
@@ -58,7 +64,7 @@
 // Guards against asking a busy peer without a backoff, and against forgetting
 // it.
 TEST(FeedFetch, ABusyPeerIsAskedAgainAfterItsBackoff) {
-  er::OnOffer(fetch, "a", true, 5);
+  Offer("a", true, 5);
   StartNext();
   er::OnFetchFailed(fetch, "a", er::kFetchBusyBackoff, now);
   STRCMP_EQUAL("", StartNext().c_str());
@@ -69,7 +75,7 @@
 // Guards against asking a peer again and again that restarted after its
 // announcement and knows less than before.
 TEST(FeedFetch, APeerThatSentLessThanItAnnouncedIsNotAskedAgainAtOnce) {
-  er::OnOffer(fetch, "a", true, 5);
+  Offer("a", true, 5);
   STRCMP_EQUAL("a", StartNext().c_str());
   er::OnFetchDone(fetch, "a");
   STRCMP_EQUAL("", StartNext(2).c_str());
@@ -78,7 +84,7 @@
 // Guards against a number of offers that grows with the fleet.
 TEST(FeedFetch, OffersAreBounded) {
   for (int i = 0; i < 100; ++i) {
-    er::OnOffer(fetch, std::to_string(i), false, 5);
+    Offer(std::to_string(i), false, 5);
   }
   LONGS_EQUAL(er::kMaxOffers, fetch.offers.size());
 }
--- a/routing/tests/spread_test.cc
+++ b/routing/tests/spread_test.cc
@@ -148,17 +148,17 @@
     if (node.is_dead) return;
     if (!er::ApplyPeerProgress(node.catalog, feed, progress)) return;
     er::OnOffer(er::GetFeedFetch(node.feed_fetches, feed), std::to_string(from),
-                from % kZones == to % kZones, progress.known);
+                from % kZones == to % kZones, progress);
     FetchFromNextPeer(to, feed);
   }
 
   void FetchFromNextPeer(std::size_t i, er::Feed feed) {
     Node& node = nodes_[i];
-    const std::string peer =
+    const er::Offer* offer =
         er::StartNextFetch(er::GetFeedFetch(node.feed_fetches, feed),
-                           er::GetFeedProgress(node.catalog, feed).known, now_);
-    if (peer.empty()) return;
-    RunAfterDelay(kOneWayDelay, [this, i, feed, peer] {
+                           er::GetFeedProgress(node.catalog, feed), now_);
+    if (offer == nullptr) return;
+    RunAfterDelay(kOneWayDelay, [this, i, feed, peer = offer->peer] {
       ServeChanges(std::stoul(peer), i, feed);
     });
   }
