Don't list the store in a loop when it disowns its own revision

Callers saw nothing of it; the store got up to 350 reads a second from each node after a restore, above what it takes from all together.

Cause: a watch that is told that its history is gone lists at once. If the list doesn't lower the revision that is known, the next watch asks for the same again.

Change: within a second after a list the next one waits for a backoff.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -24,6 +24,8 @@
 /// Longest delay before the store is read anew after it was restored. All
 /// readers notice it at the same time.
 inline constexpr milliseconds kMaxNewEraDelay{50};
+/// A list that is wanted sooner after another one waits for a backoff.
+inline constexpr milliseconds kMinListInterval{1000};
 /// How long after news of a peer that doesn't know eras a node reads the store
 /// itself. During an upgrade all readers may be such peers.
 inline constexpr milliseconds kPeerWithoutEraTime{10'000};
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -139,6 +139,7 @@
   Time missed_change_since{};
   routing::Changes partial_list;  ///< The pages read so far.
   std::string last_key;           ///< Last key of those pages.
+  Time listed_at{};  ///< When a list was last received; default: never.
   net::HttpExchangePtr exchange;
   std::string body;
   int status = 0;
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -138,6 +138,7 @@
   }
   reader.last_key.clear();
   reader.has_full_list = true;
+  reader.listed_at = NowOf(proxy);
   ApplyChanges(proxy, std::exchange(reader.partial_list, {}),
                ChangeSource::kList, IsStoreTroubled(proxy));
   StartRead(proxy, reader);
@@ -172,7 +173,13 @@
                    {{"feed", routing::NameOf(reader.feed)},
                     {"revision", GetKnownRevision(proxy, reader.feed)}});
   reader.has_full_list = false;
-  StartRead(proxy, reader);
+  // A store that doesn't know the revision of its own list would be read in a
+  // loop.
+  if (NowOf(proxy) - reader.listed_at < kMinListInterval) {
+    OnReadFailed(proxy, reader, "history gone right after a list");
+  } else {
+    StartRead(proxy, reader);
+  }
 }
 
 void OnReadEnd(Proxy& proxy, StoreReader& reader) {
