--- a/routing/src/catalog.cc
+++ b/routing/src/catalog.cc
@@ -184,8 +184,11 @@
 std::uint64_t FetchAfter(const Catalog& catalog, Feed feed,
                          const FeedProgress& peer) {
   const FeedProgress own = GetFeedProgress(catalog, feed);
-  const bool is_ordered = peer.era == own.era && peer.version <= own.version;
-  return is_ordered ? own.known : 0;
+  if (peer.era != own.era) return 0;
+  // A newer version among changes that are known is one that the store lost.
+  const bool lacks_lost_version =
+      peer.version > own.version && peer.changed <= own.known;
+  return lacks_lost_version ? 0 : own.known;
 }
 
 bool HasNews(const FeedProgress& peer, const FeedProgress& own) {
--- a/routing/tests/catalog_test.cc
+++ b/routing/tests/catalog_test.cc
@@ -16,6 +16,11 @@
   return {er::Feed::kEndpoints, false, revision, std::move(items)};
 }
 
+er::Changes OfEra(er::StoreEra era, er::Changes changes) {
+  changes.era = era;
+  return changes;
+}
+
 }  // namespace
 
 TEST_GROUP(Catalog){};
@@ -115,3 +120,82 @@
   er::Apply(reader, MakeList(5, {}), kStart);
   CHECK(er::ApplyPeerProgress(other, feed, er::GetFeedProgress(reader, feed)));
 }
+
+// Guards against a store that was restored from an older copy: its changes have
+// revisions that were known before.
+TEST(Catalog, AListOfALaterEraReplacesWhatIsKnown) {
+  er::Catalog catalog;
+  er::Apply(catalog, OfEra(2, MakeList(9, {{"a", "1", 3}, {"b", "1", 8}})),
+            kStart);
+  const auto list = OfEra(3, MakeList(5, {{"a", "1", 3}, {"c", "1", 5}}));
+  CHECK(er::IsRestore(catalog, list));
+  const auto changed = er::Apply(catalog, list, kStart);
+  LONGS_EQUAL(2, changed.size());
+  STRCMP_EQUAL("c", changed[0].key.c_str());
+  STRCMP_EQUAL("b", changed[1].key.c_str());
+  CHECK(changed[1].removed);
+  const er::FeedState& feed = er::GetFeedState(catalog, er::Feed::kEndpoints);
+  LONGS_EQUAL(3, feed.era);
+  LONGS_EQUAL(5, feed.revision);
+}
+
+// Guards against a node of an earlier era that undoes the news of a later one,
+// and against a part of a later era that is taken for all of it.
+TEST(Catalog, ChangesOfAnotherEraHaveNoEffect) {
+  er::Catalog catalog;
+  er::Apply(catalog, OfEra(3, MakeList(5, {{"a", "1", 3}})), kStart);
+  CHECK(er::Apply(catalog, OfEra(2, MakeList(9, {{"b", "1", 9}})), kStart)
+            .empty());
+  CHECK(er::Apply(catalog, OfEra(4, MakeWatch(6, {{"b", "1", 6}})), kStart)
+            .empty());
+  LONGS_EQUAL(5, er::GetFeedState(catalog, er::Feed::kEndpoints).revision);
+}
+
+// Guards against an older configuration that replaces a newer one because its
+// revision or era is higher.
+TEST(Catalog, AnItemWithALowerVersionNeverReplacesAHigherOne) {
+  er::Catalog catalog;
+  er::Apply(catalog, OfEra(2, MakeList(9, {{"rules", "v8", 9, false, 8}})),
+            kStart);
+  er::Apply(catalog, OfEra(3, MakeList(4, {{"rules", "v7", 4, false, 7}})),
+            kStart);
+  const er::FeedState& feed = er::GetFeedState(catalog, er::Feed::kEndpoints);
+  STRCMP_EQUAL("v8", feed.items.at("rules").value.c_str());
+  // It is taken from a node of an earlier era as well.
+  er::Apply(catalog, OfEra(2, MakeWatch(10, {{"rules", "v9", 10, false, 9}})),
+            kStart);
+  STRCMP_EQUAL("v9", feed.items.at("rules").value.c_str());
+  LONGS_EQUAL(3, feed.era);
+}
+
+// Guards against a node that starts on an older copy and never asks its peers,
+// which know a newer version under a lower revision.
+TEST(Catalog, APeerWithAHigherVersionIsAskedForAList) {
+  er::Catalog ours;
+  er::Catalog theirs;
+  const auto feed = er::Feed::kEndpoints;
+  er::Apply(theirs, OfEra(2, MakeList(9, {{"rules", "v8", 9, false, 8}})),
+            kStart);
+  er::Apply(theirs, OfEra(3, MakeList(4, {{"rules", "v7", 4, false, 7}})),
+            kStart);
+  er::Apply(ours, OfEra(3, MakeList(6, {{"rules", "v7", 4, false, 7}})),
+            kStart);
+  const er::FeedProgress progress = er::GetFeedProgress(theirs, feed);
+  CHECK(er::ApplyPeerProgress(ours, feed, progress));
+  LONGS_EQUAL(0, er::FetchAfter(ours, feed, progress));
+  er::Apply(ours, er::ChangesSince(theirs, feed, 0), kStart);
+  STRCMP_EQUAL("v8",
+               er::GetFeedState(ours, feed).items.at("rules").value.c_str());
+  CHECK_FALSE(er::ApplyPeerProgress(ours, feed, progress));
+}
+
+// Guards against an upgrade during which nodes ignore those that don't know
+// eras yet, and against such nodes after a restore.
+TEST(Catalog, APeerWithoutAnEraCountsUntilTheEraRises) {
+  er::Catalog catalog;
+  er::Apply(catalog, OfEra(2, MakeList(5, {{"a", "1", 3}})), kStart);
+  LONGS_EQUAL(1,
+              er::Apply(catalog, MakeWatch(6, {{"b", "1", 6}}), kStart).size());
+  er::Apply(catalog, OfEra(3, MakeList(4, {{"a", "1", 3}})), kStart);
+  CHECK(er::Apply(catalog, MakeWatch(9, {{"c", "1", 9}}), kStart).empty());
+}
