Probe a service that nobody wanted with one request, not two

Callers of a node with few requests saw two of them lost, again and again, while its connections to endpoints were accepted and silent.

Cause: a lost service for which no request came for two seconds counted as returning, so that the node is listed to callers again. Returning means that two requests are sent at once. In the soak all six callers wait for their deadline after such a loss, so that the next two or three seconds have no request.

Change: such a service stays lost, and peers and callers aren't told so any more: the first request probes, others are handed over, and a probe that fails is news.

--- a/proxy/src/service_reach.cc
+++ b/proxy/src/service_reach.cc
@@ -44,9 +44,7 @@
 bool UpdateUnreached(Proxy& proxy) {
   routing::ServiceBits unreached = 0;
   for (const auto& [service, reach] : proxy.reaches) {
-    if (reach.state != routing::ReachState::kLost || proxy.rules == nullptr) {
-      continue;
-    }
+    if (!routing::IsUnreached(reach) || proxy.rules == nullptr) continue;
     unreached |= routing::BitOfService(*proxy.rules, service);
   }
   const bool changed = unreached != proxy.members.self.unreached;
--- a/routing/include/egretladder/routing/service_reach.h
+++ b/routing/include/egretladder/routing/service_reach.h
@@ -46,9 +46,10 @@
   /// Hashes of the ids of the endpoints at which they failed, without
   /// repetition, `kMinUnansweringEndpoints` at most.
   std::vector<std::uint64_t> unanswering;
-  std::uint32_t failures = 0;     ///< Attempts that failed in a row.
-  Time next_probe_at{};           ///< While lost.
-  Time last_wanted_at{};          ///< Last request for the service while lost.
+  std::uint32_t failures = 0;  ///< Attempts that failed in a row.
+  Time next_probe_at{};        ///< While lost.
+  Time last_wanted_at{};       ///< Last request for the service while lost.
+  bool is_unwanted = false;    ///< No request came for long; see `IsUnreached`.
   milliseconds probe_interval{};  ///< While lost.
   std::uint32_t in_flight = 0;    ///< Attempts that began since `state_since`.
   std::uint32_t max_in_flight = 0;  ///< While returning.
@@ -85,8 +86,12 @@
 bool MayReach(const ServiceReach& reach, Time now);
 /// Records that a request for the service came, whether or not it may probe.
 void OnReachWanted(ServiceReach& reach, Time now);
-/// Lets a service return that is lost and for which no request has come for
-/// `kMaxUnwantedTime`. Returns true if the state changed.
+/// Records that no request has come for `kMaxUnwantedTime` for a lost service.
+/// Returns true if that is news.
 bool ForgetUnwantedLoss(ServiceReach& reach, Time now);
+/// Returns true if peers are to know that this node doesn't reach the service.
+/// Without requests it can't know: callers have to come again, of whose
+/// requests the first one probes.
+bool IsUnreached(const ServiceReach& reach);
 
 }  // namespace egretladder::routing
--- a/routing/src/service_reach.cc
+++ b/routing/src/service_reach.cc
@@ -1,6 +1,7 @@
 #include "egretladder/routing/service_reach.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace egretladder::routing {
 namespace {
@@ -9,6 +10,7 @@
   reach.state = state;
   reach.state_since = now;
   reach.in_flight = 0;
+  reach.is_unwanted = false;
 }
 
 void EnterLost(ServiceReach& reach, Time now) {
@@ -87,9 +89,9 @@
 
 bool OnReachUnanswered(ServiceReach& reach, std::uint64_t endpoint,
                        std::size_t endpoints, Time sent_at, Time now) {
-  if (sent_at < reach.state_since || reach.state == ReachState::kLost) {
-    return false;
-  }
+  if (sent_at < reach.state_since) return false;
+  if (reach.state == ReachState::kLost)
+    return std::exchange(reach.is_unwanted, false);
   if (reach.failing_since == Time{} || sent_at < reach.failing_since) {
     reach.failing_since = sent_at;
   }
@@ -106,7 +108,7 @@
 
 bool CheckOverdueAttempts(ServiceReach& reach,
                           const std::vector<EndpointPtr>& endpoints, Time now) {
-  if (reach.state == ReachState::kLost) return false;
+  if (reach.state == ReachState::kLost && !reach.is_unwanted) return false;
   for (const EndpointPtr& endpoint : endpoints) {
     if (IsUnanswering(reach, endpoint->name_hash)) continue;
     if (OverdueTime(*endpoint, now).count() == 0) continue;
@@ -151,13 +153,17 @@
 }
 
 bool ForgetUnwantedLoss(ServiceReach& reach, Time now) {
-  if (reach.state != ReachState::kLost ||
+  if (reach.state != ReachState::kLost || reach.is_unwanted ||
       now - std::max(reach.last_wanted_at, reach.next_probe_at) <
           kMaxUnwantedTime) {
     return false;
   }
-  EnterReturning(reach, now);
+  reach.is_unwanted = true;
   return true;
 }
 
+bool IsUnreached(const ServiceReach& reach) {
+  return reach.state == ReachState::kLost && !reach.is_unwanted;
+}
+
 }  // namespace egretladder::routing
