Probe a lost service by requests that can be sent again

Callers of a node whose connections to endpoints are accepted and silent lost a request in each half second as a probe; one that may run once can't be sent again after its silence, and its caller waits for its whole deadline.

Change: for three seconds after a probe is due, only requests that can be sent again probe; these go to another node after their silence. Without any, one that may run once probes as before.

--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -226,7 +226,10 @@
   input.may_reach =
       placement.endpoint == nullptr
           ? reach.state != routing::ReachState::kLost
-          : routing::TryReach(reach, Elapsed(now, call->deadline), now);
+          : routing::TryReach(reach,
+                              {Elapsed(now, call->deadline),
+                               routing::IsRouteRepeatable(*call->route)},
+                              now);
   const routing::HandoverReason reason = routing::DecideHandover(input);
   if (reason == routing::HandoverReason::kNone) return false;
   if (call->handed_over) {
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -287,6 +287,9 @@
 /// Interval at which a request probes a lost service. The request may lose a
 /// connect timeout.
 inline constexpr milliseconds kReachProbeInterval{500};
+/// How long a probe waits for a repeatable request. Connections may be accepted
+/// and silent, and other requests would be lost.
+inline constexpr milliseconds kRepeatableProbeTime{3000};
 /// Upper bound of that interval for a service that is lost again and again.
 inline constexpr milliseconds kMaxReachProbeInterval{4000};
 /// A lost service for which no request has come for this long returns. The node
--- a/routing/include/egretladder/routing/service_reach.h
+++ b/routing/include/egretladder/routing/service_reach.h
@@ -74,15 +74,23 @@
 bool CheckOverdueAttempts(ServiceReach& reach,
                           const std::vector<EndpointPtr>& endpoints, Time now);
 
-/// Returns true if this node may send a request with `time_left` to an endpoint
-/// of the service itself. While the service is lost, this is true for one
-/// request in each probe interval, which begins with the call.
-bool TryReach(ServiceReach& reach, milliseconds time_left, Time now);
+/// A request that a node may send over links that may be lost.
+struct ReachRequest {
+  milliseconds time_left{};
+  bool is_repeatable = false;  ///< Without an answer it can be sent again.
+};
+
+/// Returns true if this node may send the request to an endpoint of the service
+/// itself. While the service is lost, this is true for one request in each
+/// probe interval, which begins with the call. A request that isn't repeatable
+/// would be lost as a probe, and waits for `kRepeatableProbeTime`.
+bool TryReach(ServiceReach& reach, const ReachRequest& request, Time now);
 
 /// Returns true if the last attempts at the service failed, which need not be
 /// enough for a loss.
 bool IsFailing(const ServiceReach& reach);
-/// Returns what `TryReach` would, without beginning a probe interval.
+/// Returns what `TryReach` would for a repeatable request, without beginning a
+/// probe interval.
 bool MayReach(const ServiceReach& reach, Time now);
 /// Records that a request for the service came, whether or not it may probe.
 void OnReachWanted(ServiceReach& reach, Time now);
--- a/routing/src/service_reach.cc
+++ b/routing/src/service_reach.cc
@@ -140,10 +140,14 @@
   return now >= reach.next_probe_at;
 }
 
-bool TryReach(ServiceReach& reach, milliseconds time_left, Time now) {
+bool TryReach(ServiceReach& reach, const ReachRequest& request, Time now) {
   if (!MayReach(reach, now)) return false;
   if (reach.state != ReachState::kLost) return true;
-  if (time_left < kMinProbeTimeLeft) return false;
+  if (request.time_left < kMinProbeTimeLeft) return false;
+  if (!request.is_repeatable &&
+      now < reach.next_probe_at + kRepeatableProbeTime) {
+    return false;
+  }
   reach.next_probe_at = now + reach.probe_interval;
   return true;
 }
--- a/routing/tests/service_reach_test.cc
+++ b/routing/tests/service_reach_test.cc
@@ -18,8 +18,8 @@
   bool Answer(int sent_ms_ago = 10) {
     return er::OnReachAnswered(reach, now - milliseconds(sent_ms_ago), now);
   }
-  bool TryReach(int left_ms = 4000) {
-    return er::TryReach(reach, milliseconds(left_ms), now);
+  bool TryReach(int left_ms = 4000, bool is_repeatable = true) {
+    return er::TryReach(reach, {milliseconds(left_ms), is_repeatable}, now);
   }
   void Lose() {
     Fail(1);
@@ -125,6 +125,18 @@
   CHECK_TRUE(TryReach());
 }
 
+// Guards against probes that lose requests which can't be sent again.
+TEST(ServiceReach, ARequestThatMayRunOnceProbesOnlyWithoutOthers) {
+  Lose();
+  Advance(static_cast<int>(er::kReachProbeInterval.count()));
+  CHECK_FALSE(TryReach(4000, false));
+  CHECK_TRUE(TryReach());
+  Advance(static_cast<int>(
+      (er::kReachProbeInterval + er::kRepeatableProbeTime).count()));
+  CHECK_TRUE(TryReach(4000, false));
+  CHECK_FALSE(TryReach(4000, false));
+}
+
 // Guards against sending all requests to a link that has just returned.
 TEST(ServiceReach, ReturnsBySteps) {
   Lose();
