Judge a lost service by the endpoints that can be used

Callers of a node without links were not served for as long as their requests all went to the same endpoint.

Cause: a service counts as lost when attempts at several of its endpoints get no answer, at all of them if it has fewer.

Evidence: SilenceOfTheOnlyUsableEndpointIsALoss, red before (503), green now; links of the harness can be silent for it.

Change: only endpoints that can get requests without a limit count among all. A wrong guess, one endpoint that is silent for all nodes, costs a declined handover, as before.

--- a/proxy/src/service_reach.cc
+++ b/proxy/src/service_reach.cc
@@ -1,6 +1,8 @@
 // Evidence of this node's links to the services, and its log.
 #include "egretladder/routing/service_reach.h"
 
+#include <algorithm>
+
 #include "state_p.h"
 
 namespace egretladder::proxy {
@@ -10,9 +12,20 @@
 using kernel::LogPart;
 using routing::AttemptOutcome;
 
-std::size_t CountEndpoints(const Proxy& proxy, const std::string& service) {
+// Returns the number of endpoints at which an attempt can show whether the
+// service is reached. One that hardly gets any never would.
+std::size_t CountUsableEndpoints(const Proxy& proxy,
+                                 const std::string& service) {
   const auto at = proxy.endpoints.by_service.find(service);
-  return at != proxy.endpoints.by_service.end() ? at->second.size() : 0;
+  if (at == proxy.endpoints.by_service.end()) return 0;
+  const Time now = NowOf(proxy);
+  const auto usable = std::count_if(
+      at->second.begin(), at->second.end(),
+      [&proxy, now](const routing::EndpointPtr& endpoint) {
+        return routing::MaySend(proxy.endpoints, *endpoint, now) &&
+               endpoint->limit.per_second == 0;
+      });
+  return usable > 0 ? static_cast<std::size_t>(usable) : at->second.size();
 }
 
 bool IsUnanswered(const Attempt& attempt, AttemptOutcome outcome) {
@@ -35,7 +48,7 @@
 
 void OnStateChanged(Proxy& proxy, const std::string& service,
                     const routing::ServiceReach& reach) {
-  LogState(service, reach, CountEndpoints(proxy, service), NowOf(proxy));
+  LogState(service, reach, CountUsableEndpoints(proxy, service), NowOf(proxy));
   if (UpdateUnreached(proxy)) ExchangeWithManyPeers(proxy);
 }
 
@@ -57,7 +70,8 @@
   for (auto& [service, reach] : proxy.reaches) {
     const auto at = proxy.endpoints.by_service.find(service);
     if (at == proxy.endpoints.by_service.end()) continue;
-    if (routing::CheckOverdueAttempts(reach, at->second, now))
+    if (routing::CheckOverdueAttempts(
+            reach, at->second, CountUsableEndpoints(proxy, service), now))
       OnStateChanged(proxy, service, reach);
   }
 }
@@ -96,7 +110,7 @@
   const std::string& service = call.service->name;
   routing::ServiceReach& reach = proxy.reaches[service];
   const Time now = NowOf(proxy);
-  const std::size_t endpoints = CountEndpoints(proxy, service);
+  const std::size_t endpoints = CountUsableEndpoints(proxy, service);
   if (!routing::OnReachUnanswered(reach, attempt.endpoint->name_hash, endpoints,
                                   attempt.sent_at, now)) {
     return;
--- a/proxy/tests/cut_off_test.cc
+++ b/proxy/tests/cut_off_test.cc
@@ -125,6 +125,24 @@
   CheckAllServed("/once/a");
 }
 
+// Guards against callers of a node whose connections are accepted and silent,
+// while the service has one endpoint that can be used.
+TEST(CutOff, SilenceOfTheOnlyUsableEndpointIsALoss) {
+  StartNodes(et::AnswerImmediately());
+  for (std::size_t i = 1; i < endpoints.size(); ++i) {
+    env.Register("e" + std::to_string(i), endpoints[i]->address(), "a",
+                 "leaving");
+  }
+  env.RunLoopFor(300ms);
+  links.Set(et::Cut::kSilent);
+  for (int i = 0; i < 4; ++i) {
+    env.SendRequest(*cut, {.path = "/once/a", .id = "n" + std::to_string(i)});
+    env.RunLoopFor(100ms);
+  }
+  env.RunLoopFor(1500ms);
+  CheckAllServed("/once/a");
+}
+
 // Guards against a request that may not run twice and runs at two nodes.
 TEST(CutOff, RequestRunsOnceWhileConnectionsHang) {
   StartNodes(et::AnswerImmediately());
--- a/proxy/tests/harness_links.cc
+++ b/proxy/tests/harness_links.cc
@@ -87,10 +87,11 @@
         pair.node->Reset();
         pair.endpoint->Close();
       }
-      if (cut == Cut::kHang) pair.silent = true;
+      if (cut == Cut::kHang || cut == Cut::kSilent) pair.silent = true;
     }
   }
-  if (cut == Cut::kNone) Listen(true);
+  is_silent_ = cut == Cut::kSilent;
+  if (cut == Cut::kNone || cut == Cut::kSilent) Listen(true);
   if (cut == Cut::kHang) {
     Listen(false);
     FillBacklog();
@@ -99,6 +100,7 @@
 
 void EndpointLink::Accept(evutil_socket_t fd) {
   Pair& pair = pairs_.emplace_back();
+  pair.silent = is_silent_;
   pair.node = std::make_unique<TestConnection>(loop_, fd);
   pair.endpoint = std::make_unique<TestConnection>(loop_, target_);
   pair.node->OnChange([this, &pair] { Forward(pair); });
--- a/proxy/tests/harness_links.h
+++ b/proxy/tests/harness_links.h
@@ -21,6 +21,8 @@
   kReset,
   /// New connections are refused, open ones live on.
   kRefuseNew,
+  /// New connections are accepted, and all of them are silent.
+  kSilent,
 };
 
 /// The link to one endpoint: a relay that listens where the node connects.
@@ -51,6 +53,8 @@
   void Accept(evutil_socket_t fd);
   void Forward(Pair& pair);
 
+  bool is_silent_ = false;  // Connections accepted from now on are silent.
+
   kernel::Loop& loop_;
   std::string target_;
   std::string address_;
--- a/routing/include/egretladder/routing/service_reach.h
+++ b/routing/include/egretladder/routing/service_reach.h
@@ -63,16 +63,17 @@
 /// state changed.
 bool OnReachAnswered(ServiceReach& reach, Time sent_at, Time now);
 /// Records that an attempt sent at `sent_at` to the endpoint with that hash
-/// ended without any answer. The service has `endpoints` endpoints. Returns
-/// true if the state changed.
+/// ended without any answer. The service has `endpoints` endpoints that can get
+/// requests. Returns true if the state changed.
 bool OnReachUnanswered(ServiceReach& reach, std::uint64_t endpoint,
                        std::size_t endpoints, Time sent_at, Time now);
 
 /// Counts attempts that still wait at the endpoints as failures, if they are
-/// overdue and no attempt was answered since they were sent. Returns true if
-/// the state changed.
+/// overdue and no attempt was answered since they were sent. `usable` endpoints
+/// can get requests. Returns true if the state changed.
 bool CheckOverdueAttempts(ServiceReach& reach,
-                          const std::vector<EndpointPtr>& endpoints, Time now);
+                          const std::vector<EndpointPtr>& endpoints,
+                          std::size_t usable, Time now);
 
 /// A request that a node may send over links that may be lost.
 struct ReachRequest {
--- a/routing/src/service_reach.cc
+++ b/routing/src/service_reach.cc
@@ -107,7 +107,8 @@
 }
 
 bool CheckOverdueAttempts(ServiceReach& reach,
-                          const std::vector<EndpointPtr>& endpoints, Time now) {
+                          const std::vector<EndpointPtr>& endpoints,
+                          std::size_t usable, Time now) {
   if (reach.state == ReachState::kLost && !reach.is_unwanted) return false;
   for (const EndpointPtr& endpoint : endpoints) {
     if (IsUnanswering(reach, endpoint->name_hash)) continue;
@@ -116,8 +117,7 @@
     if (sent_at < reach.last_answer_at || now - sent_at < kMinServiceSilence) {
       continue;
     }
-    if (OnReachUnanswered(reach, endpoint->name_hash, endpoints.size(), sent_at,
-                          now)) {
+    if (OnReachUnanswered(reach, endpoint->name_hash, usable, sent_at, now)) {
       return true;
     }
   }
--- a/routing/tests/service_reach_test.cc
+++ b/routing/tests/service_reach_test.cc
@@ -65,9 +65,10 @@
     endpoints.back()->unanswered[i] = {now, now + milliseconds(50)};
   }
   Advance(static_cast<int>(er::kMinServiceSilence.count()) - 1);
-  CHECK_FALSE(er::CheckOverdueAttempts(reach, endpoints, now));
+  CHECK_FALSE(
+      er::CheckOverdueAttempts(reach, endpoints, endpoints.size(), now));
   Advance(1);
-  CHECK_TRUE(er::CheckOverdueAttempts(reach, endpoints, now));
+  CHECK_TRUE(er::CheckOverdueAttempts(reach, endpoints, endpoints.size(), now));
   CheckState(er::ReachState::kLost);
 }
 
@@ -81,7 +82,8 @@
   endpoints[0]->unanswered[1] = {now, now + milliseconds(50)};
   for (int i = 0; i < 30; ++i) {
     Advance(100);
-    CHECK_FALSE(er::CheckOverdueAttempts(reach, endpoints, now));
+    CHECK_FALSE(
+        er::CheckOverdueAttempts(reach, endpoints, endpoints.size(), now));
   }
   // An answer from another endpoint since refutes the silence of all.
   endpoints[1]->unanswered[2] = {now, now + milliseconds(50)};
@@ -89,7 +91,8 @@
   Advance(10);
   Answer(5);
   Advance(1500);
-  CHECK_FALSE(er::CheckOverdueAttempts(reach, endpoints, now));
+  CHECK_FALSE(
+      er::CheckOverdueAttempts(reach, endpoints, endpoints.size(), now));
 }
 
 // Guards against a loss that is seen between answers of other endpoints.
