--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -94,10 +94,11 @@
                  routing::GetFeedState(proxy.catalog, feed).revision),
              label);
   }
-  SetGauge(proxy, "egretladder_store_era",
-           "How often the store came back from an older copy, by its own count; "
-           "-1: not stated.",
-           static_cast<double>(proxy.store_era) - 1);
+  SetGauge(
+      proxy, "egretladder_store_era",
+      "How often the store came back from an older copy, by its own count; "
+      "-1: not stated.",
+      static_cast<double>(proxy.store_era) - 1);
   SetGauge(proxy, "egretladder_store_trouble",
            "1 if a read of the store failed recently, otherwise 0.",
            IsStoreTroubled(proxy) ? 1 : 0);
