--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -206,8 +206,8 @@
   Time last_store_failure{};  ///< Last failed call to the store; default: none.
   /// The latest era of the store that any of its answers or a peer stated.
   routing::StoreEra store_era = 0;
-  routing::StoreEra last_odd_era = 0;  ///< Last lower era that was logged.
-  bool is_era_unclear = false;         ///< The last answer stated no valid era.
+  routing::StoreEra last_lower_era = 0;  ///< Last lower era that was logged.
+  bool is_era_unclear = false;  ///< The last answer stated no valid era.
   /// When a peer last told its progress without an era, though the era has
   /// risen here: its news can't be used. Default: never.
   Time peer_without_era_at{};
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -32,9 +32,9 @@
   const bool is_unclear = stated.era == 0 && proxy.store_era > 0;
   const bool is_lower = stated.era > 0 && stated.era < proxy.store_era;
   const bool is_news = (is_unclear && !proxy.is_era_unclear) ||
-                       (is_lower && proxy.last_odd_era != stated.era);
+                       (is_lower && proxy.last_lower_era != stated.era);
   proxy.is_era_unclear = is_unclear;
-  if (is_lower) proxy.last_odd_era = stated.era;
+  if (is_lower) proxy.last_lower_era = stated.era;
   if (!is_news) return;
   kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "store-era-unclear",
                    {{"feed", routing::NameOf(reader.feed)},
@@ -374,12 +374,13 @@
   const bool has_all_feeds = proxy.rules != nullptr &&
                              proxy.readers[0].has_full_list &&
                              proxy.readers[1].has_full_list;
-  const bool lacks_peers =
+  const bool has_peers_without_era =
       proxy.peer_without_era_at != Time{} &&
       now - proxy.peer_without_era_at < kPeerWithoutEraTime;
   const bool should_read =
-      has_all_feeds ? lacks_peers || routing::IsReader(proxy.members, now)
-                    : now >= proxy.initial_read_at;
+      has_all_feeds
+          ? has_peers_without_era || routing::IsReader(proxy.members, now)
+          : now >= proxy.initial_read_at;
   if (should_read == proxy.reads_store) return;
   proxy.reads_store = should_read;
   kernel::LogEvent(LogPart::kPlatform, LogLevel::kInfo, "reads-store",
