Log by which bound and view of the fleet a brittle endpoint was overrun

The line `brittle-refusal` told what was in flight, but neither the bound that let the request pass nor how many nodes this one knew when it took itself for a sender, so that a bound that is too high, a statement that ended and two views of the fleet look alike. It now has `bound`, `nodes`, `known_nodes`, `stated_ms` and `sent_ms`.

--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -34,9 +34,9 @@
       routing::FindBrittle(proxy.endpoints, call.service->name, now);
   if (brittle == nullptr) return;
   routing::Endpoint& endpoint = *call.attempt->endpoint;
-  routing::OnBrittleRefusal(endpoint, *brittle,
-                            GetFleetSnapshot(proxy, call, now), proxy.random,
-                            now);
+  const routing::FleetSnapshot& fleet = GetFleetSnapshot(proxy, call, now);
+  const std::uint32_t bound = routing::MaxBrittleInFlight(endpoint, fleet, now);
+  routing::OnBrittleRefusal(endpoint, *brittle, fleet, proxy.random, now);
   IncrementCounter(proxy, "egretladder_brittle_refusals_total",
                    "Requests that brittle endpoints turned away.",
                    "service=\"" + call.service->name + "\"");
@@ -45,7 +45,12 @@
       {{"req", call.metadata.id},
        {"endpoint", endpoint.entry.id},
        {"tolerance", brittle->tolerance},
+       {"stated_ms", Elapsed(brittle->stated_at, now)},
        {"in_flight", endpoint.in_flight},
+       {"bound", bound},
+       {"nodes", fleet.nodes},
+       {"known_nodes", fleet.names.size()},
+       {"sent_ms", Elapsed(call.attempt->sent_at, now)},
        {"closed_ms", Elapsed(now, endpoint.brittle_room.closed_until)}});
 }
 
