--- a/routing/tests/harness_fleet.h
+++ b/routing/tests/harness_fleet.h
@@ -61,6 +61,10 @@
   Time now() const { return now_; }
   kernel::Random& random() { return random_; }
 
+  /// Returns whether messages pass between two running nodes.
+  bool AreInTouch(std::size_t from, std::size_t to) const {
+    return IsRunning(from) && Reaches(from, to);
+  }
   /// Returns whether `node` takes `other` for available.
   bool TakesForAvailable(std::size_t node, std::size_t other) const;
   /// Returns how many other nodes the node takes for available.
