Bound what all nodes together are turned away by a brittle endpoint

What callers saw: endpoints of a service that said they were brittle fell over again and again, each time with all that ran there, and of small services most requests were refused.

Cause: what makes an endpoint fall is the number of requests that all nodes are turned away in a second, but nodes bounded what each has in flight, at one or more. Of up to 16 senders each asked again after its pause, however little room there was, and pauses that began together ended together. Besides, the statement ended after 3 s without an answer, when all endpoints of a small service were closed, and only placing looked at it, not the first byte.

Ruled out as the only cause: starts and partitions, since the first two have none.

Change: few nodes send to an endpoint, one for a tolerance up to 7, by the hash that shares cold and limited endpoints. Each has its part of half of the tolerance; a refusal uses one for 1.1 s, and a request that may still be turned away uses one until it is answered or a round trip has passed. First bytes go through the same check. The bound in flight follows refusals and grows with the square of the time. Other nodes hand over to senders. The statement lasts 15 s while no answer comes without it. A node that knows a third of its fleet or less sends nothing there. Whether a node is a sender is kept until members change.

Why it works: the sum over senders is at most half of the tolerance, whatever the room, and fits twice when two parts of a fleet don't know of each other.

--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -35,23 +35,25 @@
   if (brittle == nullptr) return;
   routing::Endpoint& endpoint = *call.attempt->endpoint;
   const routing::FleetSnapshot& fleet = GetFleetSnapshot(proxy, call, now);
-  const std::uint32_t bound = routing::MaxBrittleInFlight(endpoint, fleet, now);
-  routing::OnBrittleRefusal(endpoint, *brittle, fleet, proxy.random, now);
+  const std::uint32_t bound =
+      routing::MaxBrittleInFlight(endpoint, *brittle, fleet, now);
+  const milliseconds took = Elapsed(call.attempt->first_byte_sent_at, now);
+  routing::OnBrittleRefusal(endpoint, *brittle, took, now);
   IncrementCounter(proxy, "egretladder_brittle_refusals_total",
                    "Requests that brittle endpoints turned away.",
                    "service=\"" + call.service->name + "\"");
-  kernel::LogEvent(
-      LogPart::kEndpoint, LogLevel::kWarning, "brittle-refusal",
-      {{"req", call.metadata.id},
-       {"endpoint", endpoint.entry.id},
-       {"tolerance", brittle->tolerance},
-       {"stated_ms", Elapsed(brittle->stated_at, now)},
-       {"in_flight", endpoint.in_flight},
-       {"bound", bound},
-       {"nodes", fleet.nodes},
-       {"known_nodes", fleet.names.size()},
-       {"sent_ms", Elapsed(call.attempt->sent_at, now)},
-       {"closed_ms", Elapsed(now, endpoint.brittle_room.closed_until)}});
+  kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "brittle-refusal",
+                   {{"req", call.metadata.id},
+                    {"endpoint", endpoint.entry.id},
+                    {"tolerance", brittle->tolerance},
+                    {"stated_ms", Elapsed(brittle->stated_at, now)},
+                    {"in_flight", endpoint.in_flight},
+                    {"bound", bound},
+                    {"nodes", fleet.nodes},
+                    {"known_nodes", fleet.names.size()},
+                    {"took_ms", took},
+                    {"bound_now", routing::MaxBrittleInFlight(
+                                      endpoint, *brittle, fleet, now)}});
 }
 
 // Records what the outcome says about the endpoint.
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -273,6 +273,8 @@
   if (!proxy.suspects.by_request.empty())
     routing::OnSuspectSent(proxy.suspects, GetFingerprint(*call), now);
   call->attempt->request_sent = true;
+  call->attempt->first_byte_sent_at = now;
+  routing::OnAttemptBegan(*call->attempt->endpoint, call->attempt->number, now);
   OnRetrySent(proxy, *call);
   return true;
 }
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -43,6 +43,7 @@
   net::HttpExchangePtr exchange;
   Time sent_at{};
   bool request_sent = false;  ///< The first byte of the request was sent.
+  Time first_byte_sent_at{};  ///< Default: it was not sent.
   bool started = false;       ///< The endpoint answered or sent an event.
   /// The answer is a stream whose events are forwarded as they arrive.
   bool is_event_stream = false;
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -1,7 +1,9 @@
 // Calls: routes, dispatches, queues and ends the requests of callers.
 #include <algorithm>
 #include <optional>
+#include <utility>
 
+#include "egretladder/routing/brittle.h"
 #include "state_p.h"
 
 namespace egretladder::proxy {
@@ -208,6 +210,38 @@
   RefuseOrAbort(proxy, call, "crashes_endpoints", hold_time);
 }
 
+// Returns the names of the nodes that send to the endpoints to which this one
+// doesn't.
+std::vector<std::string> FindOtherSenders(Proxy& proxy, const Call& call,
+                                          const routing::Placement& placement,
+                                          Time now) {
+  std::vector<std::string> senders;
+  const routing::BrittleStatement* brittle =
+      routing::FindBrittle(proxy.endpoints, call.service->name, now);
+  if (brittle == nullptr) return senders;
+  for (const routing::EndpointPtr& endpoint : placement.elsewhere) {
+    for (std::string& name : routing::FindBrittleSenders(
+             *endpoint, *brittle, GetFleetSnapshot(proxy, call, now)))
+      senders.push_back(std::move(name));
+  }
+  return senders;
+}
+
+std::optional<routing::HandoverPeer> ChoosePeer(
+    Proxy& proxy, const Call& call, const routing::Placement& placement,
+    routing::HandoverReason reason) {
+  const Time now = NowOf(proxy);
+  const routing::ServiceBits service =
+      routing::BitOfService(*call.table, call.service->name);
+  if (reason == routing::HandoverReason::kOtherSenders) {
+    return routing::ChooseSenderPeer(
+        proxy.members, proxy.handovers, service, call.tried_peers,
+        FindOtherSenders(proxy, call, placement, now), now);
+  }
+  return routing::ChooseHandoverPeer(proxy.members, proxy.handovers, service,
+                                     call.tried_peers, proxy.random, now);
+}
+
 // Hands the call over to a peer if this node can't make the next attempt
 // itself, or declines it if a peer handed it over. Returns true if it did.
 bool TryHandOver(Proxy& proxy, const CallPtr& call,
@@ -221,6 +255,12 @@
   routing::ServiceReach& reach = proxy.reaches[call->service->name];
   routing::OnReachWanted(reach, now);
   input.is_failing = routing::IsFailing(reach);
+  // A peer that handed the call over chose this node as one that sends, so that
+  // the call waits here for room.
+  input.is_for_other_senders =
+      call->handed_over
+          ? placement.reason == routing::PlacementReason::kOtherSenders
+          : !placement.elsewhere.empty();
   input.may_reach =
       placement.endpoint == nullptr
           ? reach.state != routing::ReachState::kLost
@@ -236,10 +276,7 @@
     DeclineCall(proxy, call, reason);
     return true;
   }
-  const auto peer = routing::ChooseHandoverPeer(
-      proxy.members, proxy.handovers,
-      routing::BitOfService(*call->table, call->service->name),
-      call->tried_peers, proxy.random, now);
+  const auto peer = ChoosePeer(proxy, *call, placement, reason);
   if (!peer) return false;
   DequeueCall(proxy, call);
   StartHandover(proxy, call, *peer, reason);
--- a/proxy/src/endpoint_notices.cc
+++ b/proxy/src/endpoint_notices.cc
@@ -47,9 +47,15 @@
 
 void ApplyBrittle(Proxy& proxy, const Call& call,
                   const AnswerMetadata& metadata) {
-  if (!metadata.brittle_tolerance) return;
-  CountNotice(proxy, "brittle");
   const std::string& service = call.service->name;
+  if (!metadata.brittle_tolerance) {
+    // A peer's own refusal says nothing of endpoints.
+    const bool is_of_endpoint = metadata.sealed || metadata.not_run;
+    if (is_of_endpoint && !metadata.is_brittle_invalid)
+      routing::OnBrittleNotStated(proxy.endpoints, service, NowOf(proxy));
+    return;
+  }
+  CountNotice(proxy, "brittle");
   if (routing::OnBrittleStated(proxy.endpoints, service,
                                *metadata.brittle_tolerance, NowOf(proxy))) {
     LogBrittle(proxy, service, "answer");
--- a/routing/include/egretladder/routing/brittle.h
+++ b/routing/include/egretladder/routing/brittle.h
@@ -3,14 +3,16 @@
 // and its load then falls on the others.
 //
 // What counts is the sum over all nodes, and the room may shrink at any moment.
-// Each node therefore has at most its part of the slots in flight there; of
-// more nodes than slots, only as many as there are slots send, chosen by
-// rendezvous hashing. Slots are an upper bound of the room, since memory can
-// run out before. A node that is turned away halves what it has in flight, and
-// sends nothing more for so long that all nodes together are turned away at
-// half the tolerated rate. Gossip tells the others, which hold back for a
-// moment. The bound then rises by small steps (AIMD: Chiu and Jain, "Analysis
-// of the Increase and Decrease Algorithms for Congestion Avoidance").
+// Few nodes therefore send to one endpoint, often a single one, chosen by
+// rendezvous hashing; the others hand their requests over to these. Whatever
+// the room is, what all senders together may be turned away in a second is
+// bounded: a request that may still be turned away counts as if it were, and a
+// refusal counts for a second.
+//
+// Within that bound, a sender has no more in flight than its part of the slots,
+// so that requests wait at nodes, by rank. A refusal shows how much room there
+// is; the bound then rises, slowly at first and faster later, as a large room
+// would (Ha, Rhee and Xu, "CUBIC"). Gossip tells the other senders.
 //
 // The statement is about a service: an answer of one of its endpoints counts
 // for all, so that a node keeps within the room of endpoints that it hasn't
@@ -21,7 +23,6 @@
 #include <string>
 #include <vector>
 
-#include "egretladder/kernel/hash.h"
 #include "egretladder/routing/endpoints.h"
 #include "egretladder/routing/placement.h"
 
@@ -32,22 +33,49 @@
 /// begins a brittle time or changes the tolerance.
 bool OnBrittleStated(EndpointSet& set, const std::string& service,
                      std::uint32_t tolerance, Time now);
-/// Returns the statement if it was made within `kBrittleFreshTime`; null: the
+/// Records an answer of one of its endpoints that doesn't state it.
+void OnBrittleNotStated(EndpointSet& set, const std::string& service, Time now);
+/// Returns the statement if it was made within `kBrittleFreshTime`, or within
+/// `kBrittleUnansweredTime` and no answer since came without it; null: the
 /// service isn't brittle.
 const BrittleStatement* FindBrittle(const EndpointSet& set,
                                     const std::string& service, Time now);
 
+/// How the nodes share an endpoint's tolerance.
+struct BrittleShare {
+  std::size_t senders = 1;   ///< Nodes that send to it.
+  std::size_t refusals = 1;  ///< That each of them may cause in a second.
+};
+/// Returns how an endpoint's tolerance is shared.
+BrittleShare ShareOf(const BrittleStatement& brittle, const Endpoint& endpoint);
+
+/// Whether this node may send one more request to an endpoint.
+enum class BrittleVerdict : std::uint8_t {
+  kRoom,
+  kFull,
+  kOtherSenders,  ///< It is not among those that send there.
+};
+/// Returns whether this node may send one more request to the endpoint.
+BrittleVerdict CheckBrittleRoom(const Endpoint& endpoint,
+                                const BrittleStatement& brittle,
+                                const FleetSnapshot& fleet, Time now);
+/// Returns false if a request that was placed at the endpoint before must not
+/// be sent there now, as others were turned away meanwhile.
+bool MaySendToBrittle(const Endpoint& endpoint, const BrittleStatement& brittle,
+                      Time now);
 /// Returns how many requests this node may have in flight at the endpoint; 0:
 /// it is not among those that send there.
 std::uint32_t MaxBrittleInFlight(const Endpoint& endpoint,
+                                 const BrittleStatement& brittle,
                                  const FleetSnapshot& fleet, Time now);
-/// Returns true if this node may send one more request to the endpoint.
-bool HasBrittleRoom(const Endpoint& endpoint, const FleetSnapshot& fleet,
-                    Time now);
-/// Records that the endpoint turned a request of this node away.
+/// Returns the names of the nodes that send to the endpoint.
+std::vector<std::string> FindBrittleSenders(const Endpoint& endpoint,
+                                            const BrittleStatement& brittle,
+                                            const FleetSnapshot& fleet);
+/// Records that the endpoint turned a request of this node away, `took` after
+/// its first byte was sent.
 void OnBrittleRefusal(Endpoint& endpoint, const BrittleStatement& brittle,
-                      const FleetSnapshot& fleet, kernel::Random& random,
-                      Time now);
+                      milliseconds took, Time now);
 
 /// A brittle service, as nodes gossip it. It holds ages, because clocks differ.
 struct BrittleGossip {
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -7,6 +7,7 @@
 #include <bitset>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -69,14 +70,33 @@
   /// Requests that an endpoint can turn away in a second without falling over.
   std::uint32_t tolerance = 0;
   Time stated_at{};  ///< When an endpoint last stated it.
+  /// When an endpoint last answered without stating it; default: never.
+  Time not_stated_at{};
 };
 
 /// What this node learned of the room of a brittle endpoint.
 struct BrittleRoom {
   double max_in_flight = 0;  ///< At `refused_at`; it rises from then on.
   Time refused_at{};         ///< Last refusal at any node; default: none.
-  Time own_refusal_at{};     ///< Last refusal at this node; default: none.
-  Time closed_until{};       ///< This node sends nothing before.
+  /// Refusals at this node within `kBrittleRefusalWindow`, oldest first.
+  std::deque<Time> own_refusals;
+  milliseconds refusal_time{};  ///< How long the last one of them took.
+};
+
+/// Whether this node was found to be one of those that may send to an endpoint;
+/// see `IsAmongSenders`.
+struct SenderCheck {
+  std::uint64_t snapshot = 0;  ///< `FleetSnapshot::number`; 0: none so far.
+  std::size_t senders = 0;
+  std::size_t others = 0;
+  bool is_sender = false;
+};
+
+/// An attempt of this node that got no byte so far.
+struct UnansweredAttempt {
+  Time placed_at{};
+  Time expected_at{};  ///< When its first byte was expected.
+  Time sent_at{};      ///< Default: its first byte was not sent so far.
 };
 
 /// An endpoint's phase, as its entry in the store determines it.
@@ -133,6 +153,7 @@
   AdvertisedLimit limit;
   StandingNotices notices;
   BrittleRoom brittle_room;
+  mutable SenderCheck sender_check;  ///< The last one.
   Time last_limited_send{};  ///< Last request of this node under a shared rate.
   std::uint32_t in_flight = 0;  ///< Requests in flight from this node.
   Time last_heard_at{};         ///< When this node last received bytes from it.
@@ -141,9 +162,8 @@
   double peers_waiting_tokens = 0;  ///< Prompt tokens of other nodes' requests.
   EndpointHealth health;
   EnginePace pace;
-  /// This node's attempts without a first byte so far, by number: when each was
-  /// sent, and when its first byte was expected.
-  std::map<std::uint64_t, std::pair<Time, Time>> unanswered;
+  /// This node's attempts without a first byte so far, by number.
+  std::map<std::uint64_t, UnansweredAttempt> unanswered;
   /// Prompt parts that it has processed for this node, with their last use.
   std::unordered_map<std::uint64_t, Time> parts;
 };
--- a/routing/include/egretladder/routing/handover.h
+++ b/routing/include/egretladder/routing/handover.h
@@ -44,6 +44,7 @@
   kAllDown,     ///< None of the service's endpoints accepts its connections.
   kNotSent,     ///< Connections of this request failed in a row.
   kUnanswered,  ///< Neither this request nor any since its start was answered.
+  kOtherSenders,  ///< Only other nodes may send to the endpoints that are left.
 };
 /// Returns the reason's name in logs.
 const char* NameOf(HandoverReason reason);
@@ -56,6 +57,8 @@
   /// Attempts of the request that timed out without an answer.
   std::uint32_t unanswered = 0;
   bool is_failing = false;  ///< `IsFailing` of the service.
+  /// The placement found only endpoints to which other nodes send.
+  bool is_for_other_senders = false;
 };
 /// Decides whether the next attempt of a request is to be handed over.
 HandoverReason DecideHandover(const HandoverInput& input);
@@ -67,6 +70,13 @@
     const Members& members, const Handovers& handovers, ServiceBits service,
     const std::vector<std::string>& tried, kernel::Random& random, Time now);
 
+/// Chooses the peer with the fewest handovers of this node in progress among
+/// `senders`, which send to a brittle endpoint; otherwise as above.
+std::optional<HandoverPeer> ChooseSenderPeer(
+    const Members& members, const Handovers& handovers, ServiceBits service,
+    const std::vector<std::string>& tried,
+    const std::vector<std::string>& senders, Time now);
+
 /// Records that a handover to the peer began.
 void OnHandoverBegan(Handovers& handovers, const std::string& peer);
 /// Records that a handover to the peer ended.
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -159,6 +159,7 @@
   std::vector<const KnownMember*> reader_candidates;
   /// By the services that the nodes must reach. Made anew after a change.
   std::map<ServiceBits, CachedSnapshot> snapshots;
+  std::uint64_t last_snapshot_number = 0;
 };
 
 /// Returns a membership that holds this node alone.
--- a/routing/include/egretladder/routing/placement.h
+++ b/routing/include/egretladder/routing/placement.h
@@ -56,6 +56,9 @@
   std::string self;                ///< This node's name.
   std::vector<std::string> names;  ///< Available nodes, this one included.
   std::string zone;                ///< This node's availability zone.
+  bool is_standalone = false;      ///< No peer is known, nor named by settings.
+  /// Another one for each change of the names; 0: not known.
+  std::uint64_t number = 0;
 };
 
 /// Why an endpoint was chosen, or why none was. If several reasons keep
@@ -66,6 +69,7 @@
   kCheapest,       ///< It has the lowest cost.
   kNoneKnown,      ///< The service has no endpoints.
   kNoneOfVersion,  ///< None has the version that the request needs.
+  kOtherSenders,   ///< They are brittle, and only other nodes send there.
   kAllLeaving,     ///< All are leaving or in a zone that is out.
   kAllBackingOff,  ///< They asked for no requests for some time.
   kAllFull,
@@ -113,6 +117,8 @@
   /// Time until this node may next send, if advertised limits and backoffs that
   /// endpoints asked for are the only obstacles; nullopt: unknown.
   std::optional<milliseconds> next_turn_in;
+  /// If there is no endpoint: some to which only other nodes may send now.
+  std::vector<EndpointPtr> elsewhere;
 };
 
 /// Chooses an endpoint of the demand's service, leaving out those in `tried`
@@ -124,14 +130,17 @@
                           Time now);
 
 /// Returns true if a request may be sent to an endpoint at which it was placed
-/// before: the endpoint takes new work and asked for no backoff meanwhile. A
-/// request may wait some hundred milliseconds for its connection.
+/// before: the endpoint takes new work, asked for no backoff and turned no
+/// others away meanwhile, if it is brittle. A request may wait some hundred
+/// milliseconds for its connection.
 bool MaySend(const EndpointSet& set, const Endpoint& endpoint, Time now);
 
 /// Counts a request that is about to be sent. If the endpoint has a rate that
 /// nodes share, it also uses this node's turn.
 void OnAttemptSent(Endpoint& endpoint, const Demand& demand,
                    std::uint64_t attempt, const Placement& placement, Time now);
+/// Records that the attempt's first byte is sent now.
+void OnAttemptBegan(Endpoint& endpoint, std::uint64_t attempt, Time now);
 /// Records that the attempt's first byte came, or that it ended without one.
 void OnAttemptStarted(Endpoint& endpoint, const Demand& demand,
                       std::uint64_t attempt, const Placement& placement);
--- a/routing/include/egretladder/routing/shared_rate.h
+++ b/routing/include/egretladder/routing/shared_rate.h
@@ -10,6 +10,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "egretladder/routing/endpoints.h"
 #include "egretladder/routing/placement.h"
@@ -36,6 +38,16 @@
 std::optional<SharedRate> FindSharedRate(const Endpoint& endpoint,
                                          const Service& service, Time now);
 
+/// Returns true if this node is one of the `senders` nodes that may send to the
+/// endpoint (rendezvous hashing over the nodes that it knows). `others` of them
+/// are taken for nodes that it doesn't know.
+bool IsAmongSenders(const Endpoint& endpoint, std::size_t senders,
+                    std::size_t others, const FleetSnapshot& fleet);
+/// Returns the names of these nodes, as this one knows them.
+std::vector<std::string> FindSenders(const Endpoint& endpoint,
+                                     std::size_t senders,
+                                     const FleetSnapshot& fleet);
+
 /// Returns true if this node is among those that share the rate.
 bool IsSender(const Endpoint& endpoint, const SharedRate& rate,
               const FleetSnapshot& fleet);
--- a/routing/src/brittle.cc
+++ b/routing/src/brittle.cc
@@ -12,43 +12,68 @@
 using Seconds = std::chrono::duration<double>;
 
 bool IsFresh(const BrittleStatement& brittle, Time now) {
-  return now - brittle.stated_at < kBrittleFreshTime;
+  const auto age = now - brittle.stated_at;
+  if (age < kBrittleFreshTime) return true;
+  return age < kBrittleUnansweredTime &&
+         brittle.not_stated_at < brittle.stated_at;
 }
 
-std::size_t CountNodes(const FleetSnapshot& fleet) {
-  return std::max({fleet.nodes, fleet.names.size(), std::size_t{1}});
+// Returns true if this node knows enough of the fleet to tell who sends.
+bool KnowsFleet(const FleetSnapshot& fleet) {
+  const std::size_t known = std::max<std::size_t>(fleet.names.size(), 1);
+  return fleet.is_standalone || known * kMinKnownFleetDivisor > fleet.nodes;
 }
 
-// Returns this node's part of the slots.
-std::uint32_t SlotShare(const Endpoint& endpoint, const FleetSnapshot& fleet) {
-  const std::size_t nodes = CountNodes(fleet);
-  const std::uint32_t slots = std::max(endpoint.entry.slots, 1U);
-  if (nodes <= slots) return slots / static_cast<std::uint32_t>(nodes);
-  SharedRate rate;
-  rate.senders = slots;
-  return IsSender(endpoint, rate, fleet) ? 1 : 0;
+bool IsBrittleSender(const Endpoint& endpoint, const BrittleShare& share,
+                     const FleetSnapshot& fleet) {
+  return KnowsFleet(fleet) && IsAmongSenders(endpoint, share.senders, 0, fleet);
+}
+
+// Returns one sender's part of the slots.
+std::uint32_t SlotShare(const Endpoint& endpoint, const BrittleShare& share,
+                        const FleetSnapshot& fleet) {
+  const std::size_t senders =
+      std::min(share.senders, std::max<std::size_t>(fleet.names.size(), 1));
+  return std::max(endpoint.entry.slots, 1U) /
+         static_cast<std::uint32_t>(senders);
 }
 
 double RoomSinceRefusal(const BrittleRoom& room, Time now) {
-  return room.max_in_flight +
-         kBrittleGrowthPerSecond * Seconds(now - room.refused_at).count();
+  const double elapsed = Seconds(now - room.refused_at).count();
+  return room.max_in_flight + kBrittleGrowth * elapsed * elapsed;
 }
 
-// Returns the pause after which all nodes together are turned away at half the
-// tolerated rate.
-milliseconds PauseAfterRefusal(const BrittleStatement& brittle,
-                               std::size_t nodes) {
-  const Seconds pause(2.0 * static_cast<double>(nodes) /
-                      std::max(brittle.tolerance, 1U));
-  return std::clamp(std::chrono::duration_cast<milliseconds>(pause),
-                    kMinBrittlePause, kMaxBrittlePause);
+std::size_t CountOwnRefusals(const BrittleRoom& room, Time now) {
+  const auto count = std::count_if(
+      room.own_refusals.begin(), room.own_refusals.end(),
+      [now](Time at) { return now - at < kBrittleRefusalWindow; });
+  return static_cast<std::size_t>(count);
 }
 
-void Shrink(Endpoint& endpoint, double ratio, milliseconds pause, Time now) {
-  BrittleRoom& room = endpoint.brittle_room;
-  room.max_in_flight = std::max(1.0, endpoint.in_flight * ratio);
+// Returns how many requests that this node sent may still be turned away.
+std::size_t CountUnconfirmed(const Endpoint& endpoint, Time now) {
+  const milliseconds confirm_time =
+      std::max(kMinBrittleConfirmTime,
+               endpoint.brittle_room.refusal_time * kBrittleConfirmFactor);
+  const auto count =
+      std::count_if(endpoint.unanswered.begin(), endpoint.unanswered.end(),
+                    [&](const auto& entry) {
+                      const Time sent_at = entry.second.sent_at;
+                      return sent_at != Time{} && now - sent_at < confirm_time;
+                    });
+  return static_cast<std::size_t>(count);
+}
+
+std::size_t CountUnsent(const Endpoint& endpoint) {
+  const auto count = std::count_if(
+      endpoint.unanswered.begin(), endpoint.unanswered.end(),
+      [](const auto& entry) { return entry.second.sent_at == Time{}; });
+  return static_cast<std::size_t>(count);
+}
+
+void Shrink(BrittleRoom& room, double max_in_flight, Time now) {
+  room.max_in_flight = std::max(1.0, max_in_flight);
   room.refused_at = now;
-  room.closed_until = std::max(room.closed_until, now + pause);
 }
 
 // Begins a brittle time if the service isn't in one. What was learned in an
@@ -70,8 +95,10 @@
   const auto at = set.by_service.find(service);
   if (at == set.by_service.end()) return refusals;
   for (const EndpointPtr& endpoint : at->second) {
-    const Time refused_at = endpoint->brittle_room.own_refusal_at;
-    if (refused_at == Time{} || now - refused_at >= kBrittleNewsTime) continue;
+    const BrittleRoom& room = endpoint->brittle_room;
+    if (room.own_refusals.empty()) continue;
+    const Time refused_at = room.own_refusals.back();
+    if (now - refused_at >= kBrittleNewsTime) continue;
     if (refusals.size() == kMaxRefusalsPerExchange) break;
     refusals.push_back(
         {endpoint->entry.id,
@@ -88,7 +115,7 @@
   const Time refused_at = now - refusal.ago;
   BrittleRoom& room = at->second->brittle_room;
   if (refused_at <= room.refused_at + kSameRefusalWindow) return;
-  Shrink(*at->second, kBrittleNewsRatio, kMinBrittlePause / 2, now);
+  Shrink(room, at->second->in_flight * kBrittleNewsRatio, now);
 }
 
 }  // namespace
@@ -103,6 +130,12 @@
   return is_new || has_changed;
 }
 
+void OnBrittleNotStated(EndpointSet& set, const std::string& service,
+                        Time now) {
+  const auto at = set.brittle_services.find(service);
+  if (at != set.brittle_services.end()) at->second.not_stated_at = now;
+}
+
 const BrittleStatement* FindBrittle(const EndpointSet& set,
                                     const std::string& service, Time now) {
   const auto at = set.brittle_services.find(service);
@@ -112,29 +145,73 @@
   return &at->second;
 }
 
+BrittleShare ShareOf(const BrittleStatement& brittle,
+                     const Endpoint& endpoint) {
+  const auto refusals = std::max<std::size_t>(
+      1, static_cast<std::size_t>(brittle.tolerance * kBrittleToleranceRatio));
+  BrittleShare share;
+  share.senders =
+      std::clamp<std::size_t>(refusals / kRefusalsPerBrittleSender, 1,
+                              std::max(endpoint.entry.slots, 1U));
+  share.refusals =
+      std::min(refusals / share.senders, kMaxRefusalsPerBrittleSender);
+  return share;
+}
+
+BrittleVerdict CheckBrittleRoom(const Endpoint& endpoint,
+                                const BrittleStatement& brittle,
+                                const FleetSnapshot& fleet, Time now) {
+  const BrittleShare share = ShareOf(brittle, endpoint);
+  if (!IsBrittleSender(endpoint, share, fleet))
+    return BrittleVerdict::kOtherSenders;
+  const std::size_t refusals = CountOwnRefusals(endpoint.brittle_room, now) +
+                               CountUnconfirmed(endpoint, now) +
+                               CountUnsent(endpoint);
+  if (refusals >= share.refusals) return BrittleVerdict::kFull;
+  return endpoint.in_flight < MaxBrittleInFlight(endpoint, brittle, fleet, now)
+             ? BrittleVerdict::kRoom
+             : BrittleVerdict::kFull;
+}
+
+bool MaySendToBrittle(const Endpoint& endpoint, const BrittleStatement& brittle,
+                      Time now) {
+  return CountOwnRefusals(endpoint.brittle_room, now) +
+             CountUnconfirmed(endpoint, now) <
+         ShareOf(brittle, endpoint).refusals;
+}
+
 std::uint32_t MaxBrittleInFlight(const Endpoint& endpoint,
+                                 const BrittleStatement& brittle,
                                  const FleetSnapshot& fleet, Time now) {
-  const std::uint32_t share = SlotShare(endpoint, fleet);
+  const BrittleShare share = ShareOf(brittle, endpoint);
+  if (!IsBrittleSender(endpoint, share, fleet)) return 0;
+  const std::uint32_t slots = SlotShare(endpoint, share, fleet);
   const BrittleRoom& room = endpoint.brittle_room;
-  if (share == 0 || room.refused_at == Time{}) return share;
+  if (room.refused_at == Time{}) return slots;
   const double grown = std::floor(RoomSinceRefusal(room, now));
-  return std::min(share, static_cast<std::uint32_t>(grown));
+  return grown < slots ? static_cast<std::uint32_t>(grown) : slots;
 }
 
-bool HasBrittleRoom(const Endpoint& endpoint, const FleetSnapshot& fleet,
-                    Time now) {
-  if (now < endpoint.brittle_room.closed_until) return false;
-  return endpoint.in_flight < MaxBrittleInFlight(endpoint, fleet, now);
+std::vector<std::string> FindBrittleSenders(const Endpoint& endpoint,
+                                            const BrittleStatement& brittle,
+                                            const FleetSnapshot& fleet) {
+  return FindSenders(endpoint, ShareOf(brittle, endpoint).senders, fleet);
 }
 
 void OnBrittleRefusal(Endpoint& endpoint, const BrittleStatement& brittle,
-                      const FleetSnapshot& fleet, kernel::Random& random,
-                      Time now) {
-  const double jitter = 1 + kernel::RandomFraction(random) / 2;
-  const auto pause = std::chrono::duration_cast<milliseconds>(
-      PauseAfterRefusal(brittle, CountNodes(fleet)) * jitter);
-  Shrink(endpoint, kBrittleRefusalRatio, pause, now);
-  endpoint.brittle_room.own_refusal_at = now;
+                      milliseconds took, Time now) {
+  BrittleRoom& room = endpoint.brittle_room;
+  room.refusal_time = took;
+  while (!room.own_refusals.empty() &&
+         now - room.own_refusals.front() >= kBrittleRefusalWindow)
+    room.own_refusals.pop_front();
+  room.own_refusals.push_back(now);
+  // A single sender knows what the endpoint had in hand.
+  const bool is_only_sender = ShareOf(brittle, endpoint).senders == 1;
+  Shrink(room,
+         is_only_sender ? endpoint.in_flight - 1.0
+                        : endpoint.in_flight * kBrittleRefusalRatio,
+         now);
 }
 
 std::vector<BrittleGossip> MakeBrittleGossip(const EndpointSet& set, Time now) {
@@ -151,12 +228,15 @@
 
 bool ApplyBrittleGossip(EndpointSet& set, const BrittleGossip& gossip,
                         Time now) {
-  if (gossip.stated_ago >= kBrittleFreshTime) return false;
+  if (gossip.stated_ago >= kBrittleUnansweredTime) return false;
   if (!set.by_service.contains(gossip.service)) return false;
   const Time stated_at = now - gossip.stated_ago;
   const bool is_new = BeginIfNew(set, gossip.service, now);
   BrittleStatement& brittle = set.brittle_services[gossip.service];
-  if (stated_at > brittle.stated_at) brittle = {gossip.tolerance, stated_at};
+  if (stated_at > brittle.stated_at) {
+    brittle.tolerance = gossip.tolerance;
+    brittle.stated_at = stated_at;
+  }
   for (const BrittleGossip::Refusal& refusal : gossip.refusals)
     ApplyRefusal(set, refusal, now);
   return is_new;
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -304,12 +304,14 @@
 
 milliseconds OverdueTime(const Endpoint& endpoint, Time now) {
   if (endpoint.unanswered.empty()) return {};
-  const auto& [sent, due] = endpoint.unanswered.begin()->second;
-  const auto expected = std::chrono::duration<double>(due - sent);
+  const UnansweredAttempt& oldest = endpoint.unanswered.begin()->second;
+  const auto expected =
+      std::chrono::duration<double>(oldest.expected_at - oldest.placed_at);
   const auto allowed = std::max(
       std::chrono::duration_cast<milliseconds>(expected * kSilenceFactor),
       kMinSilence);
-  const auto waited = std::chrono::duration_cast<milliseconds>(now - sent);
+  const auto waited =
+      std::chrono::duration_cast<milliseconds>(now - oldest.placed_at);
   return std::max(milliseconds(0), waited - allowed);
 }
 
--- a/routing/src/handover.cc
+++ b/routing/src/handover.cc
@@ -19,6 +19,10 @@
          (member.state.unreached & service) == 0;
 }
 
+bool IsTried(const std::vector<std::string>& tried, const std::string& node) {
+  return std::find(tried.begin(), tried.end(), node) != tried.end();
+}
+
 std::uint32_t Cost(const Members& members, const Handovers& handovers,
                    const Member& peer) {
   const auto at = handovers.in_flight.find(peer.node);
@@ -28,6 +32,18 @@
   return in_flight + (is_own_zone ? 0 : kOtherZoneHandovers);
 }
 
+std::optional<HandoverPeer> FindCheapest(
+    const Members& members, const Handovers& handovers,
+    const std::vector<const Member*>& peers) {
+  const auto best = std::min_element(
+      peers.begin(), peers.end(), [&](const Member* left, const Member* right) {
+        return Cost(members, handovers, *left) <
+               Cost(members, handovers, *right);
+      });
+  if (best == peers.end()) return std::nullopt;
+  return HandoverPeer{(*best)->node, (*best)->handovers};
+}
+
 // Moves up to `kHandoverCandidates` random peers of each group, own zone and
 // other zones, into the result.
 std::vector<const Member*> DrawCandidates(const Members& members,
@@ -62,6 +78,8 @@
       return "not-sent";
     case HandoverReason::kUnanswered:
       return "unanswered";
+    case HandoverReason::kOtherSenders:
+      return "other-senders";
   }
   return "unknown";
 }
@@ -76,7 +94,8 @@
   if (input.is_failing && input.unanswered > 0) {
     return HandoverReason::kUnanswered;
   }
-  return HandoverReason::kNone;
+  return input.is_for_other_senders ? HandoverReason::kOtherSenders
+                                    : HandoverReason::kNone;
 }
 
 std::optional<HandoverPeer> ChooseHandoverPeer(
@@ -85,22 +104,31 @@
   if (tried.size() >= kMaxHandoverPeers) return std::nullopt;
   std::vector<const Member*> peers;
   for (const auto& [node, known] : members.others) {
-    const bool is_tried =
-        std::find(tried.begin(), tried.end(), node) != tried.end();
-    if (is_tried || HasDeclined(handovers, node, service, now) ||
-        !IsCandidate(members, known, service)) {
+    if (!IsTried(tried, node) && !HasDeclined(handovers, node, service, now) &&
+        IsCandidate(members, known, service)) {
+      peers.push_back(&known.member);
+    }
+  }
+  return FindCheapest(members, handovers,
+                      DrawCandidates(members, std::move(peers), random));
+}
+
+std::optional<HandoverPeer> ChooseSenderPeer(
+    const Members& members, const Handovers& handovers, ServiceBits service,
+    const std::vector<std::string>& tried,
+    const std::vector<std::string>& senders, Time now) {
+  if (tried.size() >= kMaxHandoverPeers) return std::nullopt;
+  std::vector<const Member*> peers;
+  for (const std::string& node : senders) {
+    const auto known = members.others.find(node);
+    if (known == members.others.end() || IsTried(tried, node) ||
+        HasDeclined(handovers, node, service, now) ||
+        !IsCandidate(members, known->second, service)) {
       continue;
     }
-    peers.push_back(&known.member);
+    peers.push_back(&known->second.member);
   }
-  const auto drawn = DrawCandidates(members, std::move(peers), random);
-  const auto best = std::min_element(
-      drawn.begin(), drawn.end(), [&](const Member* left, const Member* right) {
-        return Cost(members, handovers, *left) <
-               Cost(members, handovers, *right);
-      });
-  if (best == drawn.end()) return std::nullopt;
-  return HandoverPeer{(*best)->node, (*best)->handovers};
+  return FindCheapest(members, handovers, peers);
 }
 
 void OnHandoverBegan(Handovers& handovers, const std::string& peer) {
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -347,10 +347,13 @@
   if (at == members.snapshots.end()) {
     at = members.snapshots.emplace(services, MakeSnapshot(members, services))
              .first;
+    at->second.fleet.number = ++members.last_snapshot_number;
   }
   const std::size_t nodes = EstimateFleetSize(members, now);
   const std::size_t cut_off = at->second.cut_off;
   at->second.fleet.nodes = nodes > cut_off ? nodes - cut_off : 1;
+  at->second.fleet.is_standalone =
+      members.seeds.empty() && members.others.empty();
   return at->second.fleet;
 }
 
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 #include "egretladder/routing/brittle.h"
 #include "egretladder/routing/endpoint_notices.h"
@@ -68,6 +69,7 @@
   // When this node may first send to an endpoint that advertises a limit or
   // asked for a backoff.
   std::optional<Time> next_turn;
+  std::vector<EndpointPtr> elsewhere;  // Only other nodes may send there.
 };
 
 void KeepEarlier(std::optional<Time>& earliest, Time time) {
@@ -78,7 +80,9 @@
 void RecordNextTurn(UsableEndpoints& usable, PlacementReason reason,
                     const Endpoint& endpoint, const Demand& demand,
                     const FleetSnapshot& fleet, Time now) {
-  if (reason == PlacementReason::kAllLeaving) return;
+  if (reason == PlacementReason::kAllLeaving ||
+      reason == PlacementReason::kOtherSenders)
+    return;
   if (reason == PlacementReason::kAllBackingOff) {
     KeepEarlier(usable.next_turn, endpoint.notices.backoff_until);
     return;
@@ -111,14 +115,19 @@
     return PlacementReason::kAllBackingOff;
   }
   if (now < endpoint.health.avoid_until) return PlacementReason::kAllDown;
-  if (now < endpoint.health.full_until ||
-      endpoint.in_flight >= MaxInFlightPerNode(endpoint, fleet)) {
-    return PlacementReason::kAllFull;
-  }
-  if (FindBrittle(set, demand.service->name, now) != nullptr &&
-      !HasBrittleRoom(endpoint, fleet, now)) {
-    return PlacementReason::kAllFull;
-  }
+  if (now < endpoint.health.full_until) return PlacementReason::kAllFull;
+  const BrittleStatement* brittle = FindBrittle(set, demand.service->name, now);
+  const BrittleVerdict verdict =
+      brittle != nullptr ? CheckBrittleRoom(endpoint, *brittle, fleet, now)
+                         : BrittleVerdict::kRoom;
+  if (verdict == BrittleVerdict::kOtherSenders)
+    return PlacementReason::kOtherSenders;
+  // A brittle endpoint has few senders, each with a larger part of its slots.
+  const bool is_full =
+      verdict == BrittleVerdict::kFull ||
+      (brittle == nullptr &&
+       endpoint.in_flight >= MaxInFlightPerNode(endpoint, fleet));
+  if (is_full) return PlacementReason::kAllFull;
   if (const auto rate = FindSharedRate(endpoint, *demand.service, now)) {
     if (now < NextTurnTime(endpoint, *rate, fleet) ||
         !IsSender(endpoint, *rate, fleet)) {
@@ -168,6 +177,8 @@
       usable.endpoints.push_back(endpoint);
       continue;
     }
+    if (reason == PlacementReason::kOtherSenders)
+      usable.elsewhere.push_back(endpoint);
     RecordNextTurn(usable, reason, *endpoint, demand, fleet, now);
     usable.reason_if_none = std::max(usable.reason_if_none, reason);
   }
@@ -226,6 +237,8 @@
       return "none-known";
     case PlacementReason::kNoneOfVersion:
       return "none-of-version";
+    case PlacementReason::kOtherSenders:
+      return "other-senders";
     case PlacementReason::kAllLeaving:
       return "all-leaving";
     case PlacementReason::kAllBackingOff:
@@ -259,6 +272,8 @@
   if (usable.endpoints.empty()) {
     placement.reason = usable.reason_if_none;
     placement.next_turn_in = TimeToNextTurn(usable, now);
+    placement.elsewhere = std::move(usable.elsewhere);
+    DrawRandomCandidates(placement.elsewhere, 0, random);
     return placement;
   }
   const auto is_off = [&set](Mechanism mechanism) {
@@ -288,8 +303,11 @@
         set.disabled_mechanisms);
     if (costs.Total() >= lowest_cost) continue;
     lowest_cost = costs.Total();
-    placement = {endpoint, PlacementReason::kCheapest, costs.UntilFirstEvent(),
-                 uncached.Total(), costs};
+    placement.endpoint = endpoint;
+    placement.reason = PlacementReason::kCheapest;
+    placement.expected_ms = costs.UntilFirstEvent();
+    placement.uncached_tokens = uncached.Total();
+    placement.costs = costs;
     if (is_first_choice) {
       placement.reason = PlacementReason::kSession;
     } else if (demand.prompt_tokens > 0 && uncached.shared == 0) {
@@ -300,6 +318,10 @@
 }
 
 bool MaySend(const EndpointSet& set, const Endpoint& endpoint, Time now) {
+  const BrittleStatement* brittle =
+      FindBrittle(set, endpoint.entry.service, now);
+  if (brittle != nullptr && !MaySendToBrittle(endpoint, *brittle, now))
+    return false;
   return !IsLeaving(endpoint) && !IsZoneOut(set, endpoint.entry.zone) &&
          RemainingBackoff(endpoint, now).count() == 0;
 }
@@ -312,7 +334,7 @@
       placement.uncached_tokens;
   const auto expected_wait = std::chrono::duration_cast<Time::duration>(
       std::chrono::duration<double, std::milli>(placement.expected_ms));
-  endpoint.unanswered[attempt] = {now, now + expected_wait};
+  endpoint.unanswered[attempt] = {now, now + expected_wait, {}};
   std::vector<std::uint64_t> parts;
   parts.reserve(demand.parts.size());
   for (const PromptPart& part : demand.parts) parts.push_back(part.id);
@@ -321,6 +343,11 @@
     endpoint.last_limited_send = now;
 }
 
+void OnAttemptBegan(Endpoint& endpoint, std::uint64_t attempt, Time now) {
+  const auto at = endpoint.unanswered.find(attempt);
+  if (at != endpoint.unanswered.end()) at->second.sent_at = now;
+}
+
 void OnAttemptStarted(Endpoint& endpoint, const Demand& demand,
                       std::uint64_t attempt, const Placement& placement) {
   if (endpoint.unanswered.erase(attempt) == 0) return;
--- a/routing/src/service_reach.cc
+++ b/routing/src/service_reach.cc
@@ -129,7 +129,7 @@
   for (const EndpointPtr& endpoint : endpoints) {
     if (IsUnanswering(reach, endpoint->name_hash)) continue;
     if (OverdueTime(*endpoint, now).count() == 0) continue;
-    const Time sent_at = endpoint->unanswered.begin()->second.first;
+    const Time sent_at = endpoint->unanswered.begin()->second.placed_at;
     if (sent_at < reach.last_answer_at || now - sent_at < kMinServiceSilence) {
       continue;
     }
--- a/routing/src/shared_rate.cc
+++ b/routing/src/shared_rate.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <utility>
 
 #include "egretladder/kernel/hash.h"
 
@@ -36,6 +37,20 @@
                     limit.began_at};
 }
 
+bool RanksAmongSenders(const Endpoint& endpoint, std::size_t senders,
+                       std::size_t others, const FleetSnapshot& fleet) {
+  std::size_t preferred_nodes = others;
+  const std::uint64_t own_hash =
+      kernel::HashBytes(fleet.self, endpoint.name_hash);
+  for (const std::string& name : fleet.names) {
+    // Most nodes are ruled out after a few names.
+    if (preferred_nodes >= senders) return false;
+    if (kernel::HashBytes(name, endpoint.name_hash) > own_hash)
+      ++preferred_nodes;
+  }
+  return preferred_nodes < senders;
+}
+
 }  // namespace
 
 std::optional<SharedRate> FindSharedRate(const Endpoint& endpoint,
@@ -48,6 +63,36 @@
   return rate;
 }
 
+bool IsAmongSenders(const Endpoint& endpoint, std::size_t senders,
+                    std::size_t others, const FleetSnapshot& fleet) {
+  SenderCheck& check = endpoint.sender_check;
+  const bool is_known = fleet.number != 0 && check.snapshot == fleet.number &&
+                        check.senders == senders && check.others == others;
+  if (!is_known) {
+    check = {fleet.number, senders, others,
+             RanksAmongSenders(endpoint, senders, others, fleet)};
+  }
+  return check.is_sender;
+}
+
+std::vector<std::string> FindSenders(const Endpoint& endpoint,
+                                     std::size_t senders,
+                                     const FleetSnapshot& fleet) {
+  std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
+  ranked.reserve(fleet.names.size());
+  for (const std::string& name : fleet.names)
+    ranked.emplace_back(kernel::HashBytes(name, endpoint.name_hash), &name);
+  const std::size_t count = std::min(senders, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(), [](const auto& left, const auto& right) {
+                      return left.first > right.first;
+                    });
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < count; ++i) names.push_back(*ranked[i].second);
+  return names;
+}
+
 bool IsSender(const Endpoint& endpoint, const SharedRate& rate,
               const FleetSnapshot& fleet) {
   const std::size_t nodes = EstimateFleetSize(fleet);
@@ -55,17 +100,8 @@
   // Nodes that this node doesn't know are assumed to be preferred half of the
   // time. Thus a node that the others don't know yet, or that knows few of
   // them, is rarely a sender.
-  std::size_t preferred_nodes = (nodes - fleet.names.size()) / 2;
-  const std::uint64_t own_hash =
-      kernel::HashBytes(fleet.self, endpoint.name_hash);
-  for (const std::string& name : fleet.names) {
-    // This runs for each endpoint of each request. Most nodes are ruled out
-    // after a few names.
-    if (preferred_nodes >= rate.senders) return false;
-    if (kernel::HashBytes(name, endpoint.name_hash) > own_hash)
-      ++preferred_nodes;
-  }
-  return preferred_nodes < rate.senders;
+  return IsAmongSenders(endpoint, rate.senders,
+                        (nodes - fleet.names.size()) / 2, fleet);
 }
 
 Time NextTurnTime(const Endpoint& endpoint, const SharedRate& rate,
--- a/routing/tests/harness_brittle.h
+++ b/routing/tests/harness_brittle.h
@@ -86,6 +86,8 @@
   void Receive(std::size_t node, Waiting request);
   void DispatchWaiting(std::size_t node);
   bool TryDispatch(std::size_t node, const Waiting& request);
+  bool TryHandOver(std::size_t node, const Waiting& request,
+                   const Placement& placement);
   void Arrive(Attempt attempt);
   void Refuse(Attempt attempt);
   void Fall(EndpointModel& endpoint);
