--- a/proxy/src/suspects.cc
+++ b/proxy/src/suspects.cc
@@ -39,6 +39,16 @@
                    was_held ? "held=\"yes\"" : "held=\"no\"");
 }
 
+// Returns the hashes of the prompt's parts that other requests may share.
+std::string NamesOfParts(const Call& call) {
+  std::string names;
+  for (std::size_t i = 0; i + 1 < call.demand.parts.size(); ++i) {
+    if (i > 0) names += ' ';
+    names += NameOfRequest(call.demand.parts[i].id);
+  }
+  return names;
+}
+
 void RecordBreak(Proxy& proxy, Call& call, Time now) {
   const Attempt& attempt = *call.attempt;
   const std::uint64_t request = GetFingerprint(call);
@@ -59,6 +69,8 @@
                    {{"req", call.metadata.id},
                     {"request", NameOfRequest(request)},
                     {"endpoint", attempt.endpoint->entry.id},
+                    {"parts", NamesOfParts(call)},
+                    {"events", call.events},
                     {"sent_ms", Elapsed(attempt.sent_at, now)},
                     {"breaks", view.breaks},
                     {"in_turn", view.crashes_in_turn},
