--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -163,7 +163,8 @@
 }
 
 struct Suspect {
-  request @0 :UInt64;
+  # Key of a request, or of a part of prompts.
+  key @0 :UInt64;
   breaks @1 :List(Break);
   # Time since the request was last cleared. Longer than suspects are remembered:
   # it never was.
@@ -171,12 +172,18 @@
   # Time since the last crash of a request that is held back, longer if it
   # isn't.
   heldAgoMs @3 :UInt32 = 0xffffffff;
+  # A part is held back although it had succeeded before its crashes.
+  heldDespiteSuccess @4 :Bool;
+  # Probes of a held part that didn't succeed so far.
+  failedProbes @5 :UInt8;
 }
 
 struct Break {
   endpoint @0 :UInt64;
   sentAgoMs @1 :UInt32;
   brokeAgoMs @2 :UInt32;
+  # Low half of the key of the request.
+  request @3 :UInt32;
 }
 
 # The sender's load at one endpoint.
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -110,6 +110,18 @@
       now - last_event_at);
 }
 
+// Records once that the endpoint lives on after the first event on the prompt.
+void RecordProof(Proxy& proxy, Call& call) {
+  Attempt& attempt = *call.attempt;
+  const Time now = NowOf(proxy);
+  if (attempt.first_event_at == Time{}) attempt.first_event_at = now;
+  if (attempt.is_prompt_proven ||
+      now - attempt.first_event_at < routing::kMinProvenAnswerTime) {
+    return;
+  }
+  RecordPromptProven(proxy, call);
+}
+
 void RecordPause(Call& call, Time now) {
   if (call.first_event_at == Time{}) {
     call.first_event_at = now;
@@ -181,6 +193,7 @@
     RecordInterval(proxy, *call);
   }
   RecordPause(*call, NowOf(proxy));
+  RecordProof(proxy, *call);
   if (!attempt.splitter.last_id.empty()) {
     call->last_event_id = attempt.splitter.last_id;
   }
@@ -270,10 +283,9 @@
     EndAttempt(proxy, call, AttemptOutcome::kWithheld, "");
     return false;
   }
-  if (!proxy.suspects.by_request.empty())
-    routing::OnSuspectSent(proxy.suspects, GetFingerprint(*call), now);
   call->attempt->request_sent = true;
   call->attempt->first_byte_sent_at = now;
+  RecordSuspectSent(proxy, *call);
   routing::OnAttemptBegan(*call->attempt->endpoint, call->attempt->number, now);
   OnRetrySent(proxy, *call);
   return true;
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -47,6 +47,9 @@
   bool started = false;       ///< The endpoint answered or sent an event.
   /// The answer is a stream whose events are forwarded as they arrive.
   bool is_event_stream = false;
+  /// The endpoint went on with its answer for `kMinProvenAnswerTime`.
+  bool is_prompt_proven = false;
+  Time first_event_at{};                 ///< Default: none came yet.
   Time last_event_at{};                  ///< Default: none came yet.
   Time pace_sample_start{};              ///< Start of the current pace sample.
   std::uint64_t pace_sample_events = 0;  ///< Events in that sample so far.
@@ -122,6 +125,7 @@
   kernel::EventWatcher silence_timer;
   std::size_t body_bytes = 0;
   std::uint64_t fingerprint = 0;  ///< See `GetFingerprint`; 0: not computed.
+  std::vector<std::uint64_t> suspect_keys;  ///< See `GetSuspectKeys`.
   /// Set while peers are asked for the version of the stream that it takes up.
   std::shared_ptr<VersionLookup> version_lookup;
   /// Set while an endpoint is asked for its process before an attempt.
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -204,7 +204,7 @@
   kernel::LogEvent(LogPart::kRoute, LogLevel::kWarning, "not-sent",
                    {{"req", call->metadata.id},
                     {"verdict", "crashes-endpoints"},
-                    {"request", NameOfRequest(GetFingerprint(*call))},
+                    {"request", NameOfSuspect(GetFingerprint(*call))},
                     {"held_ms", hold_time},
                     {"service", call->service->name}});
   RefuseOrAbort(proxy, call, "crashes_endpoints", hold_time);
@@ -305,7 +305,8 @@
         call.account != nullptr ? kernel::HashBytes(call.account->name) : 0;
     const std::uint64_t target_hash =
         kernel::HashBytes(request.target, account_hash);
-    call.fingerprint = kernel::HashBytes(request.body, target_hash);
+    call.fingerprint =
+        routing::KeyOfRequest(kernel::HashBytes(request.body, target_hash));
   }
   return call.fingerprint;
 }
--- a/proxy/src/handovers.cc
+++ b/proxy/src/handovers.cc
@@ -77,9 +77,7 @@
 net::ExchangeHandlers MakePeerHandlers(Proxy& proxy, const CallPtr& call) {
   net::ExchangeHandlers handlers = MakeAnswerHandlers(proxy, call);
   handlers.may_send = [&proxy, call] {
-    if (routing::RemainingHoldTime(proxy.suspects, GetFingerprint(*call),
-                                   NowOf(proxy))
-            .count() > 0) {
+    if (GetSuspectHoldTime(proxy, *call).count() > 0) {
       EndAttempt(proxy, call, AttemptOutcome::kWithheld, "");
       return false;
     }
--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -146,7 +146,7 @@
                                proxy.streams.by_stream.older.size()));
   SetGauge(proxy, "egretladder_suspects",
            "Requests during which a connection broke recently.",
-           static_cast<double>(proxy.suspects.by_request.size()));
+           static_cast<double>(proxy.suspects.by_key.size()));
   SetGauge(proxy, "egretladder_endpoint_connections_opened",
            "Connections to endpoints and the store opened since the start.",
            static_cast<double>(proxy.client->connections_opened()));
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -34,6 +34,7 @@
   }
   ApplyDueZones(proxy);
   routing::PruneTombstones(proxy.catalog, now);
+  SettleProofs(proxy);
   routing::ForgetSuspects(proxy.suspects, now);
   CheckOverdueAttempts(proxy);
   ForgetUnwantedLosses(proxy);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -104,6 +105,13 @@
   std::vector<Load> loads;
 };
 
+/// An answer that ended before the endpoint had shown that it lives on.
+struct PendingProof {
+  routing::EndpointPtr endpoint;
+  Time began_at{};                  ///< When the answer began.
+  std::vector<std::uint64_t> keys;  ///< Of the parts of the prompt.
+};
+
 struct PeerNetwork;
 struct PeerNetworkDelete {
   void operator()(PeerNetwork* network) const;
@@ -141,6 +149,7 @@
   routing::StreamRecords streams;
   StreamWork stream_work;
   routing::Suspects suspects;
+  std::deque<PendingProof> pending_proofs;  ///< Oldest first.
   /// Until then peers are asked for all suspects.
   Time suspects_wanted_until{};
   Time last_store_failure{};  ///< Last failed call to the store; default: none.
@@ -246,8 +255,8 @@
 /// `retry_after` only if the request has not run.
 void RefuseCall(Proxy& proxy, const CallPtr& call, int status, const char* code,
                 milliseconds retry_after);
-/// Returns a hash of the account, target and body. A caller that sends the same
-/// request again under another id gets the same fingerprint.
+/// Returns the key of a hash of the account, target and body. A caller that
+/// sends the same request again under another id gets the same fingerprint.
 std::uint64_t GetFingerprint(Call& call);
 /// Records the end of a call and removes it. `outcome` is the reason in logs
 /// and metrics.
@@ -303,12 +312,22 @@
                 const std::string& detail);
 
 // suspects.cc
-/// Returns the name of a request's fingerprint in logs.
-std::string NameOfRequest(std::uint64_t request);
+/// Returns the name of a suspect's key in logs.
+std::string NameOfSuspect(std::uint64_t key);
+/// Returns the keys under which the call's request may be suspected: its own
+/// and those of the parts of its prompt that others may share.
+const std::vector<std::uint64_t>& GetSuspectKeys(Call& call);
 /// Records what the outcome of the call's attempt says about the request. A
 /// request that crashes endpoints shows as connections that break at one
 /// endpoint after the other.
 void RecordSuspect(Proxy& proxy, Call& call, routing::AttemptOutcome outcome);
+/// Records that the endpoint goes on with an answer on the call's prompt.
+void RecordPromptProven(Proxy& proxy, Call& call);
+/// Excuses the parts of prompts on which endpoints began answers that ended
+/// early, if these endpoints lived on. Called at each tick.
+void SettleProofs(Proxy& proxy);
+/// Records that the call's request is sent now.
+void RecordSuspectSent(Proxy& proxy, Call& call);
 /// Records that an attempt of the call was cancelled.
 void RecordCancelled(Proxy& proxy, Call& call, const Attempt& attempt);
 /// Returns how long the call must not be sent since its request seems to crash
--- a/proxy/src/suspects.cc
+++ b/proxy/src/suspects.cc
@@ -1,6 +1,8 @@
 // Requests that seem to crash endpoints: what the ends of attempts say, and
 // what changes of it operators see.
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 #include "attempts_p.h"
 #include "gossip_codec_p.h"
@@ -39,43 +41,71 @@
                    was_held ? "held=\"yes\"" : "held=\"no\"");
 }
 
-// Returns the hashes of the prompt's parts that other requests may share.
-std::string NamesOfParts(const Call& call) {
+std::string NamesOfParts(Call& call) {
   std::string names;
-  for (std::size_t i = 0; i + 1 < call.demand.parts.size(); ++i) {
-    if (i > 0) names += ' ';
-    names += NameOfRequest(call.demand.parts[i].id);
+  for (const std::uint64_t key : GetSuspectKeys(call)) {
+    if (routing::KindOf(key) == routing::SuspectKind::kRequest) continue;
+    if (!names.empty()) names += ' ';
+    names += NameOfSuspect(key);
   }
   return names;
 }
 
-void RecordBreak(Proxy& proxy, Call& call, Time now) {
+// Returns those of the request's keys of which the end of the attempt may say
+// something: no parts if the endpoint had gone on with an answer on them.
+std::vector<std::uint64_t> GetKeysAtStake(Call& call, const Attempt& attempt) {
+  if (attempt.is_prompt_proven) return {GetFingerprint(call)};
+  return GetSuspectKeys(call);
+}
+
+void LogHold(std::uint64_t key, const routing::SuspectView& view) {
+  const bool is_part = routing::KindOf(key) == routing::SuspectKind::kPart;
+  kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo, "suspect-held",
+                   {{"request", NameOfSuspect(key)},
+                    {"kind", is_part ? "part" : "request"},
+                    {"breaks", view.breaks},
+                    {"in_turn", view.crashes_in_turn},
+                    {"held_ms", view.hold_time}});
+}
+
+// Records that the connection broke while it carried what the key stands for.
+// Returns true if that is held back from now on.
+bool AddBreak(Proxy& proxy, Call& call, std::uint64_t key, Time now) {
   const Attempt& attempt = *call.attempt;
-  const std::uint64_t request = GetFingerprint(call);
-  const routing::SuspectView before =
-      routing::ViewOf(proxy.suspects, request, now);
+  const routing::SuspectView before = routing::ViewOf(proxy.suspects, key, now);
   routing::OnConnectionBroke(
-      proxy.suspects, request,
-      {HashOfProcess(attempt.endpoint->entry), attempt.sent_at, now});
+      proxy.suspects, key,
+      {HashOfProcess(attempt.endpoint->entry), attempt.sent_at, now, true,
+       static_cast<std::uint32_t>(GetFingerprint(call))});
+  const routing::SuspectView view = routing::ViewOf(proxy.suspects, key, now);
+  if (before.hold_time.count() > 0 || view.hold_time.count() == 0) return false;
+  LogHold(key, view);
+  return true;
+}
+
+void RecordBreak(Proxy& proxy, Call& call, Time now) {
+  const Attempt& attempt = *call.attempt;
+  bool began_to_hold = false;
+  for (const std::uint64_t key : GetKeysAtStake(call, attempt))
+    began_to_hold = AddBreak(proxy, call, key, now) || began_to_hold;
   IncrementCounter(proxy, "egretladder_suspect_breaks_total",
                    "Connections of this node that broke while they carried a "
                    "request.",
                    "service=\"" + call.service->name + "\"");
+  const std::uint64_t request = GetFingerprint(call);
   const routing::SuspectView view =
       routing::ViewOf(proxy.suspects, request, now);
-  const bool began_to_hold =
-      before.hold_time.count() == 0 && view.hold_time.count() > 0;
   kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo, "suspected",
                    {{"req", call.metadata.id},
-                    {"request", NameOfRequest(request)},
+                    {"request", NameOfSuspect(request)},
                     {"endpoint", attempt.endpoint->entry.id},
                     {"parts", NamesOfParts(call)},
-                    {"events", call.events},
+                    {"parts_suspected", !attempt.is_prompt_proven},
                     {"sent_ms", Elapsed(attempt.sent_at, now)},
                     {"breaks", view.breaks},
                     {"in_turn", view.crashes_in_turn},
                     {"held_ms", view.hold_time}});
-  // Copies may be on their way at any other node.
+  // Others of the kind may be on their way at any other node.
   if (began_to_hold) ExchangeWithManyPeers(proxy);
 }
 
@@ -93,10 +123,36 @@
   }
 }
 
+// The answer ended before the endpoint showed that it lives on.
+void KeepForProof(Proxy& proxy, Call& call, const Attempt& attempt) {
+  if (attempt.first_event_at == Time{} || attempt.is_prompt_proven) return;
+  PendingProof pending{attempt.endpoint, attempt.first_event_at, {}};
+  for (const std::uint64_t key : GetSuspectKeys(call)) {
+    if (routing::KindOf(key) == routing::SuspectKind::kPart)
+      pending.keys.push_back(key);
+  }
+  if (pending.keys.empty()) return;
+  proxy.pending_proofs.push_back(std::move(pending));
+  if (proxy.pending_proofs.size() > routing::kMaxPendingProofs)
+    proxy.pending_proofs.pop_front();
+}
+
 void RecordUnclear(Proxy& proxy, Call& call, const Attempt& attempt, Time now) {
-  routing::OnUnclearEnd(proxy.suspects, {GetFingerprint(call),
-                                         HashOfProcess(attempt.endpoint->entry),
-                                         attempt.sent_at, now});
+  KeepForProof(proxy, call, attempt);
+  for (const std::uint64_t key : GetKeysAtStake(call, attempt)) {
+    routing::OnUnclearEnd(
+        proxy.suspects,
+        {key, HashOfProcess(attempt.endpoint->entry), attempt.sent_at, now,
+         static_cast<std::uint32_t>(GetFingerprint(call))});
+  }
+}
+
+void RecordNotRun(Proxy& proxy, Call& call) {
+  if (!call.attempt->request_sent || proxy.suspects.by_key.empty()) return;
+  for (const std::uint64_t key : GetSuspectKeys(call)) {
+    routing::OnProbeNotRun(proxy.suspects, key,
+                           call.attempt->first_byte_sent_at);
+  }
 }
 
 void RecordProcessEnd(Proxy& proxy, const Attempt& attempt, Time now) {
@@ -105,65 +161,75 @@
                           HashOfProcess(attempt.endpoint->entry), now);
 }
 
-void RecordRun(Proxy& proxy, Call& call, Time now) {
-  const std::uint64_t request = GetFingerprint(call);
-  const routing::SuspectView view =
-      routing::ViewOf(proxy.suspects, request, now);
-  routing::OnRequestRan(proxy.suspects, request, now);
+void RecordSuccess(Proxy& proxy, Call& call, std::uint64_t key, Time now) {
+  const routing::SuspectView view = routing::ViewOf(proxy.suspects, key, now);
+  routing::OnRequestRan(proxy.suspects, key, now);
   if (view.breaks == 0) return;
   CountClearing(proxy, view.hold_time.count() > 0);
   kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo, "suspect-cleared",
                    {{"req", call.metadata.id},
-                    {"request", NameOfRequest(request)},
+                    {"request", NameOfSuspect(key)},
                     {"status", call.attempt->head.status},
                     {"breaks", view.breaks},
                     {"held_ms", view.hold_time}});
 }
 
+void RecordRun(Proxy& proxy, Call& call, Time now) {
+  for (const std::uint64_t key : GetSuspectKeys(call))
+    RecordSuccess(proxy, call, key, now);
+}
+
 void WriteSuspect(const routing::SuspectGossip& gossip,
                   exchange::Suspect::Builder suspect) {
-  suspect.setRequest(gossip.request);
+  suspect.setKey(gossip.key);
   suspect.setClearedAgoMs(ToMillis(gossip.cleared_ago));
   suspect.setHeldAgoMs(ToMillis(gossip.held_ago));
+  suspect.setHeldDespiteSuccess(gossip.held_despite_success);
+  suspect.setFailedProbes(
+      static_cast<std::uint8_t>(std::min(gossip.failed_probes, 255U)));
   auto breaks = suspect.initBreaks(static_cast<unsigned>(gossip.breaks.size()));
   for (unsigned i = 0; i < breaks.size(); ++i) {
     breaks[i].setEndpoint(gossip.breaks[i].endpoint);
     breaks[i].setSentAgoMs(ToMillis(gossip.breaks[i].sent_ago));
     breaks[i].setBrokeAgoMs(ToMillis(gossip.breaks[i].broke_ago));
+    breaks[i].setRequest(gossip.breaks[i].request);
   }
 }
 
 routing::SuspectGossip ReadSuspect(exchange::Suspect::Reader suspect) {
   routing::SuspectGossip gossip;
-  gossip.request = suspect.getRequest();
+  gossip.key = suspect.getKey();
   gossip.cleared_ago = milliseconds(suspect.getClearedAgoMs());
   gossip.held_ago = milliseconds(suspect.getHeldAgoMs());
+  gossip.held_despite_success = suspect.getHeldDespiteSuccess();
+  gossip.failed_probes = suspect.getFailedProbes();
   for (const auto known : suspect.getBreaks()) {
-    gossip.breaks.push_back({known.getEndpoint(),
-                             milliseconds(known.getSentAgoMs()),
-                             milliseconds(known.getBrokeAgoMs())});
+    gossip.breaks.push_back(
+        {known.getEndpoint(), milliseconds(known.getSentAgoMs()),
+         milliseconds(known.getBrokeAgoMs()), known.getRequest()});
   }
   return gossip;
 }
 
 void ApplySuspect(Proxy& proxy, const routing::SuspectGossip& gossip) {
   const Time now = NowOf(proxy);
-  const auto before = routing::ViewOf(proxy.suspects, gossip.request, now);
+  const auto before = routing::ViewOf(proxy.suspects, gossip.key, now);
   routing::ApplySuspectGossip(proxy.suspects, gossip, now);
-  const auto after = routing::ViewOf(proxy.suspects, gossip.request, now);
+  const auto after = routing::ViewOf(proxy.suspects, gossip.key, now);
   const bool was_held = before.hold_time.count() > 0;
   if (was_held == (after.hold_time.count() > 0)) return;
-  kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo,
-                   was_held ? "suspect-cleared-by-peer" : "suspect-held",
-                   {{"request", NameOfRequest(gossip.request)},
-                    {"breaks", after.breaks},
-                    {"in_turn", after.crashes_in_turn},
-                    {"held_ms", after.hold_time}});
+  if (!was_held) {
+    LogHold(gossip.key, after);
+    return;
+  }
+  kernel::LogEvent(
+      LogPart::kEndpoint, LogLevel::kInfo, "suspect-cleared-by-peer",
+      {{"request", NameOfSuspect(gossip.key)}, {"breaks", after.breaks}});
 }
 
 }  // namespace
 
-std::string NameOfRequest(std::uint64_t request) {
+std::string NameOfSuspect(std::uint64_t request) {
   constexpr int kHexBase = 16;
   std::array<char, 2 * sizeof(request)> digits{};
   const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
@@ -175,6 +241,7 @@
   const Attempt& attempt = *call.attempt;
   const Time now = NowOf(proxy);
   if (ProvesHarmless(attempt, outcome)) RecordRun(proxy, call, now);
+  if (routing::IsNotRun(outcome)) RecordNotRun(proxy, call);
   // The peer records how its own attempts failed, and tells of it.
   if (!attempt.peer.empty()) return;
   if (outcome == AttemptOutcome::kBroken) RecordBreak(proxy, call, now);
@@ -190,16 +257,54 @@
   RecordUnclear(proxy, call, attempt, NowOf(proxy));
 }
 
+void RecordPromptProven(Proxy& proxy, Call& call) {
+  call.attempt->is_prompt_proven = true;
+  const Time now = NowOf(proxy);
+  for (const std::uint64_t key : GetSuspectKeys(call)) {
+    if (routing::KindOf(key) == routing::SuspectKind::kPart)
+      RecordSuccess(proxy, call, key, now);
+  }
+}
+
+void SettleProofs(Proxy& proxy) {
+  const Time now = NowOf(proxy);
+  std::erase_if(proxy.pending_proofs, [&](const PendingProof& pending) {
+    const routing::Proof proof =
+        routing::FindProof(*pending.endpoint, pending.began_at, now);
+    if (proof == routing::Proof::kPending) return false;
+    if (proof == routing::Proof::kLivedOn) {
+      for (const std::uint64_t key : pending.keys)
+        routing::OnRequestRan(proxy.suspects, key, now);
+    }
+    return true;
+  });
+}
+
+const std::vector<std::uint64_t>& GetSuspectKeys(Call& call) {
+  if (!call.suspect_keys.empty()) return call.suspect_keys;
+  call.suspect_keys.push_back(GetFingerprint(call));
+  const auto& parts = call.demand.parts;
+  const std::size_t shared = parts.empty() ? 0 : parts.size() - 1;
+  const std::size_t count = std::min(shared, routing::kMaxSuspectedParts);
+  for (std::size_t i = 0; i < count; ++i) {
+    call.suspect_keys.push_back(
+        routing::KeyOfPart(call.service->name, parts[i].id));
+  }
+  return call.suspect_keys;
+}
+
 milliseconds GetSuspectHoldTime(Proxy& proxy, Call& call) {
-  if (proxy.suspects.by_request.empty()) return {};
+  if (proxy.suspects.by_key.empty()) return {};
   const Time now = NowOf(proxy);
-  const std::uint64_t request = GetFingerprint(call);
-  const milliseconds hold_time =
-      routing::RemainingHoldTime(proxy.suspects, request, now);
-  if (hold_time.count() > 0) return hold_time;
-  if (!routing::IsProbed(proxy.suspects, request, now)) return {};
-  return routing::TimeUntilProbe(proxy.suspects, request,
-                                 GetFleetSnapshot(proxy, call, now), now);
+  return routing::TimeUntilSend(proxy.suspects, GetSuspectKeys(call),
+                                GetFleetSnapshot(proxy, call, now), now);
+}
+
+void RecordSuspectSent(Proxy& proxy, Call& call) {
+  if (proxy.suspects.by_key.empty()) return;
+  const Time sent_at = call.attempt->first_byte_sent_at;
+  for (const std::uint64_t key : GetSuspectKeys(call))
+    routing::OnSuspectSent(proxy.suspects, key, sent_at);
 }
 
 void AskForSuspects(Proxy& proxy) {
@@ -208,7 +313,7 @@
 
 void WriteSuspects(const Proxy& proxy, routing::SuspectScope scope,
                    exchange::News::Builder news) {
-  if (proxy.suspects.by_request.empty()) return;
+  if (proxy.suspects.by_key.empty()) return;
   const auto gossip =
       routing::MakeSuspectGossip(proxy.suspects, scope, NowOf(proxy));
   auto list = news.initSuspects(static_cast<unsigned>(gossip.size()));
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -388,6 +388,43 @@
 inline constexpr std::size_t kMaxNewerSuccesses = 4096;
 /// Broken connections remembered per request.
 inline constexpr std::size_t kMaxBreaksPerSuspect = 6;
+/// Crashes after which a part of a prompt is held back that succeeded lately.
+/// While endpoints crash one after the other, no request with a sound part may
+/// succeed for a moment.
+inline constexpr std::size_t kMaxCrashesOfProvenPart = 5;
+/// Time between the first and the last of these crashes, at least.
+inline constexpr milliseconds kMinProvenCrashTime{1000};
+/// It must have been there at one in so many of the crashes that the node knows
+/// of since its own first one; otherwise endpoints crash for another cause.
+inline constexpr std::size_t kMaxCrashesPerProvenCrash = 3;
+/// Crashes remembered for that.
+inline constexpr std::size_t kMaxRecentCrashes = 64;
+/// Parts of one prompt that are suspected. Callers name them, and each takes
+/// room among the suspects.
+inline constexpr std::size_t kMaxSuspectedParts = 32;
+/// Different requests with a part that must have met crashes. A single one that
+/// is sent again is suspected as a whole.
+inline constexpr std::size_t kMinRequestsOfPart = 2;
+/// How long a part is held back before it is first probed. A sound part that
+/// was always beside the one that crashes endpoints is free after it.
+inline constexpr milliseconds kPartHoldTime{4000};
+/// Factor on that time after each probe that crashed an endpoint.
+inline constexpr int kPartHoldFactor = 8;
+/// Probes after which that time doesn't rise further.
+inline constexpr std::uint32_t kMaxPartHoldSteps = 3;
+/// Each probe of a part is another node's turn for so long. In the second half
+/// of a turn nothing is sent, so that all hear of a crash before the next.
+inline constexpr milliseconds kPartProbeTurn{2000};
+/// An endpoint that goes on with an answer for so long after its first event
+/// isn't crashed by the prompt's parts.
+inline constexpr milliseconds kMinProvenAnswerTime{300};
+/// How long an endpoint may take to be heard of again after an answer that
+/// ended before that. Later, another process may answer at its address.
+inline constexpr milliseconds kMaxProofTime{1000};
+/// Answers remembered for that time.
+inline constexpr std::size_t kMaxPendingProofs = 1024;
+/// Crashes remembered that a held part explains.
+inline constexpr std::size_t kMaxExplainedCrashes = 64;
 /// How long a suspect is gossiped after it changed, so that the change reaches
 /// all nodes.
 inline constexpr std::chrono::milliseconds kSuspectGossipTime{3000};
--- a/routing/include/egretladder/routing/suspects.h
+++ b/routing/include/egretladder/routing/suspects.h
@@ -10,6 +10,16 @@
 //
 // Nodes gossip broken connections, because callers retry at other nodes.
 //
+// A part of a prompt may do the same, whatever else the request holds, so that
+// no two requests are alike. Parts are therefore suspected as well, by the same
+// count: each crash counts against all parts of all requests of which the
+// endpoint hadn't begun an answer. A success at any node, or an answer that
+// goes on, excuses a part; in crash after crash the one that crashes endpoints
+// is left. Sound parts are in the same crashes, the more popular the more
+// often, so that a part which succeeded lately needs more crashes, and crashes
+// that a held part explains don't count against it. A held part is probed after
+// a short time, later after longer ones, by one node at a time.
+//
 // Between the two stands a request whose copies took down several endpoints at
 // once, as a loss of power does, and one that was held back until now. It is
 // probed: one node, which all choose by the same hash, sends one copy at a
@@ -20,6 +30,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -32,23 +43,41 @@
 
 using kernel::Time;
 
-/// A connection that broke while it carried the request.
+/// What is suspected.
+enum class SuspectKind : std::uint8_t {
+  kRequest,  ///< A whole request.
+  kPart,     ///< A part of a prompt, which many requests may have.
+};
+/// Returns the key of a request with that hash of its path, account and body.
+std::uint64_t KeyOfRequest(std::uint64_t hash);
+/// Returns the key of a part in prompts for a service. Endpoints of another
+/// service may have other weights.
+std::uint64_t KeyOfPart(std::string_view service, std::uint64_t part);
+/// Returns the kind of the suspect with that key.
+SuspectKind KindOf(std::uint64_t key);
+
+/// A connection that broke while it carried the request, or one with the part.
 struct Break {
   std::uint64_t endpoint = 0;  ///< Hash of the endpoint's process.
   Time sent{};                 ///< When the request was sent.
   Time broke{};                ///< When the connection broke.
   bool seen_here = true;       ///< Otherwise a peer told of it.
+  std::uint32_t request = 0;   ///< Low half of the request's key.
 };
 
-/// What is known of one request, which is identified by a hash of its path,
-/// account and body.
+/// What is known of one request or part.
 struct Suspect {
   /// One for each crash since `cleared`, oldest first. If there are too many,
   /// the first and the newest.
   std::vector<Break> breaks;
-  Time cleared{};  ///< Last success; breaks up to it don't count.
+  std::size_t crashes = 0;  ///< Number of these, the dropped ones included.
+  Time cleared{};           ///< Last success; breaks up to it don't count.
   /// Last crash of a request that is held back; default: it isn't.
   Time held_since{};
+  /// A part is held back although it had succeeded before its crashes.
+  bool held_despite_success = false;
+  /// Probes of a held part that didn't succeed so far.
+  std::uint32_t failed_probes = 0;
   Time probed_at{};  ///< When this node last sent it as a probe.
   Time changed{};    ///< Last change that peers may not know yet.
 };
@@ -56,25 +85,30 @@
 /// An attempt that ended without showing whether its request crashes endpoints:
 /// the caller left, the answer was spoilt, or nothing came in time.
 struct UnclearEnd {
-  std::uint64_t request = 0;
+  std::uint64_t key = 0;       ///< Of the request or of a part.
   std::uint64_t endpoint = 0;  ///< Hash of the endpoint's process.
   Time sent{};
   Time ended{};
+  std::uint32_t request = 0;  ///< Low half of the request's key.
 };
 
 /// All suspects that one node knows.
 struct Suspects {
-  std::unordered_map<std::uint64_t, Suspect> by_request;  ///< By its hash.
-  /// When requests last succeeded, by their hash. A popular request that is
-  /// harmless has succeeded before its copies break.
+  std::unordered_map<std::uint64_t, Suspect> by_key;
+  /// When requests and parts last succeeded, by their keys. A popular one that
+  /// is harmless has succeeded before its copies break.
   RecentMap<Time> successes;
   /// Of the last `kMaxLateCrash`, oldest first.
   std::deque<UnclearEnd> unclear_ends;
+  /// The latest crashes that this node knows of, oldest first.
+  std::deque<Break> crashes;
+  /// Those that a held part explains, oldest first.
+  std::deque<Break> explained;
 };
 
 /// Records that a connection broke at `added.broke` while it carried the
-/// request.
-void OnConnectionBroke(Suspects& suspects, std::uint64_t request,
+/// request, or one with the part.
+void OnConnectionBroke(Suspects& suspects, std::uint64_t key,
                        const Break& added);
 /// Records an attempt that ended without showing whether its request crashes
 /// endpoints. If the endpoint's process turns out to have ended within
@@ -83,32 +117,49 @@
 /// Records that the endpoint's process has ended, or seems to: a connection to
 /// it broke or was refused.
 void OnProcessEnded(Suspects& suspects, std::uint64_t endpoint, Time now);
-/// Records that an endpoint ran the request to its end with success, which
-/// proves that the request is harmless.
-void OnRequestRan(Suspects& suspects, std::uint64_t request, Time now);
+/// Records that an endpoint ran the request to its end with success, or wrote
+/// an answer on the part, which proves that it is harmless.
+void OnRequestRan(Suspects& suspects, std::uint64_t key, Time now);
+
+/// Whether an endpoint lived on after it began an answer.
+enum class Proof : std::uint8_t { kPending, kLivedOn, kNone };
+/// Returns whether the endpoint lived on for `kMinProvenAnswerTime` after it
+/// began an answer at `began`, as other answers of it show.
+Proof FindProof(const Endpoint& endpoint, Time began, Time now);
 
-/// Returns how much longer the request is held back; 0: it isn't.
-milliseconds RemainingHoldTime(const Suspects& suspects, std::uint64_t request,
+/// Returns how much longer the request or part is held back; 0: it isn't.
+milliseconds RemainingHoldTime(const Suspects& suspects, std::uint64_t key,
                                Time now);
 
-/// Returns true if the request may be sent as a probe only.
-bool IsProbed(const Suspects& suspects, std::uint64_t request, Time now);
-/// Returns how long this node must not send a request that is probed; 0: it may
-/// send it now.
-milliseconds TimeUntilProbe(const Suspects& suspects, std::uint64_t request,
+/// Returns true if the request, or one with the part, may be sent as a probe
+/// only.
+bool IsProbed(const Suspects& suspects, std::uint64_t key, Time now);
+/// Returns how long this node must not send what is probed; 0: it may send it
+/// now.
+milliseconds TimeUntilProbe(const Suspects& suspects, std::uint64_t key,
                             const FleetSnapshot& fleet, Time now);
-/// Records that this node sends the request.
-void OnSuspectSent(Suspects& suspects, std::uint64_t request, Time now);
+/// Returns how long this node must not send a request with these keys, its own
+/// and those of its parts; 0: it may send it now. A request under several
+/// suspicions is no probe, since its crash would not tell them apart.
+milliseconds TimeUntilSend(const Suspects& suspects,
+                           const std::vector<std::uint64_t>& keys,
+                           const FleetSnapshot& fleet, Time now);
+/// Records that this node sends the request, or one with the part. A probe of a
+/// part counts as failed until it succeeds: its crash may look like an answer.
+void OnSuspectSent(Suspects& suspects, std::uint64_t key, Time now);
+/// Records that the endpoint turned away what this node sent at `sent`, so that
+/// it was no probe.
+void OnProbeNotRun(Suspects& suspects, std::uint64_t key, Time sent);
 
-/// What is known of one request at some time; for logs and metrics.
+/// What is known of one request or part at some time; for logs and metrics.
 struct SuspectView {
   std::size_t breaks = 0;  ///< Crashes that count.
   /// Of them, each of an attempt that was sent after the one before.
   std::size_t crashes_in_turn = 0;
   milliseconds hold_time{};  ///< See `RemainingHoldTime`.
 };
-/// Returns what is known of the request.
-SuspectView ViewOf(const Suspects& suspects, std::uint64_t request, Time now);
+/// Returns what is known of the request or part.
+SuspectView ViewOf(const Suspects& suspects, std::uint64_t key, Time now);
 
 /// A broken connection, as nodes gossip it. It holds ages, because clocks
 /// differ.
@@ -116,18 +167,21 @@
   std::uint64_t endpoint = 0;
   milliseconds sent_ago{};
   milliseconds broke_ago{};
+  std::uint32_t request = 0;
 };
 /// A suspect, as nodes gossip it. It holds ages, because clocks differ.
 struct SuspectGossip {
-  std::uint64_t request = 0;
+  std::uint64_t key = 0;
   std::vector<BreakGossip> breaks;
   milliseconds cleared_ago{};  ///< `kNeverHappened` if it never was cleared.
   /// Time since the last crash of a request that is held back;
   /// `kNeverHappened` if it isn't.
   milliseconds held_ago{};
+  bool held_despite_success = false;
+  std::uint32_t failed_probes = 0;
 };
 /// Greater than any age that is gossiped.
-inline constexpr milliseconds kNeverHappened = 2 * kSuspectRetention;
+inline constexpr milliseconds kNeverHappened = std::chrono::hours(1);
 
 /// Which suspects are gossiped.
 enum class SuspectScope : std::uint8_t {
--- /dev/null
+++ b/routing/src/suspect_evidence.cc
@@ -0,0 +1,85 @@
+#include "egretladder/routing/suspect_evidence.h"
+
+#include <algorithm>
+
+namespace egretladder::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+bool RequestCrashesEndpoints(const Suspect& suspect) {
+  const std::size_t in_turn = CountCrashesInTurn(suspect);
+  if (in_turn >= kMaxCrashes) return true;
+  return in_turn > 1 && suspect.breaks.size() >= kMaxCrashesOfCopies &&
+         !SucceededOfLate(suspect);
+}
+
+std::size_t CountRequests(const Suspect& suspect) {
+  std::vector<std::uint32_t> requests;
+  for (const Break& known : suspect.breaks) {
+    if (std::find(requests.begin(), requests.end(), known.request) ==
+        requests.end())
+      requests.push_back(known.request);
+  }
+  return requests.size();
+}
+
+// Returns true if the suspect was there at enough of the crashes since its
+// first one.
+bool WasAtMostCrashes(const Suspects& suspects, const Suspect& suspect) {
+  const Time since = suspect.breaks.front().broke;
+  const auto crashes = std::count_if(
+      suspects.crashes.begin(), suspects.crashes.end(),
+      [since](const Break& crash) { return crash.broke >= since; });
+  return suspect.crashes * kMaxCrashesPerProvenCrash >=
+         static_cast<std::size_t>(crashes);
+}
+
+// Requests with the part run side by side everywhere, so that the order of
+// their crashes says nothing.
+bool PartCrashesEndpoints(const Suspects& suspects, const Suspect& suspect) {
+  const auto& breaks = suspect.breaks;
+  if (CountRequests(suspect) < kMinRequestsOfPart) return false;
+  if (!HasSucceeded(suspect)) return breaks.size() >= kMaxCrashes;
+  return breaks.size() >= kMaxCrashesOfProvenPart &&
+         breaks.back().broke - breaks.front().broke >= kMinProvenCrashTime &&
+         WasAtMostCrashes(suspects, suspect);
+}
+
+}  // namespace
+
+bool HasSucceeded(const Suspect& suspect) { return suspect.cleared != Time{}; }
+
+bool IsSameCrash(const Break& left, const Break& right) {
+  return left.endpoint == right.endpoint &&
+         left.sent < right.broke + kSameBreakWindow &&
+         right.sent < left.broke + kSameBreakWindow;
+}
+
+std::size_t CountCrashesInTurn(const Suspect& suspect) {
+  std::size_t crashes = 0;
+  Break last;
+  for (const Break& known : suspect.breaks) {
+    const bool is_order_known = known.seen_here && last.seen_here;
+    const Time earliest = last.broke + (is_order_known ? 0ms : kMinCrashGap);
+    if (crashes > 0 && (known.sent < last.broke || known.broke < earliest))
+      continue;
+    ++crashes;
+    last = known;
+  }
+  return crashes;
+}
+
+bool SucceededOfLate(const Suspect& suspect) {
+  return suspect.cleared != Time{} &&
+         suspect.breaks.back().broke - suspect.cleared < kSuspectRetention;
+}
+
+bool CrashesEndpoints(const Suspects& suspects, std::uint64_t key,
+                      const Suspect& suspect) {
+  return KindOf(key) == SuspectKind::kPart
+             ? PartCrashesEndpoints(suspects, suspect)
+             : RequestCrashesEndpoints(suspect);
+}
+
+}  // namespace egretladder::routing
--- a/routing/src/suspects.cc
+++ b/routing/src/suspects.cc
@@ -3,18 +3,30 @@
 #include <algorithm>
 
 #include "egretladder/kernel/hash.h"
+#include "egretladder/routing/suspect_evidence.h"
 
 namespace egretladder::routing {
 namespace {
 
 using namespace std::chrono_literals;
 
-using SuspectEntry = decltype(Suspects::by_request)::value_type;
+using SuspectEntry = decltype(Suspects::by_key)::value_type;
 
 milliseconds Age(Time time, Time now) {
   return std::chrono::duration_cast<milliseconds>(now - time);
 }
 
+constexpr std::uint64_t kPartBit = std::uint64_t{1} << 63U;
+
+// Returns how long the suspect is held back after `held_since`.
+milliseconds HoldTimeOf(std::uint64_t key, std::uint32_t failed_probes) {
+  if (KindOf(key) == SuspectKind::kRequest) return kSuspectHoldTime;
+  milliseconds time = kPartHoldTime;
+  for (std::uint32_t i = 0; i < std::min(failed_probes, kMaxPartHoldSteps); ++i)
+    time *= kPartHoldFactor;
+  return time;
+}
+
 Time LastChange(const Suspect& suspect) {
   Time latest = std::max(suspect.cleared, suspect.held_since);
   for (const Break& known_break : suspect.breaks) {
@@ -26,12 +38,12 @@
 bool IsHeld(const Suspect& suspect) { return suspect.held_since != Time{}; }
 
 // Returns how much the suspect matters to peers: first what is held back, then
-// what has crashed most endpoints. That a request is harmless matters more than
-// a single crash.
+// what has crashed most endpoints, what never succeeded before what did. That
+// one is harmless matters more than a single crash.
 std::size_t RankOf(const Suspect& suspect) {
-  if (IsHeld(suspect)) return kMaxBreaksPerSuspect + 1;
-  const bool is_cleared = suspect.breaks.empty();
-  return is_cleared ? 2 : suspect.breaks.size();
+  if (IsHeld(suspect)) return 2 * (kMaxBreaksPerSuspect + 1);
+  if (suspect.breaks.empty()) return 4;
+  return 2 * suspect.breaks.size() + (HasSucceeded(suspect) ? 0 : 1);
 }
 
 bool MattersMore(const Suspect& left, const Suspect& right) {
@@ -42,20 +54,20 @@
 }
 
 void EvictLeastIfFull(Suspects& suspects) {
-  if (suspects.by_request.size() < kMaxSuspects) return;
-  suspects.by_request.erase(
-      std::max_element(suspects.by_request.begin(), suspects.by_request.end(),
+  if (suspects.by_key.size() < kMaxSuspects) return;
+  suspects.by_key.erase(
+      std::max_element(suspects.by_key.begin(), suspects.by_key.end(),
                        [](const auto& left, const auto& right) {
                          return MattersMore(left.second, right.second);
                        }));
 }
 
-Suspect& FindOrAddSuspect(Suspects& suspects, std::uint64_t request) {
-  const auto at = suspects.by_request.find(request);
-  if (at != suspects.by_request.end()) return at->second;
+Suspect& FindOrAddSuspect(Suspects& suspects, std::uint64_t key) {
+  const auto at = suspects.by_key.find(key);
+  if (at != suspects.by_key.end()) return at->second;
   EvictLeastIfFull(suspects);
-  Suspect& suspect = suspects.by_request[request];
-  if (const Time* success = Find(suspects.successes, request))
+  Suspect& suspect = suspects.by_key[key];
+  if (const Time* success = Find(suspects.successes, key))
     suspect.cleared = *success;
   return suspect;
 }
@@ -66,13 +78,13 @@
   return broke <= suspect.cleared + kSameBreakWindow;
 }
 
-// An endpoint's process crashes once. Attempts that overlap at one endpoint
-// broke by the same crash. One that was sent later met a new process, also if
-// this node hadn't heard of it. Times from peers are late by their way.
-bool IsSameCrash(const Break& left, const Break& right) {
-  return left.endpoint == right.endpoint &&
-         left.sent < right.broke + kSameBreakWindow &&
-         right.sent < left.broke + kSameBreakWindow;
+// Drops some crashes, and all that aren't listed if none of these is left.
+// Returns how many were listed.
+template <typename Predicate>
+std::size_t DropBreaks(Suspect& suspect, Predicate predicate) {
+  const std::size_t dropped = std::erase_if(suspect.breaks, predicate);
+  suspect.crashes = suspect.breaks.empty() ? 0 : suspect.crashes - dropped;
+  return dropped;
 }
 
 // Records a broken connection. Returns true if its crash wasn't known.
@@ -88,63 +100,113 @@
                                      return left.broke < right.broke;
                                    });
   breaks.insert(at, added);
+  ++suspect.crashes;
   // The first one is kept, since crashes in turn are counted from it on.
   if (breaks.size() > kMaxBreaksPerSuspect) breaks.erase(breaks.begin() + 1);
   return true;
 }
 
-// Counts the crashes of attempts that were sent after the crash before. The
-// order of crashes that are less than `kMinCrashGap` apart is known only if
-// this node saw both.
-std::size_t CountCrashesInTurn(const Suspect& suspect) {
-  std::size_t crashes = 0;
-  Break last;
-  for (const Break& known : suspect.breaks) {
-    const bool is_order_known = known.seen_here && last.seen_here;
-    const Time earliest = last.broke + (is_order_known ? 0ms : kMinCrashGap);
-    if (crashes > 0 && (known.sent < last.broke || known.broke < earliest))
-      continue;
-    ++crashes;
-    last = known;
-  }
-  return crashes;
+// Holds the suspect back once it has crashed enough endpoints. From then on
+// each further crash prolongs the hold.
+void UpdateHold(const Suspects& suspects, std::uint64_t key, Suspect& suspect) {
+  if (suspect.breaks.empty()) return;
+  if (!IsHeld(suspect) && !CrashesEndpoints(suspects, key, suspect)) return;
+  if (!IsHeld(suspect)) suspect.held_despite_success = HasSucceeded(suspect);
+  suspect.held_since =
+      std::max(suspect.held_since, suspect.breaks.back().broke);
 }
 
-// Returns true if the request succeeded not long before its last crash. Then it
-// is popular, and copies of it that break side by side say little.
-bool SucceededOfLate(const Suspect& suspect) {
-  return suspect.cleared != Time{} &&
-         suspect.breaks.back().broke - suspect.cleared < kSuspectRetention;
+void Clear(Suspect& suspect, Time cleared) {
+  suspect.cleared = std::max(suspect.cleared, cleared);
+  DropBreaks(suspect, [&suspect](const Break& known) {
+    return IsExcused(suspect, known.broke);
+  });
+  if (!IsExcused(suspect, suspect.held_since)) return;
+  suspect.held_since = {};
+  suspect.failed_probes = 0;
+}
+
+// Returns true if a crash may say nothing of the suspect, since `explaining` is
+// held back and was there too. A part that never succeeded may be a second one
+// that crashes endpoints.
+bool IsExcusedBy(std::uint64_t explaining, std::uint64_t key,
+                 const Suspect& suspect) {
+  if (key == explaining) return false;
+  if (KindOf(key) == SuspectKind::kPart) return HasSucceeded(suspect);
+  return KindOf(explaining) == SuspectKind::kPart;
+}
+
+// Forgets a crash that `explaining` explains, and a hold that rested on it.
+void ExplainCrash(Suspects& suspects, std::uint64_t explaining,
+                  const Break& crash) {
+  for (auto& [key, suspect] : suspects.by_key) {
+    if (!IsExcusedBy(explaining, key, suspect)) continue;
+    const std::size_t forgotten = DropBreaks(
+        suspect,
+        [&crash](const Break& known) { return IsSameCrash(known, crash); });
+    if (forgotten == 0 || !IsHeld(suspect) ||
+        CrashesEndpoints(suspects, key, suspect))
+      continue;
+    Clear(suspect, suspect.held_since);
+    suspect.changed = crash.broke;
+  }
 }
 
-bool CrashesEndpoints(const Suspect& suspect) {
-  const std::size_t in_turn = CountCrashesInTurn(suspect);
-  if (in_turn >= kMaxCrashes) return true;
-  return in_turn > 1 && suspect.breaks.size() >= kMaxCrashesOfCopies &&
-         !SucceededOfLate(suspect);
+bool IsExplained(const Suspects& suspects, std::uint64_t key,
+                 const Suspect& suspect, const Break& added) {
+  // Whole requests are compared with parts only.
+  return IsExcusedBy(kPartBit, key, suspect) &&
+         std::any_of(suspects.explained.begin(), suspects.explained.end(),
+                     [&added](const Break& crash) {
+                       return IsSameCrash(crash, added);
+                     });
+}
+
+// Records that a held part was there at all its crashes.
+void ExplainCrashes(Suspects& suspects, std::uint64_t key) {
+  const std::vector<Break> crashes = suspects.by_key.at(key).breaks;
+  for (const Break& crash : crashes) {
+    const bool is_known = std::any_of(
+        suspects.explained.begin(), suspects.explained.end(),
+        [&crash](const Break& known) { return IsSameCrash(known, crash); });
+    if (is_known) continue;
+    suspects.explained.push_back(crash);
+    if (suspects.explained.size() > kMaxExplainedCrashes)
+      suspects.explained.pop_front();
+    ExplainCrash(suspects, key, crash);
+  }
 }
 
-// Holds the request back once it has crashed enough endpoints. From then on
-// each further crash prolongs the hold.
-void UpdateHold(Suspect& suspect) {
-  if (suspect.breaks.empty()) return;
-  if (suspect.held_since == Time{} && !CrashesEndpoints(suspect)) return;
-  suspect.held_since =
-      std::max(suspect.held_since, suspect.breaks.back().broke);
+void RecordCrash(Suspects& suspects, const Break& added) {
+  const bool is_known = std::any_of(
+      suspects.crashes.begin(), suspects.crashes.end(),
+      [&added](const Break& crash) { return IsSameCrash(crash, added); });
+  if (is_known) return;
+  suspects.crashes.push_back(added);
+  if (suspects.crashes.size() > kMaxRecentCrashes) suspects.crashes.pop_front();
 }
 
-bool AddBreak(Suspect& suspect, const Break& added) {
+// Records a broken connection. Returns true if its crash wasn't known.
+bool AddBreak(Suspects& suspects, std::uint64_t key, Suspect& suspect,
+              const Break& added) {
+  if (IsExplained(suspects, key, suspect, added)) return false;
+  RecordCrash(suspects, added);
   if (!MergeBreak(suspect, added)) return false;
-  UpdateHold(suspect);
+  UpdateHold(suspects, key, suspect);
+  if (IsHeld(suspect) && KindOf(key) == SuspectKind::kPart)
+    ExplainCrashes(suspects, key);
   return true;
 }
 
-void Clear(Suspect& suspect, Time cleared) {
-  suspect.cleared = std::max(suspect.cleared, cleared);
-  std::erase_if(suspect.breaks, [&suspect](const Break& known) {
-    return IsExcused(suspect, known.broke);
-  });
-  if (IsExcused(suspect, suspect.held_since)) suspect.held_since = {};
+// A part is held back after few crashes if it isn't known to have succeeded.
+// Once it is, more are needed.
+void DropUnsureHold(const Suspects& suspects, std::uint64_t key,
+                    Suspect& suspect) {
+  if (KindOf(key) == SuspectKind::kRequest || !HasSucceeded(suspect) ||
+      suspect.held_despite_success)
+    return;
+  suspect.held_despite_success = CrashesEndpoints(suspects, key, suspect);
+  if (!suspect.held_despite_success) suspect.held_since = {};
 }
 
 bool IsNews(const Suspect& suspect, Time now) {
@@ -155,44 +217,75 @@
   return time == Time{} ? kNeverHappened : Age(time, now);
 }
 
-SuspectGossip Describe(std::uint64_t request, const Suspect& suspect,
-                       Time now) {
+SuspectGossip Describe(std::uint64_t key, const Suspect& suspect, Time now) {
   SuspectGossip gossip;
-  gossip.request = request;
+  gossip.key = key;
   gossip.cleared_ago = AgeOrNever(suspect.cleared, now);
   gossip.held_ago = AgeOrNever(suspect.held_since, now);
+  gossip.held_despite_success = suspect.held_despite_success;
+  gossip.failed_probes = suspect.failed_probes;
   // Of a request that is held back, its crashes say no more.
   if (IsHeld(suspect) && !IsNews(suspect, now)) return gossip;
   for (const Break& known : suspect.breaks) {
-    gossip.breaks.push_back(
-        {known.endpoint, Age(known.sent, now), Age(known.broke, now)});
+    gossip.breaks.push_back({known.endpoint, Age(known.sent, now),
+                             Age(known.broke, now), known.request});
   }
   return gossip;
 }
 
-// Applies that a peer holds the request back.
-bool MergeHold(Suspect& suspect, Time held_since) {
-  if (IsExcused(suspect, held_since)) return false;
+// Returns true if this node knows better than a peer that holds the suspect
+// back: it succeeded since, or the peer doesn't know that it ever did.
+bool IsHoldRefuted(const SuspectGossip& gossip, const Suspect& suspect,
+                   Time held_since) {
+  if (IsExcused(suspect, held_since)) return true;
+  return KindOf(gossip.key) == SuspectKind::kPart && HasSucceeded(suspect) &&
+         !gossip.held_despite_success;
+}
+
+// Applies that a peer holds the suspect back. Returns true if that is news.
+bool MergeHold(const SuspectGossip& gossip, Suspect& suspect, Time held_since) {
+  suspect.failed_probes = std::max(suspect.failed_probes, gossip.failed_probes);
   if (held_since <= suspect.held_since + kSameBreakWindow) return false;
+  if (!IsHeld(suspect) || gossip.held_despite_success)
+    suspect.held_despite_success = gossip.held_despite_success;
   suspect.held_since = held_since;
   return true;
 }
 
 // Rendezvous hashing, so that nodes agree without messages.
-bool IsProbingNode(const FleetSnapshot& fleet, std::uint64_t request) {
-  const std::uint64_t own = kernel::HashBytes(fleet.self, request);
+bool IsProbingNode(const FleetSnapshot& fleet, std::uint64_t seed) {
+  const std::uint64_t own = kernel::HashBytes(fleet.self, seed);
   return std::none_of(fleet.names.begin(), fleet.names.end(),
-                      [own, request](const std::string& name) {
-                        return kernel::HashBytes(name, request) > own;
+                      [own, seed](const std::string& name) {
+                        return kernel::HashBytes(name, seed) > own;
                       });
 }
 
+// Returns true if it is this node's turn to probe a part, `overdue` after the
+// end of its hold.
+bool IsTurnToProbe(std::uint64_t key, const FleetSnapshot& fleet,
+                   milliseconds overdue) {
+  const auto turn = static_cast<std::uint64_t>(overdue / kPartProbeTurn);
+  return overdue % kPartProbeTurn < kPartProbeTurn / 2 &&
+         IsProbingNode(fleet, key + turn);
+}
+
 }  // namespace
 
-void OnConnectionBroke(Suspects& suspects, std::uint64_t request,
+std::uint64_t KeyOfRequest(std::uint64_t hash) { return hash & ~kPartBit; }
+
+std::uint64_t KeyOfPart(std::string_view service, std::uint64_t part) {
+  return kernel::HashBytes(service, part) | kPartBit;
+}
+
+SuspectKind KindOf(std::uint64_t key) {
+  return (key & kPartBit) != 0 ? SuspectKind::kPart : SuspectKind::kRequest;
+}
+
+void OnConnectionBroke(Suspects& suspects, std::uint64_t key,
                        const Break& added) {
-  Suspect& suspect = FindOrAddSuspect(suspects, request);
-  if (AddBreak(suspect, added)) suspect.changed = added.broke;
+  Suspect& suspect = FindOrAddSuspect(suspects, key);
+  if (AddBreak(suspects, key, suspect, added)) suspect.changed = added.broke;
 }
 
 void OnUnclearEnd(Suspects& suspects, const UnclearEnd& end) {
@@ -211,61 +304,107 @@
     if (end.endpoint != endpoint || now - end.ended > kMaxLateCrash) {
       others.push_back(end);
     } else {
-      OnConnectionBroke(suspects, end.request, {endpoint, end.sent, now});
+      OnConnectionBroke(suspects, end.key,
+                        {endpoint, end.sent, now, true, end.request});
     }
   }
   suspects.unclear_ends = std::move(others);
 }
 
-void OnRequestRan(Suspects& suspects, std::uint64_t request, Time now) {
+void OnRequestRan(Suspects& suspects, std::uint64_t key, Time now) {
   constexpr RecentMapBounds kBounds{kMaxNewerSuccesses, kSuspectRetention};
-  Put(suspects.successes, kBounds, request, now, now);
-  const auto at = suspects.by_request.find(request);
-  if (at == suspects.by_request.end()) return;
+  Put(suspects.successes, kBounds, key, now, now);
+  const auto at = suspects.by_key.find(key);
+  if (at == suspects.by_key.end()) return;
   Suspect& suspect = at->second;
   if (!suspect.breaks.empty() || IsHeld(suspect)) suspect.changed = now;
   Clear(suspect, now);
 }
 
-milliseconds RemainingHoldTime(const Suspects& suspects, std::uint64_t request,
+Proof FindProof(const Endpoint& endpoint, Time began, Time now) {
+  if (endpoint.broke_at >= began) return Proof::kNone;
+  const Time heard = endpoint.last_heard_at;
+  if (heard >= began + kMinProvenAnswerTime && heard < began + kMaxProofTime)
+    return Proof::kLivedOn;
+  return now < began + kMaxProofTime ? Proof::kPending : Proof::kNone;
+}
+
+milliseconds RemainingHoldTime(const Suspects& suspects, std::uint64_t key,
                                Time now) {
-  const auto at = suspects.by_request.find(request);
-  if (at == suspects.by_request.end()) return {};
-  if (at->second.held_since == Time{}) return {};
-  return std::max(milliseconds(0),
-                  kSuspectHoldTime - Age(at->second.held_since, now));
+  const auto at = suspects.by_key.find(key);
+  if (at == suspects.by_key.end() || !IsHeld(at->second)) return {};
+  const milliseconds hold_time = HoldTimeOf(key, at->second.failed_probes);
+  return std::max(milliseconds(0), hold_time - Age(at->second.held_since, now));
 }
 
-bool IsProbed(const Suspects& suspects, std::uint64_t request, Time now) {
-  const auto at = suspects.by_request.find(request);
-  if (at == suspects.by_request.end()) return false;
+bool IsProbed(const Suspects& suspects, std::uint64_t key, Time now) {
+  const auto at = suspects.by_key.find(key);
+  if (at == suspects.by_key.end()) return false;
   const Suspect& suspect = at->second;
-  if (IsHeld(suspect)) return now - suspect.held_since >= kSuspectHoldTime;
+  if (IsHeld(suspect))
+    return RemainingHoldTime(suspects, key, now).count() == 0;
+  if (KindOf(key) == SuspectKind::kPart) return false;
   if (suspect.breaks.size() < kMaxCrashes || SucceededOfLate(suspect))
     return false;
   return now - suspect.breaks[kMaxCrashes - 1].broke >= kSuspectProbeDelay;
 }
 
-milliseconds TimeUntilProbe(const Suspects& suspects, std::uint64_t request,
+milliseconds TimeUntilProbe(const Suspects& suspects, std::uint64_t key,
                             const FleetSnapshot& fleet, Time now) {
-  if (!IsProbed(suspects, request, now)) return {};
-  if (!IsProbingNode(fleet, request)) return kSuspectProbeInterval;
-  const Time probed_at = suspects.by_request.at(request).probed_at;
-  return std::max(milliseconds(0), kSuspectProbeInterval - Age(probed_at, now));
+  if (!IsProbed(suspects, key, now)) return {};
+  const Suspect& suspect = suspects.by_key.at(key);
+  const milliseconds overdue =
+      Age(suspect.held_since, now) - HoldTimeOf(key, suspect.failed_probes);
+  const bool may_probe = KindOf(key) == SuspectKind::kPart
+                             ? IsTurnToProbe(key, fleet, overdue)
+                             : IsProbingNode(fleet, key);
+  if (!may_probe) return kSuspectProbeInterval;
+  return std::max(milliseconds(0),
+                  kSuspectProbeInterval - Age(suspect.probed_at, now));
+}
+
+milliseconds TimeUntilSend(const Suspects& suspects,
+                           const std::vector<std::uint64_t>& keys,
+                           const FleetSnapshot& fleet, Time now) {
+  milliseconds longest{};
+  std::size_t probed = 0;
+  for (const std::uint64_t key : keys) {
+    longest = std::max({longest, RemainingHoldTime(suspects, key, now),
+                        TimeUntilProbe(suspects, key, fleet, now)});
+    probed += IsProbed(suspects, key, now) ? 1 : 0;
+  }
+  return probed > 1 ? std::max(longest, kSuspectProbeInterval) : longest;
 }
 
-void OnSuspectSent(Suspects& suspects, std::uint64_t request, Time now) {
-  const auto at = suspects.by_request.find(request);
-  if (at != suspects.by_request.end()) at->second.probed_at = now;
+void OnSuspectSent(Suspects& suspects, std::uint64_t key, Time now) {
+  const auto at = suspects.by_key.find(key);
+  if (at == suspects.by_key.end()) return;
+  Suspect& suspect = at->second;
+  if (KindOf(key) == SuspectKind::kPart && IsProbed(suspects, key, now)) {
+    ++suspect.failed_probes;
+    suspect.held_since = now;
+    suspect.changed = now;
+  }
+  suspect.probed_at = now;
+}
+
+void OnProbeNotRun(Suspects& suspects, std::uint64_t key, Time sent) {
+  const auto at = suspects.by_key.find(key);
+  if (at == suspects.by_key.end() || KindOf(key) != SuspectKind::kPart) return;
+  Suspect& suspect = at->second;
+  const bool is_probe = suspect.probed_at == sent && suspect.held_since == sent;
+  if (!is_probe || suspect.failed_probes == 0) return;
+  --suspect.failed_probes;
+  suspect.held_since = sent - HoldTimeOf(key, suspect.failed_probes);
 }
 
-SuspectView ViewOf(const Suspects& suspects, std::uint64_t request, Time now) {
+SuspectView ViewOf(const Suspects& suspects, std::uint64_t key, Time now) {
   SuspectView view;
-  const auto at = suspects.by_request.find(request);
-  if (at == suspects.by_request.end()) return view;
+  const auto at = suspects.by_key.find(key);
+  if (at == suspects.by_key.end()) return view;
   view.breaks = at->second.breaks.size();
   view.crashes_in_turn = CountCrashesInTurn(at->second);
-  view.hold_time = RemainingHoldTime(suspects, request, now);
+  view.hold_time = RemainingHoldTime(suspects, key, now);
   return view;
 }
 
@@ -273,7 +412,7 @@
                                              SuspectScope scope, Time now) {
   const bool is_all = scope == SuspectScope::kAll;
   std::vector<const SuspectEntry*> chosen;
-  for (const SuspectEntry& entry : suspects.by_request) {
+  for (const SuspectEntry& entry : suspects.by_key) {
     if (is_all || IsHeld(entry.second) || IsNews(entry.second, now))
       chosen.push_back(&entry);
   }
@@ -292,7 +431,7 @@
 
 void ApplySuspectGossip(Suspects& suspects, const SuspectGossip& gossip,
                         Time now) {
-  Suspect& suspect = FindOrAddSuspect(suspects, gossip.request);
+  Suspect& suspect = FindOrAddSuspect(suspects, gossip.key);
   if (gossip.cleared_ago < kSuspectRetention) {
     const Time cleared = now - gossip.cleared_ago;
     if (suspect.cleared + kSameBreakWindow < cleared) suspect.changed = now;
@@ -300,25 +439,37 @@
   }
   for (const BreakGossip& added : gossip.breaks) {
     if (added.broke_ago >= kSuspectRetention) continue;
-    const bool is_new = AddBreak(suspect, {added.endpoint, now - added.sent_ago,
-                                           now - added.broke_ago, false});
+    const bool is_new = AddBreak(suspects, gossip.key, suspect,
+                                 {added.endpoint, now - added.sent_ago,
+                                  now - added.broke_ago, false, added.request});
     if (is_new) suspect.changed = now;
   }
-  if (gossip.held_ago >= kSuspectRetention) return;
+  DropUnsureHold(suspects, gossip.key, suspect);
+  const milliseconds retention =
+      KindOf(gossip.key) == SuspectKind::kRequest
+          ? kSuspectRetention
+          : kSuspectRetention + HoldTimeOf(gossip.key, gossip.failed_probes);
+  if (gossip.held_ago >= retention) return;
   const Time held_since = now - gossip.held_ago;
-  // A peer that holds a request which succeeded since is told of that.
-  if (MergeHold(suspect, held_since) || IsExcused(suspect, held_since))
+  // A peer that knows less is told of the success.
+  const bool is_refuted = IsHoldRefuted(gossip, suspect, held_since);
+  if (is_refuted || MergeHold(gossip, suspect, held_since))
     suspect.changed = now;
 }
 
 void ForgetSuspects(Suspects& suspects, Time now) {
-  for (auto& [request, suspect] : suspects.by_request) {
-    std::erase_if(suspect.breaks, [now](const Break& known) {
+  for (auto& [key, suspect] : suspects.by_key) {
+    DropBreaks(suspect, [now](const Break& known) {
       return now - known.broke >= kSuspectRetention;
     });
   }
-  std::erase_if(suspects.by_request, [now](const auto& entry) {
-    return now - LastChange(entry.second) >= kSuspectRetention;
+  std::erase_if(suspects.by_key, [now](const auto& entry) {
+    const auto& [key, suspect] = entry;
+    const bool is_held_part =
+        IsHeld(suspect) && KindOf(key) == SuspectKind::kPart;
+    const milliseconds hold_time =
+        is_held_part ? HoldTimeOf(key, suspect.failed_probes) : 0ms;
+    return now - LastChange(suspect) >= kSuspectRetention + hold_time;
   });
 }
 
--- a/routing/tests/suspects_test.cc
+++ b/routing/tests/suspects_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <vector>
+
 using namespace std::chrono_literals;
 namespace er = egretladder::routing;
 
@@ -79,7 +81,7 @@
   AddBreak(9, kStart + 300ms, kStart + 320ms);
   CHECK_FALSE(IsHeld(kStart + 1s));
   er::OnRequestRan(suspects, kRequest + 1, kStart);
-  LONGS_EQUAL(1, suspects.by_request.size());
+  LONGS_EQUAL(1, suspects.by_key.size());
 }
 
 // Guards against a caller that uses another node for each retry, so that no
@@ -94,7 +96,7 @@
   CHECK(er::RemainingHoldTime(other_node, kRequest, kStart + 400ms) > 0ms);
   // Repeated and late gossip changes nothing.
   GossipToOther(kStart + 500ms);
-  LONGS_EQUAL(3, other_node.by_request.at(kRequest).breaks.size());
+  LONGS_EQUAL(3, other_node.by_key.at(kRequest).breaks.size());
 }
 
 // Guards against other nodes that keep holding back a request which one node
@@ -121,8 +123,8 @@
     er::ForgetSuspects(other_node, now);
     if (now > kStart + er::kSuspectHoldTime + 1s) CHECK_FALSE(IsHeld(now));
   }
-  CHECK(suspects.by_request.empty());
-  CHECK(other_node.by_request.empty());
+  CHECK(suspects.by_key.empty());
+  CHECK(other_node.by_key.empty());
 }
 
 // Guards against bytes for news that all nodes know: for what is held back the
@@ -149,8 +151,8 @@
     er::OnConnectionBroke(suspects, request,
                           {1, kStart, kStart + request * 1us});
   }
-  LONGS_EQUAL(er::kMaxSuspects, suspects.by_request.size());
-  CHECK(suspects.by_request.contains(2 * er::kMaxSuspects - 1));
+  LONGS_EQUAL(er::kMaxSuspects, suspects.by_key.size());
+  CHECK(suspects.by_key.contains(2 * er::kMaxSuspects - 1));
   LONGS_EQUAL(
       er::kMaxSuspectsPerExchange,
       er::MakeSuspectGossip(suspects, er::SuspectScope::kNews, kStart + 1s)
@@ -158,7 +160,7 @@
   CHECK(er::MakeSuspectGossip(suspects, er::SuspectScope::kNews, kStart + 4s)
             .empty());
   er::ForgetSuspects(suspects, kStart + er::kSuspectRetention + 1s);
-  CHECK(suspects.by_request.empty());
+  CHECK(suspects.by_key.empty());
 }
 
 // Guards against endpoints that start again under their ids, so that their
@@ -195,7 +197,7 @@
   for (std::uint64_t request = 100; request < 400; ++request)
     er::OnConnectionBroke(suspects, request, {9, kStart, kStart + 900ms});
   GossipToOther(kStart + 1s);
-  CHECK_TRUE(other_node.by_request.contains(kRequest));
+  CHECK_TRUE(other_node.by_key.contains(kRequest));
 }
 
 // Guards against a node that starts after a request was held and sends it.
@@ -256,7 +258,7 @@
   }
   CHECK(suspects.successes.newer.size() <= er::kMaxNewerSuccesses);
   CHECK(suspects.successes.older.size() <= er::kMaxNewerSuccesses);
-  CHECK(suspects.by_request.empty());
+  CHECK(suspects.by_key.empty());
 }
 
 // Guards against a node that holds a harmless request for a minute, as its own
@@ -272,3 +274,153 @@
   CHECK_FALSE(
       er::RemainingHoldTime(other_node, kRequest, kStart + 700ms).count() > 0);
 }
+
+TEST_GROUP(SuspectedParts) {
+  static constexpr std::uint64_t kSound = 7;
+  const std::uint64_t bad = er::KeyOfPart("models", 1);
+  const std::uint64_t other = er::KeyOfPart("models", 2);
+  er::Suspects suspects;
+  er::FleetSnapshot fleet;
+  er::Time now = kStart;
+  std::uint32_t requests = 0;
+
+  void setup() override {
+    fleet.self = "n";
+    fleet.names = {"n"};
+  }
+  // Another endpoint crashes under another request with these parts.
+  void Crash(const std::vector<std::uint64_t>& keys) {
+    ++requests;
+    now += 400ms;
+    for (const std::uint64_t key : keys) {
+      er::OnConnectionBroke(suspects, key,
+                            {requests, now - 100ms, now, true, requests});
+    }
+  }
+  bool IsHeld(std::uint64_t key) const {
+    return er::RemainingHoldTime(suspects, key, now) > 0ms;
+  }
+  std::chrono::milliseconds TimeUntilSend(
+      const std::vector<std::uint64_t>& keys) const {
+    return er::TimeUntilSend(suspects, keys, fleet, now);
+  }
+};
+
+// Guards against requests of which no two are alike.
+TEST(SuspectedParts, APartThatNeverSucceededIsHeldAfterThreeCrashes) {
+  Crash({bad});
+  Crash({bad});
+  CHECK_FALSE(IsHeld(bad));
+  Crash({bad});
+  CHECK_TRUE(IsHeld(bad));
+  CHECK(TimeUntilSend({kSound, bad}) > 0ms);
+  CHECK(TimeUntilSend({kSound, other}) == 0ms);
+}
+
+// Guards against a request that is sent again and again, whose own parts would
+// be held with it.
+TEST(SuspectedParts, OneRequestHoldsNoPart) {
+  for (std::uint64_t endpoint = 1; endpoint <= 5; ++endpoint) {
+    now += 400ms;
+    er::OnConnectionBroke(suspects, bad, {endpoint, now - 100ms, now, true, 1});
+  }
+  CHECK_FALSE(IsHeld(bad));
+}
+
+// Guards against popular parts that are in all crashes, and succeed in between.
+TEST(SuspectedParts, ASuccessExcusesAPart) {
+  for (int i = 0; i < 10; ++i) {
+    Crash({bad, other});
+    er::OnRequestRan(suspects, other, now + 10ms);
+  }
+  CHECK_TRUE(IsHeld(bad));
+  CHECK_FALSE(IsHeld(other));
+}
+
+// Guards against a popular part that can't succeed for a moment, as endpoints
+// crash faster than they answer.
+TEST(SuspectedParts, CrashesThatAHeldPartExplainsDoNotCount) {
+  er::OnRequestRan(suspects, other, now);
+  for (int i = 0; i < 12; ++i) Crash({other, bad});
+  CHECK_TRUE(IsHeld(bad));
+  CHECK_FALSE(IsHeld(other));
+}
+
+// Guards against a part that crashes endpoints after it had succeeded.
+TEST(SuspectedParts, APartThatSucceededBeforeNeedsMoreCrashes) {
+  er::OnRequestRan(suspects, bad, now);
+  now += 1s;
+  for (int i = 0; i < 4; ++i) Crash({bad});
+  CHECK_FALSE(IsHeld(bad));
+  Crash({bad});
+  CHECK_TRUE(IsHeld(bad));
+}
+
+// Guards against a node that holds a part only since it doesn't know that it
+// succeeded elsewhere, and against peers that hold it again at its word.
+TEST(SuspectedParts, ASuccessAtAPeerRefutesAnEarlyHold) {
+  er::Suspects peer;
+  er::OnRequestRan(peer, bad, now);
+  for (int i = 0; i < 3; ++i) Crash({bad});
+  CHECK_TRUE(IsHeld(bad));
+  const auto tell = [this](const er::Suspects& from, er::Suspects& to) {
+    for (const auto& gossip :
+         er::MakeSuspectGossip(from, er::SuspectScope::kNews, now))
+      er::ApplySuspectGossip(to, gossip, now);
+  };
+  tell(suspects, peer);
+  CHECK(er::RemainingHoldTime(peer, bad, now) == 0ms);
+  tell(peer, suspects);
+  CHECK_FALSE(IsHeld(bad));
+}
+
+// Guards against a probe whose crash looks like an answer, so that the next
+// probe follows at once.
+TEST(SuspectedParts, AProbeCountsAsFailedUntilItSucceeds) {
+  for (int i = 0; i < 3; ++i) Crash({bad});
+  now += er::kPartHoldTime;
+  CHECK(TimeUntilSend({kSound, bad}) == 0ms);
+  er::OnSuspectSent(suspects, bad, now);
+  now += er::kPartHoldTime;
+  CHECK(TimeUntilSend({kSound, bad}) > 20s);
+  er::OnRequestRan(suspects, bad, now);
+  CHECK(TimeUntilSend({kSound, bad}) == 0ms);
+}
+
+// Guards against a part that stays held since its probe met a full endpoint.
+TEST(SuspectedParts, AProbeThatWasTurnedAwayIsMadeAgain) {
+  for (int i = 0; i < 3; ++i) Crash({bad});
+  now += er::kPartHoldTime;
+  er::OnSuspectSent(suspects, bad, now);
+  CHECK(TimeUntilSend({kSound, bad}) > 20s);
+  er::OnProbeNotRun(suspects, bad, now);
+  now += er::kPartProbeTurn * 2;
+  CHECK(TimeUntilSend({kSound, bad}) == 0ms);
+}
+
+// Guards against sound parts that are held together with a bad one, and that
+// would be probed with it.
+TEST(SuspectedParts, ARequestUnderSeveralSuspicionsIsNoProbe) {
+  for (int i = 0; i < 3; ++i) Crash({bad, other});
+  now += er::kPartHoldTime;
+  CHECK(TimeUntilSend({kSound, bad, other}) > 0ms);
+  CHECK(TimeUntilSend({kSound, other}) == 0ms);
+}
+
+// Guards against sound parts that nobody excuses, as their answers have no
+// length or their callers leave early.
+TEST(SuspectedParts, AnEndpointThatIsHeardOfAgainExcusesAnAnswerThatEnded) {
+  er::Endpoint endpoint;
+  CHECK(er::FindProof(endpoint, now, now + 900ms) == er::Proof::kPending);
+  CHECK(er::FindProof(endpoint, now, now + 1s) == er::Proof::kNone);
+  endpoint.last_heard_at = now + 200ms;
+  CHECK(er::FindProof(endpoint, now, now + 400ms) == er::Proof::kPending);
+  endpoint.last_heard_at = now + 300ms;
+  CHECK(er::FindProof(endpoint, now, now + 400ms) == er::Proof::kLivedOn);
+  // Another process may answer by then.
+  endpoint.last_heard_at = now + 1s;
+  CHECK(er::FindProof(endpoint, now, now + 1s) == er::Proof::kNone);
+  endpoint.last_heard_at = now + 300ms;
+  endpoint.broke_at = now;
+  CHECK(er::FindProof(endpoint, now, now + 400ms) == er::Proof::kNone);
+}
