--- a/routing/include/egretladder/routing/brittle.h
+++ b/routing/include/egretladder/routing/brittle.h
@@ -28,6 +28,50 @@
 
 namespace egretladder::routing {
 
+/// How long a statement that a service is brittle holds. Its endpoints repeat
+/// it in each answer.
+inline constexpr milliseconds kBrittleFreshTime{3000};
+/// The same while no answer comes that doesn't state it: all endpoints may be
+/// down or closed.
+inline constexpr milliseconds kBrittleUnansweredTime{15'000};
+/// Part of the tolerated refusals that nodes of one view of the fleet may
+/// cause. Around a partition there are two views.
+inline constexpr double kBrittleToleranceRatio = 0.5;
+/// Refusals a second that one sender may cause, if the tolerance allows. With
+/// one, a refusal closes the endpoint for the rest of the second.
+inline constexpr std::size_t kRefusalsPerBrittleSender = 2;
+/// Upper bound of the refusals a second that one sender may cause.
+inline constexpr std::size_t kMaxRefusalsPerBrittleSender = 8;
+/// How long a refusal counts: the second in which endpoints count them, and the
+/// differences between the ways of messages.
+inline constexpr milliseconds kBrittleRefusalWindow{1100};
+/// Lower bound of the time after which a request that wasn't turned away counts
+/// as accepted: a round trip within a region.
+inline constexpr milliseconds kMinBrittleConfirmTime{10};
+/// That time, as a multiple of how long the last refusal took.
+inline constexpr int kBrittleConfirmFactor = 2;
+/// What a node that was turned away may have in flight, as a part of what it
+/// had, if others send there too.
+inline constexpr double kBrittleRefusalRatio = 0.5;
+/// The same for a node that hears of another one's refusal.
+inline constexpr double kBrittleNewsRatio = 0.75;
+/// Growth of that bound, times the square of the seconds since the refusal: the
+/// room is tried seldom at first, and a large one is found soon.
+inline constexpr double kBrittleGrowth = 0.06;
+/// A node that knows no more than one in so many nodes of the fleet sends
+/// nothing to brittle endpoints: no more than two parts of a partitioned fleet
+/// do.
+inline constexpr std::size_t kMinKnownFleetDivisor = 3;
+/// How long a refusal is gossiped.
+inline constexpr milliseconds kBrittleNewsTime{800};
+/// Ages in gossip grow by the transfer time of the message: refusals that
+/// differ by less count as the same.
+inline constexpr milliseconds kSameRefusalWindow{100};
+/// Refusals sent in one exchange for each brittle service, about 40 bytes each.
+inline constexpr std::size_t kMaxRefusalsPerExchange = 16;
+/// Upper bound of the tolerance that is believed.
+inline constexpr std::uint32_t kMaxBrittleTolerance = 1'000'000;
+
 /// Records that an endpoint states that its service is brittle: it tolerates
 /// `tolerance` requests that it turns away in a second. Returns true if that
 /// begins a brittle time or changes the tolerance.
--- a/routing/include/egretladder/routing/suspects.h
+++ b/routing/include/egretladder/routing/suspects.h
@@ -43,6 +43,96 @@
 
 using kernel::Time;
 
+/// Successive crashes after which a request is held back. With two, a request
+/// that met two failing endpoints by chance would be refused; the platform
+/// allows three.
+inline constexpr std::size_t kMaxCrashes = 3;
+/// How long a request is held back. Callers give up within seconds, and a
+/// harmless request is admitted again after it.
+inline constexpr milliseconds kSuspectHoldTime{60'000};
+/// How long a broken connection counts against a request. It is longer than
+/// `kSuspectHoldTime`, so that one more crash holds the request back again.
+inline constexpr milliseconds kSuspectRetention{120'000};
+/// Suspects that a node remembers, about 200 bytes each. When a zone of a small
+/// fleet fails, some hundred requests are in flight there.
+inline constexpr std::size_t kMaxSuspects = 1024;
+/// Crashes after which a request is held back of which only two were in turn:
+/// copies of it ran side by side. A harmless request that is as popular
+/// succeeds somewhere meanwhile.
+inline constexpr std::size_t kMaxCrashesOfCopies = 4;
+/// Time between crashes in turn that several nodes saw. What peers tell is late
+/// by its way, so that endpoints which lose power together seem to do so one
+/// after the other.
+inline constexpr milliseconds kMinCrashGap{50};
+/// Time after the last of several crashes side by side from which the request
+/// is probed. If it is harmless and popular, a copy at another endpoint
+/// succeeds meanwhile.
+inline constexpr milliseconds kSuspectProbeDelay{500};
+/// Interval at which a node probes a request. It is longer than a request that
+/// crashes endpoints takes to do so, and than news take between nodes.
+inline constexpr milliseconds kSuspectProbeInterval{3000};
+/// Longest time between the end of an attempt and the crash of its endpoint
+/// that is attributed to the request. Endpoints drop a request some time after
+/// its connection closed.
+inline constexpr milliseconds kMaxLateCrash{1000};
+/// Ends of attempts remembered for that time.
+inline constexpr std::size_t kMaxUnclearEnds = 1024;
+/// Requests that succeeded of which a node remembers the newer ones; twice as
+/// many at most, about 40 bytes each.
+inline constexpr std::size_t kMaxNewerSuccesses = 4096;
+/// Broken connections remembered per request.
+inline constexpr std::size_t kMaxBreaksPerSuspect = 6;
+/// Crashes after which a part of a prompt is held back that succeeded lately.
+/// While endpoints crash one after the other, no request with a sound part may
+/// succeed for a moment.
+inline constexpr std::size_t kMaxCrashesOfProvenPart = 5;
+/// Time between the first and the last of these crashes, at least.
+inline constexpr milliseconds kMinProvenCrashTime{1000};
+/// It must have been there at one in so many of the crashes that the node knows
+/// of since its own first one; otherwise endpoints crash for another cause.
+inline constexpr std::size_t kMaxCrashesPerProvenCrash = 3;
+/// Crashes remembered for that.
+inline constexpr std::size_t kMaxRecentCrashes = 64;
+/// Parts of one prompt that are suspected. Callers name them, and each takes
+/// room among the suspects.
+inline constexpr std::size_t kMaxSuspectedParts = 32;
+/// Different requests with a part that must have met crashes. A single one that
+/// is sent again is suspected as a whole.
+inline constexpr std::size_t kMinRequestsOfPart = 2;
+/// How long a part is held back before it is first probed. A sound part that
+/// was always beside the one that crashes endpoints is free after it.
+inline constexpr milliseconds kPartHoldTime{4000};
+/// Factor on that time after each probe that crashed an endpoint.
+inline constexpr int kPartHoldFactor = 8;
+/// Probes after which that time doesn't rise further.
+inline constexpr std::uint32_t kMaxPartHoldSteps = 3;
+/// Each probe of a part is another node's turn for so long. In the second half
+/// of a turn nothing is sent, so that all hear of a crash before the next.
+inline constexpr milliseconds kPartProbeTurn{2000};
+/// An endpoint that goes on with an answer for so long after its first event
+/// isn't crashed by the prompt's parts.
+inline constexpr milliseconds kMinProvenAnswerTime{300};
+/// How long an endpoint may take to be heard of again after an answer that
+/// ended before that. Later, another process may answer at its address.
+inline constexpr milliseconds kMaxProofTime{1000};
+/// Answers remembered for that time.
+inline constexpr std::size_t kMaxPendingProofs = 1024;
+/// Crashes remembered that a held part explains.
+inline constexpr std::size_t kMaxExplainedCrashes = 64;
+/// How long a suspect is gossiped after it changed, so that the change reaches
+/// all nodes.
+inline constexpr milliseconds kSuspectGossipTime{3000};
+/// Suspects sent in one exchange: 24 bytes each, and 16 for each crash that is
+/// news.
+inline constexpr std::size_t kMaxSuspectsPerExchange = 8;
+/// Suspects sent to a node that has just started, thawed or met its peers
+/// again.
+inline constexpr std::size_t kMaxSuspectsForJoining = 64;
+/// Two breaks at one endpoint that are closer than this count as the same one:
+/// ages in gossip grow by the transfer time of the message, and an endpoint
+/// takes longer than this to restart.
+inline constexpr milliseconds kSameBreakWindow{500};
+
 /// What is suspected.
 enum class SuspectKind : std::uint8_t {
   kRequest,  ///< A whole request.
