Hold no part for crashes that came all at one moment

Endpoints of a zone that lose power break together. Of two hundred requests in flight there a few may share a part that no node knows to have succeeded, by arithmetic about one part in a loss of 28 engines of a service with 1,900 documents; it would have been held for 4 s. New test, red before: CrashesAtOneMomentHoldNoPart.

--- a/routing/include/egretladder/routing/suspects.h
+++ b/routing/include/egretladder/routing/suspects.h
@@ -102,7 +102,7 @@
 /// How long a part is held back before it is first probed. A sound part that
 /// was always beside the one that crashes endpoints is free after it.
 inline constexpr milliseconds kPartHoldTime{4000};
-/// Factor on that time after each probe that crashed an endpoint.
+/// Factor on that time after each probe that didn't succeed.
 inline constexpr int kPartHoldFactor = 8;
 /// Probes after which that time doesn't rise further.
 inline constexpr std::uint32_t kMaxPartHoldSteps = 3;
@@ -122,7 +122,7 @@
 /// How long a suspect is gossiped after it changed, so that the change reaches
 /// all nodes.
 inline constexpr milliseconds kSuspectGossipTime{3000};
-/// Suspects sent in one exchange: 24 bytes each, and 16 for each crash that is
+/// Suspects sent in one exchange: 32 bytes each, and 24 for each crash that is
 /// news.
 inline constexpr std::size_t kMaxSuspectsPerExchange = 8;
 /// Suspects sent to a node that has just started, thawed or met its peers
--- a/routing/src/suspect_evidence.cc
+++ b/routing/src/suspect_evidence.cc
@@ -26,7 +26,7 @@
 
 // Returns true if the suspect was there at enough of the crashes since its
 // first one.
-bool WasAtMostCrashes(const Suspects& suspects, const Suspect& suspect) {
+bool WasAtEnoughCrashes(const Suspects& suspects, const Suspect& suspect) {
   const Time since = suspect.breaks.front().broke;
   const auto crashes = std::count_if(
       suspects.crashes.begin(), suspects.crashes.end(),
@@ -40,10 +40,12 @@
 bool PartCrashesEndpoints(const Suspects& suspects, const Suspect& suspect) {
   const auto& breaks = suspect.breaks;
   if (CountRequests(suspect) < kMinRequestsOfPart) return false;
-  if (!HasSucceeded(suspect)) return breaks.size() >= kMaxCrashes;
+  if (breaks.size() < kMaxCrashes) return false;
+  const auto lasted = breaks.back().broke - breaks.front().broke;
+  // Endpoints that lose power together break all at once.
+  if (!HasSucceeded(suspect)) return lasted >= kMinCrashGap;
   return breaks.size() >= kMaxCrashesOfProvenPart &&
-         breaks.back().broke - breaks.front().broke >= kMinProvenCrashTime &&
-         WasAtMostCrashes(suspects, suspect);
+         lasted >= kMinProvenCrashTime && WasAtEnoughCrashes(suspects, suspect);
 }
 
 }  // namespace
--- a/routing/tests/suspects_test.cc
+++ b/routing/tests/suspects_test.cc
@@ -327,6 +327,18 @@
   CHECK_FALSE(IsHeld(bad));
 }
 
+// Guards against a part that several requests had at endpoints of one zone when
+// that lost power.
+TEST(SuspectedParts, CrashesAtOneMomentHoldNoPart) {
+  for (std::uint32_t endpoint = 101; endpoint <= 105; ++endpoint) {
+    er::OnConnectionBroke(suspects, bad,
+                          {endpoint, now - 100ms, now, true, endpoint});
+  }
+  CHECK_FALSE(IsHeld(bad));
+  Crash({bad});
+  CHECK_TRUE(IsHeld(bad));
+}
+
 // Guards against popular parts that are in all crashes, and succeed in between.
 TEST(SuspectedParts, ASuccessExcusesAPart) {
   for (int i = 0; i < 10; ++i) {
