--- a/proxy/src/suspects.cc
+++ b/proxy/src/suspects.cc
@@ -229,11 +229,11 @@
 
 }  // namespace
 
-std::string NameOfSuspect(std::uint64_t request) {
+std::string NameOfSuspect(std::uint64_t key) {
   constexpr int kHexBase = 16;
-  std::array<char, 2 * sizeof(request)> digits{};
+  std::array<char, 2 * sizeof(key)> digits{};
   const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
-                                 request, kHexBase);
+                                 key, kHexBase);
   return {digits.data(), end.ptr};
 }
 
