--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -38,10 +38,13 @@
   const std::uint32_t bound =
       routing::MaxBrittleInFlight(endpoint, *brittle, fleet, now);
   const milliseconds took = Elapsed(call.attempt->first_byte_sent_at, now);
+  const milliseconds confirm_time = routing::ConfirmTime(endpoint);
   routing::OnBrittleRefusal(endpoint, *brittle, took, now);
   IncrementCounter(proxy, "egretladder_brittle_refusals_total",
-                   "Requests that brittle endpoints turned away.",
-                   "service=\"" + call.service->name + "\"");
+                   "Requests that brittle endpoints turned away, and whether "
+                   "they counted as accepted by then.",
+                   "service=\"" + call.service->name + "\",late=\"" +
+                       (took < confirm_time ? "no" : "yes") + "\"");
   kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "brittle-refusal",
                    {{"req", call.metadata.id},
                     {"endpoint", endpoint.entry.id},
@@ -52,6 +55,9 @@
                     {"nodes", fleet.nodes},
                     {"known_nodes", fleet.names.size()},
                     {"took_ms", took},
+                    {"confirm_ms", confirm_time},
+                    {"up_ms", Elapsed(proxy.members.started, now)},
+                    {"peer_ms", Elapsed(proxy.members.last_exchange_at, now)},
                     {"bound_now", routing::MaxBrittleInFlight(
                                       endpoint, *brittle, fleet, now)}});
 }
--- a/routing/include/egretladder/routing/brittle.h
+++ b/routing/include/egretladder/routing/brittle.h
@@ -116,6 +116,9 @@
 std::vector<std::string> FindBrittleSenders(const Endpoint& endpoint,
                                             const BrittleStatement& brittle,
                                             const FleetSnapshot& fleet);
+/// Returns how long after its first byte a request that wasn't turned away
+/// counts as accepted.
+milliseconds ConfirmTime(const Endpoint& endpoint);
 /// Records that the endpoint turned a request of this node away, `took` after
 /// its first byte was sent.
 void OnBrittleRefusal(Endpoint& endpoint, const BrittleStatement& brittle,
--- a/routing/src/brittle.cc
+++ b/routing/src/brittle.cc
@@ -52,9 +52,7 @@
 
 // Returns how many requests that this node sent may still be turned away.
 std::size_t CountUnconfirmed(const Endpoint& endpoint, Time now) {
-  const milliseconds confirm_time =
-      std::max(kMinBrittleConfirmTime,
-               endpoint.brittle_room.refusal_time * kBrittleConfirmFactor);
+  const milliseconds confirm_time = ConfirmTime(endpoint);
   const auto count =
       std::count_if(endpoint.unanswered.begin(), endpoint.unanswered.end(),
                     [&](const auto& entry) {
@@ -198,6 +196,11 @@
   return FindSenders(endpoint, ShareOf(brittle, endpoint).senders, fleet);
 }
 
+milliseconds ConfirmTime(const Endpoint& endpoint) {
+  return std::max(kMinBrittleConfirmTime,
+                  endpoint.brittle_room.refusal_time * kBrittleConfirmFactor);
+}
+
 void OnBrittleRefusal(Endpoint& endpoint, const BrittleStatement& brittle,
                       milliseconds took, Time now) {
   BrittleRoom& room = endpoint.brittle_room;
