--- a/routing/tests/brittle_fleet_test.cc
+++ b/routing/tests/brittle_fleet_test.cc
@@ -53,6 +53,16 @@
   return fleet.TakeTally();
 }
 
+// Plays four starts of most nodes after the room shrank.
+BrittleTally PlayStarts(BrittleFleet& fleet, std::uint32_t room) {
+  Play(fleet, room, 2s);
+  for (int i = 0; i < 4; ++i) {
+    fleet.RestartNodes(47);
+    fleet.Run(4s);
+  }
+  return fleet.TakeTally();
+}
+
 }  // namespace
 
 TEST_GROUP(BrittleFleet){};
@@ -106,6 +116,48 @@
   CheckFalls(fleet, fleet.TakeTally());
 }
 
+// Guards against requests that count as accepted before an endpoint has had
+// time to turn them away.
+TEST(BrittleFleet, RefusalsThatArriveLate) {
+  for (const auto way : {30ms, 60ms, 150ms}) {
+    BrittleLayout layout = ManyEngines(900);
+    layout.way = way;
+    BrittleFleet fleet(layout);
+    const BrittleTally tally = Play(fleet, 8, 10s);
+    CheckFalls(fleet, tally);
+    CheckServed(tally, Capacity(layout, 8, 10s) / 2);
+  }
+}
+
+// Guards against nodes that stood still and send as before, beside those that
+// took over from them.
+TEST(BrittleFleet, NodesThatStandStillInTurn) {
+  for (const std::uint32_t tolerance : {1U, 2U, 3U}) {
+    BrittleLayout layout = ManyEngines(600);
+    layout.tolerance = tolerance;
+    BrittleFleet fleet(layout);
+    Play(fleet, 8, 2s);
+    for (std::size_t i = 0; i < 5; ++i) {
+      fleet.FreezeNodes(i * 17, 17);
+      fleet.Run(2s);
+      fleet.ThawNodes();
+      fleet.Run(2s);
+    }
+    CheckFalls(fleet, fleet.TakeTally());
+  }
+}
+
+// Guards against nodes that start several times in one brittle time and don't
+// know of it.
+TEST(BrittleFleet, MostNodesStartAnewAgainAndAgain) {
+  for (const std::uint32_t tolerance : {1U, 2U, 3U}) {
+    BrittleLayout layout = ManyEngines(900);
+    layout.tolerance = tolerance;
+    BrittleFleet fleet(layout);
+    CheckFalls(fleet, PlayStarts(fleet, 8));
+  }
+}
+
 // Guards against two senders of one endpoint, one in each part, that are turned
 // away in the same second.
 TEST(BrittleFleet, NodesInTwoPartsWithEndpointsThatTolerateOneRefusal) {
@@ -169,6 +221,17 @@
   CheckFalls(fleet, fleet.TakeTally());
 }
 
+// Guards against the same several times in one brittle time.
+TEST(BrittleFleet, FewEndpointsWhileMostNodesStartAnewAgainAndAgain) {
+  for (const std::uint32_t tolerance : {1U, 2U, 3U}) {
+    BrittleLayout layout = FewPlainEndpoints();
+    layout.requests_per_second = 900;
+    layout.tolerance = tolerance;
+    BrittleFleet fleet(layout);
+    CheckFalls(fleet, PlayStarts(fleet, 6));
+  }
+}
+
 // Guards against a service that is taken for sound again when all its
 // endpoints are closed, and against two refusals at once where one is allowed.
 TEST(BrittleFleet, FewEndpointsThatTolerateOneRefusal) {
--- a/routing/tests/harness_brittle.cc
+++ b/routing/tests/harness_brittle.cc
@@ -16,6 +16,7 @@
 constexpr auto kTimeToFetchRules = 200ms;
 constexpr auto kMaxWait = 300ms;
 constexpr auto kTimeToRestart = 1500ms;
+constexpr auto kTimeToFirstEvent = 30ms;
 constexpr std::size_t kZones = 4;
 constexpr std::size_t kSeeds = 3;
 
@@ -56,9 +57,7 @@
       nodes_.size() > 16 ? 2 * kStepsPerMemberTurn : kStepsPerMemberTurn;
   for (std::size_t i = 0; i < nodes_.size(); ++i)
     if ((steps_ + i) % turn == 0) ExchangeNews(i);
-  for (Attempt& attempt : std::exchange(refused_, {})) OnRefused(attempt);
-  for (Attempt& attempt : std::exchange(to_endpoints_, {}))
-    Arrive(std::move(attempt));
+  DeliverMessages();
   for (EndpointModel& endpoint : endpoints_) EndRuns(endpoint);
   load_ += layout_.requests_per_second *
            std::chrono::duration<double>(kStep).count();
@@ -72,6 +71,7 @@
 }
 
 void BrittleFleet::ExchangeNews(std::size_t node) {
+  if (nodes_[node].is_frozen) return;
   const std::string address = PickExchangePeer(fleet_.node(node), random_);
   for (std::size_t peer = 0; peer < nodes_.size(); ++peer) {
     if (fleet_.node(peer).self.peers != address) continue;
@@ -89,11 +89,12 @@
 void BrittleFleet::Receive(std::size_t node, Waiting request) {
   // Callers of a node that is starting go elsewhere.
   if (now_ < nodes_[node].serves_from) return;
-  if (!TryDispatch(node, request))
+  if (nodes_[node].is_frozen || !TryDispatch(node, request))
     nodes_[node].waiting.push_back(std::move(request));
 }
 
 void BrittleFleet::DispatchWaiting(std::size_t node) {
+  if (nodes_[node].is_frozen) return;
   std::vector<Waiting> waiting = std::exchange(nodes_[node].waiting, {});
   for (Waiting& request : waiting) {
     if (now_ - request.arrived >= kMaxWait) continue;
@@ -120,9 +121,10 @@
   attempt.number = ++last_attempt_;
   attempt.request = request;
   attempt.placement = placement;
+  attempt.sent_at = now_;
   OnAttemptSent(*placement.endpoint, demand, attempt.number, placement, now_);
   OnAttemptBegan(*placement.endpoint, attempt.number, now_);
-  to_endpoints_.push_back(std::move(attempt));
+  Send(MessageKind::kRequest, attempt);
   return true;
 }
 
@@ -134,17 +136,48 @@
   const Endpoint& endpoint = *placement.elsewhere.front();
   const auto senders = FindBrittleSenders(endpoint, *brittle, SnapshotOf(node));
   const std::size_t peer = std::stoul(senders.front().substr(1));
-  if (!fleet_.AreInTouch(node, peer)) return false;
+  if (!fleet_.AreInTouch(node, peer) && !nodes_[peer].is_frozen) return false;
   Waiting handed_over = request;
   handed_over.is_handed_over = true;
   Receive(peer, std::move(handed_over));
   return true;
 }
 
+void BrittleFleet::Send(MessageKind kind, const Attempt& attempt) {
+  messages_.push_back({kind, attempt, now_ + layout_.way});
+}
+
+void BrittleFleet::DeliverMessages() {
+  std::vector<Message> due;
+  std::erase_if(messages_, [&](Message& message) {
+    const bool is_read = message.kind == MessageKind::kRequest ||
+                         !nodes_[message.attempt.node].is_frozen;
+    if (now_ < message.due || !is_read) return false;
+    due.push_back(std::move(message));
+    return true;
+  });
+  for (const Message& message : due) Deliver(message);
+}
+
+void BrittleFleet::Deliver(const Message& message) {
+  switch (message.kind) {
+    case MessageKind::kRequest:
+      return Arrive(message.attempt);
+    case MessageKind::kRefusal:
+      return OnRefused(message.attempt);
+    case MessageKind::kFirstEvent:
+      return OnFirstEvent(message.attempt);
+    case MessageKind::kEnd:
+      return OnAnswered(message.attempt);
+    case MessageKind::kReset:
+      return OnBroken(message.attempt);
+  }
+}
+
 void BrittleFleet::Arrive(Attempt attempt) {
   EndpointModel& endpoint = endpoints_[attempt.endpoint];
   if (now_ < endpoint.up_from) {
-    OnBroken(attempt);
+    Send(MessageKind::kReset, attempt);
     return;
   }
   if (endpoint.runs.size() >= room_) {
@@ -154,13 +187,16 @@
   const double length = 0.4 + 1.2 * kernel::RandomFraction(random_);
   attempt.due =
       now_ + std::chrono::duration_cast<Time::duration>(layout_.work * length);
+  messages_.push_back(
+      {MessageKind::kFirstEvent, attempt,
+       std::min<Time>(now_ + kTimeToFirstEvent, attempt.due) + layout_.way});
   endpoint.runs.push_back(std::move(attempt));
 }
 
 void BrittleFleet::Refuse(Attempt attempt) {
   EndpointModel& endpoint = endpoints_[attempt.endpoint];
   ++tally_.refusals;
-  refused_.push_back(std::move(attempt));
+  Send(MessageKind::kRefusal, attempt);
   endpoint.refusals.push_back(now_);
   while (now_ - endpoint.refusals.front() > 1s) endpoint.refusals.pop_front();
   if (endpoint.refusals.size() > layout_.tolerance) Fall(endpoint);
@@ -171,7 +207,7 @@
   endpoint.refusals.clear();
   endpoint.up_from = now_ + kTimeToRestart;
   for (const Attempt& attempt : std::exchange(endpoint.runs, {}))
-    OnBroken(attempt);
+    Send(MessageKind::kReset, attempt);
 }
 
 void BrittleFleet::EndRuns(EndpointModel& endpoint) {
@@ -182,7 +218,7 @@
     ended.push_back(std::move(attempt));
     return true;
   });
-  for (const Attempt& attempt : ended) OnAnswered(attempt);
+  for (const Attempt& attempt : ended) Send(MessageKind::kEnd, attempt);
 }
 
 bool BrittleFleet::IsCurrent(const Attempt& attempt) const {
@@ -199,8 +235,9 @@
   Endpoint& endpoint = EndpointOf(attempt);
   OnBrittleStated(set, service_.name, layout_.tolerance, now_);
   OnEndpointFull(endpoint, kFullPause, now_);
-  OnBrittleRefusal(endpoint, *FindBrittle(set, service_.name, now_), 2 * kStep,
-                   now_);
+  OnBrittleRefusal(
+      endpoint, *FindBrittle(set, service_.name, now_),
+      std::chrono::duration_cast<milliseconds>(now_ - attempt.sent_at), now_);
   OnAttemptStarted(endpoint, {&service_}, attempt.number, attempt.placement);
   OnAttemptEnded(endpoint);
   Waiting request = attempt.request;
@@ -208,7 +245,14 @@
   Receive(attempt.node, std::move(request));
 }
 
+void BrittleFleet::OnFirstEvent(const Attempt& attempt) {
+  if (!IsCurrent(attempt)) return;
+  OnAttemptStarted(EndpointOf(attempt), {&service_}, attempt.number,
+                   attempt.placement);
+}
+
 void BrittleFleet::OnAnswered(const Attempt& attempt) {
+  if (!IsCurrent(attempt)) return;
   ++tally_.served;
   EndpointSet& set = nodes_[attempt.node].set;
   Endpoint& endpoint = EndpointOf(attempt);
@@ -237,6 +281,22 @@
   }
 }
 
+void BrittleFleet::FreezeNodes(std::size_t first, std::size_t count) {
+  for (std::size_t i = first; i < first + count; ++i) {
+    nodes_[i % nodes_.size()].is_frozen = true;
+    fleet_.LosePower(i % nodes_.size());
+  }
+}
+
+void BrittleFleet::ThawNodes() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!std::exchange(nodes_[i].is_frozen, false)) continue;
+    fleet_.Resume(i);
+    // It reads now what was sent to it.
+    for (Waiting& request : nodes_[i].waiting) request.arrived = now_;
+  }
+}
+
 void BrittleFleet::Split() {
   for (std::size_t i = 0; i < nodes_.size(); ++i)
     fleet_.SetPart(i, static_cast<int>(i % 2));
--- a/routing/tests/harness_brittle.h
+++ b/routing/tests/harness_brittle.h
@@ -24,6 +24,8 @@
   double requests_per_second = 0;        ///< Of all callers.
   std::chrono::milliseconds work{1300};  ///< Mean duration of a request.
   std::uint64_t seed = 1;
+  /// What a message between a node and an endpoint takes; 5 ms at least.
+  std::chrono::milliseconds way{5};
 };
 
 /// What callers and endpoints saw.
@@ -34,7 +36,7 @@
   std::size_t sent = 0;  ///< Requests of callers.
 };
 
-/// The fleet. Each message takes one step of the clock.
+/// The fleet. A message between nodes takes no time.
 class BrittleFleet {
  public:
   explicit BrittleFleet(const BrittleLayout& layout);
@@ -44,6 +46,10 @@
   void SetRoom(std::uint32_t room) { room_ = room; }
   /// Starts so many of the nodes anew at once.
   void RestartNodes(std::size_t count);
+  /// Lets so many of the nodes, from the first one on, stand still. What comes
+  /// meanwhile waits for them.
+  void FreezeNodes(std::size_t first, std::size_t count);
+  void ThawNodes();
   /// Puts every other node into another part of the network.
   void Split();
   void Heal();
@@ -64,6 +70,15 @@
     std::vector<Waiting> waiting;
     std::size_t life = 0;  // Rises with each start.
     Time serves_from{};
+    bool is_frozen = false;
+  };
+  // What an attempt's next message says.
+  enum class MessageKind : std::uint8_t {
+    kRequest,
+    kRefusal,
+    kFirstEvent,
+    kEnd,
+    kReset,
   };
   // A request on its way to an endpoint, or there.
   struct Attempt {
@@ -73,7 +88,13 @@
     std::uint64_t number = 0;
     Waiting request;
     Placement placement;
-    Time due{};  // When it arrives, or when its work ends.
+    Time sent_at{};
+    Time due{};  // When its work ends.
+  };
+  struct Message {
+    MessageKind kind = MessageKind::kRequest;
+    Attempt attempt;
+    Time due{};
   };
   struct EndpointModel {
     std::vector<Attempt> runs;
@@ -88,11 +109,15 @@
   bool TryDispatch(std::size_t node, const Waiting& request);
   bool TryHandOver(std::size_t node, const Waiting& request,
                    const Placement& placement);
+  void Send(MessageKind kind, const Attempt& attempt);
+  void DeliverMessages();
+  void Deliver(const Message& message);
   void Arrive(Attempt attempt);
   void Refuse(Attempt attempt);
   void Fall(EndpointModel& endpoint);
   void EndRuns(EndpointModel& endpoint);
   void OnRefused(const Attempt& attempt);
+  void OnFirstEvent(const Attempt& attempt);
   void OnAnswered(const Attempt& attempt);
   void OnBroken(const Attempt& attempt);
   bool IsCurrent(const Attempt& attempt) const;
@@ -104,8 +129,7 @@
   SimulatedFleet fleet_;
   std::vector<Node> nodes_;
   std::vector<EndpointModel> endpoints_;
-  std::vector<Attempt> to_endpoints_;
-  std::vector<Attempt> refused_;  // Refusals on their way back.
+  std::vector<Message> messages_;  // On their way.
   std::uint32_t room_ = 0;
   std::uint64_t last_attempt_ = 0;
   std::size_t lives_ = 0;
