Learn how long endpoints take to turn requests away before they do

What callers saw: in the second in which the room of brittle endpoints shrank, several requests of one sender were turned away together and the endpoints fell over, with all that ran there.

Cause: a request counted as accepted 10 ms after its first byte, until a refusal of that very endpoint had shown how long refusals take, and then by the last one. On a slower way, or behind a large body, several were under way when the first refusal came; and each endpoint that had fallen was learned anew.

Change: connections that are opened tell the round trip to an endpoint's zone, with its variation, and so do refusals (RFC 6298). A request counts as accepted after that bound and the time that its body takes on a link of 10 Mbit/s, between 10 and 500 ms; a zone of which nothing is known counts as 25 ms away. What the endpoint's own last refusal took still counts twice, but is bounded now: a refusal after seconds in an endpoint's queue closed it for seconds.

Why it works: at the first refusal no more than the sender's part is under way, whatever the way is.

Tests: RequestsThatMayStillBeTurnedAwayCountAsRefusals states its round trip, as an unknown one no longer counts as 10 ms. New: connections and bodies, both bounds.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -33,6 +33,8 @@
 /// Handlers of an exchange, called from the event loop. None is called after
 /// `on_end` or `on_error`.
 struct ExchangeHandlers {
+  /// Called when a new connection is open, `elapsed` after it was asked for.
+  std::function<void(std::chrono::milliseconds elapsed)> on_connected;
   /// Called before the first byte is sent. Returns false to cancel the
   /// exchange; no other handler is called then.
   std::function<bool()> may_send;
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -165,6 +165,7 @@
   void Connect() {
     auto target = ParseAddress(request_.address);
     reused_ = false;
+    connect_began_at_ = kernel::Now(client_->loop->clock);
     connection_ = std::make_unique<Connection>();
     connection_->address = request_.address;
     connection_->buffer.reset(bufferevent_socket_new(
@@ -205,6 +206,7 @@
     if ((events & BEV_EVENT_CONNECTED) != 0) {
       connection_->connected = true;
       timer_ = {};
+      ReportConnected();
       SendRequest();
       return;
     }
@@ -227,6 +229,13 @@
     Fail(ExchangeError::kBroken, "the connection was reset");
   }
 
+  void ReportConnected() {
+    if (!handlers_.on_connected) return;
+    handlers_.on_connected(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            kernel::Now(client_->loop->clock) - connect_began_at_));
+  }
+
   void SendRequest() {
     const auto self = shared_from_this();
     if (!PendingInput(connection_->buffer.get()).empty()) {
@@ -335,7 +344,8 @@
   ConnectionPtr connection_;
   kernel::EventWatcher timer_;  // A deferred action or the connect timeout.
   HttpExchangePtr self_;        // Keeps the exchange alive until it ends.
-  bool reused_ = false;         // The connection served another request before.
+  kernel::Time connect_began_at_{};
+  bool reused_ = false;  // The connection served another request before.
   bool sent_ = false;
   bool head_delivered_ = false;
   bool skipping_ = false;
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -4,6 +4,7 @@
 
 #include "attempts_p.h"
 #include "egretladder/routing/brittle.h"
+#include "egretladder/routing/round_trip.h"
 
 namespace egretladder::proxy {
 namespace {
@@ -38,8 +39,9 @@
   const std::uint32_t bound =
       routing::MaxBrittleInFlight(endpoint, *brittle, fleet, now);
   const milliseconds took = Elapsed(call.attempt->first_byte_sent_at, now);
-  const milliseconds confirm_time = routing::ConfirmTime(endpoint);
-  routing::OnBrittleRefusal(endpoint, *brittle, took, now);
+  const milliseconds confirm_time = routing::ConfirmTime(
+      proxy.endpoints, endpoint, routing::TransferTime(call.body_bytes));
+  routing::OnBrittleRefusal(proxy.endpoints, endpoint, *brittle, took, now);
   IncrementCounter(proxy, "egretladder_brittle_refusals_total",
                    "Requests that brittle endpoints turned away, and whether "
                    "they counted as accepted by then.",
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -4,6 +4,7 @@
 
 #include "attempts_p.h"
 #include "egretladder/routing/placement_cost.h"
+#include "egretladder/routing/round_trip.h"
 
 namespace egretladder::proxy {
 namespace {
@@ -286,7 +287,8 @@
   call->attempt->request_sent = true;
   call->attempt->first_byte_sent_at = now;
   RecordSuspectSent(proxy, *call);
-  routing::OnAttemptBegan(*call->attempt->endpoint, call->attempt->number, now);
+  routing::OnAttemptBegan(*call->attempt->endpoint, call->attempt->number,
+                          call->body_bytes, now);
   OnRetrySent(proxy, *call);
   return true;
 }
@@ -345,6 +347,10 @@
 
 net::ExchangeHandlers MakeEndpointHandlers(Proxy& proxy, const CallPtr& call) {
   net::ExchangeHandlers handlers = MakeAnswerHandlers(proxy, call);
+  handlers.on_connected = [&proxy, call](milliseconds elapsed) {
+    if (call->attempt == nullptr) return;
+    routing::OnRoundTrip(proxy.endpoints, *call->attempt->endpoint, elapsed);
+  };
   handlers.may_send = [&proxy, call] { return BeginSending(proxy, call); };
   handlers.on_head = [&proxy, call](const net::HttpAnswerHead& head) {
     return OnHead(proxy, call, head);
--- a/routing/include/egretladder/routing/brittle.h
+++ b/routing/include/egretladder/routing/brittle.h
@@ -45,10 +45,11 @@
 /// How long a refusal counts: the second in which endpoints count them, and the
 /// differences between the ways of messages.
 inline constexpr milliseconds kBrittleRefusalWindow{1100};
-/// Lower bound of the time after which a request that wasn't turned away counts
-/// as accepted: a round trip within a region.
+/// Bounds of the time after which a request that wasn't turned away counts as
+/// accepted.
 inline constexpr milliseconds kMinBrittleConfirmTime{10};
-/// That time, as a multiple of how long the last refusal took.
+inline constexpr milliseconds kMaxBrittleConfirmTime{500};
+/// That time, as a multiple of how long the endpoint's last refusal took.
 inline constexpr int kBrittleConfirmFactor = 2;
 /// What a node that was turned away may have in flight, as a part of what it
 /// had, if others send there too.
@@ -100,13 +101,14 @@
   kOtherSenders,  ///< It is not among those that send there.
 };
 /// Returns whether this node may send one more request to the endpoint.
-BrittleVerdict CheckBrittleRoom(const Endpoint& endpoint,
+BrittleVerdict CheckBrittleRoom(const EndpointSet& set,
+                                const Endpoint& endpoint,
                                 const BrittleStatement& brittle,
                                 const FleetSnapshot& fleet, Time now);
 /// Returns false if a request that was placed at the endpoint before must not
 /// be sent there now, as others were turned away meanwhile.
-bool MaySendToBrittle(const Endpoint& endpoint, const BrittleStatement& brittle,
-                      Time now);
+bool MaySendToBrittle(const EndpointSet& set, const Endpoint& endpoint,
+                      const BrittleStatement& brittle, Time now);
 /// Returns how many requests this node may have in flight at the endpoint; 0:
 /// it is not among those that send there.
 std::uint32_t MaxBrittleInFlight(const Endpoint& endpoint,
@@ -116,13 +118,15 @@
 std::vector<std::string> FindBrittleSenders(const Endpoint& endpoint,
                                             const BrittleStatement& brittle,
                                             const FleetSnapshot& fleet);
-/// Returns how long after its first byte a request that wasn't turned away
-/// counts as accepted.
-milliseconds ConfirmTime(const Endpoint& endpoint);
+/// Returns how long after its first byte a request of which the body took
+/// `transfer_time` counts as accepted, if it wasn't turned away.
+milliseconds ConfirmTime(const EndpointSet& set, const Endpoint& endpoint,
+                         milliseconds transfer_time);
 /// Records that the endpoint turned a request of this node away, `took` after
 /// its first byte was sent.
-void OnBrittleRefusal(Endpoint& endpoint, const BrittleStatement& brittle,
-                      milliseconds took, Time now);
+void OnBrittleRefusal(EndpointSet& set, Endpoint& endpoint,
+                      const BrittleStatement& brittle, milliseconds took,
+                      Time now);
 
 /// A brittle service, as nodes gossip it. It holds ages, because clocks differ.
 struct BrittleGossip {
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -97,6 +97,14 @@
   Time placed_at{};
   Time expected_at{};  ///< When its first byte was expected.
   Time sent_at{};      ///< Default: its first byte was not sent so far.
+  /// How long its body is under way on a narrow link.
+  milliseconds transfer_time{};
+};
+
+/// Round trips to the endpoints of a zone; see round_trip.h.
+struct RoundTrip {
+  double mean_ms = 0;       ///< Moving average; 0: not known.
+  double deviation_ms = 0;  ///< Moving average.
 };
 
 /// An endpoint's phase, as its entry in the store determines it.
@@ -203,6 +211,7 @@
   std::map<std::string, bool, std::less<>> zones_out;
   /// Ids of the endpoints whose limit, or its recent end, is gossiped to peers.
   std::set<std::string> limited;
+  std::map<std::string, RoundTrip, std::less<>> round_trips;  ///< By zone.
   /// Last statements that services are brittle, by service.
   std::map<std::string, BrittleStatement> brittle_services;
   /// Removed endpoints by id, in case that their entries return.
--- a/routing/include/egretladder/routing/placement.h
+++ b/routing/include/egretladder/routing/placement.h
@@ -139,8 +139,10 @@
 /// nodes share, it also uses this node's turn.
 void OnAttemptSent(Endpoint& endpoint, const Demand& demand,
                    std::uint64_t attempt, const Placement& placement, Time now);
-/// Records that the attempt's first byte is sent now.
-void OnAttemptBegan(Endpoint& endpoint, std::uint64_t attempt, Time now);
+/// Records that the first byte of the attempt, whose body has so many bytes, is
+/// sent now.
+void OnAttemptBegan(Endpoint& endpoint, std::uint64_t attempt,
+                    std::size_t body_bytes, Time now);
 /// Records that the attempt's first byte came, or that it ended without one.
 void OnAttemptStarted(Endpoint& endpoint, const Demand& demand,
                       std::uint64_t attempt, const Placement& placement);
--- a/routing/src/brittle.cc
+++ b/routing/src/brittle.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 
+#include "egretladder/routing/round_trip.h"
 #include "egretladder/routing/shared_rate.h"
 
 namespace egretladder::routing {
@@ -51,14 +52,16 @@
 }
 
 // Returns how many requests that this node sent may still be turned away.
-std::size_t CountUnconfirmed(const Endpoint& endpoint, Time now) {
-  const milliseconds confirm_time = ConfirmTime(endpoint);
-  const auto count =
-      std::count_if(endpoint.unanswered.begin(), endpoint.unanswered.end(),
-                    [&](const auto& entry) {
-                      const Time sent_at = entry.second.sent_at;
-                      return sent_at != Time{} && now - sent_at < confirm_time;
-                    });
+std::size_t CountUnconfirmed(const EndpointSet& set, const Endpoint& endpoint,
+                             Time now) {
+  const auto count = std::count_if(
+      endpoint.unanswered.begin(), endpoint.unanswered.end(),
+      [&](const auto& entry) {
+        const UnansweredAttempt& attempt = entry.second;
+        return attempt.sent_at != Time{} &&
+               now - attempt.sent_at <
+                   ConfirmTime(set, endpoint, attempt.transfer_time);
+      });
   return static_cast<std::size_t>(count);
 }
 
@@ -156,14 +159,15 @@
   return share;
 }
 
-BrittleVerdict CheckBrittleRoom(const Endpoint& endpoint,
+BrittleVerdict CheckBrittleRoom(const EndpointSet& set,
+                                const Endpoint& endpoint,
                                 const BrittleStatement& brittle,
                                 const FleetSnapshot& fleet, Time now) {
   const BrittleShare share = ShareOf(brittle, endpoint);
   if (!IsBrittleSender(endpoint, share, fleet))
     return BrittleVerdict::kOtherSenders;
   const std::size_t refusals = CountOwnRefusals(endpoint.brittle_room, now) +
-                               CountUnconfirmed(endpoint, now) +
+                               CountUnconfirmed(set, endpoint, now) +
                                CountUnsent(endpoint);
   if (refusals >= share.refusals) return BrittleVerdict::kFull;
   return endpoint.in_flight < MaxBrittleInFlight(endpoint, brittle, fleet, now)
@@ -171,10 +175,10 @@
              : BrittleVerdict::kFull;
 }
 
-bool MaySendToBrittle(const Endpoint& endpoint, const BrittleStatement& brittle,
-                      Time now) {
+bool MaySendToBrittle(const EndpointSet& set, const Endpoint& endpoint,
+                      const BrittleStatement& brittle, Time now) {
   return CountOwnRefusals(endpoint.brittle_room, now) +
-             CountUnconfirmed(endpoint, now) <
+             CountUnconfirmed(set, endpoint, now) <
          ShareOf(brittle, endpoint).refusals;
 }
 
@@ -196,13 +200,19 @@
   return FindSenders(endpoint, ShareOf(brittle, endpoint).senders, fleet);
 }
 
-milliseconds ConfirmTime(const Endpoint& endpoint) {
-  return std::max(kMinBrittleConfirmTime,
-                  endpoint.brittle_room.refusal_time * kBrittleConfirmFactor);
+milliseconds ConfirmTime(const EndpointSet& set, const Endpoint& endpoint,
+                         milliseconds transfer_time) {
+  const milliseconds seen =
+      endpoint.brittle_room.refusal_time * kBrittleConfirmFactor;
+  const milliseconds expected = RoundTripBound(set, endpoint) + transfer_time;
+  return std::clamp(std::max(seen, expected), kMinBrittleConfirmTime,
+                    kMaxBrittleConfirmTime);
 }
 
-void OnBrittleRefusal(Endpoint& endpoint, const BrittleStatement& brittle,
-                      milliseconds took, Time now) {
+void OnBrittleRefusal(EndpointSet& set, Endpoint& endpoint,
+                      const BrittleStatement& brittle, milliseconds took,
+                      Time now) {
+  OnRoundTrip(set, endpoint, took);
   BrittleRoom& room = endpoint.brittle_room;
   room.refusal_time = took;
   while (!room.own_refusals.empty() &&
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -9,6 +9,7 @@
 #include "egretladder/routing/endpoint_notices.h"
 #include "egretladder/routing/engine_split.h"
 #include "egretladder/routing/placement_cost.h"
+#include "egretladder/routing/round_trip.h"
 #include "egretladder/routing/shared_rate.h"
 
 namespace egretladder::routing {
@@ -118,7 +119,7 @@
   if (now < endpoint.health.full_until) return PlacementReason::kAllFull;
   const BrittleStatement* brittle = FindBrittle(set, demand.service->name, now);
   const BrittleVerdict verdict =
-      brittle != nullptr ? CheckBrittleRoom(endpoint, *brittle, fleet, now)
+      brittle != nullptr ? CheckBrittleRoom(set, endpoint, *brittle, fleet, now)
                          : BrittleVerdict::kRoom;
   if (verdict == BrittleVerdict::kOtherSenders)
     return PlacementReason::kOtherSenders;
@@ -320,7 +321,7 @@
 bool MaySend(const EndpointSet& set, const Endpoint& endpoint, Time now) {
   const BrittleStatement* brittle =
       FindBrittle(set, endpoint.entry.service, now);
-  if (brittle != nullptr && !MaySendToBrittle(endpoint, *brittle, now))
+  if (brittle != nullptr && !MaySendToBrittle(set, endpoint, *brittle, now))
     return false;
   return !IsLeaving(endpoint) && !IsZoneOut(set, endpoint.entry.zone) &&
          RemainingBackoff(endpoint, now).count() == 0;
@@ -334,7 +335,7 @@
       placement.uncached_tokens;
   const auto expected_wait = std::chrono::duration_cast<Time::duration>(
       std::chrono::duration<double, std::milli>(placement.expected_ms));
-  endpoint.unanswered[attempt] = {now, now + expected_wait, {}};
+  endpoint.unanswered[attempt] = {now, now + expected_wait, {}, {}};
   std::vector<std::uint64_t> parts;
   parts.reserve(demand.parts.size());
   for (const PromptPart& part : demand.parts) parts.push_back(part.id);
@@ -343,9 +344,12 @@
     endpoint.last_limited_send = now;
 }
 
-void OnAttemptBegan(Endpoint& endpoint, std::uint64_t attempt, Time now) {
+void OnAttemptBegan(Endpoint& endpoint, std::uint64_t attempt,
+                    std::size_t body_bytes, Time now) {
   const auto at = endpoint.unanswered.find(attempt);
-  if (at != endpoint.unanswered.end()) at->second.sent_at = now;
+  if (at == endpoint.unanswered.end()) return;
+  at->second.sent_at = now;
+  at->second.transfer_time = TransferTime(body_bytes);
 }
 
 void OnAttemptStarted(Endpoint& endpoint, const Demand& demand,
--- a/routing/tests/brittle_test.cc
+++ b/routing/tests/brittle_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "egretladder/routing/round_trip.h"
 #include "egretladder/routing/shared_rate.h"
 
 namespace er = egretladder::routing;
@@ -54,7 +55,7 @@
                                   MakeSendersFleet(endpoint, nodes), now);
   }
   bool HasRoom(const er::Endpoint& endpoint, std::size_t nodes = 7) {
-    return er::CheckBrittleRoom(endpoint, Statement(),
+    return er::CheckBrittleRoom(set, endpoint, Statement(),
                                 MakeSendersFleet(endpoint, nodes),
                                 now) == er::BrittleVerdict::kRoom;
   }
@@ -62,11 +63,11 @@
     er::OnBrittleStated(set, "models", tolerance, now);
   }
   void Refuse(er::Endpoint & endpoint, milliseconds took = milliseconds(2)) {
-    er::OnBrittleRefusal(endpoint, Statement(), took, now);
+    er::OnBrittleRefusal(set, endpoint, Statement(), took, now);
   }
   // Sends a request that the endpoint hasn't answered.
   void Send(er::Endpoint & endpoint, std::uint64_t number) {
-    endpoint.unanswered[number] = {now, now, now};
+    endpoint.unanswered[number] = {now, now, now, {}};
     ++endpoint.in_flight;
   }
 };
@@ -113,12 +114,13 @@
 // first refusal is known.
 TEST(BrittleRoom, RequestsThatMayStillBeTurnedAwayCountAsRefusals) {
   er::Endpoint& endpoint = Add("e", 128);
+  er::OnRoundTrip(set, endpoint, milliseconds(1));
   State(4);
   Send(endpoint, 1);
   CHECK_TRUE(HasRoom(endpoint));
   Send(endpoint, 2);
   CHECK_FALSE(HasRoom(endpoint));
-  CHECK_FALSE(er::MaySendToBrittle(endpoint, Statement(), now));
+  CHECK_FALSE(er::MaySendToBrittle(set, endpoint, Statement(), now));
   now += er::kMinBrittleConfirmTime;
   CHECK_TRUE(HasRoom(endpoint));
   // An endpoint in another region takes longer to refuse.
@@ -134,6 +136,24 @@
   CHECK_TRUE(HasRoom(endpoint));
 }
 
+// Guards against a round trip that is learned only by refusals, when several
+// requests are turned away already.
+TEST(BrittleRoom, ConnectionsAndBodiesTellWhenARequestCountsAsAccepted) {
+  er::Endpoint& endpoint = Add("e", 128);
+  State(5);
+  CHECK(er::ConfirmTime(set, endpoint, {}) == er::kUnknownRoundTrip);
+  for (int i = 0; i < 50; ++i)
+    er::OnRoundTrip(set, endpoint, milliseconds(120));
+  const er::Endpoint& other = Add("f", 128);
+  CHECK(er::ConfirmTime(set, other, {}) >= milliseconds(120));
+  CHECK(er::ConfirmTime(set, other, {}) <= milliseconds(140));
+  CHECK(er::ConfirmTime(set, other, er::TransferTime(125'000)) >=
+        milliseconds(220));
+  // One answer after a long time doesn't close the endpoint for as long.
+  Refuse(endpoint, std::chrono::seconds(5));
+  CHECK(er::ConfirmTime(set, endpoint, {}) == er::kMaxBrittleConfirmTime);
+}
+
 // Guards against requests that wait for their connection while others are
 // turned away.
 TEST(BrittleRoom, RefusalHoldsBackWhatWasPlacedBefore) {
@@ -192,14 +212,14 @@
   State(5);
   er::FleetSnapshot fleet = MakeSendersFleet(endpoint, 28);
   fleet.nodes = 84;
-  CHECK(er::CheckBrittleRoom(endpoint, Statement(), fleet, now) ==
+  CHECK(er::CheckBrittleRoom(set, endpoint, Statement(), fleet, now) ==
         er::BrittleVerdict::kOtherSenders);
   fleet.is_standalone = true;
-  CHECK(er::CheckBrittleRoom(endpoint, Statement(), fleet, now) ==
+  CHECK(er::CheckBrittleRoom(set, endpoint, Statement(), fleet, now) ==
         er::BrittleVerdict::kRoom);
   fleet.is_standalone = false;
   fleet.nodes = 83;
-  CHECK(er::CheckBrittleRoom(endpoint, Statement(), fleet, now) ==
+  CHECK(er::CheckBrittleRoom(set, endpoint, Statement(), fleet, now) ==
         er::BrittleVerdict::kRoom);
 }
 
--- a/routing/tests/harness_brittle.cc
+++ b/routing/tests/harness_brittle.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "egretladder/routing/brittle.h"
+#include "egretladder/routing/round_trip.h"
 
 namespace egretladder::routing::test {
 namespace {
@@ -123,7 +124,7 @@
   attempt.placement = placement;
   attempt.sent_at = now_;
   OnAttemptSent(*placement.endpoint, demand, attempt.number, placement, now_);
-  OnAttemptBegan(*placement.endpoint, attempt.number, now_);
+  OnAttemptBegan(*placement.endpoint, attempt.number, 0, now_);
   Send(MessageKind::kRequest, attempt);
   return true;
 }
@@ -236,7 +237,7 @@
   OnBrittleStated(set, service_.name, layout_.tolerance, now_);
   OnEndpointFull(endpoint, kFullPause, now_);
   OnBrittleRefusal(
-      endpoint, *FindBrittle(set, service_.name, now_),
+      set, endpoint, *FindBrittle(set, service_.name, now_),
       std::chrono::duration_cast<milliseconds>(now_ - attempt.sent_at), now_);
   OnAttemptStarted(endpoint, {&service_}, attempt.number, attempt.placement);
   OnAttemptEnded(endpoint);
@@ -247,6 +248,7 @@
 
 void BrittleFleet::OnFirstEvent(const Attempt& attempt) {
   if (!IsCurrent(attempt)) return;
+  OnRoundTrip(nodes_[attempt.node].set, EndpointOf(attempt), 2 * layout_.way);
   OnAttemptStarted(EndpointOf(attempt), {&service_}, attempt.number,
                    attempt.placement);
 }
