Let only a sole sender use a tolerance of one refusal

What callers saw: endpoints that tolerate one refusal a second fell over in large numbers while nodes stood still or the network was in two parts.

Cause: half of the tolerance is used, so that two nodes of which neither knows that the other one sends fit into it. Half of one is none, and one was used: each of the two was turned away once in the same second. A node that stood still went on with what it had known, beside the one that took over; so did the sender of each part of the network, and each node that came back, until gossip had told the other one.

Change, for tolerances of which half is less than one: a node sends only while a peer has answered it within the last second and it knows most of the fleet, from 2 s after both became true, and from 2 s after the node before it in the order of senders was taken for gone. A member that refuses connections has ended and isn't waited for. A node that leaves doesn't send there any more, as the others count it out. Whether a node may send is looked at again at the first byte. A trial of, a majority alone, didn't help, since most falls came while views changed: the wait is what makes the two views disjoint in time.

--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "attempts_p.h"
+#include "egretladder/routing/brittle.h"
 #include "egretladder/routing/placement_cost.h"
 #include "egretladder/routing/round_trip.h"
 
@@ -279,7 +280,10 @@
 // instead.
 bool BeginSending(Proxy& proxy, const CallPtr& call) {
   const Time now = NowOf(proxy);
-  if (!routing::MaySend(proxy.endpoints, *call->attempt->endpoint, now) ||
+  const routing::Endpoint& endpoint = *call->attempt->endpoint;
+  if (!routing::MaySend(proxy.endpoints, endpoint, now) ||
+      !routing::IsSureSender(proxy.endpoints, endpoint,
+                             GetFleetSnapshot(proxy, *call, now), now) ||
       GetSuspectHoldTime(proxy, *call).count() > 0) {
     EndAttempt(proxy, call, AttemptOutcome::kWithheld, "");
     return false;
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -43,6 +43,7 @@
     kernel::LogEvent(LogPart::kFleet, LogLevel::kInfo, "node-silent",
                      {{"node", node}});
   }
+  routing::UpdateMajority(proxy.members, now);
   for (const std::string& node : routing::ForgetMembers(proxy.members, now)) {
     kernel::LogEvent(LogPart::kFleet, LogLevel::kInfo, "node-forgotten",
                      {{"node", node}});
--- a/routing/include/egretladder/routing/brittle.h
+++ b/routing/include/egretladder/routing/brittle.h
@@ -7,7 +7,9 @@
 // rendezvous hashing; the others hand their requests over to these. Whatever
 // the room is, what all senders together may be turned away in a second is
 // bounded: a request that may still be turned away counts as if it were, and a
-// refusal counts for a second.
+// refusal counts for a second. Half of the tolerance is used, so that a node
+// that takes over may send beside one that doesn't know of it yet. Where the
+// tolerance is one, the successor waits until the other one must know.
 //
 // Within that bound, a sender has no more in flight than its part of the slots,
 // so that requests wait at nodes, by rank. A refusal shows how much room there
@@ -63,6 +65,10 @@
 /// nothing to brittle endpoints: no more than two parts of a partitioned fleet
 /// do.
 inline constexpr std::size_t kMinKnownFleetDivisor = 3;
+/// A sender whose tolerance isn't enough for two waits for so long after it
+/// took over from another node, or lost touch with the fleet: the other one
+/// must know by then that it is no sender any more.
+inline constexpr milliseconds kBrittleTakeoverTime{2000};
 /// How long a refusal is gossiped.
 inline constexpr milliseconds kBrittleNewsTime{800};
 /// Ages in gossip grow by the transfer time of the message: refusals that
@@ -94,6 +100,11 @@
 /// Returns how an endpoint's tolerance is shared.
 BrittleShare ShareOf(const BrittleStatement& brittle, const Endpoint& endpoint);
 
+/// Returns false if this node must not send to the endpoint, whatever its room:
+/// the service is brittle, and another node may be its sender.
+bool IsSureSender(const EndpointSet& set, const Endpoint& endpoint,
+                  const FleetSnapshot& fleet, Time now);
+
 /// Whether this node may send one more request to an endpoint.
 enum class BrittleVerdict : std::uint8_t {
   kRoom,
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -90,6 +90,9 @@
   std::size_t senders = 0;
   std::size_t others = 0;
   bool is_sender = false;
+  /// When the last node before this one in the order of senders was taken for
+  /// gone; default: none was.
+  Time predecessor_lost_at{};
 };
 
 /// An attempt of this node that got no byte so far.
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -29,6 +29,10 @@
 inline constexpr std::chrono::seconds kNewMemberTime{3};
 /// A member that has been silent for this long is forgotten.
 inline constexpr std::chrono::seconds kMemberRetention{60};
+/// Longest time between two answers of peers after which a node counts as
+/// having been in touch all the while. A member that stands still for as long
+/// isn't taken for gone yet; see member_suspicion.h.
+inline constexpr std::chrono::milliseconds kMaxTouchGap{1000};
 /// Nodes that may become readers of the store in a large fleet; see
 /// store_readers.h. While nobody can read the store, only these try. If the
 /// store rejects a third of the nodes, the probability that all twelve are
@@ -99,6 +103,7 @@
   /// The suspicion isn't told: this node was probably cut off itself.
   bool is_suspicion_private = false;
   bool is_silent = false;    ///< The suspicion was not refuted in time.
+  Time silent_at{};          ///< When that was found.
   bool unreachable = false;  ///< It refused a connection of this node since.
   /// Messages in which what is known of it is still told as news.
   std::uint32_t tells_left = 0;
@@ -150,8 +155,12 @@
   Time started{};
   Time last_learned_at{};  ///< When a node was last added, or this one started.
   Time last_exchange_at{};  ///< Last time a peer answered; default: never.
-  FleetPeak recent_peak;    ///< Within `kFleetSizeRetention`.
-  FleetPeak long_peak;      ///< Within `kRetryFleetRetention`.
+  /// Since when the gaps between such times were below `kMaxTouchGap`.
+  Time in_touch_since{};
+  /// Since when this node has known most of the fleet; the maximum: it doesn't.
+  Time majority_since = Time::max();
+  FleetPeak recent_peak;  ///< Within `kFleetSizeRetention`.
+  FleetPeak long_peak;    ///< Within `kRetryFleetRetention`.
   std::vector<UnknownNode> unknown;
   ServiceBits all_services = 0;  ///< Of the rules in force.
   /// The available members with the highest name hashes, the highest first; see
@@ -186,6 +195,10 @@
 /// Raises this node's revision if its state has changed.
 void UpdateOwnRevision(Members& members);
 
+/// Updates since when this node has known most of the fleet. Called at each
+/// tick.
+void UpdateMajority(Members& members, Time now);
+
 /// Returns true if callers can use the member: it isn't leaving, unreachable or
 /// silent.
 bool IsMemberAvailable(const KnownMember& known);
--- a/routing/include/egretladder/routing/placement.h
+++ b/routing/include/egretladder/routing/placement.h
@@ -49,6 +49,12 @@
 /// request alone.
 std::uint32_t SharedTokens(const Demand& demand);
 
+/// A node that was taken for gone.
+struct LostNode {
+  std::string name;
+  Time lost_at{};
+};
+
 /// What a node knows about its fleet, from which it derives its part of limits
 /// that all nodes share.
 struct FleetSnapshot {
@@ -57,6 +63,13 @@
   std::vector<std::string> names;  ///< Available nodes, this one included.
   std::string zone;                ///< This node's availability zone.
   bool is_standalone = false;      ///< No peer is known, nor named by settings.
+  /// Nodes that were taken for gone while they may still run, until they are
+  /// forgotten.
+  std::vector<LostNode> lost;
+  /// Since when peers have answered this node without a gap while it knew most
+  /// of the fleet; the maximum: they don't, or it doesn't.
+  Time in_touch_since{};
+  bool is_leaving = false;  ///< This node leaves, and the others know.
   /// Another one for each change of the names; 0: not known.
   std::uint64_t number = 0;
 };
--- a/routing/include/egretladder/routing/shared_rate.h
+++ b/routing/include/egretladder/routing/shared_rate.h
@@ -43,6 +43,10 @@
 /// are taken for nodes that it doesn't know.
 bool IsAmongSenders(const Endpoint& endpoint, std::size_t senders,
                     std::size_t others, const FleetSnapshot& fleet);
+/// Returns when the last of the lost nodes that would be senders before this
+/// one was taken for gone; default: none was.
+Time PredecessorLostAt(const Endpoint& endpoint, std::size_t senders,
+                       const FleetSnapshot& fleet);
 /// Returns the names of these nodes, as this one knows them.
 std::vector<std::string> FindSenders(const Endpoint& endpoint,
                                      std::size_t senders,
--- a/routing/src/brittle.cc
+++ b/routing/src/brittle.cc
@@ -30,6 +30,20 @@
   return KnowsFleet(fleet) && IsAmongSenders(endpoint, share.senders, 0, fleet);
 }
 
+// Returns false if another node may take itself for the sender, and both
+// together may be turned away more often than the endpoint tolerates.
+bool MaySendAlone(const Endpoint& endpoint, const BrittleStatement& brittle,
+                  const BrittleShare& share, const FleetSnapshot& fleet,
+                  Time now) {
+  const bool is_enough_for_two =
+      brittle.tolerance * kBrittleToleranceRatio >= 1;
+  if (is_enough_for_two || fleet.is_standalone) return true;
+  if (fleet.is_leaving || fleet.in_touch_since == Time::max()) return false;
+  const Time since = std::max(
+      fleet.in_touch_since, PredecessorLostAt(endpoint, share.senders, fleet));
+  return now - since >= kBrittleTakeoverTime;
+}
+
 // Returns one sender's part of the slots.
 std::uint32_t SlotShare(const Endpoint& endpoint, const BrittleShare& share,
                         const FleetSnapshot& fleet) {
@@ -159,6 +173,16 @@
   return share;
 }
 
+bool IsSureSender(const EndpointSet& set, const Endpoint& endpoint,
+                  const FleetSnapshot& fleet, Time now) {
+  const BrittleStatement* brittle =
+      FindBrittle(set, endpoint.entry.service, now);
+  if (brittle == nullptr) return true;
+  const BrittleShare share = ShareOf(*brittle, endpoint);
+  return IsBrittleSender(endpoint, share, fleet) &&
+         MaySendAlone(endpoint, *brittle, share, fleet, now);
+}
+
 BrittleVerdict CheckBrittleRoom(const EndpointSet& set,
                                 const Endpoint& endpoint,
                                 const BrittleStatement& brittle,
@@ -166,6 +190,8 @@
   const BrittleShare share = ShareOf(brittle, endpoint);
   if (!IsBrittleSender(endpoint, share, fleet))
     return BrittleVerdict::kOtherSenders;
+  if (!MaySendAlone(endpoint, brittle, share, fleet, now))
+    return BrittleVerdict::kFull;
   const std::size_t refusals = CountOwnRefusals(endpoint.brittle_room, now) +
                                CountUnconfirmed(set, endpoint, now) +
                                CountUnsent(endpoint);
--- a/routing/src/member_suspicion.cc
+++ b/routing/src/member_suspicion.cc
@@ -56,6 +56,8 @@
 
 void OnExchangeAnswered(Members& members, Time now) {
   const bool was_in_touch = IsInTouch(members, now);
+  if (now - members.last_exchange_at > kMaxTouchGap)
+    members.in_touch_since = now;
   members.last_exchange_at = now;
   if (!was_in_touch) EndPrivateSuspicions(members);
 }
@@ -112,6 +114,7 @@
   std::erase_if(members.suspected, [&](KnownMember* known) {
     if (now - known->suspected_at < max_time) return false;
     known->is_silent = true;
+    known->silent_at = now;
     members.silent.push_back(known);
     silent.push_back(known->member.node);
     UpdateLists(members, *known);
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -94,6 +94,23 @@
   return is_new ? std::max(nodes, kDefaultFleetSize) : nodes;
 }
 
+// A member that refuses connections has ended, and one that leaves has said so:
+// they aren't another part of a partitioned fleet.
+std::size_t CountAccountedFor(const Members& members) {
+  const auto missing = std::count_if(
+      members.silent.begin(), members.silent.end(),
+      [](const KnownMember* known) { return !known->unreachable; });
+  return 1 + members.others.size() - static_cast<std::size_t>(missing);
+}
+
+Time InTouchSince(const Members& members, Time now) {
+  if (members.majority_since == Time::max() ||
+      now - members.last_exchange_at > kMaxTouchGap) {
+    return Time::max();
+  }
+  return std::max(members.in_touch_since, members.majority_since);
+}
+
 // The assumed size of the fleet is left open.
 CachedSnapshot MakeSnapshot(const Members& members, ServiceBits services) {
   CachedSnapshot cached;
@@ -110,6 +127,11 @@
   for (const auto& [name, zone] : members.zones) {
     for (const KnownMember* known : zone.available) add(known->member);
   }
+  for (const KnownMember* known : members.silent) {
+    if (!known->unreachable)
+      cached.fleet.lost.push_back({known->member.node, known->silent_at});
+  }
+  cached.fleet.is_leaving = members.self.state.leaving;
   return cached;
 }
 
@@ -258,6 +280,15 @@
   members.snapshots.clear();
 }
 
+void UpdateMajority(Members& members, Time now) {
+  const std::size_t nodes = EstimateFleetSize(members, now);
+  if (2 * CountAccountedFor(members) <= nodes) {
+    members.majority_since = Time::max();
+  } else if (members.majority_since == Time::max()) {
+    members.majority_since = now;
+  }
+}
+
 bool IsMemberAvailable(const KnownMember& known) {
   return !known.member.state.leaving && !known.unreachable && !known.is_silent;
 }
@@ -354,6 +385,8 @@
   at->second.fleet.nodes = nodes > cut_off ? nodes - cut_off : 1;
   at->second.fleet.is_standalone =
       members.seeds.empty() && members.others.empty();
+  UpdateMajority(members, now);
+  at->second.fleet.in_touch_since = InTouchSince(members, now);
   return at->second.fleet;
 }
 
--- a/routing/src/shared_rate.cc
+++ b/routing/src/shared_rate.cc
@@ -51,6 +51,17 @@
   return preferred_nodes < senders;
 }
 
+Time LastLostBefore(const Endpoint& endpoint, const FleetSnapshot& fleet) {
+  const std::uint64_t own_hash =
+      kernel::HashBytes(fleet.self, endpoint.name_hash);
+  Time lost_at{};
+  for (const LostNode& lost : fleet.lost) {
+    if (kernel::HashBytes(lost.name, endpoint.name_hash) > own_hash)
+      lost_at = std::max(lost_at, lost.lost_at);
+  }
+  return lost_at;
+}
+
 }  // namespace
 
 std::optional<SharedRate> FindSharedRate(const Endpoint& endpoint,
@@ -70,11 +81,18 @@
                         check.senders == senders && check.others == others;
   if (!is_known) {
     check = {fleet.number, senders, others,
-             RanksAmongSenders(endpoint, senders, others, fleet)};
+             RanksAmongSenders(endpoint, senders, others, fleet),
+             LastLostBefore(endpoint, fleet)};
   }
   return check.is_sender;
 }
 
+Time PredecessorLostAt(const Endpoint& endpoint, std::size_t senders,
+                       const FleetSnapshot& fleet) {
+  IsAmongSenders(endpoint, senders, 0, fleet);
+  return endpoint.sender_check.predecessor_lost_at;
+}
+
 std::vector<std::string> FindSenders(const Endpoint& endpoint,
                                      std::size_t senders,
                                      const FleetSnapshot& fleet) {
--- a/routing/tests/brittle_test.cc
+++ b/routing/tests/brittle_test.cc
@@ -223,6 +223,44 @@
         er::BrittleVerdict::kRoom);
 }
 
+// Guards against two senders of an endpoint that tolerates one refusal: a node
+// that takes over, or stood still, and the one before it.
+TEST(BrittleRoom, OnlyASoleSenderUsesAToleranceOfOne) {
+  er::Endpoint& endpoint = Add("e", 128);
+  State(1);
+  const er::FleetSnapshot sound = MakeSendersFleet(endpoint, 7);
+  const auto has_room = [&](const er::FleetSnapshot& fleet) {
+    return er::CheckBrittleRoom(set, endpoint, Statement(), fleet, now) ==
+           er::BrittleVerdict::kRoom;
+  };
+  er::FleetSnapshot newly_in_touch = sound;
+  newly_in_touch.in_touch_since = now;
+  er::FleetSnapshot successor = MakeFleet(7);
+  const auto ranked = er::FindSenders(endpoint, 2, successor);
+  std::erase(successor.names, ranked[0]);
+  successor.self = ranked[1];
+  successor.lost = {{ranked[0], now}};
+  er::FleetSnapshot cut_off = sound;
+  cut_off.in_touch_since = er::Time::max();
+  er::FleetSnapshot leaving = sound;
+  leaving.is_leaving = true;
+  CHECK_TRUE(has_room(sound));
+  for (const auto& fleet : {newly_in_touch, successor, cut_off, leaving}) {
+    CHECK_FALSE(has_room(fleet));
+    CHECK_FALSE(er::IsSureSender(set, endpoint, fleet, now));
+  }
+  now += er::kBrittleTakeoverTime;
+  State(1);
+  CHECK_TRUE(has_room(newly_in_touch));
+  CHECK_TRUE(has_room(successor));
+  CHECK_FALSE(has_room(cut_off));
+  CHECK_FALSE(has_room(leaving));
+  // Half of a larger tolerance is enough for each of two.
+  State(2);
+  CHECK_TRUE(has_room(cut_off));
+  CHECK_TRUE(has_room(leaving));
+}
+
 // Guards against nodes that never hear from an endpoint that it is brittle.
 TEST(BrittleRoom, GossipOfOneNodeReachesTheOthers) {
   Add("e", 128);
--- a/routing/tests/harness_fleet.cc
+++ b/routing/tests/harness_fleet.cc
@@ -94,6 +94,7 @@
       kLargeFleetExchangeInterval / kExchangeInterval;
   Members& members = nodes_[node];
   UpdateSilentMembers(members, now_);
+  UpdateMajority(members, now_);
   const bool is_turn = (steps_ + node) % kStepsPerTurn == 0;
   if (!is_turn && !IsSmallFleet(members)) return;
   IncrementHeartbeat(members);
--- a/routing/tests/members_test.cc
+++ b/routing/tests/members_test.cc
@@ -45,6 +45,29 @@
   }
 }
 
+// Guards against nodes that go on with what they knew after they stood still,
+// or while they see less than half of their fleet.
+TEST(Members, ANodeKnowsSinceWhenItIsInTouchWithMostOfItsFleet) {
+  SimulatedFleet fleet(LayoutOf(7));
+  const auto in_touch_since = [&fleet](std::size_t node) {
+    return er::GetFleetSnapshot(fleet.node(node), fleet.now()).in_touch_since;
+  };
+  fleet.Run(4s);
+  CHECK(in_touch_since(0) <= fleet.now() - 2s);
+  fleet.LosePower(0);
+  fleet.Run(2s);
+  fleet.Resume(0);
+  CHECK(in_touch_since(0) == er::Time::max());
+  fleet.Run(500ms);
+  CHECK(in_touch_since(0) >= fleet.now() - 500ms);
+  CHECK(in_touch_since(0) <= fleet.now());
+  fleet.Run(3s);
+  for (std::size_t i = 0; i < 3; ++i) fleet.SetPart(i, 1);
+  fleet.Run(8s);
+  CHECK(in_touch_since(0) == er::Time::max());
+  CHECK(in_touch_since(5) <= fleet.now() - 8s);
+}
+
 // Guards against a node that never learns the address of a member: complete
 // records are sent only for a while, and after that only statuses.
 TEST(Members, ANodeRequestsTheRecordOfAMemberKnownByStatusOnly) {
