Keep a statement of brittleness until the service is known

What callers saw: suspected only. A node that starts hears its first news from a peer before it has read any entry, and dropped what it heard of brittle services, as it knew none of them. Until the next exchange, 100 to 200 ms later, it sent to their endpoints as to sound ones.

Change: statements are kept, 256 at most, of which those that hold no more make room. Why it works: the statement is there when the first entry arrives.

Tests: UnknownNamesAreIgnored asked that nothing be kept of an unknown service; UnknownNamesAreBounded asks for the bound, and that unknown services and endpoints aren't added.

--- a/routing/include/egretladder/routing/brittle.h
+++ b/routing/include/egretladder/routing/brittle.h
@@ -76,6 +76,8 @@
 inline constexpr milliseconds kSameRefusalWindow{100};
 /// Refusals sent in one exchange for each brittle service, about 40 bytes each.
 inline constexpr std::size_t kMaxRefusalsPerExchange = 16;
+/// Statements about services that are kept at most.
+inline constexpr std::size_t kMaxBrittleServices = 256;
 /// Upper bound of the tolerance that is believed.
 inline constexpr std::uint32_t kMaxBrittleTolerance = 1'000'000;
 
--- a/routing/src/brittle.cc
+++ b/routing/src/brittle.cc
@@ -98,7 +98,9 @@
   if (known != set.brittle_services.end() && IsFresh(known->second, now)) {
     return false;
   }
-  for (const EndpointPtr& endpoint : set.by_service[service])
+  const auto endpoints = set.by_service.find(service);
+  if (endpoints == set.by_service.end()) return true;
+  for (const EndpointPtr& endpoint : endpoints->second)
     endpoint->brittle_room = {};
   return true;
 }
@@ -133,6 +135,16 @@
   Shrink(room, at->second->in_flight * kBrittleNewsRatio, now);
 }
 
+bool HasPlaceFor(EndpointSet& set, const std::string& service, Time now) {
+  auto& services = set.brittle_services;
+  if (services.contains(service)) return true;
+  if (services.size() < kMaxBrittleServices) return true;
+  std::erase_if(services, [now](const auto& entry) {
+    return !IsFresh(entry.second, now);
+  });
+  return services.size() < kMaxBrittleServices;
+}
+
 }  // namespace
 
 bool OnBrittleStated(EndpointSet& set, const std::string& service,
@@ -268,7 +280,8 @@
 bool ApplyBrittleGossip(EndpointSet& set, const BrittleGossip& gossip,
                         Time now) {
   if (gossip.stated_ago >= kBrittleUnansweredTime) return false;
-  if (!set.by_service.contains(gossip.service)) return false;
+  // A node that starts may hear of the statement before it knows the service.
+  if (!HasPlaceFor(set, gossip.service, now)) return false;
   const Time stated_at = now - gossip.stated_ago;
   const bool is_new = BeginIfNew(set, gossip.service, now);
   BrittleStatement& brittle = set.brittle_services[gossip.service];
