Count what is given up while an endpoint may turn it away

What callers saw: suspected only. A request whose caller left, or whose time ran out, no longer counted at its endpoint, though it was still on its way there and might be turned away; the next one followed at once.

The books of a sender ended with its own interest in the answer.

It doesn't shrink the room, and peers aren't told.

Evidence: RequestGivenUpBeforeItWasAcceptedCountsAsRefusal; it was not run without the change, as it needs its function.

--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -245,6 +245,10 @@
   const auto attempt = std::move(call->attempt);
   net::Cancel(attempt->exchange);
   RecordCancelled(proxy, *call, *attempt);
+  if (attempt->peer.empty()) {
+    routing::OnBrittleGivenUp(proxy.endpoints, *attempt->endpoint,
+                              attempt->number, NowOf(proxy));
+  }
   CountRetryAtPeer(proxy, *call, *attempt);
   ReleaseTarget(proxy, call, *attempt);
 }
--- a/routing/include/egretladder/routing/brittle.h
+++ b/routing/include/egretladder/routing/brittle.h
@@ -145,6 +145,11 @@
                       const BrittleStatement& brittle, milliseconds took,
                       Time now);
 
+/// Records that this node gives up on an attempt that got no byte. If it may
+/// still be turned away, it counts as a refusal, since nobody will say so.
+void OnBrittleGivenUp(EndpointSet& set, Endpoint& endpoint,
+                      std::uint64_t attempt, Time now);
+
 /// A brittle service, as nodes gossip it. It holds ages, because clocks differ.
 struct BrittleGossip {
   std::string service;
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -61,8 +61,8 @@
 /// What an endpoint's process has stated about itself in answers to this node.
 /// It holds whatever the store says; see endpoint_notices.h.
 struct StandingNotices {
-  bool leaving = false;  ///< It takes no new work and is about to end.
-  Time backoff_until{};  ///< It wants no request from this node until then.
+  bool leaving = false;      ///< It takes no new work and is about to end.
+  Time backoff_until{};      ///< It wants no request from this node until then.
 };
 
 /// That the endpoints of a service are brittle; see brittle.h.
@@ -81,6 +81,9 @@
   /// Refusals at this node within `kBrittleRefusalWindow`, oldest first.
   std::deque<Time> own_refusals;
   milliseconds refusal_time{};  ///< How long the last one of them took.
+  /// Requests within `kBrittleRefusalWindow` that this node gave up on while
+  /// they could still be turned away, oldest first.
+  std::deque<Time> given_up;
 };
 
 /// Whether this node was found to be one of those that may send to an endpoint;
--- a/routing/src/brittle.cc
+++ b/routing/src/brittle.cc
@@ -58,24 +58,39 @@
   return room.max_in_flight + kBrittleGrowth * elapsed * elapsed;
 }
 
-std::size_t CountOwnRefusals(const BrittleRoom& room, Time now) {
-  const auto count = std::count_if(
-      room.own_refusals.begin(), room.own_refusals.end(),
-      [now](Time at) { return now - at < kBrittleRefusalWindow; });
+std::size_t CountRecent(const std::deque<Time>& times, Time now) {
+  const auto count = std::count_if(times.begin(), times.end(), [now](Time at) {
+    return now - at < kBrittleRefusalWindow;
+  });
   return static_cast<std::size_t>(count);
 }
 
+std::size_t CountOwnRefusals(const BrittleRoom& room, Time now) {
+  return CountRecent(room.own_refusals, now) + CountRecent(room.given_up, now);
+}
+
+// Adds `now` and drops what is too old to count.
+void AddRecent(std::deque<Time>& times, Time now) {
+  while (!times.empty() && now - times.front() >= kBrittleRefusalWindow)
+    times.pop_front();
+  times.push_back(now);
+}
+
+bool IsUnconfirmed(const EndpointSet& set, const Endpoint& endpoint,
+                   const UnansweredAttempt& attempt, Time now) {
+  return attempt.sent_at != Time{} &&
+         now - attempt.sent_at <
+             ConfirmTime(set, endpoint, attempt.transfer_time);
+}
+
 // Returns how many requests that this node sent may still be turned away.
 std::size_t CountUnconfirmed(const EndpointSet& set, const Endpoint& endpoint,
                              Time now) {
-  const auto count = std::count_if(
-      endpoint.unanswered.begin(), endpoint.unanswered.end(),
-      [&](const auto& entry) {
-        const UnansweredAttempt& attempt = entry.second;
-        return attempt.sent_at != Time{} &&
-               now - attempt.sent_at <
-                   ConfirmTime(set, endpoint, attempt.transfer_time);
-      });
+  const auto count =
+      std::count_if(endpoint.unanswered.begin(), endpoint.unanswered.end(),
+                    [&](const auto& entry) {
+                      return IsUnconfirmed(set, endpoint, entry.second, now);
+                    });
   return static_cast<std::size_t>(count);
 }
 
@@ -253,10 +268,7 @@
   OnRoundTrip(set, endpoint, took);
   BrittleRoom& room = endpoint.brittle_room;
   room.refusal_time = took;
-  while (!room.own_refusals.empty() &&
-         now - room.own_refusals.front() >= kBrittleRefusalWindow)
-    room.own_refusals.pop_front();
-  room.own_refusals.push_back(now);
+  AddRecent(room.own_refusals, now);
   // A single sender knows what the endpoint had in hand.
   const bool is_only_sender = ShareOf(brittle, endpoint).senders == 1;
   Shrink(room,
@@ -265,6 +277,15 @@
          now);
 }
 
+void OnBrittleGivenUp(EndpointSet& set, Endpoint& endpoint,
+                      std::uint64_t attempt, Time now) {
+  if (FindBrittle(set, endpoint.entry.service, now) == nullptr) return;
+  const auto at = endpoint.unanswered.find(attempt);
+  if (at == endpoint.unanswered.end()) return;
+  if (IsUnconfirmed(set, endpoint, at->second, now))
+    AddRecent(endpoint.brittle_room.given_up, now);
+}
+
 std::vector<BrittleGossip> MakeBrittleGossip(const EndpointSet& set, Time now) {
   std::vector<BrittleGossip> gossip;
   for (const auto& [service, brittle] : set.brittle_services) {
--- a/routing/tests/brittle_test.cc
+++ b/routing/tests/brittle_test.cc
@@ -136,6 +136,31 @@
   CHECK_TRUE(HasRoom(endpoint));
 }
 
+// Guards against requests whose callers leave while the endpoint turns them
+// away, of which nobody tells this node.
+TEST(BrittleRoom, RequestGivenUpBeforeItWasAcceptedCountsAsRefusal) {
+  er::Endpoint& endpoint = Add("e", 128);
+  er::OnRoundTrip(set, endpoint, milliseconds(40));
+  State(3);
+  const auto give_up = [&](std::uint64_t number) {
+    er::OnBrittleGivenUp(set, endpoint, number, now);
+    er::OnAttemptStarted(endpoint, {}, number, {});
+    er::OnAttemptEnded(endpoint);
+  };
+  Send(endpoint, 1);
+  now += milliseconds(20);
+  give_up(1);
+  CHECK_FALSE(HasRoom(endpoint));
+  LONGS_EQUAL(128, MaxInFlight(endpoint));
+  now += er::kBrittleRefusalWindow;
+  CHECK_TRUE(HasRoom(endpoint));
+  // It was accepted by then.
+  Send(endpoint, 2);
+  now += std::chrono::seconds(1);
+  give_up(2);
+  CHECK_TRUE(HasRoom(endpoint));
+}
+
 // Guards against a round trip that is learned only by refusals, when several
 // requests are turned away already.
 TEST(BrittleRoom, ConnectionsAndBodiesTellWhenARequestCountsAsAccepted) {
