Format; look for a majority when the view of the fleet changes and at ticks only

Each request passed over the members that are taken for gone, which is a square in a fleet that has lost a zone. No change in what is decided: the number that are accounted for changes with the view, and the assumed size of the fleet is looked at at each tick.

--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -379,13 +379,13 @@
     at = members.snapshots.emplace(services, MakeSnapshot(members, services))
              .first;
     at->second.fleet.number = ++members.last_snapshot_number;
+    UpdateMajority(members, now);
   }
   const std::size_t nodes = EstimateFleetSize(members, now);
   const std::size_t cut_off = at->second.cut_off;
   at->second.fleet.nodes = nodes > cut_off ? nodes - cut_off : 1;
   at->second.fleet.is_standalone =
       members.seeds.empty() && members.others.empty();
-  UpdateMajority(members, now);
   at->second.fleet.in_touch_since = InTouchSince(members, now);
   return at->second.fleet;
 }
