Revert "Keep to a backoff that a process asked for before its entry came"

It made TEST(EndpointBackoff, ANewProcessGetsRequestsAtOnce) red over sockets, which asks that a process be not bound by what the one before it asked for: an entry that comes within 2 s of the statement doesn't tell which of the two made it. What would tell is the start of the process in its answers, or a report asked for when an answer asks for time; neither is there today.

--- a/routing/include/egretladder/routing/endpoint_notices.h
+++ b/routing/include/egretladder/routing/endpoint_notices.h
@@ -50,10 +50,8 @@
 
 /// Gives a new endpoint what its process stated before the entry was removed.
 /// Another process under the same id starts without statements, and so does one
-/// that doesn't publish when it started. A backoff that was stated within
-/// `kMaxFirstEntryDelay` at the same address holds for a while all the same:
-/// the process may have stated it before its entry came.
-void RestoreStatements(EndpointSet& set, Endpoint& endpoint, Time now);
+/// that doesn't publish when it started.
+void RestoreStatements(EndpointSet& set, Endpoint& endpoint);
 
 /// Returns how much longer the endpoint wants no requests; 0: it takes them.
 milliseconds RemainingBackoff(const Endpoint& endpoint, Time now);
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -63,7 +63,6 @@
 struct StandingNotices {
   bool leaving = false;      ///< It takes no new work and is about to end.
   Time backoff_until{};      ///< It wants no request from this node until then.
-  Time backoff_stated_at{};  ///< Default: never.
 };
 
 /// That the endpoints of a service are brittle; see brittle.h.
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -234,12 +234,6 @@
 inline constexpr std::chrono::hours kMaxEndpointBackoff{24};
 /// Removed endpoints that are remembered, about 300 bytes each.
 inline constexpr std::size_t kMaxRememberedEndpoints = 1024;
-/// Time within which the entry of a process that has started follows its first
-/// answers.
-inline constexpr milliseconds kMaxFirstEntryDelay{2000};
-/// Upper bound of the rest of a backoff that a process may have asked for
-/// before its entry came. Answers repeat it.
-inline constexpr milliseconds kMaxInheritedBackoff{5000};
 /// A backoff that ends later than known before by more than this is logged.
 inline constexpr milliseconds kMinLoggedBackoffChange{500};
 
--- a/routing/src/endpoint_notices.cc
+++ b/routing/src/endpoint_notices.cc
@@ -23,20 +23,6 @@
 void Merge(StandingNotices& notices, const StandingNotices& other) {
   notices.leaving = notices.leaving || other.leaving;
   notices.backoff_until = std::max(notices.backoff_until, other.backoff_until);
-  notices.backoff_stated_at =
-      std::max(notices.backoff_stated_at, other.backoff_stated_at);
-}
-
-// Returns until when a process wants no requests that may have asked for it
-// before its entry came.
-Time InheritedBackoff(const RemovedEndpoint& before, const EndpointEntry& entry,
-                      Time now) {
-  const bool is_same_address = before.entry.address == entry.address &&
-                               before.entry.service == entry.service;
-  const StandingNotices& notices = before.notices;
-  if (!is_same_address || now - notices.backoff_stated_at > kMaxFirstEntryDelay)
-    return {};
-  return std::min<Time>(notices.backoff_until, now + kMaxInheritedBackoff);
 }
 
 // Passes the notices of an endpoint that was removed while it answered to the
@@ -69,8 +55,7 @@
 NoticeChange OnNotice(EndpointSet& set, Endpoint& endpoint,
                       const EndpointNotice& notice, Time now) {
   StandingNotices& standing = endpoint.notices;
-  StandingNotices stated{notice.leaving, now + notice.backoff, {}};
-  if (notice.backoff.count() > 0) stated.backoff_stated_at = now;
+  const StandingNotices stated{notice.leaving, now + notice.backoff};
   const Time known_until = std::max(standing.backoff_until, now);
   NoticeChange change;
   change.leaving = stated.leaving && !standing.leaving;
@@ -94,16 +79,13 @@
                                     }));
 }
 
-void RestoreStatements(EndpointSet& set, Endpoint& endpoint, Time now) {
+void RestoreStatements(EndpointSet& set, Endpoint& endpoint) {
   const auto at = set.removed_endpoints.find(endpoint.entry.id);
   if (at == set.removed_endpoints.end()) return;
   if (IsSameProcess(at->second.entry, endpoint.entry)) {
     endpoint.notices = at->second.notices;
     endpoint.limit = at->second.limit;
     if (endpoint.limit.per_second > 0) set.limited.insert(endpoint.entry.id);
-  } else {
-    endpoint.notices.backoff_until =
-        InheritedBackoff(at->second, endpoint.entry, now);
   }
   set.removed_endpoints.erase(at);
 }
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -71,7 +71,7 @@
   endpoint->cold_until = now + entry.cold_left;
   // Limits that peers learned from an earlier process don't count.
   endpoint->limit.advertised_at = now;
-  RestoreStatements(set, *endpoint, now);
+  RestoreStatements(set, *endpoint);
   AddToService(set, endpoint);
   set.by_id[entry.id] = std::move(endpoint);
   return EntryChange::kNew;
