--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -74,8 +74,6 @@
   # Keys of the records that the sender has, if it wants all others; otherwise
   # empty.
   known @15 :List(UInt32);
-  # The sender knows of all services that are brittle.
-  knowsBrittle @16 :Bool;
 }
 
 struct Brittle {
--- a/proxy/src/gossip_codec.cc
+++ b/proxy/src/gossip_codec.cc
@@ -147,7 +147,6 @@
 }
 
 void WriteBrittle(const Proxy& proxy, exchange::News::Builder news, Time now) {
-  news.setKnowsBrittle(routing::KnowsBrittleServices(proxy.endpoints, now));
   if (proxy.endpoints.brittle_services.empty()) return;
   const auto gossip = routing::MakeBrittleGossip(proxy.endpoints, now);
   auto list = news.initBrittle(static_cast<unsigned>(gossip.size()));
@@ -178,7 +177,6 @@
     if (routing::ApplyBrittleGossip(proxy.endpoints, gossip, now))
       LogBrittle(proxy, gossip.service, "peer");
   }
-  if (news.getKnowsBrittle()) routing::OnBrittleNewsComplete(proxy.endpoints);
 }
 
 void WriteKeys(const std::vector<std::uint32_t>& keys,
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "egretladder/kernel/registry.h"
-#include "egretladder/routing/brittle.h"
 #include "state_p.h"
 
 namespace egretladder::proxy {
@@ -175,7 +174,6 @@
   proxy->members =
       routing::MakeMembers(MakeSelf(*proxy, peer_address), options.seeds, now);
   proxy->streams.started = now;
-  if (!options.seeds.empty()) routing::AwaitBrittleNews(proxy->endpoints, now);
   proxy->last_tick_at = now;
   proxy->tick_timer = kernel::RunEvery(loop, kTickInterval,
                                        [raw = proxy.get()] { OnTick(*raw); });
--- a/routing/include/egretladder/routing/brittle.h
+++ b/routing/include/egretladder/routing/brittle.h
@@ -76,10 +76,6 @@
 inline constexpr milliseconds kSameRefusalWindow{100};
 /// Refusals sent in one exchange for each brittle service, about 40 bytes each.
 inline constexpr std::size_t kMaxRefusalsPerExchange = 16;
-/// How long a node that starts waits for a peer that knows which services are
-/// brittle, before it sends its first request. Nodes that all start together
-/// have no such peer.
-inline constexpr milliseconds kFirstBrittleNewsTime{300};
 /// Statements about services that are kept at most.
 inline constexpr std::size_t kMaxBrittleServices = 256;
 /// Upper bound of the tolerance that is believed.
@@ -165,14 +161,6 @@
 /// Returns the services that are brittle and `kMaxRefusalsPerExchange` refusals
 /// at most of each.
 std::vector<BrittleGossip> MakeBrittleGossip(const EndpointSet& set, Time now);
-/// Records that this node has just started and knows no peer so far.
-void AwaitBrittleNews(EndpointSet& set, Time now);
-/// Records that a peer that knows which services are brittle has told them.
-void OnBrittleNewsComplete(EndpointSet& set);
-/// Returns true if this node knows which services are brittle, or waits for
-/// that no longer.
-bool KnowsBrittleServices(const EndpointSet& set, Time now);
-
 /// Applies gossip of a peer. Returns true if it begins a brittle time.
 bool ApplyBrittleGossip(EndpointSet& set, const BrittleGossip& gossip,
                         Time now);
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -220,9 +220,6 @@
   std::map<std::string, RoundTrip, std::less<>> round_trips;  ///< By zone.
   /// Last statements that services are brittle, by service.
   std::map<std::string, BrittleStatement> brittle_services;
-  /// Until then this node has just started and doesn't know which services are
-  /// brittle; default: it does.
-  Time brittle_unknown_until{};
   /// Removed endpoints by id, in case that their entries return.
   std::unordered_map<std::string, RemovedEndpoint> removed_endpoints;
   std::uint64_t last_removal_number = 0;  ///< Of `removed_endpoints`.
--- a/routing/src/brittle.cc
+++ b/routing/src/brittle.cc
@@ -298,16 +298,6 @@
   return gossip;
 }
 
-void AwaitBrittleNews(EndpointSet& set, Time now) {
-  set.brittle_unknown_until = now + kFirstBrittleNewsTime;
-}
-
-void OnBrittleNewsComplete(EndpointSet& set) { set.brittle_unknown_until = {}; }
-
-bool KnowsBrittleServices(const EndpointSet& set, Time now) {
-  return now >= set.brittle_unknown_until;
-}
-
 bool ApplyBrittleGossip(EndpointSet& set, const BrittleGossip& gossip,
                         Time now) {
   if (gossip.stated_ago >= kBrittleUnansweredTime) return false;
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -156,11 +156,6 @@
   UsableEndpoints usable;
   const auto at = set.by_service.find(demand.service->name);
   if (at == set.by_service.end()) return usable;
-  if (!KnowsBrittleServices(set, now)) {
-    usable.may_free_up = true;
-    usable.reason_if_none = PlacementReason::kAllFull;
-    return usable;
-  }
   for (const EndpointPtr& endpoint : at->second) {
     if (!HasVersion(*endpoint, demand)) {
       usable.reason_if_none =
