--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -61,8 +61,8 @@
 /// What an endpoint's process has stated about itself in answers to this node.
 /// It holds whatever the store says; see endpoint_notices.h.
 struct StandingNotices {
-  bool leaving = false;      ///< It takes no new work and is about to end.
-  Time backoff_until{};      ///< It wants no request from this node until then.
+  bool leaving = false;  ///< It takes no new work and is about to end.
+  Time backoff_until{};  ///< It wants no request from this node until then.
 };
 
 /// That the endpoints of a service are brittle; see brittle.h.
