--- a/proxy/tests/cut_off_test.cc
+++ b/proxy/tests/cut_off_test.cc
@@ -398,6 +398,39 @@
   LONGS_EQUAL(kCrashes, crashes);
 }
 
+// Guards against a peer's framing of an answer that a crash cut, which would
+// excuse the request at all nodes.
+TEST(CutOff, CutAnswerAtAPeerDoesNotExcuseARequestThatCrashesEndpoints) {
+  constexpr int kCrashes = 3;
+  int arrivals = 0;
+  int crashes = 0;
+  StartNodes([&](const et::EndpointRequest& request) {
+    if (request.http.body != "bad") {
+      request.Answer(200, "done");
+      return;
+    }
+    if (++arrivals % 3 == 0) {
+      request.connection->Send("HTTP/1.1 200 OK\r\nX-Id: " + request.id() +
+                               "\r\nX-Seal: 1\r\n"
+                               "Content-Type: text/event-stream\r\n\r\n" +
+                               et::FormatEvents(1, 1));
+      request.connection->Close();
+      return;
+    }
+    ++crashes;
+    request.connection->Reset();
+  });
+  links.Set(et::Cut::kHang);
+  LetNodeNotice();
+  for (int i = 0; i < 8; ++i) {
+    env.SendAndWait(
+        *cut,
+        {.path = "/tell/a", .id = "b" + std::to_string(i), .body = "bad"});
+    env.RunLoopFor(300ms);
+  }
+  LONGS_EQUAL(kCrashes, crashes);
+}
+
 // Guards against a stream that goes on through another peer at a version of the
 // endpoints' software that didn't begin it.
 TEST(CutOff, StreamGoesOnAtItsVersionThroughPeers) {
