--- a/proxy/src/suspects.cc
+++ b/proxy/src/suspects.cc
@@ -22,8 +22,8 @@
 
 // Returns true if the attempt shows that an endpoint ran the request to its
 // end. An endpoint that fails may have failed before it ran the request. A
-// peer's answer has the peer's framing and may come from several endpoints: the
-// peer knows what it shows, and tells of it.
+// peer's answer has the peer's framing: the peer knows what it shows, and tells
+// of it.
 bool ProvesHarmless(const Attempt& attempt, AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kSucceeded && attempt.peer.empty() &&
          IsSuccess(attempt.head.status) && HasLength(attempt.head);
