Ask each endpoint at which a stream goes on for its process

Cause: endpoints were asked whether their process had written their entry only while several versions were known to serve. The first process of another version, back under its id while the store couldn't be read, was unknown to all; what had broken off at the process before went on there.

Streams that go on are few, so a report for each costs little. An endpoint of which it is known that another process answers there gets none until its entry is written; one that doesn't answer is tried like any other while no version is asked for.

Open: a stream that begins at such a process is recorded with the version of its entry.

--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -3,7 +3,9 @@
 // While the store can't be read, an endpoint may be back under its id at
 // another software version, and its entry tells the version of the process
 // before. A stream that goes on there would hold events of two versions, and
-// one that begins there would be taken up at the wrong one.
+// one that begins there would be taken up at the wrong one. Streams that go on
+// are few, so their endpoints are always asked; those that begin are asked for
+// only while several versions are known.
 #include <utility>
 
 #include "state_p.h"
@@ -43,10 +45,22 @@
   return result;
 }
 
-// An endpoint that doesn't state its start is taken for the one of its entry.
-bool MayBeTheSame(ProcessCheckResult result) {
-  return result == ProcessCheckResult::kSame ||
-         result == ProcessCheckResult::kUnclear;
+// Returns true if the endpoint that was asked may serve the call. One that
+// doesn't state its start is taken for the one of its entry.
+bool MayServe(const routing::Demand& demand, ProcessCheckResult result) {
+  const bool is_bound = demand.version != routing::kUnknownVersion;
+  if (!is_bound && !demand.goes_on) return true;
+  switch (result) {
+    case ProcessCheckResult::kSame:
+    case ProcessCheckResult::kUnclear:
+      return true;
+    case ProcessCheckResult::kReplaced:
+      return false;
+    case ProcessCheckResult::kNoAnswer:
+      // Without a version to keep to, the attempt finds out like any other.
+      return !is_bound;
+  }
+  return false;
 }
 
 void FinishCheck(Proxy& proxy, const CallPtr& call) {
@@ -59,8 +73,7 @@
       std::string("result=\"") + routing::NameOf(result) + "\"");
   // The attempt reuses the connection of the report, so that the process which
   // answered gets it.
-  const bool is_new = call->demand.version == routing::kUnknownVersion;
-  if (is_new || MayBeTheSame(result)) {
+  if (MayServe(call->demand, result)) {
     StartAttempt(proxy, call, check->placement);
   } else {
     Dispatch(proxy, call);
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -23,6 +23,12 @@
   return !call.metadata.last_event_id.empty() || !call.metadata.resumes.empty();
 }
 
+// Another request or attempt began the stream of the next attempt.
+bool GoesOn(const Call& call) {
+  const bool is_stream = call.route->kind == routing::RouteKind::kStream;
+  return is_stream && (call.caller->begun() || TakesStreamUp(call));
+}
+
 bool WasServedAtSeveralVersions(const Proxy& proxy, const Call& call) {
   return routing::WasServedAtSeveralVersions(proxy.streams, call.service->name,
                                              NowOf(proxy));
@@ -200,6 +206,7 @@
 bool RequireVersion(const Proxy& proxy, Call& call) {
   const bool several = WasServedAtSeveralVersions(proxy, call);
   call.demand.version = several ? call.version : kUnknownVersion;
+  call.demand.goes_on = GoesOn(call);
   const bool is_lost = call.caller->begun() && call.version == kUnknownVersion;
   return !several || !is_lost;
 }
@@ -208,7 +215,8 @@
   const bool may_be_taken_up =
       call.route->kind == routing::RouteKind::kStream &&
       routing::IsRouteRepeatable(*call.route);
-  return may_be_taken_up && WasServedAtSeveralVersions(proxy, call);
+  return may_be_taken_up &&
+         (call.demand.goes_on || WasServedAtSeveralVersions(proxy, call));
 }
 
 void OnProcessReplaced(Proxy& proxy, const routing::EndpointPtr& replaced) {
--- a/routing/include/egretladder/routing/placement.h
+++ b/routing/include/egretladder/routing/placement.h
@@ -43,6 +43,8 @@
   /// The request goes on with a stream that this version began; unknown: any
   /// version will do.
   SoftwareVersion version = kUnknownVersion;
+  /// The request goes on with a stream, whatever version began it.
+  bool goes_on = false;
 };
 
 /// Returns the tokens of all parts but the last. The last part belongs to this
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -145,8 +145,10 @@
 }
 
 // An endpoint whose process may have been replaced by one of another version
-// gets no request that needs a version until its entry is written again.
+// gets no request that needs a version until its entry is written again, and
+// none that goes on with a stream if its process is known to be another one.
 bool MustWaitForEntry(const Endpoint& endpoint, const Demand& demand) {
+  if (demand.goes_on && endpoint.is_replaced) return true;
   return demand.version != kUnknownVersion && !IsVersionSure(endpoint);
 }
 
