--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -3,9 +3,9 @@
 // While the store can't be read, an endpoint may be back under its id at
 // another software version, and its entry tells the version of the process
 // before. A stream that goes on there would hold events of two versions, and
-// one that begins there would be taken up at the wrong one. Streams that go on
-// are few, so their endpoints are always asked; those that begin are asked for
-// only while several versions are known.
+// one that begins there would be taken up at the wrong one. Few streams go on,
+// so that this is always asked for them; for those that begin only while
+// several versions are known.
 #include <utility>
 
 #include "state_p.h"
