--- a/review/harness.py
+++ b/review/harness.py
@@ -217,9 +217,10 @@
     A path with /s/ is answered by a stream of events."""
 
     def __init__(self, record, store, rid, service, address, work_ms=60, slots=6,
-                 events=10, event_ms=100, listen=None):
+                 events=10, event_ms=100, listen=None, version="v1"):
         self.record, self.store, self.id, self.service = record, store, rid, service
         self.address, self.listen = address, listen or address
+        self.version = version
         self.work_s, self.slots = work_ms / 1000, slots
         self.events, self.event_s = events, event_ms / 1000
         self.state, self.seq, self.busy = "ready", 0, 0
@@ -238,7 +239,7 @@
         self.seq += 1
         return await self.store.put("servers/" + self.id, {
             "backend": self.service, "address": self.address, "zone": "z1",
-            "version": "v1", "slots": self.slots, "state": self.state,
+            "version": self.version, "slots": self.slots, "state": self.state,
             "coldLeftMs": 0, "seq": self.seq, "born": self.born})
 
     async def beat_forever(self):
@@ -319,7 +320,8 @@
         usage = request.fields.get("egretladder-token-usage", "0,%d" % self.events)
         last = int(usage.split(",")[1])  # One event for each token.
         for number in range(first, last + 1):
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            event = b"id: %d\ndata: piece %d of %s\n\n" % (
+                number, number, self.version.encode())
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             if number < last:
