--- a/review/harness.py
+++ b/review/harness.py
@@ -371,7 +371,13 @@
     async def serve(self, reader, writer):
         pids = {node.child.pid: node.name for node in self.nodes if node.child}
         caller_port = writer.get_extra_info("peername")[1]
-        name = pids.get(owner_of(caller_port, int(self.listen.split(":")[1]), pids))
+        port = int(self.listen.split(":")[1])
+        name = None
+        for _ in range(20):  # The table may miss a socket while others change.
+            name = pids.get(owner_of(caller_port, port, pids))
+            if name is not None or reader.at_eof():
+                break
+            await asyncio.sleep(0.005)
         host, port = self.target.split(":")
         other = None
         try:
@@ -392,13 +398,12 @@
             except OSError:
                 piece = b""
             if name in self.cut:
-                if not piece:
-                    # Nothing passes the cut, also not the end of a connection.
-                    while name in self.cut:
-                        await asyncio.sleep(0.05)
-                    writer.close()
-                    return
-                continue
+                # Nothing passes the cut, also not the end of a connection. A
+                # connection that has lost bytes ends with the cut.
+                while name in self.cut:
+                    await asyncio.sleep(0.02)
+                writer.transport.abort()
+                return
             if not piece:
                 writer.close()
                 return
