--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 
 CLIENTS_PER_NODE = 8
 # Bytes that are no JSON, well below valueBytes (1,048,576).
-UNREADABLE = b"[" * 400000
+UNREADABLE = b"[" * 1000000
 RESTART_S = 0.5
 CONFIG = {
     "version": 7,
