Cut long values in log lines

A value from outside, such as the id of an entry or the reason of an error, is written whole: one of a megabyte fills the buffer for a slow reader, and the lines of other decisions are dropped. Values are cut at 1,024 bytes; the longest of ours, the terms of a placement's cost, has some 200. Bytes that aren't ASCII were replaced by the logger already, which the test now holds.

--- a/kernel/src/log_event.cc
+++ b/kernel/src/log_event.cc
@@ -97,6 +97,13 @@
   return true;
 }
 
+// Returns the beginning of a long value. Bytes that aren't ASCII are replaced
+// by the logger.
+std::string Shorten(const std::string& value) {
+  if (value.size() <= kMaxLogValueBytes) return value;
+  return value.substr(0, kMaxLogValueBytes) + "...";
+}
+
 std::string FormatLine(LogPart part, LogLevel level, std::string_view event,
                        LogFields fields) {
   const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -122,7 +129,7 @@
       writer.RawValue(field.value.data(), field.value.size(),
                       rapidjson::kNumberType);
     } else {
-      text(field.value);
+      text(Shorten(field.value));
     }
   }
   writer.EndObject();
--- a/kernel/tests/log_event_test.cc
+++ b/kernel/tests/log_event_test.cc
@@ -54,6 +54,16 @@
   LONGS_EQUAL(1, std::count(text.begin(), text.end(), '\n'));
 }
 
+// Guards against lines that no reader of logs accepts, and against a megabyte
+// from outside in a line.
+TEST(LogEvent, CutsAndCleansValuesFromOutside) {
+  ek::LogEvent(ek::LogPart::kRoute, ek::LogLevel::kInfo, "sent",
+               {{"bad", "a\xff\xc3"}, {"long", std::string(1U << 20U, 'x')}});
+  const std::string text = ReadAvailable();
+  STRCMP_CONTAINS("\"bad\":\"a??\"", text.c_str());
+  CHECK(text.size() < 2 * ek::kMaxLogValueBytes);
+}
+
 TEST(LogEvent, DropsLinesBelowTheMinimumLevel) {
   ek::LogEvent(ek::LogPart::kRoute, ek::LogLevel::kDebug, "x", {});
   STRCMP_EQUAL("", ReadAvailable().c_str());
