--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -138,6 +139,8 @@
   routing::RouteTablePtr rules;
   Time rules_since{};
   routing::EndpointSet endpoints;
+  /// Ids of the entries that can't be read as they stand now.
+  std::unordered_set<std::string> unreadable_entries;
   routing::Members members;
   std::map<std::string, PeerLoads> peer_loads;
   routing::SplitDemandMeter split_demand_meter;
--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -112,11 +112,28 @@
   bool is_restore = false;
 };
 
+// An entry that can't be read names no endpoint. One that could be read before
+// stops counting until it can be read again. Its writer may repeat it with each
+// heartbeat, so that only the first one is logged.
+void IgnoreEntry(Proxy& proxy, const std::string& id, const routing::Item& item,
+                 const kernel::Error& error) {
+  const routing::EntryChange change =
+      routing::OnEntryRemoved(proxy.endpoints, id, false, NowOf(proxy));
+  const bool is_first = proxy.unreadable_entries.insert(id).second;
+  if (!is_first) return;
+  kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "entry-ignored",
+                   {{"endpoint", id},
+                    {"why", kernel::Describe(error)},
+                    {"change", routing::NameOf(change)},
+                    {"rev", item.rev}});
+}
+
 void ApplyEndpoint(Proxy& proxy, const routing::Item& item,
                    const ChangeContext& context) {
   const Time now = NowOf(proxy);
   const std::string id = proxy.dialect->endpoint_id(item.key);
   if (item.removed) {
+    proxy.unreadable_entries.erase(id);
     const routing::EntryChange change = routing::OnEntryRemoved(
         proxy.endpoints, id, context.may_be_outage, now);
     LogEndpointChange(proxy, id, change, context.source, item.rev);
@@ -124,13 +141,10 @@
   }
   const auto entry = proxy.dialect->read_endpoint(item);
   if (!entry) {
-    kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "entry-ignored",
-                     {{"endpoint", id},
-                      {"why", kernel::Describe(entry.error())},
-                      {"rev", item.rev}});
-    routing::OnEntryRemoved(proxy.endpoints, id, false, now);
+    IgnoreEntry(proxy, id, item, entry.error());
     return;
   }
+  proxy.unreadable_entries.erase(id);
   const auto known = proxy.endpoints.by_id.find(id);
   const routing::EndpointPtr before =
       known == proxy.endpoints.by_id.end() ? nullptr : known->second;
