Let nothing begin an answer inside another one

ClassifyPeerAnswer and ClassifyWholeAnswer take a 4xx for success, right for an answer that nobody has begun; DecideNextStep passes a success on without asking whether the caller has a part of an answer; HttpCall::Answer wrote its head whatever had been sent.

Change, two guards and the classification: - HttpCall aborts instead of a second head, and logs an error. - DecideNextStep passes on only what continues the answer that has begun; any other end resumes the stream or breaks it off. - A whole answer to a request that goes on is "refused" if the peer refused by itself (it names no endpoint, and has sent the request nowhere), else "unfit": it may have run, and doesn't count against the endpoint, which may be right. - A stream that a peer refuses goes on at another node while there are attempts; before, a 503 of a peer broke it off at once.

Related paths, by reading: RefuseCall after the beginning (all callers ask begun() first), a lookup of a version (before any event), handed over calls, stops and deadlines (AbortCall). The guard in HttpCall covers what was missed.

--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -57,10 +57,12 @@
     on_drained_ = std::move(action);
   }
 
-  /// Sends a complete answer.
+  /// Sends a complete answer. If one has begun already, the call is aborted
+  /// instead, and an error is logged.
   void Answer(int status, std::string_view reason, const HttpFields& fields,
               std::string_view body);
-  /// Sends the head of an answer whose length is not known yet.
+  /// Sends the head of an answer whose length is not known yet. If one has
+  /// begun already, the call is aborted instead, and an error is logged.
   void Begin(int status, std::string_view reason, const HttpFields& fields);
   /// Sends a piece of its body.
   void Send(std::string_view piece);
@@ -80,6 +82,9 @@
   friend class HttpConnection;
   void Finish(bool close);
   bool MustClose() const;
+  /// Returns true if an answer has begun, and aborts it. `status` is that of
+  /// another answer.
+  bool AbortIfBegun(int status);
 
   std::shared_ptr<HttpConnection> connection_;
   HttpRequest request_;
--- a/net/src/http_call.cc
+++ b/net/src/http_call.cc
@@ -1,6 +1,7 @@
 #include <string>
 #include <utility>
 
+#include "egretladder/kernel/log_event.h"
 #include "http_connection_p.h"
 
 namespace egretladder::net {
@@ -20,9 +21,19 @@
   connection->OnCallEnded(close);
 }
 
+// A head inside an answer would be read as a part of its body.
+bool HttpCall::AbortIfBegun(int status) {
+  if (!begun_) return false;
+  kernel::LogEvent(kernel::LogPart::kCaller, kernel::LogLevel::kError,
+                   "second-answer",
+                   {{"status", status}, {"target", request_.target}});
+  Abort();
+  return true;
+}
+
 void HttpCall::Answer(int status, std::string_view reason,
                       const HttpFields& fields, std::string_view body) {
-  if (over()) return;
+  if (over() || AbortIfBegun(status)) return;
   const bool close = MustClose();
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
@@ -38,7 +49,7 @@
 
 void HttpCall::Begin(int status, std::string_view reason,
                      const HttpFields& fields) {
-  if (over()) return;
+  if (over() || AbortIfBegun(status)) return;
   begun_ = true;
   chunked_ = request_.supports_chunked;
   connection_->WriteOutput(
--- a/net/tests/http_server_test.cc
+++ b/net/tests/http_server_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 #include <sys/socket.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -438,6 +439,25 @@
   LONGS_EQUAL(0, disconnects);
 }
 
+// Guards against the head of another answer in the middle of one.
+TEST(HttpServer, ASecondAnswerEndsTheConnection) {
+  const std::vector<std::function<void(en::HttpCall&)>> mistakes = {
+      [](en::HttpCall& call) { call.Answer(401, "Unauthorized", {}, "no"); },
+      [](en::HttpCall& call) { call.Begin(200, "OK", {}); }};
+  for (const auto& mistake : mistakes) {
+    auto caller = SendRequest(MakeGet("/"));
+    en::HttpCall& call = *calls.back();
+    call.Begin(200, "OK", {});
+    call.Send("half");
+    mistake(call);
+    CHECK(call.over());
+    ReceiveUntilEnd(*caller);
+    const std::string& received = caller->received();
+    STRCMP_EQUAL("4\r\nhalf\r\n",
+                 received.substr(received.find("\r\n\r\n") + 4).c_str());
+  }
+}
+
 // An endpoint fails in the middle of an answer to a caller of HTTP/1.0, for
 // whom the end of the connection is the end of the answer. After a regular end
 // the truncated answer would look complete, so that the connection must be
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -77,6 +77,7 @@
     case AttemptOutcome::kWithheld:
     case AttemptOutcome::kDeclined:
     case AttemptOutcome::kRefused:
+    case AttemptOutcome::kUnfit:  // It may be right to refuse the rest.
       break;
     case AttemptOutcome::kFull: {
       const auto jitter = milliseconds(kernel::RandomBelow(
@@ -158,12 +159,14 @@
 
 // Returns what follows an attempt that ended. Reserves a retry if the request
 // is sent again.
-NextStep ChooseNextStep(Proxy& proxy, Call& call, AttemptOutcome outcome) {
+NextStep ChooseNextStep(Proxy& proxy, Call& call, const Attempt& attempt,
+                        AttemptOutcome outcome) {
   routing::NextStepInput input;
   input.end = outcome;
   input.is_repeatable = routing::IsRouteRepeatable(*call.route);
   input.resumable = call.route->resumable && !call.last_event_id.empty();
   input.is_answer_started = call.caller->begun();
+  input.continues_answer = attempt.is_event_stream;
   input.attempts = call.max_attempts;
   input.may_have_run = call.may_have_run;
   input.not_run = call.not_run;
@@ -267,7 +270,7 @@
   CountRetryAtPeer(proxy, *call, *attempt);
   ReleaseTarget(proxy, call, *attempt);
   CountAttempt(*call, outcome, attempt->endpoint, NowOf(proxy));
-  const NextStep step = ChooseNextStep(proxy, *call, outcome);
+  const NextStep step = ChooseNextStep(proxy, *call, *attempt, outcome);
   CountAttemptEnd(proxy, is_own_attempt, outcome);
   if (!is_own_attempt) {
     LogHandoverEnd(proxy, *call, *attempt, outcome, detail, step);
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -320,14 +320,25 @@
   }
 }
 
+// Returns the outcome of a whole answer. Once the caller has events, it is no
+// answer for the caller: a peer that refuses by itself has sent the request
+// nowhere, and what an endpoint answers takes the place of the stream's rest.
+AttemptOutcome ClassifyAnswer(const Call& call) {
+  const Attempt& attempt = *call.attempt;
+  const AttemptOutcome outcome = attempt.peer.empty()
+                                     ? ClassifyWholeAnswer(attempt)
+                                     : ClassifyPeerAnswer(attempt);
+  if (outcome != AttemptOutcome::kSucceeded || !call.caller->begun())
+    return outcome;
+  return IsPeersOwnAnswer(attempt) ? AttemptOutcome::kRefused
+                                   : AttemptOutcome::kUnfit;
+}
+
 void OnEnd(Proxy& proxy, const CallPtr& call) {
   Attempt& attempt = *call->attempt;
   MarkAttemptStarted(proxy, call);
   if (!attempt.is_event_stream) {
-    EndAttempt(proxy, call,
-               attempt.peer.empty() ? ClassifyWholeAnswer(attempt)
-                                    : ClassifyPeerAnswer(attempt),
-               "");
+    EndAttempt(proxy, call, ClassifyAnswer(*call), "");
     return;
   }
   const bool is_complete =
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -30,6 +30,8 @@
 net::HttpFields FieldsToForward(const Call& call, const Attempt& attempt);
 
 // handovers.cc
+/// Returns true if the peer answered by itself, and no endpoint.
+bool IsPeersOwnAnswer(const Attempt& attempt);
 /// Removes the fields that only nodes set.
 void RemoveHandoverFields(net::HttpFields& fields);
 /// Adds what an answer to a peer says of the endpoint that gave it.
--- a/proxy/src/handovers.cc
+++ b/proxy/src/handovers.cc
@@ -106,6 +106,11 @@
              : AttemptOutcome::kBadAnswer;
 }
 
+bool IsPeersOwnAnswer(const Attempt& attempt) {
+  return !attempt.peer.empty() &&
+         net::CountFields(attempt.head.fields, kEndpointField) == 0;
+}
+
 void RemoveHandoverFields(net::HttpFields& fields) {
   constexpr std::array<const char*, 4> kNames = {
       kForwardedField, kEndpointField, kEndpointVersionField, kDeclinedField};
--- a/proxy/tests/cut_off_test.cc
+++ b/proxy/tests/cut_off_test.cc
@@ -469,3 +469,44 @@
   }
   CHECK(whole > 0);
 }
+
+// Guards against a peer's refusal of a request that has begun its answer here:
+// its head would stand in the middle of the stream.
+TEST(CutOff, RefusalByAPeerIsNoPartOfAStream) {
+  StartNodes([](const et::EndpointRequest& request) {
+    const int next = request.last_event_id() + 1;
+    request.BeginStream(next, next);
+  });
+  et::TestConnection& caller =
+      env.SendRequest(*cut, {.path = "/talk/a", .id = "s"});
+  env.WaitUntil([&caller] {
+    return caller.received().find("id: 1") != std::string::npos;
+  });
+  const std::string begun = caller.received();
+  egretladder::routing::RouteTable table = et::MakeRouteTable();
+  table.account_by_key = {{"k2", 0}};
+  env.Publish(table);
+  env.WaitUntilRulesApplied(*cut);
+  env.WaitUntilRulesApplied(*peer);
+  links.Set(et::Cut::kReset);
+  env.WaitUntil([&caller] { return caller.ended(); });
+  STRCMP_EQUAL(begun.c_str(), caller.received().c_str());
+}
+
+// Guards against an endpoint's error in the middle of a stream that goes on
+// there after another endpoint broke off.
+TEST(CutOff, ErrorOfAnEndpointIsNoPartOfAStream) {
+  StartNodes([](const et::EndpointRequest& request) {
+    if (request.last_event_id() > 0) {
+      request.Answer(400, "no such event");
+      return;
+    }
+    request.BeginStream(1, 2);
+    request.connection->Reset();
+  });
+  et::TestConnection& caller =
+      env.SendRequest(*cut, {.path = "/talk/a", .id = "s"});
+  env.WaitUntil([&caller] { return caller.ended(); });
+  CHECK(caller.received().find("id: 2") != std::string::npos);
+  CHECK(caller.received().find("400") == std::string::npos);
+}
--- a/routing/include/egretladder/routing/next_step.h
+++ b/routing/include/egretladder/routing/next_step.h
@@ -29,6 +29,7 @@
   kBadAnswer,      ///< The answer can't be forwarded; outcome unknown.
   kSilent,         ///< Timed out waiting for the answer; outcome unknown.
   kFailed,         ///< Complete answer that reports an endpoint failure.
+  kUnfit,          ///< Complete answer in place of the rest of a stream.
   kSucceeded,      ///< Complete answer.
 };
 /// Returns the outcome's name in logs.
@@ -57,6 +58,8 @@
   bool is_repeatable = false;      ///< `IsRouteRepeatable` of the route.
   bool resumable = false;          ///< The stream can resume elsewhere.
   bool is_answer_started = false;  ///< The caller has part of an answer.
+  /// The attempt's answer is a part of that one, the rest of a stream.
+  bool continues_answer = false;
   std::uint32_t attempts = 1;      ///< Attempts that the route allows.
   std::uint32_t may_have_run = 0;  ///< Attempts so far that may have run.
   std::uint32_t not_run = 0;       ///< Attempts so far that endpoints rejected.
@@ -74,9 +77,10 @@
 /// and one in 27 meets three.
 inline constexpr std::uint32_t kMaxNotSentAttempts = 8;
 
-/// Decides the next step. For `kSendAgain` and `kResume` the caller still has
-/// to take a retry from the retry budget; if none is left, it calls this
-/// function again with `has_time_left` set to false.
+/// Decides the next step. Once the caller has part of an answer, that is never
+/// a second answer. For `kSendAgain` and `kResume` the caller still has to take
+/// a retry from the retry budget; if none is left, it calls this function again
+/// with `has_time_left` set to false.
 NextStep DecideNextStep(const NextStepInput& input);
 
 }  // namespace egretladder::routing
--- a/routing/src/next_step.cc
+++ b/routing/src/next_step.cc
@@ -19,9 +19,9 @@
 }
 
 // The peer's answer tells the caller when to return. It is true only if no
-// earlier attempt may have run.
+// earlier attempt may have run. In a stream, another node may go on.
 NextStep DecideAfterRefusal(const NextStepInput& input) {
-  if (input.is_answer_started) return NextStep::kBreakOff;
+  if (input.is_answer_started) return DecideAfterNotRun(input);
   return input.may_have_run > 0 ? NextStep::kUnknown : NextStep::kPassOn;
 }
 
@@ -49,6 +49,8 @@
       return "silent";
     case AttemptOutcome::kFailed:
       return "failed";
+    case AttemptOutcome::kUnfit:
+      return "unfit";
     case AttemptOutcome::kSucceeded:
       return "succeeded";
   }
@@ -83,7 +85,8 @@
 }
 
 NextStep DecideNextStep(const NextStepInput& input) {
-  if (input.end == AttemptOutcome::kSucceeded) return NextStep::kPassOn;
+  const bool fits = !input.is_answer_started || input.continues_answer;
+  if (input.end == AttemptOutcome::kSucceeded && fits) return NextStep::kPassOn;
   if (input.end == AttemptOutcome::kRefused) return DecideAfterRefusal(input);
   if (IsNotRun(input.end)) return DecideAfterNotRun(input);
   const bool has_attempts_left =
--- a/routing/tests/next_step_test.cc
+++ b/routing/tests/next_step_test.cc
@@ -10,12 +10,13 @@
 
 namespace {
 
-constexpr std::array<AttemptOutcome, 9> kOutcomes = {
-    AttemptOutcome::kNotSent,   AttemptOutcome::kWithheld,
-    AttemptOutcome::kFull,      AttemptOutcome::kWrongInstance,
-    AttemptOutcome::kBroken,    AttemptOutcome::kBadAnswer,
-    AttemptOutcome::kSilent,    AttemptOutcome::kFailed,
-    AttemptOutcome::kSucceeded,
+constexpr std::array<AttemptOutcome, 12> kOutcomes = {
+    AttemptOutcome::kNotSent,  AttemptOutcome::kWithheld,
+    AttemptOutcome::kFull,     AttemptOutcome::kWrongInstance,
+    AttemptOutcome::kDeclined, AttemptOutcome::kRefused,
+    AttemptOutcome::kBroken,   AttemptOutcome::kBadAnswer,
+    AttemptOutcome::kSilent,   AttemptOutcome::kFailed,
+    AttemptOutcome::kUnfit,    AttemptOutcome::kSucceeded,
 };
 
 er::NextStepInput MakeInput(AttemptOutcome outcome) {
@@ -44,7 +45,9 @@
       er::NextStepInput input = MakeInput(outcome);
       input.has_time_left = has_time_left;
       const NextStep step = er::DecideNextStep(input);
-      if (er::IsNotRun(outcome)) {
+      if (outcome == AttemptOutcome::kRefused) {
+        CHECK(step == NextStep::kPassOn);
+      } else if (er::IsNotRun(outcome)) {
         CHECK(step ==
               (has_time_left ? NextStep::kSendAgain : NextStep::kRefuse));
       } else {
@@ -109,6 +112,27 @@
   }
 }
 
+// Guards against the head of another answer in the middle of a stream.
+TEST(NextStep, NoAnswerFollowsOneThatHasBegun) {
+  for (const AttemptOutcome outcome : kOutcomes) {
+    for (const bool resumable : {false, true}) {
+      for (const bool has_time_left : {false, true}) {
+        er::NextStepInput input = MakeInput(outcome);
+        input.is_answer_started = true;
+        input.resumable = resumable;
+        input.has_time_left = has_time_left;
+        CHECK(er::DecideNextStep(input) == (resumable && has_time_left
+                                                ? NextStep::kResume
+                                                : NextStep::kBreakOff));
+      }
+    }
+  }
+  er::NextStepInput input = MakeInput(AttemptOutcome::kSucceeded);
+  input.is_answer_started = true;
+  input.continues_answer = true;
+  CHECK(er::DecideNextStep(input) == NextStep::kPassOn);
+}
+
 // Guards against adding load to a full service by trying all of its endpoints.
 TEST(NextStep, GivesUpAfterAFewFullEndpoints) {
   er::NextStepInput input = MakeInput(AttemptOutcome::kFull);
