--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -20,13 +20,24 @@
 constexpr int kGatewayTimeout = 504;
 constexpr milliseconds kOverloadRetryDelay{300};
 
+// Returns the rules by which a request is routed.
+routing::RouteTablePtr RulesFor(const Proxy& proxy,
+                                const HandoverHeader* handover) {
+  if (handover == nullptr) return proxy.rules;
+  const auto past = routing::FindRules(proxy.past_rules,
+                                       handover->rules_version, NowOf(proxy));
+  return past != nullptr ? past : proxy.rules;
+}
+
 // Returns the service that a peer chose, if these rules allow it, or chooses
 // one.
-routing::ServiceHandle PickService(Proxy& proxy, const routing::Route& route,
+routing::ServiceHandle PickService(Proxy& proxy,
+                                   const routing::RouteTable& rules,
+                                   const routing::Route& route,
                                    const HandoverHeader* handover) {
   if (handover != nullptr) {
     for (const routing::WeightedTarget& target : route.targets) {
-      if (proxy.rules->services[target.service.idx].name == handover->service) {
+      if (rules.services[target.service.idx].name == handover->service) {
         return target.service;
       }
     }
@@ -49,6 +60,7 @@
 }
 
 CallPtr MakeCall(Proxy& proxy, const net::HttpCallPtr& caller,
+                 const routing::RouteTablePtr& rules,
                  const routing::Route& route,
                  const routing::ClientAccount* account,
                  RequestMetadata metadata, Time arrived_at,
@@ -56,7 +68,7 @@
   auto call = std::make_shared<Call>();
   call->number = ++proxy.last_number;
   call->caller = caller;
-  call->table = proxy.rules;
+  call->table = rules;
   call->route = &route;
   call->account = account;
   call->arrived_at = arrived_at;
@@ -64,12 +76,12 @@
   const auto timeout = std::min(metadata.deadline.value_or(route.timeout),
                                 std::max(route.timeout, milliseconds(1)));
   call->deadline = arrived_at + timeout;
-  const auto target = PickService(proxy, route, handover);
-  call->service = &proxy.rules->services[target.idx];
+  const auto target = PickService(proxy, *rules, route, handover);
+  call->service = &rules->services[target.idx];
   call->max_attempts = route.attempts;
   if (handover != nullptr) ApplyHandover(proxy, *handover, *call);
   call->demand.service = call->service;
-  call->demand.tier = routing::FindRank(*proxy.rules, route, account);
+  call->demand.tier = routing::FindRank(*rules, route, account);
   if (call->service->generates) {
     call->demand.parts = metadata.parts;
     call->demand.prompt_tokens = std::max(metadata.prompt_tokens, 1U);
@@ -145,7 +157,7 @@
   return true;
 }
 
-// A request with its route, as the rules in force define it.
+// A request with its route, as the rules define it.
 struct RoutedRequest {
   const routing::Route* route = nullptr;
   const routing::ClientAccount* account = nullptr;  // Null if none is needed.
@@ -155,8 +167,8 @@
 // Finds the route of a request. Rejects the request and returns nothing if it
 // can't be routed.
 std::optional<RoutedRequest> RouteRequest(Proxy& proxy,
-                                          const net::HttpCallPtr& caller) {
-  const routing::RouteTable& rules = *proxy.rules;
+                                          const net::HttpCallPtr& caller,
+                                          const routing::RouteTable& rules) {
   const net::HttpRequest& request = caller->request();
   RoutedRequest routed;
   routed.route = routing::FindRoute(
@@ -338,10 +350,11 @@
 
 void RouteAndDispatch(Proxy& proxy, const net::HttpCallPtr& caller,
                       Time arrived_at, const HandoverHeader* handover) {
-  auto routed = RouteRequest(proxy, caller);
+  const routing::RouteTablePtr rules = RulesFor(proxy, handover);
+  auto routed = RouteRequest(proxy, caller, *rules);
   if (!routed) return;
   const CallPtr call =
-      MakeCall(proxy, caller, *routed->route, routed->account,
+      MakeCall(proxy, caller, rules, *routed->route, routed->account,
                std::move(routed->metadata), arrived_at, handover);
   proxy.body_bytes += call->body_bytes;
   proxy.calls.emplace(call->number, call);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -32,6 +32,7 @@
 #include "egretladder/routing/next_step.h"
 #include "egretladder/routing/placement.h"
 #include "egretladder/routing/retry_budget.h"
+#include "egretladder/routing/rules_history.h"
 #include "egretladder/routing/service_reach.h"
 #include "egretladder/routing/stop_admission.h"
 #include "egretladder/routing/store_readers.h"
@@ -138,6 +139,7 @@
   routing::Catalog catalog;
   routing::RouteTablePtr rules;
   Time rules_since{};
+  routing::RulesHistory past_rules;
   routing::EndpointSet endpoints;
   /// Ids of the entries that can't be read as they stand now.
   std::unordered_set<std::string> unreadable_entries;
@@ -233,7 +235,8 @@
 /// Routes a caller's request that was received completely, or rejects it.
 void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller);
 /// Routes a request that arrived at `arrived_at` by the rules in force.
-/// `handover` is null for a request of a caller.
+/// `handover` is null for a request of a caller. A request of a peer is routed
+/// by the rules by which the peer accepted it, if they are remembered.
 void RouteAndDispatch(Proxy& proxy, const net::HttpCallPtr& caller,
                       Time arrived_at, const HandoverHeader* handover);
 /// Returns true if the node's memory has room for a body of that size.
--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -46,6 +46,8 @@
                       {"source", NameOf(source)}});
     return;
   }
+  if (proxy.rules != nullptr)
+    routing::Retire(proxy.past_rules, proxy.rules, NowOf(proxy));
   proxy.rules = std::move(rules).value();
   proxy.rules_since = NowOf(proxy);
   net::ServerLimits limits;
--- a/proxy/tests/cut_off_test.cc
+++ b/proxy/tests/cut_off_test.cc
@@ -84,6 +84,26 @@
     env.RunLoopFor(500ms);
   }
 
+  // Sends a request for a stream to the cut node, and waits for its first
+  // event.
+  et::TestConnection& BeginStream() {
+    et::TestConnection& caller =
+        env.SendRequest(*cut, {.path = "/talk/a", .id = "s"});
+    env.WaitUntil([&caller] {
+      return caller.received().find("id: 1") != std::string::npos;
+    });
+    return caller;
+  }
+
+  // Takes the key of requests away that don't name another one.
+  void TakeKeyAway() {
+    egretladder::routing::RouteTable table = et::MakeRouteTable();
+    table.account_by_key = {{"k2", 0}};
+    env.Publish(table);
+    env.WaitUntilRulesApplied(*cut);
+    env.WaitUntilRulesApplied(*peer);
+  }
+
   void CheckAllServed(const std::string& path) {
     for (int i = 0; i < 12; ++i) {
       const std::string id = path + std::to_string(i);
@@ -470,6 +490,27 @@
   CHECK(whole > 0);
 }
 
+// Guards against streams that end early at a node without links, since their
+// key or route was taken away after they began.
+TEST(CutOff, StreamGoesOnAtAPeerByTheRulesThatAcceptedIt) {
+  StartNodes([](const et::EndpointRequest& request) {
+    const int next = request.last_event_id() + 1;
+    request.BeginStream(next, next);
+    if (next > 1) request.connection->Send(et::kLastChunk);
+  });
+  et::TestConnection& caller = BeginStream();
+  TakeKeyAway();
+  links.Set(et::Cut::kReset);
+  env.WaitUntil([&caller] {
+    return !et::ParseAnswers(caller.received()).empty() || caller.ended();
+  });
+  LONGS_EQUAL(1, et::ParseAnswers(caller.received()).size());
+  STRCMP_EQUAL(et::FormatEvents(1, 2).c_str(),
+               et::ParseAnswers(caller.received()).front().body.c_str());
+  STRCMP_EQUAL("401 no",
+               env.SendAndDescribe(*cut, {.path = "/talk/b"}).c_str());
+}
+
 // Guards against a peer's refusal of a request that has begun its answer here:
 // its head would stand in the middle of the stream.
 TEST(CutOff, RefusalByAPeerIsNoPartOfAStream) {
@@ -477,17 +518,12 @@
     const int next = request.last_event_id() + 1;
     request.BeginStream(next, next);
   });
-  et::TestConnection& caller =
-      env.SendRequest(*cut, {.path = "/talk/a", .id = "s"});
-  env.WaitUntil([&caller] {
-    return caller.received().find("id: 1") != std::string::npos;
-  });
+  et::TestConnection& caller = BeginStream();
   const std::string begun = caller.received();
-  egretladder::routing::RouteTable table = et::MakeRouteTable();
-  table.account_by_key = {{"k2", 0}};
-  env.Publish(table);
-  env.WaitUntilRulesApplied(*cut);
-  env.WaitUntilRulesApplied(*peer);
+  TakeKeyAway();
+  env.KillNode(*peer);
+  StartAnother("started-later", "plain");  // It knows no earlier rules.
+  env.WaitUntil([this] { return ep::ViewOf(*cut).nodes == 2; });
   links.Set(et::Cut::kReset);
   env.WaitUntil([&caller] { return caller.ended(); });
   STRCMP_EQUAL(begun.c_str(), caller.received().c_str());
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -301,6 +301,14 @@
 /// Handed over requests that a node serves at the same time.
 inline constexpr std::size_t kMaxHandoversServed = 500;
 
+// --- Rules that were replaced (rules_history.h) ---
+
+/// How long rules are remembered: the longest time that a request which they
+/// accepted is in progress.
+inline constexpr milliseconds kRetiredRulesRetention{30'000};
+/// Rules that are remembered. A table of 240 accounts takes some 100 KB.
+inline constexpr std::size_t kMaxRetiredRules = 16;
+
 // --- Versions of streams (stream_records.h) ---
 
 /// How long after its first event a stream may be taken up: its route's
