--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -22,8 +22,11 @@
   keepStreams @3 (streams :List(Stream));
 
   # Returns which software version began a stream; 0: the peer doesn't know. If
-  # `several` is true, the service was served at several versions of late.
-  findStream @4 (stream :UInt64, service :Text) -> (version :UInt64, several :Bool);
+  # `several` is true, the service was served at several versions of late; `only`
+  # is the version if there was one. The peer has known all versions for
+  # `knownMs`; 0: it hasn't, or doesn't say.
+  findStream @4 (stream :UInt64, service :Text)
+      -> (version :UInt64, several :Bool, only :UInt64, knownMs :UInt64);
 }
 
 struct Stream {
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -15,6 +15,7 @@
 #include "egretladder/proxy/dialect.h"
 #include "egretladder/routing/next_step.h"
 #include "egretladder/routing/placement.h"
+#include "egretladder/routing/version_evidence.h"
 
 namespace egretladder::proxy {
 
@@ -59,10 +60,16 @@
   net::EventSplitter splitter;
 };
 
+/// What a peer answers to the question for the version that began a stream.
+struct VersionAnswer {
+  routing::SoftwareVersion version = routing::kUnknownVersion;
+  routing::VersionKnowledge knowledge;  ///< Of the stream's service.
+};
+
 /// A question to peers about the version that began a stream.
 struct VersionLookup {
-  std::size_t unanswered = 0;  ///< Peers that were asked.
-  bool several = false;        ///< A peer knows of several versions.
+  std::size_t unanswered = 0;           ///< Peers that were asked.
+  routing::VersionKnowledge knowledge;  ///< Of this node and those that answer.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   kernel::EventWatcher timer;  ///< Ends the question.
 };
@@ -113,6 +120,8 @@
   std::unique_ptr<Attempt> attempt;  ///< The current attempt, if any.
   std::string last_event_id;  ///< Id of the last event sent to the caller.
   std::uint64_t events = 0;   ///< Events sent to the caller.
+  /// Earliest time at which a stream that it takes up can have begun.
+  Time earliest_begin{};
   /// Version that began the stream, also that of a stream which it takes up.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   Time first_event_at{};
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -85,8 +85,13 @@
     auto results = context.getResults();
     results.setVersion(
         routing::FindVersion(proxy_.streams, params.getStream()));
-    results.setSeveral(routing::WasServedAtSeveralVersions(
-        proxy_.streams, params.getService(), NowOf(proxy_)));
+    const Time now = NowOf(proxy_);
+    const routing::VersionKnowledge knowledge =
+        routing::KnowledgeOf(proxy_.streams, params.getService(), now);
+    results.setSeveral(knowledge.several);
+    if (!knowledge.several) results.setOnly(knowledge.only);
+    results.setKnownMs(static_cast<std::uint64_t>(
+        Elapsed(proxy_.streams.known_since, now).count()));
     return kj::READY_NOW;
   }
 
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -25,6 +25,7 @@
       std::chrono::duration_cast<milliseconds>(now - proxy.last_tick_at);
   proxy.last_tick_at = now;
   if (gap > kMinProcessPause) OnProcessPause(proxy, gap);
+  routing::KeepKnowledge(proxy.streams, KnowsVersions(proxy, gap), now);
   OnStopTick(proxy);
   for (const std::string& id :
        routing::RemoveLapsedEndpoints(proxy.endpoints, now)) {
@@ -123,15 +124,17 @@
   // The wall clock time makes the incarnation rise with each start. If the
   // clock was set back, gossip shows the node its earlier incarnation, which it
   // then exceeds.
-  self.incarnation = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
+  self.incarnation = static_cast<std::uint64_t>(UnixNow().count());
   return self;
 }
 
 }  // namespace
 
+routing::UnixTime UnixNow() {
+  return std::chrono::duration_cast<routing::UnixTime>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 void ProxyDelete::operator()(Proxy* proxy) const {
   const auto calls = proxy->calls;
   for (const auto& [number, call] : calls) {
@@ -173,7 +176,7 @@
   const Time now = NowOf(*proxy);
   proxy->members =
       routing::MakeMembers(MakeSelf(*proxy, peer_address), options.seeds, now);
-  proxy->streams.started = now;
+  proxy->streams.known_since = now;
   proxy->last_tick_at = now;
   proxy->tick_timer = kernel::RunEvery(loop, kTickInterval,
                                        [raw = proxy.get()] { OnTick(*raw); });
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -209,6 +209,9 @@
   return std::chrono::duration_cast<milliseconds>(to - from);
 }
 
+/// Returns the wall clock time.
+routing::UnixTime UnixNow();
+
 /// Returns the fleet among whose nodes the retry budget is shared. A node that
 /// has met none of its peers doesn't know how many they are.
 inline routing::RetryBudgetFleet MakeRetryBudgetFleet(Proxy& proxy) {
@@ -351,7 +354,7 @@
 void DispatchAtItsVersion(Proxy& proxy, const CallPtr& call);
 /// Records what a peer answered to the question for the call's stream.
 void OnVersionAnswer(Proxy& proxy, const CallPtr& call,
-                     routing::SoftwareVersion version, bool several);
+                     const VersionAnswer& answer);
 /// Makes placement look within the version that began the call's stream, while
 /// it is one of several. Returns false if that version isn't known, so that the
 /// stream can't go on.
@@ -364,6 +367,10 @@
 void OnProcessReplaced(Proxy& proxy, const routing::EndpointPtr& replaced);
 /// Records which versions serve now.
 void UpdateVersions(Proxy& proxy);
+/// Returns true if this node knows all versions that serve now, `tick_gap`
+/// after the tick before. One that has stood still or heard from no peer may
+/// not.
+bool KnowsVersions(const Proxy& proxy, milliseconds tick_gap);
 /// Writes all streams that this node remembers to their homes.
 void HandOnStreams(Proxy& proxy);
 
--- a/proxy/src/stream_records_capnp.cc
+++ b/proxy/src/stream_records_capnp.cc
@@ -1,5 +1,7 @@
 // Messages between nodes about the software versions that began streams.
+#include <algorithm>
 #include <memory>
+#include <optional>
 
 #include "peers_p.h"
 
@@ -8,6 +10,14 @@
 
 bool IsSameZone(const PeerConnection& peer) { return peer.same_zone; }
 
+// A node of an earlier release doesn't say for how long it has known.
+std::optional<Time> KnownSince(std::uint64_t known_ms, Time now) {
+  constexpr milliseconds kLongest = 2 * routing::kStreamRetention;
+  if (known_ms == 0) return std::nullopt;
+  const auto bound = static_cast<std::uint64_t>(kLongest.count());
+  return now - milliseconds(std::min(known_ms, bound));
+}
+
 }  // namespace
 
 void WriteStreams(Proxy& proxy, const std::string& peer_address,
@@ -43,12 +53,17 @@
   OnRequestSent(*peer, NowOf(proxy));
   peer->tasks.add(request.send().then(
       [&proxy, peer, call](auto&& answer) {
-        OnReplyReceived(*peer, NowOf(proxy));
-        OnVersionAnswer(proxy, call, answer.getVersion(), answer.getSeveral());
+        const Time now = NowOf(proxy);
+        OnReplyReceived(*peer, now);
+        OnVersionAnswer(proxy, call,
+                        {answer.getVersion(),
+                         {.since = KnownSince(answer.getKnownMs(), now),
+                          .several = answer.getSeveral(),
+                          .only = answer.getOnly()}});
       },
       [&proxy, peer, call](const kj::Exception& /*error*/) {
         OnReplyReceived(*peer, NowOf(proxy));
-        OnVersionAnswer(proxy, call, routing::kUnknownVersion, false);
+        OnVersionAnswer(proxy, call, {});
       }));
 }
 
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -1,4 +1,7 @@
 // Streams while endpoints of several software versions serve.
+#include <algorithm>
+#include <optional>
+
 #include "egretladder/routing/software_version.h"
 #include "state_p.h"
 
@@ -8,6 +11,7 @@
 using kernel::LogLevel;
 using kernel::LogPart;
 using routing::kUnknownVersion;
+using routing::VersionVerdict;
 
 constexpr int kUnavailable = 503;
 
@@ -37,7 +41,6 @@
 // Writes the streams to their homes, each of which gets one message.
 void WriteToHomes(Proxy& proxy,
                   const std::vector<routing::StreamRecord>& streams) {
-  const Time now = NowOf(proxy);
   const std::size_t count = routing::CountHomes(proxy.members);
   std::map<std::string, std::vector<routing::StreamRecord>> by_home;
   for (const routing::StreamRecord& record : streams) {
@@ -114,15 +117,25 @@
   Dispatch(proxy, call);
 }
 
+// How long the caller still waits; nullopt: it doesn't say.
+std::optional<milliseconds> TimeLeftOfCaller(const Call& call, Time now) {
+  if (!call.metadata.deadline) return std::nullopt;
+  return *call.metadata.deadline - Elapsed(call.arrived_at, now);
+}
+
 // Nobody who was asked knows the stream. It goes on only if a single version
 // can have begun it.
-void DispatchUnknown(Proxy& proxy, const CallPtr& call, bool several) {
-  if (!several && !WasServedAtSeveralVersions(proxy, *call)) {
-    LogTakenUp(proxy, *call, "one-version");
+void DispatchUnknown(Proxy& proxy, const CallPtr& call,
+                     const routing::VersionKnowledge& knowledge) {
+  const VersionVerdict verdict = routing::JudgeUnknownStream(
+      knowledge, proxy.endpoints, call->service->name, call->earliest_begin,
+      UnixNow(), NowOf(proxy));
+  if (verdict != VersionVerdict::kUnknown) {
+    LogTakenUp(proxy, *call, routing::NameOf(verdict));
     Dispatch(proxy, call);
     return;
   }
-  LogTakenUp(proxy, *call, "unknown");
+  LogTakenUp(proxy, *call, routing::NameOf(verdict));
   RefuseCall(proxy, call, kUnavailable, "unknown_stream",
              kUnknownStreamRetryDelay);
 }
@@ -132,7 +145,7 @@
   if (lookup->version != kUnknownVersion) {
     Bind(proxy, call, lookup->version, "peer");
   } else {
-    DispatchUnknown(proxy, call, lookup->several);
+    DispatchUnknown(proxy, call, lookup->knowledge);
   }
 }
 
@@ -145,16 +158,19 @@
       });
 }
 
-void AskHomes(Proxy& proxy, const CallPtr& call, routing::StreamKey stream) {
-  const auto homes =
-      routing::HomesOfStream(proxy.members, stream, routing::kStreamHomesToAsk);
+void AskNodes(Proxy& proxy, const CallPtr& call, routing::StreamKey stream,
+              const routing::VersionKnowledge& knowledge) {
+  const routing::UnixTime began =
+      UnixNow() - Elapsed(call->earliest_begin, NowOf(proxy));
+  const auto nodes = routing::NodesToAsk(proxy.members, stream, began);
   const auto lookup = std::make_shared<VersionLookup>();
+  lookup->knowledge = knowledge;
   call->version_lookup = lookup;
   FinishLookupAfter(proxy, call, kVersionLookupTimeout);
-  for (const routing::Member& home : homes) {
-    if (home.node == proxy.members.self.node) continue;
+  for (const routing::Member& node : nodes) {
+    if (node.node == proxy.members.self.node) continue;
     ++lookup->unanswered;
-    AskForVersion(proxy, call, stream, home.peers);
+    AskForVersion(proxy, call, stream, node.peers);
   }
   if (lookup->unanswered == 0) FinishLookup(proxy, call);
 }
@@ -174,11 +190,16 @@
     Dispatch(proxy, call);
     return;
   }
-  const bool several = WasServedAtSeveralVersions(proxy, *call);
-  const bool knows_past =
-      routing::KnowsPastVersions(proxy.streams, NowOf(proxy));
-  if (call->metadata.resumes.empty() || (!several && knows_past)) {
-    DispatchUnknown(proxy, call, several);
+  const Time now = NowOf(proxy);
+  call->earliest_begin =
+      routing::EarliestBegin(*call->table, TimeLeftOfCaller(*call, now), now);
+  const routing::VersionKnowledge knowledge =
+      routing::KnowledgeOf(proxy.streams, call->service->name, now);
+  const bool knows_since_begin =
+      knowledge.since && *knowledge.since <= call->earliest_begin;
+  const bool is_named = !call->metadata.resumes.empty();
+  if (knowledge.several ? !is_named : knows_since_begin) {
+    DispatchUnknown(proxy, call, knowledge);
     return;
   }
   const routing::StreamKey stream = KeyOfStream(*call, call->metadata.resumes);
@@ -188,16 +209,16 @@
     Bind(proxy, call, version, "this-node");
     return;
   }
-  AskHomes(proxy, call, stream);
+  AskNodes(proxy, call, stream, knowledge);
 }
 
 void OnVersionAnswer(Proxy& proxy, const CallPtr& call,
-                     routing::SoftwareVersion version, bool several) {
+                     const VersionAnswer& answer) {
   // Another peer answered sooner, time was up, or the call has ended.
   if (call->version_lookup == nullptr) return;
   VersionLookup& lookup = *call->version_lookup;
-  lookup.several = lookup.several || several;
-  if (version != kUnknownVersion) lookup.version = version;
+  routing::Merge(lookup.knowledge, answer.knowledge);
+  if (answer.version != kUnknownVersion) lookup.version = answer.version;
   --lookup.unanswered;
   if (lookup.version != kUnknownVersion || lookup.unanswered == 0)
     FinishLookupAfter(proxy, call, {});
@@ -238,6 +259,18 @@
   ScheduleStreamWork(proxy);
 }
 
+bool KnowsVersions(const Proxy& proxy, milliseconds tick_gap) {
+  const auto& feed =
+      routing::GetFeedState(proxy.catalog, routing::Feed::kEndpoints);
+  if (feed.revision == 0 || tick_gap > kMinProcessPause) return false;
+  const auto& seeds = proxy.options.seeds;
+  const bool has_peers = std::any_of(
+      seeds.begin(), seeds.end(),
+      [&proxy](const auto& seed) { return seed != proxy.members.self.peers; });
+  return !has_peers || NowOf(proxy) - proxy.members.last_exchange_at <=
+                           routing::kMaxKnowledgeGap;
+}
+
 void HandOnStreams(Proxy& proxy) {
   if (!routing::WereSeveralVersions(proxy.streams, NowOf(proxy))) return;
   WriteToHomes(proxy, routing::AllStreams(proxy.streams));
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -314,6 +314,14 @@
 /// How long after its first event a stream may be taken up: its route's
 /// timeout, and the time in which its caller returns.
 inline constexpr milliseconds kStreamRetention{30'000};
+/// How much longer than a caller's deadline says a stream may have run.
+inline constexpr milliseconds kMaxDeadlineError{1000};
+/// Longest time from the start of an endpoint of a release until the last
+/// stream begins at the one that it replaces.
+inline constexpr milliseconds kMaxReplacementTime{10'000};
+/// Longest time without an answer of a peer after which a node counts as
+/// knowing all that peers tell. In a large fleet it asks one each second.
+inline constexpr milliseconds kMaxKnowledgeGap{3000};
 /// Longest time from the write of an endpoint's entry until it is known here,
 /// in ordinary times. An entry that comes sooner after a lost connection may
 /// have been written by the process that ended.
@@ -331,6 +339,8 @@
 /// Nodes that are asked for a stream's version. They are more than its homes,
 /// since nodes differ in which ones are live.
 inline constexpr std::size_t kStreamHomesToAsk = 4;
+/// Nodes that are asked besides if all of those have started of late.
+inline constexpr std::size_t kWitnessesToAsk = 2;
 
 // --- Admission (admission.h) ---
 
--- a/routing/include/egretladder/routing/stream_records.h
+++ b/routing/include/egretladder/routing/stream_records.h
@@ -19,6 +19,7 @@
 #include "egretladder/routing/endpoints.h"
 #include "egretladder/routing/members.h"
 #include "egretladder/routing/recent_map.h"
+#include "egretladder/routing/version_evidence.h"
 
 namespace egretladder::routing {
 
@@ -42,7 +43,8 @@
 struct StreamRecords {
   RecentMap<SoftwareVersion> by_stream;
   std::map<std::string, VersionHistory> by_service;
-  Time started{};  ///< Nothing is known of the time before.
+  /// Since when all versions that served are known; see `KeepKnowledge`.
+  Time known_since{};
 };
 
 /// Remembers the version of a stream.
@@ -62,15 +64,23 @@
                                 const std::string& service, Time now);
 /// Returns true if any service is or was.
 bool WereSeveralVersions(const StreamRecords& records, Time now);
-/// Returns true if this node has seen the whole time in which streams began
-/// that are still taken up.
-bool KnowsPastVersions(const StreamRecords& records, Time now);
+/// Records that this node knows, or doesn't know, the versions that serve now.
+/// A node that had no data, was cut off or stood still has missed some of them.
+void KeepKnowledge(StreamRecords& records, bool is_current, Time now);
+/// Returns what this node knows of a service's versions.
+VersionKnowledge KnowledgeOf(const StreamRecords& records,
+                             const std::string& service, Time now);
 
 /// Returns the nodes that keep the stream's version, the first ones most
 /// likely, `count` at most. The first two are in different availability zones
 /// if there are several. This node is among them unless it leaves.
 std::vector<Member> HomesOfStream(const Members& members, StreamKey stream,
                                   std::size_t count);
+/// Returns the nodes that are asked for the version of a stream that began no
+/// earlier than `earliest_begin`: its homes, and nodes that have run since then
+/// if all homes have started later.
+std::vector<Member> NodesToAsk(const Members& members, StreamKey stream,
+                               UnixTime earliest_begin);
 /// Returns the number of homes to which each stream is written.
 std::size_t CountHomes(const Members& members);
 
--- /dev/null
+++ b/routing/include/egretladder/routing/version_evidence.h
@@ -0,0 +1,70 @@
+// Decides whether a stream that no node remembers can have begun at one
+// software version only.
+//
+// Such a stream is taken up on each day on which a node was killed, and goes on
+// at any endpoint while a single version serves. Whether another version served
+// when it began, only a node can tell that has known all versions since then:
+// the silence of one that has started meanwhile says nothing. After a start of
+// all nodes nobody is left who can. The entries of the service then show
+// whether an endpoint has started of late, as each one of a release does. If
+// none has, the stream goes on; otherwise it may have begun at a version that
+// is gone, and it is refused.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "egretladder/kernel/time.h"
+#include "egretladder/routing/endpoints.h"
+#include "egretladder/routing/route_table.h"
+
+namespace egretladder::routing {
+
+using kernel::Time;
+
+/// Wall clock time in milliseconds since the Unix epoch.
+using UnixTime = std::chrono::duration<std::int64_t, std::milli>;
+
+/// What one node, or several of them together, know of a service's versions.
+struct VersionKnowledge {
+  /// Since when all of them are known; default: of no time.
+  std::optional<Time> since;
+  bool several = false;  ///< It was served at several versions of late.
+  /// The only version at which it was served of late, as far as is known.
+  SoftwareVersion only = kUnknownVersion;
+};
+
+/// Adds what another node knows.
+void Merge(VersionKnowledge& knowledge, const VersionKnowledge& other);
+
+/// Returns the earliest time at which a stream can have begun whose caller
+/// takes it up now and waits for `time_left`; nullopt: it isn't stated. The
+/// caller never waits longer than the longest timeout of a stream's route.
+Time EarliestBegin(const RouteTable& rules,
+                   std::optional<milliseconds> time_left, Time now);
+
+/// Returns true if the entry of an endpoint of the service shows, or can't
+/// exclude, that it started after `since`.
+bool MayHaveStartedSince(const EndpointSet& set, const std::string& service,
+                         UnixTime since);
+
+/// Why a stream that nobody remembers goes on, or not.
+enum class VersionVerdict : std::uint8_t {
+  kOneVersion,  ///< A node has known all versions since it began.
+  kNoRelease,   ///< No endpoint has started since, or shortly before.
+  kUnknown,     ///< It may have begun at another version.
+};
+/// Returns the verdict's name in logs and metrics.
+const char* NameOf(VersionVerdict verdict);
+
+/// Decides about a stream that began no earlier than `earliest_begin`.
+/// `unix_now` is the wall clock time at `now`.
+VersionVerdict JudgeUnknownStream(const VersionKnowledge& knowledge,
+                                  const EndpointSet& set,
+                                  const std::string& service,
+                                  Time earliest_begin, UnixTime unix_now,
+                                  Time now);
+
+}  // namespace egretladder::routing
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -100,8 +100,21 @@
                      });
 }
 
-bool KnowsPastVersions(const StreamRecords& records, Time now) {
-  return now - records.started >= kStreamRetention;
+void KeepKnowledge(StreamRecords& records, bool is_current, Time now) {
+  if (!is_current) records.known_since = now;
+}
+
+VersionKnowledge KnowledgeOf(const StreamRecords& records,
+                             const std::string& service, Time now) {
+  VersionKnowledge knowledge;
+  knowledge.since = records.known_since;
+  const auto at = records.by_service.find(service);
+  if (at == records.by_service.end()) return knowledge;
+  for (const auto& [version, last_served] : at->second.last_served) {
+    if (now - last_served < kStreamRetention)
+      Merge(knowledge, {.since = {}, .several = false, .only = version});
+  }
+  return knowledge;
 }
 
 std::vector<Member> HomesOfStream(const Members& members, StreamKey stream,
@@ -121,6 +134,22 @@
   return homes;
 }
 
+std::vector<Member> NodesToAsk(const Members& members, StreamKey stream,
+                               UnixTime earliest_begin) {
+  std::vector<Member> nodes = HomesOfStream(members, stream, kStreamHomesToAsk);
+  const auto has_run_since = [earliest_begin](const Member& member) {
+    return member.incarnation <=
+           static_cast<std::uint64_t>(earliest_begin.count());
+  };
+  if (std::any_of(nodes.begin(), nodes.end(), has_run_since)) return nodes;
+  const std::size_t homes = nodes.size();
+  for (const RankedHome& ranked : RankHomes(members, stream)) {
+    if (nodes.size() == homes + kWitnessesToAsk) break;
+    if (has_run_since(*ranked.member)) nodes.push_back(*ranked.member);
+  }
+  return nodes;
+}
+
 std::size_t CountHomes(const Members& members) {
   return IsSmallFleet(members) ? kStreamHomesInSmallFleet : kStreamHomes;
 }
--- /dev/null
+++ b/routing/src/version_evidence.cc
@@ -0,0 +1,73 @@
+#include "egretladder/routing/version_evidence.h"
+
+#include <algorithm>
+
+namespace egretladder::routing {
+
+void Merge(VersionKnowledge& knowledge, const VersionKnowledge& other) {
+  if (other.since && (!knowledge.since || *other.since < *knowledge.since))
+    knowledge.since = other.since;
+  const bool differ = knowledge.only != kUnknownVersion &&
+                      other.only != kUnknownVersion &&
+                      knowledge.only != other.only;
+  knowledge.several = knowledge.several || other.several || differ;
+  if (knowledge.only == kUnknownVersion) knowledge.only = other.only;
+}
+
+Time EarliestBegin(const RouteTable& rules,
+                   std::optional<milliseconds> time_left, Time now) {
+  milliseconds longest{};
+  for (const Route& route : rules.routes) {
+    if (route.kind == RouteKind::kStream)
+      longest = std::max(longest, route.timeout);
+  }
+  if (!time_left) return now - kStreamRetention;
+  const milliseconds age =
+      std::max(longest - *time_left, milliseconds(0)) + kMaxDeadlineError;
+  return now - std::min(age, kStreamRetention);
+}
+
+bool MayHaveStartedSince(const EndpointSet& set, const std::string& service,
+                         UnixTime since) {
+  const auto at = set.by_service.find(service);
+  if (at == set.by_service.end()) return false;
+  const auto since_ms =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(since.count(), 0));
+  return std::any_of(at->second.begin(), at->second.end(),
+                     [since_ms](const EndpointPtr& endpoint) {
+                       const std::uint64_t started =
+                           endpoint->entry.started_unix_ms;
+                       return started == 0 || started >= since_ms;
+                     });
+}
+
+const char* NameOf(VersionVerdict verdict) {
+  switch (verdict) {
+    case VersionVerdict::kOneVersion:
+      return "one-version";
+    case VersionVerdict::kNoRelease:
+      return "no-release";
+    case VersionVerdict::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+VersionVerdict JudgeUnknownStream(const VersionKnowledge& knowledge,
+                                  const EndpointSet& set,
+                                  const std::string& service,
+                                  Time earliest_begin, UnixTime unix_now,
+                                  Time now) {
+  // Without any version there is none to keep to.
+  if (knowledge.several || knowledge.only == kUnknownVersion)
+    return VersionVerdict::kUnknown;
+  if (knowledge.since && *knowledge.since <= earliest_begin)
+    return VersionVerdict::kOneVersion;
+  const auto age =
+      std::chrono::duration_cast<milliseconds>(now - earliest_begin);
+  const UnixTime since = unix_now - age - kMaxReplacementTime;
+  return MayHaveStartedSince(set, service, since) ? VersionVerdict::kUnknown
+                                                  : VersionVerdict::kNoRelease;
+}
+
+}  // namespace egretladder::routing
--- a/routing/tests/stream_records_test.cc
+++ b/routing/tests/stream_records_test.cc
@@ -60,7 +60,7 @@
   er::StreamRecords records;
   er::EndpointSet set;
 
-  void setup() override { records.started = kStart - 1h; }
+  void setup() override { records.known_since = kStart - 1h; }
   bool Several(er::Time now) const {
     return er::WasServedAtSeveralVersions(records, "engines", now);
   }
@@ -159,12 +159,49 @@
   CHECK_FALSE(Several(kStart));
 }
 
-// Guards against a node that has just started and takes what it sees for all
-// that served.
-TEST(StreamRecords, ANewNodeDoesNotKnowThePast) {
-  records.started = kStart;
-  CHECK_FALSE(er::KnowsPastVersions(records, kStart + 1s));
-  CHECK_TRUE(er::KnowsPastVersions(records, kStart + er::kStreamRetention));
+// Guards against a node that has just started, was cut off or stood still, and
+// takes what it sees for all that served.
+TEST(StreamRecords, ANodeDoesNotKnowWhatItMissed) {
+  records.known_since = kStart;
+  er::KeepKnowledge(records, true, kStart + 1s);
+  CHECK(*er::KnowledgeOf(records, "engines", kStart + 1s).since == kStart);
+  er::KeepKnowledge(records, false, kStart + 2s);
+  er::KeepKnowledge(records, true, kStart + 3s);
+  CHECK(*er::KnowledgeOf(records, "engines", kStart + 3s).since == kStart + 2s);
+}
+
+TEST(StreamRecords, KnowsTheOnlyVersionOfAService) {
+  const er::EndpointEntry old_entry = MakeEntry("a", "v1");
+  CHECK(er::KnowledgeOf(records, "engines", kStart).only ==
+        er::kUnknownVersion);
+  er::OnEntryPublished(set, old_entry, kStart);
+  er::ObserveVersions(records, set, kStart);
+  const er::VersionKnowledge one = er::KnowledgeOf(records, "engines", kStart);
+  CHECK(one.only == er::VersionOf(old_entry));
+  CHECK_FALSE(one.several);
+  er::OnEntryPublished(set, MakeEntry("b", "v2"), kStart);
+  er::ObserveVersions(records, set, kStart);
+  CHECK_TRUE(er::KnowledgeOf(records, "engines", kStart).several);
+}
+
+// Guards against streams that are refused after half of the nodes were killed,
+// all their homes among them.
+TEST(StreamRecords, NodesThatHaveRunAreAskedIfNoHomeHas) {
+  constexpr er::UnixTime kBegan{1000};
+  for (er::StreamKey stream = 1; stream <= 50; ++stream) {
+    er::Members members = MakeView(0, 40);
+    const auto homes =
+        er::HomesOfStream(members, stream, er::kStreamHomesToAsk);
+    LONGS_EQUAL(homes.size(), er::NodesToAsk(members, stream, kBegan).size());
+    for (const er::Member& home : homes) {
+      const auto at = members.others.find(home.node);
+      if (at != members.others.end()) at->second.member.incarnation = 2000;
+    }
+    members.self.incarnation = 2000;
+    const auto nodes = er::NodesToAsk(members, stream, kBegan);
+    LONGS_EQUAL(homes.size() + er::kWitnessesToAsk, nodes.size());
+    LONGS_EQUAL(1, nodes.back().incarnation);
+  }
 }
 
 // Guards against a tick whose work grows with the endpoints: a pass over them
