Bind a stream that is taken up to the one version it may go on at

Cause: DispatchUnknown found that a single version can have begun the stream, and bound the call to none, so that placing looked at all endpoints as soon as there were two versions.

Change: it is bound to that version. A bound call asks for its version not only while several are known, but also where the one that is known is another: a peer to which it is handed over may know only that one.

Evidence: AStreamThatWaitsKeepsItsVersion fails before.

--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -124,15 +124,15 @@
 }
 
 // Nobody who was asked knows the stream. It goes on only if a single version
-// can have begun it.
+// can have begun it, and is bound to that one: another may serve by the time at
+// which it gets an endpoint.
 void DispatchUnknown(Proxy& proxy, const CallPtr& call,
                      const routing::VersionKnowledge& knowledge) {
   const VersionVerdict verdict = routing::JudgeUnknownStream(
       knowledge, proxy.endpoints, call->service->name, call->earliest_begin,
       UnixNow(), NowOf(proxy));
   if (verdict != VersionVerdict::kUnknown) {
-    LogTakenUp(proxy, *call, routing::NameOf(verdict));
-    Dispatch(proxy, call);
+    Bind(proxy, call, knowledge.only, routing::NameOf(verdict));
     return;
   }
   LogTakenUp(proxy, *call, routing::NameOf(verdict));
@@ -225,8 +225,11 @@
 }
 
 bool RequireVersion(const Proxy& proxy, Call& call) {
-  const bool several = WasServedAtSeveralVersions(proxy, call);
-  call.demand.version = several ? call.version : kUnknownVersion;
+  const routing::VersionKnowledge knowledge =
+      routing::KnowledgeOf(proxy.streams, call.service->name, NowOf(proxy));
+  const bool several = knowledge.several;
+  const bool may_join = several || knowledge.only != call.version;
+  call.demand.version = may_join ? call.version : kUnknownVersion;
   call.demand.goes_on = GoesOn(call);
   const bool is_lost = call.caller->begun() && call.version == kUnknownVersion;
   return !several || !is_lost;
