Let a handler outlive the exchange that it cancels

What callers saw: one endpoint of four that answered plain requests with a body that went on ended all nodes with SIGSEGV within seconds, each as soon as one answer passed 8 MiB; a sound endpoint's large answer would have done the same.

Cause: OnBody cancels its own exchange when the answer is too large. HttpExchange::Cancel emptied the handlers, and with them the function that was running and the reference to its call, with which EndAttempt went on.

Change: the handlers are shared, and whoever calls one holds a copy, so that any of the six may end its exchange. on_connected and may_send that do so, no matter what they return, send nothing any more.

Same class, by reading: timers call a copy of their action; the actions of a caller's connection are moved out or copied first; on_end and on_error were moved out already. A server's handlers live as long as the server.

Evidence: AHandlerOutlivesTheExchangeThatItCancels ends with SIGSEGV (139) before.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -31,7 +31,7 @@
 };
 
 /// Handlers of an exchange, called from the event loop. None is called after
-/// `on_end` or `on_error`.
+/// `on_end` or `on_error`. A handler may cancel its own exchange.
 struct ExchangeHandlers {
   /// Called when a new connection is open, `elapsed` after it was asked for.
   std::function<void(std::chrono::milliseconds elapsed)> on_connected;
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -122,7 +122,8 @@
                ExchangeRequest request, ExchangeHandlers handlers)
       : client_(std::move(client)),
         request_(std::move(request)),
-        handlers_(std::move(handlers)),
+        handlers_(
+            std::make_shared<const ExchangeHandlers>(std::move(handlers))),
         reader_(MakeReader()) {}
 
   void Start() {
@@ -138,7 +139,7 @@
   }
 
   void Cancel() {
-    handlers_ = {};
+    handlers_ = nullptr;
     Release();
   }
 
@@ -152,6 +153,10 @@
   }
 
  private:
+  // A handler may cancel its exchange, and what it refers to must outlive that.
+  // Whoever calls one holds a copy meanwhile.
+  using Handlers = std::shared_ptr<const ExchangeHandlers>;
+
   AnswerReader MakeReader() const {
     return AnswerReader({kMaxAnswerHeadBytes, kMaxAnswerBodyBytes},
                         request_.is_head_request);
@@ -207,7 +212,7 @@
       connection_->connected = true;
       timer_ = {};
       ReportConnected();
-      SendRequest();
+      if (connection_ != nullptr) SendRequest();
       return;
     }
     if (!connection_->connected) {
@@ -230,8 +235,9 @@
   }
 
   void ReportConnected() {
-    if (!handlers_.on_connected) return;
-    handlers_.on_connected(
+    const Handlers handlers = handlers_;
+    if (!handlers->on_connected) return;
+    handlers->on_connected(
         std::chrono::duration_cast<std::chrono::milliseconds>(
             kernel::Now(client_->loop->clock) - connect_began_at_));
   }
@@ -242,8 +248,11 @@
       Connect();  // Input before the request can't belong to it.
       return;
     }
-    if (handlers_.may_send && !handlers_.may_send()) {
-      if (connection_ != nullptr) Cancel();
+    const Handlers handlers = handlers_;
+    const bool may_send = !handlers->may_send || handlers->may_send();
+    if (connection_ == nullptr) return;
+    if (!may_send) {
+      Cancel();
       return;
     }
     sent_ = true;
@@ -269,6 +278,7 @@
   // Passes parsed input to the handlers. Returns false if no more input is to
   // be read.
   bool DeliverInput() {
+    const Handlers handlers = handlers_;
     if (!head_delivered_ && reader_.state() != ReadState::kHead &&
         !(reader_.state() == ReadState::kFailed &&
           reader_.head().status == 0)) {
@@ -276,12 +286,12 @@
       const HttpAnswerHead& head = reader_.head();
       connection_->keep_alive_timeout = ParseKeepAliveTimeout(head.fields);
       skipping_ = head.status < kFirstFinalStatus ||
-                  handlers_.on_head(head) == HeadVerdict::kSkip;
+                  handlers->on_head(head) == HeadVerdict::kSkip;
       if (connection_ == nullptr) return false;
       if (skipping_ && head.status >= kFirstFinalStatus) is_tainted_ = true;
     }
     const std::string piece = reader_.TakeBody();
-    if (!piece.empty() && !skipping_) handlers_.on_body(piece);
+    if (!piece.empty() && !skipping_) handlers->on_body(piece);
     if (connection_ == nullptr) return false;  // Cancelled by a handler.
     if (reader_.state() == ReadState::kFailed) {
       Fail(ExchangeError::kBadAnswer, reader_.detail());
@@ -316,19 +326,17 @@
     const bool reusable = !is_tainted_ && reader_.head().keep_alive &&
                           PendingInput(connection_->buffer.get()).empty() &&
                           PendingOutputBytes(connection_->buffer.get()) == 0;
-    const auto on_end = std::move(handlers_.on_end);
-    handlers_ = {};
+    const Handlers handlers = std::exchange(handlers_, nullptr);
     if (reusable) client_->AddIdle(std::move(connection_));
     Release();
-    if (on_end) on_end();
+    if (handlers->on_end) handlers->on_end();
   }
 
   void Fail(ExchangeError error, const std::string& detail) {
-    const auto on_error = std::move(handlers_.on_error);
-    handlers_ = {};
+    const Handlers handlers = std::exchange(handlers_, nullptr);
     const auto self = shared_from_this();
     Release();
-    if (on_error) on_error(error, detail);
+    if (handlers->on_error) handlers->on_error(error, detail);
   }
 
   void Release() {
@@ -339,7 +347,7 @@
 
   std::shared_ptr<HttpClient::State> client_;
   ExchangeRequest request_;
-  ExchangeHandlers handlers_;
+  Handlers handlers_;  // Null once the exchange has ended.
   AnswerReader reader_;
   ConnectionPtr connection_;
   kernel::EventWatcher timer_;  // A deferred action or the connect timeout.
@@ -349,7 +357,7 @@
   bool sent_ = false;
   bool head_delivered_ = false;
   bool skipping_ = false;
-  bool is_tainted_ = false;  // Had input of no request, or has ended.
+  bool is_tainted_ = false;            // Had input of no request, or has ended.
 };
 
 void Cancel(const HttpExchangePtr& exchange) {
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -134,6 +134,53 @@
   LONGS_EQUAL(1, client->connections_opened());
 }
 
+// Guards against a handler that cancels its exchange, and runs on without what
+// it refers to.
+TEST(HttpClient, AHandlerOutlivesTheExchangeThatItCancels) {
+  constexpr int kHandlers = 4;
+  for (int canceller = 0; canceller < kHandlers; ++canceller) {
+    en::HttpExchangePtr exchange;
+    int cancelled = 0;
+    const auto make_action = [&](int number) {
+      auto owned = std::make_shared<int>(number);
+      const std::weak_ptr<int> is_owned = owned;
+      return [&exchange, &cancelled, canceller, owned, is_owned] {
+        if (*owned != canceller) return;
+        const std::weak_ptr<int> check = is_owned;
+        en::Cancel(exchange);
+        ++cancelled;
+        CHECK_FALSE(check.expired());
+      };
+    };
+    en::ExchangeRequest request;
+    request.address = endpoint->address();
+    request.head = en::FormatRequestHead("GET", "/", {{"Host", "h"}},
+                                         en::BodyFraming::kNone, 0);
+    en::ExchangeHandlers handlers;
+    handlers.on_connected =
+        [act = make_action(0)](std::chrono::milliseconds /*elapsed*/) {
+          act();
+        };
+    handlers.may_send = [act = make_action(1)] {
+      act();
+      return true;
+    };
+    handlers.on_head = [act = make_action(2)](const en::HttpAnswerHead&) {
+      act();
+      return en::HeadVerdict::kAccept;
+    };
+    handlers.on_body = [act = make_action(3)](std::string_view /*piece*/) {
+      act();
+    };
+    exchange = client->Start(std::move(request), std::move(handlers));
+    const auto peer = Accept();
+    peer->Send(MakeAnswer("body"));
+    test_loop.WaitUntil([&cancelled] { return cancelled > 0; });
+    test_loop.Settle();
+    LONGS_EQUAL(1, cancelled);
+  }
+}
+
 // A caller leaves while the body of its request is being sent. The connection
 // must be closed: the endpoint can stop then, and another request on the
 // connection would be read as the rest of that body.
