Bound answers without end in bytes and in time

Bounds now, beside those that held (32 KiB for a head, 8 MiB for a whole answer, the deadline for everything): - 32 answers and 8 MiB before the one that is awaited; - a line that fills the input buffer (128 KiB) ends the exchange; - 256 KiB for one event with the comments before it. Comments and empty lines are no events: they begin no answer, and don't keep a stream from moving on; - a report is given up beyond 64 KiB, and its endpoint hasn't answered; - all answers together: a fifth of the node's memory. The largest one yields, which one without end soon is; sound answers beside it arrive. What was sent and gets such bytes may have run: 502, or another attempt where that is allowed. It counts against the endpoint as any bad answer does.

--- a/net/include/egretladder/net/event_splitter.h
+++ b/net/include/egretladder/net/event_splitter.h
@@ -13,15 +13,22 @@
 /// The stream of an endpoint that crashes may end in the middle of an event. If
 /// a caller had received a part of that event, another endpoint could not
 /// resume the stream, so that only complete events are passed on.
+///
+/// Comments and empty lines are no events. Those before the first event are
+/// kept until it is complete; later ones are passed on as they come.
 struct EventSplitter {
   std::string incomplete_event;   ///< Bytes of an incomplete event.
   std::size_t scanned_bytes = 0;  ///< Its bytes in complete lines.
   std::string pending_id;         ///< Id of the incomplete event.
+  bool has_fields = false;        ///< It has a line that is no comment.
+  /// Bytes since the last complete event, those that were passed on included.
+  std::size_t bytes_since_event = 0;
   std::string last_id;       ///< Id of the last complete event that had one.
   std::uint64_t events = 0;  ///< Number of complete events.
 };
 
-/// Adds bytes to the stream. Returns the events that they complete.
+/// Adds bytes to the stream. Returns the events that they complete, and
+/// comments around them.
 std::string SplitEvents(EventSplitter& splitter, std::string_view bytes);
 
 }  // namespace egretladder::net
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -47,6 +47,12 @@
 /// Largest body of an endpoint's answer.
 inline constexpr std::size_t kMaxAnswerBodyBytes = std::size_t{64} << 20U;
 
+/// Answers before the one to a request: interim ones, and late ones to earlier
+/// requests. An endpoint that sends more sends them without end.
+inline constexpr std::size_t kMaxDiscardedAnswers = 32;
+/// Size of their bodies together.
+inline constexpr std::size_t kMaxDiscardedBytes = std::size_t{8} << 20U;
+
 /// Assumed keep-alive timeout of an endpoint that doesn't send one.
 inline constexpr std::chrono::milliseconds kDefaultIdleLifetime{2000};
 /// Fraction of the endpoint's keep-alive timeout during which an idle
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -271,7 +271,12 @@
       const std::size_t used = reader_.Feed(input);
       Consume(connection_->buffer.get(), used);
       if (!DeliverInput()) return;
-      if (used == 0 && reader_.state() != ReadState::kDone) return;
+      if (used == 0 && reader_.state() != ReadState::kDone) {
+        // No more is read until the parser takes something.
+        if (input.size() >= kMaxReadAheadBytes)
+          Fail(ExchangeError::kBadAnswer, "a line without end");
+        return;
+      }
     }
   }
 
@@ -291,14 +296,26 @@
       if (skipping_ && head.status >= kFirstFinalStatus) is_tainted_ = true;
     }
     const std::string piece = reader_.TakeBody();
-    if (!piece.empty() && !skipping_) handlers->on_body(piece);
+    if (skipping_) {
+      discarded_bytes_ += piece.size();
+    } else if (!piece.empty()) {
+      handlers->on_body(piece);
+    }
     if (connection_ == nullptr) return false;  // Cancelled by a handler.
     if (reader_.state() == ReadState::kFailed) {
       Fail(ExchangeError::kBadAnswer, reader_.detail());
       return false;
     }
+    if (discarded_bytes_ > kMaxDiscardedBytes) {
+      Fail(ExchangeError::kBadAnswer, "too many bytes of other answers");
+      return false;
+    }
     if (reader_.state() != ReadState::kDone) return true;
     if (skipping_) {
+      if (++discarded_answers_ > kMaxDiscardedAnswers) {
+        Fail(ExchangeError::kBadAnswer, "too many other answers");
+        return false;
+      }
       reader_ = MakeReader();
       head_delivered_ = false;
       skipping_ = false;
@@ -357,6 +374,8 @@
   bool sent_ = false;
   bool head_delivered_ = false;
   bool skipping_ = false;
+  std::size_t discarded_answers_ = 0;  // Interim ones, or of other requests.
+  std::size_t discarded_bytes_ = 0;    // Of their bodies.
   bool is_tainted_ = false;            // Had input of no request, or has ended.
 };
 
--- a/net/tests/event_splitter_test.cc
+++ b/net/tests/event_splitter_test.cc
@@ -21,6 +21,23 @@
   LONGS_EQUAL(0, splitter.incomplete_event.size());
 }
 
+// Guards against comments and empty lines without end that count as events.
+TEST(EventSplitter, CommentsAndEmptyLinesAreNoEvents) {
+  en::EventSplitter splitter;
+  STRCMP_EQUAL("", en::SplitEvents(splitter, ": wait\n\n\n").c_str());
+  LONGS_EQUAL(0, splitter.events);
+  STRCMP_EQUAL(": wait\n\n\nid: 1\n\n",
+               en::SplitEvents(splitter, "id: 1\n\n").c_str());
+  LONGS_EQUAL(1, splitter.events);
+  LONGS_EQUAL(0, splitter.bytes_since_event);
+  STRCMP_EQUAL(": wait\n\n\n",
+               en::SplitEvents(splitter, ": wait\n\n\n").c_str());
+  LONGS_EQUAL(1, splitter.events);
+  LONGS_EQUAL(9, splitter.bytes_since_event);
+  STRCMP_EQUAL("", en::SplitEvents(splitter, "data: 2\n").c_str());
+  LONGS_EQUAL(17, splitter.bytes_since_event);
+}
+
 TEST(EventSplitter, AcceptsBytesInAnyPiecesAndBothLineEnds) {
   const std::string text = "id:7\r\ndata: x\r\n\r\nid:8\r\ndata: y\r\n\r\n";
   en::EventSplitter splitter;
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -83,6 +83,12 @@
 /// Maximum size of an answer that is buffered completely before it is
 /// forwarded.
 inline constexpr std::size_t kMaxBufferedAnswerBytes = std::size_t{8} << 20U;
+/// Buffered bytes of all answers, as a part of the node's memory limit. Beyond
+/// it the largest one is given up: an answer without end is that soon.
+inline constexpr double kAnswerMemoryRatio = 0.2;
+/// Largest event of a stream, with the comments before it. A longer one has no
+/// end.
+inline constexpr std::size_t kMaxEventBytes = std::size_t{256} << 10U;
 /// When a caller has more unread output than this, the node stops reading from
 /// the endpoint.
 inline constexpr std::size_t kMaxCallerBacklogBytes = std::size_t{256} << 10U;
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -112,6 +112,7 @@
 }
 
 void ReleaseTarget(Proxy& proxy, const CallPtr& call, const Attempt& attempt) {
+  proxy.buffered_bytes -= attempt.buffered_bytes;
   if (!attempt.peer.empty()) {
     routing::OnHandoverEnded(proxy.handovers, attempt.peer);
     return;
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -184,18 +184,59 @@
   });
 }
 
-void ForwardEvents(Proxy& proxy, const CallPtr& call, std::string_view piece) {
+// Records events of the attempt that were received.
+void RecordEvents(Proxy& proxy, Call& call, std::uint64_t count) {
+  call.events += count;
+  if (call.attempt->peer.empty()) {
+    RecordPace(proxy, call, count);
+    RecordInterval(proxy, call);
+  }
+  RecordPause(call, NowOf(proxy));
+  RecordProof(proxy, call);
+}
+
+// Ends an attempt whose answer can't be read any further.
+void GiveUpAnswer(Proxy& proxy, const CallPtr& call, const char* why) {
+  net::Cancel(call->attempt->exchange);
+  EndAttempt(proxy, call, AttemptOutcome::kBadAnswer, why);
+}
+
+// Records how many bytes of the attempt's answer are kept.
+void CountBuffered(Proxy& proxy, Attempt& attempt) {
+  const std::size_t bytes =
+      attempt.body.size() + attempt.splitter.incomplete_event.size();
+  proxy.buffered_bytes += bytes;
+  proxy.buffered_bytes -= std::exchange(attempt.buffered_bytes, bytes);
+}
+
+std::size_t BufferedBytes(const CallPtr& call) {
+  return call->attempt == nullptr ? 0 : call->attempt->buffered_bytes;
+}
+
+// Gives up the largest answer if all of them together leave no room. Others are
+// about to end, and their callers needn't suffer for it.
+void LimitBuffered(Proxy& proxy) {
+  const double max_bytes =
+      kAnswerMemoryRatio * static_cast<double>(proxy.options.memory_bytes);
+  if (static_cast<double>(proxy.buffered_bytes) <= max_bytes) return;
+  const auto largest = std::max_element(
+      proxy.calls.begin(), proxy.calls.end(),
+      [](const auto& left, const auto& right) {
+        return BufferedBytes(left.second) < BufferedBytes(right.second);
+      });
+  const CallPtr call = largest->second;
+  GiveUpAnswer(proxy, call, "no room for the answer");
+}
+
+// Returns the number of events that were forwarded.
+std::uint64_t ForwardEvents(Proxy& proxy, const CallPtr& call,
+                            std::string_view piece) {
   Attempt& attempt = *call->attempt;
   const std::uint64_t events_before = attempt.splitter.events;
   const std::string events = net::SplitEvents(attempt.splitter, piece);
-  if (events.empty()) return;
-  call->events += attempt.splitter.events - events_before;
-  if (attempt.peer.empty()) {
-    RecordPace(proxy, *call, attempt.splitter.events - events_before);
-    RecordInterval(proxy, *call);
-  }
-  RecordPause(*call, NowOf(proxy));
-  RecordProof(proxy, *call);
+  if (events.empty()) return 0;
+  const std::uint64_t count = attempt.splitter.events - events_before;
+  if (count > 0) RecordEvents(proxy, *call, count);
   if (!attempt.splitter.last_id.empty()) {
     call->last_event_id = attempt.splitter.last_id;
   }
@@ -207,6 +248,7 @@
   call->caller->Send(events);
   if (call->caller->UnsentBytes() > kMaxCallerBacklogBytes)
     PauseReading(proxy, call);
+  return count;
 }
 
 void LogSent(const Proxy& proxy, const Call& call, Time now) {
@@ -297,27 +339,41 @@
   return true;
 }
 
+void OnStreamBytes(Proxy& proxy, const CallPtr& call, std::string_view piece) {
+  MarkAttemptStarted(proxy, call);
+  const std::uint64_t events = ForwardEvents(proxy, call, piece);
+  if (call->attempt == nullptr) return;
+  Attempt& attempt = *call->attempt;
+  if (attempt.splitter.bytes_since_event > kMaxEventBytes) {
+    GiveUpAnswer(proxy, call, "an event without end");
+    return;
+  }
+  const bool is_backlogged =
+      call->caller->UnsentBytes() > kMaxCallerBacklogBytes;
+  // Bytes that make no event don't count: they may drip without end.
+  if (events > 0 && routing::IsRouteRepeatable(*call->route) &&
+      !is_backlogged) {
+    StartSilenceTimer(proxy, call, GetStallTimeout(*call));
+  }
+  CountBuffered(proxy, attempt);
+  LimitBuffered(proxy);
+}
+
 void OnBody(Proxy& proxy, const CallPtr& call, std::string_view piece) {
   Attempt& attempt = *call->attempt;
   if (attempt.peer.empty())
     routing::OnSignOfLife(*attempt.endpoint, NowOf(proxy));
   if (attempt.is_event_stream) {
-    MarkAttemptStarted(proxy, call);
-    ForwardEvents(proxy, call, piece);
-    const bool is_backlogged =
-        call->caller->UnsentBytes() > kMaxCallerBacklogBytes;
-    if (call->attempt != nullptr && routing::IsRouteRepeatable(*call->route) &&
-        !is_backlogged) {
-      StartSilenceTimer(proxy, call, GetStallTimeout(*call));
-    }
+    OnStreamBytes(proxy, call, piece);
     return;
   }
   attempt.body.append(piece);
   if (attempt.body.size() > kMaxBufferedAnswerBytes) {
-    net::Cancel(attempt.exchange);
-    EndAttempt(proxy, call, AttemptOutcome::kBadAnswer,
-               "the answer is too large");
+    GiveUpAnswer(proxy, call, "the answer is too large");
+    return;
   }
+  CountBuffered(proxy, attempt);
+  LimitBuffered(proxy);
 }
 
 // Returns the outcome of a whole answer. Once the caller has events, it is no
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -57,6 +57,8 @@
   net::HttpAnswerHead head;
   AnswerMetadata metadata;
   std::string body;  ///< Body of an answer that is not a stream.
+  /// Bytes of the answer that are kept, as `Proxy::buffered_bytes` counts them.
+  std::size_t buffered_bytes = 0;
   net::EventSplitter splitter;
 };
 
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -88,10 +88,14 @@
         check->status = head.status;
         return net::HeadVerdict::kAccept;
       };
-  handlers.on_body = [check =
-                          call->process_check.get()](std::string_view piece) {
-    if (check->body.size() + piece.size() <= kMaxReportBytes)
-      check->body.append(piece);
+  handlers.on_body = [&proxy, weak_call](std::string_view piece) {
+    const auto locked = weak_call.lock();
+    if (locked == nullptr || locked->process_check == nullptr) return;
+    ProcessCheck& check = *locked->process_check;
+    check.body.append(piece);
+    if (check.body.size() <= kMaxReportBytes) return;
+    check.status = 0;
+    FinishCheck(proxy, locked);
   };
   handlers.on_end = [&proxy, weak_call] {
     if (const auto locked = weak_call.lock()) FinishCheck(proxy, locked);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -186,6 +186,8 @@
   bool waiting_timer_armed = false;
   /// Size of the bodies of all calls and all requests without rules.
   std::size_t body_bytes = 0;
+  /// Size of the answers of all attempts that are kept until they can be sent.
+  std::size_t buffered_bytes = 0;
   std::uint64_t last_number = 0;  ///< Last number of a call or an attempt.
   Time last_tick_at{};
   Time last_exchange_at{};  ///< When the last exchange began.
