Don't look for the endpoint of an attempt that a peer makes

When an endpoint's process is replaced, its calls are looked at in the next turn of the loop. One that was handed over to a peer before that has an attempt without an endpoint, and LoseVersion would log the id of null. No test: no order of events was found that brings both into one turn.

--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -71,8 +71,8 @@
   const bool is_bound = call->version != kUnknownVersion;
   if (call->attempt == nullptr || !is_bound) return;
   const Attempt& attempt = *call->attempt;
-  // It has made another attempt meanwhile.
-  if (attempt.version != kUnknownVersion) return;
+  // It has made another attempt meanwhile, or a peer makes one.
+  if (attempt.version != kUnknownVersion || !attempt.peer.empty()) return;
   kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "version-unknown",
                    {{"req", call->metadata.id},
                     {"endpoint", attempt.endpoint->entry.id},
