Without an entry, exclude no release

Cause: some 10 ms after its start a node has rules and no list of endpoints. It learned the version from a peer that had the list, found no entry that told of a start, and took that for proof that nothing was released.

Change: without an entry of the service nothing is excluded.

--- a/routing/include/egretladder/routing/version_evidence.h
+++ b/routing/include/egretladder/routing/version_evidence.h
@@ -46,7 +46,8 @@
                    std::optional<milliseconds> time_left, Time now);
 
 /// Returns true if the entry of an endpoint of the service shows, or can't
-/// exclude, that it started after `since`.
+/// exclude, that it started after `since`. Without any entry, as before the
+/// first list was read, nothing is excluded.
 bool MayHaveStartedSince(const EndpointSet& set, const std::string& service,
                          UnixTime since);
 
--- a/routing/src/version_evidence.cc
+++ b/routing/src/version_evidence.cc
@@ -30,7 +30,7 @@
 bool MayHaveStartedSince(const EndpointSet& set, const std::string& service,
                          UnixTime since) {
   const auto at = set.by_service.find(service);
-  if (at == set.by_service.end()) return false;
+  if (at == set.by_service.end() || at->second.empty()) return true;
   const auto since_ms =
       static_cast<std::uint64_t>(std::max<std::int64_t>(since.count(), 0));
   return std::any_of(at->second.begin(), at->second.end(),
--- a/routing/tests/version_evidence_test.cc
+++ b/routing/tests/version_evidence_test.cc
@@ -89,6 +89,16 @@
   CHECK(Judge(kNow - 5s) == VersionVerdict::kUnknown);
 }
 
+// Guards against a node that has read no entry yet, knows the version from a
+// peer, and takes it that no endpoint has started of late.
+TEST(VersionEvidence, ANodeWithoutEntriesExcludesNothing) {
+  CHECK(Judge(kNow - 5s) == VersionVerdict::kUnknown);
+  AddEndpoint("a", 1h);
+  CHECK(Judge(kNow - 5s) == VersionVerdict::kNoRelease);
+  er::OnEntryRemoved(set, "a", false, kNow);
+  CHECK(Judge(kNow - 5s) == VersionVerdict::kUnknown);
+}
+
 TEST(VersionEvidence, SeveralVersionsOrNoneDecideNothing) {
   AddEndpoint("a", 1h);
   knowledge.several = true;
