--- a/kernel/include/egretladder/kernel/log_event.h
+++ b/kernel/include/egretladder/kernel/log_event.h
@@ -54,8 +54,8 @@
 /// dropped.
 inline constexpr std::size_t kMaxPendingLogBytes = std::size_t{1} << 20U;
 
-/// Longest value of a field, in bytes; the rest is cut off. Values may come from
-/// outside.
+/// Longest value of a field, in bytes; the rest is cut off. Values may come
+/// from outside.
 inline constexpr std::size_t kMaxLogValueBytes = 1024;
 
 /// Numbers of lines since `StartEventLog`.
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -146,10 +146,13 @@
       const std::weak_ptr<int> is_owned = owned;
       return [&exchange, &cancelled, canceller, owned, is_owned] {
         if (*owned != canceller) return;
-        const std::weak_ptr<int> check = is_owned;
+        // The action itself may be gone after the cancel.
+        auto check = is_owned;
+        int& count = cancelled;
         en::Cancel(exchange);
-        ++cancelled;
+        ++count;
         CHECK_FALSE(check.expired());
+        check.reset();
       };
     };
     en::ExchangeRequest request;
