Known red: a watch whose answer was lost is noticed too late

A node gives a watch up after the 5 s that it asks for and a margin of 0.8 s, and no peer has news.

The test fails (1 endpoint known of 2 after 5 s).

--- a/proxy/tests/store_test.cc
+++ b/proxy/tests/store_test.cc
@@ -53,3 +53,19 @@
   env.WaitUntilRulesApplied(proxy);
   env.WaitUntilReady(proxy, 2);
 }
+
+// Guards against requests to an endpoint that leaves, where the answers to all
+// watches were lost at one moment and no peer has news.
+TEST(SilentStore, ALostAnswerIsNoticedBeforeALeavingEndpointMustBe) {
+  // The store counts as stable 3 s after the loss. An endpoint that leaves then
+  // must get nothing 2 s later.
+  constexpr std::chrono::milliseconds kBound{3000 + 2000};
+  env.AddEndpoint("e1", et::AnswerImmediately());
+  ep::Proxy& proxy = env.StartReadyNode();
+  env.RunLoopFor(std::chrono::milliseconds(50));
+  env.store.SetSilent(true);
+  env.AddEndpoint("e2", et::AnswerImmediately());
+  env.store.SetSilent(false);
+  env.RunLoopFor(kBound);
+  LONGS_EQUAL(2, ep::ViewOf(proxy).endpoints);
+}
