Let two readers of the store notice soon that an answer was lost

Cause: a watch without an answer is given up after the 5 s that it asks the store to wait and a margin of 0.8 s, and no peer has the news.

Ruled out: a shorter wait at all nodes (3.2 s) is 56 in 100 more calls to the store at 7 nodes; pings to the store are calls, too.

Change: the first two nodes by hash that can read the store wait 2.5 s, so that they read anew 3.3 s after the loss at the latest, and the others hear of what they missed by gossip or announcement, which opens their lost watches again. Two, as one may be lost itself. Idle calls of all nodes, computed: 2.8 to 3.6 a second at 7 nodes, 2 to 2.8 at 585, where five read; they don't grow with the fleet.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -16,6 +16,10 @@
 /// for up to this time plus `kWatchTimeoutMargin`. A shorter wait costs more
 /// calls, and the platform counts calls.
 inline constexpr milliseconds kWatchTimeout{5000};
+/// The same wait of an eager reader. With `kWatchTimeoutMargin`, and a second
+/// in which peers hear of it, all nodes know of a change 5 s after the answers
+/// that told of it were lost.
+inline constexpr milliseconds kEagerWatchTimeout{2500};
 /// The wait for changes after a failed call. It is short because a change made
 /// during an outage must be in force within seconds of the store's return.
 inline constexpr milliseconds kWatchRetryTimeout{400};
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -207,8 +207,10 @@
 // Returns how long a watch asks the store to wait for changes. A request to a
 // silent store is lost, and a long wait for it would delay noticing that the
 // store is back.
-milliseconds GetWatchTimeout(const StoreReader& reader) {
-  return reader.backoff.count() > 0 ? kWatchRetryTimeout : kWatchTimeout;
+milliseconds GetWatchTimeout(const Proxy& proxy, const StoreReader& reader) {
+  if (reader.backoff.count() > 0) return kWatchRetryTimeout;
+  return routing::IsEagerReader(proxy.members) ? kEagerWatchTimeout
+                                               : kWatchTimeout;
 }
 
 void StartRead(Proxy& proxy, StoreReader& reader) {
@@ -224,7 +226,7 @@
   IncrementCounter(
       proxy, "egretladder_store_calls_total", "Calls to the store.",
       std::string("feed=\"") + routing::NameOf(reader.feed) + "\"");
-  const milliseconds wait = GetWatchTimeout(reader);
+  const milliseconds wait = GetWatchTimeout(proxy, reader);
   net::ExchangeRequest request;
   request.address = proxy.options.store;
   request.head = net::FormatRequestHead(
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -320,7 +320,8 @@
 /// stream begins at the one that it replaces.
 inline constexpr milliseconds kMaxReplacementTime{10'000};
 /// Longest time without an answer of a peer after which a node counts as
-/// knowing all that peers tell. In a large fleet it asks one each second.
+/// knowing all that peers tell. Longer than `kMaxTouchGap`: all others may
+/// start again meanwhile, and then this node alone knows of the time before.
 inline constexpr milliseconds kMaxKnowledgeGap{3000};
 /// Longest time from the write of an endpoint's entry until it is known here,
 /// in ordinary times. An entry that comes sooner after a lost connection may
--- a/routing/include/egretladder/routing/store_readers.h
+++ b/routing/include/egretladder/routing/store_readers.h
@@ -21,6 +21,10 @@
 /// counted, and a watch answers every reader. More readers would add calls but
 /// no safety, since a reader that fails is replaced.
 inline constexpr std::size_t kMaxReaders = 5;
+/// Readers whose watches are short, so that they soon notice an answer that was
+/// lost. All watches may lose theirs at the same moment; the other nodes then
+/// hear of what they missed from these. Two, as one may be lost itself.
+inline constexpr std::size_t kEagerReaders = 2;
 /// A node younger than this knows too few others to tell whether it is a
 /// reader.
 inline constexpr std::chrono::seconds kMinReaderAge{1};
@@ -44,6 +48,10 @@
 /// first `kMaxReaders` nodes that can read it.
 bool IsReader(const Members& members, Time now);
 
+/// Returns true if this node is among the first `kEagerReaders` that can read
+/// the store.
+bool IsEagerReader(const Members& members);
+
 /// Returns the peer addresses of the nodes that replace this reader when it
 /// falls silent. The reader sends them a message each
 /// `kReaderHeartbeatInterval`: gossip alone takes seconds to show that a node
--- a/routing/src/store_readers.cc
+++ b/routing/src/store_readers.cc
@@ -57,6 +57,16 @@
   return static_cast<std::size_t>(active_readers) < kMaxReaders;
 }
 
+bool IsEagerReader(const Members& members) {
+  const std::uint64_t own = kernel::HashBytes(members.self.node);
+  const auto& candidates = members.reader_candidates;
+  const auto rank = std::count_if(
+      candidates.begin(), candidates.end(), [own](const KnownMember* known) {
+        return known->name_hash > own && !known->member.state.store_troubled;
+      });
+  return static_cast<std::size_t>(rank) < kEagerReaders;
+}
+
 std::vector<std::string> StandbyAddresses(const Members& members) {
   const std::size_t own_rank = OwnRank(members);
   const auto& candidates = members.reader_candidates;
--- a/routing/tests/members_test.cc
+++ b/routing/tests/members_test.cc
@@ -284,6 +284,31 @@
     CHECK(er::IsReader(fleet.node(i), fleet.now()));
 }
 
+// Guards against watches that are all long, so that answers which all of them
+// lost go unnoticed, and against calls that grow with the fleet.
+TEST(Members, TwoReadersThatReachTheStoreAreEager) {
+  for (const std::size_t nodes :
+       {std::size_t{1}, std::size_t{7}, std::size_t{60}}) {
+    SimulatedFleet fleet(LayoutOf(nodes));
+    fleet.Run(5s);
+    const auto find_eager = [&fleet] {
+      std::vector<std::size_t> eager;
+      for (std::size_t i = 0; i < fleet.size(); ++i)
+        if (er::IsEagerReader(fleet.node(i))) eager.push_back(i);
+      return eager;
+    };
+    const auto eager = find_eager();
+    LONGS_EQUAL(std::min(nodes, er::kEagerReaders), eager.size());
+    if (nodes == 1) continue;
+    for (const std::size_t i : eager) {
+      CHECK(er::IsReader(fleet.node(i), fleet.now()));
+      fleet.node(i).self.state.store_troubled = true;
+    }
+    fleet.Run(5s);
+    CHECK(find_eager().size() > eager.size());
+  }
+}
+
 // Guards against gossip of hundreds of nodes that crosses zones in four of five
 // exchanges, and against a zone that gets no gossip from the others.
 TEST(Members, MostExchangesOfALargeFleetStayInTheZone) {
