--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -1,4 +1,4 @@
-// Attempts of calls at endpoints: sends the request and reads the answer.
+// Attempts of calls at endpoints: sends the request.
 #include <algorithm>
 #include <utility>
 
@@ -14,44 +14,9 @@
 using kernel::LogPart;
 using routing::AttemptOutcome;
 
-constexpr int kMisdirected = 421;
-constexpr int kMinServerError = 500;
 // Endpoints distinguish ten priorities, 0 to 9.
 constexpr std::uint8_t kLowestPriority = 9;
 
-void MarkAttemptStarted(Proxy& proxy, const CallPtr& call) {
-  Attempt& attempt = *call->attempt;
-  if (attempt.started) return;
-  attempt.started = true;
-  const Time now = NowOf(proxy);
-  kernel::Observe(proxy.metrics, call->class_metrics->first_event,
-                  now - call->arrived_at);
-  if (!attempt.peer.empty()) return;
-  routing::OnAttemptStarted(*attempt.endpoint, call->demand, attempt.number,
-                            attempt.placement);
-  routing::OnFirstByte(
-      *attempt.endpoint, Elapsed(attempt.sent_at, now),
-      milliseconds(static_cast<std::int64_t>(attempt.placement.expected_ms)));
-}
-
-AttemptOutcome ClassifyWholeAnswer(const Attempt& attempt) {
-  const int status = attempt.head.status;
-  if (attempt.metadata.not_run) {
-    return status == kMisdirected ? AttemptOutcome::kWrongInstance
-                                  : AttemptOutcome::kFull;
-  }
-  if (IsSuccess(status)) {
-    return attempt.metadata.sealed && !attempt.metadata.encoded
-               ? AttemptOutcome::kSucceeded
-               : AttemptOutcome::kBadAnswer;
-  }
-  if (ImpliesNotRun(status) || attempt.metadata.encoded) {
-    return AttemptOutcome::kBadAnswer;
-  }
-  return status >= kMinServerError ? AttemptOutcome::kFailed
-                                   : AttemptOutcome::kSucceeded;
-}
-
 net::HeadVerdict OnHead(Proxy& proxy, const CallPtr& call,
                         const net::HttpAnswerHead& head) {
   Attempt& attempt = *call->attempt;
@@ -72,81 +37,6 @@
   return net::HeadVerdict::kAccept;
 }
 
-// Adds a sample to the engine's pace every `kEventsPerPaceSample` events.
-void RecordPace(Proxy& proxy, const Call& call, std::uint64_t events) {
-  Attempt& attempt = *call.attempt;
-  const Time now = NowOf(proxy);
-  if (attempt.pace_sample_start == Time{}) {
-    attempt.pace_sample_start = now;
-    return;
-  }
-  attempt.pace_sample_events += events;
-  if (attempt.pace_sample_events < routing::kEventsPerPaceSample) return;
-  const std::chrono::duration<double, std::milli> elapsed =
-      now - attempt.pace_sample_start;
-  routing::Endpoint& endpoint = *attempt.endpoint;
-  routing::ServicePace& pace =
-      proxy.endpoints.service_paces[call.service->name];
-  routing::OnEventInterval(
-      endpoint.pace, pace, endpoint.in_flight + endpoint.peers_in_flight,
-      elapsed / static_cast<double>(attempt.pace_sample_events));
-  routing::OnStreamRunning(pace, call.route->name,
-                           static_cast<double>(call.events));
-  attempt.pace_sample_start = now;
-  attempt.pace_sample_events = 0;
-}
-
-// Learns from the time since the attempt's last event how long streams pause
-// beside long prompts.
-void RecordInterval(Proxy& proxy, const Call& call) {
-  Attempt& attempt = *call.attempt;
-  const Time now = NowOf(proxy);
-  const Time last_event_at = std::exchange(attempt.last_event_at, now);
-  if (last_event_at == Time{} || !call.service->generates ||
-      !routing::TakesLongPrompts(proxy.endpoints, *attempt.endpoint)) {
-    return;
-  }
-  routing::OnIntervalBesidePrompts(
-      proxy.endpoints.pauses, attempt.endpoint->pace,
-      routing::FindServicePace(proxy.endpoints, call.service->name),
-      now - last_event_at);
-}
-
-// Records once that the endpoint lives on after the first event on the prompt.
-void RecordProof(Proxy& proxy, Call& call) {
-  Attempt& attempt = *call.attempt;
-  const Time now = NowOf(proxy);
-  if (attempt.first_event_at == Time{}) attempt.first_event_at = now;
-  if (attempt.is_prompt_proven ||
-      now - attempt.first_event_at < routing::kMinProvenAnswerTime) {
-    return;
-  }
-  RecordPromptProven(proxy, call);
-}
-
-void RecordPause(Call& call, Time now) {
-  if (call.first_event_at == Time{}) {
-    call.first_event_at = now;
-  } else {
-    call.longest_pause =
-        std::max(call.longest_pause, Elapsed(call.last_event_at, now));
-  }
-  call.last_event_at = now;
-}
-
-// Abandons an endpoint that has sent nothing for too long, if the call has an
-// attempt and the service a retry left. The timer is set only for calls that
-// may run twice.
-void OnSilenceTimeout(Proxy& proxy, const CallPtr& call) {
-  if (call->attempt == nullptr) return;
-  const bool has_attempts_left = call->may_have_run + 1 < call->max_attempts;
-  if (!has_attempts_left || !TryReserveRetry(proxy, *call)) {
-    return;
-  }
-  net::Cancel(call->attempt->exchange);
-  EndAttempt(proxy, call, AttemptOutcome::kSilent, "no event in time");
-}
-
 milliseconds GetFirstEventTimeout(const Call& call,
                                   const routing::Placement& placement) {
   const auto expected = milliseconds(static_cast<std::int64_t>(
@@ -160,97 +50,6 @@
   return std::max(min_timeout, expected);
 }
 
-milliseconds GetStallTimeout(const Call& call) {
-  const auto max_pause = std::chrono::duration_cast<milliseconds>(
-      call.route->gap_target * kStallTimeoutFactor);
-  return std::max(max_pause, kMinStallTimeout);
-}
-
-// Stops reading from the endpoint until the caller has received all that was
-// sent to it. Otherwise the events for slow callers pile up in this node, and a
-// few hundred such callers exhaust its memory. The endpoint does not count as
-// silent meanwhile.
-void PauseReading(Proxy& proxy, const CallPtr& call) {
-  net::SetReading(call->attempt->exchange, false);
-  call->silence_timer = {};
-  call->caller->OnDrained([&proxy, weak_call = std::weak_ptr<Call>(call)] {
-    const auto locked = weak_call.lock();
-    if (locked == nullptr || locked->attempt == nullptr) return;
-    locked->caller->OnDrained(nullptr);
-    net::SetReading(locked->attempt->exchange, true);
-    if (routing::IsRouteRepeatable(*locked->route)) {
-      StartSilenceTimer(proxy, locked, GetStallTimeout(*locked));
-    }
-  });
-}
-
-// Records events of the attempt that were received.
-void RecordEvents(Proxy& proxy, Call& call, std::uint64_t count) {
-  call.events += count;
-  if (call.attempt->peer.empty()) {
-    RecordPace(proxy, call, count);
-    RecordInterval(proxy, call);
-  }
-  RecordPause(call, NowOf(proxy));
-  RecordProof(proxy, call);
-}
-
-// Ends an attempt whose answer can't be read any further.
-void GiveUpAnswer(Proxy& proxy, const CallPtr& call, const char* why) {
-  net::Cancel(call->attempt->exchange);
-  EndAttempt(proxy, call, AttemptOutcome::kBadAnswer, why);
-}
-
-// Records how many bytes of the attempt's answer are kept.
-void CountBuffered(Proxy& proxy, Attempt& attempt) {
-  const std::size_t bytes =
-      attempt.body.size() + attempt.splitter.incomplete_event.size();
-  proxy.buffered_bytes += bytes;
-  proxy.buffered_bytes -= std::exchange(attempt.buffered_bytes, bytes);
-}
-
-std::size_t BufferedBytes(const CallPtr& call) {
-  return call->attempt == nullptr ? 0 : call->attempt->buffered_bytes;
-}
-
-// Gives up the largest answer if all of them together leave no room. Others are
-// about to end, and their callers needn't suffer for it.
-void LimitBuffered(Proxy& proxy) {
-  const double max_bytes =
-      kAnswerMemoryRatio * static_cast<double>(proxy.options.memory_bytes);
-  if (static_cast<double>(proxy.buffered_bytes) <= max_bytes) return;
-  const auto largest = std::max_element(
-      proxy.calls.begin(), proxy.calls.end(),
-      [](const auto& left, const auto& right) {
-        return BufferedBytes(left.second) < BufferedBytes(right.second);
-      });
-  const CallPtr call = largest->second;
-  GiveUpAnswer(proxy, call, "no room for the answer");
-}
-
-// Returns the number of events that were forwarded.
-std::uint64_t ForwardEvents(Proxy& proxy, const CallPtr& call,
-                            std::string_view piece) {
-  Attempt& attempt = *call->attempt;
-  const std::uint64_t events_before = attempt.splitter.events;
-  const std::string events = net::SplitEvents(attempt.splitter, piece);
-  if (events.empty()) return 0;
-  const std::uint64_t count = attempt.splitter.events - events_before;
-  if (count > 0) RecordEvents(proxy, *call, count);
-  if (!attempt.splitter.last_id.empty()) {
-    call->last_event_id = attempt.splitter.last_id;
-  }
-  if (!call->caller->begun()) {
-    OnStreamBegan(proxy, *call);
-    call->caller->Begin(attempt.head.status, attempt.head.reason,
-                        FieldsToForward(*call, attempt));
-  }
-  call->caller->Send(events);
-  if (call->caller->UnsentBytes() > kMaxCallerBacklogBytes)
-    PauseReading(proxy, call);
-  return count;
-}
-
 void LogSent(const Proxy& proxy, const Call& call, Time now) {
   const routing::Placement& placement = call.attempt->placement;
   const routing::Endpoint& endpoint = *placement.endpoint;
@@ -339,83 +138,6 @@
   return true;
 }
 
-void OnStreamBytes(Proxy& proxy, const CallPtr& call, std::string_view piece) {
-  MarkAttemptStarted(proxy, call);
-  const std::uint64_t events = ForwardEvents(proxy, call, piece);
-  if (call->attempt == nullptr) return;
-  Attempt& attempt = *call->attempt;
-  if (attempt.splitter.bytes_since_event > kMaxEventBytes) {
-    GiveUpAnswer(proxy, call, "an event without end");
-    return;
-  }
-  const bool is_backlogged =
-      call->caller->UnsentBytes() > kMaxCallerBacklogBytes;
-  // Bytes that make no event don't count: they may drip without end.
-  if (events > 0 && routing::IsRouteRepeatable(*call->route) &&
-      !is_backlogged) {
-    StartSilenceTimer(proxy, call, GetStallTimeout(*call));
-  }
-  CountBuffered(proxy, attempt);
-  LimitBuffered(proxy);
-}
-
-void OnBody(Proxy& proxy, const CallPtr& call, std::string_view piece) {
-  Attempt& attempt = *call->attempt;
-  if (attempt.peer.empty())
-    routing::OnSignOfLife(*attempt.endpoint, NowOf(proxy));
-  if (attempt.is_event_stream) {
-    OnStreamBytes(proxy, call, piece);
-    return;
-  }
-  attempt.body.append(piece);
-  if (attempt.body.size() > kMaxBufferedAnswerBytes) {
-    GiveUpAnswer(proxy, call, "the answer is too large");
-    return;
-  }
-  CountBuffered(proxy, attempt);
-  LimitBuffered(proxy);
-}
-
-// Returns the outcome of a whole answer. Once the caller has events, it is no
-// answer for the caller: a peer that refuses by itself has sent the request
-// nowhere, and what an endpoint answers takes the place of the stream's rest.
-AttemptOutcome ClassifyAnswer(const Call& call) {
-  const Attempt& attempt = *call.attempt;
-  const AttemptOutcome outcome = attempt.peer.empty()
-                                     ? ClassifyWholeAnswer(attempt)
-                                     : ClassifyPeerAnswer(attempt);
-  if (outcome != AttemptOutcome::kSucceeded || !call.caller->begun())
-    return outcome;
-  return IsPeersOwnAnswer(attempt) ? AttemptOutcome::kRefused
-                                   : AttemptOutcome::kUnfit;
-}
-
-void OnEnd(Proxy& proxy, const CallPtr& call) {
-  Attempt& attempt = *call->attempt;
-  MarkAttemptStarted(proxy, call);
-  if (!attempt.is_event_stream) {
-    EndAttempt(proxy, call, ClassifyAnswer(*call), "");
-    return;
-  }
-  const bool is_complete =
-      attempt.splitter.incomplete_event.empty() && call->events > 0;
-  EndAttempt(proxy, call,
-             is_complete ? AttemptOutcome::kSucceeded : AttemptOutcome::kBroken,
-             is_complete ? "" : "the stream ended inside an event");
-}
-
-AttemptOutcome ClassifyExchangeError(net::ExchangeError error) {
-  switch (error) {
-    case net::ExchangeError::kNotConnected:
-      return AttemptOutcome::kNotSent;
-    case net::ExchangeError::kBroken:
-      return AttemptOutcome::kBroken;
-    case net::ExchangeError::kBadAnswer:
-      break;
-  }
-  return AttemptOutcome::kBadAnswer;
-}
-
 net::ExchangeHandlers MakeEndpointHandlers(Proxy& proxy, const CallPtr& call) {
   net::ExchangeHandlers handlers = MakeAnswerHandlers(proxy, call);
   handlers.on_connected = [&proxy, call](milliseconds elapsed) {
@@ -431,21 +153,6 @@
 
 }  // namespace
 
-bool ImpliesNotRun(int status) {
-  constexpr std::array<int, 4> kNotRunStatuses = {408, kMisdirected, 429, 503};
-  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
-         kNotRunStatuses.end();
-}
-
-void KeepAnswerHead(Attempt& attempt, const net::HttpAnswerHead& head,
-                    const AnswerMetadata& metadata) {
-  attempt.head = head;
-  attempt.metadata = metadata;
-  attempt.is_event_stream = IsSuccess(head.status) &&
-                            metadata.is_event_stream && metadata.sealed &&
-                            !metadata.encoded && !metadata.not_run;
-}
-
 net::ExchangeRequest MakeForwardedRequest(const net::HttpRequest& request,
                                           net::HttpFields fields) {
   const bool has_no_body =
@@ -462,29 +169,6 @@
   return exchange;
 }
 
-net::ExchangeHandlers MakeAnswerHandlers(Proxy& proxy, const CallPtr& call) {
-  net::ExchangeHandlers handlers;
-  handlers.on_body = [&proxy, call](std::string_view piece) {
-    OnBody(proxy, call, piece);
-  };
-  handlers.on_end = [&proxy, call] { OnEnd(proxy, call); };
-  handlers.on_error = [&proxy, call](net::ExchangeError error,
-                                     const std::string& detail) {
-    EndAttempt(proxy, call, ClassifyExchangeError(error), detail);
-  };
-  return handlers;
-}
-
-void StartSilenceTimer(Proxy& proxy, const CallPtr& call,
-                       milliseconds timeout) {
-  call->silence_timer = kernel::RunAfter(
-      *proxy.loop, timeout, [&proxy, weak_call = std::weak_ptr<Call>(call)] {
-        if (const auto locked = weak_call.lock()) {
-          OnSilenceTimeout(proxy, locked);
-        }
-      });
-}
-
 void StartAttempt(Proxy& proxy, const CallPtr& call,
                   const routing::Placement& placement) {
   const Time now = NowOf(proxy);
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -5,9 +5,17 @@
 
 namespace egretladder::proxy {
 
+/// Status of an answer by another process than the one that was named.
+inline constexpr int kMisdirected = 421;
+
 inline bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 // attempts.cc
+/// Returns a caller's request with other fields. The address is not set.
+net::ExchangeRequest MakeForwardedRequest(const net::HttpRequest& request,
+                                          net::HttpFields fields);
+
+// attempt_answer.cc
 /// Returns true for the statuses by which a node tells callers that a request
 /// has not run. An endpoint's answer with such a status is forwarded only if
 /// the endpoint also states that it did not run the request.
@@ -15,9 +23,6 @@
 /// Keeps the head of the answer that is to be forwarded.
 void KeepAnswerHead(Attempt& attempt, const net::HttpAnswerHead& head,
                     const AnswerMetadata& metadata);
-/// Returns a caller's request with other fields. The address is not set.
-net::ExchangeRequest MakeForwardedRequest(const net::HttpRequest& request,
-                                          net::HttpFields fields);
 /// Returns the handlers of an answer but for those of its head and of sending.
 net::ExchangeHandlers MakeAnswerHandlers(Proxy& proxy, const CallPtr& call);
 /// Abandons the call's attempt if nothing comes from it for `timeout`.
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -236,12 +236,18 @@
 /// Sets all gauges to their current values.
 void UpdateGauges(Proxy& proxy);
 
+// call_routing.cc
+/// Makes a call of a request that arrived at `arrived_at`, by the rules in
+/// force. A request of a peer, for which `handover` is set, is judged by the
+/// rules by which the peer accepted it, if they are remembered. Returns null if
+/// the request was rejected instead.
+CallPtr MakeRoutedCall(Proxy& proxy, const net::HttpCallPtr& caller,
+                       Time arrived_at, const HandoverHeader* handover);
+
 // calls.cc
 /// Routes a caller's request that was received completely, or rejects it.
 void OnRequest(Proxy& proxy, const net::HttpCallPtr& caller);
-/// Routes a request that arrived at `arrived_at` by the rules in force.
-/// `handover` is null for a request of a caller. A request of a peer is routed
-/// by the rules by which the peer accepted it, if they are remembered.
+/// Routes a request that arrived at `arrived_at`; see `MakeRoutedCall`.
 void RouteAndDispatch(Proxy& proxy, const net::HttpCallPtr& caller,
                       Time arrived_at, const HandoverHeader* handover);
 /// Returns true if the node's memory has room for a body of that size.
