Count bodies that are still received against the node's memory

Bodies on the way had no bound but each its own of 4 MiB, so that 60 callers that send slowly fill a node of 256 MB, from which all lose their connections.

Change: a server sums up the bodies that its connections are receiving. One that grows beyond the room that the node has is refused at once, 503 "not run", and gives back what it holds, also after any other refusal.

Evidence: IncompleteBodiesCountAgainstTheMemoryLimit fails before (the second of two bodies that don't fit together is received on).

--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -101,6 +101,10 @@
   std::function<void(const HttpCallPtr&)> on_request;
   /// Called when an invalid request was refused with `status`. Optional.
   std::function<void(int status, const std::string& why)> on_refused;
+  /// Returns true if there is room for so many bytes of bodies that are still
+  /// received, those of all connections together. A request that needs more is
+  /// refused with 503. Not set: there always is.
+  std::function<bool(std::size_t bytes)> has_room;
   /// Returns the body of the answer to such a request. Not set: an empty body.
   std::function<std::string(int status, std::string_view why)> refusal_body;
   /// Creates the bufferevent of an accepted socket, for example with TLS. Not
--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -24,6 +24,8 @@
   Listener listener;
   std::string address;
   bool close_after_answers = false;
+  /// Size of the bodies that are still received, of all connections.
+  std::size_t incomplete_body_bytes = 0;
   kernel::EventWatcher sweep;
 
   void Accept(evutil_socket_t fd);
@@ -122,6 +124,7 @@
       if (auto action = std::exchange(call->on_disconnect_, nullptr)) action();
     }
     if (const auto server = server_.lock()) {
+      CountIncompleteBody(*server, 0);
       server->connections.erase(self);
       if (server->listener) evconnlistener_enable(server->listener.get());
     }
@@ -246,7 +249,11 @@
     }
     const ReadState before = reader_->state();
     Consume(buffer_.get(), reader_->Feed(input));
-    if (reader_->state() == ReadState::kFailed) {
+    const bool is_incomplete = reader_->state() == ReadState::kBody;
+    CountIncompleteBody(*server, is_incomplete ? reader_->body_bytes() : 0);
+    if (is_incomplete && !HasRoom(*server)) {
+      Refuse(kStatusUnavailable, "no room for the body");
+    } else if (reader_->state() == ReadState::kFailed) {
       Refuse(StatusForError(reader_->error()), reader_->detail());
     } else if (reader_->state() == ReadState::kDone) {
       wait_state_ = WaitState::kNothing;
@@ -263,6 +270,18 @@
     }
   }
 
+  static bool HasRoom(const HttpServer::State& server) {
+    return !server.handlers.has_room ||
+           server.handlers.has_room(server.incomplete_body_bytes);
+  }
+
+  // Records how much of a body this connection keeps until it is complete.
+  void CountIncompleteBody(HttpServer::State& server, std::size_t bytes) {
+    server.incomplete_body_bytes += bytes;
+    server.incomplete_body_bytes -=
+        std::exchange(incomplete_body_bytes_, bytes);
+  }
+
   void StartCall(HttpServer::State& server) {
     call_ = std::make_shared<HttpCall>(shared_from_this(),
                                        std::move(reader_->request()));
@@ -284,6 +303,9 @@
                                  BodyFraming::kLength, body.size(), true));
     WriteOutput(body);
     LingerThenClose();
+    // It may hold much, and is fed no more. `why` may be its text.
+    reader_ = nullptr;
+    CountIncompleteBody(*server, 0);
   }
 
   // Closes the connection after the caller has received the answer. There is no
@@ -340,6 +362,7 @@
   int unacknowledged_bytes_ = 0;  // At the last check.
   // The last time at which the unacknowledged bytes had changed.
   kernel::Time last_progress_{};
+  std::size_t incomplete_body_bytes_ = 0;
   bool request_started_ = false;  // Its first byte was received.
   bool continue_sent_ = false;    // `100 Continue` was sent.
   bool lingering_ = false;
--- a/net/src/http_reader_beast.cc
+++ b/net/src/http_reader_beast.cc
@@ -227,6 +227,9 @@
          IsSameFieldName(FirstFieldValue(state_->parser.fields, "Expect"),
                          "100-continue");
 }
+std::size_t RequestReader::body_bytes() const {
+  return state_->parser.body.size();
+}
 HttpRequest& RequestReader::request() { return state_->request; }
 
 struct AnswerReaderState {
--- a/proxy/tests/callers_test.cc
+++ b/proxy/tests/callers_test.cc
@@ -156,6 +156,43 @@
   STRCMP_EQUAL("200", et::DescribeAnswer(third).c_str());
 }
 
+// Guards against bodies that fill the memory while they are still received.
+TEST(Callers, IncompleteBodiesCountAgainstTheMemoryLimit) {
+  env.AddEndpoint("e1", et::AnswerImmediately());
+  env.Publish();
+  ep::ProxyOptions options = env.MakeOptions("n1");
+  options.memory_bytes = 100'000;
+  ep::Proxy& proxy = env.StartNode(options);
+  env.WaitUntilReady(proxy, 1);
+  const std::string body(20'000, 'x');
+  const std::string request =
+      et::FormatRequest({.path = "/once/a", .body = body});
+  const std::string part = request.substr(0, request.size() - 1);
+  et::TestConnection& first = env.Connect(ep::ViewOf(proxy).callers);
+  first.Send(part);
+  env.RunLoopFor(std::chrono::milliseconds(50));
+  et::TestConnection& second = env.Connect(ep::ViewOf(proxy).callers);
+  second.Send(part);
+  env.WaitUntil([&second] { return !et::DescribeAnswer(second).empty(); });
+  STRCMP_EQUAL("503 no", et::DescribeAnswer(second).c_str());
+  first.Send("x");
+  env.WaitUntil([&first] { return !et::DescribeAnswer(first).empty(); });
+  STRCMP_EQUAL("200", et::DescribeAnswer(first).c_str());
+  // A caller that leaves gives its room back.
+  env.Connect(ep::ViewOf(proxy).callers).Send(part);
+  env.RunLoopFor(std::chrono::milliseconds(50));
+  et::TestConnection& leaving = env.Connect(ep::ViewOf(proxy).callers);
+  leaving.Send(part.substr(0, part.size() / 4));
+  env.RunLoopFor(std::chrono::milliseconds(50));
+  leaving.Close();
+  env.RunLoopFor(std::chrono::milliseconds(50));
+  et::TestConnection& last = env.Connect(ep::ViewOf(proxy).callers);
+  last.Send(
+      et::FormatRequest({.path = "/once/b", .body = body.substr(0, 4'000)}));
+  env.WaitUntil([&last] { return !et::DescribeAnswer(last).empty(); });
+  STRCMP_EQUAL("200", et::DescribeAnswer(last).c_str());
+}
+
 // The deadlines of two requests end while they are at an endpoint, and that of
 // a third one while it waits for a free slot. Only the third caller may be told
 // that its request has not run.
