Read the store once more before an unknown stream goes on

Cause: a node that "has known all versions since the stream began" bound it to the only one, and asked nobody. That knowledge had a beginning and no end. It counted as current for 3 s after an exchange with any peer, and for 0.7 s after a tick, whatever the store did; two nodes that were cut off together renewed it for each other without end.

No bound on the age of the data mends it, as the stream may have begun, broken and come back within the last moment. So the question is asked after the request has arrived: the node reads the store's news (a watch that doesn't wait, from the revision that it knows), and only what is known up to then says that one version served. Requests share a read; a node begins one each 20 ms at most, and one a millisecond for each node of the fleet, so that all nodes together read a thousand times a second at most, whatever their number. A node that can't read the store asks peers, which read it before they answer. While nobody reads it, versions can't reach anybody either, and the nodes that answer are believed if together they are most of the nodes known of late, less those that were asked and are silent. A pair that is cut off is not.

Ruled out: a shorter bound (joined 20 ms after the last news); asking the homes alone (two nodes of the same part are homes of each other); to refuse whatever can't be confirmed (streams of a dead node while the store is away).

The tests of VersionEvidence state the knowledge as confirmed, as their nodes were in step, and three are new.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -133,6 +133,15 @@
 /// How long a request waits for peers that may know at which software version
 /// its stream began.
 inline constexpr milliseconds kVersionLookupTimeout{300};
+/// How long the store may take to tell its latest news, for decisions that need
+/// them. It answers in milliseconds unless it is in trouble, and then peers are
+/// asked, of whom one may read it.
+inline constexpr milliseconds kCatchUpTimeout{150};
+/// Shortest time between the begins of two such reads of a node.
+inline constexpr milliseconds kMinCatchUpInterval{20};
+/// The same time for each node of the fleet: all nodes together read at most a
+/// thousand times a second, half of what the store of a small platform serves.
+inline constexpr milliseconds kCatchUpIntervalPerNode{1};
 /// Retry delay for callers whose stream nobody knows. A peer that was cut off
 /// or silent may know it.
 inline constexpr milliseconds kUnknownStreamRetryDelay{200};
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -27,9 +27,11 @@
   # is the version if there was one. The peer has known all versions for
   # `knownMs`; 0: it hasn't, or doesn't say. `partVersion` is the version of the
   # endpoints that keep the part; all bits set: they are of several versions.
-  findStream @4 (stream :UInt64, service :Text, part :UInt64)
+  # With `confirm`, the peer reads the store's news first; `confirmed` says that
+  # it has.
+  findStream @4 (stream :UInt64, service :Text, part :UInt64, confirm :Bool)
       -> (version :UInt64, several :Bool, only :UInt64, knownMs :UInt64,
-          partVersion :UInt64);
+          partVersion :UInt64, confirmed :Bool);
 }
 
 struct Stream {
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -75,6 +75,7 @@
 
 /// What a peer answers to that question.
 struct VersionAnswer {
+  bool is_answer = true;  ///< False: the peer can't be reached.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   /// Version of the endpoints that keep its part.
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
@@ -83,7 +84,9 @@
 
 /// A question to peers about the version that began a stream.
 struct VersionLookup {
-  std::size_t unanswered = 0;           ///< Peers that were asked.
+  bool is_catching_up = false;  ///< The store is read before peers are asked.
+  std::size_t unanswered = 0;   ///< Peers that were asked and haven't answered.
+  routing::VersionWitnesses witnesses;  ///< The same peers.
   routing::VersionKnowledge knowledge;  ///< Of this node and those that answer.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
@@ -138,6 +141,8 @@
   std::uint64_t events = 0;   ///< Events sent to the caller.
   /// Earliest time at which a stream that it takes up can have begun.
   Time earliest_begin{};
+  /// The store was read, or could not be, since it arrived.
+  bool has_caught_up = false;
   /// Version that began the stream, also that of a stream which it takes up.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   Time first_event_at{};
--- a/proxy/src/page_read.cc
+++ b/proxy/src/page_read.cc
@@ -19,7 +19,10 @@
 net::ExchangeHandlers MakeHandlers(const std::weak_ptr<PageRead>& weak_read) {
   net::ExchangeHandlers handlers;
   handlers.on_head = [weak_read](const net::HttpAnswerHead& head) {
-    if (const auto read = weak_read.lock()) read->page.status = head.status;
+    if (const auto read = weak_read.lock()) {
+      read->page.status = head.status;
+      read->page.head = head;
+    }
     return net::HeadVerdict::kAccept;
   };
   handlers.on_body = [weak_read](std::string_view piece) {
--- a/proxy/src/page_read_p.h
+++ b/proxy/src/page_read_p.h
@@ -16,6 +16,7 @@
 struct Page {
   /// 0: no answer came in time, or it was broken or longer than allowed.
   int status = 0;
+  net::HttpAnswerHead head;
   std::string body;
 };
 
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -86,22 +86,39 @@
     const auto params = context.getParams();
     CountBytes(proxy_, "in", MessageKind::kStreams, same_zone_,
                params.totalSize().wordCount);
+    const Time asked_at = NowOf(proxy_);
+    if (!params.getConfirm()) {
+      AnswerFindStream(context, asked_at);
+      return kj::READY_NOW;
+    }
+    auto end = kj::newPromiseAndFulfiller<void>();
+    CatchUpWithStore(
+        proxy_,
+        [fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+             std::move(end.fulfiller))] { (*fulfiller)->fulfill(); });
+    return end.promise.then([this, context, asked_at]() mutable {
+      AnswerFindStream(context, asked_at);
+    });
+  }
+
+ private:
+  void AnswerFindStream(FindStreamContext context, Time asked_at) {
+    const auto params = context.getParams();
     auto results = context.getResults();
     results.setVersion(
         routing::FindVersion(proxy_.streams, params.getStream()));
     const Time now = NowOf(proxy_);
-    const routing::VersionKnowledge knowledge =
-        routing::KnowledgeOf(proxy_.streams, params.getService(), now);
+    const routing::VersionKnowledge knowledge = routing::KnowledgeOf(
+        proxy_.streams, params.getService(), asked_at, now);
     results.setSeveral(knowledge.several);
     if (!knowledge.several) results.setOnly(knowledge.only);
     results.setKnownMs(static_cast<std::uint64_t>(
         Elapsed(proxy_.streams.known_since, now).count()));
+    results.setConfirmed(knowledge.confirmed_since.has_value());
     results.setPartVersion(
         routing::FindPartVersion(proxy_.streams, params.getPart()));
-    return kj::READY_NOW;
   }
 
- private:
   Proxy& proxy_;
   bool same_zone_ = false;  // As the peer last stated.
 };
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -122,6 +122,17 @@
   std::map<std::string, PageReadPtr> reads;  ///< In progress, by endpoint.
 };
 
+/// Reading the store's news of endpoints for decisions that need the latest.
+struct StoreCatchUp {
+  using Waiter = std::function<void()>;
+  std::vector<Waiter> waiting;  ///< For the read in progress.
+  std::vector<Waiter> queued;   ///< For the next one.
+  Time began_at{};              ///< Of the last read; default: none yet.
+  PageReadPtr read;             ///< Null: none is in progress.
+  kernel::EventWatcher timer;   ///< Begins the next one.
+  bool is_scheduled = false;
+};
+
 struct PeerNetwork;
 struct PeerNetworkDelete {
   void operator()(PeerNetwork* network) const;
@@ -162,6 +173,7 @@
   routing::StreamRecords streams;
   StreamWork stream_work;
   KeptPartsReader kept_parts;
+  StoreCatchUp store_catch_up;
   routing::Suspects suspects;
   std::deque<PendingProof> pending_proofs;  ///< Oldest first.
   /// Until then peers are asked for all suspects.
@@ -386,8 +398,8 @@
 /// Records which versions serve now.
 void UpdateVersions(Proxy& proxy);
 /// Returns true if this node knows all versions that serve now, `tick_gap`
-/// after the tick before. One that has stood still or heard from no peer may
-/// not.
+/// after the tick before. One that has stood still, or neither heard from a
+/// peer nor read the store, may not.
 bool KnowsVersions(const Proxy& proxy, milliseconds tick_gap);
 /// Writes all streams that this node remembers to their homes.
 void HandOnStreams(Proxy& proxy);
@@ -510,12 +522,20 @@
 /// Called when a peer has no data either: the whole fleet may have just
 /// started, so that this node reads the store without further delay.
 void OnPeerWithoutData(Proxy& proxy);
+/// Returns true if this node's last read of the store failed, of any feed.
+bool IsStoreFailing(const Proxy& proxy);
 /// Returns true if a read of the store failed at this node recently.
 bool IsStoreTroubled(const Proxy& proxy);
 /// Records an era of the store that an answer or a peer stated. If it is a new
 /// one, what is known is read anew.
 void OnStoreEra(Proxy& proxy, routing::StoreEra era, const char* source);
 
+// store_catch_up.cc
+/// Reads what the store knows more of endpoints than this node, and then calls
+/// `on_end`. If the store has answered, `KnowledgeOf` is confirmed up to now.
+/// Requests made meanwhile share the next read.
+void CatchUpWithStore(Proxy& proxy, StoreCatchUp::Waiter on_end);
+
 // store_changes.cc
 /// The source of changes of the store; for the log.
 enum class ChangeSource : std::uint8_t { kList, kWatch, kPeer };
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -300,6 +300,12 @@
 
 }  // namespace
 
+bool IsStoreFailing(const Proxy& proxy) {
+  return std::any_of(
+      proxy.readers.begin(), proxy.readers.end(),
+      [](const StoreReader& reader) { return reader.backoff.count() > 0; });
+}
+
 bool IsStoreTroubled(const Proxy& proxy) {
   return proxy.last_store_failure != Time{} &&
          NowOf(proxy) - proxy.last_store_failure < routing::kRecentOutageWindow;
@@ -393,6 +399,7 @@
       StartRead(proxy, reader);
     } else {
       StopReader(reader);
+      reader.backoff = {};
     }
   }
   ScheduleStandbyAnnouncements(proxy);
--- a/proxy/src/stream_records_capnp.cc
+++ b/proxy/src/stream_records_capnp.cc
@@ -53,6 +53,7 @@
   request.setStream(question.stream);
   request.setPart(question.part);
   request.setService(call->service->name);
+  request.setConfirm(!call->version_lookup->knowledge.several);
   CountBytes(proxy, "out", MessageKind::kStreams, IsSameZone(*peer),
              request.totalSize().wordCount);
   OnRequestSent(*peer, NowOf(proxy));
@@ -61,16 +62,20 @@
       [&proxy, peer, call, lookup](auto&& answer) {
         const Time now = NowOf(proxy);
         OnReplyReceived(*peer, now);
-        OnVersionAnswer(proxy, call, lookup,
-                        {answer.getVersion(),
-                         answer.getPartVersion(),
-                         {.since = KnownSince(answer.getKnownMs(), now),
-                          .several = answer.getSeveral(),
-                          .only = answer.getOnly()}});
+        const auto since = KnownSince(answer.getKnownMs(), now);
+        OnVersionAnswer(
+            proxy, call, lookup,
+            {.version = answer.getVersion(),
+             .part_version = answer.getPartVersion(),
+             .knowledge = {.since = since,
+                           .confirmed_since =
+                               answer.getConfirmed() ? since : std::nullopt,
+                           .several = answer.getSeveral(),
+                           .only = answer.getOnly()}});
       },
       [&proxy, peer, call, lookup](const kj::Exception& /*error*/) {
         OnReplyReceived(*peer, NowOf(proxy));
-        OnVersionAnswer(proxy, call, lookup, {});
+        OnVersionAnswer(proxy, call, lookup, {.is_answer = false});
       }));
 }
 
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -131,6 +131,7 @@
 // What is known of a stream that a call takes up.
 struct StreamEvidence {
   routing::VersionKnowledge knowledge;
+  routing::VersionWitnesses witnesses;
   // Version of the endpoints that keep its part of the prompt.
   routing::SoftwareVersion part_version = kUnknownVersion;
 };
@@ -180,8 +181,8 @@
 void DispatchUnknown(Proxy& proxy, const CallPtr& call,
                      const StreamEvidence& evidence) {
   const VersionVerdict verdict = routing::JudgeUnknownStream(
-      evidence.knowledge, proxy.endpoints, *call->service, call->earliest_begin,
-      UnixNow(), NowOf(proxy));
+      evidence.knowledge, evidence.witnesses, proxy.endpoints, *call->service,
+      call->earliest_begin, UnixNow(), NowOf(proxy));
   if (verdict != VersionVerdict::kUnknown) {
     Bind(proxy, call, evidence.knowledge.only, routing::NameOf(verdict));
     return;
@@ -205,9 +206,12 @@
   const auto lookup = std::exchange(call->version_lookup, nullptr);
   if (lookup->version != kUnknownVersion) {
     Bind(proxy, call, lookup->version, "peer");
-  } else {
-    DispatchUnknown(proxy, call, {lookup->knowledge, lookup->part_version});
+    return;
   }
+  lookup->witnesses.nodes = 1 + proxy.members.contact_count;
+  lookup->witnesses.recent_nodes = proxy.members.recent_peak.nodes;
+  DispatchUnknown(proxy, call,
+                  {lookup->knowledge, lookup->witnesses, lookup->part_version});
 }
 
 void FinishLookupAfter(Proxy& proxy, const CallPtr& call, milliseconds delay) {
@@ -244,11 +248,26 @@
   FinishLookupAfter(proxy, call, kVersionLookupTimeout);
   const auto peers = PeersToAsk(proxy, *call, question);
   lookup->unanswered = peers.size();
+  lookup->witnesses.asked = peers.size();
   for (const std::string& peer : peers)
     AskForVersion(proxy, call, question, peer);
   if (peers.empty()) FinishLookup(proxy, call);
 }
 
+// Reads the store's latest news before the call's stream is judged.
+void CatchUp(Proxy& proxy, const CallPtr& call) {
+  call->version_lookup = std::make_shared<VersionLookup>();
+  CatchUpWithStore(
+      proxy, [&proxy, weak_call = std::weak_ptr<Call>(call),
+              lookup = std::weak_ptr<VersionLookup>(call->version_lookup)] {
+        const auto locked = weak_call.lock();
+        if (locked == nullptr || lookup.expired()) return;
+        locked->version_lookup = nullptr;
+        locked->has_caught_up = true;
+        DispatchAtItsVersion(proxy, locked);
+      });
+}
+
 }  // namespace
 
 void OnStreamBegan(Proxy& proxy, Call& call) {
@@ -267,12 +286,16 @@
   const Time now = NowOf(proxy);
   call->earliest_begin =
       routing::EarliestBegin(*call->table, TimeLeftOfCaller(*call, now), now);
-  const routing::VersionKnowledge knowledge =
-      routing::KnowledgeOf(proxy.streams, call->service->name, now);
-  const bool knows_since_begin =
-      knowledge.since && *knowledge.since <= call->earliest_begin;
-  if (!knowledge.several && knows_since_begin) {
-    DispatchUnknown(proxy, call, {knowledge, kUnknownVersion});
+  const routing::VersionKnowledge knowledge = routing::KnowledgeOf(
+      proxy.streams, call->service->name, call->arrived_at, now);
+  const bool is_confirmed = knowledge.confirmed_since.has_value();
+  if (!knowledge.several && !is_confirmed && !call->has_caught_up) {
+    CatchUp(proxy, call);
+    return;
+  }
+  if (!knowledge.several && is_confirmed &&
+      *knowledge.confirmed_since <= call->earliest_begin) {
+    DispatchUnknown(proxy, call, {knowledge, {}, kUnknownVersion});
     return;
   }
   const StreamQuestion question = QuestionOf(*call);
@@ -296,13 +319,15 @@
   lookup->part_version =
       routing::MergePartVersions(lookup->part_version, answer.part_version);
   --lookup->unanswered;
+  if (answer.is_answer) ++lookup->witnesses.answered;
   if (lookup->version != kUnknownVersion || lookup->unanswered == 0)
     FinishLookupAfter(proxy, call, {});
 }
 
 bool RequireVersion(const Proxy& proxy, Call& call) {
+  const Time now = NowOf(proxy);
   const routing::VersionKnowledge knowledge =
-      routing::KnowledgeOf(proxy.streams, call.service->name, NowOf(proxy));
+      routing::KnowledgeOf(proxy.streams, call.service->name, now, now);
   const bool several = knowledge.several;
   const bool may_join = several || knowledge.only != call.version;
   call.demand.version = may_join ? call.version : kUnknownVersion;
--- a/routing/include/egretladder/routing/stream_records.h
+++ b/routing/include/egretladder/routing/stream_records.h
@@ -45,6 +45,8 @@
   std::map<std::string, VersionHistory> by_service;
   /// Since when all versions that served are known; see `KeepKnowledge`.
   Time known_since{};
+  /// When the store was last asked for news of which all were applied.
+  Time confirmed_at{};
   /// The versions at which parts of prompts are kept; see `RememberPart`.
   RecentMap<SoftwareVersion> by_part;
 };
@@ -83,9 +85,13 @@
 /// Records that this node knows, or doesn't know, the versions that serve now.
 /// A node that had no data, was cut off or stood still has missed some of them.
 void KeepKnowledge(StreamRecords& records, bool is_current, Time now);
-/// Returns what this node knows of a service's versions.
+/// Records that all versions are known which the store named until then.
+void ConfirmKnowledge(StreamRecords& records, Time read_at);
+/// Returns what this node knows of a service's versions. It is confirmed if the
+/// store was read at `asked_at` or later.
 VersionKnowledge KnowledgeOf(const StreamRecords& records,
-                             const std::string& service, Time now);
+                             const std::string& service, Time asked_at,
+                             Time now);
 
 /// Returns true if a stream of the service that began at `begin` may have begun
 /// at another version than a stream that begins now, as far as this node knows.
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -153,22 +153,29 @@
   if (!is_current) records.known_since = now;
 }
 
+void ConfirmKnowledge(StreamRecords& records, Time read_at) {
+  records.confirmed_at = std::max(records.confirmed_at, read_at);
+}
+
 VersionKnowledge KnowledgeOf(const StreamRecords& records,
-                             const std::string& service, Time now) {
+                             const std::string& service, Time asked_at,
+                             Time now) {
   VersionKnowledge knowledge;
   knowledge.since = records.known_since;
+  if (records.confirmed_at >= asked_at)
+    knowledge.confirmed_since = knowledge.since;
   const auto at = records.by_service.find(service);
   if (at == records.by_service.end()) return knowledge;
   for (const auto& [version, last_served] : at->second.last_served) {
     if (now - last_served < kStreamRetention)
-      Merge(knowledge, {.since = {}, .several = false, .only = version});
+      Merge(knowledge, {.only = version});
   }
   return knowledge;
 }
 
 bool IsVersionInDoubt(const StreamRecords& records, const std::string& service,
                       Time begin, Time now) {
-  const VersionKnowledge knowledge = KnowledgeOf(records, service, now);
+  const VersionKnowledge knowledge = KnowledgeOf(records, service, now, now);
   return knowledge.several || !knowledge.since || *knowledge.since > begin;
 }
 
--- a/routing/tests/stream_records_test.cc
+++ b/routing/tests/stream_records_test.cc
@@ -164,24 +164,27 @@
 TEST(StreamRecords, ANodeDoesNotKnowWhatItMissed) {
   records.known_since = kStart;
   er::KeepKnowledge(records, true, kStart + 1s);
-  CHECK(*er::KnowledgeOf(records, "engines", kStart + 1s).since == kStart);
+  CHECK(*er::KnowledgeOf(records, "engines", kStart + 1s, kStart + 1s).since ==
+        kStart);
   er::KeepKnowledge(records, false, kStart + 2s);
   er::KeepKnowledge(records, true, kStart + 3s);
-  CHECK(*er::KnowledgeOf(records, "engines", kStart + 3s).since == kStart + 2s);
+  CHECK(*er::KnowledgeOf(records, "engines", kStart + 3s, kStart + 3s).since ==
+        kStart + 2s);
 }
 
 TEST(StreamRecords, KnowsTheOnlyVersionOfAService) {
   const er::EndpointEntry old_entry = MakeEntry("a", "v1");
-  CHECK(er::KnowledgeOf(records, "engines", kStart).only ==
+  CHECK(er::KnowledgeOf(records, "engines", kStart, kStart).only ==
         er::kUnknownVersion);
   er::OnEntryPublished(set, old_entry, kStart);
   er::ObserveVersions(records, set, kStart);
-  const er::VersionKnowledge one = er::KnowledgeOf(records, "engines", kStart);
+  const er::VersionKnowledge one =
+      er::KnowledgeOf(records, "engines", kStart, kStart);
   CHECK(one.only == er::VersionOf(old_entry));
   CHECK_FALSE(one.several);
   er::OnEntryPublished(set, MakeEntry("b", "v2"), kStart);
   er::ObserveVersions(records, set, kStart);
-  CHECK_TRUE(er::KnowledgeOf(records, "engines", kStart).several);
+  CHECK_TRUE(er::KnowledgeOf(records, "engines", kStart, kStart).several);
 }
 
 // Guards against streams that are refused after half of the nodes were killed,
@@ -308,3 +311,18 @@
   er::ObserveVersions(records, set, kStart);
   CHECK_FALSE(Several(kStart));
 }
+
+// Guards against a node that takes what it knew a moment ago for what serves
+// now.
+TEST(StreamRecords, KnowledgeIsConfirmedUpToTheLastRead) {
+  er::KeepKnowledge(records, false, kStart);
+  const auto confirmed_since = [this](er::Time asked_at) {
+    return er::KnowledgeOf(records, "engines", asked_at, kStart + 9s)
+        .confirmed_since;
+  };
+  CHECK_FALSE(confirmed_since(kStart + 1s).has_value());
+  er::ConfirmKnowledge(records, kStart + 2s);
+  CHECK(confirmed_since(kStart + 1s) == kStart);
+  CHECK(confirmed_since(kStart + 2s) == kStart);
+  CHECK_FALSE(confirmed_since(kStart + 3s).has_value());
+}
--- a/routing/tests/version_evidence_test.cc
+++ b/routing/tests/version_evidence_test.cc
@@ -22,7 +22,9 @@
 
 TEST_GROUP(VersionEvidence) {
   er::EndpointSet set;
-  er::VersionKnowledge knowledge{.since = kNow - 1s, .only = kNew};
+  er::VersionKnowledge knowledge{
+      .since = kNow - 1s, .confirmed_since = kNow - 1s, .only = kNew};
+  er::VersionWitnesses witnesses;
   er::Service service{.name = "engines"};
 
   // Publishes an endpoint that started so long ago; nullopt: it doesn't say.
@@ -38,8 +40,8 @@
     er::OnEntryPublished(set, entry, kNow);
   }
   VersionVerdict Judge(er::Time earliest_begin) const {
-    return er::JudgeUnknownStream(knowledge, set, service, earliest_begin,
-                                  kUnixNow, kNow);
+    return er::JudgeUnknownStream(knowledge, witnesses, set, service,
+                                  earliest_begin, kUnixNow, kNow);
   }
 };
 
@@ -48,7 +50,8 @@
   AddEndpoint("a", 2s);
   CHECK(Judge(kNow - 1s) == VersionVerdict::kOneVersion);
   CHECK(Judge(kNow - 5s) == VersionVerdict::kUnknown);
-  er::Merge(knowledge, {.since = kNow - 5s, .only = kNew});
+  er::Merge(knowledge,
+            {.since = kNow - 5s, .confirmed_since = kNow - 5s, .only = kNew});
   CHECK(Judge(kNow - 5s) == VersionVerdict::kOneVersion);
 }
 
@@ -113,10 +116,57 @@
   AddEndpoint("a", 1h);
   knowledge.several = true;
   CHECK(Judge(kNow) == VersionVerdict::kUnknown);
-  knowledge = {.since = kNow - 1h};
+  knowledge = {.since = kNow - 1h, .confirmed_since = kNow - 1h};
   CHECK(Judge(kNow) == VersionVerdict::kUnknown);
 }
 
+// Guards against nodes out of step that vouch for each other, and against
+// starts that they haven't heard of.
+TEST(VersionEvidence, WithoutTheStoreFewNodesDecideNothing) {
+  AddEndpoint("a", 1h);
+  knowledge.confirmed_since.reset();
+  er::Merge(knowledge, {.since = kNow - 1h, .only = kNew});
+  const auto judge = [this](std::size_t asked, std::size_t answered,
+                            std::size_t nodes) {
+    constexpr std::size_t kRecentNodes = 7;
+    witnesses = {asked, answered, nodes, kRecentNodes};
+    return Judge(kNow - 5s);
+  };
+  // All others are cut off, noticed by degrees.
+  CHECK(judge(4, 0, 7) == VersionVerdict::kUnknown);
+  CHECK(judge(1, 0, 2) == VersionVerdict::kUnknown);
+  CHECK(judge(0, 0, 1) == VersionVerdict::kUnknown);
+  // All others but one.
+  CHECK(judge(4, 1, 7) == VersionVerdict::kUnknown);
+  CHECK(judge(2, 1, 4) == VersionVerdict::kUnknown);
+  CHECK(judge(1, 1, 2) == VersionVerdict::kUnknown);
+}
+
+// Guards against sound streams that are refused while the store is away.
+TEST(VersionEvidence, WithoutTheStoreMostNodesDecide) {
+  knowledge.confirmed_since.reset();
+  er::Merge(knowledge, {.since = kNow - 1h, .only = kNew});
+  const auto judge = [this](std::size_t asked, std::size_t answered,
+                            std::size_t nodes, std::size_t recent_nodes) {
+    witnesses = {asked, answered, nodes, recent_nodes};
+    return Judge(kNow - 5s);
+  };
+  CHECK(judge(4, 4, 7, 7) == VersionVerdict::kStoreAway);
+  // One or two have died.
+  CHECK(judge(4, 3, 7, 7) == VersionVerdict::kStoreAway);
+  CHECK(judge(4, 4, 5, 7) == VersionVerdict::kStoreAway);
+  // The only node there is.
+  CHECK(judge(0, 0, 1, 1) == VersionVerdict::kStoreAway);
+}
+
+// Guards against a node that confirms what it has known for too short a time,
+// beside one that has known it for long and has not read the store.
+TEST(VersionEvidence, OnlyAConfirmedNodeKnowsUntilNow) {
+  service.generates = true;
+  er::Merge(knowledge, {.since = kNow - 1h, .only = kNew});
+  CHECK(Judge(kNow - 5s) == VersionVerdict::kUnknown);
+}
+
 // Guards against two nodes that know one version each, and not the same.
 TEST(VersionEvidence, NodesThatKnowDifferentVersionsKnowSeveral) {
   er::Merge(knowledge, {.since = {}, .only = er::kUnknownVersion});
