Doubt the versions known after an endpoint came and went unseen

A caller's stream that had begun at an endpoint of another version went on at a node that had missed the whole life of that endpoint: it stood still, or was cut off, while the endpoint joined, served and left. What it read afterwards was the removal of an entry that it never knew, which changed nothing, so that one version seemed to have served all the while.

The removal of an unknown entry says that something was missed, so knowledge of all versions begins anew there. Entries that lapsed at this node, or can't be read, are known to the catalog and raise no doubt.

--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -176,6 +176,18 @@
   LogZone(zone, is_out, NameOf(context.source));
 }
 
+// Returns true if an endpoint has left of which nothing was known: it came and
+// went unseen, and may have served at any version.
+bool HasUnseenEndpoint(const Proxy& proxy, const routing::Changes& changes) {
+  if (changes.feed != Feed::kEndpoints) return false;
+  const auto& known =
+      routing::GetFeedState(proxy.catalog, Feed::kEndpoints).items;
+  return std::any_of(changes.items.begin(), changes.items.end(),
+                     [&known](const routing::Item& item) {
+                       return item.removed && !known.contains(item.key);
+                     });
+}
+
 // Sets the versions of rules, by which they are ordered. Returns false if some
 // can't be read.
 bool SetVersions(const Proxy& proxy, routing::Changes& changes) {
@@ -226,6 +238,8 @@
   const Time now = NowOf(proxy);
   const bool are_rules_readable = SetVersions(proxy, changes);
   LogOlderItems(proxy, changes, source);
+  if (HasUnseenEndpoint(proxy, changes))
+    routing::KeepKnowledge(proxy.streams, false, now);
   const bool is_restore = routing::IsRestore(proxy.catalog, changes);
   const auto changed_items = routing::Apply(proxy.catalog, changes, now);
   if (source == ChangeSource::kPeer) {
