Know the versions at a node that alone lives on and reads the store

Callers who took their streams up at the only node left were refused from 3 s after the last answer of a peer on, until others had started (rule LOST), though it read the store all the while and knew that one version had served.

Cause: whether a node knows all versions was taken from its exchanges with peers alone. The store's word is as good. A node that has met its peers and reads the store without failures goes on knowing; what it knows is confirmed by one more read before a stream goes on, as everywhere.

TEST(OutOfStep, StreamsGoOnAtTheNodeThatAloneLivedOn), red before, is green.

--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -371,8 +371,11 @@
   const bool has_peers = std::any_of(
       seeds.begin(), seeds.end(),
       [&proxy](const auto& seed) { return seed != proxy.members.self.peers; });
-  return !has_peers || NowOf(proxy) - proxy.members.last_exchange_at <=
-                           routing::kMaxKnowledgeGap;
+  if (!has_peers) return true;
+  const Time last_exchange_at = proxy.members.last_exchange_at;
+  const bool has_met_peers = last_exchange_at != Time{};
+  return NowOf(proxy) - last_exchange_at <= routing::kMaxKnowledgeGap ||
+         (has_met_peers && proxy.reads_store && !IsStoreFailing(proxy));
 }
 
 void HandOnStreams(Proxy& proxy) {
