Join what two nodes know by the store's revisions

A node that has just started asks the homes of a stream, and each of these read the store before it answered.

A peer that knows all changes up to the revision from which this node knows them leads up to it: together they know all, and the peer needs no read if this node has confirmed its own part. The answer therefore tells how far the peer knows the feeds. Peers read the store only for a node that can't, and only if that read would be in time; while all readers of the store report trouble, nodes that don't read it themselves don't try either, and most nodes are believed as told before.

Tests: StreamRecords.APeerLeadsUpToWhatThisNodeHasKnownSince. Not measured here: a large fleet.

--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -28,10 +28,11 @@
   # `knownMs`; 0: it hasn't, or doesn't say. `partVersion` is the version of the
   # endpoints that keep the part; all bits set: they are of several versions.
   # With `confirm`, the peer reads the store's news first; `confirmed` says that
-  # it has.
+  # it has. `progress` is how far it knows the
+  # feeds.
   findStream @4 (stream :UInt64, service :Text, part :UInt64, confirm :Bool)
       -> (version :UInt64, several :Bool, only :UInt64, knownMs :UInt64,
-          partVersion :UInt64, confirmed :Bool);
+          partVersion :UInt64, confirmed :Bool, progress :List(Progress));
 }
 
 struct Stream {
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -80,6 +80,9 @@
   /// Version of the endpoints that keep its part.
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
   routing::VersionKnowledge knowledge;  ///< Of the stream's service.
+  bool is_confirmed = false;            ///< The peer has read the store since.
+  /// What the peer knows ends no earlier than what this node knows begins.
+  bool leads_up_to_own = false;
 };
 
 /// A question to peers about the version that began a stream.
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -87,7 +87,7 @@
     CountBytes(proxy_, "in", MessageKind::kStreams, same_zone_,
                params.totalSize().wordCount);
     const Time asked_at = NowOf(proxy_);
-    if (!params.getConfirm()) {
+    if (!params.getConfirm() || !CanCatchUpSoon(proxy_)) {
       AnswerFindStream(context, asked_at);
       return kj::READY_NOW;
     }
@@ -117,6 +117,8 @@
     results.setConfirmed(knowledge.confirmed_since.has_value());
     results.setPartVersion(
         routing::FindPartVersion(proxy_.streams, params.getPart()));
+    WriteProgress(OwnProgress(proxy_),
+                  results.initProgress(routing::kFeedCount));
   }
 
   Proxy& proxy_;
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -25,7 +25,9 @@
       std::chrono::duration_cast<milliseconds>(now - proxy.last_tick_at);
   proxy.last_tick_at = now;
   if (gap > kMinProcessPause) OnProcessPause(proxy, gap);
-  routing::KeepKnowledge(proxy.streams, KnowsVersions(proxy, gap), now);
+  routing::KeepKnowledge(
+      proxy.streams, KnowsVersions(proxy, gap),
+      routing::GetFeedProgress(proxy.catalog, routing::Feed::kEndpoints), now);
   AskForKeptPartsIfNeeded(proxy);
   OnStopTick(proxy);
   for (const std::string& id :
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -522,7 +522,8 @@
 /// Called when a peer has no data either: the whole fleet may have just
 /// started, so that this node reads the store without further delay.
 void OnPeerWithoutData(Proxy& proxy);
-/// Returns true if this node's last read of the store failed, of any feed.
+/// Returns true if the last reads of the store failed at this node, or at all
+/// that read it for this one.
 bool IsStoreFailing(const Proxy& proxy);
 /// Returns true if a read of the store failed at this node recently.
 bool IsStoreTroubled(const Proxy& proxy);
@@ -535,6 +536,9 @@
 /// `on_end`. If the store has answered, `KnowledgeOf` is confirmed up to now.
 /// Requests made meanwhile share the next read.
 void CatchUpWithStore(Proxy& proxy, StoreCatchUp::Waiter on_end);
+/// Returns true if such a read would end within twice `kCatchUpTimeout`, which
+/// is as long as a peer waits for its answer.
+bool CanCatchUpSoon(Proxy& proxy);
 
 // store_changes.cc
 /// The source of changes of the store; for the log.
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -301,6 +301,7 @@
 }  // namespace
 
 bool IsStoreFailing(const Proxy& proxy) {
+  if (!proxy.reads_store) return routing::AreAllReadersTroubled(proxy.members);
   return std::any_of(
       proxy.readers.begin(), proxy.readers.end(),
       [](const StoreReader& reader) { return reader.backoff.count() > 0; });
@@ -399,7 +400,6 @@
       StartRead(proxy, reader);
     } else {
       StopReader(reader);
-      reader.backoff = {};
     }
   }
   ScheduleStandbyAnnouncements(proxy);
--- a/proxy/src/store_catch_up.cc
+++ b/proxy/src/store_catch_up.cc
@@ -95,18 +95,26 @@
                   kCatchUpIntervalPerNode * static_cast<int>(nodes));
 }
 
+// Returns the time until the next read may begin.
+milliseconds DelayOfNext(Proxy& proxy) {
+  const milliseconds age = Elapsed(proxy.store_catch_up.began_at, NowOf(proxy));
+  return std::max(IntervalOf(proxy) - age, milliseconds(0));
+}
+
 void ScheduleCatchUp(Proxy& proxy) {
   StoreCatchUp& catch_up = proxy.store_catch_up;
   if (catch_up.read != nullptr || catch_up.is_scheduled) return;
-  const milliseconds age = Elapsed(catch_up.began_at, NowOf(proxy));
-  const milliseconds delay = std::max(IntervalOf(proxy) - age, milliseconds(0));
   catch_up.is_scheduled = true;
-  catch_up.timer =
-      kernel::RunAfter(*proxy.loop, delay, [&proxy] { Begin(proxy); });
+  catch_up.timer = kernel::RunAfter(*proxy.loop, DelayOfNext(proxy),
+                                    [&proxy] { Begin(proxy); });
 }
 
 }  // namespace
 
+bool CanCatchUpSoon(Proxy& proxy) {
+  return CanRead(proxy) && DelayOfNext(proxy) < kCatchUpTimeout;
+}
+
 void CatchUpWithStore(Proxy& proxy, StoreCatchUp::Waiter on_end) {
   proxy.store_catch_up.queued.push_back(std::move(on_end));
   ScheduleCatchUp(proxy);
--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -238,10 +238,14 @@
   const Time now = NowOf(proxy);
   const bool are_rules_readable = SetVersions(proxy, changes);
   LogOlderItems(proxy, changes, source);
-  if (HasUnseenEndpoint(proxy, changes))
-    routing::KeepKnowledge(proxy.streams, false, now);
+  const bool has_unseen = HasUnseenEndpoint(proxy, changes);
   const bool is_restore = routing::IsRestore(proxy.catalog, changes);
   const auto changed_items = routing::Apply(proxy.catalog, changes, now);
+  if (has_unseen) {
+    routing::KeepKnowledge(
+        proxy.streams, false,
+        routing::GetFeedProgress(proxy.catalog, changes.feed), now);
+  }
   if (source == ChangeSource::kPeer) {
     StoreReader& reader = proxy.readers[static_cast<std::size_t>(changes.feed)];
     if (changes.whole) OnFullListFromPeer(reader);
--- a/proxy/src/stream_records_capnp.cc
+++ b/proxy/src/stream_records_capnp.cc
@@ -18,6 +18,25 @@
   return now - milliseconds(std::min(known_ms, bound));
 }
 
+VersionAnswer ReadAnswer(const Proxy& proxy,
+                         exchange::Peer::FindStreamResults::Reader answer,
+                         Time now) {
+  constexpr auto kFeed = routing::Feed::kEndpoints;
+  const auto progress = ReadProgress(answer.getProgress());
+  VersionAnswer read;
+  read.version = answer.getVersion();
+  read.part_version = answer.getPartVersion();
+  read.knowledge.since = KnownSince(answer.getKnownMs(), now);
+  read.knowledge.several = answer.getSeveral();
+  read.knowledge.only = answer.getOnly();
+  read.is_confirmed = answer.getConfirmed();
+  read.leads_up_to_own = routing::LeadsUpTo(
+      proxy.streams,
+      routing::InterpretProgress(proxy.catalog, kFeed,
+                                 progress[static_cast<std::size_t>(kFeed)]));
+  return read;
+}
+
 }  // namespace
 
 void WriteRecords(Proxy& proxy, const std::string& peer_address,
@@ -53,7 +72,8 @@
   request.setStream(question.stream);
   request.setPart(question.part);
   request.setService(call->service->name);
-  request.setConfirm(!call->version_lookup->knowledge.several);
+  const routing::VersionKnowledge& own = call->version_lookup->knowledge;
+  request.setConfirm(!own.several && !own.confirmed_since);
   CountBytes(proxy, "out", MessageKind::kStreams, IsSameZone(*peer),
              request.totalSize().wordCount);
   OnRequestSent(*peer, NowOf(proxy));
@@ -62,16 +82,7 @@
       [&proxy, peer, call, lookup](auto&& answer) {
         const Time now = NowOf(proxy);
         OnReplyReceived(*peer, now);
-        const auto since = KnownSince(answer.getKnownMs(), now);
-        OnVersionAnswer(
-            proxy, call, lookup,
-            {.version = answer.getVersion(),
-             .part_version = answer.getPartVersion(),
-             .knowledge = {.since = since,
-                           .confirmed_since =
-                               answer.getConfirmed() ? since : std::nullopt,
-                           .several = answer.getSeveral(),
-                           .only = answer.getOnly()}});
+        OnVersionAnswer(proxy, call, lookup, ReadAnswer(proxy, answer, now));
       },
       [&proxy, peer, call, lookup](const kj::Exception& /*error*/) {
         OnReplyReceived(*peer, NowOf(proxy));
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -314,7 +314,11 @@
   // Another peer answered sooner, time was up, or the call has ended.
   const auto lookup = asked.lock();
   if (lookup == nullptr || lookup != call->version_lookup) return;
-  routing::Merge(lookup->knowledge, answer.knowledge);
+  routing::VersionKnowledge knowledge = answer.knowledge;
+  const bool is_own_confirmed = lookup->knowledge.confirmed_since.has_value();
+  if (answer.is_confirmed || (is_own_confirmed && answer.leads_up_to_own))
+    knowledge.confirmed_since = knowledge.since;
+  routing::Merge(lookup->knowledge, knowledge);
   if (answer.version != kUnknownVersion) lookup->version = answer.version;
   lookup->part_version =
       routing::MergePartVersions(lookup->part_version, answer.part_version);
--- a/routing/include/egretladder/routing/store_readers.h
+++ b/routing/include/egretladder/routing/store_readers.h
@@ -52,6 +52,10 @@
 /// the store.
 bool IsEagerReader(const Members& members);
 
+/// Returns true if all nodes that may become readers fail to read the store, as
+/// far as this one knows.
+bool AreAllReadersTroubled(const Members& members);
+
 /// Returns the peer addresses of the nodes that replace this reader when it
 /// falls silent. The reader sends them a message each
 /// `kReaderHeartbeatInterval`: gossip alone takes seconds to show that a node
--- a/routing/include/egretladder/routing/stream_records.h
+++ b/routing/include/egretladder/routing/stream_records.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "egretladder/kernel/time.h"
+#include "egretladder/routing/catalog.h"
 #include "egretladder/routing/endpoints.h"
 #include "egretladder/routing/members.h"
 #include "egretladder/routing/recent_map.h"
@@ -45,6 +46,8 @@
   std::map<std::string, VersionHistory> by_service;
   /// Since when all versions that served are known; see `KeepKnowledge`.
   Time known_since{};
+  /// How far the store's changes of endpoints were known then.
+  FeedProgress progress_then{};
   /// When the store was last asked for news of which all were applied.
   Time confirmed_at{};
   /// The versions at which parts of prompts are kept; see `RememberPart`.
@@ -84,7 +87,12 @@
 bool WereSeveralVersions(const StreamRecords& records, Time now);
 /// Records that this node knows, or doesn't know, the versions that serve now.
 /// A node that had no data, was cut off or stood still has missed some of them.
-void KeepKnowledge(StreamRecords& records, bool is_current, Time now);
+/// `progress` states how far it knows the changes of endpoints.
+void KeepKnowledge(StreamRecords& records, bool is_current,
+                   const FeedProgress& progress, Time now);
+/// Returns true if a node with this progress knows all changes of endpoints up
+/// to those that this one has known since `known_since`.
+bool LeadsUpTo(const StreamRecords& records, const FeedProgress& progress);
 /// Records that all versions are known which the store named until then.
 void ConfirmKnowledge(StreamRecords& records, Time read_at);
 /// Returns what this node knows of a service's versions. It is confirmed if the
--- a/routing/src/store_readers.cc
+++ b/routing/src/store_readers.cc
@@ -67,6 +67,15 @@
   return static_cast<std::size_t>(rank) < kEagerReaders;
 }
 
+bool AreAllReadersTroubled(const Members& members) {
+  const auto& candidates = members.reader_candidates;
+  return !candidates.empty() &&
+         std::all_of(candidates.begin(), candidates.end(),
+                     [](const KnownMember* known) {
+                       return known->member.state.store_troubled;
+                     });
+}
+
 std::vector<std::string> StandbyAddresses(const Members& members) {
   const std::size_t own_rank = OwnRank(members);
   const auto& candidates = members.reader_candidates;
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -149,8 +149,17 @@
                      });
 }
 
-void KeepKnowledge(StreamRecords& records, bool is_current, Time now) {
+void KeepKnowledge(StreamRecords& records, bool is_current,
+                   const FeedProgress& progress, Time now) {
   if (!is_current) records.known_since = now;
+  const bool had_data = records.progress_then.known > 0;
+  if (!is_current || !had_data) records.progress_then = progress;
+}
+
+bool LeadsUpTo(const StreamRecords& records, const FeedProgress& progress) {
+  const FeedProgress& then = records.progress_then;
+  return then.known > 0 && progress.era == then.era &&
+         progress.known >= then.known;
 }
 
 void ConfirmKnowledge(StreamRecords& records, Time read_at) {
--- a/routing/tests/stream_records_test.cc
+++ b/routing/tests/stream_records_test.cc
@@ -163,11 +163,11 @@
 // takes what it sees for all that served.
 TEST(StreamRecords, ANodeDoesNotKnowWhatItMissed) {
   records.known_since = kStart;
-  er::KeepKnowledge(records, true, kStart + 1s);
+  er::KeepKnowledge(records, true, {.known = 5}, kStart + 1s);
   CHECK(*er::KnowledgeOf(records, "engines", kStart + 1s, kStart + 1s).since ==
         kStart);
-  er::KeepKnowledge(records, false, kStart + 2s);
-  er::KeepKnowledge(records, true, kStart + 3s);
+  er::KeepKnowledge(records, false, {.known = 6}, kStart + 2s);
+  er::KeepKnowledge(records, true, {.known = 7}, kStart + 3s);
   CHECK(*er::KnowledgeOf(records, "engines", kStart + 3s, kStart + 3s).since ==
         kStart + 2s);
 }
@@ -315,7 +315,7 @@
 // Guards against a node that takes what it knew a moment ago for what serves
 // now.
 TEST(StreamRecords, KnowledgeIsConfirmedUpToTheLastRead) {
-  er::KeepKnowledge(records, false, kStart);
+  er::KeepKnowledge(records, false, {}, kStart);
   const auto confirmed_since = [this](er::Time asked_at) {
     return er::KnowledgeOf(records, "engines", asked_at, kStart + 9s)
         .confirmed_since;
@@ -326,3 +326,18 @@
   CHECK(confirmed_since(kStart + 2s) == kStart);
   CHECK_FALSE(confirmed_since(kStart + 3s).has_value());
 }
+
+// Guards against a node that joins what two nodes know though neither knows
+// what happened in between.
+TEST(StreamRecords, APeerLeadsUpToWhatThisNodeHasKnownSince) {
+  CHECK_FALSE(er::LeadsUpTo(records, {.known = 9}));
+  er::KeepKnowledge(records, false, {}, kStart);
+  er::KeepKnowledge(records, true, {.known = 5}, kStart + 1s);
+  CHECK_FALSE(er::LeadsUpTo(records, {.known = 4}));
+  CHECK_TRUE(er::LeadsUpTo(records, {.known = 5}));
+  CHECK_FALSE(er::LeadsUpTo(records, {.known = 5, .era = 1}));
+  er::KeepKnowledge(records, true, {.known = 8}, kStart + 2s);
+  CHECK_TRUE(er::LeadsUpTo(records, {.known = 5}));
+  er::KeepKnowledge(records, false, {.known = 9}, kStart + 3s);
+  CHECK_FALSE(er::LeadsUpTo(records, {.known = 8}));
+}
