Show a stream that looks complete after a head alone

A resumable stream broke off after three events. The endpoint that was to resume it sent a head with neither a length nor chunks and ended, as one does that crashes before its first event.

The test is red on this code: the caller got a whole answer with three events.

--- a/proxy/tests/endpoint_failures_test.cc
+++ b/proxy/tests/endpoint_failures_test.cc
@@ -240,6 +240,29 @@
   LONGS_EQUAL(2, CountRequests(endpoints));
 }
 
+// Guards against a stream that looks complete because the endpoint that was to
+// resume it ended after its head.
+TEST(EndpointFailures, StreamResumedByAHeadAloneIsNotComplete) {
+  const auto handler = [](const et::EndpointRequest& request) {
+    if (request.last_event_id() == 0) {
+      request.BeginStream(1, 3);
+    } else {
+      request.connection->Send("HTTP/1.1 200 OK\r\nX-Id: " + request.id() +
+                               "\r\nX-Seal: 1\r\n"
+                               "Content-Type: text/event-stream\r\n\r\n");
+    }
+    request.connection->Close();
+  };
+  const std::vector<et::FakeEndpoint*> endpoints = {
+      &env.AddEndpoint("e1", handler), &env.AddEndpoint("e2", handler)};
+  ep::Proxy& proxy = env.StartReadyNode();
+  const et::TestConnection& caller =
+      SendAndWaitForEnd(proxy, {.path = "/talk/a"});
+  CHECK(et::ParseAnswers(caller.received()).empty());
+  CHECK(caller.received().find(et::FormatEvents(3, 3)) != std::string::npos);
+  LONGS_EQUAL(2, CountRequests(endpoints));
+}
+
 // Every endpoint fails, and the retry budget of the service is used up. Retries
 // would double the load just when the endpoints can't bear it. Each caller is
 // told what happened to its own request.
