Take a head alone for no end of a stream that goes on

What callers saw: a resumable stream broke off, and the endpoint that was to resume it ended after a head with neither a length nor chunks.

Cause: a stream counted as complete if it stood at the border of an event and its call had passed one on, whichever attempt had sent it. An attempt that sent nothing thus ended the stream of the one before it. The end of a connection without framing tells the end of an answer from that of an endpoint by its events alone. A first attempt was held to that, a later one wasn't.

Change: an attempt ends a stream if it sent an event of its own, or if its framing says that nothing follows. An endpoint that resumes after the last event and frames its empty rest still completes the stream; one that doesn't frame it breaks it off.

Ruled out: take-ups by callers, which are calls of their own, and peers, whose answers are chunked. What can't be told: an answer without framing that ends after some of its events.

--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -263,6 +263,16 @@
                                    : AttemptOutcome::kUnfit;
 }
 
+// Without an event of the attempt, only framing tells the end of a stream that
+// other attempts sent from the end of an endpoint.
+bool EndsStream(const Call& call) {
+  const net::HttpAnswerHead& head = call.attempt->head;
+  const bool is_framed =
+      head.chunked ||
+      !net::FirstFieldValue(head.fields, "Content-Length").empty();
+  return call.attempt->splitter.events > 0 || (is_framed && call.events > 0);
+}
+
 void OnEnd(Proxy& proxy, const CallPtr& call) {
   Attempt& attempt = *call->attempt;
   MarkAttemptStarted(proxy, call);
@@ -271,7 +281,7 @@
     return;
   }
   const bool is_complete =
-      attempt.splitter.incomplete_event.empty() && call->events > 0;
+      attempt.splitter.incomplete_event.empty() && EndsStream(*call);
   EndAttempt(proxy, call,
              is_complete ? AttemptOutcome::kSucceeded : AttemptOutcome::kBroken,
              is_complete ? "" : "the stream ended inside an event");
