Test a stream of which only the end is left to resume

The other side of a head alone: an endpoint that resumes after the last event and frames its empty rest, by chunks or by length, completes the stream.

--- a/proxy/tests/endpoint_failures_test.cc
+++ b/proxy/tests/endpoint_failures_test.cc
@@ -263,6 +263,32 @@
   LONGS_EQUAL(2, CountRequests(endpoints));
 }
 
+// Guards against a stream that is broken off though all of it has come, because
+// the endpoint that resumed it had only its end left to send.
+TEST(EndpointFailures, StreamResumedAfterItsLastEventIsComplete) {
+  std::string framing;
+  const auto handler = [&framing](const et::EndpointRequest& request) {
+    if (request.last_event_id() == 0) {
+      request.BeginStream(1, 3);
+      request.connection->Close();
+      return;
+    }
+    request.connection->Send("HTTP/1.1 200 OK\r\nX-Id: " + request.id() +
+                             "\r\nX-Seal: 1\r\n"
+                             "Content-Type: text/event-stream\r\n" +
+                             framing);
+  };
+  env.AddEndpoint("e1", handler);
+  env.AddEndpoint("e2", handler);
+  ep::Proxy& proxy = env.StartReadyNode();
+  for (const char* each : {"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                           "Content-Length: 0\r\n\r\n"}) {
+    framing = each;
+    const et::Answer answer = env.SendAndWait(proxy, {.path = "/talk/a"});
+    STRCMP_EQUAL(et::FormatEvents(1, 3).c_str(), answer.body.c_str());
+  }
+}
+
 // Every endpoint fails, and the retry budget of the service is used up. Retries
 // would double the load just when the endpoints can't bear it. Each caller is
 // told what happened to its own request.
