--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -146,6 +146,8 @@
   Time earliest_begin{};
   /// The store was read, or could not be, since it arrived.
   bool has_caught_up = false;
+  /// Peers are asked to read the store before they tell of its stream.
+  bool must_confirm = false;
   /// Version that began the stream, also that of a stream which it takes up.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   Time first_event_at{};
--- a/proxy/src/stream_records_capnp.cc
+++ b/proxy/src/stream_records_capnp.cc
@@ -73,7 +73,8 @@
   request.setPart(question.part);
   request.setService(call->service->name);
   const routing::VersionKnowledge& own = call->version_lookup->knowledge;
-  request.setConfirm(!own.several && !own.confirmed_since);
+  request.setConfirm(!own.several &&
+                     (!own.confirmed_since || call->must_confirm));
   CountBytes(proxy, "out", MessageKind::kStreams, IsSameZone(*peer),
              request.totalSize().wordCount);
   OnRequestSent(*peer, NowOf(proxy));
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -149,6 +149,13 @@
   return question;
 }
 
+// A peer knows the versions for long enough, and lacks the store's last news.
+bool HasLateWitness(const Call& call,
+                    const routing::VersionKnowledge& knowledge) {
+  return !knowledge.several && knowledge.confirmed_since && knowledge.since &&
+         *knowledge.since <= call.earliest_begin;
+}
+
 // Nodes that have just started may learn more from endpoints, and others from
 // them, if homes of streams have started.
 bool MayLearnMore(const Proxy& proxy, const Call& call,
@@ -191,6 +198,11 @@
     Bind(proxy, call, evidence.part_version, "kept-part");
     return;
   }
+  if (!call->must_confirm && HasLateWitness(*call, evidence.knowledge)) {
+    call->must_confirm = true;
+    DispatchAtItsVersion(proxy, call);
+    return;
+  }
   if (MayLearnMore(proxy, *call, evidence.knowledge)) {
     AskAgainLater(proxy, call);
     return;
