Keep a stream at the service that began it

What callers saw: streams that were taken up got the rest from another service, with 200 and to the end. Two ways: - A route that sends its requests to two services by weights picked one at random for each request, those that take a stream up included. - A route moved to another service between a stream's break and its caller's return.

Cause: the service was chosen for each request, and what was known of that service's versions was taken for knowledge of the stream.

The place of a stream among the weights now follows from a hash of its name, so that each node picks the same service for it without having heard of it. If rules in force since it can have begun led it to another service, it is looked up, and refused if nobody knows it.

A node that has read its first rules since a move doesn't know of it.

--- a/proxy/src/call_routing.cc
+++ b/proxy/src/call_routing.cc
@@ -3,6 +3,7 @@
 #include <optional>
 #include <utility>
 
+#include "egretladder/routing/stream_service.h"
 #include "state_p.h"
 
 namespace egretladder::proxy {
@@ -21,11 +22,24 @@
   return past != nullptr ? past : proxy.rules;
 }
 
-// Returns the service that a peer chose, if these rules allow it, or chooses
-// one.
-routing::ServiceHandle PickService(Proxy& proxy,
-                                   const routing::RouteTable& rules,
+// Returns where the request stands among the weights of its route. All requests
+// for one stream stand at the same place, so that one service serves them.
+double WeightPositionOf(Proxy& proxy, const routing::Route& route,
+                        const routing::ClientAccount* account,
+                        const RequestMetadata& metadata) {
+  if (route.kind != routing::RouteKind::kStream)
+    return kernel::RandomFraction(proxy.random);
+  const std::string& began =
+      metadata.resumes.empty() ? metadata.id : metadata.resumes;
+  return routing::WeightPositionOf(
+      routing::KeyOfStream(account != nullptr ? account->name : "", began));
+}
+
+// Returns the service that a peer chose, if these rules allow it, or the one at
+// that position among the weights.
+routing::ServiceHandle PickService(const routing::RouteTable& rules,
                                    const routing::Route& route,
+                                   double weight_position,
                                    const HandoverHeader* handover) {
   if (handover != nullptr) {
     for (const routing::WeightedTarget& target : route.targets) {
@@ -34,7 +48,7 @@
       }
     }
   }
-  return routing::PickTarget(route, kernel::RandomFraction(proxy.random));
+  return routing::PickTarget(route, weight_position);
 }
 
 // A handover is one attempt of the node that the caller asked. That node counts
@@ -68,7 +82,9 @@
   const auto timeout = std::min(metadata.deadline.value_or(route.timeout),
                                 std::max(route.timeout, milliseconds(1)));
   call->deadline = arrived_at + timeout;
-  const auto target = PickService(proxy, *rules, route, handover);
+  const auto target =
+      PickService(*rules, route,
+                  WeightPositionOf(proxy, route, account, metadata), handover);
   call->service = &rules->services[target.idx];
   call->max_attempts = route.attempts;
   if (handover != nullptr) ApplyHandover(proxy, *handover, *call);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -49,6 +49,7 @@
 /// may close the connection whose message caused it.
 struct StreamWork {
   bool hand_on = false;  ///< Write all streams to their homes.
+  Time moved_at{};       ///< When rules last moved streams; default: never.
   /// Calls whose endpoint's process was replaced.
   std::vector<CallPtr> replaced;
   kernel::EventWatcher timer;
@@ -401,6 +402,9 @@
 /// after the tick before. One that has stood still, or neither heard from a
 /// peer nor read the store, may not.
 bool KnowsVersions(const Proxy& proxy, milliseconds tick_gap);
+/// Called when new rules are in force: streams that a route moves away from
+/// their service must be known to others before they are taken up.
+void OnRulesReplaced(Proxy& proxy, const routing::RouteTable& before);
 /// Writes all streams that this node remembers to their homes.
 void HandOnStreams(Proxy& proxy);
 /// Writes at which versions parts of prompts are kept to the parts' homes.
--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -46,10 +46,12 @@
                       {"source", NameOf(source)}});
     return;
   }
-  if (proxy.rules != nullptr)
-    routing::Retire(proxy.past_rules, proxy.rules, NowOf(proxy));
+  const routing::RouteTablePtr before = proxy.rules;
+  if (before != nullptr)
+    routing::Retire(proxy.past_rules, before, NowOf(proxy));
   proxy.rules = std::move(rules).value();
   proxy.rules_since = NowOf(proxy);
+  if (before != nullptr) OnRulesReplaced(proxy, *before);
   net::ServerLimits limits;
   limits.size = {proxy.rules->limits.head_bytes,
                  proxy.rules->limits.body_bytes};
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "egretladder/routing/software_version.h"
+#include "egretladder/routing/stream_service.h"
 #include "state_p.h"
 
 namespace egretladder::proxy {
@@ -39,6 +40,18 @@
                                              NowOf(proxy));
 }
 
+// Returns true if the stream that `request_id` began may have begun at another
+// service than the call's, since its route has moved after `since`.
+bool MayHaveMoved(const Proxy& proxy, const Call& call,
+                  const std::string& request_id, Time since) {
+  const net::HttpRequest& request = call.caller->request();
+  const routing::RoutedStream stream{
+      KeyOfStream(call, request_id),
+      net::FirstFieldValue(request.fields, "Host"), request.target};
+  return routing::MayHaveMoved(proxy.past_rules, stream, call.service->name,
+                               since);
+}
+
 // Writes the records to their homes, each of which gets few messages.
 void WriteToHomes(Proxy& proxy, RecordKind kind,
                   const std::vector<routing::StreamRecord>& records) {
@@ -66,7 +79,11 @@
   routing::RememberStream(proxy.streams, record, NowOf(proxy));
   // The node that serves a handed over request writes it.
   const bool is_own = call.attempt->peer.empty();
-  if (is_own && WasServedAtSeveralVersions(proxy, call))
+  const bool is_asked_for =
+      WasServedAtSeveralVersions(proxy, call) ||
+      MayHaveMoved(proxy, call, call.metadata.id,
+                   NowOf(proxy) - routing::kStreamRetention);
+  if (is_own && is_asked_for)
     WriteToHomes(proxy, RecordKind::kStreams, {record});
 }
 
@@ -298,8 +315,11 @@
   const Time now = NowOf(proxy);
   call->earliest_begin =
       routing::EarliestBegin(*call->table, TimeLeftOfCaller(*call, now), now);
-  const routing::VersionKnowledge knowledge = routing::KnowledgeOf(
+  routing::VersionKnowledge knowledge = routing::KnowledgeOf(
       proxy.streams, call->service->name, call->arrived_at, now);
+  // What is known of this service says nothing of another one.
+  if (MayHaveMoved(proxy, *call, call->metadata.resumes, call->earliest_begin))
+    knowledge.several = true;
   const bool is_confirmed = knowledge.confirmed_since.has_value();
   if (!knowledge.several && !is_confirmed && !call->has_caught_up) {
     CatchUp(proxy, call);
@@ -394,8 +414,19 @@
          (has_met_peers && proxy.reads_store && !IsStoreFailing(proxy));
 }
 
+void OnRulesReplaced(Proxy& proxy, const routing::RouteTable& before) {
+  if (!routing::MoveStreams(before, *proxy.rules)) return;
+  proxy.stream_work.moved_at = NowOf(proxy);
+  proxy.stream_work.hand_on = true;
+  ScheduleStreamWork(proxy);
+}
+
 void HandOnStreams(Proxy& proxy) {
-  if (!routing::WereSeveralVersions(proxy.streams, NowOf(proxy))) return;
+  const Time now = NowOf(proxy);
+  const Time moved_at = proxy.stream_work.moved_at;
+  const bool have_moved =
+      moved_at != Time{} && now - moved_at < routing::kStreamRetention;
+  if (!have_moved && !routing::WereSeveralVersions(proxy.streams, now)) return;
   WriteToHomes(proxy, RecordKind::kStreams, routing::AllStreams(proxy.streams));
 }
 
