Bind an endpoint's process by its own statements, and only by those

Cause: an endpoint is back under its id, and answers with a statement before its entry has arrived. The node notes it under the entry that it knows, of the process before. With the new entry all of that is dropped; if the entry comes while the answer is under way, the statement goes to the old process and is dropped at once. Class: what an answer says is taken for the word of the process that the entry names.

Change: a node that learns a statement asks the endpoint's report for `born`. What another process than the entry's has stated is kept beside the entry and binds that process when its entry comes, in whatever order; what the one before it stated doesn't. A process that started after the request was sent isn't taken for the one that answered (by the clocks of both machines; if they differ, the statement is lost as before). One question for each statement that changes something, one at a time and endpoint, 64 at most; no caller waits for it. An endpoint that doesn't tell `born`, or not within 2 s, is treated as before.

Same cause elsewhere, not changed: the limit, and the room of a brittle endpoint, that a new process states before its entry comes are dropped with it too; both are in each further answer.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -160,6 +160,12 @@
 inline constexpr std::size_t kMaxKeptPartsReads = 16;
 /// Records in one message to a peer.
 inline constexpr std::size_t kMaxRecordsInMessage = 4096;
+/// How long an endpoint may take to say which process gave a notice. Longer
+/// than for an attempt, as no caller waits for it.
+inline constexpr milliseconds kNoticeCheckTimeout{2000};
+/// Endpoints that are asked for that at the same time; further notices end with
+/// the next process that is published.
+inline constexpr std::size_t kMaxNoticeChecks = 64;
 /// A longer report of an endpoint isn't read.
 inline constexpr std::size_t kMaxReportBytes = std::size_t{64} << 10U;
 /// Interval of the housekeeping tick, which also detects pauses of the process.
--- a/proxy/src/endpoint_notices.cc
+++ b/proxy/src/endpoint_notices.cc
@@ -91,8 +91,13 @@
       proxy.endpoints, addressed, metadata.instance_id, status == kMisdirected);
   if (endpoint == nullptr) return;
   const Time now = NowOf(proxy);
-  LogChange(call, *endpoint, status,
-            routing::OnNotice(proxy.endpoints, *endpoint, notice, now), now);
+  const routing::NoticeChange change =
+      routing::OnNotice(proxy.endpoints, *endpoint, notice, now);
+  LogChange(call, *endpoint, status, change, now);
+  if (change.leaving || change.backoff) {
+    AskForNoticeOrigin(proxy, *call.attempt, endpoint,
+                       routing::StandingFrom(notice, now));
+  }
 }
 
 }  // namespace egretladder::proxy
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -134,6 +134,15 @@
   bool is_scheduled = false;
 };
 
+/// A question to an endpoint which process has given a notice.
+struct NoticeCheck {
+  routing::EndpointPtr endpoint;
+  routing::StandingNotices stated;
+  /// When the first of the requests was sent whose answers gave it.
+  Time requested_at{};
+  PageReadPtr read;
+};
+
 struct PeerNetwork;
 struct PeerNetworkDelete {
   void operator()(PeerNetwork* network) const;
@@ -175,6 +184,7 @@
   StreamWork stream_work;
   KeptPartsReader kept_parts;
   StoreCatchUp store_catch_up;
+  std::map<std::string, NoticeCheck> notice_checks;  ///< By endpoint.
   routing::Suspects suspects;
   std::deque<PendingProof> pending_proofs;  ///< Oldest first.
   /// Until then peers are asked for all suspects.
@@ -477,6 +487,13 @@
                          const routing::EndpointPtr& addressed, int status,
                          const AnswerMetadata& metadata);
 
+// notice_origins.cc
+/// Asks the endpoint which process answered the attempt with the notice
+/// `stated`, and binds that process by it when it is known.
+void AskForNoticeOrigin(Proxy& proxy, const Attempt& attempt,
+                        const routing::EndpointPtr& endpoint,
+                        const routing::StandingNotices& stated);
+
 // service_reach.cc
 /// Records that the call's attempt began.
 void RecordAttemptBegan(Proxy& proxy, const Call& call);
--- a/routing/include/egretladder/routing/endpoint_notices.h
+++ b/routing/include/egretladder/routing/endpoint_notices.h
@@ -3,7 +3,8 @@
 //
 // Such a notice comes with the answer, while the endpoint's entry in the store
 // may be seconds older, or unreachable. A notice binds the node that received
-// it, until the process that gave it is replaced.
+// it, until the process that gave it is replaced. Which process that is, the
+// endpoint is asked: its entry may tell of the one before.
 #pragma once
 
 #include <chrono>
@@ -43,14 +44,24 @@
 NoticeChange OnNotice(EndpointSet& set, Endpoint& endpoint,
                       const EndpointNotice& notice, Time now);
 
+/// What a notice that came at `now` means from then on.
+StandingNotices StandingFrom(const EndpointNotice& notice, Time now);
+
+/// Records that `stated`, a notice which was applied to the endpoint, came from
+/// the process that started at `started_unix_ms`. That process is bound by it
+/// whenever its entry arrives.
+void OnNoticeOrigin(EndpointSet& set, Endpoint& endpoint,
+                    const StandingNotices& stated,
+                    std::uint64_t started_unix_ms);
+
 /// Keeps what an endpoint that is being removed stated, its limit included: its
 /// entry may expire and return while the process runs on. The statements of the
 /// last `kMaxRememberedEndpoints` such endpoints are kept.
 void RememberRemoved(EndpointSet& set, const Endpoint& endpoint);
 
 /// Gives a new endpoint what its process stated before the entry was removed.
-/// Another process under the same id starts without statements, and so does one
-/// that doesn't publish when it started.
+/// Another process under the same id starts with what is known to be its own,
+/// and one that doesn't publish when it started without statements.
 void RestoreStatements(EndpointSet& set, Endpoint& endpoint);
 
 /// Returns how much longer the endpoint wants no requests; 0: it takes them.
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -65,6 +65,13 @@
   Time backoff_until{};  ///< It wants no request from this node until then.
 };
 
+/// What another process than the one of an endpoint's entry has stated at its
+/// address. It is that process's own once its entry arrives.
+struct SuccessorNotices {
+  std::uint64_t started_unix_ms = 0;  ///< When it started; 0: there is none.
+  StandingNotices notices;
+};
+
 /// That the endpoints of a service are brittle; see brittle.h.
 struct BrittleStatement {
   /// Requests that an endpoint can turn away in a second without falling over.
@@ -166,6 +173,7 @@
   Time cold_until{};
   AdvertisedLimit limit;
   StandingNotices notices;
+  SuccessorNotices successor;
   BrittleRoom brittle_room;
   mutable SenderCheck sender_check;  ///< The last one.
   Time last_limited_send{};  ///< Last request of this node under a shared rate.
@@ -190,6 +198,7 @@
 struct RemovedEndpoint {
   EndpointEntry entry;
   StandingNotices notices;
+  SuccessorNotices successor;
   AdvertisedLimit limit;
   std::uint64_t number = 0;  ///< Rises with each removal.
 };
--- a/routing/src/endpoint_notices.cc
+++ b/routing/src/endpoint_notices.cc
@@ -25,6 +25,18 @@
   notices.backoff_until = std::max(notices.backoff_until, other.backoff_until);
 }
 
+bool IsAtSameAddress(const EndpointEntry& left, const EndpointEntry& right) {
+  return left.address == right.address;
+}
+
+void AddToSuccessor(SuccessorNotices& successor, const StandingNotices& stated,
+                    std::uint64_t started_unix_ms) {
+  if (started_unix_ms > successor.started_unix_ms)
+    successor = {started_unix_ms, {}};
+  if (started_unix_ms == successor.started_unix_ms)
+    Merge(successor.notices, stated);
+}
+
 // Passes the notices of an endpoint that was removed while it answered to the
 // process's new entry, or keeps them until there is one.
 void ForwardNotices(EndpointSet& set, const Endpoint& removed) {
@@ -55,7 +67,7 @@
 NoticeChange OnNotice(EndpointSet& set, Endpoint& endpoint,
                       const EndpointNotice& notice, Time now) {
   StandingNotices& standing = endpoint.notices;
-  const StandingNotices stated{notice.leaving, now + notice.backoff};
+  const StandingNotices stated = StandingFrom(notice, now);
   const Time known_until = std::max(standing.backoff_until, now);
   NoticeChange change;
   change.leaving = stated.leaving && !standing.leaving;
@@ -65,12 +77,32 @@
   return change;
 }
 
+StandingNotices StandingFrom(const EndpointNotice& notice, Time now) {
+  return {notice.leaving, now + notice.backoff};
+}
+
+void OnNoticeOrigin(EndpointSet& set, Endpoint& endpoint,
+                    const StandingNotices& stated,
+                    std::uint64_t started_unix_ms) {
+  const EndpointPtr published = FindById(set, endpoint.entry.id);
+  Endpoint& latest = published != nullptr ? *published : endpoint;
+  const std::uint64_t known = latest.entry.started_unix_ms;
+  if (known == 0 || !IsAtSameAddress(latest.entry, endpoint.entry)) return;
+  if (started_unix_ms == known) {
+    Merge(latest.notices, stated);
+  } else if (started_unix_ms > known) {
+    AddToSuccessor(latest.successor, stated, started_unix_ms);
+  }
+  if (published == nullptr) RememberRemoved(set, endpoint);
+}
+
 void RememberRemoved(EndpointSet& set, const Endpoint& endpoint) {
   // Without a start time, the process can't be recognized when it returns.
   if (endpoint.entry.started_unix_ms == 0) return;
   auto& remembered = set.removed_endpoints;
   remembered[endpoint.entry.id] = {endpoint.entry, endpoint.notices,
-                                   endpoint.limit, ++set.last_removal_number};
+                                   endpoint.successor, endpoint.limit,
+                                   ++set.last_removal_number};
   if (remembered.size() <= kMaxRememberedEndpoints) return;
   remembered.erase(std::min_element(remembered.begin(), remembered.end(),
                                     [](const auto& left, const auto& right) {
@@ -82,10 +114,16 @@
 void RestoreStatements(EndpointSet& set, Endpoint& endpoint) {
   const auto at = set.removed_endpoints.find(endpoint.entry.id);
   if (at == set.removed_endpoints.end()) return;
-  if (IsSameProcess(at->second.entry, endpoint.entry)) {
-    endpoint.notices = at->second.notices;
-    endpoint.limit = at->second.limit;
+  const RemovedEndpoint& removed = at->second;
+  const std::uint64_t started = endpoint.entry.started_unix_ms;
+  if (IsSameProcess(removed.entry, endpoint.entry)) {
+    endpoint.notices = removed.notices;
+    endpoint.successor = removed.successor;
+    endpoint.limit = removed.limit;
     if (endpoint.limit.per_second > 0) set.limited.insert(endpoint.entry.id);
+  } else if (started != 0 && started == removed.successor.started_unix_ms &&
+             IsAtSameAddress(removed.entry, endpoint.entry)) {
+    endpoint.notices = removed.successor.notices;
   }
   set.removed_endpoints.erase(at);
 }
--- a/routing/tests/endpoint_notices_test.cc
+++ b/routing/tests/endpoint_notices_test.cc
@@ -102,6 +102,45 @@
   CHECK(er::IsLeaving(*returned));
 }
 
+// Guards against a process whose own notices end with the entry of the process
+// before, and against one that is bound by those.
+TEST(EndpointNotices, BindTheProcessThatGaveThem) {
+  const er::EndpointPtr old = Publish(MakeEntry("x"));
+  er::OnNotice(set, *old, {true, 60s}, kStart);
+  er::OnNotice(set, *old, {false, 3s}, kStart);
+  er::OnNoticeOrigin(set, *old, er::StandingFrom({true, 60s}, kStart), 100);
+  er::OnNoticeOrigin(set, *old, er::StandingFrom({false, 3s}, kStart), 200);
+  er::EndpointEntry restarted = MakeEntry("x");
+  restarted.started_unix_ms = 200;
+  const er::EndpointPtr successor = Publish(restarted);
+  CHECK(!er::IsLeaving(*successor));
+  CHECK(er::RemainingBackoff(*successor, kStart) == 3s);
+  // A late word on the old process changes nothing.
+  er::OnNoticeOrigin(set, *old, er::StandingFrom({true, {}}, kStart), 100);
+  CHECK(!er::IsLeaving(*successor));
+  er::OnNoticeOrigin(set, *old, er::StandingFrom({true, {}}, kStart), 200);
+  CHECK(er::IsLeaving(*successor));
+}
+
+// Guards against a notice that is held against a third process, or one at
+// another address, and against one that is lost with the old entry.
+TEST(EndpointNotices, OfASuccessorWaitForItsEntry) {
+  const er::EndpointPtr old = Publish(MakeEntry("x"));
+  er::OnEntryRemoved(set, "x", false, kStart);
+  er::OnNoticeOrigin(set, *old, er::StandingFrom({true, {}}, kStart), 200);
+  er::EndpointEntry restarted = MakeEntry("x");
+  restarted.started_unix_ms = 200;
+  CHECK(er::IsLeaving(*Publish(restarted)));
+  for (const char* address : {"10.0.0.1:80", "10.0.0.2:80"}) {
+    const er::EndpointPtr other = Publish(MakeEntry(address));
+    er::OnNoticeOrigin(set, *other, er::StandingFrom({true, {}}, kStart), 200);
+    er::EndpointEntry next = MakeEntry(address);
+    next.address = address;
+    next.started_unix_ms = next.address == other->entry.address ? 300 : 200;
+    CHECK(!er::IsLeaving(*Publish(next)));
+  }
+}
+
 // Guards against memory that grows with each endpoint that ever left.
 TEST(EndpointNotices, OfRemovedEndpointsAreBounded) {
   constexpr std::size_t kEndpoints = er::kMaxRememberedEndpoints + 10;
