End a list of the store that doesn't advance

What callers saw: a node that reads the list never becomes ready, or follows nothing new, and keeps the store and itself busy.

Cause: the next page begins after the last key as it was answered, and nothing checks that this leads on. A key that is answered other than it is ordered (bytes that aren't UTF-8 and become one replacement character, say) leads back, and the pages between are read again, without a pause. A page with another one behind it and no item counted as the end of the list, so that all behind it was taken for removed.

Change: a list ends at a page without a last key, or with one that it has named before. What it named is applied; what it didn't name stays, and the reader goes on with a watch after a backoff and a log line. No order of keys is assumed. After the store was restored the revisions of before can't be watched, so what such a list doesn't name counts as gone then.

Not run: a store that names new keys without end.

--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -107,6 +107,18 @@
   }
 }
 
+// Returns true if the page has a last key, behind which the next one begins,
+// and the list hasn't named that key before: the list would be read without
+// end.
+bool LeadsOn(const routing::Changes& list,
+             const std::vector<routing::Item>& page) {
+  return !page.empty() &&
+         std::none_of(list.items.begin(), list.items.end(),
+                      [&last = page.back().key](const routing::Item& item) {
+                        return item.key == last;
+                      });
+}
+
 void ApplyPage(Proxy& proxy, StoreReader& reader) {
   auto page = proxy.dialect->read_page(reader.body);
   if (!page) {
@@ -128,20 +140,29 @@
     return;
   }
   auto& items = page.value().items;
-  const bool has_more = page.value().has_more && !items.empty();
-  if (has_more) reader.last_key = items.back().key;
+  const bool has_more = page.value().has_more;
+  const bool leads_on = has_more && LeadsOn(reader.partial_list, items);
+  if (leads_on) reader.last_key = items.back().key;
   std::move(items.begin(), items.end(),
             std::back_inserter(reader.partial_list.items));
-  if (has_more) {
+  if (leads_on) {
     StartRead(proxy, reader);
     return;
   }
   reader.last_key.clear();
   reader.has_full_list = true;
   reader.listed_at = NowOf(proxy);
+  // What a list that stops short doesn't name may be there. What is known from
+  // an earlier era counts as gone all the same: that era's revisions can't be
+  // watched.
+  reader.partial_list.whole = !has_more || !CanWatch(proxy, reader);
   ApplyChanges(proxy, std::exchange(reader.partial_list, {}),
                ChangeSource::kList, IsStoreTroubled(proxy));
-  StartRead(proxy, reader);
+  if (has_more) {
+    OnReadFailed(proxy, reader, "a list that doesn't advance");
+  } else {
+    StartRead(proxy, reader);
+  }
 }
 
 void ApplyWatchResult(Proxy& proxy, StoreReader& reader) {
