Lose one item of the store's answer, not the answer

What callers saw: nodes stop following the store; entries that come later stay unknown until the odd item is gone.

Cause: an item without a key, or with a revision that isn't a whole number up to 2^64 - 1, made its whole page or batch unreadable, and the node asked for the same again for ever. A revision above its answer's was taken as it is: nothing later replaced such an item, nor took it away.

Change: an item that names no key says nothing and is left out. One without a usable revision still says what its key holds: it counts as being as new as its answer, which is newer than all before and older than all that follows; so a removal or a configuration isn't lost either, and another list doesn't take the entry for gone. The same for a revision above the answer's. A counter (egretladder_store_odd_answers_total) and a log line, one each 10 s, tell of it.

With the items that the JSON reader refuses the fault is still there.

--- a/proxy/include/egretladder/proxy/dialect.h
+++ b/proxy/include/egretladder/proxy/dialect.h
@@ -27,6 +27,14 @@
   std::vector<routing::Item> items;
   bool has_more = false;  ///< Another page begins after the last key.
   std::uint64_t revision = 0;
+  /// Items that name no key, and are left out, or that have no usable revision,
+  /// and are taken to be as new as the page.
+  std::size_t odd_items = 0;
+};
+
+/// Changes as the store answers them.
+struct StoreChanges : routing::Changes {
+  std::size_t odd_items = 0;  ///< As in `StorePage`.
 };
 
 /// The era of the store that one of its answers states.
@@ -102,8 +110,8 @@
   /// Parses the answer to a list request.
   kernel::Result<StorePage> (*read_page)(const std::string& body);
   /// Parses the answer to a watch request.
-  kernel::Result<routing::Changes> (*read_changes)(routing::Feed feed,
-                                                   const std::string& body);
+  kernel::Result<StoreChanges> (*read_changes)(routing::Feed feed,
+                                               const std::string& body);
   /// Returns true for the key of the item that holds the route table.
   bool (*is_rules_key)(std::string_view key);
   /// Returns the zone that the item with this key takes out of service; empty:
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -33,6 +33,9 @@
 /// How long after news of a peer that doesn't know eras a node reads the store
 /// itself. During an upgrade all readers may be such peers.
 inline constexpr milliseconds kPeerWithoutEraTime{10'000};
+/// Odd items of the store are logged this often at most, since their writer may
+/// repeat them.
+inline constexpr milliseconds kOddItemsLogInterval{10'000};
 /// Delay between a watch that returned changes and the next one. Changes often
 /// come in groups, and the next watch returns those made during the delay
 /// together.
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -87,6 +87,7 @@
   bool waiting_for_rules = false;  ///< Retried once the rules were read.
   kernel::EventWatcher timer;
   std::uint64_t calls = 0;
+  Time odd_items_logged_at{};  ///< Default: never.
 };
 
 /// What a peer states about a request that it hands over.
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -107,6 +107,25 @@
   }
 }
 
+// Nothing but this shows which keys the node can't follow.
+void ReportOddItems(Proxy& proxy, StoreReader& reader, std::size_t count) {
+  if (count == 0) return;
+  IncrementCounter(
+      proxy, "egretladder_store_odd_answers_total",
+      "Answers of the store with items without a usable key or revision.",
+      std::string("feed=\"") + routing::NameOf(reader.feed) + "\"");
+  const Time now = NowOf(proxy);
+  if (reader.odd_items_logged_at != Time{} &&
+      now - reader.odd_items_logged_at < kOddItemsLogInterval) {
+    return;
+  }
+  reader.odd_items_logged_at = now;
+  kernel::LogEvent(LogPart::kPlatform, LogLevel::kWarning, "items-odd",
+                   {{"feed", routing::NameOf(reader.feed)},
+                    {"count", count},
+                    {"revision", GetKnownRevision(proxy, reader.feed)}});
+}
+
 // Returns true if the page has a last key, behind which the next one begins,
 // and the list hasn't named that key before: the list would be read without
 // end.
@@ -126,6 +145,7 @@
     return;
   }
   OnReadSucceeded(proxy, reader);
+  ReportOddItems(proxy, reader, page.value().odd_items);
   if (reader.last_key.empty()) {
     // The pages are not a snapshot. The watch starts at the revision of the
     // first page, so that it returns the changes made between the pages.
@@ -172,6 +192,7 @@
     return;
   }
   OnReadSucceeded(proxy, reader);
+  ReportOddItems(proxy, reader, changes.value().odd_items);
   if (reader.watch_era != reader.answer_era) {
     // The answer continues from a revision that means something else now.
     StartRead(proxy, reader);
--- a/proxy/tests/harness_store.cc
+++ b/proxy/tests/harness_store.cc
@@ -60,10 +60,10 @@
   return page;
 }
 
-kernel::Result<routing::Changes> ReadChanges(routing::Feed feed,
-                                             const std::string& body) {
+kernel::Result<StoreChanges> ReadChanges(routing::Feed feed,
+                                         const std::string& body) {
   BOOST_OUTCOME_TRY(page, ReadPage(body));
-  return routing::Changes{feed, false, page.revision, std::move(page.items)};
+  return StoreChanges{{feed, false, page.revision, std::move(page.items)}};
 }
 
 bool IsRules(std::string_view key) { return key == "rules"; }
