List after changes of the store that can't be read

What callers saw: nodes stop following the store for as long as its history lasts.

Cause: a watch whose answer can't be read, or is larger than a node takes, was sent again from the same revision; the answer holds the same changes and more.

Change: after such an answer the node lists instead, within the same backoff. A list has what stands there now. While the store's list itself can't be read, it is asked for again as before.

Not run: an answer that is too large (64 MiB).

--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -185,9 +185,14 @@
   }
 }
 
+// A watch would return the same changes until the store forgets them. A list
+// has what stands there now.
+void AvoidSameChanges(StoreReader& reader) { reader.has_full_list = false; }
+
 void ApplyWatchResult(Proxy& proxy, StoreReader& reader) {
   auto changes = proxy.dialect->read_changes(reader.feed, reader.body);
   if (!changes) {
+    AvoidSameChanges(reader);
     OnReadFailed(proxy, reader, kernel::Describe(changes.error()));
     return;
   }
@@ -288,11 +293,13 @@
     reader.body.append(piece);
   };
   handlers.on_end = [&proxy, &reader] { OnReadEnd(proxy, reader); };
-  handlers.on_error = [&proxy, &reader](net::ExchangeError /*error*/,
+  handlers.on_error = [&proxy, &reader](net::ExchangeError error,
                                         const std::string& detail) {
     reader.timer = {};
     reader.exchange = nullptr;
     reader.last_key.clear();
+    if (reader.watching && error == net::ExchangeError::kBadAnswer)
+      AvoidSameChanges(reader);
     OnReadFailed(proxy, reader, detail);
   };
   reader.exchange =
