Take no answer that names no request for an endpoint's refusal

What callers saw: with one entry that names the address of another server, a node's own included, nearly all requests of the service get that server's 401 or 400.

Cause: endpoints name the request in each answer, and a success counts only if it does; a refusal (4xx) without the name counted as the endpoint's answer. Such a server refuses faster than endpoints answer, so it is always the one with the least to do, and it is never taken for faulty.

Change: an answer below 500 that isn't a success and names no request is a bad answer: a request that may be sent again goes elsewhere, another one ends with 502, and the address is avoided as any faulty endpoint is.

Ruled out: a request to ourselves that goes round without end.

What remains: requests that mustn't be sent twice are lost one by one until the node avoids the address. Not run: a server that answers 5xx.

--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -42,6 +42,10 @@
   if (ImpliesNotRun(status) || attempt.metadata.encoded) {
     return AttemptOutcome::kBadAnswer;
   }
+  // Endpoints name the request that they answer. Another server at the address
+  // may refuse all requests, faster than endpoints answer them.
+  if (status < kMinServerError && attempt.metadata.id.empty())
+    return AttemptOutcome::kBadAnswer;
   return status >= kMinServerError ? AttemptOutcome::kFailed
                                    : AttemptOutcome::kSucceeded;
 }
