Let a stream that is taken up after its last event end

What callers saw: 502 to a caller who had all events of a stream and took it up for its end, as often as it tried; the endpoint counted as broken.

A call that takes a stream up goes on from events that another call passed on.

Change: a framed end without events ends a stream if this call or its caller's Last-Event-Id has events before it; the answer's head, which goes out with the first event otherwise, is sent with the end. A first request without any event stays broken.

--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -268,13 +268,15 @@
 }
 
 // Without an event of the attempt, only framing tells the end of a stream that
-// other attempts sent from the end of an endpoint.
+// other attempts or requests began from the end of an endpoint.
 bool EndsStream(const Call& call) {
   const net::HttpAnswerHead& head = call.attempt->head;
   const bool is_framed =
       head.chunked ||
       !net::FirstFieldValue(head.fields, "Content-Length").empty();
-  return call.attempt->splitter.events > 0 || (is_framed && call.events > 0);
+  const bool has_begun =
+      call.events > 0 || !call.metadata.last_event_id.empty();
+  return call.attempt->splitter.events > 0 || (is_framed && has_begun);
 }
 
 void OnEnd(Proxy& proxy, const CallPtr& call) {
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -30,6 +30,23 @@
   EndCall(proxy, call, call->succeeded ? "answered" : "endpoint-failure");
 }
 
+void EndStream(Proxy& proxy, const CallPtr& call, const Attempt& attempt) {
+  call->caller->OnDisconnect(nullptr);
+  // Nothing but its end was left of a stream that was taken up.
+  if (!call->caller->begun()) {
+    call->caller->Begin(attempt.head.status, attempt.head.reason,
+                        FieldsToForward(*call, attempt));
+  }
+  call->caller->End();
+  call->succeeded = true;
+  if (call->events > 0) {
+    routing::OnStreamEnded(proxy.endpoints.service_paces[call->service->name],
+                           call->route->name, static_cast<double>(call->events),
+                           Elapsed(call->first_event_at, NowOf(proxy)));
+  }
+  EndCall(proxy, call, "answered");
+}
+
 void RecordBrittleRefusal(Proxy& proxy, const Call& call, Time now) {
   const routing::BrittleStatement* brittle =
       routing::FindBrittle(proxy.endpoints, call.service->name, now);
@@ -132,14 +149,7 @@
       return;
     case NextStep::kPassOn:
       if (attempt->is_event_stream) {
-        call->caller->OnDisconnect(nullptr);
-        call->caller->End();
-        call->succeeded = true;
-        routing::OnStreamEnded(
-            proxy.endpoints.service_paces[call->service->name],
-            call->route->name, static_cast<double>(call->events),
-            Elapsed(call->first_event_at, NowOf(proxy)));
-        EndCall(proxy, call, "answered");
+        EndStream(proxy, call, *attempt);
       } else {
         ForwardAnswer(proxy, call, *attempt);
       }
