Observe each version that the store tells of, and doubt less

By reading, from a review: an endpoint that came back at another version and went, or came back again, within one answer of the store was never counted, as versions were observed after all items of the answer; and so was one that returned after its removal was known. The other way round, any short-lived key, one that names no endpoint too, began knowledge anew at all nodes, and streams would have been refused for some seconds.

Versions are observed after each item. Knowledge begins anew only if an answer tells of an endpoint nothing but its removal though it was last known to be gone. Not covered: a whole list in place of history that the store has dropped.

--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -1,5 +1,7 @@
 // Applies changes of the store that this node or a peer has read.
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 #include "egretladder/routing/restored_entries.h"
 #include "state_p.h"
@@ -178,16 +180,27 @@
   LogZone(zone, is_out, NameOf(context.source));
 }
 
-// Returns true if an endpoint has left of which nothing was known: it came and
-// went unseen, and may have served at any version.
+// Returns true if the removal of an endpoint is all that is known of it since
+// it was last known to be gone: it came and went unseen, and may have served at
+// any version.
 bool HasUnseenEndpoint(const Proxy& proxy, const routing::Changes& changes) {
   if (changes.feed != Feed::kEndpoints) return false;
   const auto& known =
       routing::GetFeedState(proxy.catalog, Feed::kEndpoints).items;
-  return std::any_of(changes.items.begin(), changes.items.end(),
-                     [&known](const routing::Item& item) {
-                       return item.removed && !known.contains(item.key);
-                     });
+  std::unordered_set<std::string_view> written;
+  for (const routing::Item& item : changes.items) {
+    if (!item.removed) {
+      written.insert(item.key);
+      continue;
+    }
+    if (written.contains(item.key)) continue;
+    if (proxy.dialect->endpoint_id(item.key).empty()) continue;
+    const auto at = known.find(item.key);
+    const bool was_gone = at == known.end() || at->second.removed;
+    const bool is_news = at == known.end() || at->second.rev < item.rev;
+    if (was_gone && is_news) return true;
+  }
+  return false;
 }
 
 // Sets the versions of rules, by which they are ordered. Returns false if some
@@ -269,12 +282,13 @@
       ApplyZone(proxy, zone, !item.removed, context);
       continue;
     }
-    if (changes.feed == Feed::kEndpoints) ApplyEndpoint(proxy, item, context);
+    if (changes.feed != Feed::kEndpoints) continue;
+    ApplyEndpoint(proxy, item, context);
+    // Streams that began at the only version so far must be known to others
+    // before they are taken up. A later item may replace this one's version.
+    UpdateVersions(proxy);
   }
   if (changed_items.empty() && !is_restore) return are_rules_readable;
-  // Streams that began at the only version so far must be known to others
-  // before they are taken up.
-  if (changes.feed == Feed::kEndpoints) UpdateVersions(proxy);
   // Announces the changes at once; exchanges alone take several rounds to
   // spread them.
   if (!routing::IsSmallFleet(proxy.members)) {
