Let peers' answers about a stream come in time beside a slow store

Cause: a peer that was asked waited for its read in progress and then for one of its own, 150 ms each, which is the 300 ms that the asker waits. The witnesses counted as silent.

A read is given up after 100 ms, no further one is tried for half a second, and a peer reads only if it can begin at once or after the one in progress.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -138,8 +138,11 @@
 inline constexpr milliseconds kVersionLookupTimeout{300};
 /// How long the store may take to tell its latest news, for decisions that need
 /// them. It answers in milliseconds unless it is in trouble, and then peers are
-/// asked, of whom one may read it.
-inline constexpr milliseconds kCatchUpTimeout{150};
+/// asked, of whom one may read it. Less than half of `kVersionLookupTimeout`,
+/// as a peer may have to wait for the end of a read before it begins one.
+inline constexpr milliseconds kCatchUpTimeout{100};
+/// How long the store isn't asked again after it has not answered in that time.
+inline constexpr milliseconds kCatchUpRetryDelay{500};
 /// Shortest time between the begins of two such reads of a node.
 inline constexpr milliseconds kMinCatchUpInterval{20};
 /// The same time for each node of the fleet: all nodes together read at most a
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -87,8 +87,7 @@
 
 /// A question to peers about the version that began a stream.
 struct VersionLookup {
-  bool is_catching_up = false;  ///< The store is read before peers are asked.
-  std::size_t unanswered = 0;   ///< Peers that were asked and haven't answered.
+  std::size_t unanswered = 0;  ///< Peers that were asked and haven't answered.
   routing::VersionWitnesses witnesses;  ///< The same peers.
   routing::VersionKnowledge knowledge;  ///< Of this node and those that answer.
   routing::SoftwareVersion version = routing::kUnknownVersion;
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -130,6 +130,8 @@
   std::vector<Waiter> waiting;  ///< For the read in progress.
   std::vector<Waiter> queued;   ///< For the next one.
   Time began_at{};              ///< Of the last read; default: none yet.
+  std::uint64_t revision = 0;   ///< After which that read asked for changes.
+  Time unanswered_at{};         ///< Last read without answer; default: none.
   PageReadPtr read;             ///< Null: none is in progress.
   kernel::EventWatcher timer;   ///< Begins the next one.
   bool is_scheduled = false;
@@ -544,8 +546,8 @@
 /// Called when a peer has no data either: the whole fleet may have just
 /// started, so that this node reads the store without further delay.
 void OnPeerWithoutData(Proxy& proxy);
-/// Returns true if the last reads of the store failed at this node, or at all
-/// that read it for this one.
+/// Returns true if the last read of the endpoints failed at this node, or the
+/// last reads of the store at all that read it for this one.
 bool IsStoreFailing(const Proxy& proxy);
 /// Returns true if a read of the store failed at this node recently.
 bool IsStoreTroubled(const Proxy& proxy);
@@ -558,8 +560,8 @@
 /// `on_end`. If the store has answered, `KnowledgeOf` is confirmed up to now.
 /// Requests made meanwhile share the next read.
 void CatchUpWithStore(Proxy& proxy, StoreCatchUp::Waiter on_end);
-/// Returns true if such a read would end within twice `kCatchUpTimeout`, which
-/// is as long as a peer waits for its answer.
+/// Returns true if such a read would begin at once, or after the one in
+/// progress, so that a peer which waits for it gets its answer in time.
 bool CanCatchUpSoon(Proxy& proxy);
 
 // store_changes.cc
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -351,9 +351,8 @@
 
 bool IsStoreFailing(const Proxy& proxy) {
   if (!proxy.reads_store) return routing::AreAllReadersTroubled(proxy.members);
-  return std::any_of(
-      proxy.readers.begin(), proxy.readers.end(),
-      [](const StoreReader& reader) { return reader.backoff.count() > 0; });
+  const auto endpoints = static_cast<std::size_t>(Feed::kEndpoints);
+  return proxy.readers[endpoints].backoff.count() > 0;
 }
 
 bool IsStoreTroubled(const Proxy& proxy) {
--- a/proxy/src/store_catch_up.cc
+++ b/proxy/src/store_catch_up.cc
@@ -23,14 +23,21 @@
   return routing::GetFeedState(proxy.catalog, Feed::kEndpoints);
 }
 
+bool HasJustTimedOut(const Proxy& proxy) {
+  const Time unanswered_at = proxy.store_catch_up.unanswered_at;
+  return unanswered_at != Time{} &&
+         NowOf(proxy) - unanswered_at < kCatchUpRetryDelay;
+}
+
 // A read continues from the revision that is known.
 bool CanRead(const Proxy& proxy) {
   const routing::FeedState& feed = EndpointFeed(proxy);
   return feed.revision > 0 && feed.era == proxy.store_era &&
-         !IsStoreFailing(proxy);
+         !IsStoreFailing(proxy) && !HasJustTimedOut(proxy);
 }
 
-// Returns true if all that the answer tells was applied.
+// Returns true if all that the answer tells was applied. An item that names no
+// key may have been any endpoint's.
 bool ApplyAnswer(Proxy& proxy, const Page& page) {
   if (page.status != kOk) return false;
   const StoreEraStatement stated = proxy.dialect->read_store_era(page.head);
@@ -39,10 +46,12 @@
   if (era != EndpointFeed(proxy).era) return false;
   auto changes = proxy.dialect->read_changes(Feed::kEndpoints, page.body);
   if (!changes) return false;
+  if (changes.value().revision < proxy.store_catch_up.revision) return false;
+  const bool is_whole = changes.value().odd_items == 0;
   changes.value().era = era;
   ApplyChanges(proxy, std::move(changes).value(), ChangeSource::kWatch,
                IsStoreTroubled(proxy));
-  return true;
+  return is_whole;
 }
 
 void ScheduleCatchUp(Proxy& proxy);
@@ -79,13 +88,16 @@
   }
   IncrementCounter(proxy, "egretladder_store_calls_total",
                    "Calls to the store.", "feed=\"endpoints\"");
-  catch_up.read =
-      StartPageRead(*proxy.loop, *proxy.client,
-                    {proxy.options.store,
-                     proxy.dialect->watch_target(
-                         Feed::kEndpoints, EndpointFeed(proxy).revision, {}),
-                     kMaxBufferedAnswerBytes, kCatchUpTimeout},
-                    [&proxy](const Page& page) { Finish(proxy, page); });
+  catch_up.revision = EndpointFeed(proxy).revision;
+  catch_up.read = StartPageRead(
+      *proxy.loop, *proxy.client,
+      {proxy.options.store,
+       proxy.dialect->watch_target(Feed::kEndpoints, catch_up.revision, {}),
+       kMaxBufferedAnswerBytes, kCatchUpTimeout},
+      [&proxy](const Page& page) {
+        if (page.status == 0) proxy.store_catch_up.unanswered_at = NowOf(proxy);
+        Finish(proxy, page);
+      });
 }
 
 milliseconds IntervalOf(Proxy& proxy) {
@@ -112,7 +124,7 @@
 }  // namespace
 
 bool CanCatchUpSoon(Proxy& proxy) {
-  return CanRead(proxy) && DelayOfNext(proxy) < kCatchUpTimeout;
+  return CanRead(proxy) && DelayOfNext(proxy) <= kMinCatchUpInterval;
 }
 
 void CatchUpWithStore(Proxy& proxy, StoreCatchUp::Waiter on_end) {
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -238,7 +238,7 @@
     return;
   }
   lookup->witnesses.nodes = 1 + proxy.members.contact_count;
-  lookup->witnesses.recent_nodes = proxy.members.recent_peak.nodes;
+  lookup->witnesses.recent_nodes = proxy.members.long_peak.nodes;
   DispatchUnknown(proxy, call,
                   {lookup->knowledge, lookup->witnesses, lookup->part_version});
 }
--- a/routing/include/egretladder/routing/version_evidence.h
+++ b/routing/include/egretladder/routing/version_evidence.h
@@ -58,7 +58,9 @@
   std::size_t answered = 0;  ///< Of those that were asked.
   /// Nodes that aren't suspected to be gone, this one included.
   std::size_t nodes = 1;
-  std::size_t recent_nodes = 1;  ///< The most nodes that were known of late.
+  /// The most nodes that were known within `kRetryFleetRetention`. Some that
+  /// are cut off from the others don't become the fleet by waiting.
+  std::size_t recent_nodes = 1;
 };
 
 /// Returns true if the witnesses and this node together may stand for all nodes
