--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -89,6 +89,7 @@
 struct VersionLookup {
   std::size_t unanswered = 0;  ///< Peers that were asked and haven't answered.
   routing::VersionWitnesses witnesses;  ///< The same peers.
+  bool is_own_confirmed = false;  ///< What this node knew when it asked them.
   routing::VersionKnowledge knowledge;  ///< Of this node and those that answer.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -48,7 +48,9 @@
   const routing::RoutedStream stream{
       KeyOfStream(call, request_id),
       net::FirstFieldValue(request.fields, "Host"), request.target};
-  return routing::MayHaveMoved(proxy.past_rules, stream, call.service->name,
+  // A peer may have handed it over by rules that have been replaced since.
+  return routing::LeadsElsewhere(*proxy.rules, stream, call.service->name) ||
+         routing::MayHaveMoved(proxy.past_rules, stream, call.service->name,
                                since);
 }
 
@@ -272,6 +274,7 @@
               const routing::VersionKnowledge& knowledge) {
   const auto lookup = std::make_shared<VersionLookup>();
   lookup->knowledge = knowledge;
+  lookup->is_own_confirmed = knowledge.confirmed_since.has_value();
   lookup->part_version = routing::FindPartVersion(proxy.streams, question.part);
   call->version_lookup = lookup;
   FinishLookupAfter(proxy, call, kVersionLookupTimeout);
@@ -347,9 +350,10 @@
   const auto lookup = asked.lock();
   if (lookup == nullptr || lookup != call->version_lookup) return;
   routing::VersionKnowledge knowledge = answer.knowledge;
-  const bool is_own_confirmed = lookup->knowledge.confirmed_since.has_value();
-  if (answer.is_confirmed || (is_own_confirmed && answer.leads_up_to_own))
+  if (answer.is_confirmed ||
+      (lookup->is_own_confirmed && answer.leads_up_to_own)) {
     knowledge.confirmed_since = knowledge.since;
+  }
   routing::Merge(lookup->knowledge, knowledge);
   if (answer.version != kUnknownVersion) lookup->version = answer.version;
   lookup->part_version =
--- a/routing/include/egretladder/routing/stream_service.h
+++ b/routing/include/egretladder/routing/stream_service.h
@@ -26,6 +26,10 @@
 /// 1, for `PickTarget`.
 double WeightPositionOf(StreamKey stream);
 
+/// Returns true if the rules send the stream to another service than `service`.
+bool LeadsElsewhere(const RouteTable& rules, const RoutedStream& stream,
+                    const std::string& service);
+
 /// Returns true if rules that were in force after `since` sent the stream to
 /// another service than `service`.
 bool MayHaveMoved(const RulesHistory& history, const RoutedStream& stream,
--- a/routing/src/stream_service.cc
+++ b/routing/src/stream_service.cc
@@ -48,17 +48,19 @@
   return kernel::HashToFraction(stream);
 }
 
+bool LeadsElsewhere(const RouteTable& rules, const RoutedStream& stream,
+                    const std::string& service) {
+  const Route* route = FindRoute(rules, stream.host, stream.target);
+  // Without a route no stream began.
+  return route != nullptr && ServiceOf(rules, *route, stream.key) != service;
+}
+
 bool MayHaveMoved(const RulesHistory& history, const RoutedStream& stream,
                   const std::string& service, Time since) {
   return std::any_of(history.retired.begin(), history.retired.end(),
                      [&](const RetiredRules& rules) {
-                       if (rules.retired_at < since) return false;
-                       const Route* route =
-                           FindRoute(*rules.table, stream.host, stream.target);
-                       // Without a route no stream began.
-                       return route != nullptr &&
-                              ServiceOf(*rules.table, *route, stream.key) !=
-                                  service;
+                       return rules.retired_at >= since &&
+                              LeadsElsewhere(*rules.table, stream, service);
                      });
 }
 
--- a/routing/tests/stream_service_test.cc
+++ b/routing/tests/stream_service_test.cc
@@ -70,6 +70,13 @@
   CHECK_FALSE(MayHaveMoved("b", kNow + 1s));
 }
 
+// Guards against a request that is handed over by rules which have been
+// replaced, and goes on at the service to which these led.
+TEST(StreamService, RulesInForceMayLeadElsewhere) {
+  CHECK_TRUE(er::LeadsElsewhere(*MakeRules({{"b", 1}}), stream, "a"));
+  CHECK_FALSE(er::LeadsElsewhere(*MakeRules({{"a", 1}}), stream, "a"));
+}
+
 // Guards against streams that are refused because some other route is new.
 TEST(StreamService, RulesWithoutTheRouteBeganNoStream) {
   stream.host = "other";
