Believe no majority about a stream's version while the store is away

Cause: "store-away" took the number of nodes that agree for knowledge of what the others see. Ruled out: the version was known and lost (the logs of the four nodes name v1 alone until the cut ends).

Now the version of each stream is written to its homes, not only while several versions are known, and while nobody reads the store a stream goes on only by its record. Telling dead nodes from those on the other side by refused connections was weighed and isn't sound, as a cut may refuse them too.

--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -75,7 +75,6 @@
 
 /// What a peer answers to that question.
 struct VersionAnswer {
-  bool is_answer = true;  ///< False: the peer can't be reached.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   /// Version of the endpoints that keep its part.
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
@@ -88,7 +87,6 @@
 /// A question to peers about the version that began a stream.
 struct VersionLookup {
   std::size_t unanswered = 0;  ///< Peers that were asked and haven't answered.
-  routing::VersionWitnesses witnesses;  ///< The same peers.
   bool is_own_confirmed = false;  ///< What this node knew when it asked them.
   routing::VersionKnowledge knowledge;  ///< Of this node and those that answer.
   routing::SoftwareVersion version = routing::kUnknownVersion;
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -80,12 +80,7 @@
                                      version};
   routing::RememberStream(proxy.streams, record, NowOf(proxy));
   // The node that serves a handed over request writes it.
-  const bool is_own = call.attempt->peer.empty();
-  const bool is_asked_for =
-      WasServedAtSeveralVersions(proxy, call) ||
-      MayHaveMoved(proxy, call, call.metadata.id,
-                   NowOf(proxy) - routing::kStreamRetention);
-  if (is_own && is_asked_for)
+  if (call.attempt->peer.empty())
     WriteToHomes(proxy, RecordKind::kStreams, {record});
 }
 
@@ -150,7 +145,6 @@
 // What is known of a stream that a call takes up.
 struct StreamEvidence {
   routing::VersionKnowledge knowledge;
-  routing::VersionWitnesses witnesses;
   // Version of the endpoints that keep its part of the prompt.
   routing::SoftwareVersion part_version = kUnknownVersion;
 };
@@ -207,8 +201,8 @@
 void DispatchUnknown(Proxy& proxy, const CallPtr& call,
                      const StreamEvidence& evidence) {
   const VersionVerdict verdict = routing::JudgeUnknownStream(
-      evidence.knowledge, evidence.witnesses, proxy.endpoints, *call->service,
-      call->earliest_begin, UnixNow(), NowOf(proxy));
+      evidence.knowledge, proxy.endpoints, *call->service, call->earliest_begin,
+      UnixNow(), NowOf(proxy));
   if (verdict != VersionVerdict::kUnknown) {
     Bind(proxy, call, evidence.knowledge.only, routing::NameOf(verdict));
     return;
@@ -239,10 +233,7 @@
     Bind(proxy, call, lookup->version, "peer");
     return;
   }
-  lookup->witnesses.nodes = 1 + proxy.members.contact_count;
-  lookup->witnesses.recent_nodes = proxy.members.long_peak.nodes;
-  DispatchUnknown(proxy, call,
-                  {lookup->knowledge, lookup->witnesses, lookup->part_version});
+  DispatchUnknown(proxy, call, {lookup->knowledge, lookup->part_version});
 }
 
 void FinishLookupAfter(Proxy& proxy, const CallPtr& call, milliseconds delay) {
@@ -280,7 +271,6 @@
   FinishLookupAfter(proxy, call, kVersionLookupTimeout);
   const auto peers = PeersToAsk(proxy, *call, question);
   lookup->unanswered = peers.size();
-  lookup->witnesses.asked = peers.size();
   for (const std::string& peer : peers)
     AskForVersion(proxy, call, question, peer);
   if (peers.empty()) FinishLookup(proxy, call);
@@ -315,6 +305,13 @@
     Dispatch(proxy, call);
     return;
   }
+  const StreamQuestion question = QuestionOf(*call);
+  const routing::SoftwareVersion version =
+      routing::FindVersion(proxy.streams, question.stream);
+  if (version != kUnknownVersion) {
+    Bind(proxy, call, version, "this-node");
+    return;
+  }
   const Time now = NowOf(proxy);
   call->earliest_begin =
       routing::EarliestBegin(*call->table, TimeLeftOfCaller(*call, now), now);
@@ -330,14 +327,7 @@
   }
   if (!knowledge.several && is_confirmed &&
       *knowledge.confirmed_since <= call->earliest_begin) {
-    DispatchUnknown(proxy, call, {knowledge, {}, kUnknownVersion});
-    return;
-  }
-  const StreamQuestion question = QuestionOf(*call);
-  const routing::SoftwareVersion version =
-      routing::FindVersion(proxy.streams, question.stream);
-  if (version != kUnknownVersion) {
-    Bind(proxy, call, version, "this-node");
+    DispatchUnknown(proxy, call, {knowledge, kUnknownVersion});
     return;
   }
   AskNodes(proxy, call, question, knowledge);
@@ -359,7 +349,6 @@
   lookup->part_version =
       routing::MergePartVersions(lookup->part_version, answer.part_version);
   --lookup->unanswered;
-  if (answer.is_answer) ++lookup->witnesses.answered;
   if (lookup->version != kUnknownVersion || lookup->unanswered == 0)
     FinishLookupAfter(proxy, call, {});
 }
--- a/routing/include/egretladder/routing/version_evidence.h
+++ b/routing/include/egretladder/routing/version_evidence.h
@@ -5,10 +5,11 @@
 // at any endpoint while a single version serves. Whether another version served
 // when it began, only a node can tell that has known all versions from then on
 // until the stream is taken up. The silence of one that has started meanwhile,
-// stood still or was cut off says nothing, and neither do two such nodes that
-// vouch for each other. The store is therefore read once more when a stream is
-// taken up (store_catch_up.cc in proxy). While nobody reads it, most of the
-// nodes together are believed. After a start of
+// stood still or was cut off says nothing, and neither do such nodes that vouch
+// for each other, however many they are: most of the nodes can be cut off
+// together. The store is therefore read once more when a stream is taken up
+// (store_catch_up.cc in proxy). While nobody reads it, only the record of the
+// stream at a node tells its version (stream_records.h). After a start of
 // all nodes nobody is left who can. Starts of endpoints show no release then:
 // old ones may leave long after the new ones have started. Where endpoints tell
 // what they keep of a stream, that decides (kept_parts.cc in proxy). Elsewhere
@@ -52,21 +53,6 @@
 Time EarliestBegin(const RouteTable& rules,
                    std::optional<milliseconds> time_left, Time now);
 
-/// The peers that were asked for the versions.
-struct VersionWitnesses {
-  std::size_t asked = 0;
-  std::size_t answered = 0;  ///< Of those that were asked.
-  /// Nodes that aren't suspected to be gone, this one included.
-  std::size_t nodes = 1;
-  /// The most nodes that were known within `kRetryFleetRetention`. Some that
-  /// are cut off from the others don't become the fleet by waiting.
-  std::size_t recent_nodes = 1;
-};
-
-/// Returns true if the witnesses and this node together may stand for all nodes
-/// while nobody reads the store. Few nodes that are cut off together don't.
-bool SpeakForFleet(const VersionWitnesses& witnesses);
-
 /// Returns true if the entry of an endpoint of the service shows, or can't
 /// exclude, that it started after `since`. Without any entry, as before the
 /// first list was read, nothing is excluded.
@@ -77,8 +63,6 @@
 enum class VersionVerdict : std::uint8_t {
   /// A node has known all versions since it began.
   kOneVersion,
-  /// The same as far as most nodes know, while nobody reads the store.
-  kStoreAway,
   /// No endpoint has started since, or shortly before. Only for services
   /// whose endpoints don't tell what they keep.
   kNoRelease,
@@ -90,7 +74,6 @@
 /// Decides about a stream that began no earlier than `earliest_begin`.
 /// `unix_now` is the wall clock time at `now`.
 VersionVerdict JudgeUnknownStream(const VersionKnowledge& knowledge,
-                                  const VersionWitnesses& witnesses,
                                   const EndpointSet& set,
                                   const Service& service, Time earliest_begin,
                                   UnixTime unix_now, Time now);
--- a/routing/src/version_evidence.cc
+++ b/routing/src/version_evidence.cc
@@ -10,10 +10,6 @@
   if (other && (!since || *other < *since)) since = other;
 }
 
-bool IsKnownSince(const std::optional<Time>& since, Time begin) {
-  return since && *since <= begin;
-}
-
 }  // namespace
 
 void Merge(VersionKnowledge& knowledge, const VersionKnowledge& other) {
@@ -53,22 +49,10 @@
                      });
 }
 
-bool SpeakForFleet(const VersionWitnesses& witnesses) {
-  // One of them may have just died.
-  const bool do_enough_answer = 2 * witnesses.answered >= witnesses.asked &&
-                                witnesses.answered + 1 >= witnesses.asked;
-  const std::size_t silent = witnesses.asked - witnesses.answered;
-  const bool are_most =
-      2 * witnesses.nodes > 2 * silent + witnesses.recent_nodes;
-  return are_most && do_enough_answer;
-}
-
 const char* NameOf(VersionVerdict verdict) {
   switch (verdict) {
     case VersionVerdict::kOneVersion:
       return "one-version";
-    case VersionVerdict::kStoreAway:
-      return "store-away";
     case VersionVerdict::kNoRelease:
       return "no-release";
     case VersionVerdict::kUnknown:
@@ -78,19 +62,16 @@
 }
 
 VersionVerdict JudgeUnknownStream(const VersionKnowledge& knowledge,
-                                  const VersionWitnesses& witnesses,
                                   const EndpointSet& set,
                                   const Service& service, Time earliest_begin,
                                   UnixTime unix_now, Time now) {
   // Without any version there is none to keep to.
   if (knowledge.several || knowledge.only == kUnknownVersion)
     return VersionVerdict::kUnknown;
-  if (IsKnownSince(knowledge.confirmed_since, earliest_begin))
+  // Nobody reads the store: another version may serve since.
+  if (!knowledge.confirmed_since) return VersionVerdict::kUnknown;
+  if (*knowledge.confirmed_since <= earliest_begin)
     return VersionVerdict::kOneVersion;
-  const bool is_current = knowledge.confirmed_since.has_value();
-  if (!is_current && !SpeakForFleet(witnesses)) return VersionVerdict::kUnknown;
-  if (!is_current && IsKnownSince(knowledge.since, earliest_begin))
-    return VersionVerdict::kStoreAway;
   // Its endpoints tell what they keep.
   if (service.generates) return VersionVerdict::kUnknown;
   const auto age =
