End the doubt about an endpoint's process by its own word

Cause: after a break another process may answer, so that no version is given to what begins there; that doubt ended by a changed entry alone, and a heartbeat changes `seq` only, which wakes no watch. Ruled out: records lost on their way to homes (the node that began the streams refused them, too).

Now the process's own word ends the doubt, if it was asked after the break, and whoever needs the version asks. `doubted_since` is apart from `broke_at`, which says whether an answer was proven. A bound stream asks an endpoint in doubt instead of waiting for its entry; without an answer it goes elsewhere.

--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -103,6 +103,7 @@
   ProcessCheck& operator=(const ProcessCheck&) = delete;
 
   routing::Placement placement;  ///< Of the attempt that waits for it.
+  Time asked_at{};
   net::HttpExchangePtr exchange;
   int status = 0;
   std::string body;
--- a/proxy/src/kept_parts.cc
+++ b/proxy/src/kept_parts.cc
@@ -22,14 +22,15 @@
 constexpr int kOk = 200;
 
 void OnKeptParts(Proxy& proxy, const routing::EndpointPtr& endpoint,
-                 const Page& page) {
+                 Time asked_at, const Page& page) {
   const auto read = proxy.kept_parts.reads.extract(endpoint->entry.id);
   const auto kept = page.status == kOk
                         ? proxy.dialect->read_kept_parts(page.body)
                         : std::nullopt;
   const bool is_same_process =
-      kept && routing::OnProcessStated(*endpoint, kept->started_unix_ms) !=
-                  routing::ProcessCheckResult::kReplaced;
+      kept &&
+      routing::OnProcessStated(*endpoint, kept->started_unix_ms, asked_at) !=
+          routing::ProcessCheckResult::kReplaced;
   kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo, "kept-parts",
                    {{"endpoint", endpoint->entry.id},
                     {"status", page.status},
@@ -54,8 +55,8 @@
       *proxy.loop, *proxy.client,
       {endpoint->entry.address, proxy.dialect->kept_parts_target(),
        kMaxKeptPartsBytes, kKeptPartsTimeout},
-      [&proxy, endpoint](const Page& page) {
-        OnKeptParts(proxy, endpoint, page);
+      [&proxy, endpoint, asked_at = NowOf(proxy)](const Page& page) {
+        OnKeptParts(proxy, endpoint, asked_at, page);
       });
 }
 
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -5,7 +5,8 @@
 // before. A stream that goes on there would hold events of two versions, and
 // one that begins there would be taken up at the wrong one. Few streams go on,
 // so that this is always asked for them; for those that begin only while
-// several versions are known.
+// several versions are known, or after a connection to the endpoint has broken.
+#include <algorithm>
 #include <utility>
 
 #include "state_p.h"
@@ -35,30 +36,38 @@
   routing::Endpoint& endpoint = *check.placement.endpoint;
   if (check.status == 0) {
     routing::OnConnectionLost(endpoint, NowOf(proxy));
+    routing::OnConnectFailed(endpoint, NowOf(proxy));
     return ProcessCheckResult::kNoAnswer;
   }
   if (check.status != kOk) return ProcessCheckResult::kUnclear;
   const std::uint64_t started = proxy.dialect->read_process_start(check.body);
-  const ProcessCheckResult result = routing::OnProcessStated(endpoint, started);
+  const ProcessCheckResult result =
+      routing::OnProcessStated(endpoint, started, check.asked_at);
   if (result == ProcessCheckResult::kReplaced)
     LogReplaced(call, endpoint, started);
   return result;
 }
 
+bool WasTried(const Call& call, const routing::EndpointPtr& endpoint) {
+  return std::find(call.tried_endpoints.begin(), call.tried_endpoints.end(),
+                   endpoint) != call.tried_endpoints.end();
+}
+
 // Returns true if the endpoint that was asked may serve the call. One that
 // doesn't state its start is taken for the one of its entry.
-bool MayServe(const routing::Demand& demand, ProcessCheckResult result) {
-  const bool is_bound = demand.version != routing::kUnknownVersion;
-  if (!is_bound && !demand.goes_on) return true;
+bool MayServe(const Call& call, const routing::EndpointPtr& endpoint,
+              ProcessCheckResult result) {
+  const bool is_bound = call.demand.version != routing::kUnknownVersion;
   switch (result) {
     case ProcessCheckResult::kSame:
     case ProcessCheckResult::kUnclear:
       return true;
     case ProcessCheckResult::kReplaced:
-      return false;
+      return !is_bound && !call.demand.goes_on;
     case ProcessCheckResult::kNoAnswer:
-      // Without a version to keep to, the attempt finds out like any other.
-      return !is_bound;
+      // Without a version to keep to and without another endpoint, the attempt
+      // finds out like any other.
+      return !is_bound && WasTried(call, endpoint);
   }
   return false;
 }
@@ -73,11 +82,13 @@
       std::string("result=\"") + routing::NameOf(result) + "\"");
   // The attempt reuses the connection of the report, so that the process which
   // answered gets it.
-  if (MayServe(call->demand, result)) {
+  if (MayServe(*call, check->placement.endpoint, result)) {
     StartAttempt(proxy, call, check->placement);
-  } else {
-    Dispatch(proxy, call);
+    return;
   }
+  if (result == ProcessCheckResult::kNoAnswer) ++call->not_sent;
+  call->tried_endpoints.push_back(check->placement.endpoint);
+  Dispatch(proxy, call);
 }
 
 net::ExchangeHandlers MakeCheckHandlers(Proxy& proxy, const CallPtr& call) {
@@ -115,6 +126,7 @@
   call->process_check = std::make_unique<ProcessCheck>();
   ProcessCheck& check = *call->process_check;
   check.placement = placement;
+  check.asked_at = NowOf(proxy);
   net::ExchangeRequest request;
   request.address = placement.endpoint->entry.address;
   request.head = net::FormatRequestHead("GET", proxy.dialect->report_target(),
@@ -136,7 +148,7 @@
 
 void StartCheckedAttempt(Proxy& proxy, const CallPtr& call,
                          const routing::Placement& placement) {
-  if (NeedsKnownProcess(proxy, *call)) {
+  if (NeedsKnownProcess(proxy, *call, *placement.endpoint)) {
     StartCheck(proxy, call, placement);
   } else {
     StartAttempt(proxy, call, placement);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -405,7 +405,8 @@
 bool RequireVersion(const Proxy& proxy, Call& call);
 /// Returns true if the version at which the call's next attempt is made must be
 /// known for sure: others take the stream up later, or it goes on with one.
-bool NeedsKnownProcess(const Proxy& proxy, const Call& call);
+bool NeedsKnownProcess(const Proxy& proxy, const Call& call,
+                       const routing::Endpoint& endpoint);
 /// Called when another process replaced the endpoint's: attempts there may have
 /// been answered by either.
 void OnProcessReplaced(Proxy& proxy, const routing::EndpointPtr& replaced);
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -365,12 +365,15 @@
   return !several || !is_lost;
 }
 
-bool NeedsKnownProcess(const Proxy& proxy, const Call& call) {
+bool NeedsKnownProcess(const Proxy& proxy, const Call& call,
+                       const routing::Endpoint& endpoint) {
   const bool may_be_taken_up =
       call.route->kind == routing::RouteKind::kStream &&
       routing::IsRouteRepeatable(*call.route);
-  return may_be_taken_up &&
-         (call.demand.goes_on || WasServedAtSeveralVersions(proxy, call));
+  const bool is_bound = call.demand.version != kUnknownVersion;
+  return may_be_taken_up && (call.demand.goes_on || is_bound ||
+                             !routing::IsVersionSure(endpoint) ||
+                             WasServedAtSeveralVersions(proxy, call));
 }
 
 void OnProcessReplaced(Proxy& proxy, const routing::EndpointPtr& replaced) {
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -163,8 +163,11 @@
   std::uint64_t name_hash = 0;
   SoftwareVersion version = kUnknownVersion;  ///< As its entry says.
   /// When a connection to it last broke or was refused; default: not since its
-  /// entry was last confirmed. See `IsVersionSure`.
+  /// entry was last confirmed.
   Time broke_at{};
+  /// Since when another process may answer at its address; default: it is the
+  /// one of its entry. See `IsVersionSure`.
+  Time doubted_since{};
   /// Another process answers at its address, of which its entry doesn't tell
   /// yet.
   bool is_replaced = false;
@@ -316,13 +319,15 @@
 /// process ends.
 void OnConnectionLost(Endpoint& endpoint, Time now);
 /// Returns false if another process may answer at the endpoint's address: a
-/// connection was lost, and its entry wasn't written again since, or the
-/// endpoint said so itself.
+/// connection was lost, and since then neither its entry was written again nor
+/// its process said that it is the one of its entry, or it said that it is
+/// another one.
 bool IsVersionSure(const Endpoint& endpoint);
 /// Records when the process that answers at the endpoint says that it started,
-/// in Unix milliseconds; 0: it doesn't say.
+/// in Unix milliseconds; 0: it doesn't say. It was asked at `asked_at`.
 ProcessCheckResult OnProcessStated(Endpoint& endpoint,
-                                   std::uint64_t started_unix_ms);
+                                   std::uint64_t started_unix_ms,
+                                   Time asked_at);
 /// Records a refused connection and starts or doubles the connect backoff.
 void OnConnectFailed(Endpoint& endpoint, Time now);
 /// Records an attempt that ended without a valid answer.
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -149,6 +149,7 @@
     return EntryChange::kRestarted;
   }
   if (now - known.broke_at > kMaxEntryDelay) known.broke_at = {};
+  if (now - known.doubted_since > kMaxEntryDelay) known.doubted_since = {};
   const bool was_leaving = known.phase == EndpointPhase::kLeaving;
   const bool was_cold = now < known.cold_until;
   const bool same = known.entry.slots == entry.slots &&
@@ -225,20 +226,26 @@
   return now - endpoint.last_heard_at < kRecentlyHeardWindow;
 }
 
-void OnConnectionLost(Endpoint& endpoint, Time now) { endpoint.broke_at = now; }
+void OnConnectionLost(Endpoint& endpoint, Time now) {
+  endpoint.broke_at = now;
+  endpoint.doubted_since = now;
+}
 
 bool IsVersionSure(const Endpoint& endpoint) {
-  return endpoint.broke_at == Time{} && !endpoint.is_replaced;
+  return endpoint.doubted_since == Time{} && !endpoint.is_replaced;
 }
 
 ProcessCheckResult OnProcessStated(Endpoint& endpoint,
-                                   std::uint64_t started_unix_ms) {
+                                   std::uint64_t started_unix_ms,
+                                   Time asked_at) {
   const std::uint64_t published = endpoint.entry.started_unix_ms;
   if (published == 0 || started_unix_ms == 0)
     return ProcessCheckResult::kUnclear;
   endpoint.is_replaced = started_unix_ms != published;
-  return endpoint.is_replaced ? ProcessCheckResult::kReplaced
-                              : ProcessCheckResult::kSame;
+  if (endpoint.is_replaced) return ProcessCheckResult::kReplaced;
+  // An answer from before the break says nothing of the time after it.
+  if (asked_at >= endpoint.doubted_since) endpoint.doubted_since = {};
+  return ProcessCheckResult::kSame;
 }
 
 const char* NameOf(ProcessCheckResult result) {
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -144,12 +144,13 @@
          endpoint.version == demand.version;
 }
 
-// An endpoint whose process may have been replaced by one of another version
-// gets no request that needs a version until its entry is written again, and
-// none that goes on with a stream if its process is known to be another one.
+// An endpoint whose process is known to be another one than that of its entry
+// gets no request that needs a version or goes on with a stream until its entry
+// is written again. One that is merely in doubt is asked before each of them.
 bool MustWaitForEntry(const Endpoint& endpoint, const Demand& demand) {
-  if (demand.goes_on && endpoint.is_replaced) return true;
-  return demand.version != kUnknownVersion && !IsVersionSure(endpoint);
+  const bool needs_version =
+      demand.goes_on || demand.version != kUnknownVersion;
+  return needs_version && endpoint.is_replaced;
 }
 
 UsableEndpoints FindUsable(const EndpointSet& set, const Demand& demand,
--- a/routing/tests/endpoints_test.cc
+++ b/routing/tests/endpoints_test.cc
@@ -146,3 +146,45 @@
   CHECK(er::HasCachedPart(endpoint, er::kMaxPromptParts + 1, kStart + 1s));
   CHECK_FALSE(er::HasCachedPart(endpoint, 1, kStart + 1s));
 }
+
+// Guards against a doubt about an endpoint's process that never ends, and one
+// that ends without evidence.
+TEST(Endpoints, ItsProcessEndsTheDoubtAfterABreak) {
+  er::OnEntryPublished(set, MakeEntry("x"), kStart);
+  er::Endpoint& endpoint = *set.by_id.at("x");
+  CHECK(er::IsVersionSure(endpoint));
+  er::OnConnectionLost(endpoint, kStart + 10s);
+  CHECK_FALSE(er::IsVersionSure(endpoint));
+  // Asked before the break, or answered without a start.
+  er::OnProcessStated(endpoint, 100, kStart + 9s);
+  er::OnProcessStated(endpoint, 0, kStart + 11s);
+  CHECK_FALSE(er::IsVersionSure(endpoint));
+  CHECK(er::OnProcessStated(endpoint, 100, kStart + 11s) ==
+        er::ProcessCheckResult::kSame);
+  CHECK(er::IsVersionSure(endpoint));
+  er::OnConnectionLost(endpoint, kStart + 12s);
+  CHECK_FALSE(er::IsVersionSure(endpoint));
+}
+
+// Guards against another process's word that is taken for that of the entry's.
+TEST(Endpoints, AnotherProcessKeepsTheVersionInDoubt) {
+  er::OnEntryPublished(set, MakeEntry("x"), kStart);
+  er::Endpoint& endpoint = *set.by_id.at("x");
+  CHECK(er::OnProcessStated(endpoint, 200, kStart + 1s) ==
+        er::ProcessCheckResult::kReplaced);
+  CHECK_FALSE(er::IsVersionSure(endpoint));
+  er::EndpointEntry entry = MakeEntry("x");
+  entry.started_unix_ms = 200;
+  er::OnEntryPublished(set, entry, kStart + 2s);
+  CHECK(er::IsVersionSure(*set.by_id.at("x")));
+}
+
+// Guards against an excuse for a request whose endpoint broke off another one:
+// the process's word tells nothing of what ran before.
+TEST(Endpoints, ABreakStaysKnownAfterTheDoubt) {
+  er::OnEntryPublished(set, MakeEntry("x"), kStart);
+  er::Endpoint& endpoint = *set.by_id.at("x");
+  er::OnConnectionLost(endpoint, kStart + 10s);
+  er::OnProcessStated(endpoint, 100, kStart + 11s);
+  CHECK(endpoint.broke_at == kStart + 10s);
+}
