Read the store before a stream is refused for want of its version's endpoints

A node that has the record of a stream bound it at once and refused it, if it had not read yet that endpoints of the version serve: 503 where a moment later they are known. OutOfStep.ATakeUpThatIsReadBeforeTheStoreGoesOnAtItsVersion failed once of eight runs since records are used before the store is read; the peers' news mostly come first, which hid it.

Such a stream now waits for one read of the store's news, 100 ms at most, as a stream without a record does.

--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -129,10 +129,37 @@
                     {"waited_ms", Elapsed(call.arrived_at, NowOf(proxy))}});
 }
 
+bool HasEndpointOf(const Proxy& proxy, const std::string& service,
+                   routing::SoftwareVersion version) {
+  const auto at = proxy.endpoints.versions_by_service.find(service);
+  return at != proxy.endpoints.versions_by_service.end() &&
+         at->second.contains(version);
+}
+
+// Reads the store's latest news before the call's stream is judged.
+void CatchUp(Proxy& proxy, const CallPtr& call) {
+  call->version_lookup = std::make_shared<VersionLookup>();
+  CatchUpWithStore(
+      proxy, [&proxy, weak_call = std::weak_ptr<Call>(call),
+              lookup = std::weak_ptr<VersionLookup>(call->version_lookup)] {
+        const auto locked = weak_call.lock();
+        if (locked == nullptr || lookup.expired()) return;
+        locked->version_lookup = nullptr;
+        locked->has_caught_up = true;
+        DispatchAtItsVersion(proxy, locked);
+      });
+}
+
 void Bind(Proxy& proxy, const CallPtr& call, routing::SoftwareVersion version,
           const char* how) {
   call->version = version;
   LogTakenUp(proxy, *call, how);
+  // Its endpoints may be among the store's latest news.
+  if (!call->has_caught_up &&
+      !HasEndpointOf(proxy, call->service->name, version)) {
+    CatchUp(proxy, call);
+    return;
+  }
   Dispatch(proxy, call);
 }
 
@@ -276,20 +303,6 @@
   if (peers.empty()) FinishLookup(proxy, call);
 }
 
-// Reads the store's latest news before the call's stream is judged.
-void CatchUp(Proxy& proxy, const CallPtr& call) {
-  call->version_lookup = std::make_shared<VersionLookup>();
-  CatchUpWithStore(
-      proxy, [&proxy, weak_call = std::weak_ptr<Call>(call),
-              lookup = std::weak_ptr<VersionLookup>(call->version_lookup)] {
-        const auto locked = weak_call.lock();
-        if (locked == nullptr || lookup.expired()) return;
-        locked->version_lookup = nullptr;
-        locked->has_caught_up = true;
-        DispatchAtItsVersion(proxy, locked);
-      });
-}
-
 }  // namespace
 
 void OnStreamBegan(Proxy& proxy, Call& call) {
