Ask who answers before a stream opens a new connection

Callers got streams with events of two versions: a process of another version took an endpoint's place under its id, streams began there before its entry was read, were recorded at the version of the entry before, and went on at it.

Cause: what answers at an address was taken for the process of its entry unless a connection of this node had broken. A connection ends with its process, so that one report on each new connection tells; the request follows on the same one. A later start than the entry's sends the stream to another endpoint; with none left it begins without a version.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -84,6 +84,8 @@
 
   /// Sends a request. No handler is called before this returns.
   HttpExchangePtr Start(ExchangeRequest request, ExchangeHandlers handlers);
+  /// Returns true if a request to the address would reuse an idle connection.
+  bool HasReusable(const std::string& address, ConnectionReuse reuse) const;
   /// Number of connections opened so far.
   std::uint64_t connections_opened() const;
 
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -401,6 +401,16 @@
   return exchange;
 }
 
+bool HttpClient::HasReusable(const std::string& address,
+                             ConnectionReuse reuse) const {
+  if (reuse == ConnectionReuse::kNone) return false;
+  const auto at = state_->idle.find(address);
+  const kernel::Time now = kernel::Now(state_->loop->clock);
+  return at != state_->idle.end() && !at->second.empty() &&
+         IsReusable(*at->second.back(), reuse, now) &&
+         PendingInput(at->second.back()->buffer.get()).empty();
+}
+
 std::uint64_t HttpClient::connections_opened() const {
   return state_->connections_opened;
 }
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -105,7 +105,8 @@
   routing::Placement placement;  ///< Of the attempt that waits for it.
   Time asked_at{};
   net::HttpExchangePtr exchange;
-  int status = 0;
+  int status = 0;           ///< 0: no answer.
+  bool is_refused = false;  ///< No connection was opened.
   std::string body;
   kernel::EventWatcher timer;  ///< Ends the question.
 };
@@ -125,6 +126,9 @@
   Time deadline{};
   /// Endpoints of the attempts that may have run.
   std::vector<routing::EndpointPtr> tried_endpoints;
+  /// Endpoints that were asked before an attempt and didn't say that their
+  /// process wrote their entry.
+  std::vector<routing::EndpointPtr> unidentified_endpoints;
   std::vector<std::string> tried_peers;  ///< Peers of all handovers.
   /// A peer handed the request over. It is not handed over again.
   bool handed_over = false;
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -4,8 +4,9 @@
 // another software version, and its entry tells the version of the process
 // before. A stream that goes on there would hold events of two versions, and
 // one that begins there would be taken up at the wrong one. Few streams go on,
-// so that this is always asked for them; for those that begin only while
-// several versions are known, or after a connection to the endpoint has broken.
+// so that this is always asked for them. Those that begin ask while several
+// versions are known, after a connection to the endpoint has broken, and before
+// they open a new one: it may lead to another process than the ones before.
 #include <algorithm>
 #include <utility>
 
@@ -36,7 +37,10 @@
   routing::Endpoint& endpoint = *check.placement.endpoint;
   if (check.status == 0) {
     routing::OnConnectionLost(endpoint, NowOf(proxy));
-    routing::OnConnectFailed(endpoint, NowOf(proxy));
+    // A call that is bound to a version would ask it again and again.
+    const bool is_bound = call.demand.version != routing::kUnknownVersion;
+    if (is_bound || check.is_refused)
+      routing::OnConnectFailed(endpoint, NowOf(proxy));
     return ProcessCheckResult::kNoAnswer;
   }
   if (check.status != kOk) return ProcessCheckResult::kUnclear;
@@ -48,28 +52,22 @@
   return result;
 }
 
-bool WasTried(const Call& call, const routing::EndpointPtr& endpoint) {
-  return std::find(call.tried_endpoints.begin(), call.tried_endpoints.end(),
-                   endpoint) != call.tried_endpoints.end();
+// Returns true if the process that answered may serve the call. One that
+// doesn't state its start is taken for the one of the entry.
+bool MayServe(ProcessCheckResult result) {
+  return result == ProcessCheckResult::kSame ||
+         result == ProcessCheckResult::kUnclear;
 }
 
-// Returns true if the endpoint that was asked may serve the call. One that
-// doesn't state its start is taken for the one of its entry.
-bool MayServe(const Call& call, const routing::EndpointPtr& endpoint,
-              ProcessCheckResult result) {
+// Returns true if the endpoint was asked in vain, and is tried all the same:
+// the call keeps to no version, and no other endpoint is left.
+bool IsLastResort(const Call& call, const routing::EndpointPtr& endpoint) {
+  const auto& asked = call.unidentified_endpoints;
+  const bool was_asked =
+      std::find(asked.begin(), asked.end(), endpoint) != asked.end();
   const bool is_bound = call.demand.version != routing::kUnknownVersion;
-  switch (result) {
-    case ProcessCheckResult::kSame:
-    case ProcessCheckResult::kUnclear:
-      return true;
-    case ProcessCheckResult::kReplaced:
-      return !is_bound && !call.demand.goes_on;
-    case ProcessCheckResult::kNoAnswer:
-      // Without a version to keep to and without another endpoint, the attempt
-      // finds out like any other.
-      return !is_bound && WasTried(call, endpoint);
-  }
-  return false;
+  return was_asked && !is_bound &&
+         !(call.demand.goes_on && endpoint->is_replaced);
 }
 
 void FinishCheck(Proxy& proxy, const CallPtr& call) {
@@ -82,12 +80,13 @@
       std::string("result=\"") + routing::NameOf(result) + "\"");
   // The attempt reuses the connection of the report, so that the process which
   // answered gets it.
-  if (MayServe(*call, check->placement.endpoint, result)) {
+  if (MayServe(result)) {
     StartAttempt(proxy, call, check->placement);
     return;
   }
   if (result == ProcessCheckResult::kNoAnswer) ++call->not_sent;
   call->tried_endpoints.push_back(check->placement.endpoint);
+  call->unidentified_endpoints.push_back(check->placement.endpoint);
   Dispatch(proxy, call);
 }
 
@@ -111,11 +110,13 @@
   handlers.on_end = [&proxy, weak_call] {
     if (const auto locked = weak_call.lock()) FinishCheck(proxy, locked);
   };
-  handlers.on_error = [&proxy, weak_call](net::ExchangeError /*error*/,
+  handlers.on_error = [&proxy, weak_call](net::ExchangeError error,
                                           const std::string& /*detail*/) {
     const auto locked = weak_call.lock();
     if (locked == nullptr) return;
     locked->process_check->status = 0;
+    locked->process_check->is_refused =
+        error == net::ExchangeError::kNotConnected;
     FinishCheck(proxy, locked);
   };
   return handlers;
@@ -148,7 +149,8 @@
 
 void StartCheckedAttempt(Proxy& proxy, const CallPtr& call,
                          const routing::Placement& placement) {
-  if (NeedsKnownProcess(proxy, *call, *placement.endpoint)) {
+  if (NeedsKnownProcess(proxy, *call, *placement.endpoint) &&
+      !IsLastResort(*call, placement.endpoint)) {
     StartCheck(proxy, call, placement);
   } else {
     StartAttempt(proxy, call, placement);
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -384,8 +384,12 @@
       call.route->kind == routing::RouteKind::kStream &&
       routing::IsRouteRepeatable(*call.route);
   const bool is_bound = call.demand.version != kUnknownVersion;
-  return may_be_taken_up && (call.demand.goes_on || is_bound ||
-                             !routing::IsVersionSure(endpoint) ||
+  // A connection ends with the process at its other end. Who answers a new one
+  // is not known.
+  const bool is_known = routing::IsVersionSure(endpoint) &&
+                        proxy.client->HasReusable(endpoint.entry.address,
+                                                  net::ConnectionReuse::kAny);
+  return may_be_taken_up && (call.demand.goes_on || is_bound || !is_known ||
                              WasServedAtSeveralVersions(proxy, call));
 }
 
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -241,8 +241,13 @@
   const std::uint64_t published = endpoint.entry.started_unix_ms;
   if (published == 0 || started_unix_ms == 0)
     return ProcessCheckResult::kUnclear;
-  endpoint.is_replaced = started_unix_ms != published;
+  endpoint.is_replaced = started_unix_ms > published;
   if (endpoint.is_replaced) return ProcessCheckResult::kReplaced;
+  if (started_unix_ms < published) {
+    // The process before still answers: the entry's own is asked another time.
+    endpoint.doubted_since = std::max(endpoint.doubted_since, asked_at);
+    return ProcessCheckResult::kReplaced;
+  }
   // An answer from before the break says nothing of the time after it.
   if (asked_at >= endpoint.doubted_since) endpoint.doubted_since = {};
   return ProcessCheckResult::kSame;
--- a/routing/tests/endpoints_test.cc
+++ b/routing/tests/endpoints_test.cc
@@ -188,3 +188,16 @@
   er::OnProcessStated(endpoint, 100, kStart + 11s);
   CHECK(endpoint.broke_at == kStart + 10s);
 }
+
+// Guards against an endpoint that is kept out for good, as its process before
+// answers on a connection that still lives.
+TEST(Endpoints, ThePredecessorsWordLeavesADoubtOnly) {
+  er::OnEntryPublished(set, MakeEntry("x"), kStart);
+  er::Endpoint& endpoint = *set.by_id.at("x");
+  CHECK(er::OnProcessStated(endpoint, 50, kStart + 1s) ==
+        er::ProcessCheckResult::kReplaced);
+  CHECK_FALSE(endpoint.is_replaced);
+  CHECK_FALSE(er::IsVersionSure(endpoint));
+  er::OnProcessStated(endpoint, 100, kStart + 2s);
+  CHECK(er::IsVersionSure(endpoint));
+}
