Bound the questions to an endpoint, and keep each connection's answer with it

Now a call that keeps to a version needs a clear word from an endpoint in doubt, one call asks an endpoint twice at most and is then refused or broken off, a process of another start serves nothing that goes on, the connection that was asked carries the start that was told, and records are handed on at each stop.

Tests, red on the form before, green now: four in BrokenAnswers and UnreadEntry, OutOfStep.NodesThatStopHandTheirRecordsOn.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -84,8 +84,13 @@
 
   /// Sends a request. No handler is called before this returns.
   HttpExchangePtr Start(ExchangeRequest request, ExchangeHandlers handlers);
-  /// Returns true if a request to the address would reuse an idle connection.
-  bool HasReusable(const std::string& address, ConnectionReuse reuse) const;
+  /// Marks the idle connection to the address that was used last, if there is
+  /// one, with what the caller knows of its other end.
+  void MarkReusable(const std::string& address, std::uint64_t mark);
+  /// Returns true if a request to the address would reuse a connection with
+  /// that mark. A new connection has the mark 0.
+  bool HasReusable(const std::string& address, ConnectionReuse reuse,
+                   std::uint64_t mark) const;
   /// Number of connections opened so far.
   std::uint64_t connections_opened() const;
 
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -26,6 +26,7 @@
   // From the last answer; 0: not stated.
   std::chrono::milliseconds keep_alive_timeout{};
   kernel::Time idle_since{};
+  std::uint64_t mark = 0;  // See `HttpClient::MarkReusable`.
 };
 using ConnectionPtr = std::unique_ptr<Connection>;
 
@@ -401,14 +402,21 @@
   return exchange;
 }
 
-bool HttpClient::HasReusable(const std::string& address,
-                             ConnectionReuse reuse) const {
+void HttpClient::MarkReusable(const std::string& address, std::uint64_t mark) {
+  const auto at = state_->idle.find(address);
+  if (at != state_->idle.end() && !at->second.empty())
+    at->second.back()->mark = mark;
+}
+
+bool HttpClient::HasReusable(const std::string& address, ConnectionReuse reuse,
+                             std::uint64_t mark) const {
   if (reuse == ConnectionReuse::kNone) return false;
   const auto at = state_->idle.find(address);
-  const kernel::Time now = kernel::Now(state_->loop->clock);
-  return at != state_->idle.end() && !at->second.empty() &&
-         IsReusable(*at->second.back(), reuse, now) &&
-         PendingInput(at->second.back()->buffer.get()).empty();
+  if (at == state_->idle.end() || at->second.empty()) return false;
+  const Connection& last = *at->second.back();
+  return last.mark == mark &&
+         IsReusable(last, reuse, kernel::Now(state_->loop->clock)) &&
+         PendingInput(last.buffer.get()).empty();
 }
 
 std::uint64_t HttpClient::connections_opened() const {
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -153,6 +153,9 @@
 inline constexpr milliseconds kUnknownStreamRetryDelay{200};
 /// How long an attempt waits for the endpoint to say which process it is.
 inline constexpr milliseconds kProcessCheckTimeout{300};
+/// Questions of one call to an endpoint that doesn't say that its process wrote
+/// its entry.
+inline constexpr std::size_t kMaxProcessChecks = 2;
 /// How long a request waits, from its arrival, for what nodes that have just
 /// started may learn about its stream. Callers give up after two seconds.
 inline constexpr milliseconds kUnknownStreamPatience{1000};
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -111,6 +111,12 @@
   kernel::EventWatcher timer;  ///< Ends the question.
 };
 
+/// An endpoint that was asked for its process in vain.
+struct UnidentifiedEndpoint {
+  routing::EndpointPtr endpoint;
+  routing::ProcessCheckResult result;
+};
+
 /// One request of a caller.
 struct Call {
   std::uint64_t number = 0;
@@ -127,8 +133,8 @@
   /// Endpoints of the attempts that may have run.
   std::vector<routing::EndpointPtr> tried_endpoints;
   /// Endpoints that were asked before an attempt and didn't say that their
-  /// process wrote their entry.
-  std::vector<routing::EndpointPtr> unidentified_endpoints;
+  /// process wrote their entry, once for each question.
+  std::vector<UnidentifiedEndpoint> unidentified_endpoints;
   std::vector<std::string> tried_peers;  ///< Peers of all handovers.
   /// A peer handed the request over. It is not handed over again.
   bool handed_over = false;
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -73,16 +73,6 @@
 }
 
 // Ends a call that is sent to no further endpoint.
-void RefuseOrAbort(Proxy& proxy, const CallPtr& call, const char* code,
-                   milliseconds retry_after) {
-  if (call->caller->begun()) {
-    call->caller->Abort();
-    EndCall(proxy, call, "broke-off");
-    return;
-  }
-  RefuseCall(proxy, call, call->may_have_run > 0 ? kBadGateway : kUnavailable,
-             code, retry_after);
-}
 
 void RefuseSuspect(Proxy& proxy, const CallPtr& call, milliseconds hold_time) {
   IncrementCounter(proxy, "egretladder_held_requests_total",
@@ -223,6 +213,17 @@
   RouteAndDispatch(proxy, caller, NowOf(proxy), nullptr);
 }
 
+void RefuseOrAbort(Proxy& proxy, const CallPtr& call, const char* code,
+                   milliseconds retry_after) {
+  if (call->caller->begun()) {
+    call->caller->Abort();
+    EndCall(proxy, call, "broke-off");
+    return;
+  }
+  RefuseCall(proxy, call, call->may_have_run > 0 ? kBadGateway : kUnavailable,
+             code, retry_after);
+}
+
 void RouteAndDispatch(Proxy& proxy, const net::HttpCallPtr& caller,
                       Time arrived_at, const HandoverHeader* handover) {
   const CallPtr call = MakeRoutedCall(proxy, caller, arrived_at, handover);
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -37,10 +37,7 @@
   routing::Endpoint& endpoint = *check.placement.endpoint;
   if (check.status == 0) {
     routing::OnConnectionLost(endpoint, NowOf(proxy));
-    // A call that is bound to a version would ask it again and again.
-    const bool is_bound = call.demand.version != routing::kUnknownVersion;
-    if (is_bound || check.is_refused)
-      routing::OnConnectFailed(endpoint, NowOf(proxy));
+    if (check.is_refused) routing::OnConnectFailed(endpoint, NowOf(proxy));
     return ProcessCheckResult::kNoAnswer;
   }
   if (check.status != kOk) return ProcessCheckResult::kUnclear;
@@ -52,22 +49,41 @@
   return result;
 }
 
+bool IsBound(const Call& call) {
+  return call.demand.version != routing::kUnknownVersion;
+}
+
 // Returns true if the process that answered may serve the call. One that
-// doesn't state its start is taken for the one of the entry.
-bool MayServe(ProcessCheckResult result) {
+// doesn't state its start is taken for the one of the entry, unless that is in
+// doubt and the call keeps to a version.
+bool MayServe(const Call& call, const routing::Endpoint& endpoint,
+              ProcessCheckResult result) {
   return result == ProcessCheckResult::kSame ||
-         result == ProcessCheckResult::kUnclear;
+         (result == ProcessCheckResult::kUnclear &&
+          (!IsBound(call) || routing::IsVersionSure(endpoint)));
 }
 
 // Returns true if the endpoint was asked in vain, and is tried all the same:
 // the call keeps to no version, and no other endpoint is left.
 bool IsLastResort(const Call& call, const routing::EndpointPtr& endpoint) {
   const auto& asked = call.unidentified_endpoints;
-  const bool was_asked =
-      std::find(asked.begin(), asked.end(), endpoint) != asked.end();
-  const bool is_bound = call.demand.version != routing::kUnknownVersion;
-  return was_asked && !is_bound &&
-         !(call.demand.goes_on && endpoint->is_replaced);
+  return !IsBound(call) &&
+         std::any_of(asked.begin(), asked.end(),
+                     [&call, &endpoint](const UnidentifiedEndpoint& each) {
+                       const bool is_known_to_serve_another_version =
+                           call.demand.goes_on &&
+                           each.result != ProcessCheckResult::kNoAnswer;
+                       return each.endpoint == endpoint &&
+                              !is_known_to_serve_another_version;
+                     });
+}
+
+std::size_t CountQuestions(const Call& call,
+                           const routing::EndpointPtr& endpoint) {
+  const auto& asked = call.unidentified_endpoints;
+  return static_cast<std::size_t>(std::count_if(
+      asked.begin(), asked.end(),
+      [&endpoint](const auto& each) { return each.endpoint == endpoint; }));
 }
 
 void FinishCheck(Proxy& proxy, const CallPtr& call) {
@@ -80,13 +96,23 @@
       std::string("result=\"") + routing::NameOf(result) + "\"");
   // The attempt reuses the connection of the report, so that the process which
   // answered gets it.
-  if (MayServe(result)) {
+  const routing::EndpointPtr& endpoint = check->placement.endpoint;
+  if (result == ProcessCheckResult::kSame) {
+    proxy.client->MarkReusable(endpoint->entry.address,
+                               endpoint->entry.started_unix_ms);
+  }
+  if (MayServe(*call, *endpoint, result)) {
     StartAttempt(proxy, call, check->placement);
     return;
   }
   if (result == ProcessCheckResult::kNoAnswer) ++call->not_sent;
-  call->tried_endpoints.push_back(check->placement.endpoint);
-  call->unidentified_endpoints.push_back(check->placement.endpoint);
+  call->tried_endpoints.push_back(endpoint);
+  call->unidentified_endpoints.push_back({endpoint, result});
+  if (CountQuestions(*call, endpoint) >= kMaxProcessChecks &&
+      !IsLastResort(*call, endpoint)) {
+    RefuseOrAbort(proxy, call, "unknown_process", kUnknownStreamRetryDelay);
+    return;
+  }
   Dispatch(proxy, call);
 }
 
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -49,7 +49,6 @@
 /// may close the connection whose message caused it.
 struct StreamWork {
   bool hand_on = false;  ///< Write all streams to their homes.
-  Time moved_at{};       ///< When rules last moved streams; default: never.
   /// Calls whose endpoint's process was replaced.
   std::vector<CallPtr> replaced;
   kernel::EventWatcher timer;
@@ -307,6 +306,10 @@
 /// `retry_after` only if the request has not run.
 void RefuseCall(Proxy& proxy, const CallPtr& call, int status, const char* code,
                 milliseconds retry_after);
+/// The same, or breaks the answer off if it has begun. An attempt that may have
+/// run makes it 502.
+void RefuseOrAbort(Proxy& proxy, const CallPtr& call, const char* code,
+                   milliseconds retry_after);
 /// Returns the key of a hash of the account, target and body. A caller that
 /// sends the same request again under another id gets the same fingerprint.
 std::uint64_t GetFingerprint(Call& call);
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -387,8 +387,9 @@
   // A connection ends with the process at its other end. Who answers a new one
   // is not known.
   const bool is_known = routing::IsVersionSure(endpoint) &&
-                        proxy.client->HasReusable(endpoint.entry.address,
-                                                  net::ConnectionReuse::kAny);
+                        proxy.client->HasReusable(
+                            endpoint.entry.address, net::ConnectionReuse::kAny,
+                            endpoint.entry.started_unix_ms);
   return may_be_taken_up && (call.demand.goes_on || is_bound || !is_known ||
                              WasServedAtSeveralVersions(proxy, call));
 }
@@ -429,17 +430,11 @@
 
 void OnRulesReplaced(Proxy& proxy, const routing::RouteTable& before) {
   if (!routing::MoveStreams(before, *proxy.rules)) return;
-  proxy.stream_work.moved_at = NowOf(proxy);
   proxy.stream_work.hand_on = true;
   ScheduleStreamWork(proxy);
 }
 
 void HandOnStreams(Proxy& proxy) {
-  const Time now = NowOf(proxy);
-  const Time moved_at = proxy.stream_work.moved_at;
-  const bool have_moved =
-      moved_at != Time{} && now - moved_at < routing::kStreamRetention;
-  if (!have_moved && !routing::WereSeveralVersions(proxy.streams, now)) return;
   WriteToHomes(proxy, RecordKind::kStreams, routing::AllStreams(proxy.streams));
 }
 
