Ask whether a process lives on before an unframed answer counts as whole

What callers saw: when an engine's process ended (killed, replaced, or lost), a stream without a length or chunks ended as complete before its last event, and a plain answer came as 200 with a short body, framed as whole.

Cause: the end of a connection was taken for the end of the answer. A process that ends closes its connections in good order, too. The answer was then framed for the caller, so that a doubt which the caller could have seen became a claim. Class: evidence of one thing is taken for evidence of another.

Ruled out: resets were never taken for an end (cut_answers tests, every byte); framed answers that stop short neither.

Change: the HTTP client tells whether framing or the connection ended an answer. If only the connection did, the endpoint's report is asked for its start, by the question that is asked before streams (process_question.cc, taken out of process_checks.cc): the same start proves the answer whole. No answer or another start means that it broke off: a stream goes on elsewhere from its last event, a body is asked for again where that is allowed, else 502. If the process answers and doesn't say, a body is passed on without framing, and a stream goes on elsewhere or breaks off. Endpoints that publish no start can't be asked: what their connection ends is passed on as just that. A proven end also excuses a request that is suspected of crashing endpoints, and one that ended with its process counts as a break. An answer without framing that is broken off delivers what was sent before its connection is reset.

Tests that change: CutAnswers (proxy) took unframed parts of endpoints without a start for whole answers; they must now reach the caller unframed, and every cut of any other answer as before. The client's own CutAnswers also checks what ended each answer.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -30,6 +30,12 @@
   kSkip,
 };
 
+/// What showed that an answer has ended.
+enum class AnswerEnd : std::uint8_t {
+  kFraming,     ///< Its length or its last chunk, or it has no body.
+  kConnection,  ///< The end of the connection alone, as when a process ends.
+};
+
 /// Handlers of an exchange, called from the event loop. None is called after
 /// `on_end` or `on_error`. A handler may cancel its own exchange.
 struct ExchangeHandlers {
@@ -40,7 +46,7 @@
   std::function<bool()> may_send;
   std::function<HeadVerdict(const HttpAnswerHead&)> on_head;
   std::function<void(std::string_view piece)> on_body;
-  std::function<void()> on_end;
+  std::function<void(AnswerEnd)> on_end;
   std::function<void(ExchangeError, const std::string& detail)> on_error;
 };
 
--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -63,7 +63,10 @@
               std::string_view body);
   /// Sends the head of an answer whose length is not known yet. If one has
   /// begun already, the call is aborted instead, and an error is logged.
-  void Begin(int status, std::string_view reason, const HttpFields& fields);
+  /// `kNone`: its end is the end of the connection, as it always is for callers
+  /// that don't support chunks.
+  void Begin(int status, std::string_view reason, const HttpFields& fields,
+             BodyFraming framing = BodyFraming::kChunked);
   /// Sends a piece of its body.
   void Send(std::string_view piece);
   /// Ends the answer regularly.
@@ -73,6 +76,8 @@
 
   /// The head of an answer was sent by `Begin`.
   bool begun() const { return begun_; }
+  /// The answer that has begun says itself where it ends.
+  bool framed() const { return chunked_; }
   /// The call has ended, or the caller has disconnected.
   bool over() const { return connection_ == nullptr; }
   /// Bytes of the output buffer that were not sent yet.
--- a/net/src/http_call.cc
+++ b/net/src/http_call.cc
@@ -48,10 +48,10 @@
 }
 
 void HttpCall::Begin(int status, std::string_view reason,
-                     const HttpFields& fields) {
+                     const HttpFields& fields, BodyFraming framing) {
   if (over() || AbortIfBegun(status)) return;
   begun_ = true;
-  chunked_ = request_.supports_chunked;
+  chunked_ = framing == BodyFraming::kChunked && request_.supports_chunked;
   connection_->WriteOutput(
       FormatAnswerHead(status, reason, fields,
                        chunked_ ? BodyFraming::kChunked : BodyFraming::kNone, 0,
@@ -78,8 +78,13 @@
     return;
   }
   on_disconnect_ = nullptr;
+  on_drained_ = nullptr;
   const auto connection = connection_;
-  connection->Close();
+  if (begun_) {
+    connection->ResetAfterOutput();
+  } else {
+    connection->Close();
+  }
 }
 
 std::size_t HttpCall::UnsentBytes() const {
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -322,7 +322,7 @@
       skipping_ = false;
       return true;
     }
-    Complete();
+    Complete(AnswerEnd::kFraming);
     return false;
   }
 
@@ -334,20 +334,20 @@
     reader_.FeedEof();
     is_tainted_ = true;
     if (reader_.state() == ReadState::kDone && !skipping_) {
-      Complete();
+      Complete(AnswerEnd::kConnection);
     } else {
       Fail(ExchangeError::kBroken, "the answer broke off");
     }
   }
 
-  void Complete() {
+  void Complete(AnswerEnd end) {
     const bool reusable = !is_tainted_ && reader_.head().keep_alive &&
                           PendingInput(connection_->buffer.get()).empty() &&
                           PendingOutputBytes(connection_->buffer.get()) == 0;
     const Handlers handlers = std::exchange(handlers_, nullptr);
     if (reusable) client_->AddIdle(std::move(connection_));
     Release();
-    if (handlers->on_end) handlers->on_end();
+    if (handlers->on_end) handlers->on_end(end);
   }
 
   void Fail(ExchangeError error, const std::string& detail) {
--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -115,9 +115,10 @@
     closed_ = true;
     const auto self = shared_from_this();
     wait_state_ = WaitState::kNothing;
-    if (call_ != nullptr && call_->begun_ && !call_->chunked_) {
+    const bool breaks_off =
+        call_ != nullptr && call_->begun_ && !call_->chunked_;
+    if (breaks_off || is_aborted_)
       SetResetOnClose(bufferevent_getfd(buffer_.get()));
-    }
     buffer_.reset();
     if (const auto call = std::exchange(call_, nullptr)) {
       call->connection_ = nullptr;
@@ -130,6 +131,19 @@
     }
   }
 
+  // Ends an answer without framing so that it doesn't look complete. The caller
+  // still gets what it was sent.
+  void ResetAfterOutput() {
+    if (const auto call = std::exchange(call_, nullptr))
+      call->connection_ = nullptr;
+    is_aborted_ = true;
+    if (UnsentBytes() == 0) {
+      Close();
+    } else {
+      LingerThenClose();
+    }
+  }
+
   void WriteOutput(std::string_view bytes) {
     if (!closed_) Write(buffer_.get(), bytes);
   }
@@ -327,6 +341,10 @@
       drained();
     }
     if (!lingering_ || closed_) return;
+    if (is_aborted_) {
+      Close();
+      return;
+    }
     shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
     last_progress_ = kernel::Now(loop_.clock);
     AwaitClose();
@@ -366,6 +384,7 @@
   bool request_started_ = false;  // Its first byte was received.
   bool continue_sent_ = false;    // `100 Continue` was sent.
   bool lingering_ = false;
+  bool is_aborted_ = false;  // Its end must not look like that of an answer.
   bool input_ended_ = false;
   bool reading_paused_ = false;  // Too much pipelined input.
   bool closed_ = false;
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -153,6 +153,10 @@
 inline constexpr milliseconds kUnknownStreamRetryDelay{200};
 /// How long an attempt waits for the endpoint to say which process it is.
 inline constexpr milliseconds kProcessCheckTimeout{300};
+/// How long an answer that its connection ended waits for the endpoint to say
+/// that its process has lived on, if the request can't be sent again. Callers
+/// give up on a stream after a pause of two seconds.
+inline constexpr milliseconds kEndQuestionTimeout{1500};
 /// Questions of one call to an endpoint that doesn't say that its process wrote
 /// its entry.
 inline constexpr std::size_t kMaxProcessChecks = 2;
--- /dev/null
+++ b/proxy/src/answer_ends.cc
@@ -0,0 +1,157 @@
+// Ends of answers: whether an answer is whole, and what it means.
+//
+// An answer with neither a length nor chunks ends with its connection, and so
+// does one whose process ends: its kernel closes its connections in good order.
+// The process that answered is therefore asked whether it lives on. If it does,
+// it has ended the answer itself.
+#include <memory>
+#include <string>
+
+#include "attempts_p.h"
+
+namespace egretladder::proxy {
+namespace {
+
+using routing::AttemptOutcome;
+using routing::ProcessCheckResult;
+
+constexpr int kMinServerError = 500;
+
+AttemptOutcome ClassifyWholeAnswer(const Attempt& attempt) {
+  const int status = attempt.head.status;
+  if (attempt.metadata.not_run) {
+    return status == kMisdirected ? AttemptOutcome::kWrongInstance
+                                  : AttemptOutcome::kFull;
+  }
+  if (IsSuccess(status)) {
+    return attempt.is_vouched ? AttemptOutcome::kSucceeded
+                              : AttemptOutcome::kBadAnswer;
+  }
+  if (ImpliesNotRun(status) || attempt.metadata.encoded) {
+    return AttemptOutcome::kBadAnswer;
+  }
+  // Endpoints name the request that they answer. Another server at the address
+  // may refuse all requests, faster than endpoints answer them.
+  if (status < kMinServerError && attempt.metadata.id.empty())
+    return AttemptOutcome::kBadAnswer;
+  return status >= kMinServerError ? AttemptOutcome::kFailed
+                                   : AttemptOutcome::kSucceeded;
+}
+
+// Returns the outcome of a whole answer. Once the caller has events, it is no
+// answer for the caller: a peer that refuses by itself has sent the request
+// nowhere, and what an endpoint answers takes the place of the stream's rest.
+AttemptOutcome ClassifyAnswer(const Call& call) {
+  const Attempt& attempt = *call.attempt;
+  const AttemptOutcome outcome = attempt.peer.empty()
+                                     ? ClassifyWholeAnswer(attempt)
+                                     : ClassifyPeerAnswer(attempt);
+  if (outcome != AttemptOutcome::kSucceeded || !call.caller->begun())
+    return outcome;
+  return IsPeersOwnAnswer(attempt) ? AttemptOutcome::kRefused
+                                   : AttemptOutcome::kUnfit;
+}
+
+// Some attempt or request has brought events of the stream.
+bool HasBegun(const Call& call) {
+  return call.events > 0 || !call.metadata.last_event_id.empty();
+}
+
+AttemptOutcome ClassifyStream(const Call& call) {
+  const Attempt& attempt = *call.attempt;
+  if (!attempt.splitter.incomplete_event.empty() || !HasBegun(call))
+    return AttemptOutcome::kBroken;
+  if (attempt.is_end_proven) return AttemptOutcome::kSucceeded;
+  // Without an event, it is rather an endpoint that ended before its first one.
+  return attempt.splitter.events > 0 ? AttemptOutcome::kUnproven
+                                     : AttemptOutcome::kBroken;
+}
+
+// Returns the outcome of an answer that has ended.
+AttemptOutcome ClassifyEnd(const Call& call) {
+  if (call.attempt->is_event_stream) return ClassifyStream(call);
+  const AttemptOutcome outcome = ClassifyAnswer(call);
+  const bool is_unproven =
+      outcome == AttemptOutcome::kSucceeded && !call.attempt->is_end_proven;
+  return is_unproven ? AttemptOutcome::kUnproven : outcome;
+}
+
+void EndAnswer(Proxy& proxy, const CallPtr& call) {
+  const AttemptOutcome outcome = ClassifyEnd(*call);
+  const bool is_broken = outcome == AttemptOutcome::kBroken;
+  EndAttempt(proxy, call, outcome,
+             is_broken ? "the stream ended inside an event" : "");
+}
+
+void OnProcessTold(Proxy& proxy, const CallPtr& call,
+                   ProcessCheckResult result) {
+  IncrementCounter(proxy, "egretladder_answer_ends_asked_total",
+                   "Endpoints asked whether their process lives on after the "
+                   "end of a connection has ended an answer, by result.",
+                   std::string("result=\"") + routing::NameOf(result) + "\"");
+  switch (result) {
+    case ProcessCheckResult::kSame:
+      call->attempt->is_end_proven = true;
+      break;
+    case ProcessCheckResult::kUnclear:
+      break;
+    case ProcessCheckResult::kReplaced:
+    case ProcessCheckResult::kNoAnswer:
+      EndAttempt(proxy, call, AttemptOutcome::kBroken,
+                 "the answer ended with its process");
+      return;
+  }
+  EndAnswer(proxy, call);
+}
+
+// A request that can't be sent again has nothing to lose by waiting.
+milliseconds PatienceOf(const Call& call) {
+  return routing::IsRouteRepeatable(*call.route) ? kProcessCheckTimeout
+                                                 : kEndQuestionTimeout;
+}
+
+void AskWhetherWhole(Proxy& proxy, const CallPtr& call) {
+  call->silence_timer = {};
+  Attempt& attempt = *call->attempt;
+  attempt.end_question = AskForProcess(
+      proxy, attempt.endpoint, {call->metadata.id, PatienceOf(*call)},
+      [&proxy, weak_call = std::weak_ptr<Call>(call),
+       number = attempt.number](ProcessCheckResult result) {
+        const auto locked = weak_call.lock();
+        if (locked == nullptr || locked->attempt == nullptr) return;
+        if (locked->attempt->number != number) return;
+        OnProcessTold(proxy, locked, result);
+      });
+}
+
+// Returns true if the answer would count as whole, were its end proven.
+bool IsWorthAsking(const Call& call) {
+  const Attempt& attempt = *call.attempt;
+  if (!MayProveEnd(attempt)) return false;
+  if (!attempt.is_event_stream)
+    return ClassifyAnswer(call) == AttemptOutcome::kSucceeded;
+  return attempt.splitter.incomplete_event.empty() && HasBegun(call);
+}
+
+}  // namespace
+
+bool IsFramed(const net::HttpAnswerHead& head) {
+  return net::CountFields(head.fields, "Content-Length") > 0 ||
+         net::CountFields(head.fields, "Transfer-Encoding") > 0;
+}
+
+bool MayProveEnd(const Attempt& attempt) {
+  if (IsFramed(attempt.head)) return true;
+  return attempt.peer.empty() && attempt.endpoint->entry.started_unix_ms != 0;
+}
+
+void OnAnswerEnded(Proxy& proxy, const CallPtr& call, net::AnswerEnd end) {
+  call->attempt->is_end_proven = end == net::AnswerEnd::kFraming;
+  if (end == net::AnswerEnd::kConnection && IsWorthAsking(*call)) {
+    AskWhetherWhole(proxy, call);
+  } else {
+    EndAnswer(proxy, call);
+  }
+}
+
+}  // namespace egretladder::proxy
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -12,8 +12,6 @@
 
 using routing::AttemptOutcome;
 
-constexpr int kMinServerError = 500;
-
 void MarkAttemptStarted(Proxy& proxy, const CallPtr& call) {
   Attempt& attempt = *call->attempt;
   if (attempt.started) return;
@@ -29,27 +27,6 @@
       milliseconds(static_cast<std::int64_t>(attempt.placement.expected_ms)));
 }
 
-AttemptOutcome ClassifyWholeAnswer(const Attempt& attempt) {
-  const int status = attempt.head.status;
-  if (attempt.metadata.not_run) {
-    return status == kMisdirected ? AttemptOutcome::kWrongInstance
-                                  : AttemptOutcome::kFull;
-  }
-  if (IsSuccess(status)) {
-    return attempt.is_vouched ? AttemptOutcome::kSucceeded
-                              : AttemptOutcome::kBadAnswer;
-  }
-  if (ImpliesNotRun(status) || attempt.metadata.encoded) {
-    return AttemptOutcome::kBadAnswer;
-  }
-  // Endpoints name the request that they answer. Another server at the address
-  // may refuse all requests, faster than endpoints answer them.
-  if (status < kMinServerError && attempt.metadata.id.empty())
-    return AttemptOutcome::kBadAnswer;
-  return status >= kMinServerError ? AttemptOutcome::kFailed
-                                   : AttemptOutcome::kSucceeded;
-}
-
 // Adds a sample to the engine's pace every `kEventsPerPaceSample` events.
 void RecordPace(Proxy& proxy, const Call& call, std::uint64_t events) {
   Attempt& attempt = *call.attempt;
@@ -208,7 +185,9 @@
   if (!call->caller->begun()) {
     OnStreamBegan(proxy, *call);
     call->caller->Begin(attempt.head.status, attempt.head.reason,
-                        FieldsToForward(*call, attempt));
+                        FieldsToForward(*call, attempt),
+                        MayProveEnd(attempt) ? net::BodyFraming::kChunked
+                                             : net::BodyFraming::kNone);
   }
   call->caller->Send(events);
   if (call->caller->UnsentBytes() > kMaxCallerBacklogBytes)
@@ -253,46 +232,6 @@
   LimitBuffered(proxy);
 }
 
-// Returns the outcome of a whole answer. Once the caller has events, it is no
-// answer for the caller: a peer that refuses by itself has sent the request
-// nowhere, and what an endpoint answers takes the place of the stream's rest.
-AttemptOutcome ClassifyAnswer(const Call& call) {
-  const Attempt& attempt = *call.attempt;
-  const AttemptOutcome outcome = attempt.peer.empty()
-                                     ? ClassifyWholeAnswer(attempt)
-                                     : ClassifyPeerAnswer(attempt);
-  if (outcome != AttemptOutcome::kSucceeded || !call.caller->begun())
-    return outcome;
-  return IsPeersOwnAnswer(attempt) ? AttemptOutcome::kRefused
-                                   : AttemptOutcome::kUnfit;
-}
-
-// Without an event of the attempt, only framing tells the end of a stream that
-// other attempts or requests began from the end of an endpoint.
-bool EndsStream(const Call& call) {
-  const net::HttpAnswerHead& head = call.attempt->head;
-  const bool is_framed =
-      head.chunked ||
-      !net::FirstFieldValue(head.fields, "Content-Length").empty();
-  const bool has_begun =
-      call.events > 0 || !call.metadata.last_event_id.empty();
-  return call.attempt->splitter.events > 0 || (is_framed && has_begun);
-}
-
-void OnEnd(Proxy& proxy, const CallPtr& call) {
-  Attempt& attempt = *call->attempt;
-  MarkAttemptStarted(proxy, call);
-  if (!attempt.is_event_stream) {
-    EndAttempt(proxy, call, ClassifyAnswer(*call), "");
-    return;
-  }
-  const bool is_complete =
-      attempt.splitter.incomplete_event.empty() && EndsStream(*call);
-  EndAttempt(proxy, call,
-             is_complete ? AttemptOutcome::kSucceeded : AttemptOutcome::kBroken,
-             is_complete ? "" : "the stream ended inside an event");
-}
-
 AttemptOutcome ClassifyExchangeError(net::ExchangeError error) {
   switch (error) {
     case net::ExchangeError::kNotConnected:
@@ -331,7 +270,10 @@
   handlers.on_body = [&proxy, call](std::string_view piece) {
     OnBody(proxy, call, piece);
   };
-  handlers.on_end = [&proxy, call] { OnEnd(proxy, call); };
+  handlers.on_end = [&proxy, call](net::AnswerEnd end) {
+    MarkAttemptStarted(proxy, call);
+    OnAnswerEnded(proxy, call, end);
+  };
   handlers.on_error = [&proxy, call](net::ExchangeError error,
                                      const std::string& detail) {
     EndAttempt(proxy, call, ClassifyExchangeError(error), detail);
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -19,8 +19,16 @@
 
 void ForwardAnswer(Proxy& proxy, const CallPtr& call, const Attempt& attempt) {
   call->caller->OnDisconnect(nullptr);
-  call->caller->Answer(attempt.head.status, attempt.head.reason,
-                       FieldsToForward(*call, attempt), attempt.body);
+  const net::HttpFields fields = FieldsToForward(*call, attempt);
+  if (attempt.is_end_proven) {
+    call->caller->Answer(attempt.head.status, attempt.head.reason, fields,
+                         attempt.body);
+  } else {
+    call->caller->Begin(attempt.head.status, attempt.head.reason, fields,
+                        net::BodyFraming::kNone);
+    call->caller->Send(attempt.body);
+    call->caller->End();
+  }
   call->succeeded = IsSuccess(attempt.head.status);
   if (!attempt.peer.empty() && ImpliesNotRun(attempt.head.status)) {
     call->refusal_status = attempt.head.status;
@@ -116,6 +124,7 @@
     case AttemptOutcome::kFailed:
       routing::OnAttemptFailed(endpoint, now);
       break;
+    case AttemptOutcome::kUnproven:
     case AttemptOutcome::kSucceeded:
       routing::OnAnswered(endpoint, Elapsed(call.attempt->sent_at, now), now);
       break;
@@ -178,6 +187,7 @@
   input.resumable = call.route->resumable && !call.last_event_id.empty();
   input.is_answer_started = call.caller->begun();
   input.continues_answer = attempt.is_event_stream;
+  input.is_framed = call.caller->framed();
   input.attempts = call.max_attempts;
   input.may_have_run = call.may_have_run;
   input.not_run = call.not_run;
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -28,6 +28,16 @@
 /// Abandons the call's attempt if nothing comes from it for `timeout`.
 void StartSilenceTimer(Proxy& proxy, const CallPtr& call, milliseconds timeout);
 
+// answer_ends.cc
+/// Returns true if the answer says itself where it ends.
+bool IsFramed(const net::HttpAnswerHead& head);
+/// Returns true if the attempt's answer, once it has ended, can be known to be
+/// whole.
+bool MayProveEnd(const Attempt& attempt);
+/// Ends the call's attempt, whose answer has ended. Asks the endpoint before
+/// that if only the connection ended it.
+void OnAnswerEnded(Proxy& proxy, const CallPtr& call, net::AnswerEnd end);
+
 // attempt_end.cc
 /// Returns the fields of the answer that are forwarded to the caller;
 /// hop-by-hop fields are not. A peer that handed the request over also learns
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -17,6 +17,7 @@
 #include "egretladder/routing/placement.h"
 #include "egretladder/routing/stream_records.h"
 #include "egretladder/routing/version_evidence.h"
+#include "page_read_p.h"
 
 namespace egretladder::proxy {
 
@@ -60,6 +61,11 @@
   /// If the answer is a success, it is the endpoint's own and belongs to the
   /// request.
   bool is_vouched = false;
+  /// Its framing or its process has shown that the answer is whole.
+  bool is_end_proven = false;
+  /// Set while the endpoint is asked whether its process has lived on after the
+  /// connection ended the answer.
+  PageReadPtr end_question;
   std::string body;  ///< Body of an answer that is not a stream.
   /// Bytes of the answer that are kept, as `Proxy::buffered_bytes` counts them.
   std::size_t buffered_bytes = 0;
@@ -94,21 +100,11 @@
   kernel::EventWatcher timer;  ///< Ends the question, or asks it again.
 };
 
-/// A question to an endpoint whether its process is the one that wrote its
-/// entry. Destroying it cancels it.
+/// A question to an endpoint before an attempt, whether its process is the one
+/// that wrote its entry.
 struct ProcessCheck {
-  ProcessCheck() = default;
-  ~ProcessCheck() { net::Cancel(exchange); }
-  ProcessCheck(const ProcessCheck&) = delete;
-  ProcessCheck& operator=(const ProcessCheck&) = delete;
-
   routing::Placement placement;  ///< Of the attempt that waits for it.
-  Time asked_at{};
-  net::HttpExchangePtr exchange;
-  int status = 0;           ///< 0: no answer.
-  bool is_refused = false;  ///< No connection was opened.
-  std::string body;
-  kernel::EventWatcher timer;  ///< Ends the question.
+  PageReadPtr question;
 };
 
 /// An endpoint that was asked for its process in vain.
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -8,6 +8,7 @@
 // versions are known, after a connection to the endpoint has broken, and before
 // they open a new one: it may lead to another process than the ones before.
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 #include "state_p.h"
@@ -15,40 +16,8 @@
 namespace egretladder::proxy {
 namespace {
 
-using kernel::LogLevel;
-using kernel::LogPart;
 using routing::ProcessCheckResult;
 
-constexpr int kOk = 200;
-
-void LogReplaced(const Call& call, const routing::Endpoint& endpoint,
-                 std::uint64_t started_unix_ms) {
-  kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "process-replaced",
-                   {{"req", call.metadata.id},
-                    {"endpoint", endpoint.entry.id},
-                    {"published_start", endpoint.entry.started_unix_ms},
-                    {"start", started_unix_ms},
-                    {"version", endpoint.entry.software_version}});
-}
-
-// Called when the endpoint has answered, `status` 0: it hasn't.
-ProcessCheckResult ApplyReport(Proxy& proxy, const Call& call,
-                               const ProcessCheck& check) {
-  routing::Endpoint& endpoint = *check.placement.endpoint;
-  if (check.status == 0) {
-    routing::OnConnectionLost(endpoint, NowOf(proxy));
-    if (check.is_refused) routing::OnConnectFailed(endpoint, NowOf(proxy));
-    return ProcessCheckResult::kNoAnswer;
-  }
-  if (check.status != kOk) return ProcessCheckResult::kUnclear;
-  const std::uint64_t started = proxy.dialect->read_process_start(check.body);
-  const ProcessCheckResult result =
-      routing::OnProcessStated(endpoint, started, check.asked_at);
-  if (result == ProcessCheckResult::kReplaced)
-    LogReplaced(call, endpoint, started);
-  return result;
-}
-
 bool IsBound(const Call& call) {
   return call.demand.version != routing::kUnknownVersion;
 }
@@ -86,10 +55,8 @@
       [&endpoint](const auto& each) { return each.endpoint == endpoint; }));
 }
 
-void FinishCheck(Proxy& proxy, const CallPtr& call) {
+void FinishCheck(Proxy& proxy, const CallPtr& call, ProcessCheckResult result) {
   const auto check = std::move(call->process_check);
-  net::Cancel(std::exchange(check->exchange, nullptr));
-  const ProcessCheckResult result = ApplyReport(proxy, *call, *check);
   IncrementCounter(
       proxy, "egretladder_process_checks_total",
       "Endpoints asked whether their process wrote their entry, by result.",
@@ -116,58 +83,17 @@
   Dispatch(proxy, call);
 }
 
-net::ExchangeHandlers MakeCheckHandlers(Proxy& proxy, const CallPtr& call) {
-  const std::weak_ptr<Call> weak_call = call;
-  net::ExchangeHandlers handlers;
-  handlers.on_head =
-      [check = call->process_check.get()](const net::HttpAnswerHead& head) {
-        check->status = head.status;
-        return net::HeadVerdict::kAccept;
-      };
-  handlers.on_body = [&proxy, weak_call](std::string_view piece) {
-    const auto locked = weak_call.lock();
-    if (locked == nullptr || locked->process_check == nullptr) return;
-    ProcessCheck& check = *locked->process_check;
-    check.body.append(piece);
-    if (check.body.size() <= kMaxReportBytes) return;
-    check.status = 0;
-    FinishCheck(proxy, locked);
-  };
-  handlers.on_end = [&proxy, weak_call] {
-    if (const auto locked = weak_call.lock()) FinishCheck(proxy, locked);
-  };
-  handlers.on_error = [&proxy, weak_call](net::ExchangeError error,
-                                          const std::string& /*detail*/) {
-    const auto locked = weak_call.lock();
-    if (locked == nullptr) return;
-    locked->process_check->status = 0;
-    locked->process_check->is_refused =
-        error == net::ExchangeError::kNotConnected;
-    FinishCheck(proxy, locked);
-  };
-  return handlers;
-}
-
 void StartCheck(Proxy& proxy, const CallPtr& call,
                 const routing::Placement& placement) {
   call->process_check = std::make_unique<ProcessCheck>();
-  ProcessCheck& check = *call->process_check;
-  check.placement = placement;
-  check.asked_at = NowOf(proxy);
-  net::ExchangeRequest request;
-  request.address = placement.endpoint->entry.address;
-  request.head = net::FormatRequestHead("GET", proxy.dialect->report_target(),
-                                        {{"Host", request.address}},
-                                        net::BodyFraming::kNone, 0);
-  check.exchange =
-      proxy.client->Start(std::move(request), MakeCheckHandlers(proxy, call));
-  check.timer = kernel::RunAfter(
-      *proxy.loop, kProcessCheckTimeout,
-      [&proxy, weak_call = std::weak_ptr<Call>(call)] {
+  call->process_check->placement = placement;
+  call->process_check->question = AskForProcess(
+      proxy, placement.endpoint, {call->metadata.id, kProcessCheckTimeout},
+      [&proxy,
+       weak_call = std::weak_ptr<Call>(call)](ProcessCheckResult result) {
         const auto locked = weak_call.lock();
         if (locked == nullptr || locked->process_check == nullptr) return;
-        locked->process_check->status = 0;
-        FinishCheck(proxy, locked);
+        FinishCheck(proxy, locked, result);
       });
 }
 
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -428,6 +429,19 @@
 void WritePartsToHomes(Proxy& proxy,
                        const std::vector<routing::StreamRecord>& parts);
 
+// process_question.cc
+/// A question to an endpoint which process it is.
+struct ProcessQuestion {
+  std::string request_id;  ///< The request that needs it; for the log.
+  milliseconds timeout{};
+};
+/// Asks the endpoint whether its process is the one that wrote its entry.
+/// Destroying the result cancels the question.
+PageReadPtr AskForProcess(
+    Proxy& proxy, const routing::EndpointPtr& endpoint,
+    const ProcessQuestion& question,
+    std::function<void(routing::ProcessCheckResult)> on_answer);
+
 // process_checks.cc
 /// Starts the attempt. If its version must be known, the endpoint is first
 /// asked whether its process is the one that wrote its entry.
--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -292,7 +292,9 @@
   handlers.on_body = [&reader](std::string_view piece) {
     reader.body.append(piece);
   };
-  handlers.on_end = [&proxy, &reader] { OnReadEnd(proxy, reader); };
+  handlers.on_end = [&proxy, &reader](net::AnswerEnd /*end*/) {
+    OnReadEnd(proxy, reader);
+  };
   handlers.on_error = [&proxy, &reader](net::ExchangeError error,
                                         const std::string& detail) {
     reader.timer = {};
--- a/proxy/src/suspects.cc
+++ b/proxy/src/suspects.cc
@@ -14,19 +14,13 @@
 using kernel::LogPart;
 using routing::AttemptOutcome;
 
-// An answer without length ends with its connection, as a crash does.
-bool HasLength(const net::HttpAnswerHead& head) {
-  return net::CountFields(head.fields, "Content-Length") > 0 ||
-         net::CountFields(head.fields, "Transfer-Encoding") > 0;
-}
-
 // Returns true if the attempt shows that an endpoint ran the request to its
 // end. An endpoint that fails may have failed before it ran the request. A
 // peer's answer has the peer's framing: the peer knows what it shows, and tells
 // of it.
 bool ProvesHarmless(const Attempt& attempt, AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kSucceeded && attempt.peer.empty() &&
-         IsSuccess(attempt.head.status) && HasLength(attempt.head);
+         IsSuccess(attempt.head.status) && attempt.is_end_proven;
 }
 
 // An endpoint that starts again may keep its id.
@@ -111,13 +105,12 @@
 
 // Returns true if the endpoint may have crashed while it ran the request, or
 // may do so right after this end.
-bool IsUnclear(const Attempt& attempt, AttemptOutcome outcome) {
+bool IsUnclear(AttemptOutcome outcome) {
   switch (outcome) {
     case AttemptOutcome::kBadAnswer:
     case AttemptOutcome::kSilent:
+    case AttemptOutcome::kUnproven:
       return true;
-    case AttemptOutcome::kSucceeded:
-      return !HasLength(attempt.head);
     default:
       return false;
   }
@@ -249,7 +242,7 @@
       outcome == AttemptOutcome::kNotSent) {
     RecordProcessEnd(proxy, attempt, now);
   }
-  if (IsUnclear(attempt, outcome)) RecordUnclear(proxy, call, attempt, now);
+  if (IsUnclear(outcome)) RecordUnclear(proxy, call, attempt, now);
 }
 
 void RecordCancelled(Proxy& proxy, Call& call, const Attempt& attempt) {
--- a/routing/include/egretladder/routing/next_step.h
+++ b/routing/include/egretladder/routing/next_step.h
@@ -30,6 +30,9 @@
   kSilent,         ///< Timed out waiting for the answer; outcome unknown.
   kFailed,         ///< Complete answer that reports an endpoint failure.
   kUnfit,          ///< Complete answer in place of the rest of a stream.
+  /// The connection ended an answer without a length, and nothing tells whether
+  /// it is complete.
+  kUnproven,
   kSucceeded,      ///< Complete answer.
 };
 /// Returns the outcome's name in logs.
@@ -42,7 +45,9 @@
 enum class NextStep : std::uint8_t {
   kSendAgain,  ///< Send the complete request to another endpoint.
   kResume,     ///< Continue the stream after the last event the caller got.
-  kPassOn,     ///< Forward the endpoint's answer to the caller.
+  /// Forward the endpoint's answer to the caller, an unproven one without
+  /// framing, so that the caller knows as much as this node.
+  kPassOn,
   kRefuse,     ///< Answer 503: the request did not run and will not.
   kUnknown,    ///< Answer 502: the request may have run.
   /// Close the connection, so that the partial answer that the caller already
@@ -60,6 +65,7 @@
   bool is_answer_started = false;  ///< The caller has part of an answer.
   /// The attempt's answer is a part of that one, the rest of a stream.
   bool continues_answer = false;
+  bool is_framed = false;  ///< The answer that the caller has part of.
   std::uint32_t attempts = 1;      ///< Attempts that the route allows.
   std::uint32_t may_have_run = 0;  ///< Attempts so far that may have run.
   std::uint32_t not_run = 0;       ///< Attempts so far that endpoints rejected.
