Stand-ins that answer without framing and end as processes do

Callers of a real fleet reported streams that end as complete before their last event; no stand-in could show it. They ended processes by SIGKILL already, whose kernel closes connections in good order, but each answer had a length or chunks, so that the close was seen as a break.

--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -44,6 +44,9 @@
   const HttpRequest& request() const { return request_; }
   /// Frees the body of the request, once it won't be sent again.
   void DropBody() { request_.body = std::string(); }
+  /// Lets an answer that `Begin` starts have neither a length nor chunks: only
+  /// its connection ends it, as for HTTP/1.0.
+  void EndWithConnection() { request_.supports_chunked = false; }
 
   /// Sets the action that is called once if the caller disconnects before the
   /// end of its answer. Replaces an earlier one.
