A part binds a stream once no list of another version is missing

The cause: a part known to be kept at one version counted as kept at that version alone, though an endpoint of another version had not told, was late, refused or silent. Silence was taken for an answer.

Ruled out: records that get lost on the way to their homes (the test shows it with held lists, where there is nothing to lose), and two versions merged into one (MergePartVersions names several once both records are there).

The node that asks an endpoint now tells all nodes that its list has come, after the list's parts and on the same connections, while the service has several versions. A home of the part vouches for it when it has the lists of all endpoints of other versions; one such home is needed to bind. Until then the stream waits as before (1 s at most), then 503, in the log as "lists-missing". A node of an earlier release doesn't vouch.

--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -27,12 +27,15 @@
   # is the version if there was one. The peer has known all versions for
   # `knownMs`; 0: it hasn't, or doesn't say. `partVersion` is the version of the
   # endpoints that keep the part; all bits set: they are of several versions.
+  # `partAlone`: the peer is a home of the part and has the lists of all endpoints
+  # of other versions.
   # With `confirm`, the peer reads the store's news first; `confirmed` says that
   # it has. `progress` is how far it knows the
   # feeds.
   findStream @4 (stream :UInt64, service :Text, part :UInt64, confirm :Bool)
       -> (version :UInt64, several :Bool, only :UInt64, knownMs :UInt64,
-          partVersion :UInt64, confirmed :Bool, progress :List(Progress));
+          partVersion :UInt64, confirmed :Bool, progress :List(Progress),
+          partAlone :Bool);
 }
 
 struct Stream {
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -78,6 +78,7 @@
   routing::SoftwareVersion version = routing::kUnknownVersion;
   /// Version of the endpoints that keep its part.
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
+  bool is_part_alone = false;  ///< No endpoint of another version keeps it.
   routing::VersionKnowledge knowledge;  ///< Of the stream's service.
   bool is_confirmed = false;            ///< The peer has read the store since.
   /// What the peer knows ends no earlier than what this node knows begins.
@@ -91,6 +92,8 @@
   routing::VersionKnowledge knowledge;  ///< Of this node and those that answer.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
+  /// A node knows that no endpoint of another version keeps the part.
+  bool is_part_alone = false;
   kernel::EventWatcher timer;  ///< Ends the question, or asks it again.
 };
 
--- a/proxy/src/kept_parts.cc
+++ b/proxy/src/kept_parts.cc
@@ -6,7 +6,8 @@
 // the engines that keep it is the one that began the stream. Nodes that have
 // started together share the endpoints by a hash, so that each is asked about
 // once: the answer takes the engine's time. They write what they learn to the
-// homes of the parts, as they do for streams.
+// homes of the parts, as they do for streams, and tell all nodes whose list has
+// come: an engine that hasn't told may keep any part.
 #include <algorithm>
 #include <utility>
 
@@ -38,12 +39,7 @@
                     {"version", endpoint->entry.software_version},
                     {"parts", kept ? kept->parts.size() : 0}});
   if (!is_same_process) return;
-  std::vector<routing::StreamRecord> records;
-  const routing::SoftwareVersion version = routing::VersionOf(endpoint->entry);
-  for (const std::uint64_t part : kept->parts)
-    records.push_back(
-        {routing::KeyOfPart(endpoint->entry.service, part), version});
-  WritePartsToHomes(proxy, records);
+  WritePartsToHomes(proxy, endpoint->entry, kept->parts);
 }
 
 void AskEndpoint(Proxy& proxy, const routing::EndpointPtr& endpoint) {
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -117,6 +117,8 @@
     results.setConfirmed(knowledge.confirmed_since.has_value());
     results.setPartVersion(
         routing::FindPartVersion(proxy_.streams, params.getPart()));
+    results.setPartAlone(
+        IsPartOfOneVersion(proxy_, params.getService(), params.getPart()));
     WriteProgress(OwnProgress(proxy_),
                   results.initProgress(routing::kFeedCount));
   }
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -424,9 +424,14 @@
 void OnRulesReplaced(Proxy& proxy, const routing::RouteTable& before);
 /// Writes all streams that this node remembers to their homes.
 void HandOnStreams(Proxy& proxy);
-/// Writes at which versions parts of prompts are kept to the parts' homes.
-void WritePartsToHomes(Proxy& proxy,
-                       const std::vector<routing::StreamRecord>& parts);
+/// Writes which parts of prompts the endpoint keeps to the parts' homes, and to
+/// all nodes that its list has come, if it is one of several versions.
+void WritePartsToHomes(Proxy& proxy, const routing::EndpointEntry& entry,
+                       const std::vector<std::uint64_t>& parts);
+/// Returns true if endpoints of one version keep the part of the service, and
+/// this node knows for sure that those of other versions don't.
+bool IsPartOfOneVersion(const Proxy& proxy, const std::string& service,
+                        routing::PartKey part);
 
 // process_checks.cc
 /// Starts the attempt. If its version must be known, the endpoint is first
--- a/proxy/src/stream_records_capnp.cc
+++ b/proxy/src/stream_records_capnp.cc
@@ -26,6 +26,7 @@
   VersionAnswer read;
   read.version = answer.getVersion();
   read.part_version = answer.getPartVersion();
+  read.is_part_alone = answer.getPartAlone();
   read.knowledge.since = KnownSince(answer.getKnownMs(), now);
   read.knowledge.several = answer.getSeveral();
   read.knowledge.only = answer.getOnly();
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -54,11 +54,13 @@
                                since);
 }
 
-// Writes the records to their homes, each of which gets few messages.
-void WriteToHomes(Proxy& proxy, RecordKind kind,
-                  const std::vector<routing::StreamRecord>& records) {
+// Records by the address of the node that keeps them.
+using RecordsByHome = std::map<std::string, std::vector<routing::StreamRecord>>;
+
+RecordsByHome SortByHome(const Proxy& proxy,
+                         const std::vector<routing::StreamRecord>& records) {
   const std::size_t count = routing::CountHomes(proxy.members);
-  std::map<std::string, std::vector<routing::StreamRecord>> by_home;
+  RecordsByHome by_home;
   for (const routing::StreamRecord& record : records) {
     for (const routing::Member& home :
          routing::HomesOfStream(proxy.members, record.stream, count)) {
@@ -66,6 +68,19 @@
         by_home[home.peers].push_back(record);
     }
   }
+  return by_home;
+}
+
+void AddForAllPeers(const Proxy& proxy, const routing::StreamRecord& record,
+                    RecordsByHome& by_home) {
+  for (const auto& [name, zone] : proxy.members.zones) {
+    for (const routing::KnownMember* known : zone.available)
+      by_home[known->member.peers].push_back(record);
+  }
+}
+
+// Each home gets few messages, which arrive in the order of its records.
+void WriteByHome(Proxy& proxy, RecordKind kind, const RecordsByHome& by_home) {
   for (const auto& [address, own] : by_home) {
     for (std::size_t at = 0; at < own.size(); at += kMaxRecordsInMessage) {
       const std::size_t size = std::min(own.size() - at, kMaxRecordsInMessage);
@@ -74,14 +89,18 @@
   }
 }
 
+void WriteStreamsToHomes(Proxy& proxy,
+                         const std::vector<routing::StreamRecord>& records) {
+  WriteByHome(proxy, RecordKind::kStreams, SortByHome(proxy, records));
+}
+
 void RecordStream(Proxy& proxy, const Call& call,
                   routing::SoftwareVersion version) {
   const routing::StreamRecord record{KeyOfStream(call, call.metadata.id),
                                      version};
   routing::RememberStream(proxy.streams, record, NowOf(proxy));
   // The node that serves a handed over request writes it.
-  if (call.attempt->peer.empty())
-    WriteToHomes(proxy, RecordKind::kStreams, {record});
+  if (call.attempt->peer.empty()) WriteStreamsToHomes(proxy, {record});
 }
 
 // The attempt's process was replaced by another one at the same address, and
@@ -174,12 +193,18 @@
   routing::VersionKnowledge knowledge;
   // Version of the endpoints that keep its part of the prompt.
   routing::SoftwareVersion part_version = kUnknownVersion;
+  bool is_part_alone = false;  // Endpoints of other versions don't keep it.
 };
 
 bool IsOneVersion(routing::SoftwareVersion version) {
   return version != kUnknownVersion && version != routing::kSeveralVersions;
 }
 
+const char* NameOfDoubt(routing::SoftwareVersion part_version) {
+  if (part_version == kUnknownVersion) return "unknown";
+  return IsOneVersion(part_version) ? "lists-missing" : "several-keep-it";
+}
+
 StreamQuestion QuestionOf(const Call& call) {
   StreamQuestion question;
   question.stream = KeyOfStream(call, call.metadata.resumes);
@@ -234,7 +259,7 @@
     Bind(proxy, call, evidence.knowledge.only, routing::NameOf(verdict));
     return;
   }
-  if (IsOneVersion(evidence.part_version)) {
+  if (IsOneVersion(evidence.part_version) && evidence.is_part_alone) {
     Bind(proxy, call, evidence.part_version, "kept-part");
     return;
   }
@@ -247,9 +272,7 @@
     AskAgainLater(proxy, call);
     return;
   }
-  LogTakenUp(
-      proxy, *call,
-      evidence.part_version == kUnknownVersion ? "unknown" : "several-keep-it");
+  LogTakenUp(proxy, *call, NameOfDoubt(evidence.part_version));
   RefuseCall(proxy, call, kUnavailable, "unknown_stream",
              kUnknownStreamRetryDelay);
 }
@@ -260,7 +283,9 @@
     Bind(proxy, call, lookup->version, "peer");
     return;
   }
-  DispatchUnknown(proxy, call, {lookup->knowledge, lookup->part_version});
+  DispatchUnknown(
+      proxy, call,
+      {lookup->knowledge, lookup->part_version, lookup->is_part_alone});
 }
 
 void FinishLookupAfter(Proxy& proxy, const CallPtr& call, milliseconds delay) {
@@ -294,6 +319,8 @@
   lookup->knowledge = knowledge;
   lookup->is_own_confirmed = knowledge.confirmed_since.has_value();
   lookup->part_version = routing::FindPartVersion(proxy.streams, question.part);
+  lookup->is_part_alone =
+      IsPartOfOneVersion(proxy, call->service->name, question.part);
   call->version_lookup = lookup;
   FinishLookupAfter(proxy, call, kVersionLookupTimeout);
   const auto peers = PeersToAsk(proxy, *call, question);
@@ -361,6 +388,7 @@
   if (answer.version != kUnknownVersion) lookup->version = answer.version;
   lookup->part_version =
       routing::MergePartVersions(lookup->part_version, answer.part_version);
+  lookup->is_part_alone = lookup->is_part_alone || answer.is_part_alone;
   --lookup->unanswered;
   if (lookup->version != kUnknownVersion || lookup->unanswered == 0)
     FinishLookupAfter(proxy, call, {});
@@ -435,15 +463,35 @@
 }
 
 void HandOnStreams(Proxy& proxy) {
-  WriteToHomes(proxy, RecordKind::kStreams, routing::AllStreams(proxy.streams));
+  WriteStreamsToHomes(proxy, routing::AllStreams(proxy.streams));
 }
 
-void WritePartsToHomes(Proxy& proxy,
-                       const std::vector<routing::StreamRecord>& parts) {
+void WritePartsToHomes(Proxy& proxy, const routing::EndpointEntry& entry,
+                       const std::vector<std::uint64_t>& parts) {
   const Time now = NowOf(proxy);
-  for (const routing::StreamRecord& part : parts)
-    routing::RememberPart(proxy.streams, part.stream, part.version, now);
-  WriteToHomes(proxy, RecordKind::kKeptParts, parts);
+  const routing::SoftwareVersion version = routing::VersionOf(entry);
+  std::vector<routing::StreamRecord> records;
+  for (const std::uint64_t part : parts)
+    records.push_back({routing::KeyOfPart(entry.service, part), version});
+  RecordsByHome by_home = SortByHome(proxy, records);
+  const routing::StreamRecord list{routing::KeyOfList(entry), version};
+  // While one version serves, nobody waits for the lists of others. The list
+  // follows its parts, so that whoever has it has them.
+  if (routing::WasServedAtSeveralVersions(proxy.streams, entry.service, now))
+    AddForAllPeers(proxy, list, by_home);
+  records.push_back(list);
+  for (const routing::StreamRecord& record : records)
+    routing::RememberPart(proxy.streams, record.stream, record.version, now);
+  WriteByHome(proxy, RecordKind::kKeptParts, by_home);
+}
+
+bool IsPartOfOneVersion(const Proxy& proxy, const std::string& service,
+                        routing::PartKey part) {
+  const routing::SoftwareVersion version =
+      routing::FindPartVersion(proxy.streams, part);
+  return IsOneVersion(version) && routing::IsHome(proxy.members, part) &&
+         routing::AreListsOfOthersIn(proxy.streams, proxy.endpoints, service,
+                                     version);
 }
 
 }  // namespace egretladder::proxy
--- a/routing/include/egretladder/routing/stream_records.h
+++ b/routing/include/egretladder/routing/stream_records.h
@@ -76,6 +76,14 @@
 /// Returns the version at which two nodes together know a part to be kept.
 SoftwareVersion MergePartVersions(SoftwareVersion left, SoftwareVersion right);
 
+/// Names the list of all parts that the entry's process keeps. It is remembered
+/// like a part when it has come, after the parts that it names.
+PartKey KeyOfList(const EndpointEntry& entry);
+/// Returns true if the lists of all endpoints of the service that are of other
+/// versions have come.
+bool AreListsOfOthersIn(const StreamRecords& records, const EndpointSet& set,
+                        const std::string& service, SoftwareVersion version);
+
 /// Records which versions serve now. Returns true if a service is served at
 /// several versions now that was not before.
 bool ObserveVersions(StreamRecords& records, const EndpointSet& set, Time now);
@@ -111,6 +119,9 @@
 /// if there are several. This node is among them unless it leaves.
 std::vector<Member> HomesOfStream(const Members& members, StreamKey stream,
                                   std::size_t count);
+/// Returns true if this node is one of those to which what is known of the
+/// stream, or part, is written.
+bool IsHome(const Members& members, StreamKey stream);
 /// Returns the nodes that are asked for the version of a stream that began no
 /// earlier than `earliest_begin`: its homes, and nodes that have run since then
 /// if all homes have started later.
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -122,6 +122,23 @@
   return kSeveralVersions;
 }
 
+PartKey KeyOfList(const EndpointEntry& entry) {
+  return kernel::HashBytes(
+      entry.id, kernel::HashBytes(entry.service, entry.started_unix_ms));
+}
+
+bool AreListsOfOthersIn(const StreamRecords& records, const EndpointSet& set,
+                        const std::string& service, SoftwareVersion version) {
+  const auto at = set.by_service.find(service);
+  if (at == set.by_service.end()) return true;
+  return std::all_of(at->second.begin(), at->second.end(),
+                     [&records, version](const EndpointPtr& endpoint) {
+                       return endpoint->version == version ||
+                              Find(records.by_part,
+                                   KeyOfList(endpoint->entry)) != nullptr;
+                     });
+}
+
 bool ObserveVersions(StreamRecords& records, const EndpointSet& set, Time now) {
   Expire(records.by_stream, kBounds, now);
   Expire(records.by_part, kPartBounds, now);
@@ -210,6 +227,14 @@
   return members_of_homes;
 }
 
+bool IsHome(const Members& members, StreamKey stream) {
+  const auto homes = HomesOfStream(members, stream, CountHomes(members));
+  return std::any_of(homes.begin(), homes.end(),
+                     [&members](const Member& home) {
+                       return home.node == members.self.node;
+                     });
+}
+
 std::vector<Member> NodesToAsk(const Members& members, StreamKey stream,
                                UnixTime earliest_begin) {
   std::vector<Member> nodes = HomesOfStream(members, stream, kStreamHomesToAsk);
--- a/routing/tests/stream_records_test.cc
+++ b/routing/tests/stream_records_test.cc
@@ -341,3 +341,47 @@
   er::KeepKnowledge(records, false, {.known = 9}, kStart + 3s);
   CHECK_FALSE(er::LeadsUpTo(records, {.known = 8}));
 }
+
+// Guards against an endpoint that hasn't told what it keeps, taken for one that
+// doesn't keep a part.
+TEST(StreamRecords, EachListOfAnotherVersionIsNeeded) {
+  const auto are_in = [this](const std::string& version) {
+    return er::AreListsOfOthersIn(records, set, "engines",
+                                  er::VersionOf(MakeEntry("", version)));
+  };
+  CHECK(are_in("v1"));
+  for (const auto& entry :
+       {MakeEntry("a", "v1"), MakeEntry("b", "v2"), MakeEntry("c", "v2"),
+        MakeEntry("d", "v3", "other")}) {
+    er::OnEntryPublished(set, entry, kStart);
+  }
+  const auto list_comes = [this](const er::EndpointEntry& entry) {
+    er::RememberPart(records, er::KeyOfList(entry), er::VersionOf(entry),
+                     kStart);
+  };
+  list_comes(MakeEntry("b", "v2"));
+  CHECK_FALSE(are_in("v1"));
+  CHECK_FALSE(are_in("v2"));
+  list_comes(MakeEntry("c", "v2"));
+  CHECK(are_in("v1"));
+  CHECK_FALSE(are_in("v2"));
+}
+
+// Guards against the list of a process that counts for the one after it.
+TEST(StreamRecords, AListIsThatOfOneProcess) {
+  er::EndpointEntry entry = MakeEntry("a", "v1");
+  const er::PartKey before = er::KeyOfList(entry);
+  entry.started_unix_ms = 2;
+  CHECK(er::KeyOfList(entry) != before);
+  CHECK(er::KeyOfList(entry) != er::KeyOfPart("engines", 2));
+}
+
+// Guards against a node that vouches for a part though others are told of it.
+TEST(StreamRecords, ANodeKnowsWhetherItIsAHome) {
+  const er::Members members = MakeView(0, 9);
+  for (er::StreamKey stream = 1; stream < 50; ++stream) {
+    const std::size_t homes = er::CountHomes(members);
+    LONGS_EQUAL(HomesIn(members, stream, homes).contains("n0"),
+                er::IsHome(members, stream));
+  }
+}
