No stream goes on at a process that keeps silent about its start

Callers saw events of v2 after a stream of v1 at the only endpoint: its process had been replaced and didn't answer the question for its start. While one version was known, the node then sent the stream there all the same. One known version was taken for the version that serves there.

Ruled out: a connection of before that the stream follows on (the process was replaced, and its connections ended), and a late entry (none is written).

A question whose time runs out is told from one whose connection ends. A stream that begins is sent there as before. A report that is broken off refuses nothing, as CutReports asks; the metric has the result "silent".

--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -110,6 +110,7 @@
   net::HttpExchangePtr exchange;
   int status = 0;           ///< 0: no answer.
   bool is_refused = false;  ///< No connection was opened.
+  bool is_late = false;     ///< It didn't end in time.
   std::string body;
   kernel::EventWatcher timer;  ///< Ends the question.
 };
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -38,7 +38,8 @@
   if (check.status == 0) {
     routing::OnConnectionLost(endpoint, NowOf(proxy));
     if (check.is_refused) routing::OnConnectFailed(endpoint, NowOf(proxy));
-    return ProcessCheckResult::kNoAnswer;
+    return check.is_late ? ProcessCheckResult::kSilent
+                         : ProcessCheckResult::kNoAnswer;
   }
   if (check.status != kOk) return ProcessCheckResult::kUnclear;
   const std::uint64_t started = proxy.dialect->read_process_start(check.body);
@@ -64,17 +65,18 @@
 }
 
 // Returns true if the endpoint was asked in vain, and is tried all the same:
-// the call keeps to no version, and no other endpoint is left.
+// the call keeps to no version, and no other endpoint is left. A stream doesn't
+// go on at a process that keeps silent: it may be of any version, also while
+// one is known.
 bool IsLastResort(const Call& call, const routing::EndpointPtr& endpoint) {
   const auto& asked = call.unidentified_endpoints;
   return !IsBound(call) &&
          std::any_of(asked.begin(), asked.end(),
                      [&call, &endpoint](const UnidentifiedEndpoint& each) {
-                       const bool is_known_to_serve_another_version =
+                       const bool may_join =
                            call.demand.goes_on &&
                            each.result != ProcessCheckResult::kNoAnswer;
-                       return each.endpoint == endpoint &&
-                              !is_known_to_serve_another_version;
+                       return each.endpoint == endpoint && !may_join;
                      });
 }
 
@@ -105,7 +107,10 @@
     StartAttempt(proxy, call, check->placement);
     return;
   }
-  if (result == ProcessCheckResult::kNoAnswer) ++call->not_sent;
+  if (result == ProcessCheckResult::kNoAnswer ||
+      result == ProcessCheckResult::kSilent) {
+    ++call->not_sent;
+  }
   call->tried_endpoints.push_back(endpoint);
   call->unidentified_endpoints.push_back({endpoint, result});
   if (CountQuestions(*call, endpoint) >= kMaxProcessChecks &&
@@ -167,6 +172,7 @@
         const auto locked = weak_call.lock();
         if (locked == nullptr || locked->process_check == nullptr) return;
         locked->process_check->status = 0;
+        locked->process_check->is_late = true;
         FinishCheck(proxy, locked);
       });
 }
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -267,7 +267,8 @@
   kSame,
   kReplaced,
   kUnclear,   ///< The process or the entry doesn't say when it started.
-  kNoAnswer,  ///< Nothing answered in time.
+  kNoAnswer,  ///< The connection ended without an answer, or none opened.
+  kSilent,    ///< Nothing came in time.
 };
 /// Returns the result's name in metrics.
 const char* NameOf(ProcessCheckResult result);
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -263,6 +263,8 @@
       return "unclear";
     case ProcessCheckResult::kNoAnswer:
       return "no-answer";
+    case ProcessCheckResult::kSilent:
+      return "silent";
   }
   return "unknown";
 }
