--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -97,6 +97,7 @@
       break;
     case ProcessCheckResult::kReplaced:
     case ProcessCheckResult::kNoAnswer:
+    case ProcessCheckResult::kSilent:
       EndAttempt(proxy, call, AttemptOutcome::kBroken,
                  "the answer ended with its process");
       return;
--- a/proxy/src/page_read_p.h
+++ b/proxy/src/page_read_p.h
@@ -17,6 +17,7 @@
   /// 0: no answer came in time, or it was broken or longer than allowed.
   int status = 0;
   bool is_refused = false;  ///< No connection was opened.
+  bool is_late = false;     ///< It didn't end in time.
   net::HttpAnswerHead head;
   std::string body;
 };
@@ -29,7 +30,6 @@
   PageRead& operator=(const PageRead&) = delete;
 
   Page page;
-  bool is_refused = false;  ///< No connection was opened.
   std::size_t max_bytes = 0;
   net::HttpExchangePtr exchange;
   kernel::EventWatcher timer;  ///< Ends the read.
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -33,17 +33,18 @@
 }
 
 // Returns true if the endpoint was asked in vain, and is tried all the same:
-// the call keeps to no version, and no other endpoint is left.
+// the call keeps to no version, and no other endpoint is left. A stream doesn't
+// go on at a process that keeps silent: it may be of any version, also while
+// one is known.
 bool IsLastResort(const Call& call, const routing::EndpointPtr& endpoint) {
   const auto& asked = call.unidentified_endpoints;
   return !IsBound(call) &&
          std::any_of(asked.begin(), asked.end(),
                      [&call, &endpoint](const UnidentifiedEndpoint& each) {
-                       const bool is_known_to_serve_another_version =
+                       const bool may_join =
                            call.demand.goes_on &&
                            each.result != ProcessCheckResult::kNoAnswer;
-                       return each.endpoint == endpoint &&
-                              !is_known_to_serve_another_version;
+                       return each.endpoint == endpoint && !may_join;
                      });
 }
 
@@ -72,7 +73,10 @@
     StartAttempt(proxy, call, check->placement);
     return;
   }
-  if (result == ProcessCheckResult::kNoAnswer) ++call->not_sent;
+  if (result == ProcessCheckResult::kNoAnswer ||
+      result == ProcessCheckResult::kSilent) {
+    ++call->not_sent;
+  }
   call->tried_endpoints.push_back(endpoint);
   call->unidentified_endpoints.push_back({endpoint, result});
   if (CountQuestions(*call, endpoint) >= kMaxProcessChecks &&
--- a/proxy/src/process_question.cc
+++ b/proxy/src/process_question.cc
@@ -29,7 +29,8 @@
   if (report.status == 0) {
     routing::OnConnectionLost(endpoint, NowOf(proxy));
     if (report.is_refused) routing::OnConnectFailed(endpoint, NowOf(proxy));
-    return ProcessCheckResult::kNoAnswer;
+    return report.is_late ? ProcessCheckResult::kSilent
+                          : ProcessCheckResult::kNoAnswer;
   }
   if (report.status != kOk) return ProcessCheckResult::kUnclear;
   const std::uint64_t started = proxy.dialect->read_process_start(report.body);
