Streams: a CR alone ends a line

An engine may end the lines of its event stream with CR alone, as the format allows. SplitEvents knew LF and CRLF only: no event of such a stream was found, the caller got nothing of it, and the attempt ended as broken or, beyond 256 KiB, as an event without end.

A CR at the end of a piece ends its line at once, so that the last event of a stream isn't kept; an LF in the next piece belongs to it and is passed on as it is. Behind a CRLF, the LF is waited for, as before: callers that know CRLF alone would otherwise get half a line end before a resumed stream's next event.

--- a/net/include/egretladder/net/event_splitter.h
+++ b/net/include/egretladder/net/event_splitter.h
@@ -14,6 +14,9 @@
 /// a caller had received a part of that event, another endpoint could not
 /// resume the stream, so that only complete events are passed on.
 ///
+/// Lines end with LF, CRLF or CR. A CR at the end of a piece ends its line at
+/// once, except behind a CRLF: callers that know CRLF alone need both bytes.
+///
 /// Comments and empty lines are no events. Those before the first event are
 /// kept until it is complete; later ones are passed on as they come.
 struct EventSplitter {
@@ -21,6 +24,9 @@
   std::size_t scanned_bytes = 0;  ///< Its bytes in complete lines.
   std::string pending_id;         ///< Id of the incomplete event.
   bool has_fields = false;        ///< It has a line that is no comment.
+  bool has_crlf = false;          ///< The last line ended with CRLF.
+  /// The bytes ended with a CR, and an LF that follows belongs to it.
+  bool may_end_with_lf = false;
   /// Bytes since the last complete event, those that were passed on included.
   std::size_t bytes_since_event = 0;
   std::string last_id;       ///< Id of the last complete event that had one.
--- a/net/src/event_splitter.cc
+++ b/net/src/event_splitter.cc
@@ -1,5 +1,7 @@
 #include "egretladder/net/event_splitter.h"
 
+#include <algorithm>
+
 namespace egretladder::net {
 namespace {
 
@@ -12,38 +14,86 @@
   splitter.pending_id = line;
 }
 
+// Finds the lines of a text. LF, CRLF and CR end one.
+struct LineFinder {
+  std::string_view text;
+  std::size_t line_feed = 0;  // The first one from the line's begin on.
+
+  // Returns the position of the first byte of the end of the line that begins
+  // at `begin`, or npos.
+  std::size_t FindEnd(std::size_t begin) {
+    if (line_feed != text.npos && (line_feed < begin || begin == 0))
+      line_feed = text.find('\n', begin);
+    const std::string_view line =
+        text.substr(0, line_feed == text.npos ? text.size() : line_feed);
+    const std::size_t carriage_return = line.find('\r', begin);
+    return std::min(carriage_return, line_feed);
+  }
+};
+
+// Takes an LF that belongs to the CR at the end of the last piece. Returns its
+// size, or 0.
+std::size_t TakeRestOfLineEnd(EventSplitter& splitter) {
+  const bool is_rest =
+      splitter.may_end_with_lf &&
+      splitter.incomplete_event[splitter.scanned_bytes] == '\n';
+  splitter.may_end_with_lf = false;
+  if (!is_rest) return 0;
+  splitter.has_crlf = true;
+  ++splitter.scanned_bytes;
+  return 1;
+}
+
+// Moves behind the end of a line at `end`. Returns false if the rest of it
+// isn't there: where lines end with CRLF, a CR awaits its LF.
+bool PassLineEnd(EventSplitter& splitter, std::size_t end) {
+  const std::string& text = splitter.incomplete_event;
+  const bool is_cr = text[end] == '\r';
+  const bool is_last = end + 1 == text.size();
+  if (is_cr && is_last && splitter.has_crlf) return false;
+  splitter.may_end_with_lf = is_cr && is_last;
+  splitter.has_crlf = is_cr && !is_last && text[end + 1] == '\n';
+  splitter.scanned_bytes = end + (splitter.has_crlf ? 2 : 1);
+  return true;
+}
+
+void FinishEvent(EventSplitter& splitter) {
+  ++splitter.events;
+  splitter.has_fields = false;
+  if (!splitter.pending_id.empty())
+    splitter.last_id = std::move(splitter.pending_id);
+  splitter.pending_id.clear();
+}
+
 }  // namespace
 
 std::string SplitEvents(EventSplitter& splitter, std::string_view bytes) {
+  if (bytes.empty()) return {};
   splitter.incomplete_event.append(bytes);
   splitter.bytes_since_event += bytes.size();
-  std::size_t whole = 0;
-  std::size_t event_end = 0;
+  const bool is_all_passed = splitter.scanned_bytes == 0;
+  const std::size_t rest = TakeRestOfLineEnd(splitter);
+  std::size_t whole = is_all_passed ? rest : 0;
+  // An LF right behind an event belongs to it.
+  const bool is_first = splitter.bytes_since_event == bytes.size();
+  std::size_t event_end = is_first ? rest : 0;
+  LineFinder finder{splitter.incomplete_event};
   while (true) {
-    const std::size_t end =
-        splitter.incomplete_event.find('\n', splitter.scanned_bytes);
-    if (end == std::string::npos) break;
-    std::string_view line(
-        splitter.incomplete_event.data() + splitter.scanned_bytes,
-        end - splitter.scanned_bytes);
-    if (line.ends_with('\r')) line.remove_suffix(1);
-    splitter.scanned_bytes = end + 1;
+    const std::size_t begin = splitter.scanned_bytes;
+    const std::size_t end = finder.FindEnd(begin);
+    if (end == std::string::npos || !PassLineEnd(splitter, end)) break;
+    const std::string_view line = finder.text.substr(begin, end - begin);
     if (!line.empty()) {
       ReadLine(splitter, line);
       continue;
     }
     if (!splitter.has_fields) {
-      if (splitter.events > 0) whole = end + 1;
+      if (splitter.events > 0) whole = splitter.scanned_bytes;
       continue;
     }
-    whole = end + 1;
+    whole = splitter.scanned_bytes;
     event_end = whole;
-    ++splitter.events;
-    splitter.has_fields = false;
-    if (!splitter.pending_id.empty()) {
-      splitter.last_id = std::move(splitter.pending_id);
-    }
-    splitter.pending_id.clear();
+    FinishEvent(splitter);
   }
   if (event_end > 0) {
     splitter.bytes_since_event = splitter.incomplete_event.size() - event_end;
--- a/net/tests/event_splitter_test.cc
+++ b/net/tests/event_splitter_test.cc
@@ -49,3 +49,73 @@
   STRCMP_EQUAL("8", splitter.last_id.c_str());
   LONGS_EQUAL(2, splitter.events);
 }
+
+// Guards against streams of engines that end their lines with CR alone: none of
+// their events would get through.
+TEST(EventSplitter, ACarriageReturnEndsALine) {
+  en::EventSplitter splitter;
+  STRCMP_EQUAL("id: 1\rdata: a\r\r",
+               en::SplitEvents(splitter, "id: 1\rdata: a\r\rid: 2\r").c_str());
+  STRCMP_EQUAL("1", splitter.last_id.c_str());
+  LONGS_EQUAL(1, splitter.events);
+  STRCMP_EQUAL("", en::SplitEvents(splitter, "data: b\r").c_str());
+  STRCMP_EQUAL("id: 2\rdata: b\r\r", en::SplitEvents(splitter, "\r").c_str());
+  STRCMP_EQUAL("2", splitter.last_id.c_str());
+  LONGS_EQUAL(2, splitter.events);
+  LONGS_EQUAL(0, splitter.incomplete_event.size());
+}
+
+// Guards against the two bytes of a line's end in two pieces: taken for two
+// ends, they would make an event of each line.
+TEST(EventSplitter, ALineEndInTwoPiecesIsOne) {
+  en::EventSplitter splitter;
+  STRCMP_EQUAL("", en::SplitEvents(splitter, "id: 1\r").c_str());
+  STRCMP_EQUAL("", en::SplitEvents(splitter, "\ndata: a\r").c_str());
+  STRCMP_EQUAL("", en::SplitEvents(splitter, "\n").c_str());
+  // Callers that know CRLF alone wait for both of its bytes.
+  STRCMP_EQUAL("", en::SplitEvents(splitter, "\r").c_str());
+  LONGS_EQUAL(0, splitter.events);
+  STRCMP_EQUAL("id: 1\r\ndata: a\r\n\r\n",
+               en::SplitEvents(splitter, "\n").c_str());
+  LONGS_EQUAL(1, splitter.events);
+}
+
+// Guards against a stream of mixed line ends, cut anywhere, that loses bytes,
+// has an event too many or ends inside one.
+TEST(EventSplitter, MixedLineEndsInAnyPiecesMakeTheSameEvents) {
+  const std::string text =
+      "id:1\rdata: a\r\rid:2\ndata: b\n\n:c\r\n\r\nid:3\r\ndata: c\r\n\r\n"
+      "id:4\rdata: d\r\r\nid:5\ndata: e\n\r\n";
+  for (std::size_t first = 0; first <= text.size(); ++first) {
+    for (std::size_t second = first; second <= text.size(); ++second) {
+      en::EventSplitter splitter;
+      std::string passed = en::SplitEvents(splitter, text.substr(0, first));
+      passed += en::SplitEvents(splitter, text.substr(first, second - first));
+      passed += en::SplitEvents(splitter, text.substr(second));
+      STRCMP_EQUAL(text.c_str(), passed.c_str());
+      STRCMP_EQUAL("5", splitter.last_id.c_str());
+      LONGS_EQUAL(5, splitter.events);
+    }
+  }
+}
+
+// Guards against events that depend on how a stream is cut into pieces.
+TEST(EventSplitter, AllShortStreamsAreReadAlikeByteByByte) {
+  constexpr std::string_view kBytes = "a:\r\n";
+  constexpr std::size_t kLength = 7;
+  for (std::size_t number = 0; number < std::size_t{1} << (2 * kLength);
+       ++number) {
+    std::string text;
+    for (std::size_t at = 0; at < kLength; ++at)
+      text += kBytes[(number >> (2 * at)) % kBytes.size()];
+    en::EventSplitter whole;
+    const std::string events = en::SplitEvents(whole, text);
+    en::EventSplitter slow;
+    std::string passed;
+    for (const char c : text)
+      passed += en::SplitEvents(slow, std::string(1, c));
+    CHECK_TRUE(events == passed);
+    LONGS_EQUAL(whole.events, slow.events);
+    LONGS_EQUAL(whole.bytes_since_event, slow.bytes_since_event);
+  }
+}
