Answers: heads of many fields and long lines are bounded together

An endpoint whose heads had 8,000 fields of four bytes, and whose bodies dripped, took 1 MB of a node for each call: each field takes 64 bytes beside its own, twice (reader and attempt), and heads counted for nothing in the sum of the bytes that are kept. A chunk extension of 120 kB that stopped there kept as much in the connection's buffer, uncounted, until the deadline.

An answer has 256 fields at most, its fields count among the kept bytes (the largest answer yields), the reader's copy is freed, and a line that is longer than the largest head has no end.

Tests, red before: AnswerReader.RefusesAHeadOfManySmallFields, HttpClient.ALineLongerThanAHeadHasNoEnd (10 s without an end), EndlessAnswers.AHeadCountsAmongTheBytesThatAreKept (20 s, never counted).

--- a/net/include/egretladder/net/http_reader.h
+++ b/net/include/egretladder/net/http_reader.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -30,6 +31,7 @@
 struct ReadLimits {
   std::size_t max_head_bytes = 0;
   std::size_t max_body_bytes = 0;
+  std::size_t max_fields = std::numeric_limits<std::size_t>::max();
 };
 
 struct RequestReaderState;
@@ -86,6 +88,8 @@
   const std::string& detail() const;
   /// Valid from `kBody` on.
   const HttpAnswerHead& head() const;
+  /// Frees the fields of the head.
+  void DropFields();
   /// Returns the part of the body read since the last call.
   std::string TakeBody();
 
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -44,6 +44,8 @@
 
 /// Largest head of an endpoint's answer.
 inline constexpr std::size_t kMaxAnswerHeadBytes = std::size_t{32} << 10U;
+/// Fields of an endpoint's answer. Each takes some 64 bytes beside its own.
+inline constexpr std::size_t kMaxAnswerFields = 256;
 /// Largest body of an endpoint's answer.
 inline constexpr std::size_t kMaxAnswerBodyBytes = std::size_t{64} << 20U;
 
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -159,8 +159,9 @@
   using Handlers = std::shared_ptr<const ExchangeHandlers>;
 
   AnswerReader MakeReader() const {
-    return AnswerReader({kMaxAnswerHeadBytes, kMaxAnswerBodyBytes},
-                        request_.is_head_request);
+    return AnswerReader(
+        {kMaxAnswerHeadBytes, kMaxAnswerBodyBytes, kMaxAnswerFields},
+        request_.is_head_request);
   }
 
   void Defer(std::function<void()> action) {
@@ -273,8 +274,8 @@
       Consume(connection_->buffer.get(), used);
       if (!DeliverInput()) return;
       if (used == 0 && reader_.state() != ReadState::kDone) {
-        // No more is read until the parser takes something.
-        if (input.size() >= kMaxReadAheadBytes)
+        // The parser waits for the end of a line.
+        if (input.size() >= kMaxAnswerHeadBytes)
           Fail(ExchangeError::kBadAnswer, "a line without end");
         return;
       }
@@ -295,6 +296,7 @@
                   handlers->on_head(head) == HeadVerdict::kSkip;
       if (connection_ == nullptr) return false;
       if (skipping_ && head.status >= kFirstFinalStatus) is_tainted_ = true;
+      reader_.DropFields();  // The handler has what it needs of them.
     }
     const std::string piece = reader_.TakeBody();
     if (skipping_) {
--- a/net/src/http_reader_beast.cc
+++ b/net/src/http_reader_beast.cc
@@ -26,6 +26,7 @@
   std::string reason;
   int status = 0;
   int version = 0;  // Major version times ten plus minor version.
+  std::size_t max_fields = 0;
 
  protected:
   void on_request_impl(http::verb /*verb*/, string_view name, string_view path,
@@ -40,7 +41,8 @@
     reason = ToString(phrase);
   }
   void on_field_impl(http::field /*field*/, string_view name, string_view value,
-                     error_code& /*ec*/) override {
+                     error_code& ec) override {
+    if (fields.size() >= max_fields) ec = http::error::header_limit;
     // Trailer fields after a chunked body are dropped, as RFC 9110 allows.
     if (!head_done_) fields.push_back({ToString(name), ToString(value)});
   }
@@ -71,6 +73,7 @@
   parser.header_limit(static_cast<std::uint32_t>(
       std::min(limits.max_head_bytes, kMaxHeaderLimit)));
   parser.body_limit(limits.max_body_bytes);
+  parser.max_fields = limits.max_fields;
 }
 
 // Parses until the message is complete or Beast needs more bytes. Returns how
@@ -286,6 +289,7 @@
 ReadState AnswerReader::state() const { return state_->state; }
 const std::string& AnswerReader::detail() const { return state_->detail; }
 const HttpAnswerHead& AnswerReader::head() const { return state_->head; }
+void AnswerReader::DropFields() { state_->head.fields = HttpFields(); }
 std::string AnswerReader::TakeBody() {
   return std::exchange(state_->parser.body, {});
 }
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "egretladder/net/limits.h"
 #include "harness.h"
 
 namespace en = egretladder::net;
@@ -494,3 +495,16 @@
   LONGS_EQUAL(1, fourth.ends);
   LONGS_EQUAL(3, client->connections_opened());
 }
+
+// Guards against connections that each hold a long line that may not end: its
+// sender needs only to stop below the size of the buffer.
+TEST(HttpClient, ALineLongerThanAHeadHasNoEnd) {
+  Outcome outcome;
+  Start(outcome, "/a");
+  const auto peer = Accept();
+  ReceiveHead(*peer);
+  peer->Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;" +
+             std::string(2 * en::kMaxAnswerHeadBytes, 'a'));
+  WaitUntilFinished(outcome);
+  CHECK(outcome.error == en::ExchangeError::kBadAnswer);
+}
--- a/net/tests/http_reader_test.cc
+++ b/net/tests/http_reader_test.cc
@@ -4,6 +4,8 @@
 
 #include <string>
 
+#include "egretladder/net/limits.h"
+
 namespace en = egretladder::net;
 
 namespace {
@@ -239,3 +241,18 @@
   reader.Feed("\x01\x02garbage\r\n\r\n");
   CHECK(reader.state() == en::ReadState::kFailed);
 }
+
+// Guards against a head whose fields take twenty times the memory of its bytes.
+TEST(AnswerReader, RefusesAHeadOfManySmallFields) {
+  const auto state_after = [](std::size_t fields) {
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    for (std::size_t i = 0; i < fields; ++i) head += "a:\r\n";
+    en::AnswerReader reader({en::kMaxAnswerHeadBytes, 64, en::kMaxAnswerFields},
+                            false);
+    reader.Feed(head + "\r\n");
+    return reader.state();
+  };
+  CHECK(state_after(250) == en::ReadState::kBody);
+  CHECK(state_after(1000) == en::ReadState::kFailed);
+  CHECK(state_after(8000) == en::ReadState::kFailed);
+}
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -2,6 +2,7 @@
 // on as they come.
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <utility>
 
 #include "attempts_p.h"
@@ -166,10 +167,18 @@
   EndAttempt(proxy, call, AttemptOutcome::kBadAnswer, why);
 }
 
+std::size_t BytesOfFields(const net::HttpFields& fields) {
+  return std::accumulate(fields.begin(), fields.end(), std::size_t{0},
+                         [](std::size_t bytes, const net::HttpField& field) {
+                           return bytes + sizeof(field) + field.name.size() +
+                                  field.value.size();
+                         });
+}
+
 // Records how many bytes of the attempt's answer are kept.
 void CountBuffered(Proxy& proxy, Attempt& attempt) {
-  const std::size_t bytes =
-      attempt.body.size() + attempt.splitter.incomplete_event.size();
+  const std::size_t bytes = attempt.head_bytes + attempt.body.size() +
+                            attempt.splitter.incomplete_event.size();
   proxy.buffered_bytes += bytes;
   proxy.buffered_bytes -= std::exchange(attempt.buffered_bytes, bytes);
 }
@@ -313,10 +322,13 @@
          kNotRunStatuses.end();
 }
 
-void KeepAnswerHead(const Call& call, const net::HttpAnswerHead& head,
+void KeepAnswerHead(Proxy& proxy, const Call& call,
+                    const net::HttpAnswerHead& head,
                     const AnswerMetadata& metadata) {
   Attempt& attempt = *call.attempt;
   attempt.head = head;
+  attempt.head_bytes = BytesOfFields(head.fields);
+  CountBuffered(proxy, attempt);
   attempt.metadata = metadata;
   // Bytes after an earlier answer may look like one, and name no request.
   attempt.is_vouched =
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -33,7 +33,7 @@
   routing::OnSignOfLife(*attempt.endpoint, NowOf(proxy));
   if (head.status != kMisdirected)
     UpdateEndpointLimit(proxy, *call, *attempt.endpoint, metadata);
-  KeepAnswerHead(*call, head, metadata);
+  KeepAnswerHead(proxy, *call, head, metadata);
   return net::HeadVerdict::kAccept;
 }
 
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -21,7 +21,8 @@
 /// the endpoint also states that it did not run the request.
 bool ImpliesNotRun(int status);
 /// Keeps the head of the answer that is to be forwarded in the call's attempt.
-void KeepAnswerHead(const Call& call, const net::HttpAnswerHead& head,
+void KeepAnswerHead(Proxy& proxy, const Call& call,
+                    const net::HttpAnswerHead& head,
                     const AnswerMetadata& metadata);
 /// Returns the handlers of an answer but for those of its head and of sending.
 net::ExchangeHandlers MakeAnswerHandlers(Proxy& proxy, const CallPtr& call);
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -56,6 +56,7 @@
   Time pace_sample_start{};              ///< Start of the current pace sample.
   std::uint64_t pace_sample_events = 0;  ///< Events in that sample so far.
   net::HttpAnswerHead head;
+  std::size_t head_bytes = 0;  ///< Memory of its fields.
   AnswerMetadata metadata;
   /// If the answer is a success, it is the endpoint's own and belongs to the
   /// request.
--- a/proxy/src/handovers.cc
+++ b/proxy/src/handovers.cc
@@ -70,7 +70,7 @@
   attempt.version =
       ParseVersion(net::FirstFieldValue(head.fields, kEndpointVersionField));
   ApplyStatements(proxy, call, head, metadata);
-  KeepAnswerHead(call, head, metadata);
+  KeepAnswerHead(proxy, call, head, metadata);
   return net::HeadVerdict::kAccept;
 }
 
--- a/proxy/tests/endless_answers_test.cc
+++ b/proxy/tests/endless_answers_test.cc
@@ -8,6 +8,7 @@
 
 #include "egretladder/proxy/limits.h"
 #include "harness.h"
+#include "state_p.h"
 
 using namespace std::chrono_literals;
 namespace ep = egretladder::proxy;
@@ -243,3 +244,16 @@
   env.WaitUntil([&caller] { return !et::DescribeAnswer(caller).empty(); });
   STRCMP_EQUAL("200", et::DescribeAnswer(caller).c_str());
 }
+
+// Guards against heads that count for nothing, of answers whose bodies drip.
+TEST(EndlessAnswers, AHeadCountsAmongTheBytesThatAreKept) {
+  constexpr std::size_t kFieldBytes = 20'000;
+  const EndlessAnswer answer{
+      "a long head", Head("X-Long: " + std::string(kFieldBytes, 'a') + "\r\n"),
+      "b"};
+  env.AddEndpoint("e1", flooding.Flood(answer, "/once/"));
+  ep::Proxy& proxy = env.StartReadyNode();
+  env.SendRequest(proxy, {.path = "/once/a"});
+  env.WaitUntil([this] { return flooding.floods == 1; });
+  env.WaitUntil([&proxy] { return proxy.buffered_bytes >= kFieldBytes; });
+}
