Callers: what they don't read is bounded together

Whole answers of up to 8 MiB whose callers don't read them ended a node: once an answer is in, it leaves the sum of buffered bytes for its caller's output, and nothing counted that. One node, 1,800 callers that read nothing, 20 ms apart, answers of 7 MiB: 1,528 MB at most.

Each server counts the output that callers haven't taken. Above a tenth of the memory streams are read only as fast as their callers read. Above a fifth the connection with the most output goes, among those whose callers have taken nothing for 2 s; where there is none, the largest answer that comes in yields (64 KiB at least, so that small ones pass). A caller that reads keeps its ready answer. The decision is routing/caller_backlog; peers' output isn't counted.

Streams alone weren't shown to be a danger (56 MB before, 47 MB now, 1,800 callers): on loopback the kernel takes some MB of each stream before the node's own backlog begins.

EndlessAnswers.AnswersThatNobodyReadsAreBoundedTogether: 64,095,000 bytes with the bound switched off, where 20,761,804 are allowed; green with it.

--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -145,6 +145,11 @@
   /// connection that ends with the answer. If the process ended now, these
   /// answers could be truncated.
   std::size_t undelivered() const;
+  /// Size of the output that callers have not taken yet, of all connections.
+  std::size_t unsent_bytes() const;
+  /// Closes the connection with the most output among those whose callers have
+  /// taken nothing for `patience`. Returns false if there is none.
+  bool CloseLargestUnread(std::chrono::milliseconds patience);
 
  private:
   friend class HttpConnection;
--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -26,6 +26,8 @@
   bool close_after_answers = false;
   /// Size of the bodies that are still received, of all connections.
   std::size_t incomplete_body_bytes = 0;
+  /// Size of the output that callers haven't taken, of all connections.
+  std::size_t unsent_bytes = 0;
   kernel::EventWatcher sweep;
 
   void Accept(evutil_socket_t fd);
@@ -76,6 +78,8 @@
   void Open() {
     bufferevent_setcb(buffer_.get(), OnReadable, OnWritten, OnEvent, this);
     bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kMaxReadAheadBytes);
+    evbuffer_add_cb(bufferevent_get_output(buffer_.get()), OnOutput, this);
+    last_taken_ = kernel::Now(loop_.clock);
     if (const auto server = server_.lock()) {
       const timeval write_timeout =
           kernel::ToTimeval(server->limits.write_timeout);
@@ -118,6 +122,8 @@
     if (call_ != nullptr && call_->begun_ && !call_->chunked_) {
       SetResetOnClose(bufferevent_getfd(buffer_.get()));
     }
+    CountOutput(0, PendingOutputBytes(buffer_.get()));
+    evbuffer_remove_cb(bufferevent_get_output(buffer_.get()), OnOutput, this);
     buffer_.reset();
     if (const auto call = std::exchange(call_, nullptr)) {
       call->connection_ = nullptr;
@@ -138,6 +144,12 @@
     return closed_ ? 0 : PendingOutputBytes(buffer_.get());
   }
 
+  // Returns how long the caller has taken nothing of its output.
+  std::chrono::milliseconds TimeWithoutProgress(kernel::Time now) const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                                 last_taken_);
+  }
+
   // Returns true if a part of a request was received, but not all of it.
   bool HasIncompleteRequest() const {
     return wait_state_ == WaitState::kHead || wait_state_ == WaitState::kBody;
@@ -178,6 +190,15 @@
   static void OnReadable(bufferevent* /*buffer*/, void* arg) {
     static_cast<HttpConnection*>(arg)->shared_from_this()->Read();
   }
+  static void OnOutput(evbuffer* buffer, const evbuffer_cb_info* info,
+                       void* arg) {
+    auto* self = static_cast<HttpConnection*>(arg);
+    // Output of an idle caller wasn't there to be taken.
+    const bool was_empty = evbuffer_get_length(buffer) == info->n_added;
+    if (info->n_deleted > 0 || was_empty)
+      self->last_taken_ = kernel::Now(self->loop_.clock);
+    self->CountOutput(info->n_added, info->n_deleted);
+  }
   static void OnWritten(bufferevent* /*buffer*/, void* arg) {
     static_cast<HttpConnection*>(arg)->shared_from_this()->OnOutputDrained();
   }
@@ -275,6 +296,12 @@
            server.handlers.has_room(server.incomplete_body_bytes);
   }
 
+  // Records output that was added, and output that is gone.
+  void CountOutput(std::size_t added, std::size_t gone) {
+    const auto server = server_.lock();
+    if (server != nullptr) server->unsent_bytes += added - gone;
+  }
+
   // Records how much of a body this connection keeps until it is complete.
   void CountIncompleteBody(HttpServer::State& server, std::size_t bytes) {
     server.incomplete_body_bytes += bytes;
@@ -362,6 +389,8 @@
   int unacknowledged_bytes_ = 0;  // At the last check.
   // The last time at which the unacknowledged bytes had changed.
   kernel::Time last_progress_{};
+  // When the caller last took some of its output.
+  kernel::Time last_taken_{};
   std::size_t incomplete_body_bytes_ = 0;
   bool request_started_ = false;  // Its first byte was received.
   bool continue_sent_ = false;    // `100 Continue` was sent.
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -118,6 +118,21 @@
       [](const auto& connection) { return connection->IsUndelivered(); }));
 }
 
+std::size_t HttpServer::unsent_bytes() const { return state_->unsent_bytes; }
+
+bool HttpServer::CloseLargestUnread(std::chrono::milliseconds patience) {
+  const kernel::Time now = kernel::Now(state_->loop->clock);
+  std::shared_ptr<HttpConnection> largest;
+  for (const auto& connection : state_->connections) {
+    const std::size_t bytes = connection->UnsentBytes();
+    if (connection->TimeWithoutProgress(now) < patience || bytes == 0) continue;
+    if (largest == nullptr || bytes > largest->UnsentBytes())
+      largest = connection;
+  }
+  if (largest != nullptr) largest->Close();
+  return largest != nullptr;
+}
+
 std::size_t HttpServer::connections() const {
   return state_->connections.size();
 }
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "attempts_p.h"
+#include "egretladder/routing/caller_backlog.h"
 #include "egretladder/routing/placement_cost.h"
 
 namespace egretladder::proxy {
@@ -187,18 +188,41 @@
   return call->attempt == nullptr ? 0 : call->attempt->buffered_bytes;
 }
 
+routing::CallerBacklogs GetBacklogs(const Proxy& proxy) {
+  return {proxy.caller_server->unsent_bytes(), proxy.options.memory_bytes};
+}
+
+std::size_t MaxBacklog(const Proxy& proxy) {
+  return routing::MaxStreamBacklog(GetBacklogs(proxy), kMaxCallerBacklogBytes);
+}
+
+// Closes the connection that leaves most unread, if all of them together leave
+// too much. Returns true if there is room then.
+bool LimitUnread(Proxy& proxy) {
+  while (routing::IsBacklogTooLarge(GetBacklogs(proxy))) {
+    if (!proxy.caller_server->CloseLargestUnread(kUnreadPatience)) return false;
+    IncrementCounter(proxy, "egretladder_unread_answers_total",
+                     "Connections closed since callers left too much unread.",
+                     "");
+  }
+  return true;
+}
+
 // Gives up the largest answer if all of them together leave no room. Others are
 // about to end, and their callers needn't suffer for it.
 void LimitBuffered(Proxy& proxy) {
+  const bool has_room_behind = LimitUnread(proxy);
   const double max_bytes =
       kAnswerMemoryRatio * static_cast<double>(proxy.options.memory_bytes);
-  if (static_cast<double>(proxy.buffered_bytes) <= max_bytes) return;
+  const bool has_room = static_cast<double>(proxy.buffered_bytes) <= max_bytes;
+  if ((has_room && has_room_behind) || proxy.calls.empty()) return;
   const auto largest = std::max_element(
       proxy.calls.begin(), proxy.calls.end(),
       [](const auto& left, const auto& right) {
         return BufferedBytes(left.second) < BufferedBytes(right.second);
       });
   const CallPtr call = largest->second;
+  if (has_room && BufferedBytes(call) < kMinYieldingBytes) return;
   GiveUpAnswer(proxy, call, "no room for the answer");
 }
 
@@ -220,7 +244,7 @@
                         FieldsToForward(*call, attempt));
   }
   call->caller->Send(events);
-  if (call->caller->UnsentBytes() > kMaxCallerBacklogBytes)
+  if (call->caller->UnsentBytes() > MaxBacklog(proxy))
     PauseReading(proxy, call);
   return count;
 }
@@ -234,8 +258,7 @@
     GiveUpAnswer(proxy, call, "an event without end");
     return;
   }
-  const bool is_backlogged =
-      call->caller->UnsentBytes() > kMaxCallerBacklogBytes;
+  const bool is_backlogged = call->caller->UnsentBytes() > MaxBacklog(proxy);
   // Bytes that make no event don't count: they may drip without end.
   if (events > 0 && routing::IsRouteRepeatable(*call->route) &&
       !is_backlogged) {
--- a/proxy/tests/endless_answers_test.cc
+++ b/proxy/tests/endless_answers_test.cc
@@ -2,6 +2,7 @@
 // connection is closed.
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <list>
 #include <string>
 #include <vector>
@@ -257,3 +258,29 @@
   env.WaitUntil([this] { return flooding.floods == 1; });
   env.WaitUntil([&proxy] { return proxy.buffered_bytes >= kFieldBytes; });
 }
+
+// Guards against whole answers that slow callers don't read: each is bounded,
+// and all of them together end the node. Callers that read get theirs.
+TEST(EndlessAnswers, AnswersThatNobodyReadsAreBoundedTogether) {
+  constexpr std::size_t kMemory = std::size_t{64} << 20U;
+  constexpr std::size_t kUnreadAnswers = 12;
+  const std::string body(std::size_t{7} << 20U, 'a');
+  env.AddEndpoint("e1", [&body](const et::EndpointRequest& request) {
+    request.Answer(200, request.http.target == "/read/a" ? "short" : body);
+  });
+  env.Publish();
+  ep::ProxyOptions options = env.MakeOptions("n1");
+  options.memory_bytes = kMemory;
+  ep::Proxy& proxy = env.StartNode(options);
+  env.WaitUntilReady(proxy, 1);
+  std::size_t largest = 0;
+  for (std::size_t i = 0; i < kUnreadAnswers; ++i) {
+    et::TestConnection& caller = env.Connect(ep::ViewOf(proxy).callers, 4096);
+    caller.PauseReading(true);
+    caller.Send(et::FormatRequest({.path = "/once/a", .timeout_ms = 3000}));
+    env.RunLoopFor(300ms);
+    largest = std::max(largest, proxy.caller_server->unsent_bytes());
+  }
+  CHECK_COMPARE(largest, <=, kMemory / 5 + body.size());
+  STRCMP_EQUAL("200", env.SendAndDescribe(proxy, {.path = "/read/a"}).c_str());
+}
