Refuse what may not be repeated at a stop while its length is unknown

Callers saw 502, unknown, for requests that a stopping node took in the first 3 s and ended at 7.3 s. Cause: the length of an answer that is no stream was estimated by the endpoint's mean over all routes, and a route without any answer counted as short. Ruled out: requests taken later than 3 s on an estimate (none cut); bodies that end late and requests that wait for an endpoint (tests, green before too).

Change: while most other known nodes go on, a request that may not be repeated is taken only if the longest answer of its route would end in time, and not if none is known. The refusal is 503, not run, after 20 ms at another node.

proxy_tests -g StopEnd, UnrepeatableRequestOfUnknownLengthIsRefusedBesideAnotherNode: failed with the old decision in stop.cc (no answer, sent to the endpoint), passes now.

--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -118,6 +118,9 @@
       break;
     case AttemptOutcome::kSucceeded:
       routing::OnAnswered(endpoint, Elapsed(call.attempt->sent_at, now), now);
+      routing::OnRouteAnswered(
+          proxy.endpoints.service_paces[call.service->name], call.route->name,
+          Elapsed(call.attempt->sent_at, now));
       break;
   }
 }
--- a/proxy/src/call_routing.cc
+++ b/proxy/src/call_routing.cc
@@ -90,6 +90,9 @@
   if (handover != nullptr) ApplyHandover(proxy, *handover, *call);
   call->demand.service = call->service;
   call->demand.tier = routing::FindRank(*rules, route, account);
+  call->demand.long_answer_ms = routing::LongAnswerMs(
+      routing::FindServicePace(proxy.endpoints, call->service->name),
+      route.name);
   if (call->service->generates) {
     call->demand.parts = metadata.parts;
     call->demand.prompt_tokens = std::max(metadata.prompt_tokens, 1U);
--- a/proxy/src/stop.cc
+++ b/proxy/src/stop.cc
@@ -64,6 +64,9 @@
                                     MakeStopPlan(proxy.options), input.since)},
                     {"deadline_ms", input.deadline},
                     {"longest_ms", input.longest},
+                    {"longest_of_route_ms",
+                     input.longest_of_route.value_or(milliseconds(-1))},
+                    {"others_stay", input.do_others_stay},
                     {"route", call.route->name}});
 }
 
@@ -108,6 +111,10 @@
   input.deadline = Elapsed(NowOf(proxy), call.deadline) + kDeadlineMargin;
   input.longest =
       routing::EstimateLongAnswerTime(proxy.endpoints, call.demand, placement);
+  input.longest_of_route =
+      routing::EstimateLongestOfRoute(call.demand, placement);
+  input.is_repeatable = routing::IsRouteRepeatable(*call.route);
+  input.do_others_stay = routing::DoMostOthersStay(proxy.members);
   const routing::StopAdmissionVerdict verdict =
       routing::DecideStopAdmission(MakeStopPlan(proxy.options), input);
   LogStopVerdict(proxy, call, input, verdict);
--- a/proxy/tests/stop_end_test.cc
+++ b/proxy/tests/stop_end_test.cc
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <string>
+#include <vector>
 
 #include "egretladder/net/address.h"
 #include "harness.h"
@@ -48,6 +49,18 @@
 TEST_GROUP(StopEnd) {
   et::TestEnvironment env;
 
+  // Starts a node that knows another one, which goes on taking requests.
+  ep::Proxy& StartNodeBesideAnother() {
+    ep::Proxy& other = env.StartReadyNode();
+    ep::ProxyOptions options = env.MakeOptions("n2");
+    options.seeds = {ep::ViewOf(other).peers};
+    ep::Proxy& proxy = env.StartNode(options);
+    env.WaitUntilReady(proxy, 1);
+    env.WaitUntilRulesApplied(proxy);
+    env.WaitUntil([&proxy] { return ep::ViewOf(proxy).nodes == 2; });
+    return proxy;
+  }
+
   // Ends the process as the daemon does when it polls `CanShutDown`.
   void KillNodeIfShutDownAllowed(ep::Proxy & proxy) {
     if (ep::CanShutDown(proxy)) env.KillNode(proxy);
@@ -241,3 +254,82 @@
   LONGS_EQUAL(20, endpoint.requests().size());
   STRCMP_EQUAL("503 no", et::DescribeAnswer(late).c_str());
 }
+
+// Guards against cutting a request that may not be repeated, of a route that
+// has shown no answer yet, while another node could serve it.
+TEST(StopEnd, UnrepeatableRequestOfUnknownLengthIsRefusedBesideAnotherNode) {
+  const et::FakeEndpoint& endpoint =
+      env.AddEndpoint("e1", et::LeaveUnanswered());
+  ep::Proxy& proxy = StartNodeBesideAnother();
+  ep::Leave(proxy);
+  env.RunLoopFor(20ms);
+  const et::TestConnection& caller =
+      env.SendRequest(proxy, {.path = "/once/a", .timeout_ms = 20'000});
+  env.RunLoopFor(100ms);
+  STRCMP_EQUAL("503 no", et::DescribeAnswer(caller).c_str());
+  LONGS_EQUAL(0, endpoint.requests().size());
+}
+
+// Guards against refusing what a stopping node can finish: the answers of the
+// route are short.
+TEST(StopEnd, UnrepeatableRequestOfAShortRouteIsServedBesideAnotherNode) {
+  env.AddEndpoint("e1", et::AnswerImmediately());
+  ep::Proxy& proxy = StartNodeBesideAnother();
+  STRCMP_EQUAL("200", env.SendAndDescribe(proxy, {.path = "/once/a"}).c_str());
+  ep::Leave(proxy);
+  env.RunLoopFor(20ms);
+  STRCMP_EQUAL("200", env.SendAndDescribe(proxy, {.path = "/once/b",
+                                                  .id = "late",
+                                                  .timeout_ms = 20'000})
+                          .c_str());
+}
+
+// Guards against an unknown outcome for a request that still waits for an
+// endpoint when the grace period ends: it has not run.
+TEST(StopEnd, RequestThatWaitsForAnEndpointAtTheEndIsToldNotRun) {
+  const et::FakeEndpoint& endpoint =
+      env.AddEndpoint("e1", et::LeaveUnanswered());
+  ep::Proxy& proxy = env.StartReadyNode();
+  std::vector<const et::TestConnection*> callers;
+  for (const char* id : {"r1", "r2", "r3", "r4"}) {
+    callers.push_back(&env.SendRequest(
+        proxy, {.path = "/once/a", .id = id, .timeout_ms = 20'000}));
+  }
+  env.WaitUntil([&] {
+    return ep::ViewOf(proxy).waiting > 0 && endpoint.requests().size() == 2;
+  });
+  ep::Leave(proxy);
+  env.AdvanceClock(env.MakeOptions("n1").grace - 600ms);
+  env.RunLoopFor(200ms);
+  std::size_t not_run = 0;
+  for (const et::TestConnection* caller : callers) {
+    const std::string answer = et::DescribeAnswer(*caller);
+    CHECK(answer == "503 no" || answer == "502 unknown");
+    if (answer == "503 no") ++not_run;
+  }
+  LONGS_EQUAL(2, not_run);
+  LONGS_EQUAL(2, endpoint.requests().size());
+}
+
+// Guards against sending a request whose head came before the stop and whose
+// body ends late in the grace period: what is left may not hold its answer.
+TEST(StopEnd, BodyThatEndsLateInTheGracePeriodIsToldNotRun) {
+  const et::FakeEndpoint& endpoint =
+      env.AddEndpoint("e1", et::LeaveUnanswered());
+  ep::Proxy& proxy = env.StartReadyNode();
+  et::TestConnection& caller = env.Connect(ep::ViewOf(proxy).callers);
+  const std::string bytes = et::FormatRequest({.path = "/once/a",
+                                               .body = std::string(1000, 'x'),
+                                               .timeout_ms = 20'000});
+  caller.Send(bytes.substr(0, bytes.size() - 400));
+  env.RunLoopFor(50ms);
+  ep::Leave(proxy);
+  env.AdvanceClock(kPastAcceptPeriod);
+  env.RunLoopFor(50ms);
+  caller.Send(bytes.substr(bytes.size() - 400));
+  env.WaitUntil([&caller] {
+    return !et::DescribeAnswer(caller).empty() || caller.ended();
+  });
+  STRCMP_EQUAL("503 no", et::DescribeAnswer(caller).c_str());
+  LONGS_EQUAL(0, endpoint.requests().size());
+}
--- a/routing/include/egretladder/routing/members.h
+++ b/routing/include/egretladder/routing/members.h
@@ -203,6 +203,9 @@
 /// silent.
 bool IsMemberAvailable(const KnownMember& known);
 
+/// Returns true if callers can use more than half of the other known nodes.
+bool DoMostOthersStay(const Members& members);
+
 /// Returns true if the fleet is small; see `kMaxSmallFleetNodes`.
 bool IsSmallFleet(const Members& members);
 
--- a/routing/include/egretladder/routing/pace.h
+++ b/routing/include/egretladder/routing/pace.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -42,6 +43,8 @@
   /// samples.
   double unloaded_event_ms = 0;
   std::unordered_map<std::string, StreamLength> lengths;  ///< By route.
+  /// Time to about the longest complete answer in thirty, in ms, by route.
+  std::unordered_map<std::string, double> longest_answer_ms;
 };
 
 /// Adds a sample: the time between two events while the engine ran `running`
@@ -60,6 +63,16 @@
 void OnStreamRunning(ServicePace& service, const std::string& route,
                      double events);
 
+/// Records that a complete answer of the route took `duration` from the
+/// sending of its request.
+void OnRouteAnswered(ServicePace& service, const std::string& route,
+                     std::chrono::duration<double, std::milli> duration);
+
+/// Returns the time to a long complete answer of the route, in ms; nothing: no
+/// answer of it is known.
+std::optional<double> LongAnswerMs(const ServicePace& service,
+                                   const std::string& route);
+
 /// Returns the expected number of events in a stream of the route.
 double ExpectedStreamEvents(const ServicePace& service,
                             const std::string& route);
--- a/routing/include/egretladder/routing/placement.h
+++ b/routing/include/egretladder/routing/placement.h
@@ -40,6 +40,8 @@
   double events = 0;          ///< Expected number of events in the answer.
   double longest = 0;         ///< Number of events if the stream is a long one.
   double expected_stream_ms = 0;  ///< From the first event to the end.
+  /// Time to a long complete answer of the route, in ms; nothing: unknown.
+  std::optional<double> long_answer_ms;
   /// The request goes on with a stream that this version began; unknown: any
   /// version will do.
   SoftwareVersion version = kUnknownVersion;
--- a/routing/include/egretladder/routing/stop_admission.h
+++ b/routing/include/egretladder/routing/stop_admission.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "egretladder/policy/stopping.h"
 #include "egretladder/routing/endpoints.h"
@@ -21,6 +22,7 @@
   kEndsByDeadline,  ///< Accepted: its deadline is before the node's end.
   kExpectedInTime,  ///< Accepted: even a long answer would end in time.
   kTooLong,         ///< Rejected: it might be cut.
+  kUnknownLength,   ///< Rejected: no answer of its route is known.
   kTooLate,         ///< Rejected: callers shouldn't send here any more.
 };
 /// Returns the verdict's name in logs.
@@ -38,9 +40,18 @@
   milliseconds deadline{};  ///< Time until the request is ended in any case.
   milliseconds
       longest{};  ///< Time to its complete answer, if it is a long one.
+  /// The same by the longest answer of its route; nothing: none is known.
+  std::optional<milliseconds> longest_of_route;
+  /// Its caller may send it again if it doesn't get the answer.
+  bool is_repeatable = true;
+  /// Most other nodes go on taking requests.
+  bool do_others_stay = false;
 };
 
-/// Decides whether a stopping node accepts a request.
+/// Decides whether a stopping node accepts a request. One that may not be
+/// repeated is lost if it is cut. While other nodes stand ready, it is accepted
+/// only if the longest answer of its route would end in time too. While most of
+/// them stop, its caller would meet one refusal after the other.
 StopAdmissionVerdict DecideStopAdmission(const policy::StopPlan& plan,
                                          const StopAdmissionInput& input);
 
@@ -52,4 +63,9 @@
                                     const Demand& demand,
                                     const Placement& placement);
 
+/// Returns the time to the complete answer if it is as long as the longest of
+/// its route; nothing: no answer of the route is known.
+std::optional<milliseconds> EstimateLongestOfRoute(const Demand& demand,
+                                                   const Placement& placement);
+
 }  // namespace egretladder::routing
--- a/routing/src/members.cc
+++ b/routing/src/members.cc
@@ -293,6 +293,10 @@
   return !known.member.state.leaving && !known.unreachable && !known.is_silent;
 }
 
+bool DoMostOthersStay(const Members& members) {
+  return 2 * members.available_count > members.others.size();
+}
+
 bool IsSmallFleet(const Members& members) {
   return members.others.size() < kMaxSmallFleetNodes;
 }
--- a/routing/src/pace.cc
+++ b/routing/src/pace.cc
@@ -47,6 +47,21 @@
   at->second.longest = std::max(at->second.longest, events);
 }
 
+void OnRouteAnswered(ServicePace& service, const std::string& route,
+                     std::chrono::duration<double, std::milli> duration) {
+  double& longest = service.longest_answer_ms[route];
+  longest =
+      std::max(duration.count(),
+               longest - kLongStreamDecayWeight * (longest - duration.count()));
+}
+
+std::optional<double> LongAnswerMs(const ServicePace& service,
+                                   const std::string& route) {
+  const auto at = service.longest_answer_ms.find(route);
+  if (at == service.longest_answer_ms.end()) return std::nullopt;
+  return at->second;
+}
+
 double ExpectedStreamEvents(const ServicePace& service,
                             const std::string& route) {
   const auto at = service.lengths.find(route);
--- a/routing/src/stop_admission.cc
+++ b/routing/src/stop_admission.cc
@@ -13,6 +13,8 @@
       return "expected-in-time";
     case StopAdmissionVerdict::kTooLong:
       return "too-long";
+    case StopAdmissionVerdict::kUnknownLength:
+      return "unknown-length";
     case StopAdmissionVerdict::kTooLate:
       return "too-late";
   }
@@ -36,8 +38,13 @@
   // know of the stop yet.
   if (phase == policy::StopPhase::kSettling)
     return StopAdmissionVerdict::kTooLate;
-  return input.longest <= time_left ? StopAdmissionVerdict::kExpectedInTime
-                                    : StopAdmissionVerdict::kTooLong;
+  milliseconds longest = input.longest;
+  if (!input.is_repeatable && input.do_others_stay) {
+    if (!input.longest_of_route) return StopAdmissionVerdict::kUnknownLength;
+    longest = std::max(longest, *input.longest_of_route);
+  }
+  return longest <= time_left ? StopAdmissionVerdict::kExpectedInTime
+                              : StopAdmissionVerdict::kTooLong;
 }
 
 milliseconds EstimateLongAnswerTime(const EndpointSet& set,
@@ -58,4 +65,11 @@
   return milliseconds(std::llround(std::max(ms, 0.0)));
 }
 
+std::optional<milliseconds> EstimateLongestOfRoute(const Demand& demand,
+                                                   const Placement& placement) {
+  if (!demand.long_answer_ms) return std::nullopt;
+  const double ms = placement.expected_ms + *demand.long_answer_ms;
+  return milliseconds(std::llround(std::max(ms, 0.0)));
+}
+
 }  // namespace egretladder::routing
--- a/routing/tests/members_test.cc
+++ b/routing/tests/members_test.cc
@@ -164,6 +164,20 @@
   CHECK_FALSE(Contains(fleet.Directory(2), "n2:80"));
 }
 
+// Guards against a stopping node that sends callers to others while these stop
+// too.
+TEST(Members, ALeavingNodeKnowsWhetherMostOthersStay) {
+  SimulatedFleet fleet(LayoutOf(3));
+  fleet.Run(2s);
+  fleet.node(0).self.state.leaving = true;
+  CHECK(er::DoMostOthersStay(fleet.node(0)));
+  fleet.node(1).self.state.leaving = true;
+  fleet.Run(500ms);
+  CHECK_FALSE(er::DoMostOthersStay(fleet.node(0)));
+  const er::Members alone = er::MakeMembers(MakeMember("n0"), {}, kStart);
+  CHECK_FALSE(er::DoMostOthersStay(alone));
+}
+
 // Guards against a node that never returns to the directory because its clock
 // was set back and its process restarted with a lower incarnation, so that
 // peers ignore its gossip as old.
--- a/routing/tests/stop_admission_test.cc
+++ b/routing/tests/stop_admission_test.cc
@@ -72,6 +72,61 @@
         StopAdmissionVerdict::kTooLate);
 }
 
+// Guards against cutting a request that may not be repeated while another node
+// could serve it: its route shares its endpoints with short answers, so that
+// their mean says nothing, or has shown no answer yet.
+TEST(StopAdmission, TakesUnrepeatableOnesOnlyByTheLongestOfTheirRoute) {
+  er::StopAdmissionInput input = ArrivingAt(2000ms);
+  input.longest = 300ms;
+  input.is_repeatable = false;
+  input.do_others_stay = true;
+  CHECK(er::DecideStopAdmission(MakeStopPlan(), input) ==
+        StopAdmissionVerdict::kUnknownLength);
+  input.longest_of_route = 5301ms;
+  CHECK(er::DecideStopAdmission(MakeStopPlan(), input) ==
+        StopAdmissionVerdict::kTooLong);
+  input.longest_of_route = 5300ms;
+  CHECK(er::DecideStopAdmission(MakeStopPlan(), input) ==
+        StopAdmissionVerdict::kExpectedInTime);
+  input.longest = 5301ms;
+  CHECK(er::DecideStopAdmission(MakeStopPlan(), input) ==
+        StopAdmissionVerdict::kTooLong);
+}
+
+// Guards against refusals that cost a caller one attempt for nothing: its
+// request may be repeated, ends by its deadline, or would be refused by most
+// other nodes too.
+TEST(StopAdmission, TakesRequestsOfUnknownLengthWhereARefusalHelpsNobody) {
+  er::StopAdmissionInput input = ArrivingAt(2000ms);
+  input.is_repeatable = true;
+  input.do_others_stay = true;
+  CHECK(er::DecideStopAdmission(MakeStopPlan(), input) ==
+        StopAdmissionVerdict::kExpectedInTime);
+  input.is_repeatable = false;
+  input.do_others_stay = false;
+  CHECK(er::DecideStopAdmission(MakeStopPlan(), input) ==
+        StopAdmissionVerdict::kExpectedInTime);
+  input.do_others_stay = true;
+  input.deadline = 5300ms;
+  CHECK(er::DecideStopAdmission(MakeStopPlan(), input) ==
+        StopAdmissionVerdict::kEndsByDeadline);
+}
+
+// Guards against an estimate that forgets a long answer as soon as short ones
+// of its route follow, or that takes another route's answers for its own.
+TEST(StopAdmission, KnowsTheLongestAnswerOfARoute) {
+  er::ServicePace pace;
+  er::Demand demand;
+  er::Placement placement;
+  placement.expected_ms = 300;
+  CHECK_FALSE(er::EstimateLongestOfRoute(demand, placement).has_value());
+  er::OnRouteAnswered(pace, "orders", 5000ms);
+  er::OnRouteAnswered(pace, "orders", 200ms);
+  CHECK_FALSE(er::LongAnswerMs(pace, "reads").has_value());
+  demand.long_answer_ms = er::LongAnswerMs(pace, "orders");
+  CHECK(er::EstimateLongestOfRoute(demand, placement) == 5150ms);
+}
+
 // A request arrived before the stop and waits at the full node. It hasn't run,
 // so its caller is sent to another node as soon as the rest of the grace period
 // is too short for it, but not earlier.
