--- a/proxy/tests/cut_off_test.cc
+++ b/proxy/tests/cut_off_test.cc
@@ -288,6 +288,24 @@
   LONGS_EQUAL(1, CountRequests());
 }
 
+// Guards against a closed connection, or a promise that a request has not run,
+// where the peer that it was handed over to reaches the end of its stop.
+TEST(CutOff, RequestOfAPeerThatStopsIsUnknown) {
+  StartNodes(et::LeaveUnanswered());
+  links.Set(et::Cut::kReset);
+  et::TestConnection& caller = env.SendRequest(
+      *cut, {.path = "/once/a", .id = "o", .timeout_ms = 20'000});
+  env.WaitUntil([this] { return CountRequests() == 1; });
+  ep::Leave(*peer);
+  env.RunLoopFor(20ms);
+  env.AdvanceClock(env.MakeOptions("peer").grace - 600ms);
+  env.WaitUntil([&caller] {
+    return !et::DescribeAnswer(caller).empty() || caller.ended();
+  });
+  STRCMP_EQUAL("502 unknown", et::DescribeAnswer(caller).c_str());
+  LONGS_EQUAL(1, CountRequests());
+}
+
 // Guards against endpoints that work for callers who have left.
 TEST(CutOff, CallerThatLeavesIsGoneAtTheEndpointToo) {
   StartNodes(et::LeaveUnanswered());
