Breaks at processes that live on don't count as crashes

What callers saw: a request of which three connections broke in turn was refused with 503 for 60 s, although no endpoint had ended: paths that fail or endpoints that give answers up look like crashes.

Cause: a break was taken for a crash without asking whether the process that it came from had ended.

Change: after a break that counts, the endpoint is asked for its report, one question at a time for an endpoint, 64 at once. The start of the process that the attempt met excuses what broke there before it was asked, for whole requests and parts; a hold that rested on it ends unless others prove it. Nodes gossip which processes live, so that no break and no hold comes back. 700 ms later it is asked once more: if it has ended by then, the breaks count again. No answer, a refused connection, a later start, or the start of an entry that came meanwhile leave them counted.

Tests: LivingProcesses in routing_tests (13) and platform_tests (7). In platform_tests three failed before (whole request, stream, part: 503 after the third break), four that keep real crashes held were green before and after: back at once with a later start, published meanwhile, silent, ended a moment after an answer. Green beside load: Suspects and CrashingParts of platform_tests (13), suspects of routing_tests, proxy_tests (121).

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -175,6 +175,15 @@
 /// Endpoints that are asked for that at the same time; further notices end with
 /// the next process that is published.
 inline constexpr std::size_t kMaxNoticeChecks = 64;
+/// How long an endpoint may take to say that its process lives on after a
+/// connection to it broke. No caller waits for it.
+inline constexpr milliseconds kBreakQuestionTimeout{1000};
+/// Time after such an answer until the endpoint is asked once more, since its
+/// process may have been about to end. Later than peers may take the break for
+/// an excused one, and early enough for `routing::kMaxLateCrash`.
+inline constexpr milliseconds kSecondBreakQuestionDelay{700};
+/// Endpoints that are asked for that at the same time; further breaks count.
+inline constexpr std::size_t kMaxBreakQuestions = 64;
 /// A longer report of an endpoint isn't read.
 inline constexpr std::size_t kMaxReportBytes = std::size_t{64} << 10U;
 /// Interval of the housekeeping tick, which also detects pauses of the process.
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -84,6 +84,15 @@
   # Keys of the records that the sender has, if it wants all others; otherwise
   # empty.
   known @15 :List(UInt32);
+  # Processes of endpoints that live although connections to them broke.
+  living @16 :List(Living);
+}
+
+struct Living {
+  # Hash of the process, as in `Break.endpoint`.
+  process @0 :UInt64;
+  # Time since it is known to have lived.
+  livedAgoMs @1 :UInt32;
 }
 
 struct Brittle {
@@ -186,6 +195,9 @@
   heldDespiteSuccess @4 :Bool;
   # Probes of a held part that didn't succeed so far.
   failedProbes @5 :UInt8;
+  # Time since the last crash of a hold that ended because crashes were none,
+  # longer than suspects are remembered if there was no such hold.
+  releasedAgoMs @6 :UInt32 = 0xffffffff;
 }
 
 struct Break {
--- a/proxy/src/page_read.cc
+++ b/proxy/src/page_read.cc
@@ -12,6 +12,7 @@
   net::Cancel(std::exchange(read->exchange, nullptr));
   read->timer = {};
   if (!is_whole) read->page = {};
+  read->page.is_refused = read->is_refused;
   const auto on_end = std::exchange(read->on_end, nullptr);
   on_end(read->page);
 }
@@ -32,8 +33,10 @@
     if (read->page.body.size() > read->max_bytes) Finish(weak_read, false);
   };
   handlers.on_end = [weak_read] { Finish(weak_read, true); };
-  handlers.on_error = [weak_read](net::ExchangeError /*error*/,
+  handlers.on_error = [weak_read](net::ExchangeError error,
                                   const std::string& /*detail*/) {
+    if (const auto read = weak_read.lock())
+      read->is_refused = error == net::ExchangeError::kNotConnected;
     Finish(weak_read, false);
   };
   return handlers;
--- a/proxy/src/page_read_p.h
+++ b/proxy/src/page_read_p.h
@@ -16,6 +16,7 @@
 struct Page {
   /// 0: no answer came in time, or it was broken or longer than allowed.
   int status = 0;
+  bool is_refused = false;  ///< No connection was opened.
   net::HttpAnswerHead head;
   std::string body;
 };
@@ -28,6 +29,7 @@
   PageRead& operator=(const PageRead&) = delete;
 
   Page page;
+  bool is_refused = false;  ///< No connection was opened.
   std::size_t max_bytes = 0;
   net::HttpExchangePtr exchange;
   kernel::EventWatcher timer;  ///< Ends the read.
--- /dev/null
+++ b/proxy/src/process_question.cc
@@ -0,0 +1,70 @@
+// Asks an endpoint's report when its process started.
+#include <utility>
+
+#include "state_p.h"
+
+namespace egretladder::proxy {
+namespace {
+
+using kernel::LogLevel;
+using kernel::LogPart;
+using routing::ProcessCheckResult;
+
+constexpr int kOk = 200;
+
+void LogReplaced(const std::string& request_id,
+                 const routing::Endpoint& endpoint,
+                 std::uint64_t started_unix_ms) {
+  kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "process-replaced",
+                   {{"req", request_id},
+                    {"endpoint", endpoint.entry.id},
+                    {"published_start", endpoint.entry.started_unix_ms},
+                    {"start", started_unix_ms},
+                    {"version", endpoint.entry.software_version}});
+}
+
+ProcessCheckResult ApplyReport(Proxy& proxy, routing::Endpoint& endpoint,
+                               const std::string& request_id, Time asked_at,
+                               const Page& report) {
+  if (report.status == 0) {
+    routing::OnConnectionLost(endpoint, NowOf(proxy));
+    if (report.is_refused) routing::OnConnectFailed(endpoint, NowOf(proxy));
+    return ProcessCheckResult::kNoAnswer;
+  }
+  if (report.status != kOk) return ProcessCheckResult::kUnclear;
+  const std::uint64_t started = proxy.dialect->read_process_start(report.body);
+  const ProcessCheckResult result =
+      routing::OnProcessStated(endpoint, started, asked_at);
+  if (result == ProcessCheckResult::kReplaced)
+    LogReplaced(request_id, endpoint, started);
+  return result;
+}
+
+void CountAnswer(Proxy& proxy, const char* purpose, ProcessCheckResult result) {
+  IncrementCounter(
+      proxy, "egretladder_process_checks_total",
+      "Endpoints asked whether their process wrote their entry, by result.",
+      std::string("purpose=\"") + purpose + "\",result=\"" +
+          routing::NameOf(result) + "\"");
+}
+
+}  // namespace
+
+PageReadPtr AskForProcess(
+    Proxy& proxy, const routing::EndpointPtr& endpoint,
+    const ProcessQuestion& question,
+    std::function<void(routing::ProcessCheckResult)> on_answer) {
+  return StartPageRead(*proxy.loop, *proxy.client,
+                       {endpoint->entry.address, proxy.dialect->report_target(),
+                        kMaxReportBytes, question.timeout},
+                       [&proxy, endpoint, question, asked_at = NowOf(proxy),
+                        on_answer = std::move(on_answer)](const Page& report) {
+                         const ProcessCheckResult result =
+                             ApplyReport(proxy, *endpoint, question.request_id,
+                                         asked_at, report);
+                         CountAnswer(proxy, question.purpose, result);
+                         on_answer(result);
+                       });
+}
+
+}  // namespace egretladder::proxy
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -145,6 +146,20 @@
   PageReadPtr read;
 };
 
+/// A question to an endpoint whether its process lives on after a connection to
+/// it broke.
+struct BreakQuestion {
+  routing::EndpointPtr endpoint;
+  std::uint64_t process = 0;  ///< Hash of the process when it broke.
+  Time asked_at{};
+  /// The process answered once; this question tells whether it was about to
+  /// end.
+  bool is_second = false;
+  bool is_outdated = false;    ///< Another one broke after it was asked.
+  PageReadPtr read;            ///< Null: the second one isn't due yet.
+  kernel::EventWatcher timer;  ///< Asks the second one.
+};
+
 struct PeerNetwork;
 struct PeerNetworkDelete {
   void operator()(PeerNetwork* network) const;
@@ -186,7 +201,8 @@
   StreamWork stream_work;
   KeptPartsReader kept_parts;
   StoreCatchUp store_catch_up;
-  std::map<std::string, NoticeCheck> notice_checks;  ///< By endpoint.
+  std::map<std::string, NoticeCheck> notice_checks;      ///< By endpoint.
+  std::map<std::string, BreakQuestion> break_questions;  ///< By endpoint.
   routing::Suspects suspects;
   std::deque<PendingProof> pending_proofs;  ///< Oldest first.
   /// Until then peers are asked for all suspects.
@@ -367,6 +383,9 @@
                 const std::string& detail);
 
 // suspects.cc
+/// Returns the hash of the process that wrote the entry. An endpoint that
+/// starts again may keep its id.
+std::uint64_t HashOfProcess(const routing::EndpointEntry& entry);
 /// Returns the name of a suspect's key in logs.
 std::string NameOfSuspect(std::uint64_t key);
 /// Returns the keys under which the call's request may be suspected: its own
@@ -428,6 +447,25 @@
 void WritePartsToHomes(Proxy& proxy,
                        const std::vector<routing::StreamRecord>& parts);
 
+// process_question.cc
+/// Why and how an endpoint is asked which process it is.
+struct ProcessQuestion {
+  std::string request_id;  ///< The request that asks; for the log.
+  const char* purpose;     ///< Label of the metric.
+  milliseconds timeout{};
+};
+/// Asks the endpoint whether its process is the one that wrote its entry.
+/// Destroying the result cancels the question.
+PageReadPtr AskForProcess(
+    Proxy& proxy, const routing::EndpointPtr& endpoint,
+    const ProcessQuestion& question,
+    std::function<void(routing::ProcessCheckResult)> on_answer);
+
+// break_questions.cc
+/// Asks the endpoint of an attempt whose connection broke whether its process
+/// lives on, if that break or another one there counts against anything.
+void AskAfterBreak(Proxy& proxy, const Attempt& attempt);
+
 // process_checks.cc
 /// Starts the attempt. If its version must be known, the endpoint is first
 /// asked whether its process is the one that wrote its entry.
--- a/proxy/src/suspects.cc
+++ b/proxy/src/suspects.cc
@@ -29,11 +29,6 @@
          IsSuccess(attempt.head.status) && HasLength(attempt.head);
 }
 
-// An endpoint that starts again may keep its id.
-std::uint64_t HashOfProcess(const routing::EndpointEntry& entry) {
-  return kernel::HashBytes(entry.id, entry.started_unix_ms);
-}
-
 void CountClearing(Proxy& proxy, bool was_held) {
   IncrementCounter(proxy, "egretladder_suspects_cleared_total",
                    "Requests whose broken connections an answer excused, by "
@@ -184,6 +179,7 @@
   suspect.setKey(gossip.key);
   suspect.setClearedAgoMs(ToMillis(gossip.cleared_ago));
   suspect.setHeldAgoMs(ToMillis(gossip.held_ago));
+  suspect.setReleasedAgoMs(ToMillis(gossip.released_ago));
   suspect.setHeldDespiteSuccess(gossip.held_despite_success);
   suspect.setFailedProbes(
       static_cast<std::uint8_t>(std::min(gossip.failed_probes, 255U)));
@@ -201,6 +197,7 @@
   gossip.key = suspect.getKey();
   gossip.cleared_ago = milliseconds(suspect.getClearedAgoMs());
   gossip.held_ago = milliseconds(suspect.getHeldAgoMs());
+  gossip.released_ago = milliseconds(suspect.getReleasedAgoMs());
   gossip.held_despite_success = suspect.getHeldDespiteSuccess();
   gossip.failed_probes = suspect.getFailedProbes();
   for (const auto known : suspect.getBreaks()) {
@@ -227,8 +224,34 @@
       {{"request", NameOfSuspect(gossip.key)}, {"breaks", after.breaks}});
 }
 
+void WriteLiving(const Proxy& proxy, routing::SuspectScope scope,
+                 exchange::News::Builder news) {
+  if (proxy.suspects.living.empty()) return;
+  const auto gossip = routing::MakeLivingGossip(
+      proxy.suspects.living, scope == routing::SuspectScope::kAll,
+      NowOf(proxy));
+  auto list = news.initLiving(static_cast<unsigned>(gossip.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setProcess(gossip[i].process);
+    list[i].setLivedAgoMs(ToMillis(gossip[i].lived_ago));
+  }
+}
+
+void ApplyLiving(Proxy& proxy, exchange::News::Reader news) {
+  std::vector<routing::LivingGossip> gossip;
+  for (const auto living : news.getLiving()) {
+    gossip.push_back(
+        {living.getProcess(), milliseconds(living.getLivedAgoMs())});
+  }
+  routing::ApplyLivingGossip(proxy.suspects, gossip, NowOf(proxy));
+}
+
 }  // namespace
 
+std::uint64_t HashOfProcess(const routing::EndpointEntry& entry) {
+  return kernel::HashBytes(entry.id, entry.started_unix_ms);
+}
+
 std::string NameOfSuspect(std::uint64_t key) {
   constexpr int kHexBase = 16;
   std::array<char, 2 * sizeof(key)> digits{};
@@ -249,6 +272,7 @@
       outcome == AttemptOutcome::kNotSent) {
     RecordProcessEnd(proxy, attempt, now);
   }
+  if (outcome == AttemptOutcome::kBroken) AskAfterBreak(proxy, attempt);
   if (IsUnclear(attempt, outcome)) RecordUnclear(proxy, call, attempt, now);
 }
 
@@ -313,6 +337,7 @@
 
 void WriteSuspects(const Proxy& proxy, routing::SuspectScope scope,
                    exchange::News::Builder news) {
+  WriteLiving(proxy, scope, news);
   if (proxy.suspects.by_key.empty()) return;
   const auto gossip =
       routing::MakeSuspectGossip(proxy.suspects, scope, NowOf(proxy));
@@ -321,6 +346,8 @@
 }
 
 void ApplySuspects(Proxy& proxy, exchange::News::Reader news) {
+  // First, so that breaks which were taken back don't count.
+  ApplyLiving(proxy, news);
   for (const auto reader : news.getSuspects())
     ApplySuspect(proxy, ReadSuspect(reader));
 }
--- a/routing/include/egretladder/routing/suspects.h
+++ b/routing/include/egretladder/routing/suspects.h
@@ -10,6 +10,10 @@
 //
 // Nodes gossip broken connections, because callers retry at other nodes.
 //
+// A process that lives on was crashed by nothing: once it is heard of, what
+// broke there before no longer counts, and a hold that rested on it ends. It
+// may be about to end, so that what broke there counts again if it does.
+//
 // A part of a prompt may do the same, whatever else the request holds, so that
 // no two requests are alike. Parts are therefore suspected as well, by the same
 // count: each crash counts against all parts of all requests of which the
@@ -36,6 +40,7 @@
 
 #include "egretladder/kernel/time.h"
 #include "egretladder/routing/limits.h"
+#include "egretladder/routing/living_processes.h"
 #include "egretladder/routing/placement.h"
 #include "egretladder/routing/recent_map.h"
 
@@ -153,6 +158,9 @@
   Time broke{};                ///< When the connection broke.
   bool seen_here = true;       ///< Otherwise a peer told of it.
   std::uint32_t request = 0;   ///< Low half of the request's key.
+  /// The attempt had ended before, and only the end of the process made it
+  /// count.
+  bool was_unclear = false;
 };
 
 /// What is known of one request or part.
@@ -164,6 +172,9 @@
   Time cleared{};           ///< Last success; breaks up to it don't count.
   /// Last crash of a request that is held back; default: it isn't.
   Time held_since{};
+  /// Last crash of a hold that ended because crashes were none; default: there
+  /// was no such hold.
+  Time released{};
   /// A part is held back although it had succeeded before its crashes.
   bool held_despite_success = false;
   /// Probes of a held part that didn't succeed so far.
@@ -194,6 +205,7 @@
   std::deque<Break> crashes;
   /// Those that a held part explains, oldest first.
   std::deque<Break> explained;
+  LivingProcesses living;
 };
 
 /// Records that a connection broke at `added.broke` while it carried the
@@ -207,6 +219,14 @@
 /// Records that the endpoint's process has ended, or seems to: a connection to
 /// it broke or was refused.
 void OnProcessEnded(Suspects& suspects, std::uint64_t endpoint, Time now);
+/// Records that the endpoint's process lives: it answered a question that was
+/// asked then. Connections to it that broke before no longer count. Those of
+/// the last `kMaxLateCrash` count again if it ends within that time.
+void OnProcessLivedOn(Suspects& suspects, std::uint64_t endpoint, Time asked_at,
+                      Time now);
+/// Returns true if a connection to the endpoint's process that broke counts
+/// against any request or part.
+bool HasBreakAt(const Suspects& suspects, std::uint64_t endpoint);
 /// Records that an endpoint ran the request to its end with success, or wrote
 /// an answer on the part, which proves that it is harmless.
 void OnRequestRan(Suspects& suspects, std::uint64_t key, Time now);
@@ -267,6 +287,9 @@
   /// Time since the last crash of a request that is held back;
   /// `kNeverHappened` if it isn't.
   milliseconds held_ago{};
+  /// Time since the last crash of a hold that ended because crashes were none;
+  /// `kNeverHappened` if there was no such hold.
+  milliseconds released_ago{std::chrono::hours(1)};
   bool held_despite_success = false;
   std::uint32_t failed_probes = 0;
 };
@@ -289,6 +312,9 @@
 /// changes nothing.
 void ApplySuspectGossip(Suspects& suspects, const SuspectGossip& gossip,
                         Time now);
+/// Applies which processes live from a peer.
+void ApplyLivingGossip(Suspects& suspects,
+                       const std::vector<LivingGossip>& gossip, Time now);
 /// Drops suspects without a break or an answer within `kSuspectRetention`.
 void ForgetSuspects(Suspects& suspects, Time now);
 
--- a/routing/src/suspects.cc
+++ b/routing/src/suspects.cc
@@ -28,7 +28,8 @@
 }
 
 Time LastChange(const Suspect& suspect) {
-  Time latest = std::max(suspect.cleared, suspect.held_since);
+  Time latest =
+      std::max({suspect.cleared, suspect.held_since, suspect.released});
   for (const Break& known_break : suspect.breaks) {
     latest = std::max(latest, known_break.broke);
   }
@@ -186,9 +187,79 @@
   if (suspects.crashes.size() > kMaxRecentCrashes) suspects.crashes.pop_front();
 }
 
+bool HasLivedOnAfter(const Suspects& suspects, const Break& known) {
+  return HasLivedOn(suspects.living, known.endpoint, known.broke,
+                    known.seen_here);
+}
+
+// Returns true if a hold with that last crash was to end. Times from peers are
+// late by their way.
+bool IsReleased(const Suspect& suspect, Time held_since) {
+  return suspect.released != Time{} &&
+         held_since <= suspect.released + kSameBreakWindow;
+}
+
+bool IsProven(const Suspects& suspects, std::uint64_t key,
+              const Suspect& suspect) {
+  return !suspect.breaks.empty() && CrashesEndpoints(suspects, key, suspect);
+}
+
+// Ends a hold that was to end, unless this node knows crashes that prove it.
+void ReleaseIfUnproven(const Suspects& suspects, std::uint64_t key,
+                       Suspect& suspect) {
+  if (!IsHeld(suspect) || !IsReleased(suspect, suspect.held_since)) return;
+  if (IsProven(suspects, key, suspect)) return;
+  suspect.held_since = {};
+  suspect.held_despite_success = false;
+  suspect.failed_probes = 0;
+}
+
+// A process may be about to end: then what broke there counts again.
+void KeepExcused(Suspects& suspects, std::uint64_t key, const Break& excused,
+                 Time now) {
+  const bool may_count_again = excused.seen_here && !excused.was_unclear &&
+                               now - excused.broke <= kMaxLateCrash;
+  if (!may_count_again) return;
+  OnUnclearEnd(suspects, {key, excused.endpoint, excused.sent, excused.broke,
+                          excused.request});
+}
+
+// Forgets the crashes of the suspect that were none, and a hold that rested on
+// them. Holds of which only peers know the crashes are theirs to end.
+void DropExcused(Suspects& suspects, std::uint64_t key, Suspect& suspect,
+                 Time now) {
+  const bool may_release = IsHeld(suspect) && IsProven(suspects, key, suspect);
+  std::vector<Break> excused;
+  DropBreaks(suspect, [&](const Break& known) {
+    if (!HasLivedOnAfter(suspects, known)) return false;
+    excused.push_back(known);
+    return true;
+  });
+  if (excused.empty()) return;
+  for (const Break& each : excused) KeepExcused(suspects, key, each, now);
+  if (may_release && !IsProven(suspects, key, suspect)) {
+    suspect.released = suspect.held_since;
+    suspect.changed = now;
+    ReleaseIfUnproven(suspects, key, suspect);
+  }
+  // Peers need not be told if nothing is left.
+  if (LastChange(suspect) == Time{}) suspect.changed = {};
+}
+
+void DropAllExcused(Suspects& suspects, Time now) {
+  const auto is_excused = [&suspects](const Break& crash) {
+    return HasLivedOnAfter(suspects, crash);
+  };
+  std::erase_if(suspects.crashes, is_excused);
+  std::erase_if(suspects.explained, is_excused);
+  for (auto& [key, suspect] : suspects.by_key)
+    DropExcused(suspects, key, suspect, now);
+}
+
 // Records a broken connection. Returns true if its crash wasn't known.
 bool AddBreak(Suspects& suspects, std::uint64_t key, Suspect& suspect,
               const Break& added) {
+  if (HasLivedOnAfter(suspects, added)) return false;
   if (IsExplained(suspects, key, suspect, added)) return false;
   RecordCrash(suspects, added);
   if (!MergeBreak(suspect, added)) return false;
@@ -222,6 +293,7 @@
   gossip.key = key;
   gossip.cleared_ago = AgeOrNever(suspect.cleared, now);
   gossip.held_ago = AgeOrNever(suspect.held_since, now);
+  gossip.released_ago = AgeOrNever(suspect.released, now);
   gossip.held_despite_success = suspect.held_despite_success;
   gossip.failed_probes = suspect.failed_probes;
   // Of a request that is held back, its crashes say no more.
@@ -234,10 +306,12 @@
 }
 
 // Returns true if this node knows better than a peer that holds the suspect
-// back: it succeeded since, or the peer doesn't know that it ever did.
+// back: it succeeded since, the last crash was none, or the peer doesn't know
+// that it ever succeeded.
 bool IsHoldRefuted(const SuspectGossip& gossip, const Suspect& suspect,
                    Time held_since) {
   if (IsExcused(suspect, held_since)) return true;
+  if (!IsHeld(suspect) && IsReleased(suspect, held_since)) return true;
   return KindOf(gossip.key) == SuspectKind::kPart && HasSucceeded(suspect) &&
          !gossip.held_despite_success;
 }
@@ -252,6 +326,17 @@
   return true;
 }
 
+// Applies that a peer has ended a hold. Returns true if that is news.
+bool MergeRelease(const Suspects& suspects, const SuspectGossip& gossip,
+                  Suspect& suspect, Time now) {
+  if (gossip.released_ago >= kSuspectRetention) return false;
+  const Time released = now - gossip.released_ago;
+  if (released <= suspect.released + kSameBreakWindow) return false;
+  suspect.released = released;
+  ReleaseIfUnproven(suspects, gossip.key, suspect);
+  return true;
+}
+
 // Rendezvous hashing, so that nodes agree without messages.
 bool IsProbingNode(const FleetSnapshot& fleet, std::uint64_t seed) {
   const std::uint64_t own = kernel::HashBytes(fleet.self, seed);
@@ -305,12 +390,29 @@
       others.push_back(end);
     } else {
       OnConnectionBroke(suspects, end.key,
-                        {endpoint, end.sent, now, true, end.request});
+                        {endpoint, end.sent, now, true, end.request, true});
     }
   }
   suspects.unclear_ends = std::move(others);
 }
 
+void OnProcessLivedOn(Suspects& suspects, std::uint64_t endpoint, Time asked_at,
+                      Time now) {
+  OnProcessHeard(suspects.living, endpoint, asked_at, now);
+  DropAllExcused(suspects, now);
+}
+
+bool HasBreakAt(const Suspects& suspects, std::uint64_t endpoint) {
+  const auto is_at = [endpoint](const Break& known) {
+    return known.endpoint == endpoint;
+  };
+  return std::any_of(suspects.by_key.begin(), suspects.by_key.end(),
+                     [&is_at](const SuspectEntry& entry) {
+                       const auto& breaks = entry.second.breaks;
+                       return std::any_of(breaks.begin(), breaks.end(), is_at);
+                     });
+}
+
 void OnRequestRan(Suspects& suspects, std::uint64_t key, Time now) {
   constexpr RecentMapBounds kBounds{kMaxNewerSuccesses, kSuspectRetention};
   Put(suspects.successes, kBounds, key, now, now);
@@ -444,6 +546,7 @@
                                   now - added.broke_ago, false, added.request});
     if (is_new) suspect.changed = now;
   }
+  if (MergeRelease(suspects, gossip, suspect, now)) suspect.changed = now;
   DropUnsureHold(suspects, gossip.key, suspect);
   const milliseconds retention =
       KindOf(gossip.key) == SuspectKind::kRequest
@@ -457,7 +560,16 @@
     suspect.changed = now;
 }
 
+void ApplyLivingGossip(Suspects& suspects,
+                       const std::vector<LivingGossip>& gossip, Time now) {
+  bool is_news = false;
+  for (const LivingGossip& each : gossip)
+    is_news = MergeLivingGossip(suspects.living, each, now) || is_news;
+  if (is_news) DropAllExcused(suspects, now);
+}
+
 void ForgetSuspects(Suspects& suspects, Time now) {
+  ForgetLiving(suspects.living, now);
   for (auto& [key, suspect] : suspects.by_key) {
     DropBreaks(suspect, [now](const Break& known) {
       return now - known.broke >= kSuspectRetention;
