--- a/proxy/src/break_questions.cc
+++ b/proxy/src/break_questions.cc
@@ -17,12 +17,6 @@
 
 void Ask(Proxy& proxy, BreakQuestion question);
 
-// The entry may be that of another process by now, whose start it states.
-bool IsSameProcess(const BreakQuestion& question, ProcessCheckResult result) {
-  return result == ProcessCheckResult::kSame &&
-         HashOfProcess(question.endpoint->entry) == question.process;
-}
-
 void AskSecondLater(Proxy& proxy, BreakQuestion question) {
   const std::string id = question.endpoint->entry.id;
   question.read = nullptr;
@@ -40,7 +34,7 @@
   const auto node = proxy.break_questions.extract(id);
   BreakQuestion& question = node.mapped();
   const Time now = NowOf(proxy);
-  const bool lives = IsSameProcess(question, result);
+  const bool lives = result == ProcessCheckResult::kSame;
   kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo, "asked-after-break",
                    {{"endpoint", id},
                     {"result", routing::NameOf(result)},
