Store: an answer has an end at 8 MiB

The body of a list or watch was kept up to 64 MiB, by each of two readers, and counted for nothing. Now it is a bad answer beyond 8 MiB, the bound that a catch-up has; a watch that is too long is followed by a list, whose pages have 1 MB.

EndlessAnswers.AnAnswerOfTheStoreHasAnEnd: 29,163,520 bytes of one answer in 1.5 s before (9,437,184 allowed), green now. Not run with a real node. A list whose pages never end is still open.

--- a/proxy/src/store.cc
+++ b/proxy/src/store.cc
@@ -251,6 +251,18 @@
   }
 }
 
+// Ends a read whose answer can't be read any further.
+void OnReadBroken(Proxy& proxy, StoreReader& reader, net::ExchangeError error,
+                  const std::string& why) {
+  reader.timer = {};
+  reader.exchange = nullptr;
+  reader.body = std::string();
+  reader.last_key.clear();
+  if (reader.watching && error == net::ExchangeError::kBadAnswer)
+    AvoidSameChanges(reader);
+  OnReadFailed(proxy, reader, why);
+}
+
 // Returns how long a watch asks the store to wait for changes. A request to a
 // silent store is lost, and a long wait for it would delay noticing that the
 // store is back.
@@ -289,18 +301,17 @@
     ReadEra(proxy, reader, head);
     return net::HeadVerdict::kAccept;
   };
-  handlers.on_body = [&reader](std::string_view piece) {
+  handlers.on_body = [&proxy, &reader](std::string_view piece) {
     reader.body.append(piece);
+    if (reader.body.size() <= kMaxBufferedAnswerBytes) return;
+    net::Cancel(reader.exchange);
+    OnReadBroken(proxy, reader, net::ExchangeError::kBadAnswer,
+                 "an answer without end");
   };
   handlers.on_end = [&proxy, &reader] { OnReadEnd(proxy, reader); };
   handlers.on_error = [&proxy, &reader](net::ExchangeError error,
                                         const std::string& detail) {
-    reader.timer = {};
-    reader.exchange = nullptr;
-    reader.last_key.clear();
-    if (reader.watching && error == net::ExchangeError::kBadAnswer)
-      AvoidSameChanges(reader);
-    OnReadFailed(proxy, reader, detail);
+    OnReadBroken(proxy, reader, error, detail);
   };
   reader.exchange =
       proxy.client->Start(std::move(request), std::move(handlers));
--- a/proxy/tests/endless_answers_test.cc
+++ b/proxy/tests/endless_answers_test.cc
@@ -284,3 +284,22 @@
   CHECK_COMPARE(largest, <=, kMemory / 5 + body.size());
   STRCMP_EQUAL("200", env.SendAndDescribe(proxy, {.path = "/read/a"}).c_str());
 }
+
+// Guards against a store whose answers fill the memory.
+TEST(EndlessAnswers, AnAnswerOfTheStoreHasAnEnd) {
+  const EndlessAnswer answer{"body", "HTTP/1.1 200 OK\r\n\r\n", kLong};
+  const et::FakeEndpoint& store =
+      env.AddEndpoint("store", flooding.Flood(answer, "/"));
+  ep::ProxyOptions options = env.MakeOptions("n1");
+  options.store = store.address();
+  ep::Proxy& proxy = env.StartNode(options);
+  flooding.Start(answer, kFloodBytes, 1ms);
+  std::size_t largest = 0;
+  for (int i = 0; i < 150; ++i) {
+    env.RunLoopFor(10ms);
+    for (const ep::StoreReader& reader : proxy.readers)
+      largest = std::max(largest, reader.body.size());
+  }
+  CHECK_COMPARE(largest, <=, std::size_t{9} << 20U);
+  CHECK_COMPARE(flooding.floods, >, 0U);
+}
