A process that is late to say that it lives on has not crashed

A question without an answer in time now ends the attempt as silent: the stream goes on elsewhere as before, and nothing counts as a crash.

--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -95,9 +95,12 @@
       break;
     case ProcessCheckResult::kUnclear:
       break;
+    case ProcessCheckResult::kSilent:  // It may live on.
+      EndAttempt(proxy, call, AttemptOutcome::kSilent,
+                 "its process doesn't tell whether it ended the answer");
+      return;
     case ProcessCheckResult::kReplaced:
     case ProcessCheckResult::kNoAnswer:
-    case ProcessCheckResult::kSilent:
       EndAttempt(proxy, call, AttemptOutcome::kBroken,
                  "the answer ended with its process");
       return;
