--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -63,7 +63,10 @@
               std::string_view body);
   /// Sends the head of an answer whose length is not known yet. If one has
   /// begun already, the call is aborted instead, and an error is logged.
-  void Begin(int status, std::string_view reason, const HttpFields& fields);
+  /// `kNone`: its end is the end of the connection, as it always is for callers
+  /// that don't support chunks.
+  void Begin(int status, std::string_view reason, const HttpFields& fields,
+             BodyFraming framing = BodyFraming::kChunked);
   /// Sends a piece of its body.
   void Send(std::string_view piece);
   /// Ends the answer regularly.
@@ -73,6 +76,8 @@
 
   /// The head of an answer was sent by `Begin`.
   bool begun() const { return begun_; }
+  /// The answer that has begun says itself where it ends.
+  bool framed() const { return chunked_; }
   /// The call has ended, or the caller has disconnected.
   bool over() const { return connection_ == nullptr; }
   /// Bytes of the output buffer that were not sent yet.
@@ -145,6 +150,11 @@
   /// connection that ends with the answer. If the process ended now, these
   /// answers could be truncated.
   std::size_t undelivered() const;
+  /// Size of the output that callers have not taken yet, of all connections.
+  std::size_t unsent_bytes() const;
+  /// Closes the connection with the most output among those whose callers have
+  /// taken nothing for `patience`. Returns false if there is none.
+  bool CloseLargestUnread(std::chrono::milliseconds patience);
 
  private:
   friend class HttpConnection;
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -99,6 +99,11 @@
 /// When a caller has more unread output than this, the node stops reading from
 /// the endpoint.
 inline constexpr std::size_t kMaxCallerBacklogBytes = std::size_t{256} << 10U;
+/// How long a caller has taken nothing when its answer may go since all callers
+/// together leave too much unread. One on a slow link takes some more often.
+inline constexpr milliseconds kUnreadPatience{2000};
+/// A smaller answer that comes in needn't make room for what callers leave.
+inline constexpr std::size_t kMinYieldingBytes = std::size_t{64} << 10U;
 /// Maximum size of the bodies of all calls in progress, as a part of the
 /// node's memory limit. The rest is for answers, connections and the program
 /// itself.
@@ -153,6 +158,10 @@
 inline constexpr milliseconds kUnknownStreamRetryDelay{200};
 /// How long an attempt waits for the endpoint to say which process it is.
 inline constexpr milliseconds kProcessCheckTimeout{300};
+/// How long an answer that its connection ended waits for the endpoint to say
+/// that its process has lived on, if the request can't be sent again. Callers
+/// give up on a stream after a pause of two seconds.
+inline constexpr milliseconds kEndQuestionTimeout{1500};
 /// Questions of one call to an endpoint that doesn't say that its process wrote
 /// its entry.
 inline constexpr std::size_t kMaxProcessChecks = 2;
@@ -175,6 +184,15 @@
 /// Endpoints that are asked for that at the same time; further notices end with
 /// the next process that is published.
 inline constexpr std::size_t kMaxNoticeChecks = 64;
+/// How long an endpoint may take to say that its process lives on after a
+/// connection to it broke. No caller waits for it.
+inline constexpr milliseconds kBreakQuestionTimeout{1000};
+/// Time after such an answer until the endpoint is asked once more, since its
+/// process may have been about to end. Later than peers may take the break for
+/// an excused one, and early enough for `routing::kMaxLateCrash`.
+inline constexpr milliseconds kSecondBreakQuestionDelay{700};
+/// Endpoints that are asked for that at the same time; further breaks count.
+inline constexpr std::size_t kMaxBreakQuestions = 64;
 /// A longer report of an endpoint isn't read.
 inline constexpr std::size_t kMaxReportBytes = std::size_t{64} << 10U;
 /// Interval of the housekeeping tick, which also detects pauses of the process.
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -27,12 +27,15 @@
   # is the version if there was one. The peer has known all versions for
   # `knownMs`; 0: it hasn't, or doesn't say. `partVersion` is the version of the
   # endpoints that keep the part; all bits set: they are of several versions.
+  # `partAlone`: the peer is a home of the part and has the lists of all endpoints
+  # of other versions.
   # With `confirm`, the peer reads the store's news first; `confirmed` says that
   # it has. `progress` is how far it knows the
   # feeds.
   findStream @4 (stream :UInt64, service :Text, part :UInt64, confirm :Bool)
       -> (version :UInt64, several :Bool, only :UInt64, knownMs :UInt64,
-          partVersion :UInt64, confirmed :Bool, progress :List(Progress));
+          partVersion :UInt64, confirmed :Bool, progress :List(Progress),
+          partAlone :Bool);
 }
 
 struct Stream {
@@ -84,6 +87,15 @@
   # Keys of the records that the sender has, if it wants all others; otherwise
   # empty.
   known @15 :List(UInt32);
+  # Processes of endpoints that live although connections to them broke.
+  living @16 :List(Living);
+}
+
+struct Living {
+  # Hash of the process, as in `Break.endpoint`.
+  process @0 :UInt64;
+  # Time since it is known to have lived.
+  livedAgoMs @1 :UInt32;
 }
 
 struct Brittle {
@@ -186,6 +198,9 @@
   heldDespiteSuccess @4 :Bool;
   # Probes of a held part that didn't succeed so far.
   failedProbes @5 :UInt8;
+  # Time since the last crash of a hold that ended because crashes were none,
+  # longer than suspects are remembered if there was no such hold.
+  releasedAgoMs @6 :UInt32 = 0xffffffff;
 }
 
 struct Break {
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -2,9 +2,11 @@
 // on as they come.
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <utility>
 
 #include "attempts_p.h"
+#include "egretladder/routing/caller_backlog.h"
 #include "egretladder/routing/placement_cost.h"
 
 namespace egretladder::proxy {
@@ -12,8 +14,6 @@
 
 using routing::AttemptOutcome;
 
-constexpr int kMinServerError = 500;
-
 void MarkAttemptStarted(Proxy& proxy, const CallPtr& call) {
   Attempt& attempt = *call->attempt;
   if (attempt.started) return;
@@ -29,27 +29,6 @@
       milliseconds(static_cast<std::int64_t>(attempt.placement.expected_ms)));
 }
 
-AttemptOutcome ClassifyWholeAnswer(const Attempt& attempt) {
-  const int status = attempt.head.status;
-  if (attempt.metadata.not_run) {
-    return status == kMisdirected ? AttemptOutcome::kWrongInstance
-                                  : AttemptOutcome::kFull;
-  }
-  if (IsSuccess(status)) {
-    return attempt.is_vouched ? AttemptOutcome::kSucceeded
-                              : AttemptOutcome::kBadAnswer;
-  }
-  if (ImpliesNotRun(status) || attempt.metadata.encoded) {
-    return AttemptOutcome::kBadAnswer;
-  }
-  // Endpoints name the request that they answer. Another server at the address
-  // may refuse all requests, faster than endpoints answer them.
-  if (status < kMinServerError && attempt.metadata.id.empty())
-    return AttemptOutcome::kBadAnswer;
-  return status >= kMinServerError ? AttemptOutcome::kFailed
-                                   : AttemptOutcome::kSucceeded;
-}
-
 // Adds a sample to the engine's pace every `kEventsPerPaceSample` events.
 void RecordPace(Proxy& proxy, const Call& call, std::uint64_t events) {
   Attempt& attempt = *call.attempt;
@@ -166,10 +145,18 @@
   EndAttempt(proxy, call, AttemptOutcome::kBadAnswer, why);
 }
 
+std::size_t BytesOfFields(const net::HttpFields& fields) {
+  return std::accumulate(fields.begin(), fields.end(), std::size_t{0},
+                         [](std::size_t bytes, const net::HttpField& field) {
+                           return bytes + sizeof(field) + field.name.size() +
+                                  field.value.size();
+                         });
+}
+
 // Records how many bytes of the attempt's answer are kept.
 void CountBuffered(Proxy& proxy, Attempt& attempt) {
-  const std::size_t bytes =
-      attempt.body.size() + attempt.splitter.incomplete_event.size();
+  const std::size_t bytes = attempt.head_bytes + attempt.body.size() +
+                            attempt.splitter.incomplete_event.size();
   proxy.buffered_bytes += bytes;
   proxy.buffered_bytes -= std::exchange(attempt.buffered_bytes, bytes);
 }
@@ -178,18 +165,41 @@
   return call->attempt == nullptr ? 0 : call->attempt->buffered_bytes;
 }
 
+routing::CallerBacklogs GetBacklogs(const Proxy& proxy) {
+  return {proxy.caller_server->unsent_bytes(), proxy.options.memory_bytes};
+}
+
+std::size_t MaxBacklog(const Proxy& proxy) {
+  return routing::MaxStreamBacklog(GetBacklogs(proxy), kMaxCallerBacklogBytes);
+}
+
+// Closes the connection that leaves most unread, if all of them together leave
+// too much. Returns true if there is room then.
+bool LimitUnread(Proxy& proxy) {
+  while (routing::IsBacklogTooLarge(GetBacklogs(proxy))) {
+    if (!proxy.caller_server->CloseLargestUnread(kUnreadPatience)) return false;
+    IncrementCounter(proxy, "egretladder_unread_answers_total",
+                     "Connections closed since callers left too much unread.",
+                     "");
+  }
+  return true;
+}
+
 // Gives up the largest answer if all of them together leave no room. Others are
 // about to end, and their callers needn't suffer for it.
 void LimitBuffered(Proxy& proxy) {
+  const bool has_room_behind = LimitUnread(proxy);
   const double max_bytes =
       kAnswerMemoryRatio * static_cast<double>(proxy.options.memory_bytes);
-  if (static_cast<double>(proxy.buffered_bytes) <= max_bytes) return;
+  const bool has_room = static_cast<double>(proxy.buffered_bytes) <= max_bytes;
+  if ((has_room && has_room_behind) || proxy.calls.empty()) return;
   const auto largest = std::max_element(
       proxy.calls.begin(), proxy.calls.end(),
       [](const auto& left, const auto& right) {
         return BufferedBytes(left.second) < BufferedBytes(right.second);
       });
   const CallPtr call = largest->second;
+  if (has_room && BufferedBytes(call) < kMinYieldingBytes) return;
   GiveUpAnswer(proxy, call, "no room for the answer");
 }
 
@@ -208,10 +218,12 @@
   if (!call->caller->begun()) {
     OnStreamBegan(proxy, *call);
     call->caller->Begin(attempt.head.status, attempt.head.reason,
-                        FieldsToForward(*call, attempt));
+                        FieldsToForward(*call, attempt),
+                        MayProveEnd(attempt) ? net::BodyFraming::kChunked
+                                             : net::BodyFraming::kNone);
   }
   call->caller->Send(events);
-  if (call->caller->UnsentBytes() > kMaxCallerBacklogBytes)
+  if (call->caller->UnsentBytes() > MaxBacklog(proxy))
     PauseReading(proxy, call);
   return count;
 }
@@ -225,8 +237,7 @@
     GiveUpAnswer(proxy, call, "an event without end");
     return;
   }
-  const bool is_backlogged =
-      call->caller->UnsentBytes() > kMaxCallerBacklogBytes;
+  const bool is_backlogged = call->caller->UnsentBytes() > MaxBacklog(proxy);
   // Bytes that make no event don't count: they may drip without end.
   if (events > 0 && routing::IsRouteRepeatable(*call->route) &&
       !is_backlogged) {
@@ -253,46 +264,6 @@
   LimitBuffered(proxy);
 }
 
-// Returns the outcome of a whole answer. Once the caller has events, it is no
-// answer for the caller: a peer that refuses by itself has sent the request
-// nowhere, and what an endpoint answers takes the place of the stream's rest.
-AttemptOutcome ClassifyAnswer(const Call& call) {
-  const Attempt& attempt = *call.attempt;
-  const AttemptOutcome outcome = attempt.peer.empty()
-                                     ? ClassifyWholeAnswer(attempt)
-                                     : ClassifyPeerAnswer(attempt);
-  if (outcome != AttemptOutcome::kSucceeded || !call.caller->begun())
-    return outcome;
-  return IsPeersOwnAnswer(attempt) ? AttemptOutcome::kRefused
-                                   : AttemptOutcome::kUnfit;
-}
-
-// Without an event of the attempt, only framing tells the end of a stream that
-// other attempts or requests began from the end of an endpoint.
-bool EndsStream(const Call& call) {
-  const net::HttpAnswerHead& head = call.attempt->head;
-  const bool is_framed =
-      head.chunked ||
-      !net::FirstFieldValue(head.fields, "Content-Length").empty();
-  const bool has_begun =
-      call.events > 0 || !call.metadata.last_event_id.empty();
-  return call.attempt->splitter.events > 0 || (is_framed && has_begun);
-}
-
-void OnEnd(Proxy& proxy, const CallPtr& call) {
-  Attempt& attempt = *call->attempt;
-  MarkAttemptStarted(proxy, call);
-  if (!attempt.is_event_stream) {
-    EndAttempt(proxy, call, ClassifyAnswer(*call), "");
-    return;
-  }
-  const bool is_complete =
-      attempt.splitter.incomplete_event.empty() && EndsStream(*call);
-  EndAttempt(proxy, call,
-             is_complete ? AttemptOutcome::kSucceeded : AttemptOutcome::kBroken,
-             is_complete ? "" : "the stream ended inside an event");
-}
-
 AttemptOutcome ClassifyExchangeError(net::ExchangeError error) {
   switch (error) {
     case net::ExchangeError::kNotConnected:
@@ -313,10 +284,13 @@
          kNotRunStatuses.end();
 }
 
-void KeepAnswerHead(const Call& call, const net::HttpAnswerHead& head,
+void KeepAnswerHead(Proxy& proxy, const Call& call,
+                    const net::HttpAnswerHead& head,
                     const AnswerMetadata& metadata) {
   Attempt& attempt = *call.attempt;
   attempt.head = head;
+  attempt.head_bytes = BytesOfFields(head.fields);
+  CountBuffered(proxy, attempt);
   attempt.metadata = metadata;
   // Bytes after an earlier answer may look like one, and name no request.
   attempt.is_vouched =
@@ -331,7 +305,10 @@
   handlers.on_body = [&proxy, call](std::string_view piece) {
     OnBody(proxy, call, piece);
   };
-  handlers.on_end = [&proxy, call] { OnEnd(proxy, call); };
+  handlers.on_end = [&proxy, call](net::AnswerEnd end) {
+    MarkAttemptStarted(proxy, call);
+    OnAnswerEnded(proxy, call, end);
+  };
   handlers.on_error = [&proxy, call](net::ExchangeError error,
                                      const std::string& detail) {
     EndAttempt(proxy, call, ClassifyExchangeError(error), detail);
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -21,13 +21,24 @@
 /// the endpoint also states that it did not run the request.
 bool ImpliesNotRun(int status);
 /// Keeps the head of the answer that is to be forwarded in the call's attempt.
-void KeepAnswerHead(const Call& call, const net::HttpAnswerHead& head,
+void KeepAnswerHead(Proxy& proxy, const Call& call,
+                    const net::HttpAnswerHead& head,
                     const AnswerMetadata& metadata);
 /// Returns the handlers of an answer but for those of its head and of sending.
 net::ExchangeHandlers MakeAnswerHandlers(Proxy& proxy, const CallPtr& call);
 /// Abandons the call's attempt if nothing comes from it for `timeout`.
 void StartSilenceTimer(Proxy& proxy, const CallPtr& call, milliseconds timeout);
 
+// answer_ends.cc
+/// Returns true if the answer says itself where it ends.
+bool IsFramed(const net::HttpAnswerHead& head);
+/// Returns true if the attempt's answer, once it has ended, can be known to be
+/// whole.
+bool MayProveEnd(const Attempt& attempt);
+/// Ends the call's attempt, whose answer has ended. Asks the endpoint before
+/// that if only the connection ended it.
+void OnAnswerEnded(Proxy& proxy, const CallPtr& call, net::AnswerEnd end);
+
 // attempt_end.cc
 /// Returns the fields of the answer that are forwarded to the caller;
 /// hop-by-hop fields are not. A peer that handed the request over also learns
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -17,6 +17,7 @@
 #include "egretladder/routing/placement.h"
 #include "egretladder/routing/stream_records.h"
 #include "egretladder/routing/version_evidence.h"
+#include "page_read_p.h"
 
 namespace egretladder::proxy {
 
@@ -56,10 +57,16 @@
   Time pace_sample_start{};              ///< Start of the current pace sample.
   std::uint64_t pace_sample_events = 0;  ///< Events in that sample so far.
   net::HttpAnswerHead head;
+  std::size_t head_bytes = 0;  ///< Memory of its fields.
   AnswerMetadata metadata;
   /// If the answer is a success, it is the endpoint's own and belongs to the
   /// request.
   bool is_vouched = false;
+  /// Its framing or its process has shown that the answer is whole.
+  bool is_end_proven = false;
+  /// Set while the endpoint is asked whether its process has lived on after the
+  /// connection ended the answer.
+  PageReadPtr end_question;
   std::string body;  ///< Body of an answer that is not a stream.
   /// Bytes of the answer that are kept, as `Proxy::buffered_bytes` counts them.
   std::size_t buffered_bytes = 0;
@@ -78,6 +85,7 @@
   routing::SoftwareVersion version = routing::kUnknownVersion;
   /// Version of the endpoints that keep its part.
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
+  bool is_part_alone = false;  ///< No endpoint of another version keeps it.
   routing::VersionKnowledge knowledge;  ///< Of the stream's service.
   bool is_confirmed = false;            ///< The peer has read the store since.
   /// What the peer knows ends no earlier than what this node knows begins.
@@ -91,24 +99,16 @@
   routing::VersionKnowledge knowledge;  ///< Of this node and those that answer.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
+  /// A node knows that no endpoint of another version keeps the part.
+  bool is_part_alone = false;
   kernel::EventWatcher timer;  ///< Ends the question, or asks it again.
 };
 
-/// A question to an endpoint whether its process is the one that wrote its
-/// entry. Destroying it cancels it.
+/// A question to an endpoint before an attempt, whether its process is the one
+/// that wrote its entry.
 struct ProcessCheck {
-  ProcessCheck() = default;
-  ~ProcessCheck() { net::Cancel(exchange); }
-  ProcessCheck(const ProcessCheck&) = delete;
-  ProcessCheck& operator=(const ProcessCheck&) = delete;
-
   routing::Placement placement;  ///< Of the attempt that waits for it.
-  Time asked_at{};
-  net::HttpExchangePtr exchange;
-  int status = 0;           ///< 0: no answer.
-  bool is_refused = false;  ///< No connection was opened.
-  std::string body;
-  kernel::EventWatcher timer;  ///< Ends the question.
+  PageReadPtr question;
 };
 
 /// An endpoint that was asked for its process in vain.
--- a/proxy/src/page_read.cc
+++ b/proxy/src/page_read.cc
@@ -6,16 +6,21 @@
 namespace {
 
 // Keeps the read alive until its caller has been told.
-void Finish(const std::weak_ptr<PageRead>& weak_read, bool is_whole) {
-  const PageReadPtr read = weak_read.lock();
+void Finish(const PageReadPtr& read) {
   if (read == nullptr || read->on_end == nullptr) return;
   net::Cancel(std::exchange(read->exchange, nullptr));
   read->timer = {};
-  if (!is_whole) read->page = {};
   const auto on_end = std::exchange(read->on_end, nullptr);
   on_end(read->page);
 }
 
+void Fail(const std::weak_ptr<PageRead>& weak_read, const Page& failure) {
+  const PageReadPtr read = weak_read.lock();
+  if (read == nullptr) return;
+  read->page = failure;
+  Finish(read);
+}
+
 net::ExchangeHandlers MakeHandlers(const std::weak_ptr<PageRead>& weak_read) {
   net::ExchangeHandlers handlers;
   handlers.on_head = [weak_read](const net::HttpAnswerHead& head) {
@@ -29,12 +34,15 @@
     const auto read = weak_read.lock();
     if (read == nullptr) return;
     read->page.body.append(piece);
-    if (read->page.body.size() > read->max_bytes) Finish(weak_read, false);
+    if (read->page.body.size() > read->max_bytes) Fail(weak_read, {});
+  };
+  // A page that its connection cut short can't be parsed.
+  handlers.on_end = [weak_read](net::AnswerEnd /*end*/) {
+    Finish(weak_read.lock());
   };
-  handlers.on_end = [weak_read] { Finish(weak_read, true); };
-  handlers.on_error = [weak_read](net::ExchangeError /*error*/,
+  handlers.on_error = [weak_read](net::ExchangeError error,
                                   const std::string& /*detail*/) {
-    Finish(weak_read, false);
+    Fail(weak_read, {.is_refused = error == net::ExchangeError::kNotConnected});
   };
   return handlers;
 }
@@ -54,8 +62,9 @@
       net::FormatRequestHead("GET", request.target, {{"Host", request.address}},
                              net::BodyFraming::kNone, 0);
   read->exchange = client.Start(std::move(exchange), MakeHandlers(weak_read));
-  read->timer = kernel::RunAfter(loop, request.timeout,
-                                 [weak_read] { Finish(weak_read, false); });
+  read->timer = kernel::RunAfter(loop, request.timeout, [weak_read] {
+    Fail(weak_read, {.is_late = true});
+  });
   return read;
 }
 
--- a/proxy/src/page_read_p.h
+++ b/proxy/src/page_read_p.h
@@ -16,6 +16,8 @@
 struct Page {
   /// 0: no answer came in time, or it was broken or longer than allowed.
   int status = 0;
+  bool is_refused = false;  ///< No connection was opened.
+  bool is_late = false;     ///< It didn't end in time.
   net::HttpAnswerHead head;
   std::string body;
 };
