--- a/routing/include/egretladder/routing/next_step.h
+++ b/routing/include/egretladder/routing/next_step.h
@@ -33,7 +33,7 @@
   /// The connection ended an answer without a length, and nothing tells whether
   /// it is complete.
   kUnproven,
-  kSucceeded,      ///< Complete answer.
+  kSucceeded,  ///< Complete answer.
 };
 /// Returns the outcome's name in logs.
 const char* NameOf(AttemptOutcome outcome);
@@ -48,8 +48,8 @@
   /// Forward the endpoint's answer to the caller, an unproven one without
   /// framing, so that the caller knows as much as this node.
   kPassOn,
-  kRefuse,     ///< Answer 503: the request did not run and will not.
-  kUnknown,    ///< Answer 502: the request may have run.
+  kRefuse,   ///< Answer 503: the request did not run and will not.
+  kUnknown,  ///< Answer 502: the request may have run.
   /// Close the connection, so that the partial answer that the caller already
   /// has is recognized as incomplete.
   kBreakOff,
@@ -65,7 +65,7 @@
   bool is_answer_started = false;  ///< The caller has part of an answer.
   /// The attempt's answer is a part of that one, the rest of a stream.
   bool continues_answer = false;
-  bool is_framed = false;  ///< The answer that the caller has part of.
+  bool is_framed = false;          ///< The answer that the caller has part of.
   std::uint32_t attempts = 1;      ///< Attempts that the route allows.
   std::uint32_t may_have_run = 0;  ///< Attempts so far that may have run.
   std::uint32_t not_run = 0;       ///< Attempts so far that endpoints rejected.
