--- a/proxy/src/process_question.cc
+++ b/proxy/src/process_question.cc
@@ -41,6 +41,18 @@
   return result;
 }
 
+// A request waits for the answer, which shows in no other line.
+void LogUnproven(const Proxy& proxy, const routing::Endpoint& endpoint,
+                 const std::string& request_id, Time asked_at,
+                 ProcessCheckResult result) {
+  if (result == ProcessCheckResult::kSame) return;
+  kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo, "process-unproven",
+                   {{"req", request_id},
+                    {"endpoint", endpoint.entry.id},
+                    {"result", routing::NameOf(result)},
+                    {"ms", Elapsed(asked_at, NowOf(proxy))}});
+}
+
 }  // namespace
 
 PageReadPtr AskForProcess(
@@ -53,7 +65,10 @@
        question.timeout},
       [&proxy, endpoint, id = question.request_id, asked_at = NowOf(proxy),
        on_answer = std::move(on_answer)](const Page& report) {
-        on_answer(ApplyReport(proxy, *endpoint, id, asked_at, report));
+        const ProcessCheckResult result =
+            ApplyReport(proxy, *endpoint, id, asked_at, report);
+        LogUnproven(proxy, *endpoint, id, asked_at, result);
+        on_answer(result);
       });
 }
 
