A question that is lost says nothing of the process

Only a refused connection or another start says that a process has ended. A lost question is asked once more, a late one leaves a doubt, and neither counts as a crash, nor does the second question after a break. A connection that doesn't open in time is late, not refused. A start after the request was sent proves nothing. Where an endpoint could have proven the end and hasn't, the answer counts as broken off; only where none is stated is the doubt passed on. A connection that is closed with output left is reset.

--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -121,7 +121,8 @@
     wait_state_ = WaitState::kNothing;
     const bool breaks_off =
         call_ != nullptr && call_->begun_ && !call_->chunked_;
-    if (breaks_off || is_aborted_)
+    // What is unsent may belong to an answer that ends with its connection.
+    if (breaks_off || is_aborted_ || PendingOutputBytes(buffer_.get()) > 0)
       SetResetOnClose(bufferevent_getfd(buffer_.get()));
     CountOutput(0, PendingOutputBytes(buffer_.get()));
     evbuffer_remove_cb(bufferevent_get_output(buffer_.get()), OnOutput, this);
@@ -137,8 +138,8 @@
     }
   }
 
-  // Ends an answer without framing so that it doesn't look complete. The caller
-  // still gets what it was sent.
+  // Ends an answer without framing so that it doesn't look complete, once the
+  // kernel has taken what was written.
   void ResetAfterOutput() {
     if (const auto call = std::exchange(call_, nullptr))
       call->connection_ = nullptr;
--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -3,7 +3,7 @@
 // An answer with neither a length nor chunks ends with its connection, and so
 // does one whose process ends: its kernel closes its connections in good order.
 // The process that answered is therefore asked whether it lives on. If it does,
-// it has ended the answer itself.
+// it has closed the connection itself.
 #include <memory>
 #include <string>
 
@@ -67,6 +67,8 @@
                                      : AttemptOutcome::kBroken;
 }
 
+void AskWhetherWhole(Proxy& proxy, const CallPtr& call);
+
 // Returns the outcome of an answer that has ended.
 AttemptOutcome ClassifyEnd(const Call& call) {
   if (call.attempt->is_event_stream) return ClassifyStream(call);
@@ -83,27 +85,44 @@
              is_broken ? "the stream ended inside an event" : "");
 }
 
-void OnProcessTold(Proxy& proxy, const CallPtr& call,
-                   ProcessCheckResult result) {
+// The process of the entry started after the request was sent: another one has
+// answered it.
+bool HasStartedSince(const Proxy& proxy, const Attempt& attempt) {
+  const routing::UnixTime sent =
+      UnixNow() - Elapsed(attempt.first_byte_sent_at, NowOf(proxy));
+  return routing::UnixTime(attempt.endpoint->entry.started_unix_ms) > sent;
+}
+
+void CountAnswer(Proxy& proxy, ProcessCheckResult result) {
   IncrementCounter(proxy, "egretladder_answer_ends_asked_total",
                    "Endpoints asked whether their process lives on after the "
                    "end of a connection has ended an answer, by result.",
                    std::string("result=\"") + routing::NameOf(result) + "\"");
+}
+
+void OnProcessTold(Proxy& proxy, const CallPtr& call,
+                   ProcessCheckResult result) {
+  CountAnswer(proxy, result);
+  Attempt& attempt = *call->attempt;
   switch (result) {
     case ProcessCheckResult::kSame:
-      call->attempt->is_end_proven = true;
-      break;
-    case ProcessCheckResult::kUnclear:
+      attempt.is_end_proven = !HasStartedSince(proxy, attempt);
       break;
-    case ProcessCheckResult::kSilent:  // It may live on.
-      EndAttempt(proxy, call, AttemptOutcome::kSilent,
-                 "its process doesn't tell whether it ended the answer");
-      return;
     case ProcessCheckResult::kReplaced:
     case ProcessCheckResult::kNoAnswer:
       EndAttempt(proxy, call, AttemptOutcome::kBroken,
                  "the answer ended with its process");
       return;
+    case ProcessCheckResult::kLost:
+      // Endpoints reset connections beyond those that they take.
+      if (attempt.end_questions < kMaxProcessChecks) {
+        AskWhetherWhole(proxy, call);
+        return;
+      }
+      break;
+    case ProcessCheckResult::kUnclear:
+    case ProcessCheckResult::kSilent:
+      break;
   }
   EndAnswer(proxy, call);
 }
@@ -117,6 +136,7 @@
 void AskWhetherWhole(Proxy& proxy, const CallPtr& call) {
   call->silence_timer = {};
   Attempt& attempt = *call->attempt;
+  ++attempt.end_questions;
   attempt.end_question = AskForProcess(
       proxy, attempt.endpoint, {call->metadata.id, PatienceOf(*call)},
       [&proxy, weak_call = std::weak_ptr<Call>(call),
@@ -131,7 +151,7 @@
 // Returns true if the answer would count as whole, were its end proven.
 bool IsWorthAsking(const Call& call) {
   const Attempt& attempt = *call.attempt;
-  if (!MayProveEnd(attempt)) return false;
+  if (!attempt.peer.empty() || !MayProveEnd(attempt)) return false;
   if (!attempt.is_event_stream)
     return ClassifyAnswer(call) == AttemptOutcome::kSucceeded;
   return attempt.splitter.incomplete_event.empty() && HasBegun(call);
@@ -145,8 +165,8 @@
 }
 
 bool MayProveEnd(const Attempt& attempt) {
-  if (IsFramed(attempt.head)) return true;
-  return attempt.peer.empty() && attempt.endpoint->entry.started_unix_ms != 0;
+  if (!attempt.peer.empty()) return IsFramed(attempt.head);
+  return IsFramed(attempt.head) || attempt.endpoint->entry.started_unix_ms != 0;
 }
 
 void OnAnswerEnded(Proxy& proxy, const CallPtr& call, net::AnswerEnd end) {
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -190,6 +190,7 @@
   input.resumable = call.route->resumable && !call.last_event_id.empty();
   input.is_answer_started = call.caller->begun();
   input.continues_answer = attempt.is_event_stream;
+  input.may_be_proven = MayProveEnd(attempt);
   input.is_framed = call.caller->framed();
   input.attempts = call.max_attempts;
   input.may_have_run = call.may_have_run;
--- a/proxy/src/break_questions.cc
+++ b/proxy/src/break_questions.cc
@@ -15,6 +15,12 @@
 using kernel::LogPart;
 using routing::ProcessCheckResult;
 
+// A process that is late, or whose answer is lost, may live on.
+bool HasEnded(ProcessCheckResult result) {
+  return result == ProcessCheckResult::kReplaced ||
+         result == ProcessCheckResult::kNoAnswer;
+}
+
 void Ask(Proxy& proxy, BreakQuestion question);
 
 void AskSecondLater(Proxy& proxy, BreakQuestion question) {
@@ -44,7 +50,7 @@
   if (lives) {
     routing::OnProcessLivedOn(proxy.suspects, question.process,
                               question.asked_at, now);
-  } else if (question.is_second) {
+  } else if (question.is_second && HasEnded(result)) {
     routing::OnProcessEnded(proxy.suspects, question.process, now);
   }
   if (question.is_outdated) {
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -67,7 +67,8 @@
   /// Set while the endpoint is asked whether its process has lived on after the
   /// connection ended the answer.
   PageReadPtr end_question;
-  std::string body;  ///< Body of an answer that is not a stream.
+  std::uint32_t end_questions = 0;  ///< Questions of that kind so far.
+  std::string body;                 ///< Body of an answer that is not a stream.
   /// Bytes of the answer that are kept, as `Proxy::buffered_bytes` counts them.
   std::size_t buffered_bytes = 0;
   net::EventSplitter splitter;
--- a/proxy/src/page_read.cc
+++ b/proxy/src/page_read.cc
@@ -61,6 +61,9 @@
   exchange.head =
       net::FormatRequestHead("GET", request.target, {{"Host", request.address}},
                              net::BodyFraming::kNone, 0);
+  // The read's own timer tells a connection that doesn't open in time from one
+  // that is refused.
+  exchange.connect_timeout = 2 * request.timeout;
   read->exchange = client.Start(std::move(exchange), MakeHandlers(weak_read));
   read->timer = kernel::RunAfter(loop, request.timeout, [weak_read] {
     Fail(weak_read, {.is_late = true});
--- a/proxy/src/page_read_p.h
+++ b/proxy/src/page_read_p.h
@@ -16,7 +16,7 @@
 struct Page {
   /// 0: no answer came in time, or it was broken or longer than allowed.
   int status = 0;
-  bool is_refused = false;  ///< No connection was opened.
+  bool is_refused = false;  ///< No process accepted the connection.
   bool is_late = false;     ///< It didn't end in time.
   net::HttpAnswerHead head;
   std::string body;
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -32,6 +32,11 @@
           (!IsBound(call) || routing::IsVersionSure(endpoint)));
 }
 
+bool HasLostConnection(ProcessCheckResult result) {
+  return result == ProcessCheckResult::kNoAnswer ||
+         result == ProcessCheckResult::kLost;
+}
+
 // Returns true if the endpoint was asked in vain, and is tried all the same:
 // the call keeps to no version, and no other endpoint is left. A stream doesn't
 // go on at a process that keeps silent: it may be of any version, also while
@@ -41,9 +46,8 @@
   return !IsBound(call) &&
          std::any_of(asked.begin(), asked.end(),
                      [&call, &endpoint](const UnidentifiedEndpoint& each) {
-                       const bool may_join =
-                           call.demand.goes_on &&
-                           each.result != ProcessCheckResult::kNoAnswer;
+                       const bool may_join = call.demand.goes_on &&
+                                             !HasLostConnection(each.result);
                        return each.endpoint == endpoint && !may_join;
                      });
 }
@@ -73,10 +77,8 @@
     StartAttempt(proxy, call, check->placement);
     return;
   }
-  if (result == ProcessCheckResult::kNoAnswer ||
-      result == ProcessCheckResult::kSilent) {
+  if (HasLostConnection(result) || result == ProcessCheckResult::kSilent)
     ++call->not_sent;
-  }
   call->tried_endpoints.push_back(endpoint);
   call->unidentified_endpoints.push_back({endpoint, result});
   if (CountQuestions(*call, endpoint) >= kMaxProcessChecks &&
--- a/proxy/src/process_question.cc
+++ b/proxy/src/process_question.cc
@@ -23,15 +23,20 @@
                     {"version", endpoint.entry.software_version}});
 }
 
+ProcessCheckResult ApplyNoReport(const Proxy& proxy,
+                                 routing::Endpoint& endpoint,
+                                 const Page& report) {
+  routing::OnConnectionLost(endpoint, NowOf(proxy));
+  if (report.is_late) return ProcessCheckResult::kSilent;
+  if (!report.is_refused) return ProcessCheckResult::kLost;
+  routing::OnConnectFailed(endpoint, NowOf(proxy));
+  return ProcessCheckResult::kNoAnswer;
+}
+
 ProcessCheckResult ApplyReport(Proxy& proxy, routing::Endpoint& endpoint,
                                const std::string& request_id, Time asked_at,
                                const Page& report) {
-  if (report.status == 0) {
-    routing::OnConnectionLost(endpoint, NowOf(proxy));
-    if (report.is_refused) routing::OnConnectFailed(endpoint, NowOf(proxy));
-    return report.is_late ? ProcessCheckResult::kSilent
-                          : ProcessCheckResult::kNoAnswer;
-  }
+  if (report.status == 0) return ApplyNoReport(proxy, endpoint, report);
   if (report.status != kOk) return ProcessCheckResult::kUnclear;
   const std::uint64_t started = proxy.dialect->read_process_start(report.body);
   const ProcessCheckResult result =
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -267,7 +267,8 @@
   kSame,
   kReplaced,
   kUnclear,   ///< The process or the entry doesn't say when it started.
-  kNoAnswer,  ///< The connection ended without an answer, or none opened.
+  kNoAnswer,  ///< No process accepts connections there.
+  kLost,      ///< The connection ended without an answer.
   kSilent,    ///< Nothing came in time.
 };
 /// Returns the result's name in metrics.
--- a/routing/include/egretladder/routing/next_step.h
+++ b/routing/include/egretladder/routing/next_step.h
@@ -65,6 +65,8 @@
   bool is_answer_started = false;  ///< The caller has part of an answer.
   /// The attempt's answer is a part of that one, the rest of a stream.
   bool continues_answer = false;
+  /// The endpoint could have proven that an unproven answer is complete.
+  bool may_be_proven = false;
   bool is_framed = false;          ///< The answer that the caller has part of.
   std::uint32_t attempts = 1;      ///< Attempts that the route allows.
   std::uint32_t may_have_run = 0;  ///< Attempts so far that may have run.
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -263,6 +263,8 @@
       return "unclear";
     case ProcessCheckResult::kNoAnswer:
       return "no-answer";
+    case ProcessCheckResult::kLost:
+      return "lost";
     case ProcessCheckResult::kSilent:
       return "silent";
   }
--- a/routing/src/next_step.cc
+++ b/routing/src/next_step.cc
@@ -25,15 +25,13 @@
   return input.may_have_run > 0 ? NextStep::kUnknown : NextStep::kPassOn;
 }
 
-// An end that nothing proves is passed on as what it is, the end of a
+// Where nothing can prove an end, it is passed on as what it is, the end of a
 // connection. Framing would claim that the answer is complete.
-NextStep DecideWithoutProof(const NextStepInput& input) {
-  if (!input.is_answer_started) return NextStep::kPassOn;
-  if (input.continues_answer && !input.is_framed) return NextStep::kPassOn;
-  const bool has_attempts_left =
-      input.has_time_left && input.may_have_run < input.attempts;
-  return input.resumable && has_attempts_left ? NextStep::kResume
-                                              : NextStep::kBreakOff;
+bool PassesDoubtOn(const NextStepInput& input) {
+  if (input.end != AttemptOutcome::kUnproven || input.may_be_proven)
+    return false;
+  return !input.is_answer_started ||
+         (input.continues_answer && !input.is_framed);
 }
 
 }  // namespace
@@ -100,7 +98,7 @@
 NextStep DecideNextStep(const NextStepInput& input) {
   const bool fits = !input.is_answer_started || input.continues_answer;
   if (input.end == AttemptOutcome::kSucceeded && fits) return NextStep::kPassOn;
-  if (input.end == AttemptOutcome::kUnproven) return DecideWithoutProof(input);
+  if (PassesDoubtOn(input)) return NextStep::kPassOn;
   if (input.end == AttemptOutcome::kRefused) return DecideAfterRefusal(input);
   if (IsNotRun(input.end)) return DecideAfterNotRun(input);
   const bool has_attempts_left =
--- a/routing/tests/next_step_test.cc
+++ b/routing/tests/next_step_test.cc
@@ -134,8 +134,8 @@
   CHECK(er::DecideNextStep(input) == NextStep::kPassOn);
 }
 
-// Guards against an end that nothing proves and that is framed as one.
-TEST(NextStep, AnUnprovenEndIsPassedOnWithoutFramingOnly) {
+// Guards against an end that nothing can prove and that is framed as one.
+TEST(NextStep, AnEndBeyondProofIsPassedOnWithoutFramingOnly) {
   er::NextStepInput input = MakeInput(AttemptOutcome::kUnproven);
   input.is_repeatable = true;
   CHECK(er::DecideNextStep(input) == NextStep::kPassOn);
@@ -146,8 +146,21 @@
   CHECK(er::DecideNextStep(input) == NextStep::kBreakOff);
   input.resumable = true;
   CHECK(er::DecideNextStep(input) == NextStep::kResume);
-  input.may_have_run = input.attempts;
+}
+
+// Guards against an end that an endpoint could have proven and hasn't, and that
+// is passed on: to a caller it is that of a complete answer.
+TEST(NextStep, AnEndThatCouldBeProvenIsNotPassedOnWithoutProof) {
+  er::NextStepInput input = MakeInput(AttemptOutcome::kUnproven);
+  input.may_be_proven = true;
+  CHECK(er::DecideNextStep(input) == NextStep::kUnknown);
+  input.is_repeatable = true;
+  CHECK(er::DecideNextStep(input) == NextStep::kSendAgain);
+  input.is_answer_started = true;
+  input.continues_answer = true;
   CHECK(er::DecideNextStep(input) == NextStep::kBreakOff);
+  input.resumable = true;
+  CHECK(er::DecideNextStep(input) == NextStep::kResume);
 }
 
 // Guards against adding load to a full service by trying all of its endpoints.
