--- a/proxy/src/process_question.cc
+++ b/proxy/src/process_question.cc
@@ -23,15 +23,20 @@
                     {"version", endpoint.entry.software_version}});
 }
 
+ProcessCheckResult ApplyNoReport(const Proxy& proxy,
+                                 routing::Endpoint& endpoint,
+                                 const Page& report) {
+  routing::OnConnectionLost(endpoint, NowOf(proxy));
+  if (report.is_late) return ProcessCheckResult::kSilent;
+  if (!report.is_refused) return ProcessCheckResult::kLost;
+  routing::OnConnectFailed(endpoint, NowOf(proxy));
+  return ProcessCheckResult::kNoAnswer;
+}
+
 ProcessCheckResult ApplyReport(Proxy& proxy, routing::Endpoint& endpoint,
                                const std::string& request_id, Time asked_at,
                                const Page& report) {
-  if (report.status == 0) {
-    routing::OnConnectionLost(endpoint, NowOf(proxy));
-    if (report.is_refused) routing::OnConnectFailed(endpoint, NowOf(proxy));
-    return report.is_late ? ProcessCheckResult::kSilent
-                          : ProcessCheckResult::kNoAnswer;
-  }
+  if (report.status == 0) return ApplyNoReport(proxy, endpoint, report);
   if (report.status != kOk) return ProcessCheckResult::kUnclear;
   const std::uint64_t started = proxy.dialect->read_process_start(report.body);
   const ProcessCheckResult result =
@@ -41,6 +46,18 @@
   return result;
 }
 
+// A request waits for the answer, which shows in no other line.
+void LogUnproven(const Proxy& proxy, const routing::Endpoint& endpoint,
+                 const std::string& request_id, Time asked_at,
+                 ProcessCheckResult result) {
+  if (result == ProcessCheckResult::kSame) return;
+  kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo, "process-unproven",
+                   {{"req", request_id},
+                    {"endpoint", endpoint.entry.id},
+                    {"result", routing::NameOf(result)},
+                    {"ms", Elapsed(asked_at, NowOf(proxy))}});
+}
+
 }  // namespace
 
 PageReadPtr AskForProcess(
@@ -53,7 +70,10 @@
        question.timeout},
       [&proxy, endpoint, id = question.request_id, asked_at = NowOf(proxy),
        on_answer = std::move(on_answer)](const Page& report) {
-        on_answer(ApplyReport(proxy, *endpoint, id, asked_at, report));
+        const ProcessCheckResult result =
+            ApplyReport(proxy, *endpoint, id, asked_at, report);
+        LogUnproven(proxy, *endpoint, id, asked_at, result);
+        on_answer(result);
       });
 }
 
