Pass a body of a service without reports on as it came

An endpoint that answers and doesn't say which process it is can't prove anything, as one that publishes no start. A body is passed on without framing; a stream goes on elsewhere or breaks off, as before.

--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -121,6 +121,8 @@
       }
       break;
     case ProcessCheckResult::kUnclear:
+      attempt.is_beyond_proof = true;
+      break;
     case ProcessCheckResult::kSilent:
       break;
   }
@@ -165,8 +167,9 @@
 }
 
 bool MayProveEnd(const Attempt& attempt) {
-  if (!attempt.peer.empty()) return IsFramed(attempt.head);
-  return IsFramed(attempt.head) || attempt.endpoint->entry.started_unix_ms != 0;
+  if (IsFramed(attempt.head)) return true;
+  return attempt.peer.empty() && !attempt.is_beyond_proof &&
+         attempt.endpoint->entry.started_unix_ms != 0;
 }
 
 void OnAnswerEnded(Proxy& proxy, const CallPtr& call, net::AnswerEnd end) {
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -64,6 +64,9 @@
   bool is_vouched = false;
   /// Its framing or its process has shown that the answer is whole.
   bool is_end_proven = false;
+  /// The endpoint answers questions for its process, and doesn't say which it
+  /// is, like a plain service without reports.
+  bool is_beyond_proof = false;
   /// Set while the endpoint is asked whether its process has lived on after the
   /// connection ended the answer.
   PageReadPtr end_question;
