A connection that doesn't open in time is not the end of a process

What callers saw: nothing yet; found by a review's reading. At a node that is cut off from its endpoints, requests whose callers leave were counted as crashes as soon as the next connection there didn't open, and could be held for a minute.

Cause: "not connected" stood for a refused connection and for one that didn't open in 400 ms alike. Class: silence taken for evidence.

Change: the HTTP client tells the two apart (kNotOpened). Only a refusal says that a process has ended; attempts end as before ("not sent"). A question whose connection doesn't open is late, as its own timer already said.

What remains: a cut that refuses new connections looks like processes that ended.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -17,7 +17,8 @@
 
 /// How an exchange failed. Determines whether the request may be sent again.
 enum class ExchangeError : std::uint8_t {
-  kNotConnected,  ///< No byte of the request was sent.
+  kNotConnected,  ///< The connection was refused: no byte was sent.
+  kNotOpened,     ///< It didn't open in time: no byte was sent.
   kBroken,        ///< The connection was lost: the outcome is unknown.
   kBadAnswer,     ///< The answer is not valid HTTP or is too large.
 };
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -190,7 +190,7 @@
                              ? request_.connect_timeout
                              : kHttpConnectTimeout;
     timer_ = kernel::RunAfter(*client_->loop, timeout, [this] {
-      Fail(ExchangeError::kNotConnected, "connecting took too long");
+      Fail(ExchangeError::kNotOpened, "connecting took too long");
     });
   }
 
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -267,6 +267,7 @@
 AttemptOutcome ClassifyExchangeError(net::ExchangeError error) {
   switch (error) {
     case net::ExchangeError::kNotConnected:
+    case net::ExchangeError::kNotOpened:
       return AttemptOutcome::kNotSent;
     case net::ExchangeError::kBroken:
       return AttemptOutcome::kBroken;
@@ -311,6 +312,8 @@
   };
   handlers.on_error = [&proxy, call](net::ExchangeError error,
                                      const std::string& detail) {
+    if (call->attempt != nullptr)
+      call->attempt->is_refused = error == net::ExchangeError::kNotConnected;
     EndAttempt(proxy, call, ClassifyExchangeError(error), detail);
   };
   return handlers;
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -39,7 +39,8 @@
   /// answer names, if this node knows it.
   routing::EndpointPtr endpoint;
   std::string peer;  ///< Name of the peer; empty: this node makes the attempt.
-  bool declined = false;  ///< The peer did not take the request.
+  bool declined = false;    ///< The peer did not take the request.
+  bool is_refused = false;  ///< Its connection was refused.
   routing::Placement placement;
   /// Version of the software that answers, as far as this node knows.
   routing::SoftwareVersion version = routing::kUnknownVersion;
--- a/proxy/src/page_read.cc
+++ b/proxy/src/page_read.cc
@@ -42,7 +42,8 @@
   };
   handlers.on_error = [weak_read](net::ExchangeError error,
                                   const std::string& /*detail*/) {
-    Fail(weak_read, {.is_refused = error == net::ExchangeError::kNotConnected});
+    Fail(weak_read, {.is_refused = error == net::ExchangeError::kNotConnected,
+                     .is_late = error == net::ExchangeError::kNotOpened});
   };
   return handlers;
 }
@@ -61,9 +62,7 @@
   exchange.head =
       net::FormatRequestHead("GET", request.target, {{"Host", request.address}},
                              net::BodyFraming::kNone, 0);
-  // The read's own timer tells a connection that doesn't open in time from one
-  // that is refused.
-  exchange.connect_timeout = 2 * request.timeout;
+  exchange.connect_timeout = request.timeout;
   read->exchange = client.Start(std::move(exchange), MakeHandlers(weak_read));
   read->timer = kernel::RunAfter(loop, request.timeout, [weak_read] {
     Fail(weak_read, {.is_late = true});
--- a/proxy/src/suspects.cc
+++ b/proxy/src/suspects.cc
@@ -261,10 +261,9 @@
   // The peer records how its own attempts failed, and tells of it.
   if (!attempt.peer.empty()) return;
   if (outcome == AttemptOutcome::kBroken) RecordBreak(proxy, call, now);
-  if (outcome == AttemptOutcome::kBroken ||
-      outcome == AttemptOutcome::kNotSent) {
+  // A connection that doesn't open in time says nothing of the process.
+  if (outcome == AttemptOutcome::kBroken || attempt.is_refused)
     RecordProcessEnd(proxy, attempt, now);
-  }
   if (outcome == AttemptOutcome::kBroken) AskAfterBreak(proxy, attempt);
   if (IsUnclear(outcome)) RecordUnclear(proxy, call, attempt, now);
 }
--- a/proxy/tests/cut_off_test.cc
+++ b/proxy/tests/cut_off_test.cc
@@ -104,6 +104,13 @@
     env.WaitUntilRulesApplied(*peer);
   }
 
+  std::string GetMetricsOfCutNode() {
+    et::TestConnection& page = env.Connect(ep::ViewOf(*cut).metrics);
+    page.Send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+    env.WaitUntil([&page] { return !et::DescribeAnswer(page).empty(); });
+    return page.received();
+  }
+
   void CheckAllServed(const std::string& path) {
     for (int i = 0; i < 12; ++i) {
       const std::string id = path + std::to_string(i);
@@ -306,6 +313,25 @@
   LONGS_EQUAL(1, CountRequests());
 }
 
+// Guards against requests that are suspected of crashing endpoints because
+// connections didn't open any more after their callers had left.
+TEST(CutOff, LostLinksAreNoCrashes) {
+  constexpr std::size_t kRequests = 6;
+  StartNodes(et::LeaveUnanswered());
+  std::vector<et::TestConnection*> callers;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    const std::string id = std::to_string(i);
+    callers.push_back(
+        &env.SendRequest(*cut, {.path = "/once/" + id, .id = id}));
+  }
+  env.WaitUntil([this] { return CountRequests() == kRequests; });
+  links.Set(et::Cut::kHang);
+  for (et::TestConnection* caller : callers) caller->Close();
+  LetNodeNotice();
+  CHECK(GetMetricsOfCutNode().find("egretladder_suspects 0\n") !=
+        std::string::npos);
+}
+
 // Guards against endpoints that work for callers who have left.
 TEST(CutOff, CallerThatLeavesIsGoneAtTheEndpointToo) {
   StartNodes(et::LeaveUnanswered());
@@ -381,11 +407,8 @@
   const et::Answer answer =
       env.SendAndWait(*cut, {.path = "/once/a", .id = "o"});
   LONGS_EQUAL(200, answer.status);
-  et::TestConnection& page = env.Connect(ep::ViewOf(*cut).metrics);
-  page.Send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
-  env.WaitUntil([&page] { return !et::ParseAnswers(page.received()).empty(); });
   STRCMP_CONTAINS("egretladder_endpoints{service=\"all\",state=\"leaving\"} 1",
-                  page.received().c_str());
+                  GetMetricsOfCutNode().c_str());
 }
 
 // Guards against a request that is repeated over the same silent links, though
