--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -40,6 +40,7 @@
 #include "egretladder/routing/store_readers.h"
 #include "egretladder/routing/stream_records.h"
 #include "egretladder/routing/suspects.h"
+#include "endpoint_questions_p.h"
 #include "page_read_p.h"
 
 namespace egretladder::proxy {
@@ -118,12 +119,6 @@
   std::vector<std::uint64_t> keys;  ///< Of the parts of the prompt.
 };
 
-/// Asking endpoints which parts of prompts they keep.
-struct KeptPartsReader {
-  std::unordered_set<std::string> asked;     ///< Endpoints that were asked.
-  std::map<std::string, PageReadPtr> reads;  ///< In progress, by endpoint.
-};
-
 /// Reading the store's news of endpoints for decisions that need the latest.
 struct StoreCatchUp {
   using Waiter = std::function<void()>;
@@ -137,29 +132,6 @@
   bool is_scheduled = false;
 };
 
-/// A question to an endpoint which process has given a notice.
-struct NoticeCheck {
-  routing::EndpointPtr endpoint;
-  routing::StandingNotices stated;
-  /// When the first of the requests was sent whose answers gave it.
-  Time requested_at{};
-  PageReadPtr read;
-};
-
-/// A question to an endpoint whether its process lives on after a connection to
-/// it broke.
-struct BreakQuestion {
-  routing::EndpointPtr endpoint;
-  std::uint64_t process = 0;  ///< Hash of the process when it broke.
-  Time asked_at{};
-  /// The process answered once; this question tells whether it was about to
-  /// end.
-  bool is_second = false;
-  bool is_outdated = false;    ///< Another one broke after it was asked.
-  PageReadPtr read;            ///< Null: the second one isn't due yet.
-  kernel::EventWatcher timer;  ///< Asks the second one.
-};
-
 struct PeerNetwork;
 struct PeerNetworkDelete {
   void operator()(PeerNetwork* network) const;
@@ -452,35 +424,6 @@
 bool IsPartOfOneVersion(const Proxy& proxy, const std::string& service,
                         routing::PartKey part);
 
-// process_question.cc
-/// A question to an endpoint which process it is.
-struct ProcessQuestion {
-  std::string request_id;  ///< The request that needs it; for the log.
-  milliseconds timeout{};
-};
-/// Asks the endpoint whether its process is the one that wrote its entry.
-/// Destroying the result cancels the question.
-PageReadPtr AskForProcess(
-    Proxy& proxy, const routing::EndpointPtr& endpoint,
-    const ProcessQuestion& question,
-    std::function<void(routing::ProcessCheckResult)> on_answer);
-
-// break_questions.cc
-/// Asks the endpoint of an attempt whose connection broke whether its process
-/// lives on, if that break or another one there counts against anything.
-void AskAfterBreak(Proxy& proxy, const Attempt& attempt);
-
-// process_checks.cc
-/// Starts the attempt. If its version must be known, the endpoint is first
-/// asked whether its process is the one that wrote its entry.
-void StartCheckedAttempt(Proxy& proxy, const CallPtr& call,
-                         const routing::Placement& placement);
-
-// kept_parts.cc
-/// Asks endpoints which parts of prompts they keep, if no node is left that
-/// knows at which versions streams began. Called at each tick.
-void AskForKeptPartsIfNeeded(Proxy& proxy);
-
 // stream_records_capnp.cc
 /// What records tell the version of.
 enum class RecordKind : std::uint8_t { kStreams, kKeptParts };
@@ -536,13 +479,6 @@
                          const routing::EndpointPtr& addressed, int status,
                          const AnswerMetadata& metadata);
 
-// notice_origins.cc
-/// Asks the endpoint which process answered the attempt with the notice
-/// `stated`, and binds that process by it when it is known.
-void AskForNoticeOrigin(Proxy& proxy, const Attempt& attempt,
-                        const routing::EndpointPtr& endpoint,
-                        const routing::StandingNotices& stated);
-
 // service_reach.cc
 /// Records that the call's attempt began.
 void RecordAttemptBegan(Proxy& proxy, const Call& call);
