Let each endpoint have one vote on how the ids of its service rise

One step of one endpoint that left a number out ended the check of gaps for its whole service at that node, for good and without a line in any log; within a run nothing was checked.

Cause: a guard that a single faulty input switches off. Ruled out: a path that passes events by the check (the trace shows the same seam withheld twice before it was passed on).

Each process has a vote, by the steps within its own answers, until it ends or has risen by one 4,096 times. The majority decides; an even vote counts as rising by one. After 256 steps by one, a number left out within a run counts as missing as well: the attempt ends as "incomplete" after the last good event, the endpoint counts as failing, and the stream goes on elsewhere. A node that has seen too little believes the nodes that have seen it themselves (2 bytes an exchange). Events without an id between two ids no longer look as if a number were left out. New: the log lines numbers-left-out and ids-judged, two gauges.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -229,4 +229,9 @@
 /// the largest value of the store and the lists that come with it.
 inline constexpr std::uint64_t kMaxMessageWords = std::uint64_t{1} << 20U;
 
+// --- Ids of events ---
+
+/// How long a node that has seen too few ids believes its peers.
+inline constexpr milliseconds kPeerIdsTime{30'000};
+
 }  // namespace egretladder::proxy
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -89,6 +89,9 @@
   known @15 :List(UInt32);
   # Processes of endpoints that live although connections to them broke.
   living @16 :List(Living);
+  # Services whose streams have ids that firmly rise by one, as the sender has
+  # seen it itself; one bit each in the order of the rules.
+  risesByOne @17 :UInt16;
 }
 
 struct Living {
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -227,9 +227,9 @@
   if (events.empty()) return 0;
   const CheckedEvents checked = CheckEvents(proxy, *call, events);
   if (!checked.bytes.empty()) SendEvents(proxy, call, checked);
-  if (!checked.is_joined) {
+  if (checked.end) {
     GiveUpAnswer(proxy, call, "the events don't follow those before",
-                 AttemptOutcome::kUnjoined);
+                 *checked.end);
   }
   return checked.count;
 }
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -122,6 +122,7 @@
       routing::OnAttemptFailed(endpoint, now);
       break;
     case AttemptOutcome::kBadAnswer:
+    case AttemptOutcome::kIncomplete:
     case AttemptOutcome::kSilent:
     case AttemptOutcome::kFailed:
       routing::OnAttemptFailed(endpoint, now);
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -34,7 +34,8 @@
 struct CheckedEvents {
   std::string bytes;        ///< With the comments around them.
   std::uint64_t count = 0;  ///< Number of events.
-  bool is_joined = true;    ///< False: nothing more of the attempt may follow.
+  /// How the attempt ends, of which nothing more may follow; unset: it goes on.
+  std::optional<routing::AttemptOutcome> end;
 };
 /// Returns those events that follow what the caller has, of the bytes that the
 /// attempt's splitter returned last.
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -8,6 +8,7 @@
 namespace egretladder::proxy {
 namespace {
 
+using routing::AttemptOutcome;
 using routing::EventPlace;
 
 std::string NameOfSource(const Attempt& attempt) {
@@ -44,19 +45,23 @@
                    std::string("place=\"") + routing::NameOf(place) + "\"");
 }
 
+EventPlace PlaceInRun(Proxy& proxy, Call& call, std::string_view id) {
+  const routing::PlacedEvent placed = routing::PlaceEvent(
+      call.position, *call.attempt->run,
+      [&proxy, &call] { return RiseOfIds(proxy, call.service->name); }, id);
+  if (placed.step) RecordIdStep(proxy, call, *placed.step);
+  return placed.place;
+}
+
 // Returns the place of the next event, which begins the attempt's run if no
 // other has.
 EventPlace PlaceNext(Proxy& proxy, Call& call, std::string_view id) {
   Attempt& attempt = *call.attempt;
-  routing::IdHabit& habit = proxy.id_habits[call.service->name];
-  if (attempt.run)
-    return routing::PlaceEvent(call.position, *attempt.run, habit, id);
+  if (attempt.run) return PlaceInRun(proxy, call, id);
   attempt.run = routing::BeginRun(call.position);
   const bool goes_on = attempt.run->is_unplaced;
-  const EventPlace place =
-      FitsStream(proxy, call)
-          ? routing::PlaceEvent(call.position, *attempt.run, habit, id)
-          : EventPlace::kOtherVersion;
+  const EventPlace place = FitsStream(proxy, call) ? PlaceInRun(proxy, call, id)
+                                                   : EventPlace::kOtherVersion;
   if (goes_on) CountSeam(proxy, place);
   return place;
 }
@@ -75,8 +80,11 @@
     } else {
       RecordMisorder(proxy, call, place, event.id);
     }
-    checked.is_joined = !routing::EndsRun(place);
-    if (!checked.is_joined) return checked;
+    if (routing::EndsRun(place)) {
+      checked.end = place == EventPlace::kMissing ? AttemptOutcome::kIncomplete
+                                                  : AttemptOutcome::kUnjoined;
+      return checked;
+    }
     begin = event.end;
   }
   // Comments between events.
--- a/proxy/src/gossip_codec.cc
+++ b/proxy/src/gossip_codec.cc
@@ -300,6 +300,7 @@
   news.setWantsSuspects(now < proxy.suspects_wanted_until);
   WriteLimits(proxy, news);
   WriteBrittle(proxy, news, now);
+  news.setRisesByOne(ServicesThatFirmlyRiseByOne(proxy));
 }
 
 PeerState ApplyGossip(Proxy& proxy, exchange::News::Reader news) {
@@ -309,6 +310,7 @@
   ApplySuspects(proxy, news);
   ApplyLimits(proxy, news);
   ApplyBrittle(proxy, news, now);
+  OnPeerSaysFirmlyByOne(proxy, news.getRisesByOne());
   routing::MergePeerDemand(proxy.fleet_demand,
                            {news.getTightDemand(), news.getRestDemand()});
   routing::MergePeerPauses(proxy.endpoints.pauses, news.getLongPauseMs());
--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -159,6 +159,20 @@
   }
 }
 
+void UpdateIdGauges(Proxy& proxy) {
+  for (const auto& [service, ids] : proxy.ids) {
+    const auto votes = routing::CountIdVotes(proxy.endpoints, service);
+    const std::string label = FormatLabel("service", service);
+    SetGauge(proxy, "egretladder_endpoints_leaving_numbers_out",
+             "Endpoints whose streams left ids out of late.",
+             static_cast<double>(votes.leaves_out), label);
+    SetGauge(proxy, "egretladder_missing_events_checked",
+             "1 if a number that is left out where a stream goes on counts as "
+             "a missing event, otherwise 0.",
+             routing::RisesByOne(routing::JudgeIdRise(votes)) ? 1 : 0, label);
+  }
+}
+
 void UpdateReachGauges(Proxy& proxy, Time now) {
   for (const auto& [service, reach] : proxy.reaches) {
     const std::string label = FormatLabel("service", service);
@@ -238,6 +252,7 @@
   UpdateEndpointGauges(proxy, now);
   UpdateLoadGauges(proxy, now);
   UpdateReachGauges(proxy, now);
+  UpdateIdGauges(proxy);
   SetGauge(proxy, "egretladder_long_pause_ms",
            "Time between two events of a stream beside long prompts that one "
            "in fifty exceeds, in milliseconds.",
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -101,6 +101,14 @@
   routing::SoftwareVersion version = routing::kUnknownVersion;
 };
 
+/// How the ids of a service's streams rise.
+struct ServiceIds {
+  /// By own evidence, when it was last asked for.
+  routing::IdRise rise = routing::IdRise::kUnknown;
+  /// When a peer last said that they firmly rise by one; default: never.
+  Time peer_said_at{};
+};
+
 /// The load that one peer reported.
 struct PeerLoads {
   struct Load {
@@ -170,7 +178,7 @@
   routing::Handovers handovers;
   std::size_t handovers_served = 0;  ///< Handed over calls in progress.
   routing::StreamRecords streams;
-  std::map<std::string, routing::IdHabit> id_habits;  ///< By service.
+  std::map<std::string, ServiceIds> ids;  ///< By service.
   StreamWork stream_work;
   KeptPartsReader kept_parts;
   StoreCatchUp store_catch_up;
@@ -483,6 +491,18 @@
                          const routing::EndpointPtr& addressed, int status,
                          const AnswerMetadata& metadata);
 
+// id_rises.cc
+/// Returns how the ids of the service's streams rise, as this node has seen it;
+/// if it hasn't seen enough, as peers have.
+routing::IdRise RiseOfIds(Proxy& proxy, const std::string& service);
+/// Records a step of ids within the answer of the call's attempt.
+void RecordIdStep(Proxy& proxy, const Call& call, routing::IdStep step);
+/// Returns the services whose ids firmly rise by one, by this node's own
+/// evidence: what peers say is no evidence for others.
+routing::ServiceBits ServicesThatFirmlyRiseByOne(Proxy& proxy);
+/// Records those that a peer names.
+void OnPeerSaysFirmlyByOne(Proxy& proxy, routing::ServiceBits services);
+
 // service_reach.cc
 /// Records that the call's attempt began.
 void RecordAttemptBegan(Proxy& proxy, const Call& call);
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "egretladder/kernel/time.h"
+#include "egretladder/routing/id_steps.h"
 #include "egretladder/routing/limits.h"
 #include "egretladder/routing/pace.h"
 #include "egretladder/routing/prompt_pauses.h"
@@ -191,6 +192,7 @@
   double peers_waiting_tokens = 0;  ///< Prompt tokens of other nodes' requests.
   EndpointHealth health;
   EnginePace pace;
+  IdSteps id_steps;  ///< Of its streams.
   /// This node's attempts without a first byte so far, by number.
   std::map<std::uint64_t, UnansweredAttempt> unanswered;
   /// Prompt parts that it has processed for this node, with their last use.
--- a/routing/include/egretladder/routing/event_order.h
+++ b/routing/include/egretladder/routing/event_order.h
@@ -9,10 +9,12 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "egretladder/routing/id_steps.h"
 #include "egretladder/routing/software_version.h"
 
 namespace egretladder::routing {
@@ -29,9 +31,9 @@
   bool has_passed_id = false;
   /// An id that was passed on followed another one, which shows how they rise.
   bool has_steps = false;
-  /// All ids rose by one an event, so that a number that is left out is a
-  /// missing event. Elsewhere, as where an event holds several tokens, numbers
-  /// that are left out show nothing.
+  /// No id left a number out, so that one that is left out may be a missing
+  /// event. Elsewhere, as where an event holds several tokens, it shows
+  /// nothing.
   bool has_consecutive_ids = true;
   /// All events that were passed on had an id.
   bool has_dense_ids = true;
@@ -45,18 +47,6 @@
 /// to go on after, and what follows that id must not have been sent.
 bool CanGoOn(const StreamPosition& position);
 
-/// How the ids of a service's streams rise within its endpoints' answers, as
-/// far as this node has seen it. A client that takes a stream up names one id
-/// alone, which doesn't show that.
-struct IdHabit {
-  std::uint32_t consecutive_steps = 0;  ///< Ids that were one more an event.
-  bool leaves_numbers_out = false;      ///< Some id was more than that.
-};
-
-/// Steps after which a service's ids count as consecutive. Where an event holds
-/// several tokens, fewer show that.
-inline constexpr std::uint32_t kMinConsecutiveSteps = 32;
-
 /// Events that a run may repeat one after the other. An endpoint that goes on
 /// with that sends nothing new.
 inline constexpr std::uint32_t kMaxRepeatedEvents = 1024;
@@ -80,6 +70,7 @@
   kRepeated,  ///< The caller has it. It is not passed on, and the run goes on.
   kBehind,    ///< The run begins before the stream's position.
   kGap,       ///< The run begins after an event that is missing.
+  kMissing,   ///< The run has left an event out.
   kUnplaced,  ///< Nothing shows whether it follows them.
   /// The run is of another software version than the stream, or may be.
   kOtherVersion,
@@ -96,10 +87,22 @@
 /// that isn't known may be another one.
 bool MayJoinVersions(SoftwareVersion stream, SoftwareVersion run, bool several);
 
-/// Decides whether the run's next event follows what the caller has. `id` is
-/// empty for an event without one. Records the event if it is the next one, and
-/// what its id shows of its service's.
-EventPlace PlaceEvent(StreamPosition& position, StreamRun& run, IdHabit& habit,
-                      std::string_view id);
+/// Where an event belongs.
+struct PlacedEvent {
+  EventPlace place = EventPlace::kNext;
+  /// How its id follows the one before it in the same run, whether or not the
+  /// event is passed on; unset: nothing shows that.
+  std::optional<IdStep> step;
+};
+
+/// Tells how the ids of a stream's service rise. It is asked only where an
+/// event leaves a number out, as it counts the votes of all endpoints.
+using AskForRise = std::function<IdRise()>;
+
+/// Decides whether the run's next event follows what the caller has, and
+/// records it if it does. `id` is empty for an event without one. A client that
+/// takes a stream up names one id alone, which doesn't show how ids rise.
+PlacedEvent PlaceEvent(StreamPosition& position, StreamRun& run,
+                       const AskForRise& ask_for_rise, std::string_view id);
 
 }  // namespace egretladder::routing
--- a/routing/include/egretladder/routing/next_step.h
+++ b/routing/include/egretladder/routing/next_step.h
@@ -30,6 +30,7 @@
   kSilent,         ///< Timed out waiting for the answer; outcome unknown.
   kFailed,         ///< Complete answer that reports an endpoint failure.
   kUnfit,          ///< Complete answer in place of the rest of a stream.
+  kIncomplete,     ///< It has left out an event of the stream.
   kUnjoined,       ///< Its events don't follow those that the caller has.
   /// The connection ended an answer without a length, and nothing tells whether
   /// it is complete.
--- a/routing/src/event_order.cc
+++ b/routing/src/event_order.cc
@@ -15,11 +15,11 @@
   return number;
 }
 
-// Returns true if no number is left out between the position's last number and
-// the id of the event that follows it.
-bool IsConsecutive(const StreamPosition& position, std::uint64_t number) {
+// Returns true if a number is left out between the position's last number and
+// the id of an event behind it. Events without an id need none of their own.
+bool LeavesOut(const StreamPosition& position, std::uint64_t number) {
   const std::uint64_t last = *position.last_number;
-  return number > last && number - last == position.events_since_id + 1;
+  return number > last && number - last > position.events_since_id + 1;
 }
 
 EventPlace PlaceWithoutId(const StreamPosition& position,
@@ -29,29 +29,37 @@
   return may_be_anywhere ? EventPlace::kUnplaced : EventPlace::kNext;
 }
 
-// Returns true if a number that is left out is a missing event.
-bool ShowsGaps(const StreamPosition& position, const IdHabit& habit) {
-  if (habit.leaves_numbers_out || !position.has_consecutive_ids) return false;
-  return position.has_steps || habit.consecutive_steps >= kMinConsecutiveSteps;
+// Returns the place of an event that leaves a number out: it is a missing
+// event, unless ids may rise by more than one an event.
+EventPlace PlaceAfterGap(const StreamPosition& position, const StreamRun& run,
+                         const AskForRise& ask_for_rise) {
+  if (!position.has_consecutive_ids) return EventPlace::kNext;
+  const IdRise rise = ask_for_rise();
+  if (rise == IdRise::kLeavesOut) return EventPlace::kNext;
+  const bool is_firm = rise == IdRise::kFirmlyByOne;
+  if (!run.is_unplaced)
+    return is_firm ? EventPlace::kMissing : EventPlace::kNext;
+  const bool shows_gaps = position.has_steps || rise != IdRise::kUnknown;
+  return shows_gaps ? EventPlace::kGap : EventPlace::kNext;
 }
 
 EventPlace PlaceNumber(const StreamPosition& position, const StreamRun& run,
-                       const IdHabit& habit, std::uint64_t number) {
+                       const AskForRise& ask_for_rise, std::uint64_t number) {
   if (number == *position.last_number) return EventPlace::kRepeated;
   if (number < *position.last_number)
     return run.is_unplaced ? EventPlace::kBehind : EventPlace::kRepeated;
-  const bool leaves_out = run.is_unplaced && ShowsGaps(position, habit) &&
-                          !IsConsecutive(position, number);
-  return leaves_out ? EventPlace::kGap : EventPlace::kNext;
+  return LeavesOut(position, number)
+             ? PlaceAfterGap(position, run, ask_for_rise)
+             : EventPlace::kNext;
 }
 
 EventPlace FindPlace(const StreamPosition& position, const StreamRun& run,
-                     const IdHabit& habit, std::string_view id,
+                     const AskForRise& ask_for_rise, std::string_view id,
                      const std::optional<std::uint64_t>& number) {
   if (id.empty()) return PlaceWithoutId(position, run);
   if (position.last_id.empty()) return EventPlace::kNext;
   if (position.last_number && number)
-    return PlaceNumber(position, run, habit, *number);
+    return PlaceNumber(position, run, ask_for_rise, *number);
   if (id == position.last_id) return EventPlace::kRepeated;
   const bool is_comparable =
       position.last_number.has_value() == number.has_value();
@@ -60,14 +68,12 @@
 }
 
 // A step over a seam shows nothing of one endpoint's ids.
-void LearnStep(const StreamPosition& position, const StreamRun& run,
-               const std::optional<std::uint64_t>& number, IdHabit& habit) {
-  if (run.is_unplaced || !position.last_number || !number) return;
-  if (!IsConsecutive(position, *number)) {
-    habit.leaves_numbers_out = true;
-  } else if (habit.consecutive_steps < kMinConsecutiveSteps) {
-    ++habit.consecutive_steps;
-  }
+std::optional<IdStep> FindStep(const StreamPosition& position,
+                               const StreamRun& run,
+                               const std::optional<std::uint64_t>& number) {
+  if (run.is_unplaced || !position.last_number || !number) return std::nullopt;
+  if (*number <= *position.last_number) return std::nullopt;
+  return LeavesOut(position, *number) ? IdStep::kLeavesOut : IdStep::kByOne;
 }
 
 void PassEvent(StreamPosition& position, std::string_view id,
@@ -79,10 +85,10 @@
   }
   if (!position.last_id.empty()) {
     const bool is_step = position.last_number && number;
-    const bool is_consecutive = is_step && IsConsecutive(position, *number);
+    const bool leaves_none_out = is_step && !LeavesOut(position, *number);
     position.has_steps = position.has_steps || is_step;
     position.has_consecutive_ids =
-        position.has_consecutive_ids && is_consecutive;
+        position.has_consecutive_ids && leaves_none_out;
   }
   position.last_id = id;
   position.last_number = number;
@@ -119,6 +125,8 @@
       return "behind";
     case EventPlace::kGap:
       return "gap";
+    case EventPlace::kMissing:
+      return "missing";
     case EventPlace::kUnplaced:
       return "unplaced";
     case EventPlace::kOtherVersion:
@@ -137,19 +145,20 @@
   return are_known ? stream == run : !several;
 }
 
-EventPlace PlaceEvent(StreamPosition& position, StreamRun& run, IdHabit& habit,
-                      std::string_view id) {
+PlacedEvent PlaceEvent(StreamPosition& position, StreamRun& run,
+                       const AskForRise& ask_for_rise, std::string_view id) {
   const auto number = ParseId(id);
-  const EventPlace place = FindPlace(position, run, habit, id, number);
+  const EventPlace place = FindPlace(position, run, ask_for_rise, id, number);
+  const auto step = FindStep(position, run, number);
   if (place == EventPlace::kRepeated) {
     run.is_behind = !CanGoOn(position) || id != position.last_id;
-    if (++run.repeated > kMaxRepeatedEvents) return EventPlace::kUnplaced;
+    if (++run.repeated > kMaxRepeatedEvents)
+      return {EventPlace::kUnplaced, std::nullopt};
   }
-  if (place != EventPlace::kNext) return place;
-  LearnStep(position, run, number, habit);
+  if (place != EventPlace::kNext) return {place, step};
   PassEvent(position, id, number);
   if (!id.empty()) run = {};
-  return place;
+  return {place, step};
 }
 
 }  // namespace egretladder::routing
--- a/routing/src/next_step.cc
+++ b/routing/src/next_step.cc
@@ -75,6 +75,8 @@
       return "failed";
     case AttemptOutcome::kUnfit:
       return "unfit";
+    case AttemptOutcome::kIncomplete:
+      return "incomplete";
     case AttemptOutcome::kUnjoined:
       return "unjoined";
     case AttemptOutcome::kUnproven:
--- a/routing/tests/event_order_test.cc
+++ b/routing/tests/event_order_test.cc
@@ -17,13 +17,17 @@
 struct Stream {
   er::StreamPosition position;
   er::StreamRun run;
-  er::IdHabit habit;
+  er::IdSteps steps;  // Of the endpoint that sends it.
+  er::IdRise rise = er::IdRise::kUnknown;
 
   explicit Stream(const std::string& last_event_id = "")
       : position(er::BeginStream(last_event_id)), run(er::BeginRun(position)) {}
   void GoOn() { run = er::BeginRun(position); }
   EventPlace Place(const std::string& id) {
-    return er::PlaceEvent(position, run, habit, id);
+    const auto placed = er::PlaceEvent(
+        position, run, [this] { return rise; }, id);
+    if (placed.step) er::OnIdStep(steps, *placed.step);
+    return placed.place;
   }
   void Pass(const std::vector<std::string>& ids) {
     for (const std::string& id : ids)
@@ -31,6 +35,13 @@
   }
 };
 
+// Decides by the steps of the stream's endpoint alone.
+er::IdRise JudgeAlone(const Stream& stream) {
+  er::IdVotes votes;
+  er::AddVote(votes, stream.steps);
+  return er::JudgeIdRise(votes);
+}
+
 }  // namespace
 
 TEST_GROUP(EventOrder){};
@@ -202,7 +213,7 @@
   for (std::uint32_t id = 1; id <= er::kMinConsecutiveSteps + 1; ++id)
     seen.Pass({std::to_string(id)});
   Stream stream("7");
-  stream.habit = seen.habit;
+  stream.rise = JudgeAlone(seen);
   CHECK(stream.Place("9") == EventPlace::kGap);
   stream.Pass({"8"});
 }
@@ -215,22 +226,48 @@
     seen.Pass({std::to_string(id)});
   seen.Pass({std::to_string(er::kMinConsecutiveSteps + 4)});
   Stream taken_up("7");
-  taken_up.habit = seen.habit;
+  taken_up.rise = JudgeAlone(seen);
   taken_up.Pass({"9"});
   Stream stream;
-  stream.habit = seen.habit;
+  stream.rise = taken_up.rise;
   stream.Pass({"1", "2"});
   stream.GoOn();
   stream.Pass({"4"});
 }
 
+// Guards against an event that is missing within a run, and against a run that
+// is ended where fewer ids have been seen.
+TEST(EventOrder, ANumberLeftOutWithinARunIsMissingWhereIdsFirmlyRiseByOne) {
+  Stream stream;
+  stream.rise = er::IdRise::kFirmlyByOne;
+  stream.Pass({"1", "2"});
+  CHECK(stream.Place("4") == EventPlace::kMissing);
+  CHECK(er::EndsRun(EventPlace::kMissing));
+  CHECK(stream.steps.leaves_out);
+  stream.GoOn();
+  stream.Pass({"3", "4"});
+  Stream early;
+  early.rise = er::IdRise::kByOne;
+  early.Pass({"1", "2", "4"});
+}
+
+// Guards against events without an id that make their neighbours' ids count as
+// leaving numbers out.
+TEST(EventOrder, APingBetweenTwoIdsLeavesNothingOut) {
+  Stream stream;
+  stream.Pass({"1", "2", "", "3"});
+  CHECK_FALSE(stream.steps.leaves_out);
+  stream.GoOn();
+  CHECK(stream.Place("5") == EventPlace::kGap);
+}
+
 // Guards against a habit that a faulty seam teaches.
 TEST(EventOrder, AGapAtASeamShowsNothingOfTheService) {
   Stream stream("7");
   stream.Pass({"9"});
-  CHECK_FALSE(stream.habit.leaves_numbers_out);
+  CHECK_FALSE(stream.steps.leaves_out);
   stream.Pass({"10"});
-  LONGS_EQUAL(1, stream.habit.consecutive_steps);
+  LONGS_EQUAL(1, stream.steps.by_one);
 }
 
 // Guards against ids that are no numbers being compared as numbers.
