Let a stream go on only at the weights that made its last event

Cause: what a stream goes on from was its software version alone. Nothing read the weights that answers and events state, or named them to the next engine, so that no engine could refuse.

The weights of the last event that a caller has are now part of the stream's state, of its record at its homes and of a handover, and a request that goes on names them. A 421 for them is not run, no failure of the engine, and counted apart.

--- a/net/include/egretladder/net/event_splitter.h
+++ b/net/include/egretladder/net/event_splitter.h
@@ -13,6 +13,7 @@
 struct SplitEvent {
   std::size_t end = 0;  ///< Position behind its last byte.
   std::string id;       ///< Empty: it has none.
+  std::string mark;     ///< Value of the field `EventSplitter::mark_field`.
 };
 
 /// State of the splitter for one stream.
@@ -27,9 +28,13 @@
 /// Comments and empty lines are no events. Those before the first event are
 /// kept until it is complete; later ones are passed on as they come.
 struct EventSplitter {
+  /// Name of another field that is read of each event; empty: none is. It must
+  /// outlive the splitter.
+  std::string_view mark_field;
   std::string incomplete_event;   ///< Bytes of an incomplete event.
   std::size_t scanned_bytes = 0;  ///< Its bytes in complete lines.
   std::string pending_id;         ///< Id of the incomplete event.
+  std::string pending_mark;       ///< Value of `mark_field` in it.
   bool has_fields = false;        ///< It has a line that is no comment.
   bool has_crlf = false;          ///< The last line ended with CRLF.
   /// The bytes ended with a CR, and an LF that follows belongs to it.
--- a/net/src/event_splitter.cc
+++ b/net/src/event_splitter.cc
@@ -1,17 +1,28 @@
 #include "egretladder/net/event_splitter.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace egretladder::net {
 namespace {
 
+// Returns the value of the field if the line is one with that name.
+std::optional<std::string_view> ReadField(std::string_view line,
+                                          std::string_view name) {
+  if (name.empty() || !line.starts_with(name)) return std::nullopt;
+  line.remove_prefix(name.size());
+  if (!line.starts_with(':')) return std::nullopt;
+  line.remove_prefix(1);
+  if (line.starts_with(' ')) line.remove_prefix(1);
+  return line;
+}
+
 void ReadLine(EventSplitter& splitter, std::string_view line) {
-  constexpr std::string_view kId = "id:";
   if (!line.starts_with(':')) splitter.has_fields = true;
-  if (!line.starts_with(kId)) return;
-  line.remove_prefix(kId.size());
-  if (line.starts_with(' ')) line.remove_prefix(1);
-  splitter.pending_id = line;
+  if (const auto id = ReadField(line, "id")) splitter.pending_id = *id;
+  if (const auto mark = ReadField(line, splitter.mark_field))
+    splitter.pending_mark = *mark;
 }
 
 // Finds the lines of a text. LF, CRLF and CR end one.
@@ -60,7 +71,8 @@
 void FinishEvent(EventSplitter& splitter) {
   ++splitter.events;
   splitter.has_fields = false;
-  splitter.last_events.push_back({splitter.scanned_bytes, splitter.pending_id});
+  splitter.last_events.push_back({splitter.scanned_bytes, splitter.pending_id,
+                                  std::exchange(splitter.pending_mark, {})});
   if (!splitter.pending_id.empty())
     splitter.last_id = std::move(splitter.pending_id);
   splitter.pending_id.clear();
--- a/net/tests/event_splitter_test.cc
+++ b/net/tests/event_splitter_test.cc
@@ -119,3 +119,16 @@
     LONGS_EQUAL(whole.bytes_since_event, slow.bytes_since_event);
   }
 }
+
+// Guards against a mark that is read of another event than its own, or of
+// another field that begins alike.
+TEST(EventSplitter, TheMarkedFieldBelongsToItsEvent) {
+  en::EventSplitter marked;
+  marked.mark_field = "weights";
+  en::SplitEvents(marked,
+                  "weights: 8\nid: 1\ndata: a\n\nweights-of: 9\nid: 2\n\n");
+  LONGS_EQUAL(2, marked.last_events.size());
+  STRCMP_EQUAL("8", marked.last_events[0].mark.c_str());
+  STRCMP_EQUAL("1", marked.last_events[0].id.c_str());
+  STRCMP_EQUAL("", marked.last_events[1].mark.c_str());
+}
--- a/proxy/include/egretladder/proxy/dialect.h
+++ b/proxy/include/egretladder/proxy/dialect.h
@@ -63,6 +63,8 @@
   milliseconds time_left{};  ///< Until the caller stops waiting.
   std::optional<std::uint8_t> priority;
   std::string resume_after;  ///< Id of the last event that the caller got.
+  /// Weights that made that event. An endpoint with others must refuse.
+  routing::Weights weights;
 };
 
 /// Metadata of an endpoint's answer, from its status and headers.
@@ -81,7 +83,8 @@
   /// unset: the answer doesn't state that it is brittle.
   std::optional<std::uint32_t> brittle_tolerance;
   bool is_brittle_invalid = false;  ///< The tolerance can't be parsed.
-  std::string instance_id;  ///< Endpoint that answered; empty: not stated.
+  std::string instance_id;   ///< Endpoint that answered; empty: not stated.
+  routing::Weights weights;  ///< Of the endpoint.
   routing::EndpointNotice notice;
   bool is_leaving_invalid = false;  ///< Whether it leaves can't be parsed.
   bool is_backoff_invalid = false;  ///< The stated backoff can't be parsed.
@@ -145,6 +148,11 @@
                                  const std::string& resume_after);
   /// Parses the metadata of an endpoint's answer.
   AnswerMetadata (*read_answer)(const net::HttpAnswerHead& head);
+  /// Name of the field by which an event states that other weights made it
+  /// than the one before.
+  std::string_view (*weights_field)();
+  /// Parses the value of that field.
+  routing::Weights (*read_weights)(std::string_view value);
   /// Request target at which an endpoint reports about its process.
   std::string (*report_target)();
   /// Parses the start of the process in Unix milliseconds from that report; 0:
--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -28,14 +28,14 @@
   # `knownMs`; 0: it hasn't, or doesn't say. `partVersion` is the version of the
   # endpoints that keep the part; all bits set: they are of several versions.
   # `partAlone`: the peer is a home of the part and has the lists of all endpoints
-  # of other versions.
+  # of other versions. `weights` is as in `Stream`.
   # With `confirm`, the peer reads the store's news first; `confirmed` says that
   # it has. `progress` is how far it knows the
   # feeds.
   findStream @4 (stream :UInt64, service :Text, part :UInt64, confirm :Bool)
       -> (version :UInt64, several :Bool, only :UInt64, knownMs :UInt64,
           partVersion :UInt64, confirmed :Bool, progress :List(Progress),
-          partAlone :Bool);
+          partAlone :Bool, weights :UInt64);
 }
 
 struct Stream {
@@ -44,6 +44,9 @@
   key @0 :UInt64;
   # Hash of the service and its version.
   version @1 :UInt64;
+  # Version of the weights that made its last event known, and one more; 0: not
+  # known.
+  weights @2 :UInt64;
 }
 
 struct PackedChanges {
--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -24,10 +24,23 @@
 
 constexpr int kMinServerError = 500;
 
+// An endpoint refuses by one status to take another one's requests, and to go
+// on with events of other weights.
+AttemptOutcome ClassifyMisdirected(const Attempt& attempt) {
+  const AnswerMetadata& metadata = attempt.metadata;
+  const bool is_named = !metadata.instance_id.empty();
+  const bool is_the_one =
+      is_named ? metadata.instance_id == attempt.endpoint->entry.id
+               : metadata.weights != attempt.expected_weights;
+  return attempt.expected_weights && is_the_one
+             ? AttemptOutcome::kOtherWeights
+             : AttemptOutcome::kWrongInstance;
+}
+
 AttemptOutcome ClassifyWholeAnswer(const Attempt& attempt) {
   const int status = attempt.head.status;
   if (attempt.metadata.not_run) {
-    return status == kMisdirected ? AttemptOutcome::kWrongInstance
+    return status == kMisdirected ? ClassifyMisdirected(attempt)
                                   : AttemptOutcome::kFull;
   }
   if (IsSuccess(status)) {
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -301,6 +301,8 @@
   attempt.head_bytes = BytesOfFields(head.fields);
   CountBuffered(proxy, attempt);
   attempt.metadata = metadata;
+  attempt.weights = metadata.weights;
+  attempt.splitter.mark_field = proxy.dialect->weights_field();
   // Bytes after an earlier answer may look like one, and name no request.
   attempt.is_vouched =
       metadata.sealed && !metadata.encoded && metadata.id == call.metadata.id;
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -103,6 +103,7 @@
     case AttemptOutcome::kWithheld:
     case AttemptOutcome::kDeclined:
     case AttemptOutcome::kRefused:
+    case AttemptOutcome::kOtherWeights:
     case AttemptOutcome::kUnfit:     // It may be right to refuse the rest.
     case AttemptOutcome::kUnjoined:  // It may serve whole streams.
       break;
@@ -206,6 +207,7 @@
   input.may_have_run = call.may_have_run;
   input.not_run = call.not_run;
   input.not_sent = call.not_sent;
+  input.other_weights = call.other_weights;
   input.has_time_left = NowOf(proxy) < call.deadline;
   const NextStep step = routing::DecideNextStep(input);
   const bool is_retry = step == NextStep::kSendAgain ||
@@ -257,7 +259,10 @@
   ++call.delivered_attempts;
   call.retry_cause = outcome;
   call.retry_decided_at = now;
-  if (routing::IsNotRun(outcome)) {
+  if (outcome == AttemptOutcome::kOtherWeights) {
+    ++call.other_weights;
+    call.tried_endpoints.push_back(endpoint);
+  } else if (routing::IsNotRun(outcome)) {
     // The endpoint stays eligible for later attempts, once the pause after its
     // refusal is over.
     ++call.not_run;
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -17,6 +17,13 @@
 // Endpoints distinguish ten priorities, 0 to 9.
 constexpr std::uint8_t kLowestPriority = 9;
 
+void RecordWeights(routing::Endpoint& endpoint,
+                   const AnswerMetadata& metadata) {
+  const std::string& id = metadata.instance_id;
+  if (metadata.weights && (id.empty() || id == endpoint.entry.id))
+    endpoint.weights = metadata.weights;
+}
+
 net::HeadVerdict OnHead(Proxy& proxy, const CallPtr& call,
                         const net::HttpAnswerHead& head) {
   Attempt& attempt = *call->attempt;
@@ -31,6 +38,7 @@
     return net::HeadVerdict::kSkip;
   }
   routing::OnSignOfLife(*attempt.endpoint, NowOf(proxy));
+  RecordWeights(*attempt.endpoint, metadata);
   if (head.status != kMisdirected)
     UpdateEndpointLimit(proxy, *call, *attempt.endpoint, metadata);
   KeepAnswerHead(proxy, *call, head, metadata);
@@ -87,6 +95,7 @@
     metadata.priority = std::min(call.demand.tier, kLowestPriority);
   }
   metadata.resume_after = call.position.last_id;
+  metadata.weights = call.attempt->expected_weights;
   return metadata;
 }
 
@@ -180,6 +189,7 @@
   attempt.sent_at = now;
   if (routing::IsVersionSure(*placement.endpoint))
     attempt.version = placement.endpoint->version;
+  attempt.expected_weights = call->demand.weights;
   routing::OnRequestPlaced(proxy.split_demand_meter, call->demand, placement,
                            proxy.endpoints.pauses, now);
   if (routing::AvoidsLongPrompts(proxy.endpoints, call->demand))
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -45,6 +45,9 @@
   routing::Placement placement;
   /// Version of the software that answers, as far as this node knows.
   routing::SoftwareVersion version = routing::kUnknownVersion;
+  /// Weights that made its last event, as its answer states.
+  routing::Weights weights;
+  routing::Weights expected_weights;  ///< That its request names.
   net::HttpExchangePtr exchange;
   Time sent_at{};
   bool request_sent = false;  ///< The first byte of the request was sent.
@@ -93,6 +96,7 @@
 /// What a peer answers to that question.
 struct VersionAnswer {
   routing::SoftwareVersion version = routing::kUnknownVersion;
+  routing::Weights weights;
   /// Version of the endpoints that keep its part.
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
   bool is_part_alone = false;  ///< No endpoint of another version keeps it.
@@ -108,6 +112,7 @@
   bool is_own_confirmed = false;  ///< What this node knew when it asked them.
   routing::VersionKnowledge knowledge;  ///< Of this node and those that answer.
   routing::SoftwareVersion version = routing::kUnknownVersion;
+  routing::Weights weights;
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
   /// A node knows that no endpoint of another version keeps the part.
   bool is_part_alone = false;
@@ -152,7 +157,8 @@
   std::uint32_t may_have_run = 0;        ///< Attempts that may have run.
   std::uint32_t not_run = 0;             ///< Attempts that endpoints refused.
   std::uint32_t not_sent = 0;            ///< Attempts without a byte sent.
-  std::uint32_t delivered_attempts = 0;  ///< `may_have_run` and `not_run`.
+  std::uint32_t other_weights = 0;       ///< Attempts refused for these.
+  std::uint32_t delivered_attempts = 0;  ///< All but those not sent.
   std::uint32_t unanswered = 0;          ///< Own attempts that timed out.
   /// How the last delivered attempt ended. The next one is a retry.
   std::optional<routing::AttemptOutcome> retry_cause;
@@ -173,6 +179,8 @@
   bool must_confirm = false;
   /// Version that began the stream, also that of a stream which it takes up.
   routing::SoftwareVersion version = routing::kUnknownVersion;
+  /// Weights that made the last event that the caller has.
+  routing::Weights weights;
   Time first_event_at{};
   Time last_event_at{};
   milliseconds longest_pause{};  ///< Between two events sent to the caller.
--- a/proxy/src/call_routing.cc
+++ b/proxy/src/call_routing.cc
@@ -57,6 +57,7 @@
   call.handed_over = true;
   call.max_attempts = 1;
   call.version = handover.version;
+  call.weights = handover.weights;
   ++proxy.handovers_served;
   for (const std::string& id : handover.tried) {
     const auto at = proxy.endpoints.by_id.find(id);
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -15,6 +15,10 @@
   return attempt.peer.empty() ? attempt.endpoint->entry.id : attempt.peer;
 }
 
+std::string Describe(routing::Weights weights) {
+  return weights ? std::to_string(*weights) : "-";
+}
+
 // Counts the event, and logs the attempt's first one that isn't passed on.
 void RecordMisorder(Proxy& proxy, Call& call, EventPlace place,
                     std::string_view id) {
@@ -34,7 +38,9 @@
                     {"after_event", call.position.last_id},
                     {"events_since", call.position.events_since_id},
                     {"stream_version", call.version},
-                    {"version", attempt.version}});
+                    {"version", attempt.version},
+                    {"stream_weights", Describe(call.weights)},
+                    {"weights", Describe(attempt.weights)}});
 }
 
 // Counts the runs that go on with a stream, and how that went.
@@ -53,19 +59,43 @@
   return placed.place;
 }
 
+EventPlace PlaceFirst(Proxy& proxy, Call& call, const net::SplitEvent& event) {
+  if (!FitsStream(proxy, call)) return EventPlace::kOtherVersion;
+  const bool fits_weights =
+      !event.mark.empty() ||
+      routing::MayFollow(call.weights, call.attempt->weights);
+  return fits_weights ? PlaceInRun(proxy, call, event.id)
+                      : EventPlace::kOtherWeights;
+}
+
+// The endpoint's weights have changed before the event.
+void ApplyMark(const Proxy& proxy, Attempt& attempt, const std::string& mark) {
+  attempt.weights = proxy.dialect->read_weights(mark);
+  if (attempt.peer.empty()) attempt.endpoint->weights = attempt.weights;
+}
+
 // Returns the place of the next event, which begins the attempt's run if no
 // other has.
-EventPlace PlaceNext(Proxy& proxy, Call& call, std::string_view id) {
+EventPlace PlaceNext(Proxy& proxy, Call& call, const net::SplitEvent& event) {
   Attempt& attempt = *call.attempt;
-  if (attempt.run) return PlaceInRun(proxy, call, id);
+  if (!event.mark.empty()) ApplyMark(proxy, attempt, event.mark);
+  if (attempt.run) return PlaceInRun(proxy, call, event.id);
   attempt.run = routing::BeginRun(call.position);
   const bool goes_on = attempt.run->is_unplaced;
-  const EventPlace place = FitsStream(proxy, call) ? PlaceInRun(proxy, call, id)
-                                                   : EventPlace::kOtherVersion;
+  const EventPlace place = PlaceFirst(proxy, call, event);
   if (goes_on) CountSeam(proxy, place);
   return place;
 }
 
+// The caller gets an event that the attempt's weights have made.
+void PassWeights(Proxy& proxy, Call& call) {
+  const routing::Weights& weights = call.attempt->weights;
+  if (!weights || call.weights == weights) return;
+  call.weights = weights;
+  // The first event's are written with the stream's version.
+  if (call.caller->begun()) OnWeightsChanged(proxy, call);
+}
+
 }  // namespace
 
 CheckedEvents CheckEvents(Proxy& proxy, Call& call, std::string_view bytes) {
@@ -73,8 +103,9 @@
   std::size_t begin = 0;
   const auto events = std::exchange(call.attempt->splitter.last_events, {});
   for (const net::SplitEvent& event : events) {
-    const EventPlace place = PlaceNext(proxy, call, event.id);
+    const EventPlace place = PlaceNext(proxy, call, event);
     if (place == EventPlace::kNext) {
+      PassWeights(proxy, call);
       checked.bytes += bytes.substr(begin, event.end - begin);
       ++checked.count;
     } else {
--- a/proxy/src/handover_fields.cc
+++ b/proxy/src/handover_fields.cc
@@ -13,6 +13,7 @@
 constexpr std::string_view kRulesName = "rules=";
 constexpr std::string_view kServiceName = "service=";
 constexpr std::string_view kVersionName = "version=";
+constexpr std::string_view kWeightsName = "weights=";
 constexpr std::string_view kTriedName = "tried=";
 
 std::vector<std::string> Split(std::string_view text, char separator) {
@@ -22,9 +23,9 @@
   return parts;
 }
 
-bool ParseRulesVersion(std::string_view text, std::uint64_t& version) {
+bool ParseNumber(std::string_view text, std::uint64_t& number) {
   const char* end = text.data() + text.size();
-  const auto read = std::from_chars(text.data(), end, version);
+  const auto read = std::from_chars(text.data(), end, number);
   return read.ec == std::errc() && read.ptr == end;
 }
 
@@ -58,6 +59,11 @@
     value += kVersionName;
     value += FormatVersion(header.version);
   }
+  if (header.weights) {
+    value += "; ";
+    value += kWeightsName;
+    value += std::to_string(*header.weights);
+  }
   if (header.tried.empty()) return value;
   value += "; ";
   value += kTriedName;
@@ -74,12 +80,16 @@
   for (const std::string& part : parts) {
     const std::string_view text = part;
     if (text.starts_with(kRulesName)) {
-      has_version = ParseRulesVersion(text.substr(kRulesName.size()),
-                                      header.rules_version);
+      has_version =
+          ParseNumber(text.substr(kRulesName.size()), header.rules_version);
     } else if (text.starts_with(kServiceName)) {
       header.service = text.substr(kServiceName.size());
     } else if (text.starts_with(kVersionName)) {
       header.version = ParseVersion(text.substr(kVersionName.size()));
+    } else if (text.starts_with(kWeightsName)) {
+      std::uint64_t weights = 0;
+      if (ParseNumber(text.substr(kWeightsName.size()), weights))
+        header.weights = weights;
     } else if (text.starts_with(kTriedName)) {
       header.tried = Split(text.substr(kTriedName.size()), ',');
     }
--- a/proxy/src/handover_fields_p.h
+++ b/proxy/src/handover_fields_p.h
@@ -11,8 +11,8 @@
 namespace egretladder::proxy {
 
 /// Of a request: what the node that hands it over states about it. Its value is
-/// `NODE; rules=VERSION; service=NAME; version=HASH; tried=ID,ID`, without the
-/// last two if there is nothing to state.
+/// `NODE; rules=VERSION; service=NAME; version=HASH; weights=NUMBER;
+/// tried=ID,ID`, without the last three if there is nothing to state.
 inline constexpr const char* kForwardedField = "Egretladder-Forwarded";
 /// Of an answer: id of the endpoint that gave it.
 inline constexpr const char* kEndpointField = "Egretladder-Endpoint";
--- a/proxy/src/handovers.cc
+++ b/proxy/src/handovers.cc
@@ -19,6 +19,7 @@
   header.rules_version = call.table->version;
   header.service = call.service->name;
   header.version = call.version;
+  header.weights = call.weights;
   for (const routing::EndpointPtr& endpoint : call.tried_endpoints)
     header.tried.push_back(endpoint->entry.id);
   return header;
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -73,7 +73,9 @@
     const Time now = NowOf(proxy_);
     for (const auto stream : params.getStreams()) {
       routing::RememberStream(proxy_.streams,
-                              {stream.getKey(), stream.getVersion()}, now);
+                              {stream.getKey(), stream.getVersion(),
+                               ReadWeights(stream.getWeights())},
+                              now);
     }
     for (const auto part : params.getParts()) {
       routing::RememberPart(proxy_.streams, part.getKey(), part.getVersion(),
@@ -105,8 +107,10 @@
   void AnswerFindStream(FindStreamContext context, Time asked_at) {
     const auto params = context.getParams();
     auto results = context.getResults();
-    results.setVersion(
-        routing::FindVersion(proxy_.streams, params.getStream()));
+    const routing::StreamSource source =
+        routing::FindSource(proxy_.streams, params.getStream());
+    results.setVersion(source.version);
+    results.setWeights(ToWire(source.weights));
     const Time now = NowOf(proxy_);
     const routing::VersionKnowledge knowledge = routing::KnowledgeOf(
         proxy_.streams, params.getService(), asked_at, now);
--- a/proxy/src/peers_p.h
+++ b/proxy/src/peers_p.h
@@ -106,4 +106,11 @@
 /// is in progress.
 void FetchMissingChanges(Proxy& proxy);
 
+// stream_records_capnp.cc
+/// Returns weights as messages state them: one more than their version; 0: none
+/// are known.
+std::uint64_t ToWire(routing::Weights weights);
+/// Reads them.
+routing::Weights ReadWeights(std::uint64_t value);
+
 }  // namespace egretladder::proxy
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -99,6 +99,7 @@
   std::vector<std::string> tried;   ///< Endpoints that were tried before.
   /// Version that began the stream with which the request goes on.
   routing::SoftwareVersion version = routing::kUnknownVersion;
+  routing::Weights weights;  ///< Of the stream's last event.
 };
 
 /// How the ids of a service's streams rise.
@@ -395,6 +396,9 @@
 /// Binds the call to the version that makes its first event, and writes that to
 /// the stream's homes.
 void OnStreamBegan(Proxy& proxy, Call& call);
+/// Records that other weights have made the stream's last event than the ones
+/// before.
+void OnWeightsChanged(Proxy& proxy, const Call& call);
 /// Dispatches a call that has just arrived. If it takes up a stream of which
 /// this node doesn't know at which version it began, peers are asked first.
 void DispatchAtItsVersion(Proxy& proxy, const CallPtr& call);
--- a/proxy/src/stream_records_capnp.cc
+++ b/proxy/src/stream_records_capnp.cc
@@ -25,6 +25,7 @@
   const auto progress = ReadProgress(answer.getProgress());
   VersionAnswer read;
   read.version = answer.getVersion();
+  read.weights = ReadWeights(answer.getWeights());
   read.part_version = answer.getPartVersion();
   read.is_part_alone = answer.getPartAlone();
   read.knowledge.since = KnownSince(answer.getKnownMs(), now);
@@ -40,6 +41,15 @@
 
 }  // namespace
 
+std::uint64_t ToWire(routing::Weights weights) {
+  return weights ? *weights + 1 : 0;
+}
+
+routing::Weights ReadWeights(std::uint64_t value) {
+  if (value == 0) return std::nullopt;
+  return value - 1;
+}
+
 void WriteRecords(Proxy& proxy, const std::string& peer_address,
                   RecordKind kind,
                   std::span<const routing::StreamRecord> records) {
@@ -52,6 +62,7 @@
   for (unsigned i = 0; i < size; ++i) {
     list[i].setKey(records[i].stream);
     list[i].setVersion(records[i].version);
+    list[i].setWeights(ToWire(records[i].weights));
   }
   CountBytes(proxy, "out", MessageKind::kStreams, IsSameZone(*peer),
              request.totalSize().wordCount);
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -104,10 +104,10 @@
   WriteByHome(proxy, kKind, SortByHome(proxy, kKind, records));
 }
 
-void RecordStream(Proxy& proxy, const Call& call,
+void RecordStream(Proxy& proxy, const Call& call, const std::string& request_id,
                   routing::SoftwareVersion version) {
-  const routing::StreamRecord record{KeyOfStream(call, call.metadata.id),
-                                     version};
+  const routing::StreamRecord record{KeyOfStream(call, request_id), version,
+                                     call.weights};
   routing::RememberStream(proxy.streams, record, NowOf(proxy));
   // The node that serves a handed over request writes it.
   if (call.attempt->peer.empty()) WriteStreamsToHomes(proxy, {record});
@@ -127,7 +127,7 @@
                     {"started", attempt.started ? "yes" : "no"}});
   if (attempt.started) {
     call->version = kUnknownVersion;
-    RecordStream(proxy, *call, kUnknownVersion);
+    RecordStream(proxy, *call, call->metadata.id, kUnknownVersion);
     return;
   }
   net::Cancel(attempt.exchange);
@@ -289,6 +289,7 @@
 
 void FinishLookup(Proxy& proxy, const CallPtr& call) {
   const auto lookup = std::exchange(call->version_lookup, nullptr);
+  if (lookup->weights) call->weights = lookup->weights;
   if (lookup->version != kUnknownVersion) {
     Bind(proxy, call, lookup->version, "peer");
     return;
@@ -344,7 +345,14 @@
   if (call.version != kUnknownVersion) return;
   call.version = call.attempt->version;
   if (call.version == kUnknownVersion || TakesStreamUp(call)) return;
-  RecordStream(proxy, call, call.version);
+  RecordStream(proxy, call, call.metadata.id, call.version);
+}
+
+void OnWeightsChanged(Proxy& proxy, const Call& call) {
+  const bool is_taken_up = TakesStreamUp(call);
+  const std::string& begun_by =
+      is_taken_up ? call.metadata.resumes : call.metadata.id;
+  if (!begun_by.empty()) RecordStream(proxy, call, begun_by, call.version);
 }
 
 void DispatchAtItsVersion(Proxy& proxy, const CallPtr& call) {
@@ -354,10 +362,11 @@
     return;
   }
   const StreamQuestion question = QuestionOf(*call);
-  const routing::SoftwareVersion version =
-      routing::FindVersion(proxy.streams, question.stream);
-  if (version != kUnknownVersion) {
-    Bind(proxy, call, version, "this-node");
+  const routing::StreamSource source =
+      routing::FindSource(proxy.streams, question.stream);
+  if (source.weights) call->weights = source.weights;
+  if (source.version != kUnknownVersion) {
+    Bind(proxy, call, source.version, "this-node");
     return;
   }
   const Time now = NowOf(proxy);
@@ -373,8 +382,13 @@
     CatchUp(proxy, call);
     return;
   }
-  if (!knowledge.several && is_confirmed &&
-      *knowledge.confirmed_since <= call->earliest_begin) {
+  const bool is_one_version =
+      !knowledge.several && is_confirmed &&
+      *knowledge.confirmed_since <= call->earliest_begin;
+  const routing::WeightsKnowledge weights =
+      routing::WeightsOf(proxy.streams, proxy.endpoints, call->service->name);
+  if (!call->weights) call->weights = weights.only;
+  if (is_one_version && !weights.is_in_doubt) {
     DispatchUnknown(proxy, call, {knowledge, kUnknownVersion});
     return;
   }
@@ -394,6 +408,7 @@
   }
   routing::Merge(lookup->knowledge, knowledge);
   if (answer.version != kUnknownVersion) lookup->version = answer.version;
+  if (answer.weights) lookup->weights = answer.weights;
   lookup->part_version =
       routing::MergePartVersions(lookup->part_version, answer.part_version);
   lookup->is_part_alone = lookup->is_part_alone || answer.is_part_alone;
@@ -410,6 +425,7 @@
   const bool may_join = several || knowledge.only != call.version;
   call.demand.version = may_join ? call.version : kUnknownVersion;
   call.demand.goes_on = GoesOn(call);
+  call.demand.weights = call.demand.goes_on ? call.weights : std::nullopt;
   const bool is_lost = call.caller->begun() && call.version == kUnknownVersion;
   return !several || !is_lost;
 }
--- a/proxy/tests/handover_fields_test.cc
+++ b/proxy/tests/handover_fields_test.cc
@@ -8,7 +8,7 @@
 TEST_GROUP(HandoverFields){};
 
 TEST(HandoverFields, HeaderIsReadAsWritten) {
-  const ep::HandoverHeader header{"n1", 42, "models", {"e1", "e2"}, 0xabc};
+  const ep::HandoverHeader header{"n1", 42, "models", {"e1", "e2"}, 0xabc, 8};
   const auto parsed = ep::ParseHandoverHeader(ep::FormatHandoverHeader(header));
   CHECK(parsed.has_value());
   STRCMP_EQUAL("n1", parsed->peer.c_str());
@@ -17,6 +17,7 @@
   LONGS_EQUAL(2, parsed->tried.size());
   STRCMP_EQUAL("e2", parsed->tried[1].c_str());
   CHECK(parsed->version == 0xabc);
+  CHECK(parsed->weights == er::Weights(8));
 }
 
 // Guards against a request that is taken for a node's because it has the field.
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -23,6 +23,7 @@
 #include "egretladder/routing/pace.h"
 #include "egretladder/routing/prompt_pauses.h"
 #include "egretladder/routing/route_table.h"
+#include "egretladder/routing/weights.h"
 
 namespace egretladder::routing {
 
@@ -49,6 +50,8 @@
   /// Version of the endpoint's software; empty: not published.
   std::string software_version;
   bool is_version_invalid = false;  ///< It is published in another form.
+  /// Of its model; unset: not published, or models have different ones.
+  Weights weights;
 };
 
 /// A rate limit that an endpoint advertises for all nodes together.
@@ -165,6 +168,7 @@
   double hash_position = 0;
   std::uint64_t name_hash = 0;
   SoftwareVersion version = kUnknownVersion;  ///< As its entry says.
+  Weights weights;  ///< As its entry or its last answer stated.
   /// Since when this node knows the process of the entry.
   Time known_since{};
   /// When a connection to it last broke or was refused; default: not since its
--- a/routing/include/egretladder/routing/event_order.h
+++ b/routing/include/egretladder/routing/event_order.h
@@ -74,6 +74,8 @@
   kUnplaced,  ///< Nothing shows whether it follows them.
   /// The run is of another software version than the stream, or may be.
   kOtherVersion,
+  /// Other weights made it than the event before, and it doesn't say so.
+  kOtherWeights,
 };
 /// Returns the place's name in logs and metrics.
 const char* NameOf(EventPlace place);
--- a/routing/include/egretladder/routing/next_step.h
+++ b/routing/include/egretladder/routing/next_step.h
@@ -23,6 +23,7 @@
   kWithheld,       ///< Not sent: the endpoint takes no requests any more.
   kFull,           ///< The endpoint reported that it did not run the request.
   kWrongInstance,  ///< Another process has the address; not run.
+  kOtherWeights,   ///< It has other weights than the stream's; not run.
   kDeclined,       ///< The peer didn't take the handed over request; not run.
   kRefused,        ///< The peer refused the request for its caller; not run.
   kBroken,         ///< The connection broke before a complete answer; unknown.
@@ -79,7 +80,8 @@
   std::uint32_t may_have_run = 0;  ///< Attempts so far that may have run.
   std::uint32_t not_run = 0;       ///< Attempts so far that endpoints rejected.
   std::uint32_t not_sent = 0;  ///< Attempts so far of which no byte was sent.
-  bool has_time_left = true;   ///< The request's deadline has not passed.
+  std::uint32_t other_weights = 0;  ///< Attempts so far refused for these.
+  bool has_time_left = true;        ///< The request's deadline has not passed.
 };
 
 /// Attempts rejected by endpoints before the request itself is rejected. Each
@@ -92,6 +94,10 @@
 /// and one in 27 meets three.
 inline constexpr std::uint32_t kMaxNotSentAttempts = 8;
 
+/// Attempts that endpoints of other weights refuse before the request itself is
+/// rejected. Each shows this node an endpoint's weights, so that few follow.
+inline constexpr std::uint32_t kMaxOtherWeightsAttempts = 8;
+
 /// Attempts by which an endpoint is asked for what follows its own end of a
 /// stream, beyond the attempts that the route allows: these count endpoints.
 inline constexpr std::uint32_t kMaxRepeatedAsks = 1;
--- a/routing/include/egretladder/routing/placement.h
+++ b/routing/include/egretladder/routing/placement.h
@@ -45,6 +45,8 @@
   /// The request goes on with a stream that this version began; unknown: any
   /// version will do.
   SoftwareVersion version = kUnknownVersion;
+  /// The same for the weights that made its last event.
+  Weights weights;
   /// The request goes on with a stream, whatever version began it.
   bool goes_on = false;
 };
--- a/routing/include/egretladder/routing/stream_records.h
+++ b/routing/include/egretladder/routing/stream_records.h
@@ -29,10 +29,17 @@
 using StreamKey = std::uint64_t;
 StreamKey KeyOfStream(std::string_view account, std::string_view request_id);
 
-/// The version that began a stream.
+/// What made a stream's events.
+struct StreamSource {
+  SoftwareVersion version = kUnknownVersion;  ///< Of all of them.
+  Weights weights;                            ///< Of the last one known.
+};
+
+/// What made the events of a stream.
 struct StreamRecord {
   StreamKey stream = 0;
   SoftwareVersion version = kUnknownVersion;
+  Weights weights;
 };
 
 /// The versions at which a service was served of late.
@@ -42,8 +49,10 @@
 
 /// What this node knows of streams and versions.
 struct StreamRecords {
-  RecentMap<SoftwareVersion> by_stream;
+  RecentMap<StreamSource> by_stream;
   std::map<std::string, VersionHistory> by_service;
+  /// When each service was last served with weights, by their version.
+  std::map<std::string, std::map<std::uint64_t, Time>> weights_by_service;
   /// Since when all versions that served are known; see `KeepKnowledge`.
   Time known_since{};
   /// How far the store's changes of endpoints were known then.
@@ -57,8 +66,9 @@
 /// Remembers the version of a stream.
 void RememberStream(StreamRecords& records, const StreamRecord& record,
                     Time now);
-/// Returns the version that began the stream; unknown if it isn't remembered.
-SoftwareVersion FindVersion(const StreamRecords& records, StreamKey stream);
+/// Returns what made the stream's events; nothing is known of it if it isn't
+/// remembered.
+StreamSource FindSource(const StreamRecords& records, StreamKey stream);
 /// Returns all streams that are remembered.
 std::vector<StreamRecord> AllStreams(const StreamRecords& records);
 
@@ -87,6 +97,15 @@
 /// Records which versions serve now. Returns true if a service is served at
 /// several versions now that was not before.
 bool ObserveVersions(StreamRecords& records, const EndpointSet& set, Time now);
+/// What is known of the weights of a service's endpoints, now and of late.
+struct WeightsKnowledge {
+  Weights only;              ///< Set if one version alone is known.
+  bool is_in_doubt = false;  ///< There are others, or may be.
+};
+/// Returns what this node knows; nothing is in doubt where no endpoint states
+/// its weights.
+WeightsKnowledge WeightsOf(const StreamRecords& records, const EndpointSet& set,
+                           const std::string& service);
 /// Returns true if the service is or was served at several versions while
 /// streams live that began meanwhile, as far as this node knows.
 bool WasServedAtSeveralVersions(const StreamRecords& records,
--- a/routing/src/event_order.cc
+++ b/routing/src/event_order.cc
@@ -131,6 +131,8 @@
       return "unplaced";
     case EventPlace::kOtherVersion:
       return "other-version";
+    case EventPlace::kOtherWeights:
+      return "other-weights";
   }
   return "unknown";
 }
--- a/routing/src/next_step.cc
+++ b/routing/src/next_step.cc
@@ -5,7 +5,8 @@
 
 bool CanTryAgain(const NextStepInput& input) {
   return input.has_time_left && input.not_run < kMaxNotRunAttempts &&
-         input.not_sent < kMaxNotSentAttempts;
+         input.not_sent < kMaxNotSentAttempts &&
+         input.other_weights < kMaxOtherWeightsAttempts;
 }
 
 NextStep DecideAfterNotRun(const NextStepInput& input) {
@@ -61,6 +62,8 @@
       return "full";
     case AttemptOutcome::kWrongInstance:
       return "wrong-instance";
+    case AttemptOutcome::kOtherWeights:
+      return "other-weights";
     case AttemptOutcome::kDeclined:
       return "declined";
     case AttemptOutcome::kRefused:
@@ -112,6 +115,7 @@
          outcome == AttemptOutcome::kWithheld ||
          outcome == AttemptOutcome::kFull ||
          outcome == AttemptOutcome::kWrongInstance ||
+         outcome == AttemptOutcome::kOtherWeights ||
          outcome == AttemptOutcome::kDeclined ||
          outcome == AttemptOutcome::kRefused;
 }
--- a/routing/src/placement.cc
+++ b/routing/src/placement.cc
@@ -140,8 +140,9 @@
 }
 
 bool HasVersion(const Endpoint& endpoint, const Demand& demand) {
-  return demand.version == kUnknownVersion ||
-         endpoint.version == demand.version;
+  return (demand.version == kUnknownVersion ||
+          endpoint.version == demand.version) &&
+         MayFollow(demand.weights, endpoint.weights);
 }
 
 // An endpoint whose process is known to be another one than that of its entry
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -29,6 +29,20 @@
   });
 }
 
+void ObserveWeights(StreamRecords& records, const EndpointSet& set, Time now) {
+  for (const auto& [service, endpoints] : set.by_service) {
+    for (const EndpointPtr& endpoint : endpoints) {
+      if (endpoint->weights)
+        records.weights_by_service[service][*endpoint->weights] = now;
+    }
+  }
+  for (auto& [service, weights] : records.weights_by_service) {
+    std::erase_if(weights, [now](const auto& served) {
+      return now - served.second >= kStreamRetention;
+    });
+  }
+}
+
 struct RankedHome {
   std::uint64_t rank = 0;
   const Member* member = nullptr;
@@ -121,20 +135,21 @@
 
 void RememberStream(StreamRecords& records, const StreamRecord& record,
                     Time now) {
-  Put(records.by_stream, kBounds, record.stream, record.version, now);
+  Put(records.by_stream, kBounds, record.stream,
+      {record.version, record.weights}, now);
 }
 
-SoftwareVersion FindVersion(const StreamRecords& records, StreamKey stream) {
-  const SoftwareVersion* version = Find(records.by_stream, stream);
-  return version != nullptr ? *version : kUnknownVersion;
+StreamSource FindSource(const StreamRecords& records, StreamKey stream) {
+  const StreamSource* source = Find(records.by_stream, stream);
+  return source != nullptr ? *source : StreamSource{};
 }
 
 std::vector<StreamRecord> AllStreams(const StreamRecords& records) {
   std::vector<StreamRecord> all;
   for (const auto* half :
        {&records.by_stream.older, &records.by_stream.newer}) {
-    for (const auto& [stream, version] : *half)
-      all.push_back({stream, version});
+    for (const auto& [stream, source] : *half)
+      all.push_back({stream, source.version, source.weights});
   }
   return all;
 }
@@ -178,7 +193,26 @@
                      });
 }
 
+WeightsKnowledge WeightsOf(const StreamRecords& records, const EndpointSet& set,
+                           const std::string& service) {
+  WeightsKnowledge knowledge;
+  const auto at = records.weights_by_service.find(service);
+  if (at == records.weights_by_service.end() || at->second.empty())
+    return knowledge;
+  const auto endpoints = set.by_service.find(service);
+  const bool are_all_known =
+      endpoints == set.by_service.end() ||
+      std::all_of(endpoints->second.begin(), endpoints->second.end(),
+                  [](const EndpointPtr& endpoint) {
+                    return endpoint->weights.has_value();
+                  });
+  knowledge.is_in_doubt = at->second.size() > 1 || !are_all_known;
+  if (!knowledge.is_in_doubt) knowledge.only = at->second.begin()->first;
+  return knowledge;
+}
+
 bool ObserveVersions(StreamRecords& records, const EndpointSet& set, Time now) {
+  ObserveWeights(records, set, now);
   Expire(records.by_stream, kBounds, now);
   Expire(records.by_part, kPartBounds, now);
   bool has_appeared = false;
--- a/routing/tests/next_step_test.cc
+++ b/routing/tests/next_step_test.cc
@@ -10,14 +10,15 @@
 
 namespace {
 
-constexpr std::array<AttemptOutcome, 14> kOutcomes = {
-    AttemptOutcome::kNotSent,  AttemptOutcome::kWithheld,
-    AttemptOutcome::kFull,     AttemptOutcome::kWrongInstance,
-    AttemptOutcome::kDeclined, AttemptOutcome::kRefused,
-    AttemptOutcome::kBroken,   AttemptOutcome::kBadAnswer,
-    AttemptOutcome::kSilent,   AttemptOutcome::kFailed,
-    AttemptOutcome::kUnfit,    AttemptOutcome::kUnjoined,
-    AttemptOutcome::kUnproven, AttemptOutcome::kSucceeded,
+constexpr std::array<AttemptOutcome, 16> kOutcomes = {
+    AttemptOutcome::kNotSent,    AttemptOutcome::kWithheld,
+    AttemptOutcome::kFull,       AttemptOutcome::kWrongInstance,
+    AttemptOutcome::kDeclined,   AttemptOutcome::kRefused,
+    AttemptOutcome::kBroken,     AttemptOutcome::kBadAnswer,
+    AttemptOutcome::kSilent,     AttemptOutcome::kFailed,
+    AttemptOutcome::kUnfit,      AttemptOutcome::kUnjoined,
+    AttemptOutcome::kUnproven,   AttemptOutcome::kSucceeded,
+    AttemptOutcome::kIncomplete, AttemptOutcome::kOtherWeights,
 };
 
 er::NextStepInput MakeInput(AttemptOutcome outcome) {
@@ -241,3 +242,16 @@
   input.not_sent = er::kMaxNotSentAttempts;
   CHECK(er::DecideNextStep(input) == NextStep::kRefuse);
 }
+
+// Guards against losing a stream to refusals by engines with other weights, and
+// against asking all engines of a large fleet for one stream.
+TEST(NextStep, RefusalsForOtherWeightsAllowMoreAttemptsThanFullEndpoints) {
+  er::NextStepInput input;
+  input.end = AttemptOutcome::kOtherWeights;
+  input.attempts = 2;
+  input.not_run = er::kMaxNotRunAttempts - 1;
+  input.other_weights = er::kMaxOtherWeightsAttempts - 1;
+  CHECK(er::DecideNextStep(input) == NextStep::kSendAgain);
+  ++input.other_weights;
+  CHECK(er::DecideNextStep(input) == NextStep::kRefuse);
+}
--- a/routing/tests/stream_records_test.cc
+++ b/routing/tests/stream_records_test.cc
@@ -198,7 +198,7 @@
   for (er::StreamKey stream = 1; stream <= 5 * er::kMaxNewerStreams; ++stream)
     er::RememberStream(records, {stream, 7}, kStart);
   CHECK(er::AllStreams(records).size() <= 2 * er::kMaxNewerStreams);
-  CHECK(er::FindVersion(records, 5 * er::kMaxNewerStreams) == 7);
+  CHECK(er::FindSource(records, 5 * er::kMaxNewerStreams).version == 7);
 }
 
 // Guards against records that outlive their streams, and against those that are
@@ -208,11 +208,11 @@
   er::Time now = kStart;
   for (; now < kStart + er::kStreamRetention; now += 1s) {
     er::ObserveVersions(records, set, now);
-    CHECK(er::FindVersion(records, 1) == 7);
+    CHECK(er::FindSource(records, 1).version == 7);
   }
   for (; now < kStart + 3 * er::kStreamRetention; now += 1s)
     er::ObserveVersions(records, set, now);
-  CHECK(er::FindVersion(records, 1) == er::kUnknownVersion);
+  CHECK(er::FindSource(records, 1).version == er::kUnknownVersion);
 }
 
 // Guards against a version whose last endpoint is gone while its streams are
