Prove the ends of streams without a start by a connection of their process

Others got streams as whole that weren't, where a process was replaced at once.

Cause: the end was proven by a retry elsewhere, from a budget for faults, or by a question on a new connection, which the next process answers as well.

A node keeps one spare connection to such an engine, opened before the request is sent. If it answers behind the end, the process that served the stream lives on, and has ended it; if it is gone, so is the process. That holds for streams that can't resume too, and costs no retry.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -56,6 +56,9 @@
   kAny,           ///< Any that the endpoint should still keep open.
   kRecentlyUsed,  ///< Only one that the endpoint can't be closing yet.
   kNone,          ///< None: the request waits for a new connection.
+  /// Any that is still open, whatever its age. No other one is opened in its
+  /// place: its loss is the answer.
+  kOpenOnly,
 };
 
 /// One request to be sent.
@@ -94,6 +97,8 @@
   /// Marks the idle connection to the address that was used last, if there is
   /// one, with what the caller knows of its other end.
   void MarkReusable(const std::string& address, std::uint64_t mark);
+  /// Closes the idle connections to the address.
+  void CloseIdle(const std::string& address);
   /// Returns true if a request to the address would reuse a connection with
   /// that mark. A new connection has the mark 0.
   bool HasReusable(const std::string& address, ConnectionReuse reuse,
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -45,6 +45,7 @@
 
 bool IsReusable(const Connection& connection, ConnectionReuse reuse,
                 kernel::Time now) {
+  if (reuse == ConnectionReuse::kOpenOnly) return true;
   const auto lifetime = connection.keep_alive_timeout.count() > 0
                             ? connection.keep_alive_timeout
                             : kDefaultIdleLifetime;
@@ -136,7 +137,7 @@
       Defer([this] { SendRequest(); });
       return;
     }
-    Connect();
+    ConnectAnew();
   }
 
   void Cancel() {
@@ -169,6 +170,17 @@
                               std::move(action));
   }
 
+  // Connects where no open connection can be used.
+  void ConnectAnew() {
+    if (request_.reuse == ConnectionReuse::kOpenOnly) {
+      Defer([this] {
+        Fail(ExchangeError::kNotOpened, "no connection was open");
+      });
+      return;
+    }
+    Connect();
+  }
+
   void Connect() {
     auto target = ParseAddress(request_.address);
     reused_ = false;
@@ -222,7 +234,7 @@
       return;
     }
     if (!sent_) {
-      Connect();  // A reused connection ended before the request was sent.
+      ConnectAnew();  // A reused connection ended before the request was sent.
       return;
     }
     if ((events & BEV_EVENT_EOF) != 0 && (events & BEV_EVENT_ERROR) == 0) {
@@ -247,7 +259,7 @@
   void SendRequest() {
     const auto self = shared_from_this();
     if (!PendingInput(connection_->buffer.get()).empty()) {
-      Connect();  // Input before the request can't belong to it.
+      ConnectAnew();  // Input before the request can't belong to it.
       return;
     }
     const Handlers handlers = handlers_;
@@ -404,6 +416,10 @@
   return exchange;
 }
 
+void HttpClient::CloseIdle(const std::string& address) {
+  state_->idle.erase(address);
+}
+
 void HttpClient::MarkReusable(const std::string& address, std::uint64_t mark) {
   const auto at = state_->idle.find(address);
   if (at != state_->idle.end() && !at->second.empty())
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -234,4 +234,15 @@
 /// How long a node that has seen too few ids believes its peers.
 inline constexpr milliseconds kPeerIdsTime{30'000};
 
+// --- Spare connections to endpoints ---
+
+/// How often an endpoint is asked on a spare connection that is in use, so that
+/// it isn't closed as idle.
+inline constexpr milliseconds kSpareRefreshInterval{1000};
+/// How long a spare connection is kept that no answer needs.
+inline constexpr milliseconds kSpareIdleTime{30'000};
+/// How long an endpoint that keeps no connection open isn't asked for another
+/// one.
+inline constexpr milliseconds kSpareRetryTime{10'000};
+
 }  // namespace egretladder::proxy
--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -169,6 +169,35 @@
   EndAnswer(proxy, call);
 }
 
+void OnSpareTold(Proxy& proxy, const CallPtr& call) {
+  Attempt& attempt = *call->attempt;
+  const bool lives = NumberOfSpare(proxy, *attempt.endpoint) == attempt.spare;
+  CountAnswer(
+      proxy, lives ? ProcessCheckResult::kSame : ProcessCheckResult::kNoAnswer);
+  if (!lives) {
+    EndAttempt(proxy, call, AttemptOutcome::kBroken,
+               "the answer ended with its process");
+    return;
+  }
+  attempt.is_end_proven = true;
+  EndAnswer(proxy, call);
+}
+
+// The endpoint's spare connection was open before the request was sent. If it
+// still answers, the process that served the stream has ended it.
+void AskBySpare(Proxy& proxy, const CallPtr& call) {
+  call->silence_timer = {};
+  const std::uint64_t number = call->attempt->number;
+  ++call->attempt->end_questions;
+  AskSpare(proxy, *call->attempt->endpoint,
+           [&proxy, weak_call = std::weak_ptr<Call>(call), number] {
+             const auto locked = weak_call.lock();
+             if (locked == nullptr || locked->attempt == nullptr) return;
+             if (locked->attempt->number != number) return;
+             OnSpareTold(proxy, locked);
+           });
+}
+
 // A request that can't be sent again has nothing to lose by waiting.
 milliseconds PatienceOf(const Call& call) {
   return routing::IsRouteRepeatable(*call.route) ? kProcessCheckTimeout
@@ -212,7 +241,7 @@
 bool MayProveEnd(const Attempt& attempt) {
   if (IsFramed(attempt.head)) return true;
   return attempt.peer.empty() && !attempt.is_beyond_proof &&
-         attempt.endpoint->entry.started_unix_ms != 0;
+         (attempt.endpoint->entry.started_unix_ms != 0 || attempt.spare != 0);
 }
 
 net::BodyFraming FramingOf(const Call& call, const Attempt& attempt) {
@@ -225,7 +254,11 @@
 void OnAnswerEnded(Proxy& proxy, const CallPtr& call, net::AnswerEnd end) {
   call->attempt->is_end_proven = end == net::AnswerEnd::kFraming;
   if (end == net::AnswerEnd::kConnection && IsWorthAsking(*call)) {
-    AskWhetherWhole(proxy, call);
+    if (call->attempt->spare != 0) {
+      AskBySpare(proxy, call);
+    } else {
+      AskWhetherWhole(proxy, call);
+    }
   } else {
     EndAnswer(proxy, call);
   }
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -285,6 +285,11 @@
   return AttemptOutcome::kBadAnswer;
 }
 
+// One stream without framing shows that others may follow.
+void RecordFraming(routing::Endpoint& endpoint, bool is_framed) {
+  endpoint.frames_streams = is_framed && endpoint.frames_streams.value_or(true);
+}
+
 }  // namespace
 
 bool ImpliesNotRun(int status) {
@@ -309,6 +314,8 @@
   attempt.is_event_stream = IsSuccess(head.status) &&
                             metadata.is_event_stream && attempt.is_vouched &&
                             !metadata.not_run;
+  if (attempt.is_event_stream && attempt.peer.empty())
+    RecordFraming(*attempt.endpoint, IsFramed(head));
 }
 
 net::ExchangeHandlers MakeAnswerHandlers(Proxy& proxy, const CallPtr& call) {
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -190,6 +190,8 @@
   if (routing::IsVersionSure(*placement.endpoint))
     attempt.version = placement.endpoint->version;
   attempt.expected_weights = call->demand.weights;
+  if (call->route->kind == routing::RouteKind::kStream)
+    attempt.spare = NumberOfSpare(proxy, *placement.endpoint);
   routing::OnRequestPlaced(proxy.split_demand_meter, call->demand, placement,
                            proxy.endpoints.pauses, now);
   if (routing::AvoidsLongPrompts(proxy.endpoints, call->demand))
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -72,6 +72,9 @@
   /// The endpoint answers questions for its process, and doesn't say which it
   /// is, like a plain service without reports.
   bool is_beyond_proof = false;
+  /// Number of the endpoint's spare connection when the request was sent; 0:
+  /// there was none.
+  std::uint64_t spare = 0;
   /// Set while the endpoint is asked whether its process has lived on after the
   /// connection ended the answer.
   PageReadPtr end_question;
--- a/proxy/src/endpoint_questions_p.h
+++ b/proxy/src/endpoint_questions_p.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "call_p.h"
 #include "page_read_p.h"
@@ -43,6 +44,41 @@
   kernel::EventWatcher timer;  ///< Asks the second one.
 };
 
+/// A connection to an endpoint beside those of its requests. Its process has
+/// lived on while the connection answers, whichever process that is.
+struct Spare {
+  using Waiter = std::function<void()>;
+  /// Tells it from earlier ones to the endpoint; 0: it isn't open.
+  std::uint64_t number = 0;
+  std::string address;
+  Time heard_at{};              ///< When the endpoint last answered on it.
+  Time used_at{};               ///< When an answer last needed it.
+  Time unavailable_until{};     ///< The endpoint keeps none open.
+  PageReadPtr read;             ///< The question that is under way, if any.
+  std::vector<Waiter> waiting;  ///< For its answer.
+  std::vector<Waiter> queued;   ///< For that of the next one.
+};
+
+// spares.cc
+/// Returns true if the endpoint of a stream has to have a spare connection, and
+/// has none: nothing but that can tell that its process lived on to the end.
+bool NeedsSpare(const Proxy& proxy, const Call& call,
+                const routing::Endpoint& endpoint);
+/// Opens one. `on_end` is called when it is open, or can't be had.
+void OpenSpare(Proxy& proxy, const routing::Endpoint& endpoint,
+               Spare::Waiter on_end);
+/// Returns the number of the endpoint's open one; 0: there is none.
+std::uint64_t NumberOfSpare(const Proxy& proxy,
+                            const routing::Endpoint& endpoint);
+/// Asks the endpoint for an answer on its spare connection. `on_end` is called
+/// once the answer to a question has come that was asked from now on, or the
+/// connection is lost, or keeps silent.
+void AskSpare(Proxy& proxy, const routing::Endpoint& endpoint,
+              Spare::Waiter on_end);
+/// Keeps the connections open that answers in progress need, and closes those
+/// that none has needed for long. Called at each tick.
+void KeepSpares(Proxy& proxy);
+
 // process_question.cc
 /// A question to an endpoint which process it is.
 struct ProcessQuestion {
--- a/proxy/src/page_read.cc
+++ b/proxy/src/page_read.cc
@@ -63,6 +63,7 @@
       net::FormatRequestHead("GET", request.target, {{"Host", request.address}},
                              net::BodyFraming::kNone, 0);
   exchange.connect_timeout = request.timeout;
+  exchange.reuse = request.reuse;
   read->exchange = client.Start(std::move(exchange), MakeHandlers(weak_read));
   read->timer = kernel::RunAfter(loop, request.timeout, [weak_read] {
     Fail(weak_read, {.is_late = true});
--- a/proxy/src/page_read_p.h
+++ b/proxy/src/page_read_p.h
@@ -43,6 +43,7 @@
   std::string target;
   std::size_t max_bytes = 0;
   std::chrono::milliseconds timeout{};
+  net::ConnectionReuse reuse = net::ConnectionReuse::kAny;
 };
 
 /// Starts to read. `on_end` is called once unless the read is destroyed before;
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -108,10 +108,31 @@
       });
 }
 
+// Starts the attempt once the endpoint's spare connection is open, or can't be
+// had.
+void StartWithSpare(Proxy& proxy, const CallPtr& call,
+                    const routing::Placement& placement) {
+  call->process_check = std::make_unique<ProcessCheck>();
+  call->process_check->placement = placement;
+  OpenSpare(proxy, *placement.endpoint,
+            [&proxy, weak_call = std::weak_ptr<Call>(call),
+             waiting = call->process_check.get()] {
+              const auto locked = weak_call.lock();
+              if (locked == nullptr || locked->process_check.get() != waiting)
+                return;
+              const auto check = std::move(locked->process_check);
+              StartCheckedAttempt(proxy, locked, check->placement);
+            });
+}
+
 }  // namespace
 
 void StartCheckedAttempt(Proxy& proxy, const CallPtr& call,
                          const routing::Placement& placement) {
+  if (NeedsSpare(proxy, *call, *placement.endpoint)) {
+    StartWithSpare(proxy, call, placement);
+    return;
+  }
   if (NeedsKnownProcess(proxy, *call, *placement.endpoint) &&
       !IsLastResort(*call, placement.endpoint)) {
     StartCheck(proxy, call, placement);
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -42,6 +42,7 @@
   routing::ForgetSuspects(proxy.suspects, now);
   CheckOverdueAttempts(proxy);
   ForgetUnwantedLosses(proxy);
+  KeepSpares(proxy);
   for (const std::string& node :
        routing::UpdateSilentMembers(proxy.members, now)) {
     kernel::LogEvent(LogPart::kFleet, LogLevel::kInfo, "node-silent",
@@ -175,6 +176,7 @@
   }
   proxy->random.seed(kernel::SecureRandom64());
   proxy->client = std::make_unique<net::HttpClient>(loop);
+  proxy->spare_client = std::make_unique<net::HttpClient>(loop);
   BOOST_OUTCOME_TRY(OpenServers(*proxy));
   std::string peer_address;
   BOOST_OUTCOME_TRY(network, OpenPeers(*proxy, &peer_address));
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -185,6 +185,7 @@
   StoreCatchUp store_catch_up;
   std::map<std::string, NoticeCheck> notice_checks;      ///< By endpoint.
   std::map<std::string, BreakQuestion> break_questions;  ///< By endpoint.
+  std::map<std::string, Spare> spares;                   ///< By endpoint.
   routing::Suspects suspects;
   std::deque<PendingProof> pending_proofs;  ///< Oldest first.
   /// Until then peers are asked for all suspects.
@@ -200,6 +201,7 @@
 
   // Servers, calls in progress and timers.
   std::unique_ptr<net::HttpClient> client;
+  std::unique_ptr<net::HttpClient> spare_client;  ///< Of `spares`.
   std::unique_ptr<net::HttpServer> caller_server;
   std::unique_ptr<net::HttpServer> ready_server;
   std::unique_ptr<net::HttpServer> directory_server;
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -11,6 +11,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -177,6 +178,8 @@
   /// Since when another process may answer at its address; default: it is the
   /// one of its entry. See `IsVersionSure`.
   Time doubted_since{};
+  /// Its streams say themselves where they end; unset: none has come so far.
+  std::optional<bool> frames_streams;
   /// Another process answers at its address, of which its entry doesn't tell
   /// yet.
   bool is_replaced = false;
