--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "attempts_p.h"
+#include "handover_fields_p.h"
 
 namespace egretladder::proxy {
 namespace {
@@ -37,8 +38,8 @@
                     {"event", id},
                     {"after_event", call.position.last_id},
                     {"events_since", call.position.events_since_id},
-                    {"stream_version", call.version},
-                    {"version", attempt.version},
+                    {"stream_version", FormatVersion(call.version)},
+                    {"version", FormatVersion(attempt.version)},
                     {"stream_weights", Describe(call.weights)},
                     {"weights", Describe(attempt.weights)}});
 }
