--- a/gateway/main/front_hosts.cc
+++ b/gateway/main/front_hosts.cc
@@ -84,6 +84,7 @@
       return;
     }
     ep::SetSeeds(proxy_, config.value().proxy.seeds);
+    loop_.clock.unix_offset = config.value().clock_offset;
     Say(ek::LogLevel::kInfo, "settings-reloaded", {{"why", why}});
   }
 
@@ -105,6 +106,7 @@
   RaiseDescriptorLimit();
   ek::Loop loop = ek::CreateLoop();
   loop.clock = ek::SuspendAwareClock();
+  loop.clock.unix_offset = config.clock_offset;
   ek::StartEventLog(STDOUT_FILENO, config.log_level, loop.clock);
   auto proxy = ep::StartProxy(loop, config.proxy);
   if (!proxy) {
--- a/kernel/include/egretladder/kernel/time.h
+++ b/kernel/include/egretladder/kernel/time.h
@@ -13,11 +13,17 @@
 struct Clock {
   Time (*now)(const void* source) = nullptr;
   const void* source = nullptr;
+  /// Added to the system's time of day, so that a process can be tried with the
+  /// clock of a machine that is wrong.
+  std::chrono::milliseconds unix_offset{};
 };
 
 /// Returns the current time of `clock`.
 inline Time Now(const Clock& clock) { return clock.now(clock.source); }
 
+/// Returns the time of day in Unix milliseconds.
+std::chrono::milliseconds UnixNow(const Clock& clock);
+
 /// Returns the system's monotonic clock, which stops while the machine is
 /// suspended.
 Clock SystemClock();
--- a/kernel/src/time.cc
+++ b/kernel/src/time.cc
@@ -26,9 +26,15 @@
 
 }  // namespace
 
-Clock SystemClock() { return {SystemNow, nullptr}; }
+std::chrono::milliseconds UnixNow(const Clock& clock) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now) +
+         clock.unix_offset;
+}
+
+Clock SystemClock() { return {SystemNow}; }
 
-Clock SuspendAwareClock() { return {SuspendAwareNow, nullptr}; }
+Clock SuspendAwareClock() { return {SuspendAwareNow}; }
 
 Clock ClockOf(const ManualClock& clock) { return {ManualNow, &clock}; }
 
--- a/proxy/include/egretladder/proxy/settings.h
+++ b/proxy/include/egretladder/proxy/settings.h
@@ -1,6 +1,7 @@
 // The settings file (INI) of a proxy.
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,8 @@
 struct ProxyConfig {
   ProxyOptions proxy;
   kernel::LogLevel log_level = kernel::LogLevel::kInfo;
+  /// See `kernel::Clock::unix_offset`.
+  std::chrono::milliseconds clock_offset{};
 };
 
 /// Returns one line per setting: section, key, expected value and default.
--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -127,7 +127,7 @@
 bool HasStartedSince(const Proxy& proxy, const Attempt& attempt) {
   const routing::Endpoint& endpoint = *attempt.endpoint;
   const routing::UnixTime sent =
-      UnixNow() - Elapsed(attempt.first_byte_sent_at, NowOf(proxy));
+      UnixNow(proxy) - Elapsed(attempt.first_byte_sent_at, NowOf(proxy));
   return endpoint.known_since > attempt.first_byte_sent_at ||
          routing::UnixTime(endpoint.entry.started_unix_ms) >
              sent + routing::kMaxClockDifference;
--- a/proxy/src/notice_origins.cc
+++ b/proxy/src/notice_origins.cc
@@ -18,7 +18,7 @@
 constexpr int kOk = 200;
 
 routing::UnixTime UnixTimeOf(const Proxy& proxy, Time time) {
-  return UnixNow() - Elapsed(time, NowOf(proxy));
+  return UnixNow(proxy) - Elapsed(time, NowOf(proxy));
 }
 
 void OnReport(Proxy& proxy, const std::string& id, const Page& page) {
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -131,17 +131,12 @@
   // The wall clock time makes the incarnation rise with each start. If the
   // clock was set back, gossip shows the node its earlier incarnation, which it
   // then exceeds.
-  self.incarnation = static_cast<std::uint64_t>(UnixNow().count());
+  self.incarnation = static_cast<std::uint64_t>(UnixNow(proxy).count());
   return self;
 }
 
 }  // namespace
 
-routing::UnixTime UnixNow() {
-  return std::chrono::duration_cast<routing::UnixTime>(
-      std::chrono::system_clock::now().time_since_epoch());
-}
-
 void ProxyDelete::operator()(Proxy* proxy) const {
   const auto calls = proxy->calls;
   for (const auto& [number, call] : calls) {
--- a/proxy/src/settings.cc
+++ b/proxy/src/settings.cc
@@ -17,7 +17,7 @@
 constexpr const char* kAddressExpected = "IP:port";
 constexpr const char* kDurationExpected = "a number with ms, s, m or h";
 
-constexpr std::array<kernel::SettingSpec, 22> kSpecs = {{
+constexpr std::array<kernel::SettingSpec, 24> kSpecs = {{
     {"node", "name", SettingKind::kText, "", true, "the node's name"},
     {"node", "zone", SettingKind::kText, "", true, "an availability zone"},
     {"node", "region", SettingKind::kText, "", false, "a region"},
@@ -48,6 +48,8 @@
     {"directory", "keep", SettingKind::kDuration, "1s", false,
      kDurationExpected},
     {"stop", "grace", SettingKind::kDuration, "8s", false, kDurationExpected},
+    {"clock", "ahead", SettingKind::kDuration, "0s", false, kDurationExpected},
+    {"clock", "behind", SettingKind::kDuration, "0s", false, kDurationExpected},
     {"log", "level", SettingKind::kText, "info", false,
      "debug, info, warning or error"},
 }};
@@ -156,6 +158,9 @@
   ProxyConfig config;
   ReadNode(settings, config.proxy);
   ReadNumbers(settings, config.proxy);
+  config.clock_offset = std::chrono::duration_cast<milliseconds>(
+      kernel::GetDuration(settings, "clock", "ahead") -
+      kernel::GetDuration(settings, "clock", "behind"));
   std::vector<kernel::Error> found_errors;
   kernel::SettingsChecker checker(text, file, found_errors);
   ReadPlacement(settings, checker, config.proxy);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -246,7 +246,9 @@
 }
 
 /// Returns the wall clock time.
-routing::UnixTime UnixNow();
+inline routing::UnixTime UnixNow(const Proxy& proxy) {
+  return kernel::UnixNow(proxy.loop->clock);
+}
 
 /// Returns the fleet among whose nodes the retry budget is shared. A node that
 /// has met none of its peers doesn't know how many they are.
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -264,7 +264,7 @@
                      const StreamEvidence& evidence) {
   const VersionVerdict verdict = routing::JudgeUnknownStream(
       evidence.knowledge, proxy.endpoints, *call->service, call->earliest_begin,
-      UnixNow(), NowOf(proxy));
+      UnixNow(proxy), NowOf(proxy));
   if (verdict != VersionVerdict::kUnknown) {
     Bind(proxy, call, evidence.knowledge.only, routing::NameOf(verdict));
     return;
--- a/proxy/tests/settings_test.cc
+++ b/proxy/tests/settings_test.cc
@@ -47,6 +47,17 @@
 
 TEST_GROUP(ProxySettings){};
 
+TEST(ProxySettings, TheClockMayBeAheadOrBehind) {
+  const auto offset_of = [](const std::string& line) {
+    return ep::ReadProxyConfig(kSettings + "[clock]\n" + line, "n.ini")
+        .value()
+        .clock_offset;
+  };
+  CHECK(offset_of("ahead = 9s\n") == 9s);
+  CHECK(offset_of("behind = 500ms\n") == -500ms);
+  CHECK(ep::ReadProxyConfig(kSettings, "n.ini").value().clock_offset == 0ms);
+}
+
 TEST(ProxySettings, ReadsAllSettings) {
   const auto config = ep::ReadProxyConfig(kSettings, "n.ini");
   CHECK(config.has_value());
