Refuse a stream of unknown weights where several serve

Nobody had a record of them, and the engines that kept their part of the prompt told a version of software, which said nothing of weights.

Such a stream is refused as unknown (503, not run), as it is where several versions of software serve.

--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -257,6 +257,14 @@
       });
 }
 
+// Returns false if several weights serve, and nobody knows which of them made
+// the stream's events.
+bool KnowsWeights(const Proxy& proxy, const Call& call) {
+  const routing::WeightsKnowledge known =
+      routing::WeightsOf(proxy.streams, proxy.endpoints, call.service->name);
+  return call.weights || !known.several;
+}
+
 // Nobody who was asked knows the stream. It goes on only if a single version
 // can have begun it, and is bound to that one: another may serve by the time at
 // which it gets an endpoint.
@@ -265,11 +273,13 @@
   const VersionVerdict verdict = routing::JudgeUnknownStream(
       evidence.knowledge, proxy.endpoints, *call->service, call->earliest_begin,
       UnixNow(proxy), NowOf(proxy));
-  if (verdict != VersionVerdict::kUnknown) {
+  const bool may_bind = KnowsWeights(proxy, *call);
+  if (may_bind && verdict != VersionVerdict::kUnknown) {
     Bind(proxy, call, evidence.knowledge.only, routing::NameOf(verdict));
     return;
   }
-  if (IsOneVersion(evidence.part_version) && evidence.is_part_alone) {
+  if (may_bind && IsOneVersion(evidence.part_version) &&
+      evidence.is_part_alone) {
     Bind(proxy, call, evidence.part_version, "kept-part");
     return;
   }
--- a/routing/include/egretladder/routing/stream_records.h
+++ b/routing/include/egretladder/routing/stream_records.h
@@ -100,6 +100,7 @@
 /// What is known of the weights of a service's endpoints, now and of late.
 struct WeightsKnowledge {
   Weights only;              ///< Set if one version alone is known.
+  bool several = false;      ///< Two or more are known.
   bool is_in_doubt = false;  ///< There are others, or may be.
 };
 /// Returns what this node knows; nothing is in doubt where no endpoint states
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -206,7 +206,8 @@
                   [](const EndpointPtr& endpoint) {
                     return endpoint->weights.has_value();
                   });
-  knowledge.is_in_doubt = at->second.size() > 1 || !are_all_known;
+  knowledge.several = at->second.size() > 1;
+  knowledge.is_in_doubt = knowledge.several || !are_all_known;
   if (!knowledge.is_in_doubt) knowledge.only = at->second.begin()->first;
   return knowledge;
 }
