Withhold events behind a change of weights that the caller wasn't told

Callers saw events of two versions of weights in one stream without a mark. An engine that goes on may repeat events that the caller has. If it states the change of its weights at one of these, the event isn't passed on, and with it goes the mark; those that follow were not judged by their weights, as only the first event of a run was. The class: a check that is made once, of a state that changes.

Each event without a mark is now compared with the weights of the last one that the caller has. They agree within a run unless a mark was left out.

--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -52,23 +52,23 @@
                    std::string("place=\"") + routing::NameOf(place) + "\"");
 }
 
-EventPlace PlaceInRun(Proxy& proxy, Call& call, std::string_view id) {
+// The caller is told of other weights by the event itself, or they are those of
+// the event before. One that states a change may be left out as repeated.
+bool FitsWeights(const Call& call, const net::SplitEvent& event) {
+  return !event.mark.empty() ||
+         routing::MayFollow(call.weights, call.attempt->weights);
+}
+
+EventPlace PlaceInRun(Proxy& proxy, Call& call, const net::SplitEvent& event) {
+  if (!FitsWeights(call, event)) return EventPlace::kOtherWeights;
   const routing::PlacedEvent placed = routing::PlaceEvent(
       call.position, *call.attempt->run,
-      [&proxy, &call] { return RiseOfIds(proxy, call.service->name); }, id);
+      [&proxy, &call] { return RiseOfIds(proxy, call.service->name); },
+      event.id);
   if (placed.step) RecordIdStep(proxy, call, *placed.step);
   return placed.place;
 }
 
-EventPlace PlaceFirst(Proxy& proxy, Call& call, const net::SplitEvent& event) {
-  if (!FitsStream(proxy, call)) return EventPlace::kOtherVersion;
-  const bool fits_weights =
-      !event.mark.empty() ||
-      routing::MayFollow(call.weights, call.attempt->weights);
-  return fits_weights ? PlaceInRun(proxy, call, event.id)
-                      : EventPlace::kOtherWeights;
-}
-
 // The endpoint's weights have changed before the event.
 void ApplyMark(const Proxy& proxy, Attempt& attempt, const std::string& mark) {
   attempt.weights = proxy.dialect->read_weights(mark);
@@ -80,10 +80,12 @@
 EventPlace PlaceNext(Proxy& proxy, Call& call, const net::SplitEvent& event) {
   Attempt& attempt = *call.attempt;
   if (!event.mark.empty()) ApplyMark(proxy, attempt, event.mark);
-  if (attempt.run) return PlaceInRun(proxy, call, event.id);
+  if (attempt.run) return PlaceInRun(proxy, call, event);
   attempt.run = routing::BeginRun(call.position);
   const bool goes_on = attempt.run->is_unplaced;
-  const EventPlace place = PlaceFirst(proxy, call, event);
+  const EventPlace place = FitsStream(proxy, call)
+                               ? PlaceInRun(proxy, call, event)
+                               : EventPlace::kOtherVersion;
   if (goes_on) CountSeam(proxy, place);
   return place;
 }
