Record weights that change at the first event of a request

A client that took its stream up twice was sent back to the weights of before the change: the request named 7 where the last event had stated 8. A stream's first event is written to its homes together with its version, so that weights weren't written before an answer began. But a request that takes a stream up writes no version; where its first event stated other weights, nobody recorded them.

They are recorded now, if the stream's version is known: a record without it would replace one that has it.

Weights, AChangeAtTheFirstEventOfARequestIsRemembered: before, the engine was asked for 7; now for 8.

--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -95,8 +95,7 @@
   const routing::Weights& weights = call.attempt->weights;
   if (!weights || call.weights == weights) return;
   call.weights = weights;
-  // The first event's are written with the stream's version.
-  if (call.caller->begun()) OnWeightsChanged(proxy, call);
+  OnWeightsChanged(proxy, call);
 }
 
 }  // namespace
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -360,6 +360,9 @@
 
 void OnWeightsChanged(Proxy& proxy, const Call& call) {
   const bool is_taken_up = TakesStreamUp(call);
+  const bool is_known = is_taken_up && call.version != kUnknownVersion;
+  // The stream's first event is written together with its version.
+  if (!call.caller->begun() && !is_known) return;
   const std::string& begun_by =
       is_taken_up ? call.metadata.resumes : call.metadata.id;
   if (!begun_by.empty()) RecordStream(proxy, call, begun_by, call.version);
