Close only the spare connections of the process that they lead to

Sound streams without framing, at engines that state no start, broke off after their last event where an engine had been replaced under a new id at the same address. 30 s after the last use of the spare connection to the process before, it is given up, and all idle connections to the address were closed with it, also the one to the next process. Streams that had begun there lost their witness, and were taken for ended with their process.

Connections are closed by their mark, which is that of one process.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -97,8 +97,8 @@
   /// Marks the idle connection to the address that was used last, if there is
   /// one, with what the caller knows of its other end.
   void MarkReusable(const std::string& address, std::uint64_t mark);
-  /// Closes the idle connections to the address.
-  void CloseIdle(const std::string& address);
+  /// Closes the idle connections to the address that have that mark.
+  void CloseIdle(const std::string& address, std::uint64_t mark);
   /// Returns true if a request to the address would reuse a connection with
   /// that mark. A new connection has the mark 0.
   bool HasReusable(const std::string& address, ConnectionReuse reuse,
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -416,8 +416,13 @@
   return exchange;
 }
 
-void HttpClient::CloseIdle(const std::string& address) {
-  state_->idle.erase(address);
+void HttpClient::CloseIdle(const std::string& address, std::uint64_t mark) {
+  const auto at = state_->idle.find(address);
+  if (at == state_->idle.end()) return;
+  std::erase_if(at->second, [mark](const ConnectionPtr& connection) {
+    return connection->mark == mark;
+  });
+  if (at->second.empty()) state_->idle.erase(at);
 }
 
 void HttpClient::MarkReusable(const std::string& address, std::uint64_t mark) {
--- a/proxy/src/spares.cc
+++ b/proxy/src/spares.cc
@@ -76,8 +76,10 @@
   return used;
 }
 
+// Another process at the address may have a spare connection of its own.
 void Close(Proxy& proxy, Spare& spare) {
-  proxy.spare_client->CloseIdle(spare.address);
+  if (spare.number != 0)
+    proxy.spare_client->CloseIdle(spare.address, spare.number);
   spare.number = 0;
 }
 
