Give the test dialect of proxy the functions for weights

The test program of proxy ended with a segmentation fault at the first answer of an endpoint, in SilentStore, RunningNodeServesAndCatchesUp: each answer reads the name of the field for weights, which its dialect lacked. The tests that follow were not run.

It has no weights now. The program gets beyond that test; SlowReader, EndpointIsThrottledAndNoEventIsLost, fails there (it looks at the first connection, which is the spare one by reading).

--- a/proxy/tests/harness_store.cc
+++ b/proxy/tests/harness_store.cc
@@ -175,6 +175,10 @@
     .endpoint_fields = EndpointFields,
     .peer_fields = PeerFields,
     .read_answer = ReadAnswer,
+    .weights_field = [] { return std::string_view(); },
+    .read_weights = [](std::string_view /*value*/) -> routing::Weights {
+      return std::nullopt;
+    },
     .report_target = [] { return std::string(kReportTarget); },
     .read_process_start = [](const std::string& /*body*/) -> std::uint64_t {
       return 0;
