Take silence on a spare connection for no end of a process

Sound streams were broken off, all those that ran at an engine without a start, once it answered a question on its spare connection later than after 1.5 s: the connection was given up, and its loss counted as the end of the process. It is given up after 10 s of silence now; an end that waits for it counts as unproven after 1.5 s. An entry that is behind no longer keeps an engine from being asked to go on: what it names counts for doubt alone. A test of slow readers looks at the connection of the stream rather than at the first one.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -239,6 +239,9 @@
 /// How often an endpoint is asked on a spare connection that is in use, so that
 /// it isn't closed as idle.
 inline constexpr milliseconds kSpareRefreshInterval{1000};
+/// How long an endpoint may keep silent on an open spare connection before that
+/// counts as lost. One that stands still for a while goes on.
+inline constexpr milliseconds kSpareSilenceTime{10'000};
 /// How long a spare connection is kept that no answer needs.
 inline constexpr milliseconds kSpareIdleTime{30'000};
 /// How long an endpoint that keeps no connection open isn't asked for another
--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -187,15 +187,26 @@
 // still answers, the process that served the stream has ended it.
 void AskBySpare(Proxy& proxy, const CallPtr& call) {
   call->silence_timer = {};
-  const std::uint64_t number = call->attempt->number;
-  ++call->attempt->end_questions;
-  AskSpare(proxy, *call->attempt->endpoint,
-           [&proxy, weak_call = std::weak_ptr<Call>(call), number] {
-             const auto locked = weak_call.lock();
-             if (locked == nullptr || locked->attempt == nullptr) return;
-             if (locked->attempt->number != number) return;
-             OnSpareTold(proxy, locked);
-           });
+  Attempt& attempt = *call->attempt;
+  ++attempt.end_questions;
+  const auto if_waiting = [weak_call = std::weak_ptr<Call>(call),
+                           number = attempt.number](const auto& act) {
+    const auto locked = weak_call.lock();
+    if (locked == nullptr || locked->attempt == nullptr) return;
+    if (locked->attempt->number == number) act(locked);
+  };
+  // Silence is no end of a process.
+  attempt.end_timer =
+      kernel::RunAfter(*proxy.loop, kEndQuestionTimeout, [&proxy, if_waiting] {
+        if_waiting([&proxy](const CallPtr& waiting) {
+          CountAnswer(proxy, ProcessCheckResult::kSilent);
+          EndAnswer(proxy, waiting);
+        });
+      });
+  AskSpare(proxy, *attempt.endpoint, [&proxy, if_waiting] {
+    if_waiting(
+        [&proxy](const CallPtr& waiting) { OnSpareTold(proxy, waiting); });
+  });
 }
 
 // A request that can't be sent again has nothing to lose by waiting.
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -78,6 +78,8 @@
   /// Set while the endpoint is asked whether its process has lived on after the
   /// connection ended the answer.
   PageReadPtr end_question;
+  /// Set while that is asked on the endpoint's spare connection.
+  kernel::EventWatcher end_timer;
   std::uint32_t end_questions = 0;  ///< Questions of that kind so far.
   std::string body;                 ///< Body of an answer that is not a stream.
   /// Bytes of the answer that are kept, as `Proxy::buffered_bytes` counts them.
--- a/proxy/src/spares.cc
+++ b/proxy/src/spares.cc
@@ -62,7 +62,7 @@
   spare.read = StartPageRead(
       *proxy.loop, *proxy.spare_client,
       {spare.address, proxy.dialect->report_target(), kMaxReportBytes,
-       is_open ? kEndQuestionTimeout : kProcessCheckTimeout,
+       is_open ? kSpareSilenceTime : kProcessCheckTimeout,
        is_open ? net::ConnectionReuse::kOpenOnly : net::ConnectionReuse::kNone},
       [&proxy, id](const Page& page) { OnAnswer(proxy, id, page); });
 }
--- a/proxy/tests/slow_reader_test.cc
+++ b/proxy/tests/slow_reader_test.cc
@@ -60,21 +60,22 @@
 // be throttled to its speed, and the caller gets each event once and in order.
 TEST(SlowReader, EndpointIsThrottledAndNoEventIsLost) {
   constexpr int kEvents = 12'000;
-  et::FakeEndpoint& endpoint =
-      env.AddEndpoint("e1", [](const et::EndpointRequest& request) {
-        request.BeginStream(1, 0);
-        for (int i = 1; i <= kEvents; ++i) {
-          request.connection->Send(et::FormatEventChunk(i, kEventData));
-        }
-        request.connection->Send(et::kLastChunk);
-      });
+  et::TestConnection* of_stream = nullptr;
+  env.AddEndpoint("e1", [&of_stream](const et::EndpointRequest& request) {
+    of_stream = request.connection;
+    request.BeginStream(1, 0);
+    for (int i = 1; i <= kEvents; ++i) {
+      request.connection->Send(et::FormatEventChunk(i, kEventData));
+    }
+    request.connection->Send(et::kLastChunk);
+  });
   ep::Proxy& proxy = env.StartReadyNode();
   et::TestConnection& caller = SendWithoutReading(proxy, "/tell/a");
   for (int i = 0; i < 100; ++i) {
     caller.ReadSome(4096);
     env.RunLoopFor(2ms);
   }
-  CHECK(endpoint.connections().at(0)->unsent_bytes() > 0);
+  CHECK(of_stream != nullptr && of_stream->unsent_bytes() > 0);
   caller.PauseReading(false);
   env.WaitUntil([&caller] {
     return caller.received().ends_with(et::kLastChunk) || caller.ended();
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -169,7 +169,7 @@
   double hash_position = 0;
   std::uint64_t name_hash = 0;
   SoftwareVersion version = kUnknownVersion;  ///< As its entry says.
-  Weights weights;  ///< As its entry or its last answer stated.
+  Weights weights;  ///< As its last answer stated.
   /// Since when this node knows the process of the entry.
   Time known_since{};
   /// When a connection to it last broke or was refused; default: not since its
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -66,7 +66,6 @@
   endpoint->entry = entry;
   endpoint->name_hash = kernel::HashBytes(entry.id);
   endpoint->version = VersionOf(entry);
-  endpoint->weights = entry.weights;
   endpoint->known_since = now;
   endpoint->phase =
       entry.leaving ? EndpointPhase::kLeaving : EndpointPhase::kServing;
@@ -170,7 +169,6 @@
   UncountVersion(set, known);
   known.entry = entry;
   known.version = VersionOf(entry);
-  if (entry.weights) known.weights = entry.weights;
   CountVersion(set, known);
   SetPhase(set, known,
            entry.leaving ? EndpointPhase::kLeaving : EndpointPhase::kServing);
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -29,11 +29,17 @@
   });
 }
 
+// An entry may be behind, and names the weights of an endpoint that hasn't
+// answered this node yet.
+Weights StatedWeights(const Endpoint& endpoint) {
+  return endpoint.weights ? endpoint.weights : endpoint.entry.weights;
+}
+
 void ObserveWeights(StreamRecords& records, const EndpointSet& set, Time now) {
   for (const auto& [service, endpoints] : set.by_service) {
     for (const EndpointPtr& endpoint : endpoints) {
-      if (endpoint->weights)
-        records.weights_by_service[service][*endpoint->weights] = now;
+      if (const Weights weights = StatedWeights(*endpoint))
+        records.weights_by_service[service][*weights] = now;
     }
   }
   for (auto& [service, weights] : records.weights_by_service) {
@@ -204,7 +210,7 @@
       endpoints == set.by_service.end() ||
       std::all_of(endpoints->second.begin(), endpoints->second.end(),
                   [](const EndpointPtr& endpoint) {
-                    return endpoint->weights.has_value();
+                    return StatedWeights(*endpoint).has_value();
                   });
   knowledge.several = at->second.size() > 1;
   knowledge.is_in_doubt = knowledge.several || !are_all_known;
