Count weights where they change, and pass over no endpoint at each tick

Each tick went through all endpoints of all services to see which weights serve. The test that guards against that, StreamRecords, ATickPassesOverNoEndpoint, ended the test program of routing with a segmentation fault, so that the tests behind it were not run.

The endpoints of each weights are counted as those of each version of software are, where either changes; a tick goes through the counts.

routing_tests: before, a segmentation fault; now all pass.

--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -17,11 +17,11 @@
 // Endpoints distinguish ten priorities, 0 to 9.
 constexpr std::uint8_t kLowestPriority = 9;
 
-void RecordWeights(routing::Endpoint& endpoint,
+void RecordWeights(Proxy& proxy, routing::Endpoint& endpoint,
                    const AnswerMetadata& metadata) {
   const std::string& id = metadata.instance_id;
   if (metadata.weights && (id.empty() || id == endpoint.entry.id))
-    endpoint.weights = metadata.weights;
+    routing::SetWeights(proxy.endpoints, endpoint, metadata.weights);
 }
 
 net::HeadVerdict OnHead(Proxy& proxy, const CallPtr& call,
@@ -38,7 +38,7 @@
     return net::HeadVerdict::kSkip;
   }
   routing::OnSignOfLife(*attempt.endpoint, NowOf(proxy));
-  RecordWeights(*attempt.endpoint, metadata);
+  RecordWeights(proxy, *attempt.endpoint, metadata);
   if (head.status != kMisdirected)
     UpdateEndpointLimit(proxy, *call, *attempt.endpoint, metadata);
   KeepAnswerHead(proxy, *call, head, metadata);
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -70,9 +70,10 @@
 }
 
 // The endpoint's weights have changed before the event.
-void ApplyMark(const Proxy& proxy, Attempt& attempt, const std::string& mark) {
+void ApplyMark(Proxy& proxy, Attempt& attempt, const std::string& mark) {
   attempt.weights = proxy.dialect->read_weights(mark);
-  if (attempt.peer.empty()) attempt.endpoint->weights = attempt.weights;
+  if (attempt.peer.empty())
+    routing::SetWeights(proxy.endpoints, *attempt.endpoint, attempt.weights);
 }
 
 // Returns the place of the next event, which begins the attempt's run if no
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -238,6 +238,9 @@
   /// How many endpoints each service has at each version.
   std::unordered_map<std::string, std::map<SoftwareVersion, std::size_t>>
       versions_by_service;
+  /// How many endpoints of each service have which weights, as far as known.
+  std::unordered_map<std::string, std::map<std::uint64_t, std::size_t>>
+      weights_by_service;
   std::set<std::string> lapsed;  ///< Ids of the lapsed endpoints.
   std::map<std::string, bool, std::less<>> zones_out;
   /// Ids of the endpoints whose limit, or its recent end, is gossiped to peers.
@@ -297,6 +300,9 @@
 /// answers.
 bool IsLeaving(const Endpoint& endpoint);
 
+/// Records which weights the endpoint has. It may have been removed.
+void SetWeights(EndpointSet& set, Endpoint& endpoint, Weights weights);
+
 /// Applies a published entry. An endpoint whose process restarted starts
 /// without history.
 EntryChange OnEntryPublished(EndpointSet& set, const EndpointEntry& entry,
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -23,12 +23,22 @@
 
 void CountVersion(EndpointSet& set, const Endpoint& endpoint) {
   ++set.versions_by_service[endpoint.entry.service][endpoint.version];
+  if (endpoint.weights)
+    ++set.weights_by_service[endpoint.entry.service][*endpoint.weights];
+}
+
+void UncountWeights(EndpointSet& set, const Endpoint& endpoint) {
+  if (!endpoint.weights) return;
+  auto& weights = set.weights_by_service[endpoint.entry.service];
+  const auto at = weights.find(*endpoint.weights);
+  if (--at->second == 0) weights.erase(at);
 }
 
 void UncountVersion(EndpointSet& set, const Endpoint& endpoint) {
   auto& versions = set.versions_by_service[endpoint.entry.service];
   const auto at = versions.find(endpoint.version);
   if (--at->second == 0) versions.erase(at);
+  UncountWeights(set, endpoint);
 }
 
 // Inserts the endpoint in hash order. Sorting the list again for each of
@@ -150,6 +160,13 @@
          endpoint.phase == EndpointPhase::kGone || endpoint.notices.leaving;
 }
 
+void SetWeights(EndpointSet& set, Endpoint& endpoint, Weights weights) {
+  const bool is_counted = endpoint.phase != EndpointPhase::kGone;
+  if (is_counted) UncountVersion(set, endpoint);
+  endpoint.weights = weights;
+  if (is_counted) CountVersion(set, endpoint);
+}
+
 EntryChange OnEntryPublished(EndpointSet& set, const EndpointEntry& entry,
                              Time now) {
   const auto at = set.by_id.find(entry.id);
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -30,11 +30,9 @@
 }
 
 void ObserveWeights(StreamRecords& records, const EndpointSet& set, Time now) {
-  for (const auto& [service, endpoints] : set.by_service) {
-    for (const EndpointPtr& endpoint : endpoints) {
-      if (endpoint->weights)
-        records.weights_by_service[service][*endpoint->weights] = now;
-    }
+  for (const auto& [service, weights] : set.weights_by_service) {
+    for (const auto& [version, endpoints] : weights)
+      records.weights_by_service[service][version] = now;
   }
   for (auto& [service, weights] : records.weights_by_service) {
     std::erase_if(weights, [now](const auto& served) {
