Let streams wait for homes that give no answer

Callers took streams up at the one node that lived on when the others had just been killed, and got 503 unknown_stream at once, in each of their tries, though engines of their version served.

The node asked the stream's homes; connections to killed processes failed, and the failures were counted as answers that know nothing. It waits for knowledge if homes have started since the stream can have begun, but those that were killed and haven't started yet looked like homes that had run all along.

A missing answer is remembered now, and the stream waits as it does where homes have started: 1 s at most. What binds a stream is as before.

Ruled out: questions to dark engines (no request ended as unknown_process). Refusals across a cut have another cause and stay, by design.

--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -107,6 +107,7 @@
   bool is_confirmed = false;            ///< The peer has read the store since.
   /// What the peer knows ends no earlier than what this node knows begins.
   bool leads_up_to_own = false;
+  bool is_missing = false;  ///< The peer gave none.
 };
 
 /// A question to peers about the version that began a stream.
@@ -197,6 +198,8 @@
   std::vector<std::uint64_t> suspect_keys;  ///< See `GetSuspectKeys`.
   /// Set while peers are asked for the version of the stream that it takes up.
   std::shared_ptr<VersionLookup> version_lookup;
+  /// A peer that was asked for the version of its stream gave no answer.
+  bool is_version_answer_missing = false;
   /// Set while an endpoint is asked for its process before an attempt.
   std::unique_ptr<ProcessCheck> process_check;
   int refusal_status = 0;  ///< Status of this node's own refusal; 0: none.
--- a/proxy/src/stream_records_capnp.cc
+++ b/proxy/src/stream_records_capnp.cc
@@ -99,7 +99,7 @@
       },
       [&proxy, peer, call, lookup](const kj::Exception& /*error*/) {
         OnReplyReceived(*peer, NowOf(proxy));
-        OnVersionAnswer(proxy, call, lookup, {});
+        OnVersionAnswer(proxy, call, lookup, {.is_missing = true});
       }));
 }
 
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -232,7 +232,8 @@
 }
 
 // Nodes that have just started may learn more from endpoints, and others from
-// them, if homes of streams have started.
+// them, if homes of streams have started. A home that gives no answer may be
+// about to start.
 bool MayLearnMore(const Proxy& proxy, const Call& call,
                   const routing::VersionKnowledge& knowledge) {
   const Time now = NowOf(proxy);
@@ -241,7 +242,7 @@
   const bool has_witness = !knowledge.several && knowledge.since &&
                            *knowledge.since <= call.earliest_begin;
   return !has_witness && now - call.arrived_at < kUnknownStreamPatience &&
-         (has_just_started ||
+         (has_just_started || call.is_version_answer_missing ||
           routing::MayHaveLostHomes(proxy.members, call.earliest_begin));
 }
 
@@ -299,6 +300,7 @@
 
 void FinishLookup(Proxy& proxy, const CallPtr& call) {
   const auto lookup = std::exchange(call->version_lookup, nullptr);
+  if (lookup->unanswered > 0) call->is_version_answer_missing = true;
   if (lookup->weights) call->weights = lookup->weights;
   if (lookup->version != kUnknownVersion) {
     Bind(proxy, call, lookup->version, "peer");
@@ -411,6 +413,7 @@
   // Another peer answered sooner, time was up, or the call has ended.
   const auto lookup = asked.lock();
   if (lookup == nullptr || lookup != call->version_lookup) return;
+  if (answer.is_missing) call->is_version_answer_missing = true;
   routing::VersionKnowledge knowledge = answer.knowledge;
   if (answer.is_confirmed ||
       (lookup->is_own_confirmed && answer.leads_up_to_own)) {
