Read the bits of services only from peers with the same rules

What a peer says of ids is one bit a service in the order of its rules. With other rules, a bit stood for another service for up to 30 s, and its sound streams could count as lacking events (by reading, from a review).

--- a/proxy/src/gossip_codec.cc
+++ b/proxy/src/gossip_codec.cc
@@ -255,6 +255,13 @@
   }
 }
 
+// Bits of services are in the order of the sender's rules.
+bool HasOwnRules(const Proxy& proxy, const Progress& progress) {
+  constexpr auto kRules = static_cast<std::size_t>(routing::Feed::kRules);
+  return proxy.rules != nullptr &&
+         progress[kRules].version == proxy.rules->version;
+}
+
 }  // namespace
 
 Progress OwnProgress(const Proxy& proxy) {
@@ -310,7 +317,8 @@
   ApplySuspects(proxy, news);
   ApplyLimits(proxy, news);
   ApplyBrittle(proxy, news, now);
-  OnPeerSaysFirmlyByOne(proxy, news.getRisesByOne());
+  if (HasOwnRules(proxy, ReadProgress(news.getProgress())))
+    OnPeerSaysFirmlyByOne(proxy, news.getRisesByOne());
   routing::MergePeerDemand(proxy.fleet_demand,
                            {news.getTightDemand(), news.getRestDemand()});
   routing::MergePeerPauses(proxy.endpoints.pauses, news.getLongPauseMs());
