Ask an engine that was down for a spare connection after a second

It had been down before, had refused the spare connection, and wasn't asked for another for 10 s: that time is meant for engines that answer and keep no connection open. By the log, in which the connection was lost 7 s before and both streams ended as answered without it.

--- a/proxy/src/spares.cc
+++ b/proxy/src/spares.cc
@@ -43,7 +43,11 @@
   if (page.status != 0) spare.heard_at = now;
   if (!IsOpen(proxy, spare)) {
     spare.number = 0;
-    if (!was_open) spare.unavailable_until = now + kSpareRetryTime;
+    // One that didn't answer may be back at any moment.
+    if (!was_open) {
+      spare.unavailable_until =
+          now + (page.status != 0 ? kSpareRetryTime : kSpareRefreshInterval);
+    }
     kernel::LogEvent(LogPart::kEndpoint, LogLevel::kInfo, "spare-lost",
                      {{"endpoint", id},
                       {"status", page.status},
