Take a living process for no proof of a stream's end

Callers of streams without framing saw them end as complete before their last event, from engines that cut them short, close the connection in good order and live on.

Cause: start and spare connection show that the process lives, and answer_ends took that for proof that its answer is whole. The class is evidence of one thing taken for evidence of another.

An end that only its connection tells, of a process that lives, is judged now (routing/stream_ends.h) by what is known of its endpoint and its service: whether its streams state their ends otherwise, whether other attempts that were asked for what follows found nothing or more. A doubted one is asked for, or else broken off; others are asked for as a sample, of the retries that are left over, and count as whole if nobody says otherwise in time. One that can't be asked for is whole unless endpoints were found to cut.

An engine without events is a second word behind an end, unless it may cut itself. A head alone of an engine that states no start was believed always.

--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -3,7 +3,9 @@
 // An answer with neither a length nor chunks ends with its connection, and so
 // does one whose process ends: its kernel closes its connections in good order.
 // The process that answered is therefore asked whether it lives on. If it does,
-// it has closed the connection itself.
+// it has closed the connection itself: the whole answer, or one cut short. See
+// routing/stream_ends.h for streams. Other answers count as whole then, as
+// they may end so and can only be asked for anew.
 //
 // Where the process can't be known, a stream that can resume is proven by
 // another attempt: an endpoint that is asked for what follows the last event
@@ -20,6 +22,7 @@
 namespace {
 
 using routing::AttemptOutcome;
+using routing::EndVerdict;
 using routing::ProcessCheckResult;
 
 constexpr int kMinServerError = 500;
@@ -80,10 +83,18 @@
 // Something answers at the endpoint's address after the end of its answer. A
 // peer passes an end on in good order only if it has found that.
 bool IsAnsweredAfterEnd(const Attempt& attempt) {
-  return attempt.is_beyond_proof || !attempt.peer.empty();
+  return attempt.has_lived_on || attempt.is_beyond_proof ||
+         !attempt.peer.empty();
 }
 
-AttemptOutcome ClassifyStream(const Proxy& proxy, const Call& call) {
+bool CountsAsWhole(Proxy& proxy, const Call& call) {
+  if (!call.attempt->has_lived_on) return false;
+  const EndVerdict verdict = JudgeEnd(proxy, call);
+  return verdict == EndVerdict::kWhole ||
+         (verdict == EndVerdict::kSample && !HasRetryForSample(proxy, call));
+}
+
+AttemptOutcome ClassifyStream(Proxy& proxy, const Call& call) {
   const Attempt& attempt = *call.attempt;
   if (!attempt.splitter.incomplete_event.empty() || !HasBegun(call))
     return AttemptOutcome::kBroken;
@@ -91,20 +102,26 @@
   const bool is_joined =
       attempt.run ? !attempt.run->is_behind : FitsStream(proxy, call);
   if (!is_joined) return AttemptOutcome::kUnjoined;
-  if (attempt.is_end_proven) return AttemptOutcome::kSucceeded;
+  if (attempt.is_end_proven || CountsAsWhole(proxy, call))
+    return AttemptOutcome::kSucceeded;
   if (attempt.splitter.events > 0) return AttemptOutcome::kUnproven;
   // Without an event, it is rather an endpoint that ended before its first one.
   if (!call.route->resumable || !IsAnsweredAfterEnd(attempt))
     return AttemptOutcome::kBroken;
-  if (!call.unproven_end.empty() && call.unproven_end == call.position.last_id)
-    return AttemptOutcome::kSucceeded;
+  if (attempt.has_lived_on) return AttemptOutcome::kUnproven;
+  const std::string& open_after = call.open_end.after;
+  if (!open_after.empty() && open_after == call.position.last_id) {
+    return JudgeEnd(proxy, call) == EndVerdict::kWhole
+               ? AttemptOutcome::kSucceeded
+               : AttemptOutcome::kUnproven;
+  }
   return call.events > 0 ? AttemptOutcome::kBroken : AttemptOutcome::kUnproven;
 }
 
 void AskWhetherWhole(Proxy& proxy, const CallPtr& call);
 
 // Returns the outcome of an answer that has ended.
-AttemptOutcome ClassifyEnd(const Proxy& proxy, const Call& call) {
+AttemptOutcome ClassifyEnd(Proxy& proxy, const Call& call) {
   if (call.attempt->is_event_stream) return ClassifyStream(proxy, call);
   const AttemptOutcome outcome = ClassifyAnswer(call);
   const bool is_unproven =
@@ -115,8 +132,10 @@
 void EndAnswer(Proxy& proxy, const CallPtr& call) {
   const AttemptOutcome outcome = ClassifyEnd(proxy, *call);
   const bool is_broken = outcome == AttemptOutcome::kBroken;
-  if (outcome == AttemptOutcome::kUnproven && call->attempt->is_event_stream)
-    call->unproven_end = call->position.last_id;
+  if (call->attempt->is_event_stream) {
+    if (outcome == AttemptOutcome::kUnproven) LeaveEndOpen(proxy, call);
+    if (outcome == AttemptOutcome::kSucceeded) OnNothingFollows(proxy, *call);
+  }
   EndAttempt(proxy, call, outcome,
              is_broken ? "the stream ended inside an event" : "");
 }
@@ -140,13 +159,18 @@
                    std::string("result=\"") + routing::NameOf(result) + "\"");
 }
 
+void OnLivedOn(Attempt& attempt, bool has_lived_on) {
+  attempt.has_lived_on = has_lived_on && attempt.is_event_stream;
+  attempt.is_end_proven = has_lived_on && !attempt.is_event_stream;
+}
+
 void OnProcessTold(Proxy& proxy, const CallPtr& call,
                    ProcessCheckResult result) {
   CountAnswer(proxy, result);
   Attempt& attempt = *call->attempt;
   switch (result) {
     case ProcessCheckResult::kSame:
-      attempt.is_end_proven = !HasStartedSince(proxy, attempt);
+      OnLivedOn(attempt, !HasStartedSince(proxy, attempt));
       break;
     case ProcessCheckResult::kReplaced:
     case ProcessCheckResult::kNoAnswer:
@@ -180,8 +204,8 @@
     return;
   }
   // A head alone shows no more than that something answers.
-  attempt.is_end_proven = attempt.splitter.events > 0;
-  attempt.is_beyond_proof = !attempt.is_end_proven;
+  attempt.has_lived_on = attempt.splitter.events > 0;
+  attempt.is_beyond_proof = !attempt.has_lived_on;
   EndAnswer(proxy, call);
 }
 
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -285,11 +285,6 @@
   return AttemptOutcome::kBadAnswer;
 }
 
-// One stream without framing shows that others may follow.
-void RecordFraming(routing::Endpoint& endpoint, bool is_framed) {
-  endpoint.frames_streams = is_framed && endpoint.frames_streams.value_or(true);
-}
-
 }  // namespace
 
 bool ImpliesNotRun(int status) {
@@ -315,7 +310,7 @@
                             metadata.is_event_stream && attempt.is_vouched &&
                             !metadata.not_run;
   if (attempt.is_event_stream && attempt.peer.empty())
-    RecordFraming(*attempt.endpoint, IsFramed(head));
+    RecordFraming(proxy, call, IsFramed(head));
 }
 
 net::ExchangeHandlers MakeAnswerHandlers(Proxy& proxy, const CallPtr& call) {
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -39,21 +39,13 @@
 }
 
 void EndStream(Proxy& proxy, const CallPtr& call, const Attempt& attempt) {
-  call->caller->OnDisconnect(nullptr);
   // Nothing but its end was left of a stream that was taken up.
   if (!call->caller->begun()) {
     call->caller->Begin(attempt.head.status, attempt.head.reason,
                         FieldsToForward(*call, attempt),
                         FramingOf(*call, attempt));
   }
-  call->caller->End();
-  call->succeeded = true;
-  if (call->events > 0) {
-    routing::OnStreamEnded(proxy.endpoints.service_paces[call->service->name],
-                           call->route->name, static_cast<double>(call->events),
-                           Elapsed(call->first_event_at, NowOf(proxy)));
-  }
-  EndCall(proxy, call, "answered");
+  FinishStream(proxy, call);
 }
 
 void RecordBrittleRefusal(Proxy& proxy, const Call& call, Time now) {
@@ -173,6 +165,9 @@
         ForwardAnswer(proxy, call, *attempt);
       }
       return;
+    case NextStep::kEndStream:
+      FinishStream(proxy, call);
+      return;
     case NextStep::kRefuse:
       RefuseCall(proxy, call, kUnavailable, "no_endpoint",
                  RetryDelayAfterAttempts(proxy, *call));
@@ -201,6 +196,7 @@
   input.may_be_proven = MayProveEnd(attempt) ||
                         (attempt.end_questions > 0 && !attempt.is_beyond_proof);
   input.is_framed = call.caller->framed();
+  input.is_end_trusted = call.open_end.is_trusted;
   input.is_handed_over = call.handed_over;
   input.is_own_attempt = attempt.peer.empty();
   input.attempts = call.max_attempts;
@@ -274,6 +270,18 @@
 
 }  // namespace
 
+void FinishStream(Proxy& proxy, const CallPtr& call) {
+  call->caller->OnDisconnect(nullptr);
+  call->caller->End();
+  call->succeeded = true;
+  if (call->events > 0) {
+    routing::OnStreamEnded(proxy.endpoints.service_paces[call->service->name],
+                           call->route->name, static_cast<double>(call->events),
+                           Elapsed(call->first_event_at, NowOf(proxy)));
+  }
+  EndCall(proxy, call, "answered");
+}
+
 net::HttpFields FieldsToForward(const Call& call, const Attempt& attempt) {
   net::HttpFields forwarded;
   for (const net::HttpField& field : attempt.head.fields) {
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -54,7 +54,21 @@
 /// that if only the connection ended it.
 void OnAnswerEnded(Proxy& proxy, const CallPtr& call, net::AnswerEnd end);
 
+// open_ends.cc
+/// Records whether an answer states its own end.
+void RecordFraming(Proxy& proxy, const Call& call, bool is_framed);
+/// Judges the end of the call's stream, which its process has lived on to.
+routing::EndVerdict JudgeEnd(Proxy& proxy, const Call& call);
+/// Leaves the end of the call's answer open for another attempt to judge.
+void LeaveEndOpen(Proxy& proxy, const CallPtr& call);
+/// An attempt has brought an event behind the call's open end, if it has one.
+void OnMoreFollows(Proxy& proxy, Call& call);
+/// An attempt has brought nothing behind it, and the stream ends.
+void OnNothingFollows(Proxy& proxy, Call& call);
+
 // attempt_end.cc
+/// Ends a stream that has begun at the caller, who has all of it.
+void FinishStream(Proxy& proxy, const CallPtr& call);
 /// Returns the fields of the answer that are forwarded to the caller;
 /// hop-by-hop fields are not. A peer that handed the request over also learns
 /// the endpoint.
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -67,8 +67,11 @@
   /// If the answer is a success, it is the endpoint's own and belongs to the
   /// request.
   bool is_vouched = false;
-  /// Its framing or its process has shown that the answer is whole.
+  /// Its framing, or what became of its process where that is enough, has shown
+  /// that the answer is whole.
   bool is_end_proven = false;
+  /// Its process has lived on, and ended the answer itself.
+  bool has_lived_on = false;
   /// The endpoint answers questions for its process, and doesn't say which it
   /// is, like a plain service without reports.
   bool is_beyond_proof = false;
@@ -91,6 +94,16 @@
       false;  ///< An event that doesn't follow was logged.
 };
 
+/// An end of a stream that its answer didn't state, until another attempt says
+/// whether more follows.
+struct OpenEnd {
+  std::string after;  ///< Id of the last event; empty: there is no such end.
+  /// Whose process has ended the answer and lives on; null: not known.
+  routing::EndpointPtr endpoint;
+  bool is_trusted = false;     ///< It counts as whole if nobody says otherwise.
+  kernel::EventWatcher timer;  ///< Ends the wait for a trusted one.
+};
+
 /// A question for the version that began a stream.
 struct StreamQuestion {
   routing::StreamKey stream = 0;
@@ -174,9 +187,7 @@
   /// What the caller has of a stream, with what it had before this request.
   routing::StreamPosition position;
   std::uint64_t events = 0;  ///< Events sent to the caller.
-  /// Id of the event after which an endpoint's answer last ended in good order
-  /// and without proof; empty: none has.
-  std::string unproven_end;
+  OpenEnd open_end;
   /// Earliest time at which a stream that it takes up can have begun.
   Time earliest_begin{};
   /// The store was read, or could not be, since it arrived.
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -215,6 +215,7 @@
 
 void RefuseOrAbort(Proxy& proxy, const CallPtr& call, const char* code,
                    milliseconds retry_after) {
+  if (EndTrustedStream(proxy, call)) return;
   if (call->caller->begun()) {
     call->caller->Abort();
     EndCall(proxy, call, "broke-off");
@@ -348,6 +349,7 @@
                const char* code, milliseconds retry_after) {
   const bool was_sent = WasSent(*call);
   CancelAttempt(proxy, call);
+  if (EndTrustedStream(proxy, call)) return;
   if (call->caller->begun()) {
     call->caller->Abort();
     EndCall(proxy, call, code);
@@ -362,6 +364,7 @@
   if (proxy.calls.erase(call->number) == 0) return;
   call->deadline_timer = {};
   call->silence_timer = {};
+  call->open_end = {};
   call->version_lookup = nullptr;
   call->process_check = nullptr;
   ReleaseRetry(proxy, *call);
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -108,6 +108,7 @@
   for (const net::SplitEvent& event : events) {
     const EventPlace place = PlaceNext(proxy, call, event);
     if (place == EventPlace::kNext) {
+      OnMoreFollows(proxy, call);
       PassWeights(proxy, call);
       checked.bytes += bytes.substr(begin, event.end - begin);
       ++checked.count;
--- a/proxy/src/retries.cc
+++ b/proxy/src/retries.cc
@@ -11,6 +11,13 @@
   return call.retry_reserved;
 }
 
+bool HasRetryForSample(Proxy& proxy, const Call& call) {
+  return routing::HasRetryForSample(
+      proxy.retry_budgets[call.service->name], proxy.options.retries,
+      MakeRetryBudgetFleet(proxy), routing::kRetriesLeftBySamples,
+      NowOf(proxy));
+}
+
 void OnRetrySent(Proxy& proxy, Call& call) {
   if (!std::exchange(call.retry_reserved, false)) return;
   routing::OnReservedRetrySent(proxy.retry_budgets[call.service->name],
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -179,7 +179,8 @@
   routing::Handovers handovers;
   std::size_t handovers_served = 0;  ///< Handed over calls in progress.
   routing::StreamRecords streams;
-  std::map<std::string, ServiceIds> ids;  ///< By service.
+  std::map<std::string, ServiceIds> ids;                   ///< By service.
+  std::map<std::string, routing::StreamEnds> stream_ends;  ///< By service.
   StreamWork stream_work;
   KeptPartsReader kept_parts;
   StoreCatchUp store_catch_up;
@@ -463,6 +464,8 @@
 bool TryReserveRetry(Proxy& proxy, Call& call);
 /// Counts the call's reserved retry, if any, as sent now.
 void OnRetrySent(Proxy& proxy, Call& call);
+/// Returns true if the budget allows a retry that only serves as a sample.
+bool HasRetryForSample(Proxy& proxy, const Call& call);
 /// Gives the call's reserved retry, if any, back to the budget.
 void ReleaseRetry(Proxy& proxy, Call& call);
 /// Returns the name of the outcome that the call's retry follows; "-" for a
@@ -499,6 +502,11 @@
                          const routing::EndpointPtr& addressed, int status,
                          const AnswerMetadata& metadata);
 
+// open_ends.cc
+/// Ends the stream, if what its caller has counts as whole; returns false if it
+/// doesn't, or if there is none.
+bool EndTrustedStream(Proxy& proxy, const CallPtr& call);
+
 // id_rises.cc
 /// Returns how the ids of the service's streams rise, as this node has seen it;
 /// if it hasn't seen enough, as peers have.
--- a/proxy/src/suspects.cc
+++ b/proxy/src/suspects.cc
@@ -15,12 +15,14 @@
 using routing::AttemptOutcome;
 
 // Returns true if the attempt shows that an endpoint ran the request to its
-// end. An endpoint that fails may have failed before it ran the request. A
-// peer's answer has the peer's framing: the peer knows what it shows, and tells
-// of it.
+// end, or that its process lives on. An endpoint that fails may have failed
+// before it ran the request. A peer's answer has the peer's framing: the peer
+// knows what it shows, and tells of it.
 bool ProvesHarmless(const Attempt& attempt, AttemptOutcome outcome) {
-  return outcome == AttemptOutcome::kSucceeded && attempt.peer.empty() &&
-         IsSuccess(attempt.head.status) && attempt.is_end_proven;
+  const bool has_ended =
+      outcome == AttemptOutcome::kSucceeded && attempt.is_end_proven;
+  return attempt.peer.empty() && IsSuccess(attempt.head.status) &&
+         (has_ended || attempt.has_lived_on);
 }
 
 void CountClearing(Proxy& proxy, bool was_held) {
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -24,6 +24,7 @@
 #include "egretladder/routing/pace.h"
 #include "egretladder/routing/prompt_pauses.h"
 #include "egretladder/routing/route_table.h"
+#include "egretladder/routing/stream_ends.h"
 #include "egretladder/routing/weights.h"
 
 namespace egretladder::routing {
@@ -199,7 +200,8 @@
   double peers_waiting_tokens = 0;  ///< Prompt tokens of other nodes' requests.
   EndpointHealth health;
   EnginePace pace;
-  IdSteps id_steps;  ///< Of its streams.
+  IdSteps id_steps;        ///< Of its streams.
+  StreamEnds stream_ends;  ///< Of its process, as this node's attempts show it.
   /// This node's attempts without a first byte so far, by number.
   std::map<std::uint64_t, UnansweredAttempt> unanswered;
   /// Prompt parts that it has processed for this node, with their last use.
--- a/routing/include/egretladder/routing/next_step.h
+++ b/routing/include/egretladder/routing/next_step.h
@@ -54,8 +54,9 @@
   /// Forward the endpoint's answer to the caller, an unproven one without
   /// framing, so that the caller knows as much as this node.
   kPassOn,
-  kRefuse,   ///< Answer 503: the request did not run and will not.
-  kUnknown,  ///< Answer 502: the request may have run.
+  kEndStream,  ///< End the stream, of which the caller has all.
+  kRefuse,     ///< Answer 503: the request did not run and will not.
+  kUnknown,    ///< Answer 502: the request may have run.
   /// Close the connection, so that the partial answer that the caller already
   /// has is recognized as incomplete.
   kBreakOff,
@@ -73,7 +74,10 @@
   bool continues_answer = false;
   /// The endpoint could have proven that an unproven answer is complete.
   bool may_be_proven = false;
-  bool is_framed = false;          ///< The answer that the caller has part of.
+  bool is_framed = false;  ///< The answer that the caller has part of.
+  /// What the caller has counts as the whole stream unless another attempt
+  /// brings more.
+  bool is_end_trusted = false;
   bool is_handed_over = false;     ///< A peer decides about further attempts.
   bool is_own_attempt = true;      ///< This node made it, and not a peer.
   std::uint32_t attempts = 1;      ///< Attempts that the route allows.
--- a/routing/include/egretladder/routing/retry_budget.h
+++ b/routing/include/egretladder/routing/retry_budget.h
@@ -59,6 +59,13 @@
 bool TryReserveRetry(NodeRetryBudget& budget, const RetryBudgetRule& rule,
                      const RetryBudgetFleet& fleet, Time now);
 
+/// Returns true if a request may be sent again for a sample: of the retries
+/// that the window allows, `kept_ratio` are left to faults.
+bool HasRetryForSample(const NodeRetryBudget& budget,
+                       const RetryBudgetRule& rule,
+                       const RetryBudgetFleet& fleet, double kept_ratio,
+                       Time now);
+
 /// Counts a reserved retry that is sent now.
 void OnReservedRetrySent(NodeRetryBudget& budget, const RetryBudgetRule& rule,
                          Time now);
--- a/routing/src/next_step.cc
+++ b/routing/src/next_step.cc
@@ -40,6 +40,15 @@
          input.may_have_run < input.attempts + kMaxRepeatedAsks;
 }
 
+// One that fails to say whether more follows ends the stream, too.
+NextStep DecideAfterTrustedEnd(const NextStepInput& input) {
+  const bool may_ask = input.end == AttemptOutcome::kUnproven &&
+                       CanAskForRest(input) && input.has_time_left;
+  if (may_ask && input.may_have_run < input.attempts) return NextStep::kResume;
+  if (MayAskAgain(input)) return NextStep::kAskAgain;
+  return input.is_answer_started ? NextStep::kEndStream : NextStep::kPassOn;
+}
+
 // Where nothing can prove an end, it is passed on as what it is, the end of a
 // connection. Framing would claim that the answer is complete.
 bool PassesDoubtOn(const NextStepInput& input) {
@@ -100,6 +109,8 @@
       return "ask-again";
     case NextStep::kPassOn:
       return "pass-on";
+    case NextStep::kEndStream:
+      return "end-stream";
     case NextStep::kRefuse:
       return "refuse";
     case NextStep::kUnknown:
@@ -123,6 +134,9 @@
 NextStep DecideNextStep(const NextStepInput& input) {
   const bool fits = !input.is_answer_started || input.continues_answer;
   if (input.end == AttemptOutcome::kSucceeded && fits) return NextStep::kPassOn;
+  const bool has_end =
+      input.is_answer_started || input.end == AttemptOutcome::kUnproven;
+  if (input.is_end_trusted && has_end) return DecideAfterTrustedEnd(input);
   if (PassesDoubtOn(input)) return NextStep::kPassOn;
   if (input.end == AttemptOutcome::kRefused) return DecideAfterRefusal(input);
   if (IsNotRun(input.end)) return DecideAfterNotRun(input);
--- a/routing/src/retry_budget.cc
+++ b/routing/src/retry_budget.cc
@@ -33,8 +33,17 @@
   ++BucketAt(budget, BucketNumber(rule, now)).requests;
 }
 
-double RetriesLeft(const NodeRetryBudget& budget, const RetryBudgetRule& rule,
-                   const RetryBudgetFleet& fleet, Time now) {
+namespace {
+
+// Retries of the window.
+struct RetryUse {
+  double allowed = 0;
+  double used = 0;  // Reserved ones included.
+};
+
+RetryUse CountRetries(const NodeRetryBudget& budget,
+                      const RetryBudgetRule& rule,
+                      const RetryBudgetFleet& fleet, Time now) {
   const std::int64_t number = BucketNumber(rule, now);
   double requests = 0;
   double retries = 0;
@@ -47,9 +56,24 @@
     if (age <= kWindowBuckets) retries += bucket.retries;
     if (age < kWindowBuckets) requests += bucket.requests;
   }
-  const double allowed =
-      kUsableRetryRatio * (rule.ratio * requests + NodeSlack(rule, fleet));
-  return std::max(0.0, allowed - retries - budget.reserved);
+  return {kUsableRetryRatio * (rule.ratio * requests + NodeSlack(rule, fleet)),
+          retries + budget.reserved};
+}
+
+}  // namespace
+
+double RetriesLeft(const NodeRetryBudget& budget, const RetryBudgetRule& rule,
+                   const RetryBudgetFleet& fleet, Time now) {
+  const RetryUse use = CountRetries(budget, rule, fleet, now);
+  return std::max(0.0, use.allowed - use.used);
+}
+
+bool HasRetryForSample(const NodeRetryBudget& budget,
+                       const RetryBudgetRule& rule,
+                       const RetryBudgetFleet& fleet, double kept_ratio,
+                       Time now) {
+  const RetryUse use = CountRetries(budget, rule, fleet, now);
+  return use.allowed - use.used - 1 >= kept_ratio * use.allowed;
 }
 
 bool TryReserveRetry(NodeRetryBudget& budget, const RetryBudgetRule& rule,
--- a/routing/tests/next_step_test.cc
+++ b/routing/tests/next_step_test.cc
@@ -199,6 +199,40 @@
   CHECK(er::DecideNextStep(input) == NextStep::kBreakOff);
 }
 
+// Guards against a stream that counts as whole and is broken off since whoever
+// was asked what follows didn't say.
+TEST(NextStep, ATrustedEndIsAskedForAndNeverBrokenOff) {
+  er::NextStepInput input = MakeInput(AttemptOutcome::kUnproven);
+  input.is_answer_started = true;
+  input.continues_answer = true;
+  input.resumable = true;
+  input.may_be_proven = true;
+  input.is_framed = true;
+  input.is_end_trusted = true;
+  CHECK(er::DecideNextStep(input) == NextStep::kResume);
+  input.may_have_run = 2;
+  CHECK(er::DecideNextStep(input) == NextStep::kAskAgain);
+  input.has_time_left = false;
+  CHECK(er::DecideNextStep(input) == NextStep::kEndStream);
+  for (const AttemptOutcome outcome : kOutcomes) {
+    if (outcome == AttemptOutcome::kSucceeded) continue;
+    input.end = outcome;
+    CHECK(er::DecideNextStep(input) == NextStep::kEndStream);
+  }
+}
+
+// The same for a client that has all events and asks what follows.
+TEST(NextStep, ATrustedEndOfAnAnswerWithoutEventsIsPassedOn) {
+  er::NextStepInput input = MakeInput(AttemptOutcome::kUnproven);
+  input.continues_answer = true;
+  input.resumable = true;
+  input.is_repeatable = true;
+  input.is_end_trusted = true;
+  CHECK(er::DecideNextStep(input) == NextStep::kResume);
+  input.has_time_left = false;
+  CHECK(er::DecideNextStep(input) == NextStep::kPassOn);
+}
+
 // Guards against a third endpoint that gets the request since the second one,
 // asked again, has turned it away.
 TEST(NextStep, AnEndpointThatIsAskedAgainIsTheLastOne) {
--- a/routing/tests/retry_budget_test.cc
+++ b/routing/tests/retry_budget_test.cc
@@ -189,3 +189,19 @@
   er::ReleaseRetry(budget);
   DOUBLES_EQUAL(all, er::RetriesLeft(budget, kRule, kFleet, kStart), 0.01);
 }
+
+// Guards against samples that use up the retries which faults will need.
+TEST(RetryBudget, SamplesLeaveRetriesToFaults) {
+  constexpr int kRequests = 100;
+  er::NodeRetryBudget budget;
+  for (int i = 0; i < kRequests; ++i) er::OnRequest(budget, kRule, kStart);
+  const er::RetryBudgetFleet fleet{1, {}};
+  const double all = er::RetriesLeft(budget, kRule, fleet, kStart);
+  double samples = 0;
+  while (er::HasRetryForSample(budget, kRule, fleet, 0.5, kStart)) {
+    CHECK(TryRetry(budget, fleet, kStart));
+    ++samples;
+  }
+  CHECK(samples >= all / 2 - 1);
+  CHECK(er::RetriesLeft(budget, kRule, fleet, kStart) >= all / 2);
+}
