--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -236,6 +236,12 @@
 
 // --- Spare connections to endpoints ---
 
+/// A doubted end of a stream waits for another endpoint's word for so many
+/// times the time in which a first event is due.
+inline constexpr int kDoubtPatienceFactor = 2;
+/// Runs without an event behind a doubted end after which it counts as whole.
+inline constexpr std::uint32_t kEmptyRunsToBelieve = 2;
+
 /// How often an endpoint is asked on a spare connection that is in use, so that
 /// it isn't closed as idle.
 inline constexpr milliseconds kSpareRefreshInterval{1000};
--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -289,7 +289,9 @@
 }
 
 void OnAnswerEnded(Proxy& proxy, const CallPtr& call, net::AnswerEnd end) {
-  call->attempt->is_end_proven = end == net::AnswerEnd::kFraming;
+  const bool is_framed = end == net::AnswerEnd::kFraming;
+  call->attempt->has_lived_on = is_framed && call->attempt->is_unframed_at_peer;
+  call->attempt->is_end_proven = is_framed && !call->attempt->has_lived_on;
   if (end == net::AnswerEnd::kConnection && IsWorthAsking(*call)) {
     if (call->attempt->spare != 0) {
       AskBySpare(proxy, call);
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -316,6 +316,7 @@
   RecordSuspect(proxy, *call, outcome);
   if (is_own_attempt) RecordUnanswered(proxy, *call, outcome);
   auto attempt = std::move(call->attempt);
+  if (!attempt->splitter.incomplete_event.empty()) DistrustEnd(*call);
   CountRetryAtPeer(proxy, *call, *attempt);
   ReleaseTarget(proxy, call, *attempt);
   CountAttempt(*call, outcome, attempt->endpoint, NowOf(proxy));
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -63,6 +63,8 @@
 void LeaveEndOpen(Proxy& proxy, const CallPtr& call);
 /// An attempt has brought an event behind the call's open end, if it has one.
 void OnMoreFollows(Proxy& proxy, Call& call);
+/// An attempt has brought something behind it that can't be passed on.
+void DistrustEnd(Call& call);
 /// An attempt has brought nothing behind it, and the stream ends.
 void OnNothingFollows(Proxy& proxy, Call& call);
 
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -72,6 +72,9 @@
   bool is_end_proven = false;
   /// Its process has lived on, and ended the answer itself.
   bool has_lived_on = false;
+  /// A peer passes on the stream of an endpoint that doesn't state its end, and
+  /// ends it itself once the endpoint's process has lived on.
+  bool is_unframed_at_peer = false;
   /// The endpoint answers questions for its process, and doesn't say which it
   /// is, like a plain service without reports.
   bool is_beyond_proof = false;
@@ -100,8 +103,9 @@
   std::string after;  ///< Id of the last event; empty: there is no such end.
   /// Whose process has ended the answer and lives on; null: not known.
   routing::EndpointPtr endpoint;
-  bool is_trusted = false;     ///< It counts as whole if nobody says otherwise.
-  kernel::EventWatcher timer;  ///< Ends the wait for a trusted one.
+  bool is_trusted = false;  ///< It counts as whole if nobody says otherwise.
+  std::uint32_t empty_runs = 0;  ///< Runs that ended there without an event.
+  kernel::EventWatcher timer;    ///< Ends the wait for a trusted one.
 };
 
 /// A question for the version that began a stream.
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -116,6 +116,7 @@
       RecordMisorder(proxy, call, place, event.id);
     }
     if (routing::EndsRun(place)) {
+      if (place != EventPlace::kBehind) DistrustEnd(call);
       checked.end = place == EventPlace::kMissing ? AttemptOutcome::kIncomplete
                                                   : AttemptOutcome::kUnjoined;
       return checked;
--- a/proxy/src/handover_fields_p.h
+++ b/proxy/src/handover_fields_p.h
@@ -19,6 +19,8 @@
 /// Of an answer: version of the software of that endpoint, in hexadecimal.
 inline constexpr const char* kEndpointVersionField =
     "Egretladder-Endpoint-Version";
+/// Of an answer: nothing but its connection ended the stream of the endpoint.
+inline constexpr const char* kUnframedField = "Egretladder-Unframed";
 /// Of an answer: why the node doesn't take the request. It has not run.
 inline constexpr const char* kDeclinedField = "Egretladder-Declined";
 
--- a/proxy/src/handovers.cc
+++ b/proxy/src/handovers.cc
@@ -72,6 +72,9 @@
       ParseVersion(net::FirstFieldValue(head.fields, kEndpointVersionField));
   ApplyStatements(proxy, call, head, metadata);
   KeepAnswerHead(proxy, call, head, metadata);
+  attempt.is_unframed_at_peer =
+      attempt.is_event_stream &&
+      net::CountFields(head.fields, kUnframedField) > 0;
   return net::HeadVerdict::kAccept;
 }
 
@@ -112,8 +115,9 @@
 }
 
 void RemoveHandoverFields(net::HttpFields& fields) {
-  constexpr std::array<const char*, 4> kNames = {
-      kForwardedField, kEndpointField, kEndpointVersionField, kDeclinedField};
+  constexpr std::array<const char*, 5> kNames = {
+      kForwardedField, kEndpointField, kEndpointVersionField, kUnframedField,
+      kDeclinedField};
   std::erase_if(fields, [&kNames](const net::HttpField& field) {
     return std::any_of(kNames.begin(), kNames.end(),
                        [&field](const char* name) {
@@ -125,6 +129,7 @@
 void AddEndpointFields(const Attempt& attempt, net::HttpFields& fields) {
   fields.push_back({kEndpointField, attempt.endpoint->entry.id});
   fields.push_back({kEndpointVersionField, FormatVersion(attempt.version)});
+  if (!IsFramed(attempt.head)) fields.push_back({kUnframedField, "1"});
 }
 
 void StartHandover(Proxy& proxy, const CallPtr& call,
--- a/proxy/src/open_ends.cc
+++ b/proxy/src/open_ends.cc
@@ -41,18 +41,31 @@
        {"events", attempt.splitter.events}});
 }
 
-// Ends the stream if nobody has said in time whether more follows.
+void OnPatienceOver(Proxy& proxy, const CallPtr& call) {
+  CountWord(proxy, "late");
+  CancelAttempt(proxy, call);
+  if (!EndTrustedStream(proxy, call)) RefuseOrAbort(proxy, call, "no_word", {});
+}
+
+// Settles the end if nobody has said in time whether more follows.
 void StartPatienceTimer(Proxy& proxy, const CallPtr& call) {
-  call->open_end.timer =
-      kernel::RunAfter(*proxy.loop, call->route->target,
-                       [&proxy, weak_call = std::weak_ptr<Call>(call)] {
-                         const auto locked = weak_call.lock();
-                         if (locked == nullptr || !locked->open_end.is_trusted)
-                           return;
-                         CountWord(proxy, "late");
-                         CancelAttempt(proxy, locked);
-                         EndTrustedStream(proxy, locked);
-                       });
+  const milliseconds patience =
+      call->open_end.is_trusted ? call->route->target
+                                : call->route->target * kDoubtPatienceFactor;
+  call->open_end.timer = kernel::RunAfter(
+      *proxy.loop, patience, [&proxy, weak_call = std::weak_ptr<Call>(call)] {
+        if (const auto locked = weak_call.lock()) OnPatienceOver(proxy, locked);
+      });
+}
+
+// The caller gets the head of the answer whose end it is, so that the end can't
+// be lost with whoever is asked.
+void BeginAnswer(Proxy& proxy, Call& call) {
+  if (call.caller->begun()) return;
+  const Attempt& attempt = *call.attempt;
+  OnStreamBegan(proxy, call);
+  call.caller->Begin(attempt.head.status, attempt.head.reason,
+                     FieldsToForward(call, attempt), FramingOf(call, attempt));
 }
 
 }  // namespace
@@ -84,20 +97,27 @@
   const bool is_first = !HasOpenEnd(*call);
   const EndVerdict verdict = JudgeEnd(proxy, *call);
   end.after = call->position.last_id;
+  end.empty_runs += attempt.splitter.events == 0 ? 1 : 0;
   // The first end of a process that may have ended is no word.
   if (is_first && !attempt.has_lived_on) return;
   LogOpenEnd(*call, verdict);
-  end.is_trusted = verdict != EndVerdict::kDoubted;
+  const bool is_believed =
+      is_first || end.is_trusted || end.empty_runs >= kEmptyRunsToBelieve;
+  end.is_trusted = is_believed && verdict != EndVerdict::kDoubted;
+  if (end.is_trusted) BeginAnswer(proxy, *call);
   if (!is_first) return;
   end.endpoint = attempt.endpoint;
-  if (end.is_trusted && call->caller->begun()) StartPatienceTimer(proxy, call);
+  if (call->caller->begun()) StartPatienceTimer(proxy, call);
 }
 
+void DistrustEnd(Call& call) { call.open_end.is_trusted = false; }
+
 void OnMoreFollows(Proxy& proxy, Call& call) {
   if (call.open_end.after.empty()) return;
   const OpenEnd end = std::exchange(call.open_end, {});
   if (end.endpoint == nullptr) return;
   CountWord(proxy, "more");
+  routing::OnAttemptFailed(*end.endpoint, NowOf(proxy));
   routing::OnCutFound(end.endpoint->stream_ends, EndsOfService(proxy, call));
   kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "stream-cut-short",
                    {{"req", call.metadata.id},
@@ -111,6 +131,8 @@
   const OpenEnd end = std::exchange(call.open_end, {});
   if (end.endpoint == nullptr) return;
   CountWord(proxy, "nothing");
+  // Its own word says nothing of its other ends.
+  if (call.attempt->endpoint == end.endpoint) return;
   routing::OnEndConfirmed(end.endpoint->stream_ends,
                           EndsOfService(proxy, call));
 }
--- a/proxy/src/suspects.cc
+++ b/proxy/src/suspects.cc
@@ -267,7 +267,8 @@
   if (outcome == AttemptOutcome::kBroken || attempt.is_refused)
     RecordProcessEnd(proxy, attempt, now);
   if (outcome == AttemptOutcome::kBroken) AskAfterBreak(proxy, attempt);
-  if (IsUnclear(outcome)) RecordUnclear(proxy, call, attempt, now);
+  if (IsUnclear(outcome) && !attempt.has_lived_on)
+    RecordUnclear(proxy, call, attempt, now);
 }
 
 void RecordCancelled(Proxy& proxy, Call& call, const Attempt& attempt) {
--- a/routing/include/egretladder/routing/stream_ends.h
+++ b/routing/include/egretladder/routing/stream_ends.h
@@ -26,6 +26,8 @@
   /// been doubted. Of a process: that number when its ends were last confirmed;
   /// it counts as unconfirmed once another one has been found.
   std::uint32_t surprises = 0;
+  /// Of a service: its part since cuts were last forgotten.
+  std::uint32_t cutting = 0;
 };
 
 /// Streams after which half of what their framing showed is forgotten.
@@ -34,13 +36,15 @@
 inline constexpr std::uint32_t kMinCountedEnds = 8;
 /// Ends without framing are rare if they are one in so many, or fewer: all of
 /// them can be asked for within a usual retry budget.
-inline constexpr std::uint32_t kRareBareEnds = 5;
+inline constexpr std::uint32_t kRareBareEnds = 8;
 /// Confirmed ends of an endpoint after which those that follow count as whole.
 inline constexpr std::uint32_t kMinConfirmedEnds = 8;
 /// Confirmed ends after which a cut is forgotten; of a service that was found
 /// to cut none, those after which its other endpoints' ends count as whole,
 /// too.
 inline constexpr std::uint32_t kMaxConfirmedEnds = 32;
+/// Processes that cut after which those of the same service are doubted, too.
+inline constexpr std::uint32_t kCuttingToDoubtOthers = 2;
 /// Part of the retries that samples leave to faults.
 inline constexpr double kRetriesLeftBySamples = 0.5;
 
@@ -76,8 +80,8 @@
   bool is_second = false;
 };
 
-/// Judges an end. A stream that can't be asked for is whole unless endpoints
-/// were found to cut: breaking all such streams off loses each sound one. An
+/// Judges an end. A stream that can't be asked for is whole unless its endpoint
+/// was found to cut: breaking all such streams off loses each sound one. An
 /// endpoint that is known to cut may do so before its first event.
 EndVerdict JudgeBareEnd(const BareEnd& end);
 
--- a/routing/src/stream_ends.cc
+++ b/routing/src/stream_ends.cc
@@ -17,9 +17,11 @@
          ends.bare * kRareBareEnds <= CountEnds(ends);
 }
 
+bool HasCutLately(const StreamEnds& service) { return service.cutting > 0; }
+
 // Where nobody was found to cut, endpoints vouch for each other.
 bool IsConfirmed(const BareEnd& end) {
-  if (!end.service.cuts && end.service.confirmed == kMaxConfirmedEnds)
+  if (!HasCutLately(end.service) && end.service.confirmed == kMaxConfirmedEnds)
     return true;
   return end.endpoint.confirmed >= kMinConfirmedEnds &&
          end.endpoint.surprises == end.service.surprises;
@@ -31,15 +33,17 @@
 
 void Confirm(StreamEnds& ends) {
   ends.confirmed = std::min(ends.confirmed + 1, kMaxConfirmedEnds);
-  if (ends.confirmed == kMaxConfirmedEnds) ends.cuts = false;
+  if (ends.confirmed < kMaxConfirmedEnds) return;
+  ends.cuts = false;
+  ends.cutting = 0;
 }
 
 EndVerdict JudgeEmptyRun(const BareEnd& end) {
   if (end.is_second)
     return MayBeCut(end) ? EndVerdict::kUnknown : EndVerdict::kWhole;
   if (end.endpoint.cuts) return EndVerdict::kDoubted;
-  return end.service.cuts || IsBareEndRare(end) ? EndVerdict::kUnknown
-                                                : EndVerdict::kWhole;
+  return HasCutLately(end.service) || IsBareEndRare(end) ? EndVerdict::kUnknown
+                                                         : EndVerdict::kWhole;
 }
 
 }  // namespace
@@ -60,11 +64,14 @@
 }
 
 void OnCutFound(StreamEnds& endpoint, StreamEnds& service) {
-  if (!endpoint.cuts) ++service.surprises;
-  for (StreamEnds* ends : {&endpoint, &service}) {
-    ends->confirmed = 0;
-    ends->cuts = true;
+  if (!endpoint.cuts) {
+    ++service.surprises;
+    ++service.cutting;
   }
+  endpoint.confirmed = 0;
+  endpoint.cuts = true;
+  service.confirmed = 0;
+  service.cuts = service.cutting >= kCuttingToDoubtOthers;
 }
 
 const char* NameOf(EndVerdict verdict) {
@@ -83,11 +90,12 @@
 
 EndVerdict JudgeBareEnd(const BareEnd& end) {
   if (end.is_empty) return JudgeEmptyRun(end);
+  if (!end.can_be_asked_for)
+    return end.endpoint.cuts ? EndVerdict::kDoubted : EndVerdict::kWhole;
   if (MayBeCut(end)) return EndVerdict::kDoubted;
-  if (!end.can_be_asked_for) return EndVerdict::kWhole;
   if (IsBareEndRare(end)) return EndVerdict::kDoubted;
-  return IsConfirmed(end) && !end.service.cuts ? EndVerdict::kSample
-                                               : EndVerdict::kUnknown;
+  return IsConfirmed(end) && !HasCutLately(end.service) ? EndVerdict::kSample
+                                                        : EndVerdict::kUnknown;
 }
 
 }  // namespace egretladder::routing
