Hold a request that succeeded lately only after more crashes

Cause: three crashes in turn held a request, whatever it had done before. One that is everywhere is at each crash by chance; and while it is held, no success can excuse it. Peers that had seen it succeed did not refute the hold of a node that had not. Parts of prompts had both rules, whole requests neither.

Change: what succeeded within kSuspectRetention before its crashes is held after five, not all side by side, over a second at least, without a success anywhere and at one in three of the known crashes. A hold of a node that knows of no success ends by the word of one that does. A hold despite success is probed after 4 s. A request that never succeeded, as one that crashes endpoints, is held as before.

Not settled: whether successes of answers without framing are recorded too rarely.

--- a/routing/include/egretladder/routing/suspects.h
+++ b/routing/include/egretladder/routing/suspects.h
@@ -24,6 +24,10 @@
 // that a held part explains don't count against it. A held part is probed after
 // a short time, later after longer ones, by one node at a time.
 //
+// A popular request is sound, and at most crashes for the same reason. One that
+// succeeded lately needs more crashes, too, and is probed like a part if it is
+// held: callers who share a body aren't refused for long by chance.
+//
 // Between the two stands a request whose copies took down several endpoints at
 // once, as a loss of power does, and one that was held back until now. It is
 // probed: one node, which all choose by the same hash, sends one copy at a
@@ -87,10 +91,10 @@
 inline constexpr std::size_t kMaxNewerSuccesses = 4096;
 /// Broken connections remembered per request.
 inline constexpr std::size_t kMaxBreaksPerSuspect = 6;
-/// Crashes after which a part of a prompt is held back that succeeded lately.
-/// While endpoints crash one after the other, no request with a sound part may
-/// succeed for a moment.
-inline constexpr std::size_t kMaxCrashesOfProvenPart = 5;
+/// Crashes after which a request or a part of a prompt is held back that
+/// succeeded lately. While endpoints crash one after the other, nothing that is
+/// sound may succeed for a moment.
+inline constexpr std::size_t kMaxCrashesDespiteSuccess = 5;
 /// Time between the first and the last of these crashes, at least.
 inline constexpr milliseconds kMinProvenCrashTime{1000};
 /// It must have been there at one in so many of the crashes that the node knows
@@ -104,14 +108,15 @@
 /// Different requests with a part that must have met crashes. A single one that
 /// is sent again is suspected as a whole.
 inline constexpr std::size_t kMinRequestsOfPart = 2;
-/// How long a part is held back before it is first probed. A sound part that
-/// was always beside the one that crashes endpoints is free after it.
+/// How long a part, or a request that had succeeded, is held back before it is
+/// first probed. A sound part that was always beside the one that crashes
+/// endpoints is free after it.
 inline constexpr milliseconds kPartHoldTime{4000};
 /// Factor on that time after each probe that didn't succeed.
 inline constexpr int kPartHoldFactor = 8;
 /// Probes after which that time doesn't rise further.
 inline constexpr std::uint32_t kMaxPartHoldSteps = 3;
-/// Each probe of a part is another node's turn for so long. In the second half
+/// Each of these probes is another node's turn for so long. In the second half
 /// of a turn nothing is sent, so that all hear of a crash before the next.
 inline constexpr milliseconds kPartProbeTurn{2000};
 /// An endpoint that goes on with an answer for so long after its first event
@@ -175,9 +180,10 @@
   /// Last crash of a hold that ended because crashes were none; default: there
   /// was no such hold.
   Time released{};
-  /// A part is held back although it had succeeded before its crashes.
+  /// It is held back although it had succeeded before its crashes.
   bool held_despite_success = false;
-  /// Probes of a held part that didn't succeed so far.
+  /// Probes since then that didn't succeed so far, unless it is a request that
+  /// hadn't succeeded.
   std::uint32_t failed_probes = 0;
   Time probed_at{};  ///< When this node last sent it as a probe.
   Time changed{};    ///< Last change that peers may not know yet.
@@ -255,7 +261,8 @@
                            const std::vector<std::uint64_t>& keys,
                            const FleetSnapshot& fleet, Time now);
 /// Records that this node sends the request, or one with the part. A probe of a
-/// part counts as failed until it succeeds: its crash may look like an answer.
+/// part, or of a request that had succeeded, counts as failed until it
+/// succeeds: its crash may look like an answer.
 void OnSuspectSent(Suspects& suspects, std::uint64_t key, Time now);
 /// Records that the endpoint turned away what this node sent at `sent`, so that
 /// it was no probe.
--- a/routing/src/suspect_evidence.cc
+++ b/routing/src/suspect_evidence.cc
@@ -7,13 +7,6 @@
 
 using namespace std::chrono_literals;
 
-bool RequestCrashesEndpoints(const Suspect& suspect) {
-  const std::size_t in_turn = CountCrashesInTurn(suspect);
-  if (in_turn >= kMaxCrashes) return true;
-  return in_turn > 1 && suspect.breaks.size() >= kMaxCrashesOfCopies &&
-         !SucceededOfLate(suspect);
-}
-
 std::size_t CountRequests(const Suspect& suspect) {
   std::vector<std::uint32_t> requests;
   for (const Break& known : suspect.breaks) {
@@ -35,17 +28,34 @@
          static_cast<std::size_t>(crashes);
 }
 
+// Returns true if the crashes of a suspect that succeeded not long before them
+// are more than endpoints that end for another cause explain. Attempts that run
+// where an endpoint ends meet its end by chance, but of one that is sound
+// others succeed meanwhile.
+bool CrashesDespiteSuccess(const Suspects& suspects, const Suspect& suspect) {
+  const auto& breaks = suspect.breaks;
+  return breaks.size() >= kMaxCrashesDespiteSuccess &&
+         breaks.back().broke - breaks.front().broke >= kMinProvenCrashTime &&
+         WasAtEnoughCrashes(suspects, suspect);
+}
+
+bool RequestCrashesEndpoints(const Suspects& suspects, const Suspect& suspect) {
+  const std::size_t in_turn = CountCrashesInTurn(suspect);
+  if (SucceededOfLate(suspect))
+    return in_turn > 1 && CrashesDespiteSuccess(suspects, suspect);
+  if (in_turn >= kMaxCrashes) return true;
+  return in_turn > 1 && suspect.breaks.size() >= kMaxCrashesOfCopies;
+}
+
 // Requests with the part run side by side everywhere, so that the order of
 // their crashes says nothing.
 bool PartCrashesEndpoints(const Suspects& suspects, const Suspect& suspect) {
   const auto& breaks = suspect.breaks;
   if (CountRequests(suspect) < kMinRequestsOfPart) return false;
   if (breaks.size() < kMaxCrashes) return false;
-  const auto lasted = breaks.back().broke - breaks.front().broke;
+  if (HasSucceeded(suspect)) return CrashesDespiteSuccess(suspects, suspect);
   // Endpoints that lose power together break all at once.
-  if (!HasSucceeded(suspect)) return lasted >= kMinCrashGap;
-  return breaks.size() >= kMaxCrashesOfProvenPart &&
-         lasted >= kMinProvenCrashTime && WasAtEnoughCrashes(suspects, suspect);
+  return breaks.back().broke - breaks.front().broke >= kMinCrashGap;
 }
 
 }  // namespace
@@ -72,16 +82,27 @@
   return crashes;
 }
 
-bool SucceededOfLate(const Suspect& suspect) {
+bool SucceededBefore(const Suspect& suspect, Time crash) {
   return suspect.cleared != Time{} &&
-         suspect.breaks.back().broke - suspect.cleared < kSuspectRetention;
+         crash - suspect.cleared < kSuspectRetention;
+}
+
+bool SucceededOfLate(const Suspect& suspect) {
+  const Time last =
+      suspect.breaks.empty() ? suspect.held_since : suspect.breaks.back().broke;
+  return SucceededBefore(suspect, last);
+}
+
+bool NeedsMoreCrashes(std::uint64_t key, const Suspect& suspect) {
+  return KindOf(key) == SuspectKind::kPart ? HasSucceeded(suspect)
+                                           : SucceededOfLate(suspect);
 }
 
 bool CrashesEndpoints(const Suspects& suspects, std::uint64_t key,
                       const Suspect& suspect) {
   return KindOf(key) == SuspectKind::kPart
              ? PartCrashesEndpoints(suspects, suspect)
-             : RequestCrashesEndpoints(suspect);
+             : RequestCrashesEndpoints(suspects, suspect);
 }
 
 }  // namespace egretladder::routing
--- a/routing/src/suspects.cc
+++ b/routing/src/suspects.cc
@@ -18,15 +18,26 @@
 
 constexpr std::uint64_t kPartBit = std::uint64_t{1} << 63U;
 
-// Returns how long the suspect is held back after `held_since`.
-milliseconds HoldTimeOf(std::uint64_t key, std::uint32_t failed_probes) {
-  if (KindOf(key) == SuspectKind::kRequest) return kSuspectHoldTime;
+// Returns true if the suspect may be sound although it is held back: it is
+// probed soon, and more rarely after each probe that fails.
+bool IsProbedSoon(std::uint64_t key, bool held_despite_success) {
+  return KindOf(key) == SuspectKind::kPart || held_despite_success;
+}
+
+milliseconds HoldTimeAfter(std::uint32_t failed_probes) {
   milliseconds time = kPartHoldTime;
   for (std::uint32_t i = 0; i < std::min(failed_probes, kMaxPartHoldSteps); ++i)
     time *= kPartHoldFactor;
   return time;
 }
 
+// Returns how long the suspect is held back after `held_since`.
+milliseconds HoldTimeOf(std::uint64_t key, const Suspect& suspect) {
+  return IsProbedSoon(key, suspect.held_despite_success)
+             ? HoldTimeAfter(suspect.failed_probes)
+             : kSuspectHoldTime;
+}
+
 Time LastChange(const Suspect& suspect) {
   Time latest =
       std::max({suspect.cleared, suspect.held_since, suspect.released});
@@ -112,7 +123,8 @@
 void UpdateHold(const Suspects& suspects, std::uint64_t key, Suspect& suspect) {
   if (suspect.breaks.empty()) return;
   if (!IsHeld(suspect) && !CrashesEndpoints(suspects, key, suspect)) return;
-  if (!IsHeld(suspect)) suspect.held_despite_success = HasSucceeded(suspect);
+  if (!IsHeld(suspect))
+    suspect.held_despite_success = NeedsMoreCrashes(key, suspect);
   suspect.held_since =
       std::max(suspect.held_since, suspect.breaks.back().broke);
 }
@@ -269,12 +281,12 @@
   return true;
 }
 
-// A part is held back after few crashes if it isn't known to have succeeded.
-// Once it is, more are needed.
+// The suspect is held back after few crashes if it isn't known to have
+// succeeded. Once it is, more are needed.
 void DropUnsureHold(const Suspects& suspects, std::uint64_t key,
                     Suspect& suspect) {
-  if (KindOf(key) == SuspectKind::kRequest || !HasSucceeded(suspect) ||
-      suspect.held_despite_success)
+  if (!IsHeld(suspect) || suspect.held_despite_success ||
+      !NeedsMoreCrashes(key, suspect))
     return;
   suspect.held_despite_success = CrashesEndpoints(suspects, key, suspect);
   if (!suspect.held_despite_success) suspect.held_since = {};
@@ -312,8 +324,10 @@
                    Time held_since) {
   if (IsExcused(suspect, held_since)) return true;
   if (!IsHeld(suspect) && IsReleased(suspect, held_since)) return true;
-  return KindOf(gossip.key) == SuspectKind::kPart && HasSucceeded(suspect) &&
-         !gossip.held_despite_success;
+  if (gossip.held_despite_success) return false;
+  return KindOf(gossip.key) == SuspectKind::kPart
+             ? HasSucceeded(suspect)
+             : SucceededBefore(suspect, held_since);
 }
 
 // Applies that a peer holds the suspect back. Returns true if that is news.
@@ -346,8 +360,8 @@
                       });
 }
 
-// Returns true if it is this node's turn to probe a part, `overdue` after the
-// end of its hold.
+// Returns true if it is this node's turn to probe, `overdue` after the end of
+// the hold.
 bool IsTurnToProbe(std::uint64_t key, const FleetSnapshot& fleet,
                    milliseconds overdue) {
   const auto turn = static_cast<std::uint64_t>(overdue / kPartProbeTurn);
@@ -435,7 +449,7 @@
                                Time now) {
   const auto at = suspects.by_key.find(key);
   if (at == suspects.by_key.end() || !IsHeld(at->second)) return {};
-  const milliseconds hold_time = HoldTimeOf(key, at->second.failed_probes);
+  const milliseconds hold_time = HoldTimeOf(key, at->second);
   return std::max(milliseconds(0), hold_time - Age(at->second.held_since, now));
 }
 
@@ -456,10 +470,11 @@
   if (!IsProbed(suspects, key, now)) return {};
   const Suspect& suspect = suspects.by_key.at(key);
   const milliseconds overdue =
-      Age(suspect.held_since, now) - HoldTimeOf(key, suspect.failed_probes);
-  const bool may_probe = KindOf(key) == SuspectKind::kPart
-                             ? IsTurnToProbe(key, fleet, overdue)
-                             : IsProbingNode(fleet, key);
+      Age(suspect.held_since, now) - HoldTimeOf(key, suspect);
+  const bool may_probe =
+      IsHeld(suspect) && IsProbedSoon(key, suspect.held_despite_success)
+          ? IsTurnToProbe(key, fleet, overdue)
+          : IsProbingNode(fleet, key);
   if (!may_probe) return kSuspectProbeInterval;
   return std::max(milliseconds(0),
                   kSuspectProbeInterval - Age(suspect.probed_at, now));
@@ -482,7 +497,8 @@
   const auto at = suspects.by_key.find(key);
   if (at == suspects.by_key.end()) return;
   Suspect& suspect = at->second;
-  if (KindOf(key) == SuspectKind::kPart && IsProbed(suspects, key, now)) {
+  if (IsHeld(suspect) && IsProbedSoon(key, suspect.held_despite_success) &&
+      IsProbed(suspects, key, now)) {
     ++suspect.failed_probes;
     suspect.held_since = now;
     suspect.changed = now;
@@ -492,12 +508,14 @@
 
 void OnProbeNotRun(Suspects& suspects, std::uint64_t key, Time sent) {
   const auto at = suspects.by_key.find(key);
-  if (at == suspects.by_key.end() || KindOf(key) != SuspectKind::kPart) return;
+  if (at == suspects.by_key.end() ||
+      !IsProbedSoon(key, at->second.held_despite_success))
+    return;
   Suspect& suspect = at->second;
   const bool is_probe = suspect.probed_at == sent && suspect.held_since == sent;
   if (!is_probe || suspect.failed_probes == 0) return;
   --suspect.failed_probes;
-  suspect.held_since = sent - HoldTimeOf(key, suspect.failed_probes);
+  suspect.held_since = sent - HoldTimeOf(key, suspect);
 }
 
 SuspectView ViewOf(const Suspects& suspects, std::uint64_t key, Time now) {
@@ -549,9 +567,9 @@
   if (MergeRelease(suspects, gossip, suspect, now)) suspect.changed = now;
   DropUnsureHold(suspects, gossip.key, suspect);
   const milliseconds retention =
-      KindOf(gossip.key) == SuspectKind::kRequest
-          ? kSuspectRetention
-          : kSuspectRetention + HoldTimeOf(gossip.key, gossip.failed_probes);
+      IsProbedSoon(gossip.key, gossip.held_despite_success)
+          ? kSuspectRetention + HoldTimeAfter(gossip.failed_probes)
+          : kSuspectRetention;
   if (gossip.held_ago >= retention) return;
   const Time held_since = now - gossip.held_ago;
   // A peer that knows less is told of the success.
@@ -577,10 +595,10 @@
   }
   std::erase_if(suspects.by_key, [now](const auto& entry) {
     const auto& [key, suspect] = entry;
-    const bool is_held_part =
-        IsHeld(suspect) && KindOf(key) == SuspectKind::kPart;
+    const bool may_be_sound =
+        IsHeld(suspect) && IsProbedSoon(key, suspect.held_despite_success);
     const milliseconds hold_time =
-        is_held_part ? HoldTimeOf(key, suspect.failed_probes) : 0ms;
+        may_be_sound ? HoldTimeAfter(suspect.failed_probes) : 0ms;
     return now - LastChange(suspect) >= kSuspectRetention + hold_time;
   });
 }
--- a/routing/tests/suspects_fleet_test.cc
+++ b/routing/tests/suspects_fleet_test.cc
@@ -61,6 +61,10 @@
     std::erase_if(attempts_,
                   [node](const Attempt& a) { return a.node == node; });
   }
+  // A node takes an answer to the request for a success.
+  void SeemToSucceed(std::uint64_t request) {
+    er::OnRequestRan(nodes_.front(), request, now_);
+  }
   // Ends the endpoints [from, to) at once.
   void LosePower(std::size_t from, std::size_t to) {
     std::vector<std::size_t> lost;
@@ -323,3 +327,39 @@
     LONGS_EQUAL(refusals, fleet.refusals());
   }
 }
+
+// Guards against a body that all callers share and that is refused at all
+// nodes, since its endpoints were replaced one after the other.
+TEST(SuspectsFleet, APopularRequestIsServedWhileEndpointsAreReplaced) {
+  constexpr std::uint64_t kPopular = 7;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(3, 4, seed);
+    for (int i = 0; i < 60; ++i) {
+      fleet.SendCopies(2, kPopular);
+      if (i % 30 >= 20 && i % 2 == 0) {
+        const auto endpoint = static_cast<std::size_t>(i / 2 % 4);
+        fleet.LosePower(endpoint, endpoint + 1);
+      }
+      fleet.Run(100ms);
+    }
+    fleet.Run(kTimeToRestart);
+    const std::size_t refusals = fleet.refusals();
+    fleet.SendCopies(12, kPopular);
+    LONGS_EQUAL(refusals, fleet.refusals());
+  }
+}
+
+// Guards against an answer that looked like a success, once, of a request that
+// crashes endpoints.
+TEST(SuspectsFleet, CopiesOfWhichOneSeemedToSucceedAreHeld) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(7, 12, seed);
+    fleet.SetLoad(200);
+    for (int i = 0; i < 60; ++i) {
+      fleet.SendCopies(1);
+      if (i == 1) fleet.SeemToSucceed(kCrashing);
+      fleet.Run(130ms);
+    }
+    CheckHeld(fleet);
+  }
+}
--- a/routing/tests/suspects_test.cc
+++ b/routing/tests/suspects_test.cc
@@ -275,6 +275,88 @@
       er::RemainingHoldTime(other_node, kRequest, kStart + 700ms).count() > 0);
 }
 
+TEST_GROUP(PopularRequests) {
+  er::Suspects suspects;
+  er::FleetSnapshot fleet;
+  er::Time now = kStart;
+  std::uint64_t processes = 0;
+
+  void setup() override {
+    fleet.self = "n";
+    fleet.names = {"n"};
+    er::OnRequestRan(suspects, kRequest, now);
+    now += 1s;
+  }
+  // Another endpoint ends with an attempt that was sent after the end before.
+  void EndOneMore(er::Suspects & node, std::chrono::milliseconds later) {
+    now += later;
+    er::OnConnectionBroke(node, kRequest, {++processes, now - 100ms, now});
+  }
+  std::chrono::milliseconds TimeUntilSend(const er::Suspects& node) const {
+    return er::TimeUntilSend(node, {kRequest}, fleet, now);
+  }
+  void Tell(const er::Suspects& from, er::Suspects& to) const {
+    for (const auto& gossip :
+         er::MakeSuspectGossip(from, er::SuspectScope::kNews, now))
+      er::ApplySuspectGossip(to, gossip, now);
+  }
+};
+
+// Guards against a body that all callers share and that is refused, since some
+// endpoints were replaced one after the other.
+TEST(PopularRequests, AreServedWhileAFewEndpointsEndInTurn) {
+  for (int i = 0; i < 4; ++i) {
+    EndOneMore(suspects, 400ms);
+    CHECK(TimeUntilSend(suspects) == 0ms);
+  }
+}
+
+// Guards against many endpoints that end within a moment.
+TEST(PopularRequests, AreServedWhileManyEndpointsEndAtOnce) {
+  for (int i = 0; i < 9; ++i) {
+    EndOneMore(suspects, 110ms);
+    CHECK(TimeUntilSend(suspects) == 0ms);
+  }
+}
+
+// Guards against a request that begins to crash endpoints after it succeeded,
+// or that only seemed to succeed.
+TEST(PopularRequests, AreHeldAfterMoreCrashes) {
+  for (int i = 0; i < 5; ++i) EndOneMore(suspects, 400ms);
+  CHECK(TimeUntilSend(suspects) > 0ms);
+}
+
+// Guards against a node that knows of no success, since it has just started,
+// and holds the request back, and against peers that do so at its word.
+TEST(PopularRequests, APeerThatSawThemSucceedEndsTheHold) {
+  er::Suspects started;
+  for (int i = 0; i < 3; ++i) EndOneMore(started, 400ms);
+  CHECK(TimeUntilSend(started) > 0ms);
+  Tell(started, suspects);
+  CHECK(TimeUntilSend(suspects) == 0ms);
+  Tell(suspects, started);
+  CHECK(TimeUntilSend(started) == 0ms);
+}
+
+// Guards against a minute of refusals for a request that was held by chance.
+TEST(PopularRequests, AreProbedSoonAfterTheyWereHeld) {
+  for (int i = 0; i < 5; ++i) EndOneMore(suspects, 400ms);
+  now += er::kPartHoldTime;
+  CHECK(TimeUntilSend(suspects) == 0ms);
+  er::OnSuspectSent(suspects, kRequest, now);
+  CHECK(TimeUntilSend(suspects) > 20s);
+  er::OnRequestRan(suspects, kRequest, now);
+  CHECK(TimeUntilSend(suspects) == 0ms);
+}
+
+// Guards against a success of long ago that speaks for a request for ever.
+TEST(PopularRequests, ASuccessOfLongAgoCountsForNothing) {
+  now += er::kSuspectRetention;
+  er::ForgetSuspects(suspects, now);
+  for (int i = 0; i < 3; ++i) EndOneMore(suspects, 400ms);
+  CHECK(TimeUntilSend(suspects) > 50s);
+}
+
 TEST_GROUP(SuspectedParts) {
   static constexpr std::uint64_t kSound = 7;
   const std::uint64_t bad = er::KeyOfPart("models", 1);
