--- a/kernel/include/egretladder/kernel/loop.h
+++ b/kernel/include/egretladder/kernel/loop.h
@@ -4,8 +4,11 @@
 #include <event2/event.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <utility>
 
 #include "egretladder/kernel/time.h"
 
@@ -24,10 +27,25 @@
 /// Owns a libevent event, which is cancelled on destruction.
 using Event = std::unique_ptr<event, EventDeleter>;
 
+/// Timers that only `RunDueTimers` runs, by the clock of their loop. With them
+/// a test stands on a clock of its own, whatever else the machine does.
+struct ManualTimers {
+  struct Timer {
+    std::chrono::milliseconds period{};  ///< 0: it runs once.
+    std::function<void()> action;
+  };
+  /// By the time when they are due, then by a number, so that timers which are
+  /// due together run in the order in which they were set.
+  std::map<std::pair<Time, std::uint64_t>, Timer> by_due;
+  std::uint64_t next_number = 0;
+};
+
 /// The event loop of a process and the clock that its components share.
 struct Loop {
   EventBase base;
   Clock clock;
+  /// Takes all timers that are set from then on; null: libevent runs them.
+  std::shared_ptr<ManualTimers> manual_timers{};
 };
 
 /// Creates a loop that uses `SystemClock`.
@@ -35,6 +53,9 @@
 
 /// Dispatches events until `StopLoop` is called or no event is left.
 void RunLoop(Loop& loop);
+/// Runs the manual timers that are due, the earliest first. Returns how many
+/// ran.
+std::size_t RunDueTimers(Loop& loop);
 /// Makes `RunLoop` return after the callback that is running.
 void StopLoop(Loop& loop);
 
--- a/kernel/src/loop.cc
+++ b/kernel/src/loop.cc
@@ -6,8 +6,21 @@
 namespace egretladder::kernel {
 
 struct EventWatcher::State {
+  State() = default;
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+  ~State() {
+    if (manual_timers != nullptr)
+      std::erase_if(manual_timers->by_due, [this](const auto& entry) {
+        return entry.first.second == number;
+      });
+  }
+
   std::function<void()> action;
   Event ev;
+  // Set for a manual timer.
+  std::shared_ptr<ManualTimers> manual_timers;
+  std::uint64_t number = 0;
 };
 
 namespace {
@@ -35,6 +48,19 @@
   return state;
 }
 
+template <typename State>
+std::unique_ptr<State> AddManualTimer(Loop& loop,
+                                      std::chrono::milliseconds delay,
+                                      std::chrono::milliseconds period,
+                                      std::function<void()> action) {
+  auto state = std::make_unique<State>();
+  state->manual_timers = loop.manual_timers;
+  state->number = loop.manual_timers->next_number++;
+  loop.manual_timers->by_due[{Now(loop.clock) + delay, state->number}] = {
+      period, std::move(action)};
+  return state;
+}
+
 }  // namespace
 
 EventWatcher::EventWatcher() = default;
@@ -46,6 +72,29 @@
 
 void RunLoop(Loop& loop) { event_base_dispatch(loop.base.get()); }
 
+std::size_t RunDueTimers(Loop& loop) {
+  if (loop.manual_timers == nullptr) return 0;
+  auto& by_due = loop.manual_timers->by_due;
+  const Time now = Now(loop.clock);
+  // Those that the actions set run next time.
+  const std::uint64_t end = loop.manual_timers->next_number;
+  const auto is_due = [now, end](const auto& entry) {
+    return entry.first.first <= now && entry.first.second < end;
+  };
+  std::size_t count = 0;
+  for (; !by_due.empty() && is_due(*by_due.begin()); ++count) {
+    // The action may cancel its own timer.
+    auto node = by_due.extract(by_due.begin());
+    const auto action = node.mapped().action;
+    if (node.mapped().period.count() > 0) {
+      node.key().first += node.mapped().period;
+      by_due.insert(std::move(node));
+    }
+    action();
+  }
+  return count;
+}
+
 void StopLoop(Loop& loop) { event_base_loopbreak(loop.base.get()); }
 
 timeval ToTimeval(std::chrono::microseconds duration) {
@@ -58,8 +107,13 @@
 
 EventWatcher RunEvery(Loop& loop, std::chrono::milliseconds period,
                       std::function<void()> action) {
-  const timeval interval = ToTimeval(period);
   EventWatcher watcher;
+  if (loop.manual_timers != nullptr) {
+    watcher.state_ = AddManualTimer<EventWatcher::State>(loop, period, period,
+                                                         std::move(action));
+    return watcher;
+  }
+  const timeval interval = ToTimeval(period);
   watcher.state_ = AddEvent<EventWatcher::State>(loop, -1, EV_PERSIST,
                                                  &interval, std::move(action));
   return watcher;
@@ -67,8 +121,13 @@
 
 EventWatcher RunAfter(Loop& loop, std::chrono::milliseconds delay,
                       std::function<void()> action) {
-  const timeval interval = ToTimeval(delay);
   EventWatcher watcher;
+  if (loop.manual_timers != nullptr) {
+    watcher.state_ = AddManualTimer<EventWatcher::State>(
+        loop, delay, std::chrono::milliseconds(0), std::move(action));
+    return watcher;
+  }
+  const timeval interval = ToTimeval(delay);
   watcher.state_ =
       AddEvent<EventWatcher::State>(loop, -1, 0, &interval, std::move(action));
   return watcher;
--- a/kernel/tests/kernel_test.cc
+++ b/kernel/tests/kernel_test.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -184,3 +185,55 @@
   ek::RunLoop(loop);
   CHECK_FALSE(fired);
 }
+
+TEST_GROUP(ManualTimers) {
+  ek::ManualClock clock;
+  ek::Loop loop = ek::CreateLoop();
+  std::string ran;
+
+  void setup() override {
+    loop.clock = ek::ClockOf(clock);
+    loop.manual_timers = std::make_shared<ek::ManualTimers>();
+  }
+  std::string RunAfter(std::chrono::milliseconds time) {
+    ran.clear();
+    ek::Advance(clock, time);
+    ek::RunDueTimers(loop);
+    return ran;
+  }
+};
+
+// Guards against timers that run early, out of turn or twice.
+TEST(ManualTimers, RunWhenTheyAreDueInTurn) {
+  const auto late = ek::RunAfter(loop, 30ms, [this] { ran += 'l'; });
+  const auto early = ek::RunAfter(loop, 20ms, [this] { ran += 'e'; });
+  const auto again = ek::RunEvery(loop, 20ms, [this] { ran += 'a'; });
+  STRCMP_EQUAL("", RunAfter(19ms).c_str());
+  STRCMP_EQUAL("eal", RunAfter(11ms).c_str());
+  STRCMP_EQUAL("aa", RunAfter(30ms).c_str());
+}
+
+// Guards against timers of objects that are gone, also of one that is cancelled
+// by its own action.
+TEST(ManualTimers, DestroyedOnesNeverRun) {
+  {
+    const auto gone = ek::RunAfter(loop, 1ms, [this] { ran += 'g'; });
+  }
+  ek::EventWatcher once;
+  once = ek::RunEvery(loop, 10ms, [this, &once] {
+    ran += 'o';
+    once = {};
+  });
+  STRCMP_EQUAL("o", RunAfter(50ms).c_str());
+}
+
+// Guards against an action that sets its timer again and never lets others run.
+TEST(ManualTimers, ThoseThatAreSetMeanwhileRunNextTime) {
+  ek::EventWatcher next;
+  const auto first = ek::RunAfter(loop, 0ms, [this, &next] {
+    ran += 'f';
+    next = ek::RunAfter(loop, 0ms, [this] { ran += 'n'; });
+  });
+  STRCMP_EQUAL("f", RunAfter(0ms).c_str());
+  STRCMP_EQUAL("n", RunAfter(0ms).c_str());
+}
