Tell peers of removals that a list of the store doesn't name

Some never learned of the removal.

Cause: a node that lists the store without having known anything has no tombstone for what was removed before. It announced the list's revision as "all changes known", with the newest entry of the list as its last change. Peers took that revision up without asking, or fetched the changes after their own, without the removal, and believed that they knew all.

Ruled out: nodes that read late or a watch that hung (those concerned had newer changes within 0.9 s, from peers); that only nodes that have just started are concerned (11 of the 24 that lived on never learned of it, and had changes 79 to 81 in one answer without 78).

A node now remembers up to which revision it may lack removals, counts that as its last change, and names all keys to a peer that knows less: items that the peer has are named, not sent. Where a node has its list from a peer, it takes that peer's last change, so that a start in a fleet that runs makes nobody ask. Both feeds use it: a zone that is back is a removal as well.

--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -183,6 +183,14 @@
   storeTroubled @4 :Bool;
   # As in `Progress`.
   era @5 :UInt64;
+  # Items that neither `items` nor `keptKeys` names are removed. Those of
+  # `keptKeys` are as the receiver knows them.
+  namesAllKeys @6 :Bool;
+  keptKeys @7 :List(Text);
+  # Of a list of all items or keys: as in `Progress`; 0: not known.
+  changed @8 :UInt64;
+  # The sender may lack removals up to this revision.
+  unseenRevision @9 :UInt64;
 }
 
 struct Item {
--- a/proxy/src/gossip_codec.cc
+++ b/proxy/src/gossip_codec.cc
@@ -77,6 +77,13 @@
     items[i].setRev(item.rev);
     items[i].setRemoved(item.removed);
   }
+  builder.setNamesAllKeys(changes.names_all_keys);
+  auto kept_keys =
+      builder.initKeptKeys(static_cast<unsigned>(changes.kept_keys.size()));
+  for (unsigned i = 0; i < kept_keys.size(); ++i)
+    kept_keys.set(i, changes.kept_keys[i]);
+  builder.setChanged(changes.changed);
+  builder.setUnseenRevision(changes.unseen_revision);
 }
 
 routing::Changes ReadChanges(exchange::Changes::Reader reader) {
@@ -93,6 +100,11 @@
                      value.size()),
          item.getRev(), item.getRemoved()});
   }
+  changes.names_all_keys = reader.getNamesAllKeys();
+  for (const auto key : reader.getKeptKeys())
+    changes.kept_keys.emplace_back(key.cStr(), key.size());
+  changes.changed = reader.getChanged();
+  changes.unseen_revision = reader.getUnseenRevision();
   return changes;
 }
 
--- a/proxy/tests/gossip_codec_test.cc
+++ b/proxy/tests/gossip_codec_test.cc
@@ -45,6 +45,18 @@
   CHECK(delta.changes.items[0].removed);
 }
 
+// Guards against removals before a list that are lost between nodes.
+TEST(GossipCodec, KeysThatAreKeptCanBeUnpacked) {
+  const auto received =
+      ep::UnpackChanges(PackEndpointChanges(5), er::Feed::kEndpoints).value();
+  CHECK_FALSE(received.changes.whole);
+  CHECK(received.changes.names_all_keys);
+  LONGS_EQUAL(1, received.changes.kept_keys.size());
+  STRCMP_EQUAL("a", received.changes.kept_keys[0].c_str());
+  LONGS_EQUAL(8, received.changes.changed);
+  LONGS_EQUAL(7, received.changes.unseen_revision);
+}
+
 // Guards against input from a peer that ends the process or is applied to the
 // wrong feed.
 TEST(GossipCodec, InvalidMessageIsRejected) {
--- a/routing/include/egretladder/routing/catalog.h
+++ b/routing/include/egretladder/routing/catalog.h
@@ -74,6 +74,9 @@
   /// Tombstones up to this revision may be pruned: a peer that knows less needs
   /// a complete list.
   std::uint64_t pruned_revision = 0;
+  /// Removals up to this revision may be unknown: a list names what is there,
+  /// not what left. A peer that knows less must be told all keys.
+  std::uint64_t unseen_revision = 0;
 };
 
 /// The state of all feeds.
@@ -91,6 +94,14 @@
   std::uint64_t revision = 0;  ///< The feed's revision after these changes.
   std::vector<Item> items;
   StoreEra era = 0;
+  /// Known items that neither `items` nor `kept_keys` names are removed,
+  /// without being a complete list: the items of `kept_keys` are as they were.
+  bool names_all_keys = false;
+  std::vector<std::string> kept_keys;
+  /// Revision of the last change, of a peer's list; 0: not known.
+  std::uint64_t changed = 0;
+  /// The sender's `FeedState::unseen_revision`, if all keys are named.
+  std::uint64_t unseen_revision = 0;
 };
 
 /// Applies changes from a watch, a complete list or a peer. Returns the items
@@ -106,7 +117,8 @@
 std::size_t CountOlderItems(const Catalog& catalog, const Changes& changes);
 
 /// Returns the changes that a peer lacks which knows the feed up to `revision`.
-/// If it lacks nothing, the result has no items and the feed's revision.
+/// If it lacks nothing, the result has no items and the feed's revision. If it
+/// may know items whose removal isn't known here, all keys are named.
 Changes ChangesSince(const Catalog& catalog, Feed feed, std::uint64_t revision);
 
 /// Returns a peer's progress with the era in which its revisions count here,
--- a/routing/src/catalog.cc
+++ b/routing/src/catalog.cc
@@ -58,12 +58,13 @@
   return changed_items;
 }
 
-// Removes the items that a complete list doesn't contain. Items with a version
-// stay: another version has to replace them.
+// Removes the items that a list of all items or keys doesn't name. Items with a
+// version stay: another version has to replace them.
 std::vector<Item> RemoveMissing(FeedState& feed, const Changes& changes,
                                 Time now) {
   std::set<std::string_view> listed_keys;
   for (const Item& item : changes.items) listed_keys.insert(item.key);
+  listed_keys.insert(changes.kept_keys.begin(), changes.kept_keys.end());
   std::vector<Item> removed_items;
   for (const auto& [key, item] : feed.items) {
     if (item.removed || item.rev > changes.revision || item.version > 0 ||
@@ -80,6 +81,18 @@
   return removed_items;
 }
 
+// Keeps in mind that a list doesn't name what was removed since `known`. Peers
+// may know such items, and nothing that is kept here tells them of the removal.
+void NoteUnseenRemovals(FeedState& feed, const Changes& changes,
+                        std::uint64_t known) {
+  const std::uint64_t unseen =
+      changes.names_all_keys ? changes.unseen_revision : changes.revision;
+  if (known >= unseen) return;
+  feed.unseen_revision = std::max(feed.unseen_revision, unseen);
+  const std::uint64_t changed = changes.changed > 0 ? changes.changed : unseen;
+  feed.changed = std::max(feed.changed, changed);
+}
+
 // Begins a new era: what is known is older than anything that the list says.
 void ForgetRevisions(FeedState& feed, const Changes& list) {
   std::erase_if(feed.items,
@@ -90,6 +103,7 @@
   feed.era = list.era;
   feed.revision = 0;
   feed.changed = 0;
+  feed.unseen_revision = 0;
   // Peers that read an earlier list of this era may know items that this one
   // no longer has.
   feed.pruned_revision = list.revision;
@@ -143,7 +157,8 @@
     if (ApplyItem(feed, item, now) && !unchanged_keys.contains(item.key))
       changed_items.push_back(item);
   }
-  if (changes.whole) {
+  if (changes.whole || changes.names_all_keys) {
+    NoteUnseenRemovals(feed, changes, feed.revision);
     auto removed_items = RemoveMissing(feed, changes, now);
     std::move(removed_items.begin(), removed_items.end(),
               std::back_inserter(changed_items));
@@ -173,9 +188,16 @@
   changes.era = state.era;
   if (revision >= state.revision) return changes;
   changes.whole = revision < state.pruned_revision || revision == 0;
+  changes.names_all_keys = !changes.whole && revision < state.unseen_revision;
+  if (changes.whole || changes.names_all_keys) {
+    changes.changed = state.changed;
+    changes.unseen_revision = state.unseen_revision;
+  }
   for (const auto& [key, item] : state.items) {
     if (changes.whole ? !item.removed : item.rev > revision) {
       changes.items.push_back(item);
+    } else if (changes.names_all_keys && !item.removed) {
+      changes.kept_keys.push_back(key);
     }
   }
   return changes;
--- a/routing/tests/catalog_test.cc
+++ b/routing/tests/catalog_test.cc
@@ -94,6 +94,115 @@
   CHECK(changed[0].removed);
 }
 
+// Guards against a node that takes up the revision of one that has just listed
+// the store, and with it a removal that the list doesn't tell: it would go on
+// sending to an endpoint that has left.
+TEST(Catalog, ARemovalThatAListDoesNotTellIsNews) {
+  er::Catalog ours;
+  er::Catalog started;
+  const auto feed = er::Feed::kEndpoints;
+  er::Apply(ours, MakeList(5, {{"a", "1", 3}, {"b", "1", 4}}), kStart);
+  er::Apply(started, MakeList(9, {{"b", "1", 4}}), kStart);
+  const er::FeedProgress theirs = er::GetFeedProgress(started, feed);
+  CHECK(er::ApplyPeerProgress(ours, feed, theirs));
+  LONGS_EQUAL(5, er::GetFeedProgress(ours, feed).known);
+  const auto changed = er::Apply(
+      ours, er::ChangesSince(started, feed, er::FetchAfter(ours, feed, theirs)),
+      kStart);
+  LONGS_EQUAL(1, changed.size());
+  STRCMP_EQUAL("a", changed[0].key.c_str());
+  CHECK(changed[0].removed);
+  LONGS_EQUAL(9, er::GetFeedProgress(ours, feed).known);
+}
+
+// Guards against the changes after a list that are passed on without the
+// removals before it, also by a node that has that list from a peer. Items that
+// the receiver has are named, not sent.
+TEST(Catalog, ChangesAfterAListBringTheRemovalsBeforeIt) {
+  const auto feed = er::Feed::kEndpoints;
+  er::Catalog listed;
+  er::Apply(listed, MakeList(9, {{"b", "1", 4}}), kStart);
+  er::Catalog relay;
+  er::Apply(relay, er::ChangesSince(listed, feed, 0), kStart);
+  for (er::Catalog* source : {&listed, &relay}) {
+    er::Apply(*source, MakeWatch(12, {{"c", "1", 11}}), kStart);
+    er::Catalog ours;
+    er::Apply(ours, MakeList(5, {{"a", "1", 3}, {"b", "1", 4}}), kStart);
+    const er::Changes lacking = er::ChangesSince(*source, feed, 5);
+    CHECK_FALSE(lacking.whole);
+    LONGS_EQUAL(1, lacking.items.size());
+    LONGS_EQUAL(2, er::Apply(ours, lacking, kStart).size());
+    const auto& items = er::GetFeedState(ours, feed).items;
+    CHECK(items.at("a").removed);
+    CHECK_FALSE(items.at("b").removed);
+    STRCMP_EQUAL("1", items.at("b").value.c_str());
+    CHECK_FALSE(items.at("c").removed);
+  }
+}
+
+// The same through a node that was there before the list, and lacks what came
+// and went between its own revision and the list.
+TEST(Catalog, ANodeThatWasToldAllKeysPassesThemOn) {
+  const auto feed = er::Feed::kEndpoints;
+  er::Catalog listed;
+  er::Apply(listed, MakeList(9, {{"b", "1", 4}}), kStart);
+  er::Catalog behind;
+  er::Apply(behind, MakeList(5, {{"b", "1", 4}}), kStart);
+  er::Apply(behind, er::ChangesSince(listed, feed, 5), kStart);
+  er::Catalog ours;
+  er::Apply(ours, MakeList(7, {{"b", "1", 4}, {"d", "1", 6}}), kStart);
+  er::Apply(ours, er::ChangesSince(behind, feed, 7), kStart);
+  CHECK(er::GetFeedState(ours, feed).items.at("d").removed);
+}
+
+// Guards against naming all keys for longer than there are peers that know less
+// than the list: a large fleet's keys are large.
+TEST(Catalog, PeersThatKnowTheListGetChangesAlone) {
+  const auto feed = er::Feed::kEndpoints;
+  er::Catalog listed;
+  er::Apply(listed, MakeList(9, {{"b", "1", 4}}), kStart);
+  er::Catalog told;
+  er::Apply(told, MakeList(5, {{"b", "1", 4}}), kStart);
+  er::Apply(listed, MakeWatch(12, {{"c", "1", 12}}), kStart);
+  er::Apply(told, er::ChangesSince(listed, feed, 5), kStart);
+  for (const er::Catalog* source : {&listed, &told}) {
+    const er::Changes lacking = er::ChangesSince(*source, feed, 9);
+    CHECK_FALSE(lacking.whole);
+    CHECK_FALSE(lacking.names_all_keys);
+    LONGS_EQUAL(1, lacking.items.size());
+  }
+}
+
+// Guards against each node that starts in a running fleet making the others
+// fetch what they have.
+TEST(Catalog, ANodeThatStartsFromAPeerAnnouncesNoNews) {
+  const auto feed = er::Feed::kEndpoints;
+  er::Catalog reader;
+  er::Apply(reader, MakeList(5, {{"a", "1", 3}}), kStart);
+  er::Catalog other;
+  er::Apply(other, er::ChangesSince(reader, feed, 0), kStart);
+  er::Apply(reader, MakeWatch(9, {}), kStart);
+  er::Catalog started;
+  er::Apply(started, er::ChangesSince(reader, feed, 0), kStart);
+  CHECK_FALSE(
+      er::ApplyPeerProgress(other, feed, er::GetFeedProgress(started, feed)));
+  LONGS_EQUAL(9, er::GetFeedProgress(other, feed).known);
+}
+
+// Guards against keys of a restored store that are taken for what this node
+// knew before.
+TEST(Catalog, KeysOfALaterEraHaveNoEffect) {
+  const auto feed = er::Feed::kEndpoints;
+  er::Catalog catalog;
+  er::Apply(catalog, OfEra(2, MakeList(5, {{"a", "1", 3}})), kStart);
+  er::Changes keys = OfEra(3, MakeWatch(9, {}));
+  keys.names_all_keys = true;
+  keys.unseen_revision = 9;
+  CHECK(er::Apply(catalog, keys, kStart).empty());
+  CHECK_FALSE(er::GetFeedState(catalog, feed).items.at("a").removed);
+  LONGS_EQUAL(2, er::GetFeedState(catalog, feed).era);
+}
+
 // Guards against requesting changes from a peer that has a later revision
 // without later changes.
 TEST(Catalog, APeerThatKnowsNoNewChangeIsNotAsked) {
