Test that a fleet that starts during a removal learns of it

Red on the catalog before (a node keeps the entry), green now; fewer answers name all keys than there are nodes.

--- a/routing/tests/catalog_test.cc
+++ b/routing/tests/catalog_test.cc
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <random>
+#include <vector>
+
 using namespace std::chrono_literals;
 namespace er = egretladder::routing;
 
@@ -21,6 +24,47 @@
   return changes;
 }
 
+constexpr er::Feed kEndpoints = er::Feed::kEndpoints;
+
+// Four in ten nodes know what was there before a removal, the others start and
+// list the store after it or ask a peer. One node watches the store.
+std::vector<er::Catalog> FleetThatStartsDuringARemoval(std::size_t nodes) {
+  std::vector<er::Catalog> fleet(nodes);
+  for (std::size_t i = 0; i < nodes; ++i) {
+    if (i % 5 < 2) {
+      er::Apply(fleet[i], MakeList(5, {{"a", "1", 3}, {"b", "1", 4}}), kStart);
+    } else if (i % 5 < 4) {
+      er::Apply(fleet[i], MakeList(9, {{"b", "1", 4}, {"c", "1", 9}}), kStart);
+    }
+  }
+  er::Apply(fleet[0], MakeWatch(9, {{"a", "", 8, true}, {"c", "1", 9}}),
+            kStart);
+  return fleet;
+}
+
+// Each node asks one other for what it lacks. Returns how many were told all
+// keys.
+std::size_t ExchangeOnce(std::vector<er::Catalog>& fleet,
+                         std::mt19937& random) {
+  std::size_t told_all_keys = 0;
+  for (er::Catalog& node : fleet) {
+    const er::Catalog& peer = fleet[random() % fleet.size()];
+    const er::FeedProgress progress = er::GetFeedProgress(peer, kEndpoints);
+    if (!er::ApplyPeerProgress(node, kEndpoints, progress)) continue;
+    const er::Changes changes = er::ChangesSince(
+        peer, kEndpoints, er::FetchAfter(node, kEndpoints, progress));
+    if (changes.names_all_keys) ++told_all_keys;
+    er::Apply(node, changes, kStart);
+  }
+  return told_all_keys;
+}
+
+bool Knows(const er::Catalog& node, const char* key) {
+  const auto& items = er::GetFeedState(node, kEndpoints).items;
+  const auto at = items.find(key);
+  return at != items.end() && !at->second.removed;
+}
+
 }  // namespace
 
 TEST_GROUP(Catalog){};
@@ -155,6 +199,28 @@
   CHECK(er::GetFeedState(ours, feed).items.at("d").removed);
 }
 
+// Guards against a removal that is lost for some nodes of a fleet of which most
+// start at that moment, while further changes come, and against naming all keys
+// to most nodes more than once.
+TEST(Catalog, AFleetThatStartsDuringARemovalLearnsOfIt) {
+  for (const std::size_t nodes : {std::size_t{7}, std::size_t{585}}) {
+    std::mt19937 random(1);
+    auto fleet = FleetThatStartsDuringARemoval(nodes);
+    std::size_t told_all_keys = 0;
+    constexpr std::uint64_t kRounds = 20;
+    for (std::uint64_t round = 0; round < kRounds; ++round) {
+      er::Apply(fleet[0], MakeWatch(10 + round, {{"d", "1", 10 + round}}),
+                kStart);
+      told_all_keys += ExchangeOnce(fleet, random);
+    }
+    for (const er::Catalog& node : fleet) {
+      CHECK_FALSE(Knows(node, "a"));
+      CHECK(Knows(node, "b") && Knows(node, "c") && Knows(node, "d"));
+    }
+    CHECK(told_all_keys < nodes);
+  }
+}
+
 // Guards against naming all keys for longer than there are peers that know less
 // than the list: a large fleet's keys are large.
 TEST(Catalog, PeersThatKnowTheListGetChangesAlone) {
