--- a/routing/tests/catalog_test.cc
+++ b/routing/tests/catalog_test.cc
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <random>
+#include <vector>
+
 using namespace std::chrono_literals;
 namespace er = egretladder::routing;
 
@@ -21,6 +24,47 @@
   return changes;
 }
 
+constexpr er::Feed kEndpoints = er::Feed::kEndpoints;
+
+// Four in ten nodes know what was there before a removal, the others start and
+// list the store after it or ask a peer. One node watches the store.
+std::vector<er::Catalog> FleetThatStartsDuringARemoval(std::size_t nodes) {
+  std::vector<er::Catalog> fleet(nodes);
+  for (std::size_t i = 0; i < nodes; ++i) {
+    if (i % 5 < 2) {
+      er::Apply(fleet[i], MakeList(5, {{"a", "1", 3}, {"b", "1", 4}}), kStart);
+    } else if (i % 5 < 4) {
+      er::Apply(fleet[i], MakeList(9, {{"b", "1", 4}, {"c", "1", 9}}), kStart);
+    }
+  }
+  er::Apply(fleet[0], MakeWatch(9, {{"a", "", 8, true}, {"c", "1", 9}}),
+            kStart);
+  return fleet;
+}
+
+// Each node asks one other for what it lacks. Returns how many were told all
+// keys.
+std::size_t ExchangeOnce(std::vector<er::Catalog>& fleet,
+                         std::mt19937& random) {
+  std::size_t told_all_keys = 0;
+  for (er::Catalog& node : fleet) {
+    const er::Catalog& peer = fleet[random() % fleet.size()];
+    const er::FeedProgress progress = er::GetFeedProgress(peer, kEndpoints);
+    if (!er::ApplyPeerProgress(node, kEndpoints, progress)) continue;
+    const er::Changes changes = er::ChangesSince(
+        peer, kEndpoints, er::FetchAfter(node, kEndpoints, progress));
+    if (changes.names_all_keys) ++told_all_keys;
+    er::Apply(node, changes, kStart);
+  }
+  return told_all_keys;
+}
+
+bool Knows(const er::Catalog& node, const char* key) {
+  const auto& items = er::GetFeedState(node, kEndpoints).items;
+  const auto at = items.find(key);
+  return at != items.end() && !at->second.removed;
+}
+
 }  // namespace
 
 TEST_GROUP(Catalog){};
@@ -94,6 +138,137 @@
   CHECK(changed[0].removed);
 }
 
+// Guards against a node that takes up the revision of one that has just listed
+// the store, and with it a removal that the list doesn't tell: it would go on
+// sending to an endpoint that has left.
+TEST(Catalog, ARemovalThatAListDoesNotTellIsNews) {
+  er::Catalog ours;
+  er::Catalog started;
+  const auto feed = er::Feed::kEndpoints;
+  er::Apply(ours, MakeList(5, {{"a", "1", 3}, {"b", "1", 4}}), kStart);
+  er::Apply(started, MakeList(9, {{"b", "1", 4}}), kStart);
+  const er::FeedProgress theirs = er::GetFeedProgress(started, feed);
+  CHECK(er::ApplyPeerProgress(ours, feed, theirs));
+  LONGS_EQUAL(5, er::GetFeedProgress(ours, feed).known);
+  const auto changed = er::Apply(
+      ours, er::ChangesSince(started, feed, er::FetchAfter(ours, feed, theirs)),
+      kStart);
+  LONGS_EQUAL(1, changed.size());
+  STRCMP_EQUAL("a", changed[0].key.c_str());
+  CHECK(changed[0].removed);
+  LONGS_EQUAL(9, er::GetFeedProgress(ours, feed).known);
+}
+
+// Guards against the changes after a list that are passed on without the
+// removals before it, also by a node that has that list from a peer. Items that
+// the receiver has are named, not sent.
+TEST(Catalog, ChangesAfterAListBringTheRemovalsBeforeIt) {
+  const auto feed = er::Feed::kEndpoints;
+  er::Catalog listed;
+  er::Apply(listed, MakeList(9, {{"b", "1", 4}}), kStart);
+  er::Catalog relay;
+  er::Apply(relay, er::ChangesSince(listed, feed, 0), kStart);
+  for (er::Catalog* source : {&listed, &relay}) {
+    er::Apply(*source, MakeWatch(12, {{"c", "1", 11}}), kStart);
+    er::Catalog ours;
+    er::Apply(ours, MakeList(5, {{"a", "1", 3}, {"b", "1", 4}}), kStart);
+    const er::Changes lacking = er::ChangesSince(*source, feed, 5);
+    CHECK_FALSE(lacking.whole);
+    LONGS_EQUAL(1, lacking.items.size());
+    LONGS_EQUAL(2, er::Apply(ours, lacking, kStart).size());
+    const auto& items = er::GetFeedState(ours, feed).items;
+    CHECK(items.at("a").removed);
+    CHECK_FALSE(items.at("b").removed);
+    STRCMP_EQUAL("1", items.at("b").value.c_str());
+    CHECK_FALSE(items.at("c").removed);
+  }
+}
+
+// The same through a node that was there before the list, and lacks what came
+// and went between its own revision and the list.
+TEST(Catalog, ANodeThatWasToldAllKeysPassesThemOn) {
+  const auto feed = er::Feed::kEndpoints;
+  er::Catalog listed;
+  er::Apply(listed, MakeList(9, {{"b", "1", 4}}), kStart);
+  er::Catalog behind;
+  er::Apply(behind, MakeList(5, {{"b", "1", 4}}), kStart);
+  er::Apply(behind, er::ChangesSince(listed, feed, 5), kStart);
+  er::Catalog ours;
+  er::Apply(ours, MakeList(7, {{"b", "1", 4}, {"d", "1", 6}}), kStart);
+  er::Apply(ours, er::ChangesSince(behind, feed, 7), kStart);
+  CHECK(er::GetFeedState(ours, feed).items.at("d").removed);
+}
+
+// Guards against a removal that is lost for some nodes of a fleet of which most
+// start at that moment, while further changes come, and against naming all keys
+// to most nodes more than once.
+TEST(Catalog, AFleetThatStartsDuringARemovalLearnsOfIt) {
+  for (const std::size_t nodes : {std::size_t{7}, std::size_t{585}}) {
+    std::mt19937 random(1);
+    auto fleet = FleetThatStartsDuringARemoval(nodes);
+    std::size_t told_all_keys = 0;
+    constexpr std::uint64_t kRounds = 20;
+    for (std::uint64_t round = 0; round < kRounds; ++round) {
+      er::Apply(fleet[0], MakeWatch(10 + round, {{"d", "1", 10 + round}}),
+                kStart);
+      told_all_keys += ExchangeOnce(fleet, random);
+    }
+    for (const er::Catalog& node : fleet) {
+      CHECK_FALSE(Knows(node, "a"));
+      CHECK(Knows(node, "b") && Knows(node, "c") && Knows(node, "d"));
+    }
+    CHECK(told_all_keys < nodes);
+  }
+}
+
+// Guards against naming all keys for longer than there are peers that know less
+// than the list: a large fleet's keys are large.
+TEST(Catalog, PeersThatKnowTheListGetChangesAlone) {
+  const auto feed = er::Feed::kEndpoints;
+  er::Catalog listed;
+  er::Apply(listed, MakeList(9, {{"b", "1", 4}}), kStart);
+  er::Catalog told;
+  er::Apply(told, MakeList(5, {{"b", "1", 4}}), kStart);
+  er::Apply(listed, MakeWatch(12, {{"c", "1", 12}}), kStart);
+  er::Apply(told, er::ChangesSince(listed, feed, 5), kStart);
+  for (const er::Catalog* source : {&listed, &told}) {
+    const er::Changes lacking = er::ChangesSince(*source, feed, 9);
+    CHECK_FALSE(lacking.whole);
+    CHECK_FALSE(lacking.names_all_keys);
+    LONGS_EQUAL(1, lacking.items.size());
+  }
+}
+
+// Guards against each node that starts in a running fleet making the others
+// fetch what they have.
+TEST(Catalog, ANodeThatStartsFromAPeerAnnouncesNoNews) {
+  const auto feed = er::Feed::kEndpoints;
+  er::Catalog reader;
+  er::Apply(reader, MakeList(5, {{"a", "1", 3}}), kStart);
+  er::Catalog other;
+  er::Apply(other, er::ChangesSince(reader, feed, 0), kStart);
+  er::Apply(reader, MakeWatch(9, {}), kStart);
+  er::Catalog started;
+  er::Apply(started, er::ChangesSince(reader, feed, 0), kStart);
+  CHECK_FALSE(
+      er::ApplyPeerProgress(other, feed, er::GetFeedProgress(started, feed)));
+  LONGS_EQUAL(9, er::GetFeedProgress(other, feed).known);
+}
+
+// Guards against keys of a restored store that are taken for what this node
+// knew before.
+TEST(Catalog, KeysOfALaterEraHaveNoEffect) {
+  const auto feed = er::Feed::kEndpoints;
+  er::Catalog catalog;
+  er::Apply(catalog, OfEra(2, MakeList(5, {{"a", "1", 3}})), kStart);
+  er::Changes keys = OfEra(3, MakeWatch(9, {}));
+  keys.names_all_keys = true;
+  keys.unseen_revision = 9;
+  CHECK(er::Apply(catalog, keys, kStart).empty());
+  CHECK_FALSE(er::GetFeedState(catalog, feed).items.at("a").removed);
+  LONGS_EQUAL(2, er::GetFeedState(catalog, feed).era);
+}
+
 // Guards against requesting changes from a peer that has a later revision
 // without later changes.
 TEST(Catalog, APeerThatKnowsNoNewChangeIsNotAsked) {
