Ask another engine whether a number that is left out is a missing event

Callers got streams that lacked an event in the first seconds after a start, before 256 steps by one had been seen; and the first sound streams were lost where ids that count tokens had risen by one for long ("1 2 cut").

Cause: a single gap was judged by how other streams' ids had risen, and by nothing else. That is no evidence about this event.

Change: a number that is left out, where the stream or its service has shown steps by one, ends the run, and another engine is asked (a retry, of the route's attempts and the retry budget). It is asked after the event before the last one, so that it shows the same step within its own run: one that leaves out just the event which it is asked for then sends the one that is missing, and doesn't seem to confirm. If both engines leave the same number out, the event follows, however firmly ids rose by one so far. If the second one sends it, the first one had left it out. If it ends there, the end isn't believed. Where nothing can be asked it is decided as before. Where a client takes a stream up and nothing is known, another engine is asked after the same event. The first engine isn't held to be failing for a step in doubt.

--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -91,6 +91,8 @@
   const bool is_joined =
       attempt.run ? !attempt.run->is_behind : FitsStream(proxy, call);
   if (!is_joined) return AttemptOutcome::kUnjoined;
+  // Another endpoint had an event behind the last one.
+  if (call.position.doubt) return AttemptOutcome::kUnjoined;
   if (attempt.is_end_proven) return AttemptOutcome::kSucceeded;
   if (attempt.splitter.events > 0) return AttemptOutcome::kUnproven;
   // Without an event, it is rather an endpoint that ended before its first one.
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -94,7 +94,7 @@
   if (call.service->generates) {
     metadata.priority = std::min(call.demand.tier, kLowestPriority);
   }
-  metadata.resume_after = call.position.last_id;
+  metadata.resume_after = routing::IdToGoOnAfter(call.position);
   metadata.weights = call.attempt->expected_weights;
   return metadata;
 }
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -59,12 +59,26 @@
          routing::MayFollow(call.weights, call.attempt->weights);
 }
 
+// Returns true if another endpoint can go on with the stream. A retry is
+// reserved for that.
+bool MayAskElsewhere(Proxy& proxy, Call& call) {
+  const bool has_attempts_left = call.may_have_run + 1 < call.max_attempts;
+  return call.route->resumable && routing::CanGoOn(call.position) &&
+         has_attempts_left && NowOf(proxy) < call.deadline &&
+         TryReserveRetry(proxy, call);
+}
+
+// A peer may go on at another endpoint within its answer.
+std::string SourceOfRun(const Attempt& attempt) {
+  return attempt.peer.empty() ? attempt.endpoint->entry.id : "";
+}
+
 EventPlace PlaceInRun(Proxy& proxy, Call& call, const net::SplitEvent& event) {
   if (!FitsWeights(call, event)) return EventPlace::kOtherWeights;
   const routing::PlacedEvent placed = routing::PlaceEvent(
       call.position, *call.attempt->run,
       [&proxy, &call] { return RiseOfIds(proxy, call.service->name); },
-      event.id);
+      event.id, [&proxy, &call] { return MayAskElsewhere(proxy, call); });
   if (placed.step) RecordIdStep(proxy, call, *placed.step);
   return placed.place;
 }
@@ -82,7 +96,7 @@
   Attempt& attempt = *call.attempt;
   if (!event.mark.empty()) ApplyMark(proxy, attempt, event.mark);
   if (attempt.run) return PlaceInRun(proxy, call, event);
-  attempt.run = routing::BeginRun(call.position);
+  attempt.run = routing::BeginRun(call.position, SourceOfRun(attempt));
   const bool goes_on = attempt.run->is_unplaced;
   const EventPlace place = FitsStream(proxy, call)
                                ? PlaceInRun(proxy, call, event)
--- a/routing/include/egretladder/routing/event_order.h
+++ b/routing/include/egretladder/routing/event_order.h
@@ -19,6 +19,17 @@
 
 namespace egretladder::routing {
 
+/// A number that a run has left out behind the last event that the caller has.
+/// The run was ended, and whoever goes on shows whether an event is missing.
+struct StepInDoubt {
+  std::uint64_t from = 0;  ///< Id of the last event.
+  std::uint64_t to = 0;    ///< Id that followed it.
+  std::string source;      ///< Endpoint that sent it; see `StreamRun::source`.
+  /// That endpoint had sent both events. Otherwise it was asked for what
+  /// follows the first one.
+  bool is_own = false;
+};
+
 /// What a caller has of a stream.
 struct StreamPosition {
   /// Id of the last event that had one; empty: no event had one.
@@ -37,6 +48,11 @@
   bool has_consecutive_ids = true;
   /// All events that were passed on had an id.
   bool has_dense_ids = true;
+  /// Id of the event before the last one, empty if that was the stream's first;
+  /// unset: it isn't known, or events without an id came between.
+  std::optional<std::string> previous_id;
+  /// Unset: none, or an event has followed the last one since.
+  std::optional<StepInDoubt> doubt;
 };
 
 /// Returns the position of a stream from its begin, or from the event after
@@ -47,6 +63,13 @@
 /// to go on after, and what follows that id must not have been sent.
 bool CanGoOn(const StreamPosition& position);
 
+/// Returns the id after which the next endpoint is asked to go on; empty: it
+/// sends the stream from its begin. That is the last one, or the one before it
+/// while a step within a run is in doubt: then the next endpoint shows the same
+/// step within its own run, or the event that was left out. What it does right
+/// at its begin wouldn't tell, as it may be faulty just there.
+const std::string& IdToGoOnAfter(const StreamPosition& position);
+
 /// Events that a run may repeat one after the other. An endpoint that goes on
 /// with that sends nothing new.
 inline constexpr std::uint32_t kMaxRepeatedEvents = 1024;
@@ -59,10 +82,15 @@
   /// It has sent an event again, and may send those that followed that again.
   bool is_behind = false;
   std::uint32_t repeated = 0;  ///< Events left out since its last new one.
+  /// The stream's last event is the last one that it has sent, so that the next
+  /// step is its own.
+  bool has_sent_last = false;
+  /// The one endpoint that sends it; empty: there may be several.
+  std::string source;
 };
 
-/// Returns the run that begins at the position.
-StreamRun BeginRun(const StreamPosition& position);
+/// Returns the run of `source` that begins at the position.
+StreamRun BeginRun(const StreamPosition& position, std::string source = "");
 
 /// How an event relates to those that the caller has.
 enum class EventPlace : std::uint8_t {
@@ -71,6 +99,7 @@
   kBehind,    ///< The run begins before the stream's position.
   kGap,       ///< The run begins after an event that is missing.
   kMissing,   ///< The run has left an event out.
+  kInDoubt,   ///< It may have left one out. Another endpoint is asked.
   kUnplaced,  ///< Nothing shows whether it follows them.
   /// The run is of another software version than the stream, or may be.
   kOtherVersion,
@@ -101,10 +130,20 @@
 /// event leaves a number out, as it counts the votes of all endpoints.
 using AskForRise = std::function<IdRise()>;
 
+/// Tells whether another endpoint can be asked to go on instead of the run. It
+/// is asked last, as it reserves the question.
+using MayAskElsewhere = std::function<bool()>;
+
 /// Decides whether the run's next event follows what the caller has, and
 /// records it if it does. `id` is empty for an event without one. A client that
 /// takes a stream up names one id alone, which doesn't show how ids rise.
+///
+/// A number that is left out follows if two endpoints have left the same one
+/// out, each within its run: no event of a stream is missing at both. Before
+/// the service's ids have shown enough, that is found out by asking another
+/// endpoint where that is possible. Where it isn't, the event follows.
 PlacedEvent PlaceEvent(StreamPosition& position, StreamRun& run,
-                       const AskForRise& ask_for_rise, std::string_view id);
+                       const AskForRise& ask_for_rise, std::string_view id,
+                       const MayAskElsewhere& may_ask_elsewhere = {});
 
 }  // namespace egretladder::routing
--- a/routing/src/event_order.cc
+++ b/routing/src/event_order.cc
@@ -1,6 +1,7 @@
 #include "egretladder/routing/event_order.h"
 
 #include <charconv>
+#include <utility>
 
 namespace egretladder::routing {
 namespace {
@@ -29,37 +30,114 @@
   return may_be_anywhere ? EventPlace::kUnplaced : EventPlace::kNext;
 }
 
-// Returns the place of an event that leaves a number out: it is a missing
-// event, unless ids may rise by more than one an event.
-EventPlace PlaceAfterGap(const StreamPosition& position, const StreamRun& run,
-                         const AskForRise& ask_for_rise) {
-  if (!position.has_consecutive_ids) return EventPlace::kNext;
-  const IdRise rise = ask_for_rise();
-  if (rise == IdRise::kLeavesOut) return EventPlace::kNext;
-  const bool is_firm = rise == IdRise::kFirmlyByOne;
+// Returns true if the step from the stream's last event to the run's next one
+// is one endpoint's own.
+bool IsOwnStep(const StreamRun& run) {
+  return !run.is_unplaced || run.has_sent_last;
+}
+
+// What is known of the step that leaves a number out.
+struct Gap {
+  std::uint64_t number = 0;  // Id of the event behind it.
+  IdRise rise = IdRise::kUnknown;
+};
+
+// Nothing shows yet how the ids of the stream or its service rise.
+bool IsFirstStep(const StreamPosition& position, const Gap& gap) {
+  return !position.has_steps && gap.rise == IdRise::kUnknown;
+}
+
+// Returns true if another endpoint has left the same number out. Where both
+// were asked to go on there, both may be faulty at that place alone, so that it
+// counts only if nothing else shows how ids rise.
+bool IsSecondWord(const StreamPosition& position, const StreamRun& run,
+                  const Gap& gap) {
+  const auto& doubt = position.doubt;
+  if (!doubt || run.source.empty() || doubt->source == run.source) return false;
+  if (doubt->from != *position.last_number || doubt->to != gap.number)
+    return false;
+  return doubt->is_own ? IsOwnStep(run) : IsFirstStep(position, gap);
+}
+
+// Returns the place of the event behind the gap by what ids have shown so far.
+EventPlace PlaceByRise(const StreamPosition& position, const StreamRun& run,
+                       const Gap& gap) {
+  const bool is_firm = gap.rise == IdRise::kFirmlyByOne;
   if (!run.is_unplaced)
     return is_firm ? EventPlace::kMissing : EventPlace::kNext;
-  const bool shows_gaps = position.has_steps || rise != IdRise::kUnknown;
-  return shows_gaps ? EventPlace::kGap : EventPlace::kNext;
+  return IsFirstStep(position, gap) ? EventPlace::kNext : EventPlace::kGap;
 }
 
-EventPlace PlaceNumber(const StreamPosition& position, const StreamRun& run,
-                       const AskForRise& ask_for_rise, std::uint64_t number) {
+// Returns true if an event may be missing, and another endpoint's word decides
+// that: it has to be asked from the event before on if the step is the run's
+// own. A stream without a step by one shows nothing.
+bool IsWorthAsking(const StreamPosition& position, const StreamRun& run,
+                   const Gap& gap) {
+  if (run.source.empty()) return false;
+  if (run.is_unplaced) return true;
+  return position.previous_id && !IsFirstStep(position, gap);
+}
+
+// Returns the place of an event that leaves a number out: it is a missing
+// event, unless ids may rise by more than one an event.
+EventPlace PlaceAfterGap(StreamPosition& position, const StreamRun& run,
+                         const Gap& gap,
+                         const MayAskElsewhere& may_ask_elsewhere) {
+  if (gap.rise == IdRise::kLeavesOut || IsSecondWord(position, run, gap))
+    return EventPlace::kNext;
+  EventPlace place = PlaceByRise(position, run, gap);
+  if (place == EventPlace::kNext) {
+    const bool asks = may_ask_elsewhere && IsWorthAsking(position, run, gap) &&
+                      may_ask_elsewhere();
+    if (!asks) return place;
+    place = EventPlace::kInDoubt;
+  }
+  // What was in doubt before at a seam is replaced, but not what a run has
+  // shown.
+  if (!position.doubt || !position.doubt->is_own) {
+    position.doubt = {.from = *position.last_number,
+                      .to = gap.number,
+                      .source = run.source,
+                      .is_own = IsOwnStep(run) && !run.source.empty()};
+  }
+  return place;
+}
+
+// Returns true if the run repeats the event before the last one, since it was
+// asked for what follows that one.
+bool RepeatsPrevious(const StreamPosition& position, std::string_view id) {
+  return position.doubt && position.doubt->is_own && position.previous_id == id;
+}
+
+// What decides about an event beyond the position and the run.
+struct Event {
+  std::string_view id;
+  std::optional<std::uint64_t> number;
+  const AskForRise& ask_for_rise;
+  const MayAskElsewhere& may_ask_elsewhere;
+};
+
+EventPlace PlaceNumber(StreamPosition& position, const StreamRun& run,
+                       const Event& event) {
+  const std::uint64_t number = *event.number;
   if (number == *position.last_number) return EventPlace::kRepeated;
-  if (number < *position.last_number)
-    return run.is_unplaced ? EventPlace::kBehind : EventPlace::kRepeated;
-  return LeavesOut(position, number)
-             ? PlaceAfterGap(position, run, ask_for_rise)
-             : EventPlace::kNext;
+  if (number < *position.last_number) {
+    return run.is_unplaced && !RepeatsPrevious(position, event.id)
+               ? EventPlace::kBehind
+               : EventPlace::kRepeated;
+  }
+  if (!LeavesOut(position, number) || !position.has_consecutive_ids)
+    return EventPlace::kNext;
+  return PlaceAfterGap(position, run, {number, event.ask_for_rise()},
+                       event.may_ask_elsewhere);
 }
 
-EventPlace FindPlace(const StreamPosition& position, const StreamRun& run,
-                     const AskForRise& ask_for_rise, std::string_view id,
-                     const std::optional<std::uint64_t>& number) {
+EventPlace FindPlace(StreamPosition& position, const StreamRun& run,
+                     const Event& event) {
+  const auto& [id, number, ask_for_rise, may_ask_elsewhere] = event;
   if (id.empty()) return PlaceWithoutId(position, run);
   if (position.last_id.empty()) return EventPlace::kNext;
-  if (position.last_number && number)
-    return PlaceNumber(position, run, ask_for_rise, *number);
+  if (position.last_number && number) return PlaceNumber(position, run, event);
   if (id == position.last_id) return EventPlace::kRepeated;
   const bool is_comparable =
       position.last_number.has_value() == number.has_value();
@@ -71,16 +149,18 @@
 std::optional<IdStep> FindStep(const StreamPosition& position,
                                const StreamRun& run,
                                const std::optional<std::uint64_t>& number) {
-  if (run.is_unplaced || !position.last_number || !number) return std::nullopt;
+  if (!IsOwnStep(run) || !position.last_number || !number) return std::nullopt;
   if (*number <= *position.last_number) return std::nullopt;
   return LeavesOut(position, *number) ? IdStep::kLeavesOut : IdStep::kByOne;
 }
 
 void PassEvent(StreamPosition& position, std::string_view id,
                const std::optional<std::uint64_t>& number) {
+  position.doubt.reset();
   if (id.empty()) {
     ++position.events_since_id;
     position.has_dense_ids = false;
+    position.previous_id.reset();
     return;
   }
   if (!position.last_id.empty()) {
@@ -90,6 +170,8 @@
     position.has_consecutive_ids =
         position.has_consecutive_ids && leaves_none_out;
   }
+  position.previous_id.reset();
+  if (position.has_dense_ids) position.previous_id = position.last_id;
   position.last_id = id;
   position.last_number = number;
   position.events_since_id = 0;
@@ -109,8 +191,15 @@
   return !position.last_id.empty() && position.events_since_id == 0;
 }
 
-StreamRun BeginRun(const StreamPosition& position) {
+const std::string& IdToGoOnAfter(const StreamPosition& position) {
+  const bool is_own_step_in_doubt = position.doubt && position.doubt->is_own;
+  return is_own_step_in_doubt && position.previous_id ? *position.previous_id
+                                                      : position.last_id;
+}
+
+StreamRun BeginRun(const StreamPosition& position, std::string source) {
   StreamRun run;
+  run.source = std::move(source);
   run.is_unplaced = !position.last_id.empty();
   return run;
 }
@@ -127,6 +216,8 @@
       return "gap";
     case EventPlace::kMissing:
       return "missing";
+    case EventPlace::kInDoubt:
+      return "in-doubt";
     case EventPlace::kUnplaced:
       return "unplaced";
     case EventPlace::kOtherVersion:
@@ -148,18 +239,22 @@
 }
 
 PlacedEvent PlaceEvent(StreamPosition& position, StreamRun& run,
-                       const AskForRise& ask_for_rise, std::string_view id) {
+                       const AskForRise& ask_for_rise, std::string_view id,
+                       const MayAskElsewhere& may_ask_elsewhere) {
   const auto number = ParseId(id);
-  const EventPlace place = FindPlace(position, run, ask_for_rise, id, number);
+  const EventPlace place =
+      FindPlace(position, run, {id, number, ask_for_rise, may_ask_elsewhere});
   const auto step = FindStep(position, run, number);
   if (place == EventPlace::kRepeated) {
     run.is_behind = !CanGoOn(position) || id != position.last_id;
+    run.has_sent_last = !run.is_behind;
     if (++run.repeated > kMaxRepeatedEvents)
       return {EventPlace::kUnplaced, std::nullopt};
   }
   if (place != EventPlace::kNext) return {place, step};
   PassEvent(position, id, number);
-  if (!id.empty()) run = {};
+  if (!id.empty())
+    run = {.has_sent_last = true, .source = std::move(run.source)};
   return {place, step};
 }
 
--- a/routing/tests/event_order_test.cc
+++ b/routing/tests/event_order_test.cc
@@ -22,10 +22,14 @@
 
   explicit Stream(const std::string& last_event_id = "")
       : position(er::BeginStream(last_event_id)), run(er::BeginRun(position)) {}
-  void GoOn() { run = er::BeginRun(position); }
+  bool may_ask = false;  // Another endpoint can be asked.
+
+  void GoOn(const std::string& source = "") {
+    run = er::BeginRun(position, source);
+  }
   EventPlace Place(const std::string& id) {
     const auto placed = er::PlaceEvent(
-        position, run, [this] { return rise; }, id);
+        position, run, [this] { return rise; }, id, [this] { return may_ask; });
     if (placed.step) er::OnIdStep(steps, *placed.step);
     return placed.place;
   }
@@ -296,3 +300,104 @@
                 er::MayJoinVersions(kUnknown, kFirstVersion, several));
   }
 }
+
+namespace {
+
+// A stream after `ids`, sent by "a", while other endpoints can be asked.
+Stream MakeStreamOf(const std::vector<std::string>& ids) {
+  Stream stream;
+  stream.may_ask = true;
+  stream.GoOn("a");
+  stream.Pass(ids);
+  return stream;
+}
+
+}  // namespace
+
+// Guards against an event that is missing before ids have shown how they rise.
+TEST(EventOrder, AStepOverANumberIsInDoubtUntilAnotherEndpointShowsIt) {
+  Stream stream = MakeStreamOf({"1", "2", "3"});
+  CHECK(stream.Place("5") == EventPlace::kInDoubt);
+  CHECK(er::EndsRun(EventPlace::kInDoubt));
+  STRCMP_EQUAL("2", er::IdToGoOnAfter(stream.position).c_str());
+  stream.GoOn("b");
+  CHECK(stream.Place("3") == EventPlace::kRepeated);
+  stream.Pass({"4", "5"});
+  STRCMP_EQUAL("5", er::IdToGoOnAfter(stream.position).c_str());
+}
+
+// Guards against losing sound streams whose ids count tokens, also where those
+// have risen by one for long.
+TEST(EventOrder,
+     TwoEndpointsThatLeaveOutTheSameNumberShowThatNothingIsMissing) {
+  for (const er::IdRise rise :
+       {er::IdRise::kUnknown, er::IdRise::kByOne, er::IdRise::kFirmlyByOne}) {
+    Stream stream = MakeStreamOf({"1", "2", "3"});
+    stream.rise = rise;
+    CHECK(er::EndsRun(stream.Place("5")));
+    stream.GoOn("b");
+    CHECK(stream.Place("3") == EventPlace::kRepeated);
+    stream.Pass({"5", "6"});
+  }
+}
+
+// Guards against taking an endpoint's own word for another one's.
+TEST(EventOrder, AnEndpointDoesNotConfirmItself) {
+  Stream stream = MakeStreamOf({"1", "2", "3"});
+  stream.rise = er::IdRise::kFirmlyByOne;
+  CHECK(stream.Place("5") == EventPlace::kMissing);
+  stream.GoOn("a");
+  CHECK(stream.Place("3") == EventPlace::kRepeated);
+  CHECK(er::EndsRun(stream.Place("5")));
+}
+
+// Guards against an endpoint that leaves out what it is asked for, and so seems
+// to confirm that nothing is missing.
+TEST(EventOrder, AStepAtASeamConfirmsNoStepWithinARun) {
+  Stream stream = MakeStreamOf({"1", "2", "3"});
+  CHECK(stream.Place("5") == EventPlace::kInDoubt);
+  stream.GoOn("b");
+  CHECK(er::EndsRun(stream.Place("5")));
+}
+
+// Guards against an endpoint that is not joined since it repeats the event that
+// it is asked to go on after.
+TEST(EventOrder, TheEventBeforeAStepInDoubtMayBeRepeated) {
+  Stream stream = MakeStreamOf({"1", "2", "3"});
+  CHECK(stream.Place("5") == EventPlace::kInDoubt);
+  stream.GoOn("b");
+  CHECK(stream.Place("2") == EventPlace::kRepeated);
+  CHECK(stream.Place("3") == EventPlace::kRepeated);
+  stream.Pass({"4"});
+}
+
+// Guards against questions that nothing calls for, or that can't be asked.
+TEST(EventOrder, AStepOverANumberFollowsWhereNothingIsAsked) {
+  Stream alone = MakeStreamOf({"1", "2"});
+  alone.may_ask = false;
+  alone.Pass({"4"});
+  Stream uneven = MakeStreamOf({"5"});
+  uneven.Pass({"10", "15"});
+  Stream known = MakeStreamOf({"1", "2"});
+  known.rise = er::IdRise::kLeavesOut;
+  known.Pass({"4"});
+  Stream with_ping = MakeStreamOf({"1", "2", "", "3"});
+  with_ping.Pass({"5"});
+  Stream of_a_peer = MakeStreamOf({"1"});
+  of_a_peer.GoOn("");
+  of_a_peer.Pass({"2", "4"});
+}
+
+// Guards against an event that is missing where a client takes a stream up,
+// before ids have shown how they rise.
+TEST(EventOrder, AStepInDoubtWhereAStreamIsTakenUpIsDecidedByAnotherEndpoint) {
+  for (const char* next : {"8", "9"}) {
+    Stream stream("7");
+    stream.may_ask = true;
+    stream.GoOn("a");
+    CHECK(stream.Place("9") == EventPlace::kInDoubt);
+    STRCMP_EQUAL("7", er::IdToGoOnAfter(stream.position).c_str());
+    stream.GoOn("b");
+    stream.Pass({next});
+  }
+}
