Remember how ids rise beyond the processes that have shown it

Callers got streams that lacked an event after a release had replaced the engines: what their ids had shown ended with them. And one odd engine that was the first to have a vote ended the check for its service.

One process takes nothing away: the service counts as leaving numbers out only if two processes of the version (or the only one) have done so, and are the majority of those with a vote. Votes are counted for each version, so that a new one which numbers otherwise is let in by two of its own processes; until then what other versions have shown holds for it. Nodes tell their peers of a service only if it firmly rises by one at all versions that serve, by their own evidence.

--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -77,8 +77,8 @@
   if (!FitsWeights(call, event)) return EventPlace::kOtherWeights;
   const routing::PlacedEvent placed = routing::PlaceEvent(
       call.position, *call.attempt->run,
-      [&proxy, &call] { return RiseOfIds(proxy, call.service->name); },
-      event.id, [&proxy, &call] { return MayAskElsewhere(proxy, call); });
+      [&proxy, &call] { return RiseOfIds(proxy, call); }, event.id,
+      [&proxy, &call] { return MayAskElsewhere(proxy, call); });
   if (placed.step) RecordIdStep(proxy, call, *placed.step);
   return placed.place;
 }
--- a/proxy/src/id_rises.cc
+++ b/proxy/src/id_rises.cc
@@ -1,6 +1,9 @@
 // How the ids of each service's streams rise, as this node and its peers have
 // seen it. It decides whether a number that is left out is a missing event.
+#include <algorithm>
+
 #include "egretladder/routing/id_steps.h"
+#include "handover_fields_p.h"
 #include "state_p.h"
 
 namespace egretladder::proxy {
@@ -10,33 +13,88 @@
 using kernel::LogPart;
 using routing::IdRise;
 
+using routing::SoftwareVersion;
+
 // While the ids count as leaving numbers out, missing events pass unnoticed.
-void LogRise(const std::string& service, IdRise rise,
-             const routing::IdVotes& votes) {
+void LogRise(const std::string& service, SoftwareVersion version, IdRise rise,
+             const routing::IdVotes& votes, const routing::IdMemory& memory) {
   kernel::LogEvent(
       LogPart::kEndpoint,
       rise == IdRise::kLeavesOut ? LogLevel::kWarning : LogLevel::kInfo,
       "ids-judged",
       {{"service", service},
+       {"version", FormatVersion(version)},
        {"rise", routing::NameOf(rise)},
        {"by_one", votes.by_one},
        {"leaves_out", votes.leaves_out},
-       {"steps", votes.steps}});
+       {"steps", votes.steps},
+       {"remembered", memory.steps}});
 }
 
-IdRise Judge(Proxy& proxy, const std::string& service) {
-  ServiceIds& ids = proxy.ids[service];
-  const auto votes = routing::CountIdVotes(proxy.endpoints, service);
-  const IdRise rise = routing::JudgeIdRise(votes);
-  if (rise != ids.rise) LogRise(service, rise, votes);
-  ids.rise = rise;
-  return rise;
+// Returns what is known of the version. Another one is forgotten for it if
+// there are too many.
+VersionIds& UseVersion(Proxy& proxy, const std::string& service,
+                       SoftwareVersion version) {
+  auto& versions = proxy.ids[service].versions;
+  if (!versions.contains(version) && versions.size() >= kMaxVersionsOfIds) {
+    versions.erase(std::min_element(versions.begin(), versions.end(),
+                                    [](const auto& left, const auto& right) {
+                                      return left.second.used_at <
+                                             right.second.used_at;
+                                    }));
+  }
+  VersionIds& ids = versions[version];
+  ids.used_at = NowOf(proxy);
+  return ids;
+}
+
+// A peer tells the version of the endpoint that answers it.
+SoftwareVersion VersionOfRun(const Call& call) {
+  const Attempt& attempt = *call.attempt;
+  if (attempt.peer.empty()) return attempt.endpoint->version;
+  return attempt.version != routing::kUnknownVersion ? attempt.version
+                                                     : call.version;
+}
+
+// Another version may number events otherwise. Until its own endpoints show
+// that, what others have shown holds for it too: an event that is missing after
+// a release doesn't come back, and two endpoints of the new one outvote it.
+routing::IdMemory RememberedOfAll(const ServiceIds& service) {
+  routing::IdMemory memory;
+  for (const auto& [version, ids] : service.versions)
+    memory.steps = std::max(memory.steps, ids.memory.steps);
+  return memory;
+}
+
+bool RisesFirmlyEverywhere(Proxy& proxy, const std::string& service) {
+  const auto at = proxy.endpoints.versions_by_service.find(service);
+  if (at == proxy.endpoints.versions_by_service.end()) return false;
+  return !at->second.empty() &&
+         std::all_of(at->second.begin(), at->second.end(),
+                     [&](const auto& version_and_count) {
+                       return JudgeIds(proxy, service,
+                                       version_and_count.first) ==
+                              IdRise::kFirmlyByOne;
+                     });
 }
 
 }  // namespace
 
-IdRise RiseOfIds(Proxy& proxy, const std::string& service) {
-  const IdRise own = Judge(proxy, service);
+IdRise JudgeIds(Proxy& proxy, const std::string& service,
+                SoftwareVersion version) {
+  VersionIds& ids = UseVersion(proxy, service, version);
+  const auto votes = routing::CountIdVotes(proxy.endpoints, service, version);
+  const routing::IdMemory memory = RememberedOfAll(proxy.ids[service]);
+  const IdRise rise = routing::JudgeIdRise(votes, memory);
+  if (rise != ids.rise) LogRise(service, version, rise, votes, memory);
+  if (rise == IdRise::kLeavesOut) ids.memory = {};
+  ids.rise = rise;
+  return rise;
+}
+
+IdRise RiseOfIds(Proxy& proxy, const Call& call) {
+  const std::string& service = call.service->name;
+  const IdRise own = JudgeIds(proxy, service, VersionOfRun(call));
   if (own == IdRise::kLeavesOut) return own;
   const Time peer_said_at = proxy.ids[service].peer_said_at;
   const bool is_heard =
@@ -48,9 +106,12 @@
   const Attempt& attempt = *call.attempt;
   // A peer may have gone on at another endpoint within its answer.
   if (!attempt.peer.empty()) return;
-  proxy.ids.try_emplace(call.service->name);
   routing::IdSteps& steps = attempt.endpoint->id_steps;
-  if (!routing::OnIdStep(steps, step)) return;
+  const bool has_changed = routing::OnIdStep(steps, step);
+  routing::RememberStep(
+      UseVersion(proxy, call.service->name, attempt.endpoint->version).memory,
+      steps);
+  if (!has_changed) return;
   kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "numbers-left-out",
                    {{"endpoint", attempt.endpoint->entry.id},
                     {"service", call.service->name},
@@ -63,7 +124,7 @@
   routing::ServiceBits services = 0;
   if (proxy.rules == nullptr) return services;
   for (const auto& [service, ids] : proxy.ids) {
-    if (Judge(proxy, service) == IdRise::kFirmlyByOne)
+    if (RisesFirmlyEverywhere(proxy, service))
       services |= routing::BitOfService(*proxy.rules, service);
   }
   return services;
--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -161,15 +161,23 @@
 
 void UpdateIdGauges(Proxy& proxy) {
   for (const auto& [service, ids] : proxy.ids) {
-    const auto votes = routing::CountIdVotes(proxy.endpoints, service);
+    std::size_t leaves_out = 0;
+    bool is_checked = false;
+    for (const auto& [version, of_version] : ids.versions) {
+      const auto votes =
+          routing::CountIdVotes(proxy.endpoints, service, version);
+      leaves_out += votes.leaves_out;
+      is_checked = is_checked || routing::RisesByOne(routing::JudgeIdRise(
+                                     votes, of_version.memory));
+    }
     const std::string label = FormatLabel("service", service);
     SetGauge(proxy, "egretladder_endpoints_leaving_numbers_out",
              "Endpoints whose streams left ids out of late.",
-             static_cast<double>(votes.leaves_out), label);
+             static_cast<double>(leaves_out), label);
     SetGauge(proxy, "egretladder_missing_events_checked",
              "1 if a number that is left out where a stream goes on counts as "
-             "a missing event, otherwise 0.",
-             routing::RisesByOne(routing::JudgeIdRise(votes)) ? 1 : 0, label);
+             "a missing event at one of the service's versions, otherwise 0.",
+             is_checked ? 1 : 0, label);
   }
 }
 
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -102,10 +102,19 @@
   routing::Weights weights;  ///< Of the stream's last event.
 };
 
+/// How the ids of a service's streams rise at one version, by own evidence.
+struct VersionIds {
+  routing::IdRise rise = routing::IdRise::kUnknown;  ///< When last asked for.
+  routing::IdMemory memory;
+  Time used_at{};
+};
+
+/// Versions of a service whose ids are remembered, by when they were last used.
+inline constexpr std::size_t kMaxVersionsOfIds = 8;
+
 /// How the ids of a service's streams rise.
 struct ServiceIds {
-  /// By own evidence, when it was last asked for.
-  routing::IdRise rise = routing::IdRise::kUnknown;
+  std::map<routing::SoftwareVersion, VersionIds> versions;
   /// When a peer last said that they firmly rise by one; default: never.
   Time peer_said_at{};
 };
@@ -500,13 +509,18 @@
                          const AnswerMetadata& metadata);
 
 // id_rises.cc
-/// Returns how the ids of the service's streams rise, as this node has seen it;
-/// if it hasn't seen enough, as peers have.
-routing::IdRise RiseOfIds(Proxy& proxy, const std::string& service);
+/// Returns how the ids of the service's streams rise at the version of the
+/// call's attempt, as this node has seen it; if it hasn't seen enough, as peers
+/// have.
+routing::IdRise RiseOfIds(Proxy& proxy, const Call& call);
+/// Returns that of a service at one version, by this node's own evidence.
+routing::IdRise JudgeIds(Proxy& proxy, const std::string& service,
+                         routing::SoftwareVersion version);
 /// Records a step of ids within the answer of the call's attempt.
 void RecordIdStep(Proxy& proxy, const Call& call, routing::IdStep step);
-/// Returns the services whose ids firmly rise by one, by this node's own
-/// evidence: what peers say is no evidence for others.
+/// Returns the services whose ids firmly rise by one at all versions that
+/// serve, by this node's own evidence: what peers say is no evidence for
+/// others.
 routing::ServiceBits ServicesThatFirmlyRiseByOne(Proxy& proxy);
 /// Records those that a peer names.
 void OnPeerSaysFirmlyByOne(Proxy& proxy, routing::ServiceBits services);
--- a/routing/src/id_steps.cc
+++ b/routing/src/id_steps.cc
@@ -17,7 +17,14 @@
   return left_out && !steps.leaves_out;
 }
 
+void RememberStep(IdMemory& memory, const IdSteps& steps) {
+  const bool counts = !steps.leaves_out && steps.by_one > 0 &&
+                      steps.by_one <= kMaxRememberedStepsOfOne;
+  if (counts) memory.steps = std::min(memory.steps + 1, kMinFirmSteps);
+}
+
 void AddVote(IdVotes& votes, const IdSteps& steps) {
+  ++votes.processes;
   if (steps.leaves_out) {
     ++votes.leaves_out;
     return;
@@ -26,12 +33,14 @@
   if (steps.by_one >= kMinStepsToVote) ++votes.by_one;
 }
 
-IdVotes CountIdVotes(const EndpointSet& set, const std::string& service) {
+IdVotes CountIdVotes(const EndpointSet& set, const std::string& service,
+                     SoftwareVersion version) {
   IdVotes votes;
   const auto at = set.by_service.find(service);
   if (at == set.by_service.end()) return votes;
-  for (const EndpointPtr& endpoint : at->second)
-    AddVote(votes, endpoint->id_steps);
+  for (const EndpointPtr& endpoint : at->second) {
+    if (endpoint->version == version) AddVote(votes, endpoint->id_steps);
+  }
   return votes;
 }
 
@@ -53,11 +62,13 @@
   return rise == IdRise::kByOne || rise == IdRise::kFirmlyByOne;
 }
 
-IdRise JudgeIdRise(const IdVotes& votes) {
-  if (votes.leaves_out > votes.by_one) return IdRise::kLeavesOut;
-  if (votes.steps >= kMinFirmSteps) return IdRise::kFirmlyByOne;
-  return votes.steps >= kMinConsecutiveSteps ? IdRise::kByOne
-                                             : IdRise::kUnknown;
+IdRise JudgeIdRise(const IdVotes& votes, const IdMemory& memory) {
+  const bool are_enough =
+      votes.leaves_out >= std::min(kMinLeavingOut, votes.processes);
+  if (votes.leaves_out > votes.by_one && are_enough) return IdRise::kLeavesOut;
+  const std::uint64_t steps = std::max(votes.steps, memory.steps);
+  if (steps >= kMinFirmSteps) return IdRise::kFirmlyByOne;
+  return steps >= kMinConsecutiveSteps ? IdRise::kByOne : IdRise::kUnknown;
 }
 
 }  // namespace egretladder::routing
