Keep the last engine of a version from deciding alone how ids rise

Change: where the memory of a version is full and the service has other endpoints, those that have ended count as processes: two must have left numbers out. The first engine of a new version isn't held up by that, as its own version's memory isn't full. The only endpoint of a service decides.

--- a/proxy/src/id_rises.cc
+++ b/proxy/src/id_rises.cc
@@ -66,6 +66,19 @@
   return memory;
 }
 
+// Counts the processes that have shown what is remembered, if nothing else
+// would keep the last one of a version from deciding alone against them. The
+// only endpoint of a service decides: no other will ever speak.
+void CountEndedProcesses(const Proxy& proxy, const std::string& service,
+                         const routing::IdMemory& memory,
+                         routing::IdVotes& votes) {
+  const auto at = proxy.endpoints.by_service.find(service);
+  const bool has_others =
+      at != proxy.endpoints.by_service.end() && at->second.size() > 1;
+  if (has_others && memory.steps == routing::kMinFirmSteps)
+    votes.processes = std::max(votes.processes, routing::kMinLeavingOut);
+}
+
 bool RisesFirmlyEverywhere(Proxy& proxy, const std::string& service) {
   const auto at = proxy.endpoints.versions_by_service.find(service);
   if (at == proxy.endpoints.versions_by_service.end()) return false;
@@ -83,7 +96,8 @@
 IdRise JudgeIds(Proxy& proxy, const std::string& service,
                 SoftwareVersion version) {
   VersionIds& ids = UseVersion(proxy, service, version);
-  const auto votes = routing::CountIdVotes(proxy.endpoints, service, version);
+  auto votes = routing::CountIdVotes(proxy.endpoints, service, version);
+  CountEndedProcesses(proxy, service, ids.memory, votes);
   const routing::IdMemory memory = RememberedOfAll(proxy.ids[service]);
   const IdRise rise = routing::JudgeIdRise(votes, memory);
   if (rise != ids.rise) LogRise(service, version, rise, votes, memory);
