Name the source of an open end in the log by one function

The linter saw a reference through a pointer that had been compared with null: a peer may have answered for an endpoint that this node doesn't know. The log line says the endpoint or the peer, as event-withheld does; nobody was told anything wrong so far.

--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -30,6 +30,8 @@
 void StartSilenceTimer(Proxy& proxy, const CallPtr& call, milliseconds timeout);
 
 // event_checks.cc
+/// Returns the endpoint or the peer that answers the attempt; for the log.
+std::string NameOfSource(const Attempt& attempt);
 /// Events that may be passed on.
 struct CheckedEvents {
   std::string bytes;        ///< With the comments around them.
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -12,10 +12,6 @@
 using routing::AttemptOutcome;
 using routing::EventPlace;
 
-std::string NameOfSource(const Attempt& attempt) {
-  return attempt.peer.empty() ? attempt.endpoint->entry.id : attempt.peer;
-}
-
 std::string Describe(routing::Weights weights) {
   return weights ? std::to_string(*weights) : "-";
 }
@@ -115,6 +111,10 @@
 
 }  // namespace
 
+std::string NameOfSource(const Attempt& attempt) {
+  return attempt.peer.empty() ? attempt.endpoint->entry.id : attempt.peer;
+}
+
 CheckedEvents CheckEvents(Proxy& proxy, Call& call, std::string_view bytes) {
   CheckedEvents checked;
   std::size_t begin = 0;
--- a/proxy/src/open_ends.cc
+++ b/proxy/src/open_ends.cc
@@ -31,14 +31,12 @@
 
 void LogOpenEnd(const Call& call, EndVerdict verdict) {
   const Attempt& attempt = *call.attempt;
-  kernel::LogEvent(
-      LogPart::kRoute, LogLevel::kInfo, "end-left-open",
-      {{"req", call.metadata.id},
-       {"endpoint", attempt.endpoint != nullptr ? attempt.endpoint->entry.id
-                                                : attempt.peer},
-       {"verdict", routing::NameOf(verdict)},
-       {"after_event", call.position.last_id},
-       {"events", attempt.splitter.events}});
+  kernel::LogEvent(LogPart::kRoute, LogLevel::kInfo, "end-left-open",
+                   {{"req", call.metadata.id},
+                    {"from", NameOfSource(attempt)},
+                    {"verdict", routing::NameOf(verdict)},
+                    {"after_event", call.position.last_id},
+                    {"events", attempt.splitter.events}});
 }
 
 void OnPatienceOver(Proxy& proxy, const CallPtr& call) {
