No stream goes on where the question for the process was lost

Callers saw: a stream holds events of v1, then of v2, in one answer that looks whole, also where entries and reports state the start of each process. Engines that ended or fell silent in the middle of streams were back 0.6 s later under their own ids with newer software, 0.1 s before their entries were.

Cause: an endpoint whose question was lost or refused counted as one that can join nothing, as nobody is there, and was tried as the last resort ("process- unproven", lost, at one moment, "sent" in the same millisecond). By the time of the request's own connection the next process was there. That a question brought no answer is no evidence about the process that gets the request. Class: evidence of one thing taken for another. Silence after a question was excepted before.

Change: a stream that goes on is never sent where its endpoint was asked in vain. New streams still are.

--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -37,21 +37,6 @@
          result == ProcessCheckResult::kLost;
 }
 
-// Returns true if the endpoint was asked in vain, and is tried all the same:
-// the call keeps to no version, and no other endpoint is left. A stream doesn't
-// go on at a process that keeps silent: it may be of any version, also while
-// one is known.
-bool IsLastResort(const Call& call, const routing::EndpointPtr& endpoint) {
-  const auto& asked = call.unidentified_endpoints;
-  return !IsBound(call) &&
-         std::any_of(asked.begin(), asked.end(),
-                     [&call, &endpoint](const UnidentifiedEndpoint& each) {
-                       const bool may_join = call.demand.goes_on &&
-                                             !HasLostConnection(each.result);
-                       return each.endpoint == endpoint && !may_join;
-                     });
-}
-
 std::size_t CountQuestions(const Call& call,
                            const routing::EndpointPtr& endpoint) {
   const auto& asked = call.unidentified_endpoints;
@@ -60,6 +45,15 @@
       [&endpoint](const auto& each) { return each.endpoint == endpoint; }));
 }
 
+// Returns true if the endpoint was asked in vain, and is tried all the same:
+// the call keeps to no version, and no other endpoint is left. No stream goes
+// on there: whatever became of the questions, the process that gets the request
+// may be of any version, also while one is known.
+bool IsLastResort(const Call& call, const routing::EndpointPtr& endpoint) {
+  return !IsBound(call) && !call.demand.goes_on &&
+         CountQuestions(call, endpoint) > 0;
+}
+
 void FinishCheck(Proxy& proxy, const CallPtr& call, ProcessCheckResult result) {
   const auto check = std::move(call->process_check);
   IncrementCounter(
