Let a stream's client ask where nobody else can be asked for an event

Callers of streams that may be resumed got streams without an event, told as whole: 2 to 5 of 72 in the first seconds after a start, 1 of 72 where the run that left the event out was the last attempt.

Cause: a number that is left out before ids firmly rise by one is decided by another endpoint's word. Where no retry or no attempt is left for that, the event was passed on.

Ruled out: that the other endpoint's word was taken wrongly (no `in-doubt` line in any case). A few retries from the first moment: a process doesn't know what its predecessors used, and they don't help in the last attempt.

Change: the run ends, the stream breaks off, and its client asks when it takes the stream up. The step in doubt goes to the stream's homes with its version, so that the take-up avoids the endpoint that made it and asks after the event before: a second endpoint that leaves the same number out is believed at once, without a retry. Only where another endpoint of the version serves.

All of platform_tests (302) and routing_tests (461) pass.

--- a/proxy/schema/exchange.capnp
+++ b/proxy/schema/exchange.capnp
@@ -19,8 +19,9 @@
   announce @2 (peers :Text, zone :Text, progress :List(Progress));
 
   # Writes which software versions began streams, or keep parts of prompts, to a
-  # node that keeps it.
-  keepStreams @3 (streams :List(Stream), parts :List(Stream));
+  # node that keeps it; and at which steps in doubt streams broke off.
+  keepStreams @3 (streams :List(Stream), parts :List(Stream),
+                  doubts :List(StepInDoubt));
 
   # Returns which software version began a stream; 0: the peer doesn't know. If
   # `several` is true, the service was served at several versions of late; `only`
@@ -31,11 +32,22 @@
   # of other versions. `weights` is as in `Stream`.
   # With `confirm`, the peer reads the store's news first; `confirmed` says that
   # it has. `progress` is how far it knows the
-  # feeds.
+  # feeds. `doubt` is set if the stream broke off at a step in doubt.
   findStream @4 (stream :UInt64, service :Text, part :UInt64, confirm :Bool)
       -> (version :UInt64, several :Bool, only :UInt64, knownMs :UInt64,
           partVersion :UInt64, confirmed :Bool, progress :List(Progress),
-          partAlone :Bool, weights :UInt64);
+          partAlone :Bool, weights :UInt64, doubt :StepInDoubt);
+}
+
+struct StepInDoubt {
+  # As in `Stream`.
+  key @0 :UInt64;
+  # Ids of the last event that the caller has, and of the one that followed it.
+  from @1 :UInt64;
+  to @2 :UInt64;
+  # Endpoint that sent the latter, and whether it had sent the former too.
+  source @3 :Text;
+  own @4 :Bool;
 }
 
 struct Stream {
--- a/proxy/src/attempt_end.cc
+++ b/proxy/src/attempt_end.cc
@@ -335,6 +335,8 @@
                       {"phase", routing::NameOf(attempt->endpoint->phase)},
                       {"next", routing::NameOf(step)}});
   }
+  if (step == NextStep::kBreakOff || step == NextStep::kUnknown)
+    KeepStepInDoubt(proxy, *call);
   ExecuteNextStep(proxy, call, step, std::move(attempt));
 }
 
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -119,6 +119,8 @@
 struct VersionAnswer {
   routing::SoftwareVersion version = routing::kUnknownVersion;
   routing::Weights weights;
+  /// The step in doubt at which the stream broke off last.
+  std::optional<routing::StepInDoubt> doubt;
   /// Version of the endpoints that keep its part.
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
   bool is_part_alone = false;  ///< No endpoint of another version keeps it.
@@ -136,6 +138,7 @@
   routing::VersionKnowledge knowledge;  ///< Of this node and those that answer.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   routing::Weights weights;
+  std::optional<routing::StepInDoubt> doubt;
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
   /// A node knows that no endpoint of another version keeps the part.
   bool is_part_alone = false;
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -1,5 +1,6 @@
 // The check of a stream's events before they are passed on: every event that a
 // caller gets has been through it, whoever made it.
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -55,13 +56,38 @@
          routing::MayFollow(call.weights, call.attempt->weights);
 }
 
-// Returns true if another endpoint can go on with the stream. A retry is
-// reserved for that.
+// Returns true if the call has another attempt. A retry is reserved for that.
+bool HasAttemptLeft(Proxy& proxy, Call& call) {
+  return call.may_have_run + 1 < call.max_attempts &&
+         NowOf(proxy) < call.deadline && TryReserveRetry(proxy, call);
+}
+
+// Returns true if an endpoint beside the attempt's serves the stream's version.
+bool HasOtherEndpoint(const Proxy& proxy, const Call& call) {
+  const auto at = proxy.endpoints.by_service.find(call.service->name);
+  if (at == proxy.endpoints.by_service.end()) return false;
+  return std::any_of(at->second.begin(), at->second.end(),
+                     [&call](const routing::EndpointPtr& endpoint) {
+                       return endpoint != call.attempt->endpoint &&
+                              (call.version == routing::kUnknownVersion ||
+                               endpoint->version == call.version);
+                     });
+}
+
+// Returns true if the client asks another endpoint when it takes the stream up.
+// If it has done so, and the same endpoint goes on again, no other can.
+bool MayClientAsk(const Proxy& proxy, const Call& call) {
+  const auto& doubt = call.position.doubt;
+  const bool was_asked = doubt && doubt->source == call.attempt->run->source;
+  return !was_asked && routing::CanClientAsk(call.position) &&
+         HasOtherEndpoint(proxy, call);
+}
+
+// Returns true if another endpoint can go on with the stream, now or when its
+// client takes it up.
 bool MayAskElsewhere(Proxy& proxy, Call& call) {
-  const bool has_attempts_left = call.may_have_run + 1 < call.max_attempts;
-  return call.route->resumable && routing::CanGoOn(call.position) &&
-         has_attempts_left && NowOf(proxy) < call.deadline &&
-         TryReserveRetry(proxy, call);
+  if (!call.route->resumable || !routing::CanGoOn(call.position)) return false;
+  return HasAttemptLeft(proxy, call) || MayClientAsk(proxy, call);
 }
 
 // A peer may go on at another endpoint within its answer.
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -81,6 +81,10 @@
       routing::RememberPart(proxy_.streams, part.getKey(), part.getVersion(),
                             now);
     }
+    for (const auto doubt : params.getDoubts()) {
+      routing::RememberDoubt(proxy_.streams, doubt.getKey(), ReadDoubt(doubt),
+                             now);
+    }
     return kj::READY_NOW;
   }
 
@@ -111,6 +115,9 @@
         routing::FindSource(proxy_.streams, params.getStream());
     results.setVersion(source.version);
     results.setWeights(ToWire(source.weights));
+    if (const auto doubt =
+            routing::FindDoubt(proxy_.streams, params.getStream()))
+      FillDoubt(params.getStream(), *doubt, results.initDoubt());
     const Time now = NowOf(proxy_);
     const routing::VersionKnowledge knowledge = routing::KnowledgeOf(
         proxy_.streams, params.getService(), asked_at, now);
--- a/proxy/src/peers_p.h
+++ b/proxy/src/peers_p.h
@@ -112,5 +112,10 @@
 std::uint64_t ToWire(routing::Weights weights);
 /// Reads them.
 routing::Weights ReadWeights(std::uint64_t value);
+/// Writes the step in doubt at which the stream broke off to a message.
+void FillDoubt(routing::StreamKey stream, const routing::StepInDoubt& doubt,
+               exchange::StepInDoubt::Builder to);
+/// Reads it from one.
+routing::StepInDoubt ReadDoubt(exchange::StepInDoubt::Reader doubt);
 
 }  // namespace egretladder::proxy
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -413,6 +413,9 @@
 /// Records that other weights have made the stream's last event than the ones
 /// before.
 void OnWeightsChanged(Proxy& proxy, const Call& call);
+/// Writes the step in doubt at which the call's stream breaks off, if there is
+/// one, to the stream's homes: its client asks when it takes the stream up.
+void KeepStepInDoubt(Proxy& proxy, const Call& call);
 /// Dispatches a call that has just arrived. If it takes up a stream of which
 /// this node doesn't know at which version it began, peers are asked first.
 void DispatchAtItsVersion(Proxy& proxy, const CallPtr& call);
@@ -462,6 +465,9 @@
 void WriteRecords(Proxy& proxy, const std::string& peer_address,
                   RecordKind kind,
                   std::span<const routing::StreamRecord> records);
+/// Writes the step in doubt at which a stream broke off to a peer.
+void WriteDoubt(Proxy& proxy, const std::string& peer_address,
+                routing::StreamKey stream, const routing::StepInDoubt& doubt);
 /// Asks a peer at which version the stream began that the call takes up.
 void AskForVersion(Proxy& proxy, const CallPtr& call,
                    const StreamQuestion& question,
--- a/proxy/src/stream_records_capnp.cc
+++ b/proxy/src/stream_records_capnp.cc
@@ -26,6 +26,7 @@
   VersionAnswer read;
   read.version = answer.getVersion();
   read.weights = ReadWeights(answer.getWeights());
+  if (answer.hasDoubt()) read.doubt = ReadDoubt(answer.getDoubt());
   read.part_version = answer.getPartVersion();
   read.is_part_alone = answer.getPartAlone();
   read.knowledge.since = KnownSince(answer.getKnownMs(), now);
@@ -39,6 +40,21 @@
   return read;
 }
 
+using KeepStreamsRequest = capnp::Request<exchange::Peer::KeepStreamsParams,
+                                          exchange::Peer::KeepStreamsResults>;
+
+void SendRecords(Proxy& proxy, PeerConnection& peer,
+                 KeepStreamsRequest& request) {
+  CountBytes(proxy, "out", MessageKind::kStreams, IsSameZone(peer),
+             request.totalSize().wordCount);
+  OnRequestSent(peer, NowOf(proxy));
+  const auto on_end = [&proxy, &peer] { OnReplyReceived(peer, NowOf(proxy)); };
+  // A node of an earlier release answers that it doesn't know the call.
+  peer.tasks.add(request.send().then(
+      [on_end](auto&& /*answer*/) { on_end(); },
+      [on_end](const kj::Exception& /*error*/) { on_end(); }));
+}
+
 }  // namespace
 
 std::uint64_t ToWire(routing::Weights weights) {
@@ -50,6 +66,22 @@
   return value - 1;
 }
 
+void FillDoubt(routing::StreamKey stream, const routing::StepInDoubt& doubt,
+               exchange::StepInDoubt::Builder to) {
+  to.setKey(stream);
+  to.setFrom(doubt.from);
+  to.setTo(doubt.to);
+  to.setSource(doubt.source);
+  to.setOwn(doubt.is_own);
+}
+
+routing::StepInDoubt ReadDoubt(exchange::StepInDoubt::Reader doubt) {
+  return {.from = doubt.getFrom(),
+          .to = doubt.getTo(),
+          .source = doubt.getSource().cStr(),
+          .is_own = doubt.getOwn()};
+}
+
 void WriteRecords(Proxy& proxy, const std::string& peer_address,
                   RecordKind kind,
                   std::span<const routing::StreamRecord> records) {
@@ -64,14 +96,16 @@
     list[i].setVersion(records[i].version);
     list[i].setWeights(ToWire(records[i].weights));
   }
-  CountBytes(proxy, "out", MessageKind::kStreams, IsSameZone(*peer),
-             request.totalSize().wordCount);
-  OnRequestSent(*peer, NowOf(proxy));
-  const auto on_end = [&proxy, peer] { OnReplyReceived(*peer, NowOf(proxy)); };
-  // A node of an earlier release answers that it doesn't know the call.
-  peer->tasks.add(request.send().then(
-      [on_end](auto&& /*answer*/) { on_end(); },
-      [on_end](const kj::Exception& /*error*/) { on_end(); }));
+  SendRecords(proxy, *peer, request);
+}
+
+void WriteDoubt(Proxy& proxy, const std::string& peer_address,
+                routing::StreamKey stream, const routing::StepInDoubt& doubt) {
+  PeerConnection* peer = GetOrConnectPeer(*proxy.peers, peer_address);
+  if (peer == nullptr) return;
+  auto request = peer->client.keepStreamsRequest();
+  FillDoubt(stream, doubt, request.initDoubts(1)[0]);
+  SendRecords(proxy, *peer, request);
 }
 
 void AskForVersion(Proxy& proxy, const CallPtr& call,
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -36,6 +36,12 @@
   return is_stream && (call.caller->begun() || TakesStreamUp(call));
 }
 
+// Returns the id of the request that brought the stream's first event; empty:
+// its client doesn't say.
+const std::string& BegunBy(const Call& call) {
+  return TakesStreamUp(call) ? call.metadata.resumes : call.metadata.id;
+}
+
 bool WasServedAtSeveralVersions(const Proxy& proxy, const Call& call) {
   return routing::WasServedAtSeveralVersions(proxy.streams, call.service->name,
                                              NowOf(proxy));
@@ -298,8 +304,21 @@
              kUnknownStreamRetryDelay);
 }
 
+// Who goes on decides the step in doubt at which the stream broke off, and not
+// the endpoint that has left a number out there.
+void ApplyDoubt(const Proxy& proxy, Call& call,
+                const std::optional<routing::StepInDoubt>& doubt) {
+  if (!doubt) return;
+  routing::TakeUpInDoubt(call.position, *doubt);
+  if (!call.position.doubt) return;
+  const auto at = proxy.endpoints.by_id.find(doubt->source);
+  if (at != proxy.endpoints.by_id.end())
+    call.tried_endpoints.push_back(at->second);
+}
+
 void FinishLookup(Proxy& proxy, const CallPtr& call) {
   const auto lookup = std::exchange(call->version_lookup, nullptr);
+  if (!call->position.doubt) ApplyDoubt(proxy, *call, lookup->doubt);
   if (lookup->unanswered > 0) call->is_version_answer_missing = true;
   if (lookup->weights) call->weights = lookup->weights;
   if (lookup->version != kUnknownVersion) {
@@ -361,15 +380,35 @@
 }
 
 void OnWeightsChanged(Proxy& proxy, const Call& call) {
-  const bool is_taken_up = TakesStreamUp(call);
-  const bool is_known = is_taken_up && call.version != kUnknownVersion;
+  const bool is_known = TakesStreamUp(call) && call.version != kUnknownVersion;
   // The stream's first event is written together with its version.
   if (!call.caller->begun() && !is_known) return;
-  const std::string& begun_by =
-      is_taken_up ? call.metadata.resumes : call.metadata.id;
+  const std::string& begun_by = BegunBy(call);
   if (!begun_by.empty()) RecordStream(proxy, call, begun_by, call.version);
 }
 
+void KeepStepInDoubt(Proxy& proxy, const Call& call) {
+  const auto& doubt = call.position.doubt;
+  const std::string& begun_by = BegunBy(call);
+  if (!doubt || doubt->source.empty() || begun_by.empty()) return;
+  if (!routing::CanClientAsk(call.position)) return;
+  const routing::StreamKey stream = KeyOfStream(call, begun_by);
+  routing::RememberDoubt(proxy.streams, stream, *doubt, NowOf(proxy));
+  for (const auto& home : routing::HomesToWriteTo(proxy.members, stream)) {
+    if (home.node != proxy.members.self.node)
+      WriteDoubt(proxy, home.peers, stream, *doubt);
+  }
+  IncrementCounter(proxy, "egretladder_steps_left_to_clients_total",
+                   "Streams that broke off where an event may be missing, so "
+                   "that their clients ask for it.",
+                   "");
+  kernel::LogEvent(LogPart::kRoute, LogLevel::kInfo, "step-left-to-client",
+                   {{"req", call.metadata.id},
+                    {"endpoint", doubt->source},
+                    {"after_event", call.position.last_id},
+                    {"event", doubt->to}});
+}
+
 void DispatchAtItsVersion(Proxy& proxy, const CallPtr& call) {
   const bool is_bound = call->version != kUnknownVersion;
   if (is_bound || !TakesStreamUp(*call)) {
@@ -380,6 +419,10 @@
   const routing::StreamSource source =
       routing::FindSource(proxy.streams, question.stream);
   if (source.weights) call->weights = source.weights;
+  if (!call->position.doubt) {
+    ApplyDoubt(proxy, *call,
+               routing::FindDoubt(proxy.streams, question.stream));
+  }
   if (source.version != kUnknownVersion) {
     Bind(proxy, call, source.version, "this-node");
     return;
@@ -425,6 +468,7 @@
   routing::Merge(lookup->knowledge, knowledge);
   if (answer.version != kUnknownVersion) lookup->version = answer.version;
   if (answer.weights) lookup->weights = answer.weights;
+  if (answer.doubt) lookup->doubt = answer.doubt;
   lookup->part_version =
       routing::MergePartVersions(lookup->part_version, answer.part_version);
   lookup->is_part_alone = lookup->is_part_alone || answer.is_part_alone;
--- a/routing/include/egretladder/routing/event_order.h
+++ b/routing/include/egretladder/routing/event_order.h
@@ -59,6 +59,15 @@
 /// which its client takes it up.
 StreamPosition BeginStream(std::string_view last_event_id);
 
+/// Returns true if a client that takes the stream up after its last event can
+/// ask for what follows as this node would: the id to go on after is known from
+/// the last one.
+bool CanClientAsk(const StreamPosition& position);
+
+/// Continues what was in doubt when the stream broke off, if its client has
+/// taken it up just there.
+void TakeUpInDoubt(StreamPosition& position, const StepInDoubt& doubt);
+
 /// Returns true if the stream can go on at another endpoint: it is told an id
 /// to go on after, and what follows that id must not have been sent.
 bool CanGoOn(const StreamPosition& position);
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -341,6 +341,9 @@
 /// each. Within a minute, a node of a small fleet begins some 6,000, and three
 /// times as many are written to it.
 inline constexpr std::size_t kMaxNewerStreams = 16'384;
+/// Steps in doubt that a node remembers in the newer half, some 100 bytes each.
+/// Streams rarely break off at one.
+inline constexpr std::size_t kMaxNewerDoubts = 1024;
 /// Nodes to which the version of a stream is written. Each of them may be lost
 /// with its zone, or with the node that began the stream.
 inline constexpr std::size_t kStreamHomesInSmallFleet = 3;
--- a/routing/include/egretladder/routing/stream_records.h
+++ b/routing/include/egretladder/routing/stream_records.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "egretladder/kernel/time.h"
 #include "egretladder/routing/catalog.h"
 #include "egretladder/routing/endpoints.h"
+#include "egretladder/routing/event_order.h"
 #include "egretladder/routing/members.h"
 #include "egretladder/routing/recent_map.h"
 #include "egretladder/routing/version_evidence.h"
@@ -61,6 +63,8 @@
   Time confirmed_at{};
   /// The versions at which parts of prompts are kept; see `RememberPart`.
   RecentMap<SoftwareVersion> by_part;
+  /// Steps in doubt at which streams broke off.
+  RecentMap<StepInDoubt> doubts;
 };
 
 /// Remembers the version of a stream.
@@ -72,6 +76,14 @@
 /// Returns all streams that are remembered.
 std::vector<StreamRecord> AllStreams(const StreamRecords& records);
 
+/// Remembers the step in doubt at which a stream broke off.
+void RememberDoubt(StreamRecords& records, StreamKey stream,
+                   const StepInDoubt& doubt, Time now);
+/// Returns the step in doubt at which the stream broke off last; nullopt: none
+/// is remembered.
+std::optional<StepInDoubt> FindDoubt(const StreamRecords& records,
+                                     StreamKey stream);
+
 /// Names a part of prompts that endpoints of a service keep.
 using PartKey = std::uint64_t;
 PartKey KeyOfPart(const std::string& service, std::uint64_t part);
--- a/routing/src/event_order.cc
+++ b/routing/src/event_order.cc
@@ -1,6 +1,7 @@
 #include "egretladder/routing/event_order.h"
 
 #include <charconv>
+#include <string>
 #include <utility>
 
 namespace egretladder::routing {
@@ -187,6 +188,19 @@
   return position;
 }
 
+bool CanClientAsk(const StreamPosition& position) {
+  if (!position.last_number || *position.last_number == 0) return false;
+  if (position.last_id != std::to_string(*position.last_number)) return false;
+  return !position.previous_id ||
+         position.previous_id == std::to_string(*position.last_number - 1);
+}
+
+void TakeUpInDoubt(StreamPosition& position, const StepInDoubt& doubt) {
+  if (position.last_number != doubt.from || !CanClientAsk(position)) return;
+  position.doubt = doubt;
+  if (doubt.is_own) position.previous_id = std::to_string(doubt.from - 1);
+}
+
 bool CanGoOn(const StreamPosition& position) {
   return !position.last_id.empty() && position.events_since_id == 0;
 }
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr RecentMapBounds kBounds{kMaxNewerStreams, kStreamRetention};
+constexpr RecentMapBounds kDoubtBounds{kMaxNewerDoubts, kStreamRetention};
 constexpr RecentMapBounds kPartBounds{kMaxNewerParts, kStreamRetention};
 
 std::size_t CountVersions(const VersionHistory& history, Time now) {
@@ -142,6 +143,17 @@
   return source != nullptr ? *source : StreamSource{};
 }
 
+void RememberDoubt(StreamRecords& records, StreamKey stream,
+                   const StepInDoubt& doubt, Time now) {
+  Put(records.doubts, kDoubtBounds, stream, doubt, now);
+}
+
+std::optional<StepInDoubt> FindDoubt(const StreamRecords& records,
+                                     StreamKey stream) {
+  const StepInDoubt* doubt = Find(records.doubts, stream);
+  return doubt != nullptr ? std::optional(*doubt) : std::nullopt;
+}
+
 std::vector<StreamRecord> AllStreams(const StreamRecords& records) {
   std::vector<StreamRecord> all;
   for (const auto* half :
--- a/routing/tests/event_order_test.cc
+++ b/routing/tests/event_order_test.cc
@@ -401,3 +401,49 @@
     stream.Pass({next});
   }
 }
+
+// Guards against an event that is missing where a stream broke off since nobody
+// else could be asked, and against losing one whose ids count tokens.
+TEST(EventOrder, AClientThatTakesAStreamUpAsksAboutTheStepInDoubt) {
+  Stream begun = MakeStreamOf({"1", "2", "3"});
+  CHECK(begun.Place("5") == EventPlace::kInDoubt);
+  CHECK(er::CanClientAsk(begun.position));
+  for (const char* next : {"4", "5"}) {
+    Stream stream("3");
+    er::TakeUpInDoubt(stream.position, *begun.position.doubt);
+    STRCMP_EQUAL("2", er::IdToGoOnAfter(stream.position).c_str());
+    stream.GoOn("b");
+    CHECK(stream.Place("3") == EventPlace::kRepeated);
+    stream.Pass({next, "6"});
+  }
+}
+
+// The same where a step over a number comes right behind the event after which
+// a stream was taken up.
+TEST(EventOrder, TwoEndpointsThatAClientAskedInTurnAreBelieved) {
+  Stream begun("7");
+  begun.may_ask = true;
+  begun.GoOn("a");
+  CHECK(begun.Place("9") == EventPlace::kInDoubt);
+  CHECK(er::CanClientAsk(begun.position));
+  Stream stream("7");
+  er::TakeUpInDoubt(stream.position, *begun.position.doubt);
+  STRCMP_EQUAL("7", er::IdToGoOnAfter(stream.position).c_str());
+  stream.GoOn("b");
+  stream.Pass({"9"});
+}
+
+// Guards against a doubt that is carried to another place of a stream, or that
+// can't be told from the last id alone.
+TEST(EventOrder, AStepInDoubtBelongsToItsEvent) {
+  const er::StepInDoubt doubt{
+      .from = 3, .to = 5, .source = "a", .is_own = true};
+  for (const char* last : {"2", "4", "03", "", "x"}) {
+    Stream stream(last);
+    er::TakeUpInDoubt(stream.position, doubt);
+    CHECK_FALSE(stream.position.doubt.has_value());
+  }
+  CHECK_FALSE(er::CanClientAsk(MakeStreamOf({"1"}).position));
+  CHECK_FALSE(er::CanClientAsk(MakeStreamOf({"a", "b"}).position));
+  CHECK(er::CanClientAsk(MakeStreamOf({"1", "2"}).position));
+}
--- a/routing/tests/stream_records_test.cc
+++ b/routing/tests/stream_records_test.cc
@@ -509,3 +509,16 @@
                 er::IsHome(members, stream));
   }
 }
+
+TEST(StreamRecords, TheLastStepInDoubtOfAStreamIsRememberedForAWhile) {
+  er::StreamRecords records;
+  er::RememberDoubt(records, 7, {.from = 3, .to = 5, .source = "a"}, kStart);
+  er::RememberDoubt(records, 7, {.from = 4, .to = 6, .source = "b"}, kStart);
+  LONGS_EQUAL(4, er::FindDoubt(records, 7)->from);
+  CHECK_FALSE(er::FindDoubt(records, 8).has_value());
+  for (int i = 1; i <= 2; ++i) {
+    er::RememberDoubt(records, 8, {.from = 1, .to = 3, .source = "a"},
+                      kStart + i * er::kStreamRetention);
+  }
+  CHECK_FALSE(er::FindDoubt(records, 7).has_value());
+}
