ORDER: what stands in an event's place doesn't pass for it

Callers lacked an event of a stream that they were told was whole. Two of six engines put something else in the place of one event in three of ten streams: random bytes, the same with an empty line, an event without an id, one whose id isn't text, or the first bytes of an event that the next one joins.

Cause: only ids were compared, and what had none, or one that is no number, passed within a run and excused a number left out behind it. Nothing looked at what an event is. The class: a sign is missing (an id), and its want is read as a proof (this service doesn't number its events).

Ruled out: the first seconds (the node in question had judged ids "firmly by one" before; of random bytes those that join the next event do pass then); the take-up by callers (no more than 1 of 8 cases); framing, and whether a start is stated (the same in all three).

Change: the splitter says what an event is like: whether it is readable (UTF-8, each line a field), and the names of its fields. What isn't readable ends its run. Where ids of the stream (or service) have risen by one, an event without a number, or with fields that no event of the stream had, is held until the next number: if nothing is left out, both pass; otherwise the run ends before it and another engine goes on. Two engines that do the same are believed, and what most processes of a service do often is its habit (odd_events.h). At the end in good order an odd event is the closing mark if that is the habit, another engine has it, or nothing is known and the stream can't be taken up. A byte order mark before the first field no longer hides its name.

--- a/net/include/egretladder/net/event_splitter.h
+++ b/net/include/egretladder/net/event_splitter.h
@@ -14,6 +14,10 @@
   std::size_t end = 0;  ///< Position behind its last byte.
   std::string id;       ///< Empty: it has none.
   std::string mark;     ///< Value of the field `EventSplitter::mark_field`.
+  /// Hash of its fields' names in their order, without that one.
+  std::uint64_t fields = 0;
+  /// It is UTF-8, and each of its lines is a field, or a comment.
+  bool is_readable = true;
 };
 
 /// State of the splitter for one stream.
@@ -25,18 +29,24 @@
 /// Lines end with LF, CRLF or CR. A CR at the end of a piece ends its line at
 /// once, except behind a CRLF: callers that know CRLF alone need both bytes.
 ///
+/// A byte order mark at the begin belongs to no line. Fields beside the
+/// standard ones have a name of letters, digits, - and _, and a colon.
+///
 /// Comments and empty lines are no events. Those before the first event are
 /// kept until it is complete; later ones are passed on as they come.
 struct EventSplitter {
   /// Name of another field that is read of each event; empty: none is. It must
   /// outlive the splitter.
   std::string_view mark_field;
-  std::string incomplete_event;   ///< Bytes of an incomplete event.
-  std::size_t scanned_bytes = 0;  ///< Its bytes in complete lines.
-  std::string pending_id;         ///< Id of the incomplete event.
-  std::string pending_mark;       ///< Value of `mark_field` in it.
-  bool has_fields = false;        ///< It has a line that is no comment.
-  bool has_crlf = false;          ///< The last line ended with CRLF.
+  std::string incomplete_event;      ///< Bytes of an incomplete event.
+  std::size_t scanned_bytes = 0;     ///< Its bytes in complete lines.
+  std::string pending_id;            ///< Id of the incomplete event.
+  std::string pending_mark;          ///< Value of `mark_field` in it.
+  std::uint64_t pending_fields = 0;  ///< See `SplitEvent::fields`.
+  bool is_readable = true;           ///< See `SplitEvent::is_readable`.
+  bool has_lines = false;            ///< The stream has begun.
+  bool has_fields = false;           ///< It has a line that is no comment.
+  bool has_crlf = false;             ///< The last line ended with CRLF.
   /// The bytes ended with a CR, and an LF that follows belongs to it.
   bool may_end_with_lf = false;
   /// Bytes since the last complete event, those that were passed on included.
--- a/net/src/event_splitter.cc
+++ b/net/src/event_splitter.cc
@@ -1,9 +1,14 @@
 #include "egretladder/net/event_splitter.h"
 
+#include <kj/encoding.h>
+
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <utility>
 
+#include "egretladder/kernel/hash.h"
+
 namespace egretladder::net {
 namespace {
 
@@ -18,8 +23,45 @@
   return line;
 }
 
+constexpr std::string_view kByteOrderMark = "\xef\xbb\xbf";
+constexpr std::array<std::string_view, 4> kStandardFields = {"id", "data",
+                                                             "event", "retry"};
+
+bool IsPlain(char c) { return c >= ' ' && c <= '~'; }
+
+bool IsUtf8(std::string_view text) {
+  if (std::all_of(text.begin(), text.end(), IsPlain)) return true;
+  return !kj::encodeUtf16(kj::arrayPtr(text.data(), text.size())).hadErrors;
+}
+
+bool IsOfName(char c) {
+  const bool is_letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+  return is_letter || (c >= '0' && c <= '9') || c == '-' || c == '_';
+}
+
+bool IsField(std::string_view line, std::string_view name) {
+  const bool is_standard =
+      std::find(kStandardFields.begin(), kStandardFields.end(), name) !=
+      kStandardFields.end();
+  if (is_standard) return true;
+  const bool has_colon = name.size() < line.size();
+  return has_colon && std::all_of(name.begin(), name.end(), IsOfName);
+}
+
+void ReadForm(EventSplitter& splitter, std::string_view line) {
+  const std::string_view name = line.substr(0, line.find(':'));
+  if (!IsField(line, name) || !IsUtf8(line)) splitter.is_readable = false;
+  if (name == splitter.mark_field) return;
+  splitter.pending_fields = kernel::HashBytes(name, splitter.pending_fields);
+}
+
 void ReadLine(EventSplitter& splitter, std::string_view line) {
-  if (!line.starts_with(':')) splitter.has_fields = true;
+  const bool is_first = !std::exchange(splitter.has_lines, true);
+  if (is_first && line.starts_with(kByteOrderMark))
+    line.remove_prefix(kByteOrderMark.size());
+  if (line.empty() || line.starts_with(':')) return;
+  splitter.has_fields = true;
+  ReadForm(splitter, line);
   if (const auto id = ReadField(line, "id")) splitter.pending_id = *id;
   if (const auto mark = ReadField(line, splitter.mark_field))
     splitter.pending_mark = *mark;
@@ -71,8 +113,12 @@
 void FinishEvent(EventSplitter& splitter) {
   ++splitter.events;
   splitter.has_fields = false;
-  splitter.last_events.push_back({splitter.scanned_bytes, splitter.pending_id,
-                                  std::exchange(splitter.pending_mark, {})});
+  splitter.last_events.push_back(
+      {.end = splitter.scanned_bytes,
+       .id = splitter.pending_id,
+       .mark = std::exchange(splitter.pending_mark, {}),
+       .fields = std::exchange(splitter.pending_fields, 0),
+       .is_readable = std::exchange(splitter.is_readable, true)});
   if (!splitter.pending_id.empty())
     splitter.last_id = std::move(splitter.pending_id);
   splitter.pending_id.clear();
--- a/net/tests/event_splitter_test.cc
+++ b/net/tests/event_splitter_test.cc
@@ -132,3 +132,50 @@
   STRCMP_EQUAL("1", marked.last_events[0].id.c_str());
   STRCMP_EQUAL("", marked.last_events[1].mark.c_str());
 }
+
+namespace {
+
+en::SplitEvent SplitOne(const std::string& event) {
+  en::EventSplitter splitter;
+  splitter.mark_field = "mark";
+  en::SplitEvents(splitter, event + "\n\n");
+  LONGS_EQUAL(1, splitter.last_events.size());
+  return splitter.last_events.front();
+}
+
+}  // namespace
+
+// Guards against an event of other fields that looks like those before it.
+TEST(EventSplitter, TellsEventsApartByTheNamesOfTheirFields) {
+  const std::uint64_t usual = SplitOne("id: 1\ndata: a").fields;
+  for (const char* alike :
+       {"id:27\ndata", "mark: 3\nid: 2\ndata: b", ": c\nid: 2\ndata: b",
+        "\xef\xbb\xbfid: 1\ndata: a"})
+    CHECK_TEXT(SplitOne(alike).fields == usual, alike);
+  for (const char* other :
+       {"data: a", "data: a\nid: 1", "id: 1\nid: 2\ndata: a",
+        "id: 1\ndata: a\ndata: b", "id: 1\ndaid: 2\ndata: a"})
+    CHECK_TEXT(SplitOne(other).fields != usual, other);
+}
+
+// Guards against bytes that pass as an event, and against sound text that
+// doesn't.
+TEST(EventSplitter, TellsEventsFromOtherBytes) {
+  for (const char* readable :
+       {"id: 1\ndata: a", "data", "x-Field_2: y", "data: \xc3\xa9\t\x1b",
+        "event: ping\nretry: 5", ": \xff\ndata: a"})
+    CHECK_TEXT(SplitOne(readable).is_readable, readable);
+  for (const char* other : {"id: 1\xff\ndata: a", "data: \xc3", "noise",
+                            "a b: c", "id: 1\nnoise\ndata: a", "\xc3\xa9: a"})
+    CHECK_FALSE_TEXT(SplitOne(other).is_readable, other);
+}
+
+// Guards against an event that is judged by the one before it.
+TEST(EventSplitter, TheFormOfAnEventIsItsOwn) {
+  en::EventSplitter splitter;
+  en::SplitEvents(splitter, "noise\n\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  LONGS_EQUAL(3, splitter.last_events.size());
+  CHECK_FALSE(splitter.last_events[0].is_readable);
+  CHECK(splitter.last_events[1].is_readable);
+  CHECK(splitter.last_events[1].fields == splitter.last_events[2].fields);
+}
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -158,6 +158,7 @@
 // Records how many bytes of the attempt's answer are kept.
 void CountBuffered(Proxy& proxy, Attempt& attempt) {
   const std::size_t bytes = attempt.head_bytes + attempt.body.size() +
+                            attempt.held_bytes.size() +
                             attempt.splitter.incomplete_event.size();
   proxy.buffered_bytes += bytes;
   proxy.buffered_bytes -= std::exchange(attempt.buffered_bytes, bytes);
@@ -220,34 +221,34 @@
     PauseReading(proxy, call);
 }
 
-// Returns the number of events that were forwarded.
-std::uint64_t ForwardEvents(Proxy& proxy, const CallPtr& call,
-                            std::string_view piece) {
+// Returns true if the attempt has brought an event.
+bool ForwardEvents(Proxy& proxy, const CallPtr& call, std::string_view piece) {
   const std::string events = net::SplitEvents(call->attempt->splitter, piece);
-  if (events.empty()) return 0;
+  if (events.empty()) return false;
   const CheckedEvents checked = CheckEvents(proxy, *call, events);
   if (!checked.bytes.empty()) SendEvents(proxy, call, checked);
   if (checked.end) {
     GiveUpAnswer(proxy, call, "the events don't follow those before",
                  *checked.end);
   }
-  return checked.count;
+  return checked.count > 0 || checked.has_held;
 }
 
 void OnStreamBytes(Proxy& proxy, const CallPtr& call, std::string_view piece) {
   MarkAttemptStarted(proxy, call);
   const std::uint64_t number = call->attempt->number;
-  const std::uint64_t events = ForwardEvents(proxy, call, piece);
+  const bool has_events = ForwardEvents(proxy, call, piece);
   // It may have been given up, and another one begun.
   if (call->attempt == nullptr || call->attempt->number != number) return;
   Attempt& attempt = *call->attempt;
-  if (attempt.splitter.bytes_since_event > kMaxEventBytes) {
+  if (attempt.splitter.bytes_since_event > kMaxEventBytes ||
+      attempt.held_bytes.size() > kMaxEventBytes) {
     GiveUpAnswer(proxy, call, "an event without end");
     return;
   }
   const bool is_backlogged = call->caller->UnsentBytes() > MaxBacklog(proxy);
   // Bytes that make no event don't count: they may drip without end.
-  if (events > 0 && routing::IsRouteRepeatable(*call->route) &&
+  if (has_events && routing::IsRouteRepeatable(*call->route) &&
       !is_backlogged) {
     StartSilenceTimer(proxy, call, GetStallTimeout(*call));
   }
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -36,12 +36,17 @@
 struct CheckedEvents {
   std::string bytes;        ///< With the comments around them.
   std::uint64_t count = 0;  ///< Number of events.
+  bool has_held = false;    ///< Some are held back; see routing/event_form.h.
   /// How the attempt ends, of which nothing more may follow; unset: it goes on.
   std::optional<routing::AttemptOutcome> end;
 };
 /// Returns those events that follow what the caller has, of the bytes that the
 /// attempt's splitter returned last.
 CheckedEvents CheckEvents(Proxy& proxy, Call& call, std::string_view bytes);
+/// The attempt's answer has ended in good order. Passes on the events that it
+/// holds back. Returns false if one may be missing there, so that another
+/// endpoint is asked.
+bool PassHeld(Proxy& proxy, Call& call);
 
 // answer_ends.cc
 /// Returns true if the answer says itself where it ends.
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -13,6 +13,7 @@
 #include "egretladder/net/http_client.h"
 #include "egretladder/net/http_server.h"
 #include "egretladder/proxy/dialect.h"
+#include "egretladder/routing/event_form.h"
 #include "egretladder/routing/event_order.h"
 #include "egretladder/routing/next_step.h"
 #include "egretladder/routing/placement.h"
@@ -93,6 +94,8 @@
   net::EventSplitter splitter;
   /// Set from the stream's first event of this attempt on.
   std::optional<routing::StreamRun> run;
+  routing::HeldEvents held;  ///< Its last events, until the next one.
+  std::string held_bytes;    ///< Of these.
   bool is_misorder_logged =
       false;  ///< An event that doesn't follow was logged.
 };
@@ -193,7 +196,8 @@
   std::unique_ptr<Attempt> attempt;  ///< The current attempt, if any.
   /// What the caller has of a stream, with what it had before this request.
   routing::StreamPosition position;
-  std::uint64_t events = 0;  ///< Events sent to the caller.
+  routing::StreamForms forms;  ///< Of its events.
+  std::uint64_t events = 0;    ///< Events sent to the caller.
   OpenEnd open_end;
   /// Earliest time at which a stream that it takes up can have begun.
   Time earliest_begin{};
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -25,7 +25,8 @@
                    "their place among them.",
                    std::string("place=\"") + routing::NameOf(place) + "\"");
   Attempt& attempt = *call.attempt;
-  if (attempt.is_misorder_logged) return;
+  const bool is_decided = place != EventPlace::kHeld;
+  if (attempt.is_misorder_logged || !is_decided) return;
   attempt.is_misorder_logged = true;
   kernel::LogEvent(kernel::LogPart::kRoute, kernel::LogLevel::kWarning,
                    "event-withheld",
@@ -95,14 +96,44 @@
   return attempt.peer.empty() ? attempt.endpoint->entry.id : "";
 }
 
+routing::EventJudges JudgesOf(Proxy& proxy, Call& call) {
+  return {.ask_for_rise = [&proxy, &call] { return RiseOfIds(proxy, call); },
+          .ask_for_habit =
+              [&proxy, &call](routing::OddKind kind) {
+                return routing::JudgeHabit(proxy.endpoints, call.service->name,
+                                           VersionOfRun(call), kind);
+              },
+          .may_ask_elsewhere = [&proxy,
+                                &call] { return MayAskElsewhere(proxy, call); },
+          .may_be_taken_up = call.route->resumable};
+}
+
+// Records what the event says of the process that sent it.
+void RecordEvent(Proxy& proxy, Call& call, const net::SplitEvent& event,
+                 const routing::FormedEvent& formed) {
+  if (formed.placed.step) RecordIdStep(proxy, call, *formed.placed.step);
+  // A peer may have gone on at another endpoint within its answer.
+  if (!call.attempt->peer.empty()) return;
+  routing::OddShares& shares = call.attempt->endpoint->odd_events;
+  routing::CountOdd(shares, routing::OddKind::kUnreadable, !event.is_readable);
+  if (formed.counts_others) {
+    routing::CountOdd(shares, routing::OddKind::kCountsOthers,
+                      *formed.counts_others);
+  }
+}
+
 EventPlace PlaceInRun(Proxy& proxy, Call& call, const net::SplitEvent& event) {
   if (!FitsWeights(call, event)) return EventPlace::kOtherWeights;
-  const routing::PlacedEvent placed = routing::PlaceEvent(
-      call.position, *call.attempt->run,
-      [&proxy, &call] { return RiseOfIds(proxy, call); }, event.id,
-      [&proxy, &call] { return MayAskElsewhere(proxy, call); });
-  if (placed.step) RecordIdStep(proxy, call, *placed.step);
-  return placed.place;
+  Attempt& attempt = *call.attempt;
+  const routing::FormedEvent formed = routing::PlaceFormedEvent(
+      call.position, *attempt.run, call.forms, attempt.held,
+      {.id = event.id,
+       .fields = event.fields,
+       .is_readable = event.is_readable,
+       .has_mark = !event.mark.empty()},
+      JudgesOf(proxy, call));
+  RecordEvent(proxy, call, event, formed);
+  return formed.placed.place;
 }
 
 // The endpoint's weights have changed before the event.
@@ -135,6 +166,12 @@
   OnWeightsChanged(proxy, call);
 }
 
+AttemptOutcome OutcomeOf(EventPlace place) {
+  const bool is_missing =
+      place == EventPlace::kMissing || place == EventPlace::kUnreadable;
+  return is_missing ? AttemptOutcome::kIncomplete : AttemptOutcome::kUnjoined;
+}
+
 }  // namespace
 
 std::string NameOfSource(const Attempt& attempt) {
@@ -146,27 +183,50 @@
   std::size_t begin = 0;
   const auto events = std::exchange(call.attempt->splitter.last_events, {});
   for (const net::SplitEvent& event : events) {
+    const std::size_t held = call.attempt->held.size();
     const EventPlace place = PlaceNext(proxy, call, event);
+    const std::string_view own_bytes = bytes.substr(begin, event.end - begin);
     if (place == EventPlace::kNext) {
       OnMoreFollows(proxy, call);
       PassWeights(proxy, call);
-      checked.bytes += bytes.substr(begin, event.end - begin);
-      ++checked.count;
+      checked.bytes += std::exchange(call.attempt->held_bytes, {});
+      checked.bytes += own_bytes;
+      checked.count += held + 1;
     } else {
       RecordMisorder(proxy, call, place, event.id);
     }
+    if (place == EventPlace::kHeld) call.attempt->held_bytes += own_bytes;
     if (routing::EndsRun(place)) {
       if (place != EventPlace::kBehind) DistrustEnd(call);
-      checked.end = place == EventPlace::kMissing ? AttemptOutcome::kIncomplete
-                                                  : AttemptOutcome::kUnjoined;
+      checked.end = OutcomeOf(place);
       return checked;
     }
     begin = event.end;
   }
+  checked.has_held = !call.attempt->held.empty();
   // Comments between events.
   const bool has_begun = call.caller->begun() || checked.count > 0;
   if (has_begun) checked.bytes += bytes.substr(begin);
   return checked;
 }
 
+bool PassHeld(Proxy& proxy, Call& call) {
+  Attempt& attempt = *call.attempt;
+  if (!attempt.run) return true;
+  if (attempt.peer.empty()) {
+    routing::CountOdd(attempt.endpoint->odd_events,
+                      routing::OddKind::kEndsOddly, !attempt.held.empty());
+  }
+  const EventPlace place =
+      routing::PlaceEnd(call.position, *attempt.run, call.forms, attempt.held,
+                        JudgesOf(proxy, call));
+  if (place != EventPlace::kNext) {
+    RecordMisorder(proxy, call, place, "");
+    return false;
+  }
+  if (!attempt.held_bytes.empty())
+    call.caller->Send(std::exchange(attempt.held_bytes, {}));
+  return true;
+}
+
 }  // namespace egretladder::proxy
--- a/proxy/src/id_rises.cc
+++ b/proxy/src/id_rises.cc
@@ -48,14 +48,6 @@
   return ids;
 }
 
-// A peer tells the version of the endpoint that answers it.
-SoftwareVersion VersionOfRun(const Call& call) {
-  const Attempt& attempt = *call.attempt;
-  if (attempt.peer.empty()) return attempt.endpoint->version;
-  return attempt.version != routing::kUnknownVersion ? attempt.version
-                                                     : call.version;
-}
-
 // Another version may number events otherwise. Until its own endpoints show
 // that, what others have shown holds for it too: an event that is missing after
 // a release doesn't come back, and two endpoints of the new one outvote it.
@@ -93,6 +85,13 @@
 
 }  // namespace
 
+SoftwareVersion VersionOfRun(const Call& call) {
+  const Attempt& attempt = *call.attempt;
+  if (attempt.peer.empty()) return attempt.endpoint->version;
+  return attempt.version != routing::kUnknownVersion ? attempt.version
+                                                     : call.version;
+}
+
 IdRise JudgeIds(Proxy& proxy, const std::string& service,
                 SoftwareVersion version) {
   VersionIds& ids = UseVersion(proxy, service, version);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -523,6 +523,9 @@
 bool EndTrustedStream(Proxy& proxy, const CallPtr& call);
 
 // id_rises.cc
+/// Returns the version of the software that answers the call's attempt. A peer
+/// tells that of its endpoint.
+routing::SoftwareVersion VersionOfRun(const Call& call);
 /// Returns how the ids of the service's streams rise at the version of the
 /// call's attempt, as this node has seen it; if it hasn't seen enough, as peers
 /// have.
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -21,6 +21,7 @@
 #include "egretladder/kernel/time.h"
 #include "egretladder/routing/id_steps.h"
 #include "egretladder/routing/limits.h"
+#include "egretladder/routing/odd_events.h"
 #include "egretladder/routing/pace.h"
 #include "egretladder/routing/prompt_pauses.h"
 #include "egretladder/routing/route_table.h"
@@ -201,6 +202,7 @@
   EndpointHealth health;
   EnginePace pace;
   IdSteps id_steps;        ///< Of its streams.
+  OddShares odd_events{};  ///< Of its streams.
   StreamEnds stream_ends;  ///< Of its process, as this node's attempts show it.
   /// This node's attempts without a first byte so far, by number.
   std::map<std::uint64_t, UnansweredAttempt> unanswered;
--- a/routing/include/egretladder/routing/event_order.h
+++ b/routing/include/egretladder/routing/event_order.h
@@ -110,6 +110,10 @@
   kMissing,   ///< The run has left an event out.
   kInDoubt,   ///< It may have left one out. Another endpoint is asked.
   kUnplaced,  ///< Nothing shows whether it follows them.
+  kUnreadable,  ///< It is no event; see event_form.h.
+  /// It may stand in the place of another one, which the next number shows. It
+  /// is held back until then.
+  kHeld,
   /// The run is of another software version than the stream, or may be.
   kOtherVersion,
   /// Other weights made it than the event before, and it doesn't say so.
--- a/routing/src/event_order.cc
+++ b/routing/src/event_order.cc
@@ -4,19 +4,11 @@
 #include <string>
 #include <utility>
 
+#include "event_order_p.h"
+
 namespace egretladder::routing {
 namespace {
 
-// Returns nothing for ids that are no decimal numbers of 64 bits. Such ids
-// can't be compared.
-std::optional<std::uint64_t> ParseId(std::string_view id) {
-  std::uint64_t number = 0;
-  const char* end = id.data() + id.size();
-  const auto [parsed, error] = std::from_chars(id.data(), end, number);
-  if (error != std::errc() || parsed != end) return std::nullopt;
-  return number;
-}
-
 // Returns true if a number is left out between the position's last number and
 // the id of an event behind it. Events without an id need none of their own.
 bool LeavesOut(const StreamPosition& position, std::uint64_t number) {
@@ -93,14 +85,7 @@
     if (!asks) return place;
     place = EventPlace::kInDoubt;
   }
-  // What was in doubt before at a seam is replaced, but not what a run has
-  // shown.
-  if (!position.doubt || !position.doubt->is_own) {
-    position.doubt = {.from = *position.last_number,
-                      .to = gap.number,
-                      .source = run.source,
-                      .is_own = IsOwnStep(run) && !run.source.empty()};
-  }
+  DoubtStep(position, run, gap.number);
   return place;
 }
 
@@ -181,6 +166,37 @@
 
 }  // namespace
 
+std::optional<std::uint64_t> ParseId(std::string_view id) {
+  std::uint64_t number = 0;
+  const char* end = id.data() + id.size();
+  const auto [parsed, error] = std::from_chars(id.data(), end, number);
+  if (error != std::errc() || parsed != end) return std::nullopt;
+  return number;
+}
+
+void DoubtStep(StreamPosition& position, const StreamRun& run,
+               std::uint64_t number) {
+  // What was in doubt before at a seam is replaced, but not what a run has
+  // shown.
+  if (position.doubt && position.doubt->is_own) return;
+  position.doubt = {.from = *position.last_number,
+                    .to = number,
+                    .source = run.source,
+                    .is_own = IsOwnStep(run) && !run.source.empty()};
+}
+
+bool IsShownElsewhere(const StreamPosition& position, const StreamRun& run,
+                      std::uint64_t number) {
+  return position.doubt && position.doubt->is_own &&
+         IsSecondWord(position, run, {.number = number});
+}
+
+void PassOn(StreamPosition& position, StreamRun& run, std::string_view id) {
+  PassEvent(position, id, ParseId(id));
+  if (!id.empty())
+    run = {.has_sent_last = true, .source = std::move(run.source)};
+}
+
 StreamPosition BeginStream(std::string_view last_event_id) {
   StreamPosition position;
   position.last_id = last_event_id;
@@ -234,6 +250,10 @@
       return "in-doubt";
     case EventPlace::kUnplaced:
       return "unplaced";
+    case EventPlace::kUnreadable:
+      return "unreadable";
+    case EventPlace::kHeld:
+      return "held";
     case EventPlace::kOtherVersion:
       return "other-version";
     case EventPlace::kOtherWeights:
@@ -243,7 +263,8 @@
 }
 
 bool EndsRun(EventPlace place) {
-  return place != EventPlace::kNext && place != EventPlace::kRepeated;
+  return place != EventPlace::kNext && place != EventPlace::kRepeated &&
+         place != EventPlace::kHeld;
 }
 
 bool MayJoinVersions(SoftwareVersion stream, SoftwareVersion run,
@@ -266,9 +287,7 @@
       return {EventPlace::kUnplaced, std::nullopt};
   }
   if (place != EventPlace::kNext) return {place, step};
-  PassEvent(position, id, number);
-  if (!id.empty())
-    run = {.has_sent_last = true, .source = std::move(run.source)};
+  PassOn(position, run, id);
   return {place, step};
 }
 
