ORDER: two engines that spoil the same event don't confirm each other

That word now counts only while no habit of the service is known. Where most of its processes number all events, it doesn't.

And one process among others doesn't decide what is a habit: with two ends it could be the first to vote.

--- a/routing/src/event_form.cc
+++ b/routing/src/event_form.cc
@@ -91,23 +91,26 @@
   return others > 0 && *number - *last == others + 1;
 }
 
-bool HasHabit(const Stream& stream, OddKind kind) {
-  return stream.judges.ask_for_habit(kind) == Habit::kYes;
+// Returns true if the run's step to the number, over what looks like a fault,
+// is none. Two faulty endpoints may spoil the same event, so that their word
+// counts only where nothing speaks against the habit.
+bool IsHabit(const Stream& stream, OddKind kind, std::uint64_t number) {
+  const Habit habit = stream.judges.ask_for_habit(kind);
+  if (habit != Habit::kUnknown) return habit == Habit::kYes;
+  return IsShownElsewhere(stream.position, stream.run, number);
 }
 
 // Returns the place of an event that leaves a number out, and is odd or behind
 // odd ones.
 EventPlace PlaceBesideOdd(Stream& stream, std::uint64_t number) {
   const bool counts_others = CountsOthers(stream, number).value_or(false);
-  if (counts_others && HasHabit(stream, OddKind::kCountsOthers))
+  if (counts_others && IsHabit(stream, OddKind::kCountsOthers, number))
     return EventPlace::kNext;
   const IdRise rise = stream.judges.ask_for_rise();
   // A peer judges by what it has seen itself.
   const bool is_vouched =
       stream.run.source.empty() && rise != IdRise::kFirmlyByOne;
-  if (is_vouched || rise == IdRise::kLeavesOut ||
-      IsShownElsewhere(stream.position, stream.run, number))
-    return EventPlace::kNext;
+  if (is_vouched || rise == IdRise::kLeavesOut) return EventPlace::kNext;
   DoubtStep(stream.position, stream.run, number);
   if (stream.run.is_unplaced) return EventPlace::kGap;
   return rise == IdRise::kFirmlyByOne ? EventPlace::kMissing
@@ -208,8 +211,7 @@
   const bool is_new = number && last && *number > *last;
   if (stream.forms.may_be_unreadable) return true;
   stream.forms.may_be_unreadable =
-      HasHabit(stream, OddKind::kUnreadable) ||
-      (is_new && IsShownElsewhere(stream.position, stream.run, *number));
+      IsHabit(stream, OddKind::kUnreadable, is_new ? *number : 0);
   if (is_new && !stream.forms.may_be_unreadable)
     DoubtStep(stream.position, stream.run, *number);
   return stream.forms.may_be_unreadable;
--- a/routing/src/odd_events.cc
+++ b/routing/src/odd_events.cc
@@ -1,5 +1,6 @@
 #include "egretladder/routing/odd_events.h"
 
+#include <algorithm>
 #include <array>
 
 #include "egretladder/routing/endpoints.h"
@@ -20,6 +21,9 @@
     {.min_counted = 2, .interval = 2},    // Of streams.
 }};
 
+// One process among others doesn't decide, however early it votes.
+constexpr std::size_t kMinDeciding = 2;
+
 }  // namespace
 
 void CountOdd(OddShares& shares, OddKind kind, bool is_odd) {
@@ -37,17 +41,21 @@
   if (at == set.by_service.end()) return Habit::kUnknown;
   const auto index = static_cast<std::size_t>(kind);
   const Bounds& bounds = kBounds[index];
+  std::size_t processes = 0;
   std::size_t voters = 0;
   std::size_t habits = 0;
   for (const EndpointPtr& endpoint : at->second) {
     const OddShare& share = endpoint->odd_events[index];
-    if (endpoint->version != version || share.all < bounds.min_counted)
-      continue;
+    if (endpoint->version != version) continue;
+    ++processes;
+    if (share.all < bounds.min_counted) continue;
     ++voters;
     if (share.odd * bounds.interval >= share.all) ++habits;
   }
   if (voters == 0) return Habit::kUnknown;
-  return 2 * habits > voters ? Habit::kYes : Habit::kNo;
+  if (2 * habits <= voters) return Habit::kNo;
+  return habits >= std::min(kMinDeciding, processes) ? Habit::kYes
+                                                     : Habit::kUnknown;
 }
 
 }  // namespace egretladder::routing
--- a/routing/tests/odd_events_test.cc
+++ b/routing/tests/odd_events_test.cc
@@ -44,6 +44,10 @@
   processes.Add(8, 1);
   CHECK(processes.Judge() == Habit::kUnknown);
   processes.Add(100, 3);
+  CHECK(processes.Judge() == Habit::kUnknown);
+  processes.Add(100, 3);
+  CHECK(processes.Judge() == Habit::kYes);
+  processes.Add(100, 0);
   CHECK(processes.Judge() == Habit::kYes);
   processes.Add(100, 0);
   CHECK(processes.Judge() == Habit::kNo);
@@ -53,6 +57,13 @@
   CHECK(processes.Judge() == Habit::kYes);
 }
 
+// Guards against a service that nobody could decide for.
+TEST(OddEvents, TheOnlyProcessDecides) {
+  Processes processes;
+  processes.Add(100, 3);
+  CHECK(processes.Judge() == Habit::kYes);
+}
+
 // Guards against spoiled events at all processes that count as a habit.
 TEST(OddEvents, RareOnesAreNoHabit) {
   Processes processes;
