A stream goes on at a process without a start once a connection proves it

Callers saw: events of v1, then of v2, in one answer that looks whole, where engines state no start, and are back under their own ids with newer software before their entries are.

Cause: an answer on a new connection that states no start ("unclear") counted as that of the entry's process unless a break had put it in doubt. By silence nothing breaks before the process is back. Class: evidence of one thing taken for another: the entry speaks of the process before.

Weighed: the entry's seq (comes with the entry, which is late), the report's seq (counts orders), the epoch of kept parts (not all services list them), the echo of the id (the same for both). A connection speaks of one process. One that has answered for longer than entries are late, while the entry stayed as it is and the store could be read, is of the process of the entry.

Change: a stream goes on at an engine that states no start only if its spare connection, opened that long ago, answers then; else the stream waits for that (half a second, at an engine that the node has just met). An answer there ends a doubt after a break, too. Where a start is stated nothing changes.

--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -153,6 +153,7 @@
 struct ProcessCheck {
   routing::Placement placement;  ///< Of the attempt that waits for it.
   PageReadPtr question;
+  kernel::EventWatcher timer;  ///< Of the question for a witness.
 };
 
 /// An endpoint that was asked for its process in vain.
--- a/proxy/src/endpoint_questions_p.h
+++ b/proxy/src/endpoint_questions_p.h
@@ -51,6 +51,7 @@
   /// Tells it from earlier ones to the endpoint; 0: it isn't open.
   std::uint64_t number = 0;
   std::string address;
+  Time opened_at{};             ///< When the endpoint first answered on it.
   Time heard_at{};              ///< When the endpoint last answered on it.
   Time used_at{};               ///< When an answer last needed it.
   Time unavailable_until{};     ///< The endpoint keeps none open.
@@ -75,6 +76,8 @@
 /// connection is lost, or keeps silent.
 void AskSpare(Proxy& proxy, const routing::Endpoint& endpoint,
               Spare::Waiter on_end);
+/// Returns since when the endpoint's process answers on its open one.
+Time AnswersSince(const Proxy& proxy, const routing::Endpoint& endpoint);
 /// Keeps the connections open that answers in progress need, and closes those
 /// that none has needed for long. Called at each tick.
 void KeepSpares(Proxy& proxy);
@@ -103,6 +106,14 @@
 void StartCheckedAttempt(Proxy& proxy, const CallPtr& call,
                          const routing::Placement& placement);
 
+// process_witness.cc
+/// Finds out by the endpoint's spare connection whether its process, which
+/// states no start, is the one of its entry. That may take `kMaxEntryDelay` at
+/// an endpoint that this node has just met. `on_end` isn't called once the
+/// call's process check has ended.
+void AskForWitness(Proxy& proxy, const CallPtr& call,
+                   std::function<void(routing::ProcessCheckResult)> on_end);
+
 // kept_parts.cc
 /// Asks endpoints which parts of prompts they keep, if no node is left that
 /// knows at which versions streams began. Called at each tick.
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -22,13 +22,20 @@
   return call.demand.version != routing::kUnknownVersion;
 }
 
+// Neither the entry nor the process states a start, so that its answer on a new
+// connection doesn't tell which of them it is.
+bool NeedsWitness(const Call& call, const routing::Endpoint& endpoint) {
+  return call.demand.goes_on && endpoint.entry.started_unix_ms == 0;
+}
+
 // Returns true if the process that answered may serve the call. One that
 // doesn't state its start is taken for the one of the entry, unless that is in
-// doubt and the call keeps to a version.
+// doubt and the call keeps to a version, or a stream goes on there.
 bool MayServe(const Call& call, const routing::Endpoint& endpoint,
               ProcessCheckResult result) {
   return result == ProcessCheckResult::kSame ||
          (result == ProcessCheckResult::kUnclear &&
+          !NeedsWitness(call, endpoint) &&
           (!IsBound(call) || routing::IsVersionSure(endpoint)));
 }
 
@@ -54,6 +61,21 @@
          CountQuestions(call, endpoint) > 0;
 }
 
+void FinishCheck(Proxy& proxy, const CallPtr& call, ProcessCheckResult result);
+
+// An answer alone isn't enough where a stream goes on.
+void OnAnswer(Proxy& proxy, const CallPtr& call, ProcessCheckResult result) {
+  const routing::Endpoint& endpoint = *call->process_check->placement.endpoint;
+  if (result != ProcessCheckResult::kUnclear ||
+      !NeedsWitness(*call, endpoint)) {
+    FinishCheck(proxy, call, result);
+    return;
+  }
+  AskForWitness(proxy, call, [&proxy, call](ProcessCheckResult witnessed) {
+    FinishCheck(proxy, call, witnessed);
+  });
+}
+
 void FinishCheck(Proxy& proxy, const CallPtr& call, ProcessCheckResult result) {
   const auto check = std::move(call->process_check);
   IncrementCounter(
@@ -98,7 +120,7 @@
        weak_call = std::weak_ptr<Call>(call)](ProcessCheckResult result) {
         const auto locked = weak_call.lock();
         if (locked == nullptr || locked->process_check == nullptr) return;
-        FinishCheck(proxy, locked, result);
+        OnAnswer(proxy, locked, result);
       });
 }
 
--- a/proxy/src/spares.cc
+++ b/proxy/src/spares.cc
@@ -38,6 +38,7 @@
   const bool was_open = spare.number != 0;
   if (!was_open && page.status != 0) {
     spare.number = ++proxy.last_number;
+    spare.opened_at = now;
     proxy.spare_client->MarkReusable(spare.address, spare.number);
   }
   if (page.status != 0) spare.heard_at = now;
@@ -124,6 +125,10 @@
              : 0;
 }
 
+Time AnswersSince(const Proxy& proxy, const routing::Endpoint& endpoint) {
+  return proxy.spares.at(endpoint.entry.id).opened_at;
+}
+
 void AskSpare(Proxy& proxy, const routing::Endpoint& endpoint,
               Spare::Waiter on_end) {
   const std::string& id = endpoint.entry.id;
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -171,7 +171,8 @@
   double hash_position = 0;
   std::uint64_t name_hash = 0;
   SoftwareVersion version = kUnknownVersion;  ///< As its entry says.
-  Weights weights;                            ///< As its last answer stated.
+  Time version_since{};  ///< When this node learned of that version.
+  Weights weights;       ///< As its last answer stated.
   /// Since when this node knows the process of the entry.
   Time known_since{};
   /// When a connection to it last broke or was refused; default: not since its
@@ -356,6 +357,12 @@
 ProcessCheckResult OnProcessStated(Endpoint& endpoint,
                                    std::uint64_t started_unix_ms,
                                    Time asked_at);
+/// Returns from when on a process that states no start is the one of the entry,
+/// if it has answered at the endpoint since `answers_since`: it would have
+/// written another entry by then.
+Time WitnessedFrom(const Endpoint& endpoint, Time answers_since);
+/// Records that such a process has answered a question of `asked_at`.
+void OnProcessWitnessed(Endpoint& endpoint, Time asked_at);
 /// Records a refused connection and starts or doubles the connect backoff.
 void OnConnectFailed(Endpoint& endpoint, Time now);
 /// Records that the endpoint was asked for its process, and that no connection
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -77,6 +77,7 @@
   endpoint->entry = entry;
   endpoint->name_hash = kernel::HashBytes(entry.id);
   endpoint->version = VersionOf(entry);
+  endpoint->version_since = now;
   endpoint->known_since = now;
   endpoint->phase =
       entry.leaving ? EndpointPhase::kLeaving : EndpointPhase::kServing;
@@ -190,7 +191,11 @@
                     known.phase != EndpointPhase::kLapsed;
   UncountVersion(set, known);
   known.entry = entry;
-  known.version = VersionOf(entry);
+  if (const SoftwareVersion version = VersionOf(entry);
+      version != known.version) {
+    known.version = version;
+    known.version_since = now;
+  }
   CountVersion(set, known);
   SetPhase(set, known,
            entry.leaving ? EndpointPhase::kLeaving : EndpointPhase::kServing);
@@ -286,6 +291,14 @@
   return ProcessCheckResult::kSame;
 }
 
+Time WitnessedFrom(const Endpoint& endpoint, Time answers_since) {
+  return std::max(endpoint.version_since, answers_since) + kMaxEntryDelay;
+}
+
+void OnProcessWitnessed(Endpoint& endpoint, Time asked_at) {
+  if (asked_at >= endpoint.doubted_since) endpoint.doubted_since = {};
+}
+
 const char* NameOf(ProcessCheckResult result) {
   switch (result) {
     case ProcessCheckResult::kSame:
--- a/routing/tests/endpoints_test.cc
+++ b/routing/tests/endpoints_test.cc
@@ -235,3 +235,34 @@
   er::OnProcessStated(endpoint, 100, kStart + 2s);
   CHECK(er::IsVersionSure(endpoint));
 }
+
+// Guards against a process without a start that is taken for the one of an
+// entry which it had no time to replace.
+TEST(Endpoints, AProcessIsWitnessedOnceItMustHaveWrittenItsEntry) {
+  er::EndpointEntry entry = MakeEntry("x");
+  entry.started_unix_ms = 0;
+  entry.software_version = "v1";
+  er::OnEntryPublished(set, entry, kStart);
+  er::Endpoint& endpoint = *set.by_id.at("x");
+  CHECK(er::WitnessedFrom(endpoint, kStart + 5s) ==
+        kStart + 5s + er::kMaxEntryDelay);
+  er::OnEntryPublished(set, entry, kStart + 6s);
+  CHECK(er::WitnessedFrom(endpoint, kStart + 5s) ==
+        kStart + 5s + er::kMaxEntryDelay);
+  entry.software_version = "v2";
+  er::OnEntryPublished(set, entry, kStart + 7s);
+  CHECK(er::WitnessedFrom(endpoint, kStart + 5s) ==
+        kStart + 7s + er::kMaxEntryDelay);
+}
+
+// Guards against a doubt that outlives the process's answer, or ends by an
+// answer to an earlier question.
+TEST(Endpoints, AWitnessEndsEarlierDoubtsOnly) {
+  er::OnEntryPublished(set, MakeEntry("x"), kStart);
+  er::Endpoint& endpoint = *set.by_id.at("x");
+  er::OnConnectionLost(endpoint, kStart + 10s);
+  er::OnProcessWitnessed(endpoint, kStart + 9s);
+  CHECK_FALSE(er::IsVersionSure(endpoint));
+  er::OnProcessWitnessed(endpoint, kStart + 11s);
+  CHECK(er::IsVersionSure(endpoint));
+}
