Doubt an end that an engine states by an answer without an event

One engine had broken off after 39, and the next one had nothing left.

Cause: an answer without an event shows that this engine sends no more, and was taken for proof that nothing follows. Ruled out: that a doubt of an earlier step was lost; there was none in three cases that were traced.

Change: the end is in doubt until an engine shows it behind the last event. Somebody is asked after the event before the last one, within the retry budget, or by the client's take-up. Only where that id is known, or ids are known to rise by one; otherwise, and for the only endpoint, as before.

--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -15,6 +15,7 @@
 // replaced at once: the next one answers for it.
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "attempts_p.h"
 
@@ -102,8 +103,8 @@
   const bool is_joined =
       attempt.run ? !attempt.run->is_behind : FitsStream(proxy, call);
   if (!is_joined) return AttemptOutcome::kUnjoined;
-  // Another endpoint had an event behind the last one.
-  if (call.position.doubt) return AttemptOutcome::kUnjoined;
+  if (routing::IsEndRefuted(call.position, attempt.run))
+    return AttemptOutcome::kUnjoined;
   if (attempt.is_end_proven || CountsAsWhole(proxy, call))
     return AttemptOutcome::kSucceeded;
   if (attempt.splitter.events > 0) return AttemptOutcome::kUnproven;
@@ -131,8 +132,29 @@
   return is_unproven ? AttemptOutcome::kUnproven : outcome;
 }
 
+// An endpoint that leaves out what it is asked for has nothing left, either.
+// Where somebody else can be asked, its end without an event is no proof that a
+// stream is whole which another one has broken off.
+bool IsEndInDoubt(Proxy& proxy, Call& call) {
+  const Attempt& attempt = *call.attempt;
+  const bool is_alone = attempt.is_end_proven && attempt.splitter.events == 0 &&
+                        attempt.peer.empty() && !call.handed_over &&
+                        call.open_end.after != call.position.last_id;
+  if (!is_alone) return false;
+  routing::StreamPosition position = call.position;
+  const bool can_be_asked_for = routing::PutEndInDoubt(
+      position, attempt.endpoint->entry.id, RiseOfIds(proxy, call));
+  if (!can_be_asked_for || !MayAskElsewhere(proxy, call)) return false;
+  call.position = std::move(position);
+  return true;
+}
+
 void EndAnswer(Proxy& proxy, const CallPtr& call) {
-  const AttemptOutcome outcome = ClassifyEnd(proxy, *call);
+  AttemptOutcome outcome = ClassifyEnd(proxy, *call);
+  const bool is_whole_stream =
+      call->attempt->is_event_stream && outcome == AttemptOutcome::kSucceeded;
+  if (is_whole_stream && IsEndInDoubt(proxy, *call))
+    outcome = AttemptOutcome::kUnjoined;
   const bool is_broken = outcome == AttemptOutcome::kBroken;
   if (call->attempt->is_event_stream) {
     if (outcome == AttemptOutcome::kUnproven) LeaveEndOpen(proxy, call);
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -40,6 +40,9 @@
   /// How the attempt ends, of which nothing more may follow; unset: it goes on.
   std::optional<routing::AttemptOutcome> end;
 };
+/// Returns true if another endpoint can go on with the stream, now or when its
+/// client takes it up. A retry is reserved if it can go on now.
+bool MayAskElsewhere(Proxy& proxy, Call& call);
 /// Returns those events that follow what the caller has, of the bytes that the
 /// attempt's splitter returned last.
 CheckedEvents CheckEvents(Proxy& proxy, Call& call, std::string_view bytes);
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -75,27 +75,20 @@
                      });
 }
 
+// A peer may go on at another endpoint within its answer.
+std::string SourceOfRun(const Attempt& attempt) {
+  return attempt.peer.empty() ? attempt.endpoint->entry.id : "";
+}
+
 // Returns true if the client asks another endpoint when it takes the stream up.
 // If it has done so, and the same endpoint goes on again, no other can.
 bool MayClientAsk(const Proxy& proxy, const Call& call) {
   const auto& doubt = call.position.doubt;
-  const bool was_asked = doubt && doubt->source == call.attempt->run->source;
+  const bool was_asked = doubt && doubt->source == SourceOfRun(*call.attempt);
   return !was_asked && routing::CanClientAsk(call.position) &&
          HasOtherEndpoint(proxy, call);
 }
 
-// Returns true if another endpoint can go on with the stream, now or when its
-// client takes it up.
-bool MayAskElsewhere(Proxy& proxy, Call& call) {
-  if (!call.route->resumable || !routing::CanGoOn(call.position)) return false;
-  return HasAttemptLeft(proxy, call) || MayClientAsk(proxy, call);
-}
-
-// A peer may go on at another endpoint within its answer.
-std::string SourceOfRun(const Attempt& attempt) {
-  return attempt.peer.empty() ? attempt.endpoint->entry.id : "";
-}
-
 routing::EventJudges JudgesOf(Proxy& proxy, Call& call) {
   return {.ask_for_rise = [&proxy, &call] { return RiseOfIds(proxy, call); },
           .ask_for_habit =
@@ -174,6 +167,11 @@
 
 }  // namespace
 
+bool MayAskElsewhere(Proxy& proxy, Call& call) {
+  if (!call.route->resumable || !routing::CanGoOn(call.position)) return false;
+  return HasAttemptLeft(proxy, call) || MayClientAsk(proxy, call);
+}
+
 std::string NameOfSource(const Attempt& attempt) {
   return attempt.peer.empty() ? attempt.endpoint->entry.id : attempt.peer;
 }
--- a/routing/include/egretladder/routing/event_order.h
+++ b/routing/include/egretladder/routing/event_order.h
@@ -19,12 +19,16 @@
 
 namespace egretladder::routing {
 
-/// A number that a run has left out behind the last event that the caller has.
-/// The run was ended, and whoever goes on shows whether an event is missing.
+/// Stands for a stream's end in place of the id of an event.
+inline constexpr std::uint64_t kEndOfStream = 0;
+
+/// A number that a run has left out behind the last event that the caller has,
+/// or an end there. The run was ended, and whoever goes on shows whether an
+/// event is missing.
 struct StepInDoubt {
-  std::uint64_t from = 0;  ///< Id of the last event.
-  std::uint64_t to = 0;    ///< Id that followed it.
-  std::string source;      ///< Endpoint that sent it; see `StreamRun::source`.
+  std::uint64_t from = 0;           ///< Id of the last event.
+  std::uint64_t to = kEndOfStream;  ///< Id that followed it.
+  std::string source;  ///< Endpoint that sent it; see `StreamRun::source`.
   /// That endpoint had sent both events. Otherwise it was asked for what
   /// follows the first one.
   bool is_own = false;
@@ -68,6 +72,12 @@
 /// taken it up just there.
 void TakeUpInDoubt(StreamPosition& position, const StepInDoubt& doubt);
 
+/// Puts an end in doubt that `source` states by nothing but an answer without
+/// an event, asked for what follows the stream's last one. Returns false if no
+/// id is known after which another endpoint shows that event, and the end.
+bool PutEndInDoubt(StreamPosition& position, const std::string& source,
+                   IdRise rise);
+
 /// Returns true if the stream can go on at another endpoint: it is told an id
 /// to go on after, and what follows that id must not have been sent.
 bool CanGoOn(const StreamPosition& position);
@@ -98,6 +108,12 @@
   std::string source;
 };
 
+/// Returns true if an end of the run, which has brought no new event, can't be
+/// believed: another endpoint has sent more, or such an end is in doubt and the
+/// run hasn't shown the stream's last event.
+bool IsEndRefuted(const StreamPosition& position,
+                  const std::optional<StreamRun>& run);
+
 /// Returns the run of `source` that begins at the position.
 StreamRun BeginRun(const StreamPosition& position, std::string source = "");
 
--- a/routing/src/event_form.cc
+++ b/routing/src/event_form.cc
@@ -1,7 +1,6 @@
 #include "egretladder/routing/event_form.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "event_order_p.h"
@@ -9,10 +8,6 @@
 namespace egretladder::routing {
 namespace {
 
-// Stands for the number that the end of a stream is taken for.
-constexpr std::uint64_t kEndOfStream =
-    std::numeric_limits<std::uint64_t>::max();
-
 // The stream whose next event is judged.
 struct Stream {
   StreamPosition& position;
--- a/routing/src/event_order.cc
+++ b/routing/src/event_order.cc
@@ -217,6 +217,31 @@
   if (doubt.is_own) position.previous_id = std::to_string(doubt.from - 1);
 }
 
+bool PutEndInDoubt(StreamPosition& position, const std::string& source,
+                   IdRise rise) {
+  if (!position.last_number || position.doubt || source.empty()) return false;
+  const bool is_previous_known =
+      position.previous_id && !position.previous_id->empty();
+  if (!is_previous_known) {
+    const bool is_first = *position.last_number <= 1;
+    if (is_first || !RisesByOne(rise) || position.previous_id) return false;
+    position.previous_id = std::to_string(*position.last_number - 1);
+  }
+  position.doubt = {.from = *position.last_number,
+                    .to = kEndOfStream,
+                    .source = source,
+                    .is_own = true};
+  return true;
+}
+
+bool IsEndRefuted(const StreamPosition& position,
+                  const std::optional<StreamRun>& run) {
+  if (!position.doubt) return false;
+  const bool shows_end =
+      position.doubt->to == kEndOfStream && run && run->has_sent_last;
+  return !shows_end;
+}
+
 bool CanGoOn(const StreamPosition& position) {
   return !position.last_id.empty() && position.events_since_id == 0;
 }
--- a/routing/tests/event_order_test.cc
+++ b/routing/tests/event_order_test.cc
@@ -447,3 +447,34 @@
   CHECK_FALSE(er::CanClientAsk(MakeStreamOf({"a", "b"}).position));
   CHECK(er::CanClientAsk(MakeStreamOf({"1", "2"}).position));
 }
+
+// Guards against a stream that is told as whole by an endpoint that leaves out
+// what it is asked for, and against sound ends that are never believed.
+TEST(EventOrder, AnEndInDoubtIsShownBehindTheLastEvent) {
+  Stream stream = MakeStreamOf({"1", "2", "3"});
+  CHECK(er::PutEndInDoubt(stream.position, "b", er::IdRise::kUnknown));
+  STRCMP_EQUAL("2", er::IdToGoOnAfter(stream.position).c_str());
+  stream.GoOn("c");
+  CHECK(er::IsEndRefuted(stream.position, std::nullopt));
+  CHECK(er::IsEndRefuted(stream.position, stream.run));
+  CHECK(stream.Place("3") == EventPlace::kRepeated);
+  CHECK_FALSE(er::IsEndRefuted(stream.position, stream.run));
+  stream.Pass({"4"});
+  CHECK_FALSE(stream.position.doubt.has_value());
+}
+
+// Guards against asking after an id that no event has.
+TEST(EventOrder, AnEndIsInDoubtOnlyWhereTheEventBeforeIsKnown) {
+  Stream taken_up("7");
+  CHECK_FALSE(er::PutEndInDoubt(taken_up.position, "b", er::IdRise::kUnknown));
+  CHECK_FALSE(
+      er::PutEndInDoubt(taken_up.position, "b", er::IdRise::kLeavesOut));
+  CHECK(er::PutEndInDoubt(taken_up.position, "b", er::IdRise::kByOne));
+  STRCMP_EQUAL("6", er::IdToGoOnAfter(taken_up.position).c_str());
+  CHECK_FALSE(er::PutEndInDoubt(taken_up.position, "c", er::IdRise::kByOne));
+  Stream first = MakeStreamOf({"1"});
+  CHECK_FALSE(er::PutEndInDoubt(first.position, "b", er::IdRise::kByOne));
+  Stream uneven = MakeStreamOf({"5", "10", "15"});
+  CHECK(er::PutEndInDoubt(uneven.position, "b", er::IdRise::kLeavesOut));
+  STRCMP_EQUAL("10", er::IdToGoOnAfter(uneven.position).c_str());
+}
