Leave a step in doubt to the client only where an endpoint can answer

Cause: the other endpoint was judged by its version alone. Now its weights count, as for placement.

CallerQuestions.AnEndpointOfOtherWeightsCantBeAsked failed before ("1 2 3") and passes now; Weights, Seams, StartOfAll, StreamVersions, BrokenAnswers pass.

--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -63,7 +63,8 @@
          NowOf(proxy) < call.deadline && TryReserveRetry(proxy, call);
 }
 
-// Returns true if an endpoint beside the attempt's serves the stream's version.
+// Returns true if an endpoint beside the attempt's serves the stream's version
+// and weights.
 bool HasOtherEndpoint(const Proxy& proxy, const Call& call) {
   const auto at = proxy.endpoints.by_service.find(call.service->name);
   if (at == proxy.endpoints.by_service.end()) return false;
@@ -71,7 +72,9 @@
                      [&call](const routing::EndpointPtr& endpoint) {
                        return endpoint != call.attempt->endpoint &&
                               (call.version == routing::kUnknownVersion ||
-                               endpoint->version == call.version);
+                               endpoint->version == call.version) &&
+                              routing::MayFollow(call.weights,
+                                                 endpoint->weights);
                      });
 }
 
