ORDER: half an event where a run goes on is held, too

An event with the due number, and other fields than all before, passed at once as the first of a run that goes on with a stream, as that run hadn't shown its place yet. Its number shows it. Found by reading; EventForm.ANewFormIsHeldAtASeam.

--- a/routing/src/event_form.cc
+++ b/routing/src/event_form.cc
@@ -63,7 +63,8 @@
   const bool has_odd_form =
       number ? is_new && !is_first && *number == NextNumber(stream)
              : is_new || !event.id.empty() || !stream.held.empty();
-  return has_odd_form && IsAtPosition(stream) && NumbersAll(stream);
+  const bool is_placed = number.has_value() || IsAtPosition(stream);
+  return has_odd_form && is_placed && NumbersAll(stream);
 }
 
 void Hold(Stream& stream, const EventForm& event) {
--- a/routing/tests/event_form_test.cc
+++ b/routing/tests/event_form_test.cc
@@ -115,6 +115,18 @@
   CHECK(er::EndsRun(second.Place("4", kNew)));
 }
 
+// Guards against the same where a run goes on.
+TEST(EventForm, ANewFormIsHeldAtASeam) {
+  for (const char* next : {"4", "5"}) {
+    Stream stream;
+    stream.Pass({"1", "2"});
+    stream.GoOn("b");
+    CHECK(stream.Place("3", kNew) == EventPlace::kHeld);
+    const EventPlace place = stream.Place(next);
+    CHECK(place == (next[0] == '4' ? EventPlace::kNext : EventPlace::kGap));
+  }
+}
+
 // Guards against an id that can't be compared in the place of a number.
 TEST(EventForm, AnIdThatIsNoNumberIsHeldAmongNumbers) {
   Stream stream;
