ORDER: a closing mark without an id is no doubt for good

Cause: ends where the mark wasn't held didn't count for the habit, so that it was judged "no"; and the same end of a second engine counted only if both had sent the event before it.

Now each end counts by whether events without an id are the last, two engines that end in the same way confirm each other, and what is held at the end goes the way of other events.

--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -317,11 +317,7 @@
   call->attempt->has_lived_on = is_framed && call->attempt->is_unframed_at_peer;
   call->attempt->is_end_proven = is_framed && !call->attempt->has_lived_on;
   const bool is_whole = call->attempt->splitter.incomplete_event.empty();
-  if (is_whole && !PassHeld(proxy, *call)) {
-    EndAttempt(proxy, call, AttemptOutcome::kUnjoined,
-               "an event may be missing before the end");
-    return;
-  }
+  if (is_whole && !ForwardHeld(proxy, call)) return;
   if (end == net::AnswerEnd::kConnection && IsWorthAsking(*call)) {
     if (call->attempt->spare != 0) {
       AskBySpare(proxy, call);
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -217,8 +217,6 @@
                         FramingOf(*call, attempt));
   }
   call->caller->Send(checked.bytes);
-  if (call->caller->UnsentBytes() > MaxBacklog(proxy))
-    PauseReading(proxy, call);
 }
 
 // Returns true if the attempt has brought an event.
@@ -226,7 +224,11 @@
   const std::string events = net::SplitEvents(call->attempt->splitter, piece);
   if (events.empty()) return false;
   const CheckedEvents checked = CheckEvents(proxy, *call, events);
-  if (!checked.bytes.empty()) SendEvents(proxy, call, checked);
+  if (!checked.bytes.empty()) {
+    SendEvents(proxy, call, checked);
+    if (call->caller->UnsentBytes() > MaxBacklog(proxy))
+      PauseReading(proxy, call);
+  }
   if (checked.end) {
     GiveUpAnswer(proxy, call, "the events don't follow those before",
                  *checked.end);
@@ -332,6 +334,15 @@
   return handlers;
 }
 
+bool ForwardHeld(Proxy& proxy, const CallPtr& call) {
+  const CheckedEvents checked = CheckEnd(proxy, *call);
+  if (!checked.bytes.empty()) SendEvents(proxy, call, checked);
+  if (!checked.end) return true;
+  EndAttempt(proxy, call, *checked.end,
+             "an event may be missing before the end");
+  return false;
+}
+
 void StartSilenceTimer(Proxy& proxy, const CallPtr& call,
                        milliseconds timeout) {
   call->silence_timer = kernel::RunAfter(
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -26,6 +26,9 @@
                     const AnswerMetadata& metadata);
 /// Returns the handlers of an answer but for those of its head and of sending.
 net::ExchangeHandlers MakeAnswerHandlers(Proxy& proxy, const CallPtr& call);
+/// Passes on the events that the attempt holds back, as its answer has ended in
+/// good order. Returns false if it has ended the attempt instead.
+bool ForwardHeld(Proxy& proxy, const CallPtr& call);
 /// Abandons the call's attempt if nothing comes from it for `timeout`.
 void StartSilenceTimer(Proxy& proxy, const CallPtr& call, milliseconds timeout);
 
@@ -46,10 +49,9 @@
 /// Returns those events that follow what the caller has, of the bytes that the
 /// attempt's splitter returned last.
 CheckedEvents CheckEvents(Proxy& proxy, Call& call, std::string_view bytes);
-/// The attempt's answer has ended in good order. Passes on the events that it
-/// holds back. Returns false if one may be missing there, so that another
-/// endpoint is asked.
-bool PassHeld(Proxy& proxy, Call& call);
+/// Returns the events that the attempt holds back, as its answer has ended in
+/// good order, or how it ends if one may be missing there.
+CheckedEvents CheckEnd(Proxy& proxy, Call& call);
 
 // answer_ends.cc
 /// Returns true if the answer says itself where it ends.
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -211,23 +211,26 @@
   return checked;
 }
 
-bool PassHeld(Proxy& proxy, Call& call) {
+CheckedEvents CheckEnd(Proxy& proxy, Call& call) {
+  CheckedEvents checked;
   Attempt& attempt = *call.attempt;
-  if (!attempt.run) return true;
+  if (!attempt.run) return checked;
   if (attempt.peer.empty()) {
     routing::CountOdd(attempt.endpoint->odd_events,
-                      routing::OddKind::kEndsOddly, !attempt.held.empty());
+                      routing::OddKind::kEndsOddly,
+                      routing::EndsOddly(call.position, attempt.held));
   }
+  checked.count = attempt.held.size();
   const EventPlace place =
       routing::PlaceEnd(call.position, *attempt.run, call.forms, attempt.held,
                         JudgesOf(proxy, call));
-  if (place != EventPlace::kNext) {
-    RecordMisorder(proxy, call, place, "");
-    return false;
+  if (place == EventPlace::kNext) {
+    checked.bytes = std::exchange(attempt.held_bytes, {});
+    return checked;
   }
-  if (!attempt.held_bytes.empty())
-    call.caller->Send(std::exchange(attempt.held_bytes, {}));
-  return true;
+  RecordMisorder(proxy, call, place, "");
+  checked.end = OutcomeOf(place);
+  return checked;
 }
 
 }  // namespace egretladder::proxy
--- a/routing/include/egretladder/routing/event_form.h
+++ b/routing/include/egretladder/routing/event_form.h
@@ -85,6 +85,9 @@
                              StreamForms& forms, HeldEvents& held,
                              const EventForm& event, const EventJudges& judges);
 
+/// Returns true if events without an id, or held ones, are the last.
+bool EndsOddly(const StreamPosition& position, const HeldEvents& held);
+
 /// Returns the place of the run's end in good order: `kInDoubt` if an event may
 /// be missing there. Otherwise what is held follows, and none is held then.
 EventPlace PlaceEnd(StreamPosition& position, StreamRun& run,
--- a/routing/src/event_form.cc
+++ b/routing/src/event_form.cc
@@ -213,6 +213,13 @@
   return stream.forms.may_be_unreadable;
 }
 
+// Returns true if another endpoint's stream has ended in the same way.
+bool IsEndShownElsewhere(const Stream& stream) {
+  const auto& doubt = stream.position.doubt;
+  return doubt && doubt->from == stream.position.last_number &&
+         doubt->to == kEndOfStream && doubt->source != stream.run.source;
+}
+
 // Returns true if the odd event at the end is no fault, or more likely none. A
 // stream that goes on elsewhere, or with its client's next request, loses
 // nothing.
@@ -221,8 +228,7 @@
   const Habit habit = stream.judges.ask_for_habit(OddKind::kEndsOddly);
   const bool is_likely =
       habit == Habit::kUnknown && !stream.judges.may_be_taken_up;
-  return is_likely || habit == Habit::kYes ||
-         IsShownElsewhere(stream.position, stream.run, kEndOfStream);
+  return is_likely || habit == Habit::kYes || IsEndShownElsewhere(stream);
 }
 
 }  // namespace
@@ -240,6 +246,10 @@
   return PlaceUsual(stream, event);
 }
 
+bool EndsOddly(const StreamPosition& position, const HeldEvents& held) {
+  return position.events_since_id > 0 || !held.empty();
+}
+
 EventPlace PlaceEnd(StreamPosition& position, StreamRun& run,
                     StreamForms& forms, HeldEvents& held,
                     const EventJudges& judges) {
--- a/routing/tests/event_form_test.cc
+++ b/routing/tests/event_form_test.cc
@@ -263,3 +263,17 @@
   CHECK(stream.PlaceEnd() == EventPlace::kNext);
   CHECK(stream.held.empty());
 }
+
+// Guards against a closing mark that nobody can take up behind the last event.
+TEST(EventForm, AMarkAloneIsShownByTwoEndpoints) {
+  Stream stream("7");
+  stream.rise = er::IdRise::kByOne;
+  stream.habit = Habit::kNo;
+  stream.may_be_taken_up = true;
+  CHECK(stream.PlaceWithout() == EventPlace::kHeld);
+  CHECK(er::EndsOddly(stream.position, stream.held));
+  CHECK(stream.PlaceEnd() == EventPlace::kInDoubt);
+  stream.GoOn("b");
+  CHECK(stream.PlaceWithout() == EventPlace::kHeld);
+  CHECK(stream.PlaceEnd() == EventPlace::kNext);
+}
