Engines that start seconds after the nodes are asked for their parts, too

Change: nodes ask as long as such streams may be taken up (`MayHaveLostHomes`, which was checked already). StartOfAll.AnEngineThatStartsLaterRefusesNothing was red with the old limit.

--- a/proxy/src/kept_parts.cc
+++ b/proxy/src/kept_parts.cc
@@ -7,7 +7,8 @@
 // started together share the endpoints by a hash, so that each is asked about
 // once: the answer takes the engine's time. They write what they learn to the
 // homes of the parts, as they do for streams, and tell all nodes whose list has
-// come: an engine that hasn't told may keep any part.
+// come: an engine that hasn't told may keep any part. Processes that start
+// meanwhile are asked, too, as long as such streams may be taken up.
 #include <algorithm>
 #include <utility>
 
@@ -56,16 +57,15 @@
       });
 }
 
-// Asking begins when nodes that have started together have met. A node that no
-// peer answers may be the only one.
-bool IsTimeToAsk(const Proxy& proxy, Time now) {
+// Nodes that have started together have met by then. A node that no peer
+// answers may be the only one.
+bool HasMetPeers(const Proxy& proxy, Time now) {
   const bool is_alone =
       !KnowsVersions(proxy, {}) && proxy.members.last_exchange_at == Time{};
-  const milliseconds age = Elapsed(
-      is_alone ? proxy.members.started : proxy.streams.known_since, now);
-  const milliseconds min_age =
-      is_alone ? routing::kMinAgeToAskAlone : routing::kMinAgeToAskEndpoints;
-  return age >= min_age && age < min_age + routing::kLearningTime;
+  return is_alone
+             ? Elapsed(proxy.members.started, now) >= routing::kMinAgeToAskAlone
+             : Elapsed(proxy.streams.known_since, now) >=
+                   routing::kMinAgeToAskEndpoints;
 }
 
 bool HasStreamsToTakeUp(const routing::RouteTable& rules,
@@ -100,9 +100,9 @@
 
 void AskForKeptPartsIfNeeded(Proxy& proxy) {
   const Time now = NowOf(proxy);
-  const bool is_time = IsTimeToAsk(proxy, now);
   // No stream can have begun before the fleet's first start.
-  if (!is_time || proxy.rules == nullptr || proxy.options.is_new_fleet) return;
+  if (proxy.rules == nullptr || proxy.options.is_new_fleet) return;
+  if (!HasMetPeers(proxy, now)) return;
   const Time earliest_begin =
       routing::EarliestBegin(*proxy.rules, milliseconds(0), now);
   if (!routing::MayHaveLostHomes(proxy.members, earliest_begin)) return;
