Whether an engine was asked for its parts is kept by its process

An engine that was asked once counted as asked under its id, while its list counts by its process: one that was back under its id after the nodes' start was never asked, and streams of the other version were refused as "lists-missing". So was one whose answer was lost. Class: evidence of one process is taken for another's.

Now the process decides, and a question without an answer is repeated after a second. StartOfAll.AnEngineThatIsBackUnderItsIdRefusesNothing was red before (503 for v1).

StartOfAll: 24 run, green.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -172,6 +172,8 @@
 inline constexpr milliseconds kUnknownStreamPollInterval{100};
 /// How long an endpoint may take to list the parts of prompts that it keeps.
 inline constexpr milliseconds kKeptPartsTimeout{1000};
+/// Pause after a question for that list that brought no answer.
+inline constexpr milliseconds kKeptPartsRetryDelay{1000};
 /// A longer list isn't read; an entry takes some 40 bytes.
 inline constexpr std::size_t kMaxKeptPartsBytes = std::size_t{1} << 20U;
 /// Endpoints that are asked for their lists at the same time.
--- a/proxy/src/endpoint_questions_p.h
+++ b/proxy/src/endpoint_questions_p.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 #include "call_p.h"
@@ -17,7 +17,9 @@
 
 /// Asking endpoints which parts of prompts they keep.
 struct KeptPartsReader {
-  std::unordered_set<std::string> asked;     ///< Endpoints that were asked.
+  /// When processes that were asked may be asked again, by their lists; max:
+  /// they have answered, or are being asked.
+  std::unordered_map<std::uint64_t, Time> ask_at;
   std::map<std::string, PageReadPtr> reads;  ///< In progress, by endpoint.
 };
 
--- a/proxy/src/kept_parts.cc
+++ b/proxy/src/kept_parts.cc
@@ -39,12 +39,16 @@
                     {"same_process", is_same_process ? "yes" : "no"},
                     {"version", endpoint->entry.software_version},
                     {"parts", kept ? kept->parts.size() : 0}});
+  if (page.status == 0) {
+    proxy.kept_parts.ask_at[routing::KeyOfList(endpoint->entry)] =
+        NowOf(proxy) + kKeptPartsRetryDelay;
+  }
   if (!is_same_process) return;
   WritePartsToHomes(proxy, endpoint->entry, kept->parts);
 }
 
 void AskEndpoint(Proxy& proxy, const routing::EndpointPtr& endpoint) {
-  proxy.kept_parts.asked.insert(endpoint->entry.id);
+  proxy.kept_parts.ask_at[routing::KeyOfList(endpoint->entry)] = Time::max();
   IncrementCounter(proxy, "egretladder_kept_parts_asked_total",
                    "Endpoints asked which parts of prompts they keep.",
                    "service=\"" + endpoint->entry.service + "\"");
@@ -68,6 +72,13 @@
                    routing::kMinAgeToAskEndpoints;
 }
 
+bool IsDue(const Proxy& proxy, const routing::Endpoint& endpoint, Time now) {
+  const KeptPartsReader& reader = proxy.kept_parts;
+  if (reader.reads.contains(endpoint.entry.id)) return false;
+  const auto at = reader.ask_at.find(routing::KeyOfList(endpoint.entry));
+  return at == reader.ask_at.end() || at->second <= now;
+}
+
 bool HasStreamsToTakeUp(const routing::RouteTable& rules,
                         const std::string& service) {
   return std::any_of(
@@ -87,8 +98,7 @@
   if (at == proxy.endpoints.by_service.end()) return;
   for (const routing::EndpointPtr& endpoint : at->second) {
     if (proxy.kept_parts.reads.size() >= kMaxKeptPartsReads) return;
-    const bool is_asked = proxy.kept_parts.asked.contains(endpoint->entry.id);
-    if (!is_asked &&
+    if (IsDue(proxy, *endpoint, NowOf(proxy)) &&
         routing::IsFirstStartedSince(proxy.members, since,
                                      kernel::HashBytes(endpoint->entry.id))) {
       AskEndpoint(proxy, endpoint);
