--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -406,7 +406,7 @@
                    {{"req", call.metadata.id},
                     {"endpoint", doubt->source},
                     {"after_event", call.position.last_id},
-                    {"event", doubt->to}});
+                    {"next_event", doubt->to}});
 }
 
 void DispatchAtItsVersion(Proxy& proxy, const CallPtr& call) {
