Stop: accept what is being opened before the port closes

It had not run, but its caller couldn't know.

Cause, shown by a test: a node accepts its backlog and then closes the port, and the close resets what the kernel has completed in between or is just completing.

Ruled out: an unaccepted backlog (accepted before, and tested).

Change: a closing port ignores new handshakes, waits 3 ms for those under way, accepts the backlog, and closes. A caller that begins in these 3 ms tries again by itself after a second and is refused then. The loop stands still for the 3 ms, once.

--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -10,6 +10,10 @@
 /// faster than the event loop accepts them.
 inline constexpr int kHttpListenBacklog = 1024;
 
+/// How long a server that stops listening waits for connections which are being
+/// opened: some round trips in a region. Its event loop waits, too.
+inline constexpr std::chrono::milliseconds kHttpHandshakeTime{3};
+
 /// Input that is buffered on one connection. It must hold a complete head; a
 /// caller that pipelines more requests than fit has to wait.
 inline constexpr std::size_t kMaxReadAheadBytes = std::size_t{128} << 10U;
--- a/net/include/egretladder/net/socket.h
+++ b/net/include/egretladder/net/socket.h
@@ -63,6 +63,9 @@
 /// Returns the number of bytes in the output buffer.
 std::size_t PendingOutputBytes(bufferevent* buffer);
 
+/// Makes the kernel ignore new connections at a listening socket. Those that
+/// it has begun to open still become ready to be accepted.
+void IgnoreNewConnections(evutil_socket_t listener);
 /// Returns the number of sent bytes that the other side has not acknowledged.
 /// The end of the output counts as one.
 int UnacknowledgedBytes(evutil_socket_t fd);
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include "egretladder/net/address.h"
@@ -98,6 +99,9 @@
   state_->resets_when_killed = false;
 }
 void HttpServer::StopListening() {
+  // Closing the listener resets connections that are not accepted yet.
+  IgnoreNewConnections(evconnlistener_get_fd(state_->listener.get()));
+  std::this_thread::sleep_for(kHttpHandshakeTime);
   state_->AcceptBacklog();
   state_->listener.reset();
 }
--- a/net/src/socket.cc
+++ b/net/src/socket.cc
@@ -1,13 +1,16 @@
 #include "egretladder/net/socket.h"
 
 #include <event2/buffer.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <cerrno>
+#include <cstdint>
 
 #include "egretladder/net/address.h"
 #include "egretladder/net/limits.h"
@@ -68,6 +71,19 @@
   return ioctl(fd, TIOCOUTQ, &held) == 0 ? held : 0;
 }
 
+void IgnoreNewConnections(evutil_socket_t listener) {
+  constexpr std::uint32_t kFlagsOffset = 13;  // In the header of a segment.
+  constexpr std::uint32_t kAllBytes = 0xFFFF'FFFF;
+  std::array<sock_filter, 4> drop_syn = {{
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+      BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, kAllBytes),
+  }};
+  const sock_fprog program{drop_syn.size(), drop_syn.data()};
+  setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 bool HasPeerClosed(evutil_socket_t fd) {
   pollfd poll_fd{fd, POLLRDHUP, 0};
   return poll(&poll_fd, 1, 0) > 0;
--- a/net/tests/http_server_test.cc
+++ b/net/tests/http_server_test.cc
@@ -1,17 +1,25 @@
 #include "egretladder/net/http_server.h"
 
 #include <CppUTest/TestHarness.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <atomic>
+#include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "egretladder/net/address.h"
 #include "harness.h"
 
 namespace en = egretladder::net;
@@ -87,12 +95,79 @@
   std::string address_;
 };
 
+// A thread that sends requests, each on a connection of its own, until none can
+// be made any more.
+class ConnectingCaller {
+ public:
+  explicit ConnectingCaller(std::string address)
+      : address_(std::move(address)), thread_([this] { Run(); }) {}
+  ~ConnectingCaller() { thread_.join(); }
+  ConnectingCaller(const ConnectingCaller&) = delete;
+  ConnectingCaller& operator=(const ConnectingCaller&) = delete;
+
+  bool is_over() const { return is_over_; }
+  int answered() const { return answered_; }
+  int reset() const { return reset_; }
+
+ private:
+  // A connection that isn't made by then isn't made at all.
+  static constexpr std::chrono::milliseconds kConnectTimeout{20};
+  static constexpr std::chrono::milliseconds kAnswerTimeout{10'000};
+
+  static bool WaitFor(int fd, int events, std::chrono::milliseconds timeout) {
+    pollfd poll_fd{fd, static_cast<decltype(pollfd::events)>(events), 0};
+    return poll(&poll_fd, 1, static_cast<int>(timeout.count())) > 0;
+  }
+
+  static int SocketError(int fd) {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    return error;
+  }
+
+  bool Ask() {
+    auto target = en::ParseAddress(address_);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    const bool is_refused =
+        connect(fd, target->get(), target->size) != 0 && errno != EINPROGRESS;
+    const bool is_connected = !is_refused &&
+                              WaitFor(fd, POLLOUT, kConnectTimeout) &&
+                              SocketError(fd) == 0;
+    if (is_connected) Exchange(fd);
+    close(fd);
+    return is_connected;
+  }
+
+  void Exchange(int fd) {
+    const std::string request = MakeGet("/");
+    char byte = 0;
+    const bool is_answered =
+        send(fd, request.data(), request.size(), MSG_NOSIGNAL) > 0 &&
+        WaitFor(fd, POLLIN, kAnswerTimeout) && recv(fd, &byte, 1, 0) == 1;
+    ++(is_answered ? answered_ : reset_);
+  }
+
+  void Run() {
+    while (Ask()) {
+    }
+    is_over_ = true;
+  }
+
+  std::string address_;
+  std::atomic<bool> is_over_ = false;
+  std::atomic<int> answered_ = 0;
+  std::atomic<int> reset_ = 0;
+  std::thread thread_;
+};
+
 }  // namespace
 
 TEST_GROUP(HttpServer) {
   et::TestLoop test_loop;
   std::unique_ptr<en::HttpServer> server;
   std::vector<en::HttpCallPtr> calls;
+  std::size_t answered = 0;
   std::vector<int> refused;
   int disconnects = 0;
   // Size of the send buffer of accepted sockets in bytes, 0 for the default.
@@ -125,6 +200,13 @@
     CHECK(server->Listen("127.0.0.1:0").has_value());
   }
 
+  // Answers what hasn't been answered. Returns the number of all requests.
+  std::size_t AnswerAll() {
+    for (; answered < calls.size(); ++answered)
+      calls[answered]->Answer(200, "OK", {}, "answer");
+    return calls.size();
+  }
+
   et::RawSocketPtr Connect(int receive_buffer = 0) {
     return std::make_unique<et::RawSocket>(server->address(), receive_buffer);
   }
@@ -602,6 +684,35 @@
   LONGS_EQUAL(1, ReceiveAnswers(*caller, 1).size());
 }
 
+// Callers go on connecting while a node closes its port. If the kernel took a
+// connection after the last one was accepted, closing the port would reset it.
+TEST(HttpServer, ResetsNoConnectionThatIsMadeWhileItStopsListening) {
+  constexpr int kRounds = 200;
+  constexpr int kCallers = 4;
+  int answers = 0;
+  int resets = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    calls.clear();
+    answered = 0;
+    Start({});
+    std::list<ConnectingCaller> callers;
+    for (int i = 0; i < kCallers; ++i) callers.emplace_back(server->address());
+    test_loop.WaitUntil([this] { return AnswerAll() > 0; });
+    server->StopListening();
+    test_loop.WaitUntil([this, &callers] {
+      AnswerAll();
+      return std::all_of(callers.begin(), callers.end(),
+                         [](const auto& caller) { return caller.is_over(); });
+    });
+    for (const auto& caller : callers) {
+      answers += caller.answered();
+      resets += caller.reset();
+    }
+  }
+  CHECK(answers >= kRounds);
+  LONGS_EQUAL(0, resets);
+}
+
 // A caller resets the connection in the middle of an answer. The producer of
 // the answer is notified once, and the connection is freed.
 TEST(HttpServer, ReportsAResetWithinAnAnswerOnce) {
