Ask about a gap at a seam from the event before on

Cause: the step in doubt was carried without the event before the last one, though the node knew it. Now the take-up asks after that one, and the next endpoint shows the step within its own run.

--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -388,10 +388,12 @@
 }
 
 void KeepStepInDoubt(Proxy& proxy, const Call& call) {
-  const auto& doubt = call.position.doubt;
+  auto doubt = call.position.doubt;
   const std::string& begun_by = BegunBy(call);
   if (!doubt || doubt->source.empty() || begun_by.empty()) return;
   if (!routing::CanClientAsk(call.position)) return;
+  // Where the event before is known, the next endpoint shows the step itself.
+  doubt->is_own = doubt->is_own || call.position.previous_id.has_value();
   const routing::StreamKey stream = KeyOfStream(call, begun_by);
   routing::RememberDoubt(proxy.streams, stream, *doubt, NowOf(proxy));
   for (const auto& home : routing::HomesToWriteTo(proxy.members, stream)) {
