Events that are held back: bytes behind one, its only endpoint, long names

Found by a review that hadn't seen the work, by reading: - A stream in which an event was held back counted each later piece as an event, so that comments that drip without end kept it alive. The same end for a second time is believed, as a step is. EventForm.TheSameEndOfTheOnlyEndpointIsBelieved, not run without it. - A step in doubt that a peer tells had no bound on its endpoint's name: 256 bytes, as for an entry's id. StreamRecords. AStepInDoubtOfALongNameIsNotRemembered, not run without it.

--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -39,7 +39,7 @@
 struct CheckedEvents {
   std::string bytes;        ///< With the comments around them.
   std::uint64_t count = 0;  ///< Number of events.
-  bool has_held = false;    ///< Some are held back; see routing/event_form.h.
+  bool has_held = false;    ///< One is held back; see routing/event_form.h.
   /// How the attempt ends, of which nothing more may follow; unset: it goes on.
   std::optional<routing::AttemptOutcome> end;
 };
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -196,7 +196,10 @@
     } else {
       RecordMisorder(proxy, call, place, event.id);
     }
-    if (place == EventPlace::kHeld) call.attempt->held_bytes += own_bytes;
+    if (place == EventPlace::kHeld) {
+      call.attempt->held_bytes += own_bytes;
+      checked.has_held = true;
+    }
     if (routing::EndsRun(place)) {
       if (place != EventPlace::kBehind) DistrustEnd(call);
       checked.end = OutcomeOf(place);
@@ -204,7 +207,6 @@
     }
     begin = event.end;
   }
-  checked.has_held = !call.attempt->held.empty();
   // Comments between events.
   const bool has_begun = call.caller->begun() || checked.count > 0;
   if (has_begun) checked.bytes += bytes.substr(begin);
--- a/routing/include/egretladder/routing/limits.h
+++ b/routing/include/egretladder/routing/limits.h
@@ -344,6 +344,9 @@
 /// Steps in doubt that a node remembers in the newer half, some 100 bytes each.
 /// Streams rarely break off at one.
 inline constexpr std::size_t kMaxNewerDoubts = 1024;
+/// The longest id of an endpoint that is remembered with one. Peers are not
+/// trusted to keep to the bound of an entry's id.
+inline constexpr std::size_t kMaxDoubtSourceBytes = 256;
 /// Nodes to which the version of a stream is written. Each of them may be lost
 /// with its zone, or with the node that began the stream.
 inline constexpr std::size_t kStreamHomesInSmallFleet = 3;
--- a/routing/include/egretladder/routing/stream_records.h
+++ b/routing/include/egretladder/routing/stream_records.h
@@ -76,7 +76,8 @@
 /// Returns all streams that are remembered.
 std::vector<StreamRecord> AllStreams(const StreamRecords& records);
 
-/// Remembers the step in doubt at which a stream broke off.
+/// Remembers the step in doubt at which a stream broke off, unless its source
+/// is longer than `kMaxDoubtSourceBytes`.
 void RememberDoubt(StreamRecords& records, StreamKey stream,
                    const StepInDoubt& doubt, Time now);
 /// Returns the step in doubt at which the stream broke off last; nullopt: none
--- a/routing/src/event_form.cc
+++ b/routing/src/event_form.cc
@@ -213,11 +213,12 @@
   return stream.forms.may_be_unreadable;
 }
 
-// Returns true if another endpoint's stream has ended in the same way.
-bool IsEndShownElsewhere(const Stream& stream) {
+// Returns true if the stream has ended in the same way before: at another
+// endpoint, or at the same one, where no other could be asked.
+bool HasEndedAlike(const Stream& stream) {
   const auto& doubt = stream.position.doubt;
   return doubt && doubt->from == stream.position.last_number &&
-         doubt->to == kEndOfStream && doubt->source != stream.run.source;
+         doubt->to == kEndOfStream;
 }
 
 // Returns true if the odd event at the end is no fault, or more likely none. A
@@ -228,7 +229,7 @@
   const Habit habit = stream.judges.ask_for_habit(OddKind::kEndsOddly);
   const bool is_likely =
       habit == Habit::kUnknown && !stream.judges.may_be_taken_up;
-  return is_likely || habit == Habit::kYes || IsEndShownElsewhere(stream);
+  return is_likely || habit == Habit::kYes || HasEndedAlike(stream);
 }
 
 }  // namespace
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -145,6 +145,7 @@
 
 void RememberDoubt(StreamRecords& records, StreamKey stream,
                    const StepInDoubt& doubt, Time now) {
+  if (doubt.source.size() > kMaxDoubtSourceBytes) return;
   Put(records.doubts, kDoubtBounds, stream, doubt, now);
 }
 
--- a/routing/tests/event_form_test.cc
+++ b/routing/tests/event_form_test.cc
@@ -264,6 +264,21 @@
   CHECK(stream.held.empty());
 }
 
+// Guards against a stream that breaks off again and again at the only endpoint
+// there is.
+TEST(EventForm, TheSameEndOfTheOnlyEndpointIsBelieved) {
+  Stream stream;
+  stream.habit = Habit::kNo;
+  stream.may_be_taken_up = true;
+  stream.Pass({"1", "2"});
+  CHECK(stream.PlaceWithout() == EventPlace::kHeld);
+  CHECK(stream.PlaceEnd() == EventPlace::kInDoubt);
+  stream.GoOn("a");
+  CHECK(stream.Place("2") == EventPlace::kRepeated);
+  CHECK(stream.PlaceWithout() == EventPlace::kHeld);
+  CHECK(stream.PlaceEnd() == EventPlace::kNext);
+}
+
 // Guards against a closing mark that nobody can take up behind the last event.
 TEST(EventForm, AMarkAloneIsShownByTwoEndpoints) {
   Stream stream("7");
--- a/routing/tests/stream_records_test.cc
+++ b/routing/tests/stream_records_test.cc
@@ -510,6 +510,18 @@
   }
 }
 
+// Guards against memory that a peer fills with long names.
+TEST(StreamRecords, AStepInDoubtOfALongNameIsNotRemembered) {
+  er::StreamRecords records;
+  const std::string longest(er::kMaxDoubtSourceBytes, 'a');
+  er::RememberDoubt(records, 7, {.from = 3, .to = 5, .source = longest},
+                    kStart);
+  er::RememberDoubt(records, 8, {.from = 3, .to = 5, .source = longest + "a"},
+                    kStart);
+  CHECK(er::FindDoubt(records, 7).has_value());
+  CHECK_FALSE(er::FindDoubt(records, 8).has_value());
+}
+
 TEST(StreamRecords, TheLastStepInDoubtOfAStreamIsRememberedForAWhile) {
   er::StreamRecords records;
   er::RememberDoubt(records, 7, {.from = 3, .to = 5, .source = "a"}, kStart);
