Ask for a stream's end without waiting for a witness

The rule that a stream goes on at an engine without a start only once a connection proves its process made questions for an open end wait for 0.5 s at an engine that the node had just met, longer than the end's patience: streams that a living engine had cut short were told as whole in the first half second.

Now such a question is sent as before. What remains: it may reach a process that has replaced the entry's and states no start.

--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -23,9 +23,11 @@
 }
 
 // Neither the entry nor the process states a start, so that its answer on a new
-// connection doesn't tell which of them it is.
+// connection doesn't tell which of them it is. A stream whose end is asked for
+// can't wait for a witness: it would be told as whole before.
 bool NeedsWitness(const Call& call, const routing::Endpoint& endpoint) {
-  return call.demand.goes_on && endpoint.entry.started_unix_ms == 0;
+  return call.demand.goes_on && endpoint.entry.started_unix_ms == 0 &&
+         call.open_end.after.empty();
 }
 
 // Returns true if the process that answered may serve the call. One that
