Leave an end in doubt to the client only where ids are known to rise by one

Where nothing has shown yet how the service's ids rise, an end is in doubt only while an attempt and a retry are left; elsewhere the client asks, as before.

--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -142,9 +142,14 @@
                         call.open_end.after != call.position.last_id;
   if (!is_alone) return false;
   routing::StreamPosition position = call.position;
-  const bool can_be_asked_for = routing::PutEndInDoubt(
-      position, attempt.endpoint->entry.id, RiseOfIds(proxy, call));
-  if (!can_be_asked_for || !MayAskElsewhere(proxy, call)) return false;
+  const routing::IdRise rise = RiseOfIds(proxy, call);
+  const bool can_be_asked_for =
+      routing::PutEndInDoubt(position, attempt.endpoint->entry.id, rise);
+  if (!can_be_asked_for) return false;
+  // Where ids have shown nothing yet, the client isn't made to ask.
+  const bool may_ask = routing::RisesByOne(rise) ? MayAskElsewhere(proxy, call)
+                                                 : MayAskNow(proxy, call);
+  if (!may_ask) return false;
   call.position = std::move(position);
   return true;
 }
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -43,6 +43,9 @@
   /// How the attempt ends, of which nothing more may follow; unset: it goes on.
   std::optional<routing::AttemptOutcome> end;
 };
+/// Returns true if another attempt can go on with the stream. A retry is
+/// reserved for it.
+bool MayAskNow(Proxy& proxy, Call& call);
 /// Returns true if another endpoint can go on with the stream, now or when its
 /// client takes it up. A retry is reserved if it can go on now.
 bool MayAskElsewhere(Proxy& proxy, Call& call);
--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -57,6 +57,10 @@
          routing::MayFollow(call.weights, call.attempt->weights);
 }
 
+bool CanGoOnElsewhere(const Call& call) {
+  return call.route->resumable && routing::CanGoOn(call.position);
+}
+
 // Returns true if the call has another attempt. A retry is reserved for that.
 bool HasAttemptLeft(Proxy& proxy, Call& call) {
   return call.may_have_run + 1 < call.max_attempts &&
@@ -170,8 +174,12 @@
 
 }  // namespace
 
+bool MayAskNow(Proxy& proxy, Call& call) {
+  return CanGoOnElsewhere(call) && HasAttemptLeft(proxy, call);
+}
+
 bool MayAskElsewhere(Proxy& proxy, Call& call) {
-  if (!call.route->resumable || !routing::CanGoOn(call.position)) return false;
+  if (!CanGoOnElsewhere(call)) return false;
   return HasAttemptLeft(proxy, call) || MayClientAsk(proxy, call);
 }
 
