Drop events without an id that come before the stream's last one again

Cause: where an end or a step is in doubt, the next endpoint is asked from the event before the last one. What it sends without an id in front of that one was taken for what follows, as nothing of the stream was known at the take-up.

Until such a run has sent the last event again, what has no id counts as repeated. EventOrder.EventsWithoutIdBeforeTheLastOneAreNotSentTwice was red before.

--- a/routing/src/event_form.cc
+++ b/routing/src/event_form.cc
@@ -50,6 +50,7 @@
 // The run's last event is the stream's, or the client says that it is.
 bool IsAtPosition(const Stream& stream) {
   if (stream.run.is_behind) return false;
+  if (IsBeforePosition(stream.position, stream.run)) return false;
   return !stream.run.is_unplaced || stream.run.has_sent_last ||
          !stream.position.has_passed_id;
 }
--- a/routing/src/event_order.cc
+++ b/routing/src/event_order.cc
@@ -18,6 +18,7 @@
 
 EventPlace PlaceWithoutId(const StreamPosition& position,
                           const StreamRun& run) {
+  if (IsBeforePosition(position, run)) return EventPlace::kRepeated;
   const bool lacks_id = position.has_passed_id && position.has_dense_ids;
   const bool may_be_anywhere = run.is_behind || (run.is_unplaced && lacks_id);
   return may_be_anywhere ? EventPlace::kUnplaced : EventPlace::kNext;
@@ -174,6 +175,11 @@
   return number;
 }
 
+bool IsBeforePosition(const StreamPosition& position, const StreamRun& run) {
+  return run.is_unplaced && !run.has_sent_last &&
+         IdToGoOnAfter(position) != position.last_id;
+}
+
 void DoubtStep(StreamPosition& position, const StreamRun& run,
                std::uint64_t number) {
   // What was in doubt before at a seam is replaced, but not what a run has
--- a/routing/tests/event_order_test.cc
+++ b/routing/tests/event_order_test.cc
@@ -478,3 +478,17 @@
   CHECK(er::PutEndInDoubt(uneven.position, "b", er::IdRise::kLeavesOut));
   STRCMP_EQUAL("10", er::IdToGoOnAfter(uneven.position).c_str());
 }
+
+// Guards against events without an id that come twice, since an endpoint was
+// asked from the event before the last one.
+TEST(EventOrder, EventsWithoutIdBeforeTheLastOneAreNotSentTwice) {
+  Stream stream("14");
+  CHECK(er::PutEndInDoubt(stream.position, "a", er::IdRise::kByOne));
+  STRCMP_EQUAL("13", er::IdToGoOnAfter(stream.position).c_str());
+  stream.GoOn("b");
+  CHECK(stream.Place("") == EventPlace::kRepeated);
+  CHECK(stream.Place("") == EventPlace::kRepeated);
+  CHECK(stream.Place("14") == EventPlace::kRepeated);
+  CHECK_FALSE(er::IsEndRefuted(stream.position, stream.run));
+  stream.Pass({""});
+}
