--- a/routing/src/event_order_p.h
+++ b/routing/src/event_order_p.h
@@ -9,8 +9,8 @@
 /// can't be compared.
 std::optional<std::uint64_t> ParseId(std::string_view id);
 
-/// Returns true if the run was asked for the last event, too, and hasn't sent it
-/// yet: what it sends without an id comes again.
+/// Returns true if the run was asked for the last event, too, and hasn't sent
+/// it yet: what it sends without an id comes again.
 bool IsBeforePosition(const StreamPosition& position, const StreamRun& run);
 
 /// Puts the step from the position's last number to `number` in doubt.
