Ask an endpoint again that was asked in vain before a stream's last event

A stream that had gone on at a peer while its node was cut off did not go on at its endpoints when they were back and the peer broke off: Silence.

Cause: since no stream goes on where its endpoint was asked in vain, what was asked in vain once was so for the whole call.

--- a/proxy/src/event_checks.cc
+++ b/proxy/src/event_checks.cc
@@ -197,6 +197,8 @@
     const std::string_view own_bytes = bytes.substr(begin, event.end - begin);
     if (place == EventPlace::kNext) {
       OnMoreFollows(proxy, call);
+      // Who was asked in vain before may answer by now.
+      call.unidentified_endpoints.clear();
       PassWeights(proxy, call);
       checked.bytes += std::exchange(call.attempt->held_bytes, {});
       checked.bytes += own_bytes;
