HTTP client: a status below 100 ends the exchange

Here it did not get it, but waited: such an answer counted as an interim one (any status below 200), was skipped, and the request waited for the next one until its timeout.

A status below 100 is no answer (kBadAnswer), so that the attempt ends at once. HttpClient.AStatusBelowAllOthersIsNoAnswer: red before (3 of 3 runs, the wait of the test runs out), green after.

--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -15,6 +15,7 @@
 namespace egretladder::net {
 namespace {
 
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
 
 // A connection to an endpoint.
@@ -303,6 +304,10 @@
           reader_.head().status == 0)) {
       head_delivered_ = true;
       const HttpAnswerHead& head = reader_.head();
+      if (head.status < kFirstStatus) {
+        Fail(ExchangeError::kBadAnswer, "a status that no answer has");
+        return false;
+      }
       connection_->keep_alive_timeout = ParseKeepAliveTimeout(head.fields);
       skipping_ = head.status < kFirstFinalStatus ||
                   handlers->on_head(head) == HeadVerdict::kSkip;
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -386,6 +386,22 @@
   CHECK(first.error == en::ExchangeError::kBroken);
 }
 
+// Guards against a caller that waits for the answer behind one whose status no
+// answer can have.
+TEST(HttpClient, AStatusBelowAllOthersIsNoAnswer) {
+  for (const std::string status : {"000", "099"}) {
+    Outcome first;
+    Start(first, "/first");
+    auto peer = Accept();
+    ReceiveHead(*peer);
+    peer->Send("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nno");
+    WaitUntilFinished(first);
+    LONGS_EQUAL(0, first.heads);
+    LONGS_EQUAL(1, first.errors);
+    CHECK(first.error == en::ExchangeError::kBadAnswer);
+  }
+}
+
 // An endpoint closes the connection in the middle of an answer with a length,
 // or of a chunked answer.
 TEST(HttpClient, ReportsBrokenForATruncatedAnswer) {
