HTTP client: a success that ends during the upload isn't whole

Here a reset or a close with the upload unread was an error before and is. But where the endpoint ended its side in good order while the request was still being written, the part counted as whole.

A success without framing that ends so is broken now. Refusals still count: an endpoint may refuse what it hasn't read.

Not covered: a request that fits the kernel's buffers counts as sent.

--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -17,6 +17,7 @@
 
 constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstStatusAfterSuccess = 300;
 
 // A connection to an endpoint.
 struct Connection {
@@ -345,6 +346,13 @@
     return false;
   }
 
+  // An endpoint may refuse a request that it hasn't read. It has no more to say
+  // than that, but a success would follow the request.
+  bool IsSuccessDuringUpload() const {
+    return reader_.head().status < kFirstStatusAfterSuccess &&
+           PendingOutputBytes(connection_->buffer.get()) > 0;
+  }
+
   void OnEndOfInput() {
     if (!head_delivered_) {
       Fail(ExchangeError::kBroken, "the connection ended without an answer");
@@ -352,7 +360,8 @@
     }
     reader_.FeedEof();
     is_tainted_ = true;
-    if (reader_.state() == ReadState::kDone && !skipping_) {
+    const bool is_whole = reader_.state() == ReadState::kDone;
+    if (is_whole && !skipping_ && !IsSuccessDuringUpload()) {
       Complete(AnswerEnd::kConnection);
     } else {
       Fail(ExchangeError::kBroken, "the answer broke off");
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -386,6 +386,43 @@
   CHECK(first.error == en::ExchangeError::kBroken);
 }
 
+// Guards against a part of an answer that is told as whole: its endpoint begins
+// it during an upload, and its connection ends before the upload has.
+TEST(HttpClient, AnEndDuringTheUploadDoesNotCompleteAnAnswerWithoutLength) {
+  using End = void (*)(et::RawSocket&);
+  const std::vector<End> ends = {
+      [](et::RawSocket& peer) { peer.Reset(); },
+      [](et::RawSocket& peer) { peer.Close(); },
+      [](et::RawSocket& peer) { peer.HalfClose(); },
+  };
+  for (const End end : ends) {
+    Outcome first;
+    Start(first, "/first", std::string(kLongBody, 'b'));
+    auto peer = Accept();
+    ReceiveHead(*peer);
+    peer->Send("HTTP/1.1 200 OK\r\n\r\nhalf");
+    end(*peer);
+    WaitUntilFinished(first);
+    LONGS_EQUAL(1, first.errors);
+    LONGS_EQUAL(0, first.ends);
+    CHECK(first.error == en::ExchangeError::kBroken);
+  }
+}
+
+// Guards against a refusal without a length that is lost since it comes during
+// the upload.
+TEST(HttpClient, AnEndDuringTheUploadCompletesARefusalWithoutLength) {
+  Outcome first;
+  Start(first, "/first", std::string(kLongBody, 'b'));
+  auto peer = Accept();
+  ReceiveHead(*peer);
+  peer->Send("HTTP/1.1 413 Too Large\r\n\r\ntoo large");
+  peer->HalfClose();
+  WaitUntilFinished(first);
+  LONGS_EQUAL(1, first.ends);
+  STRCMP_EQUAL("too large", first.body.c_str());
+}
+
 // Guards against a caller that waits for the answer behind one whose status no
 // answer can have.
 TEST(HttpClient, AStatusBelowAllOthersIsNoAnswer) {
