Streams that begin at a process that nothing has proven are known as doubted

Callers got events of v2 and then of v1 in one stream, told as whole: an engine is back under its own id with newer software, its entry comes later, and the question for its process is lost (or it states no start). For want of another engine a new stream is sent there all the same. It left no record, or one of the entry's version, so that a take-up, or the answer itself after a break, went on at v1 until the entry came ("one-version").

Cause: what is known of an entry was taken for what is known of the process that answers. Streams that go on were guarded against that, those that begin were not. Ruled out: the in-answer guard (no stream went on at the process itself), and a late read of the store (there was nothing to read yet).

Now such a stream is recorded as doubted (kDoubtedVersion) at its homes; no node binds it to an entry's version. The node that began it finds out: a process that states its start is asked again, the others would have written another entry within kMaxEntryDelay. Then the homes get the version. Take-ups and the answer wait for that, 1 s at most; the question for an open end doesn't.

--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -165,6 +165,12 @@
 /// Questions of one call to an endpoint that doesn't say that its process wrote
 /// its entry.
 inline constexpr std::size_t kMaxProcessChecks = 2;
+/// Interval between two questions to an endpoint whose process has begun
+/// streams without being known.
+inline constexpr milliseconds kBeginPollInterval{300};
+/// Such streams of one node whose processes are asked for. Further ones stay in
+/// doubt.
+inline constexpr std::size_t kMaxDoubtedBegins = 1024;
 /// How long a request waits, from its arrival, for what nodes that have just
 /// started may learn about its stream. Callers give up after two seconds.
 inline constexpr milliseconds kUnknownStreamPatience{1000};
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -179,7 +179,7 @@
 }
 
 void StartAttempt(Proxy& proxy, const CallPtr& call,
-                  const routing::Placement& placement) {
+                  const routing::Placement& placement, ProcessProof proof) {
   const Time now = NowOf(proxy);
   call->attempt = std::make_unique<Attempt>();
   Attempt& attempt = *call->attempt;
@@ -187,6 +187,7 @@
   attempt.endpoint = placement.endpoint;
   attempt.placement = placement;
   attempt.sent_at = now;
+  attempt.proof = proof;
   if (routing::IsVersionSure(*placement.endpoint))
     attempt.version = placement.endpoint->version;
   attempt.expected_weights = call->demand.weights;
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -33,6 +33,14 @@
   kernel::HistogramHandle longest_pause;  ///< Between two events of a stream.
 };
 
+/// Whether the process that gets a request is known to be the one of its
+/// endpoint's entry.
+enum class ProcessProof : std::uint8_t {
+  kProven,
+  kUnstated,  ///< It doesn't say when it started.
+  kUnheard,   ///< It was asked in vain.
+};
+
 /// One attempt of a call, at an endpoint or by a peer to which the request is
 /// handed over.
 struct Attempt {
@@ -41,6 +49,7 @@
   /// answer names, if this node knows it.
   routing::EndpointPtr endpoint;
   std::string peer;  ///< Name of the peer; empty: this node makes the attempt.
+  ProcessProof proof = ProcessProof::kProven;
   bool declined = false;    ///< The peer did not take the request.
   bool is_refused = false;  ///< Its connection was refused.
   routing::Placement placement;
@@ -140,6 +149,7 @@
   bool is_own_confirmed = false;  ///< What this node knew when it asked them.
   routing::VersionKnowledge knowledge;  ///< Of this node and those that answer.
   routing::SoftwareVersion version = routing::kUnknownVersion;
+  bool is_begin_doubted = false;  ///< A node knows the stream only as such.
   routing::Weights weights;
   std::optional<routing::StepInDoubt> doubt;
   routing::SoftwareVersion part_version = routing::kUnknownVersion;
@@ -206,6 +216,9 @@
   bool has_caught_up = false;
   /// Peers are asked to read the store before they tell of its stream.
   bool must_confirm = false;
+  /// Its stream began at a process that nothing had proven.
+  bool is_begin_doubted = false;
+  Time begin_awaited_since{};  ///< By the next attempt; default: by none.
   /// Version that began the stream, also that of a stream which it takes up.
   routing::SoftwareVersion version = routing::kUnknownVersion;
   /// Weights that made the last event that the caller has.
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -266,6 +266,7 @@
     RefuseSuspect(proxy, call, hold_time);
     return;
   }
+  if (AwaitBegin(proxy, call)) return;
   if (!RequireVersion(proxy, *call)) {
     RefuseOrAbort(proxy, call, "unknown_version", {});
     return;
--- a/proxy/src/process_checks.cc
+++ b/proxy/src/process_checks.cc
@@ -92,7 +92,9 @@
                                endpoint->entry.started_unix_ms);
   }
   if (MayServe(*call, *endpoint, result)) {
-    StartAttempt(proxy, call, check->placement);
+    StartAttempt(proxy, call, check->placement,
+                 result == ProcessCheckResult::kSame ? ProcessProof::kProven
+                                                     : ProcessProof::kUnstated);
     return;
   }
   if (HasLostConnection(result) || result == ProcessCheckResult::kSilent)
@@ -151,11 +153,12 @@
     StartWithSpare(proxy, call, placement);
     return;
   }
-  if (NeedsKnownProcess(proxy, *call, *placement.endpoint) &&
-      !IsLastResort(*call, placement.endpoint)) {
-    StartCheck(proxy, call, placement);
+  if (!NeedsKnownProcess(proxy, *call, *placement.endpoint)) {
+    StartAttempt(proxy, call, placement, ProcessProof::kProven);
+  } else if (IsLastResort(*call, placement.endpoint)) {
+    StartAttempt(proxy, call, placement, ProcessProof::kUnheard);
   } else {
-    StartAttempt(proxy, call, placement);
+    StartCheck(proxy, call, placement);
   }
 }
 
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -42,6 +42,7 @@
   routing::ForgetSuspects(proxy.suspects, now);
   CheckOverdueAttempts(proxy);
   ForgetUnwantedLosses(proxy);
+  SettleBegins(proxy);
   KeepSpares(proxy);
   for (const std::string& node :
        routing::UpdateSilentMembers(proxy.members, now)) {
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -38,6 +38,7 @@
 #include "egretladder/routing/service_reach.h"
 #include "egretladder/routing/stop_admission.h"
 #include "egretladder/routing/store_readers.h"
+#include "egretladder/routing/stream_begins.h"
 #include "egretladder/routing/stream_records.h"
 #include "egretladder/routing/suspects.h"
 #include "endpoint_questions_p.h"
@@ -137,6 +138,25 @@
   std::vector<std::uint64_t> keys;  ///< Of the parts of the prompt.
 };
 
+/// A stream that began at a process that nothing had proven.
+struct DoubtedBegin {
+  routing::StreamKey stream = 0;
+  routing::StreamBegin begin;
+  std::weak_ptr<Call> call;  ///< The request that began it.
+};
+
+/// A question to an endpoint whose process has begun such streams.
+struct BeginQuestion {
+  PageReadPtr read;  ///< Set while it is under way.
+  Time asked_at{};
+};
+
+/// Streams that began at processes that nothing had proven.
+struct DoubtedBegins {
+  std::vector<DoubtedBegin> streams;               ///< In the order of begins.
+  std::map<std::string, BeginQuestion> questions;  ///< By endpoint.
+};
+
 /// Reading the store's news of endpoints for decisions that need the latest.
 struct StoreCatchUp {
   using Waiter = std::function<void()>;
@@ -193,6 +213,7 @@
   StreamWork stream_work;
   KeptPartsReader kept_parts;
   StoreCatchUp store_catch_up;
+  DoubtedBegins doubted_begins;
   std::map<std::string, NoticeCheck> notice_checks;      ///< By endpoint.
   std::map<std::string, BreakQuestion> break_questions;  ///< By endpoint.
   std::map<std::string, Spare> spares;                   ///< By endpoint.
@@ -369,7 +390,7 @@
 // attempts.cc and attempt_end.cc
 /// Sends the call to the endpoint that was chosen.
 void StartAttempt(Proxy& proxy, const CallPtr& call,
-                  const routing::Placement& placement);
+                  const routing::Placement& placement, ProcessProof proof);
 /// Cancels the current attempt, if any, without deciding about the call. The
 /// connection to the endpoint is closed.
 void CancelAttempt(Proxy& proxy, const CallPtr& call);
@@ -410,6 +431,8 @@
 /// Binds the call to the version that makes its first event, and writes that to
 /// the stream's homes.
 void OnStreamBegan(Proxy& proxy, Call& call);
+/// Remembers the record, and writes it to the stream's homes.
+void RecordStream(Proxy& proxy, const routing::StreamRecord& record);
 /// Records that other weights have made the stream's last event than the ones
 /// before.
 void OnWeightsChanged(Proxy& proxy, const Call& call);
@@ -419,6 +442,8 @@
 /// Dispatches a call that has just arrived. If it takes up a stream of which
 /// this node doesn't know at which version it began, peers are asked first.
 void DispatchAtItsVersion(Proxy& proxy, const CallPtr& call);
+/// Dispatches the call so in a moment, as more may be known of its stream then.
+void DispatchLater(Proxy& proxy, const CallPtr& call);
 /// Records what a peer answered to the question for the call's stream.
 void OnVersionAnswer(Proxy& proxy, const CallPtr& call,
                      const std::weak_ptr<VersionLookup>& asked,
@@ -457,6 +482,21 @@
 bool IsPartOfOneVersion(const Proxy& proxy, const std::string& service,
                         routing::PartKey part);
 
+// stream_begins.cc
+/// Records that the call's stream has begun at a process that nothing has
+/// proven, and finds out whether it is the one of the entry.
+void DoubtBegin(Proxy& proxy, Call& call, routing::StreamKey stream);
+/// Returns true if the call's stream may go on only once that is known. The
+/// question for an open end doesn't wait: the stream would be told as whole
+/// before.
+bool IsBeginAwaited(const Call& call);
+/// Makes the call wait for that before its next attempt. Returns false if it
+/// doesn't wait, or has waited for long enough.
+bool AwaitBegin(Proxy& proxy, const CallPtr& call);
+/// Writes the versions of streams whose processes are known by now, and asks
+/// for the others. Called at each tick.
+void SettleBegins(Proxy& proxy);
+
 // stream_records_capnp.cc
 /// What records tell the version of.
 enum class RecordKind : std::uint8_t { kStreams, kKeptParts };
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -114,9 +114,12 @@
                   routing::SoftwareVersion version) {
   const routing::StreamRecord record{KeyOfStream(call, request_id), version,
                                      call.weights};
-  routing::RememberStream(proxy.streams, record, NowOf(proxy));
   // The node that serves a handed over request writes it.
-  if (call.attempt->peer.empty()) WriteStreamsToHomes(proxy, {record});
+  if (call.attempt->peer.empty()) {
+    RecordStream(proxy, record);
+  } else {
+    routing::RememberStream(proxy.streams, record, NowOf(proxy));
+  }
 }
 
 // The attempt's process was replaced by another one at the same address, and
@@ -212,13 +215,10 @@
   bool is_part_alone = false;  // Endpoints of other versions don't keep it.
 };
 
-bool IsOneVersion(routing::SoftwareVersion version) {
-  return version != kUnknownVersion && version != routing::kSeveralVersions;
-}
-
 const char* NameOfDoubt(routing::SoftwareVersion part_version) {
   if (part_version == kUnknownVersion) return "unknown";
-  return IsOneVersion(part_version) ? "lists-missing" : "several-keep-it";
+  return routing::TellsVersion(part_version) ? "lists-missing"
+                                             : "several-keep-it";
 }
 
 StreamQuestion QuestionOf(const Call& call) {
@@ -249,21 +249,10 @@
                            *knowledge.since <= call.earliest_begin;
   return !has_witness && now - call.arrived_at < kUnknownStreamPatience &&
          (has_just_started || call.is_version_answer_missing ||
+          call.is_begin_doubted ||
           routing::MayHaveLostHomes(proxy.members, call.earliest_begin));
 }
 
-void AskAgainLater(Proxy& proxy, const CallPtr& call) {
-  call->version_lookup = std::make_shared<VersionLookup>();
-  call->version_lookup->timer = kernel::RunAfter(
-      *proxy.loop, kUnknownStreamPollInterval,
-      [&proxy, weak_call = std::weak_ptr<Call>(call)] {
-        const auto locked = weak_call.lock();
-        if (locked == nullptr || locked->version_lookup == nullptr) return;
-        const auto finished = std::exchange(locked->version_lookup, nullptr);
-        DispatchAtItsVersion(proxy, locked);
-      });
-}
-
 // Returns false if several weights serve, and nobody knows which of them made
 // the stream's events.
 bool KnowsWeights(const Proxy& proxy, const Call& call) {
@@ -285,7 +274,7 @@
     Bind(proxy, call, evidence.knowledge.only, routing::NameOf(verdict));
     return;
   }
-  if (may_bind && IsOneVersion(evidence.part_version) &&
+  if (may_bind && routing::TellsVersion(evidence.part_version) &&
       evidence.is_part_alone) {
     Bind(proxy, call, evidence.part_version, "kept-part");
     return;
@@ -296,7 +285,7 @@
     return;
   }
   if (MayLearnMore(proxy, *call, evidence.knowledge)) {
-    AskAgainLater(proxy, call);
+    DispatchLater(proxy, call);
     return;
   }
   LogTakenUp(proxy, *call, NameOfDoubt(evidence.part_version));
@@ -325,6 +314,8 @@
     Bind(proxy, call, lookup->version, "peer");
     return;
   }
+  if (lookup->is_begin_doubted) lookup->knowledge.several = true;
+  call->is_begin_doubted = lookup->is_begin_doubted;
   DispatchUnknown(
       proxy, call,
       {lookup->knowledge, lookup->part_version, lookup->is_part_alone});
@@ -358,6 +349,7 @@
   const auto lookup = std::make_shared<VersionLookup>();
   lookup->knowledge = knowledge;
   lookup->is_own_confirmed = knowledge.confirmed_since.has_value();
+  lookup->is_begin_doubted = call->is_begin_doubted;
   lookup->part_version = routing::FindPartVersion(proxy.streams, question.part);
   lookup->is_part_alone =
       IsPartOfOneVersion(proxy, call->service->name, question.part);
@@ -370,13 +362,33 @@
   if (peers.empty()) FinishLookup(proxy, call);
 }
 
+// A peer that isn't sure of its attempt's version doesn't state it. Streams
+// that can't go on elsewhere have nothing to lose.
+bool IsBeginInDoubt(const Call& call) {
+  const Attempt& attempt = *call.attempt;
+  const bool is_known =
+      attempt.version != kUnknownVersion &&
+      (attempt.proof == ProcessProof::kProven || !attempt.peer.empty());
+  return call.route->resumable && !is_known;
+}
+
 }  // namespace
 
+void RecordStream(Proxy& proxy, const routing::StreamRecord& record) {
+  routing::RememberStream(proxy.streams, record, NowOf(proxy));
+  WriteStreamsToHomes(proxy, {record});
+}
+
 void OnStreamBegan(Proxy& proxy, Call& call) {
   if (call.version != kUnknownVersion) return;
+  const bool begins = !TakesStreamUp(call);
+  if (begins && IsBeginInDoubt(call)) {
+    DoubtBegin(proxy, call, KeyOfStream(call, call.metadata.id));
+    return;
+  }
   call.version = call.attempt->version;
-  if (call.version == kUnknownVersion || TakesStreamUp(call)) return;
-  RecordStream(proxy, call, call.metadata.id, call.version);
+  if (begins && call.version != kUnknownVersion)
+    RecordStream(proxy, call, call.metadata.id, call.version);
 }
 
 void OnWeightsChanged(Proxy& proxy, const Call& call) {
@@ -384,7 +396,9 @@
   // The stream's first event is written together with its version.
   if (!call.caller->begun() && !is_known) return;
   const std::string& begun_by = BegunBy(call);
-  if (!begun_by.empty()) RecordStream(proxy, call, begun_by, call.version);
+  if (begun_by.empty()) return;
+  RecordStream(proxy, call, begun_by,
+               call.is_begin_doubted ? routing::kDoubtedVersion : call.version);
 }
 
 void KeepStepInDoubt(Proxy& proxy, const Call& call) {
@@ -425,10 +439,11 @@
     ApplyDoubt(proxy, *call,
                routing::FindDoubt(proxy.streams, question.stream));
   }
-  if (source.version != kUnknownVersion) {
+  if (routing::TellsVersion(source.version)) {
     Bind(proxy, call, source.version, "this-node");
     return;
   }
+  call->is_begin_doubted = source.version == routing::kDoubtedVersion;
   const Time now = NowOf(proxy);
   call->earliest_begin =
       routing::EarliestBegin(*call->table, TimeLeftOfCaller(*call, now), now);
@@ -437,6 +452,7 @@
   // What is known of this service says nothing of another one.
   if (MayHaveMoved(proxy, *call, call->metadata.resumes, call->earliest_begin))
     knowledge.several = true;
+  if (call->is_begin_doubted) knowledge.several = true;
   const bool is_confirmed = knowledge.confirmed_since.has_value();
   if (!knowledge.several && !is_confirmed && !call->has_caught_up) {
     CatchUp(proxy, call);
@@ -455,6 +471,18 @@
   AskNodes(proxy, call, question, knowledge);
 }
 
+void DispatchLater(Proxy& proxy, const CallPtr& call) {
+  call->version_lookup = std::make_shared<VersionLookup>();
+  call->version_lookup->timer = kernel::RunAfter(
+      *proxy.loop, kUnknownStreamPollInterval,
+      [&proxy, weak_call = std::weak_ptr<Call>(call)] {
+        const auto locked = weak_call.lock();
+        if (locked == nullptr || locked->version_lookup == nullptr) return;
+        const auto finished = std::exchange(locked->version_lookup, nullptr);
+        DispatchAtItsVersion(proxy, locked);
+      });
+}
+
 void OnVersionAnswer(Proxy& proxy, const CallPtr& call,
                      const std::weak_ptr<VersionLookup>& asked,
                      const VersionAnswer& answer) {
@@ -468,7 +496,9 @@
     knowledge.confirmed_since = knowledge.since;
   }
   routing::Merge(lookup->knowledge, knowledge);
-  if (answer.version != kUnknownVersion) lookup->version = answer.version;
+  if (routing::TellsVersion(answer.version)) lookup->version = answer.version;
+  if (answer.version == routing::kDoubtedVersion)
+    lookup->is_begin_doubted = true;
   if (answer.weights) lookup->weights = answer.weights;
   if (answer.doubt) lookup->doubt = answer.doubt;
   lookup->part_version =
@@ -489,7 +519,7 @@
   call.demand.goes_on = GoesOn(call);
   call.demand.weights = call.demand.goes_on ? call.weights : std::nullopt;
   const bool is_lost = call.caller->begun() && call.version == kUnknownVersion;
-  return !several || !is_lost;
+  return !is_lost || (!several && !IsBeginAwaited(call));
 }
 
 bool NeedsKnownProcess(const Proxy& proxy, const Call& call,
@@ -581,7 +611,8 @@
                         routing::PartKey part) {
   const routing::SoftwareVersion version =
       routing::FindPartVersion(proxy.streams, part);
-  return IsOneVersion(version) && routing::IsHome(proxy.members, part) &&
+  return routing::TellsVersion(version) &&
+         routing::IsHome(proxy.members, part) &&
          routing::AreListsOfOthersIn(proxy.streams, proxy.endpoints, service,
                                      version);
 }
--- a/routing/include/egretladder/routing/endpoints.h
+++ b/routing/include/egretladder/routing/endpoints.h
@@ -181,6 +181,9 @@
   /// Since when another process may answer at its address; default: it is the
   /// one of its entry. See `IsVersionSure`.
   Time doubted_since{};
+  /// When the last question was asked by whose answer its process is the one of
+  /// its entry; default: none was.
+  Time proven_at{};
   /// Its streams say themselves where they end; unset: none has come so far.
   std::optional<bool> frames_streams;
   /// Another process answers at its address, of which its entry doesn't tell
@@ -361,7 +364,7 @@
 /// if it has answered at the endpoint since `answers_since`: it would have
 /// written another entry by then.
 Time WitnessedFrom(const Endpoint& endpoint, Time answers_since);
-/// Records that such a process has answered a question of `asked_at`.
+/// Records that the process of the entry has answered a question of `asked_at`.
 void OnProcessWitnessed(Endpoint& endpoint, Time asked_at);
 /// Records a refused connection and starts or doubles the connect backoff.
 void OnConnectFailed(Endpoint& endpoint, Time now);
--- a/routing/include/egretladder/routing/stream_records.h
+++ b/routing/include/egretladder/routing/stream_records.h
@@ -31,6 +31,10 @@
 using StreamKey = std::uint64_t;
 StreamKey KeyOfStream(std::string_view account, std::string_view request_id);
 
+/// In a record of a stream: it began at a process that nothing had proven, so
+/// that no version may be assumed; see stream_begins.h.
+inline constexpr SoftwareVersion kDoubtedVersion = UINT64_MAX - 1;
+
 /// What made a stream's events.
 struct StreamSource {
   SoftwareVersion version = kUnknownVersion;  ///< Of all of them.
@@ -90,6 +94,8 @@
 PartKey KeyOfPart(const std::string& service, std::uint64_t part);
 /// Stands for several versions at which a part is kept.
 inline constexpr SoftwareVersion kSeveralVersions = UINT64_MAX;
+/// Returns true if it is the version of some software, and known.
+bool TellsVersion(SoftwareVersion version);
 /// Records that an endpoint of that version keeps a part.
 void RememberPart(StreamRecords& records, PartKey part, SoftwareVersion version,
                   Time now);
--- a/routing/src/endpoints.cc
+++ b/routing/src/endpoints.cc
@@ -286,8 +286,7 @@
     endpoint.doubted_since = std::max(endpoint.doubted_since, asked_at);
     return ProcessCheckResult::kReplaced;
   }
-  // An answer from before the break says nothing of the time after it.
-  if (asked_at >= endpoint.doubted_since) endpoint.doubted_since = {};
+  OnProcessWitnessed(endpoint, asked_at);
   return ProcessCheckResult::kSame;
 }
 
@@ -296,6 +295,8 @@
 }
 
 void OnProcessWitnessed(Endpoint& endpoint, Time asked_at) {
+  endpoint.proven_at = std::max(endpoint.proven_at, asked_at);
+  // An answer from before the break says nothing of the time after it.
   if (asked_at >= endpoint.doubted_since) endpoint.doubted_since = {};
 }
 
--- a/routing/src/stream_records.cc
+++ b/routing/src/stream_records.cc
@@ -169,6 +169,11 @@
   return kernel::HashBytes(service, part);
 }
 
+bool TellsVersion(SoftwareVersion version) {
+  return version != kUnknownVersion && version != kSeveralVersions &&
+         version != kDoubtedVersion;
+}
+
 void RememberPart(StreamRecords& records, PartKey part, SoftwareVersion version,
                   Time now) {
   const SoftwareVersion known = FindPartVersion(records, part);
