Split what is written to streams' homes from what is known of streams

Which nodes are homes of records, and the messages to them, move to stream_homes.cc as they were; their declarations move to a group of their own in state_p.h. No line of a function is changed. The comment of DispatchLater says what it calls.

--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -431,8 +431,6 @@
 /// Binds the call to the version that makes its first event, and writes that to
 /// the stream's homes.
 void OnStreamBegan(Proxy& proxy, Call& call);
-/// Remembers the record, and writes it to the stream's homes.
-void RecordStream(Proxy& proxy, const routing::StreamRecord& record);
 /// Records that other weights have made the stream's last event than the ones
 /// before.
 void OnWeightsChanged(Proxy& proxy, const Call& call);
@@ -442,7 +440,8 @@
 /// Dispatches a call that has just arrived. If it takes up a stream of which
 /// this node doesn't know at which version it began, peers are asked first.
 void DispatchAtItsVersion(Proxy& proxy, const CallPtr& call);
-/// Dispatches the call so in a moment, as more may be known of its stream then.
+/// Calls `DispatchAtItsVersion` a moment later: more may be known of the call's
+/// stream by then.
 void DispatchLater(Proxy& proxy, const CallPtr& call);
 /// Records what a peer answered to the question for the call's stream.
 void OnVersionAnswer(Proxy& proxy, const CallPtr& call,
@@ -471,16 +470,20 @@
 /// Called when new rules are in force: streams that a route moves away from
 /// their service must be known to others before they are taken up.
 void OnRulesReplaced(Proxy& proxy, const routing::RouteTable& before);
+/// Returns true if endpoints of one version keep the part of the service, and
+/// this node knows for sure that those of other versions don't.
+bool IsPartOfOneVersion(const Proxy& proxy, const std::string& service,
+                        routing::PartKey part);
+
+// stream_homes.cc
+/// Remembers the record, and writes it to the stream's homes.
+void RecordStream(Proxy& proxy, const routing::StreamRecord& record);
 /// Writes all streams that this node remembers to their homes.
 void HandOnStreams(Proxy& proxy);
 /// Writes which parts of prompts the endpoint keeps to the parts' homes, and to
 /// all nodes that its list has come, if it is one of several versions.
 void WritePartsToHomes(Proxy& proxy, const routing::EndpointEntry& entry,
                        const std::vector<std::uint64_t>& parts);
-/// Returns true if endpoints of one version keep the part of the service, and
-/// this node knows for sure that those of other versions don't.
-bool IsPartOfOneVersion(const Proxy& proxy, const std::string& service,
-                        routing::PartKey part);
 
 // stream_begins.cc
 /// Records that the call's stream has begun at a process that nothing has
