--- a/review/rig.py
+++ b/review/rig.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -92,7 +93,7 @@
         self.temp.cleanup()
 
 
-async def read_message(reader):
+async def read_message(reader, on_head=None):
     """Reads a request or an answer: first line, fields, body. Returns None at the end."""
     line = await reader.readline()
     if not line:
@@ -108,9 +109,14 @@
         fields[name.strip().lower()] = value.strip()
     body = b""
     first = line.decode("latin-1").rstrip("\r\n")
+    if on_head:
+        on_head(first, fields)
     if fields.get("transfer-encoding", "").lower() == "chunked":
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = (await reader.readline()).split(b";")[0].strip()
+            if not line:
+                raise asyncio.IncompleteReadError(body, None)
+            size = int(line, 16)
             if size:
                 body += await reader.readexactly(size)
             await reader.readline()
@@ -415,6 +421,7 @@
 
     def __init__(self, rig, node):
         self.rig, self.node, self.reader, self.writer = rig, node, None, None
+        self.began = 0
 
     async def open(self):
         host, port = self.node.listen["front"].split(":")
@@ -426,8 +433,12 @@
             self.writer.transport.abort()
             self.writer = None
 
+    def on_head(self, first, _fields):
+        self.began = int(first.split()[1])
+
     async def ask(self, attempt, method, target, host, key, deadline_ms, body=b"", more=None):
         """Returns the status, fields and body, or None if the connection ended."""
+        self.began = 0  # Status of an answer that has begun.
         if self.writer is None:
             await self.open()
         fields = {"Host": host, "Egretladder-Attempt-Id": attempt,
@@ -440,7 +451,7 @@
         lines += ["%s: %s" % item for item in fields.items()]
         self.writer.write("\r\n".join(lines + ["", ""]).encode() + body)
         try:
-            message = await asyncio.wait_for(read_message(self.reader),
+            message = await asyncio.wait_for(read_message(self.reader, self.on_head),
                                              deadline_ms / 1000 + 0.2)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             message = None
@@ -476,7 +487,9 @@
     rig = Rig(folder)
     held = None
     try:
-        held = asyncio.run(asyncio.wait_for(play(rig), 115))
+        loop = asyncio.new_event_loop()
+        loop.set_exception_handler(lambda *_: None)
+        held = loop.run_until_complete(asyncio.wait_for(play(rig), 115))
     except Exception as error:  # pylint: disable=broad-except
         rig.record("could not run: %r" % error)
         print("could not run: %r" % error)
@@ -484,4 +497,5 @@
         rig.record("result: %s" % {True: "held", False: "BROKEN", None: "not run"}[held])
         print({True: "held", False: "broken", None: "could not run"}[held])
         rig.end()
-    return {True: 0, False: 1, None: 2}[held]
+    sys.stdout.flush()
+    os._exit({True: 0, False: 1, None: 2}[held])  # Without the rest of the tasks.
