--- a/review/parts.py
+++ b/review/parts.py
@@ -11,44 +11,20 @@
 BACK_AFTER_S, ENTRY_EXPIRES_S = 2.0, 3.6
 
 
-class Engine(kit.Runner):
-    """A sound model runner. It streams events of 50 ms each."""
-
-    crashes = None  # Called when a part crashes it.
-    events = 10
-    crash_after = 0  # Events of the answer that the crashing part lets it write.
-
-    async def run(self, attempt, method, target, fields, body, echo, reader, writer):
-        self.present += 1
-        bad = "bad0bad0" in fields.get("egretladder-prompt-prefix", "")
-        try:
-            async with self.running:
-                self.runs.append((time.monotonic(), attempt, method, target, body))
-                await asyncio.sleep(0.1)  # Reading the prompt.
-                bad = bad and kit.TROUBLE
-                if bad and self.crash_after == 0:
-                    self.crashes(self)
-                    return False
-                head = {**echo, "Egretladder-Response-Seal": "seal." + attempt,
-                        "Content-Type": "text/event-stream", "Keep-Alive": "timeout=10",
-                        "Transfer-Encoding": "chunked"}
-                lines = ["HTTP/1.1 200 OK"] + ["%s: %s" % item for item in head.items()]
-                writer.write("\r\n".join(lines + ["", ""]).encode())
-                first = int(fields.get("last-event-id", "0") or 0) + 1
-                for number in range(first, self.events + 1):
-                    is_last = number == self.events
-                    if bad and (number - first == self.crash_after or is_last):
-                        self.crashes(self)
-                        return False
-                    event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 40)
-                    writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-                    await writer.drain()
-                    await asyncio.sleep(0.05)
-                writer.write(b"0\r\n\r\n")
-                await writer.drain()
-                return True
-        finally:
-            self.present -= 1
+class Engine(kit.Engine):
+    """A sound model runner that one part of a prompt crashes."""
+
+    event_s, prompt_s = 0.05, 0.1
+    on_crash = None
+    crash_after = 0  # Events of an answer that the part lets it write, at most.
+
+    def falls_at(self, fields, written, is_last):
+        if not kit.TROUBLE or "bad0bad0" not in fields.get("egretladder-prompt-prefix", ""):
+            return False
+        if written != self.crash_after and not is_last:
+            return False
+        self.on_crash(self)
+        return True
 
 
 async def play(rig, shared_parts, bad_place, crash_after, events=10):
@@ -63,9 +39,8 @@
     crashes, bad_arrivals, bad_ids, tasks = [], [], set(), []
 
     async def add():
-        engine = Engine(rig, store, "i-%08x" % random.getrandbits(32), "engines",
-                        rig.address(), slots=64)
-        engine.crashes, engine.crash_after = on_crash, crash_after
+        engine = Engine(rig, store, kit.new_name(), "engines", rig.address(), slots=64)
+        engine.on_crash, engine.crash_after = on_crash, crash_after
         engine.events = events
         await engine.start()
         await engine.publish()
@@ -90,16 +65,9 @@
     live, all_engines = [], []
     for _ in range(RUNNERS):
         live.append(await add())
-    nodes = []
-    for i in range(NODES):
-        nodes.append(kit.Node(rig, "front-%d" % i, "abc"[i % 3], store.address,
-                              [nodes[0].control] if nodes else None))
-    for node in nodes:
-        node.start()
-    if not await kit.wait_ready(nodes):
+    nodes = await kit.start_fleet(rig, store, NODES)
+    if nodes is None:
         return None
-    await asyncio.sleep(4)  # Machines are in touch.
-
     shared = ["%08x" % (0x10000000 + i) for i in range(shared_parts)]
 
     def prefix(is_bad):
