--- a/review/rig.py
+++ b/review/rig.py
@@ -570,6 +570,13 @@
     broken and None if it couldn't run."""
     rig = Rig(folder)
     held = None
+
+    # Whoever ends the script ends what it has started, too.
+    def stop(*_):
+        rig.end()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         loop = asyncio.new_event_loop()
         loop.set_exception_handler(lambda *_: None)
