Logs name the connection of an attempt, and count foreign answers

What callers saw: a request that must run once ran twice. The logs show neither on which connection each refusal came nor how many answers were to other requests, so that a copy of a refusal and a refusal look alike.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -82,6 +82,10 @@
 /// Pauses or resumes reading the answer, for a caller that reads slowly. Null
 /// is allowed.
 void SetReading(const HttpExchangePtr& exchange, bool reading);
+/// Returns the number of the connection that the exchange uses or has used
+/// last: the client's connections count from 1 in the order in which they were
+/// opened. 0: none. Null is allowed.
+std::uint64_t ConnectionNumber(const HttpExchangePtr& exchange);
 
 /// A client for any number of addresses. Idle connections are kept and reused,
 /// the most recently used first.
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -24,6 +24,7 @@
   HttpClient::State* owner = nullptr;  // Set while the connection is idle.
   Bufferevent buffer;
   std::string address;
+  std::uint64_t number = 0;  // See `ConnectionNumber`.
   bool connected = false;
   // From the last answer; 0: not stated.
   std::chrono::milliseconds keep_alive_timeout{};
@@ -135,6 +136,7 @@
     connection_ = client_->TakeIdle(request_.address, request_.reuse);
     if (connection_ != nullptr) {
       reused_ = true;
+      connection_number_ = connection_->number;
       SetCallbacks();
       Defer([this] { SendRequest(); });
       return;
@@ -156,6 +158,8 @@
     }
   }
 
+  std::uint64_t connection_number() const { return connection_number_; }
+
  private:
   // A handler may cancel its exchange, and what it refers to must outlive that.
   // Whoever calls one holds a copy meanwhile.
@@ -192,7 +196,8 @@
     connection_->buffer.reset(bufferevent_socket_new(
         client_->loop->base.get(), -1, BEV_OPT_CLOSE_ON_FREE));
     SetCallbacks();
-    ++client_->connections_opened;
+    connection_number_ = ++client_->connections_opened;
+    connection_->number = connection_number_;
     if (!target ||
         bufferevent_socket_connect(connection_->buffer.get(), target->get(),
                                    target->size) != 0) {
@@ -398,6 +403,7 @@
   ConnectionPtr connection_;
   kernel::EventWatcher timer_;  // A deferred action or the connect timeout.
   HttpExchangePtr self_;        // Keeps the exchange alive until it ends.
+  std::uint64_t connection_number_ = 0;
   kernel::Time connect_began_at_{};
   bool reused_ = false;  // The connection served another request before.
   bool sent_ = false;
@@ -416,6 +422,10 @@
   if (exchange != nullptr) exchange->SetReading(reading);
 }
 
+std::uint64_t ConnectionNumber(const HttpExchangePtr& exchange) {
+  return exchange == nullptr ? 0 : exchange->connection_number();
+}
+
 HttpClient::HttpClient(kernel::Loop& loop) : state_(std::make_shared<State>()) {
   state_->loop = &loop;
 }
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -31,9 +31,15 @@
   RecordAnswered(proxy, *call);
   ApplyEndpointNotice(proxy, *call, attempt.endpoint, head.status, metadata);
   if (!metadata.id.empty() && metadata.id != call->metadata.id) {
+    IncrementCounter(proxy, "egretladder_foreign_answers_total",
+                     "Answers of endpoints to other requests than the one that "
+                     "was under way on the connection.",
+                     "");
     kernel::LogEvent(LogPart::kEndpoint, LogLevel::kWarning, "foreign-answer",
                      {{"req", call->metadata.id},
                       {"endpoint", attempt.endpoint->entry.id},
+                      {"connection", net::ConnectionNumber(attempt.exchange)},
+                      {"status", head.status},
                       {"answers", metadata.id}});
     return net::HeadVerdict::kSkip;
   }
