No request goes again on a connection that carried its refusal

What callers saw: a request that must run once ran twice, or was answered 503 and ran at that moment.

Cause: an id names a request, and was taken to name one sending of it. A connection that has carried the refusal of an id may bring a copy of it at any later time; where the same id was under way there again, the copy counted as the answer to that sending, whichever attempt, call or node had sent it before.

Change: a connection to an endpoint remembers the ids that it has carried refusals of (400, 408, 421, 429, 503), and no request with such an id is sent there; it takes another idle connection or a new one. A refusal of a request without an id closes the connection, and so do 256 refusals. The question which process serves a stream goes on a connection that the stream's request may use. Copies on an idle connection close it, and those of other ids are left out, as before.

The id is remembered by the connection and not by the call, as a handover there and back, or a caller's own repeat, makes another call.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -68,6 +68,14 @@
   std::string body;
   bool is_head_request =
       false;  ///< The method is HEAD: the answer has no body.
+  /// The id that its answers bear; empty: they bear none. It isn't sent on a
+  /// connection that has carried a refusal of that id, as a copy of the refusal
+  /// may come there at any later time, and the id doesn't tell it from the
+  /// answer.
+  std::string id;
+  /// The id of the request that is to follow on the same connection; empty:
+  /// any may. The exchange avoids the connections that this one has to avoid.
+  std::string successor_id;
   ConnectionReuse reuse = ConnectionReuse::kAny;
   std::chrono::milliseconds connect_timeout{};  ///< 0: `kHttpConnectTimeout`.
 };
@@ -103,10 +111,10 @@
   void MarkReusable(const std::string& address, std::uint64_t mark);
   /// Closes the idle connections to the address that have that mark.
   void CloseIdle(const std::string& address, std::uint64_t mark);
-  /// Returns true if a request to the address would reuse a connection with
-  /// that mark. A new connection has the mark 0.
+  /// Returns true if the request `id` to the address would reuse a connection
+  /// with that mark. A new connection has the mark 0.
   bool HasReusable(const std::string& address, ConnectionReuse reuse,
-                   std::uint64_t mark) const;
+                   const std::string& id, std::uint64_t mark) const;
   /// Number of connections opened so far.
   std::uint64_t connections_opened() const;
 
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -59,6 +59,10 @@
 /// Size of their bodies together.
 inline constexpr std::size_t kMaxDiscardedBytes = std::size_t{8} << 20U;
 
+/// Refusals after which a connection to an endpoint isn't reused, since it
+/// would have to remember the requests that it may not carry again.
+inline constexpr std::size_t kMaxRefusalsOfConnection = 256;
+
 /// Assumed keep-alive timeout of an endpoint that doesn't send one.
 inline constexpr std::chrono::milliseconds kDefaultIdleLifetime{2000};
 /// Fraction of the endpoint's keep-alive timeout during which an idle
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -1,11 +1,13 @@
 #include <event2/buffer.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "egretladder/kernel/hash.h"
 #include "egretladder/net/address.h"
 #include "egretladder/net/http_client.h"
 #include "egretladder/net/http_reader.h"
@@ -29,7 +31,8 @@
   // From the last answer; 0: not stated.
   std::chrono::milliseconds keep_alive_timeout{};
   kernel::Time idle_since{};
-  std::uint64_t mark = 0;  // See `HttpClient::MarkReusable`.
+  std::uint64_t mark = 0;              // See `HttpClient::MarkReusable`.
+  std::vector<std::uint64_t> refused;  // Hashes of ids.
 };
 using ConnectionPtr = std::unique_ptr<Connection>;
 
@@ -58,6 +61,29 @@
   return now - connection.idle_since < allowed;
 }
 
+// Statuses with which an endpoint may state that it has not run the request.
+bool IsRefusal(int status) {
+  constexpr std::array<int, 5> kRefusals = {400, 408, 421, 429, 503};
+  return std::find(kRefusals.begin(), kRefusals.end(), status) !=
+         kRefusals.end();
+}
+
+bool MayCarry(const Connection& connection, const std::string& id) {
+  const auto& refused = connection.refused;
+  return id.empty() || std::find(refused.begin(), refused.end(),
+                                 kernel::HashBytes(id)) == refused.end();
+}
+
+// Records the answer that the connection has carried to the request `id`.
+// Returns false if the connection can't be reused.
+bool RecordAnswer(Connection& connection, const std::string& id, int status) {
+  if (!IsRefusal(status)) return true;
+  if (id.empty())
+    return false;  // Any request could take a copy for its answer.
+  connection.refused.push_back(kernel::HashBytes(id));
+  return connection.refused.size() < kMaxRefusalsOfConnection;
+}
+
 }  // namespace
 
 struct HttpClient::State : std::enable_shared_from_this<State> {
@@ -65,30 +91,55 @@
   std::unordered_map<std::string, std::vector<ConnectionPtr>> idle;
   std::uint64_t connections_opened = 0;
 
-  ConnectionPtr TakeIdle(const std::string& address, ConnectionReuse reuse);
+  // Returns the idle connection that the request `id` would reuse, or null.
+  Connection* FindIdle(const std::string& address, ConnectionReuse reuse,
+                       const std::string& id) const;
+  ConnectionPtr TakeIdle(const std::string& address, ConnectionReuse reuse,
+                         const std::string& id);
   void AddIdle(ConnectionPtr connection);
   static void RemoveIdle(Connection* connection);
 };
 
-ConnectionPtr HttpClient::State::TakeIdle(const std::string& address,
-                                          ConnectionReuse reuse) {
+Connection* HttpClient::State::FindIdle(const std::string& address,
+                                        ConnectionReuse reuse,
+                                        const std::string& id) const {
   if (reuse == ConnectionReuse::kNone) return nullptr;
   const auto at = idle.find(address);
   if (at == idle.end()) return nullptr;
   const kernel::Time now = kernel::Now(loop->clock);
-  while (!at->second.empty()) {
-    if (!IsReusable(*at->second.back(), reuse, now)) {
-      // The last connection is the most recently used one, so no other is
-      // reusable. Connections that are too old only for requests that need a
-      // recently used one are kept for the others.
-      if (reuse == ConnectionReuse::kAny) at->second.clear();
-      return nullptr;
-    }
-    ConnectionPtr connection = std::move(at->second.back());
-    at->second.pop_back();
-    if (PendingInput(connection->buffer.get()).empty()) return connection;
+  // The most recently used one is the last.
+  const auto found =
+      std::find_if(at->second.rbegin(), at->second.rend(),
+                   [reuse, &id, now](const ConnectionPtr& connection) {
+                     return IsReusable(*connection, reuse, now) &&
+                            MayCarry(*connection, id) &&
+                            PendingInput(connection->buffer.get()).empty();
+                   });
+  return found == at->second.rend() ? nullptr : found->get();
+}
+
+ConnectionPtr HttpClient::State::TakeIdle(const std::string& address,
+                                          ConnectionReuse reuse,
+                                          const std::string& id) {
+  const auto at = idle.find(address);
+  if (at == idle.end()) return nullptr;
+  // Connections that are too old only for requests that need a recently used
+  // one are kept for the others.
+  if (reuse == ConnectionReuse::kAny) {
+    std::erase_if(at->second, [reuse, now = kernel::Now(loop->clock)](
+                                  const ConnectionPtr& connection) {
+      return !IsReusable(*connection, reuse, now);
+    });
   }
-  return nullptr;
+  const Connection* found = FindIdle(address, reuse, id);
+  if (found == nullptr) return nullptr;
+  const auto taken = std::find_if(at->second.begin(), at->second.end(),
+                                  [found](const ConnectionPtr& connection) {
+                                    return connection.get() == found;
+                                  });
+  ConnectionPtr connection = std::move(*taken);
+  at->second.erase(taken);
+  return connection;
 }
 
 void HttpClient::State::RemoveIdle(Connection* connection) {
@@ -133,7 +184,9 @@
 
   void Start() {
     self_ = shared_from_this();
-    connection_ = client_->TakeIdle(request_.address, request_.reuse);
+    connection_ = client_->TakeIdle(
+        request_.address, request_.reuse,
+        request_.id.empty() ? request_.successor_id : request_.id);
     if (connection_ != nullptr) {
       reused_ = true;
       connection_number_ = connection_->number;
@@ -374,9 +427,11 @@
   }
 
   void Complete(AnswerEnd end) {
-    const bool reusable = !is_tainted_ && reader_.head().keep_alive &&
-                          PendingInput(connection_->buffer.get()).empty() &&
-                          PendingOutputBytes(connection_->buffer.get()) == 0;
+    const bool reusable =
+        !is_tainted_ && reader_.head().keep_alive &&
+        RecordAnswer(*connection_, request_.id, reader_.head().status) &&
+        PendingInput(connection_->buffer.get()).empty() &&
+        PendingOutputBytes(connection_->buffer.get()) == 0;
     const Handlers handlers = std::exchange(handlers_, nullptr);
     if (reusable) client_->AddIdle(std::move(connection_));
     Release();
@@ -456,14 +511,9 @@
 }
 
 bool HttpClient::HasReusable(const std::string& address, ConnectionReuse reuse,
-                             std::uint64_t mark) const {
-  if (reuse == ConnectionReuse::kNone) return false;
-  const auto at = state_->idle.find(address);
-  if (at == state_->idle.end() || at->second.empty()) return false;
-  const Connection& last = *at->second.back();
-  return last.mark == mark &&
-         IsReusable(last, reuse, kernel::Now(state_->loop->clock)) &&
-         PendingInput(last.buffer.get()).empty();
+                             const std::string& id, std::uint64_t mark) const {
+  const Connection* found = state_->FindIdle(address, reuse, id);
+  return found != nullptr && found->mark == mark;
 }
 
 std::uint64_t HttpClient::connections_opened() const {
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -51,8 +51,10 @@
   }
 
   en::HttpExchangePtr Start(Outcome & outcome, const std::string& path,
-                            const std::string& body = "") {
+                            const std::string& body = "",
+                            const std::string& id = "") {
     en::ExchangeRequest request;
+    request.id = id;
     request.address = endpoint->address();
     request.head = en::FormatRequestHead("POST", path, {{"Host", "h"}},
                                          en::BodyFraming::kLength, body.size());
@@ -108,6 +110,19 @@
     test_loop.WaitUntil([&outcome] { return outcome.finished(); });
   }
 
+  // Refuses the request that the connection carries.
+  void Refuse(et::RawSocket & peer, const Outcome& outcome) {
+    ReceiveHead(peer);
+    peer.Send("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+    WaitUntilFinished(outcome);
+    LONGS_EQUAL(1, outcome.ends);
+  }
+
+  bool HasReusable(const std::string& id) const {
+    return client->HasReusable(endpoint->address(), en::ConnectionReuse::kAny,
+                               id, 0);
+  }
+
   // Completes one exchange. Returns its connection, which is idle then.
   et::RawSocketPtr MakeIdleConnection() {
     Outcome first;
@@ -561,3 +576,46 @@
   WaitUntilFinished(outcome);
   CHECK(outcome.error == en::ExchangeError::kBadAnswer);
 }
+
+// Guards against a copy of a refusal that is taken for the answer to the same
+// request, which is sent again on the same connection.
+TEST(HttpClient, DoesNotSendARequestWhereItWasRefused) {
+  Outcome first;
+  Start(first, "/", "", "a");
+  const auto refusing = Accept();
+  Refuse(*refusing, first);
+  CHECK_FALSE(HasReusable("a"));
+  CHECK(HasReusable("b"));
+  Outcome second;
+  Start(second, "/", "", "a");
+  const auto other = Accept();
+  Refuse(*other, second);
+  Outcome third;
+  Start(third, "/", "", "b");
+  Refuse(*other, third);
+  CHECK(HasReusable("c"));
+  LONGS_EQUAL(2, client->connections_opened());
+}
+
+// Guards against a connection whose refusals are forgotten.
+TEST(HttpClient, ClosesAConnectionAfterManyRefusals) {
+  et::RawSocketPtr peer;
+  for (std::size_t i = 1; i <= en::kMaxRefusalsOfConnection; ++i) {
+    Outcome outcome;
+    Start(outcome, "/", "", std::to_string(i));
+    if (peer == nullptr) peer = Accept();
+    Refuse(*peer, outcome);
+    CHECK_EQUAL(i < en::kMaxRefusalsOfConnection, HasReusable("next"));
+  }
+  LONGS_EQUAL(1, client->connections_opened());
+}
+
+// Guards against a copy of a refusal that names no request, and that any later
+// one would take for its answer.
+TEST(HttpClient, ClosesAConnectionAfterARefusalWithoutId) {
+  Outcome outcome;
+  Start(outcome, "/");
+  const auto peer = Accept();
+  Refuse(*peer, outcome);
+  CHECK_FALSE(HasReusable("a"));
+}
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -128,6 +128,7 @@
   net::ExchangeRequest exchange =
       MakeForwardedRequest(request, std::move(fields));
   exchange.address = call.attempt->endpoint->entry.address;
+  exchange.id = call.metadata.id;
   exchange.reuse = GetConnectionReuse(proxy, call, now);
   return exchange;
 }
--- a/proxy/src/endpoint_questions_p.h
+++ b/proxy/src/endpoint_questions_p.h
@@ -87,7 +87,8 @@
 // process_question.cc
 /// A question to an endpoint which process it is.
 struct ProcessQuestion {
-  std::string request_id;  ///< The request that needs it; for the log.
+  /// The request that needs it, and that may follow on the connection.
+  std::string request_id;
   milliseconds timeout{};
 };
 /// Asks the endpoint whether its process is the one that wrote its entry.
--- a/proxy/src/handovers.cc
+++ b/proxy/src/handovers.cc
@@ -39,6 +39,7 @@
   net::ExchangeRequest exchange =
       MakeForwardedRequest(request, std::move(fields));
   exchange.address = address;
+  exchange.id = call.metadata.id;
   exchange.reuse = routing::IsRouteRepeatable(*call.route)
                        ? net::ConnectionReuse::kAny
                        : net::ConnectionReuse::kRecentlyUsed;
--- a/proxy/src/page_read.cc
+++ b/proxy/src/page_read.cc
@@ -64,6 +64,7 @@
                              net::BodyFraming::kNone, 0);
   exchange.connect_timeout = request.timeout;
   exchange.reuse = request.reuse;
+  exchange.successor_id = request.successor_id;
   read->exchange = client.Start(std::move(exchange), MakeHandlers(weak_read));
   read->timer = kernel::RunAfter(loop, request.timeout, [weak_read] {
     Fail(weak_read, {.is_late = true});
--- a/proxy/src/page_read_p.h
+++ b/proxy/src/page_read_p.h
@@ -44,6 +44,8 @@
   std::size_t max_bytes = 0;
   std::chrono::milliseconds timeout{};
   net::ConnectionReuse reuse = net::ConnectionReuse::kAny;
+  /// See `net::ExchangeRequest::successor_id`.
+  std::string successor_id = {};
 };
 
 /// Starts to read. `on_end` is called once unless the read is destroyed before;
--- a/proxy/src/process_question.cc
+++ b/proxy/src/process_question.cc
@@ -66,8 +66,11 @@
     std::function<void(routing::ProcessCheckResult)> on_answer) {
   return StartPageRead(
       *proxy.loop, *proxy.client,
-      {endpoint->entry.address, proxy.dialect->report_target(), kMaxReportBytes,
-       question.timeout},
+      {.address = endpoint->entry.address,
+       .target = proxy.dialect->report_target(),
+       .max_bytes = kMaxReportBytes,
+       .timeout = question.timeout,
+       .successor_id = question.request_id},
       [&proxy, endpoint, id = question.request_id, asked_at = NowOf(proxy),
        on_answer = std::move(on_answer)](const Page& report) {
         const ProcessCheckResult result =
--- a/proxy/src/spares.cc
+++ b/proxy/src/spares.cc
@@ -19,7 +19,7 @@
 bool IsOpen(const Proxy& proxy, const Spare& spare) {
   return spare.number != 0 &&
          proxy.spare_client->HasReusable(
-             spare.address, net::ConnectionReuse::kOpenOnly, spare.number);
+             spare.address, net::ConnectionReuse::kOpenOnly, "", spare.number);
 }
 
 void RunAll(const std::vector<Spare::Waiter>& waiters) {
--- a/proxy/src/streams.cc
+++ b/proxy/src/streams.cc
@@ -479,7 +479,7 @@
   const bool is_known = routing::IsVersionSure(endpoint) &&
                         proxy.client->HasReusable(
                             endpoint.entry.address, net::ConnectionReuse::kAny,
-                            endpoint.entry.started_unix_ms);
+                            call.metadata.id, endpoint.entry.started_unix_ms);
   return may_be_taken_up && (call.demand.goes_on || is_bound || !is_known ||
                              WasServedAtSeveralVersions(proxy, call));
 }
