A refusal that names no request is no promise

A refusal without an id, at the place of an answer, was told to callers as "has not run", or the request was sent again.

Cause: an answer's place alone was taken to say which request it answers, although more answers may come on a connection than requests went there. A success needed the id, a refusal didn't.

Evidence: the new test got 503 "no" on the code before, for a request that its endpoint had taken; now 502 "unknown", sent once.

Change: "not run" counts only where the answer bears the request's id, as endpoints' answers do; without it the outcome is unknown. The tests' endpoints refused without an id, and now name the request as endpoints do; what they check is as it was.

--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -43,7 +43,7 @@
 
 AttemptOutcome ClassifyWholeAnswer(const Attempt& attempt) {
   const int status = attempt.head.status;
-  if (attempt.metadata.not_run) {
+  if (attempt.metadata.not_run && attempt.is_named) {
     return status == kMisdirected ? ClassifyMisdirected(attempt)
                                   : AttemptOutcome::kFull;
   }
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -307,8 +307,8 @@
   attempt.weights = metadata.weights;
   attempt.splitter.mark_field = proxy.dialect->weights_field();
   // Bytes after an earlier answer may look like one, and name no request.
-  attempt.is_vouched =
-      metadata.sealed && !metadata.encoded && metadata.id == call.metadata.id;
+  attempt.is_named = metadata.id == call.metadata.id;
+  attempt.is_vouched = metadata.sealed && !metadata.encoded && attempt.is_named;
   attempt.is_event_stream = IsSuccess(head.status) &&
                             metadata.is_event_stream && attempt.is_vouched &&
                             !metadata.not_run;
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -74,6 +74,7 @@
   net::HttpAnswerHead head;
   std::size_t head_bytes = 0;  ///< Memory of its fields.
   AnswerMetadata metadata;
+  bool is_named = false;  ///< The answer bears the id of the request.
   /// If the answer is a success, it is the endpoint's own and belongs to the
   /// request.
   bool is_vouched = false;
--- a/proxy/tests/harness_connections.cc
+++ b/proxy/tests/harness_connections.cc
@@ -184,8 +184,8 @@
 }
 
 void EndpointRequest::AnswerNotRun() const {
-  connection->Send(
-      "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  connection->Send("HTTP/1.1 503 Full\r\nX-Id: " + id() +
+                   "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
 }
 
 void EndpointRequest::BeginStream(int from, int to) const {
--- a/proxy/tests/refusal_copies_test.cc
+++ b/proxy/tests/refusal_copies_test.cc
@@ -116,3 +116,18 @@
   }
   CHECK(endpoint.connections().size() <= 2);
 }
+
+// Guards against a refusal that names no request, such as a copy of another
+// one's, and counts as the promise that this one has not run.
+TEST(RefusalCopies, ARefusalThatNamesNoRequestIsNoPromise) {
+  const et::FakeEndpoint& endpoint =
+      env.AddEndpoint("e1", [](const et::EndpointRequest& request) {
+        request.connection->Send(
+            "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n"
+            "Content-Length: 0\r\n\r\n");
+      });
+  ep::Proxy& proxy = StartNode(2);
+  STRCMP_EQUAL("502 unknown",
+               env.SendAndDescribe(proxy, {.path = "/once/a"}).c_str());
+  LONGS_EQUAL(1, endpoint.requests().size());
+}
