An answer to a request is not read as a page

A late answer to a request, or a copy of it, was read as the report that was asked for on the same connection: a stream of v1 went on at a process of v2.

Cause: reports and lists of kept parts bear no id, so that whatever came in their place was taken for them, also what bears the id of a request.

The store's pages are read as before.

--- a/proxy/src/kept_parts.cc
+++ b/proxy/src/kept_parts.cc
@@ -54,8 +54,11 @@
                    "service=\"" + endpoint->entry.service + "\"");
   proxy.kept_parts.reads[endpoint->entry.id] = StartPageRead(
       *proxy.loop, *proxy.client,
-      {endpoint->entry.address, proxy.dialect->kept_parts_target(),
-       kMaxKeptPartsBytes, kKeptPartsTimeout},
+      {.address = endpoint->entry.address,
+       .target = proxy.dialect->kept_parts_target(),
+       .max_bytes = kMaxKeptPartsBytes,
+       .timeout = kKeptPartsTimeout,
+       .dialect = proxy.dialect},
       [&proxy, endpoint, asked_at = NowOf(proxy)](const Page& page) {
         OnKeptParts(proxy, endpoint, asked_at, page);
       });
--- a/proxy/src/notice_origins.cc
+++ b/proxy/src/notice_origins.cc
@@ -66,8 +66,11 @@
   check.endpoint = endpoint;
   check.read = StartPageRead(
       *proxy.loop, *proxy.client,
-      {endpoint->entry.address, proxy.dialect->report_target(), kMaxReportBytes,
-       kNoticeCheckTimeout},
+      {.address = endpoint->entry.address,
+       .target = proxy.dialect->report_target(),
+       .max_bytes = kMaxReportBytes,
+       .timeout = kNoticeCheckTimeout,
+       .dialect = proxy.dialect},
       [&proxy, id](const Page& page) { OnReport(proxy, id, page); });
 }
 
--- a/proxy/src/page_read.cc
+++ b/proxy/src/page_read.cc
@@ -21,9 +21,12 @@
   Finish(read);
 }
 
-net::ExchangeHandlers MakeHandlers(const std::weak_ptr<PageRead>& weak_read) {
+net::ExchangeHandlers MakeHandlers(const std::weak_ptr<PageRead>& weak_read,
+                                   const Dialect* dialect) {
   net::ExchangeHandlers handlers;
-  handlers.on_head = [weak_read](const net::HttpAnswerHead& head) {
+  handlers.on_head = [weak_read, dialect](const net::HttpAnswerHead& head) {
+    if (dialect != nullptr && !dialect->read_answer(head).id.empty())
+      return net::HeadVerdict::kSkip;
     if (const auto read = weak_read.lock()) {
       read->page.status = head.status;
       read->page.head = head;
@@ -65,7 +68,8 @@
   exchange.connect_timeout = request.timeout;
   exchange.reuse = request.reuse;
   exchange.successor_id = request.successor_id;
-  read->exchange = client.Start(std::move(exchange), MakeHandlers(weak_read));
+  read->exchange = client.Start(std::move(exchange),
+                                MakeHandlers(weak_read, request.dialect));
   read->timer = kernel::RunAfter(loop, request.timeout, [weak_read] {
     Fail(weak_read, {.is_late = true});
   });
--- a/proxy/src/page_read_p.h
+++ b/proxy/src/page_read_p.h
@@ -9,6 +9,7 @@
 
 #include "egretladder/kernel/loop.h"
 #include "egretladder/net/http_client.h"
+#include "egretladder/proxy/dialect.h"
 
 namespace egretladder::proxy {
 
@@ -44,6 +45,9 @@
   std::size_t max_bytes = 0;
   std::chrono::milliseconds timeout{};
   net::ConnectionReuse reuse = net::ConnectionReuse::kAny;
+  /// Of an endpoint's page: tells it from answers to requests, which come on
+  /// the same connections and bear ids. Null: no other answers come there.
+  const Dialect* dialect = nullptr;
   /// See `net::ExchangeRequest::successor_id`.
   std::string successor_id = {};
 };
--- a/proxy/src/process_question.cc
+++ b/proxy/src/process_question.cc
@@ -70,6 +70,7 @@
        .target = proxy.dialect->report_target(),
        .max_bytes = kMaxReportBytes,
        .timeout = question.timeout,
+       .dialect = proxy.dialect,
        .successor_id = question.request_id},
       [&proxy, endpoint, id = question.request_id, asked_at = NowOf(proxy),
        on_answer = std::move(on_answer)](const Page& report) {
--- a/proxy/src/spares.cc
+++ b/proxy/src/spares.cc
@@ -66,9 +66,13 @@
   const bool is_open = spare.number != 0;
   spare.read = StartPageRead(
       *proxy.loop, *proxy.spare_client,
-      {spare.address, proxy.dialect->report_target(), kMaxReportBytes,
-       is_open ? kSpareSilenceTime : kProcessCheckTimeout,
-       is_open ? net::ConnectionReuse::kOpenOnly : net::ConnectionReuse::kNone},
+      {.address = spare.address,
+       .target = proxy.dialect->report_target(),
+       .max_bytes = kMaxReportBytes,
+       .timeout = is_open ? kSpareSilenceTime : kProcessCheckTimeout,
+       .reuse = is_open ? net::ConnectionReuse::kOpenOnly
+                        : net::ConnectionReuse::kNone,
+       .dialect = proxy.dialect},
       [&proxy, id](const Page& page) { OnAnswer(proxy, id, page); });
 }
 
--- a/proxy/src/store_catch_up.cc
+++ b/proxy/src/store_catch_up.cc
@@ -89,15 +89,18 @@
   IncrementCounter(proxy, "egretladder_store_calls_total",
                    "Calls to the store.", "feed=\"endpoints\"");
   catch_up.revision = EndpointFeed(proxy).revision;
-  catch_up.read = StartPageRead(
-      *proxy.loop, *proxy.client,
-      {proxy.options.store,
-       proxy.dialect->watch_target(Feed::kEndpoints, catch_up.revision, {}),
-       kMaxBufferedAnswerBytes, kCatchUpTimeout},
-      [&proxy](const Page& page) {
-        if (page.status == 0) proxy.store_catch_up.unanswered_at = NowOf(proxy);
-        Finish(proxy, page);
-      });
+  catch_up.read = StartPageRead(*proxy.loop, *proxy.client,
+                                {.address = proxy.options.store,
+                                 .target = proxy.dialect->watch_target(
+                                     Feed::kEndpoints, catch_up.revision, {}),
+                                 .max_bytes = kMaxBufferedAnswerBytes,
+                                 .timeout = kCatchUpTimeout},
+                                [&proxy](const Page& page) {
+                                  if (page.status == 0)
+                                    proxy.store_catch_up.unanswered_at =
+                                        NowOf(proxy);
+                                  Finish(proxy, page);
+                                });
 }
 
 milliseconds IntervalOf(Proxy& proxy) {
