A refused question leaves its connection to further questions

Since requests avoid connections that carried their refusal, a refusal of a request without an id closed the connection. An engine without a start that refused its report, and lives on, lost its spare connection by that, which is the witness of its process: sound streams without framing were broken off.

Cause: the copy of such a refusal can only be mistaken where a request with an id follows, but the connection was closed for all.

Evidence: the new test (reports answered 200, 400, 404, 429 and 503) broke off with 400 on the code before; whole with all five now.

Change: after a refusal of a request without an id the connection stays for further ones without, and carries none with an id. The unit test of the close asks instead that a request with an id takes another connection, and that one without takes this one: as strict for what can be mistaken.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -71,7 +71,7 @@
   /// The id that its answers bear; empty: they bear none. It isn't sent on a
   /// connection that has carried a refusal of that id, as a copy of the refusal
   /// may come there at any later time, and the id doesn't tell it from the
-  /// answer.
+  /// answer. Nor is it sent after a refusal of a request without an id.
   std::string id;
   /// The id of the request that is to follow on the same connection; empty:
   /// any may. The exchange avoids the connections that this one has to avoid.
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -33,6 +33,8 @@
   kernel::Time idle_since{};
   std::uint64_t mark = 0;              // See `HttpClient::MarkReusable`.
   std::vector<std::uint64_t> refused;  // Hashes of ids.
+  // Has refused a request without an id, so that a copy names none.
+  bool has_refused_unnamed = false;
 };
 using ConnectionPtr = std::unique_ptr<Connection>;
 
@@ -68,18 +70,24 @@
          kRefusals.end();
 }
 
+// Returns true if the request with that id, empty if it has none, may be sent
+// on the connection.
 bool MayCarry(const Connection& connection, const std::string& id) {
+  if (id.empty()) return true;
   const auto& refused = connection.refused;
-  return id.empty() || std::find(refused.begin(), refused.end(),
-                                 kernel::HashBytes(id)) == refused.end();
+  return !connection.has_refused_unnamed &&
+         std::find(refused.begin(), refused.end(), kernel::HashBytes(id)) ==
+             refused.end();
 }
 
-// Records the answer that the connection has carried to the request `id`.
-// Returns false if the connection can't be reused.
+// Records the answer that the connection has carried to the request with that
+// id. Returns false if the connection can't be reused.
 bool RecordAnswer(Connection& connection, const std::string& id, int status) {
   if (!IsRefusal(status)) return true;
-  if (id.empty())
-    return false;  // Any request could take a copy for its answer.
+  if (id.empty()) {
+    connection.has_refused_unnamed = true;
+    return true;
+  }
   connection.refused.push_back(kernel::HashBytes(id));
   return connection.refused.size() < kMaxRefusalsOfConnection;
 }
