Only statuses that refuse can promise that a request has not run

An endpoint that answers 500, 504, 404, 409 or 200 with the statement that it has not run the request, and sends a copy of that when the request comes again, made it run twice.

Cause: what counts as a refusal was decided twice. The connection remembers refusals by their statuses; the attempt believed the statement with any status.

Change: the statement counts only with a status that refuses, as the connection's list has them. With any other one the outcome is unknown, or the endpoint's own failure.

--- a/proxy/src/answer_ends.cc
+++ b/proxy/src/answer_ends.cc
@@ -43,7 +43,8 @@
 
 AttemptOutcome ClassifyWholeAnswer(const Attempt& attempt) {
   const int status = attempt.head.status;
-  if (attempt.metadata.not_run && attempt.is_named) {
+  if (attempt.metadata.not_run && attempt.is_named &&
+      net::IsRefusalStatus(status)) {
     return status == kMisdirected ? ClassifyMisdirected(attempt)
                                   : AttemptOutcome::kFull;
   }
--- a/proxy/tests/refusal_copies_test.cc
+++ b/proxy/tests/refusal_copies_test.cc
@@ -117,6 +117,23 @@
   CHECK(endpoint.connections().size() <= 2);
 }
 
+// Guards against statuses that promise here and aren't taken for a refusal on
+// the connection.
+TEST(RefusalCopies, NoStatusMakesARequestRunTwice) {
+  env.AddEndpoint("e1", RefuseAndCopy());
+  ep::Proxy& proxy = StartNode(2);
+  for (const int refusal :
+       {200, 400, 404, 408, 409, 421, 429, 500, 502, 503, 504}) {
+    status = refusal;
+    refusals = 1;
+    runs = 0;
+    const std::string id = "r" + std::to_string(refusal);
+    env.SendAndDescribe(proxy, {.path = "/once/a", .id = id});
+    env.RunLoopFor(100ms);
+    CHECK_TEXT(runs <= 1, id.c_str());
+  }
+}
+
 // Guards against a refusal that names no request, such as a copy of another
 // one's, and counts as the promise that this one has not run.
 TEST(RefusalCopies, ARefusalThatNamesNoRequestIsNoPromise) {
