A connection isn't used again after an answer that names no request

A refusal without an id is no promise any more, yet its connection stayed in use: a copy of it fits every later request there, costs each a 502, and their own answers are lost.

Cause: the connection remembered the request's id, although the answer bore none.

Evidence: the test of the refusal without an id, which now also asks for a new connection for the next request, failed on the code before.

Change: the reader of an answer's head says whether it names its request; after one that doesn't the connection is closed.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -26,6 +26,9 @@
 /// What the handler of an answer's head decides.
 enum class HeadVerdict : std::uint8_t {
   kAccept,
+  /// The answer is accepted, and doesn't name its request: a copy of it could
+  /// be taken for any other one. The connection isn't used again.
+  kAcceptLast,
   /// The answer belongs to another request: it is discarded, and the exchange
   /// waits for the next one.
   kSkip,
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -368,10 +368,12 @@
         return false;
       }
       connection_->keep_alive_timeout = ParseKeepAliveTimeout(head.fields);
-      skipping_ = head.status < kFirstFinalStatus ||
-                  handlers->on_head(head) == HeadVerdict::kSkip;
+      const bool is_final = head.status >= kFirstFinalStatus;
+      const HeadVerdict verdict =
+          is_final ? handlers->on_head(head) : HeadVerdict::kSkip;
       if (connection_ == nullptr) return false;
-      if (skipping_ && head.status >= kFirstFinalStatus) is_tainted_ = true;
+      skipping_ = verdict == HeadVerdict::kSkip;
+      if (is_final && verdict != HeadVerdict::kAccept) is_tainted_ = true;
       reader_.DropFields();  // The handler has what it needs of them.
     }
     const std::string piece = reader_.TakeBody();
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -48,7 +48,8 @@
   if (head.status != kMisdirected)
     UpdateEndpointLimit(proxy, *call, *attempt.endpoint, metadata);
   KeepAnswerHead(proxy, *call, head, metadata);
-  return net::HeadVerdict::kAccept;
+  return attempt.is_named ? net::HeadVerdict::kAccept
+                          : net::HeadVerdict::kAcceptLast;
 }
 
 milliseconds GetFirstEventTimeout(const Call& call,
--- a/proxy/tests/refusal_copies_test.cc
+++ b/proxy/tests/refusal_copies_test.cc
@@ -147,4 +147,6 @@
   STRCMP_EQUAL("502 unknown",
                env.SendAndDescribe(proxy, {.path = "/once/a"}).c_str());
   LONGS_EQUAL(1, endpoint.requests().size());
+  env.SendAndDescribe(proxy, {.path = "/once/b", .id = "r2"});
+  LONGS_EQUAL(2, endpoint.connections().size());
 }
