--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -50,11 +50,12 @@
     client = std::make_unique<en::HttpClient>(test_loop.loop);
   }
 
-  en::HttpExchangePtr Start(Outcome & outcome, const std::string& path,
-                            const std::string& body = "",
-                            const std::string& id = "") {
+  en::HttpExchangePtr Start(
+      Outcome & outcome, const std::string& path, const std::string& body = "",
+      const std::string& id = "", const std::string& successor_id = "") {
     en::ExchangeRequest request;
     request.id = id;
+    request.successor_id = successor_id;
     request.address = endpoint->address();
     request.head = en::FormatRequestHead("POST", path, {{"Host", "h"}},
                                          en::BodyFraming::kLength, body.size());
@@ -624,3 +625,22 @@
   Refuse(*Accept(), named);
   LONGS_EQUAL(2, client->connections_opened());
 }
+
+// Guards against a question whose connection the request behind it may not use,
+// so that another process may get the request.
+TEST(HttpClient, AQuestionGoesWhereItsRequestMayFollow) {
+  Outcome first;
+  Start(first, "/", "", "a");
+  const auto refusing = Accept();
+  Refuse(*refusing, first);
+  Outcome question;
+  Start(question, "/", "", "", "a");
+  const auto asked = Accept();
+  ReceiveHead(*asked);
+  asked->Send(MakeAnswer("report"));
+  WaitUntilFinished(question);
+  Outcome second;
+  Start(second, "/", "", "a");
+  ReceiveHead(*asked);
+  LONGS_EQUAL(2, client->connections_opened());
+}
