A peers' port without a free descriptor waits instead of spinning

What callers saw: half of the ordinary requests unanswered while a crowd held all descriptors, and 300 MB of log in 7 s.

Cause: the listeners of the peers' ports had no error callback. While no descriptor is free, accepting fails and the socket stays readable, so that libevent tried again in a busy loop and wrote a line to standard error each time.

Evidence: one connection that can't be accepted gave 1,169,010 and 1,160,756 lines of libevent in half a second at a proxy node, and 1,186,024 at a gateway (93 and 8,065 in runs in which a descriptor came free); the loop never became idle.

The HTTP servers have their own pause; they can move to it later. All other lines of libevent become events of the bounded event log, or go to the text log while that is stopped, from the creation of a loop on.

Tests, which failed before with the figures above and an empty event log: PortWithoutFreeDescriptorWaits in proxy_tests and gateway_tests, LinesOfLibeventAreEvents in kernel_tests. After: no line of libevent, the loop becomes idle, and the port serves again once descriptors are free.

--- a/gateway/src/peer_capnp.cc
+++ b/gateway/src/peer_capnp.cc
@@ -1,4 +1,3 @@
-#include <event2/listener.h>
 #include <kj/exception.h>
 
 #include <map>
@@ -10,6 +9,7 @@
 #include "egretladder/kernel/log.h"
 #include "egretladder/net/address.h"
 #include "egretladder/net/kj_loop.h"
+#include "egretladder/net/pausing_listener.h"
 #include "egretladder/net/rpc_connection.h"
 #include "gateway_p.h"
 #include "peer_codec_p.h"
@@ -20,7 +20,6 @@
 using net::KjLoop;
 using net::ParseAddress;
 using net::SetNoDelay;
-using net::WithBoundPort;
 namespace {
 
 using kernel::LogLevel;
@@ -66,7 +65,7 @@
 struct PeerNet {
   Gateway* gateway = nullptr;
   std::shared_ptr<KjLoop> kj;
-  net::Listener listener;
+  std::unique_ptr<net::PausingListener> listener;
   std::map<std::string, std::unique_ptr<PeerOut>> out;
   std::map<std::string, PeerBackoff> backoffs;
   std::vector<std::unique_ptr<net::RpcServerConnection>> in;
@@ -180,9 +179,7 @@
   Gateway& gateway_;
 };
 
-void AcceptPeer(evconnlistener* /*listener*/, evutil_socket_t fd,
-                sockaddr* /*address*/, int /*size*/, void* arg) {
-  auto& net = *static_cast<PeerNet*>(arg);
+void AcceptPeer(PeerNet& net, evutil_socket_t fd) {
   if (net.in.size() >= kPeersIn) {
     evutil_closesocket(fd);
     return;
@@ -287,11 +284,11 @@
   net->dropped = kernel::AddCounter(
       gateway.metrics, "egretladder_peer_messages_dropped_total",
       "Messages that a peer had no room for, or could not be reached with.");
-  const std::string& listen = gateway.options.peer_listen;
-  BOOST_OUTCOME_TRY(listener, net::ListenOn(gateway.loop->base.get(), listen,
-                                            -1, AcceptPeer, net.get()));
-  net->listener = std::move(listener);
-  *address = WithBoundPort(listen, evconnlistener_get_fd(net->listener.get()));
+  net->listener = std::make_unique<net::PausingListener>(
+      *gateway.loop,
+      [raw = net.get()](evutil_socket_t fd) { AcceptPeer(*raw, fd); });
+  BOOST_OUTCOME_TRY(net->listener->Listen(gateway.options.peer_listen, -1));
+  *address = net->listener->address();
   net->sweep = kernel::RunEvery(*gateway.loop, kSweep,
                                 [raw = net.get()] { SweepPeers(*raw); });
   return net;
--- a/gateway/tests/peer_test.cc
+++ b/gateway/tests/peer_test.cc
@@ -1,5 +1,7 @@
 
 #include <CppUTest/TestHarness.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <string>
 
@@ -64,6 +66,34 @@
   return caller.got;
 }
 
+// Lines that libevent has written since the callback was set.
+std::size_t libevent_lines = 0;
+void CountLibeventLine(int /*severity*/, const char* /*text*/) {
+  ++libevent_lines;
+}
+
+// Runs the loop until no event is active, but not longer than half a second.
+// Returns whether it got there.
+bool BecomesIdle(egretladder::kernel::Loop& loop) {
+  const egretladder::kernel::EventWatcher end = egretladder::kernel::RunAfter(
+      loop, 500ms, [&loop] { egretladder::kernel::StopLoop(loop); });
+  event_base_loop(loop.base.get(), EVLOOP_NONBLOCK);
+  return event_base_got_break(loop.base.get()) == 0;
+}
+
+// Lowers the limit of descriptors so that this process can open none. Returns
+// the limit before.
+rlimit LowerDescriptorLimit() {
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int lowest_free = dup(STDIN_FILENO);
+  close(lowest_free);
+  rlimit lowered = before;
+  lowered.rlim_cur = static_cast<rlim_t>(lowest_free);
+  setrlimit(RLIMIT_NOFILE, &lowered);
+  return before;
+}
+
 }  // namespace
 
 TEST_GROUP(Peers){};
@@ -208,3 +238,20 @@
   send();
   CHECK_EQUAL(1U, eg::ViewOf(*one.node).peers);
 }
+
+// Guards against a node that does nothing but fail to accept, and fills the
+// disk with lines about it, once a crowd holds all its descriptors.
+TEST(Peers, PortWithoutFreeDescriptorWaits) {
+  et::OneNode one;
+  CHECK(BecomesIdle(one.loop.loop));
+  et::RawCaller waiting(one.loop, eg::PeerAddressOf(*one.node));
+  libevent_lines = 0;
+  event_set_log_callback(CountLibeventLine);
+  const rlimit before = LowerDescriptorLimit();
+  const bool is_idle = BecomesIdle(one.loop.loop);
+  setrlimit(RLIMIT_NOFILE, &before);
+  CHECK_EQUAL(0U, libevent_lines);
+  CHECK(is_idle);
+  waiting.Send("GET / HTTP/1.1\r\nHost: n\r\n\r\n" + std::string(4096, '\xff'));
+  CHECK_TRUE(et::RunUntil(one.loop, [&waiting] { return waiting.ended; }));
+}
--- a/kernel/include/egretladder/kernel/loop.h
+++ b/kernel/include/egretladder/kernel/loop.h
@@ -48,7 +48,8 @@
   std::shared_ptr<ManualTimers> manual_timers{};
 };
 
-/// Creates a loop that uses `SystemClock`.
+/// Creates a loop that uses `SystemClock`. What libevent logs goes to the event
+/// log from then on, or to the text log while the event log is stopped.
 Loop CreateLoop();
 
 /// Dispatches events until `StopLoop` is called or no event is left.
--- a/kernel/src/loop.cc
+++ b/kernel/src/loop.cc
@@ -3,6 +3,9 @@
 #include <cstdlib>
 #include <utility>
 
+#include "egretladder/kernel/log.h"
+#include "egretladder/kernel/log_event.h"
+
 namespace egretladder::kernel {
 
 struct EventWatcher::State {
@@ -61,6 +64,29 @@
   return state;
 }
 
+LogLevel LevelOf(int libevent_severity) {
+  switch (libevent_severity) {
+    case EVENT_LOG_DEBUG:
+      return LogLevel::kDebug;
+    case EVENT_LOG_MSG:
+      return LogLevel::kInfo;
+    case EVENT_LOG_WARN:
+      return LogLevel::kWarning;
+    default:
+      return LogLevel::kError;
+  }
+}
+
+// Without this libevent writes its lines to standard error, as many as it has.
+void LogLibeventLine(int severity, const char* text) {
+  const LogLevel level = LevelOf(severity);
+  if (IsEventLogEnabled(LogLevel::kError)) {
+    LogEvent(LogPart::kKernel, level, "libevent", {{"text", text}});
+  } else {
+    Log(LogPart::kKernel, level, text);
+  }
+}
+
 }  // namespace
 
 EventWatcher::EventWatcher() = default;
@@ -68,7 +94,10 @@
 EventWatcher::EventWatcher(EventWatcher&& other) noexcept = default;
 EventWatcher& EventWatcher::operator=(EventWatcher&& other) noexcept = default;
 
-Loop CreateLoop() { return {EventBase(event_base_new()), SystemClock()}; }
+Loop CreateLoop() {
+  event_set_log_callback(LogLibeventLine);
+  return {EventBase(event_base_new()), SystemClock()};
+}
 
 void RunLoop(Loop& loop) { event_base_dispatch(loop.base.get()); }
 
--- a/kernel/tests/log_event_test.cc
+++ b/kernel/tests/log_event_test.cc
@@ -8,6 +8,8 @@
 #include <array>
 #include <string>
 
+#include "egretladder/kernel/loop.h"
+
 namespace ek = egretladder::kernel;
 
 TEST_GROUP(LogEvent) {
@@ -105,3 +107,16 @@
   STRCMP_CONTAINS("lines-dropped", text.c_str());
   CHECK(text.back() == '\n');
 }
+
+// Guards against lines of libevent that go past the budget to standard error.
+TEST(LogEvent, LinesOfLibeventAreEvents) {
+  ek::Loop loop = ek::CreateLoop();
+  const ek::EventWatcher nested = ek::RunAfter(
+      loop, std::chrono::milliseconds(0),
+      [&loop] { event_base_loop(loop.base.get(), EVLOOP_NONBLOCK); });
+  event_base_loop(loop.base.get(), EVLOOP_ONCE);
+  const std::string text = ReadAvailable();
+  STRCMP_CONTAINS(R"("level":"warning","part":"kernel","event":"libevent")",
+                  text.c_str());
+  STRCMP_CONTAINS("reentrant", text.c_str());
+}
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -18,6 +18,10 @@
 /// caller that pipelines more requests than fit has to wait.
 inline constexpr std::size_t kMaxReadAheadBytes = std::size_t{128} << 10U;
 
+/// How long a listener waits after an error before it accepts again. Most
+/// errors mean that no descriptor is free.
+inline constexpr std::chrono::milliseconds kAcceptPause{100};
+
 /// Interval of the check for connections that have timed out.
 inline constexpr std::chrono::milliseconds kHttpSweepInterval{100};
 
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -138,9 +138,7 @@
   bool same_zone_ = false;  // As the peer last stated.
 };
 
-void AcceptPeer(evconnlistener* /*listener*/, evutil_socket_t fd,
-                sockaddr* /*address*/, int /*size*/, void* arg) {
-  auto& network = *static_cast<PeerNetwork*>(arg);
+void AcceptPeer(PeerNetwork& network, evutil_socket_t fd) {
   if (network.incoming.size() >= kMaxPeerConnections) {
     evutil_closesocket(fd);
     return;
@@ -317,12 +315,11 @@
   network->proxy = &proxy;
   BOOST_OUTCOME_TRY(kj, net::AcquireKjLoop(*proxy.loop));
   network->kj = std::move(kj);
-  BOOST_OUTCOME_TRY(
-      listener, net::ListenOn(proxy.loop->base.get(), proxy.options.peers, -1,
-                              AcceptPeer, network.get()));
-  network->listener = std::move(listener);
-  *address = net::WithBoundPort(proxy.options.peers,
-                                evconnlistener_get_fd(network->listener.get()));
+  network->listener = std::make_unique<net::PausingListener>(
+      *proxy.loop,
+      [raw = network.get()](evutil_socket_t fd) { AcceptPeer(*raw, fd); });
+  BOOST_OUTCOME_TRY(network->listener->Listen(proxy.options.peers, -1));
+  *address = network->listener->address();
   network->sweep_timer =
       kernel::RunEvery(*proxy.loop, kTickInterval,
                        [raw = network.get()] { SweepConnections(*raw); });
--- a/proxy/src/peers_p.h
+++ b/proxy/src/peers_p.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "egretladder/net/kj_loop.h"
+#include "egretladder/net/pausing_listener.h"
 #include "egretladder/net/rpc_connection.h"
 #include "egretladder/net/socket.h"
 #include "egretladder/routing/feed_fetch.h"
@@ -57,7 +58,7 @@
 struct PeerNetwork {
   Proxy* proxy = nullptr;
   std::shared_ptr<net::KjLoop> kj;
-  net::Listener listener;
+  std::unique_ptr<net::PausingListener> listener;
   std::map<std::string, std::unique_ptr<PeerConnection>> outgoing;
   std::vector<std::unique_ptr<net::RpcServerConnection>> incoming;
   routing::FeedFetches feed_fetches;
--- a/proxy/tests/peers_test.cc
+++ b/proxy/tests/peers_test.cc
@@ -1,5 +1,7 @@
 // Nodes that lose their peers, during an exchange or permanently.
 #include <CppUTest/TestHarness.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <list>
 #include <memory>
@@ -105,6 +107,42 @@
   et::TestListener port_;
 };
 
+// While it exists, this process can open no further descriptor.
+class NoFreeDescriptors {
+ public:
+  NoFreeDescriptors() {
+    getrlimit(RLIMIT_NOFILE, &before_);
+    const int lowest_free = dup(STDIN_FILENO);
+    close(lowest_free);
+    rlimit lowered = before_;
+    lowered.rlim_cur = static_cast<rlim_t>(lowest_free);
+    setrlimit(RLIMIT_NOFILE, &lowered);
+  }
+  ~NoFreeDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+  NoFreeDescriptors(const NoFreeDescriptors&) = delete;
+  NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
+// Lines that libevent has written since `CountLibeventLines`.
+std::size_t libevent_lines = 0;
+void CountLibeventLines() {
+  libevent_lines = 0;
+  event_set_log_callback(
+      [](int /*severity*/, const char* /*text*/) { ++libevent_lines; });
+}
+
+// Runs the loop until no event is active, but not longer than half a second.
+// Returns whether it got there.
+bool BecomesIdle(ek::Loop& loop) {
+  const ek::EventWatcher end =
+      ek::RunAfter(loop, 500ms, [&loop] { ek::StopLoop(loop); });
+  event_base_loop(loop.base.get(), EVLOOP_NONBLOCK);
+  return event_base_got_break(loop.base.get()) == 0;
+}
+
 }  // namespace
 
 TEST_GROUP(Peers) {
@@ -294,3 +332,24 @@
   const std::string listed = GetDirectory(last);
   CHECK(listed.find(ep::ViewOf(again).callers) != std::string::npos);
 }
+
+// Guards against a node that does nothing but fail to accept, and fills the
+// disk with lines about it, once a crowd holds all its descriptors.
+TEST(Peers, PortWithoutFreeDescriptorWaits) {
+  env.AddEndpoint("e1", et::AnswerImmediately());
+  ep::Proxy& first = env.StartReadyNode();
+  env.Connect(ep::ViewOf(first).peers);
+  CountLibeventLines();
+  {
+    const NoFreeDescriptors none_free;
+    const bool was_idle = BecomesIdle(env.loop);
+    CHECK_EQUAL(0U, libevent_lines);
+    CHECK(was_idle);
+    env.RunLoopFor(300ms);
+    CHECK(BecomesIdle(env.loop));
+    CHECK_EQUAL(0U, libevent_lines);
+  }
+  ep::Proxy& second = StartNodeWithSeed("n2", ep::ViewOf(first).peers);
+  env.WaitUntilReady(second, 1);
+  STRCMP_EQUAL("200", env.SendAndDescribe(first, {.path = "/once/a"}).c_str());
+}
