A peer that reads no answers is not read on

What callers saw: nothing yet; a node's memory grows with what a connection to the peers' port sends ahead, until the process ends.

Cause: the server side of a peer's connection read and answered the next call whatever lay unsent behind it. A writer that waits for the output to drain held back the next write only; its messages queued in memory.

Change: BuffereventStream takes UnreadLimits. On the server side nothing of a peer is read while more than 64 KiB of answers are unsent or a writer waits, and the connection breaks if nothing could be sent for 5 s. That time is libevent's write timeout, which a pause of this process doesn't trip. The client side has no such limits: two sides that wait for each other to read would wait for good. Input that is full and isn't taken is no longer received, as libevent calls the reader again and again for it.

--- a/net/include/egretladder/net/kj_loop.h
+++ b/net/include/egretladder/net/kj_loop.h
@@ -6,12 +6,15 @@
 #include <kj/async-io.h>
 #include <kj/async.h>
 
+#include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
 #include "egretladder/kernel/error.h"
 #include "egretladder/kernel/loop.h"
+#include "egretladder/net/limits.h"
 #include "egretladder/net/socket.h"
 
 namespace egretladder::net {
@@ -23,11 +26,31 @@
 /// thread runs on another event base.
 kernel::Result<std::shared_ptr<KjLoop>> AcquireKjLoop(kernel::Loop& loop);
 
+/// What a stream does about a peer that doesn't read what is written to it.
+struct UnreadLimits {
+  /// While more bytes are unsent, nothing of the peer's is read. Reading goes
+  /// on once all are sent.
+  std::size_t max_bytes = std::numeric_limits<std::size_t>::max();
+  /// The connection breaks if nothing could be sent for this long. A pause of
+  /// this process doesn't count. 0: it never does.
+  std::chrono::milliseconds max_stall{0};
+
+  constexpr bool IsLimited() const {
+    return max_bytes < std::numeric_limits<std::size_t>::max();
+  }
+};
+
+/// The limits for a peer that calls this side. A side that calls must read on
+/// whatever it has written: if both sides waited for each other to read,
+/// neither would.
+inline constexpr UnreadLimits kCallerUnreadLimits{kMaxUnreadRpcBytes,
+                                                  kMaxRpcStall};
+
 /// A KJ stream over a bufferevent, which may still be connecting. The callbacks
 /// of libevent only resolve promises; continuations run in the KJ loop.
 class BuffereventStream final : public kj::AsyncIoStream {
  public:
-  explicit BuffereventStream(Bufferevent buffer);
+  explicit BuffereventStream(Bufferevent buffer, UnreadLimits unread = {});
 
   kj::Promise<std::size_t> tryRead(void* buffer, std::size_t min_bytes,
                                    std::size_t max_bytes) override;
@@ -52,13 +75,18 @@
   // NOLINTNEXTLINE(google-runtime-int)
   static void OnEvent(bufferevent* buffer, short events, void* arg);
   kj::Promise<void> WhenDrained();
+  bool HasTooMuchUnread() const;
+  void ContinueReading();
+  void SetReceiving(bool receives);
   void Disconnect();
 
   Bufferevent buffer_;
+  UnreadLimits unread_;
   ReadOperation* read_operation_ = nullptr;
   DrainOperation* drain_operation_ = nullptr;
-  bool eof_ = false;     ///< The other side has ended its output.
-  bool broken_ = false;  ///< The connection failed in both directions.
+  bool receives_ = true;  ///< Bytes are taken from the socket.
+  bool eof_ = false;      ///< The other side has ended its output.
+  bool broken_ = false;   ///< The connection failed in both directions.
 };
 
 }  // namespace egretladder::net
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -22,6 +22,12 @@
 /// errors mean that no descriptor is free.
 inline constexpr std::chrono::milliseconds kAcceptPause{100};
 
+/// Unsent answers above which a peer's next calls aren't read.
+inline constexpr std::size_t kMaxUnreadRpcBytes = std::size_t{64} << 10U;
+/// A peer that takes nothing of its answers for this long is disconnected.
+/// Peers give up a call after 1 s, and a connection after 5 s of silence.
+inline constexpr std::chrono::milliseconds kMaxRpcStall{5000};
+
 /// Interval of the check for connections that have timed out.
 inline constexpr std::chrono::milliseconds kHttpSweepInterval{100};
 
--- a/net/include/egretladder/net/rpc_connection.h
+++ b/net/include/egretladder/net/rpc_connection.h
@@ -20,7 +20,8 @@
 /// calls.
 struct RpcServerConnection {
   RpcServerConnection(Bufferevent buffer, capnp::Capability::Client self,
-                      std::uint64_t max_words);
+                      std::uint64_t max_words,
+                      UnreadLimits unread = kCallerUnreadLimits);
 
   BuffereventStream stream;
   capnp::TwoPartyVatNetwork network;
--- a/net/src/kj_loop.cc
+++ b/net/src/kj_loop.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace egretladder::net {
 namespace {
@@ -93,9 +94,11 @@
   ~ReadOperation() { Detach(); }
   KJ_DISALLOW_COPY(ReadOperation);
 
-  // Copies the input that is available. Resolves the promise if it has the
-  // minimum size or the stream has ended.
+  // Copies the input that is available, unless the peer has too much unread.
+  // Resolves the promise if it has the minimum size or the stream has ended.
   void ReadAvailable() {
+    if (stream_.HasTooMuchUnread()) return;
+    stream_.SetReceiving(true);
     evbuffer* input = bufferevent_get_input(stream_.buffer_.get());
     const int received =
         evbuffer_remove(input, buffer_ + bytes_read_, max_bytes_ - bytes_read_);
@@ -153,9 +156,13 @@
   BuffereventStream& stream_;
 };
 
-BuffereventStream::BuffereventStream(Bufferevent buffer)
-    : buffer_(std::move(buffer)) {
+BuffereventStream::BuffereventStream(Bufferevent buffer, UnreadLimits unread)
+    : buffer_(std::move(buffer)), unread_(unread) {
   bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kMaxStreamBufferBytes);
+  if (unread_.max_stall.count() > 0) {
+    const timeval max_stall = kernel::ToTimeval(unread_.max_stall);
+    bufferevent_set_timeouts(buffer_.get(), nullptr, &max_stall);
+  }
   bufferevent_setcb(buffer_.get(), OnReadable, OnWritable, OnEvent, this);
   bufferevent_enable(buffer_.get(), EV_READ | EV_WRITE);
 }
@@ -210,12 +217,17 @@
 
 void BuffereventStream::OnReadable(bufferevent* /*buffer*/, void* arg) {
   auto& self = *static_cast<BuffereventStream*>(arg);
-  if (self.read_operation_ != nullptr) self.read_operation_->ReadAvailable();
+  self.ContinueReading();
+  // Full input that stays would make libevent call this again and again.
+  evbuffer* input = bufferevent_get_input(self.buffer_.get());
+  if (evbuffer_get_length(input) >= kMaxStreamBufferBytes)
+    self.SetReceiving(false);
 }
 
 void BuffereventStream::OnWritable(bufferevent* /*buffer*/, void* arg) {
   auto& self = *static_cast<BuffereventStream*>(arg);
   if (self.drain_operation_ != nullptr) self.drain_operation_->Finish();
+  self.ContinueReading();
 }
 
 // libevent's callback type has a parameter of type short.
@@ -226,12 +238,28 @@
   if ((events & BEV_EVENT_CONNECTED) != 0) return;
   if ((events & BEV_EVENT_EOF) != 0) {
     self.eof_ = true;
-    if (self.read_operation_ != nullptr) self.read_operation_->ReadAvailable();
+    self.ContinueReading();
     return;
   }
   self.Disconnect();
 }
 
+bool BuffereventStream::HasTooMuchUnread() const {
+  if (PendingOutputBytes() > unread_.max_bytes) return true;
+  // A writer that waits has more to write.
+  return unread_.IsLimited() && drain_operation_ != nullptr;
+}
+
+void BuffereventStream::SetReceiving(bool receives) {
+  if (std::exchange(receives_, receives) == receives) return;
+  receives ? bufferevent_enable(buffer_.get(), EV_READ)
+           : bufferevent_disable(buffer_.get(), EV_READ);
+}
+
+void BuffereventStream::ContinueReading() {
+  if (read_operation_ != nullptr) read_operation_->ReadAvailable();
+}
+
 void BuffereventStream::Disconnect() {
   broken_ = true;
   if (read_operation_ != nullptr) read_operation_->Fail();
--- a/net/src/rpc_connection.cc
+++ b/net/src/rpc_connection.cc
@@ -18,8 +18,9 @@
 
 RpcServerConnection::RpcServerConnection(Bufferevent buffer,
                                          capnp::Capability::Client self,
-                                         std::uint64_t max_words)
-    : stream(std::move(buffer)),
+                                         std::uint64_t max_words,
+                                         UnreadLimits unread)
+    : stream(std::move(buffer), unread),
       network(stream, Side::SERVER, RpcReaderOptions(max_words)),
       system(capnp::makeRpcServer(network, std::move(self))),
       ended(network.onDisconnect()
--- a/proxy/tests/peers_test.cc
+++ b/proxy/tests/peers_test.cc
@@ -1,14 +1,19 @@
 // Nodes that lose their peers, during an exchange or permanently.
 #include <CppUTest/TestHarness.h>
+#include <capnp/rpc.capnp.h>
+#include <capnp/serialize.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <list>
 #include <memory>
 
 #include "egretladder/kernel/hash.h"
 #include "egretladder/kernel/metrics.h"
 #include "harness.h"
+#include "peers_p.h"
+#include "state_p.h"
 
 using namespace std::chrono_literals;
 namespace ek = egretladder::kernel;
@@ -107,6 +112,29 @@
   et::TestListener port_;
 };
 
+std::string BytesOf(capnp::MessageBuilder& message) {
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+// What a peer sends that asks for so many exchanges without news of its own.
+std::string FormatExchanges(std::uint32_t count) {
+  capnp::MallocMessageBuilder bootstrap;
+  bootstrap.initRoot<capnp::rpc::Message>().initBootstrap().setQuestionId(0);
+  std::string bytes = BytesOf(bootstrap);
+  for (std::uint32_t i = 1; i <= count; ++i) {
+    capnp::MallocMessageBuilder message;
+    auto call = message.initRoot<capnp::rpc::Message>().initCall();
+    call.setQuestionId(i);
+    call.initTarget().initPromisedAnswer().setQuestionId(0);
+    call.setInterfaceId(capnp::typeId<egretladder::exchange::Peer>());
+    call.initParams();
+    bytes += BytesOf(message);
+  }
+  return bytes;
+}
+
 // While it exists, this process can open no further descriptor.
 class NoFreeDescriptors {
  public:
@@ -353,3 +381,26 @@
   env.WaitUntilReady(second, 1);
   STRCMP_EQUAL("200", env.SendAndDescribe(first, {.path = "/once/a"}).c_str());
 }
+
+// Guards against a node that runs out of memory, since it answers a peer that
+// reads nothing. The answers together have more than eight times the bound.
+TEST(Peers, PeerThatReadsNothingIsNotReadOn) {
+  constexpr std::uint32_t kExchanges = 30'000;
+  constexpr std::size_t kMaxHeldBytes = std::size_t{1} << 20U;
+  env.AddEndpoint("e1", et::AnswerImmediately());
+  ep::Proxy& proxy = env.StartReadyNode();
+  et::TestConnection& peer = env.Connect(ep::ViewOf(proxy).peers, 8192);
+  peer.PauseReading(true);
+  peer.Send(FormatExchanges(kExchanges));
+  std::size_t most_held = 0;
+  for (int i = 0; i < 100; ++i) {
+    env.RunLoopFor(10ms);
+    for (const auto& incoming : proxy.peers->incoming) {
+      most_held =
+          std::max(most_held, incoming->network.getCurrentQueueSize() +
+                                  incoming->stream.PendingOutputBytes());
+    }
+  }
+  CHECK_COMPARE(most_held, <, kMaxHeldBytes);
+  STRCMP_EQUAL("200", env.SendAndDescribe(proxy, {.path = "/once/a"}).c_str());
+}
