The peers' port bounds what it holds of incomplete messages

What callers saw: nothing yet; 512 connections to a node's peers' port, each with most of a message of 8 MiB, hold 4 GiB.

Cause: the largest message and the number of connections were bounded, their product was not.

Evidence: 24 connections that leave out the last word of a message of 4 MiB held 100,663,296 bytes of a proxy node, and stayed.

Change: net::IncompleteInput sums what the incoming connections of a port have read of messages that aren't complete. Above 64 MiB the port closes some in the loop's next turn: policy::MessagesToAbandon takes those with more than an even share, whose message began first, until half of the bound is free. A connection that completes its messages began its last one a moment ago, so that those of a crowd go before it; small messages never go. Above the bound some message is always above the even share, so that the bound holds for any crowd. Both peers' ports use it. Usual messages have some KB, and a connection of the fleet sends one at a time.

Tests, which failed before: CrowdWithHalfMessagesHoldsLittle in proxy_tests (100,663,296 bytes, bound 75,497,472) and in gateway_tests (40 connections with 2 MiB each: none was closed in 30 s). After: a node that joins and an ordinary request are served beside the crowd.

--- a/gateway/src/peer_capnp.cc
+++ b/gateway/src/peer_capnp.cc
@@ -11,12 +11,14 @@
 #include "egretladder/net/kj_loop.h"
 #include "egretladder/net/pausing_listener.h"
 #include "egretladder/net/rpc_connection.h"
+#include "egretladder/policy/incomplete_messages.h"
 #include "gateway_p.h"
 #include "peer_codec_p.h"
 
 namespace egretladder::gateway {
 using net::AcquireKjLoop;
 using net::Bufferevent;
+using net::kCallerUnreadLimits;
 using net::KjLoop;
 using net::ParseAddress;
 using net::SetNoDelay;
@@ -62,13 +64,22 @@
 
 }  // namespace
 
+struct PeerNet;
+namespace {
+void ScheduleRelief(PeerNet& net);
+}  // namespace
+
 struct PeerNet {
   Gateway* gateway = nullptr;
   std::shared_ptr<KjLoop> kj;
   std::unique_ptr<net::PausingListener> listener;
   std::map<std::string, std::unique_ptr<PeerOut>> out;
   std::map<std::string, PeerBackoff> backoffs;
+  net::IncompleteInput incomplete{net::kMaxIncompleteRpcBytes,
+                                  [this] { ScheduleRelief(*this); }};
   std::vector<std::unique_ptr<net::RpcServerConnection>> in;
+  kernel::EventWatcher relief;
+  bool relief_scheduled = false;
   kernel::Random random;
   kernel::CounterHandle dropped;
   kernel::EventWatcher sweep;
@@ -188,8 +199,34 @@
   Bufferevent buffer(bufferevent_socket_new(net.gateway->loop->base.get(), fd,
                                             BEV_OPT_CLOSE_ON_FREE));
   net.in.push_back(std::make_unique<net::RpcServerConnection>(
-      std::move(buffer), kj::heap<PeerServer>(*net.gateway),
-      kPeerMessageWords));
+      std::move(buffer), kj::heap<PeerServer>(*net.gateway), kPeerMessageWords,
+      kCallerUnreadLimits, &net.incomplete));
+}
+
+// Closes connections whose messages don't become complete.
+void AbandonIncomplete(PeerNet& net) {
+  net.relief_scheduled = false;
+  std::vector<policy::IncompleteMessage> messages;
+  for (const auto& peer : net.in) {
+    const auto read = peer->stream.Incomplete();
+    messages.push_back({read.bytes, read.order});
+  }
+  const std::vector<std::size_t> abandoned =
+      policy::MessagesToAbandon(messages, net.incomplete.max_bytes());
+  for (const std::size_t index : abandoned) net.in[index]->stream.Disconnect();
+  kernel::Log(LogPart::kPeer, LogLevel::kWarning,
+              std::to_string(abandoned.size()) +
+                  " connections of peers closed, as their messages were not "
+                  "complete.");
+  std::erase_if(net.in,
+                [](const auto& peer) { return peer->stream.IsDisconnected(); });
+}
+
+void ScheduleRelief(PeerNet& net) {
+  if (std::exchange(net.relief_scheduled, true)) return;
+  net.relief =
+      kernel::RunAfter(*net.gateway->loop, std::chrono::milliseconds(0),
+                       [&net] { AbandonIncomplete(net); });
 }
 
 void BackOff(PeerNet& net, const std::string& address, kernel::Time now) {
--- a/gateway/tests/peer_test.cc
+++ b/gateway/tests/peer_test.cc
@@ -3,6 +3,9 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstring>
+#include <list>
 #include <string>
 
 #include "gateway_p.h"
@@ -255,3 +258,29 @@
   waiting.Send("GET / HTTP/1.1\r\nHost: n\r\n\r\n" + std::string(4096, '\xff'));
   CHECK_TRUE(et::RunUntil(one.loop, [&waiting] { return waiting.ended; }));
 }
+
+// Guards against a node that runs out of memory, since each connection of a
+// crowd holds most of a large message.
+TEST(Peers, CrowdWithHalfMessagesHoldsLittle) {
+  constexpr std::size_t kConnections = 40;
+  constexpr std::uint32_t kMessageBytes = std::uint32_t{2} << 20U;
+  // 64 MiB, and what is read before some are closed.
+  constexpr std::size_t kMaxHeldBytes = std::size_t{72} << 20U;
+  et::OneNode one;
+  std::string half(kMessageBytes, '\0');
+  const std::uint32_t words = kMessageBytes / sizeof(std::uint64_t);
+  std::memcpy(half.data() + sizeof(words), &words, sizeof(words));
+  std::list<et::RawCaller> crowd;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    crowd.emplace_back(one.loop, eg::PeerAddressOf(*one.node)).Send(half);
+  }
+  CHECK_TRUE(et::RunUntil(one.loop, [&crowd] {
+    const auto open = std::count_if(
+        crowd.begin(), crowd.end(),
+        [](const et::RawCaller& caller) { return !caller.ended; });
+    return static_cast<std::size_t>(open) * kMessageBytes < kMaxHeldBytes;
+  }));
+  const std::string got =
+      Ask(one.loop, *one.node, et::ChatRequest(et::ChatBodyText(false)));
+  CHECK_EQUAL(200, et::StatusIn(got));
+}
--- a/net/include/egretladder/net/kj_loop.h
+++ b/net/include/egretladder/net/kj_loop.h
@@ -7,10 +7,12 @@
 #include <kj/async.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "egretladder/kernel/error.h"
 #include "egretladder/kernel/loop.h"
@@ -46,11 +48,43 @@
 inline constexpr UnreadLimits kCallerUnreadLimits{kMaxUnreadRpcBytes,
                                                   kMaxRpcStall};
 
+/// Sums what the streams of one port have read of messages that aren't
+/// complete. It outlives them.
+class IncompleteInput {
+ public:
+  /// `on_excess` is called with each addition while the sum is above
+  /// `max_bytes`. It must not destroy a stream.
+  IncompleteInput(std::size_t max_bytes, std::function<void()> on_excess)
+      : max_bytes_(max_bytes), on_excess_(std::move(on_excess)) {}
+
+  void Add(std::size_t bytes);
+  void Remove(std::size_t bytes) { bytes_ -= bytes; }
+  /// Returns the number of the next read: later ones have larger numbers.
+  std::uint64_t NextOrder() { return next_order_++; }
+  std::size_t max_bytes() const { return max_bytes_; }
+  std::size_t bytes() const { return bytes_; }
+
+ private:
+  std::size_t max_bytes_;
+  std::function<void()> on_excess_;
+  std::size_t bytes_ = 0;
+  std::uint64_t next_order_ = 0;
+};
+
+/// What a stream has read of a message that isn't complete, and the number of
+/// that read; see `IncompleteInput`.
+struct IncompleteRead {
+  std::size_t bytes = 0;
+  std::uint64_t order = 0;
+};
+
 /// A KJ stream over a bufferevent, which may still be connecting. The callbacks
 /// of libevent only resolve promises; continuations run in the KJ loop.
 class BuffereventStream final : public kj::AsyncIoStream {
  public:
-  explicit BuffereventStream(Bufferevent buffer, UnreadLimits unread = {});
+  /// `incomplete` may be null.
+  explicit BuffereventStream(Bufferevent buffer, UnreadLimits unread = {},
+                             IncompleteInput* incomplete = nullptr);
 
   kj::Promise<std::size_t> tryRead(void* buffer, std::size_t min_bytes,
                                    std::size_t max_bytes) override;
@@ -62,6 +96,10 @@
 
   /// Bytes of the output buffer that were not sent yet.
   std::size_t PendingOutputBytes() const;
+  /// What was read of a message that isn't complete.
+  IncompleteRead Incomplete() const;
+  /// Breaks the connection. The owner destroys the stream later.
+  void Disconnect();
   /// Returns true if the other side has ended the stream or the connection
   /// failed.
   bool IsDisconnected() const { return eof_ || broken_; }
@@ -78,10 +116,10 @@
   bool HasTooMuchUnread() const;
   void ContinueReading();
   void SetReceiving(bool receives);
-  void Disconnect();
 
   Bufferevent buffer_;
   UnreadLimits unread_;
+  IncompleteInput* incomplete_;
   ReadOperation* read_operation_ = nullptr;
   DrainOperation* drain_operation_ = nullptr;
   bool receives_ = true;  ///< Bytes are taken from the socket.
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -28,6 +28,12 @@
 /// Peers give up a call after 1 s, and a connection after 5 s of silence.
 inline constexpr std::chrono::milliseconds kMaxRpcStall{5000};
 
+/// Parts of messages that the connections of a peers' port may hold together:
+/// eight of the largest messages. Usual messages have some KB and are complete
+/// within milliseconds. Above it, messages of at most 64 KiB stay where there
+/// are 512 connections.
+inline constexpr std::size_t kMaxIncompleteRpcBytes = std::size_t{64} << 20U;
+
 /// Interval of the check for connections that have timed out.
 inline constexpr std::chrono::milliseconds kHttpSweepInterval{100};
 
--- a/net/include/egretladder/net/rpc_connection.h
+++ b/net/include/egretladder/net/rpc_connection.h
@@ -17,11 +17,13 @@
 capnp::ReaderOptions RpcReaderOptions(std::uint64_t max_words);
 
 /// A connection that a peer opened. `self` is the interface that the peer
-/// calls.
+/// calls; `incomplete` sums the input of all connections of its port, or is
+/// null.
 struct RpcServerConnection {
   RpcServerConnection(Bufferevent buffer, capnp::Capability::Client self,
                       std::uint64_t max_words,
-                      UnreadLimits unread = kCallerUnreadLimits);
+                      UnreadLimits unread = kCallerUnreadLimits,
+                      IncompleteInput* incomplete = nullptr);
 
   BuffereventStream stream;
   capnp::TwoPartyVatNetwork network;
--- a/net/src/kj_loop.cc
+++ b/net/src/kj_loop.cc
@@ -87,7 +87,9 @@
         stream_(stream),
         buffer_(static_cast<kj::byte*>(buffer)),
         min_bytes_(min_bytes),
-        max_bytes_(max_bytes) {
+        max_bytes_(max_bytes),
+        order_(stream.incomplete_ != nullptr ? stream.incomplete_->NextOrder()
+                                             : 0) {
     stream_.read_operation_ = this;
     ReadAvailable();
   }
@@ -102,7 +104,7 @@
     evbuffer* input = bufferevent_get_input(stream_.buffer_.get());
     const int received =
         evbuffer_remove(input, buffer_ + bytes_read_, max_bytes_ - bytes_read_);
-    if (received > 0) bytes_read_ += static_cast<std::size_t>(received);
+    if (received > 0) Count(static_cast<std::size_t>(received));
     if (bytes_read_ >= min_bytes_ || stream_.eof_) {
       Detach();
       fulfiller_.fulfill(kj::cp(bytes_read_));
@@ -114,9 +116,18 @@
         KJ_EXCEPTION(DISCONNECTED, "connection to the peer broke"));
   }
 
+  IncompleteRead Incomplete() const { return {bytes_read_, order_}; }
+
  private:
+  void Count(std::size_t received) {
+    bytes_read_ += received;
+    if (stream_.incomplete_ != nullptr) stream_.incomplete_->Add(received);
+  }
   void Detach() {
-    if (stream_.read_operation_ == this) stream_.read_operation_ = nullptr;
+    if (stream_.read_operation_ != this) return;
+    stream_.read_operation_ = nullptr;
+    if (stream_.incomplete_ != nullptr)
+      stream_.incomplete_->Remove(bytes_read_);
   }
 
   kj::PromiseFulfiller<std::size_t>& fulfiller_;
@@ -125,6 +136,7 @@
   std::size_t min_bytes_;
   std::size_t max_bytes_;
   std::size_t bytes_read_ = 0;
+  std::uint64_t order_;
 };
 
 class BuffereventStream::DrainOperation {
@@ -156,8 +168,14 @@
   BuffereventStream& stream_;
 };
 
-BuffereventStream::BuffereventStream(Bufferevent buffer, UnreadLimits unread)
-    : buffer_(std::move(buffer)), unread_(unread) {
+void IncompleteInput::Add(std::size_t bytes) {
+  bytes_ += bytes;
+  if (bytes_ > max_bytes_) on_excess_();
+}
+
+BuffereventStream::BuffereventStream(Bufferevent buffer, UnreadLimits unread,
+                                     IncompleteInput* incomplete)
+    : buffer_(std::move(buffer)), unread_(unread), incomplete_(incomplete) {
   bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kMaxStreamBufferBytes);
   if (unread_.max_stall.count() > 0) {
     const timeval max_stall = kernel::ToTimeval(unread_.max_stall);
@@ -215,6 +233,11 @@
   return evbuffer_get_length(bufferevent_get_output(buffer_.get()));
 }
 
+IncompleteRead BuffereventStream::Incomplete() const {
+  return read_operation_ != nullptr ? read_operation_->Incomplete()
+                                    : IncompleteRead{};
+}
+
 void BuffereventStream::OnReadable(bufferevent* /*buffer*/, void* arg) {
   auto& self = *static_cast<BuffereventStream*>(arg);
   self.ContinueReading();
--- a/net/src/rpc_connection.cc
+++ b/net/src/rpc_connection.cc
@@ -19,8 +19,9 @@
 RpcServerConnection::RpcServerConnection(Bufferevent buffer,
                                          capnp::Capability::Client self,
                                          std::uint64_t max_words,
-                                         UnreadLimits unread)
-    : stream(std::move(buffer), unread),
+                                         UnreadLimits unread,
+                                         IncompleteInput* incomplete)
+    : stream(std::move(buffer), unread, incomplete),
       network(stream, Side::SERVER, RpcReaderOptions(max_words)),
       system(capnp::makeRpcServer(network, std::move(self))),
       ended(network.onDisconnect()
--- a/net/tests/rpc_connection_test.cc
+++ b/net/tests/rpc_connection_test.cc
@@ -5,6 +5,7 @@
 #include <capnp/rpc.capnp.h>
 #include <capnp/serialize.h>
 
+#include <cstring>
 #include <memory>
 #include <string>
 
@@ -23,6 +24,8 @@
 // What a connection may hold for a peer that reads nothing; all answers
 // together have sixty times as much.
 constexpr std::size_t kMaxHeldBytes = std::size_t{1} << 20U;
+// The number of segments and the size of the only one.
+constexpr std::size_t kMessageHeadBytes = 8;
 constexpr int kSmallBuffer = 8192;
 
 // Answers each call with `kAnswerBytes` bytes.
@@ -60,6 +63,14 @@
   return BytesOf(message);
 }
 
+// All but the last word of a message with one segment.
+std::string FormatHalfMessage(std::uint32_t bytes) {
+  std::string message(bytes, '\0');
+  const std::uint32_t words = bytes / sizeof(capnp::word);
+  std::memcpy(message.data() + sizeof(std::uint32_t), &words, sizeof(words));
+  return message;
+}
+
 std::string FormatCalls(std::uint32_t count) {
   std::string bytes = FormatBootstrap();
   for (std::uint32_t i = 1; i <= count; ++i) bytes += FormatCall(i);
@@ -74,13 +85,14 @@
   std::unique_ptr<en::RpcServerConnection> connection;
   std::unique_ptr<en::PausingListener> listener;
 
-  void Listen(en::UnreadLimits unread = en::kCallerUnreadLimits) {
+  void Listen(en::UnreadLimits unread = en::kCallerUnreadLimits,
+              en::IncompleteInput* incomplete = nullptr) {
     listener = std::make_unique<en::PausingListener>(
-        loop.loop, [this, unread](evutil_socket_t fd) {
+        loop.loop, [this, unread, incomplete](evutil_socket_t fd) {
           connection = std::make_unique<en::RpcServerConnection>(
               en::Bufferevent(bufferevent_socket_new(loop.loop.base.get(), fd,
                                                      BEV_OPT_CLOSE_ON_FREE)),
-              kj::heap<LongAnswers>(), kMaxWords, unread);
+              kj::heap<LongAnswers>(), kMaxWords, unread, incomplete);
         });
     CHECK_TRUE(listener->Listen("127.0.0.1:0", 8).has_value());
   }
@@ -146,3 +158,33 @@
   for (int i = 0; i < 40; ++i) loop.Settle();
   CHECK_FALSE(connection->stream.IsDisconnected());
 }
+
+// Guards against a sum that complete messages or closed connections stay in.
+TEST(RpcConnection, OnlyPartsOfMessagesCountAsIncomplete) {
+  constexpr std::size_t kHalfBytes = 50'000;
+  int excess = 0;
+  en::IncompleteInput incomplete(kHalfBytes, [&excess] { ++excess; });
+  Listen(en::kCallerUnreadLimits, &incomplete);
+  et::RawSocket caller(listener->address());
+  caller.Send(FormatCalls(20));
+  loop.WaitUntil([&] {
+    caller.Receive();
+    return caller.received().size() > 20 * kAnswerBytes;
+  });
+  CHECK_EQUAL(0U, incomplete.bytes());
+  const std::uint64_t order = connection->stream.Incomplete().order;
+  const std::string half = FormatHalfMessage(2 * kHalfBytes);
+  caller.Send(half.substr(0, kHalfBytes));
+  loop.Settle();
+  CHECK_EQUAL(kHalfBytes - kMessageHeadBytes, incomplete.bytes());
+  CHECK_EQUAL(incomplete.bytes(), connection->stream.Incomplete().bytes);
+  CHECK_COMPARE(connection->stream.Incomplete().order, >, order);
+  CHECK_EQUAL(0, excess);
+  caller.Send(half.substr(kHalfBytes));
+  loop.Settle();
+  CHECK_COMPARE(excess, >, 0);
+  connection->stream.Disconnect();
+  CHECK_EQUAL(0U, incomplete.bytes());
+  connection.reset();
+  CHECK_EQUAL(0U, incomplete.bytes());
+}
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -3,7 +3,9 @@
 #include <map>
 #include <utility>
 
+#include "egretladder/kernel/log_event.h"
 #include "egretladder/net/address.h"
+#include "egretladder/policy/incomplete_messages.h"
 #include "peers_p.h"
 
 namespace egretladder::proxy {
@@ -138,6 +140,12 @@
   bool same_zone_ = false;  // As the peer last stated.
 };
 
+void EraseDisconnected(PeerNetwork& network) {
+  std::erase_if(network.incoming, [](const auto& peer) {
+    return peer->broken || peer->stream.IsDisconnected();
+  });
+}
+
 void AcceptPeer(PeerNetwork& network, evutil_socket_t fd) {
   if (network.incoming.size() >= kMaxPeerConnections) {
     evutil_closesocket(fd);
@@ -147,8 +155,26 @@
   net::Bufferevent buffer(bufferevent_socket_new(
       network.proxy->loop->base.get(), fd, BEV_OPT_CLOSE_ON_FREE));
   network.incoming.push_back(std::make_unique<net::RpcServerConnection>(
-      std::move(buffer), kj::heap<PeerServer>(*network.proxy),
-      kMaxMessageWords));
+      std::move(buffer), kj::heap<PeerServer>(*network.proxy), kMaxMessageWords,
+      net::kCallerUnreadLimits, &network.incomplete));
+}
+
+void AbandonIncomplete(PeerNetwork& network) {
+  network.relief_scheduled = false;
+  std::vector<policy::IncompleteMessage> messages;
+  for (const auto& peer : network.incoming) {
+    const net::IncompleteRead read = peer->stream.Incomplete();
+    messages.push_back({read.bytes, read.order});
+  }
+  const std::size_t held = network.incomplete.bytes();
+  const std::vector<std::size_t> abandoned =
+      policy::MessagesToAbandon(messages, network.incomplete.max_bytes());
+  for (const std::size_t index : abandoned)
+    network.incoming[index]->stream.Disconnect();
+  kernel::LogEvent(kernel::LogPart::kPeer, kernel::LogLevel::kWarning,
+                   "peers-closed",
+                   {{"held_bytes", held}, {"connections", abandoned.size()}});
+  EraseDisconnected(network);
 }
 
 bool HasFailed(const PeerConnection& peer, Time now) {
@@ -191,9 +217,7 @@
              ? network.outgoing.erase(it)
              : std::next(it);
   }
-  std::erase_if(network.incoming, [](const auto& peer) {
-    return peer->broken || peer->stream.IsDisconnected();
-  });
+  EraseDisconnected(network);
   FetchMissingChanges(*network.proxy);
 }
 
@@ -273,6 +297,13 @@
 
 }  // namespace
 
+void ScheduleRelief(PeerNetwork& network) {
+  if (std::exchange(network.relief_scheduled, true)) return;
+  network.relief_timer =
+      kernel::RunAfter(*network.proxy->loop, milliseconds(0),
+                       [&network] { AbandonIncomplete(network); });
+}
+
 void CountBytes(Proxy& proxy, const char* direction, MessageKind message,
                 bool same_zone, std::uint64_t words) {
   kernel::Increment(
--- a/proxy/src/peers_p.h
+++ b/proxy/src/peers_p.h
@@ -54,13 +54,22 @@
   PackedChanges packed;
 };
 
+struct PeerNetwork;
+/// Closes connections whose messages don't become complete in the loop's next
+/// turn.
+void ScheduleRelief(PeerNetwork& network);
+
 /// The connections between this node and its peers.
 struct PeerNetwork {
   Proxy* proxy = nullptr;
   std::shared_ptr<net::KjLoop> kj;
   std::unique_ptr<net::PausingListener> listener;
   std::map<std::string, std::unique_ptr<PeerConnection>> outgoing;
+  net::IncompleteInput incomplete{net::kMaxIncompleteRpcBytes,
+                                  [this] { ScheduleRelief(*this); }};
   std::vector<std::unique_ptr<net::RpcServerConnection>> incoming;
+  kernel::EventWatcher relief_timer;
+  bool relief_scheduled = false;
   routing::FeedFetches feed_fetches;
   std::array<CachedChanges, routing::kFeedCount> cached_changes;
   kernel::EventWatcher sweep_timer;
--- a/proxy/tests/peers_test.cc
+++ b/proxy/tests/peers_test.cc
@@ -6,8 +6,10 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstring>
 #include <list>
 #include <memory>
+#include <vector>
 
 #include "egretladder/kernel/hash.h"
 #include "egretladder/kernel/metrics.h"
@@ -135,6 +137,14 @@
   return bytes;
 }
 
+// All but the last word of a message with one segment.
+std::string FormatHalfMessage(std::uint32_t bytes) {
+  std::string message(bytes, '\0');
+  const std::uint32_t words = bytes / sizeof(capnp::word);
+  std::memcpy(message.data() + sizeof(std::uint32_t), &words, sizeof(words));
+  return message;
+}
+
 // While it exists, this process can open no further descriptor.
 class NoFreeDescriptors {
  public:
@@ -404,3 +414,33 @@
   CHECK_COMPARE(most_held, <, kMaxHeldBytes);
   STRCMP_EQUAL("200", env.SendAndDescribe(proxy, {.path = "/once/a"}).c_str());
 }
+
+// Guards against a node that runs out of memory, since each connection of a
+// crowd holds most of a large message.
+TEST(Peers, CrowdWithHalfMessagesHoldsLittle) {
+  constexpr std::size_t kConnections = 24;
+  constexpr std::uint32_t kMessageBytes = std::uint32_t{4} << 20U;
+  // 64 MiB, and what is read before some are closed.
+  constexpr std::size_t kMaxHeldBytes = std::size_t{72} << 20U;
+  env.AddEndpoint("e1", et::AnswerImmediately());
+  ep::Proxy& first = env.StartReadyNode();
+  std::vector<et::TestConnection*> crowd;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    crowd.push_back(&env.Connect(ep::ViewOf(first).peers));
+    crowd.back()->Send(FormatHalfMessage(kMessageBytes));
+  }
+  env.WaitUntil([&crowd] {
+    return std::all_of(crowd.begin(), crowd.end(), [](const auto* connection) {
+      return connection->ended() || connection->unsent_bytes() == 0;
+    });
+  });
+  env.RunLoopFor(300ms);
+  const auto open = std::count_if(
+      crowd.begin(), crowd.end(),
+      [](const auto* connection) { return !connection->ended(); });
+  CHECK_COMPARE(static_cast<std::size_t>(open) * kMessageBytes, <,
+                kMaxHeldBytes);
+  ep::Proxy& second = StartNodeWithSeed("n2", ep::ViewOf(first).peers);
+  env.WaitUntilReady(second, 1);
+  STRCMP_EQUAL("200", env.SendAndDescribe(first, {.path = "/once/a"}).c_str());
+}
