A caller's next request is read once it has taken its answers

What callers saw: clients that sent many requests ahead on a few connections, and read none of the answers, ended a process: it ran out of memory.

Cause: the server read the next request of a connection as soon as an answer was written, whatever lay unsent behind it, and buffered 128 KiB of requests meanwhile. What a caller may leave unread was bounded by nothing but its own patience.

Change: the next request of a connection is read when at most 16 KiB of the answers before it are unsent; until then reading stands still, so that the kernel holds the sender back. While a call is in progress 4 KiB of pipelined requests are kept. The time for the next request runs once the answers are taken; until then the write timeout holds. A caller that reads gets all answers in order, as before.

--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -14,9 +14,13 @@
 /// opened: some round trips in a region. Its event loop waits, too.
 inline constexpr std::chrono::milliseconds kHttpHandshakeTime{3};
 
-/// Input that is buffered on one connection. It must hold a complete head; a
-/// caller that pipelines more requests than fit has to wait.
+/// Input that is buffered on one connection. It must hold a complete head.
 inline constexpr std::size_t kMaxReadAheadBytes = std::size_t{128} << 10U;
+/// Input that is buffered on a connection with a call in progress. A caller
+/// that pipelines more has to wait.
+inline constexpr std::size_t kMaxPipelinedBytes = std::size_t{4} << 10U;
+/// Output that a caller may leave unread when its next request is read.
+inline constexpr std::size_t kMaxUnreadBytes = std::size_t{16} << 10U;
 
 /// How long a listener waits after an error before it accepts again. Most
 /// errors mean that no descriptor is free.
--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -78,7 +78,6 @@
 
   void Open() {
     bufferevent_setcb(buffer_.get(), OnReadable, OnWritten, OnEvent, this);
-    bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kMaxReadAheadBytes);
     evbuffer_add_cb(bufferevent_get_output(buffer_.get()), OnOutput, this);
     last_taken_ = kernel::Now(loop_.clock);
     if (const auto server = server_.lock()) {
@@ -109,6 +108,9 @@
       Refuse(kStatusRequestTimeout, "the body took too long");
     } else if (wait_state_ == WaitState::kClose && IsAnswerProgressing()) {
       AwaitClose();
+    } else if (wait_state_ == WaitState::kRequest && UnsentBytes() > 0) {
+      // The write timeout ends it if its caller takes nothing.
+      StartWait(WaitState::kRequest, kHttpSweepInterval);
     } else {
       Close();
     }
@@ -203,11 +205,7 @@
       LingerThenClose();
       return;
     }
-    AwaitRequest();
-    SetReading(true);
-    // Reads a pipelined request from the event loop, so that it is not handled
-    // inside the call that answers the previous one.
-    bufferevent_trigger(buffer_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
+    ReadNextRequest();
   }
 
  private:
@@ -250,9 +248,26 @@
     }
   }
 
+  // Reads the next request, once the caller has taken its answers: otherwise
+  // answers that nobody reads pile up here.
+  void ReadNextRequest() {
+    awaits_drain_ = UnsentBytes() > kMaxUnreadBytes;
+    if (awaits_drain_) {
+      wait_state_ = WaitState::kNothing;
+      SetReading(false);
+      return;
+    }
+    AwaitRequest();
+    SetReading(true);
+    // Reads a pipelined request from the event loop, so that it is not handled
+    // inside the call that answers the previous one.
+    bufferevent_trigger(buffer_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
+  }
+
   void AwaitRequest() {
     const auto server = server_.lock();
     if (server == nullptr) return;
+    bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kMaxReadAheadBytes);
     reader_ = std::make_unique<RequestReader>(server->limits.size);
     request_started_ = false;
     continue_sent_ = false;
@@ -280,9 +295,9 @@
     }
     if (closed_) return;
     const std::string_view input = PendingInput(buffer_.get());
-    if (call_ != nullptr) {  // Pipelined input is read after the answer.
-      // If the input buffer is full, libevent would call back again and again.
-      if (input.size() >= kMaxReadAheadBytes) SetReading(false);
+    if (call_ != nullptr || awaits_drain_) {
+      // Pipelined input is read after the answer.
+      if (!input.empty()) SetReading(false);
       return;
     }
     if (input.empty()) return;
@@ -334,6 +349,7 @@
   }
 
   void StartCall(HttpServer::State& server) {
+    bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kMaxPipelinedBytes);
     call_ = std::make_shared<HttpCall>(shared_from_this(),
                                        std::move(reader_->request()));
     // The handler may end the call and with it this connection.
@@ -377,7 +393,9 @@
       const auto drained = call_->on_drained_;
       drained();
     }
-    if (!lingering_ || closed_) return;
+    if (closed_) return;
+    if (awaits_drain_ && !lingering_) ReadNextRequest();
+    if (!lingering_) return;
     if (is_aborted_) {
       Close();
       return;
@@ -426,7 +444,8 @@
   bool lingering_ = false;
   bool is_aborted_ = false;  // Its end must not look like that of an answer.
   bool input_ended_ = false;
-  bool reading_paused_ = false;  // Too much pipelined input.
+  bool reading_paused_ = false;  // Pipelined input waits.
+  bool awaits_drain_ = false;    // The next request waits for unread answers.
   bool closed_ = false;
 };
 
