What callers of all ports leave unread is bounded together

What callers saw: a process that ran out of memory. Each connection may leave one answer unread, and there are many: 120 connections that each take nothing of a 1 MB answer held 256 MB.

Cause: the sum over callers was looked at only where an endpoint's bytes came in, after 2 s without progress, and on the callers' port alone. The other ports counted for nobody. Requests that are still received were counted for each port, too.

On the code before the case can't be stated, as no port knew of the others; the new test holds two ports with ten callers that leave 1 MiB each.

Change: the servers of a process form a group that counts unread output and incomplete requests of all ports, and looks at the sum after each write. Above 0.2 of the memory the connection that leaves most goes, of those that have taken nothing for 2 s; the more is left, the shorter that time, down to 50 ms at 0.3, where also the one that has taken nothing for longest may go. A caller that reads isn't closed while one that doesn't is there. How long is decided in routing (`UnreadPatience`). Metrics say how much is held and how many were closed.

--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -14,6 +14,7 @@
 #include "egretladder/net/http_message.h"
 #include "egretladder/net/http_reader.h"
 #include "egretladder/net/limits.h"
+#include "egretladder/net/server_group.h"
 #include "egretladder/net/socket.h"
 
 namespace egretladder::net {
@@ -106,9 +107,9 @@
   std::function<void(const HttpCallPtr&)> on_request;
   /// Called when an invalid request was refused with `status`. Optional.
   std::function<void(int status, const std::string& why)> on_refused;
-  /// Returns true if there is room for so many bytes of bodies that are still
-  /// received, those of all connections together. A request that needs more is
-  /// refused with 503. Not set: there always is.
+  /// Returns true if there is room for so many bytes of requests that are still
+  /// received, those of all servers of the group together. A request that needs
+  /// more is refused with 503. Not set: there always is.
   std::function<bool(std::size_t bytes)> has_room;
   /// Returns the body of the answer to such a request. Not set: an empty body.
   std::function<std::string(int status, std::string_view why)> refusal_body;
@@ -120,7 +121,10 @@
 /// A server on one address.
 class HttpServer {
  public:
-  HttpServer(kernel::Loop& loop, ServerHandlers handlers);
+  /// `group`: the servers with which it shares memory. Null: it is alone, and
+  /// closes no connection for what its callers leave unread.
+  HttpServer(kernel::Loop& loop, ServerHandlers handlers,
+             ServerGroupPtr group = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -156,9 +160,6 @@
   std::size_t undelivered() const;
   /// Size of the output that callers have not taken yet, of all connections.
   std::size_t unsent_bytes() const;
-  /// Closes the connection with the most output among those whose callers have
-  /// taken nothing for `patience`. Returns false if there is none.
-  bool CloseLargestUnread(std::chrono::milliseconds patience);
 
  private:
   friend class HttpConnection;
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -21,6 +21,8 @@
 inline constexpr std::size_t kMaxPipelinedBytes = std::size_t{4} << 10U;
 /// Output that a caller may leave unread when its next request is read.
 inline constexpr std::size_t kMaxUnreadBytes = std::size_t{16} << 10U;
+/// A caller that has taken nothing for longer doesn't read.
+inline constexpr std::chrono::milliseconds kMaxReadingPause{50};
 
 /// How long a listener waits after an error before it accepts again. Most
 /// errors mean that no descriptor is free.
--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -25,8 +25,7 @@
   std::string address;
   bool close_after_answers = false;
   bool resets_when_killed = true;  // Within an answer without framing.
-  /// Size of the bodies that are still received, of all connections.
-  std::size_t incomplete_body_bytes = 0;
+  ServerGroupPtr group;
   /// Size of the output that callers haven't taken, of all connections.
   std::size_t unsent_bytes = 0;
   kernel::EventWatcher sweep;
@@ -72,9 +71,11 @@
 /// its call.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
-  HttpConnection(std::weak_ptr<HttpServer::State> server, kernel::Loop& loop,
-                 Bufferevent buffer)
-      : server_(std::move(server)), loop_(loop), buffer_(std::move(buffer)) {}
+  HttpConnection(HttpServer::State& server, Bufferevent buffer)
+      : server_(server.weak_from_this()),
+        group_(server.group),
+        loop_(*server.loop),
+        buffer_(std::move(buffer)) {}
 
   void Open() {
     bufferevent_setcb(buffer_.get(), OnReadable, OnWritten, OnEvent, this);
@@ -128,6 +129,7 @@
     if (breaks_off || is_aborted_ || PendingOutputBytes(buffer_.get()) > 0)
       SetResetOnClose(bufferevent_getfd(buffer_.get()));
     CountOutput(0, PendingOutputBytes(buffer_.get()));
+    UpdateGroup(false);
     evbuffer_remove_cb(bufferevent_get_output(buffer_.get()), OnOutput, this);
     buffer_.reset();
     if (const auto call = std::exchange(call_, nullptr)) {
@@ -135,7 +137,7 @@
       if (auto action = std::exchange(call->on_disconnect_, nullptr)) action();
     }
     if (const auto server = server_.lock()) {
-      CountIncompleteBody(*server, 0);
+      CountIncomplete(0);
       server->connections.erase(self);
       if (server->listener) evconnlistener_enable(server->listener.get());
     }
@@ -216,9 +218,11 @@
                        void* arg) {
     auto* self = static_cast<HttpConnection*>(arg);
     // Output of an idle caller wasn't there to be taken.
-    const bool was_empty = evbuffer_get_length(buffer) == info->n_added;
+    const std::size_t length = evbuffer_get_length(buffer);
+    const bool was_empty = length == info->n_added;
     if (info->n_deleted > 0 || was_empty)
       self->last_taken_ = kernel::Now(self->loop_.clock);
+    self->UpdateGroup(length > 0);
     self->CountOutput(info->n_added, info->n_deleted);
   }
   static void OnWritten(bufferevent* /*buffer*/, void* arg) {
@@ -264,6 +268,15 @@
     bufferevent_trigger(buffer_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
   }
 
+  void UpdateGroup(bool has_output) {
+    if (std::exchange(has_output_, has_output) == has_output) return;
+    if (has_output) {
+      group_->with_output_.insert(this);
+    } else {
+      group_->with_output_.erase(this);
+    }
+  }
+
   void AwaitRequest() {
     const auto server = server_.lock();
     if (server == nullptr) return;
@@ -310,7 +323,7 @@
     const ReadState before = reader_->state();
     Consume(buffer_.get(), reader_->Feed(input));
     const bool is_incomplete = reader_->state() == ReadState::kBody;
-    CountIncompleteBody(*server, is_incomplete ? reader_->body_bytes() : 0);
+    CountIncomplete(is_incomplete ? reader_->body_bytes() : 0);
     if (is_incomplete && !HasRoom(*server)) {
       Refuse(kStatusUnavailable, "no room for the body");
     } else if (reader_->state() == ReadState::kFailed) {
@@ -332,20 +345,19 @@
 
   static bool HasRoom(const HttpServer::State& server) {
     return !server.handlers.has_room ||
-           server.handlers.has_room(server.incomplete_body_bytes);
+           server.handlers.has_room(server.group->incomplete_bytes());
   }
 
   // Records output that was added, and output that is gone.
   void CountOutput(std::size_t added, std::size_t gone) {
     const auto server = server_.lock();
     if (server != nullptr) server->unsent_bytes += added - gone;
+    group_->CountUnread(added, gone);
   }
 
-  // Records how much of a body this connection keeps until it is complete.
-  void CountIncompleteBody(HttpServer::State& server, std::size_t bytes) {
-    server.incomplete_body_bytes += bytes;
-    server.incomplete_body_bytes -=
-        std::exchange(incomplete_body_bytes_, bytes);
+  // Records how much of a request this connection keeps until it is complete.
+  void CountIncomplete(std::size_t bytes) {
+    group_->CountIncomplete(bytes, std::exchange(incomplete_bytes_, bytes));
   }
 
   void StartCall(HttpServer::State& server) {
@@ -372,7 +384,7 @@
     LingerThenClose();
     // It may hold much, and is fed no more. `why` may be its text.
     reader_ = nullptr;
-    CountIncompleteBody(*server, 0);
+    CountIncomplete(0);
   }
 
   // Closes the connection after the caller has received the answer. There is no
@@ -427,6 +439,7 @@
   }
 
   std::weak_ptr<HttpServer::State> server_;
+  ServerGroupPtr group_;
   kernel::Loop& loop_;
   Bufferevent buffer_;
   std::unique_ptr<RequestReader> reader_;
@@ -438,7 +451,7 @@
   kernel::Time last_progress_{};
   // When the caller last took some of its output.
   kernel::Time last_taken_{};
-  std::size_t incomplete_body_bytes_ = 0;
+  std::size_t incomplete_bytes_ = 0;
   bool request_started_ = false;  // Its first byte was received.
   bool continue_sent_ = false;    // `100 Continue` was sent.
   bool lingering_ = false;
@@ -446,6 +459,7 @@
   bool input_ended_ = false;
   bool reading_paused_ = false;  // Pipelined input waits.
   bool awaits_drain_ = false;    // The next request waits for unread answers.
+  bool has_output_ = false;
   bool closed_ = false;
 };
 
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -11,9 +11,13 @@
 
 namespace egretladder::net {
 
-HttpServer::HttpServer(kernel::Loop& loop, ServerHandlers handlers)
+HttpServer::HttpServer(kernel::Loop& loop, ServerHandlers handlers,
+                       ServerGroupPtr group)
     : state_(std::make_shared<State>()) {
   state_->loop = &loop;
+  state_->group = group != nullptr
+                      ? std::move(group)
+                      : std::make_shared<ServerGroup>(loop, UnreadPatience());
   state_->handlers = std::move(handlers);
 }
 
@@ -54,8 +58,7 @@
     evutil_closesocket(fd);
     return;
   }
-  auto connection = std::make_shared<HttpConnection>(weak_from_this(), *loop,
-                                                     std::move(buffer));
+  auto connection = std::make_shared<HttpConnection>(*this, std::move(buffer));
   connections.insert(connection);
   if (listener && connections.size() >= limits.connections) {
     evconnlistener_disable(listener.get());
@@ -127,19 +130,6 @@
 
 std::size_t HttpServer::unsent_bytes() const { return state_->unsent_bytes; }
 
-bool HttpServer::CloseLargestUnread(std::chrono::milliseconds patience) {
-  const kernel::Time now = kernel::Now(state_->loop->clock);
-  std::shared_ptr<HttpConnection> largest;
-  for (const auto& connection : state_->connections) {
-    const std::size_t bytes = connection->UnsentBytes();
-    if (connection->TimeWithoutProgress(now) < patience || bytes == 0) continue;
-    if (largest == nullptr || bytes > largest->UnsentBytes())
-      largest = connection;
-  }
-  if (largest != nullptr) largest->Close();
-  return largest != nullptr;
-}
-
 std::size_t HttpServer::connections() const {
   return state_->connections.size();
 }
--- /dev/null
+++ b/net/src/server_group.cc
@@ -0,0 +1,66 @@
+#include "egretladder/net/server_group.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "http_connection_p.h"
+
+namespace egretladder::net {
+
+ServerGroup::ServerGroup(kernel::Loop& loop, UnreadPatience patience)
+    : loop_(loop), patience_(std::move(patience)) {}
+
+void ServerGroup::CountUnread(std::size_t added, std::size_t gone) {
+  unread_bytes_ += added - gone;
+  if (added == 0 || is_check_due_ || !patience_ || !patience_(unread_bytes_))
+    return;
+  // The connection may be one whose call is writing at this moment.
+  is_check_due_ = true;
+  timer_ = kernel::RunAfter(loop_, std::chrono::milliseconds(0),
+                            [this] { CloseUnread(); });
+}
+
+void ServerGroup::CountIncomplete(std::size_t added, std::size_t gone) {
+  incomplete_bytes_ += added - gone;
+}
+
+// The largest one of a caller that has taken nothing for `patience`. Without
+// patience, that of a caller which doesn't read, or else the one that has taken
+// nothing for longest.
+HttpConnection* ServerGroup::FindUnread(
+    std::chrono::milliseconds patience) const {
+  const kernel::Time now = kernel::Now(loop_.clock);
+  const std::chrono::milliseconds min_time =
+      std::max(patience, kMaxReadingPause);
+  HttpConnection* largest = nullptr;
+  HttpConnection* longest = nullptr;
+  for (HttpConnection* connection : with_output_) {
+    const auto time = connection->TimeWithoutProgress(now);
+    if (time >= min_time && (largest == nullptr || connection->UnsentBytes() >
+                                                       largest->UnsentBytes()))
+      largest = connection;
+    if (longest == nullptr || time > longest->TimeWithoutProgress(now))
+      longest = connection;
+  }
+  return largest == nullptr && patience.count() == 0 ? longest : largest;
+}
+
+void ServerGroup::CloseUnread() {
+  const auto self = shared_from_this();
+  is_check_due_ = false;
+  std::optional<std::chrono::milliseconds> patience;
+  while (patience_ && (patience = patience_(unread_bytes_))) {
+    HttpConnection* connection = FindUnread(*patience);
+    if (connection == nullptr) {
+      // Their patience ends later.
+      is_check_due_ = true;
+      timer_ = kernel::RunAfter(loop_, kHttpSweepInterval,
+                                [this] { CloseUnread(); });
+      return;
+    }
+    ++closed_unread_;
+    connection->Close();
+  }
+}
+
+}  // namespace egretladder::net
--- a/net/tests/unread_answers_test.cc
+++ b/net/tests/unread_answers_test.cc
@@ -2,18 +2,25 @@
 #include <CppUTest/TestHarness.h>
 #include <sys/socket.h>
 
+#include <chrono>
 #include <list>
+#include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "egretladder/net/http_server.h"
 #include "harness.h"
 
 namespace en = egretladder::net;
 namespace et = egretladder::net::test;
+namespace ek = egretladder::kernel;
+using namespace std::chrono_literals;
 
 namespace {
 
 constexpr int kSmallBuffer = 16'384;
+constexpr std::size_t kLargeAnswer = std::size_t{1} << 20U;
 
 std::string MakeGet() { return "GET / HTTP/1.1\r\nHost: h\r\n\r\n"; }
 
@@ -21,10 +28,22 @@
 
 TEST_GROUP(UnreadAnswers) {
   et::TestLoop test_loop;
+  en::ServerGroupPtr group;
   std::list<en::HttpServer> servers;
   std::list<et::RawSocket> callers;
   std::size_t answer_size = 100;
   std::size_t requests = 0;
+  // Above it callers have no patience.
+  std::size_t max_unread = std::size_t{1} << 30U;
+
+  void setup() override {
+    group = std::make_shared<en::ServerGroup>(
+        test_loop.loop,
+        [this](std::size_t bytes) -> std::optional<std::chrono::milliseconds> {
+          if (bytes <= max_unread) return std::nullopt;
+          return 0ms;
+        });
+  }
 
   en::HttpServer& Start() {
     en::ServerHandlers handlers;
@@ -39,7 +58,7 @@
           bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE));
     };
     en::HttpServer& server =
-        servers.emplace_back(test_loop.loop, std::move(handlers));
+        servers.emplace_back(test_loop.loop, std::move(handlers), group);
     CHECK(server.Listen("127.0.0.1:0").has_value());
     return server;
   }
@@ -71,3 +90,23 @@
   CHECK(requests < kRequests);
   test_loop.WaitUntil([&] { return CountAnswers(caller) == kRequests; });
 }
+
+// Guards against callers of all ports that together leave more unread than
+// there is memory, and against the close of one that reads.
+TEST(UnreadAnswers, TheLargestOfAllServersIsClosed) {
+  max_unread = 4 * kLargeAnswer;
+  answer_size = kLargeAnswer;
+  const std::vector<const en::HttpServer*> ports = {&Start(), &Start()};
+  constexpr std::size_t kCallers = 10;
+  for (std::size_t i = 0; i < kCallers; ++i)
+    Connect(*ports[i % ports.size()]).Send(MakeGet());
+  test_loop.WaitUntil([&] { return requests == kCallers; });
+  Settle();
+  CHECK(group->unread_bytes() <= max_unread);
+  CHECK(group->closed_unread() > 0);
+  ek::Advance(test_loop.clock, 100ms);
+  et::RawSocket& reading = Connect(*ports[0]);
+  reading.Send(MakeGet());
+  test_loop.WaitUntil([&] { return CountAnswers(reading) == 1; });
+  CHECK(group->unread_bytes() <= max_unread);
+}
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -99,9 +99,6 @@
 /// When a caller has more unread output than this, the node stops reading from
 /// the endpoint.
 inline constexpr std::size_t kMaxCallerBacklogBytes = std::size_t{256} << 10U;
-/// How long a caller has taken nothing when its answer may go since all callers
-/// together leave too much unread. One on a slow link takes some more often.
-inline constexpr milliseconds kUnreadPatience{2000};
 /// A smaller answer that comes in needn't make room for what callers leave.
 inline constexpr std::size_t kMinYieldingBytes = std::size_t{64} << 10U;
 /// Maximum size of the bodies of all calls in progress, as a part of the
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -169,23 +169,18 @@
 }
 
 routing::CallerBacklogs GetBacklogs(const Proxy& proxy) {
-  return {proxy.caller_server->unsent_bytes(), proxy.options.memory_bytes};
+  return {proxy.server_group->unread_bytes(), proxy.options.memory_bytes};
 }
 
 std::size_t MaxBacklog(const Proxy& proxy) {
   return routing::MaxStreamBacklog(GetBacklogs(proxy), kMaxCallerBacklogBytes);
 }
 
-// Closes the connection that leaves most unread, if all of them together leave
-// too much. Returns true if there is room then.
+// Returns true if what callers leave unread leaves room for answers.
 bool LimitUnread(Proxy& proxy) {
-  while (routing::IsBacklogTooLarge(GetBacklogs(proxy))) {
-    if (!proxy.caller_server->CloseLargestUnread(kUnreadPatience)) return false;
-    IncrementCounter(proxy, "egretladder_unread_answers_total",
-                     "Connections closed since callers left too much unread.",
-                     "");
-  }
-  return true;
+  if (routing::IsBacklogTooLarge(GetBacklogs(proxy)))
+    proxy.server_group->CloseUnread();
+  return !routing::IsBacklogTooLarge(GetBacklogs(proxy));
 }
 
 // Gives up the largest answer if all of them together leave no room. Others are
--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -159,6 +159,18 @@
   }
 }
 
+void UpdatePortGauges(Proxy& proxy) {
+  SetGauge(proxy, "egretladder_unread_bytes",
+           "Output that callers of all ports have not taken.",
+           static_cast<double>(proxy.server_group->unread_bytes()));
+  SetGauge(proxy, "egretladder_incomplete_bytes",
+           "Memory of requests that are still received, of all ports.",
+           static_cast<double>(proxy.server_group->incomplete_bytes()));
+  SetGauge(proxy, "egretladder_unread_closed",
+           "Connections closed since callers left too much unread.",
+           static_cast<double>(proxy.server_group->closed_unread()));
+}
+
 void UpdateIdGauges(Proxy& proxy) {
   for (const auto& [service, ids] : proxy.ids) {
     std::size_t leaves_out = 0;
@@ -261,6 +273,7 @@
   UpdateLoadGauges(proxy, now);
   UpdateReachGauges(proxy, now);
   UpdateIdGauges(proxy);
+  UpdatePortGauges(proxy);
   SetGauge(proxy, "egretladder_long_pause_ms",
            "Time between two events of a stream beside long prompts that one "
            "in fifty exceeds, in milliseconds.",
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "egretladder/kernel/registry.h"
+#include "egretladder/routing/caller_backlog.h"
 #include "state_p.h"
 
 namespace egretladder::proxy {
@@ -93,14 +94,22 @@
   handlers.refusal_body = [](int /*status*/, std::string_view reason) {
     return ErrorBody("bad_request", reason, "no");
   };
-  auto server =
-      std::make_unique<net::HttpServer>(*proxy.loop, std::move(handlers));
+  auto server = std::make_unique<net::HttpServer>(
+      *proxy.loop, std::move(handlers), proxy.server_group);
   BOOST_OUTCOME_TRY(server->Listen(address));
   return server;
 }
 
+net::ServerGroupPtr MakeServerGroup(const Proxy& proxy) {
+  return std::make_shared<net::ServerGroup>(
+      *proxy.loop, [memory = proxy.options.memory_bytes](std::size_t bytes) {
+        return routing::UnreadPatience({bytes, memory});
+      });
+}
+
 kernel::Result<void> OpenServers(Proxy& proxy) {
   const ProxyOptions& options = proxy.options;
+  proxy.server_group = MakeServerGroup(proxy);
   BOOST_OUTCOME_TRY(callers, StartServer(proxy, options.callers, OnRequest));
   proxy.caller_server = std::move(callers);
   BOOST_OUTCOME_TRY(ready, StartServer(proxy, options.ready, AnswerReady));
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -233,6 +233,7 @@
   // Servers, calls in progress and timers.
   std::unique_ptr<net::HttpClient> client;
   std::unique_ptr<net::HttpClient> spare_client;  ///< Of `spares`.
+  net::ServerGroupPtr server_group;               ///< Of all servers.
   std::unique_ptr<net::HttpServer> caller_server;
   std::unique_ptr<net::HttpServer> ready_server;
   std::unique_ptr<net::HttpServer> directory_server;
--- a/routing/include/egretladder/routing/caller_backlog.h
+++ b/routing/include/egretladder/routing/caller_backlog.h
@@ -5,7 +5,9 @@
 // it, and the requests of all others with it.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
+#include <optional>
 
 namespace egretladder::routing {
 
@@ -19,6 +21,12 @@
 /// caller that takes nothing has to go.
 bool IsBacklogTooLarge(const CallerBacklogs& backlogs);
 
+/// Returns how long a caller has taken nothing when its connection may be
+/// closed for the others; unset: callers leave little. The more they leave, the
+/// shorter it is.
+std::optional<std::chrono::milliseconds> UnreadPatience(
+    const CallerBacklogs& backlogs);
+
 /// Returns how much of a stream its caller may leave unread before the node
 /// stops reading from the endpoint: `max_bytes`, or nothing while callers
 /// together leave much.
