No port takes the descriptors that another one needs

What callers saw: 4,600 connections with half a head on the callers' port, and half of the ordinary requests had no answer; 2,000 on each port took all descriptors, so that nothing could be sent either.

Cause: each port had a limit of its own (2,000, or all but 1,200), which together were more than there are, and a full port left newcomers in the backlog while connections without a request kept their places.

Change: the descriptors are divided among the ports, with a quarter left for sending (`policy::ShareDescriptors`). A full port closes the connection that has waited for its caller for longest, if that is 250 ms or more: without a request, with half of one, or with answers that it doesn't take; never one that waits for this process. Where there is none it pauses as before.

--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -31,7 +31,9 @@
   /// The connection is closed if the caller receives nothing of its answer for
   /// this long.
   std::chrono::milliseconds write_timeout{30000};
-  std::size_t connections = 2000;  ///< Open at the same time.
+  /// Open at the same time. If there are more, those are closed that have
+  /// waited for their callers for longest.
+  std::size_t connections = 2000;
 };
 
 class HttpConnection;
@@ -144,9 +146,11 @@
   /// Closes the listener, so that new connections are refused. Connections that
   /// the kernel has already accepted are served.
   void StopListening();
-  /// Number of open connections. Above the limit, new connections wait in the
-  /// listen backlog until another one closes.
+  /// Number of open connections. At the limit, while none waits for its caller,
+  /// new connections wait in the listen backlog.
   std::size_t connections() const;
+  /// Connections closed so far to make room for others.
+  std::uint64_t closed_waiting() const;
   /// Number of connections with an incomplete request. If the process ended
   /// now, their callers would only see a closed connection, which doesn't tell
   /// them that the request did not run.
--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -23,6 +23,11 @@
 inline constexpr std::size_t kMaxUnreadBytes = std::size_t{16} << 10U;
 /// A caller that has taken nothing for longer doesn't read.
 inline constexpr std::chrono::milliseconds kMaxReadingPause{50};
+/// How long a connection has waited for its caller when it may be closed to
+/// make room for another one. A request follows its connection sooner.
+inline constexpr std::chrono::milliseconds kMinWaitBeforeClose{250};
+/// Connections that may be closed for others at each sweep, as a part of all.
+inline constexpr double kClosedPerSweepRatio = 1.0 / 16;
 
 /// How long a listener waits after an error before it accepts again. Most
 /// errors mean that no descriptor is free.
--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -28,9 +29,15 @@
   ServerGroupPtr group;
   /// Size of the output that callers haven't taken, of all connections.
   std::size_t unsent_bytes = 0;
+  bool is_accepting = true;
+  std::uint64_t closed_waiting = 0;
   kernel::EventWatcher sweep;
 
   void Accept(evutil_socket_t fd);
+  void SetAccepting(bool accepts);
+  // Closes up to `most` connections if there are too many, those that have
+  // waited for their callers for longest. Returns true if there is room then.
+  bool MakeRoom(std::size_t most);
   // Accepts the connections in the listen backlog, which the kernel would reset
   // when the listener is closed.
   void AcceptBacklog();
@@ -94,6 +101,15 @@
     return wait_state_ != WaitState::kNothing && now >= deadline_;
   }
 
+  // Returns since when only the caller can go on; unset: it waits for this
+  // process.
+  std::optional<kernel::Time> WaitsSince() const {
+    if (closed_ || call_ != nullptr) return std::nullopt;
+    if (UnsentBytes() > 0) return last_taken_;
+    if (wait_state_ == WaitState::kNothing) return std::nullopt;
+    return wait_began_;
+  }
+
   // While reading is paused, libevent doesn't report that the caller has left,
   // and the endpoint would go on with work that nobody waits for.
   bool IsCallerGoneWhilePaused() const {
@@ -139,7 +155,7 @@
     if (const auto server = server_.lock()) {
       CountIncomplete(0);
       server->connections.erase(self);
-      if (server->listener) evconnlistener_enable(server->listener.get());
+      if (server->listener && !server->is_accepting) server->SetAccepting(true);
     }
   }
 
@@ -298,7 +314,8 @@
 
   void StartWait(WaitState state, std::chrono::milliseconds timeout) {
     wait_state_ = state;
-    deadline_ = kernel::Now(loop_.clock) + timeout;
+    wait_began_ = kernel::Now(loop_.clock);
+    deadline_ = wait_began_ + timeout;
   }
 
   void Read() {
@@ -445,6 +462,7 @@
   std::unique_ptr<RequestReader> reader_;
   HttpCallPtr call_;
   WaitState wait_state_ = WaitState::kNothing;
+  kernel::Time wait_began_{};
   kernel::Time deadline_{};
   int unacknowledged_bytes_ = 0;  // At the last check.
   // The last time at which the unacknowledged bytes had changed.
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cmath>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -33,8 +34,9 @@
                          void* arg) { static_cast<State*>(arg)->Accept(fd); };
   // Accepting fails if the process has no free file descriptor. The socket
   // stays readable, so that libevent would try again in a busy loop.
-  const auto pause = [](evconnlistener* listener, void* /*arg*/) {
-    evconnlistener_disable(listener);  // `Sweep` enables it again.
+  const auto pause = [](evconnlistener* /*listener*/, void* arg) {
+    // `Sweep` makes it accept again.
+    static_cast<State*>(arg)->SetAccepting(false);
   };
   BOOST_OUTCOME_TRY(
       listener, ListenOn(state_->loop->base.get(), address, kHttpListenBacklog,
@@ -60,10 +62,37 @@
   }
   auto connection = std::make_shared<HttpConnection>(*this, std::move(buffer));
   connections.insert(connection);
-  if (listener && connections.size() >= limits.connections) {
+  connection->Open();
+  if (listener && !MakeRoom(1)) SetAccepting(false);
+}
+
+bool HttpServer::State::MakeRoom(std::size_t most) {
+  if (connections.size() < limits.connections) return true;
+  const kernel::Time waits_since =
+      kernel::Now(loop->clock) - kMinWaitBeforeClose;
+  std::vector<std::pair<kernel::Time, std::shared_ptr<HttpConnection>>> waiting;
+  for (const auto& connection : connections) {
+    const auto since = connection->WaitsSince();
+    if (since && *since <= waits_since)
+      waiting.emplace_back(*since, connection);
+  }
+  const std::size_t count = std::min(waiting.size(), most);
+  std::partial_sort(waiting.begin(),
+                    waiting.begin() + static_cast<std::ptrdiff_t>(count),
+                    waiting.end());
+  waiting.resize(count);
+  for (const auto& [since, connection] : waiting) connection->Close();
+  closed_waiting += count;
+  return connections.size() < limits.connections;
+}
+
+void HttpServer::State::SetAccepting(bool accepts) {
+  is_accepting = accepts;
+  if (accepts) {
+    evconnlistener_enable(listener.get());
+  } else {
     evconnlistener_disable(listener.get());
   }
-  connection->Open();
 }
 
 void HttpServer::State::AcceptBacklog() {
@@ -88,9 +117,10 @@
   }
   for (const auto& connection : timed_out) connection->OnTimeout();
   for (const auto& connection : abandoned) connection->Close();
-  if (listener && connections.size() < limits.connections) {
-    evconnlistener_enable(listener.get());
-  }
+  const auto most = static_cast<std::size_t>(std::ceil(
+      kClosedPerSweepRatio * static_cast<double>(limits.connections)));
+  const bool is_paused = listener && !is_accepting;
+  if (is_paused && MakeRoom(most)) SetAccepting(true);
 }
 
 const std::string& HttpServer::address() const { return state_->address; }
@@ -134,4 +164,8 @@
   return state_->connections.size();
 }
 
+std::uint64_t HttpServer::closed_waiting() const {
+  return state_->closed_waiting;
+}
+
 }  // namespace egretladder::net
--- a/net/tests/unread_answers_test.cc
+++ b/net/tests/unread_answers_test.cc
@@ -33,6 +33,8 @@
   std::list<et::RawSocket> callers;
   std::size_t answer_size = 100;
   std::size_t requests = 0;
+  std::vector<en::HttpCallPtr> unanswered;
+  bool answers = true;
   // Above it callers have no patience.
   std::size_t max_unread = std::size_t{1} << 30U;
 
@@ -45,11 +47,15 @@
         });
   }
 
-  en::HttpServer& Start() {
+  en::HttpServer& Start(std::size_t connections = 100) {
     en::ServerHandlers handlers;
     handlers.on_request = [this](const en::HttpCallPtr& call) {
       ++requests;
-      call->Answer(200, "OK", {}, std::string(answer_size, 'x'));
+      if (answers) {
+        call->Answer(200, "OK", {}, std::string(answer_size, 'x'));
+      } else {
+        unanswered.push_back(call);
+      }
     };
     handlers.make_buffer = [](event_base* base, evutil_socket_t fd) {
       setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kSmallBuffer,
@@ -59,6 +65,9 @@
     };
     en::HttpServer& server =
         servers.emplace_back(test_loop.loop, std::move(handlers), group);
+    en::ServerLimits limits;
+    limits.connections = connections;
+    server.SetLimits(limits);
     CHECK(server.Listen("127.0.0.1:0").has_value());
     return server;
   }
@@ -110,3 +119,31 @@
   test_loop.WaitUntil([&] { return CountAnswers(reading) == 1; });
   CHECK(group->unread_bytes() <= max_unread);
 }
+
+// Guards against a full port on which connections without a request keep
+// others out.
+TEST(UnreadAnswers, AFullServerClosesTheLongestWaiting) {
+  constexpr std::size_t kConnections = 4;
+  const en::HttpServer& server = Start(kConnections);
+  answers = false;
+  et::RawSocket& in_call = Connect(server);
+  in_call.Send(MakeGet());
+  test_loop.WaitUntil([&] { return requests == 1; });
+  answers = true;
+  et::RawSocket& first = Connect(server);
+  first.Send("GET / HT");
+  test_loop.WaitUntil([&] { return server.connections() == 2; });
+  ek::Advance(test_loop.clock, 300ms);
+  for (std::size_t i = 0; i < kConnections; ++i) Connect(server);
+  Settle();
+  ek::Advance(test_loop.clock, 300ms);
+  et::RawSocket& ordinary = Connect(server);
+  ordinary.Send(MakeGet());
+  test_loop.WaitUntil([&] { return CountAnswers(ordinary) == 1; });
+  first.Receive();
+  CHECK(first.end() != et::ConnectionEnd::kOpen);
+  CHECK(server.connections() <= kConnections);
+  CHECK(server.closed_waiting() > 0);
+  unanswered.at(0)->Answer(200, "OK", {}, "own");
+  test_loop.WaitUntil([&] { return CountAnswers(in_call) == 1; });
+}
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -105,10 +105,6 @@
 /// node's memory limit. The rest is for answers, connections and the program
 /// itself.
 inline constexpr double kBodyMemoryRatio = 0.3;
-/// File descriptors that are reserved for endpoints, peers and files, and not
-/// available for connections of callers.
-inline constexpr std::size_t kReservedDescriptors = 1200;
-
 /// How much earlier than this node's deadline a request ends at the peer to
 /// which it is handed over. Otherwise this node would give up a moment before
 /// the peer's answer, and would not know whether the request ran.
--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -169,6 +169,22 @@
   SetGauge(proxy, "egretladder_unread_closed",
            "Connections closed since callers left too much unread.",
            static_cast<double>(proxy.server_group->closed_unread()));
+  const std::array<std::pair<const char*, const net::HttpServer*>, 5> ports = {{
+      {"callers", proxy.caller_server.get()},
+      {"ready", proxy.ready_server.get()},
+      {"directory", proxy.directory_server.get()},
+      {"handovers", proxy.handover_server.get()},
+      {"metrics", proxy.metrics_server.get()},
+  }};
+  for (const auto& [name, server] : ports) {
+    if (server == nullptr) continue;
+    const std::string label = FormatLabel("port", name);
+    SetGauge(proxy, "egretladder_connections", "Open connections of callers.",
+             static_cast<double>(server->connections()), label);
+    SetGauge(proxy, "egretladder_waiting_closed",
+             "Connections without a request closed for others.",
+             static_cast<double>(server->closed_waiting()), label);
+  }
 }
 
 void UpdateIdGauges(Proxy& proxy) {
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -147,7 +147,7 @@
 }
 
 void AcceptPeer(PeerNetwork& network, evutil_socket_t fd) {
-  if (network.incoming.size() >= kMaxPeerConnections) {
+  if (network.incoming.size() >= network.max_incoming) {
     evutil_closesocket(fd);
     return;
   }
@@ -344,6 +344,9 @@
 kernel::Result<PeerNetworkPtr> OpenPeers(Proxy& proxy, std::string* address) {
   PeerNetworkPtr network(new PeerNetwork);
   network->proxy = &proxy;
+  network->max_incoming =
+      std::min(kMaxPeerConnections,
+               policy::ShareDescriptors(proxy.options.descriptors).peers);
   BOOST_OUTCOME_TRY(kj, net::AcquireKjLoop(*proxy.loop));
   network->kj = std::move(kj);
   network->listener = std::make_unique<net::PausingListener>(
--- a/proxy/src/peers_p.h
+++ b/proxy/src/peers_p.h
@@ -62,6 +62,7 @@
 /// The connections between this node and its peers.
 struct PeerNetwork {
   Proxy* proxy = nullptr;
+  std::size_t max_incoming = 0;  ///< Connections of peers.
   std::shared_ptr<net::KjLoop> kj;
   std::unique_ptr<net::PausingListener> listener;
   std::map<std::string, std::unique_ptr<PeerConnection>> outgoing;
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -75,7 +75,7 @@
 }
 
 kernel::Result<std::unique_ptr<net::HttpServer>> StartServer(
-    Proxy& proxy, const std::string& address,
+    Proxy& proxy, const std::string& address, std::size_t connections,
     void (*answer)(Proxy&, const net::HttpCallPtr&)) {
   net::ServerHandlers handlers;
   handlers.on_request = [&proxy, answer](const net::HttpCallPtr& call) {
@@ -96,6 +96,9 @@
   };
   auto server = std::make_unique<net::HttpServer>(
       *proxy.loop, std::move(handlers), proxy.server_group);
+  net::ServerLimits limits;
+  limits.connections = connections;
+  server->SetLimits(limits);
   BOOST_OUTCOME_TRY(server->Listen(address));
   return server;
 }
@@ -109,22 +112,26 @@
 
 kernel::Result<void> OpenServers(Proxy& proxy) {
   const ProxyOptions& options = proxy.options;
+  const policy::DescriptorShares shares =
+      policy::ShareDescriptors(options.descriptors);
   proxy.server_group = MakeServerGroup(proxy);
-  BOOST_OUTCOME_TRY(callers, StartServer(proxy, options.callers, OnRequest));
+  BOOST_OUTCOME_TRY(
+      callers, StartServer(proxy, options.callers, shares.callers, OnRequest));
   proxy.caller_server = std::move(callers);
-  BOOST_OUTCOME_TRY(ready, StartServer(proxy, options.ready, AnswerReady));
+  BOOST_OUTCOME_TRY(
+      ready, StartServer(proxy, options.ready, shares.ready, AnswerReady));
   proxy.ready_server = std::move(ready);
-  BOOST_OUTCOME_TRY(directory,
-                    StartServer(proxy, options.directory, AnswerDirectory));
+  BOOST_OUTCOME_TRY(directory, StartServer(proxy, options.directory,
+                                           shares.directory, AnswerDirectory));
   proxy.directory_server = std::move(directory);
   if (!options.handovers.empty()) {
-    BOOST_OUTCOME_TRY(handovers,
-                      StartServer(proxy, options.handovers, OnHandedOver));
+    BOOST_OUTCOME_TRY(handovers, StartServer(proxy, options.handovers,
+                                             shares.handovers, OnHandedOver));
     proxy.handover_server = std::move(handovers);
   }
   if (options.metrics.empty()) return boost::outcome_v2::success();
-  BOOST_OUTCOME_TRY(metrics,
-                    StartServer(proxy, options.metrics, AnswerMetrics));
+  BOOST_OUTCOME_TRY(metrics, StartServer(proxy, options.metrics, shares.metrics,
+                                         AnswerMetrics));
   proxy.metrics_server = std::move(metrics);
   return boost::outcome_v2::success();
 }
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -21,6 +21,7 @@
 #include "egretladder/net/event_splitter.h"
 #include "egretladder/net/http_client.h"
 #include "egretladder/net/http_server.h"
+#include "egretladder/policy/descriptors.h"
 #include "egretladder/proxy/dialect.h"
 #include "egretladder/proxy/limits.h"
 #include "egretladder/proxy/proxy.h"
--- a/proxy/src/store_changes.cc
+++ b/proxy/src/store_changes.cc
@@ -59,12 +59,13 @@
                  proxy.rules->limits.body_bytes};
   limits.head_timeout = proxy.rules->limits.head_timeout;
   limits.idle_timeout = proxy.rules->limits.idle_timeout;
-  limits.connections = proxy.options.descriptors > 2 * kReservedDescriptors
-                           ? proxy.options.descriptors - kReservedDescriptors
-                           : proxy.options.descriptors / 2;
+  const policy::DescriptorShares shares =
+      policy::ShareDescriptors(proxy.options.descriptors);
+  limits.connections = shares.callers;
   proxy.caller_server->SetLimits(limits);
   if (proxy.handover_server != nullptr) {
     limits.size.max_head_bytes += kMaxHandoverFieldBytes;
+    limits.connections = shares.handovers;
     proxy.handover_server->SetLimits(limits);
   }
   proxy.members.all_services = routing::BitsOfAllServices(*proxy.rules);
