A request's memory counts, and its body is held once

What callers saw: 60 connections with bodies of 1 MB, each inside the limits, took 327 MB of a node with 260.

Cause: a third of the memory was meant for bodies, but a body stood in the call, in the exchange and in the output buffer, and grew by doubling while it came. Fields weren't counted at all: a head of 16 KB with one-letter fields takes 250 KB, and a body that never comes keeps it.

Change: the exchange and its output buffer refer to the body in the call. A body of a known length takes its place at once. Requests in progress and those still received count together with their fields, on all ports; small ones find room where large ones take all of theirs, so that ordinary callers are served beside a crowd.

--- a/net/include/egretladder/net/http_client.h
+++ b/net/include/egretladder/net/http_client.h
@@ -68,7 +68,8 @@
 struct ExchangeRequest {
   std::string address;  ///< `IP:port`.
   std::string head;     ///< Request line and fields, ready to be sent.
-  std::string body;
+  /// Not copied, as it may be large. Null: there is none.
+  std::shared_ptr<const std::string> body;
   bool is_head_request =
       false;  ///< The method is HEAD: the answer has no body.
   /// The id that its answers bear; empty: they bear none. It isn't sent on a
--- a/net/include/egretladder/net/http_message.h
+++ b/net/include/egretladder/net/http_message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -37,6 +38,10 @@
   HttpFields fields;
 };
 
+/// Returns the memory that the fields take, in bytes.
+std::size_t MemoryOf(const HttpFields& fields);
+/// Returns the memory that the fields and the body take, in bytes.
+std::size_t MemoryOf(const HttpRequest& request);
 /// Compares field names without regard to case.
 bool IsSameFieldName(std::string_view left, std::string_view right);
 /// Returns the value of the first field of that name, empty if there is none.
--- a/net/include/egretladder/net/http_reader.h
+++ b/net/include/egretladder/net/http_reader.h
@@ -56,8 +56,8 @@
   /// Returns true if the caller waits for `100 Continue` before it sends the
   /// body.
   bool WantsContinue() const;
-  /// Size of the body as far as it was received.
-  std::size_t body_bytes() const;
+  /// Memory of the fields and of the body as far as they were received.
+  std::size_t held_bytes() const;
   /// The request; complete in `kDone`.
   HttpRequest& request();
 
--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -45,7 +45,8 @@
   HttpCall(std::shared_ptr<HttpConnection> connection, HttpRequest request);
 
   const HttpRequest& request() const { return request_; }
-  /// Frees the body of the request, once it won't be sent again.
+  /// Frees the body of the request, once it won't be sent again. No exchange
+  /// may refer to it.
   void DropBody() { request_.body = std::string(); }
 
   /// Sets the action that is called once if the caller disconnects before the
--- a/net/include/egretladder/net/socket.h
+++ b/net/include/egretladder/net/socket.h
@@ -60,6 +60,9 @@
 void Consume(bufferevent* buffer, std::size_t size);
 /// Appends bytes to the output buffer.
 void Write(bufferevent* buffer, std::string_view bytes);
+/// Appends bytes to the output buffer without a copy; they are kept until they
+/// are sent. Null: nothing is appended.
+void WriteShared(bufferevent* buffer, std::shared_ptr<const std::string> bytes);
 /// Returns the number of bytes in the output buffer.
 std::size_t PendingOutputBytes(bufferevent* buffer);
 
--- a/net/src/http_client_libevent.cc
+++ b/net/src/http_client_libevent.cc
@@ -333,8 +333,7 @@
     bufferevent_setwatermark(connection_->buffer.get(), EV_READ, 0,
                              kMaxReadAheadBytes);
     Write(connection_->buffer.get(), request_.head);
-    Write(connection_->buffer.get(), request_.body);
-    request_.body = std::string();
+    WriteShared(connection_->buffer.get(), std::move(request_.body));
     bufferevent_enable(connection_->buffer.get(), EV_READ | EV_WRITE);
   }
 
--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -340,7 +340,7 @@
     const ReadState before = reader_->state();
     Consume(buffer_.get(), reader_->Feed(input));
     const bool is_incomplete = reader_->state() == ReadState::kBody;
-    CountIncomplete(is_incomplete ? reader_->body_bytes() : 0);
+    CountIncomplete(is_incomplete ? reader_->held_bytes() : 0);
     if (is_incomplete && !HasRoom(*server)) {
       Refuse(kStatusUnavailable, "no room for the body");
     } else if (reader_->state() == ReadState::kFailed) {
--- a/net/src/http_message.cc
+++ b/net/src/http_message.cc
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <numeric>
 #include <ostream>  // Needed by the Beast header, which doesn't include it.
 
 namespace egretladder::net {
@@ -38,6 +39,18 @@
 
 }  // namespace
 
+std::size_t MemoryOf(const HttpFields& fields) {
+  return std::accumulate(fields.begin(), fields.end(), std::size_t{0},
+                         [](std::size_t bytes, const HttpField& field) {
+                           return bytes + sizeof(field) + field.name.size() +
+                                  field.value.size();
+                         });
+}
+
+std::size_t MemoryOf(const HttpRequest& request) {
+  return MemoryOf(request.fields) + request.body.capacity();
+}
+
 bool IsSameFieldName(std::string_view left, std::string_view right) {
   return left.size() == right.size() &&
          strncasecmp(left.data(), right.data(), left.size()) == 0;
--- a/net/src/http_reader_beast.cc
+++ b/net/src/http_reader_beast.cc
@@ -28,6 +28,11 @@
   int version = 0;  // Major version times ten plus minor version.
   std::size_t max_fields = 0;
 
+  // Memory that is reserved and not used yet takes none.
+  std::size_t body_memory() const {
+    return is_reserved_ ? body.size() : body.capacity();
+  }
+
  protected:
   void on_request_impl(http::verb /*verb*/, string_view name, string_view path,
                        int number, error_code& /*ec*/) override {
@@ -47,8 +52,12 @@
     if (!head_done_) fields.push_back({ToString(name), ToString(value)});
   }
   void on_header_impl(error_code& /*ec*/) override { head_done_ = true; }
-  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
-                         error_code& /*ec*/) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                         error_code& /*ec*/) override {
+    // A string that grows takes up to three times its size.
+    is_reserved_ = isRequest && length.has_value();
+    if (is_reserved_) body.reserve(static_cast<std::size_t>(*length));
+  }
   std::size_t on_body_impl(string_view piece, error_code& /*ec*/) override {
     body.append(piece.data(), piece.size());
     return piece.size();
@@ -64,6 +73,7 @@
 
  private:
   bool head_done_ = false;
+  bool is_reserved_ = false;
 };
 
 template <bool isRequest>
@@ -230,8 +240,8 @@
          IsSameFieldName(FirstFieldValue(state_->parser.fields, "Expect"),
                          "100-continue");
 }
-std::size_t RequestReader::body_bytes() const {
-  return state_->parser.body.size();
+std::size_t RequestReader::held_bytes() const {
+  return MemoryOf(state_->parser.fields) + state_->parser.body_memory();
 }
 HttpRequest& RequestReader::request() { return state_->request; }
 
--- a/net/src/socket.cc
+++ b/net/src/socket.cc
@@ -62,6 +62,22 @@
   evbuffer_add(bufferevent_get_output(buffer), bytes.data(), bytes.size());
 }
 
+void WriteShared(bufferevent* buffer,
+                 std::shared_ptr<const std::string> bytes) {
+  if (bytes == nullptr || bytes->empty()) return;
+  auto kept =
+      std::make_unique<std::shared_ptr<const std::string>>(std::move(bytes));
+  const auto release = [](const void* /*data*/, std::size_t /*size*/,
+                          void* extra) {
+    delete static_cast<std::shared_ptr<const std::string>*>(extra);
+  };
+  const std::string& text = **kept;
+  if (evbuffer_add_reference(bufferevent_get_output(buffer), text.data(),
+                             text.size(), release, kept.get()) == 0) {
+    kept.release();  // NOLINT(bugprone-unused-return-value)
+  }
+}
+
 std::size_t PendingOutputBytes(bufferevent* buffer) {
   return evbuffer_get_length(bufferevent_get_output(buffer));
 }
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -59,7 +59,7 @@
     request.address = endpoint->address();
     request.head = en::FormatRequestHead("POST", path, {{"Host", "h"}},
                                          en::BodyFraming::kLength, body.size());
-    request.body = body;
+    request.body = std::make_shared<const std::string>(body);
     en::ExchangeHandlers handlers;
     handlers.may_send = [&outcome] {
       ++outcome.sends;
--- a/net/tests/unread_answers_test.cc
+++ b/net/tests/unread_answers_test.cc
@@ -7,8 +7,8 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
+#include "egretladder/net/http_reader.h"
 #include "egretladder/net/http_server.h"
 #include "harness.h"
 
@@ -147,3 +147,16 @@
   unanswered.at(0)->Answer(200, "OK", {}, "own");
   test_loop.WaitUntil([&] { return CountAnswers(in_call) == 1; });
 }
+
+// Guards against heads of many fields whose memory counts as little as their
+// bodies, which never come.
+TEST(UnreadAnswers, FieldsOfIncompleteRequestsCount) {
+  en::RequestReader reader({16'384, 1U << 20U});
+  constexpr std::size_t kFields = 1000;
+  std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n";
+  for (std::size_t i = 0; i < kFields; ++i) head += "a: b\r\n";
+  head += "\r\n";
+  LONGS_EQUAL(head.size(), reader.Feed(head));
+  CHECK(reader.state() == en::ReadState::kBody);
+  CHECK(reader.held_bytes() >= kFields * sizeof(en::HttpField));
+}
--- a/proxy/include/egretladder/proxy/limits.h
+++ b/proxy/include/egretladder/proxy/limits.h
@@ -101,10 +101,14 @@
 inline constexpr std::size_t kMaxCallerBacklogBytes = std::size_t{256} << 10U;
 /// A smaller answer that comes in needn't make room for what callers leave.
 inline constexpr std::size_t kMinYieldingBytes = std::size_t{64} << 10U;
-/// Maximum size of the bodies of all calls in progress, as a part of the
+/// Maximum memory of the requests of all calls in progress, as a part of the
 /// node's memory limit. The rest is for answers, connections and the program
 /// itself.
-inline constexpr double kBodyMemoryRatio = 0.3;
+inline constexpr double kRequestMemoryRatio = 0.3;
+/// The same for a request of at most `kSmallRequestBytes`, which still finds
+/// room where large ones take all of theirs.
+inline constexpr double kSmallRequestMemoryRatio = 0.35;
+inline constexpr std::size_t kSmallRequestBytes = std::size_t{32} << 10U;
 /// How much earlier than this node's deadline a request ends at the peer to
 /// which it is handed over. Otherwise this node would give up a moment before
 /// the peer's answer, and would not know whether the request ran.
--- a/proxy/src/attempt_answer.cc
+++ b/proxy/src/attempt_answer.cc
@@ -2,7 +2,6 @@
 // on as they come.
 #include <algorithm>
 #include <array>
-#include <numeric>
 #include <utility>
 
 #include "attempts_p.h"
@@ -147,14 +146,6 @@
   EndAttempt(proxy, call, outcome, why);
 }
 
-std::size_t BytesOfFields(const net::HttpFields& fields) {
-  return std::accumulate(fields.begin(), fields.end(), std::size_t{0},
-                         [](std::size_t bytes, const net::HttpField& field) {
-                           return bytes + sizeof(field) + field.name.size() +
-                                  field.value.size();
-                         });
-}
-
 // Records how many bytes of the attempt's answer are kept.
 void CountBuffered(Proxy& proxy, Attempt& attempt) {
   const std::size_t bytes = attempt.head_bytes + attempt.body.size() +
@@ -296,7 +287,7 @@
                     const AnswerMetadata& metadata) {
   Attempt& attempt = *call.attempt;
   attempt.head = head;
-  attempt.head_bytes = BytesOfFields(head.fields);
+  attempt.head_bytes = net::MemoryOf(head.fields);
   CountBuffered(proxy, attempt);
   attempt.metadata = metadata;
   attempt.weights = metadata.weights;
--- a/proxy/src/attempts.cc
+++ b/proxy/src/attempts.cc
@@ -127,7 +127,7 @@
       proxy.dialect->endpoint_fields(request, MakeForwardMetadata(call, now));
   if (call.handed_over) RemoveHandoverFields(fields);
   net::ExchangeRequest exchange =
-      MakeForwardedRequest(request, std::move(fields));
+      MakeForwardedRequest(call.caller, std::move(fields));
   exchange.address = call.attempt->endpoint->entry.address;
   exchange.id = call.metadata.id;
   exchange.reuse = GetConnectionReuse(proxy, call, now);
@@ -170,8 +170,9 @@
 
 }  // namespace
 
-net::ExchangeRequest MakeForwardedRequest(const net::HttpRequest& request,
+net::ExchangeRequest MakeForwardedRequest(const net::HttpCallPtr& caller,
                                           net::HttpFields fields) {
+  const net::HttpRequest& request = caller->request();
   const bool has_no_body =
       request.body.empty() &&
       net::CountFields(request.fields, "Content-Length") == 0 &&
@@ -181,7 +182,7 @@
       request.method, request.target, fields,
       has_no_body ? net::BodyFraming::kNone : net::BodyFraming::kLength,
       request.body.size());
-  exchange.body = request.body;
+  exchange.body = std::shared_ptr<const std::string>(caller, &request.body);
   exchange.is_head_request = request.method == "HEAD";
   return exchange;
 }
--- a/proxy/src/attempts_p.h
+++ b/proxy/src/attempts_p.h
@@ -12,7 +12,7 @@
 
 // attempts.cc
 /// Returns a caller's request with other fields. The address is not set.
-net::ExchangeRequest MakeForwardedRequest(const net::HttpRequest& request,
+net::ExchangeRequest MakeForwardedRequest(const net::HttpCallPtr& caller,
                                           net::HttpFields fields);
 
 // attempt_answer.cc
--- a/proxy/src/call_p.h
+++ b/proxy/src/call_p.h
@@ -233,6 +233,7 @@
   /// Fires when the endpoint has sent nothing for too long.
   kernel::EventWatcher silence_timer;
   std::size_t body_bytes = 0;
+  std::size_t request_bytes = 0;  ///< Memory of the request.
   std::uint64_t fingerprint = 0;  ///< See `GetFingerprint`; 0: not computed.
   std::vector<std::uint64_t> suspect_keys;  ///< See `GetSuspectKeys`.
   /// Set while peers are asked for the version of the stream that it takes up.
--- a/proxy/src/call_routing.cc
+++ b/proxy/src/call_routing.cc
@@ -114,6 +114,7 @@
     call->position = routing::BeginStream(metadata.last_event_id);
   call->metadata = std::move(metadata);
   call->body_bytes = caller->request().body.size();
+  call->request_bytes = net::MemoryOf(caller->request());
   return call;
 }
 
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -64,9 +64,9 @@
                   "this node is leaving", kLeavingRetryDelay);
     return false;
   }
-  if (!HasRoomForBody(proxy, caller->request().body.size())) {
+  if (!HasRoomForRequest(proxy, net::MemoryOf(caller->request()))) {
     RejectRequest(proxy, caller, kUnavailable, "overloaded",
-                  "no room for the body", kOverloadRetryDelay);
+                  "no room for the request", kOverloadRetryDelay);
     return false;
   }
   return true;
@@ -169,10 +169,13 @@
       now);
 }
 
-bool HasRoomForBody(const Proxy& proxy, std::size_t bytes) {
-  const double max_bytes =
-      kBodyMemoryRatio * static_cast<double>(proxy.options.memory_bytes);
-  return static_cast<double>(proxy.body_bytes + bytes) <= max_bytes;
+bool HasRoomForRequest(const Proxy& proxy, std::size_t bytes) {
+  const double ratio = bytes <= kSmallRequestBytes ? kSmallRequestMemoryRatio
+                                                   : kRequestMemoryRatio;
+  const std::size_t held =
+      proxy.request_bytes + proxy.server_group->incomplete_bytes();
+  return static_cast<double>(held + bytes) <=
+         ratio * static_cast<double>(proxy.options.memory_bytes);
 }
 
 std::uint64_t GetFingerprint(Call& call) {
@@ -229,7 +232,7 @@
                       Time arrived_at, const HandoverHeader* handover) {
   const CallPtr call = MakeRoutedCall(proxy, caller, arrived_at, handover);
   if (call == nullptr) return;
-  proxy.body_bytes += call->body_bytes;
+  proxy.request_bytes += call->request_bytes;
   proxy.calls.emplace(call->number, call);
   // The node that the caller asked has counted a handed over request.
   if (handover == nullptr) {
@@ -370,7 +373,7 @@
   call->process_check = nullptr;
   ReleaseRetry(proxy, *call);
   call->caller->OnDisconnect(nullptr);
-  proxy.body_bytes -= call->body_bytes;
+  proxy.request_bytes -= call->request_bytes;
   if (call->handed_over) --proxy.handovers_served;
   const Time now = NowOf(proxy);
   kernel::Observe(proxy.metrics, call->class_metrics->whole_answer,
--- a/proxy/src/handovers.cc
+++ b/proxy/src/handovers.cc
@@ -37,7 +37,7 @@
   fields.push_back(
       {kForwardedField, FormatHandoverHeader(MakeHandoverHeader(proxy, call))});
   net::ExchangeRequest exchange =
-      MakeForwardedRequest(request, std::move(fields));
+      MakeForwardedRequest(call.caller, std::move(fields));
   exchange.address = address;
   exchange.id = call.metadata.id;
   exchange.reuse = routing::IsRouteRepeatable(*call.route)
--- a/proxy/src/handovers_served.cc
+++ b/proxy/src/handovers_served.cc
@@ -20,14 +20,14 @@
 
 // Returns why this node doesn't take the request; null: it does.
 const char* WhyDeclined(const Proxy& proxy, const HandoverHeader& header,
-                        std::size_t body_bytes) {
+                        std::size_t request_bytes) {
   if (proxy.leaving) return "leaving";
   if (proxy.rules == nullptr) return "no-rules";
   // With older rules, this node might refuse what the caller may do by now.
   if (proxy.rules->version < header.rules_version) return "older-rules";
   if (IsLost(proxy, header.service)) return "service-lost";
   if (proxy.handovers_served >= routing::kMaxHandoversServed ||
-      !HasRoomForBody(proxy, body_bytes)) {
+      !HasRoomForRequest(proxy, request_bytes)) {
     return "full";
   }
   return nullptr;
@@ -62,7 +62,7 @@
                   "this address is for other nodes", {});
     return;
   }
-  const char* reason = WhyDeclined(proxy, *header, request.body.size());
+  const char* reason = WhyDeclined(proxy, *header, net::MemoryOf(request));
   if (reason != nullptr) {
     Decline(proxy, peer, header->service, reason);
     return;
--- a/proxy/src/metrics.cc
+++ b/proxy/src/metrics.cc
@@ -138,8 +138,8 @@
            "Requests that wait for the first rules.",
            static_cast<double>(proxy.requests_without_rules.size()));
   SetGauge(proxy, "egretladder_body_bytes",
-           "Size of the bodies of calls in progress.",
-           static_cast<double>(proxy.body_bytes));
+           "Memory of the requests of calls in progress.",
+           static_cast<double>(proxy.request_bytes));
   SetGauge(proxy, "egretladder_stream_records",
            "Streams of which this node remembers the software version.",
            static_cast<double>(proxy.streams.by_stream.newer.size() +
--- a/proxy/src/requests_without_rules.cc
+++ b/proxy/src/requests_without_rules.cc
@@ -14,7 +14,7 @@
   const net::HttpCallPtr caller = at->second.caller;
   proxy.requests_without_rules.erase(at);
   caller->OnDisconnect(nullptr);
-  proxy.body_bytes -= caller->request().body.size();
+  proxy.request_bytes -= net::MemoryOf(caller->request());
   return caller;
 }
 
@@ -43,7 +43,7 @@
     return;
   }
   const std::uint64_t number = ++proxy.last_number;
-  proxy.body_bytes += caller->request().body.size();
+  proxy.request_bytes += net::MemoryOf(caller->request());
   RequestWithoutRules& waiting = proxy.requests_without_rules[number];
   waiting.caller = caller;
   waiting.arrived_at = NowOf(proxy);
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -251,8 +251,8 @@
   std::map<std::uint64_t, RequestWithoutRules> requests_without_rules;
   kernel::EventWatcher waiting_timer;
   bool waiting_timer_armed = false;
-  /// Size of the bodies of all calls and all requests without rules.
-  std::size_t body_bytes = 0;
+  /// Memory of the requests of all calls and of those without rules.
+  std::size_t request_bytes = 0;
   /// Size of the answers of all attempts that are kept until they can be sent.
   std::size_t buffered_bytes = 0;
   std::uint64_t last_number = 0;  ///< Last number of a call or an attempt.
@@ -319,8 +319,9 @@
 /// Routes a request that arrived at `arrived_at`; see `MakeRoutedCall`.
 void RouteAndDispatch(Proxy& proxy, const net::HttpCallPtr& caller,
                       Time arrived_at, const HandoverHeader* handover);
-/// Returns true if the node's memory has room for a body of that size.
-bool HasRoomForBody(const Proxy& proxy, std::size_t bytes);
+/// Returns true if there is memory for a request of that size, beside those in
+/// progress and those that are still received.
+bool HasRoomForRequest(const Proxy& proxy, std::size_t bytes);
 /// Answers a request with an error before a call is created for it.
 void RejectRequest(Proxy& proxy, const net::HttpCallPtr& caller, int status,
                    const char* code, const std::string& reason,
