Incomplete messages of peers are bounded by the node's memory

What callers saw: a node with little memory that ran out of it, by messages to the peers' port that never end.

Cause: the bound over all connections of that port was 64 MiB, whatever memory the node may use.

Change: the bound is an eighth of the memory, and 64 MiB at most.

--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -11,6 +11,9 @@
 namespace egretladder::proxy {
 namespace {
 
+// Part of the memory for incomplete messages of all peers.
+constexpr std::size_t kIncompleteDivisor = 8;
+
 const char* NameOf(MessageKind message) {
   switch (message) {
     case MessageKind::kExchange:
@@ -337,16 +340,21 @@
   peer.has_answered = true;
 }
 
+PeerNetwork::PeerNetwork(Proxy& owner)
+    : proxy(&owner),
+      max_incoming(
+          std::min(kMaxPeerConnections,
+                   policy::ShareDescriptors(owner.options.descriptors).peers)),
+      incomplete(std::min(net::kMaxIncompleteRpcBytes,
+                          owner.options.memory_bytes / kIncompleteDivisor),
+                 [this] { ScheduleRelief(*this); }) {}
+
 void PeerNetworkDelete::operator()(PeerNetwork* network) const {
   delete network;
 }
 
 kernel::Result<PeerNetworkPtr> OpenPeers(Proxy& proxy, std::string* address) {
-  PeerNetworkPtr network(new PeerNetwork);
-  network->proxy = &proxy;
-  network->max_incoming =
-      std::min(kMaxPeerConnections,
-               policy::ShareDescriptors(proxy.options.descriptors).peers);
+  PeerNetworkPtr network(new PeerNetwork(proxy));
   BOOST_OUTCOME_TRY(kj, net::AcquireKjLoop(*proxy.loop));
   network->kj = std::move(kj);
   network->listener = std::make_unique<net::PausingListener>(
--- a/proxy/src/peers_p.h
+++ b/proxy/src/peers_p.h
@@ -61,13 +61,14 @@
 
 /// The connections between this node and its peers.
 struct PeerNetwork {
+  explicit PeerNetwork(Proxy& owner);
+
   Proxy* proxy = nullptr;
   std::size_t max_incoming = 0;  ///< Connections of peers.
   std::shared_ptr<net::KjLoop> kj;
   std::unique_ptr<net::PausingListener> listener;
   std::map<std::string, std::unique_ptr<PeerConnection>> outgoing;
-  net::IncompleteInput incomplete{net::kMaxIncompleteRpcBytes,
-                                  [this] { ScheduleRelief(*this); }};
+  net::IncompleteInput incomplete;
   std::vector<std::unique_ptr<net::RpcServerConnection>> incoming;
   kernel::EventWatcher relief_timer;
   bool relief_scheduled = false;
