Large pieces of memory go back to the system when they are freed

What callers saw: memory that had been used once stayed with the process, so that one crowd after another added up.

Cause: the allocator raises the size from which on it returns pieces at once, whenever a large one is freed.

Not measured by itself on this code, where peaks are below 40 MiB.

Change: that size is fixed at 128 KiB, and free memory at the end of the heap is returned from 1 MiB on.

--- a/gateway/main/egretladderd.cc
+++ b/gateway/main/egretladderd.cc
@@ -1,4 +1,6 @@
 // The node: `egretladderd --config node.ini`.
+#include <malloc.h>
+
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <iostream>
@@ -24,12 +26,22 @@
   return text;
 }
 
+// Large pieces go back to the system when they are freed. By default the
+// allocator keeps ever larger ones once some were freed.
+void KeepFreedMemoryLow() {
+  constexpr int kMmapThreshold = 128 << 10;
+  constexpr int kTrimThreshold = 1 << 20;
+  mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
+  mallopt(M_TRIM_THRESHOLD, kTrimThreshold);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   // The signal for changed settings may arrive while the node starts. Its
   // default action would end the process. The front reads the file later.
   std::signal(SIGHUP, SIG_IGN);
+  KeepFreedMemoryLow();
   CLI::App app("A node of egretladder, the router for language-model traffic.");
   std::string path;
   std::string front = "calls";
