TLS callers' pipelined requests are read to their end

A caller with TLS that sends a request of more than about 8 KiB while another is in progress gets 408: a part of the record stays decrypted in OpenSSL, and nothing reports it as readable after the answer.

Cause: a read watermark of 4 KiB while a call is in progress, below the size of a TLS record. The pause at the first pipelined bytes bounds them already.

Change: the watermark stays as it was before. At most one read of pipelined input is kept.

--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -16,9 +16,6 @@
 
 /// Input that is buffered on one connection. It must hold a complete head.
 inline constexpr std::size_t kMaxReadAheadBytes = std::size_t{128} << 10U;
-/// Input that is buffered on a connection with a call in progress. A caller
-/// that pipelines more has to wait.
-inline constexpr std::size_t kMaxPipelinedBytes = std::size_t{4} << 10U;
 /// Output that a caller may leave unread when its next request is read.
 inline constexpr std::size_t kMaxUnreadBytes = std::size_t{16} << 10U;
 /// A caller that has taken nothing for longer doesn't read.
--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -86,6 +86,7 @@
 
   void Open() {
     bufferevent_setcb(buffer_.get(), OnReadable, OnWritten, OnEvent, this);
+    bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kMaxReadAheadBytes);
     evbuffer_add_cb(bufferevent_get_output(buffer_.get()), OnOutput, this);
     last_taken_ = kernel::Now(loop_.clock);
     if (const auto server = server_.lock()) {
@@ -296,7 +297,6 @@
   void AwaitRequest() {
     const auto server = server_.lock();
     if (server == nullptr) return;
-    bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kMaxReadAheadBytes);
     reader_ = std::make_unique<RequestReader>(server->limits.size);
     request_started_ = false;
     continue_sent_ = false;
@@ -378,7 +378,6 @@
   }
 
   void StartCall(HttpServer::State& server) {
-    bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kMaxPipelinedBytes);
     call_ = std::make_shared<HttpCall>(shared_from_this(),
                                        std::move(reader_->request()));
     // The handler may end the call and with it this connection.
