Idle connections don't keep a node's peers out

Whoever opens as many connections to the peers' port as it takes, and sends nothing, keeps every peer out that connects later: they were accepted and closed at once, for as long as the idle ones stayed.

Cause: a full peers' port closed the newcomer, and nothing closed an idle connection.

Change: a full port closes the connection of which nothing was heard for longest. Peers are heard about twice a second, and connect again if need be. Both interfaces. `peers-closed` is written only if a connection was closed.

--- a/gateway/src/peer_capnp.cc
+++ b/gateway/src/peer_capnp.cc
@@ -191,10 +191,7 @@
 };
 
 void AcceptPeer(PeerNet& net, evutil_socket_t fd) {
-  if (net.in.size() >= kPeersIn) {
-    evutil_closesocket(fd);
-    return;
-  }
+  if (net.in.size() >= kPeersIn) net::CloseLeastRecentlyHeard(net.in);
   SetNoDelay(fd);
   Bufferevent buffer(bufferevent_socket_new(net.gateway->loop->base.get(), fd,
                                             BEV_OPT_CLOSE_ON_FREE));
--- a/net/include/egretladder/net/kj_loop.h
+++ b/net/include/egretladder/net/kj_loop.h
@@ -98,6 +98,9 @@
   std::size_t PendingOutputBytes() const;
   /// What was read of a message that isn't complete.
   IncompleteRead Incomplete() const;
+  /// Returns the number of the last read, or of the start if there was none;
+  /// see `IncompleteInput`. 0 without one.
+  std::uint64_t heard_order() const { return heard_order_; }
   /// Breaks the connection. The owner destroys the stream later.
   void Disconnect();
   /// Returns true if the other side has ended the stream or the connection
@@ -116,12 +119,14 @@
   bool HasTooMuchUnread() const;
   void ContinueReading();
   void SetReceiving(bool receives);
+  void RecordHeard();
 
   Bufferevent buffer_;
   UnreadLimits unread_;
   IncompleteInput* incomplete_;
   ReadOperation* read_operation_ = nullptr;
   DrainOperation* drain_operation_ = nullptr;
+  std::uint64_t heard_order_ = 0;
   bool receives_ = true;  ///< Bytes are taken from the socket.
   bool eof_ = false;      ///< The other side has ended its output.
   bool broken_ = false;   ///< The connection failed in both directions.
--- a/net/include/egretladder/net/rpc_connection.h
+++ b/net/include/egretladder/net/rpc_connection.h
@@ -4,6 +4,8 @@
 #include <capnp/rpc-twoparty.h>
 
 #include <cstdint>
+#include <memory>
+#include <vector>
 
 #include "egretladder/net/kj_loop.h"
 
@@ -32,6 +34,11 @@
   kj::Promise<void> ended;
 };
 
+/// Closes the connection of which nothing was heard for longest, to make room
+/// for another one. There must be one.
+void CloseLeastRecentlyHeard(
+    std::vector<std::unique_ptr<RpcServerConnection>>& connections);
+
 /// A connection that this node opens to a peer. Calls made before it is
 /// established wait for it.
 struct RpcClientConnection {
--- a/net/src/kj_loop.cc
+++ b/net/src/kj_loop.cc
@@ -176,6 +176,7 @@
 BuffereventStream::BuffereventStream(Bufferevent buffer, UnreadLimits unread,
                                      IncompleteInput* incomplete)
     : buffer_(std::move(buffer)), unread_(unread), incomplete_(incomplete) {
+  RecordHeard();
   bufferevent_setwatermark(buffer_.get(), EV_READ, 0, kMaxStreamBufferBytes);
   if (unread_.max_stall.count() > 0) {
     const timeval max_stall = kernel::ToTimeval(unread_.max_stall);
@@ -240,6 +241,7 @@
 
 void BuffereventStream::OnReadable(bufferevent* /*buffer*/, void* arg) {
   auto& self = *static_cast<BuffereventStream*>(arg);
+  self.RecordHeard();
   self.ContinueReading();
   // Full input that stays would make libevent call this again and again.
   evbuffer* input = bufferevent_get_input(self.buffer_.get());
@@ -247,6 +249,10 @@
     self.SetReceiving(false);
 }
 
+void BuffereventStream::RecordHeard() {
+  if (incomplete_ != nullptr) heard_order_ = incomplete_->NextOrder();
+}
+
 void BuffereventStream::OnWritable(bufferevent* /*buffer*/, void* arg) {
   auto& self = *static_cast<BuffereventStream*>(arg);
   if (self.drain_operation_ != nullptr) self.drain_operation_->Finish();
--- a/net/src/rpc_connection.cc
+++ b/net/src/rpc_connection.cc
@@ -2,6 +2,7 @@
 
 #include <kj/exception.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace egretladder::net {
@@ -43,4 +44,13 @@
   return system.bootstrap(vat);
 }
 
+void CloseLeastRecentlyHeard(
+    std::vector<std::unique_ptr<RpcServerConnection>>& connections) {
+  connections.erase(std::min_element(connections.begin(), connections.end(),
+                                     [](const auto& left, const auto& right) {
+                                       return left->stream.heard_order() <
+                                              right->stream.heard_order();
+                                     }));
+}
+
 }  // namespace egretladder::net
--- a/proxy/src/peers_capnp.cc
+++ b/proxy/src/peers_capnp.cc
@@ -150,10 +150,8 @@
 }
 
 void AcceptPeer(PeerNetwork& network, evutil_socket_t fd) {
-  if (network.incoming.size() >= network.max_incoming) {
-    evutil_closesocket(fd);
-    return;
-  }
+  if (network.incoming.size() >= network.max_incoming)
+    net::CloseLeastRecentlyHeard(network.incoming);
   net::SetTcpOptions(fd);
   net::Bufferevent buffer(bufferevent_socket_new(
       network.proxy->loop->base.get(), fd, BEV_OPT_CLOSE_ON_FREE));
@@ -174,6 +172,7 @@
       policy::MessagesToAbandon(messages, network.incomplete.max_bytes());
   for (const std::size_t index : abandoned)
     network.incoming[index]->stream.Disconnect();
+  if (abandoned.empty()) return;
   kernel::LogEvent(kernel::LogPart::kPeer, kernel::LogLevel::kWarning,
                    "peers-closed",
                    {{"held_bytes", held}, {"connections", abandoned.size()}});
--- a/proxy/tests/peers_test.cc
+++ b/proxy/tests/peers_test.cc
@@ -415,6 +415,22 @@
   STRCMP_EQUAL("200", env.SendAndDescribe(proxy, {.path = "/once/a"}).c_str());
 }
 
+// Guards against idle connections that keep a node's peers out.
+TEST(Peers, IdleConnectionsMakeRoomForPeers) {
+  env.AddEndpoint("e1", et::AnswerImmediately());
+  env.Publish();
+  ep::ProxyOptions options = env.MakeOptions("n1");
+  options.descriptors = 64;
+  ep::Proxy& first = env.StartNode(options);
+  env.WaitUntilReady(first, 1);
+  for (int i = 0; i < 20; ++i) env.Connect(ep::ViewOf(first).peers);
+  env.RunLoopFor(100ms);
+  ep::Proxy& second = StartNodeWithSeed("n2", ep::ViewOf(first).peers);
+  env.WaitUntil([&] {
+    return ep::ViewOf(first).nodes == 2 && ep::ViewOf(second).nodes == 2;
+  });
+}
+
 // Guards against a node that runs out of memory, since each connection of a
 // crowd holds most of a large message.
 TEST(Peers, CrowdWithHalfMessagesHoldsLittle) {
