Requests that are still received leave room for small ones

Some twenty uploads of 4 MiB that stop before their last byte took the memory that is meant for small requests, and every other caller got 503, for as long as somebody repeats it.

Cause: an incomplete request asked for room as one of no bytes, and so by the bound for small ones. Heads that are still received counted nothing.

Evidence: the new test, a small request beside three stalled bodies of 97 KB and a part of a fourth at a node of 1 MB: 503 on the code before, 200 now.

Change: a request asks by what was received of it, its unread head included.

--- a/net/include/egretladder/net/http_server.h
+++ b/net/include/egretladder/net/http_server.h
@@ -110,9 +110,9 @@
   std::function<void(const HttpCallPtr&)> on_request;
   /// Called when an invalid request was refused with `status`. Optional.
   std::function<void(int status, const std::string& why)> on_refused;
-  /// Returns true if there is room for so many bytes of requests that are still
-  /// received, those of all servers of the group together. A request that needs
-  /// more is refused with 503. Not set: there always is.
+  /// Returns true if there is room for a request of which so many bytes were
+  /// received so far. The group has counted them. Otherwise it is refused with
+  /// 503. Not set: there always is.
   std::function<bool(std::size_t bytes)> has_room;
   /// Returns the body of the answer to such a request. Not set: an empty body.
   std::function<std::string(int status, std::string_view why)> refusal_body;
--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -339,8 +339,11 @@
     }
     const ReadState before = reader_->state();
     Consume(buffer_.get(), reader_->Feed(input));
-    const bool is_incomplete = reader_->state() == ReadState::kBody;
-    CountIncomplete(is_incomplete ? reader_->held_bytes() : 0);
+    const bool is_incomplete = reader_->state() == ReadState::kHead ||
+                               reader_->state() == ReadState::kBody;
+    const std::size_t held =
+        reader_->held_bytes() + PendingInput(buffer_.get()).size();
+    CountIncomplete(is_incomplete ? held : 0);
     if (is_incomplete && !HasRoom(*server)) {
       Refuse(kStatusUnavailable, "no room for the body");
     } else if (reader_->state() == ReadState::kFailed) {
@@ -360,9 +363,9 @@
     }
   }
 
-  static bool HasRoom(const HttpServer::State& server) {
+  bool HasRoom(const HttpServer::State& server) const {
     return !server.handlers.has_room ||
-           server.handlers.has_room(server.group->incomplete_bytes());
+           server.handlers.has_room(incomplete_bytes_);
   }
 
   // Records output that was added, and output that is gone.
--- a/proxy/src/calls.cc
+++ b/proxy/src/calls.cc
@@ -169,13 +169,19 @@
       now);
 }
 
-bool HasRoomForRequest(const Proxy& proxy, std::size_t bytes) {
+std::size_t BytesOfRequests(const Proxy& proxy) {
+  return proxy.request_bytes + proxy.server_group->incomplete_bytes();
+}
+
+std::size_t MaxBytesOfRequests(const Proxy& proxy, std::size_t bytes) {
   const double ratio = bytes <= kSmallRequestBytes ? kSmallRequestMemoryRatio
                                                    : kRequestMemoryRatio;
-  const std::size_t held =
-      proxy.request_bytes + proxy.server_group->incomplete_bytes();
-  return static_cast<double>(held + bytes) <=
-         ratio * static_cast<double>(proxy.options.memory_bytes);
+  return static_cast<std::size_t>(
+      ratio * static_cast<double>(proxy.options.memory_bytes));
+}
+
+bool HasRoomForRequest(const Proxy& proxy, std::size_t bytes) {
+  return BytesOfRequests(proxy) + bytes <= MaxBytesOfRequests(proxy, bytes);
 }
 
 std::uint64_t GetFingerprint(Call& call) {
--- a/proxy/src/proxy.cc
+++ b/proxy/src/proxy.cc
@@ -88,8 +88,8 @@
     kernel::LogEvent(LogPart::kCaller, LogLevel::kWarning, "unreadable",
                      {{"status", status}, {"why", reason}});
   };
-  handlers.has_room = [&proxy](std::size_t /*bytes*/) {
-    return HasRoomForRequest(proxy, 0);
+  handlers.has_room = [&proxy](std::size_t bytes) {
+    return BytesOfRequests(proxy) <= MaxBytesOfRequests(proxy, bytes);
   };
   handlers.refusal_body = [](int /*status*/, std::string_view reason) {
     return ErrorBody("bad_request", reason, "no");
--- a/proxy/src/state_p.h
+++ b/proxy/src/state_p.h
@@ -319,6 +319,12 @@
 /// Routes a request that arrived at `arrived_at`; see `MakeRoutedCall`.
 void RouteAndDispatch(Proxy& proxy, const net::HttpCallPtr& caller,
                       Time arrived_at, const HandoverHeader* handover);
+/// Returns the memory of requests in progress and of those that are still
+/// received.
+std::size_t BytesOfRequests(const Proxy& proxy);
+/// Returns how much memory all of them may take when one of `bytes` needs room.
+/// A small one still finds room where large ones take all of theirs.
+std::size_t MaxBytesOfRequests(const Proxy& proxy, std::size_t bytes);
 /// Returns true if there is memory for a request of that size, beside those in
 /// progress and those that are still received.
 bool HasRoomForRequest(const Proxy& proxy, std::size_t bytes);
--- a/proxy/tests/callers_test.cc
+++ b/proxy/tests/callers_test.cc
@@ -157,6 +157,29 @@
   STRCMP_EQUAL("200", et::DescribeAnswer(third).c_str());
 }
 
+// Guards against large bodies that come slowly, or never, and leave no room for
+// the small requests of others.
+TEST(Callers, StalledUploadsLeaveRoomForSmallRequests) {
+  env.AddEndpoint("e1", et::AnswerImmediately());
+  env.Publish();
+  ep::ProxyOptions options = env.MakeOptions("n1");
+  options.memory_bytes = 1'000'000;
+  ep::Proxy& proxy = env.StartNode(options);
+  env.WaitUntilReady(proxy, 1);
+  const std::string request =
+      et::FormatRequest({.path = "/once/a", .body = std::string(97'000, 'x')});
+  for (const std::size_t size : {request.size() - 1, request.size() - 1,
+                                 request.size() - 1, std::size_t{55'000}}) {
+    env.Connect(ep::ViewOf(proxy).callers).Send(request.substr(0, size));
+  }
+  env.RunLoopFor(std::chrono::milliseconds(100));
+  STRCMP_EQUAL("200",
+               env.SendAndDescribe(proxy, {.path = "/once/b",
+                                           .id = "small",
+                                           .body = std::string(4000, 'x')})
+                   .c_str());
+}
+
 // Guards against bodies that fill the memory while they are still received.
 TEST(Callers, IncompleteBodiesCountAgainstTheMemoryLimit) {
   env.AddEndpoint("e1", et::AnswerImmediately());
