A full port closes those that send nothing, before those that do

On a full port an upload that goes on was closed before connections without a request that had come later; so were a request that had just arrived, and an answer whose caller had a gap of 250 ms on a slow link.

Cause: how long a connection waits was counted from the begin of its request, whatever came since, and an unread answer counted like no request at all.

Evidence: the new test, an upload that goes on beside an idle connection at a full server: the upload was closed on the code before and ends with its answer now.

Change: the wait counts from the last bytes that came. Connections that have all their answers go first; one with an answer that its caller doesn't take goes after 2 s without progress. One with input that isn't read yet stays.

--- a/net/include/egretladder/net/limits.h
+++ b/net/include/egretladder/net/limits.h
@@ -23,6 +23,9 @@
 /// How long a connection has waited for its caller when it may be closed to
 /// make room for another one. A request follows its connection sooner.
 inline constexpr std::chrono::milliseconds kMinWaitBeforeClose{250};
+/// The same for one that takes nothing of its answers. A caller on a slow link
+/// takes some more often.
+inline constexpr std::chrono::milliseconds kMinUnreadBeforeClose{2000};
 /// Connections that may be closed for others at each sweep, as a part of all.
 inline constexpr double kClosedPerSweepRatio = 1.0 / 16;
 
--- a/net/include/egretladder/net/socket.h
+++ b/net/include/egretladder/net/socket.h
@@ -72,6 +72,8 @@
 /// Returns the number of sent bytes that the other side has not acknowledged.
 /// The end of the output counts as one.
 int UnacknowledgedBytes(evutil_socket_t fd);
+/// Returns the number of received bytes that were not read yet.
+int UnreadBytes(evutil_socket_t fd);
 /// Returns true if the other side has reset the connection or ended its output.
 /// Bytes that it sent before may still be unread.
 bool HasPeerClosed(evutil_socket_t fd);
--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -3,6 +3,7 @@
 
 #include <event2/buffer.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -102,15 +103,22 @@
     return wait_state_ != WaitState::kNothing && now >= deadline_;
   }
 
-  // Returns since when only the caller can go on; unset: it waits for this
-  // process.
+  // Returns since when nothing came from the caller, though only it can go on;
+  // unset: it waits for this process, or its request has just come.
   std::optional<kernel::Time> WaitsSince() const {
     if (closed_ || call_ != nullptr) return std::nullopt;
     if (UnsentBytes() > 0) return last_taken_;
     if (wait_state_ == WaitState::kNothing) return std::nullopt;
-    return wait_began_;
+    return std::max(wait_began_, last_received_);
   }
 
+  bool HasUnreadInput() const {
+    return !closed_ && UnreadBytes(bufferevent_getfd(buffer_.get())) > 0;
+  }
+
+  // A request is with an endpoint, and none of its answer was sent.
+  bool HasUnbegunCall() const { return call_ != nullptr && !call_->begun_; }
+
   // While reading is paused, libevent doesn't report that the caller has left,
   // and the endpoint would go on with work that nobody waits for.
   bool IsCallerGoneWhilePaused() const {
@@ -333,6 +341,7 @@
     if (input.empty()) return;
     const auto server = server_.lock();
     if (server == nullptr) return;
+    last_received_ = kernel::Now(loop_.clock);
     if (!request_started_) {
       request_started_ = true;
       StartWait(WaitState::kHead, server->limits.head_timeout);
@@ -465,6 +474,7 @@
   HttpCallPtr call_;
   WaitState wait_state_ = WaitState::kNothing;
   kernel::Time wait_began_{};
+  kernel::Time last_received_{};  // A part of a request.
   kernel::Time deadline_{};
   int unacknowledged_bytes_ = 0;  // At the last check.
   // The last time at which the unacknowledged bytes had changed.
@@ -477,8 +487,8 @@
   bool lingering_ = false;
   bool is_aborted_ = false;  // Its end must not look like that of an answer.
   bool input_ended_ = false;
-  bool reading_paused_ = false;  // Pipelined input waits.
-  bool awaits_drain_ = false;    // The next request waits for unread answers.
+  bool reading_paused_ = false;    // Pipelined input waits.
+  bool awaits_drain_ = false;      // The next request waits for unread answers.
   bool has_output_ = false;
   bool closed_ = false;
 };
--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <memory>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 #include "egretladder/net/address.h"
@@ -68,21 +69,27 @@
 
 bool HttpServer::State::MakeRoom(std::size_t most) {
   if (connections.size() < limits.connections) return true;
-  const kernel::Time waits_since =
-      kernel::Now(loop->clock) - kMinWaitBeforeClose;
-  std::vector<std::pair<kernel::Time, std::shared_ptr<HttpConnection>>> waiting;
+  const kernel::Time now = kernel::Now(loop->clock);
+  // Those that have all their answers come first, and then the longest waiting.
+  using Waiting =
+      std::tuple<bool, kernel::Time, std::shared_ptr<HttpConnection>>;
+  std::vector<Waiting> waiting;
   for (const auto& connection : connections) {
     const auto since = connection->WaitsSince();
-    if (since && *since <= waits_since)
-      waiting.emplace_back(*since, connection);
+    const bool has_output = connection->UnsentBytes() > 0;
+    const auto min_wait =
+        has_output ? kMinUnreadBeforeClose : kMinWaitBeforeClose;
+    if (since && now - *since >= min_wait)
+      waiting.emplace_back(has_output, *since, connection);
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto& [has_output, since, connection] : waiting) {
+    if (most == 0) break;
+    if (connection->HasUnreadInput()) continue;
+    connection->Close();
+    ++closed_waiting;
+    --most;
   }
-  const std::size_t count = std::min(waiting.size(), most);
-  std::partial_sort(waiting.begin(),
-                    waiting.begin() + static_cast<std::ptrdiff_t>(count),
-                    waiting.end());
-  waiting.resize(count);
-  for (const auto& [since, connection] : waiting) connection->Close();
-  closed_waiting += count;
   return connections.size() < limits.connections;
 }
 
--- a/net/src/socket.cc
+++ b/net/src/socket.cc
@@ -87,6 +87,11 @@
   return ioctl(fd, TIOCOUTQ, &held) == 0 ? held : 0;
 }
 
+int UnreadBytes(evutil_socket_t fd) {
+  int held = 0;
+  return ioctl(fd, FIONREAD, &held) == 0 ? held : 0;
+}
+
 void IgnoreNewConnections(evutil_socket_t listener) {
   constexpr std::uint32_t kFlagsOffset = 13;  // In the header of a segment.
   constexpr std::uint32_t kAllBytes = 0xFFFF'FFFF;
--- a/net/tests/unread_answers_test.cc
+++ b/net/tests/unread_answers_test.cc
@@ -148,6 +148,29 @@
   test_loop.WaitUntil([&] { return CountAnswers(in_call) == 1; });
 }
 
+// Guards against an upload that is closed though it goes on, as it began before
+// others came that send nothing.
+TEST(UnreadAnswers, AFullServerKeepsAnUploadThatGoesOn) {
+  constexpr std::size_t kConnections = 3;
+  const en::HttpServer& server = Start(kConnections);
+  et::RawSocket& upload = Connect(server);
+  upload.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na");
+  test_loop.WaitUntil([&] { return server.connections() == 1; });
+  Settle();
+  ek::Advance(test_loop.clock, 100ms);
+  Connect(server);
+  test_loop.WaitUntil([&] { return server.connections() == 2; });
+  ek::Advance(test_loop.clock, 300ms);
+  upload.Send("b");
+  Settle();
+  et::RawSocket& ordinary = Connect(server);
+  ordinary.Send(MakeGet());
+  test_loop.WaitUntil([&] { return CountAnswers(ordinary) == 1; });
+  LONGS_EQUAL(1, server.closed_waiting());
+  upload.Send("c");
+  test_loop.WaitUntil([&] { return CountAnswers(upload) == 1; });
+}
+
 // Guards against heads of many fields whose memory counts as little as their
 // bodies, which never come.
 TEST(UnreadAnswers, FieldsOfIncompleteRequestsCount) {
