The time for the next request begins when the answers are taken

A caller that takes longer than the idle timeout to read an answer was closed within 100 ms of its last byte, at the moment of its next request.

Cause: the time ran from the end of the answer at this process, and was renewed by 100 ms only while output was left.

Change: the time starts anew when the output is empty.

--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -287,6 +287,7 @@
       return;
     }
     AwaitRequest();
+    is_answer_unread_ = UnsentBytes() > 0;
     SetReading(true);
     // Reads a pipelined request from the event loop, so that it is not handled
     // inside the call that answers the previous one.
@@ -435,6 +436,7 @@
     }
     if (closed_) return;
     if (awaits_drain_ && !lingering_) ReadNextRequest();
+    OnAnswersTaken();
     if (!lingering_) return;
     if (is_aborted_) {
       Close();
@@ -446,6 +448,16 @@
     AwaitClose();
   }
 
+  // The caller has its answers, and may wait with its next request from now on.
+  void OnAnswersTaken() {
+    const auto server = server_.lock();
+    if (server == nullptr || !std::exchange(is_answer_unread_, false) ||
+        wait_state_ != WaitState::kRequest || request_started_) {
+      return;
+    }
+    StartWait(WaitState::kRequest, server->limits.idle_timeout);
+  }
+
   void AwaitClose() {
     // After the end of the caller's output no unread input can cause a reset,
     // so there is no need to linger.
@@ -488,6 +500,7 @@
   bool is_aborted_ = false;  // Its end must not look like that of an answer.
   bool input_ended_ = false;
   bool reading_paused_ = false;    // Pipelined input waits.
+  bool is_answer_unread_ = false;  // When the wait for a request began.
   bool awaits_drain_ = false;      // The next request waits for unread answers.
   bool has_output_ = false;
   bool closed_ = false;
