What nobody reads goes before a large answer that is read slowly

Beside a crowd that leaves much unread, the largest answer was closed, which may be that of a caller on a slow link who reads it.

Cause: only the size counted among those that had taken nothing for a moment.

Evidence: the new test, a quarter of a MiB that nobody took for 10 s beside 1 MiB with 60 ms between two reads: the latter was closed on the code before, the former now.

Change: the size counts by how long nothing was taken.

--- a/net/src/server_group.cc
+++ b/net/src/server_group.cc
@@ -24,25 +24,29 @@
   incomplete_bytes_ += added - gone;
 }
 
-// The largest one of a caller that has taken nothing for `patience`. Without
-// patience, that of a caller which doesn't read, or else the one that has taken
-// nothing for longest.
+// What a connection leaves unread counts by its size and by how long nothing of
+// it was taken: a large answer on a slow link isn't worse than many small ones
+// that nobody reads. Without patience it may also be one that reads, if all do.
 HttpConnection* ServerGroup::FindUnread(
     std::chrono::milliseconds patience) const {
   const kernel::Time now = kernel::Now(loop_.clock);
   const std::chrono::milliseconds min_time =
       std::max(patience, kMaxReadingPause);
-  HttpConnection* largest = nullptr;
+  HttpConnection* worst = nullptr;
   HttpConnection* longest = nullptr;
+  double worst_weight = 0;
   for (HttpConnection* connection : with_output_) {
     const auto time = connection->TimeWithoutProgress(now);
-    if (time >= min_time && (largest == nullptr || connection->UnsentBytes() >
-                                                       largest->UnsentBytes()))
-      largest = connection;
+    const double weight = static_cast<double>(connection->UnsentBytes()) *
+                          static_cast<double>(time.count());
+    if (time >= min_time && (worst == nullptr || weight > worst_weight)) {
+      worst = connection;
+      worst_weight = weight;
+    }
     if (longest == nullptr || time > longest->TimeWithoutProgress(now))
       longest = connection;
   }
-  return largest == nullptr && patience.count() == 0 ? longest : largest;
+  return worst == nullptr && patience.count() == 0 ? longest : worst;
 }
 
 void ServerGroup::CloseUnread() {
--- a/net/tests/unread_answers_test.cc
+++ b/net/tests/unread_answers_test.cc
@@ -35,6 +35,7 @@
   std::size_t requests = 0;
   std::vector<en::HttpCallPtr> unanswered;
   bool answers = true;
+  bool answers_behind_unread = true;
   // Above it callers have no patience.
   std::size_t max_unread = std::size_t{1} << 30U;
 
@@ -51,7 +52,7 @@
     en::ServerHandlers handlers;
     handlers.on_request = [this](const en::HttpCallPtr& call) {
       ++requests;
-      if (answers) {
+      if (answers && (answers_behind_unread || group->unread_bytes() == 0)) {
         call->Answer(200, "OK", {}, std::string(answer_size, 'x'));
       } else {
         unanswered.push_back(call);
@@ -120,6 +121,28 @@
   CHECK(group->unread_bytes() <= max_unread);
 }
 
+// Guards against the close of a large answer that its caller reads slowly, for
+// those that nobody reads.
+TEST(UnreadAnswers, AnAnswerThatNobodyReadsGoesBeforeALargerOne) {
+  const en::HttpServer& server = Start();
+  answer_size = kLargeAnswer / 4;
+  et::RawSocket& reads_nothing = Connect(server);
+  reads_nothing.Send(MakeGet());
+  test_loop.WaitUntil([&] { return requests == 1; });
+  Settle();
+  ek::Advance(test_loop.clock, 10s);
+  answer_size = kLargeAnswer;
+  et::RawSocket& reads_slowly = Connect(server);
+  reads_slowly.Send(MakeGet());
+  test_loop.WaitUntil([&] { return requests == 2; });
+  Settle();
+  ek::Advance(test_loop.clock, 60ms);
+  max_unread = group->unread_bytes() - 1;
+  group->CloseUnread();
+  LONGS_EQUAL(1, group->closed_unread());
+  test_loop.WaitUntil([&] { return CountAnswers(reads_slowly) == 1; });
+}
+
 // Guards against a full port on which connections without a request keep
 // others out.
 TEST(UnreadAnswers, AFullServerClosesTheLongestWaiting) {
