A request in progress isn't given up for the answer before it

A connection whose request was with an endpoint could be closed for a few KiB of the answer before it that weren't taken yet: work was begun for nothing, and its caller had no answer.

Cause: whoever has output could be closed, whatever was under way behind it.

Evidence: the new test failed on the code before: the connection was closed.

--- a/net/src/server_group.cc
+++ b/net/src/server_group.cc
@@ -27,6 +27,7 @@
 // What a connection leaves unread counts by its size and by how long nothing of
 // it was taken: a large answer on a slow link isn't worse than many small ones
 // that nobody reads. Without patience it may also be one that reads, if all do.
+// A request that is with an endpoint isn't given up for the answer before it.
 HttpConnection* ServerGroup::FindUnread(
     std::chrono::milliseconds patience) const {
   const kernel::Time now = kernel::Now(loop_.clock);
@@ -36,6 +37,7 @@
   HttpConnection* longest = nullptr;
   double worst_weight = 0;
   for (HttpConnection* connection : with_output_) {
+    if (connection->HasUnbegunCall()) continue;
     const auto time = connection->TimeWithoutProgress(now);
     const double weight = static_cast<double>(connection->UnsentBytes()) *
                           static_cast<double>(time.count());
--- a/net/tests/unread_answers_test.cc
+++ b/net/tests/unread_answers_test.cc
@@ -143,6 +143,27 @@
   test_loop.WaitUntil([&] { return CountAnswers(reads_slowly) == 1; });
 }
 
+// Guards against a request at an endpoint that is given up for the unread
+// answer before it.
+TEST(UnreadAnswers, ARequestInProgressIsNotGivenUp) {
+  const en::HttpServer& server = Start();
+  answer_size = 4096;
+  answers_behind_unread = false;
+  et::RawSocket& caller = Connect(server);
+  for (int i = 0; i < 500; ++i) caller.Send(MakeGet());
+  test_loop.WaitUntil([&] { return !unanswered.empty(); });
+  CHECK(group->unread_bytes() > 0);
+  ek::Advance(test_loop.clock, 10s);
+  max_unread = 0;
+  group->CloseUnread();
+  LONGS_EQUAL(0, group->closed_unread());
+  max_unread = kLargeAnswer;
+  const std::size_t before = requests;
+  answers_behind_unread = true;
+  unanswered.at(0)->Answer(200, "OK", {}, "own");
+  test_loop.WaitUntil([&] { return CountAnswers(caller) > before; });
+}
+
 // Guards against a full port on which connections without a request keep
 // others out.
 TEST(UnreadAnswers, AFullServerClosesTheLongestWaiting) {
