A full port closes those that send ahead and read nothing

Cause: a connection with input that isn't read yet was kept, since its request may just have come. One that doesn't take its answers has such input all the time, as it isn't read.

Change: unread input keeps a connection only if it has all its answers.

--- a/net/src/http_server_libevent.cc
+++ b/net/src/http_server_libevent.cc
@@ -85,7 +85,7 @@
   std::sort(waiting.begin(), waiting.end());
   for (const auto& [has_output, since, connection] : waiting) {
     if (most == 0) break;
-    if (connection->HasUnreadInput()) continue;
+    if (!has_output && connection->HasUnreadInput()) continue;
     connection->Close();
     ++closed_waiting;
     --most;
--- a/net/tests/unread_answers_test.cc
+++ b/net/tests/unread_answers_test.cc
@@ -215,6 +215,23 @@
   test_loop.WaitUntil([&] { return CountAnswers(upload) == 1; });
 }
 
+// Guards against a full port that keeps those out who read, since nobody who
+// sends ahead and reads nothing is closed.
+TEST(UnreadAnswers, AFullServerClosesThoseThatSendAheadAndReadNothing) {
+  constexpr std::size_t kConnections = 3;
+  const en::HttpServer& server = Start(kConnections);
+  answer_size = 4096;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    et::RawSocket& caller = Connect(server);
+    for (int j = 0; j < 500; ++j) caller.Send(MakeGet());
+  }
+  Settle();
+  ek::Advance(test_loop.clock, 2100ms);
+  et::RawSocket& ordinary = Connect(server);
+  ordinary.Send(MakeGet());
+  test_loop.WaitUntil([&] { return CountAnswers(ordinary) == 1; });
+}
+
 // Guards against heads of many fields whose memory counts as little as their
 // bodies, which never come.
 TEST(UnreadAnswers, FieldsOfIncompleteRequestsCount) {
