Nothing more is read behind requests that wait to be parsed

Callers that send ahead had up to 128 KiB of their requests kept on each connection while these were answered one by one: `directory-many` 41 MiB and `read-ahead` 52, where 18 and 21 were measured with a lower watermark.

Cause: reading went on between two pipelined requests, although what had come was enough for many.

Evidence: platform/soak/crowd.py, one run each before and after: `directory-many` 41 and 17 MiB, `read-ahead` 52 and 21.

Change: more is read only once what has come isn't a whole request. No unit test: a bound on bytes sent wasn't steady.

--- a/net/src/http_connection_p.h
+++ b/net/src/http_connection_p.h
@@ -288,7 +288,8 @@
     }
     AwaitRequest();
     is_answer_unread_ = UnsentBytes() > 0;
-    SetReading(true);
+    // What has come already is looked at before more is read.
+    SetReading(PendingInput(buffer_.get()).empty());
     // Reads a pipelined request from the event loop, so that it is not handled
     // inside the call that answers the previous one.
     bufferevent_trigger(buffer_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
@@ -351,6 +352,7 @@
     Consume(buffer_.get(), reader_->Feed(input));
     const bool is_incomplete = reader_->state() == ReadState::kHead ||
                                reader_->state() == ReadState::kBody;
+    if (is_incomplete) SetReading(true);
     const std::size_t held =
         reader_->held_bytes() + PendingInput(buffer_.get()).size();
     CountIncomplete(is_incomplete ? held : 0);
